--- /dev/null
+++ b/crates/galenastream_ctl/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operators' command line.
--- /dev/null
+++ b/crates/galenastream_ctl/src/main.rs
@@ -0,0 +1,3 @@
+//! The `galenastreamctl` program.
+
+fn main() {}
--- /dev/null
+++ b/crates/galenastream_node/src/main.rs
@@ -0,0 +1,3 @@
+//! The `galenastreamd` program.
+
+fn main() {}
--- /dev/null
+++ b/crates/galenastream_ownership/src/id/number.rs
@@ -0,0 +1,33 @@
+//! Numbers that only rise.
+
+/// Counts the assignments of a slice. Every change of owner raises it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Epoch(pub u64);
+
+/// Counts the coordinators of a cell.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
+pub struct Term(pub u64);
+
+/// Counts the writes of a table row.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct RowVersion(pub u64);
+
+/// Names one attempt to write a row, so that its author recognizes it when the answer is lost.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct WriteId(pub u64);
+
+/// Counts the accepted trees of settings.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
+pub struct SettingsVersion(pub u64);
+
+/// Counts the requests of one asker, so that a reply finds the time at which its request was sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
+pub struct Sequence(pub u64);
+
+/// Counts the sets of witnesses of a cell.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
+pub struct WitnessGeneration(pub u64);
+
+/// Counts the sets of slices that a coordinator granted to one member during one term.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
+pub struct HoldingVersion(pub u64);
--- /dev/null
+++ b/crates/galenastream_ownership/src/version/cell_row.rs
@@ -0,0 +1,36 @@
+//! The row of the table service that holds a cell.
+
+use crate::{CellId, KeyHash, Member, Slice, SliceId, Term, WitnessSet};
+
+/// The row of a cell. Only the coordinator of its term changes it, by conditional writes.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CellRow {
+    /// The cell.
+    pub cell: CellId,
+    /// The term.
+    pub term: Term,
+    /// The term's coordinator.
+    pub coordinator: Member,
+    /// The witnesses.
+    pub witnesses: WitnessSet,
+    /// The slices, in the order of their first positions. They cover the whole hash space.
+    pub slices: Vec<Slice>,
+    /// The id of the next slice that a split creates.
+    pub next_slice: SliceId,
+}
+
+impl CellRow {
+    /// The slice that a position falls into; `None` only when the row has no slices.
+    pub fn slice_at(&self, hash: KeyHash) -> Option<&Slice> {
+        let after = self.slices.partition_point(|it| it.first <= hash);
+        self.slices.get(after.checked_sub(1)?)
+    }
+
+    /// The last position of the slice at `index`.
+    pub fn last_position(&self, index: usize) -> KeyHash {
+        match self.slices.get(index + 1) {
+            Some(next) => KeyHash(next.first.0.saturating_sub(1)),
+            None => KeyHash::MAX,
+        }
+    }
+}
--- /dev/null
+++ b/crates/galenastream_standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Small stand-ins of the platform and of a target, and a load tool. For tests and trials only.
