--- /dev/null
+++ b/crates/galenastream_settings/src/parse/document.rs
@@ -0,0 +1,74 @@
+//! A source file with the errors found in it.
+
+use std::ops::Range;
+
+use crate::{SettingsError, SettingsErrorKind};
+
+/// A source file with the errors found in it.
+#[derive(Debug)]
+pub(crate) struct Document<'a> {
+    source_name: &'a str,
+    text: &'a str,
+    errors: Vec<SettingsError>,
+}
+
+impl<'a> Document<'a> {
+    pub(crate) fn new(source_name: &'a str, text: &'a str) -> Self {
+        Self { source_name, text, errors: Vec::new() }
+    }
+
+    /// The line in which a span starts, counted from one.
+    pub(crate) fn line(&self, span: Range<usize>) -> usize {
+        let start = span.start.min(self.text.len());
+        1 + self.text.as_bytes()[..start].iter().filter(|&&byte| byte == b'\n').count()
+    }
+
+    /// The text of a span, shortened to a usable length.
+    pub(crate) fn excerpt(&self, span: Range<usize>) -> String {
+        const MAX_CHARS: usize = 80;
+        let text = self.text.get(span).unwrap_or_default();
+        let first_line = text.lines().next().unwrap_or_default();
+        let mut excerpt: String = first_line.chars().take(MAX_CHARS).collect();
+        if excerpt.len() < text.len() {
+            excerpt.push('…');
+        }
+        excerpt
+    }
+
+    /// Records an error of an entry.
+    pub(crate) fn refuse(&mut self, line: usize, path: &str, kind: SettingsErrorKind) {
+        self.push(Some(line), path, None, kind);
+    }
+
+    /// Records an error of a value.
+    pub(crate) fn refuse_value(&mut self, span: Range<usize>, path: &str, kind: SettingsErrorKind) {
+        let line = self.line(span.clone());
+        let value = self.excerpt(span);
+        self.push(Some(line), path, Some(value), kind);
+    }
+
+    /// Records an error.
+    pub(crate) fn push(
+        &mut self,
+        line: Option<usize>,
+        path: &str,
+        value: Option<String>,
+        kind: SettingsErrorKind,
+    ) {
+        self.errors.push(SettingsError {
+            source_name: self.source_name.to_owned(),
+            line,
+            path: path.to_owned(),
+            value,
+            kind,
+        });
+    }
+
+    pub(crate) fn has_errors(&self) -> bool {
+        !self.errors.is_empty()
+    }
+
+    pub(crate) fn into_errors(self) -> Vec<SettingsError> {
+        self.errors
+    }
+}
--- /dev/null
+++ b/crates/galenastream_settings/src/parse/field_reader.rs
@@ -0,0 +1,121 @@
+//! Reads the fields of one table.
+
+use toml::{
+    Spanned,
+    de::{DeTable, DeValue},
+};
+
+use crate::{
+    FIELDS, FieldId, FieldSet, Level, SettingsErrorKind,
+    parse::{document::Document, suggestion, value_reader},
+};
+
+/// A table of the file, with what may stand in it besides fields.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct TableShape {
+    /// What the table is, for messages.
+    pub(crate) what: &'static str,
+    /// The level whose fields may stand in it, `None` if it has no fields.
+    pub(crate) level: Option<Level>,
+    /// What else may stand in it.
+    pub(crate) others: &'static [&'static str],
+}
+
+impl TableShape {
+    fn allowed_names(&self) -> Vec<&'static str> {
+        let mut names = self.others.to_vec();
+        let Some(level) = self.level else {
+            return names;
+        };
+        names.extend(FIELDS.iter().filter(|spec| level <= spec.lowest_level).map(|spec| spec.name));
+        names
+    }
+}
+
+/// Reads the fields of a table, and refuses what may not stand in it.
+pub(crate) fn read_fields(
+    document: &mut Document<'_>,
+    table: &DeTable<'_>,
+    path: &str,
+    shape: TableShape,
+) -> FieldSet {
+    let mut fields = FieldSet::default();
+    for (name, value) in table {
+        if shape.others.contains(&name.get_ref().as_ref()) {
+            continue;
+        }
+        let line = document.line(name.span());
+        let field_path = join(path, name.get_ref());
+        let field = match find_field(name.get_ref(), shape) {
+            Ok(field) => field,
+            Err(kind) => {
+                document.refuse(line, &field_path, kind);
+                continue;
+            }
+        };
+        match value_reader::read_value(field, value) {
+            Ok(read) => fields.insert(field, read, line),
+            Err(kind) => document.refuse_value(value.span(), &field_path, kind),
+        }
+    }
+    fields
+}
+
+/// The sub-table of this name. Refuses anything else of this name.
+pub(crate) fn sub_table<'t, 'i>(
+    document: &mut Document<'_>,
+    table: &'t DeTable<'i>,
+    path: &str,
+    name: &str,
+) -> Option<&'t DeTable<'i>> {
+    let value = table.get(name)?;
+    as_table(document, value, &join(path, name))
+}
+
+/// The value as a table. Refuses anything else.
+pub(crate) fn as_table<'t, 'i>(
+    document: &mut Document<'_>,
+    value: &'t Spanned<DeValue<'i>>,
+    path: &str,
+) -> Option<&'t DeTable<'i>> {
+    if let Some(table) = value.get_ref().as_table() {
+        return Some(table);
+    }
+    let kind = SettingsErrorKind::WrongType {
+        found: value.get_ref().type_str(),
+        expected: format!("a table like [{path}]"),
+    };
+    document.refuse_value(value.span(), path, kind);
+    None
+}
+
+/// The path of an entry within a table.
+pub(crate) fn join(path: &str, name: &str) -> String {
+    if path.is_empty() { name.to_owned() } else { format!("{path}.{name}") }
+}
+
+fn find_field(name: &str, shape: TableShape) -> Result<FieldId, SettingsErrorKind> {
+    let Some(level) = shape.level else {
+        return Err(unknown(name, shape));
+    };
+    let Some(field) = FieldId::find(name) else {
+        return Err(match suggestion::field_with_right_unit(name) {
+            Some(expected) => SettingsErrorKind::WrongUnit { expected },
+            None => unknown(name, shape),
+        });
+    };
+    let lowest = field.spec().lowest_level;
+    if level > lowest {
+        return Err(SettingsErrorKind::WrongLevel { level, lowest });
+    }
+    Ok(field)
+}
+
+fn unknown(name: &str, shape: TableShape) -> SettingsErrorKind {
+    let allowed = shape.allowed_names();
+    SettingsErrorKind::Unknown {
+        what: shape.what,
+        suggestion: suggestion::suggest(name, allowed.iter().copied()).map(str::to_owned),
+        allowed: allowed.into_iter().map(str::to_owned).collect(),
+    }
+}
--- /dev/null
+++ b/crates/galenastream_settings/src/parse/key_ranges.rs
@@ -0,0 +1,135 @@
+//! Reads the key ranges of a service.
+
+use toml::de::DeTable;
+
+use crate::{
+    KeyBounds, KeyRange, Level, PlaceKeyRange, SettingsErrorKind,
+    parse::{
+        document::Document,
+        field_reader::{TableShape, as_table, join, read_fields, sub_table},
+        names::check_name,
+        value_reader::read_text,
+    },
+};
+
+const KEY_RANGE: TableShape = TableShape {
+    what: "field of a key range",
+    level: Some(Level::KeyRange),
+    others: &["key_prefix", "first_key", "last_key"],
+};
+const PLACE_KEY_RANGE: TableShape = TableShape {
+    what: "field of a key range in a place",
+    level: Some(Level::KeyRange),
+    others: &[],
+};
+
+/// Reads the key ranges that a service declares, sorted by their first keys.
+pub(crate) fn read_key_ranges(
+    document: &mut Document<'_>,
+    service: &DeTable<'_>,
+    path: &str,
+) -> Vec<KeyRange> {
+    let mut ranges = Vec::new();
+    let path = join(path, "key_ranges");
+    let Some(tables) = sub_table(document, service, parent(&path), "key_ranges") else {
+        return ranges;
+    };
+    for (name, value) in tables {
+        let path = join(&path, name.get_ref());
+        let line = document.line(name.span());
+        check_name(document, line, &path, name.get_ref());
+        let Some(table) = as_table(document, value, &path) else {
+            continue;
+        };
+        let fields = read_fields(document, table, &path, KEY_RANGE);
+        let Some(bounds) = read_bounds(document, table, &path, line) else {
+            continue;
+        };
+        ranges.push(KeyRange { name: name.get_ref().to_string(), line, bounds, fields });
+    }
+    refuse_overlaps(document, &path, &mut ranges);
+    ranges
+}
+
+/// Reads what a place overrides in the key ranges of its service.
+pub(crate) fn read_place_key_ranges(
+    document: &mut Document<'_>,
+    place: &DeTable<'_>,
+    path: &str,
+    declared: &[KeyRange],
+) -> Vec<PlaceKeyRange> {
+    let mut ranges = Vec::new();
+    let Some(tables) = sub_table(document, place, path, "key_ranges") else {
+        return ranges;
+    };
+    for (name, value) in tables {
+        let path = join(&join(path, "key_ranges"), name.get_ref());
+        let line = document.line(name.span());
+        if !declared.iter().any(|range| range.name == name.get_ref().as_ref()) {
+            let declared = declared.iter().map(|range| range.name.clone()).collect();
+            document.refuse(line, &path, SettingsErrorKind::UnknownKeyRange { declared });
+            continue;
+        }
+        let Some(table) = as_table(document, value, &path) else {
+            continue;
+        };
+        let fields = read_fields(document, table, &path, PLACE_KEY_RANGE);
+        ranges.push(PlaceKeyRange { name: name.get_ref().to_string(), line, fields });
+    }
+    ranges
+}
+
+fn read_bounds(
+    document: &mut Document<'_>,
+    table: &DeTable<'_>,
+    path: &str,
+    line: usize,
+) -> Option<KeyBounds> {
+    let mut read = |name: &str| match table.get(name) {
+        Some(value) => read_text(document, &join(path, name), value).map(Some),
+        None => Some(None),
+    };
+    let prefix = read("key_prefix")?;
+    let first = read("first_key")?;
+    let last = read("last_key")?;
+    let bounds = match (&prefix, &first, &last) {
+        (Some(prefix), None, None) if !prefix.is_empty() => {
+            KeyBounds::with_prefix(prefix.as_bytes())
+        }
+        (None, Some(_), _) | (None, _, Some(_)) => {
+            KeyBounds::new(first.as_deref().map(str::as_bytes), last.as_deref().map(str::as_bytes))
+        }
+        _ => {
+            document.refuse(line, path, SettingsErrorKind::KeyRangeBounds);
+            return None;
+        }
+    };
+    if bounds.is_empty() {
+        document.refuse(line, path, SettingsErrorKind::EmptyKeyRange);
+        return None;
+    }
+    Some(bounds)
+}
+
+/// Sorts the ranges by their first keys, and refuses those with a key in common.
+fn refuse_overlaps(document: &mut Document<'_>, path: &str, ranges: &mut [KeyRange]) {
+    ranges.sort_by(|a, b| a.bounds.first.cmp(&b.bounds.first));
+    for (position, range) in ranges.iter().enumerate() {
+        for other in &ranges[..position] {
+            if !range.bounds.overlaps(&other.bounds) {
+                continue;
+            }
+            let (later, earlier) =
+                if range.line > other.line { (range, other) } else { (other, range) };
+            let kind = SettingsErrorKind::OverlappingKeyRanges {
+                other: earlier.name.clone(),
+                other_line: earlier.line,
+            };
+            document.refuse(later.line, &join(path, &later.name), kind);
+        }
+    }
+}
+
+fn parent(path: &str) -> &str {
+    path.rsplit_once('.').map_or("", |(parent, _)| parent)
+}
--- /dev/null
+++ b/crates/galenastream_settings/src/parse/mod.rs
@@ -0,0 +1,12 @@
+//! Reads a tree from its file and checks it.
+
+mod cross_checks;
+mod document;
+mod field_reader;
+mod key_ranges;
+mod names;
+mod suggestion;
+mod tree_reader;
+mod value_reader;
+
+pub(crate) use tree_reader::parse_tree;
