--- a/crates/galenastream_settings/src/field/field_set.rs
+++ b/crates/galenastream_settings/src/field/field_set.rs
@@ -1,6 +1,6 @@
 //! The fields that one level sets.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use crate::FieldId;
 
@@ -15,6 +15,8 @@
 #[derive(Debug, Clone, Default, PartialEq)]
 pub(crate) struct FieldSet {
     fields: BTreeMap<FieldId, SetField>,
+    /// Fields whose values were refused, so that checks between fields skip them.
+    refused: BTreeSet<FieldId>,
 }
 
 impl FieldSet {
@@ -22,6 +24,14 @@
         self.fields.insert(field, SetField { value, line });
     }
 
+    pub(crate) fn insert_refused(&mut self, field: FieldId) {
+        self.refused.insert(field);
+    }
+
+    pub(crate) fn is_refused(&self, field: FieldId) -> bool {
+        self.refused.contains(&field)
+    }
+
     pub(crate) fn get(&self, field: FieldId) -> Option<&SetField> {
         self.fields.get(&field)
     }
--- a/crates/galenastream_settings/src/field/table.rs
+++ b/crates/galenastream_settings/src/field/table.rs
@@ -78,7 +78,7 @@
         name: "queue_wait_ms",
         kind: FieldKind::Integer { min: 1, max: 60_000 },
         default: "50",
-        lowest_level: Level::Place,
+        lowest_level: Level::KeyRange,
         description: "How long a request may wait for a slot. After that it is refused as not run.",
     },
     FieldSpec {
--- a/crates/galenastream_settings/src/parse/cross_checks.rs
+++ b/crates/galenastream_settings/src/parse/cross_checks.rs
@@ -102,6 +102,9 @@
         let Some(field) = FieldId::find(name) else {
             continue;
         };
+        if layers.is_refused(field) {
+            return;
+        }
         let (value, origin) = layers.find(field);
         let is_lower = |level: Level| origin.level > level;
         if found.as_ref().is_none_or(|(_, _, other)| is_lower(other.level)) {
--- a/crates/galenastream_settings/src/parse/field_reader.rs
+++ b/crates/galenastream_settings/src/parse/field_reader.rs
@@ -2,7 +2,7 @@
 
 use toml::{
     Spanned,
-    de::{DeTable, DeValue},
+    de::{DeString, DeTable, DeValue},
 };
 
 use crate::{
@@ -55,12 +55,24 @@
         };
         match value_reader::read_value(field, value) {
             Ok(read) => fields.insert(field, read, line),
-            Err(kind) => document.refuse_value(value.span(), &field_path, kind),
+            Err(kind) => {
+                fields.insert_refused(field);
+                document.refuse_value(value.span(), &field_path, kind);
+            }
         }
     }
     fields
 }
 
+/// The entries of a table in the order of the file.
+pub(crate) fn in_file_order<'t, 'i>(
+    table: &'t DeTable<'i>,
+) -> Vec<(&'t Spanned<DeString<'i>>, &'t Spanned<DeValue<'i>>)> {
+    let mut entries: Vec<_> = table.iter().collect();
+    entries.sort_by_key(|(name, _)| name.span().start);
+    entries
+}
+
 /// The sub-table of this name. Refuses anything else of this name.
 pub(crate) fn sub_table<'t, 'i>(
     document: &mut Document<'_>,
--- a/crates/galenastream_settings/src/parse/key_ranges.rs
+++ b/crates/galenastream_settings/src/parse/key_ranges.rs
@@ -6,7 +6,7 @@
     KeyBounds, KeyRange, Level, PlaceKeyRange, SettingsErrorKind,
     parse::{
         document::Document,
-        field_reader::{TableShape, as_table, join, read_fields, sub_table},
+        field_reader::{TableShape, as_table, in_file_order, join, read_fields, sub_table},
         names::check_name,
         value_reader::read_text,
     },
@@ -34,7 +34,7 @@
     let Some(tables) = sub_table(document, service, parent(&path), "key_ranges") else {
         return ranges;
     };
-    for (name, value) in tables {
+    for (name, value) in in_file_order(tables) {
         let path = join(&path, name.get_ref());
         let line = document.line(name.span());
         check_name(document, line, &path, name.get_ref());
@@ -62,7 +62,7 @@
     let Some(tables) = sub_table(document, place, path, "key_ranges") else {
         return ranges;
     };
-    for (name, value) in tables {
+    for (name, value) in in_file_order(tables) {
         let path = join(&join(path, "key_ranges"), name.get_ref());
         let line = document.line(name.span());
         if !declared.iter().any(|range| range.name == name.get_ref().as_ref()) {
--- a/crates/galenastream_settings/src/parse/tree_reader.rs
+++ b/crates/galenastream_settings/src/parse/tree_reader.rs
@@ -9,7 +9,7 @@
     parse::{
         cross_checks,
         document::Document,
-        field_reader::{TableShape, as_table, join, read_fields, sub_table},
+        field_reader::{TableShape, as_table, in_file_order, join, read_fields, sub_table},
         key_ranges::{read_key_ranges, read_place_key_ranges},
         names::{NameIds, check_name},
         suggestion::suggest,
@@ -115,7 +115,7 @@
     let Some(tables) = sub_table(document, root, "", "places") else {
         return places;
     };
-    for (name, value) in tables {
+    for (name, value) in in_file_order(tables) {
         let path = join("places", name.get_ref());
         let line = document.line(name.span());
         let id = PlaceId::from_name(name.get_ref());
@@ -150,7 +150,7 @@
     let Some(tables) = sub_table(document, root, "", "services") else {
         return services;
     };
-    for (name, value) in tables {
+    for (name, value) in in_file_order(tables) {
         let path = join("services", name.get_ref());
         let line = document.line(name.span());
         let id = ServiceId::from_name(name.get_ref());
@@ -201,7 +201,7 @@
     let Some(tables) = sub_table(document, service, service_path, "places") else {
         return places;
     };
-    for (name, value) in tables {
+    for (name, value) in in_file_order(tables) {
         let path = format!("{service_path}.places.{}", name.get_ref());
         let line = document.line(name.span());
         let name = name.get_ref().to_string();
--- a/crates/galenastream_settings/src/parse/value_reader.rs
+++ b/crates/galenastream_settings/src/parse/value_reader.rs
@@ -89,7 +89,7 @@
 }
 
 fn read_classes(value: &Spanned<DeValue<'_>>) -> Result<toml::Value, SettingsErrorKind> {
-    let refused = || wrong_type(FieldKind::Classes, value);
+    let refused = || wrong_list(FieldKind::Classes);
     let array = to_value(value).ok_or_else(refused)?;
     let classes: Vec<ClassSettings> = array.clone().try_into().map_err(|_| refused())?;
     if classes.is_empty() || classes.len() > MAX_CLASSES {
@@ -108,7 +108,7 @@
 
 fn read_methods(value: &Spanned<DeValue<'_>>) -> Result<toml::Value, SettingsErrorKind> {
     const MAX_METHOD_BYTES: usize = 32;
-    let refused = || wrong_type(FieldKind::Methods, value);
+    let refused = || wrong_list(FieldKind::Methods);
     let array = to_value(value).ok_or_else(refused)?;
     let methods: Vec<String> = array.clone().try_into().map_err(|_| refused())?;
     for method in methods {
@@ -125,6 +125,10 @@
     toml::Value::deserialize(value.clone().into_deserializer()).ok()
 }
 
+fn wrong_list(kind: FieldKind) -> SettingsErrorKind {
+    SettingsErrorKind::WrongType { found: "another list", expected: kind.to_string() }
+}
+
 fn wrong_type(kind: FieldKind, value: &Spanned<DeValue<'_>>) -> SettingsErrorKind {
     SettingsErrorKind::WrongType { found: value.get_ref().type_str(), expected: kind.to_string() }
 }
--- a/crates/galenastream_settings/src/version/change.rs
+++ b/crates/galenastream_settings/src/version/change.rs
@@ -80,7 +80,7 @@
 }
 
 fn add_table(entries: &mut BTreeMap<String, Entry>, path: &str, line: usize) {
-    entries.insert(path.to_owned(), Entry { value: "table".to_owned(), line });
+    entries.insert(path.to_owned(), Entry { value: "a table".to_owned(), line });
 }
 
 fn add_fields(entries: &mut BTreeMap<String, Entry>, path: &str, fields: &FieldSet) {
--- a/crates/galenastream_settings/src/version/layer.rs
+++ b/crates/galenastream_settings/src/version/layer.rs
@@ -50,6 +50,11 @@
         (built_in_value(field), origin)
     }
 
+    /// Whether a level sets the field to a value that was refused.
+    pub(crate) fn is_refused(&self, field: FieldId) -> bool {
+        self.layers.iter().any(|layer| layer.fields.is_refused(field))
+    }
+
     /// All fields, resolved.
     pub(crate) fn resolve(&self) -> Result<EffectiveSettings, toml::de::Error> {
         let mut table = toml::Table::new();
--- a/crates/galenastream_settings/src/version/tree.rs
+++ b/crates/galenastream_settings/src/version/tree.rs
@@ -38,12 +38,12 @@
         &self.warnings
     }
 
-    /// The services, in the order of their names.
+    /// The services, in the order of the file.
     pub fn services(&self) -> &[ServiceSettings] {
         &self.services
     }
 
-    /// The places, in the order of their names.
+    /// The places, in the order of the file.
     pub fn places(&self) -> &[PlaceSettings] {
         &self.places
     }
