--- a/crates/galenastream_settings/tests/examples.rs
+++ b/crates/galenastream_settings/tests/examples.rs
@@ -7,7 +7,7 @@
 
 fn example(name: &str) -> SettingsTree {
     let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples/settings").join(name);
-    let toml = fs::read_to_string(path).unwrap();
+    let toml = fs::read_to_string(path).expect("the test's tree is valid");
     match SettingsTree::parse(name, &toml) {
         Ok(tree) => tree,
         Err(errors) => panic!("{errors}"),
@@ -15,7 +15,7 @@
 }
 
 fn service<'a>(tree: &'a SettingsTree, name: &str) -> &'a EffectiveSettings {
-    tree.service(ServiceId::from_name(name)).unwrap().settings()
+    tree.service(ServiceId::from_name(name)).expect("the test's tree is valid").settings()
 }
 
 #[test]
@@ -53,7 +53,15 @@
 }
 
 fn check_first_shed(settings: &EffectiveSettings, first: &str, last: &str) {
-    let lowest = settings.classes.iter().min_by_key(|class| class.priority).unwrap();
-    let highest = settings.classes.iter().max_by_key(|class| class.priority).unwrap();
+    let lowest = settings
+        .classes
+        .iter()
+        .min_by_key(|class| class.priority)
+        .expect("the test's tree is valid");
+    let highest = settings
+        .classes
+        .iter()
+        .max_by_key(|class| class.priority)
+        .expect("the test's tree is valid");
     assert_eq!((lowest.name.as_str(), highest.name.as_str()), (first, last));
 }
--- a/crates/galenastream_settings/tests/inheritance.rs
+++ b/crates/galenastream_settings/tests/inheritance.rs
@@ -40,7 +40,7 @@
 "#;
 
 fn tree() -> SettingsTree {
-    SettingsTree::parse("tree.toml", TREE).unwrap()
+    SettingsTree::parse("tree.toml", TREE).expect("the test's tree is valid")
 }
 
 fn retry_after_ms(service: &str, place: &str, key: &str) -> Option<u32> {
@@ -74,14 +74,20 @@
 #[test]
 fn timing_is_that_of_the_service() {
     let tree = tree();
-    assert_eq!(tree.timing(ServiceId::from_name("booking")).unwrap().lease_ms, 900);
-    assert_eq!(tree.timing(ServiceId::from_name("catalogue")).unwrap().lease_ms, 600);
+    assert_eq!(
+        tree.timing(ServiceId::from_name("booking")).expect("the test's tree is valid").lease_ms,
+        900
+    );
+    assert_eq!(
+        tree.timing(ServiceId::from_name("catalogue")).expect("the test's tree is valid").lease_ms,
+        600
+    );
     assert_eq!(tree.timing(ServiceId::from_name("unknown")), None);
 }
 
 #[test]
 fn built_in_timing_is_that_of_the_ownership_protocol() {
-    let tree = SettingsTree::parse("empty.toml", "").unwrap();
+    let tree = SettingsTree::parse("empty.toml", "").expect("the test's tree is valid");
     assert_eq!(tree.root().timing(), galenastream_ownership::Timing::default());
 }
 
@@ -113,7 +119,7 @@
             place.map(PlaceId::from_name),
             key.map(str::as_bytes),
         )
-        .unwrap();
+        .expect("the test's tree is valid");
     let mut lines = Vec::new();
     for field in explained {
         if !["slots", "retry_after_ms", "lease_ms"].contains(&field.field) {
@@ -131,7 +137,7 @@
 fn few_places_are_a_warning() {
     let two =
         "[places.a]\nregion = \"r\"\n[places.b]\nregion = \"r\"\n[places.c]\nregion = \"s\"\n";
-    let tree = SettingsTree::parse("two.toml", two).unwrap();
+    let tree = SettingsTree::parse("two.toml", two).expect("the test's tree is valid");
     let warnings: Vec<String> = tree.warnings().iter().map(ToString::to_string).collect();
     expect![[r#"
         region "r" has 2 of the 3 places that witnesses need; its cells run on the store alone
@@ -142,15 +148,15 @@
 
 #[test]
 fn table_of_fields_agrees_with_the_resolved_settings() {
-    let tree = SettingsTree::parse("empty.toml", "").unwrap();
-    let resolved = toml::Table::try_from(tree.root()).unwrap();
+    let tree = SettingsTree::parse("empty.toml", "").expect("the test's tree is valid");
+    let resolved = toml::Table::try_from(tree.root()).expect("the test's tree is valid");
     let mut in_table: Vec<&str> = FIELDS.iter().map(|spec| spec.name).collect();
     let mut in_struct: Vec<&str> = resolved.keys().map(String::as_str).collect();
     in_table.sort_unstable();
     in_struct.sort_unstable();
     assert_eq!(in_table, in_struct);
     for spec in FIELDS {
-        assert_eq!(FieldId::find(spec.name).unwrap().spec(), spec);
+        assert_eq!(FieldId::find(spec.name).expect("the test's tree is valid").spec(), spec);
     }
 }
 
@@ -160,8 +166,8 @@
     for spec in FIELDS {
         toml.push_str(&format!("{} = {}\n", spec.name, spec.default));
     }
-    let written = SettingsTree::parse("defaults.toml", &toml).unwrap();
-    let empty = SettingsTree::parse("empty.toml", "").unwrap();
+    let written = SettingsTree::parse("defaults.toml", &toml).expect("the test's tree is valid");
+    let empty = SettingsTree::parse("empty.toml", "").expect("the test's tree is valid");
     assert_eq!(written.root(), empty.root());
 }
 
--- a/crates/galenastream_settings/tests/versions.rs
+++ b/crates/galenastream_settings/tests/versions.rs
@@ -26,7 +26,7 @@
 "#;
 
 fn parse(toml: &str) -> SettingsTree {
-    SettingsTree::parse("tree.toml", toml).unwrap()
+    SettingsTree::parse("tree.toml", toml).expect("the test's tree is valid")
 }
 
 fn check_diff(new: &str, expected: &Expect) {
@@ -142,7 +142,7 @@
     ];
     for (removed, new) in cases {
         let new = format!("removed = [\"{removed}\"]\n{new}");
-        check_removals(&parse(OLD), &parse(&new)).unwrap();
+        check_removals(&parse(OLD), &parse(&new)).expect("the test's tree is valid");
     }
 }
 
@@ -161,5 +161,5 @@
 
 #[test]
 fn the_same_tree_removes_nothing() {
-    check_removals(&parse(OLD), &parse(OLD)).unwrap();
+    check_removals(&parse(OLD), &parse(OLD)).expect("the test's tree is valid");
 }
