--- /dev/null
+++ b/crates/galenastream_routing/src/process/admission.rs
@@ -0,0 +1,234 @@
+//! Admission of requests to a target.
+
+use std::time::Duration;
+
+use galenastream_ownership::BootInstant;
+
+pub use super::queue::WaitId;
+use super::queue::{Queue, Waiting};
+use crate::{Class, Deadline, ServiceTime};
+
+/// Share of its slots that a cold target starts with, in hundredths.
+const COLD_SHARE_PERCENT: u64 = 25;
+
+/// In how many steps the refused requests are spread over the time after which they come back.
+const RETRY_SPREAD_STEPS: u32 = 8;
+
+/// The room that a target has.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct AdmissionLimits {
+    /// Requests that the target works on at once.
+    pub slots: u32,
+    /// Requests that wait for a slot at most.
+    pub queue_limit: u32,
+    /// How long a request waits for a slot at most.
+    pub queue_wait_ms: u32,
+    /// The least time after which a refused caller shall come back.
+    pub retry_after_ms: u32,
+    /// How long a cold target takes until it has all its slots.
+    pub ramp_up_ms: u32,
+}
+
+/// Admission of requests to one target: its slots and the short queue in front of them.
+///
+/// Every request that arrives either starts, waits or is shed at once. What the target's own health
+/// and load endpoints say has no part in it.
+#[derive(Debug, Clone)]
+pub struct Admission {
+    limits: AdmissionLimits,
+    target_up_at: BootInstant,
+    in_progress: u32,
+    queue: Queue,
+    next_wait: u64,
+    sheds: u32,
+    service_time: ServiceTime,
+}
+
+/// What happens to a request that arrives.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Arrival {
+    /// It takes a slot now. Report its end by [`Admission::finish`].
+    Start,
+    /// It waits. If it is not woken by `until`, it is to be taken out by [`Admission::give_up`].
+    Wait {
+        /// Names it.
+        id: WaitId,
+        /// When waiting for longer is of no use.
+        until: BootInstant,
+    },
+    /// It is refused now.
+    Shed {
+        /// When to come back.
+        retry_after_ms: u32,
+    },
+}
+
+/// What an arrival does to the request itself and to another one that waits.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Admitted {
+    /// What happens to the request.
+    pub arrival: Arrival,
+    /// A waiting request of a lower class that is shed in its favour.
+    pub evicted: Option<Evicted>,
+}
+
+/// A waiting request that is shed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Evicted {
+    /// The request.
+    pub id: WaitId,
+    /// When to come back.
+    pub retry_after_ms: u32,
+}
+
+/// What becomes of waiting requests when a slot is free.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Released {
+    /// These take slots now.
+    pub started: Vec<WaitId>,
+    /// These could no longer meet their deadlines and are shed.
+    pub shed: Vec<Evicted>,
+}
+
+impl Admission {
+    /// Creates the admission to a target that came up at `target_up_at`.
+    pub fn new(limits: AdmissionLimits, target_up_at: BootInstant) -> Self {
+        Self {
+            limits,
+            target_up_at,
+            in_progress: 0,
+            queue: Queue::default(),
+            next_wait: 0,
+            sheds: 0,
+            service_time: ServiceTime::default(),
+        }
+    }
+
+    /// Decides on a request that arrives.
+    pub fn arrive(&mut self, now: BootInstant, class: Class, deadline: Deadline) -> Admitted {
+        if self.queue.len() == 0 && self.in_progress < self.open_slots(now) {
+            self.in_progress += 1;
+            return Admitted { arrival: Arrival::Start, evicted: None };
+        }
+        if !self.can_meet(now, class, deadline) {
+            return Admitted { arrival: self.shed(now), evicted: None };
+        }
+        if self.queue.len() < self.limits.queue_limit as usize {
+            return Admitted { arrival: self.wait(now, class, deadline), evicted: None };
+        }
+        let Some(lowest) = self.queue.pop_lowest_below(class) else {
+            return Admitted { arrival: self.shed(now), evicted: None };
+        };
+        let evicted = Evicted { id: lowest.id, retry_after_ms: self.next_retry_after_ms(now) };
+        Admitted { arrival: self.wait(now, class, deadline), evicted: Some(evicted) }
+    }
+
+    /// Frees the slot of a request that ended. `service_time` is that of a whole answer, if any.
+    pub fn finish(&mut self, now: BootInstant, service_time: Option<Duration>) -> Released {
+        self.in_progress = self.in_progress.saturating_sub(1);
+        if let Some(service_time) = service_time {
+            self.service_time.add(service_time);
+        }
+        self.release(now)
+    }
+
+    /// Starts waiting requests for which there are slots.
+    pub fn release(&mut self, now: BootInstant) -> Released {
+        let mut released = Released::default();
+        while self.in_progress < self.open_slots(now) {
+            let Some(next) = self.queue.pop_first() else {
+                break;
+            };
+            if next.until <= now || next.deadline.has_passed(now + self.service_time.mean()) {
+                let retry_after_ms = self.next_retry_after_ms(now);
+                released.shed.push(Evicted { id: next.id, retry_after_ms });
+                continue;
+            }
+            self.in_progress += 1;
+            released.started.push(next.id);
+        }
+        released
+    }
+
+    /// Takes a waiting request out. Returns false if it was woken or evicted before.
+    pub fn give_up(&mut self, id: WaitId) -> bool {
+        self.queue.remove(id)
+    }
+
+    /// Changes the room, when a new settings version comes into force.
+    pub fn set_limits(&mut self, limits: AdmissionLimits) {
+        self.limits = limits;
+    }
+
+    /// Starts the ramp of a target that came up anew.
+    pub fn restart(&mut self, target_up_at: BootInstant) {
+        self.target_up_at = target_up_at;
+        self.service_time = ServiceTime::default();
+    }
+
+    /// Requests that hold slots.
+    pub const fn in_progress(&self) -> u32 {
+        self.in_progress
+    }
+
+    /// Requests that wait.
+    pub const fn waiting(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// When a caller that is refused now shall come back.
+    pub fn retry_after_ms(&self, now: BootInstant) -> u32 {
+        let drain_ms = self.expected_wait(now, self.queue.len()).as_millis();
+        u32::try_from(drain_ms).unwrap_or(u32::MAX).max(self.limits.retry_after_ms)
+    }
+
+    fn wait(&mut self, now: BootInstant, class: Class, deadline: Deadline) -> Arrival {
+        let id = WaitId(self.next_wait);
+        self.next_wait += 1;
+        let until = (now + self.queue_wait()).min(deadline.at());
+        self.queue.push(class, Waiting { id, deadline, until });
+        Arrival::Wait { id, until }
+    }
+
+    fn shed(&mut self, now: BootInstant) -> Arrival {
+        Arrival::Shed { retry_after_ms: self.next_retry_after_ms(now) }
+    }
+
+    /// Spreads the refused callers, so that they do not come back all at once.
+    fn next_retry_after_ms(&mut self, now: BootInstant) -> u32 {
+        self.sheds = self.sheds.wrapping_add(1);
+        let least_ms = self.retry_after_ms(now);
+        let step_ms = least_ms / RETRY_SPREAD_STEPS;
+        least_ms + step_ms * (self.sheds % RETRY_SPREAD_STEPS)
+    }
+
+    fn can_meet(&self, now: BootInstant, class: Class, deadline: Deadline) -> bool {
+        let wait = self.expected_wait(now, self.queue.count_ahead_of(class));
+        if wait > self.queue_wait() {
+            return false;
+        }
+        !deadline.has_passed(now + wait + self.service_time.mean())
+    }
+
+    fn expected_wait(&self, now: BootInstant, ahead: usize) -> Duration {
+        let turns = u32::try_from(ahead + 1).unwrap_or(u32::MAX);
+        self.service_time.mean().saturating_mul(turns) / self.open_slots(now).max(1)
+    }
+
+    fn queue_wait(&self) -> Duration {
+        Duration::from_millis(u64::from(self.limits.queue_wait_ms))
+    }
+
+    /// The slots that are open: all of them, or fewer while the target is cold.
+    fn open_slots(&self, now: BootInstant) -> u32 {
+        let slots = u64::from(self.limits.slots);
+        let up_ms = now.saturating_since(self.target_up_at).as_millis();
+        let up_ms = u64::try_from(up_ms).unwrap_or(u64::MAX);
+        let ramp_up_ms = u64::from(self.limits.ramp_up_ms);
+        if up_ms >= ramp_up_ms {
+            return self.limits.slots;
+        }
+        let share_percent = COLD_SHARE_PERCENT + (100 - COLD_SHARE_PERCENT) * up_ms / ramp_up_ms;
+        u32::try_from((slots * share_percent).div_ceil(100)).unwrap_or(u32::MAX)
+    }
+}
--- /dev/null
+++ b/crates/galenastream_routing/src/process/mod.rs
@@ -0,0 +1,18 @@
+//! What lives as long as the process.
+
+mod admission;
+mod balance;
+mod breaker;
+mod queue;
+mod retry_budget;
+mod route_cache;
+mod service_time;
+mod ticket_ledger;
+
+pub use admission::*;
+pub use balance::*;
+pub use breaker::*;
+pub use retry_budget::*;
+pub use route_cache::*;
+pub use service_time::*;
+pub use ticket_ledger::*;
--- /dev/null
+++ b/crates/galenastream_routing/tests/admission.rs
@@ -0,0 +1,199 @@
+//! Tests of admission under virtual time.
+
+use std::time::Duration;
+
+use galenastream_ownership::BootInstant;
+use galenastream_routing::{
+    Admission, AdmissionLimits, Arrival, Class, Deadline, Released, WaitId,
+};
+use proptest::{prelude::*, test_runner::RngSeed};
+
+const RESERVATION: Class = Class::new(0, 9);
+const LISTING: Class = Class::new(1, 1);
+const SERVICE_TIME: Duration = Duration::from_millis(10);
+
+const LIMITS: AdmissionLimits = AdmissionLimits {
+    slots: 2,
+    queue_limit: 3,
+    queue_wait_ms: 100,
+    retry_after_ms: 50,
+    ramp_up_ms: 0,
+};
+
+fn at_ms(ms: u64) -> BootInstant {
+    BootInstant::new(ms * 1_000_000)
+}
+
+/// An admission whose slots are all taken and whose service time is known.
+fn busy_admission() -> Admission {
+    let mut admission = Admission::new(LIMITS, at_ms(0));
+    for _ in 0..LIMITS.slots {
+        admission.arrive(at_ms(0), LISTING, Deadline::new(at_ms(0), 1_000));
+    }
+    admission.finish(at_ms(0), Some(SERVICE_TIME));
+    admission.arrive(at_ms(0), LISTING, Deadline::new(at_ms(0), 1_000));
+    admission
+}
+
+fn arrive(admission: &mut Admission, class: Class, deadline_ms: u32) -> Arrival {
+    admission.arrive(at_ms(0), class, Deadline::new(at_ms(0), deadline_ms)).arrival
+}
+
+#[test]
+fn takes_slots_then_queues_then_sheds() {
+    let mut admission = Admission::new(LIMITS, at_ms(0));
+    assert_eq!(arrive(&mut admission, LISTING, 1_000), Arrival::Start);
+    assert_eq!(arrive(&mut admission, LISTING, 1_000), Arrival::Start);
+    for id in 0..3 {
+        let until = at_ms(100);
+        let expected = Arrival::Wait { id: WaitId(id), until };
+        assert_eq!(arrive(&mut admission, LISTING, 1_000), expected);
+    }
+    assert!(matches!(
+        arrive(&mut admission, LISTING, 1_000),
+        Arrival::Shed { retry_after_ms: 50.. }
+    ));
+}
+
+#[test]
+fn a_higher_class_takes_the_place_of_the_latest_lower_one() {
+    let mut admission = busy_admission();
+    for _ in 0..LIMITS.queue_limit {
+        arrive(&mut admission, LISTING, 1_000);
+    }
+    let admitted = admission.arrive(at_ms(0), RESERVATION, Deadline::new(at_ms(0), 1_000));
+    assert!(matches!(admitted.arrival, Arrival::Wait { .. }));
+    assert_eq!(admitted.evicted.map(|it| it.id), Some(WaitId(2)));
+    let released = admission.finish(at_ms(1), Some(SERVICE_TIME));
+    assert_eq!(released.started, [WaitId(3)], "the higher class goes first");
+}
+
+#[test]
+fn a_request_that_cannot_meet_its_deadline_is_shed_on_arrival() {
+    // The mean service time is 10 ms: one turn of waiting over two slots takes 5 ms.
+    for (deadline_ms, waits) in [(1, false), (14, false), (16, true), (1_000, true)] {
+        let mut admission = busy_admission();
+        let arrival = arrive(&mut admission, LISTING, deadline_ms);
+        assert_eq!(matches!(arrival, Arrival::Wait { .. }), waits, "deadline {deadline_ms} ms");
+    }
+}
+
+#[test]
+fn a_waiting_request_is_shed_when_its_deadline_came_too_near() {
+    let mut admission = busy_admission();
+    arrive(&mut admission, LISTING, 30);
+    let released = admission.finish(at_ms(25), None);
+    assert!(released.started.is_empty());
+    assert_eq!(released.shed.len(), 1);
+}
+
+#[test]
+fn a_request_that_gave_up_is_not_started() {
+    let mut admission = busy_admission();
+    let Arrival::Wait { id, .. } = arrive(&mut admission, LISTING, 1_000) else {
+        panic!("expected to wait");
+    };
+    assert!(admission.give_up(id));
+    assert!(!admission.give_up(id));
+    assert_eq!(admission.finish(at_ms(1), None), Released::default());
+}
+
+#[test]
+fn a_cold_target_gets_its_slots_step_by_step() {
+    let limits = AdmissionLimits { slots: 20, queue_limit: 0, ramp_up_ms: 1_000, ..LIMITS };
+    for (up_ms, expected_slots) in [(0, 5), (500, 13), (999, 20), (5_000, 20)] {
+        let mut admission = Admission::new(limits, at_ms(0));
+        let mut started = 0;
+        for _ in 0..limits.slots {
+            let now = at_ms(up_ms);
+            let admitted = admission.arrive(now, LISTING, Deadline::new(now, 1_000));
+            started += u32::from(admitted.arrival == Arrival::Start);
+        }
+        assert_eq!(started, expected_slots, "{up_ms} ms after the start");
+    }
+}
+
+#[test]
+fn refused_callers_come_back_spread_out() {
+    let mut admission =
+        Admission::new(AdmissionLimits { slots: 0, queue_limit: 0, ..LIMITS }, at_ms(0));
+    let mut times_ms: Vec<u32> = (0..8)
+        .map(|_| match arrive(&mut admission, LISTING, 1_000) {
+            Arrival::Shed { retry_after_ms } => retry_after_ms,
+            other => panic!("expected to be shed, was {other:?}"),
+        })
+        .collect();
+    times_ms.sort_unstable();
+    times_ms.dedup();
+    assert_eq!(times_ms.len(), 8);
+}
+
+#[derive(Debug, Clone)]
+enum Step {
+    Arrive { priority: u8, deadline_ms: u32 },
+    Finish,
+    GiveUp { id: u64 },
+    Pass { ms: u64 },
+}
+
+fn any_step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        4 => (0..4_u8, 1..200_u32).prop_map(|(priority, deadline_ms)| Step::Arrive { priority, deadline_ms }),
+        3 => Just(Step::Finish),
+        1 => (0..60_u64).prop_map(|id| Step::GiveUp { id }),
+        2 => (0..20_u64).prop_map(|ms| Step::Pass { ms }),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 300, rng_seed: RngSeed::Fixed(1), ..ProptestConfig::default() })]
+
+    /// Slots and queue keep their limits, and each waiting request gets exactly one verdict.
+    #[test]
+    fn limits_hold_and_no_request_is_lost(steps in prop::collection::vec(any_step(), 1..200)) {
+        let mut admission = Admission::new(LIMITS, at_ms(0));
+        let mut now_ms = 0;
+        let mut running = 0_u32;
+        let mut waiting: Vec<WaitId> = Vec::new();
+        for step in steps {
+            let now = at_ms(now_ms);
+            let mut released = Released::default();
+            match step {
+                Step::Pass { ms } => now_ms += ms,
+                Step::GiveUp { id } => {
+                    let expected = waiting.contains(&WaitId(id));
+                    prop_assert_eq!(admission.give_up(WaitId(id)), expected);
+                    waiting.retain(|it| *it != WaitId(id));
+                }
+                Step::Finish if running > 0 => {
+                    running -= 1;
+                    released = admission.finish(now, Some(SERVICE_TIME));
+                }
+                Step::Finish => {}
+                Step::Arrive { priority, deadline_ms } => {
+                    let deadline = Deadline::new(now, deadline_ms);
+                    let admitted = admission.arrive(now, Class::new(0, priority), deadline);
+                    match admitted.arrival {
+                        Arrival::Start => running += 1,
+                        Arrival::Wait { id, .. } => waiting.push(id),
+                        Arrival::Shed { retry_after_ms } => prop_assert!(retry_after_ms > 0),
+                    }
+                    released.shed.extend(admitted.evicted);
+                }
+            }
+            for id in released.started {
+                prop_assert!(waiting.contains(&id));
+                waiting.retain(|it| *it != id);
+                running += 1;
+            }
+            for shed in released.shed {
+                prop_assert!(waiting.contains(&shed.id));
+                waiting.retain(|it| *it != shed.id);
+            }
+            prop_assert!(running <= LIMITS.slots);
+            prop_assert_eq!(admission.in_progress(), running);
+            prop_assert!(admission.waiting() <= LIMITS.queue_limit as usize);
+            prop_assert_eq!(admission.waiting(), waiting.len());
+        }
+    }
+}
