Row names the targets that check grants; grants name the witnesses only on change

Beat gains witness_generation and Grant.witnesses becomes optional, so that a steady exchange stays small. CellRow gains grant_checkers: a new coordinator must know how long the targets of lost owners may still act. Action::Restart and an event for takeovers are new.

--- a/crates/galenastream_ownership/src/event.rs
+++ b/crates/galenastream_ownership/src/event.rs
@@ -1,8 +1,8 @@
 //! What a node's control thread is told, and what it wants done.
 
 use crate::{
-    CellId, CellRow, ControlMessage, KeyHash, Member, RowVersion, SettingsVersion, SliceEpoch,
-    SliceLoad, Term, VmId, WriteId,
+    CellId, CellRow, ControlMessage, Incarnation, KeyHash, Member, RowVersion, SettingsVersion,
+    SliceEpoch, SliceLoad, Term, VmId, WriteId,
 };
 
 /// Something that happened. Handled by [`OwnershipNode::handle`](crate::OwnershipNode::handle).
@@ -92,6 +92,11 @@
         /// A node that has seen it.
         holder: VmId,
     },
+    /// A later life of this node is known: start over with an incarnation above `known`.
+    Restart {
+        /// The latest known life.
+        known: Incarnation,
+    },
     /// Write a log event.
     Log(OwnershipEvent),
 }
@@ -178,6 +183,11 @@
         /// The member.
         member: Member,
     },
+    /// An operator ordered this node to take over a cell without seals.
+    TakeoverOrdered {
+        /// The cell.
+        cell: CellId,
+    },
     /// Assignments were committed.
     Assigned {
         /// The cell.
--- a/crates/galenastream_ownership/src/message/beat.rs
+++ b/crates/galenastream_ownership/src/message/beat.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     CellId, Epoch, HoldingVersion, Incarnation, Member, PlaceId, Sequence, SettingsVersion,
-    SliceId, Term,
+    SliceId, Term, WitnessGeneration,
 };
 
 /// A member asks for its leases, and reports what it has released.
@@ -20,6 +20,8 @@
     pub term: Term,
     /// The term and version of the set of slices that the sender knows.
     pub holding: Option<(Term, HoldingVersion)>,
+    /// The set of witnesses that the sender knows.
+    pub witness_generation: WitnessGeneration,
     /// Slices that the sender has stopped and will never serve again in that epoch.
     pub released: Vec<SliceEpoch>,
     /// Slots of the sender's target; zero while no target has announced itself.
--- a/crates/galenastream_ownership/src/message/grant.rs
+++ b/crates/galenastream_ownership/src/message/grant.rs
@@ -23,7 +23,9 @@
     /// The slices that are granted.
     pub set: GrantSet,
     /// The cell's witnesses, which know the coordinator when it is lost.
-    pub witnesses: WitnessSet,
+    ///
+    /// `None` if the beat names their generation.
+    pub witnesses: Option<WitnessSet>,
     /// The highest settings version that the sender knows.
     pub settings: SettingsVersion,
 }
--- a/crates/galenastream_ownership/src/version/cell_row.rs
+++ b/crates/galenastream_ownership/src/version/cell_row.rs
@@ -13,6 +13,10 @@
     pub coordinator: Member,
     /// The witnesses.
     pub witnesses: WitnessSet,
+    /// Owners whose targets check grants themselves, and the coordinator if its target does.
+    ///
+    /// A member that is not listed is taken for one whose target does not. Sorted.
+    pub grant_checkers: Vec<Member>,
     /// The slices, in the order of their first positions. They cover the whole hash space.
     pub slices: Vec<Slice>,
     /// The id of the next slice that a split creates.
@@ -20,6 +24,11 @@
 }
 
 impl CellRow {
+    /// Whether the member's target is known to check grants itself.
+    pub fn checks_grants(&self, member: Member) -> bool {
+        self.grant_checkers.binary_search(&member).is_ok()
+    }
+
     /// The slice that a position falls into; `None` only when the row has no slices.
     pub fn slice_at(&self, hash: KeyHash) -> Option<&Slice> {
         let after = self.slices.partition_point(|it| it.first <= hash);
