--- a/crates/galenastream_standin/src/deployment/mod.rs
+++ b/crates/galenastream_standin/src/deployment/mod.rs
@@ -2,8 +2,12 @@
 
 mod folder;
 mod process;
+mod programs;
+mod vm;
 mod wait;
 
 pub use folder::*;
 pub use process::*;
+pub use programs::*;
+pub use vm::*;
 pub use wait::*;
