--- a/crates/galenastream_wire/src/control/beat.rs
+++ b/crates/galenastream_wire/src/control/beat.rs
@@ -3,6 +3,7 @@
 use galenastream_ownership::{
     Beat, BeatRefusal, BeatRefusalReason, Epoch, HoldingVersion, HotKey, Incarnation, KeyHash,
     Nudge, PlaceId, Sequence, SettingsVersion, SliceEpoch, SliceId, SliceLoad, Term,
+    WitnessGeneration,
 };
 use prost::{Message, Oneof};
 
@@ -41,6 +42,8 @@
     settings: u64,
     #[prost(message, repeated, tag = "13")]
     loads: Vec<LoadMessage>,
+    #[prost(uint64, tag = "14")]
+    witness_generation: u64,
 }
 
 #[derive(Clone, Copy, PartialEq, Eq, Message)]
@@ -87,6 +90,7 @@
             draining: beat.draining,
             settings: beat.settings.0,
             loads: beat.loads.iter().map(LoadMessage::from).collect(),
+            witness_generation: beat.witness_generation.0,
         }
     }
 }
@@ -111,6 +115,7 @@
             sequence: Sequence(message.sequence),
             term: Term(message.term),
             holding: message.holding.map(|it| (Term(it.term), HoldingVersion(it.version))),
+            witness_generation: WitnessGeneration(message.witness_generation),
             released,
             slots: message.slots,
             checks_grants: message.checks_grants,
--- a/crates/galenastream_wire/src/control/grant.rs
+++ b/crates/galenastream_wire/src/control/grant.rs
@@ -80,7 +80,7 @@
             sequence: grant.sequence.0,
             lease_ms: grant.lease_ms,
             set: Some(set),
-            witnesses: Some((&grant.witnesses).into()),
+            witnesses: grant.witnesses.as_ref().map(WitnessSetMessage::from),
             settings: grant.settings.0,
         }
     }
@@ -95,7 +95,6 @@
             GrantSetMessage::Full(full) => full.into_set()?,
             GrantSetMessage::Extend(_) => GrantSet::Extend,
         };
-        let witnesses = message.witnesses.ok_or(WireError::Missing { field: "witnesses" })?;
         Ok(Self {
             cell: read_cell(message.cell)?,
             term: Term(message.term),
@@ -104,7 +103,7 @@
             sequence: Sequence(message.sequence),
             lease_ms: message.lease_ms,
             set,
-            witnesses: witnesses.try_into()?,
+            witnesses: message.witnesses.map(TryInto::try_into).transpose()?,
             settings: SettingsVersion(message.settings),
         })
     }
--- a/crates/galenastream_wire/src/row/cell_row.rs
+++ b/crates/galenastream_wire/src/row/cell_row.rs
@@ -39,6 +39,8 @@
     epochs: Vec<u64>,
     #[prost(uint32, repeated, tag = "10")]
     owners: Vec<u32>,
+    #[prost(uint32, repeated, tag = "11")]
+    grant_checkers: Vec<u32>,
 }
 
 /// Writes a row as bytes.
@@ -58,7 +60,8 @@
 impl From<&CellRow> for CellRowMessage {
     fn from(row: &CellRow) -> Self {
         let mut table = MemberTable::default();
-        let owners = row.slices.iter().map(|it| table.position(it.owner)).collect();
+        let owners = row.slices.iter().map(|it| table.owner_position(it.owner)).collect();
+        let grant_checkers = row.grant_checkers.iter().map(|it| table.position(*it)).collect();
         Self {
             cell: row.cell.bits(),
             term: row.term.0,
@@ -70,6 +73,7 @@
             firsts: row.slices.iter().map(|it| it.first.0).collect(),
             epochs: row.slices.iter().map(|it| it.epoch.0).collect(),
             owners,
+            grant_checkers,
         }
     }
 }
@@ -80,27 +84,43 @@
     fn try_from(message: CellRowMessage) -> Result<Self, WireError> {
         let witnesses =
             message.witnesses.clone().ok_or(WireError::Missing { field: "witnesses" })?;
+        let members = message.read_members()?;
         Ok(Self {
             cell: read_cell(message.cell)?,
             term: Term(message.term),
             coordinator: read_member("coordinator", message.coordinator)?,
             witnesses: WitnessSet::try_from(witnesses)?,
-            slices: message.read_slices()?,
+            grant_checkers: message.read_grant_checkers(&members)?,
+            slices: message.read_slices(&members)?,
             next_slice: SliceId(message.next_slice),
         })
     }
 }
 
 impl CellRowMessage {
-    fn read_slices(&self) -> Result<Vec<Slice>, WireError> {
-        let count = self.slices.len();
-        same_length("slices", count, self.firsts.len())?;
-        same_length("slices", count, self.epochs.len())?;
-        same_length("slices", count, self.owners.len())?;
+    fn read_members(&self) -> Result<Vec<Member>, WireError> {
         let mut members = Vec::with_capacity(self.members.len());
         for member in &self.members {
             members.push(Member::try_from(*member)?);
         }
+        Ok(members)
+    }
+
+    fn read_grant_checkers(&self, members: &[Member]) -> Result<Vec<Member>, WireError> {
+        let mut checkers = Vec::with_capacity(self.grant_checkers.len());
+        for position in &self.grant_checkers {
+            let member = read_position("grant_checkers", members, *position)?;
+            checkers.push(member.ok_or(WireError::Missing { field: "grant_checkers" })?);
+        }
+        checkers.sort_unstable();
+        Ok(checkers)
+    }
+
+    fn read_slices(&self, members: &[Member]) -> Result<Vec<Slice>, WireError> {
+        let count = self.slices.len();
+        same_length("slices", count, self.firsts.len())?;
+        same_length("slices", count, self.epochs.len())?;
+        same_length("slices", count, self.owners.len())?;
         let mut slices = Vec::with_capacity(count);
         for index in 0..count {
             self.check_first(index)?;
@@ -108,7 +128,7 @@
                 id: SliceId(self.slices[index]),
                 first: KeyHash(self.firsts[index]),
                 epoch: Epoch(self.epochs[index]),
-                owner: read_owner(&members, self.owners[index])?,
+                owner: read_position("owners", members, self.owners[index])?,
             });
         }
         Ok(slices)
@@ -127,17 +147,22 @@
     }
 }
 
-fn read_owner(members: &[Member], position: u32) -> Result<Option<Member>, WireError> {
+/// The member at a position counted from one; `None` at zero.
+fn read_position(
+    field: &'static str,
+    members: &[Member],
+    position: u32,
+) -> Result<Option<Member>, WireError> {
     let Some(index) = position.checked_sub(1) else {
         return Ok(None);
     };
     match members.get(index as usize) {
         Some(member) => Ok(Some(*member)),
-        None => Err(WireError::Invalid { field: "owners", value: position.into() }),
+        None => Err(WireError::Invalid { field, value: position.into() }),
     }
 }
 
-/// The members that own slices, each once.
+/// The members that a row names by position, each once.
 #[derive(Debug, Default)]
 struct MemberTable {
     members: Vec<MemberMessage>,
@@ -145,11 +170,13 @@
 }
 
 impl MemberTable {
-    /// The position of an owner, counted from one; zero for no owner.
-    fn position(&mut self, owner: Option<Member>) -> u32 {
-        let Some(member) = owner else {
-            return 0;
-        };
+    /// The position of an owner; zero for no owner.
+    fn owner_position(&mut self, owner: Option<Member>) -> u32 {
+        owner.map_or(0, |it| self.position(it))
+    }
+
+    /// The position of a member, counted from one.
+    fn position(&mut self, member: Member) -> u32 {
         if let Some(position) = self.positions.get(&member) {
             return *position;
         }
