--- a/crates/galenastream_ctl/src/main.rs
+++ b/crates/galenastream_ctl/src/main.rs
@@ -1,3 +1,7 @@
 //! The `galenastreamctl` program.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    galenastream_ctl::run(std::env::args_os())
+}
--- /dev/null
+++ b/crates/galenastream_ctl/src/request/settings_explain.rs
@@ -0,0 +1,94 @@
+//! `settings explain`.
+
+use clap::ArgMatches;
+use galenastream_ownership::{PlaceId, ServiceId};
+use galenastream_settings::{ExplainedField, SettingsTree};
+use serde::Serialize;
+
+use crate::{
+    CtlError, OutputFormat,
+    request::{platform, settings_file::SettingsFile},
+};
+
+/// Names that are less similar than this are not suggested.
+const MIN_SIMILARITY: f64 = 0.75;
+
+#[derive(Serialize)]
+struct ExplainResult {
+    service: String,
+    place: Option<String>,
+    key: Option<String>,
+    fields: Vec<ExplainedField>,
+}
+
+pub(crate) async fn run(matches: &ArgMatches, output: OutputFormat) -> Result<(), CtlError> {
+    let tree = read_tree(matches).await?;
+    let service = matches.get_one::<String>("service").expect("clap requires the service");
+    let place = matches.get_one::<String>("place");
+    let key = matches.get_one::<String>("key");
+    check_service(&tree, service)?;
+    if let Some(place) = place {
+        check_place(&tree, place)?;
+    }
+    let fields = tree.explain(
+        ServiceId::from_name(service),
+        place.map(|place| PlaceId::from_name(place)),
+        key.map(String::as_bytes),
+    );
+    let result = ExplainResult {
+        service: service.clone(),
+        place: place.cloned(),
+        key: key.cloned(),
+        fields: fields.unwrap_or_default(),
+    };
+    output.print(&result, &to_text(&result.fields));
+    Ok(())
+}
+
+async fn read_tree(matches: &ArgMatches) -> Result<SettingsTree, CtlError> {
+    if matches.contains_id("file") {
+        return Ok(SettingsFile::read(matches)?.tree);
+    }
+    let in_force = platform::read_in_force(&platform::store(matches)).await?;
+    Ok(in_force.ok_or(CtlError::NoSettings)?.tree)
+}
+
+fn check_service(tree: &SettingsTree, name: &str) -> Result<(), CtlError> {
+    let known: Vec<&str> = tree.services().iter().map(|service| service.name()).collect();
+    check_name("service", name, &known)
+}
+
+fn check_place(tree: &SettingsTree, name: &str) -> Result<(), CtlError> {
+    let known: Vec<&str> = tree.places().iter().map(|place| place.name.as_str()).collect();
+    check_name("place", name, &known)
+}
+
+fn check_name(what: &'static str, name: &str, known: &[&str]) -> Result<(), CtlError> {
+    if known.contains(&name) {
+        return Ok(());
+    }
+    let mut similar: Vec<&str> = known.to_vec();
+    similar.retain(|candidate| strsim::jaro_winkler(name, candidate) >= MIN_SIMILARITY);
+    let nearest = similar
+        .into_iter()
+        .max_by(|a, b| strsim::jaro_winkler(name, a).total_cmp(&strsim::jaro_winkler(name, b)));
+    Err(CtlError::UnknownName {
+        what,
+        name: name.to_owned(),
+        suggestion: nearest.map(str::to_owned),
+        known: known.iter().map(|&name| name.to_owned()).collect(),
+    })
+}
+
+fn to_text(fields: &[ExplainedField]) -> String {
+    let mut lines = Vec::new();
+    for field in fields {
+        let assignment = format!("{} = {}", field.field, field.value);
+        let origin = match field.line {
+            Some(line) => format!("{} [{}], line {line}", field.level, field.origin),
+            None => field.level.to_string(),
+        };
+        lines.push(format!("{assignment:<52}  # {origin}"));
+    }
+    lines.join("\n")
+}
--- /dev/null
+++ b/crates/galenastream_ctl/src/request/settings_file.rs
@@ -0,0 +1,37 @@
+//! A file of settings.
+
+use std::{fs, path::PathBuf};
+
+use clap::ArgMatches;
+use galenastream_settings::SettingsTree;
+
+use crate::{CtlError, OutputFormat};
+
+/// A file of settings that passed its checks.
+#[derive(Debug)]
+pub(crate) struct SettingsFile {
+    pub(crate) name: String,
+    pub(crate) toml: String,
+    pub(crate) tree: SettingsTree,
+}
+
+impl SettingsFile {
+    /// Reads and checks the file that the arguments name.
+    pub(crate) fn read(matches: &ArgMatches) -> Result<Self, CtlError> {
+        let name = matches.get_one::<String>("file").expect("clap requires the file").clone();
+        let toml = fs::read_to_string(&name).map_err(|error| CtlError::UnreadableFile {
+            file: PathBuf::from(&name),
+            reason: error.to_string(),
+        })?;
+        let tree = SettingsTree::parse(&name, &toml)?;
+        Ok(Self { name, toml, tree })
+    }
+
+    /// Prints what the operator should know although the file is valid.
+    pub(crate) fn print_warnings(&self, output: OutputFormat) {
+        for warning in self.tree.warnings() {
+            let message = format!("{}: {warning}\n  remedy: {}", self.name, warning.remedy());
+            output.print_warning(&message);
+        }
+    }
+}
