--- a/crates/galenastream_ownership/src/message/beat.rs
+++ b/crates/galenastream_ownership/src/message/beat.rs
@@ -22,6 +22,8 @@
     pub holding: Option<(Term, HoldingVersion)>,
     /// The set of witnesses that the sender knows.
     pub witness_generation: WitnessGeneration,
+    /// The last of the sender's beats that was answered; shows replies that get lost.
+    pub answered: Sequence,
     /// Slices that the sender has stopped and will never serve again in that epoch.
     pub released: Vec<SliceEpoch>,
     /// Slots of the sender's target; zero while no target has announced itself.
--- a/crates/galenastream_ownership/src/message/seal.rs
+++ b/crates/galenastream_ownership/src/message/seal.rs
@@ -19,7 +19,7 @@
     pub generation: WitnessGeneration,
 }
 
-/// A witness answers a candidate.
+/// A witness answers a candidate, or refuses a promise with the same words.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct SealReply {
     /// The cell.
