--- a/crates/galenastream_wire/src/control/beat.rs
+++ b/crates/galenastream_wire/src/control/beat.rs
@@ -44,6 +44,8 @@
     loads: Vec<LoadMessage>,
     #[prost(uint64, tag = "14")]
     witness_generation: u64,
+    #[prost(uint64, tag = "15")]
+    answered: u64,
 }
 
 #[derive(Clone, Copy, PartialEq, Eq, Message)]
@@ -91,6 +93,7 @@
             settings: beat.settings.0,
             loads: beat.loads.iter().map(LoadMessage::from).collect(),
             witness_generation: beat.witness_generation.0,
+            answered: beat.answered.0,
         }
     }
 }
@@ -116,6 +119,7 @@
             term: Term(message.term),
             holding: message.holding.map(|it| (Term(it.term), HoldingVersion(it.version))),
             witness_generation: WitnessGeneration(message.witness_generation),
+            answered: Sequence(message.answered),
             released,
             slots: message.slots,
             checks_grants: message.checks_grants,
