--- a/crates/galenastream_ctl/src/process/command_line.rs
+++ b/crates/galenastream_ctl/src/process/command_line.rs
@@ -1,6 +1,6 @@
 //! The arguments.
 
-use std::net::SocketAddr;
+use std::net::{SocketAddr, SocketAddrV4};
 
 use clap::{Arg, ArgAction, Command, builder::PossibleValuesParser, value_parser};
 
@@ -131,10 +131,15 @@
 fn drain() -> Command {
     with_node(Command::new("drain"))
         .about("Takes a target out of service: hands its keys over, then gives it no new work")
+        .long_about(
+            "Takes a target out of service: hands its keys over, then gives it no new work. What \
+             is in progress is finished.\n\n--node must be the node beside the target.",
+        )
         .arg(
             Arg::new("target")
                 .value_name("TARGET")
                 .required(true)
+                .value_parser(value_parser!(SocketAddrV4))
                 .help("The address of the target's VM, as `targets` prints it"),
         )
 }
@@ -142,11 +147,17 @@
 fn move_key() -> Command {
     with_node(Command::new("move"))
         .about("Moves the slice of a key to another target, as a planned handoff")
+        .long_about(
+            "Moves the slice of a key to another target, as a planned handoff: the old owner \
+             finishes what is in progress, then the new one takes over.\n\n\
+             --node must be the coordinator of the cell, which `galenastreamctl cells` names.",
+        )
         .arg(Arg::new("key").value_name("KEY").required(true).help("The key"))
         .arg(
             Arg::new("to")
                 .value_name("TO")
                 .required(true)
+                .value_parser(value_parser!(SocketAddrV4))
                 .help("The address of the new owner's VM, as `targets` prints it"),
         )
         .arg(service())
@@ -161,6 +172,7 @@
             with_node(Command::new("takeover"))
                 .about("Makes a node the coordinator of its cell although too few witnesses answer")
                 .long_about(TAKEOVER)
+                .arg(service())
                 .arg(
                     Arg::new("yes")
                         .long("yes")
--- a/crates/galenastream_ctl/src/process/ctl_error.rs
+++ b/crates/galenastream_ctl/src/process/ctl_error.rs
@@ -1,6 +1,6 @@
 //! Why a command failed.
 
-use std::path::PathBuf;
+use std::{net::SocketAddrV4, path::PathBuf};
 
 use galenastream_ownership::SettingsVersion;
 use galenastream_platform::{GetError, PublishError};
@@ -132,6 +132,18 @@
         /// What is wrong.
         reason: String,
     },
+    /// A drain was sent to a node that stands beside another target.
+    #[error(
+        "node {node} stands beside target {beside}, not {target}\n  remedy: give the admin address of the node beside {target} as --node"
+    )]
+    WrongNode {
+        /// The node's admin address.
+        node: String,
+        /// The VM that the node stands in.
+        beside: SocketAddrV4,
+        /// The VM that was to be drained.
+        target: SocketAddrV4,
+    },
     /// A dangerous command without its confirmation.
     #[error("{explanation}\n  remedy: repeat the command with --yes if this is what you want")]
     NotConfirmed {
@@ -164,6 +176,7 @@
             | Self::UnknownName { .. }
             | Self::NodeRefused { .. }
             | Self::NodeAnswer { .. }
+            | Self::WrongNode { .. }
             | Self::NotConfirmed { .. }
             | Self::Runtime { .. } => ExitStatus::Refused,
         }
--- a/crates/galenastream_ctl/src/request/mod.rs
+++ b/crates/galenastream_ctl/src/request/mod.rs
@@ -1,5 +1,9 @@
 //! What lives as long as one command.
 
+mod admin_client;
+mod admin_documents;
+mod node_orders;
+mod node_reports;
 mod platform;
 mod settings_apply;
 mod settings_check;
@@ -16,6 +20,19 @@
 pub(crate) async fn run(matches: &ArgMatches, output: OutputFormat) -> Result<(), CtlError> {
     match matches.subcommand() {
         Some(("settings", matches)) => run_settings(matches, output).await,
+        Some(("cells", matches)) => node_reports::cells(matches, output).await,
+        Some(("owner", matches)) => node_reports::owner(matches, output).await,
+        Some(("targets", matches)) => node_reports::targets(matches, output).await,
+        Some(("drain", matches)) => node_orders::drain(matches, output).await,
+        Some(("move", matches)) => node_orders::move_key(matches, output).await,
+        Some(("cell", matches)) => run_cell(matches, output).await,
+        _ => unreachable!("clap accepts no other command"),
+    }
+}
+
+async fn run_cell(matches: &ArgMatches, output: OutputFormat) -> Result<(), CtlError> {
+    match matches.subcommand() {
+        Some(("takeover", matches)) => node_orders::takeover(matches, output).await,
         _ => unreachable!("clap accepts no other command"),
     }
 }
@@ -30,3 +47,8 @@
         _ => unreachable!("clap accepts no other command"),
     }
 }
+
+/// The text of an argument that clap requires.
+fn argument<'a>(matches: &'a ArgMatches, name: &str) -> &'a str {
+    matches.get_one::<String>(name).expect("clap requires the argument")
+}
--- a/crates/galenastream_ctl/src/request/settings_explain.rs
+++ b/crates/galenastream_ctl/src/request/settings_explain.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     CtlError, OutputFormat,
-    request::{platform, settings_file::SettingsFile},
+    request::{argument, platform, settings_file::SettingsFile},
 };
 
 /// Names that are less similar than this are not suggested.
@@ -23,7 +23,7 @@
 
 pub(crate) async fn run(matches: &ArgMatches, output: OutputFormat) -> Result<(), CtlError> {
     let tree = read_tree(matches).await?;
-    let service = matches.get_one::<String>("service").expect("clap requires the service");
+    let service = argument(matches, "service");
     let place = matches.get_one::<String>("place");
     let key = matches.get_one::<String>("key");
     check_service(&tree, service)?;
@@ -36,7 +36,7 @@
         key.map(String::as_bytes),
     );
     let result = ExplainResult {
-        service: service.clone(),
+        service: service.to_owned(),
         place: place.cloned(),
         key: key.cloned(),
         fields: fields.unwrap_or_default(),
--- a/crates/galenastream_ctl/src/request/settings_file.rs
+++ b/crates/galenastream_ctl/src/request/settings_file.rs
@@ -5,7 +5,7 @@
 use clap::ArgMatches;
 use galenastream_settings::SettingsTree;
 
-use crate::{CtlError, OutputFormat};
+use crate::{CtlError, OutputFormat, request::argument};
 
 /// A file of settings that passed its checks.
 #[derive(Debug)]
@@ -18,7 +18,7 @@
 impl SettingsFile {
     /// Reads and checks the file that the arguments name.
     pub(crate) fn read(matches: &ArgMatches) -> Result<Self, CtlError> {
-        let name = matches.get_one::<String>("file").expect("clap requires the file").clone();
+        let name = argument(matches, "file").to_owned();
         let toml = fs::read_to_string(&name).map_err(|error| CtlError::UnreadableFile {
             file: PathBuf::from(&name),
             reason: error.to_string(),
