--- a/crates/galenastream_ctl/src/process/command_line.rs
+++ b/crates/galenastream_ctl/src/process/command_line.rs
@@ -125,7 +125,8 @@
 }
 
 fn targets() -> Command {
-    with_node(Command::new("targets")).about("Lists the targets that a node knows, with their load")
+    with_node(Command::new("targets"))
+        .about("Lists the targets that a node knows: slots, slices, and whether they drain")
 }
 
 fn drain() -> Command {
--- a/crates/galenastream_ctl/src/process/ctl_error.rs
+++ b/crates/galenastream_ctl/src/process/ctl_error.rs
@@ -145,7 +145,9 @@
         target: SocketAddrV4,
     },
     /// A dangerous command without its confirmation.
-    #[error("{explanation}\n  remedy: repeat the command with --yes if this is what you want")]
+    #[error(
+        "nothing was done: the command needs a confirmation\n\n{explanation}\n  remedy: repeat the command with --yes if this is what you want"
+    )]
     NotConfirmed {
         /// What the command would do.
         explanation: &'static str,
