--- a/crates/galenastream_routing/tests/admission.rs
+++ b/crates/galenastream_routing/tests/admission.rs
@@ -6,7 +6,7 @@
 use galenastream_routing::{
     Admission, AdmissionLimits, Arrival, Class, Deadline, Released, WaitId,
 };
-use proptest::{prelude::*, test_runner::RngSeed};
+use proptest::prelude::*;
 
 const RESERVATION: Class = Class::new(0, 9);
 const LISTING: Class = Class::new(1, 1);
@@ -146,7 +146,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 300, rng_seed: RngSeed::Fixed(1), ..ProptestConfig::default() })]
+    #![proptest_config(ProptestConfig { cases: 300, ..ProptestConfig::default() })]
 
     /// Slots and queue keep their limits, and each waiting request gets exactly one verdict.
     #[test]
--- a/crates/galenastream_routing/tests/ticket_ledger.rs
+++ b/crates/galenastream_routing/tests/ticket_ledger.rs
@@ -2,7 +2,7 @@
 
 use galenastream_ownership::{BootInstant, Epoch, FastMap, SliceEpoch, SliceId};
 use galenastream_routing::{Ticket, TicketDecision, TicketLedger, TicketLimits, TicketResult};
-use proptest::{prelude::*, test_runner::RngSeed};
+use proptest::prelude::*;
 
 const LIMITS: TicketLimits = TicketLimits { tickets_per_slice: 4, kept_ms: 100, answer_bytes: 250 };
 
@@ -117,7 +117,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 500, rng_seed: RngSeed::Fixed(1), ..ProptestConfig::default() })]
+    #![proptest_config(ProptestConfig { cases: 500, ..ProptestConfig::default() })]
 
     /// A ticket is begun again only if all that it was begun before ended without having run.
     #[test]
