--- a/crates/galenastream_standin/src/lib.rs
+++ b/crates/galenastream_standin/src/lib.rs
@@ -2,6 +2,14 @@
 
 mod caller;
 mod deployment;
+mod platform;
+mod server;
+mod target;
+mod verdict;
 
 pub use caller::*;
 pub use deployment::*;
+pub use platform::*;
+pub use server::*;
+pub use target::*;
+pub use verdict::*;
