--- a/crates/galenastream_ctl/src/request/admin_client.rs
+++ b/crates/galenastream_ctl/src/request/admin_client.rs
@@ -71,7 +71,7 @@
             .header("content-type", "application/json")
             .body(Body::from(body));
         match self.exchange(request).await {
-            Ok((status, body)) => self.parse(status, &body),
+            Ok((status, body)) => self.parse(status, &body).map_err(order_may_stand),
             Err(failure) if failure.may_be_received => {
                 Err(CtlError::NodeUnknown { node: self.node(), reason: failure.reason })
             }
@@ -136,6 +136,14 @@
     Ok((status, collected.to_bytes().to_vec()))
 }
 
+/// An order whose answer cannot be read may have been carried out.
+fn order_may_stand(error: CtlError) -> CtlError {
+    match error {
+        CtlError::NodeAnswer { node, reason } => CtlError::NodeUnknown { node, reason },
+        other => other,
+    }
+}
+
 fn failure(error: &ClientError) -> Failure {
     use std::error::Error;
     // The connector reports a failed connection as a bare I/O error.
