Settings: refuse to change leases and the like while a service runs

Cause: a node reads the protocol's durations when it starts. A coordinator with a shorter lease than its predecessor would wait too short a time before it reassigns keys, so two targets could hold one. Ruled out: the lease in grants and promises, which names the duration to its receiver, does not cover the successor's wait. Before: apply accepted the change. After: check_update refuses it unless the operator says that the service is stopped.

--- a/crates/galenastream_ctl/src/process/command_line.rs
+++ b/crates/galenastream_ctl/src/process/command_line.rs
@@ -62,7 +62,8 @@
         .subcommand(
             with_platform(Command::new("diff"))
                 .about("Shows what applying a file would change, and whether it would be refused")
-                .arg(file()),
+                .arg(file())
+                .arg(stopped()),
         )
         .subcommand(
             with_platform(Command::new("apply"))
@@ -70,12 +71,14 @@
                 .long_about(
                     "Makes a file the next version, or changes nothing.\n\n\
                      The file is checked first. An entry of the version in force that is missing \
-                     from the file is an error unless the file's `removed` list names it. The \
+                     from the file is an error unless the file's `removed` list names it, and so \
+                     is a change of leases and the like while the service runs. The \
                      write succeeds only if no other operator applied a version since the version \
                      in force was read; otherwise the command ends with code 3 and names both \
                      versions.",
                 )
                 .arg(file())
+                .arg(stopped())
                 .arg(
                     Arg::new("expect")
                         .long("expect")
@@ -196,6 +199,14 @@
     Arg::new("file").value_name("FILE").required(true).help("A tree of settings in TOML")
 }
 
+fn stopped() -> Arg {
+    Arg::new("stopped")
+        .long("stopped")
+        .value_name("SERVICE")
+        .action(ArgAction::Append)
+        .help("Every node of this service is stopped: its leases and the like may change")
+}
+
 fn service() -> Arg {
     Arg::new("service")
         .long("service")
--- a/crates/galenastream_ctl/src/request/mod.rs
+++ b/crates/galenastream_ctl/src/request/mod.rs
@@ -52,3 +52,8 @@
 fn argument<'a>(matches: &'a ArgMatches, name: &str) -> &'a str {
     matches.get_one::<String>(name).expect("clap requires the argument")
 }
+
+/// The services of which the operator says that no node runs.
+fn stopped_services(matches: &ArgMatches) -> Vec<&str> {
+    matches.get_many::<String>("stopped").unwrap_or_default().map(String::as_str).collect()
+}
--- a/crates/galenastream_ctl/src/request/settings_apply.rs
+++ b/crates/galenastream_ctl/src/request/settings_apply.rs
@@ -3,7 +3,7 @@
 use clap::ArgMatches;
 use galenastream_ownership::SettingsVersion;
 use galenastream_platform::SettingsStore;
-use galenastream_settings::{SettingsChange, check_removals, diff};
+use galenastream_settings::{SettingsChange, check_update, diff};
 use serde::Serialize;
 
 use crate::{
@@ -12,6 +12,7 @@
         platform::{self, InForce},
         settings_diff::{changes_from_nothing, to_lines},
         settings_file::SettingsFile,
+        stopped_services,
     },
 };
 
@@ -31,7 +32,7 @@
     let read = in_force.as_ref().map_or(SettingsVersion(0), |in_force| in_force.version);
     check_expected(matches, read)?;
     let result = match in_force {
-        Some(in_force) => replace(&store, &in_force, &file).await?,
+        Some(in_force) => replace(matches, &store, &in_force, &file).await?,
         None => publish_first(&store, &file).await?,
     };
     output.print(&result, &to_text(&result));
@@ -50,11 +51,12 @@
 }
 
 async fn replace(
+    matches: &ArgMatches,
     store: &SettingsStore,
     in_force: &InForce,
     file: &SettingsFile,
 ) -> Result<ApplyResult, CtlError> {
-    check_removals(&in_force.tree, &file.tree)?;
+    check_update(&in_force.tree, &file.tree, &stopped_services(matches))?;
     let previous_version = in_force.version.0;
     if in_force.toml == file.toml {
         let changes = Vec::new();
--- a/crates/galenastream_ctl/src/request/settings_diff.rs
+++ b/crates/galenastream_ctl/src/request/settings_diff.rs
@@ -1,12 +1,12 @@
 //! `settings diff`.
 
 use clap::ArgMatches;
-use galenastream_settings::{SettingsChange, SettingsTree, check_removals, diff};
+use galenastream_settings::{SettingsChange, SettingsTree, check_update, diff};
 use serde::Serialize;
 
 use crate::{
     CtlError, OutputFormat,
-    request::{platform, settings_file::SettingsFile},
+    request::{platform, settings_file::SettingsFile, stopped_services},
 };
 
 #[derive(Serialize)]
@@ -26,7 +26,7 @@
     };
     let changes = diff(&in_force.tree, &file.tree);
     print(output, &DiffResult { version_in_force: in_force.version.0, changes });
-    check_removals(&in_force.tree, &file.tree)?;
+    check_update(&in_force.tree, &file.tree, &stopped_services(matches))?;
     Ok(())
 }
 
--- a/crates/galenastream_ctl/tests/command_line.rs
+++ b/crates/galenastream_ctl/tests/command_line.rs
@@ -112,22 +112,23 @@
     check(
         &["settings", "apply", "-h"],
         &expect![[r#"
-        exit 0
-        Makes a file the next version, or changes nothing
+            exit 0
+            Makes a file the next version, or changes nothing
 
-        Usage: galenastreamctl settings apply [OPTIONS] --table-address <IP:PORT> --object-address <IP:PORT> <FILE>
+            Usage: galenastreamctl settings apply [OPTIONS] --table-address <IP:PORT> --object-address <IP:PORT> <FILE>
 
-        Arguments:
-          <FILE>  A tree of settings in TOML
+            Arguments:
+              <FILE>  A tree of settings in TOML
 
-        Options:
-              --output <FORMAT>           Lines for people, or one JSON document for programs [default: text] [possible values: text, json]
-              --table-address <IP:PORT>   Where the platform's table service listens [env: GALENASTREAM_TABLE_ADDRESS=]
-              --object-address <IP:PORT>  Where the platform's object store listens [env: GALENASTREAM_OBJECT_ADDRESS=]
-              --timeout-ms <MS>           How long to wait for each answer [default: 2000]
-              --expect <VERSION>          Refuse unless this version is in force; 0 if there is none yet
-          -h, --help                      Print help (see more with '--help')
-    "#]],
+            Options:
+                  --output <FORMAT>           Lines for people, or one JSON document for programs [default: text] [possible values: text, json]
+                  --table-address <IP:PORT>   Where the platform's table service listens [env: GALENASTREAM_TABLE_ADDRESS=]
+                  --object-address <IP:PORT>  Where the platform's object store listens [env: GALENASTREAM_OBJECT_ADDRESS=]
+                  --timeout-ms <MS>           How long to wait for each answer [default: 2000]
+                  --stopped <SERVICE>         Every node of this service is stopped: its leases and the like may change
+                  --expect <VERSION>          Refuse unless this version is in force; 0 if there is none yet
+              -h, --help                      Print help (see more with '--help')
+        "#]],
     );
 }
 
--- a/crates/galenastream_settings/src/error/settings_error_kind.rs
+++ b/crates/galenastream_settings/src/error/settings_error_kind.rs
@@ -177,6 +177,16 @@
         /// The line there.
         old_line: usize,
     },
+    /// A field on which all nodes of a running service must agree was changed.
+    #[error("the value cannot change from {old_value} while the service runs")]
+    FixedWhileRunning {
+        /// The field.
+        field: &'static str,
+        /// The service.
+        service: String,
+        /// The value in force.
+        old_value: String,
+    },
 }
 
 impl SettingsErrorKind {
@@ -220,6 +230,7 @@
             Self::RemovedButPresent { .. } => {
                 "in `removed` only entries that the file no longer has".to_owned()
             }
+            Self::FixedWhileRunning { field, old_value, .. } => format!("{field} = {old_value}"),
             Self::Vanished { .. } => {
                 "each entry of the version in force, or its name in `removed`".to_owned()
             }
@@ -275,6 +286,9 @@
             Self::RemovedButPresent { .. } => {
                 "delete the entry itself, or take its name out of `removed`".to_owned()
             }
+            Self::FixedWhileRunning { service, .. } => format!(
+                "keep the value; or stop every node of the service, apply with `--stopped {service}`, and start the nodes"
+            ),
             Self::Vanished { .. } => {
                 "put the entry back, or add its name to `removed` at the top of the file".to_owned()
             }
--- a/crates/galenastream_settings/src/field/table.rs
+++ b/crates/galenastream_settings/src/field/table.rs
@@ -1,6 +1,6 @@
 //! The table of fields.
 
-use crate::{FieldKind, FieldSpec, Level};
+use crate::{ChangeRule, FieldKind, FieldSpec, Level};
 
 /// All fields, in the order of the reference page.
 pub const FIELDS: &[FieldSpec] = &[
@@ -9,6 +9,7 @@
         kind: FieldKind::Bool,
         default: "true",
         lowest_level: Level::Service,
+        change_rule: ChangeRule::WhileStopped,
         description: "Whether each key has one owner. If not, any target of the service may take any request.",
     },
     FieldSpec {
@@ -16,6 +17,7 @@
         kind: FieldKind::Integer { min: 1, max: 65_536 },
         default: "256",
         lowest_level: Level::Service,
+        change_rule: ChangeRule::Live,
         description: "How many slices a new cell starts with. Later the planner splits slices.",
     },
     FieldSpec {
@@ -23,6 +25,7 @@
         kind: FieldKind::Integer { min: 1, max: 100_000 },
         default: "20",
         lowest_level: Level::Place,
+        change_rule: ChangeRule::Live,
         description: "How many requests a target works on at the same time.",
     },
     FieldSpec {
@@ -30,6 +33,7 @@
         kind: FieldKind::Integer { min: 1, max: 1_000_000 },
         default: "120",
         lowest_level: Level::Place,
+        change_rule: ChangeRule::Live,
         description: "How many connections a target accepts.",
     },
     FieldSpec {
@@ -37,6 +41,7 @@
         kind: FieldKind::Integer { min: 1, max: 60_000 },
         default: "50",
         lowest_level: Level::Place,
+        change_rule: ChangeRule::Live,
         description: "How long opening a connection to a target may take.",
     },
     FieldSpec {
@@ -44,6 +49,7 @@
         kind: FieldKind::Integer { min: 1, max: 600_000 },
         default: "1000",
         lowest_level: Level::KeyRange,
+        change_rule: ChangeRule::Live,
         description: "The deadline of a request whose caller gives none.",
     },
     FieldSpec {
@@ -51,6 +57,7 @@
         kind: FieldKind::Integer { min: 1, max: 600_000 },
         default: "10000",
         lowest_level: Level::KeyRange,
+        change_rule: ChangeRule::Live,
         description: "The longest deadline that a caller may give. A longer one is refused.",
     },
     FieldSpec {
@@ -58,6 +65,7 @@
         kind: FieldKind::Integer { min: 1, max: 1_073_741_824 },
         default: "1048576",
         lowest_level: Level::KeyRange,
+        change_rule: ChangeRule::Live,
         description: "The largest body of a request or an answer.",
     },
     FieldSpec {
@@ -65,6 +73,7 @@
         kind: FieldKind::Integer { min: 1, max: 4_096 },
         default: "512",
         lowest_level: Level::Service,
+        change_rule: ChangeRule::Live,
         description: "The longest key.",
     },
     FieldSpec {
@@ -72,6 +81,7 @@
         kind: FieldKind::Integer { min: 1, max: 100_000 },
         default: "100",
         lowest_level: Level::Place,
+        change_rule: ChangeRule::Live,
         description: "How many requests may wait for a slot of a target.",
     },
     FieldSpec {
@@ -79,6 +89,7 @@
         kind: FieldKind::Integer { min: 1, max: 60_000 },
         default: "50",
         lowest_level: Level::KeyRange,
+        change_rule: ChangeRule::Live,
         description: "How long a request may wait for a slot. After that it is refused as not run.",
     },
     FieldSpec {
@@ -86,6 +97,7 @@
         kind: FieldKind::Classes,
         default: r#"[{ name = "standard", priority = 0 }]"#,
         lowest_level: Level::Service,
+        change_rule: ChangeRule::Live,
         description: "The classes of requests. Under overload the class with the lowest priority is shed first.",
     },
     FieldSpec {
@@ -93,6 +105,7 @@
         kind: FieldKind::ClassName,
         default: r#""standard""#,
         lowest_level: Level::KeyRange,
+        change_rule: ChangeRule::Live,
         description: "The class of a request whose caller names none.",
     },
     FieldSpec {
@@ -100,6 +113,7 @@
         kind: FieldKind::Methods,
         default: r#"["GET", "HEAD"]"#,
         lowest_level: Level::KeyRange,
+        change_rule: ChangeRule::Live,
         description: "The HTTP methods that may be tried again even when an earlier try may have run.",
     },
     FieldSpec {
@@ -107,6 +121,7 @@
         kind: FieldKind::Integer { min: 0, max: 100 },
         default: "10",
         lowest_level: Level::Place,
+        change_rule: ChangeRule::Live,
         description: "Retries, as a share of requests. Zero switches retries off.",
     },
     FieldSpec {
@@ -114,6 +129,7 @@
         kind: FieldKind::Integer { min: 1, max: 600_000 },
         default: "200",
         lowest_level: Level::KeyRange,
+        change_rule: ChangeRule::Live,
         description: "When a refused caller is told to come back, unless the node knows better.",
     },
     FieldSpec {
@@ -121,6 +137,7 @@
         kind: FieldKind::Integer { min: 1, max: 100 },
         default: "50",
         lowest_level: Level::Place,
+        change_rule: ChangeRule::Live,
         description: "The share of failed tries at which a target is no longer tried.",
     },
     FieldSpec {
@@ -128,6 +145,7 @@
         kind: FieldKind::Integer { min: 1, max: 100_000 },
         default: "20",
         lowest_level: Level::Place,
+        change_rule: ChangeRule::Live,
         description: "How many tries are seen before the share of failures counts.",
     },
     FieldSpec {
@@ -135,6 +153,7 @@
         kind: FieldKind::Integer { min: 1, max: 600_000 },
         default: "1000",
         lowest_level: Level::Place,
+        change_rule: ChangeRule::Live,
         description: "How long a target is not tried before one request probes it.",
     },
     FieldSpec {
@@ -142,6 +161,7 @@
         kind: FieldKind::Integer { min: 0, max: 600_000 },
         default: "10000",
         lowest_level: Level::Place,
+        change_rule: ChangeRule::Live,
         description: "How long a new target takes to reach its full share of requests. Zero gives it all at once.",
     },
     FieldSpec {
@@ -149,6 +169,7 @@
         kind: FieldKind::Integer { min: 1, max: 600_000 },
         default: "3000",
         lowest_level: Level::Place,
+        change_rule: ChangeRule::Live,
         description: "After how long a leaving target receives no new work.",
     },
     FieldSpec {
@@ -156,6 +177,7 @@
         kind: FieldKind::Integer { min: 1, max: 600_000 },
         default: "1000",
         lowest_level: Level::Service,
+        change_rule: ChangeRule::WhileStopped,
         description: "The longest deadline of an order to a target. The slices of a lost target that does not check grants wait this long on top of the lease.",
     },
     FieldSpec {
@@ -163,6 +185,7 @@
         kind: FieldKind::Integer { min: 10, max: 600_000 },
         default: "600",
         lowest_level: Level::Service,
+        change_rule: ChangeRule::WhileStopped,
         description: "How long a grant lasts, counted from when its holder sent the beat. At least three beats.",
     },
     FieldSpec {
@@ -170,6 +193,7 @@
         kind: FieldKind::Integer { min: 1, max: 600_000 },
         default: "150",
         lowest_level: Level::Service,
+        change_rule: ChangeRule::WhileStopped,
         description: "Interval between two beats of a holder.",
     },
     FieldSpec {
@@ -177,6 +201,7 @@
         kind: FieldKind::Integer { min: 10, max: 600_000 },
         default: "250",
         lowest_level: Level::Service,
+        change_rule: ChangeRule::WhileStopped,
         description: "How long a witness's promise lasts, counted from when the coordinator asked. At least three promise beats, and shorter than the lease.",
     },
     FieldSpec {
@@ -184,6 +209,7 @@
         kind: FieldKind::Integer { min: 1, max: 600_000 },
         default: "60",
         lowest_level: Level::Service,
+        change_rule: ChangeRule::WhileStopped,
         description: "Interval between two promise requests of a coordinator.",
     },
     FieldSpec {
@@ -191,6 +217,7 @@
         kind: FieldKind::Integer { min: 100, max: 600_000 },
         default: "2000",
         lowest_level: Level::Service,
+        change_rule: ChangeRule::WhileStopped,
         description: "How long a coordinator without witnesses is entitled by one write of its row. At least three times store_timeout_ms.",
     },
     FieldSpec {
@@ -198,6 +225,7 @@
         kind: FieldKind::Integer { min: 10, max: 60_000 },
         default: "500",
         lowest_level: Level::Service,
+        change_rule: ChangeRule::WhileStopped,
         description: "How long one request to the platform may take.",
     },
     FieldSpec {
@@ -205,6 +233,7 @@
         kind: FieldKind::Number { min: 0.0, max: 1000.0 },
         default: "1.0",
         lowest_level: Level::Service,
+        change_rule: ChangeRule::Live,
         description: "Weight of the imbalance of load in the planner's cost. Higher moves slices sooner.",
     },
     FieldSpec {
@@ -212,6 +241,7 @@
         kind: FieldKind::Number { min: 0.0, max: 1000.0 },
         default: "1.0",
         lowest_level: Level::Service,
+        change_rule: ChangeRule::Live,
         description: "Weight of the time that a moving key is unavailable in the planner's cost. Higher moves slices later.",
     },
     FieldSpec {
@@ -219,6 +249,7 @@
         kind: FieldKind::Number { min: 0.0, max: 100.0 },
         default: "2.0",
         lowest_level: Level::Service,
+        change_rule: ChangeRule::Live,
         description: "The largest share of the key space that the planner moves in a minute. Zero switches its moves off.",
     },
     FieldSpec {
@@ -226,6 +257,7 @@
         kind: FieldKind::Integer { min: 0, max: 86_400_000 },
         default: "60000",
         lowest_level: Level::Service,
+        change_rule: ChangeRule::Live,
         description: "How long a moved slice stays before the planner moves it again.",
     },
     FieldSpec {
@@ -233,6 +265,7 @@
         kind: FieldKind::Integer { min: 0, max: 100 },
         default: "10",
         lowest_level: Level::Service,
+        change_rule: ChangeRule::Live,
         description: "By how much the load of a target must lie above the mean before the planner moves its slices.",
     },
     FieldSpec {
@@ -240,6 +273,7 @@
         kind: FieldKind::Integer { min: 1_000, max: 3_600_000 },
         default: "60000",
         lowest_level: Level::Service,
+        change_rule: ChangeRule::Live,
         description: "How long an owner remembers the outcome of a ticket.",
     },
     FieldSpec {
@@ -247,6 +281,7 @@
         kind: FieldKind::Integer { min: 1, max: 10_000_000 },
         default: "100000",
         lowest_level: Level::Service,
+        change_rule: ChangeRule::Live,
         description: "How many tickets an owner remembers.",
     },
 ];
--- /dev/null
+++ b/crates/galenastream_settings/src/version/fixed_fields.rs
@@ -0,0 +1,60 @@
+//! Fields on which all nodes of a service must agree at any moment.
+
+use crate::{
+    ChangeRule, FieldId, ServiceSettings, SettingsError, SettingsErrorKind, SettingsErrors,
+    SettingsTree,
+};
+
+/// Refuses a new version that changes what all nodes of a running service must agree on.
+///
+/// `stopped` names the services of which the operator says that no node runs.
+pub fn check_fixed_fields(
+    old: &SettingsTree,
+    new: &SettingsTree,
+    stopped: &[&str],
+) -> Result<(), SettingsErrors> {
+    let mut errors = Vec::new();
+    for service in new.services() {
+        if stopped.contains(&service.name()) {
+            continue;
+        }
+        let Some(old_service) = old.service(service.id()) else {
+            continue;
+        };
+        errors.extend(changed_fixed_fields(old, old_service, new, service));
+    }
+    SettingsErrors::check(errors)
+}
+
+fn changed_fixed_fields(
+    old: &SettingsTree,
+    old_service: &ServiceSettings,
+    new: &SettingsTree,
+    service: &ServiceSettings,
+) -> Vec<SettingsError> {
+    let old_layers = old.layers(old_service, None, None);
+    let layers = new.layers(service, None, None);
+    let mut errors = Vec::new();
+    for field in FieldId::all() {
+        if field.spec().change_rule != ChangeRule::WhileStopped {
+            continue;
+        }
+        let (old_value, _) = old_layers.find(field);
+        let (value, origin) = layers.find(field);
+        if value == old_value {
+            continue;
+        }
+        errors.push(SettingsError {
+            source_name: new.source_name.clone(),
+            line: origin.line,
+            path: format!("services.{}.{}", service.name, field.name()),
+            value: Some(value.to_string()),
+            kind: SettingsErrorKind::FixedWhileRunning {
+                field: field.name(),
+                service: service.name.clone(),
+                old_value: old_value.to_string(),
+            },
+        });
+    }
+    errors
+}
--- a/crates/galenastream_settings/src/version/tree.rs
+++ b/crates/galenastream_settings/src/version/tree.rs
@@ -100,7 +100,7 @@
         Some(explained)
     }
 
-    fn layers<'a>(
+    pub(crate) fn layers<'a>(
         &'a self,
         service: &'a ServiceSettings,
         place: Option<PlaceId>,
--- a/crates/galenastream_settings/tests/versions.rs
+++ b/crates/galenastream_settings/tests/versions.rs
@@ -1,7 +1,7 @@
 //! Differences between versions, and removals.
 
 use expect_test::{Expect, expect};
-use galenastream_settings::{SettingsTree, check_removals, diff};
+use galenastream_settings::{SettingsTree, check_removals, check_update, diff};
 
 const OLD: &str = r#"
 [defaults]
@@ -163,3 +163,30 @@
 fn the_same_tree_removes_nothing() {
     check_removals(&parse(OLD), &parse(OLD)).expect("the test's tree is valid");
 }
+
+#[test]
+fn fixed_fields_of_a_running_service() {
+    let old =
+        "[defaults]\nlease_ms = 600\n[services.catalogue]\n[services.booking]\nlease_ms = 900\n";
+    let new = "[defaults]\nlease_ms = 500\norder_limit_ms = 2000\n[services.catalogue]\n\
+               divided_by_key = false\n[services.booking]\nlease_ms = 900\n[services.fitting]\n";
+    let (old, new) = (parse(old), parse(new));
+    let errors = check_update(&old, &new, &["booking"]).unwrap_err();
+    expect![[r#"
+        tree.toml:2: services.catalogue.lease_ms = 500: the value cannot change from 600 while the service runs
+          allowed: lease_ms = 600
+          remedy: keep the value; or stop every node of the service, apply with `--stopped catalogue`, and start the nodes
+        tree.toml:3: services.catalogue.order_limit_ms = 2000: the value cannot change from 1000 while the service runs
+          allowed: order_limit_ms = 1000
+          remedy: keep the value; or stop every node of the service, apply with `--stopped catalogue`, and start the nodes
+        tree.toml:5: services.catalogue.divided_by_key = false: the value cannot change from true while the service runs
+          allowed: divided_by_key = true
+          remedy: keep the value; or stop every node of the service, apply with `--stopped catalogue`, and start the nodes"#]].assert_eq(&errors.to_string());
+    check_update(&old, &new, &["booking", "catalogue"]).unwrap();
+}
+
+#[test]
+fn live_fields_may_change() {
+    let new = OLD.replace("retry_after_ms = 200", "retry_after_ms = 250\ndrain_ms = 9000");
+    check_update(&parse(OLD), &parse(&new), &[]).unwrap();
+}
