--- a/crates/galenastream_platform/src/process/object_client.rs
+++ b/crates/galenastream_platform/src/process/object_client.rs
@@ -61,7 +61,8 @@
             Err(ServiceError::Unknown(reason)) => return Err(PutError::Unknown { reason }),
         };
         match answer.status {
-            StatusCode::OK => Ok(()),
+            // The store's own answer to a write has no body.
+            StatusCode::OK if answer.body.is_empty() => Ok(()),
             StatusCode::PRECONDITION_FAILED => Err(PutError::Conflict),
             status if status.is_client_error() => {
                 Err(PutError::Refused { reason: status.to_string() })
--- a/crates/galenastream_platform/src/process/settings_store.rs
+++ b/crates/galenastream_platform/src/process/settings_store.rs
@@ -4,6 +4,7 @@
 use galenastream_ownership::{RowVersion, SettingsVersion, WriteId};
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{GetError, ObjectClient, PutError, TableClient, TableRow};
 
@@ -19,6 +20,8 @@
     pub version: SettingsVersion,
     /// The name of the object that holds the tree.
     pub object: String,
+    /// The hash of the tree, by which a damaged one is told.
+    pub content_hash: u64,
 }
 
 /// Why a version was not published.
@@ -57,6 +60,7 @@
 #[derive(Debug, Serialize, Deserialize)]
 struct PointerPayload {
     object: String,
+    content_hash: u64,
 }
 
 impl SettingsStore {
@@ -79,6 +83,9 @@
         let Some(content) = self.objects.get(object).await? else {
             return Err(GetError::Damaged { reason: format!("object `{object}` is absent") });
         };
+        if xxh3_64(&content) != pointer.content_hash {
+            return Err(GetError::Damaged { reason: format!("object `{object}` was changed") });
+        }
         String::from_utf8(content.into())
             .map_err(|it| GetError::Damaged { reason: format!("object `{object}`: {it}") })
     }
@@ -91,7 +98,7 @@
         expected: SettingsVersion,
         toml: &str,
     ) -> Result<SettingsVersion, PublishError> {
-        let publication = Publication::new(expected);
+        let publication = Publication::new(expected, toml);
         self.write_object(&publication, toml).await?;
         self.write_pointer(&publication).await
     }
@@ -166,10 +173,11 @@
     version: SettingsVersion,
     write: WriteId,
     object: String,
+    content_hash: u64,
 }
 
 impl Publication {
-    fn new(expected: SettingsVersion) -> Self {
+    fn new(expected: SettingsVersion, toml: &str) -> Self {
         let version = SettingsVersion(expected.0 + 1);
         let write = WriteId(rand::random());
         Self {
@@ -177,11 +185,13 @@
             version,
             write,
             object: format!("settings/{}-{:016x}.toml", version.0, write.0),
+            content_hash: xxh3_64(toml.as_bytes()),
         }
     }
 
     fn payload(&self) -> Bytes {
-        let payload = serde_json::json!({ "object": self.object });
+        let payload =
+            serde_json::json!({ "object": self.object, "content_hash": self.content_hash });
         Bytes::from(payload.to_string())
     }
 
@@ -209,5 +219,9 @@
 fn read_pointer(row: &TableRow) -> Result<SettingsPointer, GetError> {
     let payload: PointerPayload = serde_json::from_slice(&row.payload)
         .map_err(|it| GetError::Damaged { reason: format!("row `{POINTER_KEY}`: {it}") })?;
-    Ok(SettingsPointer { version: SettingsVersion(row.version.0), object: payload.object })
+    Ok(SettingsPointer {
+        version: SettingsVersion(row.version.0),
+        object: payload.object,
+        content_hash: payload.content_hash,
+    })
 }
