--- /dev/null
+++ b/crates/galenastream_node/src/connection/peer_error.rs
@@ -0,0 +1,29 @@
+//! Why another node gave no reply.
+
+use thiserror::Error;
+
+/// Why another node gave no reply.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+pub enum PeerError {
+    /// No byte of the request was sent.
+    #[error("the node cannot be reached; its VM may be gone")]
+    NotSent,
+    /// The node has not replied to the last requests, so nothing was sent.
+    #[error("the node does not reply; the next try is due in {retry_after_ms} ms")]
+    Blocked {
+        /// When the next try is due.
+        retry_after_ms: u32,
+    },
+    /// Too many requests wait to be sent on the connection, so nothing was sent.
+    #[error("too many requests wait for the node; come back later")]
+    QueueFull,
+    /// The connection broke after the request was sent.
+    #[error("the connection broke after the request was sent")]
+    Lost,
+    /// No reply came before the deadline.
+    #[error("no reply came before the deadline")]
+    TimedOut,
+    /// The reply is of another kind than the request asks for.
+    #[error("the reply is of an unexpected kind; run the same release on all nodes")]
+    Unexpected,
+}
--- /dev/null
+++ b/crates/galenastream_node/src/connection/pending.rs
@@ -0,0 +1,85 @@
+//! The requests on a connection that wait for their replies.
+
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+use galenastream_ownership::FastMap;
+use galenastream_wire::peer_frame::Body;
+use tokio::sync::oneshot;
+
+/// The requests on a connection that wait for their replies, by correlation id.
+#[derive(Debug)]
+pub struct PendingReplies {
+    state: Mutex<PendingState>,
+}
+
+#[derive(Debug)]
+enum PendingState {
+    Open { next: u64, waiting: FastMap<u64, oneshot::Sender<Body>> },
+    Closed,
+}
+
+/// A request that waits for its reply.
+#[derive(Debug)]
+pub struct PendingReply {
+    /// The correlation id.
+    pub correlation: u64,
+    /// Yields the reply, or an error when the connection breaks.
+    pub reply: oneshot::Receiver<Body>,
+}
+
+impl PendingReplies {
+    /// Creates an empty table of an open connection.
+    pub fn new() -> Self {
+        Self { state: Mutex::new(PendingState::Open { next: 1, waiting: FastMap::default() }) }
+    }
+
+    /// Adds a request; `None` if the connection has broken.
+    pub fn add(&self) -> Option<PendingReply> {
+        let mut state = self.lock();
+        let PendingState::Open { next, waiting } = &mut *state else {
+            return None;
+        };
+        let correlation = *next;
+        *next += 1;
+        let (sender, reply) = oneshot::channel();
+        waiting.insert(correlation, sender);
+        Some(PendingReply { correlation, reply })
+    }
+
+    /// Passes a reply on. Returns false if nobody waits for it any more.
+    pub fn complete(&self, correlation: u64, body: Body) -> bool {
+        let sender = match &mut *self.lock() {
+            PendingState::Open { waiting, .. } => waiting.remove(&correlation),
+            PendingState::Closed => None,
+        };
+        sender.is_some_and(|it| it.send(body).is_ok())
+    }
+
+    /// Gives a request up. Returns false if it was no longer waiting.
+    pub fn remove(&self, correlation: u64) -> bool {
+        match &mut *self.lock() {
+            PendingState::Open { waiting, .. } => waiting.remove(&correlation).is_some(),
+            PendingState::Closed => false,
+        }
+    }
+
+    /// Fails all requests, and all that are added later.
+    pub fn close(&self) {
+        *self.lock() = PendingState::Closed;
+    }
+
+    /// Whether the connection has broken.
+    pub fn is_closed(&self) -> bool {
+        matches!(*self.lock(), PendingState::Closed)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, PendingState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Default for PendingReplies {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- a/crates/galenastream_wire/src/peer/answer.rs
+++ b/crates/galenastream_wire/src/peer/answer.rs
@@ -42,6 +42,8 @@
     ConnectionLost = 9,
     /// The request breaks a rule of the interface.
     Invalid = 10,
+    /// The ticket's first request is still in progress.
+    InProgress = 11,
 }
 
 /// The reply to a forwarded request.
