--- /dev/null
+++ b/crates/galenastream_node/src/process/admission_desk.rs
@@ -0,0 +1,208 @@
+//! Admission to the target beside this node, shared by the traffic threads.
+
+use std::{
+    sync::{Mutex, MutexGuard, PoisonError},
+    time::{Duration, Instant},
+};
+
+use galenastream_ownership::FastMap;
+use galenastream_routing::{
+    Admission, AdmissionLimits, Arrival, Class, Deadline, Evicted, Released, WaitId,
+};
+use galenastream_settings::EffectiveSettings;
+use tokio::sync::oneshot;
+
+use super::{TargetAnnouncement, boot_now, sleep_until};
+
+/// Admission to the target beside this node, shared by the traffic threads.
+#[derive(Debug)]
+pub struct AdmissionDesk {
+    state: Mutex<DeskState>,
+}
+
+#[derive(Debug)]
+struct DeskState {
+    admission: Admission,
+    waiting: FastMap<WaitId, oneshot::Sender<Verdict>>,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Verdict {
+    Start,
+    Shed { retry_after_ms: u32 },
+}
+
+/// A slot of the target. Dropping it frees the slot.
+#[derive(Debug)]
+pub struct Slot<'a> {
+    desk: &'a AdmissionDesk,
+    began_at: Instant,
+    service_time: Option<Duration>,
+}
+
+/// A request that was not admitted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct NotAdmitted {
+    /// When to come back.
+    pub retry_after_ms: u32,
+}
+
+impl AdmissionDesk {
+    /// Creates the admission to a target that has not announced itself yet.
+    pub fn new(settings: &EffectiveSettings) -> Self {
+        let admission = Admission::new(limits(settings, None), boot_now());
+        Self { state: Mutex::new(DeskState { admission, waiting: FastMap::default() }) }
+    }
+
+    /// Puts limits in force.
+    pub fn apply_settings(&self, settings: &EffectiveSettings, target: Option<&TargetAnnouncement>) {
+        let mut state = self.lock();
+        state.admission.set_limits(limits(settings, target));
+        let released = state.admission.release(boot_now());
+        state.settle(released);
+    }
+
+    /// Starts the ramp of a target that came up anew.
+    pub fn restart(&self) {
+        self.lock().admission.restart(boot_now());
+    }
+
+    /// Waits for a slot, as long as that is of use.
+    pub async fn admit(&self, class: Class, deadline: Deadline) -> Result<Slot<'_>, NotAdmitted> {
+        let (id, until, verdict) = match self.arrive(class, deadline) {
+            Arrived::Start => return Ok(Slot::new(self)),
+            Arrived::Shed(refusal) => return Err(refusal),
+            Arrived::Wait { id, until, verdict } => (id, until, verdict),
+        };
+        let place = QueuePlace { desk: self, id: Some(id), verdict };
+        tokio::select! {
+            slot = place.wait() => slot,
+            () = sleep_until(until) => Err(NotAdmitted { retry_after_ms: self.retry_after_ms() }),
+        }
+    }
+
+    fn arrive(&self, class: Class, deadline: Deadline) -> Arrived {
+        let mut state = self.lock();
+        let admitted = state.admission.arrive(boot_now(), class, deadline);
+        if let Some(evicted) = admitted.evicted {
+            state.shed(evicted);
+        }
+        match admitted.arrival {
+            Arrival::Start => Arrived::Start,
+            Arrival::Shed { retry_after_ms } => Arrived::Shed(NotAdmitted { retry_after_ms }),
+            Arrival::Wait { id, until } => {
+                let (sender, verdict) = oneshot::channel();
+                state.waiting.insert(id, sender);
+                Arrived::Wait { id, until, verdict }
+            }
+        }
+    }
+
+    fn retry_after_ms(&self) -> u32 {
+        self.lock().admission.retry_after_ms(boot_now())
+    }
+
+    fn finish(&self, service_time: Option<Duration>) {
+        let mut state = self.lock();
+        let released = state.admission.finish(boot_now(), service_time);
+        state.settle(released);
+    }
+
+    /// Takes a request out of the queue. If it was started at the same moment, frees its slot.
+    fn leave(&self, id: WaitId, verdict: &mut oneshot::Receiver<Verdict>) {
+        let mut state = self.lock();
+        state.waiting.remove(&id);
+        if state.admission.give_up(id) {
+            return;
+        }
+        if verdict.try_recv() == Ok(Verdict::Start) {
+            let released = state.admission.finish(boot_now(), None);
+            state.settle(released);
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, DeskState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+enum Arrived {
+    Start,
+    Shed(NotAdmitted),
+    Wait { id: WaitId, until: galenastream_ownership::BootInstant, verdict: oneshot::Receiver<Verdict> },
+}
+
+impl DeskState {
+    fn settle(&mut self, released: Released) {
+        for id in released.started {
+            if let Some(sender) = self.waiting.remove(&id) {
+                // A receiver that is gone frees the slot itself, since it still holds the verdict.
+                let _ = sender.send(Verdict::Start);
+            }
+        }
+        for evicted in released.shed {
+            self.shed(evicted);
+        }
+    }
+
+    fn shed(&mut self, evicted: Evicted) {
+        if let Some(sender) = self.waiting.remove(&evicted.id) {
+            let _ = sender.send(Verdict::Shed { retry_after_ms: evicted.retry_after_ms });
+        }
+    }
+}
+
+/// A place in the queue. Dropping it leaves the queue.
+struct QueuePlace<'a> {
+    desk: &'a AdmissionDesk,
+    id: Option<WaitId>,
+    verdict: oneshot::Receiver<Verdict>,
+}
+
+impl<'a> QueuePlace<'a> {
+    async fn wait(mut self) -> Result<Slot<'a>, NotAdmitted> {
+        let verdict = (&mut self.verdict).await;
+        self.id = None;
+        match verdict {
+            Ok(Verdict::Start) => Ok(Slot::new(self.desk)),
+            Ok(Verdict::Shed { retry_after_ms }) => Err(NotAdmitted { retry_after_ms }),
+            Err(_) => Err(NotAdmitted { retry_after_ms: self.desk.retry_after_ms() }),
+        }
+    }
+}
+
+impl Drop for QueuePlace<'_> {
+    fn drop(&mut self) {
+        if let Some(id) = self.id {
+            self.desk.leave(id, &mut self.verdict);
+        }
+    }
+}
+
+impl<'a> Slot<'a> {
+    fn new(desk: &'a AdmissionDesk) -> Self {
+        Self { desk, began_at: Instant::now(), service_time: None }
+    }
+
+    /// Records that the target gave a whole answer.
+    pub fn answered(&mut self) {
+        self.service_time = Some(self.began_at.elapsed());
+    }
+}
+
+impl Drop for Slot<'_> {
+    fn drop(&mut self) {
+        self.desk.finish(self.service_time);
+    }
+}
+
+fn limits(settings: &EffectiveSettings, target: Option<&TargetAnnouncement>) -> AdmissionLimits {
+    let slots = target.map_or(settings.slots, |it| it.slots.min(settings.slots));
+    AdmissionLimits {
+        slots: slots.max(1),
+        queue_limit: settings.queue_limit,
+        queue_wait_ms: settings.queue_wait_ms,
+        retry_after_ms: settings.retry_after_ms,
+        ramp_up_ms: settings.ramp_up_ms,
+    }
+}
--- a/crates/galenastream_node/src/request/owner.rs
+++ b/crates/galenastream_node/src/request/owner.rs
@@ -2,8 +2,11 @@
 
 use std::sync::Arc;
 
-use galenastream_ownership::{KeyHash, ServiceId};
-use galenastream_routing::{Deadline, NotRunReason, Outcome, TicketDecision, UnknownReason};
+use galenastream_ownership::{KeyHash, ServiceId, SettingsVersion};
+use galenastream_routing::{
+    Class, Deadline, NotRunReason, Outcome, TicketDecision, UnknownReason,
+};
+use galenastream_settings::EffectiveSettings;
 use galenastream_wire::{Forward, TicketQuery, TicketReply, TicketToken};
 
 use super::{InProgress, Reply, TicketRun, better_route, max_body_bytes, ticket_of, token_of};
@@ -18,7 +21,7 @@
 
 /// Runs a request at the target beside this node, if this node is entitled to.
 pub async fn run_at_owner(node: &Arc<Node>, forward: Forward, deadline: Deadline) -> Reply {
-    node.settings.see(galenastream_ownership::SettingsVersion(forward.settings_version), None);
+    node.settings.see(SettingsVersion(forward.settings_version), None);
     if !node.settings.wait_until_current().await {
         return refuse(node, &forward, NotRunReason::SettingsBehind);
     }
@@ -106,15 +109,19 @@
     in_progress: Option<InProgress>,
     ticket: Option<(TicketToken, TicketRun<'_>)>,
 ) -> Reply {
-    let Some(target) = node.target.current() else {
-        return refuse(node, forward, NotRunReason::TargetUnavailable);
-    };
     let mut work = Work { in_progress, ticket };
-    let reply = work.run(node, forward, deadline, &target).await;
+    let reply = work.admit_and_run(node, forward, deadline).await;
     work.finish(&reply);
     reply
 }
 
+/// The class of a request; the lowest one if the settings no longer name it.
+fn class_of(settings: &EffectiveSettings, name: &str) -> Class {
+    let position = settings.classes.iter().position(|class| class.name == name);
+    let index = position.and_then(|it| u16::try_from(it).ok()).unwrap_or(u16::MAX);
+    Class::new(index, settings.class(name).map_or(0, |class| class.priority))
+}
+
 /// A request that holds its place on the slice and its ticket.
 struct Work<'a> {
     in_progress: Option<InProgress>,
@@ -122,6 +129,32 @@
 }
 
 impl Work<'_> {
+    async fn admit_and_run(
+        &mut self,
+        node: &Arc<Node>,
+        forward: &Forward,
+        deadline: Deadline,
+    ) -> Reply {
+        let Some(target) = node.target.current() else {
+            return refuse(node, forward, NotRunReason::TargetUnavailable);
+        };
+        let settings = node.settings.current();
+        let service = settings.service_or_root(node.bootstrap.service_id());
+        let class = class_of(service, &forward.class);
+        let mut slot = match node.admission.admit(class, deadline).await {
+            Ok(slot) => slot,
+            Err(refusal) => {
+                return refuse(node, forward, NotRunReason::Overloaded)
+                    .with_retry_after_ms(refusal.retry_after_ms);
+            }
+        };
+        let reply = self.run(node, forward, deadline, &target).await;
+        if reply.outcome == Outcome::Ran {
+            slot.answered();
+        }
+        reply
+    }
+
     async fn run(
         &mut self,
         node: &Arc<Node>,
