--- a/crates/galenastream_node/src/connection/admin_server.rs
+++ b/crates/galenastream_node/src/connection/admin_server.rs
@@ -7,7 +7,7 @@
 use http::{Method, Response, StatusCode, Uri};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use volo_http::{
-    Body,
+    body::Body,
     server::{
         extract::Query,
         route::{Router, get, post},
--- a/crates/galenastream_node/src/connection/caller_server.rs
+++ b/crates/galenastream_node/src/connection/caller_server.rs
@@ -6,7 +6,7 @@
 use http::{HeaderValue, Method, Response, StatusCode, header};
 use serde::Serialize;
 use volo::service::Service;
-use volo_http::{Body, context::ServerContext, request::Request};
+use volo_http::{body::Body, context::ServerContext, request::Request};
 
 use crate::{
     process::{Node, counters},
--- a/crates/galenastream_node/src/connection/mod.rs
+++ b/crates/galenastream_node/src/connection/mod.rs
@@ -2,6 +2,7 @@
 
 mod admin_documents;
 mod admin_server;
+mod caller_listener;
 mod caller_server;
 mod peer_error;
 mod peer_link;
@@ -12,6 +13,7 @@
 
 pub use admin_documents::*;
 pub use admin_server::*;
+pub use caller_listener::*;
 pub use caller_server::*;
 pub use peer_error::*;
 pub use peer_link::*;
--- a/crates/galenastream_node/src/connection/target_client.rs
+++ b/crates/galenastream_node/src/connection/target_client.rs
@@ -10,7 +10,7 @@
 use http_body_util::{BodyExt, Limited};
 use tokio::time::timeout;
 use volo_http::{
-    Body,
+    body::Body,
     client::{Client, ClientBuilder},
     error::ClientError,
     response::Response,
--- a/crates/galenastream_node/src/main.rs
+++ b/crates/galenastream_node/src/main.rs
@@ -1,3 +1,22 @@
 //! The `galenastreamd` program.
 
-fn main() {}
+use std::process::ExitCode;
+
+use galenastream_node::prelude::*;
+
+fn main() -> ExitCode {
+    let command_line = CommandLine::parse();
+    match run(&command_line) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("galenastreamd: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(command_line: &CommandLine) -> anyhow::Result<()> {
+    start_log(&command_line.log)?;
+    let bootstrap = Bootstrap::load(&command_line.settings)?;
+    run_daemon(bootstrap)
+}
--- a/crates/galenastream_node/src/process/node.rs
+++ b/crates/galenastream_node/src/process/node.rs
@@ -5,13 +5,12 @@
 use arc_swap::ArcSwap;
 use galenastream_ownership::{CellId, CellView, Event, Incarnation, Term, VmId};
 use galenastream_platform::CellStore;
-use galenastream_routing::TicketLimits;
 use metrics_exporter_prometheus::PrometheusHandle;
 use tokio::{runtime::Handle, sync::mpsc};
 
 use super::{
     AdmissionDesk, Bootstrap, CellDirectory, MemberTable, RequestCount, RetryDesk, RouteTable,
-    SettingsKeeper, TargetSlot, TicketDesk,
+    SettingsKeeper, Shutdown, TargetSlot, TicketDesk, ticket_limits,
 };
 use crate::{
     connection::{PeerLinks, TargetClient},
@@ -51,6 +50,8 @@
     pub retries: RetryDesk,
     /// The requests of callers and other nodes in progress.
     pub requests: RequestCount,
+    /// How far the stop of the process has come.
+    pub shutdown: Shutdown,
     /// The metrics.
     pub metrics: PrometheusHandle,
     incarnation: Incarnation,
@@ -81,10 +82,6 @@
     pub fn new(parts: NodeParts) -> anyhow::Result<Self> {
         let settings = parts.settings;
         let service = settings.service_or_root(parts.bootstrap.service_id()).clone();
-        let ticket_limits = TicketLimits {
-            tickets_per_slice: service.ticket_limit as usize,
-            kept_ms: service.ticket_kept_ms,
-        };
         let unknown_cell =
             CellView { term: Term(0), coordinator: None, row: None, members: Vec::new() };
         Ok(Self {
@@ -93,13 +90,14 @@
             target: TargetSlot::default(),
             target_client: TargetClient::new(MAX_IDLE_TARGET_CONNECTIONS)?,
             admission: AdmissionDesk::new(&service),
-            tickets: TicketDesk::new(ticket_limits),
+            tickets: TicketDesk::new(ticket_limits(&service)),
             peers: PeerLinks::new(parts.runtime),
             routes: RouteTable::default(),
             directory: CellDirectory::new(parts.cell_store),
             members: MemberTable::default(),
             retries: RetryDesk::new(service.retry_budget_percent),
             requests: RequestCount::default(),
+            shutdown: Shutdown::new(),
             settings: SettingsKeeper::new(settings),
             bootstrap: parts.bootstrap,
             metrics: parts.metrics,
@@ -157,6 +155,7 @@
         let settings = self.settings.current();
         let service = settings.service_or_root(self.bootstrap.service_id());
         self.retries.set_share_percent(service.retry_budget_percent);
+        self.tickets.set_limits(ticket_limits(service));
         self.admission.apply_settings(service, self.target.current().as_deref());
     }
 
--- a/crates/galenastream_node/src/process/ticket_desk.rs
+++ b/crates/galenastream_node/src/process/ticket_desk.rs
@@ -4,6 +4,7 @@
 
 use galenastream_ownership::{Epoch, FastMap, HeldSlices, SliceEpoch, SliceId};
 use galenastream_routing::{Ticket, TicketDecision, TicketLedger, TicketLimits, TicketResult};
+use galenastream_settings::EffectiveSettings;
 
 use super::boot_now;
 use crate::request::Reply;
@@ -17,6 +18,9 @@
 #[derive(Debug)]
 struct DeskState {
     ledger: TicketLedger<Arc<Reply>>,
+    /// A new ledger would count from the first serial again, so there is none after the first
+    /// ticket.
+    has_issued: bool,
     /// The last assignment of each slice that this node has held. Its tickets are kept although
     /// the lease has run out, since the same assignment may be granted again.
     assignments: FastMap<SliceId, Epoch>,
@@ -26,12 +30,22 @@
     /// Creates an empty desk.
     pub fn new(limits: TicketLimits) -> Self {
         let ledger = TicketLedger::new(limits);
-        Self { state: Mutex::new(DeskState { ledger, assignments: FastMap::default() }) }
+        Self { state: Mutex::new(DeskState { ledger, has_issued: false, assignments: FastMap::default() }) }
+    }
+
+    /// Changes the limits, as long as no ticket has been issued.
+    pub fn set_limits(&self, limits: TicketLimits) {
+        let mut state = self.lock();
+        if !state.has_issued {
+            state.ledger = TicketLedger::new(limits);
+        }
     }
 
     /// Issues a ticket of a slice that this node holds.
     pub fn issue(&self, assignment: SliceEpoch) -> Ticket {
-        self.lock().ledger.issue(boot_now(), assignment)
+        let mut state = self.lock();
+        state.has_issued = true;
+        state.ledger.issue(boot_now(), assignment)
     }
 
     /// Decides on a request with a ticket.
@@ -67,3 +81,12 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+/// How many tickets an owner remembers, and for how long.
+pub fn ticket_limits(settings: &EffectiveSettings) -> TicketLimits {
+    TicketLimits {
+        tickets_per_slice: settings.ticket_limit as usize,
+        kept_ms: settings.ticket_kept_ms,
+        ..TicketLimits::default()
+    }
+}
--- a/crates/galenastream_node/src/request/caller_request.rs
+++ b/crates/galenastream_node/src/request/caller_request.rs
@@ -8,7 +8,7 @@
 use http::{HeaderMap, Uri, request::Parts};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use tokio::time::timeout;
-use volo_http::Body;
+use volo_http::body::Body;
 
 use super::{Refusal, end_to_end, headers as names, parse_ticket};
 use crate::{process::boot_now, version::SettingsVersionInForce};
--- a/crates/galenastream_node/src/request/owner.rs
+++ b/crates/galenastream_node/src/request/owner.rs
@@ -12,7 +12,7 @@
 use super::{InProgress, Reply, TicketRun, better_route, max_body_bytes, ticket_of, token_of};
 use crate::{
     connection::{Order, TargetResult},
-    process::{Node, TargetAnnouncement, boot_now, counters},
+    process::{Node, StopPhase, TargetAnnouncement, boot_now, counters},
     version::NotServing,
 };
 
@@ -28,6 +28,9 @@
     if ServiceId(forward.service) != node.bootstrap.service_id() {
         return Reply::not_run(NotRunReason::NotOwner);
     }
+    if node.shutdown.phase() == StopPhase::Finishing {
+        return refuse(node, &forward, NotRunReason::Draining);
+    }
     let settings = node.settings.current();
     let service = settings.service_or_root(node.bootstrap.service_id());
     if !service.divided_by_key {
--- a/crates/galenastream_node/src/request/reply.rs
+++ b/crates/galenastream_node/src/request/reply.rs
@@ -17,6 +17,13 @@
     pub body: Bytes,
 }
 
+impl TargetResponse {
+    fn size_bytes(&self) -> usize {
+        let headers = self.headers.iter().map(|it| it.name.len() + it.value.len());
+        self.body.len() + headers.sum::<usize>()
+    }
+}
+
 /// What became of a request.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Reply {
@@ -72,6 +79,12 @@
         self
     }
 
+    /// The memory that the reply takes, about.
+    pub fn size_bytes(&self) -> usize {
+        let response_bytes = self.response.as_ref().map_or(0, TargetResponse::size_bytes);
+        size_of::<Self>() + response_bytes
+    }
+
     /// The message to the node where the request entered.
     pub fn into_answer(self, settings_version: u64) -> Answer {
         let (outcome, reason) = wire_outcome(self.outcome);
--- a/crates/galenastream_node/src/request/response.rs
+++ b/crates/galenastream_node/src/request/response.rs
@@ -4,7 +4,7 @@
 use galenastream_routing::{NotRunReason, Outcome, UnknownReason};
 use http::{HeaderMap, HeaderValue, Response, StatusCode, header};
 use serde::Serialize;
-use volo_http::Body;
+use volo_http::body::Body;
 
 use super::{Refusal, Reply, TargetResponse, append_all, format_ticket, headers};
 
--- a/crates/galenastream_node/src/request/ticket_run.rs
+++ b/crates/galenastream_node/src/request/ticket_run.rs
@@ -29,7 +29,9 @@
     /// Records the reply.
     pub fn finish(mut self, reply: &Reply) {
         self.result = match reply.outcome {
-            Outcome::Ran => TicketResult::Ran(Arc::new(reply.clone())),
+            Outcome::Ran => {
+                TicketResult::Ran { answer: Arc::new(reply.clone()), size_bytes: reply.size_bytes() }
+            }
             Outcome::NotRun(_) => TicketResult::NotRun,
             Outcome::Unknown(_) => TicketResult::Unknown,
         };
