--- a/crates/galenastream_node/src/connection/admin_server.rs
+++ b/crates/galenastream_node/src/connection/admin_server.rs
@@ -5,7 +5,7 @@
 use galenastream_ownership::{CellId, Event, KeyHash, ServiceId, VmId};
 use galenastream_routing::Deadline;
 use http::{Method, Response, StatusCode, Uri};
-use serde::{Deserialize, Serialize, de::DeserializeOwned};
+use serde::{Deserialize, Serialize};
 use volo_http::{
     body::Body,
     server::{
@@ -91,9 +91,9 @@
 }
 
 fn announce(node: &Node, body: &str) -> Response<Body> {
-    let announcement: TargetAnnouncement = match read(body) {
+    let announcement: TargetAnnouncement = match serde_json::from_str(body) {
         Ok(announcement) => announcement,
-        Err(refusal) => return refusal,
+        Err(cause) => return unreadable(&cause),
     };
     if announcement.service != node.bootstrap.service {
         return error(
@@ -140,8 +140,7 @@
     };
     let address = |bits: u64| (bits != 0).then(|| VmId::from_bits(bits).address());
     let is_known = reply.epoch != 0;
-    let bounds =
-        [format_position(KeyHash(reply.first)), format_position(KeyHash(reply.last))];
+    let bounds = [format_position(KeyHash(reply.first)), format_position(KeyHash(reply.last))];
     ok(&OwnerDocument {
         service: query.service,
         key: query.key,
@@ -155,9 +154,9 @@
 }
 
 fn move_slice(node: &Node, body: &str) -> Response<Body> {
-    let order: MoveOrder = match read(body) {
+    let order: MoveOrder = match serde_json::from_str(body) {
         Ok(order) => order,
-        Err(refusal) => return refusal,
+        Err(cause) => return unreadable(&cause),
     };
     if let Some(refusal) = check_own_service(node, &order.service) {
         return refusal;
@@ -172,9 +171,9 @@
 }
 
 fn takeover(node: &Node, body: &str) -> Response<Body> {
-    let order: TakeoverOrder = match read(body) {
+    let order: TakeoverOrder = match serde_json::from_str(body) {
         Ok(order) => order,
-        Err(refusal) => return refusal,
+        Err(cause) => return unreadable(&cause),
     };
     if let Some(refusal) = check_own_service(node, &order.service) {
         return refusal;
@@ -216,14 +215,12 @@
     json_response(StatusCode::OK, document)
 }
 
-fn read<T: DeserializeOwned>(body: &str) -> Result<T, Response<Body>> {
-    serde_json::from_str(body).map_err(|cause| {
-        error(
-            StatusCode::BAD_REQUEST,
-            format!("the body cannot be read: {cause}"),
-            "send a JSON object with the fields that the interface page lists",
-        )
-    })
+fn unreadable(cause: &serde_json::Error) -> Response<Body> {
+    error(
+        StatusCode::BAD_REQUEST,
+        format!("the body cannot be read: {cause}"),
+        "send a JSON object with the fields that the interface page lists",
+    )
 }
 
 fn error(status: StatusCode, error: String, remedy: &str) -> Response<Body> {
--- a/crates/galenastream_node/src/connection/caller_server.rs
+++ b/crates/galenastream_node/src/connection/caller_server.rs
@@ -87,7 +87,11 @@
     type Response = Response<Body>;
     type Error = Infallible;
 
-    async fn call(&self, _: &mut ServerContext, request: Request) -> Result<Response<Body>, Infallible> {
+    async fn call(
+        &self,
+        _: &mut ServerContext,
+        request: Request,
+    ) -> Result<Response<Body>, Infallible> {
         let mut response = self.answer(request).await;
         if self.node.target.is_draining() {
             // Callers with open connections move to other nodes before this one stops.
--- a/crates/galenastream_node/src/connection/peer_links.rs
+++ b/crates/galenastream_node/src/connection/peer_links.rs
@@ -8,8 +8,8 @@
 use galenastream_ownership::{FastMap, VmId};
 use galenastream_routing::{Breaker, BreakerLimits, Passage};
 use galenastream_wire::{
-    Answer, Forward, RouteQuery, RouteReply, SettingsQuery, SettingsReply, TicketQuery, TicketReply,
-    peer_frame::Body,
+    Answer, Forward, RouteQuery, RouteReply, SettingsQuery, SettingsReply, TicketQuery,
+    TicketReply, peer_frame::Body,
 };
 use tokio::runtime::Handle;
 
--- a/crates/galenastream_node/src/main.rs
+++ b/crates/galenastream_node/src/main.rs
@@ -18,5 +18,5 @@
 fn run(command_line: &CommandLine) -> anyhow::Result<()> {
     start_log(&command_line.log)?;
     let bootstrap = Bootstrap::load(&command_line.settings)?;
-    run_daemon(bootstrap)
+    run_daemon(&bootstrap)
 }
--- a/crates/galenastream_node/src/process/admission_desk.rs
+++ b/crates/galenastream_node/src/process/admission_desk.rs
@@ -55,7 +55,11 @@
     }
 
     /// Puts limits in force.
-    pub fn apply_settings(&self, settings: &EffectiveSettings, target: Option<&TargetAnnouncement>) {
+    pub fn apply_settings(
+        &self,
+        settings: &EffectiveSettings,
+        target: Option<&TargetAnnouncement>,
+    ) {
         let mut state = self.lock();
         state.admission.set_limits(limits(settings, target));
         let released = state.admission.release(boot_now());
@@ -129,7 +133,11 @@
 enum Arrived {
     Start,
     Shed(NotAdmitted),
-    Wait { id: WaitId, until: galenastream_ownership::BootInstant, verdict: oneshot::Receiver<Verdict> },
+    Wait {
+        id: WaitId,
+        until: galenastream_ownership::BootInstant,
+        verdict: oneshot::Receiver<Verdict>,
+    },
 }
 
 impl DeskState {
--- a/crates/galenastream_node/src/process/daemon.rs
+++ b/crates/galenastream_node/src/process/daemon.rs
@@ -36,8 +36,8 @@
 const MAX_ADMIN_BODY_BYTES: usize = 64 * 1024;
 
 /// Runs the process until a signal ends it.
-pub fn run_daemon(bootstrap: Bootstrap) -> anyhow::Result<()> {
-    let sockets = Sockets::bind(&bootstrap)?;
+pub fn run_daemon(bootstrap: &Bootstrap) -> anyhow::Result<()> {
+    let sockets = Sockets::bind(bootstrap)?;
     let metrics = start_metrics()?;
     let runtime = Builder::new_multi_thread()
         .worker_threads(bootstrap.traffic_threads)
@@ -83,16 +83,16 @@
 
 fn run_on(
     runtime: &Runtime,
-    bootstrap: Bootstrap,
+    bootstrap: &Bootstrap,
     sockets: Sockets,
     metrics: PrometheusHandle,
 ) -> anyhow::Result<()> {
     let (events, event_queue) = mpsc::unbounded_channel();
-    let defaults = SettingsVersionInForce::defaults(&bootstrap)
+    let defaults = SettingsVersionInForce::defaults(bootstrap)
         .map_err(|errors| anyhow::anyhow!("built-in settings: {errors}"))?;
     let node = Arc::new(Node::new(NodeParts {
         settings: defaults.clone(),
-        cell_store: cell_store(&bootstrap),
+        cell_store: cell_store(bootstrap),
         incarnation: new_incarnation()?,
         events,
         runtime: runtime.handle().clone(),
@@ -109,7 +109,7 @@
     );
     runtime.block_on(async {
         tokio::spawn(serve_admin(node.clone(), TcpListener::from_std(sockets.admin)?));
-        let store = settings_store(&bootstrap);
+        let store = settings_store(bootstrap);
         tokio::select! {
             settings = read_first_settings(&store, defaults, bootstrap.place_id()) => {
                 node.settings.install(settings);
--- a/crates/galenastream_node/src/process/ticket_desk.rs
+++ b/crates/galenastream_node/src/process/ticket_desk.rs
@@ -30,7 +30,13 @@
     /// Creates an empty desk.
     pub fn new(limits: TicketLimits) -> Self {
         let ledger = TicketLedger::new(limits);
-        Self { state: Mutex::new(DeskState { ledger, has_issued: false, assignments: FastMap::default() }) }
+        Self {
+            state: Mutex::new(DeskState {
+                ledger,
+                has_issued: false,
+                assignments: FastMap::default(),
+            }),
+        }
     }
 
     /// Changes the limits, as long as no ticket has been issued.
--- a/crates/galenastream_node/src/request/owner.rs
+++ b/crates/galenastream_node/src/request/owner.rs
@@ -3,9 +3,7 @@
 use std::sync::Arc;
 
 use galenastream_ownership::{KeyHash, ServiceId, SettingsVersion};
-use galenastream_routing::{
-    Class, Deadline, NotRunReason, Outcome, TicketDecision, UnknownReason,
-};
+use galenastream_routing::{Class, Deadline, NotRunReason, Outcome, TicketDecision, UnknownReason};
 use galenastream_settings::EffectiveSettings;
 use galenastream_wire::{Forward, TicketQuery, TicketReply, TicketToken};
 
--- a/crates/galenastream_node/src/request/refusal.rs
+++ b/crates/galenastream_node/src/request/refusal.rs
@@ -10,7 +10,9 @@
     #[error("the path names no service; send requests to /SERVICE/...")]
     NoService,
     /// The service is not known.
-    #[error("service \"{service}\" is not known; `galenastreamctl settings show` lists the services")]
+    #[error(
+        "service \"{service}\" is not known; `galenastreamctl settings show` lists the services"
+    )]
     UnknownService {
         /// The name in the path.
         service: String,
@@ -33,7 +35,9 @@
         header: &'static str,
     },
     /// The deadline is not a number, or out of its range.
-    #[error("galenastream-deadline-ms = \"{value}\"; allowed are whole numbers from 1 to {limit_ms}")]
+    #[error(
+        "galenastream-deadline-ms = \"{value}\"; allowed are whole numbers from 1 to {limit_ms}"
+    )]
     Deadline {
         /// The value as it was given.
         value: String,
@@ -41,7 +45,9 @@
         limit_ms: u32,
     },
     /// The ticket is not one.
-    #[error("galenastream-ticket = \"{value}\" is no ticket; obtain one by POST to /SERVICE/galenastream/ticket")]
+    #[error(
+        "galenastream-ticket = \"{value}\" is no ticket; obtain one by POST to /SERVICE/galenastream/ticket"
+    )]
     Ticket {
         /// The value as it was given.
         value: String,
@@ -70,7 +76,9 @@
     #[error("the path cannot be passed on; send an absolute path")]
     Path,
     /// Tickets exist only for services that are divided by key.
-    #[error("service \"{service}\" is not divided by key, so it has no tickets; send the request without one")]
+    #[error(
+        "service \"{service}\" is not divided by key, so it has no tickets; send the request without one"
+    )]
     NoTickets {
         /// The service.
         service: String,
--- a/crates/galenastream_node/src/request/route_lookup.rs
+++ b/crates/galenastream_node/src/request/route_lookup.rs
@@ -127,8 +127,8 @@
     }
     let row = node.directory.row(service, gone).await?;
     let coordinator = Some(row.coordinator.vm).filter(is_new);
-    let owners = row.slices.iter().filter_map(|slice| slice.owner).map(|owner| owner.vm);
-    coordinator.or_else(|| owners.filter(is_new).next())
+    let mut owners = row.slices.iter().filter_map(|slice| slice.owner).map(|owner| owner.vm);
+    coordinator.or_else(|| owners.find(is_new))
 }
 
 async fn from_row(node: &Node, query: RouteQuery) -> Option<RouteReply> {
--- a/crates/galenastream_node/src/request/ticket_run.rs
+++ b/crates/galenastream_node/src/request/ticket_run.rs
@@ -29,9 +29,10 @@
     /// Records the reply.
     pub fn finish(mut self, reply: &Reply) {
         self.result = match reply.outcome {
-            Outcome::Ran => {
-                TicketResult::Ran { answer: Arc::new(reply.clone()), size_bytes: reply.size_bytes() }
-            }
+            Outcome::Ran => TicketResult::Ran {
+                answer: Arc::new(reply.clone()),
+                size_bytes: reply.size_bytes(),
+            },
             Outcome::NotRun(_) => TicketResult::NotRun,
             Outcome::Unknown(_) => TicketResult::Unknown,
         };
