--- a/crates/galenastream_settings/src/field/table.rs
+++ b/crates/galenastream_settings/src/field/table.rs
@@ -2,6 +2,9 @@
 
 use crate::{ChangeRule, FieldKind, FieldSpec, Level};
 
+/// The largest body that a frame between nodes carries beside its headers.
+const MAX_BODY_BYTES: i64 = 3_932_160;
+
 /// All fields, in the order of the reference page.
 pub const FIELDS: &[FieldSpec] = &[
     FieldSpec {
@@ -62,7 +65,7 @@
     },
     FieldSpec {
         name: "max_body_bytes",
-        kind: FieldKind::Integer { min: 1, max: 1_073_741_824 },
+        kind: FieldKind::Integer { min: 1, max: MAX_BODY_BYTES },
         default: "1048576",
         lowest_level: Level::KeyRange,
         change_rule: ChangeRule::Live,
