--- /dev/null
+++ b/crates/galenastream_ctl/tests/pages.rs
@@ -0,0 +1,68 @@
+//! The operators' pages, compared with the code.
+
+use std::{
+    collections::BTreeSet,
+    fs,
+    path::{Path, PathBuf},
+};
+
+const METRIC_PREFIX: &str = "galenastream_";
+const EVENT_PREFIX: &str = "event = \"";
+
+fn root() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../..")
+}
+
+/// The text of all source files of the crates that run in a node.
+fn node_sources() -> String {
+    let mut text = String::new();
+    for name in ["galenastream_node", "galenastream_platform"] {
+        add_sources(&root().join("crates").join(name).join("src"), &mut text);
+    }
+    text
+}
+
+fn add_sources(folder: &Path, text: &mut String) {
+    for entry in fs::read_dir(folder).expect("the folder can be read") {
+        let path = entry.expect("the entry can be read").path();
+        if path.is_dir() {
+            add_sources(&path, text);
+            continue;
+        }
+        text.push_str(&fs::read_to_string(&path).expect("the file can be read"));
+    }
+}
+
+/// The words that follow a prefix, as long as they have the characters of a name.
+fn names_after(text: &str, prefix: &str) -> BTreeSet<String> {
+    let is_of_name = |character: char| character.is_ascii_lowercase() || character == '_';
+    text.split(prefix)
+        .skip(1)
+        .map(|rest| rest.split(|character| !is_of_name(character)).next().unwrap_or(""))
+        .filter(|name| !name.is_empty())
+        .map(str::to_owned)
+        .collect()
+}
+
+#[test]
+fn alerts_page_lists_all_metrics() {
+    let page = fs::read_to_string(root().join("docs/operators/alerts.md")).unwrap();
+    let in_code = names_after(&node_sources(), &format!("\"{METRIC_PREFIX}"));
+    let on_page = names_after(&page, &format!("`{METRIC_PREFIX}"));
+    assert_eq!(in_code, on_page);
+}
+
+#[test]
+fn alerts_page_lists_no_event_that_the_code_lacks() {
+    let page = fs::read_to_string(root().join("docs/operators/alerts.md")).unwrap();
+    let (_, events) = page.split_once("| log event |").unwrap();
+    let in_code = names_after(&node_sources(), EVENT_PREFIX);
+    for row in events.lines().skip(2) {
+        let Some(cell) = row.split('|').nth(1) else {
+            continue;
+        };
+        for event in names_after(cell, "`") {
+            assert!(in_code.contains(&event), "the code has no event {event}");
+        }
+    }
+}
