--- a/crates/galenastream_ctl/src/request/settings_explain.rs
+++ b/crates/galenastream_ctl/src/request/settings_explain.rs
@@ -2,7 +2,7 @@
 
 use clap::ArgMatches;
 use galenastream_ownership::{PlaceId, ServiceId};
-use galenastream_settings::{ExplainedField, SettingsTree};
+use galenastream_settings::{ExplainedField, SettingsTree, suggest};
 use serde::Serialize;
 
 use crate::{
@@ -10,9 +10,6 @@
     request::{argument, platform, settings_file::SettingsFile},
 };
 
-/// Names that are less similar than this are not suggested.
-const MIN_SIMILARITY: f64 = 0.75;
-
 #[derive(Serialize)]
 struct ExplainResult {
     service: String,
@@ -67,15 +64,10 @@
     if known.contains(&name) {
         return Ok(());
     }
-    let mut similar: Vec<&str> = known.to_vec();
-    similar.retain(|candidate| strsim::jaro_winkler(name, candidate) >= MIN_SIMILARITY);
-    let nearest = similar
-        .into_iter()
-        .max_by(|a, b| strsim::jaro_winkler(name, a).total_cmp(&strsim::jaro_winkler(name, b)));
     Err(CtlError::UnknownName {
         what,
         name: name.to_owned(),
-        suggestion: nearest.map(str::to_owned),
+        suggestion: suggest(name, known.iter().copied()).map(str::to_owned),
         known: known.iter().map(|&name| name.to_owned()).collect(),
     })
 }
--- a/crates/galenastream_settings/src/lib.rs
+++ b/crates/galenastream_settings/src/lib.rs
@@ -10,6 +10,7 @@
 
 pub use error::*;
 pub use field::*;
+pub use parse::suggest;
 pub use version::*;
 
 /// The types that most programs need.
--- a/crates/galenastream_settings/src/parse/mod.rs
+++ b/crates/galenastream_settings/src/parse/mod.rs
@@ -9,4 +9,5 @@
 mod tree_reader;
 mod value_reader;
 
+pub use suggestion::suggest;
 pub(crate) use tree_reader::parse_tree;
--- a/crates/galenastream_settings/src/parse/suggestion.rs
+++ b/crates/galenastream_settings/src/parse/suggestion.rs
@@ -34,7 +34,9 @@
 ];
 
 /// The most similar of the known names, if it is similar enough.
-pub(crate) fn suggest<'a>(name: &str, known: impl IntoIterator<Item = &'a str>) -> Option<&'a str> {
+///
+/// Use it to help whoever mistyped a name.
+pub fn suggest<'a>(name: &str, known: impl IntoIterator<Item = &'a str>) -> Option<&'a str> {
     let mut best: Option<(f64, &str)> = None;
     for candidate in known {
         let similarity = strsim::jaro_winkler(name, candidate);
