--- a/crates/galenastream_ctl/src/request/admin_client.rs
+++ b/crates/galenastream_ctl/src/request/admin_client.rs
@@ -3,6 +3,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use clap::ArgMatches;
+use galenastream_node::ErrorDocument;
 use http::{Method, StatusCode};
 use http_body_util::{BodyExt, Limited};
 use serde::{Serialize, de::DeserializeOwned};
@@ -13,7 +14,7 @@
     response::Response,
 };
 
-use crate::{CtlError, request::admin_documents::RefusedDocument};
+use crate::CtlError;
 
 /// The longest answer that is read.
 const MAX_ANSWER_BYTES: usize = 16 << 20;
@@ -113,7 +114,7 @@
                 reason: error.to_string(),
             });
         }
-        let reason = match serde_json::from_slice::<RefusedDocument>(body) {
+        let reason = match serde_json::from_slice::<ErrorDocument>(body) {
             Ok(refused) => format!("{}\n  remedy: {}", refused.error, refused.remedy),
             Err(_) => format!("status {status}"),
         };
--- a/crates/galenastream_ctl/src/request/mod.rs
+++ b/crates/galenastream_ctl/src/request/mod.rs
@@ -1,9 +1,9 @@
 //! What lives as long as one command.
 
 mod admin_client;
-mod admin_documents;
 mod node_orders;
 mod node_reports;
+mod owner_query;
 mod platform;
 mod settings_apply;
 mod settings_check;
--- a/crates/galenastream_ctl/src/request/node_orders.rs
+++ b/crates/galenastream_ctl/src/request/node_orders.rs
@@ -3,15 +3,12 @@
 use std::net::SocketAddrV4;
 
 use clap::ArgMatches;
+use galenastream_node::{AcceptedDocument, MoveOrder, TakeoverOrder, TargetsDocument};
 use serde::Serialize;
 
 use crate::{
     CtlError, OutputFormat, TAKEOVER,
-    request::{
-        admin_client::AdminClient,
-        admin_documents::{AcceptedDocument, MoveOrder, TakeoverOrder, TargetsDocument},
-        argument,
-    },
+    request::{admin_client::AdminClient, argument},
 };
 
 /// The body of an order that needs none.
@@ -39,8 +36,8 @@
 /// `move`.
 pub(crate) async fn move_key(matches: &ArgMatches, output: OutputFormat) -> Result<(), CtlError> {
     let order = MoveOrder {
-        service: argument(matches, "service"),
-        key: argument(matches, "key"),
+        service: argument(matches, "service").to_owned(),
+        key: argument(matches, "key").to_owned(),
         to: vm(matches, "to"),
     };
     let client = AdminClient::new(matches);
@@ -58,7 +55,7 @@
     if !matches.get_flag("yes") {
         return Err(CtlError::NotConfirmed { explanation: TAKEOVER });
     }
-    let order = TakeoverOrder { service: argument(matches, "service") };
+    let order = TakeoverOrder { service: argument(matches, "service").to_owned() };
     let client = AdminClient::new(matches);
     let accepted: AcceptedDocument = client.post("/admin/takeover", &order).await?;
     let text = format!(
--- a/crates/galenastream_ctl/src/request/node_reports.rs
+++ b/crates/galenastream_ctl/src/request/node_reports.rs
@@ -1,16 +1,13 @@
 //! `cells`, `owner` and `targets`.
 
 use clap::ArgMatches;
+use galenastream_node::{
+    CellDocument, CellsDocument, MemberDocument, OwnerDocument, TargetsDocument,
+};
 
 use crate::{
     CtlError, OutputFormat,
-    request::{
-        admin_client::AdminClient,
-        admin_documents::{
-            CellDocument, CellsDocument, MemberDocument, OwnerDocument, OwnerQuery, TargetsDocument,
-        },
-        argument,
-    },
+    request::{admin_client::AdminClient, argument, owner_query::OwnerQuery},
 };
 
 /// `cells`.
