--- a/crates/galenastream_settings/tests/inheritance.rs
+++ b/crates/galenastream_settings/tests/inheritance.rs
@@ -172,6 +172,22 @@
 }
 
 proptest! {
+    #[test]
+    fn explanation_agrees_with_the_settings_in_force(
+        service in "catalogue|booking",
+        place in "west|east|north|nowhere",
+        key in "hot/?[a-z]?|[w-z]{0,2}",
+    ) {
+        let tree = tree();
+        let service = ServiceId::from_name(&service);
+        let place = PlaceId::from_name(&place);
+        let effective = tree.effective(service, place, key.as_bytes()).unwrap();
+        let effective = toml::Table::try_from(effective).unwrap();
+        for field in tree.explain(service, Some(place), Some(key.as_bytes())).unwrap() {
+            prop_assert_eq!(effective[field.field].to_string(), field.value);
+        }
+    }
+
     #[test]
     fn overlap_means_a_common_key(
         bounds in proptest::collection::vec(arbitrary_bounds(), 2),
