--- a/crates/galenastream_settings/src/version/layer.rs
+++ b/crates/galenastream_settings/src/version/layer.rs
@@ -1,5 +1,7 @@
 //! Inheritance: the levels that apply to a request, from the root down.
 
+use std::{collections::BTreeMap, sync::LazyLock};
+
 use crate::{EffectiveSettings, FieldId, FieldSet, Level};
 
 /// A level that applies to a request, with the fields it sets.
@@ -68,6 +70,12 @@
 
 /// The built-in default of a field.
 fn built_in_value(field: FieldId) -> toml::Value {
+    static VALUES: LazyLock<BTreeMap<FieldId, toml::Value>> =
+        LazyLock::new(|| FieldId::all().map(|field| (field, parse_default(field))).collect());
+    VALUES[&field].clone()
+}
+
+fn parse_default(field: FieldId) -> toml::Value {
     let document = format!("value = {}", field.spec().default);
     let mut table: toml::Table = document.parse().expect("the table of fields has valid defaults");
     table.remove("value").expect("the document has the value")
