Settings: resolve at the first use, check only what a level decides

Cause: every service was resolved in each of its places and key ranges at parsing, although a node asks for a few services in one place. Ruled out: the count of lines, mended first, did not show.

--- a/crates/galenastream_settings/src/error/settings_error_kind.rs
+++ b/crates/galenastream_settings/src/error/settings_error_kind.rs
@@ -137,13 +137,13 @@
         /// The duration that is too short.
         duration: &'static str,
         /// Its value.
-        duration_ms: u32,
+        duration_ms: i64,
         /// The interval that must pass several times within it.
         interval: &'static str,
         /// Its value.
-        interval_ms: u32,
+        interval_ms: i64,
         /// How many times.
-        factor: u32,
+        factor: i64,
     },
     /// A value that must lie below or at another.
     #[error("{upper} = {upper_value} is too high for {limit} = {limit_value}")]
@@ -151,11 +151,11 @@
         /// The field that is too high.
         upper: &'static str,
         /// Its value.
-        upper_value: u32,
+        upper_value: i64,
         /// The field that bounds it.
         limit: &'static str,
         /// Its value.
-        limit_value: u32,
+        limit_value: i64,
         /// Whether both may be equal.
         equal_allowed: bool,
     },
--- a/crates/galenastream_settings/src/field/field_set.rs
+++ b/crates/galenastream_settings/src/field/field_set.rs
@@ -32,6 +32,10 @@
         self.refused.contains(&field)
     }
 
+    pub(crate) fn is_empty(&self) -> bool {
+        self.fields.is_empty()
+    }
+
     pub(crate) fn get(&self, field: FieldId) -> Option<&SetField> {
         self.fields.get(&field)
     }
--- a/crates/galenastream_settings/src/parse/document.rs
+++ b/crates/galenastream_settings/src/parse/document.rs
@@ -9,18 +9,20 @@
 pub(crate) struct Document<'a> {
     source_name: &'a str,
     text: &'a str,
+    /// Where each line ends.
+    line_ends: Vec<usize>,
     errors: Vec<SettingsError>,
 }
 
 impl<'a> Document<'a> {
     pub(crate) fn new(source_name: &'a str, text: &'a str) -> Self {
-        Self { source_name, text, errors: Vec::new() }
+        let line_ends = text.match_indices('\n').map(|(position, _)| position).collect();
+        Self { source_name, text, line_ends, errors: Vec::new() }
     }
 
     /// The line in which a span starts, counted from one.
     pub(crate) fn line(&self, span: Range<usize>) -> usize {
-        let start = span.start.min(self.text.len());
-        1 + self.text.as_bytes()[..start].iter().filter(|&&byte| byte == b'\n').count()
+        1 + self.line_ends.partition_point(|&end| end < span.start)
     }
 
     /// The text of a span, shortened to a usable length.
--- a/crates/galenastream_settings/src/parse/tree_reader.rs
+++ b/crates/galenastream_settings/src/parse/tree_reader.rs
@@ -1,11 +1,13 @@
 //! Reads a tree from its file.
 
+use std::sync::Arc;
+
 use galenastream_ownership::{FastMap, PlaceId, ServiceId};
 use toml::de::DeTable;
 
 use crate::{
-    FieldSet, KeyRange, Layers, Level, PlaceSettings, Resolved, ServicePlace, ServiceSettings,
-    SettingsErrorKind, SettingsErrors, SettingsTree, SettingsWarning, is_within,
+    FieldId, FieldSet, KeyRange, Layers, Level, PlaceSettings, Resolved, ServicePlace,
+    ServiceSettings, SettingsErrorKind, SettingsErrors, SettingsTree, SettingsWarning, is_within,
     parse::{
         cross_checks,
         document::Document,
@@ -85,20 +87,23 @@
         Some(table) => read_fields(document, table, "defaults", DEFAULTS),
         None => FieldSet::default(),
     };
-    let layers = Layers::new(&defaults);
-    let root_settings = cross_checks::resolve(document, &layers);
+    let defaults = Arc::new(defaults);
+    cross_checks::check(document, &Layers::new(&defaults), 0);
     let places = read_places(document, root);
-    let services = read_services(document, root, &layers, &places);
+    let services = read_services(document, root, &defaults, &places);
     let removed = read_removed(document, root);
     let mut service_positions = FastMap::default();
     for (position, service) in services.iter().enumerate() {
         service_positions.insert(service.id, position);
     }
     let warnings = warn_of_few_places(&places);
+    if document.has_errors() {
+        return None;
+    }
     let tree = SettingsTree {
         source_name: source_name.to_owned(),
-        root: root_settings?,
-        defaults: defaults.clone(),
+        root: Layers::new(&defaults).resolve(),
+        defaults,
         places,
         services,
         service_positions,
@@ -142,7 +147,7 @@
 fn read_services(
     document: &mut Document<'_>,
     root: &DeTable<'_>,
-    layers: &Layers<'_>,
+    defaults: &Arc<FieldSet>,
     places: &[PlaceSettings],
 ) -> Vec<ServiceSettings> {
     let mut services = Vec::new();
@@ -162,30 +167,23 @@
         let fields = read_fields(document, table, &path, SERVICE);
         let key_ranges = read_key_ranges(document, table, &path);
         let service_places = read_service_places(document, table, &path, places, &key_ranges);
-        let layers = layers.with(Level::Service, path.clone(), &fields);
-        let resolved = resolve(document, &layers, &path, &key_ranges, None);
-        let mut resolved_by_place = FastMap::default();
-        for place in &service_places {
-            let place_path = format!("{path}.places.{}", place.name);
-            let layers = layers.with(Level::Place, place_path, &place.fields);
-            if let Some(resolved) = resolve(document, &layers, &path, &key_ranges, Some(place)) {
-                resolved_by_place.insert(place.id, resolved);
-            }
+        let mut place_positions = FastMap::default();
+        for (position, place) in service_places.iter().enumerate() {
+            place_positions.insert(place.id, position);
         }
-        let Some(resolved) = resolved else {
-            continue;
-        };
-        refuse_key_ranges_without_keys(document, &path, &resolved, &key_ranges);
-        services.push(ServiceSettings {
+        let service = ServiceSettings {
             id,
             name: name.get_ref().to_string(),
             line,
-            fields: fields.clone(),
+            defaults: Arc::clone(defaults),
+            fields,
+            resolved: Resolved::new(key_ranges.len()),
             key_ranges,
             places: service_places,
-            resolved,
-            resolved_by_place,
-        });
+            place_positions,
+        };
+        check_service(document, &service);
+        services.push(service);
     }
     services
 }
@@ -212,8 +210,15 @@
             continue;
         };
         let fields = read_fields(document, table, &path, SERVICE_PLACE);
-        let key_ranges = read_place_key_ranges(document, table, &path, key_ranges);
-        places.push(ServicePlace { id: PlaceId::from_name(&name), name, line, fields, key_ranges });
+        let place_key_ranges = read_place_key_ranges(document, table, &path, key_ranges);
+        places.push(ServicePlace {
+            id: PlaceId::from_name(&name),
+            name,
+            line,
+            fields,
+            key_ranges: place_key_ranges,
+            resolved: Resolved::new(key_ranges.len()),
+        });
     }
     places
 }
@@ -226,40 +231,43 @@
     }
 }
 
-/// Resolves a service, or one of its places, with all key ranges.
-fn resolve(
-    document: &mut Document<'_>,
-    layers: &Layers<'_>,
-    service_path: &str,
-    key_ranges: &[KeyRange],
-    place: Option<&ServicePlace>,
-) -> Option<Resolved> {
-    let base = cross_checks::resolve(document, layers)?;
-    let mut resolved = Resolved { base, key_ranges: Vec::new() };
-    for range in key_ranges {
-        let path = format!("{service_path}.key_ranges.{}", range.name);
-        let mut layers = layers.with(Level::KeyRange, path, &range.fields);
-        let in_place = place.and_then(|place| Some((place, place.key_range(&range.name)?)));
-        if let Some((place, in_place)) = in_place {
-            let path = format!("{service_path}.places.{}.key_ranges.{}", place.name, range.name);
-            layers = layers.with(Level::KeyRange, path, &in_place.fields);
+/// Checks the fields that apply together, in the service, its key ranges and its places.
+fn check_service(document: &mut Document<'_>, service: &ServiceSettings) {
+    // The positions of the first unchecked level: the root was checked before the services.
+    const FROM_SERVICE: usize = 1;
+    const BELOW_SERVICE: usize = 2;
+    let layers = service.layers(None, None);
+    cross_checks::check(document, &layers, FROM_SERVICE);
+    refuse_key_ranges_without_keys(document, &layers, service);
+    for range in 0..service.key_ranges.len() {
+        cross_checks::check(document, &service.layers(None, Some(range)), BELOW_SERVICE);
+    }
+    for place in &service.places {
+        if !place.overrides_any() {
+            continue;
+        }
+        cross_checks::check(document, &service.layers(Some(place), None), BELOW_SERVICE);
+        for range in 0..service.key_ranges.len() {
+            let layers = service.layers(Some(place), Some(range));
+            cross_checks::check(document, &layers, BELOW_SERVICE);
         }
-        resolved.key_ranges.push(cross_checks::resolve(document, &layers)?);
     }
-    Some(resolved)
 }
 
 fn refuse_key_ranges_without_keys(
     document: &mut Document<'_>,
-    path: &str,
-    resolved: &Resolved,
-    key_ranges: &[KeyRange],
+    layers: &Layers<'_>,
+    service: &ServiceSettings,
 ) {
-    if resolved.base.divided_by_key {
+    let Some(field) = FieldId::find("divided_by_key") else {
+        return;
+    };
+    let (divided_by_key, _) = layers.find(field);
+    if divided_by_key.as_bool() != Some(false) {
         return;
     }
-    for range in key_ranges {
-        let path = format!("{path}.key_ranges.{}", range.name);
+    for range in &service.key_ranges {
+        let path = format!("services.{}.key_ranges.{}", service.name, range.name);
         document.refuse(range.line, &path, SettingsErrorKind::NotDividedByKey);
     }
 }
--- a/crates/galenastream_settings/src/version/fixed_fields.rs
+++ b/crates/galenastream_settings/src/version/fixed_fields.rs
@@ -21,19 +21,18 @@
         let Some(old_service) = old.service(service.id()) else {
             continue;
         };
-        errors.extend(changed_fixed_fields(old, old_service, new, service));
+        errors.extend(changed_fixed_fields(old_service, new, service));
     }
     SettingsErrors::check(errors)
 }
 
 fn changed_fixed_fields(
-    old: &SettingsTree,
     old_service: &ServiceSettings,
     new: &SettingsTree,
     service: &ServiceSettings,
 ) -> Vec<SettingsError> {
-    let old_layers = old.layers(old_service, None, None);
-    let layers = new.layers(service, None, None);
+    let old_layers = old_service.layers(None, None);
+    let layers = service.layers(None, None);
     let mut errors = Vec::new();
     for field in FieldId::all() {
         if field.spec().change_rule != ChangeRule::WhileStopped {
--- a/crates/galenastream_settings/src/version/layer.rs
+++ b/crates/galenastream_settings/src/version/layer.rs
@@ -2,21 +2,19 @@
 
 use std::{collections::BTreeMap, sync::LazyLock};
 
-use crate::{EffectiveSettings, FieldId, FieldSet, Level};
+use crate::{EffectiveSettings, FieldId, FieldSet, LayerPath};
 
 /// A level that applies to a request, with the fields it sets.
 #[derive(Debug, Clone)]
 pub(crate) struct Layer<'a> {
-    pub(crate) level: Level,
-    pub(crate) path: String,
+    pub(crate) path: LayerPath<'a>,
     pub(crate) fields: &'a FieldSet,
 }
 
 /// Where a value comes from.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub(crate) struct Origin {
-    pub(crate) level: Level,
-    pub(crate) path: String,
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Origin<'a> {
+    pub(crate) path: LayerPath<'a>,
     pub(crate) line: Option<usize>,
 }
 
@@ -28,27 +26,23 @@
 
 impl<'a> Layers<'a> {
     pub(crate) fn new(defaults: &'a FieldSet) -> Self {
-        let root = Layer { level: Level::Root, path: "defaults".to_owned(), fields: defaults };
-        Self { layers: vec![root] }
+        Self { layers: vec![Layer { path: LayerPath::Root, fields: defaults }] }
     }
 
-    pub(crate) fn with(&self, level: Level, path: String, fields: &'a FieldSet) -> Self {
-        let mut layers = self.layers.clone();
-        layers.push(Layer { level, path, fields });
-        Self { layers }
+    pub(crate) fn push(&mut self, path: LayerPath<'a>, fields: &'a FieldSet) {
+        self.layers.push(Layer { path, fields });
     }
 
     /// The value of a field, and the level that it comes from.
-    pub(crate) fn find(&self, field: FieldId) -> (toml::Value, Origin) {
+    pub(crate) fn find(&self, field: FieldId) -> (toml::Value, Origin<'a>) {
         for layer in self.layers.iter().rev() {
             let Some(set) = layer.fields.get(field) else {
                 continue;
             };
-            let origin =
-                Origin { level: layer.level, path: layer.path.clone(), line: Some(set.line) };
+            let origin = Origin { path: layer.path, line: Some(set.line) };
             return (set.value.clone(), origin);
         }
-        let origin = Origin { level: Level::BuiltIn, path: Level::BuiltIn.to_string(), line: None };
+        let origin = Origin { path: LayerPath::BuiltIn, line: None };
         (built_in_value(field), origin)
     }
 
@@ -57,14 +51,26 @@
         self.layers.iter().any(|layer| layer.fields.is_refused(field))
     }
 
+    /// The value of a field that is a whole number.
+    pub(crate) fn number(&self, field: FieldId) -> i64 {
+        let (value, _) = self.find(field);
+        value.as_integer().unwrap_or_default()
+    }
+
+    /// Whether one of the levels from a position on sets one of the fields.
+    pub(crate) fn sets_any(&self, position: usize, fields: [FieldId; 2]) -> bool {
+        let layers = self.layers.get(position..).unwrap_or_default();
+        layers.iter().any(|layer| fields.iter().any(|&field| layer.fields.get(field).is_some()))
+    }
+
     /// All fields, resolved.
-    pub(crate) fn resolve(&self) -> Result<EffectiveSettings, toml::de::Error> {
+    pub(crate) fn resolve(&self) -> EffectiveSettings {
         let mut table = toml::Table::new();
         for field in FieldId::all() {
             let (value, _) = self.find(field);
             table.insert(field.name().to_owned(), value);
         }
-        table.try_into()
+        table.try_into().expect("values that passed their checks fit their fields")
     }
 }
 
--- /dev/null
+++ b/crates/galenastream_settings/src/version/resolved.rs
@@ -0,0 +1,35 @@
+//! Settings that are resolved at their first use.
+
+use std::sync::OnceLock;
+
+use crate::{EffectiveSettings, Layers};
+
+/// The settings of a service, or of one of its places, resolved at their first use.
+///
+/// A node asks for a few services in one place, so most of a large tree is never resolved.
+#[derive(Debug, Clone)]
+pub(crate) struct Resolved {
+    base: OnceLock<EffectiveSettings>,
+    /// Parallel to the key ranges of the service.
+    key_ranges: Vec<OnceLock<EffectiveSettings>>,
+}
+
+impl Resolved {
+    pub(crate) fn new(key_ranges: usize) -> Self {
+        Self { base: OnceLock::new(), key_ranges: vec![OnceLock::new(); key_ranges] }
+    }
+
+    /// The settings of all keys outside of key ranges.
+    pub(crate) fn base<'a>(&self, layers: impl FnOnce() -> Layers<'a>) -> &EffectiveSettings {
+        self.base.get_or_init(|| layers().resolve())
+    }
+
+    /// The settings of the keys in the range at this position.
+    pub(crate) fn key_range<'a>(
+        &self,
+        position: usize,
+        layers: impl FnOnce() -> Layers<'a>,
+    ) -> &EffectiveSettings {
+        self.key_ranges[position].get_or_init(|| layers().resolve())
+    }
+}
--- a/crates/galenastream_settings/src/version/service.rs
+++ b/crates/galenastream_settings/src/version/service.rs
@@ -1,8 +1,10 @@
 //! A service of the tree.
 
+use std::sync::Arc;
+
 use galenastream_ownership::{FastMap, PlaceId, ServiceId};
 
-use crate::{EffectiveSettings, FieldSet, KeyBounds};
+use crate::{EffectiveSettings, FieldSet, KeyBounds, LayerPath, Layers, Resolved};
 
 /// A service of the tree, with its places and key ranges.
 #[derive(Debug, Clone)]
@@ -10,12 +12,13 @@
     pub(crate) id: ServiceId,
     pub(crate) name: String,
     pub(crate) line: usize,
+    pub(crate) defaults: Arc<FieldSet>,
     pub(crate) fields: FieldSet,
     /// Sorted by their first keys, without overlaps.
     pub(crate) key_ranges: Vec<KeyRange>,
     pub(crate) places: Vec<ServicePlace>,
+    pub(crate) place_positions: FastMap<PlaceId, usize>,
     pub(crate) resolved: Resolved,
-    pub(crate) resolved_by_place: FastMap<PlaceId, Resolved>,
 }
 
 /// A key range of a service.
@@ -35,6 +38,7 @@
     pub(crate) line: usize,
     pub(crate) fields: FieldSet,
     pub(crate) key_ranges: Vec<PlaceKeyRange>,
+    pub(crate) resolved: Resolved,
 }
 
 /// What a place overrides in a key range of its service.
@@ -45,14 +49,6 @@
     pub(crate) fields: FieldSet,
 }
 
-/// The resolved settings of a service in one place.
-#[derive(Debug, Clone)]
-pub(crate) struct Resolved {
-    pub(crate) base: EffectiveSettings,
-    /// Parallel to the key ranges of the service.
-    pub(crate) key_ranges: Vec<EffectiveSettings>,
-}
-
 impl ServiceSettings {
     /// The service.
     pub fn id(&self) -> ServiceId {
@@ -71,35 +67,73 @@
 
     /// The settings of the whole service, for what is the same in all places and for all keys.
     pub fn settings(&self) -> &EffectiveSettings {
-        &self.resolved.base
+        self.resolved.base(|| self.layers(None, None))
     }
 
     /// The settings in a place, for what is the same for all keys.
     pub fn settings_in(&self, place: PlaceId) -> &EffectiveSettings {
-        &self.resolved_in(place).base
+        self.resolve(self.place(place), None)
     }
 
-    /// The settings of a request.
+    /// The settings of a request. Resolved at the first use, and kept.
     pub fn effective(&self, place: PlaceId, key: &[u8]) -> &EffectiveSettings {
-        let resolved = self.resolved_in(place);
-        match self.find_key_range(key) {
-            Some(position) => &resolved.key_ranges[position],
-            None => &resolved.base,
-        }
+        self.resolve(self.place(place), self.find_key_range(key))
     }
 
-    fn resolved_in(&self, place: PlaceId) -> &Resolved {
-        self.resolved_by_place.get(&place).unwrap_or(&self.resolved)
+    pub(crate) fn place(&self, place: PlaceId) -> Option<&ServicePlace> {
+        self.place_positions.get(&place).map(|&position| &self.places[position])
     }
 
+    /// The position of the key range that has this key.
     pub(crate) fn find_key_range(&self, key: &[u8]) -> Option<usize> {
         let after = self.key_ranges.partition_point(|range| range.bounds.first.as_slice() <= key);
         let position = after.checked_sub(1)?;
         self.key_ranges[position].bounds.contains(key).then_some(position)
     }
+
+    fn resolve<'a>(
+        &'a self,
+        place: Option<&'a ServicePlace>,
+        range: Option<usize>,
+    ) -> &'a EffectiveSettings {
+        let resolved = place.map_or(&self.resolved, |place| &place.resolved);
+        match range {
+            Some(position) => resolved.key_range(position, || self.layers(place, range)),
+            None => resolved.base(|| self.layers(place, None)),
+        }
+    }
+
+    /// The levels that apply to a request in a place, to a key in the range at a position.
+    pub(crate) fn layers<'a>(
+        &'a self,
+        place: Option<&'a ServicePlace>,
+        range: Option<usize>,
+    ) -> Layers<'a> {
+        let service = self.name.as_str();
+        let mut layers = Layers::new(&self.defaults);
+        layers.push(LayerPath::Service { service }, &self.fields);
+        if let Some(place) = place {
+            layers.push(LayerPath::Place { service, place: &place.name }, &place.fields);
+        }
+        let Some(range) = range.map(|position| &self.key_ranges[position]) else {
+            return layers;
+        };
+        layers.push(LayerPath::KeyRange { service, range: &range.name }, &range.fields);
+        let in_place = place.and_then(|place| Some((place, place.key_range(&range.name)?)));
+        if let Some((place, in_place)) = in_place {
+            let (place, range) = (place.name.as_str(), range.name.as_str());
+            layers.push(LayerPath::PlaceKeyRange { service, place, range }, &in_place.fields);
+        }
+        layers
+    }
 }
 
 impl ServicePlace {
+    /// Whether anything differs here from the rest of the service.
+    pub(crate) fn overrides_any(&self) -> bool {
+        !self.fields.is_empty() || !self.key_ranges.is_empty()
+    }
+
     pub(crate) fn key_range(&self, name: &str) -> Option<&PlaceKeyRange> {
         self.key_ranges.iter().find(|range| range.name == name)
     }
--- a/crates/galenastream_settings/src/version/tree.rs
+++ b/crates/galenastream_settings/src/version/tree.rs
@@ -1,17 +1,19 @@
 //! A version of the settings.
 
+use std::sync::Arc;
+
 use galenastream_ownership::{FastMap, PlaceId, ServiceId, Timing};
 
 use crate::{
-    EffectiveSettings, ExplainedField, FieldId, FieldSet, Layers, Level, PlaceSettings,
-    ServiceSettings, SettingsErrors, SettingsWarning, parse,
+    EffectiveSettings, ExplainedField, FieldId, FieldSet, PlaceSettings, ServiceSettings,
+    SettingsErrors, SettingsWarning, parse,
 };
 
 /// A checked, immutable tree of settings.
 #[derive(Debug, Clone)]
 pub struct SettingsTree {
     pub(crate) source_name: String,
-    pub(crate) defaults: FieldSet,
+    pub(crate) defaults: Arc<FieldSet>,
     pub(crate) root: EffectiveSettings,
     pub(crate) places: Vec<PlaceSettings>,
     pub(crate) services: Vec<ServiceSettings>,
@@ -85,48 +87,21 @@
         place: Option<PlaceId>,
         key: Option<&[u8]>,
     ) -> Option<Vec<ExplainedField>> {
-        let layers = self.layers(self.service(service)?, place, key);
+        let service = self.service(service)?;
+        let place = place.and_then(|place| service.place(place));
+        let range = key.and_then(|key| service.find_key_range(key));
+        let layers = service.layers(place, range);
         let mut explained = Vec::new();
         for field in FieldId::all() {
             let (value, origin) = layers.find(field);
             explained.push(ExplainedField {
                 field: field.name(),
                 value: value.to_string(),
-                level: origin.level,
-                origin: origin.path,
+                level: origin.path.level(),
+                origin: origin.path.to_string(),
                 line: origin.line,
             });
         }
         Some(explained)
     }
-
-    pub(crate) fn layers<'a>(
-        &'a self,
-        service: &'a ServiceSettings,
-        place: Option<PlaceId>,
-        key: Option<&[u8]>,
-    ) -> Layers<'a> {
-        let place = service.places.iter().find(|candidate| Some(candidate.id) == place);
-        let range = key.and_then(|key| service.find_key_range(key));
-        let service_path = format!("services.{}", service.name);
-        let mut layers =
-            Layers::new(&self.defaults).with(Level::Service, service_path.clone(), &service.fields);
-        if let Some(place) = place {
-            let path = format!("{service_path}.places.{}", place.name);
-            layers = layers.with(Level::Place, path, &place.fields);
-        }
-        let Some(range) = range.map(|position| &service.key_ranges[position]) else {
-            return layers;
-        };
-        let path = format!("{service_path}.key_ranges.{}", range.name);
-        layers = layers.with(Level::KeyRange, path, &range.fields);
-        let Some(place) = place else {
-            return layers;
-        };
-        let Some(in_place) = place.key_range(&range.name) else {
-            return layers;
-        };
-        let path = format!("{service_path}.places.{}.key_ranges.{}", place.name, range.name);
-        layers.with(Level::KeyRange, path, &in_place.fields)
-    }
 }
