The test of the limit in flight no longer races with the end of the first request

Seen once in about ten runs: the second request's time limit is a little later than the first's, so it took over the turn and was sent. With a pause after the failure that is longer than the limit it can't be.

--- a/crates/galenastream_platform/tests/contract/table_service.rs
+++ b/crates/galenastream_platform/tests/contract/table_service.rs
@@ -121,7 +121,9 @@
 #[tokio::test]
 async fn requests_beyond_the_limit_in_flight_are_not_sent() {
     let platform = start_platform().await;
-    let table = table_at(platform.table_address(), limits().with_max_in_flight(1));
+    // The long pause keeps the second request from being sent at the end of the first.
+    let limits = limits().with_max_in_flight(1).with_backoff_ms(10_000, 10_000);
+    let table = table_at(platform.table_address(), limits);
     let outage = PlatformFaults { outage_ms: 60_000, ..PlatformFaults::default() };
     platform.set_table_faults(outage);
     let (first, second) = tokio::join!(put(&table, None), put(&table, None));
