--- a/crates/galenastream_standin/src/lib.rs
+++ b/crates/galenastream_standin/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod caller;
 mod deployment;
+mod load;
 mod platform;
 mod server;
 mod target;
@@ -9,6 +10,7 @@
 
 pub use caller::*;
 pub use deployment::*;
+pub use load::*;
 pub use platform::*;
 pub use server::*;
 pub use target::*;
--- /dev/null
+++ b/crates/galenastream_standin/src/load/summary.rs
@@ -0,0 +1,199 @@
+//! What became of the requests of a run.
+
+use std::time::Duration;
+
+use anyhow::Context;
+use hdrhistogram::Histogram;
+
+use super::{LoadOutcome, LoadPlan, LoadSample};
+
+const LOWEST_LATENCY_US: u64 = 1;
+const HIGHEST_LATENCY_US: u64 = 120_000_000;
+const SIGNIFICANT_DIGITS: u8 = 3;
+
+/// What became of the requests of a run, by class and by second.
+#[derive(Debug, Clone)]
+pub struct LoadSummary {
+    /// One entry a class, in the order of the plan.
+    pub classes: Vec<ClassSummary>,
+    /// One entry a second of the run, warm-up included.
+    pub seconds: Vec<SecondSummary>,
+    warm_up: Duration,
+    measured: Duration,
+}
+
+/// What became of the requests of one class.
+#[derive(Debug, Clone)]
+pub struct ClassSummary {
+    /// The name of the class.
+    pub name: String,
+    counts: OutcomeCounts,
+    ran_us: Histogram<u64>,
+    refused_us: Histogram<u64>,
+}
+
+/// What became of the requests that were to start within one second.
+#[derive(Debug, Clone)]
+pub struct SecondSummary {
+    counts: OutcomeCounts,
+    ran_us: Histogram<u64>,
+}
+
+/// How many requests came to which outcome.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct OutcomeCounts {
+    counts: [u64; LoadOutcome::ALL.len()],
+}
+
+impl LoadSummary {
+    /// Creates the summary of a run without requests.
+    pub fn new(plan: &LoadPlan) -> anyhow::Result<Self> {
+        let mut classes = Vec::with_capacity(plan.classes.len());
+        for class in &plan.classes {
+            classes.push(ClassSummary {
+                name: class.name.clone(),
+                counts: OutcomeCounts::default(),
+                ran_us: latencies()?,
+                refused_us: latencies()?,
+            });
+        }
+        let second = SecondSummary { counts: OutcomeCounts::default(), ran_us: latencies()? };
+        let seconds = vec![second; plan.duration.as_secs_f64().ceil() as usize];
+        let measured = plan.duration.saturating_sub(plan.warm_up);
+        Ok(Self { classes, seconds, warm_up: plan.warm_up, measured })
+    }
+
+    /// Takes a finished request in.
+    pub fn record(&mut self, sample: &LoadSample) {
+        if let Some(second) = self.seconds.get_mut(sample.at.as_secs() as usize) {
+            second.record(sample);
+        }
+        if sample.at < self.warm_up {
+            return;
+        }
+        if let Some(class) = self.classes.get_mut(sample.class) {
+            class.record(sample);
+        }
+    }
+
+    /// How many requests of all classes came to an outcome, warm-up left out.
+    pub fn count(&self, outcome: LoadOutcome) -> u64 {
+        self.classes.iter().map(|it| it.count(outcome)).sum()
+    }
+
+    /// Requests of all classes a second that came to an outcome, warm-up left out.
+    pub fn rate_per_s(&self, outcome: LoadOutcome) -> f64 {
+        self.count(outcome) as f64 / self.measured.as_secs_f64()
+    }
+
+    /// How many requests there were, warm-up left out.
+    pub fn total(&self) -> u64 {
+        self.classes.iter().map(ClassSummary::total).sum()
+    }
+
+    /// A percentile of the latencies of all requests that ran, in milliseconds.
+    pub fn ran_ms(&self, percentile: f64) -> f64 {
+        percentile_ms(&self.merged(|it| &it.ran_us), percentile)
+    }
+
+    /// A percentile of the time after which callers were told that nothing ran, in milliseconds.
+    pub fn refused_ms(&self, percentile: f64) -> f64 {
+        percentile_ms(&self.merged(|it| &it.refused_us), percentile)
+    }
+
+    /// How long the part of the run was that the figures cover.
+    pub fn measured(&self) -> Duration {
+        self.measured
+    }
+
+    fn merged(&self, select: impl Fn(&ClassSummary) -> &Histogram<u64>) -> Histogram<u64> {
+        let mut merged: Option<Histogram<u64>> = None;
+        for class in &self.classes {
+            match &mut merged {
+                Some(sum) => *sum += select(class),
+                None => merged = Some(select(class).clone()),
+            }
+        }
+        merged.unwrap_or_else(|| self.seconds[0].ran_us.clone())
+    }
+}
+
+impl ClassSummary {
+    /// How many of its requests came to an outcome.
+    pub fn count(&self, outcome: LoadOutcome) -> u64 {
+        self.counts.get(outcome)
+    }
+
+    /// How many requests it had.
+    pub fn total(&self) -> u64 {
+        self.counts.total()
+    }
+
+    /// A percentile of the latencies of its requests that ran, in milliseconds.
+    pub fn ran_ms(&self, percentile: f64) -> f64 {
+        percentile_ms(&self.ran_us, percentile)
+    }
+
+    /// A percentile of the time after which callers were told that nothing ran, in milliseconds.
+    pub fn refused_ms(&self, percentile: f64) -> f64 {
+        percentile_ms(&self.refused_us, percentile)
+    }
+
+    fn record(&mut self, sample: &LoadSample) {
+        self.counts.add(sample.outcome);
+        match sample.outcome {
+            LoadOutcome::Ran => record_latency(&mut self.ran_us, sample.latency),
+            LoadOutcome::NotRun => record_latency(&mut self.refused_us, sample.latency),
+            LoadOutcome::Unknown | LoadOutcome::NoAnswer | LoadOutcome::Wrong => {}
+        }
+    }
+}
+
+impl SecondSummary {
+    /// How many of its requests came to an outcome.
+    pub fn count(&self, outcome: LoadOutcome) -> u64 {
+        self.counts.get(outcome)
+    }
+
+    /// A percentile of the latencies of its requests that ran, in milliseconds.
+    pub fn ran_ms(&self, percentile: f64) -> f64 {
+        percentile_ms(&self.ran_us, percentile)
+    }
+
+    fn record(&mut self, sample: &LoadSample) {
+        self.counts.add(sample.outcome);
+        if sample.outcome == LoadOutcome::Ran {
+            record_latency(&mut self.ran_us, sample.latency);
+        }
+    }
+}
+
+impl OutcomeCounts {
+    fn add(&mut self, outcome: LoadOutcome) {
+        self.counts[outcome as usize] += 1;
+    }
+
+    fn get(&self, outcome: LoadOutcome) -> u64 {
+        self.counts[outcome as usize]
+    }
+
+    fn total(&self) -> u64 {
+        self.counts.iter().sum()
+    }
+}
+
+fn latencies() -> anyhow::Result<Histogram<u64>> {
+    Histogram::new_with_bounds(LOWEST_LATENCY_US, HIGHEST_LATENCY_US, SIGNIFICANT_DIGITS)
+        .context("the bounds of the histogram are wrong")
+}
+
+fn record_latency(histogram: &mut Histogram<u64>, latency: Duration) {
+    histogram.saturating_record(u64::try_from(latency.as_micros()).unwrap_or(u64::MAX));
+}
+
+fn percentile_ms(histogram: &Histogram<u64>, percentile: f64) -> f64 {
+    if histogram.is_empty() {
+        return f64::NAN;
+    }
+    histogram.value_at_percentile(percentile) as f64 / 1_000.0
+}
--- a/crates/galenastream_standin/src/server/reply.rs
+++ b/crates/galenastream_standin/src/server/reply.rs
@@ -1,12 +1,18 @@
 //! Bodies of requests and replies.
 
+use std::time::Duration;
+
 use bytes::Bytes;
-use futures::stream;
+use futures::{StreamExt, stream};
 use http::{StatusCode, header};
 use http_body_util::{BodyExt, Limited};
 use serde::{Serialize, de::DeserializeOwned};
+use tokio::time::sleep;
 use volo_http::{body::Body, request::Request, response::Response};
 
+/// Time between the first half of an answer and the break of its connection.
+const BREAK_PAUSE: Duration = Duration::from_millis(20);
+
 /// The longest body that a stand-in reads.
 const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
 
@@ -51,9 +57,11 @@
     let length_bytes = http_body::Body::size_hint(&body).lower();
     parts.headers.insert(header::CONTENT_LENGTH, http::HeaderValue::from(length_bytes));
     let half = vec![b' '; usize::try_from(length_bytes / 2).unwrap_or(0)];
-    let frames = [
-        Ok(http_body::Frame::data(Bytes::from(half))),
-        Err(Box::<dyn std::error::Error + Send + Sync>::from("the connection breaks here")),
-    ];
-    Response::from_parts(parts, Body::from_stream(stream::iter(frames)))
+    let first = stream::iter([Ok(http_body::Frame::data(Bytes::from(half)))]);
+    let breaking = stream::once(async {
+        // Without a pause the server breaks the connection before it sends the first half.
+        sleep(BREAK_PAUSE).await;
+        Err(Box::<dyn std::error::Error + Send + Sync>::from("the connection breaks here"))
+    });
+    Response::from_parts(parts, Body::from_stream(first.chain(breaking)))
 }
