--- a/crates/galenastream_standin/src/caller/client.rs
+++ b/crates/galenastream_standin/src/caller/client.rs
@@ -59,6 +59,12 @@
         self
     }
 
+    /// Adds a header.
+    pub fn with_header(mut self, name: &'static str, value: &str) -> Self {
+        self.headers.push((name, value.to_owned()));
+        self
+    }
+
     /// Sets the ticket.
     pub fn with_ticket(mut self, ticket: &str) -> Self {
         self.headers.push(("galenastream-ticket", ticket.to_owned()));
