--- a/crates/galenastream_node/tests/bad_input.rs
+++ b/crates/galenastream_node/tests/bad_input.rs
@@ -1,5 +1,7 @@
 //! Input that breaks a rule of an interface: a typed answer or a counted drop, and the node goes on.
 
+#![allow(clippy::unwrap_used, reason = "a failed step of a test ends the test")]
+
 mod support;
 
 use std::{net::SocketAddr, time::Duration};
@@ -106,24 +108,67 @@
     let cut_body = "POST /catalogue/x HTTP/1.1\r\nhost: n\r\ngalenastream-key: k\r\ncontent-length: 100\r\n\r\nshort";
     let two_lengths = "POST /catalogue/x HTTP/1.1\r\nhost: n\r\ngalenastream-key: k\r\ncontent-length: 1\r\ncontent-length: 2\r\n\r\nab";
     vec![
-        raw("not HTTP", b"\x00\x01\x02 this is not HTTP\r\n\r\n".to_vec(), expect!["not HTTP: HTTP/1.1 400 Bad Request"]),
-        raw("an unknown HTTP version", b"GET / HTTP/9.9\r\n\r\n".to_vec(), expect!["an unknown HTTP version: HTTP/1.1 400 Bad Request"]),
-        raw("a head that ends early", b"GET /catalogue/x HT".to_vec(), expect!["a head that ends early: closed without an answer"]),
-        raw("a key of 1 MiB", huge_head.into_bytes(), expect!["a key of 1 MiB: HTTP/1.1 431 Request Header Fields Too Large"]),
-        raw("1,000 headers", many_headers.into_bytes(), expect!["1,000 headers: HTTP/1.1 431 Request Header Fields Too Large"]),
-        raw("two lengths", two_lengths.as_bytes().to_vec(), expect!["two lengths: HTTP/1.1 400 Bad Request"]),
-        raw("a body that ends early", cut_body.as_bytes().to_vec(), expect![[r#"
+        raw(
+            "not HTTP",
+            b"\x00\x01\x02 this is not HTTP\r\n\r\n".to_vec(),
+            expect!["not HTTP: HTTP/1.1 400 Bad Request"],
+        ),
+        raw(
+            "an unknown HTTP version",
+            b"GET / HTTP/9.9\r\n\r\n".to_vec(),
+            expect!["an unknown HTTP version: HTTP/1.1 400 Bad Request"],
+        ),
+        raw(
+            "a head that ends early",
+            b"GET /catalogue/x HT".to_vec(),
+            expect!["a head that ends early: closed without an answer"],
+        ),
+        raw(
+            "a key of 1 MiB",
+            huge_head.into_bytes(),
+            expect!["a key of 1 MiB: HTTP/1.1 431 Request Header Fields Too Large"],
+        ),
+        raw(
+            "1,000 headers",
+            many_headers.into_bytes(),
+            expect!["1,000 headers: HTTP/1.1 431 Request Header Fields Too Large"],
+        ),
+        raw(
+            "two lengths",
+            two_lengths.as_bytes().to_vec(),
+            expect!["two lengths: HTTP/1.1 400 Bad Request"],
+        ),
+        raw(
+            "a body that ends early",
+            cut_body.as_bytes().to_vec(),
+            expect![[r#"
             a body that ends early: HTTP/1.1 400 Bad Request, galenastream-outcome: not-run, galenastream-reason: body-cut
-            the body is cut off; send it whole"#]]),
-        case("no service", "GET / HTTP/1.1\nhost: n\n", b"", expect![[r#"
+            the body is cut off; send it whole"#]],
+        ),
+        case(
+            "no service",
+            "GET / HTTP/1.1\nhost: n\n",
+            b"",
+            expect![[r#"
             no service: HTTP/1.1 404 Not Found, galenastream-outcome: not-run, galenastream-reason: no-service
-            the path names no service; send requests to /SERVICE/..."#]]),
-        case("an unknown service", "GET /other/x HTTP/1.1\nhost: n\n", b"", expect![[r#"
+            the path names no service; send requests to /SERVICE/..."#]],
+        ),
+        case(
+            "an unknown service",
+            "GET /other/x HTTP/1.1\nhost: n\n",
+            b"",
+            expect![[r#"
             an unknown service: HTTP/1.1 404 Not Found, galenastream-outcome: not-run, galenastream-reason: unknown-service
-            service \"other\" is not known; `galenastreamctl settings show` lists the services"#]]),
-        case("no key", "GET /catalogue/x HTTP/1.1\nhost: n\n", b"", expect![[r#"
+            service \"other\" is not known; `galenastreamctl settings show` lists the services"#]],
+        ),
+        case(
+            "no key",
+            "GET /catalogue/x HTTP/1.1\nhost: n\n",
+            b"",
+            expect![[r#"
             no key: HTTP/1.1 400 Bad Request, galenastream-outcome: not-run, galenastream-reason: key-missing
-            header galenastream-key is missing; this service is divided by key"#]]),
+            header galenastream-key is missing; this service is divided by key"#]],
+        ),
         case(
             "an empty key",
             "GET /catalogue/x HTTP/1.1\nhost: n\ngalenastream-key:\n",
@@ -132,12 +177,22 @@
                 an empty key: HTTP/1.1 400 Bad Request, galenastream-outcome: not-run, galenastream-reason: key-missing
                 header galenastream-key is missing; this service is divided by key"#]],
         ),
-        case("a key of 600 bytes", &long_key, b"", expect![[r#"
+        case(
+            "a key of 600 bytes",
+            &long_key,
+            b"",
+            expect![[r#"
             a key of 600 bytes: HTTP/1.1 400 Bad Request, galenastream-outcome: not-run, galenastream-reason: key-length
-            header galenastream-key has 600 bytes; allowed are 1 to 512"#]]),
-        case("two keys", &two_keys, b"", expect![[r#"
+            header galenastream-key has 600 bytes; allowed are 1 to 512"#]],
+        ),
+        case(
+            "two keys",
+            &two_keys,
+            b"",
+            expect![[r#"
             two keys: HTTP/1.1 400 Bad Request, galenastream-outcome: not-run, galenastream-reason: header-repeated
-            header galenastream-key stands more than once; send it once"#]]),
+            header galenastream-key stands more than once; send it once"#]],
+        ),
         case(
             "a negative deadline",
             &with("GET", "galenastream-deadline-ms: -5"),
@@ -146,9 +201,14 @@
                 a negative deadline: HTTP/1.1 400 Bad Request, galenastream-outcome: not-run, galenastream-reason: deadline-invalid
                 galenastream-deadline-ms = \"-5\"; allowed are whole numbers from 1 to 10000"#]],
         ),
-        case("a deadline of zero", &with("GET", "galenastream-deadline-ms: 0"), b"", expect![[r#"
+        case(
+            "a deadline of zero",
+            &with("GET", "galenastream-deadline-ms: 0"),
+            b"",
+            expect![[r#"
             a deadline of zero: HTTP/1.1 400 Bad Request, galenastream-outcome: not-run, galenastream-reason: deadline-invalid
-            galenastream-deadline-ms = \"0\"; allowed are whole numbers from 1 to 10000"#]]),
+            galenastream-deadline-ms = \"0\"; allowed are whole numbers from 1 to 10000"#]],
+        ),
         case(
             "a huge deadline",
             &with("GET", "galenastream-deadline-ms: 99999999999999"),
@@ -165,12 +225,22 @@
                 a deadline in words: HTTP/1.1 400 Bad Request, galenastream-outcome: not-run, galenastream-reason: deadline-invalid
                 galenastream-deadline-ms = \"soon\"; allowed are whole numbers from 1 to 10000"#]],
         ),
-        case("no ticket", &with("POST", "galenastream-ticket: 1-2"), b"", expect![[r#"
+        case(
+            "no ticket",
+            &with("POST", "galenastream-ticket: 1-2"),
+            b"",
+            expect![[r#"
             no ticket: HTTP/1.1 400 Bad Request, galenastream-outcome: not-run, galenastream-reason: ticket-invalid
-            galenastream-ticket = \"1-2\" is no ticket; obtain one by POST to /SERVICE/galenastream/ticket"#]]),
-        case("an unknown class", &with("GET", "galenastream-class: first"), b"", expect![[r#"
+            galenastream-ticket = \"1-2\" is no ticket; obtain one by POST to /SERVICE/galenastream/ticket"#]],
+        ),
+        case(
+            "an unknown class",
+            &with("GET", "galenastream-class: first"),
+            b"",
+            expect![[r#"
             an unknown class: HTTP/1.1 400 Bad Request, galenastream-outcome: not-run, galenastream-reason: class-unknown
-            galenastream-class = \"first\" is not known; allowed are: standard"#]]),
+            galenastream-class = \"first\" is not known; allowed are: standard"#]],
+        ),
         case(
             "an announced body over the limit",
             &with("POST", "content-length: 2000000"),
--- a/crates/galenastream_node/tests/support/cluster.rs
+++ b/crates/galenastream_node/tests/support/cluster.rs
@@ -1,6 +1,9 @@
 //! A deployment of one service: the platform, and VMs with a node and a target each.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
 
 use galenastream_node::{CellsDocument, OwnerDocument};
 use galenastream_ownership::SettingsVersion;
@@ -134,6 +137,65 @@
         )
     }
 
+    /// Where callers enter, at all VMs.
+    pub fn entries(&self) -> Vec<SocketAddr> {
+        self.vms.iter().map(|vm| vm.caller_address).collect()
+    }
+
+    /// Where callers enter, at all VMs but one.
+    pub fn entries_without(&self, index: usize) -> Vec<SocketAddr> {
+        let others = self.vms.iter().enumerate().filter(|(other, _)| *other != index);
+        others.map(|(_, vm)| vm.caller_address).collect()
+    }
+
+    /// Some keys of the VM at a position.
+    pub async fn keys_of(&self, index: usize, count: usize) -> Vec<String> {
+        let mut keys = Vec::new();
+        for number in 0..10_000 {
+            if keys.len() == count {
+                break;
+            }
+            let key = format!("key-{number}");
+            if self.owner_of(&key).await == index {
+                keys.push(key);
+            }
+        }
+        keys
+    }
+
+    /// Some keys of the VMs at all positions but one.
+    pub async fn keys_without(&self, index: usize, count: usize) -> Vec<String> {
+        let mut keys = Vec::new();
+        for other in 0..self.vms.len() {
+            if other != index {
+                keys.extend(self.keys_of(other, count).await);
+            }
+        }
+        keys
+    }
+
+    /// Waits until a key is served by any VM through one entry, and returns how long it took.
+    pub async fn wait_until_served(&self, entry: SocketAddr, key: &str) -> Duration {
+        let began_at = Instant::now();
+        let name = format!("{key} to be served through {entry}");
+        wait_until(&name, WAIT_LIMIT, async || self.reads(entry, key).await).await.unwrap();
+        began_at.elapsed()
+    }
+
+    /// Waits until a key is served by another VM than the one that owned it.
+    pub async fn wait_until_moved(&self, entry: SocketAddr, key: &str, from: &Vm) {
+        let from = from.vm_address.to_string();
+        let name = format!("{key} to be served by another VM than {from}");
+        wait_until(&name, WAIT_LIMIT, async || match self.read(entry, key).await {
+            Some(answer) => {
+                answer.outcome() == "ran" && answer.header("galenastream-owner") != from
+            }
+            None => false,
+        })
+        .await
+        .unwrap();
+    }
+
     /// Reads a key; an answer that does not arrive is `None`.
     pub async fn read(&self, entry: SocketAddr, key: &str) -> Option<CallerAnswer> {
         let request = CallerRequest::new(Method::GET, format!("/{SERVICE}/frames")).with_key(key);
--- a/crates/galenastream_node/tests/support/reservations.rs
+++ b/crates/galenastream_node/tests/support/reservations.rs
@@ -9,11 +9,11 @@
     time::Duration,
 };
 
-use galenastream_standin::{Caller, CallerRequest, Judge};
+use galenastream_standin::{Caller, CallerRequest, Judge, wait_until};
 use http::Method;
 use tokio::task::JoinHandle;
 
-use super::SERVICE;
+use super::{Cluster, SERVICE, WAIT_LIMIT};
 
 /// How often a caller asks again with the same ticket.
 const MAX_TRIES: u32 = 4;
@@ -24,6 +24,9 @@
 /// The deadline of a reservation.
 const DEADLINE_MS: u64 = 500;
 
+/// Reservations that must run after a fault before the callers are stopped.
+const RESERVATIONS_AFTER: usize = 100;
+
 /// One answer, or its absence.
 #[derive(Debug, Clone)]
 pub struct ReservationAnswer {
@@ -92,6 +95,23 @@
         Self { stop, callers, report }
     }
 
+    /// Starts callers that use all entries of a deployment, and waits until reservations run.
+    pub async fn start_running(cluster: &Cluster, keys: &[String]) -> Self {
+        let load = Self::start(&cluster.entries(), keys);
+        wait_until("reservations to run", WAIT_LIMIT, async || load.ran() >= keys.len() * 2)
+            .await
+            .unwrap();
+        load
+    }
+
+    /// Waits until many more reservations have run.
+    pub async fn wait_for_more(&self) {
+        let enough = self.ran() + RESERVATIONS_AFTER;
+        wait_until("more reservations to run", WAIT_LIMIT, async || self.ran() >= enough)
+            .await
+            .unwrap();
+    }
+
     /// How many reservations were told to have run so far.
     pub fn ran(&self) -> usize {
         self.report.lock().unwrap().ran()
