--- a/crates/galenastream_node/src/process/daemon.rs
+++ b/crates/galenastream_node/src/process/daemon.rs
@@ -22,7 +22,7 @@
 use volo_http::server::{Server, layer::BodyLimitLayer};
 
 use super::{
-    Bootstrap, ControlThread, Node, NodeParts, follow_settings, read_first_settings,
+    Bootstrap, ControlThread, Node, NodeParts, follow_settings, read_first_settings, report_load,
     settings_event, start_metrics, stop_gracefully, wait_for_signal, watch_target,
 };
 use crate::{
@@ -121,6 +121,7 @@
         start_control(node.clone(), sockets.control, event_queue)?;
         tokio::spawn(serve_peers(node.clone(), TcpListener::from_std(sockets.peers)?));
         tokio::spawn(watch_target(node.clone()));
+        tokio::spawn(report_load(node.clone()));
         let callers = TcpListener::from_std(sockets.callers)?;
         let callers = tokio::spawn(serve_callers(node.clone(), callers));
         wait_for_signal().await?;
--- a/crates/galenastream_node/src/request/in_progress.rs
+++ b/crates/galenastream_node/src/request/in_progress.rs
@@ -1,8 +1,8 @@
 //! A request that is counted on its slice.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
-use galenastream_ownership::{BootInstant, SliceEpoch};
+use galenastream_ownership::{BootInstant, KeyHash, SliceEpoch};
 use tokio::runtime::Handle;
 
 use crate::{
@@ -37,6 +37,11 @@
         self.order_deadline = Some(order_deadline);
     }
 
+    /// Adds the slot time that the request used to the load of its slice.
+    pub fn record_busy(&self, hash: KeyHash, busy: Duration) {
+        self.gate.meter().add(hash, busy);
+    }
+
     /// Ends a request whose work at the target provably ended, or never began.
     pub fn finish(mut self) {
         self.order_deadline = None;
--- a/crates/galenastream_node/src/request/owner.rs
+++ b/crates/galenastream_node/src/request/owner.rs
@@ -1,6 +1,6 @@
 //! Runs a request at the node beside the owner's target.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Instant};
 
 use galenastream_ownership::{KeyHash, ServiceId, SettingsVersion};
 use galenastream_routing::{Class, Deadline, NotRunReason, Outcome, TicketDecision, UnknownReason};
@@ -149,7 +149,11 @@
                     .with_retry_after_ms(refusal.retry_after_ms);
             }
         };
+        let began_at = Instant::now();
         let reply = self.run(node, forward, deadline, &target).await;
+        if let Some(in_progress) = &self.in_progress {
+            in_progress.record_busy(KeyHash::of(&forward.key), began_at.elapsed());
+        }
         if reply.outcome == Outcome::Ran {
             slot.answered();
         }
--- a/crates/galenastream_node/src/version/mod.rs
+++ b/crates/galenastream_node/src/version/mod.rs
@@ -3,7 +3,9 @@
 mod serving;
 mod settings_version;
 mod slice_gate;
+mod slice_meter;
 
 pub use serving::*;
 pub use settings_version::*;
 pub use slice_gate::*;
+pub use slice_meter::*;
--- a/crates/galenastream_node/src/version/serving.rs
+++ b/crates/galenastream_node/src/version/serving.rs
@@ -1,13 +1,16 @@
 //! The held slices as the traffic threads see them.
 
-use std::sync::{
-    Arc,
-    atomic::{Ordering, fence},
+use std::{
+    sync::{
+        Arc,
+        atomic::{Ordering, fence},
+    },
+    time::Duration,
 };
 
 use arc_swap::ArcSwap;
 use galenastream_ownership::{
-    BootInstant, FastMap, HeldSlice, HeldSlices, KeyHash, SliceEpoch, Term,
+    BootInstant, FastMap, HeldSlice, HeldSlices, KeyHash, SliceEpoch, SliceLoad, Term,
 };
 
 use super::SliceGate;
@@ -122,6 +125,19 @@
         is_held.then_some((current.held.expires_at, current.held.term))
     }
 
+    /// The load of the held slices since the last report.
+    pub fn report_loads(&self, elapsed: Duration) -> Vec<SliceLoad> {
+        let current = self.current.load();
+        let mut loads = Vec::new();
+        for slice in &current.held.slices {
+            let Some(gate) = current.gates.get(&slice.id) else {
+                continue;
+            };
+            loads.extend(gate.meter().report(slice.id.slice, elapsed));
+        }
+        loads
+    }
+
     /// Whether a position is served here at the moment.
     pub fn serves(&self, hash: KeyHash, now: BootInstant) -> bool {
         self.current.load().held.serving(hash, now).is_some()
--- a/crates/galenastream_node/src/version/slice_gate.rs
+++ b/crates/galenastream_node/src/version/slice_gate.rs
@@ -5,18 +5,26 @@
 use galenastream_ownership::SliceEpoch;
 use tokio::sync::Notify;
 
+use super::SliceMeter;
+
 /// Counts the requests in progress on one assignment of a slice, so that a handoff waits for them.
 #[derive(Debug)]
 pub struct SliceGate {
     id: SliceEpoch,
     in_progress: AtomicU32,
     left: Notify,
+    meter: SliceMeter,
 }
 
 impl SliceGate {
     /// Creates a gate with nothing in progress.
     pub fn new(id: SliceEpoch) -> Self {
-        Self { id, in_progress: AtomicU32::new(0), left: Notify::new() }
+        Self {
+            id,
+            in_progress: AtomicU32::new(0),
+            left: Notify::new(),
+            meter: SliceMeter::default(),
+        }
     }
 
     /// The slice and its assignment.
@@ -24,6 +32,11 @@
         self.id
     }
 
+    /// Measures the load of the slice.
+    pub fn meter(&self) -> &SliceMeter {
+        &self.meter
+    }
+
     /// Counts a request in. The caller checks the lease afterwards.
     pub fn enter(&self) {
         self.in_progress.fetch_add(1, Ordering::SeqCst);
