--- a/crates/galenastream_node/tests/support/reads.rs
+++ b/crates/galenastream_node/tests/support/reads.rs
@@ -31,6 +31,8 @@
 pub struct ReadReport {
     pub answered: u64,
     pub failed: Vec<FailedRead>,
+    /// The longest time between two answers to one caller.
+    pub longest_gap: Duration,
 }
 
 /// Callers that read keys all the time, one for each key.
@@ -85,6 +87,7 @@
 impl Reader {
     async fn run(self, first_entry: usize) {
         let mut turn = first_entry;
+        let mut answered_at = Instant::now();
         while !self.stop.load(Ordering::SeqCst) {
             let entry = self.entries[turn % self.entries.len()];
             turn += 1;
@@ -100,11 +103,21 @@
                 )),
                 Err(error) => Some(format!("{entry}: {error:#}")),
             };
+            if what.is_none() {
+                let gap = answered_at.elapsed();
+                answered_at = Instant::now();
+                self.record_gap(gap);
+            }
             self.record(at, what);
             tokio::time::sleep(PAUSE).await;
         }
     }
 
+    fn record_gap(&self, gap: Duration) {
+        let mut report = self.report.lock().unwrap();
+        report.longest_gap = report.longest_gap.max(gap);
+    }
+
     fn record(&self, at: Instant, what: Option<String>) {
         let mut report = self.report.lock().unwrap();
         match what {
--- a/crates/galenastream_standin/src/deployment/vm.rs
+++ b/crates/galenastream_standin/src/deployment/vm.rs
@@ -112,17 +112,21 @@
 
     /// Kills both processes at once, as the loss of the VM does.
     pub fn kill(self) -> anyhow::Result<LostVm> {
-        let addresses = VmAddresses {
-            vm: self.vm_address,
-            caller: as_v4(self.caller_address)?,
-            admin: as_v4(self.admin_address)?,
-            target: as_v4(self.target_address)?,
-        };
+        let addresses = self.addresses()?;
         self.node.kill()?;
         self.target.kill()?;
         Ok(LostVm { name: self.name, addresses })
     }
 
+    /// Stops the node gracefully, and then kills the target.
+    pub async fn stop(self) -> anyhow::Result<LostVm> {
+        let addresses = self.addresses()?;
+        let status = self.node.terminate().await?;
+        anyhow::ensure!(status.success(), "{} ended with {status}", self.name);
+        self.target.kill()?;
+        Ok(LostVm { name: self.name, addresses })
+    }
+
     /// Freezes both processes.
     pub fn freeze(&self) -> anyhow::Result<()> {
         self.node.freeze()?;
@@ -135,6 +139,15 @@
         self.node.resume()
     }
 
+    fn addresses(&self) -> anyhow::Result<VmAddresses> {
+        Ok(VmAddresses {
+            vm: self.vm_address,
+            caller: as_v4(self.caller_address)?,
+            admin: as_v4(self.admin_address)?,
+            target: as_v4(self.target_address)?,
+        })
+    }
+
     /// Whether the node says that it is ready.
     pub async fn is_ready(&self, caller: &Caller) -> bool {
         let request = CallerRequest::new(Method::GET, "/health/ready");
