--- a/crates/galenastream_node/src/connection/admin_server.rs
+++ b/crates/galenastream_node/src/connection/admin_server.rs
@@ -19,7 +19,7 @@
     TakeoverOrder, TargetsDocument, format_position,
 };
 use crate::{
-    process::{Node, Readiness, TargetAnnouncement, boot_now, target_up},
+    process::{Node, Readiness, TargetAnnouncement, boot_now},
     request::{json_response, look_up},
 };
 
@@ -105,13 +105,7 @@
             "start the target beside a node of its own service",
         );
     }
-    let event = target_up(&announcement);
-    if node.target.announce(announcement) {
-        log::info!(event = "target_up"; "the target announced itself");
-        node.admission.restart();
-        node.apply_settings();
-        node.tell(event);
-    }
+    node.target_announced(announcement);
     ok(&AcceptedDocument { accepted: true })
 }
 
--- a/crates/galenastream_node/src/process/node.rs
+++ b/crates/galenastream_node/src/process/node.rs
@@ -10,7 +10,8 @@
 
 use super::{
     AdmissionDesk, Bootstrap, CellDirectory, MemberTable, RequestCount, RetryDesk, RouteTable,
-    SettingsKeeper, Shutdown, TargetSlot, TicketDesk, ticket_limits,
+    SettingsKeeper, Shutdown, TargetAnnouncement, TargetBreaker, TargetSlot, TicketDesk, target_up,
+    ticket_limits,
 };
 use crate::{
     connection::{PeerLinks, TargetClient},
@@ -34,6 +35,8 @@
     pub target: TargetSlot,
     /// The connections to the target.
     pub target_client: TargetClient,
+    /// The circuit breaker in front of the target.
+    pub target_breaker: TargetBreaker,
     /// Admission to the target.
     pub admission: AdmissionDesk,
     /// The tickets of the held slices.
@@ -89,6 +92,7 @@
             view: ArcSwap::from_pointee(unknown_cell),
             target: TargetSlot::default(),
             target_client: TargetClient::new(MAX_IDLE_TARGET_CONNECTIONS)?,
+            target_breaker: TargetBreaker::new(&service),
             admission: AdmissionDesk::new(&service),
             tickets: TicketDesk::new(ticket_limits(&service)),
             peers: PeerLinks::new(parts.runtime),
@@ -150,6 +154,21 @@
         }
     }
 
+    /// Takes an announcement of the target in.
+    pub fn target_announced(&self, announcement: TargetAnnouncement) {
+        let event = target_up(&announcement);
+        if !self.target.announce(announcement) {
+            return;
+        }
+        log::info!(event = "target_up"; "the target announced itself");
+        let settings = self.settings.current();
+        let service = settings.service_or_root(self.bootstrap.service_id());
+        self.target_breaker.reset(service);
+        self.admission.restart();
+        self.admission.apply_settings(service, self.target.current().as_deref());
+        self.tell(event);
+    }
+
     /// Puts what the settings say of the node itself in force.
     pub fn apply_settings(&self) {
         let settings = self.settings.current();
--- a/crates/galenastream_node/src/process/settings_sync.rs
+++ b/crates/galenastream_node/src/process/settings_sync.rs
@@ -58,10 +58,10 @@
                 }
             }
         }
-        let target = *wanted.borrow_and_update();
-        if node.settings.is_behind() {
+        while node.settings.is_behind() {
+            let newest = *wanted.borrow_and_update();
             tell_control(&node);
-            fetch(&node, &store, target).await;
+            fetch(&node, &store, newest).await;
         }
     }
 }
--- a/crates/galenastream_node/src/request/owner.rs
+++ b/crates/galenastream_node/src/request/owner.rs
@@ -149,8 +149,12 @@
                     .with_retry_after_ms(refusal.retry_after_ms);
             }
         };
+        if let Err(refused) = node.target_breaker.pass() {
+            return refused;
+        }
         let began_at = Instant::now();
         let reply = self.run(node, forward, deadline, &target).await;
+        node.target_breaker.record(reply.outcome);
         if let Some(in_progress) = &self.in_progress {
             in_progress.record_busy(KeyHash::of(&forward.key), began_at.elapsed());
         }
