--- a/crates/galenastream_node/src/process/target_breaker.rs
+++ b/crates/galenastream_node/src/process/target_breaker.rs
@@ -27,13 +27,13 @@
         *self.lock() = Breaker::new(limits(settings));
     }
 
-    /// Refuses a request while the breaker is open.
-    pub fn pass(&self) -> Result<(), Reply> {
+    /// The refusal of a request while the breaker is open.
+    pub fn refusal(&self) -> Option<Reply> {
         match self.lock().pass(boot_now()) {
-            Passage::Free | Passage::Probe => Ok(()),
+            Passage::Free | Passage::Probe => None,
             Passage::Blocked { retry_after_ms } => {
                 let refused = Reply::not_run(NotRunReason::TargetUnavailable);
-                Err(refused.with_retry_after_ms(retry_after_ms))
+                Some(refused.with_retry_after_ms(retry_after_ms))
             }
         }
     }
--- a/crates/galenastream_node/src/request/owner.rs
+++ b/crates/galenastream_node/src/request/owner.rs
@@ -149,7 +149,7 @@
                     .with_retry_after_ms(refusal.retry_after_ms);
             }
         };
-        if let Err(refused) = node.target_breaker.pass() {
+        if let Some(refused) = node.target_breaker.refusal() {
             return refused;
         }
         let began_at = Instant::now();
