--- a/crates/galenastream_ctl/src/request/node_reports.rs
+++ b/crates/galenastream_ctl/src/request/node_reports.rs
@@ -38,7 +38,6 @@
 }
 
 fn cell_text(cell: &CellDocument, node: &MemberDocument) -> String {
-    let witnesses: Vec<String> = cell.witnesses.iter().map(member_text).collect();
     let coordinator = match &cell.coordinator {
         Some(coordinator) if cell.is_coordinator => {
             format!("{}, the node that answers", member_text(coordinator))
@@ -50,7 +49,7 @@
         format!("{}, cell {}", cell.service, cell.index),
         format!("  term         {}", cell.term),
         format!("  coordinator  {coordinator}"),
-        format!("  witnesses    {}", list_or(&witnesses, "not known")),
+        format!("  witnesses    {}", witnesses_text(cell)),
         format!("  slices       {}", cell.slices),
         format!(
             "  this node    {}, holds {} slices, lease ends in {} ms",
@@ -126,6 +125,11 @@
     format!("{}#{}", member.vm, member.incarnation)
 }
 
-fn list_or(texts: &[String], otherwise: &str) -> String {
-    if texts.is_empty() { otherwise.to_owned() } else { texts.join(", ") }
+fn witnesses_text(cell: &CellDocument) -> String {
+    let witnesses: Vec<String> = cell.witnesses.iter().map(member_text).collect();
+    match (witnesses.is_empty(), cell.is_coordinator) {
+        (false, _) => witnesses.join(", "),
+        (true, true) => "none, the cell runs on the store alone".to_owned(),
+        (true, false) => "not known here; ask the coordinator".to_owned(),
+    }
 }
--- a/crates/galenastream_ctl/tests/node_commands.rs
+++ b/crates/galenastream_ctl/tests/node_commands.rs
@@ -8,7 +8,7 @@
 use tokio::process::Command;
 use volo_http::server::route::{Router, get, post};
 
-const CELLS: &str = r#"{"node":{"vm":"10.0.0.1:7400","incarnation":3},"cells":[{"service":"catalogue","index":0,"term":7,"coordinator":{"vm":"10.0.0.2:7400","incarnation":1},"is_coordinator":false,"witnesses":[{"vm":"10.0.0.1:7400","incarnation":3},{"vm":"10.0.0.3:7400","incarnation":2}],"slices":256,"held_slices":64,"lease_remaining_ms":480}]}"#;
+const CELLS: &str = r#"{"node":{"vm":"10.0.0.1:7400","incarnation":3},"cells":[{"service":"catalogue","index":0,"term":7,"coordinator":{"vm":"10.0.0.2:7400","incarnation":1},"is_coordinator":false,"witnesses":[{"vm":"10.0.0.1:7400","incarnation":3},{"vm":"10.0.0.3:7400","incarnation":2}],"slices":256,"held_slices":64,"lease_remaining_ms":480},{"service":"booking","index":0,"term":1,"coordinator":{"vm":"10.0.0.1:7400","incarnation":3},"is_coordinator":true,"witnesses":[],"slices":0,"held_slices":0,"lease_remaining_ms":0}]}"#;
 const OWNER: &str = r#"{"service":"catalogue","key":"a b&c","hash":"00000000000000ff","epoch":5,"slice":["0000000000000000","0fffffffffffffff"],"owner":"10.0.0.1:7400","term":7,"coordinator":"10.0.0.2:7400"}"#;
 const NO_OWNER: &str = r#"{"service":"catalogue","key":"lost","hash":"00000000000000ff","epoch":6,"slice":null,"owner":null,"term":7,"coordinator":null}"#;
 const TARGETS: &str = r#"{"local":{"vm":"10.0.0.1:7400","target":{"service":"catalogue","address":"10.0.0.1:8080","slots":20,"connections":120,"checks_grants":true},"draining":false,"held_slices":64},"members":[{"vm":"10.0.0.1:7400","incarnation":3,"slots":20,"draining":false,"slices":64},{"vm":"10.0.0.2:7400","incarnation":1,"slots":20,"draining":true,"slices":0}]}"#;
@@ -66,14 +66,21 @@
     check(
         &["cells"],
         &expect![[r#"
-        exit 0
-        catalogue, cell 0
-          term         7
-          coordinator  10.0.0.2:7400#1
-          witnesses    10.0.0.1:7400#3, 10.0.0.3:7400#2
-          slices       256
-          this node    10.0.0.1:7400#3, holds 64 slices, lease ends in 480 ms
-    "#]],
+            exit 0
+            catalogue, cell 0
+              term         7
+              coordinator  10.0.0.2:7400#1
+              witnesses    10.0.0.1:7400#3, 10.0.0.3:7400#2
+              slices       256
+              this node    10.0.0.1:7400#3, holds 64 slices, lease ends in 480 ms
+
+            booking, cell 0
+              term         1
+              coordinator  10.0.0.1:7400#3, the node that answers
+              witnesses    none, the cell runs on the store alone
+              slices       0
+              this node    10.0.0.1:7400#3, holds 0 slices, lease ends in 0 ms
+        "#]],
     )
     .await;
 }
