--- a/crates/galenastream_standin/examples/demo.rs
+++ b/crates/galenastream_standin/examples/demo.rs
@@ -4,7 +4,6 @@
 //! Run it by `tools/demo.sh`, which also builds the programs that it starts.
 
 use std::{
-    net::SocketAddr,
     path::Path,
     process::{Command, ExitCode},
     time::{Duration, Instant},
@@ -19,7 +18,10 @@
 
 const SERVICE: &str = "catalogue";
 const PLACES: [&str; 3] = ["port-louis-1", "port-louis-2", "port-louis-3"];
-const KEYS: [&str; 6] = ["frame-1", "frame-2", "frame-3", "frame-4", "frame-5", "frame-6"];
+const KEYS: [&str; 9] = [
+    "frame-1", "frame-2", "frame-3", "frame-4", "frame-5", "frame-6", "frame-7", "frame-8",
+    "frame-9",
+];
 
 /// How long the deployment may take to be ready.
 const START_LIMIT: Duration = Duration::from_secs(20);
@@ -97,16 +99,24 @@
             println!("  {} in its place at {} is ready", vm.name, vm.vm_address);
         }
         let demo = Self { caller, vms, programs, _platform: platform };
-        for key in KEYS {
-            let request = read(key);
-            let name = format!("{key} to be served");
-            let entry = demo.vms[0].caller_address;
-            wait_until(&name, START_LIMIT, async || demo.is_answered(entry, &request).await)
-                .await?;
-        }
+        wait_until("the slices to be spread over the targets", START_LIMIT, async || {
+            demo.is_balanced().await
+        })
+        .await?;
+        println!("  the slices are spread over the targets");
         Ok(demo)
     }
 
+    async fn is_balanced(&self) -> bool {
+        let mut held = Vec::new();
+        for vm in &self.vms {
+            held.push(vm.held_slices(&self.caller).await);
+        }
+        let least = held.iter().min().copied().unwrap_or_default();
+        let most = held.iter().max().copied().unwrap_or_default();
+        least > 0 && most - least <= 1
+    }
+
     async fn show_reads(&self) -> anyhow::Result<()> {
         step("Read each key through every node: one target answers, wherever the request enters");
         for key in KEYS {
@@ -191,13 +201,6 @@
         bail!("{key} was not served again within {GIVE_UP_LIMIT:?}")
     }
 
-    async fn is_answered(&self, entry: SocketAddr, request: &CallerRequest) -> bool {
-        match self.caller.call(entry, request).await {
-            Ok(answer) => answer.outcome() == "ran",
-            Err(_) => false,
-        }
-    }
-
     async fn ticket(&self, entry: &Vm, key: &str) -> anyhow::Result<String> {
         let path = format!("/{SERVICE}/galenastream/ticket");
         let request = CallerRequest::new(Method::POST, path).with_key(key);
--- a/crates/galenastream_standin/src/deployment/vm.rs
+++ b/crates/galenastream_standin/src/deployment/vm.rs
@@ -148,6 +148,16 @@
         })
     }
 
+    /// How many slices the node holds; none if it does not answer.
+    pub async fn held_slices(&self, caller: &Caller) -> usize {
+        let request = CallerRequest::new(Method::GET, "/admin/targets");
+        let Ok(answer) = caller.call(self.admin_address, &request).await else {
+            return 0;
+        };
+        let held = answer.json()["local"]["held_slices"].as_u64().unwrap_or_default();
+        usize::try_from(held).unwrap_or_default()
+    }
+
     /// Whether the node says that it is ready.
     pub async fn is_ready(&self, caller: &Caller) -> bool {
         let request = CallerRequest::new(Method::GET, "/health/ready");
