Node: a stopped node names the new owner instead of refusing

Cause: a node in the last phase of its stop refused every request as draining, with a time to come back, which the entry node passed on although the key had a new owner. Seen by tests/drain.rs::a_node_stops_gracefully. Now only a slice that nobody took over is refused.

--- a/crates/galenastream_node/src/request/owner.rs
+++ b/crates/galenastream_node/src/request/owner.rs
@@ -26,9 +26,6 @@
     if ServiceId(forward.service) != node.bootstrap.service_id() {
         return Reply::not_run(NotRunReason::NotOwner);
     }
-    if node.shutdown.phase() == StopPhase::Finishing {
-        return refuse(node, &forward, NotRunReason::Draining);
-    }
     let settings = node.settings.current();
     let service = settings.service_or_root(node.bootstrap.service_id());
     if !service.divided_by_key {
@@ -36,6 +33,10 @@
     }
     let hash = KeyHash::of(&forward.key);
     match node.serving.enter(hash) {
+        // Nobody took the slice over while the node was draining.
+        Ok(_) if node.shutdown.phase() == StopPhase::Finishing => {
+            Reply::not_run(NotRunReason::Draining)
+        }
         Ok(in_progress) => run_divided(node, &forward, deadline, in_progress).await,
         Err(refusal) => not_serving(node, hash, refusal),
     }
@@ -98,7 +99,8 @@
 
 async fn run_undivided(node: &Arc<Node>, forward: &Forward, deadline: Deadline) -> Reply {
     if node.target.is_draining() {
-        return refuse(node, forward, NotRunReason::Draining);
+        // Another member takes it at once, so nobody needs to come back later.
+        return Reply::not_run(NotRunReason::Draining);
     }
     hand_over(node, forward, deadline, None, None).await
 }
