Node: a draining coordinator stays until the new owners hold their leases

Cause: the coordinator stopped once its own slices were released, before it had granted them to their new owners, which then waited for the next coordinator. Seen by tests/drain.rs::the_coordinator_stops_gracefully (1 failed read of some thousand). It now stays until its row names no slice of its own and one lease has passed. Rarer failures of the same test remain to be explained.

--- a/crates/galenastream_node/src/process/shutdown.rs
+++ b/crates/galenastream_node/src/process/shutdown.rs
@@ -90,8 +90,27 @@
     log::info!(event = "stopped"; "nothing is in progress");
 }
 
+/// Waits until the slices have new owners, and these have had the time to obtain their leases,
+/// for which they need this node if it is the coordinator.
 async fn wait_until_released(node: &Node) {
-    while !node.serving.current().held().slices.is_empty() {
+    while holds_slices(node) || owns_slices_as_coordinator(node) {
         sleep(CHECK_INTERVAL).await;
     }
+    let settings = node.settings.current();
+    let lease_ms = settings.service_or_root(node.bootstrap.service_id()).lease_ms;
+    sleep(milliseconds(lease_ms)).await;
+}
+
+fn holds_slices(node: &Node) -> bool {
+    !node.serving.current().held().slices.is_empty()
+}
+
+fn owns_slices_as_coordinator(node: &Node) -> bool {
+    let view = node.view.load();
+    let own = Some(node.vm());
+    if view.coordinator.map(|it| it.vm) != own {
+        return false;
+    }
+    let slices = view.row.iter().flat_map(|row| &row.slices);
+    slices.into_iter().any(|slice| slice.owner.map(|it| it.vm) == own)
 }
