--- a/crates/galenastream_ctl/src/process/command_line.rs
+++ b/crates/galenastream_ctl/src/process/command_line.rs
@@ -1,6 +1,6 @@
 //! The arguments.
 
-use std::net::SocketAddr;
+use std::net::{SocketAddr, SocketAddrV4};
 
 use clap::{Arg, ArgAction, Command, builder::PossibleValuesParser, value_parser};
 
@@ -62,7 +62,8 @@
         .subcommand(
             with_platform(Command::new("diff"))
                 .about("Shows what applying a file would change, and whether it would be refused")
-                .arg(file()),
+                .arg(file())
+                .arg(stopped()),
         )
         .subcommand(
             with_platform(Command::new("apply"))
@@ -70,12 +71,14 @@
                 .long_about(
                     "Makes a file the next version, or changes nothing.\n\n\
                      The file is checked first. An entry of the version in force that is missing \
-                     from the file is an error unless the file's `removed` list names it. The \
+                     from the file is an error unless the file's `removed` list names it, and so \
+                     is a change of leases and the like while the service runs. The \
                      write succeeds only if no other operator applied a version since the version \
                      in force was read; otherwise the command ends with code 3 and names both \
                      versions.",
                 )
                 .arg(file())
+                .arg(stopped())
                 .arg(
                     Arg::new("expect")
                         .long("expect")
@@ -125,16 +128,22 @@
 }
 
 fn targets() -> Command {
-    with_node(Command::new("targets")).about("Lists the targets that a node knows, with their load")
+    with_node(Command::new("targets"))
+        .about("Lists the targets that a node knows: slots, slices, and whether they drain")
 }
 
 fn drain() -> Command {
     with_node(Command::new("drain"))
         .about("Takes a target out of service: hands its keys over, then gives it no new work")
+        .long_about(
+            "Takes a target out of service: hands its keys over, then gives it no new work. What \
+             is in progress is finished.\n\n--node must be the node beside the target.",
+        )
         .arg(
             Arg::new("target")
                 .value_name("TARGET")
                 .required(true)
+                .value_parser(value_parser!(SocketAddrV4))
                 .help("The address of the target's VM, as `targets` prints it"),
         )
 }
@@ -142,11 +151,17 @@
 fn move_key() -> Command {
     with_node(Command::new("move"))
         .about("Moves the slice of a key to another target, as a planned handoff")
+        .long_about(
+            "Moves the slice of a key to another target, as a planned handoff: the old owner \
+             finishes what is in progress, then the new one takes over.\n\n\
+             --node must be the coordinator of the cell, which `galenastreamctl cells` names.",
+        )
         .arg(Arg::new("key").value_name("KEY").required(true).help("The key"))
         .arg(
             Arg::new("to")
                 .value_name("TO")
                 .required(true)
+                .value_parser(value_parser!(SocketAddrV4))
                 .help("The address of the new owner's VM, as `targets` prints it"),
         )
         .arg(service())
@@ -161,6 +176,7 @@
             with_node(Command::new("takeover"))
                 .about("Makes a node the coordinator of its cell although too few witnesses answer")
                 .long_about(TAKEOVER)
+                .arg(service())
                 .arg(
                     Arg::new("yes")
                         .long("yes")
@@ -183,6 +199,14 @@
     Arg::new("file").value_name("FILE").required(true).help("A tree of settings in TOML")
 }
 
+fn stopped() -> Arg {
+    Arg::new("stopped")
+        .long("stopped")
+        .value_name("SERVICE")
+        .action(ArgAction::Append)
+        .help("Every node of this service is stopped: its leases and the like may change")
+}
+
 fn service() -> Arg {
     Arg::new("service")
         .long("service")
--- a/crates/galenastream_ctl/src/process/ctl_error.rs
+++ b/crates/galenastream_ctl/src/process/ctl_error.rs
@@ -1,6 +1,6 @@
 //! Why a command failed.
 
-use std::path::PathBuf;
+use std::{net::SocketAddrV4, path::PathBuf};
 
 use galenastream_ownership::SettingsVersion;
 use galenastream_platform::{GetError, PublishError};
@@ -132,8 +132,22 @@
         /// What is wrong.
         reason: String,
     },
+    /// A drain was sent to a node that stands beside another target.
+    #[error(
+        "node {node} stands beside target {beside}, not {target}\n  remedy: give the admin address of the node beside {target} as --node"
+    )]
+    WrongNode {
+        /// The node's admin address.
+        node: String,
+        /// The VM that the node stands in.
+        beside: SocketAddrV4,
+        /// The VM that was to be drained.
+        target: SocketAddrV4,
+    },
     /// A dangerous command without its confirmation.
-    #[error("{explanation}\n  remedy: repeat the command with --yes if this is what you want")]
+    #[error(
+        "nothing was done: the command needs a confirmation\n\n{explanation}\n  remedy: repeat the command with --yes if this is what you want"
+    )]
     NotConfirmed {
         /// What the command would do.
         explanation: &'static str,
@@ -164,6 +178,7 @@
             | Self::UnknownName { .. }
             | Self::NodeRefused { .. }
             | Self::NodeAnswer { .. }
+            | Self::WrongNode { .. }
             | Self::NotConfirmed { .. }
             | Self::Runtime { .. } => ExitStatus::Refused,
         }
--- a/crates/galenastream_ctl/src/request/settings_explain.rs
+++ b/crates/galenastream_ctl/src/request/settings_explain.rs
@@ -2,17 +2,14 @@
 
 use clap::ArgMatches;
 use galenastream_ownership::{PlaceId, ServiceId};
-use galenastream_settings::{ExplainedField, SettingsTree};
+use galenastream_settings::{ExplainedField, SettingsTree, suggest};
 use serde::Serialize;
 
 use crate::{
     CtlError, OutputFormat,
-    request::{platform, settings_file::SettingsFile},
+    request::{argument, platform, settings_file::SettingsFile},
 };
 
-/// Names that are less similar than this are not suggested.
-const MIN_SIMILARITY: f64 = 0.75;
-
 #[derive(Serialize)]
 struct ExplainResult {
     service: String,
@@ -23,7 +20,7 @@
 
 pub(crate) async fn run(matches: &ArgMatches, output: OutputFormat) -> Result<(), CtlError> {
     let tree = read_tree(matches).await?;
-    let service = matches.get_one::<String>("service").expect("clap requires the service");
+    let service = argument(matches, "service");
     let place = matches.get_one::<String>("place");
     let key = matches.get_one::<String>("key");
     check_service(&tree, service)?;
@@ -36,7 +33,7 @@
         key.map(String::as_bytes),
     );
     let result = ExplainResult {
-        service: service.clone(),
+        service: service.to_owned(),
         place: place.cloned(),
         key: key.cloned(),
         fields: fields.unwrap_or_default(),
@@ -67,15 +64,10 @@
     if known.contains(&name) {
         return Ok(());
     }
-    let mut similar: Vec<&str> = known.to_vec();
-    similar.retain(|candidate| strsim::jaro_winkler(name, candidate) >= MIN_SIMILARITY);
-    let nearest = similar
-        .into_iter()
-        .max_by(|a, b| strsim::jaro_winkler(name, a).total_cmp(&strsim::jaro_winkler(name, b)));
     Err(CtlError::UnknownName {
         what,
         name: name.to_owned(),
-        suggestion: nearest.map(str::to_owned),
+        suggestion: suggest(name, known.iter().copied()).map(str::to_owned),
         known: known.iter().map(|&name| name.to_owned()).collect(),
     })
 }
