A coordinator without a quorum of promises leaves the witnesses alone for a while

It now stops asking for two promise durations after two without entitlement. Ruled out: an unsafe end of the joint phase.

--- a/crates/galenastream_ownership/src/process/coordinator/cell_coordinator.rs
+++ b/crates/galenastream_ownership/src/process/coordinator/cell_coordinator.rs
@@ -16,6 +16,9 @@
 /// Interval between two looks at the balance of the cell.
 const PLAN_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Interval between two looks while this node may not grant.
+const IDLE_INTERVAL: Duration = Duration::from_millis(50);
+
 /// The coordinator of a cell: answers beats, notices losses, moves slices, and writes the row.
 #[derive(Debug)]
 pub(crate) struct CellCoordinator {
@@ -493,7 +496,7 @@
     }
 
     fn plan_wakeup(&mut self, now: BootInstant, judged: &LostOwners) {
-        let mut wakeup = self.plan_at;
+        let mut wakeup = if self.plan_at > now { self.plan_at } else { now + IDLE_INTERVAL };
         let by_store = self.entitlement.is_by_store();
         let times =
             [self.entitlement.next_wakeup(), judged.next_at, by_store.then_some(self.renew_at)];
@@ -503,6 +506,6 @@
                 wakeup = wakeup.min(at);
             }
         }
-        self.wakeup = Some(wakeup.max(now + Duration::from_millis(1)));
+        self.wakeup = Some(wakeup);
     }
 }
--- a/crates/galenastream_ownership/src/process/coordinator/entitlement.rs
+++ b/crates/galenastream_ownership/src/process/coordinator/entitlement.rs
@@ -25,8 +25,14 @@
     /// Whether a write that starts another term may already stand in the row.
     term_is_leaving: bool,
     promises: PromiseBook,
+    /// When promises last entitled this coordinator, or it began to try anew.
+    tries_since: BootInstant,
 }
 
+/// Promise durations without entitlement after which a coordinator stops asking for as long, so
+/// that the witnesses may replace it although some of them can still hear it.
+const TRY_PROMISES: u32 = 2;
+
 impl Entitlement {
     pub(crate) fn new(
         context: Context,
@@ -45,6 +51,7 @@
             proposed_is_sent: false,
             term_is_leaving: false,
             promises: PromiseBook::new(context, term, PromiseRole::Coordinator, now),
+            tries_since: now,
         }
     }
 
@@ -152,12 +159,23 @@
     pub(crate) fn advance(&mut self, now: BootInstant, out: &mut Outbox) {
         self.end_change();
         let witnesses = self.asked_witnesses();
-        if witnesses.is_empty() {
+        if witnesses.is_empty() || self.pauses(now) {
             return;
         }
         self.promises.advance(now, &witnesses, self.committed.generation, out);
     }
 
+    /// Whether the witnesses are left alone, since too few of them promise.
+    fn pauses(&mut self, now: BootInstant) -> bool {
+        let limit = ms(self.context.timing.promise_ms) * TRY_PROMISES;
+        let tried = now.saturating_since(self.tries_since);
+        if now < self.until() || tried > limit * 2 {
+            self.tries_since = now;
+            return false;
+        }
+        tried > limit
+    }
+
     pub(crate) fn next_wakeup(&self) -> Option<BootInstant> {
         let asks = !self.committed.witnesses.is_empty() || self.proposed.is_some();
         asks.then(|| self.promises.next_ask_at())
