--- /dev/null
+++ b/crates/galenastream_settings/src/field/field_set.rs
@@ -0,0 +1,42 @@
+//! The fields that one level sets.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::FieldId;
+
+/// A value that a level sets, with the line that sets it.
+#[derive(Debug, Clone, PartialEq)]
+pub(crate) struct SetField {
+    pub(crate) value: toml::Value,
+    pub(crate) line: usize,
+}
+
+/// The fields that one level sets.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub(crate) struct FieldSet {
+    fields: BTreeMap<FieldId, SetField>,
+    /// Fields whose values were refused, so that checks between fields skip them.
+    refused: BTreeSet<FieldId>,
+}
+
+impl FieldSet {
+    pub(crate) fn insert(&mut self, field: FieldId, value: toml::Value, line: usize) {
+        self.fields.insert(field, SetField { value, line });
+    }
+
+    pub(crate) fn insert_refused(&mut self, field: FieldId) {
+        self.refused.insert(field);
+    }
+
+    pub(crate) fn is_refused(&self, field: FieldId) -> bool {
+        self.refused.contains(&field)
+    }
+
+    pub(crate) fn get(&self, field: FieldId) -> Option<&SetField> {
+        self.fields.get(&field)
+    }
+
+    pub(crate) fn iter(&self) -> impl Iterator<Item = (FieldId, &SetField)> {
+        self.fields.iter().map(|(&field, set)| (field, set))
+    }
+}
--- a/crates/galenastream_standin/src/lib.rs
+++ b/crates/galenastream_standin/src/lib.rs
@@ -1,1 +1,17 @@
 //! Small stand-ins of the platform and of a target, and a load tool. For tests and trials only.
+
+mod caller;
+mod deployment;
+mod load;
+mod platform;
+mod server;
+mod target;
+mod verdict;
+
+pub use caller::*;
+pub use deployment::*;
+pub use load::*;
+pub use platform::*;
+pub use server::*;
+pub use target::*;
+pub use verdict::*;
