--- a/crates/galenastream_ownership/src/event.rs
+++ b/crates/galenastream_ownership/src/event.rs
@@ -1,8 +1,8 @@
 //! What a node's control thread is told, and what it wants done.
 
 use crate::{
-    CellId, CellRow, ControlMessage, Incarnation, KeyHash, Member, RowVersion, SettingsVersion,
-    SliceEpoch, SliceLoad, Term, VmId, WriteId,
+    CellId, CellRow, ControlMessage, Incarnation, KeyHash, Member, PlannerWeights, RowVersion,
+    SettingsVersion, SliceEpoch, SliceLoad, Term, VmId, WriteId,
 };
 
 /// Something that happened. Handled by [`OwnershipNode::handle`](crate::OwnershipNode::handle).
@@ -46,6 +46,8 @@
         /// The highest version seen anywhere.
         highest: SettingsVersion,
     },
+    /// The settings give other weights to the planner. Sent after the start and on each change.
+    WeightsChanged(PlannerWeights),
     /// An operator orders this node to become the coordinator without seals.
     Takeover {
         /// The cell.
--- a/crates/galenastream_ownership/src/process/coordinator/cell_coordinator.rs
+++ b/crates/galenastream_ownership/src/process/coordinator/cell_coordinator.rs
@@ -4,19 +4,15 @@
 
 use crate::{
     Beat, BeatRefusal, BeatRefusalReason, BootInstant, CellRow, ControlMessage, FastSet, Grant,
-    KeyHash, LiveMember, Member, Nudge, OwnershipEvent, PlantedFault, Promise, SealOutcome,
-    SealReply, SettingsVersion, SliceEpoch, StoredRow, Term, VmId,
+    KeyHash, LiveMember, Member, Nudge, OwnershipEvent, PlannerWeights, PlantedFault, Promise,
+    SealOutcome, SealReply, SettingsVersion, StoredRow, Term, VmId,
     process::{
-        Context, Entitlement, GrantBook, Handoffs, Losses, LostOwners, Members, NextRow, Office,
-        Outbox, PendingWrite, PlannedChange, Planner, PlannerWeights, RowBuilder, StoreWriter,
-        WitnessChoice, ms,
+        Context, Entitlement, GrantBook, Losses, LostOwners, Members, Moves, NextRow, Office,
+        Outbox, PendingWrite, RowBuilder, StoreWriter, Succession, WitnessChoice, ms,
     },
 };
 
-/// Interval between two looks at the balance of the cell.
-const PLAN_INTERVAL: Duration = Duration::from_secs(1);
-
-/// Interval between two looks while this node may not grant.
+/// Interval between two looks while there is nothing to do or no right to do it.
 const IDLE_INTERVAL: Duration = Duration::from_millis(50);
 
 /// The coordinator of a cell: answers beats, notices losses, moves slices, and writes the row.
@@ -28,45 +24,52 @@
     entitlement: Entitlement,
     members: Members,
     losses: Losses,
-    handoffs: Handoffs,
+    moves: Moves,
     grants: GrantBook,
-    planner: Planner,
-    cuts: Vec<PlannedChange>,
-    plan_at: BootInstant,
+    /// Owners that the pending write takes for lost.
+    losses_in_flight: Vec<Member>,
     /// Whether the row may have to change for another reason than time.
     is_dirty: bool,
     renew_at: BootInstant,
-    wakeup: Option<BootInstant>,
+    wakeup: BootInstant,
+}
+
+/// What a coordinator starts with.
+#[derive(Debug)]
+pub(crate) struct Inauguration {
+    /// The row that names it.
+    pub(crate) stored: StoredRow,
+    /// When its write was sent, if this node wrote it.
+    pub(crate) written_at: Option<BootInstant>,
+    pub(crate) office: Office,
+    /// Members that beat here before.
+    pub(crate) heard: Members,
+    pub(crate) weights: PlannerWeights,
 }
 
 impl CellCoordinator {
-    /// Takes office with the row that was committed; `written_at` if this node wrote it.
-    pub(crate) fn new(
-        context: Context,
-        now: BootInstant,
-        stored: StoredRow,
-        written_at: Option<BootInstant>,
-        office: Office,
-        heard: Members,
-    ) -> Self {
-        let witnesses = stored.row.witnesses.clone();
+    pub(crate) fn new(context: Context, now: BootInstant, start: Inauguration) -> Self {
+        let Inauguration { stored, written_at, office, heard, weights } = start;
+        let (term, witnesses) = (stored.row.term, stored.row.witnesses.clone());
+        let is_new_cell = term == Term(1);
         let mut coordinator = Self {
             context,
             owners: Vec::new(),
-            entitlement: Entitlement::new(context, now, stored.row.term, witnesses, written_at),
+            entitlement: Entitlement::new(context, now, term, witnesses, written_at),
             members: heard,
             losses: Losses::new(context, office),
-            handoffs: Handoffs::default(),
+            moves: Moves::new(now, weights, is_new_cell),
             grants: GrantBook::new(context),
-            planner: Planner::new(PlannerWeights, now),
-            cuts: Vec::new(),
-            plan_at: now + PLAN_INTERVAL,
+            losses_in_flight: Vec::new(),
             is_dirty: true,
             renew_at: now,
-            wakeup: Some(now),
+            wakeup: now,
             stored,
         };
-        coordinator.row_changed(written_at.unwrap_or(now));
+        coordinator.row_changed();
+        if let Some(written_at) = written_at {
+            coordinator.plan_renewal(written_at);
+        }
         coordinator
     }
 
@@ -79,7 +82,7 @@
         self.entitlement.until()
     }
 
-    pub(crate) fn next_wakeup(&self) -> Option<BootInstant> {
+    pub(crate) fn next_wakeup(&self) -> BootInstant {
         self.wakeup
     }
 
@@ -88,23 +91,26 @@
         self.members.live(now).into_iter().map(|it| it.to_live_member()).collect()
     }
 
+    pub(crate) fn set_weights(&mut self, now: BootInstant, weights: PlannerWeights) {
+        self.moves.set_weights(now, weights);
+    }
+
     /// Asks the owners of slices and the witnesses to beat now.
     pub(crate) fn nudge_all(&self, out: &mut Outbox) {
         let witnesses = self.entitlement.committed().witnesses.iter().map(|it| it.member);
-        let mut vms: Vec<_> =
-            self.owners.iter().copied().chain(witnesses).map(|it| it.vm).collect();
+        self.nudge(self.owners.iter().copied().chain(witnesses), out);
+    }
+
+    fn nudge(&self, members: impl Iterator<Item = Member>, out: &mut Outbox) {
+        let mut vms: Vec<VmId> = members.map(|it| it.vm).collect();
         vms.sort_unstable();
         vms.dedup();
+        let nudge = Nudge { cell: self.context.cell, term: self.term() };
         for vm in vms {
-            self.nudge(vm, out);
+            out.send(vm, ControlMessage::Nudge(nudge));
         }
     }
 
-    fn nudge(&self, vm: VmId, out: &mut Outbox) {
-        let nudge = Nudge { cell: self.context.cell, term: self.term() };
-        out.send(vm, ControlMessage::Nudge(nudge));
-    }
-
     /// Handles a beat: answers it if this node is entitled to.
     pub(crate) fn handle_beat(
         &mut self,
@@ -114,42 +120,42 @@
         settings: SettingsVersion,
         out: &mut Outbox,
     ) {
-        let latest = self.members.latest(beat.from.vm);
-        if let Some(known) = latest.filter(|it| *it > beat.from.incarnation)
-            && !self.context.planted(PlantedFault::NoIncarnationCheck)
-        {
-            let reason = BeatRefusalReason::OldIncarnation { known };
-            let refusal = BeatRefusal { cell: beat.cell, sequence: beat.sequence, reason };
-            return out.send(beat.from.vm, ControlMessage::BeatRefusal(refusal));
+        if self.refuse_old_incarnation(beat, out) {
+            return;
         }
-        let before = self.members.get(beat.from).map(|it| it.is_eligible(&self.context, now));
+        let before = self.standing(now, beat.from);
         if !self.members.record(now, beat) {
             return;
         }
-        let after = self.members.get(beat.from).map(|it| it.is_eligible(&self.context, now));
-        self.is_dirty |= before != after || beat.draining;
-        self.planner.record(now, &beat.loads);
-        self.take_released(beat);
+        self.is_dirty |= before != self.standing(now, beat.from);
+        self.moves.record_loads(now, &beat.loads);
+        if self.moves.release(&self.stored.row, beat.from, &beat.released) {
+            self.is_dirty = true;
+            self.grants.invalidate();
+        }
         if self.may_answer(now, beat, pending) {
             self.answer(now, beat, settings, out);
         }
-        self.wakeup = Some(now);
     }
 
-    fn take_released(&mut self, beat: &Beat) {
-        if beat.released.is_empty() {
-            return;
-        }
-        for id in &beat.released {
-            let is_current =
-                self.stored.row.slices.iter().any(|it| {
-                    it.id == id.slice && it.epoch == id.epoch && it.owner == Some(beat.from)
-                });
-            if is_current && self.handoffs.release(*id) {
-                self.is_dirty = true;
-                self.grants.invalidate();
-            }
+    fn refuse_old_incarnation(&self, beat: &Beat, out: &mut Outbox) -> bool {
+        let latest = self.members.latest(beat.from.vm);
+        let Some(known) = latest.filter(|it| *it > beat.from.incarnation) else {
+            return false;
+        };
+        if self.context.planted(PlantedFault::NoIncarnationCheck) {
+            return false;
         }
+        let reason = BeatRefusalReason::OldIncarnation { known };
+        let refusal = BeatRefusal { cell: beat.cell, sequence: beat.sequence, reason };
+        out.send(beat.from.vm, ControlMessage::BeatRefusal(refusal));
+        true
+    }
+
+    /// What the row depends on: whether slices may be assigned to it, and whether it checks grants.
+    fn standing(&self, now: BootInstant, member: Member) -> Option<(bool, bool)> {
+        let record = self.members.get(member)?;
+        Some((record.is_eligible(&self.context, now), record.checks_grants))
     }
 
     fn may_answer(&self, now: BootInstant, beat: &Beat, pending: Option<&PendingWrite>) -> bool {
@@ -177,8 +183,8 @@
             return;
         };
         let row = &self.stored.row;
-        let set = &mut record.set;
-        let set = self.grants.grant(set, beat.from, row, &self.handoffs, beat.holding);
+        let handoffs = self.moves.handoffs();
+        let set = self.grants.grant(&mut record.set, beat.from, row, handoffs, beat.holding);
         let knows_witnesses = beat.witness_generation >= row.witnesses.generation;
         let grant = Grant {
             cell: beat.cell,
@@ -208,17 +214,14 @@
 
     /// Handles a promise. Returns whether it was asked for.
     pub(crate) fn handle_promise(&mut self, now: BootInstant, promise: &Promise) -> bool {
-        let is_asked = self.entitlement.promises().handle_promise(now, promise);
-        self.wakeup = Some(now);
-        is_asked
+        self.entitlement.promises().handle_promise(now, promise)
     }
 
     /// Handles a witness's refusal to promise. Returns whether it was asked.
-    pub(crate) fn handle_seal_reply(&mut self, now: BootInstant, reply: &SealReply) -> bool {
+    pub(crate) fn handle_seal_reply(&mut self, reply: &SealReply) -> bool {
         if !matches!(reply.outcome, SealOutcome::Sealed { .. }) || reply.term != self.term() {
             return false;
         }
-        self.wakeup = Some(now);
         self.entitlement.promises().handle_seal(reply.sequence, reply.from)
     }
 
@@ -230,15 +233,10 @@
         to: VmId,
         out: &mut Outbox,
     ) {
-        let Some(slice) = self.stored.row.slice_at(hash) else {
-            return;
-        };
-        let eligible = self.members.eligible(now);
-        let Some(to) = eligible.iter().find(|it| it.member.vm == to).map(|it| it.member) else {
-            return;
-        };
-        let id = SliceEpoch { slice: slice.id, epoch: slice.epoch };
-        self.plan_move(id, Some(to), out);
+        if let Some(owner) = self.moves.order(now, &self.stored.row, &self.members, hash, to) {
+            self.grants.invalidate();
+            self.nudge([owner].into_iter(), out);
+        }
     }
 
     /// Does what is due: asks witnesses, plans moves, and writes the row.
@@ -251,10 +249,10 @@
     ) {
         self.entitlement.advance(now, out);
         let may_assign = now >= self.losses.office().quiet_until;
-        let judged = self.losses.judge(now, &self.members, &self.stored.row, &self.owners);
         if may_assign && self.entitlement.is_live(now) {
             self.plan(now, out);
         }
+        let judged = self.losses.judge(now, &self.members, &self.stored.row, &self.owners);
         if writer.is_idle(now) {
             self.choose_witnesses(now);
             self.write(now, draining, may_assign, &judged, writer, out);
@@ -263,50 +261,15 @@
     }
 
     fn plan(&mut self, now: BootInstant, out: &mut Outbox) {
-        self.plan_departures(now, out);
-        if now < self.plan_at {
-            return;
+        if now >= self.moves.plan_at() {
+            self.members.forget(now, |it| self.owners.contains(&it));
         }
-        self.plan_at = now + PLAN_INTERVAL;
-        self.members.forget(now, |it| self.owners.contains(&it));
-        if self.handoffs.is_busy() {
-            return;
+        let concerned = self.moves.advance(now, &self.stored.row, &self.owners, &self.members);
+        if !concerned.is_empty() {
+            self.grants.invalidate();
+            self.nudge(concerned.into_iter(), out);
         }
-        let members = self.live_members(now);
-        for change in self.planner.plan(now, &self.stored.row, &members) {
-            match change {
-                PlannedChange::Move { id, to } => self.plan_move(id, Some(to), out),
-                cut => self.cuts.push(cut),
-            }
-        }
-        self.is_dirty |= !self.cuts.is_empty();
-    }
-
-    /// Moves the slices of members that are leaving.
-    fn plan_departures(&mut self, now: BootInstant, out: &mut Outbox) {
-        let leaving = |it: &Member| self.members.get(*it).is_some_and(|it| it.draining);
-        let leaving: Vec<_> = self.owners.iter().copied().filter(leaving).collect();
-        if leaving.is_empty() || self.members.eligible(now).is_empty() {
-            return;
-        }
-        for slice in self.stored.row.slices.clone() {
-            if slice.owner.is_some_and(|it| leaving.contains(&it)) {
-                self.plan_move(SliceEpoch { slice: slice.id, epoch: slice.epoch }, None, out);
-            }
-        }
-    }
-
-    fn plan_move(&mut self, id: SliceEpoch, to: Option<Member>, out: &mut Outbox) {
-        let slices = &self.stored.row.slices;
-        let slice = slices.iter().find(|it| it.id == id.slice && it.epoch == id.epoch);
-        let Some(owner) = slice.and_then(|it| it.owner) else {
-            return;
-        };
-        if to == Some(owner) || !self.handoffs.plan(id, to) {
-            return;
-        }
-        self.grants.invalidate();
-        self.nudge(owner.vm, out);
+        self.is_dirty |= !self.moves.cuts().is_empty();
     }
 
     fn choose_witnesses(&mut self, now: BootInstant) {
@@ -340,6 +303,7 @@
         out: &mut Outbox,
     ) {
         let by_store = self.entitlement.is_by_store();
+        // An unentitled coordinator might call members lost whose leases a deputy extends.
         if !by_store && !self.entitlement.is_live(now) {
             return;
         }
@@ -353,12 +317,14 @@
             return;
         }
         let next = self.next_row(now, may_assign, judged, proposes);
-        self.is_dirty = false;
-        self.cuts.clear();
+        self.is_dirty = !may_assign;
+        self.moves.clear_cuts();
         if next.row == self.stored.row && !renews {
             return;
         }
-        self.log_losses(&next, judged, out);
+        if next.assigned > 0 {
+            self.losses_in_flight.clone_from(&judged.lost);
+        }
         self.send_row(now, next.row, writer, out);
     }
 
@@ -375,50 +341,29 @@
             term: self.term(),
             coordinator: self.context.me,
             members: &self.members,
-            handoffs: &self.handoffs,
+            handoffs: self.moves.handoffs(),
             lost: &judged.lost,
             may_assign,
-            cuts: &self.cuts,
+            cuts: self.moves.cuts(),
             witnesses: self.entitlement.proposed().filter(|_| proposes),
         };
         builder.build()
     }
 
-    fn log_losses(&self, next: &NextRow, judged: &LostOwners, out: &mut Outbox) {
-        let cell = self.context.cell;
-        if next.assigned == 0 {
-            return;
-        }
-        for member in &judged.lost {
-            out.log(OwnershipEvent::MemberLost { cell, member: *member });
-        }
-    }
-
-    /// The row that ends this term: for a successor, or with witnesses that may promise again.
     fn next_term_row(&self, now: BootInstant, draining: bool) -> Option<CellRow> {
-        let is_owner = self.owners.contains(&self.context.me);
-        if draining && !is_owner && !self.handoffs.is_busy() {
-            return self.handover_row(now);
+        let succession = Succession {
+            now,
+            me: self.context.me,
+            committed: &self.stored.row,
+            members: &self.members,
+        };
+        let has_work = self.owners.contains(&self.context.me) || self.moves.handoffs().is_busy();
+        if draining && !has_work {
+            return succession.handover();
         }
         let is_stuck = !self.entitlement.is_changing()
             && self.witness_choice().needs_new_term(now, self.entitlement.committed());
-        is_stuck.then(|| self.row_of_term(self.context.me))
-    }
-
-    fn handover_row(&self, now: BootInstant) -> Option<CellRow> {
-        let live = self.members.live(now);
-        let mut successors: Vec<_> =
-            live.into_iter().filter(|it| !it.draining && it.member != self.context.me).collect();
-        successors.sort_by_key(|it| (it.slots == 0, it.member));
-        let successor = successors.first()?.member;
-        Some(self.row_of_term(successor))
-    }
-
-    fn row_of_term(&self, coordinator: Member) -> CellRow {
-        let mut row = self.stored.row.clone();
-        row.term = Term(row.term.0 + 1);
-        row.coordinator = coordinator;
-        row
+        is_stuck.then(|| succession.renewal())
     }
 
     fn send_row(
@@ -436,7 +381,7 @@
         writer.start(now, Some(self.stored.version), row, out);
     }
 
-    /// A write of this node took effect, or a read showed a later row of this term.
+    /// A write of this node took effect.
     pub(crate) fn write_committed(
         &mut self,
         now: BootInstant,
@@ -453,59 +398,61 @@
         } else {
             self.entitlement.write_committed(now, sent_at, &row.witnesses);
         }
-        self.row_changed(sent_at);
+        self.row_changed();
+        self.plan_renewal(sent_at);
         self.is_dirty = true;
-        self.nudge_new_owners(&before.row, out);
-        self.wakeup = Some(now);
+        self.announce(&before.row, out);
     }
 
     /// The pending write is ruled out.
-    pub(crate) fn write_ended(&mut self, now: BootInstant) {
+    pub(crate) fn write_ended(&mut self) {
         self.entitlement.write_ended();
         self.grants.write_ended();
+        self.losses_in_flight.clear();
         self.is_dirty = true;
-        self.wakeup = Some(now);
     }
 
-    fn row_changed(&mut self, written_at: BootInstant) {
+    fn row_changed(&mut self) {
         let row = &self.stored.row;
         self.owners = row.slices.iter().filter_map(|it| it.owner).collect();
         self.owners.sort_unstable();
         self.owners.dedup();
-        self.handoffs.retain(row);
+        self.moves.row_changed(row);
         self.grants.write_ended();
+    }
+
+    fn plan_renewal(&mut self, written_at: BootInstant) {
         self.renew_at = written_at + ms(self.context.timing.store_term_ms) / 3;
     }
 
-    fn nudge_new_owners(&self, before: &CellRow, out: &mut Outbox) {
+    /// Lets new owners beat at once, so that they are granted what they were assigned.
+    fn announce(&mut self, before: &CellRow, out: &mut Outbox) {
+        let cell = self.context.cell;
+        for member in std::mem::take(&mut self.losses_in_flight) {
+            out.log(OwnershipEvent::MemberLost { cell, member });
+        }
         let before: FastSet<_> =
             before.slices.iter().map(|it| (it.id, it.epoch, it.owner)).collect();
-        let row = &self.stored.row;
-        let changed = row.slices.iter().filter(|it| !before.contains(&(it.id, it.epoch, it.owner)));
-        let changed: Vec<_> = changed.filter_map(|it| it.owner).collect();
-        let slices = u32::try_from(changed.len()).unwrap_or(u32::MAX);
-        let mut owners = changed;
-        owners.sort_unstable();
-        owners.dedup();
-        for owner in owners {
-            self.nudge(owner.vm, out);
-        }
-        if slices > 0 {
-            out.log(OwnershipEvent::Assigned { cell: self.context.cell, slices });
+        let is_new = |it: &&crate::Slice| !before.contains(&(it.id, it.epoch, it.owner));
+        let slices = self.stored.row.slices.iter().filter(is_new);
+        let owners: Vec<_> = slices.filter_map(|it| it.owner).collect();
+        if !owners.is_empty() {
+            let slices = u32::try_from(owners.len()).unwrap_or(u32::MAX);
+            out.log(OwnershipEvent::Assigned { cell, slices });
         }
+        self.nudge(owners.into_iter(), out);
     }
 
     fn plan_wakeup(&mut self, now: BootInstant, judged: &LostOwners) {
-        let mut wakeup = if self.plan_at > now { self.plan_at } else { now + IDLE_INTERVAL };
         let by_store = self.entitlement.is_by_store();
-        let times =
-            [self.entitlement.next_wakeup(), judged.next_at, by_store.then_some(self.renew_at)];
-        for at in times.into_iter().flatten() {
-            // What is due but cannot be done now is tried again at the next event or plan.
-            if at > now {
-                wakeup = wakeup.min(at);
-            }
-        }
-        self.wakeup = Some(wakeup);
+        let times = [
+            Some(self.moves.plan_at()),
+            self.entitlement.next_wakeup(),
+            judged.next_at,
+            by_store.then_some(self.renew_at),
+        ];
+        // What is due but cannot be done now is tried again at the next event or look.
+        let future = times.into_iter().flatten().filter(|it| *it > now);
+        self.wakeup = future.min().unwrap_or(now + IDLE_INTERVAL);
     }
 }
--- a/crates/galenastream_ownership/src/process/coordinator/mod.rs
+++ b/crates/galenastream_ownership/src/process/coordinator/mod.rs
@@ -1,6 +1,5 @@
 //! The coordinator of a cell: leases, losses, moves and the row.
 
-mod balance;
 mod cell_coordinator;
 mod entitlement;
 mod grant_book;
@@ -8,12 +7,14 @@
 mod losses;
 mod member_record;
 mod members;
+mod moves;
 mod placement;
 mod promise_book;
 mod row_builder;
+mod spread;
+mod succession;
 mod witness_choice;
 
-pub(crate) use balance::*;
 pub(crate) use cell_coordinator::*;
 pub(crate) use entitlement::*;
 pub(crate) use grant_book::*;
@@ -21,7 +22,10 @@
 pub(crate) use losses::*;
 pub(crate) use member_record::*;
 pub(crate) use members::*;
+pub(crate) use moves::*;
 pub(crate) use placement::*;
 pub(crate) use promise_book::*;
 pub(crate) use row_builder::*;
+pub(crate) use spread::*;
+pub(crate) use succession::*;
 pub(crate) use witness_choice::*;
--- a/crates/galenastream_ownership/src/process/coordinator/row_builder.rs
+++ b/crates/galenastream_ownership/src/process/coordinator/row_builder.rs
@@ -1,8 +1,9 @@
 //! Works out the next row of a cell.
 
 use crate::{
-    BootInstant, CellRow, Epoch, FastSet, Member, Slice, SliceEpoch, SliceId, Term, WitnessSet,
-    process::{Handoffs, Members, PlannedChange, Vacancy, place},
+    BootInstant, CellRow, Epoch, FastSet, Member, PlannedChange, Slice, SliceEpoch, SliceId, Term,
+    WitnessSet,
+    process::{Handoffs, Members, Vacancy, place},
 };
 
 /// Works out the next row of a cell from the committed one.
--- a/crates/galenastream_ownership/src/process/roles.rs
+++ b/crates/galenastream_ownership/src/process/roles.rs
@@ -5,10 +5,12 @@
 use crate::{
     Action, Beat, BeatRefusal, BeatRefusalReason, BootInstant, CellView, ControlMessage,
     DropReason, Event, Grant, GrantSet, HeldSlices, Incarnation, NodeConfig, Nudge, OwnershipEvent,
-    PlantedFault, Promise, SealOutcome, SealReply, StoreReply, StoreRequestId, StoredRow, VmId,
+    PlannerWeights, PlantedFault, Promise, SealOutcome, SealReply, StoreReply, StoreRequestId,
+    StoredRow, VmId,
     process::{
-        Candidacy, CellCoordinator, Context, Grounds, Knowledge, LeaseHolder, Members, Outbox,
-        Promiser, RowReader, RowWatch, SettingsWatch, StoreWriter, Takeover, WriteOutcome, ms,
+        Candidacy, CellCoordinator, Context, Grounds, Inauguration, Knowledge, LeaseHolder,
+        Members, Outbox, Promiser, RowReader, RowWatch, SettingsWatch, StoreWriter, Takeover,
+        WriteOutcome, ms,
     },
 };
 
@@ -25,6 +27,7 @@
     config: NodeConfig,
     now: BootInstant,
     knowledge: Knowledge,
+    weights: PlannerWeights,
     settings: SettingsWatch,
     holder: LeaseHolder,
     witness: Promiser,
@@ -50,6 +53,7 @@
             config: config.clone(),
             now,
             knowledge: Knowledge::default(),
+            weights: PlannerWeights::default(),
             settings: SettingsWatch::default(),
             holder: LeaseHolder::new(context, now),
             witness: Promiser::new(context),
@@ -97,7 +101,7 @@
             self.reader.next_wakeup(),
             self.writer.next_wakeup(),
             self.candidate.next_wakeup(),
-            self.coordinator.as_ref().and_then(CellCoordinator::next_wakeup),
+            self.coordinator.as_ref().map(CellCoordinator::next_wakeup),
         ];
         times.into_iter().flatten().min()
     }
@@ -116,6 +120,7 @@
             Event::LoadMeasured(loads) => self.holder.load_measured(loads),
             Event::SettingsSeen { in_force, highest } => self.settings.learn(in_force, highest),
             Event::Takeover { cell } => self.order_takeover(now, cell, out),
+            Event::WeightsChanged(weights) => self.change_weights(now, weights),
             Event::Move { hash, to, .. } => {
                 if let Some(coordinator) = &mut self.coordinator {
                     coordinator.move_slice(now, hash, to, out);
@@ -124,6 +129,16 @@
         }
     }
 
+    fn change_weights(&mut self, now: BootInstant, weights: PlannerWeights) {
+        if weights == self.weights {
+            return;
+        }
+        self.weights = weights;
+        if let Some(coordinator) = &mut self.coordinator {
+            coordinator.set_weights(now, weights);
+        }
+    }
+
     pub(crate) fn handle_message(
         &mut self,
         now: BootInstant,
@@ -216,7 +231,7 @@
             }
         }
         let coordinator = self.coordinator.as_mut();
-        let is_asked = coordinator.is_some_and(|it| it.handle_seal_reply(now, reply))
+        let is_asked = coordinator.is_some_and(|it| it.handle_seal_reply(reply))
             || self.candidate.handle_seal_reply(now, reply, out);
         if !is_asked {
             drop_message(DropReason::Unsolicited, out);
@@ -246,7 +261,7 @@
             WriteOutcome::RuledOut => {
                 self.takeover = None;
                 if let Some(coordinator) = &mut self.coordinator {
-                    coordinator.write_ended(now);
+                    coordinator.write_ended();
                 }
                 self.reader.want(now);
             }
@@ -297,8 +312,9 @@
         let office = grounds.office(&self.context, now, former);
         let term = stored.row.term;
         let heard = std::mem::replace(&mut self.heard, Members::new(self.context));
-        let coordinator =
-            CellCoordinator::new(self.context, now, stored, written_at, office, heard);
+        let weights = self.weights;
+        let start = Inauguration { stored, written_at, office, heard, weights };
+        let coordinator = CellCoordinator::new(self.context, now, start);
         coordinator.nudge_all(out);
         self.coordinator = Some(coordinator);
         self.candidate.end(out);
--- a/crates/galenastream_ownership/src/process/witness/promiser.rs
+++ b/crates/galenastream_ownership/src/process/witness/promiser.rs
@@ -64,6 +64,11 @@
         let coordinator = (request.role == PromiseRole::Coordinator).then_some(request.from);
         knowledge.learn_term(now, request.term, coordinator);
         self.enter(request.term);
+        let is_deputy = request.role == PromiseRole::Deputy;
+        if is_deputy && request.generation < self.generation {
+            let outcome = SealOutcome::Stale { term: knowledge.term, generation: self.generation };
+            return self.reply(request.from.vm, request.term, request.sequence, outcome, out);
+        }
         if !self.may_promise(request) {
             let first = self.sealed_for.len() == 1;
             let outcome = SealOutcome::Sealed { first };
