Settings: the planner's weights and the breaker's limit as the code counts them

Before, the breaker took a share of failures and the planner fractions, which nothing read. The node's breaker now takes its number of failures in a row from the settings.

--- a/crates/galenastream_node/src/process/target_breaker.rs
+++ b/crates/galenastream_node/src/process/target_breaker.rs
@@ -54,5 +54,8 @@
 }
 
 fn limits(settings: &EffectiveSettings) -> BreakerLimits {
-    BreakerLimits { open_ms: settings.breaker_open_ms, ..BreakerLimits::default() }
+    BreakerLimits {
+        failures_in_row: settings.breaker_failures_in_row,
+        open_ms: settings.breaker_open_ms,
+    }
 }
--- a/crates/galenastream_settings/src/field/field_kind.rs
+++ b/crates/galenastream_settings/src/field/field_kind.rs
@@ -14,13 +14,6 @@
         /// The highest value.
         max: i64,
     },
-    /// A number within bounds, with or without a fraction.
-    Number {
-        /// The lowest value.
-        min: f64,
-        /// The highest value.
-        max: f64,
-    },
     /// The name of a class.
     ClassName,
     /// A list of classes, each with a name and a priority.
@@ -34,7 +27,6 @@
         match self {
             Self::Bool => f.write_str("true or false"),
             Self::Integer { min, max } => write!(f, "a whole number from {min} to {max}"),
-            Self::Number { min, max } => write!(f, "a number from {min} to {max}"),
             Self::ClassName => f.write_str("the name of one of the classes"),
             Self::Classes => f.write_str(
                 "a list of 1 to 16 classes like { name = \"payment\", priority = 9 }, priority from 0 to 255",
--- a/crates/galenastream_settings/src/parse/value_reader.rs
+++ b/crates/galenastream_settings/src/parse/value_reader.rs
@@ -23,13 +23,7 @@
         (FieldKind::Integer { min, max }, DeValue::Integer(integer)) => {
             read_integer(kind, integer, min, max)
         }
-        (FieldKind::Number { min, max }, DeValue::Integer(number)) => {
-            read_number(kind, number.as_str(), min, max)
-        }
-        (FieldKind::Number { min, max }, DeValue::Float(number)) => {
-            read_number(kind, number.as_str(), min, max)
-        }
-        (FieldKind::Integer { .. } | FieldKind::Number { .. }, DeValue::String(text))
+        (FieldKind::Integer { .. }, DeValue::String(text))
             if text.starts_with(|first: char| first.is_ascii_digit()) =>
         {
             Err(SettingsErrorKind::UnitInValue { field: field.name(), kind })
@@ -76,18 +70,6 @@
     Ok(toml::Value::from(number))
 }
 
-fn read_number(
-    kind: FieldKind,
-    text: &str,
-    min: f64,
-    max: f64,
-) -> Result<toml::Value, SettingsErrorKind> {
-    match text.parse::<f64>() {
-        Ok(number) if number >= min && number <= max => Ok(toml::Value::from(number)),
-        _ => Err(SettingsErrorKind::OutOfBounds { kind }),
-    }
-}
-
 fn read_classes(value: &Spanned<DeValue<'_>>) -> Result<toml::Value, SettingsErrorKind> {
     let refused = || wrong_list(FieldKind::Classes);
     let array = to_value(value).ok_or_else(refused)?;
--- a/crates/galenastream_settings/src/version/effective.rs
+++ b/crates/galenastream_settings/src/version/effective.rs
@@ -41,10 +41,8 @@
     pub retry_budget_percent: u32,
     /// When a refused caller is told to come back, unless the node knows better.
     pub retry_after_ms: u32,
-    /// The share of failed tries at which a target is no longer tried.
-    pub breaker_failure_percent: u32,
-    /// How many tries are seen before the share of failures counts.
-    pub breaker_minimum_requests: u32,
+    /// How many tries in a row must fail before a target is no longer tried.
+    pub breaker_failures_in_row: u32,
     /// How long a target is not tried before one request probes it.
     pub breaker_open_ms: u32,
     /// How long a new target takes to reach its full share of requests. Zero gives it all at once.
@@ -65,16 +63,20 @@
     pub store_term_ms: u32,
     /// How long one request to the platform may take.
     pub store_timeout_ms: u32,
-    /// Weight of the imbalance of load in the planner's cost. Higher moves slices sooner.
-    pub planner_imbalance_weight: f64,
-    /// Weight of the time that a moving key is unavailable in the planner's cost. Higher moves slices later.
-    pub planner_unavailable_weight: f64,
-    /// The largest share of the key space that the planner moves in a minute. Zero switches its moves off.
-    pub planner_churn_budget_percent_per_minute: f64,
+    /// How much an imbalance of load matters to the planner. Higher moves slices sooner.
+    pub planner_imbalance_percent: u32,
+    /// How much the time matters that a moving key is unavailable. Higher moves slices later.
+    pub planner_unavailable_percent: u32,
+    /// The share of the key space that may change owner in a minute for the sake of balance. Zero switches such moves off.
+    pub planner_churn_budget_percent_per_minute: u32,
+    /// The share of the key space that may do so at once, after a time in which little did.
+    pub planner_churn_burst_percent: u32,
     /// How long a moved slice stays before the planner moves it again.
     pub planner_minimum_stay_ms: u32,
-    /// By how much the load of a target must lie above the mean before the planner moves its slices.
-    pub planner_hysteresis_percent: u32,
+    /// Time constant over which measured loads are smoothed.
+    pub planner_smoothing_ms: u32,
+    /// Slices per target above which cold neighbours are merged. At twice as many none is split.
+    pub planner_slices_per_member: u32,
     /// How long an owner remembers the outcome of a ticket.
     pub ticket_kept_ms: u32,
     /// How many tickets an owner remembers.
