--- /dev/null
+++ b/crates/galenastream_standin/examples/measure_traffic/path_cost.rs
@@ -0,0 +1,66 @@
+//! What the way through entry node and owner's node costs against calling the target directly.
+
+use galenastream_standin::{LoadEntry, LoadOutcome, LoadPlan, LoadSummary, run_load};
+
+use crate::setting::{KEYED, even_plan, head, line, start};
+
+const VMS: usize = 3;
+
+/// Enough slots that none is waited for.
+const SLOTS: u32 = 500;
+
+const RATES_PER_S: [f64; 3] = [500.0, 2_000.0, 4_000.0];
+const ROUNDS: usize = 3;
+
+/// The search for the highest rate starts here and grows by this factor.
+const FIRST_RATE_PER_S: f64 = 4_000.0;
+const RATE_FACTOR: f64 = 1.3;
+
+/// A rate is sustained if this share of it runs, 99 of 100 within the limit.
+const SUSTAINED_SHARE: f64 = 0.99;
+const SUSTAINED_P99_MS: f64 = 12.0;
+
+/// Measures both ways in turns, at several rates, and then the highest rate of each.
+pub async fn measure(seconds: u64) -> anyhow::Result<()> {
+    let deployment = start("path", KEYED, VMS, SLOTS, 0.0).await?;
+    let ways = [
+        ("direct", LoadEntry::Targets(deployment.targets())),
+        ("entry + owner", LoadEntry::Nodes(deployment.entries())),
+    ];
+    println!("{}", head());
+    for rate_per_s in RATES_PER_S {
+        for round in 1..=ROUNDS {
+            for (name, entry) in &ways {
+                let plan = even_plan(entry.clone(), KEYED, seconds).with_rate_per_s(rate_per_s);
+                let summary = run_load(&plan).await?;
+                println!("{}", line(&format!("{name}, round {round}"), &summary));
+            }
+        }
+    }
+    for (name, entry) in &ways {
+        let plan = even_plan(entry.clone(), KEYED, seconds);
+        let sustained_per_s = highest_rate(name, plan).await?;
+        println!("{name}: {sustained_per_s:.0} requests a second sustained");
+    }
+    deployment.close()
+}
+
+async fn highest_rate(name: &str, plan: LoadPlan) -> anyhow::Result<f64> {
+    let mut sustained_per_s = 0.0;
+    let mut rate_per_s = FIRST_RATE_PER_S;
+    loop {
+        let plan = plan.clone().with_rate_per_s(rate_per_s);
+        let summary = run_load(&plan).await?;
+        println!("{}", line(&format!("{name}, search"), &summary));
+        if !is_sustained(&summary) {
+            return Ok(sustained_per_s);
+        }
+        sustained_per_s = summary.rate_per_s(LoadOutcome::Ran);
+        rate_per_s *= RATE_FACTOR;
+    }
+}
+
+fn is_sustained(summary: &LoadSummary) -> bool {
+    let ran = summary.count(LoadOutcome::Ran) as f64;
+    ran >= SUSTAINED_SHARE * summary.total() as f64 && summary.ran_ms(99.0) <= SUSTAINED_P99_MS
+}
--- a/crates/galenastream_standin/src/deployment/mod.rs
+++ b/crates/galenastream_standin/src/deployment/mod.rs
@@ -1,12 +1,14 @@
 //! A small deployment of real processes on loopback.
 
 mod folder;
+mod local_deployment;
 mod process;
 mod programs;
 mod vm;
 mod wait;
 
 pub use folder::*;
+pub use local_deployment::*;
 pub use process::*;
 pub use programs::*;
 pub use vm::*;
