--- a/crates/galenastream_standin/examples/measure_traffic/main.rs
+++ b/crates/galenastream_standin/examples/measure_traffic/main.rs
@@ -32,6 +32,7 @@
             Arg::new("seconds")
                 .long("seconds")
                 .value_name("S")
+                .global(true)
                 .value_parser(clap::value_parser!(u64).range(3..=60))
                 .default_value("6")
                 .help("How long each step lasts; its first second is left out"),
@@ -40,6 +41,7 @@
             Arg::new("reports")
                 .long("reports")
                 .action(ArgAction::SetTrue)
+                .global(true)
                 .help("Write an SVG picture of each step into the current folder"),
         )
 }
