--- a/crates/galenastream_node/src/request/ingress.rs
+++ b/crates/galenastream_node/src/request/ingress.rs
@@ -81,8 +81,9 @@
     }
     let mut followed = 0;
     loop {
-        let Some(route) = find_route(node, &request.head).await else {
-            return Reply::not_run(NotRunReason::NoRoute);
+        let route = match find_route(node, &request.head).await {
+            Ok(route) => route,
+            Err(reason) => return Reply::not_run(reason),
         };
         let reply = send(node, request, route.owner).await;
         let Some(better) = follow_reply(node, &request.head, route, &reply) else {
@@ -96,17 +97,23 @@
 }
 
 /// The route of a key: this node's own lease, then the cache, then other nodes.
-async fn find_route(node: &Node, head: &RequestHead) -> Option<Route> {
+async fn find_route(node: &Node, head: &RequestHead) -> Result<Route, NotRunReason> {
     let hash = head.hash();
     if head.service == node.bootstrap.service_id() && node.serving.serves(hash, boot_now()) {
-        return Some(own_route(node, hash));
+        return Ok(own_route(node, hash));
     }
     if let Some(route) = node.routes.find(head.service, hash).filter(|it| it.owner != node.vm()) {
-        return Some(route);
+        return Ok(route);
     }
-    let reply = look_up(node, head.service, hash, head.deadline).await?;
+    let reply = look_up(node, head.service, hash, head.deadline).await;
+    let reply = reply.ok_or(NotRunReason::NoRoute)?;
     learn(node, &reply);
-    route_of(&reply)
+    // A cell whose term or owner is changing has an answer within milliseconds.
+    route_of(&reply).ok_or(if reply.term > 0 {
+        NotRunReason::Moving
+    } else {
+        NotRunReason::NoRoute
+    })
 }
 
 fn own_route(node: &Node, hash: KeyHash) -> Route {
@@ -192,7 +199,7 @@
 async fn try_ticket(node: &Arc<Node>, head: &RequestHead) -> Result<TicketToken, NotRunReason> {
     let query = TicketQuery { service: head.service.0, key: head.key.clone() };
     for _ in 0..=MAX_REDIRECTS {
-        let route = find_route(node, head).await.ok_or(NotRunReason::NoRoute)?;
+        let route = find_route(node, head).await?;
         let reply = ask_ticket(node, head, &query, route.owner).await;
         let Ok(reply) = reply else {
             node.routes.forget_vm(route.owner);
