Node: up to 10 tries, so that a request outlasts a handover of the coordinator's role

Before: 3 of 18 runs of tests/drain.rs::the_coordinator_stops_gracefully had failed reads; the log of one showed keys without a lease for 80 ms while 6 tries span 50 ms.

--- a/crates/galenastream_node/src/process/control_thread.rs
+++ b/crates/galenastream_node/src/process/control_thread.rs
@@ -145,6 +145,14 @@
     fn publish_held(&self) {
         let held = self.ownership.held_slices();
         counters::held_slices(held.slices.len());
+        log::debug!(
+            event = "held_published",
+            term = held.term.0,
+            slices = held.slices.len(),
+            stopping = held.slices.iter().filter(|it| it.stopping).count(),
+            lease_remaining_ms = held.expires_at.saturating_since(boot_now()).as_millis() as u64;
+            "published"
+        );
         self.node.tickets.follow(held);
         self.node.serving.publish(held.clone());
     }
--- a/crates/galenastream_node/src/request/ingress.rs
+++ b/crates/galenastream_node/src/request/ingress.rs
@@ -15,6 +15,10 @@
     process::{MemberTable, Node, boot_now, counters, route_of},
 };
 
+/// The most tries of one request. With the waits between them they span about 130 ms, longer than
+/// a planned move and shorter than the replacement of a lost owner.
+const MAX_TRIES: u32 = 10;
+
 /// How many better routes are followed at once within one try.
 const MAX_REDIRECTS: u32 = 3;
 
@@ -69,7 +73,11 @@
 }
 
 fn retry_policy(head: &RequestHead) -> RetryPolicy {
-    RetryPolicy { retry_after_ms: head.retry_after_ms, ..RetryPolicy::default() }
+    RetryPolicy {
+        max_tries: MAX_TRIES,
+        retry_after_ms: head.retry_after_ms,
+        ..RetryPolicy::default()
+    }
 }
 
 async fn try_once(node: &Arc<Node>, request: &CallerRequest) -> Reply {
