Planner: a cell without load spreads evenly, new members fill without budget or stay

Cause: with no load measured the planner moved nothing, so members that came after the first one stayed empty; and filling them is churn that must be, which the budget would spread over many minutes. Now every slice has a small base load by width, members that come while the cell forms count as warm, and moves to a member that came lately cost no budget.

--- a/crates/galenastream_ownership/src/planner/plan.rs
+++ b/crates/galenastream_ownership/src/planner/plan.rs
@@ -10,6 +10,8 @@
     /// Slots that count; fewer than the target has while it ramps up.
     pub(super) slots: f64,
     pub(super) accepts: bool,
+    /// Whether it came lately and still fills.
+    pub(super) is_new: bool,
     pub(super) busy_millislots: f64,
 }
 
--- a/crates/galenastream_ownership/src/planner/policy.rs
+++ b/crates/galenastream_ownership/src/planner/policy.rs
@@ -23,8 +23,10 @@
     moved: Vec<MovedRange>,
     /// Moves that the row does not show yet.
     pending: FastMap<SliceId, PendingMove>,
-    /// When each member's target was first seen; `None`: it was there from the beginning.
+    /// When each member's target was first seen; `None`: at the first look.
     first_seen: FastMap<Member, Option<BootInstant>>,
+    /// Members that come before this time have warm targets: the cell itself is new.
+    forming_until: BootInstant,
     /// Members that were above the trigger and are not yet settled.
     unsettled: FastSet<Member>,
     /// No slice is moved earlier, since the moves of a former coordinator are not known.
@@ -61,6 +63,12 @@
 const SPLITS_PER_STEP_MAX: usize = 16;
 const MERGES_PER_STEP_MAX: usize = 16;
 
+/// How many ramps a new member takes to fill. Until then its moves cost no budget: they must be.
+const FILL_RAMPS: u32 = 2;
+
+/// The part of all slots that a cell without requests counts as busy, spread by width.
+const BASE_LOAD_PART: f64 = 0.01;
+
 /// The part of its slots that counts when a target has just come.
 const COLD_PART: f64 = 0.1;
 
@@ -78,6 +86,7 @@
             moved: Vec::new(),
             pending: FastMap::default(),
             first_seen: FastMap::default(),
+            forming_until: now + Duration::from_millis(weights.ramp_up_ms.into()),
             unsettled: FastSet::default(),
             moves_from: now,
         }
@@ -107,6 +116,7 @@
         self.forget_old_moves(now);
         let mut slices = self.loads.of_row(now, row);
         self.apply_pending(now, &mut slices);
+        add_base_load(&mut slices, members);
         let mut plan = Plan::new(self.member_loads(now, members), slices);
         let mut changes = Vec::new();
         self.plan_splits(&plan, &mut changes);
@@ -138,7 +148,6 @@
     }
 
     fn member_loads(&mut self, now: BootInstant, members: &[LiveMember]) -> Vec<MemberLoad> {
-        // The members of a cell that has just begun are all alike, so none of them ramps up.
         let seen_at = (!self.first_seen.is_empty()).then_some(now);
         let mut loads = Vec::with_capacity(members.len());
         for it in members {
@@ -151,6 +160,7 @@
                 member: it.member,
                 slots: f64::from(it.slots) * self.ramp_part(now, seen_at),
                 accepts: !it.draining,
+                is_new: self.is_new(now, seen_at),
                 busy_millislots: 0.0,
             });
         }
@@ -161,12 +171,18 @@
     }
 
     fn ramp_part(&self, now: BootInstant, seen_at: Option<BootInstant>) -> f64 {
-        let Some(seen_at) = seen_at else { return 1.0 };
+        let Some(seen_at) = seen_at.filter(|it| *it >= self.forming_until) else { return 1.0 };
         let warm_ms = now.saturating_since(seen_at).as_millis() as f64;
         let part = warm_ms / f64::from(self.weights.ramp_up_ms.max(1));
         part.clamp(COLD_PART, 1.0)
     }
 
+    /// Whether a member has come so lately that it still fills.
+    fn is_new(&self, now: BootInstant, seen_at: Option<BootInstant>) -> bool {
+        let fill = Duration::from_millis(self.weights.ramp_up_ms.into()) * FILL_RAMPS;
+        seen_at.is_some_and(|it| now < it + fill)
+    }
+
     fn plan_splits(&self, plan: &Plan, changes: &mut Vec<PlannedChange>) {
         let mean = plan.mean_member_load();
         let slices_max = 2 * self.weights.slices_per_member as usize * plan.members.len();
@@ -232,7 +248,8 @@
             let Some(slice) = self.best_slice(now, plan, source, &plan.members[to]) else {
                 continue;
             };
-            if !self.budget.take(plan.slices[slice].width()) {
+            let is_free = plan.members[to].is_new;
+            if !is_free && !self.budget.take(plan.slices[slice].width()) {
                 return None;
             }
             return Some((slice, to));
@@ -252,7 +269,7 @@
         let unavailable_share = self.weights.unavailable_share();
         let mut best: Option<(usize, f64)> = None;
         for (index, slice) in plan.slices.iter().enumerate() {
-            if slice.owner != Some(from.member) || !self.may_move(now, slice) {
+            if slice.owner != Some(from.member) || !self.may_move(now, slice, to.is_new) {
                 continue;
             }
             let busy = slice.busy_millislots;
@@ -271,11 +288,12 @@
         best.map(|it| it.0)
     }
 
-    fn may_move(&self, now: BootInstant, slice: &LoadedSlice) -> bool {
+    /// Whether a slice may move. It may have come lately if it goes to a member that is newer still.
+    fn may_move(&self, now: BootInstant, slice: &LoadedSlice, to_new: bool) -> bool {
         let stays = |it: &MovedRange| it.first <= slice.last && slice.first <= it.last;
         now >= self.moves_from
             && !self.pending.contains_key(&slice.id)
-            && !self.moved.iter().any(stays)
+            && (to_new || !self.moved.iter().any(stays))
     }
 
     fn plan_merges(&self, now: BootInstant, plan: &Plan, changes: &mut Vec<PlannedChange>) {
@@ -288,7 +306,7 @@
             let cold = slice.busy_millislots + next.busy_millislots < load_max;
             let narrow = slice.width() + next.width() < 2.0 / wanted as f64;
             let same_owner = slice.owner.is_some() && slice.owner == next.owner;
-            let rests = self.may_move(now, slice) && self.may_move(now, next);
+            let rests = self.may_move(now, slice, false) && self.may_move(now, next, false);
             if !(cold && narrow && same_owner && rests) {
                 index += 1;
                 continue;
@@ -299,6 +317,15 @@
     }
 }
 
+/// Lets slices without requests count a little, so that a cell without load is spread evenly.
+fn add_base_load(slices: &mut [LoadedSlice], members: &[LiveMember]) {
+    let slots: u32 = members.iter().map(|it| it.slots).sum();
+    let base_millislots = f64::from(slots) * 1_000.0 * BASE_LOAD_PART;
+    for slice in slices {
+        slice.busy_millislots += base_millislots * slice.width();
+    }
+}
+
 /// Where to cut a slice: around its hot key if there is one, else in the middle.
 fn cuts(slice: &LoadedSlice, lone_key_load: f64) -> Vec<KeyHash> {
     if slice.first == slice.last {
