--- a/crates/galenastream_ownership/src/process/candidate/candidacy.rs
+++ b/crates/galenastream_ownership/src/process/candidate/candidacy.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use crate::{
-    Beat, BootInstant, OwnershipEvent, Promise, SealReply, SettingsVersion, StoredRow,
+    Beat, BootInstant, OwnershipEvent, Promise, SealReply, SettingsVersion, StoredRow, Term,
     process::{Context, Deputy, Knowledge, Outbox, Promiser, RowReader, SealRound, ms},
 };
 
@@ -25,13 +25,15 @@
     context: Context,
     round: Option<SealRound>,
     deputy: Option<Deputy>,
+    /// The last term in which this node was deputy.
+    deputy_term: Option<Term>,
     jitter: Option<Duration>,
     wakeup: Option<BootInstant>,
 }
 
 impl Candidacy {
     pub(crate) fn new(context: Context) -> Self {
-        Self { context, round: None, deputy: None, jitter: None, wakeup: None }
+        Self { context, round: None, deputy: None, deputy_term: None, jitter: None, wakeup: None }
     }
 
     pub(crate) fn next_wakeup(&self) -> Option<BootInstant> {
@@ -128,6 +130,7 @@
             if round.may_deputize() && self.deputy.is_none() && now >= deputy_at {
                 let set = round.witnesses().clone();
                 self.deputy = Some(Deputy::new(self.context, now, round.term(), set));
+                self.deputy_term = Some(round.term());
                 self.log_deputy(true, out);
             }
             wakeup = Some(deputy_at).filter(|it| now < *it);
@@ -160,9 +163,9 @@
         Some((stored, since))
     }
 
-    /// Whether this node has been deputy since it took the sealed row.
-    pub(crate) fn is_deputy(&self) -> bool {
-        self.deputy.is_some()
+    /// Whether this node has extended leases in a term, even if it has ended its candidacy since.
+    pub(crate) fn was_deputy(&self, term: Term) -> bool {
+        self.deputy_term == Some(term)
     }
 
     /// Takes a witness's answer. Returns whether it was asked for.
--- a/crates/galenastream_ownership/src/process/roles.rs
+++ b/crates/galenastream_ownership/src/process/roles.rs
@@ -6,7 +6,7 @@
     Action, Beat, BeatRefusal, BeatRefusalReason, BootInstant, CellView, ControlMessage,
     DropReason, Event, Grant, GrantSet, HeldSlices, Incarnation, NodeConfig, Nudge, OwnershipEvent,
     PlannerWeights, PlantedFault, Promise, SealOutcome, SealReply, StoreReply, StoreRequestId,
-    StoredRow, VmId,
+    StoredRow, Term, VmId,
     process::{
         Candidacy, CellCoordinator, Context, Grounds, Inauguration, Knowledge, LeaseHolder,
         Members, Outbox, Promiser, RowReader, RowWatch, SettingsWatch, StoreWriter, Takeover,
@@ -292,7 +292,8 @@
             return coordinator.write_committed(now, stored, sent_at, out);
         }
         let mut grounds = grounds.unwrap_or(Grounds::Ended { since: None, own_leases_too: false });
-        if self.candidate.is_deputy()
+        let former_term = Term(stored.row.term.0.saturating_sub(1));
+        if self.candidate.was_deputy(former_term)
             && let Grounds::Ended { since, .. } = &mut grounds
         {
             *since = None;
