Versions of sets are unique in a term; work under a split slice holds up its release

(2) splits: a slice that was split left the holder's set without being stopped, so that a part of it could be handed over while work that began under the whole one went on. The holder now keeps such ranges until the lease would have ended and releases none of their positions before.

--- a/crates/galenastream_ownership/src/id/number.rs
+++ b/crates/galenastream_ownership/src/id/number.rs
@@ -28,6 +28,6 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
 pub struct WitnessGeneration(pub u64);
 
-/// Counts the sets of slices that a coordinator granted to one member during one term.
+/// Counts the sets of slices that a coordinator granted during one term.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
 pub struct HoldingVersion(pub u64);
--- a/crates/galenastream_ownership/src/process/coordinator/grant_book.rs
+++ b/crates/galenastream_ownership/src/process/coordinator/grant_book.rs
@@ -11,6 +11,9 @@
 pub(crate) struct GrantBook {
     context: Context,
     revision: u64,
+    /// The last version given to a set. No two sets of a term share one, not even sets of a member
+    /// that was forgotten in between.
+    last_version: HoldingVersion,
     /// Slices whose assignment a pending write changes.
     touched: FastSet<SliceId>,
     /// The row of the pending write.
@@ -19,7 +22,13 @@
 
 impl GrantBook {
     pub(crate) fn new(context: Context) -> Self {
-        Self { context, revision: 0, touched: FastSet::default(), pending: None }
+        Self {
+            context,
+            revision: 0,
+            last_version: HoldingVersion(0),
+            touched: FastSet::default(),
+            pending: None,
+        }
     }
 
     /// Something changed that sets depend on.
@@ -55,7 +64,7 @@
 
     /// The set for a member's beat, which named `holding`.
     pub(crate) fn grant(
-        &self,
+        &mut self,
         set: &mut GrantedSet,
         member: Member,
         row: &CellRow,
@@ -65,7 +74,8 @@
         if set.revision != Some(self.revision) {
             let slices = self.granted_slices(member, row, handoffs);
             if set.revision.is_none() || slices != set.slices {
-                set.version = HoldingVersion(set.version.0 + 1);
+                self.last_version = HoldingVersion(self.last_version.0 + 1);
+                set.version = self.last_version;
                 set.slices = slices;
             }
             set.revision = Some(self.revision);
--- a/crates/galenastream_ownership/src/process/holder/lease_holder.rs
+++ b/crates/galenastream_ownership/src/process/holder/lease_holder.rs
@@ -1,5 +1,7 @@
 //! Asks for leases and holds them.
 
+use std::time::Duration;
+
 use crate::{
     Action, Beat, BeatRefusal, BeatRefusalReason, BootInstant, ControlMessage, DropReason, Grant,
     GrantSet, HeldSlices, OwnershipEvent, PlantedFault, SettingsVersion, SliceEpoch, SliceLoad,
@@ -55,10 +57,9 @@
 
     /// When the holder has something to do.
     pub(crate) fn next_wakeup(&self) -> BootInstant {
-        if self.live {
-            return self.schedule.due_at().min(self.leases.held().expires_at);
-        }
-        self.schedule.due_at()
+        let expiry = self.live.then_some(self.leases.held().expires_at);
+        let times = [expiry, self.leases.next_wakeup()];
+        times.into_iter().flatten().fold(self.schedule.due_at(), BootInstant::min)
     }
 
     /// The target announced itself.
@@ -92,7 +93,12 @@
 
     /// Nothing is in progress on a slice that was stopped.
     pub(crate) fn slice_stopped(&mut self, now: BootInstant, id: SliceEpoch) {
-        if self.leases.release(id) {
+        self.leases.stopped(id);
+        self.release_stopped(now);
+    }
+
+    fn release_stopped(&mut self, now: BootInstant) {
+        if self.leases.release_stopped(now) {
             self.schedule.hasten(now);
         }
     }
@@ -130,6 +136,9 @@
         out: &mut Outbox,
     ) {
         self.notice_expiry(now, out);
+        let due_stops = self.leases.take_due_stops(now);
+        self.stop(due_stops, out);
+        self.release_stopped(now);
         if now >= self.schedule.due_at() {
             self.send_beat(now, knowledge, settings, out);
         }
@@ -225,9 +234,8 @@
             }
             GrantSet::Full { version, slices } => {
                 let holding = (grant.term, *version);
-                let to_stop = self.leases.replace(grant.cell, holding, slices);
+                self.leases.replace(grant.cell, holding, slices, self.work_tail());
                 self.leases.renew(expires_at);
-                self.stop(to_stop, out);
                 self.stop_without_target(out);
             }
             GrantSet::Extend => self.extend(now, grant.term, expires_at)?,
@@ -288,6 +296,14 @@
         }
     }
 
+    /// How long work may outlast the lease under which it began.
+    fn work_tail(&self) -> Duration {
+        if self.target.checks_grants {
+            return Duration::ZERO;
+        }
+        ms(self.context.timing.order_limit_ms)
+    }
+
     fn stop_all(&mut self, out: &mut Outbox) {
         let to_stop = self.leases.stop_all();
         self.stop(to_stop, out);
--- a/crates/galenastream_ownership/src/process/holder/lease_set.rs
+++ b/crates/galenastream_ownership/src/process/holder/lease_set.rs
@@ -1,8 +1,10 @@
 //! The slices that the node holds, and those that it has released.
 
+use std::time::Duration;
+
 use crate::{
-    BootInstant, CellId, Epoch, FastMap, GrantedSlice, HeldSlice, HeldSlices, HoldingVersion,
-    SliceEpoch, SliceId, Term,
+    BootInstant, CellId, Epoch, FastMap, FastSet, GrantedSlice, HeldSlice, HeldSlices,
+    HoldingVersion, SliceEpoch, SliceId, Term, process::Tails,
 };
 
 /// The slices that the node holds, and those that it has released.
@@ -12,6 +14,11 @@
 pub(crate) struct LeaseSet {
     held: HeldSlices,
     holding: Option<(Term, HoldingVersion)>,
+    /// Slices that shall be released, but may not have been stopped yet.
+    to_release: FastSet<SliceEpoch>,
+    /// Slices that were given up but not released yet, since earlier work may go on in them.
+    stopped: Vec<HeldSlice>,
+    tails: Tails,
     released: Vec<SliceEpoch>,
     released_epochs: FastMap<SliceId, Epoch>,
     release_is_not_final: bool,
@@ -42,39 +49,86 @@
         now < self.held.expires_at
     }
 
-    /// Replaces the set. Returns the slices that have to be stopped now.
+    /// Replaces the set. Work on slices that it lacks may go on for `tail` after their leases.
     pub(crate) fn replace(
         &mut self,
         cell: CellId,
         holding: (Term, HoldingVersion),
         granted: &[GrantedSlice],
-    ) -> Vec<SliceEpoch> {
-        let stopping: Vec<_> = self.stopping().collect();
-        let mut to_stop = Vec::new();
+        tail: Duration,
+    ) {
+        let before = std::mem::take(&mut self.held.slices);
         self.released.clear();
-        self.held.slices.clear();
+        self.to_release.clear();
         for slice in granted {
             if self.is_released(slice.id) {
-                self.released.push(slice.id);
+                if !self.stopped.iter().any(|it| it.id == slice.id) {
+                    self.released.push(slice.id);
+                }
                 continue;
             }
-            let was_stopping = stopping.contains(&slice.id);
-            if slice.release && !was_stopping {
-                to_stop.push(slice.id);
+            let stopping = before.iter().any(|it| it.id == slice.id && it.stopping);
+            if slice.release && !stopping {
+                self.to_release.insert(slice.id);
+            }
+            let GrantedSlice { id, first, last, .. } = *slice;
+            self.held.slices.push(HeldSlice { id, first, last, stopping });
+        }
+        for slice in before {
+            if !granted.iter().any(|it| it.id == slice.id) {
+                self.tails.add(slice.first, slice.last, self.held.expires_at + tail);
             }
-            self.held.slices.push(HeldSlice {
-                id: slice.id,
-                first: slice.first,
-                last: slice.last,
-                stopping: slice.release || was_stopping,
-            });
         }
         self.held.slices.sort_unstable_by_key(|it| it.first);
         self.held.cell = Some(cell);
         self.held.term = holding.0;
         self.holding = Some(holding);
         self.changed = true;
-        to_stop
+    }
+
+    /// The slices that have to be stopped now, since they shall be released.
+    pub(crate) fn take_due_stops(&mut self, now: BootInstant) -> Vec<SliceEpoch> {
+        self.tails.expire(now);
+        let mut due = Vec::new();
+        for slice in &mut self.held.slices {
+            let is_wanted = self.to_release.contains(&slice.id) && !slice.stopping;
+            if !is_wanted || self.tails.overlap(slice.first, slice.last) {
+                continue;
+            }
+            slice.stopping = true;
+            self.changed = true;
+            due.push(slice.id);
+        }
+        due
+    }
+
+    /// Gives up a stopping slice for ever, since no work goes on in it.
+    pub(crate) fn stopped(&mut self, id: SliceEpoch) {
+        let position = self.held.slices.iter().position(|it| it.id == id && it.stopping);
+        let Some(position) = position else {
+            return;
+        };
+        self.stopped.push(self.held.slices.remove(position));
+        self.released_epochs.insert(id.slice, id.epoch);
+        self.changed = true;
+    }
+
+    /// Releases the stopped slices in whose ranges no earlier work goes on either. Returns whether
+    /// there were any.
+    pub(crate) fn release_stopped(&mut self, now: BootInstant) -> bool {
+        self.tails.expire(now);
+        let (waiting, free): (Vec<_>, Vec<_>) = std::mem::take(&mut self.stopped)
+            .into_iter()
+            .partition(|it| self.tails.overlap(it.first, it.last));
+        self.stopped = waiting;
+        self.released.extend(free.iter().map(|it| it.id));
+        !free.is_empty()
+    }
+
+    /// When something that waits for the end of earlier work may be due.
+    pub(crate) fn next_wakeup(&self) -> Option<BootInstant> {
+        let waits = !self.stopped.is_empty() || !self.to_release.is_empty();
+        self.tails.next_end().filter(|_| waits)
     }
 
     /// Lets all leases end at `expires_at`.
@@ -102,28 +156,11 @@
         stopped
     }
 
-    /// Gives up a stopping slice for ever. Returns whether it was held.
-    pub(crate) fn release(&mut self, id: SliceEpoch) -> bool {
-        let position = self.held.slices.iter().position(|it| it.id == id && it.stopping);
-        let Some(position) = position else {
-            return false;
-        };
-        self.held.slices.remove(position);
-        self.released_epochs.insert(id.slice, id.epoch);
-        self.released.push(id);
-        self.changed = true;
-        true
-    }
-
     /// Whether something changed since the last call.
     pub(crate) fn take_changed(&mut self) -> bool {
         std::mem::take(&mut self.changed)
     }
 
-    fn stopping(&self) -> impl Iterator<Item = SliceEpoch> {
-        self.held.slices.iter().filter(|it| it.stopping).map(|it| it.id)
-    }
-
     fn is_released(&self, id: SliceEpoch) -> bool {
         let released = self.released_epochs.get(&id.slice);
         !self.release_is_not_final && released.is_some_and(|it| *it >= id.epoch)
