--- a/crates/galenastream_ownership/src/planner/policy.rs
+++ b/crates/galenastream_ownership/src/planner/policy.rs
@@ -187,9 +187,9 @@
         let mean = plan.mean_member_load();
         let slices_max = 2 * self.weights.slices_per_member as usize * plan.members.len();
         let room = slices_max.saturating_sub(plan.slices.len()) / 2;
-        let mut heavy: Vec<&LoadedSlice> =
-            plan.slices.iter().filter(|it| it.busy_millislots > SPLIT_LOAD_PART * mean).collect();
-        heavy.sort_by(|a, b| b.busy_millislots.total_cmp(&a.busy_millislots));
+        let is_heavy = |it: &&LoadedSlice| it.measured_millislots > SPLIT_LOAD_PART * mean;
+        let mut heavy: Vec<&LoadedSlice> = plan.slices.iter().filter(is_heavy).collect();
+        heavy.sort_by(|a, b| b.measured_millislots.total_cmp(&a.measured_millislots));
         for slice in heavy {
             if changes.len() >= SPLITS_PER_STEP_MAX.min(room) {
                 return;
@@ -332,7 +332,7 @@
         return Vec::new();
     }
     let hot = slice.hottest.filter(|it| {
-        let load = slice.busy_millislots * f64::from(it.share_percent) / 100.0;
+        let load = slice.measured_millislots * f64::from(it.share_percent) / 100.0;
         load > lone_key_load && slice.first <= it.hash && it.hash <= slice.last
     });
     let Some(hot) = hot else {
--- a/crates/galenastream_ownership/src/planner/slice_loads.rs
+++ b/crates/galenastream_ownership/src/planner/slice_loads.rs
@@ -12,7 +12,9 @@
     pub(super) first: KeyHash,
     pub(super) last: KeyHash,
     pub(super) owner: Option<Member>,
+    /// Measured load, and a little for its width.
     pub(super) busy_millislots: f64,
+    pub(super) measured_millislots: f64,
     pub(super) hottest: Option<HotKey>,
 }
 
@@ -74,6 +76,7 @@
                 last,
                 owner: slice.owner,
                 busy_millislots: load.busy_millislots,
+                measured_millislots: load.busy_millislots,
                 hottest: load.hottest,
             });
             self.loads.insert(slice.id, load);
