A target's freeze can be ended early; load is counted by target

Cause: orders and announcements slept until the end of the freeze that was in force when they met it, so a target whose freeze was switched off stayed silent for the rest of it. Seen in the measurement of faulty targets: the frozen target never came back. Ruled out: the node, which gave it work again once it announced itself.

--- a/crates/galenastream_standin/examples/measure_traffic/faults.rs
+++ b/crates/galenastream_standin/examples/measure_traffic/faults.rs
@@ -1,10 +1,11 @@
 //! Latency while one target is frozen, slow, or lies about its load.
 
-use std::time::Duration;
+use std::{collections::BTreeMap, time::Duration};
 
 use anyhow::ensure;
 use galenastream_standin::{
     Caller, CallerRequest, LoadClass, LoadEntry, LoadKind, LocalDeployment, TargetFaults, run_load,
+    wait_until,
 };
 use http::Method;
 
@@ -17,6 +18,10 @@
 /// Two fifths of the capacity, so that three of four targets can carry all of it.
 const RATE_PER_S: f64 = 1_900.0;
 
+/// How long the target that was at fault may take to serve again.
+const RETURN_LIMIT: Duration = Duration::from_secs(60);
+const LIGHT_RATE_PER_S: f64 = 300.0;
+
 /// Measures both kinds of service under each fault of one target.
 pub async fn measure(seconds: u64) -> anyhow::Result<()> {
     for service in [UNDIVIDED, KEYED] {
@@ -31,15 +36,27 @@
                 ]);
             let summary = run_load(&plan).await?;
             println!("{}", line(&format!("{service}: {name}"), &summary));
+            println!("    ran by target: {:?}", BTreeMap::from_iter(&summary.targets));
             set_faults(&deployment, &TargetFaults::default()).await?;
-            // What waits in the target that was at fault shall not weigh on the next case.
-            tokio::time::sleep(Duration::from_secs(2)).await;
+            wait_until_all_serve(&deployment, service).await?;
         }
         deployment.close()?;
     }
     Ok(())
 }
 
+/// Waits until a light load is answered by all targets again.
+async fn wait_until_all_serve(deployment: &LocalDeployment, service: &str) -> anyhow::Result<()> {
+    wait_until("all targets to serve", RETURN_LIMIT, async || {
+        let entry = LoadEntry::Nodes(deployment.entries());
+        let plan = even_plan(entry, service, 1)
+            .with_rate_per_s(LIGHT_RATE_PER_S)
+            .with_duration(Duration::from_secs(1), Duration::ZERO);
+        run_load(&plan).await.is_ok_and(|it| it.targets.len() == VMS)
+    })
+    .await
+}
+
 fn cases() -> Vec<(&'static str, TargetFaults)> {
     let none = TargetFaults::default();
     let lying = TargetFaults {
--- a/crates/galenastream_standin/src/load/outcome.rs
+++ b/crates/galenastream_standin/src/load/outcome.rs
@@ -35,7 +35,7 @@
 }
 
 /// One finished request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct LoadSample {
     /// The position of the class in the plan.
     pub class: usize,
@@ -45,4 +45,6 @@
     pub latency: Duration,
     /// What became of it.
     pub outcome: LoadOutcome,
+    /// The target that ran it; empty if none is known to have.
+    pub target: String,
 }
--- a/crates/galenastream_standin/src/load/requester.rs
+++ b/crates/galenastream_standin/src/load/requester.rs
@@ -33,11 +33,26 @@
 /// What an answer must repeat.
 #[derive(Debug, Deserialize)]
 struct AnswerBody {
+    target: String,
     key: String,
     request_id: String,
     padding: String,
 }
 
+/// What came of one request.
+#[derive(Debug)]
+pub(crate) struct Finish {
+    pub outcome: LoadOutcome,
+    /// The target that ran it; empty if none is known to have.
+    pub target: String,
+}
+
+impl From<LoadOutcome> for Finish {
+    fn from(outcome: LoadOutcome) -> Self {
+        Self { outcome, target: String::new() }
+    }
+}
+
 /// One request on its way.
 struct Exchange<'a> {
     class: &'a LoadClass,
@@ -56,7 +71,7 @@
     }
 
     /// Sends one request, waits for its answer and judges it.
-    pub(crate) async fn request(&self, arrival: Arrival, intended: Instant) -> LoadOutcome {
+    pub(crate) async fn request(&self, arrival: Arrival, intended: Instant) -> Finish {
         let class = &self.plan.classes[arrival.class];
         let exchange = Exchange {
             class,
@@ -67,12 +82,12 @@
         };
         let patience = exchange.remaining() + ANSWER_GRACE;
         match timeout(patience, self.carry_out(&exchange)).await {
-            Ok(Ok(outcome)) => outcome,
+            Ok(Ok(finish)) => finish,
             Ok(Err(error)) => {
                 log::debug!("{}: {error:#}", exchange.request_id);
-                LoadOutcome::NoAnswer
+                LoadOutcome::NoAnswer.into()
             }
-            Err(_) => LoadOutcome::NoAnswer,
+            Err(_) => LoadOutcome::NoAnswer.into(),
         }
     }
 
@@ -85,13 +100,13 @@
         addresses[index as usize % addresses.len()]
     }
 
-    async fn carry_out(&self, exchange: &Exchange<'_>) -> anyhow::Result<LoadOutcome> {
+    async fn carry_out(&self, exchange: &Exchange<'_>) -> anyhow::Result<Finish> {
         let through_nodes = matches!(self.plan.entry, LoadEntry::Nodes(_));
         let mut ticket = None;
         if through_nodes && exchange.class.kind == LoadKind::Reserve {
             match self.obtain_ticket(exchange).await? {
                 Ok(obtained) => ticket = Some(obtained),
-                Err(outcome) => return Ok(outcome),
+                Err(outcome) => return Ok(outcome.into()),
             }
         }
         let mut request = self.build(exchange, through_nodes);
@@ -160,23 +175,26 @@
     }
 }
 
-async fn judge(exchange: &Exchange<'_>, response: Response) -> anyhow::Result<LoadOutcome> {
+async fn judge(exchange: &Exchange<'_>, response: Response) -> anyhow::Result<Finish> {
     let outcome = outcome_of(&response);
     let body = match response.into_body().into_bytes().await {
         Ok(body) => body,
         // The caller sees that an answer is cut; it never takes it for a whole one.
-        Err(_) if outcome == LoadOutcome::Ran => return Ok(LoadOutcome::Unknown),
+        Err(_) if outcome == LoadOutcome::Ran => return Ok(LoadOutcome::Unknown.into()),
         Err(error) => return Err(error.into()),
     };
     if outcome != LoadOutcome::Ran {
-        return Ok(outcome);
+        return Ok(outcome.into());
     }
     let Ok(answer) = serde_json::from_slice::<AnswerBody>(&body) else {
-        return Ok(LoadOutcome::Wrong);
+        return Ok(LoadOutcome::Wrong.into());
     };
     let is_own = answer.key == exchange.key && answer.request_id == exchange.request_id;
     let is_whole = answer.padding.len() == exchange.class.answer_bytes;
-    Ok(if is_own && is_whole { LoadOutcome::Ran } else { LoadOutcome::Wrong })
+    if is_own && is_whole {
+        return Ok(Finish { outcome: LoadOutcome::Ran, target: answer.target });
+    }
+    Ok(LoadOutcome::Wrong.into())
 }
 
 /// What an answer says. A target that is called directly states only what did not run.
--- a/crates/galenastream_standin/src/load/run.rs
+++ b/crates/galenastream_standin/src/load/run.rs
@@ -57,6 +57,12 @@
 }
 
 async fn finish(requester: &Requester, arrival: Arrival, intended: Instant) -> LoadSample {
-    let outcome = requester.request(arrival, intended).await;
-    LoadSample { class: arrival.class, at: arrival.at, latency: intended.elapsed(), outcome }
+    let finish = requester.request(arrival, intended).await;
+    LoadSample {
+        class: arrival.class,
+        at: arrival.at,
+        latency: intended.elapsed(),
+        outcome: finish.outcome,
+        target: finish.target,
+    }
 }
--- a/crates/galenastream_standin/src/load/summary.rs
+++ b/crates/galenastream_standin/src/load/summary.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use anyhow::Context;
+use galenastream_ownership::FastMap;
 use hdrhistogram::Histogram;
 
 use super::{LoadOutcome, LoadPlan, LoadSample};
@@ -18,6 +19,8 @@
     pub classes: Vec<ClassSummary>,
     /// One entry a second of the run, warm-up included.
     pub seconds: Vec<SecondSummary>,
+    /// How many requests each target ran, warm-up left out.
+    pub targets: FastMap<String, u64>,
     warm_up: Duration,
     measured: Duration,
 }
@@ -60,7 +63,8 @@
         let second = SecondSummary { counts: OutcomeCounts::default(), ran_us: latencies()? };
         let seconds = vec![second; plan.duration.as_secs_f64().ceil() as usize];
         let measured = plan.duration.saturating_sub(plan.warm_up);
-        Ok(Self { classes, seconds, warm_up: plan.warm_up, measured })
+        let targets = FastMap::default();
+        Ok(Self { classes, seconds, targets, warm_up: plan.warm_up, measured })
     }
 
     /// Takes a finished request in.
@@ -74,6 +78,9 @@
         if let Some(class) = self.classes.get_mut(sample.class) {
             class.record(sample);
         }
+        if sample.outcome == LoadOutcome::Ran {
+            *self.targets.entry(sample.target.clone()).or_insert(0) += 1;
+        }
     }
 
     /// How many requests of all classes came to an outcome, warm-up left out.
@@ -101,6 +108,13 @@
         percentile_ms(&self.merged(|it| &it.refused_us), percentile)
     }
 
+    /// The most requests that one target ran, over the mean of all targets that ran any.
+    pub fn imbalance(&self) -> f64 {
+        let total: u64 = self.targets.values().sum();
+        let most = self.targets.values().max().copied().unwrap_or(0);
+        most as f64 * self.targets.len() as f64 / total as f64
+    }
+
     /// How long the part of the run was that the figures cover.
     pub fn measured(&self) -> Duration {
         self.measured
--- a/crates/galenastream_standin/src/load/table.rs
+++ b/crates/galenastream_standin/src/load/table.rs
@@ -18,6 +18,11 @@
         for class in &self.classes {
             write_class(f, class, self.measured().as_secs_f64())?;
         }
+        let mut targets: Vec<(&String, &u64)> = self.targets.iter().collect();
+        targets.sort();
+        for (target, count) in targets {
+            writeln!(f, "{target:<12} {count:>9} ran")?;
+        }
         Ok(())
     }
 }
--- a/crates/galenastream_standin/src/target/faults.rs
+++ b/crates/galenastream_standin/src/target/faults.rs
@@ -6,7 +6,10 @@
 };
 
 use serde::{Deserialize, Serialize};
-use tokio::time::{Instant, sleep_until};
+use tokio::{
+    sync::watch,
+    time::{Instant, sleep_until},
+};
 
 /// Faults of a target, as `POST /standin/faults` sets them. What is absent is switched off.
 #[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
@@ -41,57 +44,57 @@
 /// The faults in force.
 #[derive(Debug)]
 pub(crate) struct TargetFaultSwitch {
-    state: Mutex<FaultState>,
-}
-
-#[derive(Debug)]
-struct FaultState {
-    faults: TargetFaults,
-    frozen_until: Option<Instant>,
+    faults: Mutex<TargetFaults>,
+    frozen_until: watch::Sender<Instant>,
 }
 
 impl TargetFaultSwitch {
     pub(crate) fn new() -> Self {
-        let state = FaultState { faults: TargetFaults::default(), frozen_until: None };
-        Self { state: Mutex::new(state) }
+        let (frozen_until, _) = watch::channel(Instant::now());
+        Self { faults: Mutex::new(TargetFaults::default()), frozen_until }
     }
 
     pub(crate) fn set(&self, faults: TargetFaults) {
         let freeze = Duration::from_millis(faults.freeze_ms);
-        let frozen_until = (!freeze.is_zero()).then(|| Instant::now() + freeze);
-        *self.lock() = FaultState { faults, frozen_until };
+        *self.lock() = faults;
+        self.frozen_until.send_replace(Instant::now() + freeze);
     }
 
     pub(crate) fn current(&self) -> TargetFaults {
-        self.lock().faults.clone()
+        self.lock().clone()
     }
 
     /// Waits until the target is no longer frozen.
     pub(crate) async fn thaw(&self) {
+        let mut changes = self.frozen_until.subscribe();
         loop {
-            let frozen_until = self.lock().frozen_until;
-            match frozen_until {
-                Some(until) if until > Instant::now() => sleep_until(until).await,
-                _ => return,
+            let frozen_until = *changes.borrow_and_update();
+            if frozen_until <= Instant::now() {
+                return;
+            }
+            // The freeze may be ended early.
+            tokio::select! {
+                () = sleep_until(frozen_until) => {}
+                _ = changes.changed() => {}
             }
         }
     }
 
     /// Decides how the next answer is spoilt.
     pub(crate) fn next_order_fault(&self) -> OrderFault {
-        let mut state = self.lock();
-        if state.faults.drop_answers > 0 {
-            state.faults.drop_answers -= 1;
+        let mut faults = self.lock();
+        if faults.drop_answers > 0 {
+            faults.drop_answers -= 1;
             return OrderFault::DropAnswer;
         }
-        if state.faults.half_answers > 0 {
-            state.faults.half_answers -= 1;
+        if faults.half_answers > 0 {
+            faults.half_answers -= 1;
             return OrderFault::HalfAnswer;
         }
         OrderFault::None
     }
 
-    fn lock(&self) -> std::sync::MutexGuard<'_, FaultState> {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    fn lock(&self) -> std::sync::MutexGuard<'_, TargetFaults> {
+        self.faults.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/crates/galenastream_standin/tests/load.rs
+++ b/crates/galenastream_standin/tests/load.rs
@@ -98,13 +98,15 @@
         for (outcome, latency_ms) in [(LoadOutcome::Ran, 10), (LoadOutcome::NotRun, 2)] {
             let at = Duration::from_secs(second);
             let latency = Duration::from_millis(latency_ms);
-            summary.record(&LoadSample { class: 0, at, latency, outcome });
+            let target = "t1".to_owned();
+            summary.record(&LoadSample { class: 0, at, latency, outcome, target });
         }
     }
     expect![[r#"
         class         requests     ran/s       ran   not run   unknown no answer     wrong   p50 ms   p99 ms p99.9 ms   max ms refused p50 refused p99
         preview              6         1         3         3         0         0         0    10.01    10.01    10.01    10.01        2.00        2.00
         reserve              0         0         0         0         0         0         0        -        -        -        -           -           -
+        t1                   3 ran
     "#]].assert_eq(&summary.to_string());
     assert_eq!(summary.seconds[0].count(LoadOutcome::Ran), 1);
     assert_eq!(summary.rate_per_s(LoadOutcome::Ran), 1.0);
@@ -142,7 +144,8 @@
     type Error = Infallible;
 
     async fn call(&self, _: &mut ServerContext, _: Request) -> Result<Response, Infallible> {
-        let body = r#"{"key":"key-0","request_id":"of-another-request","padding":""}"#;
+        let body =
+            r#"{"target":"t1","key":"key-0","request_id":"of-another-request","padding":""}"#;
         Ok(Response::new(Body::from(Bytes::from_static(body.as_bytes()))))
     }
 }
@@ -166,6 +169,7 @@
             at: Duration::from_millis(at_ms),
             latency: Duration::from_micros(500 + at_ms),
             outcome: LoadOutcome::Ran,
+            target: String::new(),
         });
     }
     let file = std::env::temp_dir().join(format!("galenastream-chart-{}.svg", std::process::id()));
--- a/crates/galenastream_standin/tests/target.rs
+++ b/crates/galenastream_standin/tests/target.rs
@@ -146,6 +146,20 @@
     assert!(started.elapsed() >= Duration::from_millis(190));
 }
 
+#[tokio::test]
+async fn a_freeze_can_be_ended_early() {
+    let target = TargetStandin::start(TargetConfig::new("t1", "catalogue")).await.unwrap();
+    target.set_faults(TargetFaults { freeze_ms: 600_000, ..TargetFaults::default() });
+    let address = target.address();
+    let order = Order { deadline_boot_ns: u64::MAX, ..Order::new("a") };
+    let order = tokio::spawn(async move { order.send(address).await.unwrap().0 });
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    assert!(!order.is_finished());
+    target.set_faults(TargetFaults::default());
+    let status = tokio::time::timeout(LIMIT, order).await;
+    assert_eq!(status.unwrap().unwrap(), StatusCode::OK);
+}
+
 #[tokio::test]
 async fn spoilt_answers_belong_to_orders_that_ran() {
     let target = TargetStandin::start(TargetConfig::new("t1", "catalogue")).await.unwrap();
