--- a/crates/galenastream_settings/src/version/effective.rs
+++ b/crates/galenastream_settings/src/version/effective.rs
@@ -1,6 +1,6 @@
 //! All settings of a request, resolved.
 
-use galenastream_ownership::Timing;
+use galenastream_ownership::{PlannerWeights, Timing};
 use serde::{Deserialize, Serialize};
 
 use crate::ClassSettings;
@@ -97,6 +97,20 @@
         }
     }
 
+    /// What the planner weighs.
+    pub fn planner_weights(&self) -> PlannerWeights {
+        PlannerWeights {
+            imbalance_percent: self.planner_imbalance_percent,
+            unavailable_percent: self.planner_unavailable_percent,
+            churn_budget_percent_per_minute: self.planner_churn_budget_percent_per_minute,
+            churn_burst_percent: self.planner_churn_burst_percent,
+            minimum_stay_ms: self.planner_minimum_stay_ms,
+            ramp_up_ms: self.ramp_up_ms,
+            smoothing_ms: self.planner_smoothing_ms,
+            slices_per_member: self.planner_slices_per_member,
+        }
+    }
+
     /// The class with this name.
     pub fn class(&self, name: &str) -> Option<&ClassSettings> {
         self.classes.iter().find(|class| class.name == name)
