--- a/crates/galenastream_settings/tests/inheritance.rs
+++ b/crates/galenastream_settings/tests/inheritance.rs
@@ -1,7 +1,7 @@
 //! What a request gets: inheritance, key ranges, and where each value comes from.
 
 use expect_test::{Expect, expect};
-use galenastream_ownership::{PlaceId, ServiceId};
+use galenastream_ownership::{PlaceId, PlannerWeights, ServiceId};
 use galenastream_settings::{FIELDS, FieldId, KeyBounds, SettingsTree};
 use proptest::prelude::*;
 
@@ -86,8 +86,11 @@
 }
 
 #[test]
-fn built_in_timing_is_that_of_the_ownership_protocol() {
-    let tree = SettingsTree::parse("empty.toml", "").expect("the test's tree is valid");
+fn built_in_durations_and_weights_are_those_of_the_ownership_crate() {
+    let tree = SettingsTree::parse("empty.toml", "").expect("an empty tree is valid");
+    let weights = PlannerWeights::default();
+    let weights = PlannerWeights { ramp_up_ms: tree.root().ramp_up_ms, ..weights };
+    assert_eq!(tree.root().planner_weights(), weights);
     assert_eq!(tree.root().timing(), galenastream_ownership::Timing::default());
 }
 
