--- a/crates/galenastream_ctl/tests/pages.rs
+++ b/crates/galenastream_ctl/tests/pages.rs
@@ -6,6 +6,8 @@
     path::{Path, PathBuf},
 };
 
+use galenastream_settings::FIELDS;
+
 const METRIC_PREFIX: &str = "galenastream_";
 const EVENT_PREFIX: &str = "event = \"";
 
@@ -67,3 +69,33 @@
         }
     }
 }
+
+#[test]
+fn settings_page_names_the_fields_that_no_node_reads() {
+    let page = fs::read_to_string(root().join("docs/settings.md")).unwrap();
+    let not_in_force = page.split("## Not in force yet").nth(1).unwrap_or("");
+    let sources = node_sources();
+    let resolved =
+        fs::read_to_string(root().join("crates/galenastream_settings/src/version/effective.rs"))
+            .unwrap();
+    for spec in FIELDS {
+        let reads = readers(&resolved, spec.name);
+        let is_read = reads.iter().any(|reader| sources.contains(reader));
+        let is_named = not_in_force.contains(&format!("`{}`", spec.name));
+        assert!(is_read || is_named, "no node reads {}, and the page does not say so", spec.name);
+    }
+}
+
+/// What reads a field: the field itself, and the functions of the resolved settings that use it.
+fn readers(resolved: &str, field: &str) -> Vec<String> {
+    let mut readers = vec![format!(".{field}")];
+    for function in resolved.split("    pub fn ").skip(1) {
+        let Some((name, body)) = function.split_once('(') else {
+            continue;
+        };
+        if body.contains(&format!("self.{field}")) {
+            readers.push(format!(".{name}("));
+        }
+    }
+    readers
+}
