--- /dev/null
+++ b/crates/galenastream_settings/src/parse/removed_reader.rs
@@ -0,0 +1,48 @@
+//! Reads the list of removed entries.
+
+use toml::de::DeTable;
+
+use crate::{
+    SettingsErrorKind, SettingsTree, is_within,
+    parse::{document::Document, value_reader::read_text},
+};
+
+/// Reads the list of entries that are removed on purpose.
+pub(crate) fn read_removed(document: &mut Document<'_>, root: &DeTable<'_>) -> Vec<String> {
+    let mut removed = Vec::new();
+    let Some(value) = root.get("removed") else {
+        return removed;
+    };
+    let Some(entries) = value.get_ref().as_array() else {
+        let kind = SettingsErrorKind::WrongType {
+            found: value.get_ref().type_str(),
+            expected: "a list of entries like [\"services.booking.slots\"]".to_owned(),
+        };
+        document.refuse_value(value.span(), "removed", kind);
+        return removed;
+    };
+    for entry in entries {
+        removed.extend(read_text(document, "removed", entry));
+    }
+    removed
+}
+
+/// Refuses entries that are listed as removed and still stand in the file.
+pub(crate) fn refuse_removed_but_present(
+    document: &mut Document<'_>,
+    root: &DeTable<'_>,
+    tree: &SettingsTree,
+) {
+    if tree.removed.is_empty() {
+        return;
+    }
+    let line = root.get("removed").map(|value| document.line(value.span()));
+    let entries = tree.entries();
+    for removed in &tree.removed {
+        if !entries.keys().any(|path| is_within(path, removed)) {
+            continue;
+        }
+        let kind = SettingsErrorKind::RemovedButPresent { entry: removed.clone() };
+        document.push(line, "removed", None, kind);
+    }
+}
--- a/crates/galenastream_settings/tests/refusals.rs
+++ b/crates/galenastream_settings/tests/refusals.rs
@@ -534,3 +534,9 @@
               remedy: write lease_ms and convert the value to that unit"#]],
     );
 }
+
+#[test]
+fn deeply_nested_value() {
+    let toml = format!("x = {}", "[".repeat(100_000));
+    assert!(SettingsTree::parse("tree.toml", &toml).is_err());
+}
