--- a/crates/galenastream_ctl/tests/pages.rs
+++ b/crates/galenastream_ctl/tests/pages.rs
@@ -70,6 +70,24 @@
     }
 }
 
+#[test]
+fn callers_page_lists_all_reasons() {
+    let page = fs::read_to_string(root().join("docs/interface-callers.md")).unwrap();
+    let sources = [
+        "crates/galenastream_node/src/request/refusal.rs",
+        "crates/galenastream_routing/src/request/outcome.rs",
+    ];
+    for source in sources {
+        let code = fs::read_to_string(root().join(source)).unwrap();
+        let reasons = names_after(&code.replace('-', "_"), "=> \"");
+        assert!(reasons.len() > 5, "{source} has moved its reasons");
+        for reason in reasons {
+            let reason = reason.replace('_', "-");
+            assert!(page.contains(&format!("`{reason}`")), "the page lacks {reason}");
+        }
+    }
+}
+
 #[test]
 fn settings_page_names_the_fields_that_no_node_reads() {
     let page = fs::read_to_string(root().join("docs/settings.md")).unwrap();
