--- a/crates/galenastream_node/tests/loss.rs
+++ b/crates/galenastream_node/tests/loss.rs
@@ -73,6 +73,7 @@
     cluster.vms.remove(first).kill().unwrap();
     let second = cluster.coordinator().await;
     cluster.wait_until_ready().await;
+    cluster.wait_until_witnesses_live().await;
     cluster.vms.remove(second).kill().unwrap();
     cluster.coordinator().await;
     let entry = cluster.vms[0].caller_address;
--- a/crates/galenastream_node/tests/support/cluster.rs
+++ b/crates/galenastream_node/tests/support/cluster.rs
@@ -5,7 +5,7 @@
     time::{Duration, Instant},
 };
 
-use galenastream_node::{CellsDocument, OwnerDocument};
+use galenastream_node::{CellsDocument, MemberDocument, OwnerDocument};
 use galenastream_ownership::SettingsVersion;
 use galenastream_platform::{
     ObjectClient, PlatformLimits, SETTINGS_BUCKET, SETTINGS_TABLE, SettingsStore, TableClient,
@@ -263,6 +263,21 @@
         self.vms.iter().position(|vm| Some(vm.vm_address) == named)
     }
 
+    /// Waits until the coordinator's witnesses are three VMs that live.
+    pub async fn wait_until_witnesses_live(&self) {
+        let coordinator = self.coordinator().await;
+        wait_until("three live witnesses", WAIT_LIMIT, async || {
+            let Some(cells) = self.cells(&self.vms[coordinator]).await else {
+                return false;
+            };
+            let witnesses = &cells.cells[0].witnesses;
+            let lives = |it: &MemberDocument| self.vms.iter().any(|vm| vm.vm_address == it.vm);
+            witnesses.len() == 3 && witnesses.iter().all(lives)
+        })
+        .await
+        .unwrap();
+    }
+
     /// What a node knows about its cell.
     pub async fn cells(&self, vm: &Vm) -> Option<CellsDocument> {
         let body = self.admin_get(vm, "/admin/cells").await?;
