First slices for new members go before the planner; a draining coordinator lets its handoffs settle

Cause of long gaps in trials under virtual time: (1) the planner always had splits to make, so that the first slices for members without any never came; (2) a draining coordinator handed its term over right after its last write, so that new owners had to find its successor before they were granted what they were given.

--- a/crates/galenastream_ownership/src/process/coordinator/cell_coordinator.rs
+++ b/crates/galenastream_ownership/src/process/coordinator/cell_coordinator.rs
@@ -31,6 +31,8 @@
     /// Whether the row may have to change for another reason than time.
     is_dirty: bool,
     renew_at: BootInstant,
+    /// When the owners have had the time to ask for what the last write gave them.
+    settled_at: BootInstant,
     wakeup: BootInstant,
 }
 
@@ -63,6 +65,7 @@
             losses_in_flight: Vec::new(),
             is_dirty: true,
             renew_at: now,
+            settled_at: now + ms(context.timing.beat_ms),
             wakeup: now,
             stored,
         };
@@ -358,7 +361,7 @@
             members: &self.members,
         };
         let has_work = self.owners.contains(&self.context.me) || self.moves.handoffs().is_busy();
-        if draining && !has_work {
+        if draining && !has_work && now >= self.settled_at {
             return succession.handover();
         }
         let is_stuck = !self.entitlement.is_changing()
@@ -400,6 +403,7 @@
         }
         self.row_changed();
         self.plan_renewal(sent_at);
+        self.settled_at = now + ms(self.context.timing.beat_ms);
         self.is_dirty = true;
         self.announce(&before.row, out);
     }
@@ -447,6 +451,7 @@
         let by_store = self.entitlement.is_by_store();
         let times = [
             Some(self.moves.plan_at()),
+            Some(self.settled_at),
             self.entitlement.next_wakeup(),
             judged.next_at,
             by_store.then_some(self.renew_at),
--- a/crates/galenastream_ownership/src/process/coordinator/moves.rs
+++ b/crates/galenastream_ownership/src/process/coordinator/moves.rs
@@ -143,10 +143,13 @@
         members: &[LiveMember],
         concerned: &mut Vec<Member>,
     ) {
-        let mut changes = self.planner.plan(now, row, members);
-        if changes.is_empty() && !self.handoffs.is_busy() {
+        let mut changes = Vec::new();
+        if !self.handoffs.is_busy() {
             changes = spread(row, members);
         }
+        if changes.is_empty() {
+            changes = self.planner.plan(now, row, members);
+        }
         for change in changes {
             match change {
                 PlannedChange::Move { id, to } => {
