--- /dev/null
+++ b/crates/galenastream_ownership/tests/protocol/main.rs
@@ -0,0 +1,6 @@
+//! Rules of the ownership protocol, one node at a time, as tables of cases.
+
+mod bench;
+mod holder;
+mod store_writes;
+mod witness;
