--- a/crates/galenastream_ownership/tests/protocol/store_writes.rs
+++ b/crates/galenastream_ownership/tests/protocol/store_writes.rs
@@ -9,7 +9,7 @@
     let mut bench = Bench::new();
     let read = bench.await_read();
     bench.store(read, StoreReply::Row(None));
-    let (request, write, row) = last_write(&bench).unwrap();
+    let (request, write, row) = last_write(&bench).expect("the node writes the first row");
     (bench, request, write, row)
 }
 
@@ -18,7 +18,7 @@
         StoreOperation::Write { write, row, .. } => Some((request, write, row)),
         StoreOperation::Read { .. } => None,
     });
-    writes.last()
+    writes.reduce(|_, last| last)
 }
 
 fn is_coordinator(bench: &Bench) -> bool {
