--- a/crates/galenastream_ownership/src/process/candidate/takeover.rs
+++ b/crates/galenastream_ownership/src/process/candidate/takeover.rs
@@ -95,6 +95,11 @@
 }
 
 impl Grounds {
+    /// For a node that finds itself named by a row that it did not write.
+    pub(crate) fn named_by_row() -> Self {
+        Self::Ended { since: None, own_leases_too: false }
+    }
+
     /// What the node knows when its write is committed.
     pub(crate) fn office(
         self,
--- a/crates/galenastream_ownership/src/process/coordinator/cell_coordinator.rs
+++ b/crates/galenastream_ownership/src/process/coordinator/cell_coordinator.rs
@@ -3,11 +3,11 @@
 use std::time::Duration;
 
 use crate::{
-    Beat, BeatRefusal, BeatRefusalReason, BootInstant, CellRow, ControlMessage, FastSet, Grant,
-    KeyHash, LiveMember, Member, Nudge, OwnershipEvent, PlannerWeights, PlantedFault, Promise,
-    SealOutcome, SealReply, SettingsVersion, StoredRow, Term, VmId,
+    Beat, BootInstant, CellRow, ControlMessage, Grant, KeyHash, LiveMember, Member, Nudge,
+    OwnershipEvent, PlannerWeights, PlantedFault, Promise, SealOutcome, SealReply, SettingsVersion,
+    StoredRow, Term, VmId,
     process::{
-        Context, Entitlement, GrantBook, Losses, LostOwners, Members, Moves, NextRow, Office,
+        Context, Entitlement, GrantBook, Inauguration, Losses, LostOwners, Members, Moves, NextRow,
         Outbox, PendingWrite, RowBuilder, StoreWriter, Succession, WitnessChoice, ms,
     },
 };
@@ -36,19 +36,6 @@
     wakeup: BootInstant,
 }
 
-/// What a coordinator starts with.
-#[derive(Debug)]
-pub(crate) struct Inauguration {
-    /// The row that names it.
-    pub(crate) stored: StoredRow,
-    /// When its write was sent, if this node wrote it.
-    pub(crate) written_at: Option<BootInstant>,
-    pub(crate) office: Office,
-    /// Members that beat here before.
-    pub(crate) heard: Members,
-    pub(crate) weights: PlannerWeights,
-}
-
 impl CellCoordinator {
     pub(crate) fn new(context: Context, now: BootInstant, start: Inauguration) -> Self {
         let Inauguration { stored, written_at, office, heard, weights } = start;
@@ -123,14 +110,14 @@
         settings: SettingsVersion,
         out: &mut Outbox,
     ) {
-        if self.refuse_old_incarnation(beat, out) {
-            return;
+        if let Some(refusal) = self.members.refusal(beat) {
+            return out.send(beat.from.vm, ControlMessage::BeatRefusal(refusal));
         }
-        let before = self.standing(now, beat.from);
+        let before = self.members.standing(now, beat.from);
         if !self.members.record(now, beat) {
             return;
         }
-        self.is_dirty |= before != self.standing(now, beat.from);
+        self.is_dirty |= before != self.members.standing(now, beat.from);
         self.moves.record_loads(now, &beat.loads);
         if self.moves.release(&self.stored.row, beat.from, &beat.released) {
             self.is_dirty = true;
@@ -141,26 +128,6 @@
         }
     }
 
-    fn refuse_old_incarnation(&self, beat: &Beat, out: &mut Outbox) -> bool {
-        let latest = self.members.latest(beat.from.vm);
-        let Some(known) = latest.filter(|it| *it > beat.from.incarnation) else {
-            return false;
-        };
-        if self.context.planted(PlantedFault::NoIncarnationCheck) {
-            return false;
-        }
-        let reason = BeatRefusalReason::OldIncarnation { known };
-        let refusal = BeatRefusal { cell: beat.cell, sequence: beat.sequence, reason };
-        out.send(beat.from.vm, ControlMessage::BeatRefusal(refusal));
-        true
-    }
-
-    /// What the row depends on: whether slices may be assigned to it, and whether it checks grants.
-    fn standing(&self, now: BootInstant, member: Member) -> Option<(bool, bool)> {
-        let record = self.members.get(member)?;
-        Some((record.is_eligible(&self.context, now), record.checks_grants))
-    }
-
     fn may_answer(&self, now: BootInstant, beat: &Beat, pending: Option<&PendingWrite>) -> bool {
         if !self.entitlement.is_live(now) {
             return false;
@@ -185,9 +152,8 @@
         let Some(record) = self.members.get_mut(beat.from) else {
             return;
         };
-        let row = &self.stored.row;
-        let handoffs = self.moves.handoffs();
-        let set = self.grants.grant(&mut record.set, beat.from, row, handoffs, beat.holding);
+        let (row, handoffs) = (&self.stored.row, self.moves.handoffs());
+        let set = self.grants.grant(&mut record.set, beat, row, handoffs);
         let knows_witnesses = beat.witness_generation >= row.witnesses.generation;
         let grant = Grant {
             cell: beat.cell,
@@ -435,11 +401,7 @@
         for member in std::mem::take(&mut self.losses_in_flight) {
             out.log(OwnershipEvent::MemberLost { cell, member });
         }
-        let before: FastSet<_> =
-            before.slices.iter().map(|it| (it.id, it.epoch, it.owner)).collect();
-        let is_new = |it: &&crate::Slice| !before.contains(&(it.id, it.epoch, it.owner));
-        let slices = self.stored.row.slices.iter().filter(is_new);
-        let owners: Vec<_> = slices.filter_map(|it| it.owner).collect();
+        let owners = self.stored.row.owners_of_changes(before);
         if !owners.is_empty() {
             let slices = u32::try_from(owners.len()).unwrap_or(u32::MAX);
             out.log(OwnershipEvent::Assigned { cell, slices });
--- a/crates/galenastream_ownership/src/process/coordinator/grant_book.rs
+++ b/crates/galenastream_ownership/src/process/coordinator/grant_book.rs
@@ -1,8 +1,8 @@
 //! The slices that are granted to each member.
 
 use crate::{
-    CellRow, FastSet, GrantSet, GrantedSlice, HoldingVersion, Member, PlantedFault, SliceEpoch,
-    SliceId, Term,
+    Beat, CellRow, FastSet, GrantSet, GrantedSlice, HoldingVersion, Member, PlantedFault,
+    SliceEpoch, SliceId,
     process::{Context, GrantedSet, Handoffs},
 };
 
@@ -62,17 +62,16 @@
         self.invalidate();
     }
 
-    /// The set for a member's beat, which named `holding`.
+    /// The set for a member's beat, which names the set that it knows.
     pub(crate) fn grant(
         &mut self,
         set: &mut GrantedSet,
-        member: Member,
+        beat: &Beat,
         row: &CellRow,
         handoffs: &Handoffs,
-        holding: Option<(Term, HoldingVersion)>,
     ) -> GrantSet {
         if set.revision != Some(self.revision) {
-            let slices = self.granted_slices(member, row, handoffs);
+            let slices = self.granted_slices(beat.from, row, handoffs);
             if set.revision.is_none() || slices != set.slices {
                 self.last_version = HoldingVersion(self.last_version.0 + 1);
                 set.version = self.last_version;
@@ -80,7 +79,7 @@
             }
             set.revision = Some(self.revision);
         }
-        if holding == Some((row.term, set.version)) {
+        if beat.holding == Some((row.term, set.version)) {
             return GrantSet::Unchanged;
         }
         GrantSet::Full { version: set.version, slices: set.slices.clone() }
--- a/crates/galenastream_ownership/src/process/coordinator/members.rs
+++ b/crates/galenastream_ownership/src/process/coordinator/members.rs
@@ -1,7 +1,8 @@
 //! The members that a coordinator has heard of.
 
 use crate::{
-    Beat, BootInstant, FastMap, Incarnation, Member, VmId,
+    Beat, BeatRefusal, BeatRefusalReason, BootInstant, FastMap, Incarnation, Member, PlantedFault,
+    VmId,
     process::{Context, MemberRecord},
 };
 
@@ -37,6 +38,23 @@
         self.latest(member.vm).is_some_and(|it| it > member.incarnation)
     }
 
+    /// The refusal of a beat of an earlier life of a VM.
+    pub(crate) fn refusal(&self, beat: &Beat) -> Option<BeatRefusal> {
+        let known = self.latest(beat.from.vm).filter(|it| *it > beat.from.incarnation)?;
+        if self.context.planted(PlantedFault::NoIncarnationCheck) {
+            return None;
+        }
+        let reason = BeatRefusalReason::OldIncarnation { known };
+        Some(BeatRefusal { cell: beat.cell, sequence: beat.sequence, reason })
+    }
+
+    /// What the row depends on: whether slices may be assigned to a member, and whether its target
+    /// checks grants.
+    pub(crate) fn standing(&self, now: BootInstant, member: Member) -> Option<(bool, bool)> {
+        let record = self.records.get(&member)?;
+        Some((record.is_eligible(&self.context, now), record.checks_grants))
+    }
+
     /// Learns of a life of a VM.
     pub(crate) fn learn(&mut self, member: Member) {
         let latest = self.latest.entry(member.vm).or_insert(member.incarnation);
@@ -68,6 +86,7 @@
     pub(crate) fn forget(&mut self, now: BootInstant, owns: impl Fn(Member) -> bool) {
         let limit = (self.context.lease_wait() + self.context.order_wait()) * 4;
         self.records.retain(|member, it| now <= it.heard_at + limit || owns(*member));
+        self.latest.retain(|vm, life| self.records.contains_key(&Member::new(*vm, *life)));
     }
 
     /// The members that were heard of within a lease, in the order of their ids.
--- a/crates/galenastream_ownership/src/process/roles.rs
+++ b/crates/galenastream_ownership/src/process/roles.rs
@@ -3,19 +3,19 @@
 use std::time::Duration;
 
 use crate::{
-    Action, Beat, BeatRefusal, BeatRefusalReason, BootInstant, CellView, ControlMessage,
-    DropReason, Event, Grant, GrantSet, HeldSlices, Incarnation, NodeConfig, Nudge, OwnershipEvent,
-    PlannerWeights, PlantedFault, Promise, SealOutcome, SealReply, StoreReply, StoreRequestId,
-    StoredRow, Term, VmId,
+    Action, Beat, BeatRefusal, BeatRefusalReason, BootInstant, CellId, CellRow, CellView,
+    ControlMessage, DropReason, Event, Grant, GrantSet, HeldSlices, Member, NodeConfig, Nudge,
+    OwnershipEvent, PlannerWeights, PlantedFault, Promise, SealOutcome, SealReply, StoreReply,
+    StoreRequestId, StoredRow, Term, VmId,
     process::{
         Candidacy, CellCoordinator, Context, Grounds, Inauguration, Knowledge, LeaseHolder,
-        Members, Outbox, Promiser, RowReader, RowWatch, SettingsWatch, StoreWriter, Takeover,
-        WriteOutcome, ms,
+        Members, Outbox, Promiser, ReadPlan, RowReader, RowWatch, SettingsWatch, StoreWriter,
+        TermTaking, WriteOutcome, ms,
     },
 };
 
-/// Random part of the pause before a node reads the row without being asked to.
-const READ_JITTER: Duration = Duration::from_millis(20);
+/// Pause before an operator's order is tried again while a write is pending.
+const ORDER_RETRY: Duration = Duration::from_millis(20);
 
 /// Leases without a grant after which a node reads the row again.
 const LOST_CONTACT_LEASES: u32 = 3;
@@ -24,7 +24,6 @@
 #[derive(Debug)]
 pub(crate) struct Roles {
     context: Context,
-    config: NodeConfig,
     now: BootInstant,
     knowledge: Knowledge,
     weights: PlannerWeights,
@@ -38,19 +37,14 @@
     writer: StoreWriter,
     reader: RowReader,
     watch: RowWatch,
-    /// The write by which this node takes a term, while it is pending.
-    takeover: Option<Grounds>,
-    /// Whether an operator's order waits for the row.
-    is_ordered: bool,
-    /// When the row is read next, unless something asks for it earlier.
-    read_at: BootInstant,
+    taking: TermTaking,
+    reads: ReadPlan,
 }
 
 impl Roles {
     pub(crate) fn new(context: Context, config: &NodeConfig, now: BootInstant) -> Self {
         Self {
             context,
-            config: config.clone(),
             now,
             knowledge: Knowledge::default(),
             weights: PlannerWeights::default(),
@@ -63,9 +57,8 @@
             writer: StoreWriter::new(context),
             reader: RowReader::new(context, now),
             watch: RowWatch::default(),
-            takeover: None,
-            is_ordered: false,
-            read_at: now,
+            taking: TermTaking::new(context, config.clone()),
+            reads: ReadPlan::new(context, now),
         }
     }
 
@@ -97,7 +90,7 @@
     pub(crate) fn next_wakeup(&self) -> Option<BootInstant> {
         let times = [
             Some(self.holder.next_wakeup()),
-            Some(self.read_at),
+            Some(self.reads.next_wakeup()),
             self.reader.next_wakeup(),
             self.writer.next_wakeup(),
             self.candidate.next_wakeup(),
@@ -179,15 +172,14 @@
             return;
         }
         self.heard.record(now, beat);
-        let latest = self.heard.latest(beat.from.vm);
-        let reason = match latest.filter(|it| *it > beat.from.incarnation) {
-            Some(known) => BeatRefusalReason::OldIncarnation { known },
-            None => BeatRefusalReason::NotCoordinator {
+        let refusal = self.heard.refusal(beat).unwrap_or(BeatRefusal {
+            cell: beat.cell,
+            sequence: beat.sequence,
+            reason: BeatRefusalReason::NotCoordinator {
                 term: self.knowledge.term,
                 coordinator: self.knowledge.coordinator,
             },
-        };
-        let refusal = BeatRefusal { cell: beat.cell, sequence: beat.sequence, reason };
+        });
         out.send(beat.from.vm, ControlMessage::BeatRefusal(refusal));
     }
 
@@ -259,7 +251,7 @@
                 self.handle_committed(now, stored, sent_at, out);
             }
             WriteOutcome::RuledOut => {
-                self.takeover = None;
+                self.taking.ruled_out();
                 if let Some(coordinator) = &mut self.coordinator {
                     coordinator.write_ended();
                 }
@@ -276,7 +268,8 @@
         sent_at: BootInstant,
         out: &mut Outbox,
     ) {
-        let grounds = self.takeover.take();
+        let former_term = Term(stored.row.term.0.saturating_sub(1));
+        let grounds = self.taking.take_grounds(self.candidate.was_deputy(former_term));
         let former = self.knowledge.row.as_ref().map(|it| it.row.coordinator);
         self.knowledge.learn_row(now, &stored);
         if stored.row.term < self.knowledge.term {
@@ -291,13 +284,6 @@
         if let Some(coordinator) = &mut self.coordinator {
             return coordinator.write_committed(now, stored, sent_at, out);
         }
-        let mut grounds = grounds.unwrap_or(Grounds::Ended { since: None, own_leases_too: false });
-        let former_term = Term(stored.row.term.0.saturating_sub(1));
-        if self.candidate.was_deputy(former_term)
-            && let Grounds::Ended { since, .. } = &mut grounds
-        {
-            *since = None;
-        }
         self.take_office(now, stored, Some(sent_at), grounds, former, out);
     }
 
@@ -307,7 +293,7 @@
         stored: StoredRow,
         written_at: Option<BootInstant>,
         grounds: Grounds,
-        former: Option<crate::Member>,
+        former: Option<Member>,
         out: &mut Outbox,
     ) {
         let office = grounds.office(&self.context, now, former);
@@ -329,20 +315,20 @@
             self.handle_outcome(now, outcome, out);
         }
         let Some(stored) = stored else {
-            return self.create_row(now, out);
+            return self.taking.create(now, &self.knowledge, &mut self.writer, out);
         };
         if !self.knowledge.learn_row(now, stored) {
             return;
         }
-        self.restart_if_outlived(stored, out);
+        self.restart_if_outlived(&stored.row, out);
         self.candidate.handle_row(stored);
         self.step_down_if_superseded(out);
         let is_mine = stored.row.coordinator == self.context.me;
         if is_mine && stored.row.term == self.knowledge.term && self.coordinator.is_none() {
-            let grounds = Grounds::Ended { since: None, own_leases_too: false };
+            let grounds = Grounds::named_by_row();
             return self.take_office(now, stored.clone(), None, grounds, None, out);
         }
-        if self.is_ordered {
+        if self.taking.is_ordered() {
             return self.carry_out_order(now, stored, out);
         }
         let is_over = self.watch.observe(&self.context, now, stored.version);
@@ -352,15 +338,6 @@
         }
     }
 
-    fn create_row(&mut self, now: BootInstant, out: &mut Outbox) {
-        if self.knowledge.row.is_some() || !self.writer.is_idle(now) {
-            return;
-        }
-        let takeover = Takeover::first_row(&self.config);
-        self.takeover = Some(takeover.grounds);
-        self.writer.start(now, None, takeover.row, out);
-    }
-
     /// Takes the next term after the end of the coordinator in the row.
     fn take_over(
         &mut self,
@@ -369,34 +346,26 @@
         since: Option<BootInstant>,
         out: &mut Outbox,
     ) {
-        if !self.writer.is_idle(now) {
-            return;
-        }
-        let takeover =
-            Takeover::after_end(&self.context, now, stored, since, &self.knowledge, &self.heard);
-        self.takeover = Some(takeover.grounds);
-        self.writer.start(now, Some(stored.version), takeover.row, out);
+        let known = (&self.knowledge, &self.heard);
+        self.taking.follow(now, stored, since, known, &mut self.writer, out);
     }
 
-    fn order_takeover(&mut self, now: BootInstant, cell: crate::CellId, out: &mut Outbox) {
+    fn order_takeover(&mut self, now: BootInstant, cell: CellId, out: &mut Outbox) {
         if cell != self.context.cell {
             return;
         }
         out.log(OwnershipEvent::TakeoverOrdered { cell });
-        self.is_ordered = true;
+        self.taking.order();
         self.reader.want(now);
     }
 
     fn carry_out_order(&mut self, now: BootInstant, stored: &StoredRow, out: &mut Outbox) {
         if !self.writer.is_idle(now) {
-            return self.reader.want_at(now + READ_JITTER);
+            return self.reader.want_at(now + ORDER_RETRY);
         }
-        self.is_ordered = false;
         self.step_down(out);
         self.holder.refuse_up_to(stored.row.term);
-        let takeover = Takeover::by_order(&self.context, stored);
-        self.takeover = Some(takeover.grounds);
-        self.writer.start(now, Some(stored.version), takeover.row, out);
+        self.taking.carry_out(now, stored, &mut self.writer, out);
     }
 
     fn step_down_if_superseded(&mut self, out: &mut Outbox) {
@@ -419,14 +388,9 @@
     }
 
     /// A later life of this VM stands in the row: this one must end.
-    fn restart_if_outlived(&self, stored: &StoredRow, out: &mut Outbox) {
-        let row = &stored.row;
-        let owners = row.slices.iter().filter_map(|it| it.owner);
-        let witnesses = row.witnesses.witnesses.iter().map(|it| it.member);
-        let members = owners.chain(witnesses).chain([row.coordinator]);
-        let lives = members.filter(|it| it.vm == self.context.me.vm).map(|it| it.incarnation);
-        let known: Option<Incarnation> = lives.max();
-        if let Some(known) = known.filter(|it| *it > self.context.me.incarnation) {
+    fn restart_if_outlived(&self, row: &CellRow, out: &mut Outbox) {
+        let me = self.context.me;
+        if let Some(known) = row.latest_life(me.vm).filter(|it| *it > me.incarnation) {
             out.act(Action::Restart { known });
         }
     }
@@ -477,17 +441,10 @@
         if is_called && !self.reader.is_wanted() {
             self.reader.want_at(now);
         }
-        if now < self.read_at {
-            return;
-        }
-        let interval = ms(self.context.timing.store_term_ms) / 2;
-        self.read_at = now + interval + out.jitter(interval / 2);
         let lost_contact = ms(self.context.timing.lease_ms) * LOST_CONTACT_LEASES;
-        let contact_at = self.holder.granted_at();
-        let has_contact = contact_at.is_some_and(|it| now < it + lost_contact);
-        if self.coordinator.is_some() || !has_contact {
-            self.reader.want_at(now + out.jitter(READ_JITTER));
-        }
+        let has_contact = self.holder.granted_at().is_some_and(|it| now < it + lost_contact);
+        let is_needed = self.coordinator.is_some() || !has_contact;
+        self.reads.advance(now, is_needed, &mut self.reader, out);
     }
 
     pub(crate) fn publish(&mut self, out: &mut Outbox) {
--- a/crates/galenastream_ownership/src/version/cell_row.rs
+++ b/crates/galenastream_ownership/src/version/cell_row.rs
@@ -1,6 +1,8 @@
 //! The row of the table service that holds a cell.
 
-use crate::{CellId, KeyHash, Member, Slice, SliceId, Term, WitnessSet};
+use crate::{
+    CellId, FastSet, Incarnation, KeyHash, Member, Slice, SliceId, Term, VmId, WitnessSet,
+};
 
 /// The row of a cell. Only the coordinator of its term changes it, by conditional writes.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -29,6 +31,22 @@
         self.grant_checkers.binary_search(&member).is_ok()
     }
 
+    /// The latest life of a VM that the row names in any part.
+    pub fn latest_life(&self, vm: VmId) -> Option<Incarnation> {
+        let owners = self.slices.iter().filter_map(|it| it.owner);
+        let witnesses = self.witnesses.witnesses.iter().map(|it| it.member);
+        let members = owners.chain(witnesses).chain([self.coordinator]);
+        members.filter(|it| it.vm == vm).map(|it| it.incarnation).max()
+    }
+
+    /// The owners of the assignments that `before` has not, one for each slice.
+    pub fn owners_of_changes(&self, before: &Self) -> Vec<Member> {
+        let before: FastSet<_> =
+            before.slices.iter().map(|it| (it.id, it.epoch, it.owner)).collect();
+        let is_new = |it: &&Slice| !before.contains(&(it.id, it.epoch, it.owner));
+        self.slices.iter().filter(is_new).filter_map(|it| it.owner).collect()
+    }
+
     /// The slice that a position falls into; `None` only when the row has no slices.
     pub fn slice_at(&self, hash: KeyHash) -> Option<&Slice> {
         let after = self.slices.partition_point(|it| it.first <= hash);
