--- a/crates/galenastream_node/src/process/control_thread.rs
+++ b/crates/galenastream_node/src/process/control_thread.rs
@@ -4,7 +4,7 @@
 
 use galenastream_ownership::{
     Action, BootInstant, CellId, ControlMessage, Event, Incarnation, Member, NodeConfig,
-    OwnershipNode, SettingsVersion, StoreOperation, StoreRequestId, VmId,
+    OwnershipNode, StoreOperation, StoreRequestId, VmId,
 };
 use galenastream_platform::CellStore;
 use galenastream_wire::{decode_control, encode_control};
@@ -169,8 +169,7 @@
         self.ownership = OwnershipNode::new(node_config(&self.node, next), boot_now());
         self.publish_held();
         self.publish_routes();
-        let version = self.node.settings.version();
-        self.node.tell(settings_event(version, self.node.settings.highest_seen()));
+        self.node.apply_settings();
         if let Some(target) = self.node.target.current() {
             self.node.tell(target_up(&target));
         }
@@ -185,11 +184,6 @@
     Event::TargetUp { slots: target.slots, checks_grants: target.checks_grants }
 }
 
-/// The event of a settings version that came into force or was seen.
-pub const fn settings_event(in_force: SettingsVersion, highest: SettingsVersion) -> Event {
-    Event::SettingsSeen { in_force, highest }
-}
-
 fn node_config(node: &Node, incarnation: Incarnation) -> NodeConfig {
     let settings = node.settings.current();
     let service = node.bootstrap.service_id();
--- a/crates/galenastream_node/src/process/daemon.rs
+++ b/crates/galenastream_node/src/process/daemon.rs
@@ -23,7 +23,7 @@
 
 use super::{
     Bootstrap, ControlThread, Node, NodeParts, follow_settings, read_first_settings, report_load,
-    settings_event, start_metrics, stop_gracefully, wait_for_signal, watch_target,
+    start_metrics, stop_gracefully, wait_for_signal, watch_target,
 };
 use crate::{
     connection::{
@@ -117,7 +117,6 @@
             signal = wait_for_signal() => return signal,
         }
         node.apply_settings();
-        node.tell(settings_event(node.settings.version(), node.settings.highest_seen()));
         start_control(node.clone(), sockets.control, event_queue)?;
         tokio::spawn(serve_peers(node.clone(), TcpListener::from_std(sockets.peers)?));
         tokio::spawn(watch_target(node.clone()));
--- a/crates/galenastream_node/src/process/node.rs
+++ b/crates/galenastream_node/src/process/node.rs
@@ -169,13 +169,16 @@
         self.tell(event);
     }
 
-    /// Puts what the settings say of the node itself in force.
+    /// Puts what the settings say of the node itself in force, and tells the control thread.
     pub fn apply_settings(&self) {
         let settings = self.settings.current();
         let service = settings.service_or_root(self.bootstrap.service_id());
         self.retries.set_share_percent(service.retry_budget_percent);
         self.tickets.set_limits(ticket_limits(service));
         self.admission.apply_settings(service, self.target.current().as_deref());
+        self.tell(Event::WeightsChanged(service.planner_weights()));
+        let (in_force, highest) = (self.settings.version(), self.settings.highest_seen());
+        self.tell(Event::SettingsSeen { in_force, highest });
     }
 
     /// Whether this node can serve its part: the target is up, the settings are current, and it
--- a/crates/galenastream_node/src/process/settings_sync.rs
+++ b/crates/galenastream_node/src/process/settings_sync.rs
@@ -2,13 +2,13 @@
 
 use std::{sync::Arc, time::Duration};
 
-use galenastream_ownership::{SettingsVersion, VmId};
+use galenastream_ownership::{Event, SettingsVersion, VmId};
 use galenastream_platform::{SettingsPointer, SettingsStore};
 use galenastream_wire::SettingsQuery;
 use rand::RngExt;
 use tokio::time::{sleep, timeout};
 
-use super::{Node, WantedSettings, settings_event};
+use super::{Node, WantedSettings};
 use crate::version::SettingsVersionInForce;
 
 /// How often a coordinator looks for a new version in the platform, without jitter.
@@ -123,12 +123,13 @@
         return;
     }
     node.apply_settings();
-    tell_control(node);
     log::info!(event = "settings_in_force", version = version.0; "settings changed");
 }
 
+/// A node that is behind says so in its beats.
 fn tell_control(node: &Node) {
-    node.tell(settings_event(node.settings.version(), node.settings.highest_seen()));
+    let (in_force, highest) = (node.settings.version(), node.settings.highest_seen());
+    node.tell(Event::SettingsSeen { in_force, highest });
 }
 
 async fn load_current(
--- a/crates/galenastream_node/src/request/owner.rs
+++ b/crates/galenastream_node/src/request/owner.rs
@@ -113,7 +113,8 @@
     ticket: Option<(TicketToken, TicketRun<'_>)>,
 ) -> Reply {
     let mut work = Work { in_progress, ticket };
-    let reply = work.admit_and_run(node, forward, deadline).await;
+    let mut reply = work.admit_and_run(node, forward, deadline).await;
+    reply.ticket = forward.ticket;
     work.finish(&reply);
     reply
 }
--- /dev/null
+++ b/crates/galenastream_node/tests/services.rs
@@ -0,0 +1,116 @@
+//! Several services, and one that is not divided by key.
+
+#![allow(clippy::unwrap_used, reason = "a failed step of a test ends the test")]
+
+mod support;
+
+use std::collections::BTreeSet;
+
+use galenastream_ownership::SettingsVersion;
+use galenastream_standin::{CallerRequest, VmOptions, wait_until};
+use http::Method;
+use support::{Cluster, PLACES, WAIT_LIMIT, take_turn};
+
+const SETTINGS: &str = "\
+[defaults]
+initial_slices = 12
+ramp_up_ms = 0
+
+[places.east]
+[places.south]
+[places.west]
+
+[services.catalogue]
+[services.catalogue.places.east]
+[services.catalogue.places.south]
+[services.catalogue.places.west]
+
+[services.booking]
+[services.booking.places.east]
+[services.booking.places.south]
+[services.booking.places.west]
+
+[services.fitting]
+divided_by_key = false
+[services.fitting.places.east]
+[services.fitting.places.south]
+[services.fitting.places.west]
+";
+
+async fn start(name: &str, services: &[&str]) -> Cluster {
+    let mut cluster = Cluster::start_platform(name).await;
+    cluster.settings_store().publish(SettingsVersion(0), SETTINGS).await.unwrap();
+    for service in services {
+        for place in PLACES {
+            cluster.add_vm(&VmOptions::new(place, service));
+        }
+    }
+    for vm in &cluster.vms {
+        let name = format!("{} to be ready", vm.name);
+        wait_until(&name, WAIT_LIMIT, async || vm.is_ready(&cluster.caller).await).await.unwrap();
+    }
+    cluster
+}
+
+/// The target that answered; `None` if none did.
+async fn answering_target(
+    cluster: &Cluster,
+    entry: usize,
+    request: &CallerRequest,
+) -> Option<String> {
+    let answer = cluster.caller.call(cluster.vms[entry].caller_address, request).await.ok()?;
+    if answer.outcome() != "ran" {
+        return None;
+    }
+    answer.json()["target"].as_str().map(str::to_owned)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_of_one_service_routes_to_another() {
+    let _turn = take_turn().await;
+    let mut cluster = start("two-services", &["catalogue", "booking"]).await;
+    let booking: BTreeSet<String> = (3..6).map(|it| format!("vm-{it}-target")).collect();
+    let request = CallerRequest::new(Method::POST, "/booking/appointments").with_key("frame-1");
+    let mut target = None;
+    wait_until("the booking to be taken", WAIT_LIMIT, async || {
+        target = answering_target(&cluster, 0, &request).await;
+        target.is_some()
+    })
+    .await
+    .unwrap();
+    let target = target.unwrap();
+    assert!(booking.contains(&target), "{target} answered");
+
+    let lost = cluster.vms.iter().position(|vm| vm.target.name() == target).unwrap();
+    cluster.vms.remove(lost).kill().unwrap();
+    wait_until("another target to take the booking", WAIT_LIMIT, async || {
+        let answering = answering_target(&cluster, 0, &request).await;
+        answering.is_some_and(|it| booking.contains(&it) && it != target)
+    })
+    .await
+    .unwrap();
+    cluster.close();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn any_target_of_an_undivided_service_answers() {
+    let _turn = take_turn().await;
+    let mut cluster = start("undivided", &["fitting", "catalogue"]).await;
+    let request = CallerRequest::new(Method::GET, "/fitting/previews");
+    let mut seen = BTreeSet::new();
+    for entry in [0, 3] {
+        seen.clear();
+        wait_until("all targets to answer", WAIT_LIMIT, async || {
+            seen.extend(answering_target(&cluster, entry, &request).await);
+            seen.len() == 3
+        })
+        .await
+        .unwrap();
+    }
+    let lost = cluster.vms.remove(1).target.name().to_owned();
+    for number in 0..200 {
+        let answering = answering_target(&cluster, 0, &request).await;
+        assert!(answering.is_some_and(|it| it != lost), "request {number} after the loss");
+    }
+    cluster.close();
+}
