--- a/crates/galenastream_node/tests/bad_input.rs
+++ b/crates/galenastream_node/tests/bad_input.rs
@@ -8,8 +8,9 @@
 
 use expect_test::{Expect, expect};
 use galenastream_ownership::{
-    BeatRefusal, BeatRefusalReason, CellId, ControlMessage, Incarnation, Member, Nudge, Promise,
-    Sequence, ServiceId, Term, VmId, WitnessGeneration,
+    BeatRefusal, BeatRefusalReason, CellId, ControlMessage, Grant, GrantSet, HoldingVersion,
+    Incarnation, Member, Nudge, Promise, Sequence, ServiceId, SettingsVersion, Term, VmId,
+    WitnessGeneration,
 };
 use galenastream_standin::{Vm, VmOptions, wait_until};
 use galenastream_wire::{MAX_FRAME_BYTES, encode_control};
@@ -339,10 +340,16 @@
     let unreadable = "galenastream_datagrams_dropped_total{reason=\"unreadable\"} 5";
     wait_for_metric(&cluster, vm, unreadable).await;
 
-    // Whole messages of a VM that nobody knows and of an older life confer nothing.
-    for message in [promise(), refusal()] {
+    // Whole messages of a VM that nobody knows confer nothing.
+    for message in [promise(), grant()] {
         socket.send_to(&encode_control(&message), vm.vm_address).await.unwrap();
     }
+    let unsolicited = "galenastream_datagrams_dropped_total{reason=\"unsolicited\"}";
+    wait_for_metric(&cluster, vm, unsolicited).await;
+    let misdirected = "galenastream_datagrams_dropped_total{reason=\"other-receiver\"}";
+    wait_for_metric(&cluster, vm, misdirected).await;
+    socket.send_to(&encode_control(&refusal()), vm.vm_address).await.unwrap();
+    assert_eq!(cluster.held_slices(vm).await, 0);
     assert_goes_on(&cluster, vm).await;
     cluster.close();
 }
@@ -371,6 +378,20 @@
     })
 }
 
+fn grant() -> ControlMessage {
+    ControlMessage::Grant(Grant {
+        cell: cell(),
+        term: Term(9),
+        from: stranger(),
+        to: stranger(),
+        sequence: Sequence(1),
+        lease_ms: 1_000_000,
+        set: GrantSet::Full { version: HoldingVersion(1), slices: Vec::new() },
+        witnesses: None,
+        settings: SettingsVersion(0),
+    })
+}
+
 fn refusal() -> ControlMessage {
     let reason = BeatRefusalReason::NotCoordinator { term: Term(0), coordinator: Some(stranger()) };
     ControlMessage::BeatRefusal(BeatRefusal { cell: cell(), sequence: Sequence(u64::MAX), reason })
--- a/crates/galenastream_standin/src/deployment/folder.rs
+++ b/crates/galenastream_standin/src/deployment/folder.rs
@@ -2,10 +2,15 @@
 
 use std::{
     net::{Ipv4Addr, SocketAddrV4, TcpListener, UdpSocket},
+    ops::Range,
     path::{Path, PathBuf},
 };
 
 use anyhow::{Context, bail};
+use rand::RngExt;
+
+/// The ports that the processes of deployments use.
+const PORTS: Range<u16> = 10_000..32_000;
 
 /// How often a free port is looked for before giving up.
 const PORT_TRIES: u32 = 100;
@@ -45,11 +50,15 @@
 }
 
 /// Finds a loopback address whose port is free for both TCP and UDP.
+///
+/// The port lies below those that the system gives to outgoing connections, one of which could
+/// otherwise take it before the process that it is meant for.
 pub fn free_address() -> anyhow::Result<SocketAddrV4> {
     for _ in 0..PORT_TRIES {
-        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
-        let port = listener.local_addr()?.port();
-        if UdpSocket::bind((Ipv4Addr::LOCALHOST, port)).is_ok() {
+        let port = rand::rng().random_range(PORTS);
+        let is_free = TcpListener::bind((Ipv4Addr::LOCALHOST, port)).is_ok()
+            && UdpSocket::bind((Ipv4Addr::LOCALHOST, port)).is_ok();
+        if is_free {
             return Ok(SocketAddrV4::new(Ipv4Addr::LOCALHOST, port));
         }
     }
