A member counts as lost and as live at no same instant; table of cases for the coordinator

Cause (new table of cases, with a store that answers at once): at the very end of the wait a member was lost and yet eligible, so that its slices were given back to it in a new epoch, in every write until the clock moved. Members are live only before that instant, and lost ones get nothing. Before: the case never ended; after: all 28 cases pass.

--- a/crates/galenastream_ownership/src/process/coordinator/member_record.rs
+++ b/crates/galenastream_ownership/src/process/coordinator/member_record.rs
@@ -99,7 +99,7 @@
 
     /// Whether it was heard of within a lease.
     pub(crate) fn is_live(&self, context: &Context, now: BootInstant) -> bool {
-        !self.is_deaf && now <= self.heard_at + context.lease_wait()
+        !self.is_deaf && now < self.heard_at + context.lease_wait()
     }
 
     /// Whether slices may be assigned to it.
--- a/crates/galenastream_ownership/src/process/coordinator/row_builder.rs
+++ b/crates/galenastream_ownership/src/process/coordinator/row_builder.rs
@@ -41,7 +41,8 @@
         row.coordinator = self.coordinator;
         let mut assigned = 0;
         if self.may_assign {
-            let eligible = self.members.eligible(self.now);
+            let mut eligible = self.members.eligible(self.now);
+            eligible.retain(|it| !self.lost.contains(&it.member));
             assigned = place(&mut row, &self.vacancies(), &eligible);
         }
         for cut in self.cuts {
