A coordinator publishes its live members when they change, not only with the row

Cause: routes were published when the row, term or coordinator changed. With witnesses the row is hardly ever written, so of a service that is not divided by key a target that came later, or came back from a freeze, got no requests from any node, and one that went was still given some. Ruled out: the announcement (galenastream_target_up was 1) and the nodes' cache of members (kept for 1 s).

--- a/crates/galenastream_ownership/src/process/roles.rs
+++ b/crates/galenastream_ownership/src/process/roles.rs
@@ -9,8 +9,8 @@
     StoredRow, Term, VmId,
     process::{
         Candidacy, CellCoordinator, Context, Grounds, Inauguration, Knowledge, LeaseHolder,
-        Members, Outbox, Promiser, RowReader, RowWatch, SettingsWatch, StoreWriter, Takeover,
-        WriteOutcome, ms,
+        Members, Outbox, Promiser, PublishedMembers, RowReader, RowWatch, SettingsWatch,
+        StoreWriter, Takeover, WriteOutcome, ms,
     },
 };
 
@@ -33,6 +33,7 @@
     witness: Promiser,
     candidate: Candidacy,
     coordinator: Option<CellCoordinator>,
+    published_members: PublishedMembers,
     /// Members that beat here although this node does not coordinate.
     heard: Members,
     writer: StoreWriter,
@@ -59,6 +60,7 @@
             witness: Promiser::new(context),
             candidate: Candidacy::new(context),
             coordinator: None,
+            published_members: PublishedMembers::default(),
             heard: Members::new(context),
             writer: StoreWriter::new(context),
             reader: RowReader::new(context, now),
@@ -494,7 +496,10 @@
         if self.holder.take_changed() {
             out.act(Action::PublishHeld);
         }
-        if std::mem::take(&mut self.knowledge.changed) {
+        let interval = ms(self.context.timing.beat_ms);
+        let coordinator = self.coordinator.as_ref();
+        let members_changed = self.published_members.have_changed(self.now, interval, coordinator);
+        if std::mem::take(&mut self.knowledge.changed) || members_changed {
             out.act(Action::PublishRoutes(self.context.cell));
         }
     }
