A member that was slow is tried again once its measurement has aged

Cause: of two members the one with less expected work is chosen, and only requests that finish change the measured latency. A member that was slow for a while lost every comparison from then on, so nothing showed that it recovered. Seen: measure-traffic faults: 60 s after the slow target was fast again it had none of 300 requests a second. Ruled out: the list of members (it was in it). The measurements of members that finished nothing are halved about once a second.

--- a/crates/galenastream_node/src/process/member_table.rs
+++ b/crates/galenastream_node/src/process/member_table.rs
@@ -50,6 +50,7 @@
         let mut services = self.lock();
         let members = services.entry(service).or_default();
         members.loads.retain(&candidates);
+        members.loads.age();
         members.candidates = candidates;
         members.learned_at = Some(Instant::now());
     }
--- a/crates/galenastream_routing/src/process/balance.rs
+++ b/crates/galenastream_routing/src/process/balance.rs
@@ -18,6 +18,8 @@
 struct MemberLoad {
     in_progress: u32,
     mean_latency_us: u64,
+    /// Whether a request finished since the measurements were last aged.
+    is_recent: bool,
 }
 
 /// A member that may be chosen.
@@ -62,6 +64,18 @@
         load.in_progress = load.in_progress.saturating_sub(1);
         let kept_us = load.mean_latency_us - load.mean_latency_us / LATENCY_WEIGHT_DIVISOR;
         load.mean_latency_us = kept_us + latency_us / LATENCY_WEIGHT_DIVISOR;
+        load.is_recent = true;
+    }
+
+    /// Halves the latency of members that finished nothing since the last call. Call it about once
+    /// a second: a member that was slow gets no requests, so nothing else shows that it recovered.
+    pub fn age(&mut self) {
+        for load in self.loads.values_mut() {
+            if !load.is_recent {
+                load.mean_latency_us /= 2;
+            }
+            load.is_recent = false;
+        }
     }
 
     /// Forgets members that are no longer known and have nothing in progress.
