--- a/crates/galenastream_routing/tests/balance.rs
+++ b/crates/galenastream_routing/tests/balance.rs
@@ -23,7 +23,7 @@
     for _ in 0..seconds {
         loads.age();
         for _ in 0..REQUESTS_PER_SECOND {
-            let vm = loads.choose(&candidates, rng).unwrap();
+            let vm = loads.choose(&candidates, rng).expect("there are candidates");
             let is_first = vm == candidates[0].vm;
             of_first += u32::from(is_first);
             loads.begin(vm);
