--- a/crates/galenastream_settings/src/error/settings_error_kind.rs
+++ b/crates/galenastream_settings/src/error/settings_error_kind.rs
@@ -114,7 +114,7 @@
     #[error("the service is not divided by key, so it has no key ranges")]
     NotDividedByKey,
     /// Two classes with the same name.
-    #[error("the class {name:?} stands twice")]
+    #[error("the class {name:?} is listed twice")]
     DuplicateClass {
         /// The name.
         name: String,
@@ -159,15 +159,15 @@
         /// Whether both may be equal.
         equal_allowed: bool,
     },
-    /// An entry that is listed as removed and still stands in the file.
-    #[error("{entry:?} is listed as removed and still stands in the file")]
+    /// An entry that is listed as removed but still present.
+    #[error("{entry:?} is listed as removed but still present")]
     RemovedButPresent {
         /// The entry.
         entry: String,
     },
     /// An entry of the version in force that is missing and not listed as removed.
     #[error(
-        "the entry vanished without an explicit removal; it was {old_value} in line {old_line} of {old_source}"
+        "the entry is missing without an explicit removal; it was {old_value} in line {old_line} of {old_source}"
     )]
     Vanished {
         /// Its old value.
@@ -244,7 +244,7 @@
                 "move what many entries share up to their parent, so that they inherit it"
                     .to_owned()
             }
-            Self::Syntax { .. } => "mend the line".to_owned(),
+            Self::Syntax { .. } => "correct the line".to_owned(),
             Self::Unknown { suggestion: Some(name), .. }
             | Self::UnknownPlace { suggestion: Some(name), .. } => format!("write {name}"),
             Self::Unknown { .. } => "delete the entry or use an allowed name".to_owned(),
@@ -267,7 +267,7 @@
                 "declare the range with its bounds as [services.SERVICE.key_ranges.NAME]".to_owned()
             }
             Self::KeyRangeBounds => "give the range one kind of bounds".to_owned(),
-            Self::EmptyKeyRange => "exchange the two keys".to_owned(),
+            Self::EmptyKeyRange => "swap the two keys".to_owned(),
             Self::OverlappingKeyRanges { .. } => {
                 "narrow one of the two, or put their settings into one range".to_owned()
             }
--- a/crates/galenastream_settings/src/parse/removed_reader.rs
+++ b/crates/galenastream_settings/src/parse/removed_reader.rs
@@ -27,7 +27,7 @@
     removed
 }
 
-/// Refuses entries that are listed as removed and still stand in the file.
+/// Refuses entries that are listed as removed but still present.
 pub(crate) fn refuse_removed_but_present(
     document: &mut Document<'_>,
     root: &DeTable<'_>,
