--- a/crates/galenastream_ctl/src/process/command_line.rs
+++ b/crates/galenastream_ctl/src/process/command_line.rs
@@ -72,7 +72,7 @@
                     "Makes a file the next version, or changes nothing.\n\n\
                      The file is checked first. An entry of the version in force that is missing \
                      from the file is an error unless the file's `removed` list names it, and so \
-                     is a change of leases and the like while the service runs. The \
+                     is removing a service, or changing its leases and the like, while it runs. The \
                      write succeeds only if no other operator applied a version since the version \
                      in force was read; otherwise the command ends with code 3 and names both \
                      versions.",
@@ -204,7 +204,7 @@
         .long("stopped")
         .value_name("SERVICE")
         .action(ArgAction::Append)
-        .help("Every node of this service is stopped: its leases and the like may change")
+        .help("Every node of this service is stopped: it may be removed, and its leases may change")
 }
 
 fn service() -> Arg {
--- a/crates/galenastream_ctl/tests/command_line.rs
+++ b/crates/galenastream_ctl/tests/command_line.rs
@@ -125,7 +125,7 @@
                   --table-address <IP:PORT>   Where the platform's table service listens [env: GALENASTREAM_TABLE_ADDRESS=]
                   --object-address <IP:PORT>  Where the platform's object store listens [env: GALENASTREAM_OBJECT_ADDRESS=]
                   --timeout-ms <MS>           How long to wait for each answer [default: 2000]
-                  --stopped <SERVICE>         Every node of this service is stopped: its leases and the like may change
+                  --stopped <SERVICE>         Every node of this service is stopped: it may be removed, and its leases may change
                   --expect <VERSION>          Refuse unless this version is in force; 0 if there is none yet
               -h, --help                      Print help (see more with '--help')
         "#]],
--- a/crates/galenastream_ctl/tests/settings_versions.rs
+++ b/crates/galenastream_ctl/tests/settings_versions.rs
@@ -222,15 +222,16 @@
     "#]]).await;
     assert_eq!(fixture.in_force().await, (1, FIRST.to_owned()));
     fixture.write("removed.toml", &format!("removed = [\"services.catalogue\"]\n{without}"));
+    assert_eq!(code(&fixture.run(&["apply", "removed.toml"]).await), 1);
     fixture
         .check(
-            &["apply", "removed.toml"],
+            &["apply", "removed.toml", "--stopped", "catalogue"],
             &expect![[r#"
-        exit 0
-        version 2 applied in place of version 1, 2 changes:
-        - services.catalogue: a table
-        - services.catalogue.slots: 4
-    "#]],
+                exit 0
+                version 2 applied in place of version 1, 2 changes:
+                - services.catalogue: a table
+                - services.catalogue.slots: 4
+            "#]],
         )
         .await;
     fixture.close();
--- a/crates/galenastream_settings/src/error/settings_error_kind.rs
+++ b/crates/galenastream_settings/src/error/settings_error_kind.rs
@@ -187,6 +187,12 @@
         /// The value in force.
         old_value: String,
     },
+    /// A service was removed that may be running.
+    #[error("the service cannot be removed while it runs")]
+    RemovedWhileRunning {
+        /// The service.
+        service: String,
+    },
 }
 
 impl SettingsErrorKind {
@@ -231,6 +237,7 @@
                 "in `removed` only entries that the file no longer has".to_owned()
             }
             Self::FixedWhileRunning { field, old_value, .. } => format!("{field} = {old_value}"),
+            Self::RemovedWhileRunning { .. } => "services of which no node runs".to_owned(),
             Self::Vanished { .. } => {
                 "each entry of the version in force, or its name in `removed`".to_owned()
             }
@@ -286,6 +293,9 @@
             Self::RemovedButPresent { .. } => {
                 "delete the entry itself, or take its name out of `removed`".to_owned()
             }
+            Self::RemovedWhileRunning { service } => {
+                format!("stop every node of the service, and apply with `--stopped {service}`")
+            }
             Self::FixedWhileRunning { service, .. } => format!(
                 "keep the value; or stop every node of the service, apply with `--stopped {service}`, and start the nodes"
             ),
--- a/crates/galenastream_settings/src/version/fixed_fields.rs
+++ b/crates/galenastream_settings/src/version/fixed_fields.rs
@@ -5,7 +5,8 @@
     SettingsTree,
 };
 
-/// Refuses a new version that changes what all nodes of a running service must agree on.
+/// Refuses a new version that changes what all nodes of a running service must agree on, or
+/// removes a running service.
 ///
 /// `stopped` names the services of which the operator says that no node runs.
 pub fn check_fixed_fields(
@@ -23,9 +24,36 @@
         };
         errors.extend(changed_fixed_fields(old_service, new, service));
     }
+    errors.extend(removed_services(old, new, stopped));
     SettingsErrors::check(errors)
 }
 
+/// A service that runs on without settings could come back with others than its nodes have.
+fn removed_services(
+    old: &SettingsTree,
+    new: &SettingsTree,
+    stopped: &[&str],
+) -> Vec<SettingsError> {
+    let mut errors = Vec::new();
+    for service in old.services() {
+        let path = format!("services.{}", service.name);
+        if new.service(service.id()).is_some() || stopped.contains(&service.name()) {
+            continue;
+        }
+        if !new.names_removed(&path) {
+            continue;
+        }
+        errors.push(SettingsError {
+            source_name: new.source_name.clone(),
+            line: None,
+            path,
+            value: None,
+            kind: SettingsErrorKind::RemovedWhileRunning { service: service.name.clone() },
+        });
+    }
+    errors
+}
+
 fn changed_fixed_fields(
     old_service: &ServiceSettings,
     new: &SettingsTree,
--- a/crates/galenastream_settings/src/version/removals.rs
+++ b/crates/galenastream_settings/src/version/removals.rs
@@ -42,7 +42,7 @@
 }
 
 impl SettingsTree {
-    fn names_removed(&self, path: &str) -> bool {
+    pub(crate) fn names_removed(&self, path: &str) -> bool {
         self.removed.iter().any(|removed| is_within(path, removed))
     }
 }
--- a/crates/galenastream_settings/tests/versions.rs
+++ b/crates/galenastream_settings/tests/versions.rs
@@ -185,6 +185,19 @@
     check_update(&old, &new, &["booking", "catalogue"]).unwrap();
 }
 
+#[test]
+fn service_that_may_run_is_not_removed() {
+    let new = OLD.replace("[services.catalogue-2]\nslots = 3\n", "");
+    let new = parse(&format!("removed = [\"services.catalogue-2\"]\n{new}"));
+    let errors = check_update(&parse(OLD), &new, &["catalogue"]).unwrap_err();
+    expect![[r#"
+        tree.toml: services.catalogue-2: the service cannot be removed while it runs
+          allowed: services of which no node runs
+          remedy: stop every node of the service, and apply with `--stopped catalogue-2`"#]]
+    .assert_eq(&errors.to_string());
+    check_update(&parse(OLD), &new, &["catalogue-2"]).unwrap();
+}
+
 #[test]
 fn live_fields_may_change() {
     let new = OLD.replace("retry_after_ms = 200", "retry_after_ms = 250\ndrain_ms = 9000");
