--- a/crates/galenastream_ctl/tests/settings_versions.rs
+++ b/crates/galenastream_ctl/tests/settings_versions.rs
@@ -210,27 +210,28 @@
         compared with version 1:
         - services.catalogue: a table
         - services.catalogue.slots: 4
-        error: without.toml: services.catalogue: the entry vanished without an explicit removal; it was a table in line 5 of version 1
+        error: without.toml: services.catalogue: the entry is missing without an explicit removal; it was a table in line 5 of version 1
           allowed: each entry of the version in force, or its name in `removed`
           remedy: put the entry back, or add its name to `removed` at the top of the file
     "#]]).await;
     fixture.check(&["apply", "without.toml"], &expect![[r#"
         exit 1
-        error: without.toml: services.catalogue: the entry vanished without an explicit removal; it was a table in line 5 of version 1
+        error: without.toml: services.catalogue: the entry is missing without an explicit removal; it was a table in line 5 of version 1
           allowed: each entry of the version in force, or its name in `removed`
           remedy: put the entry back, or add its name to `removed` at the top of the file
     "#]]).await;
     assert_eq!(fixture.in_force().await, (1, FIRST.to_owned()));
     fixture.write("removed.toml", &format!("removed = [\"services.catalogue\"]\n{without}"));
+    assert_eq!(code(&fixture.run(&["apply", "removed.toml"]).await), 1);
     fixture
         .check(
-            &["apply", "removed.toml"],
+            &["apply", "removed.toml", "--stopped", "catalogue"],
             &expect![[r#"
-        exit 0
-        version 2 applied in place of version 1, 2 changes:
-        - services.catalogue: a table
-        - services.catalogue.slots: 4
-    "#]],
+                exit 0
+                version 2 applied in place of version 1, 2 changes:
+                - services.catalogue: a table
+                - services.catalogue.slots: 4
+            "#]],
         )
         .await;
     fixture.close();
