Node: a target that answers others is not taken for frozen

Cause: orders of 200 ms at the coordinator's own target end at its lease (250 ms at most), and eight of them opened the breaker for all requests. A missed deadline now counts as a failure only if the target answered nothing since the order began.

--- a/crates/galenastream_node/src/process/target_breaker.rs
+++ b/crates/galenastream_node/src/process/target_breaker.rs
@@ -2,7 +2,8 @@
 
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
-use galenastream_routing::{Breaker, BreakerLimits, NotRunReason, Outcome, Passage};
+use galenastream_ownership::BootInstant;
+use galenastream_routing::{Breaker, BreakerLimits, NotRunReason, Outcome, Passage, UnknownReason};
 use galenastream_settings::EffectiveSettings;
 
 use super::boot_now;
@@ -13,23 +14,30 @@
 /// A target that freezes would otherwise hold every request until its deadline.
 #[derive(Debug)]
 pub struct TargetBreaker {
-    breaker: Mutex<Breaker>,
+    state: Mutex<BreakerState>,
+}
+
+#[derive(Debug)]
+struct BreakerState {
+    breaker: Breaker,
+    answered_at: BootInstant,
 }
 
 impl TargetBreaker {
     /// Creates a closed breaker.
     pub fn new(settings: &EffectiveSettings) -> Self {
-        Self { breaker: Mutex::new(Breaker::new(limits(settings))) }
+        let breaker = Breaker::new(limits(settings));
+        Self { state: Mutex::new(BreakerState { breaker, answered_at: BootInstant::default() }) }
     }
 
     /// Closes the breaker, for a target that came up anew or new settings.
     pub fn reset(&self, settings: &EffectiveSettings) {
-        *self.lock() = Breaker::new(limits(settings));
+        self.lock().breaker = Breaker::new(limits(settings));
     }
 
     /// The refusal of a request while the breaker is open.
     pub fn refusal(&self) -> Option<Reply> {
-        match self.lock().pass(boot_now()) {
+        match self.lock().breaker.pass(boot_now()) {
             Passage::Free | Passage::Probe => None,
             Passage::Blocked { retry_after_ms } => {
                 let refused = Reply::not_run(NotRunReason::TargetUnavailable);
@@ -38,18 +46,25 @@
         }
     }
 
-    /// Records what became of a request that passed.
-    pub fn record(&self, outcome: Outcome) {
+    /// Records what became of a request that passed at `began_at`.
+    pub fn record(&self, outcome: Outcome, began_at: BootInstant) {
+        let now = boot_now();
+        let mut state = self.lock();
         match outcome {
-            Outcome::Ran => self.lock().record_success(),
-            Outcome::Unknown(_) => self.lock().record_failure(boot_now()),
+            Outcome::Ran => {
+                state.answered_at = now;
+                state.breaker.record_success();
+            }
+            // A target that answers other requests meanwhile is slow with this one, not frozen.
+            Outcome::Unknown(UnknownReason::DeadlinePassed) if state.answered_at > began_at => {}
+            Outcome::Unknown(_) => state.breaker.record_failure(now),
             // A target that refuses is alive.
             Outcome::NotRun(_) => {}
         }
     }
 
-    fn lock(&self) -> MutexGuard<'_, Breaker> {
-        self.breaker.lock().unwrap_or_else(PoisonError::into_inner)
+    fn lock(&self) -> MutexGuard<'_, BreakerState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
--- a/crates/galenastream_node/src/request/owner.rs
+++ b/crates/galenastream_node/src/request/owner.rs
@@ -1,6 +1,6 @@
 //! Runs a request at the node beside the owner's target.
 
-use std::{sync::Arc, time::Instant};
+use std::sync::Arc;
 
 use galenastream_ownership::{KeyHash, ServiceId, SettingsVersion};
 use galenastream_routing::{Class, Deadline, NotRunReason, Outcome, TicketDecision, UnknownReason};
@@ -155,11 +155,12 @@
         if let Some(refused) = node.target_breaker.refusal() {
             return refused;
         }
-        let began_at = Instant::now();
+        let began_at = boot_now();
         let reply = self.run(node, forward, deadline, &target).await;
-        node.target_breaker.record(reply.outcome);
+        node.target_breaker.record(reply.outcome, began_at);
         if let Some(in_progress) = &self.in_progress {
-            in_progress.record_busy(KeyHash::of(&forward.key), began_at.elapsed());
+            let busy = boot_now().saturating_since(began_at);
+            in_progress.record_busy(KeyHash::of(&forward.key), busy);
         }
         if reply.outcome == Outcome::Ran {
             slot.answered();
