--- a/crates/galenastream_settings/src/field/table.rs
+++ b/crates/galenastream_settings/src/field/table.rs
@@ -181,7 +181,7 @@
         default: "600",
         lowest_level: Level::Service,
         change_rule: ChangeRule::WhileStopped,
-        description: "How long a grant lasts, counted from when its holder sent the beat. At least three beats.",
+        description: "How long a grant lasts, counted from when its holder sent the beat. At least three beats. An order to a target has at most this long.",
     },
     FieldSpec {
         name: "beat_ms",
@@ -197,7 +197,7 @@
         default: "250",
         lowest_level: Level::Service,
         change_rule: ChangeRule::WhileStopped,
-        description: "How long a witness's promise lasts, counted from when the coordinator asked. At least three promise beats, and shorter than the lease.",
+        description: "How long a witness's promise lasts, counted from when the coordinator asked. At least three promise beats, and shorter than the lease. An order to the coordinator's own target has at most this long.",
     },
     FieldSpec {
         name: "promise_beat_ms",
--- a/crates/galenastream_settings/src/version/effective.rs
+++ b/crates/galenastream_settings/src/version/effective.rs
@@ -51,11 +51,11 @@
     pub drain_ms: u32,
     /// The longest deadline of an order to a target. The slices of a lost target that does not check grants wait this long on top of the lease.
     pub order_limit_ms: u32,
-    /// How long a grant lasts, counted from when its holder sent the beat. At least three beats.
+    /// How long a grant lasts, counted from when its holder sent the beat. At least three beats. An order to a target has at most this long.
     pub lease_ms: u32,
     /// Interval between two beats of a holder.
     pub beat_ms: u32,
-    /// How long a witness's promise lasts, counted from when the coordinator asked. At least three promise beats, and shorter than the lease.
+    /// How long a witness's promise lasts, counted from when the coordinator asked. At least three promise beats, and shorter than the lease. An order to the coordinator's own target has at most this long.
     pub promise_ms: u32,
     /// Interval between two promise requests of a coordinator.
     pub promise_beat_ms: u32,
