No seal counts as first while the witnesses change

Cause (regression test deputies_of_different_witness_sets of the proofs): the write of a new set took effect late; a node that had read the old set and one that read the new one each got two first seals from disjoint pairs, and both became deputies. Now all witnesses that stay must have acknowledged that a change is under way before its write is sent; until they acknowledge the new set their seals are never called first, so that no deputy can arise. Generations count in steps of two; the odd number between two sets announces the change, so no message grows. Ruled out: refusing seals during the change, since a change that never reaches the row would then leave no quorum. Silent witnesses are replaced before others, for a change needs the other two.

--- a/crates/galenastream_ownership/src/id/number.rs
+++ b/crates/galenastream_ownership/src/id/number.rs
@@ -24,10 +24,35 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
 pub struct Sequence(pub u64);
 
-/// Counts the sets of witnesses of a cell.
+/// Counts the sets of witnesses of a cell in steps of two.
+///
+/// An odd number stands between two sets: a change from the one below to the one above is under
+/// way, so that either may stand in the row.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
 pub struct WitnessGeneration(pub u64);
 
+impl WitnessGeneration {
+    /// The generation of the set that follows this one.
+    pub const fn next(self) -> Self {
+        Self(self.set().0 + 2)
+    }
+
+    /// Between this set and the next one.
+    pub const fn changing(self) -> Self {
+        Self(self.set().0 + 1)
+    }
+
+    /// Whether a change is under way.
+    pub const fn is_changing(self) -> bool {
+        self.0 % 2 == 1
+    }
+
+    /// The set itself; the lower one while a change is under way.
+    pub const fn set(self) -> Self {
+        Self(self.0 - self.0 % 2)
+    }
+}
+
 /// Counts the sets of slices that a coordinator granted during one term.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
 pub struct HoldingVersion(pub u64);
--- a/crates/galenastream_ownership/src/message/promise.rs
+++ b/crates/galenastream_ownership/src/message/promise.rs
@@ -24,7 +24,7 @@
     pub to: Member,
     /// Orders the requests of the sender.
     pub sequence: Sequence,
-    /// The set of witnesses that the sender's last committed row names.
+    /// The set of witnesses that the sender's last committed row names, or that it is changing.
     pub generation: WitnessGeneration,
     /// What the promise is for.
     pub role: PromiseRole,
--- a/crates/galenastream_ownership/src/process/candidate/takeover.rs
+++ b/crates/galenastream_ownership/src/process/candidate/takeover.rs
@@ -1,8 +1,7 @@
 //! The write that takes the next term.
 
 use crate::{
-    BootInstant, CellRow, Epoch, KeyHash, NodeConfig, Slice, SliceId, StoredRow, Term,
-    WitnessGeneration, WitnessSet,
+    BootInstant, CellRow, Epoch, KeyHash, NodeConfig, Slice, SliceId, StoredRow, Term, WitnessSet,
     process::{Context, Handoffs, Knowledge, Members, Office, RowBuilder, ms},
 };
 
@@ -86,10 +85,8 @@
         let mut row = stored.row.clone();
         row.term = Term(row.term.0 + 1);
         row.coordinator = context.me;
-        row.witnesses = WitnessSet {
-            generation: WitnessGeneration(row.witnesses.generation.0 + 1),
-            witnesses: Vec::new(),
-        };
+        row.witnesses =
+            WitnessSet { generation: row.witnesses.generation.next(), witnesses: Vec::new() };
         Self { row, grounds: Grounds::Order }
     }
 }
--- a/crates/galenastream_ownership/src/process/coordinator/entitlement.rs
+++ b/crates/galenastream_ownership/src/process/coordinator/entitlement.rs
@@ -104,9 +104,17 @@
         now < self.until() || self.context.planted(PlantedFault::NoEntitlement)
     }
 
-    /// Whether the proposed set could entitle on its own, so that it may be written.
+    /// Whether the proposed set may be written: it could entitle on its own, and all witnesses
+    /// that stay know of the change.
     pub(crate) fn proposed_is_ready(&self, now: BootInstant) -> bool {
-        self.proposed.as_ref().is_some_and(|it| now < self.promises.quorum_until(it))
+        let Some(proposed) = &self.proposed else {
+            return false;
+        };
+        let changing = self.committed.generation.changing();
+        let mut staying = staying(&self.committed, proposed);
+        let unknowing = self.context.planted(PlantedFault::UnannouncedWitnesses);
+        let is_known = unknowing || staying.all(|it| self.promises.has_acknowledged(it, changing));
+        is_known && now < self.promises.quorum_until(proposed)
     }
 
     pub(crate) fn propose(&mut self, now: BootInstant, set: WitnessSet) {
@@ -162,7 +170,15 @@
         if witnesses.is_empty() || self.pauses(now) {
             return;
         }
-        self.promises.advance(now, &witnesses, self.committed.generation, out);
+        self.promises.advance(now, &witnesses, self.asked_generation(), out);
+    }
+
+    /// The committed set, or that it is about to change.
+    fn asked_generation(&self) -> WitnessGeneration {
+        let generation = self.committed.generation;
+        let changes = self.proposed.is_some() && !self.committed.witnesses.is_empty();
+        let unknowing = self.context.planted(PlantedFault::UnannouncedWitnesses);
+        if changes && !unknowing { generation.changing() } else { generation }
     }
 
     /// Whether the witnesses are left alone, since too few of them promise.
@@ -186,9 +202,10 @@
             return;
         };
         let generation: WitnessGeneration = self.committed.generation;
-        let staying = previous.witnesses.iter().filter(|it| self.committed.contains(it.member));
-        let mut staying = staying.map(|it| it.member);
-        if staying.all(|it| self.promises.has_acknowledged(it, generation)) {
+        let mut staying = staying(previous, &self.committed);
+        let is_known = staying.all(|it| self.promises.has_acknowledged(it, generation));
+        drop(staying);
+        if is_known {
             self.previous = None;
         }
     }
@@ -203,3 +220,8 @@
         members
     }
 }
+
+/// The witnesses that both sets have.
+fn staying<'a>(before: &'a WitnessSet, after: &'a WitnessSet) -> impl Iterator<Item = Member> + 'a {
+    before.witnesses.iter().map(|it| it.member).filter(|it| after.contains(*it))
+}
--- a/crates/galenastream_ownership/src/process/coordinator/witness_choice.rs
+++ b/crates/galenastream_ownership/src/process/coordinator/witness_choice.rs
@@ -1,7 +1,9 @@
 //! Which members become witnesses.
 
+use std::time::Duration;
+
 use crate::{
-    BootInstant, FastSet, Member, PlaceId, WITNESS_COUNT, Witness, WitnessGeneration, WitnessSet,
+    BootInstant, FastSet, Member, PlaceId, WITNESS_COUNT, Witness, WitnessSet,
     process::{Context, MemberRecord, Members, PromiseBook, ms},
 };
 
@@ -18,12 +20,15 @@
 impl WitnessChoice<'_> {
     /// The set that shall follow `current`; `None` if it may stay, or there are too few places.
     pub(crate) fn next(&self, now: BootInstant, current: &WitnessSet) -> Option<WitnessSet> {
-        let generation = WitnessGeneration(current.generation.0 + 1);
+        let generation = current.generation.next();
         if !current.is_complete() {
             let witnesses = self.first(now)?;
             return Some(WitnessSet { generation, witnesses });
         }
-        for (index, witness) in current.witnesses.iter().enumerate() {
+        // A change needs the other two, so that silent witnesses are replaced first.
+        let mut order: Vec<_> = current.witnesses.iter().enumerate().collect();
+        order.sort_by_key(|(_, it)| !self.promises.is_silent(now, it.member, Duration::ZERO));
+        for (index, witness) in order {
             if !self.is_unfit(now, witness.member) {
                 continue;
             }
--- a/crates/galenastream_ownership/src/process/planted_fault.rs
+++ b/crates/galenastream_ownership/src/process/planted_fault.rs
@@ -32,6 +32,8 @@
     NoEntitlement,
     /// A change of witnesses needs the promises of one set only.
     NoJointWitnesses,
+    /// The witnesses that stay are not told of a change before it is written.
+    UnannouncedWitnesses,
     /// A slice that was released may be held again in the same epoch.
     ReleaseNotFinal,
     /// The store term counts from the reply to the write.
--- a/crates/galenastream_ownership/src/process/witness/promiser.rs
+++ b/crates/galenastream_ownership/src/process/witness/promiser.rs
@@ -70,8 +70,7 @@
             return self.reply(request.from.vm, request.term, request.sequence, outcome, out);
         }
         if !self.may_promise(request) {
-            let first = self.sealed_for.len() == 1;
-            let outcome = SealOutcome::Sealed { first };
+            let outcome = SealOutcome::Sealed { first: self.has_only_seal() };
             return self.reply(request.from.vm, request.term, request.sequence, outcome, out);
         }
         self.generation = self.generation.max(request.generation);
@@ -93,7 +92,7 @@
                 self.sealed_for.is_empty() || self.context.planted(PlantedFault::SealNotFinal)
             }
             PromiseRole::Deputy => {
-                let only = self.sealed_for.len() == 1;
+                let only = self.has_only_seal();
                 let first = self.sealed_for.first() == Some(&request.from);
                 let second_allowed = self.context.planted(PlantedFault::DeputyAfterSecondSeal)
                     || self.context.planted(PlantedFault::DeputyWithoutFirstSeals);
@@ -123,7 +122,7 @@
     }
 
     fn seal(&mut self, now: BootInstant, request: &SealRequest, highest_term: Term) -> SealOutcome {
-        if request.term < highest_term || request.generation < self.generation {
+        if request.term < highest_term || request.generation < self.generation.set() {
             return SealOutcome::Stale { term: highest_term, generation: self.generation };
         }
         self.enter(request.term);
@@ -136,8 +135,13 @@
             self.sealed_for.push(request.from);
         }
         self.sealed_at = Some(now);
-        let first = self.sealed_for.len() == 1;
-        SealOutcome::Sealed { first }
+        SealOutcome::Sealed { first: self.has_only_seal() }
+    }
+
+    /// Whether a deputy may rely on the seal. Not while the witnesses change, since two candidates
+    /// that know different sets may then have quorums without a common witness.
+    fn has_only_seal(&self) -> bool {
+        self.sealed_for.len() == 1 && !self.generation.is_changing()
     }
 
     fn remaining_promise(&self, now: BootInstant) -> Duration {
@@ -148,6 +152,8 @@
     fn enter(&mut self, term: Term) {
         if term > self.term {
             self.term = term;
+            // The row of the new term names one set, whatever became of the change.
+            self.generation = self.generation.set();
             self.sealed_for.clear();
             self.sealed_at = None;
         }
