--- /dev/null
+++ b/crates/galenastream_ownership/tests/proofs/regressions.rs
@@ -0,0 +1,57 @@
+//! Scripts that once found a fault of the state machine, reduced, with its cause.
+
+use galenastream_ownership::KeyHash;
+
+use crate::support::{Fault::*, Pick::*, Script, at, kill, pause, play};
+
+fn check(script: &Script) {
+    if let Err(violation) = play(script) {
+        panic!("{violation}");
+    }
+}
+
+/// A coordinator that could never be entitled again kept asking for promises, so that its own
+/// witness never sealed and no candidate got a second seal.
+#[test]
+fn a_coordinator_without_a_quorum_lets_its_witness_seal() {
+    let faults = vec![
+        at(4_112, kill(Witness(0))),
+        at(1_500, CutOneWay { pivot: 1, for_ms: 50 }),
+        at(2_832, pause(Coordinator, 259)),
+        at(1_663, StoreOutage { for_ms: 1_920 }),
+    ];
+    check(&Script::new(222_764_965_751_967_428, faults).with_nodes(4, 3));
+}
+
+/// Two witnesses of the old set died while the new set was in the row: the joint rule could never
+/// be met, and the promises of the new set kept it from being sealed.
+#[test]
+fn two_witnesses_of_the_old_set_die_during_a_change() {
+    let faults = vec![at(3_511, kill(Witness(2))), at(4_127, kill(Witness(0)))];
+    check(&Script::new(4_779_876_742_604_017_797, faults).with_nodes(4, 3));
+}
+
+/// A deputy whose own write of the next term took effect unseen counted owners as lost from the
+/// time of that write, although it had extended their leases since.
+#[test]
+fn a_former_deputy_counts_from_its_last_extension() {
+    let faults = vec![
+        at(4_598, Move { hash: KeyHash(10_760_600_709_663_905_107), to: Owner(KeyHash::MIN) }),
+        at(2_440, pause(Witness(1), 1_709)),
+        at(6_763, Isolate { pick: Coordinator, for_ms: 1_024 }),
+        at(4_705, kill(Coordinator)),
+        at(5_465, StoreAnswersLost { for_ms: 3_019 }),
+    ];
+    let script = Script::new(9_391_093_900_406_545_229, faults);
+    check(&script.with_nodes(5, 4).with_extreme_clocks());
+}
+
+/// A coordinator that had forgotten a frozen member gave its new, empty set the version of the
+/// member's old one, and so confirmed the old one.
+#[test]
+fn a_member_that_was_forgotten_does_not_get_its_old_set_confirmed() {
+    let faults = vec![at(2_000, kill(Coordinator)), at(3_500, pause(Owner(KeyHash::MAX), 15_000))];
+    for seed in 0..8 {
+        check(&Script::new(seed, faults.clone()));
+    }
+}
