--- a/crates/galenastream_ownership/tests/proofs/support/world.rs
+++ b/crates/galenastream_ownership/tests/proofs/support/world.rs
@@ -287,7 +287,9 @@
         let life = machine.life();
         let actions = actions.map_err(|seen| self.violation(Property::ReleaseIsFinal, seen))?;
         self.trace(|| format!("node {index} -> {actions:?}"));
-        self.check_holdings(index)?;
+        if self.machines[index].held_changed {
+            self.check_holdings(index)?;
+        }
         match self.machines[index].pause_next_output_ns.take() {
             Some(for_ns) => {
                 let until_ns = self.now_ns + for_ns;
