--- a/crates/galenastream_ownership/tests/proofs/planted.rs
+++ b/crates/galenastream_ownership/tests/proofs/planted.rs
@@ -1,4 +1,7 @@
 //! Each rule of the protocol is left out in turn, and a property check must notice.
+//!
+//! `StoreTermFromReply` is missing: no script was found that shows it, since the successor of a
+//! coordinator without witnesses waits longer than an answer of the store can take.
 
 use std::sync::atomic::{AtomicBool, Ordering};
 
@@ -79,6 +82,18 @@
     });
 }
 
+#[test]
+fn read_settles_write() {
+    notices(ReadSettlesWrite, Property::OneHolder, 100, |seed| {
+        let faults = vec![
+            at(1_950, StoreLateEffects { delay_ms: 4_000, for_ms: 800 }),
+            at(2_000, Isolate { pick: Bystander, for_ms: 750 + seed % 4 * 100 }),
+            at(4_500, kill(Coordinator)),
+        ];
+        Script::new(seed, faults)
+    });
+}
+
 #[test]
 fn no_incarnation_check() {
     notices(NoIncarnationCheck, Property::HeldIsCommitted, 10, |seed| {
