--- a/crates/galenastream_ownership/tests/proofs/support/world.rs
+++ b/crates/galenastream_ownership/tests/proofs/support/world.rs
@@ -70,7 +70,7 @@
     StoreEffect {
         index: usize,
         life: Incarnation,
-        request: StoreRequestId, Timing,
+        request: StoreRequestId,
         operation: StoreOperation,
         answer_ns: Option<u64>,
     },
@@ -359,7 +359,7 @@
         &mut self,
         index: usize,
         life: Incarnation,
-        request: StoreRequestId, Timing,
+        request: StoreRequestId,
         operation: StoreOperation,
     ) {
         let Fate { effect_ns, answer } = self.store.fate(self.now_ns, index, &mut self.rng);
