--- a/crates/galenastream_settings/src/error/settings_error_kind.rs
+++ b/crates/galenastream_settings/src/error/settings_error_kind.rs
@@ -114,7 +114,7 @@
     #[error("the service is not divided by key, so it has no key ranges")]
     NotDividedByKey,
     /// Two classes with the same name.
-    #[error("the class {name:?} stands twice")]
+    #[error("the class {name:?} is listed twice")]
     DuplicateClass {
         /// The name.
         name: String,
@@ -159,15 +159,15 @@
         /// Whether both may be equal.
         equal_allowed: bool,
     },
-    /// An entry that is listed as removed and still stands in the file.
-    #[error("{entry:?} is listed as removed and still stands in the file")]
+    /// An entry that is listed as removed but still present.
+    #[error("{entry:?} is listed as removed but still present")]
     RemovedButPresent {
         /// The entry.
         entry: String,
     },
     /// An entry of the version in force that is missing and not listed as removed.
     #[error(
-        "the entry vanished without an explicit removal; it was {old_value} in line {old_line} of {old_source}"
+        "the entry is missing without an explicit removal; it was {old_value} in line {old_line} of {old_source}"
     )]
     Vanished {
         /// Its old value.
@@ -187,6 +187,12 @@
         /// The value in force.
         old_value: String,
     },
+    /// A service was removed that may be running.
+    #[error("the service cannot be removed while it runs")]
+    RemovedWhileRunning {
+        /// The service.
+        service: String,
+    },
 }
 
 impl SettingsErrorKind {
@@ -231,6 +237,7 @@
                 "in `removed` only entries that the file no longer has".to_owned()
             }
             Self::FixedWhileRunning { field, old_value, .. } => format!("{field} = {old_value}"),
+            Self::RemovedWhileRunning { .. } => "services of which no node runs".to_owned(),
             Self::Vanished { .. } => {
                 "each entry of the version in force, or its name in `removed`".to_owned()
             }
@@ -244,7 +251,7 @@
                 "move what many entries share up to their parent, so that they inherit it"
                     .to_owned()
             }
-            Self::Syntax { .. } => "mend the line".to_owned(),
+            Self::Syntax { .. } => "correct the line".to_owned(),
             Self::Unknown { suggestion: Some(name), .. }
             | Self::UnknownPlace { suggestion: Some(name), .. } => format!("write {name}"),
             Self::Unknown { .. } => "delete the entry or use an allowed name".to_owned(),
@@ -267,7 +274,7 @@
                 "declare the range with its bounds as [services.SERVICE.key_ranges.NAME]".to_owned()
             }
             Self::KeyRangeBounds => "give the range one kind of bounds".to_owned(),
-            Self::EmptyKeyRange => "exchange the two keys".to_owned(),
+            Self::EmptyKeyRange => "swap the two keys".to_owned(),
             Self::OverlappingKeyRanges { .. } => {
                 "narrow one of the two, or put their settings into one range".to_owned()
             }
@@ -286,6 +293,9 @@
             Self::RemovedButPresent { .. } => {
                 "delete the entry itself, or take its name out of `removed`".to_owned()
             }
+            Self::RemovedWhileRunning { service } => {
+                format!("stop every node of the service, and apply with `--stopped {service}`")
+            }
             Self::FixedWhileRunning { service, .. } => format!(
                 "keep the value; or stop every node of the service, apply with `--stopped {service}`, and start the nodes"
             ),
