Proofs: two deputies of different witness sets hold one slice (known red)

Cause: a row with a new set of witnesses takes effect late. A node that read the old set gets first seals of two of its witnesses, another that read the new set of two of that; quorums of different sets need not meet, so both become deputies, and the second takes the next term while the first extends the leases of its side. Not mended here: the state machine has to make witnesses of the old set know of the proposed one before its row is written.

--- a/crates/galenastream_ownership/tests/proofs/regressions.rs
+++ b/crates/galenastream_ownership/tests/proofs/regressions.rs
@@ -55,3 +55,20 @@
         check(&Script::new(seed, faults.clone()));
     }
 }
+
+/// The write of a new set of witnesses took effect late: a node that had read the old set and one
+/// that read the new set each got two first seals, and both became deputies.
+#[test]
+fn deputies_of_different_witness_sets() {
+    for (seed, absent_ms) in [(28, 2_000), (237, 2_000), (457, 2_000)] {
+        let index = (seed % 3) as usize;
+        let other = Witness((index + 1 + (seed / 3 % 2) as usize) % 3);
+        let group = [Coordinator, other, Bystander];
+        let faults = vec![
+            at(2_000, StoreLateEffects { delay_ms: 4_000, for_ms: 4_000 }),
+            at(2_000, pause(Witness(index), absent_ms)),
+            at(2_000 + absent_ms, Split { group, for_ms: 3_000 }),
+        ];
+        check(&Script::new(seed, faults).with_nodes(7, 3));
+    }
+}
