--- a/crates/galenastream_ownership/tests/proofs/planted.rs
+++ b/crates/galenastream_ownership/tests/proofs/planted.rs
@@ -130,17 +130,36 @@
     notices(NoEntitlement, Property::OneHolder, 40, |seed| extreme("place_cut_off", seed));
 }
 
+/// The write of a new set takes effect while its author, which does not know, has a quorum of the old
+/// set only. A witness that stays takes the next term with the new one.
 #[test]
 fn no_joint_witnesses() {
     notices(NoJointWitnesses, Property::OneHolder, 200, |seed| {
         let index = (seed % 3) as usize;
         let other = Witness((index + 1 + (seed / 3 % 2) as usize) % 3);
-        let absent_ms = 1_400 + seed % 11 * 100;
+        let group = [Coordinator, Witness(index), other];
+        let split_ms = 3_000 + seed % 11 * 20;
+        let faults = vec![
+            at(1_900, StoreLateEffects { delay_ms: 1_500, for_ms: 1_500 }),
+            at(2_000, pause(Witness(index), split_ms - 2_050)),
+            at(split_ms, Split { group, for_ms: 4_000 }),
+            at(split_ms, StoreCut { pick: Coordinator, for_ms: 4_000 }),
+        ];
+        Script::new(seed, faults).with_nodes(7, 3)
+    });
+}
+
+/// Two nodes that know different sets of witnesses become deputies of disjoint pairs.
+#[test]
+fn unannounced_witnesses() {
+    notices(UnannouncedWitnesses, Property::OneHolder, 500, |seed| {
+        let index = (seed % 3) as usize;
+        let other = Witness((index + 1 + (seed / 3 % 2) as usize) % 3);
         let group = [Coordinator, other, Bystander];
         let faults = vec![
             at(2_000, StoreLateEffects { delay_ms: 4_000, for_ms: 4_000 }),
-            at(2_000, pause(Witness(index), absent_ms)),
-            at(2_000 + absent_ms, Split { group, for_ms: 3_000 }),
+            at(2_000, pause(Witness(index), 2_000)),
+            at(4_000, Split { group, for_ms: 3_000 }),
         ];
         Script::new(seed, faults).with_nodes(7, 3)
     });
--- a/crates/galenastream_ownership/tests/proofs/regressions.rs
+++ b/crates/galenastream_ownership/tests/proofs/regressions.rs
@@ -72,3 +72,21 @@
         check(&Script::new(seed, faults).with_nodes(7, 3));
     }
 }
+
+/// The same change of witnesses as in `planted::no_joint_witnesses`, with all rules in force.
+#[test]
+fn a_candidate_of_the_new_set_against_a_coordinator_that_knows_the_old_one() {
+    for seed in 0..30 {
+        let index = (seed % 3) as usize;
+        let other = Witness((index + 1 + (seed / 3 % 2) as usize) % 3);
+        let group = [Coordinator, Witness(index), other];
+        let split_ms = 3_000 + seed % 11 * 20;
+        let faults = vec![
+            at(1_900, StoreLateEffects { delay_ms: 1_500, for_ms: 1_500 }),
+            at(2_000, pause(Witness(index), split_ms - 2_050)),
+            at(split_ms, Split { group, for_ms: 4_000 }),
+            at(split_ms, StoreCut { pick: Coordinator, for_ms: 4_000 }),
+        ];
+        check(&Script::new(seed, faults).with_nodes(7, 3));
+    }
+}
