Members that a node remembers are bounded

A sender who makes up members could have filled the memory of a coordinator, and of any node that keeps whom it heard of; a table of 1,024 is many times a cell.

--- a/crates/galenastream_ownership/src/process/coordinator/members.rs
+++ b/crates/galenastream_ownership/src/process/coordinator/members.rs
@@ -6,6 +6,10 @@
     process::{Context, MemberRecord},
 };
 
+/// How many members are remembered, many times as many as a cell has. Beats of further ones are
+/// dropped, so that senders who make up members cannot use up the memory.
+const MEMBERS_MAX: usize = 1_024;
+
 /// The members that a coordinator has heard of, in the latest life of each VM and in earlier ones
 /// whose leases may not have run out.
 #[derive(Debug)]
@@ -63,6 +67,10 @@
 
     /// Takes a beat. Returns whether it is newer than all earlier ones of its sender.
     pub(crate) fn record(&mut self, now: BootInstant, beat: &Beat) -> bool {
+        let is_known = self.records.contains_key(&beat.from);
+        if !is_known && self.records.len() >= MEMBERS_MAX {
+            return false;
+        }
         self.learn(beat.from);
         let Some(record) = self.records.get_mut(&beat.from) else {
             self.records.insert(beat.from, MemberRecord::new(now, beat));
--- a/crates/galenastream_ownership/src/process/roles.rs
+++ b/crates/galenastream_ownership/src/process/roles.rs
@@ -446,7 +446,9 @@
         let lost_contact = ms(self.context.timing.lease_ms) * LOST_CONTACT_LEASES;
         let has_contact = self.holder.granted_at().is_some_and(|it| now < it + lost_contact);
         let is_needed = self.coordinator.is_some() || !has_contact;
-        self.reads.advance(now, is_needed, &mut self.reader, out);
+        if self.reads.advance(now, is_needed, &mut self.reader, out) {
+            self.heard.forget(now, |_| false);
+        }
     }
 
     pub(crate) fn publish(&mut self, out: &mut Outbox) {
--- a/crates/galenastream_ownership/src/process/store/read_plan.rs
+++ b/crates/galenastream_ownership/src/process/store/read_plan.rs
@@ -26,21 +26,22 @@
         self.read_at
     }
 
-    /// Wants a read if one is due and `is_needed`.
+    /// Wants a read if one is due and `is_needed`. Returns whether one was due.
     pub(crate) fn advance(
         &mut self,
         now: BootInstant,
         is_needed: bool,
         reader: &mut RowReader,
         out: &mut Outbox,
-    ) {
+    ) -> bool {
         if now < self.read_at {
-            return;
+            return false;
         }
         let interval = ms(self.context.timing.store_term_ms) / 2;
         self.read_at = now + interval + out.jitter(interval / 2);
         if is_needed {
             reader.want_at(now + out.jitter(READ_JITTER));
         }
+        true
     }
 }
--- a/crates/galenastream_ownership/tests/protocol/coordinator.rs
+++ b/crates/galenastream_ownership/tests/protocol/coordinator.rs
@@ -47,10 +47,8 @@
         }
     }
 
-    /// A beat of node 1, and the grant that answers it.
-    fn beat(&mut self, change: fn(&mut Beat)) -> Option<Grant> {
-        self.sequence += 1;
-        let mut beat = Beat {
+    fn template(&self) -> Beat {
+        Beat {
             cell: cell(),
             from: member(1, 1),
             place: place(1),
@@ -65,7 +63,13 @@
             draining: false,
             settings: SettingsVersion(0),
             loads: Vec::new(),
-        };
+        }
+    }
+
+    /// A beat of node 1, and the grant that answers it.
+    fn beat(&mut self, change: fn(&mut Beat)) -> Option<Grant> {
+        self.sequence += 1;
+        let mut beat = self.template();
         change(&mut beat);
         let from = beat.from;
         self.bench.message(from, ControlMessage::Beat(beat));
@@ -251,3 +255,22 @@
     assert_eq!(office.beat(|_| {}), None);
     assert_eq!(office.bench.serving(), [], "its own leases ended with its entitlement");
 }
+
+#[test]
+fn made_up_members_do_not_use_up_the_memory() {
+    let mut office = office(both());
+    assert!(office.beat(|_| {}).is_some());
+    for life in 2..100 {
+        office.sequence += 1;
+        let mut beat = office.template();
+        beat.from = member(3, life);
+        office.bench.message(beat.from, ControlMessage::Beat(beat));
+    }
+    for port in 10..1_100 {
+        let mut beat = office.template();
+        beat.from = member(port, 1);
+        office.bench.message(beat.from, ControlMessage::Beat(beat));
+    }
+    assert!(office.bench.node.cell_view().members.len() <= 1_024);
+    assert!(office.beat(|_| {}).is_some(), "known members are served on");
+}
