--- a/crates/galenastream_ownership/tests/proofs/regressions.rs
+++ b/crates/galenastream_ownership/tests/proofs/regressions.rs
@@ -72,3 +72,29 @@
         check(&Script::new(seed, faults).with_nodes(7, 3));
     }
 }
+
+/// The own leases of a coordinator were shortened when another set of witnesses began to count,
+/// but orders under the longer lease were under way when its successor took its slices over.
+#[test]
+fn an_order_outlives_a_lease_that_was_shortened() {
+    let bad = |loss_percent, delay_ms, for_ms| BadNetwork { loss_percent, delay_ms, for_ms };
+    let restart = |pick, after_ms| Kill { pick, restart_after_ms: Some(after_ms) };
+    let faults = vec![
+        at(3_067, Isolate { pick: Witness(0), for_ms: 2_197 }),
+        at(3_055, StoreLateEffects { delay_ms: 100, for_ms: 1_829 }),
+        at(3_591, bad(56, 275, 3_469)),
+        at(5_194, kill(Coordinator)),
+        at(7_286, bad(47, 1, 120)),
+        at(2_742, bad(49, 193, 250)),
+        at(4_568, StoreSlow { delay_ms: 533, for_ms: 1_434 }),
+        at(4_230, Takeover(Bystander)),
+        at(7_444, Isolate { pick: Coordinator, for_ms: 196 }),
+        at(3_588, restart(Node(2), 1_294)),
+        at(1_553, restart(Node(2), 1_492)),
+        at(1_905, kill(Witness(2))),
+        at(2_552, Isolate { pick: Bystander, for_ms: 285 }),
+        at(2_886, restart(Coordinator, 1_943)),
+    ];
+    let script = Script::new(3_292_545_400_169_911_310, faults);
+    check(&script.with_nodes(5, 4).with_extreme_clocks());
+}
