--- a/crates/galenastream_standin/examples/measure_traffic/main.rs
+++ b/crates/galenastream_standin/examples/measure_traffic/main.rs
@@ -5,6 +5,7 @@
 mod faults;
 mod overload;
 mod path_cost;
+mod processor;
 mod setting;
 
 use clap::{Arg, ArgAction, Command};
--- a/crates/galenastream_standin/examples/measure_traffic/path_cost.rs
+++ b/crates/galenastream_standin/examples/measure_traffic/path_cost.rs
@@ -2,7 +2,10 @@
 
 use galenastream_standin::{LoadEntry, LoadOutcome, LoadPlan, LoadSummary, run_load};
 
-use crate::setting::{KEYED, even_plan, head, line, start};
+use crate::{
+    processor::ProcessorTime,
+    setting::{KEYED, even_plan, head, line, start},
+};
 
 const VMS: usize = 3;
 
@@ -32,8 +35,16 @@
         for round in 1..=ROUNDS {
             for (name, entry) in &ways {
                 let plan = even_plan(entry.clone(), KEYED, seconds).with_rate_per_s(rate_per_s);
+                let before = ProcessorTime::read(&deployment)?;
                 let summary = run_load(&plan).await?;
-                println!("{}", line(&format!("{name}, round {round}"), &summary));
+                let all = (plan.rate_per_s * plan.duration.as_secs_f64()) as u64;
+                let used = ProcessorTime::read(&deployment)?.per_request_since(before, all);
+                println!(
+                    "{}  processor us a request: nodes {}, targets {}",
+                    line(&format!("{name}, round {round}"), &summary),
+                    used.nodes_us,
+                    used.targets_us
+                );
             }
         }
     }
