--- a/crates/galenastream_node/tests/loss.rs
+++ b/crates/galenastream_node/tests/loss.rs
@@ -65,7 +65,8 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn the_owner_and_then_the_next_coordinator_are_lost() {
     let _turn = take_turn().await;
-    let mut cluster = Cluster::start("two-lost", 4).await;
+    // Two VMs in each place, so that three places are left whichever two VMs are lost.
+    let mut cluster = Cluster::start("two-lost", 6).await;
     let first = cluster.coordinator().await;
     let keys = cluster.keys_without(first, 2).await;
     let reservations = ReservationLoad::start_running(&cluster, &keys).await;
