Node: requests to a node behind a cut no longer wait for each other

Waiting requests share the result of an attempt, and the time for the connection counts towards the request's limit. Failures are counted by reason.

--- a/crates/galenastream_node/src/connection/peer_error.rs
+++ b/crates/galenastream_node/src/connection/peer_error.rs
@@ -27,3 +27,17 @@
     #[error("the reply is of an unexpected kind; run the same release on all nodes")]
     Unexpected,
 }
+
+impl PeerError {
+    /// The word in metrics.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::NotSent => "not-sent",
+            Self::Blocked { .. } => "blocked",
+            Self::QueueFull => "queue-full",
+            Self::Lost => "lost",
+            Self::TimedOut => "timed-out",
+            Self::Unexpected => "unexpected",
+        }
+    }
+}
--- a/crates/galenastream_node/src/connection/peer_links.rs
+++ b/crates/galenastream_node/src/connection/peer_links.rs
@@ -5,16 +5,19 @@
     time::Duration,
 };
 
-use galenastream_ownership::{FastMap, VmId};
+use galenastream_ownership::{BootInstant, FastMap, VmId};
 use galenastream_routing::{Breaker, BreakerLimits, Passage};
 use galenastream_wire::{
     Answer, Forward, RouteQuery, RouteReply, SettingsQuery, SettingsReply, TicketQuery,
     TicketReply, peer_frame::Body,
 };
-use tokio::runtime::Handle;
+use tokio::{runtime::Handle, time::timeout};
 
 use super::{PeerError, PeerLink};
-use crate::process::boot_now;
+use crate::process::{boot_now, counters};
+
+/// How long no new connection is tried after one could not be opened.
+const RECONNECT_PAUSE: Duration = Duration::from_millis(20);
 
 /// The connections to all other nodes, opened when they are first needed and kept.
 #[derive(Debug)]
@@ -27,10 +30,16 @@
 #[derive(Debug)]
 struct Peer {
     vm: VmId,
-    link: tokio::sync::Mutex<Option<Arc<PeerLink>>>,
+    link: tokio::sync::Mutex<LinkState>,
     breaker: Mutex<Breaker>,
 }
 
+#[derive(Debug, Default)]
+struct LinkState {
+    open: Option<Arc<PeerLink>>,
+    failed_at: Option<BootInstant>,
+}
+
 impl PeerLinks {
     /// Creates a table without connections.
     pub fn new(runtime: Handle) -> Self {
@@ -92,14 +101,22 @@
     async fn ask(&self, vm: VmId, body: Body, limit: Duration) -> Result<Body, PeerError> {
         let peer = self.peer(vm);
         peer.pass()?;
-        let link = match peer.link(&self.runtime).await {
-            Ok(link) => link,
-            Err(error) => {
+        let began_at = boot_now();
+        let link = match timeout(limit, peer.link(&self.runtime)).await {
+            Ok(Ok(link)) => link,
+            Ok(Err(error)) => {
+                counters::peer_failed(error);
                 self.forget_unreachable(&peer).await;
                 return Err(error);
             }
+            // Nothing is sent before the connection stands.
+            Err(_) => {
+                counters::peer_failed(PeerError::NotSent);
+                return Err(PeerError::NotSent);
+            }
         };
-        let result = link.ask(body, limit).await;
+        let left = limit.saturating_sub(boot_now().saturating_since(began_at));
+        let result = link.ask(body, left).await;
         peer.record(&result);
         result
     }
@@ -115,7 +132,7 @@
 
     /// Keeps the table from growing with VMs that are gone.
     async fn forget_unreachable(&self, peer: &Arc<Peer>) {
-        let has_link = peer.link.lock().await.is_some();
+        let has_link = peer.link.lock().await.open.is_some();
         if has_link {
             return;
         }
@@ -130,7 +147,7 @@
     fn new(vm: VmId) -> Self {
         Self {
             vm,
-            link: tokio::sync::Mutex::new(None),
+            link: tokio::sync::Mutex::default(),
             breaker: Mutex::new(Breaker::new(BreakerLimits::default())),
         }
     }
@@ -144,6 +161,9 @@
     }
 
     fn record(&self, result: &Result<Body, PeerError>) {
+        if let Err(error) = result {
+            counters::peer_failed(*error);
+        }
         let mut breaker = self.breaker.lock().unwrap_or_else(PoisonError::into_inner);
         match result {
             Ok(_) => breaker.record_success(),
@@ -156,14 +176,26 @@
     /// The open connection. Of several requests that need a new one, the first opens it.
     async fn link(&self, runtime: &Handle) -> Result<Arc<PeerLink>, PeerError> {
         let mut link = self.link.lock().await;
-        if let Some(open) = link.as_ref().filter(|it| !it.is_closed()) {
+        if let Some(open) = link.open.as_ref().filter(|it| !it.is_closed()) {
             return Ok(open.clone());
         }
-        *link = None;
-        let vm = self.vm;
-        let connecting = runtime.spawn(PeerLink::connect(vm));
-        let opened = Arc::new(connecting.await.map_err(|_| PeerError::NotSent)??);
-        *link = Some(opened.clone());
-        Ok(opened)
+        link.open = None;
+        let now = boot_now();
+        // The requests that waited for an attempt that failed share its result.
+        if link.failed_at.is_some_and(|it| now.saturating_since(it) < RECONNECT_PAUSE) {
+            return Err(PeerError::NotSent);
+        }
+        let connecting = runtime.spawn(PeerLink::connect(self.vm));
+        match connecting.await {
+            Ok(Ok(opened)) => {
+                let opened = Arc::new(opened);
+                *link = LinkState { open: Some(opened.clone()), failed_at: None };
+                Ok(opened)
+            }
+            Ok(Err(_)) | Err(_) => {
+                link.failed_at = Some(boot_now());
+                Err(PeerError::NotSent)
+            }
+        }
     }
 }
--- a/crates/galenastream_node/src/process/counters.rs
+++ b/crates/galenastream_node/src/process/counters.rs
@@ -7,6 +7,8 @@
 use metrics::{counter, gauge, histogram};
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 
+use crate::connection::PeerError;
+
 const LATENCY_METRIC: &str = "galenastream_request_seconds";
 
 /// Upper bounds of the latency buckets, in seconds.
@@ -103,6 +105,11 @@
     counter!("galenastream_frames_dropped_total", "reason" => reason).increment(1);
 }
 
+/// Counts a request to another node that got no reply.
+pub fn peer_failed(error: PeerError) {
+    counter!("galenastream_peer_failures_total", "reason" => error.as_str()).increment(1);
+}
+
 /// Counts the bytes of a datagram.
 pub fn control_bytes(direction: &'static str, bytes: usize) {
     counter!("galenastream_control_bytes_total", "direction" => direction).increment(bytes as u64);
--- a/crates/galenastream_node/tests/peer_contract.rs
+++ b/crates/galenastream_node/tests/peer_contract.rs
@@ -10,8 +10,9 @@
 use galenastream_wire::{Answer, Forward, PeerCodec, PeerFrame, RouteReply, peer_frame::Body};
 use tokio::{
     io::AsyncWriteExt,
-    net::{TcpListener, TcpStream},
+    net::{TcpListener, TcpSocket, TcpStream},
     runtime::Handle,
+    time::{Instant, timeout},
 };
 use tokio_util::codec::Framed;
 
@@ -205,3 +206,24 @@
     }
     server.abort();
 }
+
+/// A node behind a cut network: connections to it neither open nor fail.
+#[tokio::test]
+async fn requests_to_a_node_behind_a_cut_do_not_wait_for_each_other() {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let listener = socket.listen(1).unwrap();
+    let address: SocketAddrV4 = listener.local_addr().unwrap().to_string().parse().unwrap();
+    // The queue of connections that nobody accepts is full after a few.
+    let mut waiting = Vec::new();
+    while let Ok(stream) = timeout(SHORT_LIMIT, TcpStream::connect(address)).await {
+        waiting.push(stream.unwrap());
+    }
+    let links = links();
+    let began_at = Instant::now();
+    let asking = (0..20).map(|_| links.forward(VmId::from(address), forward("cut"), LIMIT));
+    for result in futures::future::join_all(asking).await {
+        assert_eq!(result.unwrap_err(), PeerError::NotSent);
+    }
+    assert!(began_at.elapsed() < Duration::from_secs(2), "{:?}", began_at.elapsed());
+}
