--- a/crates/galenastream_node/src/connection/peer_error.rs
+++ b/crates/galenastream_node/src/connection/peer_error.rs
@@ -5,9 +5,12 @@
 /// Why another node gave no reply.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
 pub enum PeerError {
-    /// No byte of the request was sent.
+    /// The connection was refused or had broken, so nothing was sent.
     #[error("the node cannot be reached; its VM may be gone")]
     NotSent,
+    /// No connection could be opened in time, so nothing was sent.
+    #[error("the node cannot be reached in time; the network between the VMs may be cut")]
+    Unreachable,
     /// The node has not replied to the last requests, so nothing was sent.
     #[error("the node does not reply; the next try is due in {retry_after_ms} ms")]
     Blocked {
@@ -33,6 +36,7 @@
     pub const fn as_str(self) -> &'static str {
         match self {
             Self::NotSent => "not-sent",
+            Self::Unreachable => "unreachable",
             Self::Blocked { .. } => "blocked",
             Self::QueueFull => "queue-full",
             Self::Lost => "lost",
--- a/crates/galenastream_node/src/connection/peer_link.rs
+++ b/crates/galenastream_node/src/connection/peer_link.rs
@@ -35,8 +35,10 @@
     /// Opens a connection. The tasks that serve it run on the current runtime.
     pub async fn connect(vm: VmId) -> Result<Self, PeerError> {
         let connecting = TcpStream::connect(vm.address());
-        let Ok(Ok(stream)) = timeout(CONNECT_TIMEOUT, connecting).await else {
-            return Err(PeerError::NotSent);
+        let stream = match timeout(CONNECT_TIMEOUT, connecting).await {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(_)) => return Err(PeerError::NotSent),
+            Err(_) => return Err(PeerError::Unreachable),
         };
         // Nagle's algorithm would hold small frames back; a failure only costs latency.
         let _ = stream.set_nodelay(true);
--- a/crates/galenastream_node/src/connection/peer_links.rs
+++ b/crates/galenastream_node/src/connection/peer_links.rs
@@ -16,6 +16,9 @@
 use super::{PeerError, PeerLink};
 use crate::process::{boot_now, counters};
 
+/// The most VMs that are remembered.
+const MAX_PEERS: usize = 16_384;
+
 /// How long no new connection is tried after one could not be opened.
 const RECONNECT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -37,7 +40,7 @@
 #[derive(Debug, Default)]
 struct LinkState {
     open: Option<Arc<PeerLink>>,
-    failed_at: Option<BootInstant>,
+    failed: Option<(BootInstant, PeerError)>,
 }
 
 impl PeerLinks {
@@ -105,14 +108,12 @@
         let link = match timeout(limit, peer.link(&self.runtime)).await {
             Ok(Ok(link)) => link,
             Ok(Err(error)) => {
-                counters::peer_failed(error);
-                self.forget_unreachable(&peer).await;
+                peer.record(&Err(error));
                 return Err(error);
             }
-            // Nothing is sent before the connection stands.
             Err(_) => {
-                counters::peer_failed(PeerError::NotSent);
-                return Err(PeerError::NotSent);
+                peer.record(&Err(PeerError::Unreachable));
+                return Err(PeerError::Unreachable);
             }
         };
         let left = limit.saturating_sub(boot_now().saturating_since(began_at));
@@ -127,19 +128,11 @@
             return peer;
         }
         let mut peers = self.peers.write().unwrap_or_else(PoisonError::into_inner);
-        peers.entry(vm).or_insert_with(|| Arc::new(Peer::new(vm))).clone()
-    }
-
-    /// Keeps the table from growing with VMs that are gone.
-    async fn forget_unreachable(&self, peer: &Arc<Peer>) {
-        let has_link = peer.link.lock().await.open.is_some();
-        if has_link {
-            return;
-        }
-        let mut peers = self.peers.write().unwrap_or_else(PoisonError::into_inner);
-        if peers.get(&peer.vm).is_some_and(|it| Arc::ptr_eq(it, peer)) {
-            peers.remove(&peer.vm);
+        if peers.len() >= MAX_PEERS {
+            // Requests in progress keep their connections; VMs that are gone are forgotten.
+            peers.clear();
         }
+        peers.entry(vm).or_insert_with(|| Arc::new(Peer::new(vm))).clone()
     }
 }
 
@@ -167,7 +160,9 @@
         let mut breaker = self.breaker.lock().unwrap_or_else(PoisonError::into_inner);
         match result {
             Ok(_) => breaker.record_success(),
-            Err(PeerError::TimedOut) => breaker.record_failure(boot_now()),
+            Err(PeerError::TimedOut | PeerError::Unreachable) => {
+                breaker.record_failure(boot_now());
+            }
             // A broken connection says nothing about the one that replaces it.
             Err(_) => {}
         }
@@ -182,19 +177,21 @@
         link.open = None;
         let now = boot_now();
         // The requests that waited for an attempt that failed share its result.
-        if link.failed_at.is_some_and(|it| now.saturating_since(it) < RECONNECT_PAUSE) {
-            return Err(PeerError::NotSent);
+        if let Some((failed_at, error)) = link.failed
+            && now.saturating_since(failed_at) < RECONNECT_PAUSE
+        {
+            return Err(error);
         }
         let connecting = runtime.spawn(PeerLink::connect(self.vm));
-        match connecting.await {
-            Ok(Ok(opened)) => {
+        match connecting.await.unwrap_or(Err(PeerError::NotSent)) {
+            Ok(opened) => {
                 let opened = Arc::new(opened);
-                *link = LinkState { open: Some(opened.clone()), failed_at: None };
+                *link = LinkState { open: Some(opened.clone()), failed: None };
                 Ok(opened)
             }
-            Ok(Err(_)) | Err(_) => {
-                link.failed_at = Some(boot_now());
-                Err(PeerError::NotSent)
+            Err(error) => {
+                link.failed = Some((boot_now(), error));
+                Err(error)
             }
         }
     }
--- a/crates/galenastream_node/src/request/ingress.rs
+++ b/crates/galenastream_node/src/request/ingress.rs
@@ -167,7 +167,9 @@
 
 fn reply_of(error: PeerError) -> Reply {
     match error {
-        PeerError::NotSent => Reply::not_run(NotRunReason::PeerUnavailable),
+        PeerError::NotSent | PeerError::Unreachable => {
+            Reply::not_run(NotRunReason::PeerUnavailable)
+        }
         PeerError::Blocked { retry_after_ms } => {
             Reply::not_run(NotRunReason::PeerUnavailable).with_retry_after_ms(retry_after_ms)
         }
--- a/crates/galenastream_node/tests/peer_contract.rs
+++ b/crates/galenastream_node/tests/peer_contract.rs
@@ -223,7 +223,7 @@
     let began_at = Instant::now();
     let asking = (0..20).map(|_| links.forward(VmId::from(address), forward("cut"), LIMIT));
     for result in futures::future::join_all(asking).await {
-        assert_eq!(result.unwrap_err(), PeerError::NotSent);
+        assert_eq!(result.unwrap_err(), PeerError::Unreachable);
     }
     assert!(began_at.elapsed() < Duration::from_secs(2), "{:?}", began_at.elapsed());
 }
