A coordinator looks at its owners only when one may be lost or something changed

Cause (examples/measure_ownership.rs): every event went over all owners, so that the cost of a coordinator grew with the square of its cell. Beats only ever put a loss off; departures and balance need a look only after a change or at the planning interval.

--- a/crates/galenastream_ownership/src/process/coordinator/cell_coordinator.rs
+++ b/crates/galenastream_ownership/src/process/coordinator/cell_coordinator.rs
@@ -33,6 +33,8 @@
     renew_at: BootInstant,
     /// When the owners have had the time to ask for what the last write gave them.
     settled_at: BootInstant,
+    /// No owner is lost before, unless something else than time changes.
+    judge_at: BootInstant,
     wakeup: BootInstant,
 }
 
@@ -53,6 +55,7 @@
             is_dirty: true,
             renew_at: now,
             settled_at: now + ms(context.timing.beat_ms),
+            judge_at: now,
             wakeup: now,
             stored,
         };
@@ -221,7 +224,7 @@
         if may_assign && self.entitlement.is_live(now) {
             self.plan(now, out);
         }
-        let judged = self.losses.judge(now, &self.members, &self.stored.row, &self.owners);
+        let judged = self.judge_losses(now);
         if writer.is_idle(now) {
             self.choose_witnesses(now);
             self.write(now, draining, may_assign, &judged, writer, out);
@@ -229,7 +232,23 @@
         self.plan_wakeup(now, &judged);
     }
 
+    /// Beats only ever put off a loss, so that most events need no look at the owners.
+    fn judge_losses(&mut self, now: BootInstant) -> LostOwners {
+        if now < self.judge_at && !self.is_dirty {
+            return LostOwners { next_at: Some(self.judge_at), ..LostOwners::default() };
+        }
+        let judged = self.losses.judge(now, &self.members, &self.stored.row, &self.owners);
+        self.judge_at = match judged.next_at {
+            Some(next_at) if judged.lost.is_empty() => next_at,
+            _ => now,
+        };
+        judged
+    }
+
     fn plan(&mut self, now: BootInstant, out: &mut Outbox) {
+        if now < self.moves.plan_at() && !self.is_dirty {
+            return;
+        }
         if now >= self.moves.plan_at() {
             self.members.forget(now, |it| self.owners.contains(&it));
         }
@@ -388,6 +407,7 @@
         self.owners.sort_unstable();
         self.owners.dedup();
         self.moves.row_changed(row);
+        self.judge_at = BootInstant::default();
         self.grants.write_ended();
     }
 
