Node: the stop of a slice also waits for what began before a split

The stop of a slice waited for the gate of that one assignment, but requests that entered before a split or a merge are counted on the gate that they entered by. The child could move to another target while they ran. Ruled out: keeping gates by position in place of assignment; the counter of a request would then change while it runs. Before: the new test failed, the stop of both children ended at once. After: a stop waits for all gates that overlap the slice; several stops may wait for one gate, so leaving wakes all of them.

--- a/crates/galenastream_node/src/version/serving.rs
+++ b/crates/galenastream_node/src/version/serving.rs
@@ -55,7 +55,7 @@
         }
         for slice in &held.slices {
             let known = self.gates.get(&slice.id).cloned();
-            let gate = known.unwrap_or_else(|| Arc::new(SliceGate::new(slice.id)));
+            let gate = known.unwrap_or_else(|| Arc::new(SliceGate::new(*slice)));
             gates.insert(slice.id, gate);
         }
         Self { held, gates }
@@ -109,13 +109,23 @@
         }
     }
 
-    /// Waits until nothing is in progress on an assignment whose stop has been published.
+    /// Waits until nothing is in progress at any position of an assignment whose stop has been
+    /// published.
+    ///
+    /// Requests that began before a split or a merge are counted on the slice that they began on.
     pub async fn wait_until_stopped(&self, id: SliceEpoch) {
-        let Some(gate) = self.gate(id) else {
-            return;
-        };
+        for gate in self.gates_that_overlap(id) {
+            gate.wait_until_empty().await;
+        }
+    }
+
+    fn gates_that_overlap(&self, id: SliceEpoch) -> Vec<Arc<SliceGate>> {
         fence(Ordering::SeqCst);
-        gate.wait_until_empty().await;
+        let current = self.current.load();
+        let Some(stopped) = current.gates.get(&id) else {
+            return Vec::new();
+        };
+        current.gates.values().filter(|gate| gate.overlaps(stopped)).cloned().collect()
     }
 
     /// The end of the lease and the term of an assignment that is still held.
--- a/crates/galenastream_node/src/version/slice_gate.rs
+++ b/crates/galenastream_node/src/version/slice_gate.rs
@@ -2,7 +2,7 @@
 
 use std::sync::atomic::{AtomicU32, Ordering};
 
-use galenastream_ownership::SliceEpoch;
+use galenastream_ownership::{HeldSlice, SliceEpoch};
 use tokio::sync::Notify;
 
 use super::SliceMeter;
@@ -10,7 +10,7 @@
 /// Counts the requests in progress on one assignment of a slice, so that a handoff waits for them.
 #[derive(Debug)]
 pub struct SliceGate {
-    id: SliceEpoch,
+    slice: HeldSlice,
     in_progress: AtomicU32,
     left: Notify,
     meter: SliceMeter,
@@ -18,9 +18,9 @@
 
 impl SliceGate {
     /// Creates a gate with nothing in progress.
-    pub fn new(id: SliceEpoch) -> Self {
+    pub fn new(slice: HeldSlice) -> Self {
         Self {
-            id,
+            slice,
             in_progress: AtomicU32::new(0),
             left: Notify::new(),
             meter: SliceMeter::default(),
@@ -29,7 +29,12 @@
 
     /// The slice and its assignment.
     pub fn id(&self) -> SliceEpoch {
-        self.id
+        self.slice.id
+    }
+
+    /// Whether a position falls into both slices.
+    pub fn overlaps(&self, other: &Self) -> bool {
+        self.slice.first <= other.slice.last && other.slice.first <= self.slice.last
     }
 
     /// Measures the load of the slice.
@@ -45,7 +50,7 @@
     /// Counts a request out.
     pub fn leave(&self) {
         if self.in_progress.fetch_sub(1, Ordering::SeqCst) == 1 {
-            self.left.notify_one();
+            self.left.notify_waiters();
         }
     }
 
@@ -54,10 +59,17 @@
         self.in_progress.load(Ordering::SeqCst) == 0
     }
 
-    /// Waits until nothing is in progress. Meant for the one task that stops the slice.
+    /// Waits until nothing is in progress.
     pub async fn wait_until_empty(&self) {
-        while !self.is_empty() {
-            self.left.notified().await;
+        loop {
+            let left = self.left.notified();
+            tokio::pin!(left);
+            // Enabled before the look at the count, so that no one leaves unnoticed in between.
+            left.as_mut().enable();
+            if self.is_empty() {
+                return;
+            }
+            left.await;
         }
     }
 }
--- a/crates/galenastream_node/tests/serving.rs
+++ b/crates/galenastream_node/tests/serving.rs
@@ -32,6 +32,18 @@
     }
 }
 
+/// The slice in epoch 1, split into two.
+fn split(stopping: bool) -> HeldSlices {
+    let child = |slice, first, last| HeldSlice {
+        id: SliceEpoch { slice: SliceId(slice), epoch: Epoch(2) },
+        first: KeyHash(first),
+        last: KeyHash(last),
+        stopping,
+    };
+    let slices = vec![child(2, 0, 99), child(3, 100, u64::MAX)];
+    HeldSlices { slices, ..held(1, false, later()) }
+}
+
 fn later() -> BootInstant {
     boot_now() + Duration::from_secs(60)
 }
@@ -67,6 +79,29 @@
     stopped.await.unwrap();
 }
 
+#[tokio::test]
+async fn the_stop_of_a_slice_waits_for_what_began_before_a_split() {
+    let table = Arc::new(ServingTable::default());
+    table.publish(held(1, false, later()));
+    let in_progress = table.enter(HASH).unwrap();
+    for stopping in [false, true] {
+        table.publish(split(stopping));
+    }
+    let mut stops = Vec::new();
+    for child in split(true).slices {
+        let table = table.clone();
+        stops.push(tokio::spawn(async move { table.wait_until_stopped(child.id).await }));
+    }
+    for stop in &mut stops {
+        let early = tokio::time::timeout(Duration::from_millis(20), stop).await;
+        assert!(early.is_err(), "the stop did not wait");
+    }
+    in_progress.finish();
+    for stop in stops {
+        stop.await.unwrap();
+    }
+}
+
 #[tokio::test]
 async fn an_abandoned_order_counts_until_its_deadline() {
     let table = ServingTable::default();
