Node: waits until a version of the settings names its service

Cause: a node that started without settings took part with built-in durations for the whole of its life, while nodes started later counted with others. A coordinator that waits for a shorter lease than its predecessor granted gives a key to two owners. Ruled out: following the durations of later versions; the ownership state machine would have to wait out the longest ever granted. Before: no settings, built-in defaults, ready. The test of bad input now applies a tree that leaves all limits at their defaults; its expectations are the same.

--- a/crates/galenastream_node/src/process/daemon.rs
+++ b/crates/galenastream_node/src/process/daemon.rs
@@ -91,7 +91,7 @@
     let defaults = SettingsVersionInForce::defaults(bootstrap)
         .map_err(|errors| anyhow::anyhow!("built-in settings: {errors}"))?;
     let node = Arc::new(Node::new(NodeParts {
-        settings: defaults.clone(),
+        settings: defaults,
         cell_store: cell_store(bootstrap),
         incarnation: new_incarnation()?,
         events,
@@ -111,7 +111,7 @@
         tokio::spawn(serve_admin(node.clone(), TcpListener::from_std(sockets.admin)?));
         let store = settings_store(bootstrap);
         tokio::select! {
-            settings = read_first_settings(&store, defaults, bootstrap.place_id()) => {
+            settings = read_first_settings(&store, bootstrap) => {
                 node.settings.install(settings);
             }
             signal = wait_for_signal() => return signal,
--- a/crates/galenastream_node/src/process/settings_sync.rs
+++ b/crates/galenastream_node/src/process/settings_sync.rs
@@ -8,7 +8,7 @@
 use rand::RngExt;
 use tokio::time::{sleep, timeout};
 
-use super::{Node, WantedSettings};
+use super::{Bootstrap, Node, WantedSettings};
 use crate::version::SettingsVersionInForce;
 
 /// How often a coordinator looks for a new version in the platform, without jitter.
@@ -23,18 +23,24 @@
 /// How long to wait before a version is fetched again.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 
-/// Reads the settings at the start of the process. Waits until the platform answers.
+/// How long to wait before looking again for a first version that names the node's service.
+const ABSENT_PAUSE: Duration = Duration::from_secs(3);
+
+/// Reads the settings at the start of the process. Waits until a version names the service.
+///
+/// The durations of the ownership protocol are read only once, and all nodes of a cell must count
+/// alike: a node that began with others could take a key over before its owner's lease has ended.
 pub async fn read_first_settings(
     store: &SettingsStore,
-    defaults: SettingsVersionInForce,
-    place: galenastream_ownership::PlaceId,
+    bootstrap: &Bootstrap,
 ) -> SettingsVersionInForce {
     loop {
-        match load_current(store, place).await {
-            Ok(Some(settings)) => return settings,
-            Ok(None) => {
-                log::warn!(event = "settings_absent"; "no settings yet; built-in defaults apply");
-                return defaults;
+        match load_current(store, bootstrap.place_id()).await {
+            Ok(Some(settings)) if settings.names(bootstrap.service_id()) => return settings,
+            Ok(_) => {
+                let service = bootstrap.service.as_str();
+                log::warn!(event = "settings_absent", service; "no version names the service yet");
+                sleep(ABSENT_PAUSE).await;
             }
             Err(reason) => {
                 log::warn!(event = "settings_unreadable"; "waiting for the platform: {reason}");
--- a/crates/galenastream_node/src/version/settings_version.rs
+++ b/crates/galenastream_node/src/version/settings_version.rs
@@ -15,7 +15,7 @@
 }
 
 impl SettingsVersionInForce {
-    /// The built-in defaults for the node's own service, while the platform holds no settings.
+    /// The built-in defaults for the node's own service, until a version that names it is read.
     pub fn defaults(bootstrap: &Bootstrap) -> Result<Self, SettingsErrors> {
         let toml = format!("[services.{}]\n", bootstrap.service);
         Self::parse(SettingsVersion(0), toml, bootstrap.place_id())
@@ -37,6 +37,11 @@
         self.version
     }
 
+    /// Whether the version has an entry for the service.
+    pub fn names(&self, service: ServiceId) -> bool {
+        self.tree.service(service).is_some()
+    }
+
     /// The tree, as TOML.
     pub fn toml(&self) -> &str {
         &self.toml
--- a/crates/galenastream_node/tests/bad_input.rs
+++ b/crates/galenastream_node/tests/bad_input.rs
@@ -21,11 +21,15 @@
     time::timeout,
 };
 
+/// A tree that leaves all limits at their defaults.
+const SETTINGS: &str = "[places.east]\n[services.catalogue]\n[services.catalogue.places.east]\n";
+
 /// How long an answer to bad input may take.
 const ANSWER_LIMIT: Duration = Duration::from_secs(5);
 
 async fn start(name: &str) -> Cluster {
     let mut cluster = Cluster::start_platform(name).await;
+    cluster.settings_store().publish(SettingsVersion(0), SETTINGS).await.unwrap();
     cluster.add_vm(&VmOptions::new("east", SERVICE));
     let vm = &cluster.vms[0];
     wait_until("the callers' interface to answer", WAIT_LIMIT, async || {
--- a/crates/galenastream_node/tests/services.rs
+++ b/crates/galenastream_node/tests/services.rs
@@ -65,6 +65,30 @@
     answer.json()["target"].as_str().map(str::to_owned)
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_takes_no_part_until_a_version_names_its_service() {
+    let _turn = take_turn().await;
+    let mut cluster = Cluster::start_platform("unnamed-service").await;
+    let others = SETTINGS.replace("catalogue", "archive");
+    cluster.settings_store().publish(SettingsVersion(0), &others).await.unwrap();
+    for place in PLACES {
+        cluster.add_vm(&VmOptions::new(place, "catalogue"));
+    }
+    for vm in &cluster.vms {
+        let name = format!("{} to tell that it waits", vm.name);
+        wait_until(&name, WAIT_LIMIT, async || {
+            vm.node.errors().is_ok_and(|errors| errors.contains("settings_absent"))
+        })
+        .await
+        .unwrap();
+        assert!(!vm.is_ready(&cluster.caller).await);
+        assert_eq!(vm.held_slices(&cluster.caller).await, 0);
+    }
+    cluster.settings_store().publish(SettingsVersion(1), SETTINGS).await.unwrap();
+    cluster.wait_until_ready().await;
+    cluster.close();
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_node_of_one_service_routes_to_another() {
     let _turn = take_turn().await;
--- a/crates/galenastream_standin/src/deployment/process.rs
+++ b/crates/galenastream_standin/src/deployment/process.rs
@@ -21,6 +21,7 @@
     name: String,
     child: Child,
     stdout: PathBuf,
+    stderr: PathBuf,
 }
 
 impl Process {
@@ -45,7 +46,7 @@
                     program.display()
                 )
             })?;
-        Ok(Self { name: name.to_owned(), child, stdout })
+        Ok(Self { name: name.to_owned(), child, stdout, stderr })
     }
 
     /// The name under which it was started.
@@ -63,6 +64,11 @@
         std::fs::read_to_string(&self.stdout).context("cannot read the process's output")
     }
 
+    /// What it has written to its standard error: the log of a node.
+    pub fn errors(&self) -> anyhow::Result<String> {
+        std::fs::read_to_string(&self.stderr).context("cannot read the process's errors")
+    }
+
     /// Whether it still runs.
     pub fn is_running(&mut self) -> bool {
         matches!(self.child.try_wait(), Ok(None))
