Node: after the loss of a coordinator a route is taken from the owner or the row, not from memory

Cause: a node without a cached route preferred its own memory of the row, which was from the start of the cell and named the lost coordinator for every slice, over the row in the table. 1 read of a key of another VM failed in tests/loss.rs::the_coordinator_is_lost. Ruled out: the lease of the owner, which served the same key through the other node. What nodes know is merged: coordinator by term, owner by epoch; an owner answers for the slices that it holds.

--- a/crates/galenastream_node/src/request/route_lookup.rs
+++ b/crates/galenastream_node/src/request/route_lookup.rs
@@ -6,7 +6,7 @@
 use galenastream_routing::{Deadline, Route};
 use galenastream_wire::{RouteMember, RouteQuery, RouteReply};
 
-use crate::process::{Node, boot_now, milliseconds, route_of};
+use crate::process::{Node, boot_now, milliseconds};
 
 /// How long one node is waited for.
 const ASK_LIMIT_MS: u32 = 100;
@@ -27,6 +27,7 @@
     if let Some(row) = &view.row {
         fill_slice(&mut reply, row, KeyHash(query.hash));
     }
+    fill_held(&mut reply, node, KeyHash(query.hash));
     reply.members = live_members(&view);
     reply
 }
@@ -52,35 +53,34 @@
     let query = RouteQuery { service: service.0, hash: hash.0 };
     let mut asked: Vec<VmId> = Vec::new();
     let mut gone = None;
-    let mut best: Option<RouteReply> = own_knowledge(node, query);
-    if best.as_ref().is_some_and(|it| it.coordinator == node.vm().bits()) {
-        return best;
+    let mut known = own_knowledge(node, query);
+    if known.as_ref().is_some_and(|it| it.coordinator == node.vm().bits()) {
+        return known;
     }
-    while asked.len() < MAX_ASKED && !deadline.has_passed(boot_now()) {
-        let Some(vm) = next_to_ask(node, service, best.as_ref(), gone, &asked).await else {
+    let mut has_authority = false;
+    while !has_authority && asked.len() < MAX_ASKED && !deadline.has_passed(boot_now()) {
+        let Some(vm) = next_to_ask(node, service, known.as_ref(), gone, &asked).await else {
             break;
         };
         asked.push(vm);
         let limit = milliseconds(ASK_LIMIT_MS).min(deadline.remaining(boot_now()));
         match ask(node, vm, query, limit).await {
             Some(reply) => {
-                let is_authority = reply.coordinator == vm.bits();
-                keep_better(&mut best, reply);
-                if is_authority {
-                    break;
-                }
+                has_authority = reply.coordinator == vm.bits() || reply.owner == vm.bits();
+                merge(&mut known, reply);
             }
             None => gone = Some(vm),
         }
     }
-    let coordinator = best.as_ref().map_or(0, |it| it.coordinator);
+    // Without the coordinator, the row is newer than what a node remembers of it.
+    if !has_authority && let Some(reply) = from_row(node, query, gone).await {
+        merge(&mut known, reply);
+    }
+    let coordinator = known.as_ref().map_or(0, |it| it.coordinator);
     let coordinator = (coordinator != 0).then(|| VmId::from_bits(coordinator));
     let coordinator = coordinator.filter(|it| Some(*it) != gone);
     node.directory.learn_coordinator(service, coordinator).await;
-    match best {
-        Some(reply) if route_of(&reply).is_some() || !reply.members.is_empty() => Some(reply),
-        other => from_row(node, query).await.or(other),
-    }
+    known
 }
 
 /// Takes the route of a reply into the cache.
@@ -99,12 +99,22 @@
     Some(answer_route(node, query))
 }
 
-fn keep_better(best: &mut Option<RouteReply>, reply: RouteReply) {
-    let is_better = best.as_ref().is_none_or(|known| {
-        (reply.term, reply.epoch, reply.owner != 0) >= (known.term, known.epoch, known.owner != 0)
-    });
-    if is_better {
-        *best = Some(reply);
+/// Adds what a reply knows: the coordinator of the higher term, the owner of the higher epoch.
+fn merge(known: &mut Option<RouteReply>, reply: RouteReply) {
+    let Some(best) = known else {
+        *known = Some(reply);
+        return;
+    };
+    if reply.term >= best.term && reply.coordinator != 0 {
+        best.term = reply.term;
+        best.coordinator = reply.coordinator;
+        best.members = reply.members;
+    }
+    if reply.epoch >= best.epoch && reply.owner != 0 {
+        best.first = reply.first;
+        best.last = reply.last;
+        best.epoch = reply.epoch;
+        best.owner = reply.owner;
     }
 }
 
@@ -131,8 +141,8 @@
     coordinator.or_else(|| owners.find(is_new))
 }
 
-async fn from_row(node: &Node, query: RouteQuery) -> Option<RouteReply> {
-    let row = node.directory.row(ServiceId(query.service), None).await?;
+async fn from_row(node: &Node, query: RouteQuery, gone: Option<VmId>) -> Option<RouteReply> {
+    let row = node.directory.row(ServiceId(query.service), gone).await?;
     let mut reply = RouteReply {
         service: query.service,
         term: row.term.0,
@@ -155,6 +165,18 @@
     reply.owner = slice.owner.map_or(0, |it| it.vm.bits());
 }
 
+/// An owner knows its own slices better than any row does.
+fn fill_held(reply: &mut RouteReply, node: &Node, hash: KeyHash) {
+    let serving = node.serving.current();
+    let Some(slice) = serving.held().serving(hash, boot_now()) else {
+        return;
+    };
+    reply.first = slice.first.0;
+    reply.last = slice.last.0;
+    reply.epoch = slice.id.epoch.0;
+    reply.owner = node.vm().bits();
+}
+
 fn live_members(view: &CellView) -> Vec<RouteMember> {
     let mut members = Vec::new();
     for member in &view.members {
--- a/crates/galenastream_node/tests/loss.rs
+++ b/crates/galenastream_node/tests/loss.rs
@@ -41,12 +41,19 @@
     let coordinator = cluster.coordinator().await;
     let lost_keys = cluster.keys_of(coordinator, 3).await;
     let other_keys = cluster.keys_without(coordinator, 2).await;
+    let keys_without_routes = cluster.keys_without(coordinator, 20).await;
     let entries = cluster.entries_without(coordinator);
     let reads = ReadLoad::start(&entries, &other_keys);
     let reservations =
         ReservationLoad::start_running(&cluster, &[&lost_keys[..], &other_keys].concat()).await;
 
     let lost = cluster.vms.remove(coordinator).kill().unwrap();
+    for key in &keys_without_routes {
+        for entry in &entries {
+            let answer = cluster.read(*entry, key).await.unwrap();
+            assert_eq!(answer.outcome(), "ran", "{key} through {entry}: {answer:?}");
+        }
+    }
     for key in &lost_keys {
         cluster.wait_until_served(entries[0], key).await;
     }
