--- a/crates/galenastream_ownership/tests/proofs/regressions.rs
+++ b/crates/galenastream_ownership/tests/proofs/regressions.rs
@@ -98,3 +98,21 @@
     let script = Script::new(3_292_545_400_169_911_310, faults);
     check(&script.with_nodes(5, 4).with_extreme_clocks());
 }
+
+/// The same change of witnesses as in `planted::no_joint_witnesses`, with all rules in force.
+#[test]
+fn a_candidate_of_the_new_set_against_a_coordinator_that_knows_the_old_one() {
+    for seed in 0..30 {
+        let index = (seed % 3) as usize;
+        let other = Witness((index + 1 + (seed / 3 % 2) as usize) % 3);
+        let group = [Coordinator, Witness(index), other];
+        let split_ms = 3_000 + seed % 11 * 20;
+        let faults = vec![
+            at(1_900, StoreLateEffects { delay_ms: 1_500, for_ms: 1_500 }),
+            at(2_000, pause(Witness(index), split_ms - 2_050)),
+            at(split_ms, Split { group, for_ms: 4_000 }),
+            at(split_ms, StoreCut { pick: Coordinator, for_ms: 4_000 }),
+        ];
+        check(&Script::new(seed, faults).with_nodes(7, 3));
+    }
+}
