--- a/crates/galenastream_ownership/tests/proofs/availability.rs
+++ b/crates/galenastream_ownership/tests/proofs/availability.rs
@@ -10,14 +10,19 @@
 const SETTLED_MS: u64 = 8_000;
 
 /// How long the effects of the fault are watched.
-const WATCH_MS: u64 = 3_000;
+const WATCH_MS: u64 = 8_000;
 
 /// The longest time for which a position was unserved, over all seeds. `spared` positions of the
 /// node that the fault strikes do not count.
 fn worst_gap_ms(fault: Fault, spared: Option<Pick>) -> u64 {
+    worst_gap_in_places_ms(3, fault, spared)
+}
+
+fn worst_gap_in_places_ms(places: usize, fault: Fault, spared: Option<Pick>) -> u64 {
     let worst = std::sync::atomic::AtomicU64::new(0);
     let failures = in_parallel(SEEDS, |seed| {
-        let mut world = World::new(&Script::new(seed as u64, Vec::new()).with_extreme_clocks());
+        let script = Script::new(seed as u64, Vec::new()).with_extreme_clocks();
+        let mut world = World::new(&script.with_nodes(6, places));
         let gap_ms = world.run_until(SETTLED_MS * MS).and_then(|()| {
             let struck = spared.and_then(|it| world.pick(it));
             let own = struck.map(|it| world.served_by(it)).unwrap_or_default();
@@ -91,3 +96,18 @@
     println!("worst unserved time during a drain: {gap_ms} ms");
     assert!(gap_ms < 50, "{gap_ms} ms");
 }
+
+/// Two places are too few for witnesses, so only the store tells that a coordinator is lost.
+#[test]
+fn a_cell_on_the_store_alone_is_served_again_after_its_store_term() {
+    let gap_ms = worst_gap_in_places_ms(2, kill(Coordinator), None);
+    println!("worst unserved time on the store alone, coordinator lost: {gap_ms} ms");
+    assert!(gap_ms < 5_000, "{gap_ms} ms");
+}
+
+#[test]
+fn a_cell_on_the_store_alone_loses_an_owner_like_any_other() {
+    let gap_ms = worst_gap_in_places_ms(2, kill(ANY_OWNER), None);
+    println!("worst unserved time on the store alone, owner lost: {gap_ms} ms");
+    assert!(gap_ms < 1_000, "{gap_ms} ms");
+}
