A change of witnesses waits until the coordinator's own leases are short enough

Now a proposed set bounds new own leases as soon as it promises, and is written only when its promises outlast every lease that the coordinator has granted to itself.

--- a/crates/galenastream_ownership/src/process/coordinator/cell_coordinator.rs
+++ b/crates/galenastream_ownership/src/process/coordinator/cell_coordinator.rs
@@ -33,6 +33,8 @@
     renew_at: BootInstant,
     /// When the owners have had the time to ask for what the last write gave them.
     settled_at: BootInstant,
+    /// When the last of the leases ends that this node ever granted to itself.
+    own_leases_until: BootInstant,
     /// No owner is lost before, unless something else than time changes.
     judge_at: BootInstant,
     wakeup: BootInstant,
@@ -55,6 +57,7 @@
             is_dirty: true,
             renew_at: now,
             settled_at: now + ms(context.timing.beat_ms),
+            own_leases_until: now,
             judge_at: now,
             wakeup: now,
             stored,
@@ -169,6 +172,10 @@
             witnesses: (!knows_witnesses).then(|| row.witnesses.clone()),
             settings,
         };
+        let unbounded = self.context.planted(PlantedFault::CoordinatorUnbounded);
+        if beat.from == self.context.me && !unbounded {
+            self.own_leases_until = self.own_leases_until.max(now + ms(lease_ms));
+        }
         self.members.granted(now, beat.from);
         out.send(beat.from.vm, ControlMessage::Grant(grant));
     }
@@ -180,7 +187,7 @@
         if member != self.context.me || unbounded {
             return lease_ms;
         }
-        let left = self.entitlement.until().saturating_since(now).as_millis();
+        let left = self.entitlement.own_until(now).saturating_since(now).as_millis();
         lease_ms.min(u32::try_from(left).unwrap_or(u32::MAX))
     }
 
@@ -299,7 +306,7 @@
             return self.send_row(now, row, writer, out);
         }
         let renews = by_store && now >= self.renew_at;
-        let proposes = self.entitlement.proposed_is_ready(now);
+        let proposes = self.entitlement.proposed_is_ready(now, self.own_leases_until);
         let replaces = !judged.lost.is_empty() && !judged.waits_for_others;
         if !(renews || proposes || replaces || self.is_dirty) {
             return;
--- a/crates/galenastream_ownership/src/process/coordinator/entitlement.rs
+++ b/crates/galenastream_ownership/src/process/coordinator/entitlement.rs
@@ -104,9 +104,17 @@
         now < self.until() || self.context.planted(PlantedFault::NoEntitlement)
     }
 
-    /// Whether the proposed set may be written: it could entitle on its own, and all witnesses
-    /// that stay know of the change.
-    pub(crate) fn proposed_is_ready(&self, now: BootInstant) -> bool {
+    /// Until when this node's own leases may last. A proposed set counts before it is written, since
+    /// work that began under a longer lease would outlast the promises that a successor waits for.
+    pub(crate) fn own_until(&self, now: BootInstant) -> BootInstant {
+        let proposed = self.proposed.as_ref().map(|it| self.promises.quorum_until(it));
+        let until = self.until();
+        proposed.filter(|it| now < *it).map_or(until, |it| it.min(until))
+    }
+
+    /// Whether the proposed set may be written: it could entitle on its own, also for as long as
+    /// this node's own leases last, and all witnesses that stay know of the change.
+    pub(crate) fn proposed_is_ready(&self, now: BootInstant, own_leases: BootInstant) -> bool {
         let Some(proposed) = &self.proposed else {
             return false;
         };
@@ -114,7 +122,8 @@
         let mut staying = staying(&self.committed, proposed);
         let unknowing = self.context.planted(PlantedFault::UnannouncedWitnesses);
         let is_known = unknowing || staying.all(|it| self.promises.has_acknowledged(it, changing));
-        is_known && now < self.promises.quorum_until(proposed)
+        let until = self.promises.quorum_until(proposed);
+        is_known && now < until && own_leases <= until
     }
 
     pub(crate) fn propose(&mut self, now: BootInstant, set: WitnessSet) {
