Witnesses are shown by every node; a node that drains refuses a takeover

Before: /admin/cells named witnesses only at the coordinator, though an operator needs them when it is lost, and a draining node answered 202 to a takeover that it never carried out. After: each node names the set that its last grant or row named, and the order is refused by 409 with the remedy. Both are in the test of a drained target.

--- a/crates/galenastream_node/src/connection/admin_documents.rs
+++ b/crates/galenastream_node/src/connection/admin_documents.rs
@@ -192,7 +192,6 @@
 }
 
 fn cell_document(node: &Node, view: &CellView, held: &HeldSlices) -> CellDocument {
-    let witnesses = view.row.iter().flat_map(|row| &row.witnesses.witnesses);
     let lease_remaining = held.expires_at.saturating_since(boot_now());
     CellDocument {
         service: node.bootstrap.service.clone(),
@@ -200,7 +199,7 @@
         term: view.term.0,
         coordinator: view.coordinator.map(MemberDocument::from),
         is_coordinator: view.coordinator.is_some_and(|it| it.vm == node.vm()),
-        witnesses: witnesses.map(|witness| witness.member.into()).collect(),
+        witnesses: view.witnesses.iter().map(|it| (*it).into()).collect(),
         slices: view.row.as_ref().map_or(0, |row| row.slices.len()),
         held_slices: held.slices.len(),
         lease_remaining_ms: u64::try_from(lease_remaining.as_millis()).unwrap_or(u64::MAX),
--- a/crates/galenastream_node/src/connection/admin_server.rs
+++ b/crates/galenastream_node/src/connection/admin_server.rs
@@ -172,6 +172,13 @@
     if let Some(refusal) = check_own_service(node, &order.service) {
         return refusal;
     }
+    if node.target.is_draining() {
+        return error(
+            StatusCode::CONFLICT,
+            "this node drains and cannot become the coordinator".to_owned(),
+            "send the order to a node of the service that does not drain",
+        );
+    }
     let cell: CellId = node.cell();
     node.tell(Event::Takeover { cell });
     accepted()
--- a/crates/galenastream_node/src/process/node.rs
+++ b/crates/galenastream_node/src/process/node.rs
@@ -85,8 +85,13 @@
     pub fn new(parts: NodeParts) -> anyhow::Result<Self> {
         let settings = parts.settings;
         let service = settings.service_or_root(parts.bootstrap.service_id()).clone();
-        let unknown_cell =
-            CellView { term: Term(0), coordinator: None, row: None, members: Vec::new() };
+        let unknown_cell = CellView {
+            term: Term(0),
+            coordinator: None,
+            witnesses: Vec::new(),
+            row: None,
+            members: Vec::new(),
+        };
         Ok(Self {
             serving: ServingTable::default(),
             view: ArcSwap::from_pointee(unknown_cell),
--- a/crates/galenastream_node/tests/drain.rs
+++ b/crates/galenastream_node/tests/drain.rs
@@ -4,7 +4,9 @@
 
 mod support;
 
+use galenastream_ownership::WITNESS_COUNT;
 use galenastream_standin::wait_until;
+use http::StatusCode;
 use support::{Cluster, ReadLoad, ReservationLoad, WAIT_LIMIT, take_turn};
 
 #[tokio::test(flavor = "multi_thread")]
@@ -60,8 +62,17 @@
     wait_until("reads to be answered", WAIT_LIMIT, async || reads.answered() > 100).await.unwrap();
 
     let vm = &cluster.vms[leaving];
+    wait_until("a node that is no coordinator to name the witnesses", WAIT_LIMIT, async || {
+        let cells = cluster.cells(vm).await;
+        cells.is_some_and(|it| it.cells[0].witnesses.len() == WITNESS_COUNT)
+    })
+    .await
+    .unwrap();
     let answer = cluster.admin_post(vm, "/admin/drain", "").await;
     assert!(answer.status.is_success());
+    let order = r#"{"service":"catalogue"}"#;
+    let answer = cluster.admin_post(vm, "/admin/takeover", order).await;
+    assert_eq!(answer.status, StatusCode::CONFLICT, "a node that drains takes nothing over");
     wait_until("the slices to move away", WAIT_LIMIT, async || cluster.held_slices(vm).await == 0)
         .await
         .unwrap();
--- a/crates/galenastream_ownership/src/process/cell_view.rs
+++ b/crates/galenastream_ownership/src/process/cell_view.rs
@@ -9,6 +9,8 @@
     pub term: Term,
     /// That term's coordinator, if known.
     pub coordinator: Option<Member>,
+    /// The witnesses, as the last grant or row named them.
+    pub witnesses: Vec<Member>,
     /// The last committed row that this node wrote or read.
     pub row: Option<CellRow>,
     /// The live members with their slots; only at the coordinator.
--- a/crates/galenastream_ownership/src/process/knowledge.rs
+++ b/crates/galenastream_ownership/src/process/knowledge.rs
@@ -49,6 +49,7 @@
         if witnesses.generation > self.witnesses.generation {
             self.witnesses = witnesses.clone();
             self.witnesses_since = now;
+            self.changed = true;
         }
         self.witnesses_term = self.witnesses_term.max(term);
     }
--- a/crates/galenastream_ownership/src/process/roles.rs
+++ b/crates/galenastream_ownership/src/process/roles.rs
@@ -81,9 +81,11 @@
 
     pub(crate) fn cell_view(&self) -> CellView {
         let coordinator = self.coordinator.as_ref();
+        let witnesses = self.knowledge.witnesses.witnesses.iter();
         CellView {
             term: self.knowledge.term,
             coordinator: self.knowledge.coordinator,
+            witnesses: witnesses.map(|it| it.member).collect(),
             row: self.knowledge.row.as_ref().map(|it| it.row.clone()),
             members: coordinator.map(|it| it.live_members(self.now)).unwrap_or_default(),
         }
