--- a/crates/galenastream_ownership/tests/planner/main.rs
+++ b/crates/galenastream_ownership/tests/planner/main.rs
@@ -135,7 +135,7 @@
     }
     let mut planner = Planner::new(PlannerWeights::for_availability(), at_s(0));
     for second in 0..20 {
-        let members = members(if second < 2 { 1 } else { second.min(4) });
+        let members = members(second.clamp(1, 4));
         for change in planner.plan(at_s(second), &row, &members) {
             assert!(matches!(change, PlannedChange::Move { .. }), "{change:?}");
             apply(&mut row, &change);
