--- a/crates/galenastream_ownership/src/process/holder/lease_holder.rs
+++ b/crates/galenastream_ownership/src/process/holder/lease_holder.rs
@@ -199,7 +199,7 @@
         match self.accept_grant(now, grant, knowledge, out) {
             Ok(()) => true,
             Err(reason) => {
-                out.log(OwnershipEvent::MessageDropped { reason });
+                out.drop_message(reason);
                 false
             }
         }
--- a/crates/galenastream_ownership/src/process/outbox.rs
+++ b/crates/galenastream_ownership/src/process/outbox.rs
@@ -6,8 +6,8 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::{
-    Action, CellId, CellRow, ControlMessage, Member, OwnershipEvent, RowVersion, Sequence,
-    StoreOperation, StoreRequestId, VmId, WriteId,
+    Action, CellId, CellRow, ControlMessage, DropReason, Member, OwnershipEvent, RowVersion,
+    Sequence, StoreOperation, StoreRequestId, VmId, WriteId,
 };
 
 /// Numbers and random choices of one life of a node.
@@ -55,6 +55,11 @@
         self.act(Action::Log(event));
     }
 
+    /// Logs that the message that is being handled was dropped.
+    pub(crate) fn drop_message(&mut self, reason: DropReason) {
+        self.log(OwnershipEvent::MessageDropped { reason });
+    }
+
     pub(crate) fn send(&mut self, to: VmId, message: ControlMessage) {
         if to == self.counters.member.vm {
             self.local.push_back(message);
--- a/crates/galenastream_ownership/src/process/roles.rs
+++ b/crates/galenastream_ownership/src/process/roles.rs
@@ -144,7 +144,7 @@
         out: &mut Outbox,
     ) {
         if message.cell() != self.context.cell {
-            return drop_message(DropReason::OtherReceiver, out);
+            return out.drop_message(DropReason::OtherReceiver);
         }
         match message {
             ControlMessage::Beat(beat) => self.handle_beat(now, &beat, out),
@@ -215,7 +215,7 @@
         let is_asked = coordinator.is_some_and(|it| it.handle_promise(now, promise))
             || self.candidate.handle_promise(now, promise);
         if !is_asked {
-            drop_message(DropReason::Unsolicited, out);
+            out.drop_message(DropReason::Unsolicited);
         }
     }
 
@@ -230,7 +230,7 @@
         let is_asked = coordinator.is_some_and(|it| it.handle_seal_reply(reply))
             || self.candidate.handle_seal_reply(now, reply, out);
         if !is_asked {
-            drop_message(DropReason::Unsolicited, out);
+            out.drop_message(DropReason::Unsolicited);
         }
     }
 
@@ -465,7 +465,3 @@
         }
     }
 }
-
-fn drop_message(reason: DropReason, out: &mut Outbox) {
-    out.log(OwnershipEvent::MessageDropped { reason });
-}
--- a/crates/galenastream_ownership/src/process/witness/promiser.rs
+++ b/crates/galenastream_ownership/src/process/witness/promiser.rs
@@ -3,9 +3,8 @@
 use std::time::Duration;
 
 use crate::{
-    BootInstant, ControlMessage, DropReason, Member, OwnershipEvent, PlantedFault, Promise,
-    PromiseRequest, PromiseRole, SealOutcome, SealReply, SealRequest, Sequence, Term, VmId,
-    WitnessGeneration,
+    BootInstant, ControlMessage, DropReason, Member, PlantedFault, Promise, PromiseRequest,
+    PromiseRole, SealOutcome, SealReply, SealRequest, Sequence, Term, VmId, WitnessGeneration,
     process::{Context, Knowledge, Outbox, ms},
 };
 
@@ -55,7 +54,7 @@
         out: &mut Outbox,
     ) {
         if request.to != self.context.me {
-            return drop_message(DropReason::OtherReceiver, out);
+            return out.drop_message(DropReason::OtherReceiver);
         }
         if request.term < knowledge.term && !self.context.planted(PlantedFault::NoTermCheck) {
             let outcome = SealOutcome::Stale { term: knowledge.term, generation: self.generation };
@@ -114,7 +113,7 @@
         out: &mut Outbox,
     ) {
         if request.to != self.context.me {
-            return drop_message(DropReason::OtherReceiver, out);
+            return out.drop_message(DropReason::OtherReceiver);
         }
         knowledge.learn_term(now, request.term, None);
         let outcome = self.seal(now, request, knowledge.term);
@@ -172,7 +171,3 @@
         out.send(to, ControlMessage::SealReply(reply));
     }
 }
-
-fn drop_message(reason: DropReason, out: &mut Outbox) {
-    out.log(OwnershipEvent::MessageDropped { reason });
-}
