The first witnesses entitle no longer than the store term until their set is written

Cause: found by reading. While the write of a cell's first set of witnesses was not settled, their promises alone entitled the coordinator; but the row that stands in the table has no witnesses, so another node may take over once it has seen the row unchanged for a store term. Ruled out: withdrawing the set when the write is late; it may take effect later. Before: OneHolder violated in a script that cuts the coordinator off from the store and another node off from the rest while a cell forms.

--- a/crates/galenastream_ownership/src/process/coordinator/entitlement.rs
+++ b/crates/galenastream_ownership/src/process/coordinator/entitlement.rs
@@ -87,8 +87,7 @@
             return BootInstant::default();
         }
         if self.is_by_store() {
-            let store_term = ms(self.context.timing.store_term_ms);
-            return self.written_at.map_or(BootInstant::default(), |it| it + store_term);
+            return self.store_term_until();
         }
         if self.context.planted(PlantedFault::NoJointWitnesses) {
             return self.promises.quorum_until(&self.committed);
@@ -97,7 +96,18 @@
         let committed = Some(&self.committed).filter(|it| !it.witnesses.is_empty());
         let sets = [committed, self.previous.as_ref(), sent];
         let until = sets.into_iter().flatten().map(|it| self.promises.quorum_until(it)).min();
-        until.unwrap_or_default()
+        let until = until.unwrap_or_default();
+        let unbounded = self.context.planted(PlantedFault::FirstWitnessesUnbounded);
+        if committed.is_some() || unbounded {
+            return until;
+        }
+        // Until the first set stands in the row, others may take over when the store term is over.
+        until.min(self.store_term_until())
+    }
+
+    fn store_term_until(&self) -> BootInstant {
+        let store_term = ms(self.context.timing.store_term_ms);
+        self.written_at.map_or(BootInstant::default(), |it| it + store_term)
     }
 
     pub(crate) fn is_live(&self, now: BootInstant) -> bool {
--- a/crates/galenastream_ownership/src/process/planted_fault.rs
+++ b/crates/galenastream_ownership/src/process/planted_fault.rs
@@ -34,6 +34,8 @@
     NoJointWitnesses,
     /// The witnesses that stay are not told of a change before it is written.
     UnannouncedWitnesses,
+    /// The promises of the first witnesses entitle before their set stands in the row.
+    FirstWitnessesUnbounded,
     /// A slice that was released may be held again in the same epoch.
     ReleaseNotFinal,
     /// The store term counts from the reply to the write.
--- a/crates/galenastream_ownership/tests/proofs/planted.rs
+++ b/crates/galenastream_ownership/tests/proofs/planted.rs
@@ -165,6 +165,19 @@
     });
 }
 
+/// The write of the first witnesses is not settled while another node takes over.
+#[test]
+fn first_witnesses_unbounded() {
+    notices(FirstWitnessesUnbounded, Property::OneHolder, 60, |seed| {
+        let at_ms = 20 + seed * 17;
+        let faults = vec![
+            at(at_ms, StoreCut { pick: Coordinator, for_ms: 8_000 }),
+            at(at_ms, Isolate { pick: Bystander, for_ms: 8_000 }),
+        ];
+        Script::new(seed, faults).with_nodes(5, 3)
+    });
+}
+
 #[test]
 fn release_not_final() {
     notices(ReleaseNotFinal, Property::ReleaseIsFinal, 200, |seed| {
--- a/crates/galenastream_ownership/tests/proofs/regressions.rs
+++ b/crates/galenastream_ownership/tests/proofs/regressions.rs
@@ -116,3 +116,17 @@
         check(&Script::new(seed, faults).with_nodes(7, 3));
     }
 }
+
+/// The write of a cell's first witnesses was not settled: their promises alone entitled the
+/// coordinator, although the row still let others take over once its term had passed.
+#[test]
+fn first_witnesses_whose_write_is_not_settled() {
+    for seed in 0..60 {
+        let at_ms = 20 + seed * 17;
+        let faults = vec![
+            at(at_ms, StoreCut { pick: Coordinator, for_ms: 8_000 }),
+            at(at_ms, Isolate { pick: Bystander, for_ms: 8_000 }),
+        ];
+        check(&Script::new(seed, faults).with_nodes(5, 3));
+    }
+}
