--- /dev/null
+++ b/crates/galenastream_mesh/src/connection/control_connections.rs
@@ -0,0 +1,98 @@
+//! Serves the target beside this node and the platform's health checks.
+
+use std::sync::{Arc, atomic::Ordering};
+
+use bytes::Bytes;
+use galenastream_adapter::{ControlCall, HeartbeatReply, READY_PATH};
+use http::{HeaderValue, Request, Response, StatusCode, header};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use tokio::{net::TcpListener, sync::oneshot};
+
+use super::accept::{accept_all, serve_http};
+use crate::process::{ControlEvent, HeartbeatAnswer, NodeContext, render_metrics};
+
+/// The longest heartbeat. One with a few hundred ranges stays far below it.
+const MAX_HEARTBEAT_BYTES: usize = 256 * 1024;
+
+/// The path of the metrics.
+const METRICS_PATH: &str = "/metrics";
+
+/// Serves heartbeats until the process ends.
+pub async fn serve_control(context: Arc<NodeContext>, listener: TcpListener) {
+    accept_all(listener, |stream| {
+        let context = context.clone();
+        tokio::spawn(serve_http(stream, move |request| {
+            let context = context.clone();
+            async move { answer_control(&context, request).await }
+        }));
+    })
+    .await;
+}
+
+/// Serves health checks until the process ends.
+pub async fn serve_health(context: Arc<NodeContext>, listener: TcpListener) {
+    accept_all(listener, |stream| {
+        let context = context.clone();
+        tokio::spawn(serve_http(stream, move |request| {
+            let response = answer_health(&context, &request);
+            async move { response }
+        }));
+    })
+    .await;
+}
+
+fn answer_health(context: &NodeContext, request: &Request<Incoming>) -> Response<Full<Bytes>> {
+    if request.uri().path() != READY_PATH {
+        return plain(StatusCode::NOT_FOUND, "no such page");
+    }
+    if context.is_closing.load(Ordering::Relaxed) {
+        return plain(StatusCode::SERVICE_UNAVAILABLE, "the node is about to stop");
+    }
+    if context.routing.load().is_none() {
+        return plain(StatusCode::SERVICE_UNAVAILABLE, "the node has no config yet");
+    }
+    plain(StatusCode::OK, "ready")
+}
+
+async fn answer_control(context: &NodeContext, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    let (parts, body) = request.into_parts();
+    if parts.uri.path() == METRICS_PATH {
+        return plain(StatusCode::OK, &render_metrics());
+    }
+    let (answer, answered) = oneshot::channel();
+    let event = match ControlCall::parse(&parts.method, parts.uri.path()) {
+        Some(ControlCall::Heartbeat { target_id }) => {
+            let Ok(body) = Limited::new(body, MAX_HEARTBEAT_BYTES).collect().await else {
+                return plain(StatusCode::BAD_REQUEST, "the heartbeat is too long or incomplete");
+            };
+            let body = body.to_bytes();
+            ControlEvent::Heartbeat { target_id: target_id.to_owned(), body, answer }
+        }
+        Some(ControlCall::Deregister { target_id }) => {
+            ControlEvent::Deregister { target_id: target_id.to_owned(), answer }
+        }
+        None => return plain(StatusCode::NOT_FOUND, "no such call"),
+    };
+    if context.control.send(event).await.is_err() {
+        return plain(StatusCode::SERVICE_UNAVAILABLE, "the node is about to stop");
+    }
+    match answered.await {
+        Ok(HeartbeatAnswer::Reply(reply)) => json(&reply),
+        Ok(HeartbeatAnswer::Refused { reason }) => plain(StatusCode::BAD_REQUEST, &reason),
+        Err(_) => plain(StatusCode::SERVICE_UNAVAILABLE, "the node is about to stop"),
+    }
+}
+
+fn json(reply: &HeartbeatReply) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::from(reply.encode())));
+    let json = HeaderValue::from_static("application/json");
+    response.headers_mut().insert(header::CONTENT_TYPE, json);
+    response
+}
+
+fn plain(status: StatusCode, text: &str) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::copy_from_slice(text.as_bytes())));
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/crates/galenastream_mesh/src/connection/mod.rs
@@ -0,0 +1,14 @@
+//! What lives as long as a connection.
+
+mod accept;
+mod caller_connections;
+mod control_connections;
+mod peer_connections;
+mod peer_links;
+mod target_connections;
+
+pub use caller_connections::serve_callers;
+pub use control_connections::{serve_control, serve_health};
+pub use peer_connections::serve_peers;
+pub use peer_links::{PeerLinks, exchange_statuses};
+pub use target_connections::{TargetConnections, TargetResult};
--- /dev/null
+++ b/crates/galenastream_mesh/src/connection/peer_connections.rs
@@ -0,0 +1,167 @@
+//! Serves the connections that other nodes open.
+
+use std::{
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
+
+use futures::{SinkExt, StreamExt};
+use galenastream_ownership::FastMap;
+use galenastream_runtime::boot_now;
+use galenastream_wire::{
+    FrameCodec, MeshFrame, MeshRequest, StatusSeen, SyncQuery, SyncState, mesh_frame::Body,
+};
+use tokio::{
+    net::{
+        TcpListener, TcpStream,
+        tcp::{OwnedReadHalf, OwnedWriteHalf},
+    },
+    sync::mpsc,
+    task::AbortHandle,
+};
+use tokio_util::codec::{FramedRead, FramedWrite};
+
+use super::accept::accept_all;
+use crate::{
+    process::{ControlEvent, NodeContext, Traffic},
+    request::run_at_target,
+};
+
+/// Replies that may wait to be written on one connection.
+const WRITE_QUEUE_FRAMES: usize = 4_096;
+
+/// Accepts connections of other nodes until the process ends.
+pub async fn serve_peers(traffic: Arc<Traffic>, listener: TcpListener) {
+    accept_all(listener, |stream| {
+        tokio::spawn(serve_connection(traffic.clone(), stream));
+    })
+    .await;
+}
+
+async fn serve_connection(traffic: Arc<Traffic>, stream: TcpStream) {
+    let (read_half, write_half) = stream.into_split();
+    let (replies, queue) = mpsc::channel(WRITE_QUEUE_FRAMES);
+    let writer = tokio::spawn(write_replies(write_half, queue));
+    let connection = PeerConnection { traffic, replies, running: Arc::default() };
+    connection.read(read_half).await;
+    connection.close();
+    writer.abort();
+}
+
+async fn write_replies(stream: OwnedWriteHalf, mut queue: mpsc::Receiver<MeshFrame>) {
+    let mut writer = FramedWrite::new(stream, FrameCodec::<MeshFrame>::new());
+    while let Some(frame) = queue.recv().await {
+        if let Err(error) = writer.feed(frame).await {
+            log::info!(event = "reply_not_written", reason:% = error; "");
+            return;
+        }
+        // Replies that are queued already share one write.
+        if queue.is_empty() && writer.flush().await.is_err() {
+            return;
+        }
+    }
+}
+
+/// A connection that another node opened.
+struct PeerConnection {
+    traffic: Arc<Traffic>,
+    replies: mpsc::Sender<MeshFrame>,
+    running: Arc<Mutex<FastMap<u64, AbortHandle>>>,
+}
+
+impl PeerConnection {
+    async fn read(&self, stream: OwnedReadHalf) {
+        let mut reader = FramedRead::new(stream, FrameCodec::<MeshFrame>::new());
+        loop {
+            match reader.next().await {
+                Some(Ok(frame)) => self.handle(frame),
+                Some(Err(error)) => {
+                    log::info!(event = "peer_frame_unreadable", reason:% = error; "");
+                    return;
+                }
+                None => return,
+            }
+        }
+    }
+
+    /// Ends what the other node no longer waits for.
+    fn close(self) {
+        let mut running = self.running.lock().unwrap_or_else(PoisonError::into_inner);
+        for (_, task) in running.drain() {
+            task.abort();
+        }
+    }
+
+    fn handle(&self, frame: MeshFrame) {
+        let correlation = frame.correlation;
+        match frame.body {
+            Some(Body::Status(status)) => {
+                self.traffic.context.tell(ControlEvent::PeerStatus(status));
+                self.reply(correlation, Body::StatusSeen(StatusSeen {}));
+            }
+            Some(Body::SyncQuery(query)) => {
+                let state = sync_state(&self.traffic.context, &query);
+                self.reply(correlation, Body::SyncState(state));
+            }
+            Some(Body::Request(request)) => self.start(correlation, request),
+            Some(Body::Cancel(_)) => self.cancel(correlation),
+            Some(Body::StatusSeen(_) | Body::Reply(_) | Body::SyncState(_)) | None => {
+                log::warn!(event = "peer_frame_unexpected"; "");
+            }
+        }
+    }
+
+    fn reply(&self, correlation: u64, body: Body) {
+        let frame = MeshFrame { correlation, body: Some(body) };
+        if self.replies.try_send(frame).is_err() {
+            log::warn!(event = "reply_dropped"; "");
+        }
+    }
+
+    fn start(&self, correlation: u64, request: MeshRequest) {
+        let (traffic, replies) = (self.traffic.clone(), self.replies.clone());
+        let running = self.running.clone();
+        let is_idempotent = request.is_idempotent;
+        let task = tokio::spawn(async move {
+            let reply = run_at_target(&traffic, request).await;
+            lock(&running).remove(&correlation);
+            let frame = MeshFrame { correlation, body: Some(Body::Reply(reply)) };
+            if replies.send(frame).await.is_err() {
+                log::debug!(event = "reply_unwanted"; "");
+            }
+        });
+        // A request that may run only once is left to finish when its caller is gone.
+        if is_idempotent && !task.is_finished() {
+            lock(&self.running).insert(correlation, task.abort_handle());
+        }
+    }
+
+    fn cancel(&self, correlation: u64) {
+        if let Some(task) = lock(&self.running).remove(&correlation) {
+            task.abort();
+        }
+    }
+}
+
+fn lock(
+    running: &Mutex<FastMap<u64, AbortHandle>>,
+) -> std::sync::MutexGuard<'_, FastMap<u64, AbortHandle>> {
+    running.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// What this node read from the store and the asker has not.
+fn sync_state(context: &NodeContext, query: &SyncQuery) -> SyncState {
+    let known = context.sync.load();
+    let has_config = query.config_version >= known.config_version;
+    let age = |confirmed_at| boot_now().saturating_since(confirmed_at);
+    let confirmed_age = known.confirmed_at.map_or(Duration::MAX, age);
+    SyncState {
+        config: if has_config { Default::default() } else { known.config.clone() },
+        rows: match query.rows_version < known.rows_version {
+            true => known.rows.clone(),
+            false => Vec::new(),
+        },
+        rows_version: known.rows_version,
+        confirmed_age_ms: u64::try_from(confirmed_age.as_millis()).unwrap_or(u64::MAX),
+    }
+}
--- /dev/null
+++ b/crates/galenastream_mesh/src/process/commit.rs
@@ -0,0 +1,62 @@
+//! Writes to the store.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use galenastream_adapter::{ExpectedRow, RowWrite, StoreClient, StoreError};
+use galenastream_ranges::Assignment;
+use tokio::{sync::mpsc, time::sleep};
+
+use super::{
+    ControlEvent, NodeContext,
+    fleet_rows::{FLEET_TABLE, NodeRow, keys_row, node_write},
+    store_follower::STORE_CALL_LIMIT,
+};
+
+/// Pause after a write that got no response or was refused.
+const RETRY_PAUSE: Duration = Duration::from_millis(250);
+
+/// An assignment that is to be written.
+#[derive(Debug)]
+pub(super) struct CommitOrder {
+    pub(super) service: String,
+    pub(super) expected_version: u64,
+    pub(super) assignment: Box<Assignment>,
+}
+
+/// Announces this node, then writes assignments one after another.
+pub(super) async fn write_rows(
+    context: Arc<NodeContext>,
+    store: StoreClient,
+    mut orders: mpsc::Receiver<CommitOrder>,
+) {
+    let mut lane = store.open_lane();
+    let own_row = NodeRow {
+        address: context.settings.listeners.peers.to_string(),
+        data_centre: context.settings.data_centre.clone(),
+    };
+    let announcement = [node_write(&context.settings.node_name, &own_row)];
+    while let Err(error) = lane.commit(FLEET_TABLE, &[], &announcement, STORE_CALL_LIMIT).await {
+        log::warn!(event = "announcement_failed", reason:% = error; "");
+        sleep(RETRY_PAUSE).await;
+    }
+    while let Some(order) = orders.recv().await {
+        let key = keys_row(&order.service);
+        let expected = [ExpectedRow { key: key.clone(), version: order.expected_version }];
+        let value = Bytes::from(order.assignment.encode_row());
+        let writes = [RowWrite::Put { key, value }];
+        let result = lane.commit(FLEET_TABLE, &expected, &writes, STORE_CALL_LIMIT).await;
+        let may_repeat = matches!(&result, Ok(_) | Err(StoreError::Conflict { .. }));
+        if !may_repeat {
+            sleep(RETRY_PAUSE).await;
+        }
+        let event = ControlEvent::Committed {
+            service: order.service,
+            assignment: order.assignment,
+            result,
+        };
+        if context.control.send(event).await.is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/galenastream_mesh/src/process/context.rs
@@ -0,0 +1,68 @@
+//! What the threads of a process share.
+
+use std::sync::{
+    Arc, Mutex,
+    atomic::{AtomicBool, AtomicU64},
+};
+
+use arc_swap::{ArcSwap, ArcSwapOption};
+use bytes::Bytes;
+use galenastream_adapter::NodeSettings;
+use galenastream_ownership::BootInstant;
+use galenastream_wire::{NodeStatus, SharedRow};
+use tokio::sync::{mpsc, watch};
+
+use super::{ControlEvent, Directory, KeyMeter};
+use crate::version::RoutingTable;
+
+/// What the threads of a process share. The control thread writes the snapshots.
+#[derive(Debug)]
+pub struct NodeContext {
+    /// The settings of the process.
+    pub settings: NodeSettings,
+    /// The routes in force.
+    pub routing: ArcSwapOption<RoutingTable>,
+    /// Nodes, targets and keys.
+    pub directory: ArcSwap<Directory>,
+    /// Counts the changes of the directory; requests that found no owner wait for the next one.
+    pub directory_changes: watch::Sender<u64>,
+    /// What other nodes may ask for.
+    pub sync: ArcSwap<SyncSnapshot>,
+    /// What this node says of itself.
+    pub status: watch::Sender<NodeStatus>,
+    /// Events for the control thread.
+    pub control: mpsc::Sender<ControlEvent>,
+    /// The load of single keys.
+    pub key_meter: Mutex<KeyMeter>,
+    /// The mean service time of the target beside this node, in microseconds.
+    pub service_time_us: AtomicU64,
+    /// Whether the process is about to stop.
+    pub is_closing: AtomicBool,
+    /// Whether keys are still to be passed on before the process stops.
+    pub has_keys_to_pass_on: AtomicBool,
+}
+
+/// What other nodes may ask for.
+#[derive(Debug, Clone, Default)]
+pub struct SyncSnapshot {
+    /// The version of the config.
+    pub config_version: u64,
+    /// The config as its writer encoded it.
+    pub config: Bytes,
+    /// The shared rows.
+    pub rows: Vec<SharedRow>,
+    /// The version of the shared rows.
+    pub rows_version: u64,
+    /// When the rows were last known to be current.
+    pub confirmed_at: Option<BootInstant>,
+}
+
+impl NodeContext {
+    /// Tells the control thread of an event. One that finds its queue full is dropped and logged;
+    /// all of them come again.
+    pub fn tell(self: &Arc<Self>, event: ControlEvent) {
+        if self.control.try_send(event).is_err() {
+            log::warn!(event = "control_event_dropped"; "");
+        }
+    }
+}
--- /dev/null
+++ b/crates/galenastream_mesh/src/process/control_loop.rs
@@ -0,0 +1,138 @@
+//! The loop of the control thread.
+
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
+
+use galenastream_routing::NodeKey;
+use galenastream_runtime::{boot_now, connect_tcp};
+use tokio::{
+    sync::mpsc,
+    time::{Instant, MissedTickBehavior, interval},
+};
+
+use super::{ControlEvent, ControlState, Effect, NodeContext, commit::CommitOrder};
+
+/// Interval at which time passes for the control state without events.
+const TICK: Duration = Duration::from_millis(100);
+
+/// Interval at which the load of the target is measured.
+const MEASURE_INTERVAL: Duration = Duration::from_millis(1_000);
+
+/// How long opening a connection to the target beside this node may take.
+const PROBE_LIMIT: Duration = Duration::from_millis(150);
+
+/// Pause between the two refusals that show that the target has ended.
+const PROBE_PAUSE: Duration = Duration::from_millis(30);
+
+/// Microseconds in a thousandth of a thousand seconds: turns a service time into a rate.
+const MILLI_PER_S_PER_US: u64 = 1_000_000_000;
+
+/// The loop of the control thread.
+pub(super) struct ControlLoop {
+    pub(super) context: Arc<NodeContext>,
+    pub(super) state: ControlState,
+    pub(super) events: mpsc::Receiver<ControlEvent>,
+    pub(super) commits: mpsc::Sender<CommitOrder>,
+    pub(super) peer_questions: mpsc::Sender<NodeKey>,
+}
+
+impl ControlLoop {
+    /// Handles events until the process ends.
+    pub(super) async fn run(mut self) {
+        let mut ticks = interval(TICK);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut measured_at = Instant::now();
+        loop {
+            let effects = tokio::select! {
+                event = self.events.recv() => match event {
+                    Some(event) => self.state.handle(event, boot_now()),
+                    None => return,
+                },
+                _ = ticks.tick() => {
+                    if measured_at.elapsed() >= MEASURE_INTERVAL {
+                        measured_at = Instant::now();
+                        self.measure();
+                    }
+                    self.state.tick(boot_now())
+                }
+            };
+            self.publish();
+            for effect in effects {
+                self.carry_out(effect);
+            }
+        }
+    }
+
+    fn measure(&mut self) {
+        let pieces = {
+            let mut meter = self.context.key_meter.lock().unwrap_or_else(|it| it.into_inner());
+            meter.age();
+            meter.pieces()
+        };
+        let service_time_us = self.context.service_time_us.load(Ordering::Relaxed);
+        let slots = self.context.directory.load().local.as_ref().map_or(0, |it| it.slots);
+        let capacity = match service_time_us {
+            0 => 0,
+            service_time_us => u64::from(slots) * MILLI_PER_S_PER_US / service_time_us,
+        };
+        self.state.set_local_load(capacity, pieces);
+    }
+
+    /// Publishes what has changed to the traffic thread.
+    fn publish(&self) {
+        let now = boot_now();
+        if let Some(routing) = self.state.routing() {
+            let is_new = self.context.routing.load().as_ref().is_none_or(|it| !Arc::ptr_eq(it, routing));
+            if is_new {
+                self.context.routing.store(Some(routing.clone()));
+            }
+        }
+        self.context.directory.store(Arc::new(self.state.directory(now)));
+        self.context.directory_changes.send_modify(|it| *it += 1);
+        self.context.sync.store(Arc::new(self.state.sync_snapshot()));
+        let keys_left = self.state.has_keys_to_pass_on();
+        self.context.has_keys_to_pass_on.store(keys_left, Ordering::Relaxed);
+        let status = self.state.status(now);
+        self.context.status.send_if_modified(|current| {
+            let is_new = *current != status;
+            *current = status;
+            is_new
+        });
+    }
+
+    fn carry_out(&self, effect: Effect) {
+        match effect {
+            Effect::Commit { service, expected_version, assignment } => {
+                let order = CommitOrder { service, expected_version, assignment };
+                if self.commits.try_send(order).is_err() {
+                    log::warn!(event = "commit_dropped"; "");
+                }
+            }
+            Effect::AskPeer { node } => {
+                let directory = self.context.directory.load();
+                let key = directory.nodes.iter().find(|it| *it.name == *node).map(|it| it.key);
+                if key.is_none_or(|it| self.peer_questions.try_send(it).is_err()) {
+                    log::debug!(event = "peer_question_dropped", node = node.as_str(); "");
+                }
+            }
+            Effect::ProbeTarget => {
+                tokio::spawn(probe_target(self.context.clone()));
+            }
+        }
+    }
+}
+
+/// Tells the control state if the target refuses connections, twice in a row.
+async fn probe_target(context: Arc<NodeContext>) {
+    for _ in 0..2 {
+        let address = context.settings.target_address;
+        match connect_tcp(address, PROBE_LIMIT).await {
+            Err(error) if error.kind() == std::io::ErrorKind::ConnectionRefused => {}
+            Ok(_) | Err(_) => return,
+        }
+        tokio::time::sleep(PROBE_PAUSE).await;
+    }
+    context.tell(ControlEvent::TargetRefused);
+}
--- /dev/null
+++ b/crates/galenastream_mesh/src/process/daemon.rs
@@ -0,0 +1,161 @@
+//! Starts and stops the process.
+
+use std::{
+    path::Path,
+    sync::{Arc, atomic::Ordering},
+    thread,
+    time::Duration,
+};
+
+use anyhow::Context;
+use galenastream_adapter::{NodeSettings, StoreClient};
+use galenastream_routing::NodeKey;
+use galenastream_runtime::boot_now;
+use tokio::{
+    net::TcpListener,
+    runtime::{Builder, Runtime},
+    signal::unix::{SignalKind, signal},
+    sync::mpsc,
+    time::{Instant, sleep},
+};
+
+use super::{
+    ControlEvent, ControlState, KeyMeter, NodeContext, SyncSnapshot, Traffic,
+    commit::write_rows,
+    control_loop::ControlLoop,
+    metrics_page::start_metrics,
+    store_follower::{FollowedTable, follow_table},
+};
+use crate::connection::{
+    exchange_statuses, serve_callers, serve_control, serve_health, serve_peers,
+};
+
+/// Events that may wait for the control thread.
+const CONTROL_QUEUE: usize = 1_024;
+
+/// How long a process that stops goes on taking requests: until the platform has sent callers to
+/// other nodes, which takes two failed health checks a second apart.
+const LINGER: Duration = Duration::from_millis(2_300);
+
+/// How long before it would be killed a process stops at the latest.
+const EXIT_MARGIN: Duration = Duration::from_millis(600);
+
+/// Interval at which a process that stops looks whether it may.
+const EXIT_POLL: Duration = Duration::from_millis(20);
+
+/// Runs the process until a signal ends it.
+pub fn run_daemon(settings_path: &Path) -> anyhow::Result<()> {
+    let settings = NodeSettings::load(settings_path)?;
+    log::info!(
+        event = "process_started",
+        node = settings.node_name.as_str(),
+        data_centre = settings.data_centre.as_str(),
+        version = env!("CARGO_PKG_VERSION");
+        ""
+    );
+    start_metrics()?;
+    let started_at = boot_now();
+    let state = ControlState::new(settings.clone(), started_at);
+    let (control, events) = mpsc::channel(CONTROL_QUEUE);
+    let (peer_questions, questions) = mpsc::channel(CONTROL_QUEUE);
+    let context = Arc::new(NodeContext {
+        settings,
+        routing: Default::default(),
+        directory: arc_swap::ArcSwap::from_pointee(state.directory(started_at)),
+        directory_changes: tokio::sync::watch::Sender::new(0),
+        sync: arc_swap::ArcSwap::from_pointee(SyncSnapshot::default()),
+        status: tokio::sync::watch::Sender::new(state.status(started_at)),
+        control,
+        key_meter: KeyMeter::new().into(),
+        service_time_us: Default::default(),
+        is_closing: Default::default(),
+        has_keys_to_pass_on: Default::default(),
+    });
+    let for_control = context.clone();
+    thread::Builder::new().name("control".to_owned()).spawn(move || {
+        if let Err(error) = run_control(for_control, state, events, peer_questions) {
+            log::error!(event = "control_thread_failed", reason:% = error; "");
+            std::process::exit(1);
+        }
+    })?;
+    let result = new_runtime()?.block_on(run_traffic(context, questions));
+    log::info!(event = "process_stopped"; "");
+    result
+}
+
+fn new_runtime() -> anyhow::Result<Runtime> {
+    Ok(Builder::new_current_thread().enable_all().build()?)
+}
+
+fn run_control(
+    context: Arc<NodeContext>,
+    state: ControlState,
+    events: mpsc::Receiver<ControlEvent>,
+    peer_questions: mpsc::Sender<NodeKey>,
+) -> anyhow::Result<()> {
+    new_runtime()?.block_on(async {
+        let listeners = context.settings.listeners;
+        let control = bind(listeners.control).await?;
+        let health = bind(listeners.ready).await?;
+        let store = StoreClient::new(&context.settings.store);
+        let (commits, orders) = mpsc::channel(CONTROL_QUEUE);
+        tokio::spawn(serve_control(context.clone(), control));
+        tokio::spawn(serve_health(context.clone(), health));
+        tokio::spawn(follow_table(context.clone(), store, FollowedTable::Config));
+        tokio::spawn(follow_table(context.clone(), store, FollowedTable::Fleet));
+        tokio::spawn(write_rows(context.clone(), store, orders));
+        ControlLoop { context, state, events, commits, peer_questions }.run().await;
+        Ok(())
+    })
+}
+
+async fn run_traffic(
+    context: Arc<NodeContext>,
+    questions: mpsc::Receiver<NodeKey>,
+) -> anyhow::Result<()> {
+    let listeners = context.settings.listeners;
+    let callers = bind(listeners.callers).await?;
+    let peers = bind(listeners.peers).await?;
+    let traffic = Arc::new(Traffic::new(context));
+    tokio::spawn(serve_callers(traffic.clone(), callers));
+    tokio::spawn(serve_peers(traffic.clone(), peers));
+    tokio::spawn(exchange_statuses(traffic.clone(), questions));
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut reload = signal(SignalKind::hangup())?;
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = interrupt.recv() => break,
+            _ = reload.recv() => log::info!(event = "reload_requested"; ""),
+        }
+    }
+    stop(&traffic).await;
+    Ok(())
+}
+
+/// Stops without interrupting a request, as long as the platform lets it.
+async fn stop(traffic: &Traffic) {
+    log::info!(event = "process_stopping"; "");
+    let began_at = Instant::now();
+    let context = &traffic.context;
+    context.is_closing.store(true, Ordering::Relaxed);
+    context.tell(ControlEvent::Closing);
+    let grace = Duration::from_millis(context.settings.bounds.grace_ms);
+    let latest = began_at + grace.saturating_sub(EXIT_MARGIN);
+    loop {
+        let is_idle = traffic.in_progress.load(Ordering::Relaxed) == 0;
+        let has_keys = context.has_keys_to_pass_on.load(Ordering::Relaxed);
+        let has_lingered = began_at.elapsed() >= LINGER;
+        if Instant::now() >= latest || (has_lingered && is_idle && !has_keys) {
+            return;
+        }
+        sleep(EXIT_POLL).await;
+    }
+}
+
+async fn bind(address: std::net::SocketAddr) -> anyhow::Result<TcpListener> {
+    TcpListener::bind(address).await.with_context(|| {
+        format!("cannot listen at {address}; end the other process there, or correct the settings")
+    })
+}
--- /dev/null
+++ b/crates/galenastream_mesh/src/process/directory.rs
@@ -0,0 +1,87 @@
+//! What the traffic thread knows of nodes, targets and keys: a snapshot of the control state.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use galenastream_ownership::{BootInstant, FastMap};
+use galenastream_ranges::{Assignment, TargetIncarnation};
+use galenastream_routing::NodeKey;
+
+use super::HeldLeases;
+
+/// What the traffic thread knows of nodes, targets and keys.
+#[derive(Debug, Clone, Default)]
+pub struct Directory {
+    /// All known nodes, this one first.
+    pub nodes: Vec<NodeEntry>,
+    /// The owner of every key, by service.
+    pub assignments: FastMap<String, Arc<Assignment>>,
+    /// The target beside this node.
+    pub local: Option<LocalTarget>,
+}
+
+/// A node.
+#[derive(Debug, Clone)]
+pub struct NodeEntry {
+    /// Its place in the arena of the process.
+    pub key: NodeKey,
+    /// The VM's name.
+    pub name: Arc<str>,
+    /// Where it takes connections of other nodes.
+    pub address: SocketAddr,
+    /// Its data centre.
+    pub data_centre: Arc<str>,
+    /// The target beside it.
+    pub target: Option<TargetEntry>,
+    /// Whether it is about to stop.
+    pub is_closing: bool,
+    /// Whether it was heard of lately.
+    pub is_heard: bool,
+    /// Whether it is this node.
+    pub is_local: bool,
+}
+
+/// A target beside a node.
+#[derive(Debug, Clone)]
+pub struct TargetEntry {
+    /// Its service.
+    pub service: Arc<str>,
+    /// Which of its lives.
+    pub incarnation: TargetIncarnation,
+    /// Requests that it processes at once.
+    pub slots: u32,
+    /// Whether it is about to leave.
+    pub is_draining: bool,
+}
+
+/// The target beside this node.
+#[derive(Debug, Clone)]
+pub struct LocalTarget {
+    /// Its service.
+    pub service: Arc<str>,
+    /// Which of its lives.
+    pub incarnation: TargetIncarnation,
+    /// Requests that it processes at once.
+    pub slots: u32,
+    /// For how much longer it is slow after its start, counted from when this was said.
+    pub cold_remaining_ms: u64,
+    /// When its leave was acknowledged.
+    pub leave_acknowledged_at: Option<BootInstant>,
+    /// Whether its service's targets hold keys.
+    pub holds_keys: bool,
+    /// The keys that it holds.
+    pub leases: HeldLeases,
+}
+
+impl Directory {
+    /// The node beside a target.
+    pub fn node_of(&self, target: &TargetIncarnation) -> Option<&NodeEntry> {
+        self.nodes
+            .iter()
+            .find(|it| it.target.as_ref().is_some_and(|it| it.incarnation == *target))
+    }
+
+    /// How many nodes were heard of lately.
+    pub fn heard_count(&self) -> usize {
+        self.nodes.iter().filter(|it| it.is_heard).count()
+    }
+}
--- /dev/null
+++ b/crates/galenastream_mesh/src/process/key_meter.rs
@@ -0,0 +1,69 @@
+//! The load of single keys at the target beside this node.
+
+use galenastream_ownership::FastMap;
+use galenastream_ranges::KeyRange;
+use galenastream_wire::KeyLoadRecord;
+
+/// Share of the count that is kept from one second to the next; the load shows within a few.
+const KEPT_SHARE: f64 = 0.7;
+
+/// Keys with less than this many counted requests are dropped.
+const LEAST_COUNT: f64 = 0.05;
+
+/// Pieces into which the load is cut for the planner.
+const PIECES: usize = 40;
+
+/// Counts requests by key, newer ones more than older ones.
+#[derive(Debug, Default)]
+pub struct KeyMeter {
+    counts: FastMap<u16, f64>,
+}
+
+impl KeyMeter {
+    /// Creates a meter that has counted nothing.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Counts a request.
+    pub fn add(&mut self, key: u16) {
+        *self.counts.entry(key).or_default() += 1.0;
+    }
+
+    /// Ages the counts. Call it once a second.
+    pub fn age(&mut self) {
+        self.counts.retain(|_, count| {
+            *count *= KEPT_SHARE;
+            *count >= LEAST_COUNT
+        });
+    }
+
+    /// The load in pieces of about the same load, in the order of their keys.
+    pub fn pieces(&self) -> Vec<KeyLoadRecord> {
+        let mut counts: Vec<(u16, f64)> = self.counts.iter().map(|(key, it)| (*key, *it)).collect();
+        counts.sort_unstable_by_key(|(key, _)| *key);
+        let total: f64 = counts.iter().map(|(_, it)| it).sum();
+        let piece_load = total / PIECES as f64;
+        let mut pieces: Vec<(KeyRange, f64)> = Vec::new();
+        for (key, count) in counts {
+            match pieces.last_mut() {
+                Some((range, load)) if *load + count <= piece_load => {
+                    range.last = key;
+                    *load += count;
+                }
+                _ => pieces.push((KeyRange { first: key, last: key }, count)),
+            }
+        }
+        // In a steady state the kept counts add up to this many seconds of requests.
+        let seconds = 1.0 / (1.0 - KEPT_SHARE);
+        pieces.into_iter().map(|(range, load)| key_load_record(range, load / seconds)).collect()
+    }
+}
+
+fn key_load_record(range: KeyRange, per_s: f64) -> KeyLoadRecord {
+    KeyLoadRecord {
+        first: u32::from(range.first),
+        last: u32::from(range.last),
+        milli_per_s: (per_s * 1_000.0) as u64,
+    }
+}
--- /dev/null
+++ b/crates/galenastream_mesh/src/process/local_target.rs
@@ -0,0 +1,78 @@
+//! The target beside this node, as its heartbeats show it.
+
+use std::{sync::Arc, time::Duration};
+
+use galenastream_adapter::{HeartbeatReply, HeldKeys, ReleasedKeys};
+use galenastream_ownership::BootInstant;
+use galenastream_ranges::{KeyRange, TargetIncarnation};
+use tokio::sync::oneshot;
+
+use super::{HeartbeatAnswer, HeldLeases};
+
+/// The target beside this node, as its heartbeats show it.
+#[derive(Debug)]
+pub(super) struct LocalRecord {
+    pub(super) incarnation: TargetIncarnation,
+    pub(super) service: Arc<str>,
+    pub(super) slots: u32,
+    pub(super) sequence: u64,
+    pub(super) heard_at: BootInstant,
+    pub(super) cold_until: BootInstant,
+    pub(super) leave_acknowledged_at: Option<BootInstant>,
+    pub(super) held: Vec<HeldKeys>,
+    pub(super) released: Vec<ReleasedKeys>,
+    /// The leases of the last reply of this process, if there was one.
+    pub(super) granted: Option<HeldLeases>,
+    /// When all leases have run out that were granted by this process or an earlier one.
+    pub(super) leases_end_at: BootInstant,
+    pub(super) open_heartbeat: Option<OpenHeartbeat>,
+}
+
+/// A heartbeat that is not answered yet.
+#[derive(Debug)]
+pub(super) struct OpenHeartbeat {
+    pub(super) answer: oneshot::Sender<HeartbeatAnswer>,
+    pub(super) answer_by: BootInstant,
+}
+
+impl LocalRecord {
+    /// Whether the target may still hold keys of a range, or work on them.
+    ///
+    /// It does not if its last heartbeat leaves them out and the reply before that did too: a
+    /// heartbeat alone may have crossed a reply that grants them.
+    pub(super) fn may_hold(&self, range: KeyRange) -> bool {
+        let Some(granted) = &self.granted else {
+            return true;
+        };
+        let is_held = self.held.iter().any(|it| overlaps(it.first, it.last, range));
+        is_held || granted.overlaps(range)
+    }
+
+    /// The handover token of a release that has all keys of a range.
+    pub(super) fn handover_of(&self, range: KeyRange) -> Option<&str> {
+        let release = self
+            .released
+            .iter()
+            .rev()
+            .find(|it| it.first <= range.first && range.last <= it.last)?;
+        Some(&release.handover)
+    }
+
+    pub(super) fn is_silent(&self, now: BootInstant, silent_after: Duration) -> bool {
+        now.saturating_since(self.heard_at) > silent_after
+    }
+
+    /// Answers the heartbeat that is open.
+    pub(super) fn answer(&mut self, reply: HeartbeatReply) {
+        let Some(open) = self.open_heartbeat.take() else {
+            return;
+        };
+        if open.answer.send(HeartbeatAnswer::Reply(reply)).is_err() {
+            log::debug!(event = "heartbeat_abandoned", target_id = &*self.incarnation.id; "");
+        }
+    }
+}
+
+fn overlaps(first: u16, last: u16, range: KeyRange) -> bool {
+    first <= range.last && range.first <= last
+}
--- /dev/null
+++ b/crates/galenastream_mesh/src/process/mod.rs
@@ -0,0 +1,28 @@
+//! What lives as long as the process.
+
+mod commit;
+mod context;
+mod control_event;
+mod control_loop;
+mod control_state;
+mod daemon;
+mod directory;
+mod fleet_rows;
+mod key_meter;
+mod leases;
+mod local_target;
+mod metrics_page;
+mod peer_book;
+mod planning;
+mod store_follower;
+mod traffic;
+
+pub use context::{NodeContext, SyncSnapshot};
+pub use control_event::{ControlEvent, Effect, HeartbeatAnswer};
+pub use control_state::ControlState;
+pub use daemon::run_daemon;
+pub use directory::{Directory, LocalTarget, NodeEntry, TargetEntry};
+pub use key_meter::KeyMeter;
+pub use leases::HeldLeases;
+pub use metrics_page::render_metrics;
+pub use traffic::{Counted, Traffic};
--- /dev/null
+++ b/crates/galenastream_mesh/src/process/planning.rs
@@ -0,0 +1,181 @@
+//! What the node that plans adds to an assignment.
+
+use std::time::Duration;
+
+use galenastream_ownership::BootInstant;
+use galenastream_ranges::{
+    Assignment, Holding, KeyLoad, KeyRange, Owner, PlannedMove, Planner, TargetIncarnation,
+    TargetLoad,
+};
+use galenastream_wire::TargetStatus;
+
+use super::control_state::ControlState;
+
+/// A node that was not heard of for this long is lost, and its target's keys are taken away: longer
+/// than the restart of a process.
+const LOST_AFTER: Duration = Duration::from_millis(3_500);
+
+/// Interval between two rounds of balancing, so that the load shows what the last one changed.
+const BALANCE_INTERVAL: Duration = Duration::from_millis(2_000);
+
+/// How many heartbeat intervals, in hundredths, a planner waits for the targets to show up.
+const SETTLE_PERCENT: u32 = 220;
+
+/// Requests a second that a slot is taken to process while nothing is measured.
+const UNKNOWN_CAPACITY_PER_SLOT: f64 = 10.0;
+
+impl ControlState {
+    /// Whether this node plans: the first by name of those that reach the store. Two nodes that
+    /// both believe so do no harm, since each write depends on the row that it was decided on.
+    pub(super) fn is_planner(&self, now: BootInstant) -> bool {
+        if !self.reaches_store || self.is_closing {
+            return false;
+        }
+        self.planner(now) == &*self.node
+    }
+
+    /// The name of the node that plans, as far as this node can tell.
+    pub(super) fn planner(&self, now: BootInstant) -> &str {
+        let mut first: &str = &self.node;
+        let is_candidate = self.reaches_store && !self.is_closing;
+        if !is_candidate {
+            first = "\u{10ffff}";
+        }
+        for (name, peer) in self.peers.iter() {
+            let Some(status) = &peer.status else {
+                continue;
+            };
+            if peer.is_heard(now) && status.reaches_store && !status.is_closing && **name < *first {
+                first = name;
+            }
+        }
+        first
+    }
+
+    /// Adds what is planned for a service.
+    pub(super) fn plan_service(
+        &mut self,
+        service: &str,
+        assignment: &mut Assignment,
+        now: BootInstant,
+    ) {
+        let settled = Duration::from_millis(self.settings.heartbeat_ms) * SETTLE_PERCENT / 100;
+        if now.saturating_since(self.started_at) < settled {
+            return;
+        }
+        self.pass_on_vacant(service, assignment, now);
+        self.evacuate_lost(service, assignment, now);
+        let targets = self.targets_of(service, now);
+        for planned in Planner::new().place_homeless(assignment, &targets) {
+            apply(assignment, &planned);
+        }
+        let is_moving = assignment.entries().iter().any(|it| it.holding.leaver().is_some());
+        let record = self.assignment_record(service);
+        if is_moving || now.saturating_since(record.balanced_at) < BALANCE_INTERVAL {
+            return;
+        }
+        record.balanced_at = now;
+        for planned in Planner::new().balance(assignment, &targets) {
+            log::info!(event = "keys_move", service, range:% = planned.range, to:% = planned.to.target; "");
+            apply(assignment, &planned);
+        }
+    }
+
+    /// Passes on keys of which every lease has run out.
+    fn pass_on_vacant(&mut self, service: &str, assignment: &mut Assignment, now: BootInstant) {
+        let terms = self.terms;
+        for (target, range) in self.assignment_record(service).vacancy.vacant(&terms, now) {
+            log::info!(event = "keys_vacant", service, range:% = range, target:% = target; "");
+            assignment.complete_move(&target, range, "");
+        }
+    }
+
+    /// Takes keys away from targets whose nodes are lost.
+    fn evacuate_lost(&self, service: &str, assignment: &mut Assignment, now: BootInstant) {
+        for holder in assignment.holders() {
+            if holder.node == self.node || !self.is_lost(&holder, now) {
+                continue;
+            }
+            let owned: Vec<KeyRange> =
+                assignment.owned_by(&holder.target).map(|it| it.range).collect();
+            if !owned.is_empty() {
+                log::info!(event = "owner_lost", service, target:% = holder.target, node = &*holder.node; "");
+            }
+            for range in owned {
+                assignment.begin_move(range, None);
+            }
+            clear_successor(assignment, &holder.target);
+        }
+    }
+
+    fn is_lost(&self, holder: &Owner, now: BootInstant) -> bool {
+        let heard_at = self.peers.get(&holder.node).and_then(|it| it.heard_at);
+        let since = heard_at.map_or(self.started_at, |it| it.max(self.started_at));
+        now.saturating_since(since) > LOST_AFTER
+    }
+
+    /// The targets of a service that live.
+    fn targets_of(&self, service: &str, now: BootInstant) -> Vec<TargetLoad> {
+        let mut targets = Vec::new();
+        if let (Some(local), Some(owner)) = (&self.local, self.local_owner())
+            && &*local.service == service
+        {
+            let status = self.status(now).target.unwrap_or_default();
+            targets.push(target_load(owner, &status, !self.is_closing));
+        }
+        for (name, peer) in self.peers.iter() {
+            let status = peer.status.as_ref();
+            let Some(target) = status.and_then(|it| it.target.as_ref()) else {
+                continue;
+            };
+            if target.service != service || !peer.is_heard(now) {
+                continue;
+            }
+            let incarnation = TargetIncarnation::new(target.id.as_str(), target.born_ms);
+            let owner = Owner::new(incarnation, name.clone());
+            let is_staying = status.is_some_and(|it| !it.is_closing);
+            targets.push(target_load(owner, target, is_staying));
+        }
+        targets.sort_by(|a, b| a.owner.node.cmp(&b.owner.node));
+        targets
+    }
+}
+
+fn target_load(owner: Owner, status: &TargetStatus, is_staying: bool) -> TargetLoad {
+    let capacity_per_s = match status.capacity_milli_per_s {
+        0 => UNKNOWN_CAPACITY_PER_SLOT * f64::from(status.slots),
+        measured => measured as f64 / 1_000.0,
+    };
+    let mut loads = Vec::with_capacity(status.key_loads.len());
+    for record in &status.key_loads {
+        let (Ok(first), Ok(last)) = (u16::try_from(record.first), u16::try_from(record.last)) else {
+            continue;
+        };
+        let Some(range) = KeyRange::new(first, last) else {
+            continue;
+        };
+        loads.push(KeyLoad { range, per_s: record.milli_per_s as f64 / 1_000.0 });
+    }
+    let takes_keys = is_staying && !status.is_draining && !status.is_silent;
+    TargetLoad { owner, capacity_per_s, takes_keys, loads }
+}
+
+fn apply(assignment: &mut Assignment, planned: &PlannedMove) {
+    // Each of these changes only the keys to which it applies.
+    assignment.begin_move(planned.range, Some(&planned.to));
+    assignment.give(planned.range, &planned.to);
+}
+
+/// Names no next owner where the planned one is lost.
+fn clear_successor(assignment: &mut Assignment, lost: &TargetIncarnation) {
+    let entries = assignment.entries().to_vec();
+    for entry in entries {
+        let is_planned = matches!(
+            &entry.holding,
+            Holding::Leaving { to: Some(to), .. } if to.target == *lost
+        );
+        if is_planned {
+            assignment.redirect_move(entry.range, None);
+        }
+    }
+}
--- /dev/null
+++ b/crates/galenastream_mesh/src/process/store_follower.rs
@@ -0,0 +1,143 @@
+//! Follows the tables of the store.
+
+use std::{sync::Arc, time::Duration};
+
+use galenastream_adapter::{
+    CONFIG_TABLE, ChangedRows, RoutingConfig, Row, StoreClient, StoreError, StoreLane, config_row,
+};
+use galenastream_ownership::BootInstant;
+use galenastream_runtime::boot_now;
+use tokio::time::sleep;
+
+use super::{ControlEvent, NodeContext, fleet_rows::FLEET_TABLE};
+
+/// How long a call to the store may take beyond the time for which it waits: many times the 4 ms
+/// that it takes normally, and about what it takes while it is slow.
+pub(super) const STORE_CALL_LIMIT: Duration = Duration::from_millis(1_000);
+
+/// How long a watch waits for a change. Each one costs a call, and a connection that went silent is
+/// noticed by its keep-alive probes.
+const IDLE_WAIT: Duration = Duration::from_millis(12_000);
+
+/// How long a watch waits where leases depend on it: each one confirms that the rows are current.
+const LEASE_WAIT: Duration = Duration::from_millis(2_000);
+
+/// Pauses after calls that failed, from the first to the last.
+const FIRST_PAUSE: Duration = Duration::from_millis(60);
+const LONGEST_PAUSE: Duration = Duration::from_millis(500);
+
+/// Which table is followed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum FollowedTable {
+    /// The operators' table, for the config.
+    Config,
+    /// The rows that all nodes share.
+    Fleet,
+}
+
+/// Follows a table until the process ends.
+pub(super) async fn follow_table(
+    context: Arc<NodeContext>,
+    store: StoreClient,
+    table: FollowedTable,
+) {
+    let mut lane = store.open_lane();
+    let mut known_version = None;
+    let mut pause = FIRST_PAUSE;
+    loop {
+        let asked_at = boot_now();
+        match next_rows(&context, &mut lane, table, known_version).await {
+            Ok(changed) => {
+                pause = FIRST_PAUSE;
+                known_version = Some(changed.version);
+                deliver(&context, table, changed, asked_at).await;
+            }
+            Err(StoreError::HistoryDropped) => {
+                log::info!(event = "store_history_dropped", table = table.name(); "");
+                known_version = None;
+            }
+            Err(error) => {
+                log::info!(event = "store_call_failed", table = table.name(), reason:% = error; "");
+                send(&context, ControlEvent::StoreReached(false)).await;
+                sleep(pause).await;
+                pause = (pause * 2).min(LONGEST_PAUSE);
+            }
+        }
+    }
+}
+
+async fn next_rows(
+    context: &NodeContext,
+    lane: &mut StoreLane,
+    table: FollowedTable,
+    known_version: Option<u64>,
+) -> Result<ChangedRows, StoreError> {
+    let Some(after) = known_version else {
+        return lane.read_table(table.name(), STORE_CALL_LIMIT).await;
+    };
+    let wait = match table {
+        FollowedTable::Fleet if depends_on_leases(context) => LEASE_WAIT,
+        FollowedTable::Fleet | FollowedTable::Config => IDLE_WAIT,
+    };
+    lane.watch_table(table.name(), after, wait, STORE_CALL_LIMIT).await
+}
+
+fn depends_on_leases(context: &NodeContext) -> bool {
+    let directory = context.directory.load();
+    directory.local.as_ref().is_some_and(|it| it.holds_keys)
+}
+
+async fn deliver(
+    context: &NodeContext,
+    table: FollowedTable,
+    changed: ChangedRows,
+    asked_at: BootInstant,
+) {
+    send(context, ControlEvent::StoreReached(true)).await;
+    match table {
+        FollowedTable::Fleet => {
+            let event = ControlEvent::Rows {
+                rows: changed.rows,
+                version: changed.version,
+                confirmed_at: asked_at,
+            };
+            send(context, event).await;
+        }
+        FollowedTable::Config => {
+            if let Some(row) = config_row(&changed.rows) {
+                deliver_config(context, row).await;
+            }
+        }
+    }
+}
+
+async fn deliver_config(context: &NodeContext, row: &Row) {
+    let Some(encoded) = row.value.clone() else {
+        log::warn!(event = "config_removed", row_version = row.version; "");
+        return;
+    };
+    match RoutingConfig::decode(&encoded) {
+        Ok(config) => {
+            send(context, ControlEvent::Config { config: Box::new(config), encoded }).await;
+        }
+        Err(error) => {
+            log::warn!(event = "config_refused", row_version = row.version, reason:% = error; "");
+        }
+    }
+}
+
+async fn send(context: &NodeContext, event: ControlEvent) {
+    // The control loop ends only with the process.
+    if context.control.send(event).await.is_err() {
+        log::debug!(event = "control_loop_gone"; "");
+    }
+}
+
+impl FollowedTable {
+    const fn name(self) -> &'static str {
+        match self {
+            Self::Config => CONFIG_TABLE,
+            Self::Fleet => FLEET_TABLE,
+        }
+    }
+}
--- /dev/null
+++ b/crates/galenastream_mesh/src/request/answer.rs
@@ -0,0 +1,39 @@
+//! HTTP answers to callers.
+
+use bytes::Bytes;
+use galenastream_adapter::header_names;
+use galenastream_runtime::append_all;
+use galenastream_wire::MeshReply;
+use http::{HeaderValue, Response, StatusCode, header};
+use http_body_util::Full;
+
+use super::refusal::Refusal;
+
+/// The answer of a target, unchanged.
+pub(super) fn pass_on(reply: MeshReply) -> Response<Full<Bytes>> {
+    let status = u16::try_from(reply.status).ok().and_then(|it| StatusCode::from_u16(it).ok());
+    let mut response = Response::new(Full::new(reply.body));
+    *response.status_mut() = status.unwrap_or(StatusCode::BAD_GATEWAY);
+    append_all(response.headers_mut(), &reply.headers);
+    response
+}
+
+/// An answer of this node's own.
+pub(super) fn refuse(refusal: Refusal, request_id: &str) -> Response<Full<Bytes>> {
+    let text = format!("{{\"reason\":\"{}\",\"message\":\"{refusal}\"}}", refusal.as_str());
+    let mut response = Response::new(Full::new(Bytes::from(text)));
+    *response.status_mut() =
+        StatusCode::from_u16(refusal.status()).unwrap_or(StatusCode::BAD_GATEWAY);
+    let headers = response.headers_mut();
+    headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    if let Ok(id) = HeaderValue::from_str(request_id) {
+        headers.insert(header_names::REQUEST_ID, id);
+    }
+    if let Some(retry_after_ms) = refusal.retry_after_ms() {
+        let seconds = f64::from(retry_after_ms) / 1_000.0;
+        if let Ok(value) = HeaderValue::from_str(&format!("{seconds:.3}")) {
+            headers.insert(header::RETRY_AFTER, value);
+        }
+    }
+    response
+}
--- /dev/null
+++ b/crates/galenastream_mesh/src/request/attempt.rs
@@ -0,0 +1,139 @@
+//! One try to have a request run at one target.
+
+use std::{sync::Arc, time::Duration};
+
+use galenastream_adapter::header_names;
+use galenastream_ranges::TargetIncarnation;
+use galenastream_routing::{NodeKey, ObservedLoad};
+use galenastream_runtime::{PeerError, boot_now};
+use galenastream_wire::{Header, MeshOutcome, MeshReason, MeshReply, MeshRequest, mesh_frame::Body};
+
+use super::{caller_request::CallerRequest, target_run::run_at_target};
+use crate::process::{NodeEntry, Traffic};
+
+/// How much longer than the deadline a reply may take on its way.
+const REPLY_SLACK: Duration = Duration::from_millis(50);
+
+/// Where a request is sent.
+#[derive(Debug, Clone)]
+pub(super) struct Destination {
+    pub(super) node: NodeEntry,
+    pub(super) target: TargetIncarnation,
+}
+
+/// Sends a request to a target and waits for what comes of it.
+pub(super) async fn attempt(
+    traffic: &Arc<Traffic>,
+    request: &CallerRequest,
+    destination: &Destination,
+) -> MeshReply {
+    let key = destination.node.key;
+    let message = mesh_request(traffic, request, destination);
+    let reply = {
+        let _begun = Begun::new(traffic, key);
+        if destination.node.is_local {
+            run_at_target(traffic, message).await
+        } else {
+            ask_peer(traffic, destination, message).await
+        }
+    };
+    let now = boot_now();
+    let mut placement = traffic.placement();
+    if reply.service_time_us > 0 || reply.pending > 0 {
+        let load =
+            ObservedLoad { pending: reply.pending, service_time_us: reply.service_time_us };
+        placement.observe(key, load, now);
+    }
+    placement.record_result(key, is_failure(&reply), now);
+    reply
+}
+
+async fn ask_peer(
+    traffic: &Arc<Traffic>,
+    destination: &Destination,
+    message: MeshRequest,
+) -> MeshReply {
+    let limit = Duration::from_millis(u64::from(message.remaining_ms)) + REPLY_SLACK;
+    let (node, address) = (destination.node.key, destination.node.address);
+    let (outcome, reason) =
+        match traffic.links.ask(node, address, Body::Request(message), limit).await {
+            Ok(Body::Reply(reply)) => return reply,
+            Ok(_) => (MeshOutcome::Unknown, MeshReason::PeerLost),
+            Err(PeerError::Lost) => (MeshOutcome::Unknown, MeshReason::PeerLost),
+            Err(PeerError::TimedOut | PeerError::Unexpected) => {
+                (MeshOutcome::Unknown, MeshReason::DeadlinePassed)
+            }
+            Err(
+                PeerError::NotSent
+                | PeerError::Unreachable
+                | PeerError::Blocked { .. }
+                | PeerError::QueueFull,
+            ) => (MeshOutcome::NotSent, MeshReason::PeerLost),
+        };
+    MeshReply { outcome: outcome as i32, reason: reason as i32, ..Default::default() }
+}
+
+fn mesh_request(
+    traffic: &Traffic,
+    request: &CallerRequest,
+    destination: &Destination,
+) -> MeshRequest {
+    let now = boot_now();
+    let mut headers = request.headers.clone();
+    headers.push(caller_service(traffic));
+    let prompt_by = request.arrived_at + Duration::from_millis(request.route.target_latency_ms);
+    let prompt_ms = prompt_by.saturating_since(now).as_millis();
+    MeshRequest {
+        request_id: request.id.clone(),
+        target_id: destination.target.id.to_string(),
+        target_born_ms: destination.target.born_ms,
+        method: request.method.clone(),
+        path: request.path.clone(),
+        host: request.host.clone(),
+        headers,
+        body: request.body.clone(),
+        remaining_ms: request.deadline.remaining_ms(now),
+        rank: u32::from(request.route.rank),
+        is_idempotent: request.route.is_idempotent,
+        key_plus_one: request.key.map_or(0, |it| u32::from(it) + 1),
+        prompt_ms: u32::try_from(prompt_ms).unwrap_or(u32::MAX),
+    }
+}
+
+/// Names the service on whose VM the request began.
+fn caller_service(traffic: &Traffic) -> Header {
+    let directory = traffic.context.directory.load();
+    let service = match &directory.local {
+        Some(local) => local.service.to_string(),
+        None => traffic.context.settings.service.clone(),
+    };
+    Header { name: header_names::CALLER_SERVICE.to_owned(), value: service.into() }
+}
+
+fn is_failure(reply: &MeshReply) -> bool {
+    let outcome = MeshOutcome::try_from(reply.outcome).unwrap_or(MeshOutcome::Unknown);
+    match outcome {
+        MeshOutcome::Answered => reply.status >= 500,
+        MeshOutcome::NotSent => reply.reason != MeshReason::Overloaded as i32,
+        MeshOutcome::Unknown | MeshOutcome::Rejected => true,
+    }
+}
+
+/// Counts a request at a target until it is dropped.
+struct Begun<'a> {
+    traffic: &'a Traffic,
+    node: NodeKey,
+}
+
+impl<'a> Begun<'a> {
+    fn new(traffic: &'a Traffic, node: NodeKey) -> Self {
+        traffic.placement().begin(node);
+        Self { traffic, node }
+    }
+}
+
+impl Drop for Begun<'_> {
+    fn drop(&mut self) {
+        self.traffic.placement().finish(self.node);
+    }
+}
--- /dev/null
+++ b/crates/galenastream_mesh/src/request/caller_request.rs
@@ -0,0 +1,93 @@
+//! A request as its caller sent it.
+
+use bytes::Bytes;
+use galenastream_adapter::{Route, header_names};
+use galenastream_ownership::BootInstant;
+use galenastream_routing::Deadline;
+use galenastream_runtime::{boot_now, end_to_end};
+use galenastream_wire::Header;
+use http::{HeaderMap, Request, header, request::Parts};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+
+use super::refusal::Refusal;
+use crate::version::{RouteMatch, RoutingTable};
+
+/// A request as its caller sent it, with the route that has it.
+#[derive(Debug)]
+pub(super) struct CallerRequest {
+    pub(super) id: String,
+    pub(super) host: String,
+    pub(super) method: String,
+    pub(super) path: String,
+    pub(super) headers: Vec<Header>,
+    pub(super) body: Bytes,
+    pub(super) key: Option<u16>,
+    pub(super) route: Route,
+    pub(super) arrived_at: BootInstant,
+    /// When the request gets its final answer at the latest.
+    pub(super) deadline: Deadline,
+}
+
+impl CallerRequest {
+    /// Reads a request. `Err` names the refusal, with the request's id.
+    pub(super) async fn read(
+        request: Request<Incoming>,
+        routing: &RoutingTable,
+    ) -> Result<Self, (Refusal, String)> {
+        let arrived_at = boot_now();
+        let (parts, body) = request.into_parts();
+        let id = text(&parts.headers, header_names::REQUEST_ID).unwrap_or_default().to_owned();
+        let host = host_of(&parts);
+        let RouteMatch::Found(route) = routing.find(&host, parts.uri.path()) else {
+            return Err((Refusal::NoRoute, id));
+        };
+        let key = text(&parts.headers, header_names::KEY).and_then(|it| it.trim().parse().ok());
+        let said_ms = text(&parts.headers, header_names::DEADLINE_MS)
+            .and_then(|it| it.trim().parse::<f64>().ok())
+            .map_or(u64::MAX, |it| it.max(0.0) as u64);
+        let allowed_ms = u32::try_from(said_ms.min(route.timeout_ms)).unwrap_or(u32::MAX);
+        let route = route.clone();
+        let limit = routing.limits.max_body_bytes;
+        let body = match Limited::new(body, limit).collect().await {
+            Ok(body) => body.to_bytes(),
+            Err(error) if error.is::<http_body_util::LengthLimitError>() => {
+                return Err((Refusal::TooLong, id));
+            }
+            Err(_) => return Err((Refusal::Malformed, id)),
+        };
+        Ok(Self {
+            id,
+            host,
+            method: parts.method.as_str().to_owned(),
+            path: parts.uri.path_and_query().map_or("/", |it| it.as_str()).to_owned(),
+            headers: forwarded(&parts.headers),
+            body,
+            key,
+            route,
+            arrived_at,
+            deadline: Deadline::new(arrived_at, allowed_ms),
+        })
+    }
+}
+
+fn host_of(parts: &Parts) -> String {
+    let said = text(&parts.headers, header::HOST.as_str());
+    said.or_else(|| parts.uri.host()).unwrap_or_default().to_owned()
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
+
+/// The headers that are passed on. What this system sets itself is left out.
+fn forwarded(headers: &HeaderMap) -> Vec<Header> {
+    let mut kept = end_to_end(headers);
+    kept.retain(|it| {
+        !matches!(
+            it.name.as_str(),
+            header_names::DEADLINE_MS | header_names::EXPECTED_TARGET | header_names::CALLER_SERVICE
+        )
+    });
+    kept
+}
--- /dev/null
+++ b/crates/galenastream_mesh/src/request/entry.rs
@@ -0,0 +1,294 @@
+//! A request at the node where it entered.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use galenastream_ranges::TargetIncarnation;
+use galenastream_routing::PlacementCandidate;
+use galenastream_runtime::{boot_now, sleep_until};
+use galenastream_wire::{MeshOutcome, MeshReason, MeshReply};
+use http::{Request, Response};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use metrics::{counter, histogram};
+
+use super::{
+    answer::{pass_on, refuse},
+    attempt::{Destination, attempt},
+    caller_request::CallerRequest,
+    refusal::Refusal,
+};
+use crate::process::{Counted, Traffic};
+
+/// How long a request waits before it looks for the owner of its key again.
+const OWNER_POLL: Duration = Duration::from_millis(30);
+
+/// When to come back if there is no target at all.
+const NO_TARGET_RETRY_AFTER_MS: u32 = 200;
+
+/// The least time that is left for another try to be of use.
+const LEAST_TRY_TIME: Duration = Duration::from_millis(15);
+
+/// Answers a request of a caller.
+pub async fn answer_caller(
+    traffic: &Arc<Traffic>,
+    request: Request<Incoming>,
+) -> Response<Full<Bytes>> {
+    let _counted = Counted::new(&traffic.in_progress);
+    let Some(routing) = traffic.context.routing.load_full() else {
+        return refuse(Refusal::NoConfig, "");
+    };
+    let request = match CallerRequest::read(request, &routing).await {
+        Ok(request) => request,
+        Err((refusal, id)) => {
+            counter!("galenastream_refused_total", "reason" => refusal.as_str()).increment(1);
+            return refuse(refusal, &id);
+        }
+    };
+    if request.route.is_idempotent {
+        return finish(traffic, request).await;
+    }
+    // A request that may run only once goes on when its caller leaves.
+    let traffic = traffic.clone();
+    let id = request.id.clone();
+    let running = tokio::spawn(async move { finish(&traffic, request).await });
+    running.await.unwrap_or_else(|error| {
+        log::error!(event = "request_task_failed", request_id = id.as_str(), reason:% = error; "");
+        refuse(Refusal::Lost, &id)
+    })
+}
+
+async fn finish(traffic: &Arc<Traffic>, request: CallerRequest) -> Response<Full<Bytes>> {
+    let _counted = Counted::new(&traffic.in_progress);
+    let tries = Tries::new(traffic, &request);
+    let result = tokio::select! {
+        result = tries.run() => result,
+        () = sleep_until(request.deadline.at()) => Err(Refusal::TimedOut),
+    };
+    record(&request, &result);
+    match result {
+        Ok(reply) => pass_on(reply),
+        Err(refusal) => refuse(refusal, &request.id),
+    }
+}
+
+fn record(request: &CallerRequest, result: &Result<MeshReply, Refusal>) {
+    let elapsed = boot_now().saturating_since(request.arrived_at);
+    let route = request.route.name.clone();
+    let outcome = match result {
+        Ok(_) => "answered",
+        Err(refusal) => refusal.as_str(),
+    };
+    counter!("galenastream_requests_total", "route" => route.clone(), "outcome" => outcome)
+        .increment(1);
+    histogram!("galenastream_request_seconds", "route" => route).record(elapsed.as_secs_f64());
+    if let Err(refusal) = result {
+        log::info!(
+            event = "request_failed",
+            request_id = request.id.as_str(),
+            route = request.route.name.as_str(),
+            outcome = refusal.as_str(),
+            elapsed_ms = u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX);
+            ""
+        );
+    }
+}
+
+/// The tries of one request.
+struct Tries<'a> {
+    traffic: &'a Arc<Traffic>,
+    request: &'a CallerRequest,
+}
+
+/// What is known after some tries.
+struct Progress {
+    tried: Vec<TargetIncarnation>,
+    /// Tries that reached a target.
+    reached: u32,
+    retry_after_ms: u32,
+    /// The last answer of a target, which is a failure.
+    failure: Option<MeshReply>,
+    may_have_run: bool,
+}
+
+/// What follows from a try.
+enum Verdict {
+    Done(Result<MeshReply, Refusal>),
+    TryAgain,
+    /// The owner of the key is about to change.
+    WaitForOwner,
+}
+
+impl<'a> Tries<'a> {
+    fn new(traffic: &'a Arc<Traffic>, request: &'a CallerRequest) -> Self {
+        Self { traffic, request }
+    }
+
+    async fn run(&self) -> Result<MeshReply, Refusal> {
+        let Some(service) = self.choose_service() else {
+            return Err(Refusal::NoRoute);
+        };
+        self.traffic.count_first_send(service);
+        let mut progress = Progress {
+            tried: Vec::new(),
+            reached: 0,
+            retry_after_ms: NO_TARGET_RETRY_AFTER_MS,
+            failure: None,
+            may_have_run: false,
+        };
+        loop {
+            if !self.has_time() {
+                return progress.give_up();
+            }
+            let Some(destination) = self.choose_target(service, &progress) else {
+                if !self.waits_for_owner(service) {
+                    return progress.give_up();
+                }
+                tokio::time::sleep(OWNER_POLL).await;
+                continue;
+            };
+            let reply = attempt(self.traffic, self.request, &destination).await;
+            match self.judge(service, destination, reply, &mut progress) {
+                Verdict::Done(result) => return result,
+                Verdict::TryAgain => {}
+                Verdict::WaitForOwner => tokio::time::sleep(OWNER_POLL).await,
+            }
+        }
+    }
+
+    fn choose_service(&self) -> Option<&'a str> {
+        let destinations = &self.request.route.destinations;
+        let weights: Vec<f64> = destinations.iter().map(|it| it.weight).collect();
+        let index = self.traffic.next_destination(&self.request.route.name, &weights)?;
+        Some(&destinations.get(index)?.service)
+    }
+
+    fn has_time(&self) -> bool {
+        self.request.deadline.remaining(boot_now()) > LEAST_TRY_TIME
+    }
+
+    /// Whether an owner of the request's key is to be expected.
+    fn waits_for_owner(&self, service: &str) -> bool {
+        let directory = self.traffic.context.directory.load();
+        self.request.key.is_some() && directory.assignments.contains_key(service)
+    }
+
+    fn choose_target(&self, service: &str, progress: &Progress) -> Option<Destination> {
+        let directory = self.traffic.context.directory.load();
+        if let (Some(key), Some(assignment)) =
+            (self.request.key, directory.assignments.get(service))
+        {
+            let holder = assignment.entry_of(key).holding.holder()?;
+            let node = directory.node_of(&holder.target)?;
+            return Some(Destination { node: node.clone(), target: holder.target.clone() });
+        }
+        let near = &self.traffic.context.settings.data_centre;
+        let mut candidates = Vec::new();
+        // Nodes that are out of reach or about to stop are used only if there is no other.
+        for is_last_resort in [false, true] {
+            for node in &directory.nodes {
+                let Some(target) = node.target.as_ref().filter(|it| *it.service == *service) else {
+                    continue;
+                };
+                let is_doubtful = target.is_draining || node.is_closing || !node.is_heard;
+                if progress.tried.contains(&target.incarnation) || is_doubtful != is_last_resort {
+                    continue;
+                }
+                let is_near = *node.data_centre == **near;
+                let slots = target.slots;
+                candidates.push(PlacementCandidate { node: node.key, slots, is_near });
+            }
+            if !candidates.is_empty() {
+                break;
+            }
+        }
+        let chosen = self.traffic.placement().choose(&candidates, boot_now())?;
+        let node = directory.nodes.iter().find(|it| it.key == chosen)?;
+        let target = node.target.as_ref()?.incarnation.clone();
+        Some(Destination { node: node.clone(), target })
+    }
+
+    fn judge(
+        &self,
+        service: &str,
+        destination: Destination,
+        reply: MeshReply,
+        progress: &mut Progress,
+    ) -> Verdict {
+        let outcome = MeshOutcome::try_from(reply.outcome).unwrap_or(MeshOutcome::Unknown);
+        match outcome {
+            MeshOutcome::Answered if reply.status < 500 || !self.request.route.is_idempotent => {
+                Verdict::Done(Ok(reply))
+            }
+            MeshOutcome::Answered => {
+                progress.failure = Some(reply);
+                self.try_elsewhere(service, destination, progress)
+            }
+            MeshOutcome::NotSent => {
+                progress.retry_after_ms = progress.retry_after_ms.min(reply.retry_after_ms.max(1));
+                if self.request.key.is_some() && is_about_owner(reply.reason) {
+                    return Verdict::WaitForOwner;
+                }
+                if self.request.key.is_some() {
+                    return Verdict::Done(progress.give_up());
+                }
+                progress.tried.push(destination.target);
+                Verdict::TryAgain
+            }
+            MeshOutcome::Rejected => self.try_elsewhere(service, destination, progress),
+            MeshOutcome::Unknown => {
+                progress.may_have_run = true;
+                if !self.request.route.is_idempotent {
+                    return Verdict::Done(progress.give_up());
+                }
+                self.try_elsewhere(service, destination, progress)
+            }
+        }
+    }
+
+    /// Tries another target after one was reached, within the route's limit and the budget.
+    fn try_elsewhere(
+        &self,
+        service: &str,
+        destination: Destination,
+        progress: &mut Progress,
+    ) -> Verdict {
+        progress.reached += 1;
+        // The owner of a key is the only target that may be tried again.
+        if self.request.key.is_none() {
+            progress.tried.push(destination.target);
+        }
+        let is_allowed = progress.reached < self.request.route.max_attempts;
+        if !is_allowed || !self.has_time() || !self.traffic.take_retry(service) {
+            return Verdict::Done(progress.give_up());
+        }
+        counter!("galenastream_retries_total", "service" => service.to_owned()).increment(1);
+        Verdict::TryAgain
+    }
+}
+
+impl Progress {
+    /// The final result if there are no more tries.
+    fn give_up(&mut self) -> Result<MeshReply, Refusal> {
+        if let Some(failure) = self.failure.take() {
+            return Ok(failure);
+        }
+        match self.may_have_run {
+            true => Err(Refusal::Lost),
+            false => Err(Refusal::NotRun { retry_after_ms: self.retry_after_ms }),
+        }
+    }
+}
+
+/// Whether a try failed since the owner of the key is about to change.
+fn is_about_owner(reason: i32) -> bool {
+    let reason = MeshReason::try_from(reason).unwrap_or(MeshReason::None);
+    matches!(
+        reason,
+        MeshReason::NotOwner
+            | MeshReason::OtherTarget
+            | MeshReason::Draining
+            | MeshReason::PeerLost
+            | MeshReason::TargetUnreachable
+    )
+}
--- /dev/null
+++ b/crates/galenastream_mesh/src/request/target_run.rs
@@ -0,0 +1,254 @@
+//! A request at the node beside its target.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use galenastream_adapter::header_names;
+use galenastream_ownership::BootInstant;
+use galenastream_routing::{Class, Deadline};
+use galenastream_runtime::{WholeResponse, append_all, boot_now, end_to_end, sleep_until};
+use galenastream_wire::{MeshOutcome, MeshReason, MeshReply, MeshRequest};
+use http::{HeaderMap, HeaderValue, Method, Request, StatusCode, header};
+use http_body_util::Full;
+use metrics::counter;
+
+use crate::{
+    connection::TargetResult,
+    process::{Counted, LocalTarget, Traffic},
+};
+
+/// How long a request waits for its key to be granted to the target: about the rest of a move.
+const KEY_WAIT: Duration = Duration::from_millis(250);
+
+/// How long before the acknowledged leave of a target binds this node stops sending to it.
+const LEAVE_MARGIN: Duration = Duration::from_millis(400);
+
+/// When to come back while keys are on the move.
+const MOVING_RETRY_AFTER_MS: u32 = 100;
+
+/// When to come back to a target that cannot be reached.
+const UNREACHABLE_RETRY_AFTER_MS: u32 = 300;
+
+/// Runs a request at the target beside this node.
+pub async fn run_at_target(traffic: &Arc<Traffic>, request: MeshRequest) -> MeshReply {
+    let _counted = Counted::new(&traffic.in_progress);
+    let _pending = traffic.count_pending();
+    let deadline = Deadline::new(boot_now(), request.remaining_ms);
+    let mut reply = run(traffic, request, deadline).await;
+    reply.pending = traffic.pending();
+    reply.service_time_us = traffic.service_time_us();
+    reply
+}
+
+async fn run(traffic: &Arc<Traffic>, request: MeshRequest, deadline: Deadline) -> MeshReply {
+    if let Err(reply) = await_entitled(traffic, &request, deadline).await {
+        return reply;
+    }
+    let rank = u8::try_from(request.rank).unwrap_or(u8::MAX);
+    let class = Class::new(0, u8::MAX - rank);
+    let mut slot = match traffic.desk.admit(class, deadline).await {
+        Ok(slot) => slot,
+        Err(refused) => return not_sent(MeshReason::Overloaded, refused.retry_after_ms),
+    };
+    // Things may have changed while the request waited.
+    if let Err(reply) = check_entitled(traffic, &request) {
+        return reply;
+    }
+    let Some(outgoing) = build(&request, deadline) else {
+        return not_sent(MeshReason::Invalid, 0);
+    };
+    let began_at = boot_now();
+    let result = tokio::select! {
+        result = traffic.target.send(outgoing) => result,
+        () = sleep_until(deadline.at()) => return unknown(MeshReason::DeadlinePassed),
+    };
+    let reply = judge(traffic, &request, result);
+    if reply.outcome == MeshOutcome::Answered as i32 {
+        slot.answered();
+        if reply.status < 500 {
+            traffic.add_service_time(boot_now().saturating_since(began_at));
+        }
+        if let Some(key) = key_of(&request) {
+            traffic.context.key_meter.lock().unwrap_or_else(|it| it.into_inner()).add(key);
+        }
+    }
+    reply
+}
+
+/// Waits until the target may run the request, if that is to be expected soon.
+async fn await_entitled(
+    traffic: &Traffic,
+    request: &MeshRequest,
+    deadline: Deadline,
+) -> Result<(), MeshReply> {
+    let until = deadline.at().min(boot_now() + KEY_WAIT);
+    let mut changes = traffic.context.directory_changes.subscribe();
+    loop {
+        let refused = match check_entitled(traffic, request) {
+            Ok(()) => return Ok(()),
+            Err(refused) => refused,
+        };
+        if refused.reason != MeshReason::NotOwner as i32 || !is_expected(traffic, request) {
+            return Err(refused);
+        }
+        tokio::select! {
+            changed = changes.changed() => if changed.is_err() {
+                return Err(refused);
+            },
+            () = sleep_until(until) => return Err(refused),
+        }
+    }
+}
+
+/// Whether the key of a request belongs to the target, though it has no lease on it yet.
+fn is_expected(traffic: &Traffic, request: &MeshRequest) -> bool {
+    let directory = traffic.context.directory.load();
+    let (Some(local), Some(key)) = (&directory.local, key_of(request)) else {
+        return false;
+    };
+    let Some(assignment) = directory.assignments.get(&*local.service) else {
+        return false;
+    };
+    let owner = assignment.entry_of(key).holding.owner();
+    owner.is_some_and(|it| it.target == local.incarnation)
+}
+
+/// Whether the target may run the request now.
+fn check_entitled(traffic: &Traffic, request: &MeshRequest) -> Result<(), MeshReply> {
+    let directory = traffic.context.directory.load();
+    let Some(local) = &directory.local else {
+        return Err(not_sent(MeshReason::OtherTarget, UNREACHABLE_RETRY_AFTER_MS));
+    };
+    let is_same = *local.incarnation.id == *request.target_id
+        && local.incarnation.born_ms == request.target_born_ms;
+    if !is_same {
+        traffic.target.clear();
+        return Err(not_sent(MeshReason::OtherTarget, MOVING_RETRY_AFTER_MS));
+    }
+    traffic.set_slots(local.slots);
+    let now = boot_now();
+    if has_left(traffic, local, now) {
+        return Err(not_sent(MeshReason::Draining, MOVING_RETRY_AFTER_MS));
+    }
+    if !local.holds_keys {
+        return Ok(());
+    }
+    match key_of(request) {
+        Some(key) if !local.leases.covers(key, now) => {
+            Err(not_sent(MeshReason::NotOwner, MOVING_RETRY_AFTER_MS))
+        }
+        Some(_) | None => Ok(()),
+    }
+}
+
+fn has_left(traffic: &Traffic, local: &LocalTarget, now: BootInstant) -> bool {
+    let Some(acknowledged_at) = local.leave_acknowledged_at else {
+        return false;
+    };
+    let bound = Duration::from_millis(traffic.context.settings.bounds.drain_ms);
+    now >= acknowledged_at + bound.saturating_sub(LEAVE_MARGIN)
+}
+
+fn build(request: &MeshRequest, deadline: Deadline) -> Option<Request<Full<Bytes>>> {
+    let method = Method::from_bytes(request.method.as_bytes()).ok()?;
+    let has_body = !request.body.is_empty() || expects_body(&method);
+    let mut outgoing = Request::builder()
+        .method(method)
+        .uri(request.path.as_str())
+        .body(Full::new(request.body.clone()))
+        .ok()?;
+    let headers = outgoing.headers_mut();
+    headers.insert(header::HOST, HeaderValue::from_str(&request.host).ok()?);
+    append_all(headers, &request.headers);
+    headers.insert(header_names::DEADLINE_MS, remaining(deadline));
+    headers.insert(header_names::EXPECTED_TARGET, HeaderValue::from_str(&request.target_id).ok()?);
+    if has_body {
+        headers.insert(header::CONTENT_LENGTH, HeaderValue::from(request.body.len()));
+    }
+    Some(outgoing)
+}
+
+fn expects_body(method: &Method) -> bool {
+    *method == Method::POST || *method == Method::PUT || *method == Method::PATCH
+}
+
+fn remaining(deadline: Deadline) -> HeaderValue {
+    HeaderValue::from(deadline.remaining_ms(boot_now()).max(1))
+}
+
+/// Judges what came of a request at the target.
+fn judge(traffic: &Traffic, request: &MeshRequest, result: TargetResult) -> MeshReply {
+    let response = match result {
+        TargetResult::Response(response) => response,
+        TargetResult::Unreachable { reason } => {
+            log::info!(event = "target_unreachable", request_id = request.request_id.as_str(), reason = reason.as_str(); "");
+            return not_sent(MeshReason::TargetUnreachable, UNREACHABLE_RETRY_AFTER_MS);
+        }
+        TargetResult::Unknown { reason } => {
+            log::info!(event = "target_answer_lost", request_id = request.request_id.as_str(), reason = reason.as_str(); "");
+            return unknown(MeshReason::ConnectionLost);
+        }
+    };
+    let headers = &response.parts.headers;
+    if !echoes(headers, &request.request_id) {
+        // The bytes belong to another request. Whatever else is on the way must not be read.
+        traffic.target.clear();
+        counter!("galenastream_stray_answers_total").increment(1);
+        log::info!(event = "target_answer_stray", request_id = request.request_id.as_str(); "");
+        return unknown(MeshReason::BadAnswer);
+    }
+    if headers.contains_key(header::CONTENT_ENCODING) {
+        return unknown(MeshReason::BadAnswer);
+    }
+    if headers.contains_key(header_names::NOT_RUN)
+        || response.parts.status == StatusCode::MISDIRECTED_REQUEST
+    {
+        return rejected(response);
+    }
+    MeshReply {
+        outcome: MeshOutcome::Answered as i32,
+        status: u32::from(response.parts.status.as_u16()),
+        headers: end_to_end(headers),
+        body: response.body,
+        ..Default::default()
+    }
+}
+
+/// Whether a response names the request that it answers.
+fn echoes(headers: &HeaderMap, request_id: &str) -> bool {
+    let Some(echoed) = headers.get(header_names::REQUEST_ID) else {
+        // A refusal of the whole request need not name it.
+        return headers.contains_key(header_names::NOT_RUN);
+    };
+    echoed.as_bytes() == request_id.as_bytes()
+}
+
+fn rejected(response: WholeResponse) -> MeshReply {
+    let said = response.parts.headers.get(header::RETRY_AFTER);
+    let seconds = said.and_then(|it| it.to_str().ok()?.trim().parse::<f64>().ok());
+    let retry_after_ms = seconds.map_or(MOVING_RETRY_AFTER_MS, |it| (it * 1_000.0).max(0.0) as u32);
+    MeshReply {
+        outcome: MeshOutcome::Rejected as i32,
+        reason: MeshReason::TargetRejected as i32,
+        status: u32::from(response.parts.status.as_u16()),
+        retry_after_ms,
+        ..Default::default()
+    }
+}
+
+fn not_sent(reason: MeshReason, retry_after_ms: u32) -> MeshReply {
+    MeshReply {
+        outcome: MeshOutcome::NotSent as i32,
+        reason: reason as i32,
+        retry_after_ms,
+        ..Default::default()
+    }
+}
+
+fn unknown(reason: MeshReason) -> MeshReply {
+    MeshReply { outcome: MeshOutcome::Unknown as i32, reason: reason as i32, ..Default::default() }
+}
+
+fn key_of(request: &MeshRequest) -> Option<u16> {
+    u16::try_from(request.key_plus_one.checked_sub(1)?).ok()
+}
--- a/crates/galenastream_node/src/connection/peer_links.rs
+++ b/crates/galenastream_node/src/connection/peer_links.rs
@@ -182,7 +182,7 @@
         {
             return Err(error);
         }
-        let connecting = runtime.spawn(PeerLink::connect(self.vm));
+        let connecting = runtime.spawn(PeerLink::connect(self.vm.address().into()));
         match connecting.await.unwrap_or(Err(PeerError::NotSent)) {
             Ok(opened) => {
                 let opened = Arc::new(opened);
--- a/crates/galenastream_node/src/lib.rs
+++ b/crates/galenastream_node/src/lib.rs
@@ -15,5 +15,7 @@
 
 /// The types that most programs need.
 pub mod prelude {
-    pub use crate::{Bootstrap, BootstrapError, CommandLine, run_daemon, start_log};
+    pub use crate::{
+        Bootstrap, BootstrapError, CommandLine, Deployment, LogStream, run_daemon, start_log,
+    };
 }
--- a/crates/galenastream_node/src/main.rs
+++ b/crates/galenastream_node/src/main.rs
@@ -16,7 +16,14 @@
 }
 
 fn run(command_line: &CommandLine) -> anyhow::Result<()> {
-    start_log(&command_line.log)?;
-    let bootstrap = Bootstrap::load(&command_line.settings)?;
-    run_daemon(&bootstrap)
+    match &command_line.deployment {
+        Deployment::Standalone { settings } => {
+            start_log(&command_line.log, LogStream::Stderr)?;
+            run_daemon(&Bootstrap::load(settings)?)
+        }
+        Deployment::Platform { settings } => {
+            start_log(&command_line.log, LogStream::Stdout)?;
+            galenastream_mesh::run_daemon(settings)
+        }
+    }
 }
--- a/crates/galenastream_node/src/process/mod.rs
+++ b/crates/galenastream_node/src/process/mod.rs
@@ -1,9 +1,7 @@
 //! What lives as long as the process.
 
-mod admission_desk;
 mod bootstrap;
 mod cell_directory;
-mod clock;
 mod command_line;
 mod control_thread;
 pub mod counters;
@@ -24,10 +22,8 @@
 mod target_watch;
 mod ticket_desk;
 
-pub use admission_desk::*;
 pub use bootstrap::*;
 pub use cell_directory::*;
-pub use clock::*;
 pub use command_line::*;
 pub use control_thread::*;
 pub use counters::start_metrics;
@@ -47,3 +43,5 @@
 pub use target_slot::*;
 pub use target_watch::*;
 pub use ticket_desk::*;
+
+pub use galenastream_runtime::{AdmissionDesk, boot_now, milliseconds, sleep_until};
--- a/crates/galenastream_node/src/process/node.rs
+++ b/crates/galenastream_node/src/process/node.rs
@@ -5,6 +5,8 @@
 use arc_swap::ArcSwap;
 use galenastream_ownership::{CellId, CellView, Event, Incarnation, Term, VmId};
 use galenastream_platform::CellStore;
+use galenastream_routing::AdmissionLimits;
+use galenastream_settings::EffectiveSettings;
 use metrics_exporter_prometheus::PrometheusHandle;
 use tokio::{runtime::Handle, sync::mpsc};
 
@@ -98,7 +100,7 @@
             target: TargetSlot::default(),
             target_client: TargetClient::new(MAX_IDLE_TARGET_CONNECTIONS)?,
             target_breaker: TargetBreaker::new(&service),
-            admission: AdmissionDesk::new(&service),
+            admission: AdmissionDesk::new(admission_limits(&service, None)),
             tickets: TicketDesk::new(ticket_limits(&service)),
             peers: PeerLinks::new(parts.runtime),
             routes: RouteTable::default(),
@@ -170,7 +172,7 @@
         let service = settings.service_or_root(self.bootstrap.service_id());
         self.target_breaker.reset(service);
         self.admission.restart();
-        self.admission.apply_settings(service, self.target.current().as_deref());
+        self.admission.set_limits(admission_limits(service, self.target.current().as_deref()));
         self.tell(event);
     }
 
@@ -180,7 +182,7 @@
         let service = settings.service_or_root(self.bootstrap.service_id());
         self.retries.set_share_percent(service.retry_budget_percent);
         self.tickets.set_limits(ticket_limits(service));
-        self.admission.apply_settings(service, self.target.current().as_deref());
+        self.admission.set_limits(admission_limits(service, self.target.current().as_deref()));
         self.tell(Event::WeightsChanged(service.planner_weights()));
         let (in_force, highest) = (self.settings.version(), self.settings.highest_seen());
         self.tell(Event::SettingsSeen { in_force, highest });
@@ -234,3 +236,17 @@
         }
     }
 }
+
+fn admission_limits(
+    settings: &EffectiveSettings,
+    target: Option<&TargetAnnouncement>,
+) -> AdmissionLimits {
+    let slots = target.map_or(settings.slots, |it| it.slots.min(settings.slots));
+    AdmissionLimits {
+        slots: slots.max(1),
+        queue_limit: settings.queue_limit,
+        queue_wait_ms: settings.queue_wait_ms,
+        retry_after_ms: settings.retry_after_ms,
+        ramp_up_ms: settings.ramp_up_ms,
+    }
+}
--- a/crates/galenastream_node/src/request/mod.rs
+++ b/crates/galenastream_node/src/request/mod.rs
@@ -13,7 +13,8 @@
 mod ticket_text;
 
 pub use caller_request::*;
-pub use headers::{append_all, end_to_end};
+pub use galenastream_runtime::append_all;
+pub use headers::end_to_end;
 pub use in_progress::*;
 pub use ingress::*;
 pub use owner::*;
--- /dev/null
+++ b/crates/galenastream_ranges/src/error.rs
@@ -0,0 +1,26 @@
+//! Rows that cannot be used.
+
+use thiserror::Error;
+
+/// A row that holds no usable assignment.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+pub enum RowError {
+    /// The bytes cannot be decoded.
+    #[error("the row cannot be decoded ({reason}); it has another writer or format version")]
+    Undecodable {
+        /// What the decoder reported.
+        reason: String,
+    },
+    /// The entries do not cover every key exactly once.
+    #[error("the entries leave out or repeat key {key}; another writer has changed the row")]
+    BadCover {
+        /// The first key that is not covered exactly once.
+        key: u32,
+    },
+    /// An entry names an owner that the row does not list.
+    #[error("an entry names owner {index}, which the row does not list")]
+    UnknownOwner {
+        /// The index that is out of bounds.
+        index: u32,
+    },
+}
--- /dev/null
+++ b/crates/galenastream_ranges/src/row.rs
@@ -0,0 +1,134 @@
+//! The row that holds an assignment.
+
+use prost::Message;
+
+use crate::{
+    Assignment, Holding, KEY_COUNT, KeyRange, Owner, RangeEntry, RowError, TargetIncarnation,
+};
+
+#[derive(Clone, PartialEq, Message)]
+struct AssignmentRow {
+    #[prost(message, repeated, tag = "1")]
+    owners: Vec<OwnerRecord>,
+    #[prost(message, repeated, tag = "2")]
+    entries: Vec<EntryRecord>,
+    #[prost(uint64, tag = "3")]
+    highest_fence: u64,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct OwnerRecord {
+    #[prost(string, tag = "1")]
+    id: String,
+    #[prost(uint64, tag = "2")]
+    born_ms: u64,
+    #[prost(string, tag = "3")]
+    node: String,
+}
+
+/// An entry from behind the last one up to `last`. Owners are named by their index, plus one.
+#[derive(Clone, PartialEq, Message)]
+struct EntryRecord {
+    #[prost(uint32, tag = "1")]
+    last: u32,
+    #[prost(uint32, tag = "2")]
+    owner: u32,
+    #[prost(uint32, tag = "3")]
+    leaver: u32,
+    #[prost(uint64, tag = "4")]
+    fence: u64,
+    #[prost(string, tag = "5")]
+    handover: String,
+}
+
+impl Assignment {
+    /// Encodes the row.
+    pub fn encode_row(&self) -> Vec<u8> {
+        let mut owners: Vec<&Owner> = Vec::new();
+        let mut entries = Vec::with_capacity(self.entries().len());
+        for entry in self.entries() {
+            let (owner, leaver) = match &entry.holding {
+                Holding::Free => (None, None),
+                Holding::Owned(owner) => (Some(owner), None),
+                Holding::Leaving { from, to } => (to.as_ref(), Some(from)),
+            };
+            entries.push(EntryRecord {
+                last: u32::from(entry.range.last),
+                owner: intern(&mut owners, owner),
+                leaver: intern(&mut owners, leaver),
+                fence: entry.fence,
+                handover: entry.handover.clone(),
+            });
+        }
+        let owners = owners.into_iter().map(OwnerRecord::new).collect();
+        AssignmentRow { owners, entries, highest_fence: self.highest_fence() }.encode_to_vec()
+    }
+
+    /// Decodes the row.
+    pub fn decode_row(bytes: &[u8]) -> Result<Self, RowError> {
+        let row = AssignmentRow::decode(bytes)
+            .map_err(|it| RowError::Undecodable { reason: it.to_string() })?;
+        let owners: Vec<Owner> = row.owners.into_iter().map(OwnerRecord::into_owner).collect();
+        let mut entries = Vec::with_capacity(row.entries.len());
+        let mut next_key = 0_u32;
+        for record in row.entries {
+            let cover = || RowError::BadCover { key: next_key };
+            let first = u16::try_from(next_key).map_err(|_| cover())?;
+            let last = u16::try_from(record.last).map_err(|_| cover())?;
+            let range = KeyRange::new(first, last).ok_or_else(cover)?;
+            let owner = look_up(&owners, record.owner)?;
+            let leaver = look_up(&owners, record.leaver)?;
+            let holding = match (owner, leaver) {
+                (None, None) => Holding::Free,
+                (Some(owner), None) => Holding::Owned(owner),
+                (to, Some(from)) => Holding::Leaving { from, to },
+            };
+            entries.push(RangeEntry {
+                range,
+                holding,
+                fence: record.fence,
+                handover: record.handover,
+            });
+            next_key = record.last + 1;
+        }
+        if next_key != KEY_COUNT {
+            return Err(RowError::BadCover { key: next_key });
+        }
+        Ok(Self::from_entries(entries, row.highest_fence))
+    }
+}
+
+impl OwnerRecord {
+    fn new(owner: &Owner) -> Self {
+        Self {
+            id: owner.target.id.to_string(),
+            born_ms: owner.target.born_ms,
+            node: owner.node.to_string(),
+        }
+    }
+
+    fn into_owner(self) -> Owner {
+        Owner::new(TargetIncarnation::new(self.id, self.born_ms), self.node)
+    }
+}
+
+fn intern<'a>(owners: &mut Vec<&'a Owner>, owner: Option<&'a Owner>) -> u32 {
+    let Some(owner) = owner else {
+        return 0;
+    };
+    let index = owners.iter().position(|it| *it == owner).unwrap_or_else(|| {
+        owners.push(owner);
+        owners.len() - 1
+    });
+    u32::try_from(index + 1).unwrap_or(0)
+}
+
+fn look_up(owners: &[Owner], number: u32) -> Result<Option<Owner>, RowError> {
+    let Some(index) = number.checked_sub(1) else {
+        return Ok(None);
+    };
+    match owners.get(index as usize) {
+        Some(owner) => Ok(Some(owner.clone())),
+        None => Err(RowError::UnknownOwner { index }),
+    }
+}
--- a/crates/galenastream_node/src/process/admission_desk.rs
+++ b/crates/galenastream_runtime/src/admission_desk.rs
@@ -9,10 +9,9 @@
 use galenastream_routing::{
     Admission, AdmissionLimits, Arrival, Class, Deadline, Evicted, Released, WaitId,
 };
-use galenastream_settings::EffectiveSettings;
 use tokio::sync::oneshot;
 
-use super::{TargetAnnouncement, boot_now, sleep_until};
+use crate::{boot_now, sleep_until};
 
 /// Admission to the target beside this node, shared by the traffic threads.
 #[derive(Debug)]
@@ -48,20 +47,16 @@
 }
 
 impl AdmissionDesk {
-    /// Creates the admission to a target that has not announced itself yet.
-    pub fn new(settings: &EffectiveSettings) -> Self {
-        let admission = Admission::new(limits(settings, None), boot_now());
+    /// Creates the admission to a target that came up now.
+    pub fn new(limits: AdmissionLimits) -> Self {
+        let admission = Admission::new(limits, boot_now());
         Self { state: Mutex::new(DeskState { admission, waiting: FastMap::default() }) }
     }
 
     /// Puts limits in force.
-    pub fn apply_settings(
-        &self,
-        settings: &EffectiveSettings,
-        target: Option<&TargetAnnouncement>,
-    ) {
+    pub fn set_limits(&self, limits: AdmissionLimits) {
         let mut state = self.lock();
-        state.admission.set_limits(limits(settings, target));
+        state.admission.set_limits(limits);
         let released = state.admission.release(boot_now());
         state.settle(released);
     }
@@ -203,14 +198,3 @@
         self.desk.finish(self.service_time);
     }
 }
-
-fn limits(settings: &EffectiveSettings, target: Option<&TargetAnnouncement>) -> AdmissionLimits {
-    let slots = target.map_or(settings.slots, |it| it.slots.min(settings.slots));
-    AdmissionLimits {
-        slots: slots.max(1),
-        queue_limit: settings.queue_limit,
-        queue_wait_ms: settings.queue_wait_ms,
-        retry_after_ms: settings.retry_after_ms,
-        ramp_up_ms: settings.ramp_up_ms,
-    }
-}
--- a/crates/galenastream_node/src/connection/peer_link.rs
+++ b/crates/galenastream_runtime/src/frame_link.rs
@@ -1,10 +1,9 @@
 //! A connection to another node, shared by all requests to it.
 
-use std::{sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use futures::{SinkExt, StreamExt};
-use galenastream_ownership::VmId;
-use galenastream_wire::{Cancel, PeerCodec, PeerFrame, peer_frame::Body};
+use galenastream_wire::{CorrelatedFrame, FrameCodec};
 use tokio::{
     net::{
         TcpStream,
@@ -15,8 +14,7 @@
 };
 use tokio_util::codec::{FramedRead, FramedWrite};
 
-use super::{PeerError, PendingReplies};
-use crate::process::counters;
+use crate::{PeerError, PendingReplies, tune_socket};
 
 /// Frames that may wait to be written on one connection.
 const WRITE_QUEUE_FRAMES: usize = 4_096;
@@ -26,27 +24,26 @@
 
 /// A connection to another node, shared by all requests to it.
 #[derive(Debug)]
-pub struct PeerLink {
-    frames: mpsc::Sender<PeerFrame>,
-    pending: Arc<PendingReplies>,
+pub struct FrameLink<F: CorrelatedFrame> {
+    frames: mpsc::Sender<F>,
+    pending: Arc<PendingReplies<F::Body>>,
 }
 
-impl PeerLink {
+impl<F: CorrelatedFrame> FrameLink<F> {
     /// Opens a connection. The tasks that serve it run on the current runtime.
-    pub async fn connect(vm: VmId) -> Result<Self, PeerError> {
-        let connecting = TcpStream::connect(vm.address());
+    pub async fn connect(address: SocketAddr) -> Result<Self, PeerError> {
+        let connecting = TcpStream::connect(address);
         let stream = match timeout(CONNECT_TIMEOUT, connecting).await {
             Ok(Ok(stream)) => stream,
             Ok(Err(_)) => return Err(PeerError::NotSent),
             Err(_) => return Err(PeerError::Unreachable),
         };
-        // Nagle's algorithm would hold small frames back; a failure only costs latency.
-        let _ = stream.set_nodelay(true);
+        tune_socket(&stream);
         let (read_half, write_half) = stream.into_split();
         let pending = Arc::new(PendingReplies::new());
         let (frames, queue) = mpsc::channel(WRITE_QUEUE_FRAMES);
-        tokio::spawn(write_frames(write_half, queue, pending.clone()));
-        tokio::spawn(read_frames(read_half, pending.clone()));
+        tokio::spawn(write_frames::<F>(write_half, queue, pending.clone()));
+        tokio::spawn(read_frames::<F>(read_half, pending.clone()));
         Ok(Self { frames, pending })
     }
 
@@ -55,12 +52,17 @@
         self.pending.is_closed()
     }
 
+    /// Breaks the connection: everything that waits on it fails, and nothing more is sent.
+    pub fn abandon(&self) {
+        self.pending.close();
+    }
+
     /// Sends a request and waits for its reply. Dropping the future cancels the request.
-    pub async fn ask(&self, body: Body, limit: Duration) -> Result<Body, PeerError> {
+    pub async fn ask(&self, body: F::Body, limit: Duration) -> Result<F::Body, PeerError> {
         let waiting = self.pending.add().ok_or(PeerError::NotSent)?;
         let correlation = waiting.correlation;
         let abandon = AbandonOnDrop { link: self, correlation };
-        let frame = PeerFrame { correlation, body: Some(body) };
+        let frame = F::new(correlation, body);
         match self.frames.try_send(frame) {
             Ok(()) => {}
             Err(mpsc::error::TrySendError::Full(_)) => {
@@ -83,28 +85,28 @@
 }
 
 /// Tells the other node that a request's reply is no longer wanted.
-struct AbandonOnDrop<'a> {
-    link: &'a PeerLink,
+struct AbandonOnDrop<'a, F: CorrelatedFrame> {
+    link: &'a FrameLink<F>,
     correlation: u64,
 }
 
-impl Drop for AbandonOnDrop<'_> {
+impl<F: CorrelatedFrame> Drop for AbandonOnDrop<'_, F> {
     fn drop(&mut self) {
         if !self.link.pending.remove(self.correlation) {
             return;
         }
-        let body = Some(Body::Cancel(Cancel {}));
+        let frame = F::new(self.correlation, F::cancel());
         // A full queue loses the cancellation; the request then ends at its deadline.
-        let _ = self.link.frames.try_send(PeerFrame { correlation: self.correlation, body });
+        let _ = self.link.frames.try_send(frame);
     }
 }
 
-async fn write_frames(
+async fn write_frames<F: CorrelatedFrame>(
     stream: OwnedWriteHalf,
-    mut queue: mpsc::Receiver<PeerFrame>,
-    pending: Arc<PendingReplies>,
+    mut queue: mpsc::Receiver<F>,
+    pending: Arc<PendingReplies<F::Body>>,
 ) {
-    let mut writer = FramedWrite::new(stream, PeerCodec::new());
+    let mut writer = FramedWrite::new(stream, FrameCodec::<F>::new());
     while let Some(frame) = queue.recv().await {
         if pending.is_closed() || writer.feed(frame).await.is_err() {
             break;
@@ -117,16 +119,24 @@
     pending.close();
 }
 
-async fn read_frames(stream: OwnedReadHalf, pending: Arc<PendingReplies>) {
-    let mut reader = FramedRead::new(stream, PeerCodec::new());
+async fn read_frames<F: CorrelatedFrame>(
+    stream: OwnedReadHalf,
+    pending: Arc<PendingReplies<F::Body>>,
+) {
+    let mut reader = FramedRead::new(stream, FrameCodec::<F>::new());
     while let Some(Ok(frame)) = reader.next().await {
-        let Some(body) = frame.body else {
-            counters::frame_dropped("empty");
+        let (correlation, body) = frame.into_parts();
+        let Some(body) = body else {
+            frame_dropped("empty");
             continue;
         };
-        if !pending.complete(frame.correlation, body) {
-            counters::frame_dropped("late-reply");
+        if !pending.complete(correlation, body) {
+            frame_dropped("late-reply");
         }
     }
     pending.close();
 }
+
+fn frame_dropped(reason: &'static str) {
+    metrics::counter!("galenastream_frames_dropped_total", "reason" => reason).increment(1);
+}
--- /dev/null
+++ b/crates/galenastream_runtime/src/lib.rs
@@ -0,0 +1,27 @@
+//! What every daemon needs below its decisions: the boot clock, sockets, HTTP connections, pending
+//! replies and the admission desk.
+//!
+//! Use [`HttpConnection`] where it matters whether a request was sent at all: every exchange ends
+//! with a whole response, with the proof that no byte was sent, or as unknown. `volo-http`'s client
+//! hides its connections behind a pool, so it drives hyper, the engine below it, connection by
+//! connection.
+
+mod admission_desk;
+mod clock;
+mod connection;
+mod error;
+mod frame_link;
+mod header_fields;
+mod peer_error;
+mod pending;
+mod socket;
+
+pub use admission_desk::{AdmissionDesk, NotAdmitted, Slot};
+pub use clock::{boot_now, milliseconds, sleep_until};
+pub use connection::{HttpConnection, WholeResponse};
+pub use error::ExchangeError;
+pub use frame_link::FrameLink;
+pub use header_fields::{append_all, end_to_end};
+pub use peer_error::PeerError;
+pub use pending::{PendingReplies, PendingReply};
+pub use socket::{connect_tcp, tune_socket};
--- a/crates/galenastream_node/src/connection/pending.rs
+++ b/crates/galenastream_runtime/src/pending.rs
@@ -3,38 +3,37 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use galenastream_ownership::FastMap;
-use galenastream_wire::peer_frame::Body;
 use tokio::sync::oneshot;
 
 /// The requests on a connection that wait for their replies, by correlation id.
 #[derive(Debug)]
-pub struct PendingReplies {
-    state: Mutex<PendingState>,
+pub struct PendingReplies<B> {
+    state: Mutex<PendingState<B>>,
 }
 
 #[derive(Debug)]
-enum PendingState {
-    Open { next: u64, waiting: FastMap<u64, oneshot::Sender<Body>> },
+enum PendingState<B> {
+    Open { next: u64, waiting: FastMap<u64, oneshot::Sender<B>> },
     Closed,
 }
 
 /// A request that waits for its reply.
 #[derive(Debug)]
-pub struct PendingReply {
+pub struct PendingReply<B> {
     /// The correlation id.
     pub correlation: u64,
     /// Yields the reply, or an error when the connection breaks.
-    pub reply: oneshot::Receiver<Body>,
+    pub reply: oneshot::Receiver<B>,
 }
 
-impl PendingReplies {
+impl<B> PendingReplies<B> {
     /// Creates an empty table of an open connection.
     pub fn new() -> Self {
         Self { state: Mutex::new(PendingState::Open { next: 1, waiting: FastMap::default() }) }
     }
 
     /// Adds a request; `None` if the connection has broken.
-    pub fn add(&self) -> Option<PendingReply> {
+    pub fn add(&self) -> Option<PendingReply<B>> {
         let mut state = self.lock();
         let PendingState::Open { next, waiting } = &mut *state else {
             return None;
@@ -47,7 +46,7 @@
     }
 
     /// Passes a reply on. Returns false if nobody waits for it any more.
-    pub fn complete(&self, correlation: u64, body: Body) -> bool {
+    pub fn complete(&self, correlation: u64, body: B) -> bool {
         let sender = match &mut *self.lock() {
             PendingState::Open { waiting, .. } => waiting.remove(&correlation),
             PendingState::Closed => None,
@@ -73,12 +72,12 @@
         matches!(*self.lock(), PendingState::Closed)
     }
 
-    fn lock(&self) -> MutexGuard<'_, PendingState> {
+    fn lock(&self) -> MutexGuard<'_, PendingState<B>> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
-impl Default for PendingReplies {
+impl<B> Default for PendingReplies<B> {
     fn default() -> Self {
         Self::new()
     }
--- a/crates/galenastream_wire/src/frame/peer_codec.rs
+++ b/crates/galenastream_wire/src/frame/frame_codec.rs
@@ -1,6 +1,6 @@
 //! Reads and writes frames on a connection.
 
-use std::io;
+use std::{io, marker::PhantomData};
 
 use prost::{
     Message,
@@ -10,34 +10,38 @@
 
 use crate::{MAX_FRAME_BYTES, PeerFrame, WireError};
 
-/// Reads and writes [`PeerFrame`]s, each behind its length. Use it with `Framed`.
+/// Reads and writes frames of one message type, each behind its length. Use it with `Framed`.
 ///
 /// After an error the stream has no known position: close the connection.
 #[derive(Debug)]
-pub struct PeerCodec {
+pub struct FrameCodec<M> {
     frames: LengthDelimitedCodec,
+    message: PhantomData<M>,
 }
 
-impl PeerCodec {
+/// Reads and writes [`PeerFrame`]s.
+pub type PeerCodec = FrameCodec<PeerFrame>;
+
+impl<M> FrameCodec<M> {
     /// Creates a codec that accepts frames of up to [`MAX_FRAME_BYTES`].
     pub fn new() -> Self {
         let mut builder = LengthDelimitedCodec::builder();
         builder.max_frame_length(MAX_FRAME_BYTES);
-        Self { frames: builder.new_codec() }
+        Self { frames: builder.new_codec(), message: PhantomData }
     }
 }
 
-impl Default for PeerCodec {
+impl<M> Default for FrameCodec<M> {
     fn default() -> Self {
         Self::new()
     }
 }
 
-impl Decoder for PeerCodec {
-    type Item = PeerFrame;
+impl<M: Message + Default> Decoder for FrameCodec<M> {
+    type Item = M;
     type Error = WireError;
 
-    fn decode(&mut self, buffer: &mut BytesMut) -> Result<Option<PeerFrame>, WireError> {
+    fn decode(&mut self, buffer: &mut BytesMut) -> Result<Option<M>, WireError> {
         let announced_bytes = announced_length(buffer);
         let Some(bytes) =
             self.frames.decode(buffer).map_err(|it| too_long(&it, announced_bytes))?
@@ -45,10 +49,10 @@
             return Ok(None);
         };
         // Bodies share the frame's memory instead of being copied.
-        Ok(Some(PeerFrame::decode(bytes.freeze())?))
+        Ok(Some(M::decode(bytes.freeze())?))
     }
 
-    fn decode_eof(&mut self, buffer: &mut BytesMut) -> Result<Option<PeerFrame>, WireError> {
+    fn decode_eof(&mut self, buffer: &mut BytesMut) -> Result<Option<M>, WireError> {
         if let Some(frame) = self.decode(buffer)? {
             return Ok(Some(frame));
         }
@@ -59,10 +63,10 @@
     }
 }
 
-impl Encoder<PeerFrame> for PeerCodec {
+impl<M: Message> Encoder<M> for FrameCodec<M> {
     type Error = WireError;
 
-    fn encode(&mut self, frame: PeerFrame, buffer: &mut BytesMut) -> Result<(), WireError> {
+    fn encode(&mut self, frame: M, buffer: &mut BytesMut) -> Result<(), WireError> {
         let length_bytes = frame.encoded_len();
         if length_bytes > MAX_FRAME_BYTES {
             return Err(WireError::TooLong { length_bytes, limit_bytes: MAX_FRAME_BYTES });
--- a/crates/galenastream_wire/src/frame/mod.rs
+++ b/crates/galenastream_wire/src/frame/mod.rs
@@ -1,5 +1,7 @@
 //! Frames on the TCP connections between nodes.
 
-mod peer_codec;
+mod correlated_frame;
+mod frame_codec;
 
-pub use peer_codec::*;
+pub use correlated_frame::*;
+pub use frame_codec::*;
--- a/crates/galenastream_wire/src/lib.rs
+++ b/crates/galenastream_wire/src/lib.rs
@@ -5,12 +5,14 @@
 mod frame;
 mod header;
 mod identity;
+mod mesh;
 mod peer;
 mod row;
 
 pub use control::*;
 pub use error::*;
 pub use frame::*;
+pub use mesh::*;
 pub use peer::*;
 pub use row::*;
 
