--- a/crates/galenastream_mesh/src/process/control_loop.rs
+++ b/crates/galenastream_mesh/src/process/control_loop.rs
@@ -18,7 +18,7 @@
 const TICK: Duration = Duration::from_millis(100);
 
 /// Interval at which the load of the target is measured.
-const MEASURE_INTERVAL: Duration = Duration::from_millis(1_000);
+const MEASURE_INTERVAL: Duration = Duration::from_millis(500);
 
 /// How long opening a connection to the target beside this node may take.
 const PROBE_LIMIT: Duration = Duration::from_millis(150);
--- a/crates/galenastream_mesh/src/process/key_meter.rs
+++ b/crates/galenastream_mesh/src/process/key_meter.rs
@@ -4,8 +4,11 @@
 use galenastream_ranges::KeyRange;
 use galenastream_wire::KeyLoadRecord;
 
-/// Share of the count that is kept from one second to the next; the load shows within a few.
-const KEPT_SHARE: f64 = 0.7;
+/// Share of the count that is kept from one step to the next; the load shows within a few.
+const KEPT_SHARE: f64 = 0.8;
+
+/// Steps in a second.
+const STEPS_PER_SECOND: f64 = 2.0;
 
 /// Keys with less than this many counted requests are dropped.
 const LEAST_COUNT: f64 = 0.05;
@@ -17,6 +20,8 @@
 #[derive(Debug, Default)]
 pub struct KeyMeter {
     counts: FastMap<u16, f64>,
+    /// How many steps the counts stand for, aged like them.
+    steps: f64,
 }
 
 impl KeyMeter {
@@ -30,8 +35,13 @@
         *self.counts.entry(key).or_default() += 1.0;
     }
 
-    /// Ages the counts. Call it once a second.
+    /// Ages the counts. Call it twice a second.
     pub fn age(&mut self) {
+        self.steps = match self.counts.is_empty() {
+            // Requests have only begun to come: what they show is of this step alone.
+            true => 0.0,
+            false => (self.steps + 1.0) * KEPT_SHARE,
+        };
         self.counts.retain(|_, count| {
             *count *= KEPT_SHARE;
             *count >= LEAST_COUNT
@@ -54,8 +64,7 @@
                 _ => pieces.push((KeyRange { first: key, last: key }, count)),
             }
         }
-        // In a steady state the kept counts add up to this many seconds of requests.
-        let seconds = 1.0 / (1.0 - KEPT_SHARE);
+        let seconds = self.steps.max(KEPT_SHARE) / STEPS_PER_SECOND;
         pieces.into_iter().map(|(range, load)| key_load_record(range, load / seconds)).collect()
     }
 }
--- a/crates/galenastream_mesh/src/process/planning.rs
+++ b/crates/galenastream_mesh/src/process/planning.rs
@@ -16,7 +16,7 @@
 const LOST_AFTER: Duration = Duration::from_millis(3_500);
 
 /// Interval between two rounds of balancing, so that the load shows what the last one changed.
-const BALANCE_INTERVAL: Duration = Duration::from_millis(2_000);
+const BALANCE_INTERVAL: Duration = Duration::from_millis(1_000);
 
 /// How many heartbeat intervals, in hundredths, a planner waits for the targets to show up.
 const SETTLE_PERCENT: u32 = 220;
--- a/crates/galenastream_mesh/src/request/attempt.rs
+++ b/crates/galenastream_mesh/src/request/attempt.rs
@@ -97,6 +97,7 @@
         is_idempotent: request.route.is_idempotent,
         key_plus_one: request.key.map_or(0, |it| u32::from(it) + 1),
         prompt_ms: u32::try_from(prompt_ms).unwrap_or(u32::MAX),
+        target_latency_ms: u32::try_from(request.route.target_latency_ms).unwrap_or(u32::MAX),
     }
 }
 
--- a/crates/galenastream_mesh/src/request/target_run.rs
+++ b/crates/galenastream_mesh/src/request/target_run.rs
@@ -33,14 +33,21 @@
 pub async fn run_at_target(traffic: &Arc<Traffic>, request: MeshRequest) -> MeshReply {
     let _counted = Counted::new(&traffic.in_progress);
     let _pending = traffic.count_pending();
-    let deadline = Deadline::new(boot_now(), request.remaining_ms);
-    let mut reply = run(traffic, request, deadline).await;
+    let arrived_at = boot_now();
+    let deadline = Deadline::new(arrived_at, request.remaining_ms);
+    let prompt = Deadline::new(arrived_at, request.prompt_ms);
+    let mut reply = run(traffic, request, prompt, deadline).await;
     reply.pending = traffic.pending();
     reply.service_time_us = traffic.service_time_us();
     reply
 }
 
-async fn run(traffic: &Arc<Traffic>, request: MeshRequest, deadline: Deadline) -> MeshReply {
+async fn run(
+    traffic: &Arc<Traffic>,
+    request: MeshRequest,
+    prompt: Deadline,
+    deadline: Deadline,
+) -> MeshReply {
     if let Err(reply) = await_entitled(traffic, &request, deadline).await {
         return reply;
     }
@@ -49,8 +56,9 @@
         traffic.context.key_meter.lock().unwrap_or_else(|it| it.into_inner()).add(key);
     }
     let rank = u8::try_from(request.rank).unwrap_or(u8::MAX);
-    let class = Class::new(0, u8::MAX - rank);
-    let mut slot = match traffic.desk.admit(class, deadline).await {
+    let class_index = u16::try_from(request.target_latency_ms).unwrap_or(u16::MAX);
+    let class = Class::new(class_index, u8::MAX - rank);
+    let mut slot = match traffic.desk.admit_promptly(class, prompt, deadline).await {
         Ok(slot) => slot,
         Err(refused) => return not_sent(MeshReason::Overloaded, refused.retry_after_ms),
     };
--- a/crates/galenastream_routing/src/process/admission.rs
+++ b/crates/galenastream_routing/src/process/admission.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use galenastream_ownership::BootInstant;
+use galenastream_ownership::{BootInstant, FastMap};
 
 pub use super::queue::WaitId;
 use super::queue::{Queue, Waiting};
@@ -14,6 +14,10 @@
 /// In how many steps the refused requests are spread over the time after which they come back.
 const RETRY_SPREAD_STEPS: u32 = 8;
 
+/// One in this many slots: how many requests may wait before one that can only be answered late is
+/// refused. Enough to keep the target busy while arrivals are uneven.
+const LATE_WAITERS_DIVISOR: u32 = 4;
+
 /// The room that a target has.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct AdmissionLimits {
@@ -41,7 +45,21 @@
     queue: Queue,
     next_wait: u64,
     sheds: u32,
-    service_time: ServiceTime,
+    times: ClassTimes,
+}
+
+/// Mean service times of all requests together and of each class.
+#[derive(Debug, Clone, Default)]
+struct ClassTimes {
+    all: ServiceTime,
+    by_class: FastMap<u16, ServiceTime>,
+}
+
+impl ClassTimes {
+    /// The mean of a class, or of all classes until it is known.
+    fn mean_of(&self, class: Class) -> Duration {
+        self.by_class.get(&class.index).map_or(self.all.mean(), |it| it.mean())
+    }
 }
 
 /// What happens to a request that arrives.
@@ -100,46 +118,77 @@
             queue: Queue::default(),
             next_wait: 0,
             sheds: 0,
-            service_time: ServiceTime::default(),
+            times: ClassTimes::default(),
         }
     }
 
-    /// Decides on a request that arrives.
+    /// Decides on a request that arrives and whose answer keeps its worth until the deadline.
     pub fn arrive(&mut self, now: BootInstant, class: Class, deadline: Deadline) -> Admitted {
+        self.arrive_promptly(now, class, deadline, deadline)
+    }
+
+    /// Decides on a request that arrives and whose answer loses most of its worth at `prompt`.
+    ///
+    /// Load pattern: more arrives than the target can work on. In the order of arrival every answer
+    /// would then come late; so what could not be prompt any more is refused while other requests
+    /// still can be.
+    pub fn arrive_promptly(
+        &mut self,
+        now: BootInstant,
+        class: Class,
+        prompt: Deadline,
+        deadline: Deadline,
+    ) -> Admitted {
         if self.queue.len() == 0 && self.in_progress < self.open_slots(now) {
             self.in_progress += 1;
             return Admitted { arrival: Arrival::Start, evicted: None };
         }
-        if !self.can_meet(now, class, deadline) {
+        let prompt = prompt.min(deadline);
+        if !self.is_worth_waiting(now, class, prompt, deadline) {
             return Admitted { arrival: self.shed(now), evicted: None };
         }
         if self.queue.len() < self.limits.queue_limit as usize {
-            return Admitted { arrival: self.wait(now, class, deadline), evicted: None };
+            return Admitted { arrival: self.wait(now, class, prompt, deadline), evicted: None };
         }
         let Some(lowest) = self.queue.pop_lowest_below(class) else {
             return Admitted { arrival: self.shed(now), evicted: None };
         };
         let evicted = Evicted { id: lowest.id, retry_after_ms: self.next_retry_after_ms(now) };
-        Admitted { arrival: self.wait(now, class, deadline), evicted: Some(evicted) }
+        let arrival = self.wait(now, class, prompt, deadline);
+        Admitted { arrival, evicted: Some(evicted) }
     }
 
-    /// Frees the slot of a request that ended. `service_time` is that of a whole answer, if any.
+    /// Frees the slot of a request that ended, without a whole answer or of a class whose service
+    /// time is not kept apart.
     pub fn finish(&mut self, now: BootInstant, service_time: Option<Duration>) -> Released {
         self.in_progress = self.in_progress.saturating_sub(1);
         if let Some(service_time) = service_time {
-            self.service_time.add(service_time);
+            self.times.all.add(service_time);
         }
         self.release(now)
     }
 
+    /// Frees the slot of a request of a class that got a whole answer.
+    pub fn finish_answered(
+        &mut self,
+        now: BootInstant,
+        class: Class,
+        service_time: Duration,
+    ) -> Released {
+        self.times.by_class.entry(class.index).or_default().add(service_time);
+        self.finish(now, Some(service_time))
+    }
+
     /// Starts waiting requests for which there are slots.
     pub fn release(&mut self, now: BootInstant) -> Released {
         let mut released = Released::default();
         while self.in_progress < self.open_slots(now) {
-            let Some(next) = self.queue.pop_first() else {
+            let times = &self.times;
+            let is_prompt = |it: &Waiting| !it.prompt.has_passed(now + times.mean_of(it.class));
+            let Some(next) = self.queue.pop_first(is_prompt) else {
                 break;
             };
-            if next.until <= now || next.deadline.has_passed(now + self.service_time.mean()) {
+            if next.until <= now || next.deadline.has_passed(now + self.times.mean_of(next.class)) {
                 let retry_after_ms = self.next_retry_after_ms(now);
                 released.shed.push(Evicted { id: next.id, retry_after_ms });
                 continue;
@@ -163,7 +212,7 @@
     /// Starts the ramp of a target that came up anew.
     pub fn restart(&mut self, target_up_at: BootInstant) {
         self.target_up_at = target_up_at;
-        self.service_time = ServiceTime::default();
+        self.times = ClassTimes::default();
     }
 
     /// Requests that hold slots.
@@ -182,11 +231,17 @@
         u32::try_from(drain_ms).unwrap_or(u32::MAX).max(self.limits.retry_after_ms)
     }
 
-    fn wait(&mut self, now: BootInstant, class: Class, deadline: Deadline) -> Arrival {
+    fn wait(
+        &mut self,
+        now: BootInstant,
+        class: Class,
+        prompt: Deadline,
+        deadline: Deadline,
+    ) -> Arrival {
         let id = WaitId(self.next_wait);
         self.next_wait += 1;
         let until = (now + self.queue_wait()).min(deadline.at());
-        self.queue.push(class, Waiting { id, deadline, until });
+        self.queue.push(Waiting { id, class, prompt, deadline, until });
         Arrival::Wait { id, until }
     }
 
@@ -202,17 +257,31 @@
         least_ms + step_ms * (self.sheds % RETRY_SPREAD_STEPS)
     }
 
-    fn can_meet(&self, now: BootInstant, class: Class, deadline: Deadline) -> bool {
-        let wait = self.expected_wait(now, self.queue.count_ahead_of(class));
-        if wait > self.queue_wait() {
+    /// Whether a request would be answered in time if it waited: promptly, or at all if nothing
+    /// that could be prompt has to wait for it.
+    fn is_worth_waiting(
+        &self,
+        now: BootInstant,
+        class: Class,
+        prompt: Deadline,
+        deadline: Deadline,
+    ) -> bool {
+        let wait = self.expected_wait(now, self.queue.count_ahead_of(class, prompt, now));
+        let answered_at = now + wait + self.times.mean_of(class);
+        if wait > self.queue_wait() || deadline.has_passed(answered_at) {
             return false;
         }
-        !deadline.has_passed(now + wait + self.service_time.mean())
+        !prompt.has_passed(answered_at) || self.queue.len() < self.late_limit(now)
+    }
+
+    /// How many requests wait at most for one more to join them that can only be answered late.
+    fn late_limit(&self, now: BootInstant) -> usize {
+        (self.open_slots(now) / LATE_WAITERS_DIVISOR) as usize
     }
 
     fn expected_wait(&self, now: BootInstant, ahead: usize) -> Duration {
         let turns = u32::try_from(ahead + 1).unwrap_or(u32::MAX);
-        self.service_time.mean().saturating_mul(turns) / self.open_slots(now).max(1)
+        self.times.all.mean().saturating_mul(turns) / self.open_slots(now).max(1)
     }
 
     fn queue_wait(&self) -> Duration {
--- a/crates/galenastream_routing/src/process/queue.rs
+++ b/crates/galenastream_routing/src/process/queue.rs
@@ -13,11 +13,15 @@
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Waiting {
     pub(crate) id: WaitId,
+    pub(crate) class: Class,
+    /// When an answer loses most of its worth.
+    pub(crate) prompt: Deadline,
     pub(crate) deadline: Deadline,
     pub(crate) until: BootInstant,
 }
 
-/// Waiting requests by priority, each priority in the order of arrival.
+/// Waiting requests by priority. Within a priority, those that can still be answered promptly go
+/// first, the one that is due first before the others; then the rest in the order of arrival.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Queue {
     lanes: BTreeMap<u8, VecDeque<Waiting>>,
@@ -29,20 +33,34 @@
         self.len
     }
 
-    /// How many waiting requests go before a new one of this class.
-    pub(crate) fn count_ahead_of(&self, class: Class) -> usize {
-        self.lanes.range(class.priority..).map(|(_, lane)| lane.len()).sum()
+    /// How many waiting requests go before a new one of this class that is due at `prompt`.
+    pub(crate) fn count_ahead_of(&self, class: Class, prompt: Deadline, now: BootInstant) -> usize {
+        let mut ahead = 0;
+        for (priority, lane) in self.lanes.range(class.priority..) {
+            if *priority > class.priority {
+                ahead += lane.len();
+                continue;
+            }
+            let is_ahead = |it: &&Waiting| match prompt.has_passed(now) {
+                true => true,
+                false => it.prompt <= prompt && !it.prompt.has_passed(now),
+            };
+            ahead += lane.iter().filter(is_ahead).count();
+        }
+        ahead
     }
 
-    pub(crate) fn push(&mut self, class: Class, waiting: Waiting) {
-        self.lanes.entry(class.priority).or_default().push_back(waiting);
+    pub(crate) fn push(&mut self, waiting: Waiting) {
+        self.lanes.entry(waiting.class.priority).or_default().push_back(waiting);
         self.len += 1;
     }
 
-    /// Takes the request that goes next.
-    pub(crate) fn pop_first(&mut self) -> Option<Waiting> {
+    /// Takes the request that goes next. `is_prompt` tells which can still be answered promptly.
+    pub(crate) fn pop_first(&mut self, is_prompt: impl Fn(&Waiting) -> bool) -> Option<Waiting> {
         let mut lane = self.lanes.last_entry()?;
-        let waiting = lane.get_mut().pop_front();
+        let prompt = lane.get().iter().enumerate().filter(|(_, it)| is_prompt(it));
+        let index = prompt.min_by_key(|(_, it)| it.prompt).map_or(0, |(index, _)| index);
+        let waiting = lane.get_mut().remove(index);
         if lane.get().is_empty() {
             lane.remove();
         }
--- a/crates/galenastream_runtime/src/admission_desk.rs
+++ b/crates/galenastream_runtime/src/admission_desk.rs
@@ -35,6 +35,7 @@
 #[derive(Debug)]
 pub struct Slot<'a> {
     desk: &'a AdmissionDesk,
+    class: Class,
     began_at: Instant,
     service_time: Option<Duration>,
 }
@@ -68,21 +69,31 @@
 
     /// Waits for a slot, as long as that is of use.
     pub async fn admit(&self, class: Class, deadline: Deadline) -> Result<Slot<'_>, NotAdmitted> {
-        let (id, until, verdict) = match self.arrive(class, deadline) {
-            Arrived::Start => return Ok(Slot::new(self)),
+        self.admit_promptly(class, deadline, deadline).await
+    }
+
+    /// Waits for a slot for a request whose answer loses most of its worth at `prompt`.
+    pub async fn admit_promptly(
+        &self,
+        class: Class,
+        prompt: Deadline,
+        deadline: Deadline,
+    ) -> Result<Slot<'_>, NotAdmitted> {
+        let (id, until, verdict) = match self.arrive(class, prompt, deadline) {
+            Arrived::Start => return Ok(Slot::new(self, class)),
             Arrived::Shed(refusal) => return Err(refusal),
             Arrived::Wait { id, until, verdict } => (id, until, verdict),
         };
-        let place = QueuePlace { desk: self, id: Some(id), verdict };
+        let place = QueuePlace { desk: self, class, id: Some(id), verdict };
         tokio::select! {
             slot = place.wait() => slot,
             () = sleep_until(until) => Err(NotAdmitted { retry_after_ms: self.retry_after_ms() }),
         }
     }
 
-    fn arrive(&self, class: Class, deadline: Deadline) -> Arrived {
+    fn arrive(&self, class: Class, prompt: Deadline, deadline: Deadline) -> Arrived {
         let mut state = self.lock();
-        let admitted = state.admission.arrive(boot_now(), class, deadline);
+        let admitted = state.admission.arrive_promptly(boot_now(), class, prompt, deadline);
         if let Some(evicted) = admitted.evicted {
             state.shed(evicted);
         }
@@ -101,9 +112,12 @@
         self.lock().admission.retry_after_ms(boot_now())
     }
 
-    fn finish(&self, service_time: Option<Duration>) {
+    fn finish(&self, class: Class, service_time: Option<Duration>) {
         let mut state = self.lock();
-        let released = state.admission.finish(boot_now(), service_time);
+        let released = match service_time {
+            Some(service_time) => state.admission.finish_answered(boot_now(), class, service_time),
+            None => state.admission.finish(boot_now(), None),
+        };
         state.settle(released);
     }
 
@@ -158,6 +172,7 @@
 /// A place in the queue. Dropping it leaves the queue.
 struct QueuePlace<'a> {
     desk: &'a AdmissionDesk,
+    class: Class,
     id: Option<WaitId>,
     verdict: oneshot::Receiver<Verdict>,
 }
@@ -167,7 +182,7 @@
         let verdict = (&mut self.verdict).await;
         self.id = None;
         match verdict {
-            Ok(Verdict::Start) => Ok(Slot::new(self.desk)),
+            Ok(Verdict::Start) => Ok(Slot::new(self.desk, self.class)),
             Ok(Verdict::Shed { retry_after_ms }) => Err(NotAdmitted { retry_after_ms }),
             Err(_) => Err(NotAdmitted { retry_after_ms: self.desk.retry_after_ms() }),
         }
@@ -183,8 +198,8 @@
 }
 
 impl<'a> Slot<'a> {
-    fn new(desk: &'a AdmissionDesk) -> Self {
-        Self { desk, began_at: Instant::now(), service_time: None }
+    fn new(desk: &'a AdmissionDesk, class: Class) -> Self {
+        Self { desk, class, began_at: Instant::now(), service_time: None }
     }
 
     /// Records that the target gave a whole answer.
@@ -195,6 +210,6 @@
 
 impl Drop for Slot<'_> {
     fn drop(&mut self) {
-        self.desk.finish(self.service_time);
+        self.desk.finish(self.class, self.service_time);
     }
 }
--- a/crates/galenastream_wire/src/mesh/request.rs
+++ b/crates/galenastream_wire/src/mesh/request.rs
@@ -46,6 +46,10 @@
     /// Time within which an answer has its full worth, in milliseconds; 0 if it has passed.
     #[prost(uint32, tag = "13")]
     pub prompt_ms: u32,
+    /// Time within which an answer to the request has its full worth, from its arrival; requests
+    /// of a service that agree in it take about the same time.
+    #[prost(uint32, tag = "14")]
+    pub target_latency_ms: u32,
 }
 
 /// What became of a request.
