Nodes that do not reach the store pass what they know on through peers; loads go to the planner alone

Change: its status carries the release (and ended owners) with the version of the row for which it holds; the node that plans writes it. News of rows and config go to such nodes at once. The load of keys goes twice a second to the planning node only.

--- a/crates/galenastream_mesh/src/connection/peer_links.rs
+++ b/crates/galenastream_mesh/src/connection/peer_links.rs
@@ -23,6 +23,9 @@
 /// Interval at which nodes say what they are, even if nothing has changed.
 const STATUS_INTERVAL: Duration = Duration::from_millis(1_000);
 
+/// How often the node that plans is told the load of keys. Other nodes do not need it.
+const LOAD_INTERVAL: Duration = Duration::from_millis(500);
+
 /// How long the reply to a status may take, before the connection counts as silent.
 const STATUS_LIMIT: Duration = Duration::from_millis(1_200);
 
@@ -109,27 +112,39 @@
     let mut statuses = traffic.context.status.subscribe();
     let mut ticks = interval(STATUS_INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut load_ticks = interval(LOAD_INTERVAL);
+    load_ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut sent: Option<NodeStatus> = None;
     loop {
-        let is_due = tokio::select! {
-            _ = ticks.tick() => true,
+        let mut due = None;
+        tokio::select! {
+            _ = ticks.tick() => due = Some(Audience::All),
+            _ = load_ticks.tick() => {
+                if !has_loads(&statuses.borrow()) {
+                    continue;
+                }
+                due = Some(Audience::Planner);
+            }
             changed = statuses.changed() => {
                 if changed.is_err() {
                     return;
                 }
-                false
             }
             Some(node) = questions.recv() => {
                 tokio::spawn(ask_for_state(traffic.clone(), node));
                 continue;
             }
-        };
-        let status = statuses.borrow_and_update().clone();
-        if !is_due && sent.as_ref().is_some_and(|it| !is_urgent(it, &status)) {
-            continue;
         }
+        let status = statuses.borrow_and_update().clone();
         let directory = traffic.context.directory.load_full();
-        tell_all(&traffic, &directory, &status);
+        let audience = match (&sent, due) {
+            (None, _) | (_, Some(Audience::All)) => Audience::All,
+            (Some(sent), _) if is_urgent(sent, &status) => Audience::All,
+            (Some(sent), _) if has_news(sent, &status) => Audience::CutOff,
+            (_, Some(audience)) => audience,
+            (_, None) => continue,
+        };
+        tell(&traffic, &directory, &status, audience);
         sent = Some(status);
     }
 }
@@ -142,16 +157,46 @@
     };
     sent.is_closing != status.is_closing
         || sent.reaches_store != status.reaches_store
+        || sent.facts != status.facts
         || identity(sent) != identity(status)
 }
 
-fn tell_all(traffic: &Arc<Traffic>, directory: &Directory, status: &NodeStatus) {
+/// Whether a node that does not reach the store should ask for what this one has read.
+fn has_news(sent: &NodeStatus, status: &NodeStatus) -> bool {
+    status.reaches_store
+        && (sent.rows_version, sent.config_version) != (status.rows_version, status.config_version)
+}
+
+/// Who is told.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Audience {
+    /// All other nodes.
+    All,
+    /// Nodes that do not reach the store.
+    CutOff,
+    /// The node that plans.
+    Planner,
+}
+
+fn has_loads(status: &NodeStatus) -> bool {
+    status.target.as_ref().is_some_and(|it| !it.key_loads.is_empty())
+}
+
+fn tell(traffic: &Arc<Traffic>, directory: &Directory, status: &NodeStatus, audience: Audience) {
     for node in &directory.nodes {
-        if node.is_local {
+        let is_told = match audience {
+            Audience::All => true,
+            Audience::CutOff => !node.reaches_store,
+            Audience::Planner => node.is_planner,
+        };
+        if node.is_local || !is_told {
             continue;
         }
         let (traffic, key, address) = (traffic.clone(), node.key, node.address);
-        let status = status.clone();
+        let mut status = status.clone();
+        if !node.is_planner && let Some(target) = &mut status.target {
+            target.key_loads.clear();
+        }
         tokio::spawn(async move {
             let asked = traffic.links.ask(key, address, Body::Status(status), STATUS_LIMIT).await;
             if asked == Err(PeerError::TimedOut) {
--- a/crates/galenastream_mesh/src/process/control_state.rs
+++ b/crates/galenastream_mesh/src/process/control_state.rs
@@ -8,10 +8,13 @@
 };
 use galenastream_ownership::{BootInstant, FastMap};
 use galenastream_ranges::{
-    Assignment, Holding, KeyRange, LeaseTerms, Owner, TargetIncarnation, VacancyWatch,
+    Assignment, Holding, KeyRange, LeaseTerms, Owner, RangeEntry, TargetIncarnation, VacancyWatch,
 };
 use galenastream_routing::NodeKey;
-use galenastream_wire::{KeyLoadRecord, NodeStatus, SharedRow, SyncState, TargetStatus};
+use galenastream_wire::{
+    IncarnationRecord, KeyLoadRecord, NodeStatus, OwnershipFacts, ReleaseRecord, SharedRow,
+    SyncState, TargetStatus,
+};
 use prost::Message;
 use tokio::sync::oneshot;
 
@@ -438,50 +441,60 @@
 
     /// Applies what this node alone knows of the target beside it.
     fn apply_local_facts(&self, service: &str, assignment: &mut Assignment, now: BootInstant) {
-        for holder in assignment.holders() {
-            if holder.node == self.node && self.has_ended(&holder.target, now) {
-                log::info!(event = "owner_removed", service, target:% = holder.target; "");
-                assignment.remove_owner(&holder.target);
-            }
+        for target in self.ended_holders(assignment, now) {
+            log::info!(event = "owner_removed", service, target:% = target; "");
+            assignment.remove_owner(&target);
         }
-        let Some(local) = &self.local else {
+        let Some(local) = self.local.as_ref().filter(|it| &*it.service == service) else {
             return;
         };
-        if &*local.service != service {
+        let is_staying = local.leave_acknowledged_at.is_none() && !self.is_closing;
+        let is_unplanned =
+            |it: &RangeEntry| matches!(it.holding, Holding::Leaving { to: None, .. });
+        if is_staying && assignment.leaving(&local.incarnation).any(is_unplanned) {
+            assignment.cancel_moves(&local.incarnation);
             return;
         }
-        let leaving: Vec<_> = assignment.leaving(&local.incarnation).cloned().collect();
-        for entry in leaving {
-            let is_unplanned = matches!(entry.holding, Holding::Leaving { to: None, .. });
-            if is_unplanned && local.leave_acknowledged_at.is_none() && !self.is_closing {
-                assignment.cancel_moves(&local.incarnation);
-                return;
-            }
-            self.complete_released(local, entry.range, assignment);
+        for (range, handover) in released_pieces(local, assignment) {
+            assignment.complete_move(&local.incarnation, range, &handover);
         }
     }
 
-    /// Passes on the keys of a range that the target has released, in the pieces it released.
-    fn complete_released(
-        &self,
-        local: &LocalRecord,
-        range: KeyRange,
-        assignment: &mut Assignment,
-    ) {
-        if local.may_hold(range) {
-            return;
-        }
-        if let Some(handover) = local.handover_of(range) {
-            assignment.complete_move(&local.incarnation, range, handover);
-            return;
+    /// Owners beside this node that have provably ended.
+    fn ended_holders(&self, assignment: &Assignment, now: BootInstant) -> Vec<TargetIncarnation> {
+        let holders = assignment.holders().into_iter();
+        let ended = holders.filter(|it| it.node == self.node && self.has_ended(&it.target, now));
+        ended.map(|it| it.target).collect()
+    }
+
+    /// What this node would write if it reached the store.
+    fn facts(&self, now: BootInstant) -> Vec<OwnershipFacts> {
+        if self.reaches_store {
+            return Vec::new();
         }
-        for release in &local.released {
-            let part = KeyRange::new(release.first, release.last).and_then(|it| it.overlap(range));
-            if let Some(part) = part {
-                assignment.complete_move(&local.incarnation, part, &release.handover);
+        let mut facts = Vec::new();
+        for (service, record) in &self.assignments {
+            let local = self.local.as_ref().filter(|it| *it.service == **service);
+            let pieces = local.map(|it| released_pieces(it, &record.assignment));
+            let releases = pieces.into_iter().flatten().map(|(range, handover)| ReleaseRecord {
+                first: u32::from(range.first),
+                last: u32::from(range.last),
+                handover,
+            });
+            let ended = self.ended_holders(&record.assignment, now).into_iter();
+            let ended = ended
+                .map(|it| IncarnationRecord { id: it.id.to_string(), born_ms: it.born_ms });
+            let of_service = OwnershipFacts {
+                service: service.clone(),
+                version: record.version,
+                releases: releases.collect(),
+                ended: ended.collect(),
+            };
+            if !of_service.releases.is_empty() || !of_service.ended.is_empty() {
+                facts.push(of_service);
             }
         }
-        assignment.complete_move(&local.incarnation, range, "");
+        facts
     }
 
     /// Whether an incarnation beside this node provably holds no keys any more.
@@ -625,6 +638,7 @@
             is_closing: self.is_closing,
             reaches_store: self.reaches_store,
             rows_version: self.rows_version,
+            facts: self.facts(now),
         }
     }
 
@@ -644,6 +658,7 @@
     /// What the traffic thread needs to know.
     pub fn directory(&self, now: BootInstant) -> Directory {
         let mut nodes = vec![self.local_entry()];
+        let planner = self.planner(now);
         for (name, peer) in self.peers.iter() {
             let status = peer.status.as_ref();
             nodes.push(NodeEntry {
@@ -654,6 +669,8 @@
                 target: status.and_then(|it| it.target.as_ref()).map(target_entry),
                 is_closing: status.is_some_and(|it| it.is_closing),
                 is_heard: peer.is_heard(now),
+                reaches_store: status.is_none_or(|it| it.reaches_store),
+                is_planner: **name == *planner,
                 is_local: false,
             });
         }
@@ -681,6 +698,8 @@
             target,
             is_closing: self.is_closing,
             is_heard: true,
+            reaches_store: self.reaches_store,
+            is_planner: false,
             is_local: true,
         }
     }
@@ -773,6 +792,29 @@
 /// Releases that are remembered until the keys are passed on.
 const MAX_RELEASES: usize = 128;
 
+/// The keys that are to leave a target and that it has released, each with its handover token.
+fn released_pieces(local: &LocalRecord, assignment: &Assignment) -> Vec<(KeyRange, String)> {
+    let mut pieces = Vec::new();
+    for entry in assignment.leaving(&local.incarnation) {
+        if local.may_hold(entry.range) {
+            continue;
+        }
+        if let Some(handover) = local.handover_of(entry.range) {
+            pieces.push((entry.range, handover.to_owned()));
+            continue;
+        }
+        for release in &local.released {
+            let released = KeyRange::new(release.first, release.last);
+            if let Some(part) = released.and_then(|it| it.overlap(entry.range)) {
+                pieces.push((part, release.handover.clone()));
+            }
+        }
+        // What is left was never held. Pieces that were passed on already are not leaving any more.
+        pieces.push((entry.range, String::new()));
+    }
+    pieces
+}
+
 /// Whether keys are on their way to a target, and none are waiting to be taken from it.
 fn awaits_keys(assignment: &Assignment, local: &LocalRecord) -> bool {
     let mut awaits = false;
--- a/crates/galenastream_mesh/src/process/directory.rs
+++ b/crates/galenastream_mesh/src/process/directory.rs
@@ -36,6 +36,10 @@
     pub is_closing: bool,
     /// Whether it was heard of lately.
     pub is_heard: bool,
+    /// Whether it reaches the store, or nothing is known of it.
+    pub reaches_store: bool,
+    /// Whether it is the one that plans, as far as this node can tell.
+    pub is_planner: bool,
     /// Whether it is this node.
     pub is_local: bool,
 }
--- a/crates/galenastream_mesh/src/process/peer_book.rs
+++ b/crates/galenastream_mesh/src/process/peer_book.rs
@@ -3,6 +3,7 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use galenastream_ownership::{BootInstant, FastMap};
+use galenastream_ranges::TargetIncarnation;
 use galenastream_routing::NodeKey;
 use galenastream_wire::NodeStatus;
 
@@ -93,4 +94,10 @@
     pub(super) fn is_heard(&self, now: BootInstant) -> bool {
         self.heard_at.is_some_and(|it| now.saturating_since(it) <= HEARD_WITHIN)
     }
+
+    /// The incarnation of the target beside the node.
+    pub(super) fn target(&self) -> Option<TargetIncarnation> {
+        let target = self.status.as_ref()?.target.as_ref()?;
+        Some(TargetIncarnation::new(target.id.as_str(), target.born_ms))
+    }
 }
--- a/crates/galenastream_mesh/src/process/planning.rs
+++ b/crates/galenastream_mesh/src/process/planning.rs
@@ -7,7 +7,7 @@
     Assignment, Holding, KeyLoad, KeyRange, Owner, PlannedMove, Planner, TargetIncarnation,
     TargetLoad,
 };
-use galenastream_wire::TargetStatus;
+use galenastream_wire::{OwnershipFacts, TargetStatus};
 
 use super::control_state::ControlState;
 
@@ -63,6 +63,7 @@
         if now.saturating_since(self.started_at) < settled {
             return;
         }
+        self.apply_peer_facts(service, assignment, now);
         self.pass_on_vacant(service, assignment, now);
         self.evacuate_lost(service, assignment, now);
         let targets = self.targets_of(service, now);
@@ -82,6 +83,23 @@
         }
     }
 
+    /// Applies what nodes know that do not reach the store. Facts hold for one version of the row.
+    fn apply_peer_facts(&mut self, service: &str, assignment: &mut Assignment, now: BootInstant) {
+        let version = self.assignment_record(service).version;
+        for (node, peer) in self.peers.iter() {
+            let Some(status) = peer.status.as_ref().filter(|_| peer.is_heard(now)) else {
+                continue;
+            };
+            for facts in &status.facts {
+                if facts.service != service || facts.version != version {
+                    continue;
+                }
+                log::info!(event = "peer_facts_applied", service, node = &**node, version; "");
+                apply_facts(assignment, facts, peer.target());
+            }
+        }
+    }
+
     /// Passes on keys of which every lease has run out.
     fn pass_on_vacant(&mut self, service: &str, assignment: &mut Assignment, now: BootInstant) {
         let terms = self.terms;
@@ -149,10 +167,7 @@
     };
     let mut loads = Vec::with_capacity(status.key_loads.len());
     for record in &status.key_loads {
-        let (Ok(first), Ok(last)) = (u16::try_from(record.first), u16::try_from(record.last)) else {
-            continue;
-        };
-        let Some(range) = KeyRange::new(first, last) else {
+        let Some(range) = key_range(record.first, record.last) else {
             continue;
         };
         loads.push(KeyLoad { range, per_s: record.milli_per_s as f64 / 1_000.0 });
@@ -161,6 +176,28 @@
     TargetLoad { owner, capacity_per_s, takes_keys, loads }
 }
 
+fn apply_facts(
+    assignment: &mut Assignment,
+    facts: &OwnershipFacts,
+    target: Option<TargetIncarnation>,
+) {
+    for ended in &facts.ended {
+        assignment.remove_owner(&TargetIncarnation::new(ended.id.as_str(), ended.born_ms));
+    }
+    let Some(target) = target else {
+        return;
+    };
+    for release in &facts.releases {
+        if let Some(range) = key_range(release.first, release.last) {
+            assignment.complete_move(&target, range, &release.handover);
+        }
+    }
+}
+
+fn key_range(first: u32, last: u32) -> Option<KeyRange> {
+    KeyRange::new(u16::try_from(first).ok()?, u16::try_from(last).ok()?)
+}
+
 fn apply(assignment: &mut Assignment, planned: &PlannedMove) {
     // Each of these changes only the keys to which it applies.
     assignment.begin_move(planned.range, Some(&planned.to));
--- a/crates/galenastream_wire/src/mesh/node_status.rs
+++ b/crates/galenastream_wire/src/mesh/node_status.rs
@@ -32,6 +32,9 @@
     /// The version of the shared rows that it knows.
     #[prost(uint64, tag = "9")]
     pub rows_version: u64,
+    /// What it would write if it reached the store.
+    #[prost(message, repeated, tag = "10")]
+    pub facts: Vec<OwnershipFacts>,
 }
 
 /// What a node says of the target beside it.
@@ -63,6 +66,48 @@
     pub key_loads: Vec<KeyLoadRecord>,
 }
 
+/// What a node that does not reach the store knows of an assignment, so that another one writes it.
+#[derive(Clone, PartialEq, Message)]
+pub struct OwnershipFacts {
+    /// The service.
+    #[prost(string, tag = "1")]
+    pub service: String,
+    /// The version of the assignment for which the facts hold.
+    #[prost(uint64, tag = "2")]
+    pub version: u64,
+    /// Keys that the target beside the node has released.
+    #[prost(message, repeated, tag = "3")]
+    pub releases: Vec<ReleaseRecord>,
+    /// Owners beside the node that have ended.
+    #[prost(message, repeated, tag = "4")]
+    pub ended: Vec<IncarnationRecord>,
+}
+
+/// Keys that a target has released.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct ReleaseRecord {
+    /// The first key.
+    #[prost(uint32, tag = "1")]
+    pub first: u32,
+    /// The last key.
+    #[prost(uint32, tag = "2")]
+    pub last: u32,
+    /// The token with which the next owner takes the keys over.
+    #[prost(string, tag = "3")]
+    pub handover: String,
+}
+
+/// One life of a target.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct IncarnationRecord {
+    /// The target's id.
+    #[prost(string, tag = "1")]
+    pub id: String,
+    /// Unix time of its start in milliseconds.
+    #[prost(uint64, tag = "2")]
+    pub born_ms: u64,
+}
+
 /// The load of a range of keys.
 #[derive(Clone, PartialEq, Message)]
 pub struct KeyLoadRecord {
