--- a/crates/galenastream_mesh/src/connection/peer_connections.rs
+++ b/crates/galenastream_mesh/src/connection/peer_connections.rs
@@ -24,7 +24,7 @@
 use super::accept::accept_all;
 use crate::{
     process::{ControlEvent, NodeContext, Traffic},
-    request::run_at_target,
+    request::run_for_peer,
 };
 
 /// Replies that may wait to be written on one connection.
@@ -123,7 +123,7 @@
         let running = self.running.clone();
         let is_idempotent = request.is_idempotent;
         let task = tokio::spawn(async move {
-            let reply = run_at_target(&traffic, request).await;
+            let reply = run_for_peer(&traffic, request).await;
             lock(&running).remove(&correlation);
             let frame = MeshFrame { correlation, body: Some(Body::Reply(reply)) };
             if replies.send(frame).await.is_err() {
--- a/crates/galenastream_mesh/src/process/context.rs
+++ b/crates/galenastream_mesh/src/process/context.rs
@@ -38,6 +38,8 @@
     pub service_time_us: AtomicU64,
     /// Whether the process is about to stop.
     pub is_closing: AtomicBool,
+    /// Whether the process takes no more requests, since it is about to end.
+    pub is_refusing: AtomicBool,
     /// Whether keys are still to be passed on before the process stops.
     pub has_keys_to_pass_on: AtomicBool,
 }
--- a/crates/galenastream_mesh/src/process/daemon.rs
+++ b/crates/galenastream_mesh/src/process/daemon.rs
@@ -69,6 +69,7 @@
         key_meter: KeyMeter::new().into(),
         service_time_us: Default::default(),
         is_closing: Default::default(),
+        is_refusing: Default::default(),
         has_keys_to_pass_on: Default::default(),
     });
     let for_control = context.clone();
@@ -144,6 +145,9 @@
     let grace = Duration::from_millis(context.settings.bounds.grace_ms);
     let latest = began_at + grace.saturating_sub(EXIT_MARGIN);
     loop {
+        if began_at.elapsed() >= LINGER {
+            context.is_refusing.store(true, Ordering::Relaxed);
+        }
         let is_idle = traffic.in_progress.load(Ordering::Relaxed) == 0;
         let has_keys = context.has_keys_to_pass_on.load(Ordering::Relaxed);
         let has_lingered = began_at.elapsed() >= LINGER;
--- a/crates/galenastream_mesh/src/request/attempt.rs
+++ b/crates/galenastream_mesh/src/request/attempt.rs
@@ -25,12 +25,13 @@
 pub(super) async fn attempt(
     traffic: &Arc<Traffic>,
     request: &CallerRequest,
+    key: Option<u16>,
     destination: &Destination,
 ) -> MeshReply {
-    let key = destination.node.key;
-    let message = mesh_request(traffic, request, destination);
+    let node = destination.node.key;
+    let message = mesh_request(traffic, request, key, destination);
     let reply = {
-        let _begun = Begun::new(traffic, key);
+        let _begun = Begun::new(traffic, node);
         if destination.node.is_local {
             run_at_target(traffic, message).await
         } else {
@@ -42,9 +43,9 @@
     if reply.service_time_us > 0 || reply.pending > 0 {
         let load =
             ObservedLoad { pending: reply.pending, service_time_us: reply.service_time_us };
-        placement.observe(key, load, now);
+        placement.observe(node, load, now);
     }
-    placement.record_result(key, is_failure(&reply), now);
+    placement.record_result(node, is_failure(&reply), now);
     reply
 }
 
@@ -76,6 +77,7 @@
 fn mesh_request(
     traffic: &Traffic,
     request: &CallerRequest,
+    key: Option<u16>,
     destination: &Destination,
 ) -> MeshRequest {
     let now = boot_now();
@@ -95,7 +97,7 @@
         remaining_ms: request.deadline.remaining_ms(now),
         rank: u32::from(request.route.rank),
         is_idempotent: request.route.is_idempotent,
-        key_plus_one: request.key.map_or(0, |it| u32::from(it) + 1),
+        key_plus_one: key.map_or(0, |it| u32::from(it) + 1),
         prompt_ms: u32::try_from(prompt_ms).unwrap_or(u32::MAX),
         target_latency_ms: u32::try_from(request.route.target_latency_ms).unwrap_or(u32::MAX),
     }
--- a/crates/galenastream_mesh/src/request/entry.rs
+++ b/crates/galenastream_mesh/src/request/entry.rs
@@ -1,8 +1,12 @@
 //! A request at the node where it entered.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 use bytes::Bytes;
+use galenastream_adapter::header_names;
 use galenastream_ranges::TargetIncarnation;
 use galenastream_routing::PlacementCandidate;
 use galenastream_runtime::{boot_now, sleep_until};
@@ -16,7 +20,10 @@
     caller_request::CallerRequest,
     refusal::Refusal,
 };
-use crate::process::{Counted, Traffic};
+use crate::{
+    process::{Counted, Traffic},
+    version::RoutingTable,
+};
 
 /// How long a request waits before it looks for the owner of its key again.
 const OWNER_POLL: Duration = Duration::from_millis(30);
@@ -27,14 +34,21 @@
 /// The least time that is left for another try to be of use.
 const LEAST_TRY_TIME: Duration = Duration::from_millis(15);
 
+/// When to come back to a node that is about to end: its successor starts within about that.
+const CLOSING_RETRY_AFTER_MS: u32 = 300;
+
 /// Answers a request of a caller.
 pub async fn answer_caller(
     traffic: &Arc<Traffic>,
     request: Request<Bytes>,
 ) -> Response<Bytes> {
     let _counted = Counted::new(&traffic.in_progress);
+    if traffic.context.is_refusing.load(Ordering::Relaxed) {
+        let retry_after_ms = CLOSING_RETRY_AFTER_MS;
+        return refuse(Refusal::NotRun { retry_after_ms }, request_id(&request));
+    }
     let Some(routing) = traffic.context.routing.load_full() else {
-        return refuse(Refusal::NoConfig, "");
+        return refuse(Refusal::NoConfig, request_id(&request));
     };
     let request = match CallerRequest::read(request, &routing) {
         Ok(request) => request,
@@ -44,24 +58,35 @@
         }
     };
     if request.route.is_idempotent {
-        return finish(traffic, request).await;
+        return finish(traffic, &routing, request).await;
     }
     // A request that may run only once goes on when its caller leaves.
     let traffic = traffic.clone();
     let id = request.id.clone();
-    let running = tokio::spawn(async move { finish(&traffic, request).await });
+    let running = tokio::spawn(async move { finish(&traffic, &routing, request).await });
     running.await.unwrap_or_else(|error| {
         log::error!(event = "request_task_failed", request_id = id.as_str(), reason:% = error; "");
         refuse(Refusal::Lost, &id)
     })
 }
 
-async fn finish(traffic: &Arc<Traffic>, request: CallerRequest) -> Response<Bytes> {
+fn request_id(request: &Request<Bytes>) -> &str {
+    let said = request.headers().get(header_names::REQUEST_ID);
+    said.and_then(|it| it.to_str().ok()).unwrap_or_default()
+}
+
+async fn finish(
+    traffic: &Arc<Traffic>,
+    routing: &RoutingTable,
+    request: CallerRequest,
+) -> Response<Bytes> {
     let _counted = Counted::new(&traffic.in_progress);
-    let tries = Tries::new(traffic, &request);
-    let result = tokio::select! {
-        result = tries.run() => result,
-        () = sleep_until(request.deadline.at()) => Err(Refusal::TimedOut),
+    let result = match Tries::new(traffic, routing, &request) {
+        Some(tries) => tokio::select! {
+            result = tries.run() => result,
+            () = sleep_until(request.deadline.at()) => Err(Refusal::TimedOut),
+        },
+        None => Err(Refusal::NoRoute),
     };
     record(&request, &result);
     match result {
@@ -96,6 +121,9 @@
 struct Tries<'a> {
     traffic: &'a Arc<Traffic>,
     request: &'a CallerRequest,
+    service: &'a str,
+    /// The request's key, if the targets of the service hold keys.
+    key: Option<u16>,
 }
 
 /// What is known after some tries.
@@ -118,14 +146,23 @@
 }
 
 impl<'a> Tries<'a> {
-    fn new(traffic: &'a Arc<Traffic>, request: &'a CallerRequest) -> Self {
-        Self { traffic, request }
+    /// Chooses the service of the request; `None` if its route has none.
+    fn new(
+        traffic: &'a Arc<Traffic>,
+        routing: &RoutingTable,
+        request: &'a CallerRequest,
+    ) -> Option<Self> {
+        let destinations = &request.route.destinations;
+        let weights: Vec<f64> = destinations.iter().map(|it| it.weight).collect();
+        let index = traffic.next_destination(&request.route.name, &weights)?;
+        let service = &destinations.get(index)?.service;
+        let holds_keys = routing.service(service).is_some_and(|it| it.holds_keys);
+        let key = request.key.filter(|_| holds_keys);
+        Some(Self { traffic, request, service, key })
     }
 
     async fn run(&self) -> Result<MeshReply, Refusal> {
-        let Some(service) = self.choose_service() else {
-            return Err(Refusal::NoRoute);
-        };
+        let service = self.service;
         self.traffic.count_first_send(service);
         let mut progress = Progress {
             tried: Vec::new(),
@@ -138,15 +175,15 @@
             if !self.has_time() {
                 return progress.give_up();
             }
-            let Some(destination) = self.choose_target(service, &progress) else {
-                if !self.waits_for_owner(service) {
+            let Some(destination) = self.choose_target(&progress) else {
+                if self.key.is_none() {
                     return progress.give_up();
                 }
                 tokio::time::sleep(OWNER_POLL).await;
                 continue;
             };
-            let reply = attempt(self.traffic, self.request, &destination).await;
-            match self.judge(service, destination, reply, &mut progress) {
+            let reply = attempt(self.traffic, self.request, self.key, &destination).await;
+            match self.judge(destination, reply, &mut progress) {
                 Verdict::Done(result) => return result,
                 Verdict::TryAgain => {}
                 Verdict::WaitForOwner => tokio::time::sleep(OWNER_POLL).await,
@@ -154,28 +191,14 @@
         }
     }
 
-    fn choose_service(&self) -> Option<&'a str> {
-        let destinations = &self.request.route.destinations;
-        let weights: Vec<f64> = destinations.iter().map(|it| it.weight).collect();
-        let index = self.traffic.next_destination(&self.request.route.name, &weights)?;
-        Some(&destinations.get(index)?.service)
-    }
-
     fn has_time(&self) -> bool {
         self.request.deadline.remaining(boot_now()) > LEAST_TRY_TIME
     }
 
-    /// Whether an owner of the request's key is to be expected.
-    fn waits_for_owner(&self, service: &str) -> bool {
-        let directory = self.traffic.context.directory.load();
-        self.request.key.is_some() && directory.assignments.contains_key(service)
-    }
-
-    fn choose_target(&self, service: &str, progress: &Progress) -> Option<Destination> {
+    fn choose_target(&self, progress: &Progress) -> Option<Destination> {
         let directory = self.traffic.context.directory.load();
-        if let (Some(key), Some(assignment)) =
-            (self.request.key, directory.assignments.get(service))
-        {
+        if let Some(key) = self.key {
+            let assignment = directory.assignments.get(self.service)?;
             let holder = assignment.entry_of(key).holding.holder()?;
             let node = directory.node_of(&holder.target)?;
             return Some(Destination { node: node.clone(), target: holder.target.clone() });
@@ -185,7 +208,7 @@
         // Nodes that are out of reach or about to stop are used only if there is no other.
         for is_last_resort in [false, true] {
             for node in &directory.nodes {
-                let Some(target) = node.target.as_ref().filter(|it| *it.service == *service) else {
+                let Some(target) = node.target.as_ref().filter(|it| *it.service == *self.service) else {
                     continue;
                 };
                 let is_doubtful = target.is_draining || node.is_closing || !node.is_heard;
@@ -208,7 +231,6 @@
 
     fn judge(
         &self,
-        service: &str,
         destination: Destination,
         reply: MeshReply,
         progress: &mut Progress,
@@ -220,26 +242,26 @@
             }
             MeshOutcome::Answered => {
                 progress.failure = Some(reply);
-                self.try_elsewhere(service, destination, progress)
+                self.try_elsewhere(destination, progress)
             }
             MeshOutcome::NotSent => {
                 progress.retry_after_ms = progress.retry_after_ms.min(reply.retry_after_ms.max(1));
-                if self.request.key.is_some() && is_about_owner(reply.reason) {
+                if self.key.is_some() && is_about_owner(reply.reason) {
                     return Verdict::WaitForOwner;
                 }
-                if self.request.key.is_some() {
+                if self.key.is_some() {
                     return Verdict::Done(progress.give_up());
                 }
                 progress.tried.push(destination.target);
                 Verdict::TryAgain
             }
-            MeshOutcome::Rejected => self.try_elsewhere(service, destination, progress),
+            MeshOutcome::Rejected => self.try_elsewhere(destination, progress),
             MeshOutcome::Unknown => {
                 progress.may_have_run = true;
                 if !self.request.route.is_idempotent {
                     return Verdict::Done(progress.give_up());
                 }
-                self.try_elsewhere(service, destination, progress)
+                self.try_elsewhere(destination, progress)
             }
         }
     }
@@ -247,20 +269,19 @@
     /// Tries another target after one was reached, within the route's limit and the budget.
     fn try_elsewhere(
         &self,
-        service: &str,
         destination: Destination,
         progress: &mut Progress,
     ) -> Verdict {
         progress.reached += 1;
         // The owner of a key is the only target that may be tried again.
-        if self.request.key.is_none() {
+        if self.key.is_none() {
             progress.tried.push(destination.target);
         }
         let is_allowed = progress.reached < self.request.route.max_attempts;
-        if !is_allowed || !self.has_time() || !self.traffic.take_retry(service) {
+        if !is_allowed || !self.has_time() || !self.traffic.take_retry(self.service) {
             return Verdict::Done(progress.give_up());
         }
-        counter!("galenastream_retries_total", "service" => service.to_owned()).increment(1);
+        counter!("galenastream_retries_total", "service" => self.service.to_owned()).increment(1);
         Verdict::TryAgain
     }
 }
--- a/crates/galenastream_mesh/src/request/mod.rs
+++ b/crates/galenastream_mesh/src/request/mod.rs
@@ -8,4 +8,4 @@
 mod target_run;
 
 pub use entry::answer_caller;
-pub use target_run::run_at_target;
+pub use target_run::run_for_peer;
--- a/crates/galenastream_mesh/src/request/target_run.rs
+++ b/crates/galenastream_mesh/src/request/target_run.rs
@@ -1,6 +1,9 @@
 //! A request at the node beside its target.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 use bytes::Bytes;
 use galenastream_adapter::header_names;
@@ -42,6 +45,14 @@
     reply
 }
 
+/// Runs a request that another node sent, unless this one is about to end.
+pub async fn run_for_peer(traffic: &Arc<Traffic>, request: MeshRequest) -> MeshReply {
+    if traffic.context.is_refusing.load(Ordering::Relaxed) {
+        return not_sent(MeshReason::Draining, MOVING_RETRY_AFTER_MS);
+    }
+    run_at_target(traffic, request).await
+}
+
 async fn run(
     traffic: &Arc<Traffic>,
     request: MeshRequest,
