A new incarnation beside a node replaces the one before it also where targets do not say when they were born

Change: two heartbeats of the new incarnation are proof; one alone may be a delayed one of an earlier life. A heartbeat of another id without a later birth is heeded once the known target is silent.

--- a/crates/galenastream_mesh/src/process/control_state.rs
+++ b/crates/galenastream_mesh/src/process/control_state.rs
@@ -1,6 +1,6 @@
 //! The control state of a node: what it believes of targets, leases, nodes and the store.
 
-use std::{sync::Arc, time::Duration};
+use std::{cmp::Ordering, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use galenastream_adapter::{
@@ -213,7 +213,7 @@
             if local.incarnation == *incarnation {
                 return heartbeat.sequence > local.sequence;
             }
-            if heartbeat.born_ms < local.incarnation.born_ms {
+            if !self.is_successor(local, heartbeat, now) {
                 return false;
             }
             self.end_local("another incarnation started at its address");
@@ -230,6 +230,17 @@
         true
     }
 
+    /// Whether a heartbeat of another incarnation shows that the known one has ended. Where targets
+    /// do not say when they were born, a delayed heartbeat of an earlier life must not look like
+    /// one of a later life, so the known one has to be silent.
+    fn is_successor(&self, local: &LocalRecord, heartbeat: &Heartbeat, now: BootInstant) -> bool {
+        match heartbeat.born_ms.cmp(&local.incarnation.born_ms) {
+            Ordering::Greater => true,
+            Ordering::Less => false,
+            Ordering::Equal => local.is_silent(now, self.silent_after() / 2),
+        }
+    }
+
     fn take_leave(
         &mut self,
         target_id: &str,
@@ -506,7 +517,10 @@
             Some(local) if local.incarnation == *target => {
                 local.is_silent(now, self.silent_after()) && now >= local.leases_end_at
             }
-            Some(local) => local.incarnation.born_ms > target.born_ms,
+            // Two heartbeats: one alone may have been delayed since an earlier life.
+            Some(local) => {
+                local.heartbeats >= 2 && local.incarnation.born_ms >= target.born_ms
+            }
             None => now >= self.terms.inherited_end(self.started_at),
         }
     }
@@ -760,7 +774,8 @@
             incarnation,
             service: Arc::from(heartbeat.service.as_str()),
             slots: heartbeat.slots,
-            sequence: heartbeat.sequence,
+            sequence: 0,
+            heartbeats: 0,
             heard_at: now,
             cold_until: now,
             leave_acknowledged_at: None,
@@ -774,6 +789,7 @@
 
     fn update(&mut self, heartbeat: &Heartbeat, now: BootInstant) {
         self.sequence = heartbeat.sequence;
+        self.heartbeats = self.heartbeats.saturating_add(1);
         self.heard_at = now;
         self.slots = heartbeat.slots;
         self.cold_until = now + Duration::from_millis(heartbeat.cold_remaining_ms);
--- a/crates/galenastream_mesh/src/process/local_target.rs
+++ b/crates/galenastream_mesh/src/process/local_target.rs
@@ -16,6 +16,8 @@
     pub(super) service: Arc<str>,
     pub(super) slots: u32,
     pub(super) sequence: u64,
+    /// Heartbeats of this incarnation that this process has seen.
+    pub(super) heartbeats: u32,
     pub(super) heard_at: BootInstant,
     pub(super) cold_until: BootInstant,
     pub(super) leave_acknowledged_at: Option<BootInstant>,
