Requests are held only while their key moves as planned; retries leave room for the calls of repeats

Change: a request waits for 40% of its target latency while both sides of a move live, and is refused at once otherwise, to come back after a third of its time; a node uses 45% of its share of retries.

--- a/crates/galenastream_mesh/src/request/entry.rs
+++ b/crates/galenastream_mesh/src/request/entry.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use galenastream_adapter::header_names;
-use galenastream_ranges::TargetIncarnation;
+use galenastream_ranges::{Holding, Owner, TargetIncarnation};
 use galenastream_routing::PlacementCandidate;
 use galenastream_runtime::{boot_now, sleep_until};
 use galenastream_wire::{MeshOutcome, MeshReason, MeshReply};
@@ -28,6 +28,18 @@
 /// How long a request waits before it looks for the owner of its key again.
 const OWNER_POLL: Duration = Duration::from_millis(30);
 
+/// Share of the target latency for which a request is held while its key moves, in hundredths. A
+/// planned move takes about that; held for longer, the request had better come back.
+const HELD_PERCENT: u32 = 40;
+
+/// A refused caller is told to come back after this part of the time that it has left. Callers do
+/// not wait for longer.
+const RETRY_AFTER_DIVISOR: u32 = 3;
+
+/// The longest time after which a request comes back whose key has no owner: within it, most moves
+/// are over.
+const LONGEST_OWNER_RETRY_AFTER_MS: u32 = 400;
+
 /// When to come back if there is no target at all.
 const NO_TARGET_RETRY_AFTER_MS: u32 = 200;
 
@@ -176,8 +188,8 @@
                 return progress.give_up();
             }
             let Some(destination) = self.choose_target(&progress) else {
-                if self.key.is_none() {
-                    return progress.give_up();
+                if self.key.is_none() || !self.may_hold() {
+                    return self.refuse_for_owner(&mut progress);
                 }
                 tokio::time::sleep(OWNER_POLL).await;
                 continue;
@@ -186,6 +198,9 @@
             match self.judge(destination, reply, &mut progress) {
                 Verdict::Done(result) => return result,
                 Verdict::TryAgain => {}
+                Verdict::WaitForOwner if !self.may_hold() => {
+                    return self.refuse_for_owner(&mut progress);
+                }
                 Verdict::WaitForOwner => tokio::time::sleep(OWNER_POLL).await,
             }
         }
@@ -195,6 +210,36 @@
         self.request.deadline.remaining(boot_now()) > LEAST_TRY_TIME
     }
 
+    /// Whether the owner of the key is about to change as planned, and the request may wait for it.
+    fn may_hold(&self) -> bool {
+        let directory = self.traffic.context.directory.load();
+        let target_latency = Duration::from_millis(self.request.route.target_latency_ms);
+        let held_until = self.request.arrived_at + target_latency * HELD_PERCENT / 100;
+        if boot_now() >= held_until {
+            return false;
+        }
+        let assignment = directory.assignments.get(self.service);
+        let Some(entry) = self.key.and_then(|key| assignment.map(|it| it.entry_of(key))) else {
+            return false;
+        };
+        let is_live = |owner: &Owner| {
+            directory.node_of(&owner.target).is_some_and(|it| it.is_heard && !it.is_closing)
+        };
+        match &entry.holding {
+            Holding::Owned(owner) => is_live(owner),
+            Holding::Leaving { from, to: Some(to) } => is_live(from) && is_live(to),
+            Holding::Leaving { .. } | Holding::Free => false,
+        }
+    }
+
+    /// Gives a request up whose key has no owner that can be reached.
+    fn refuse_for_owner(&self, progress: &mut Progress) -> Result<MeshReply, Refusal> {
+        let remaining_ms = self.request.deadline.remaining_ms(boot_now());
+        let retry_after_ms = remaining_ms / RETRY_AFTER_DIVISOR;
+        progress.retry_after_ms = retry_after_ms.min(LONGEST_OWNER_RETRY_AFTER_MS);
+        progress.give_up()
+    }
+
     fn choose_target(&self, progress: &Progress) -> Option<Destination> {
         let directory = self.traffic.context.directory.load();
         if let Some(key) = self.key {
--- a/crates/galenastream_mesh/src/request/target_run.rs
+++ b/crates/galenastream_mesh/src/request/target_run.rs
@@ -23,6 +23,10 @@
 /// How long a request waits for its key to be granted to the target: about the rest of a move.
 const KEY_WAIT: Duration = Duration::from_millis(250);
 
+/// One in this part of the time until an answer loses its worth: how long a request waits for its
+/// key at most. Held for longer, it had better come back.
+const KEY_WAIT_DIVISOR: u32 = 2;
+
 /// How long before the acknowledged leave of a target binds this node stops sending to it.
 const LEAVE_MARGIN: Duration = Duration::from_millis(400);
 
@@ -101,7 +105,8 @@
     request: &MeshRequest,
     deadline: Deadline,
 ) -> Result<(), MeshReply> {
-    let until = deadline.at().min(boot_now() + KEY_WAIT);
+    let prompt = Duration::from_millis(u64::from(request.prompt_ms));
+    let until = deadline.at().min(boot_now() + KEY_WAIT.min(prompt / KEY_WAIT_DIVISOR));
     let mut changes = traffic.context.directory_changes.subscribe();
     loop {
         let refused = match check_entitled(traffic, request) {
--- a/crates/galenastream_routing/src/process/windowed_retry_budget.rs
+++ b/crates/galenastream_routing/src/process/windowed_retry_budget.rs
@@ -12,7 +12,7 @@
 
 /// The share of the allowed retries that is used, so that what this node cannot see has room: the
 /// calls that repeated requests make, and the edges of windows.
-const USED_SHARE: f64 = 0.7;
+const USED_SHARE: f64 = 0.45;
 
 /// How many retries a service bears.
 #[derive(Debug, Clone, Copy, PartialEq)]
