--- a/crates/galenastream_mesh/src/connection/caller_connections.rs
+++ b/crates/galenastream_mesh/src/connection/caller_connections.rs
@@ -67,7 +67,7 @@
             event = next_event(&mut framed, may_read) => match event {
                 CallerEvent::Incoming(Incoming::Request(request)) => {
                     is_last_read |= asks_for_close(&request);
-                    in_progress.push_back(answer(&traffic, Ok(request)));
+                    in_progress.push_back(answer(&traffic, Ok(*request)));
                 }
                 CallerEvent::Incoming(Incoming::ExpectsContinue) => {
                     if framed.send(Outgoing::Continue).await.is_err() {
@@ -128,10 +128,7 @@
 }
 
 /// Waits for what the caller does next. While no request may be read, only for its leaving.
-async fn next_event(
-    framed: &mut Framed<TcpStream, RequestCodec>,
-    may_read: bool,
-) -> CallerEvent {
+async fn next_event(framed: &mut Framed<TcpStream, RequestCodec>, may_read: bool) -> CallerEvent {
     if !may_read {
         wait_for_close(framed.get_ref()).await;
         return CallerEvent::Left;
--- a/crates/galenastream_mesh/src/connection/control_connections.rs
+++ b/crates/galenastream_mesh/src/connection/control_connections.rs
@@ -55,7 +55,10 @@
     plain(StatusCode::OK, "ready")
 }
 
-async fn answer_control(context: &NodeContext, request: Request<Incoming>) -> Response<Full<Bytes>> {
+async fn answer_control(
+    context: &NodeContext,
+    request: Request<Incoming>,
+) -> Response<Full<Bytes>> {
     let (parts, body) = request.into_parts();
     if parts.uri.path() == METRICS_PATH {
         return plain(StatusCode::OK, &render_metrics());
--- a/crates/galenastream_mesh/src/connection/peer_links.rs
+++ b/crates/galenastream_mesh/src/connection/peer_links.rs
@@ -194,7 +194,9 @@
         }
         let (traffic, key, address) = (traffic.clone(), node.key, node.address);
         let mut status = status.clone();
-        if !node.is_planner && let Some(target) = &mut status.target {
+        if !node.is_planner
+            && let Some(target) = &mut status.target
+        {
             target.key_loads.clear();
         }
         tokio::spawn(async move {
@@ -213,12 +215,11 @@
         return;
     };
     let known = traffic.context.sync.load();
-    let query = SyncQuery {
-        config_version: known.config_version,
-        rows_version: known.rows_version,
-    };
+    let query =
+        SyncQuery { config_version: known.config_version, rows_version: known.rows_version };
     let asked_at = boot_now();
-    let asked = traffic.links.ask(node, entry.address, Body::SyncQuery(query), QUESTION_LIMIT).await;
+    let asked =
+        traffic.links.ask(node, entry.address, Body::SyncQuery(query), QUESTION_LIMIT).await;
     match asked {
         Ok(Body::SyncState(state)) => {
             traffic.context.tell(ControlEvent::PeerState { state, asked_at });
--- a/crates/galenastream_mesh/src/connection/request_codec.rs
+++ b/crates/galenastream_mesh/src/connection/request_codec.rs
@@ -21,7 +21,7 @@
 #[derive(Debug)]
 pub(super) enum Incoming {
     /// A whole request.
-    Request(Request<Bytes>),
+    Request(Box<Request<Bytes>>),
     /// The caller wants to be told to go on before it sends the body.
     ExpectsContinue,
     /// The bytes are no request. Nothing more is read.
@@ -127,11 +127,11 @@
             }
             ReadState::Sized { head, length } => {
                 let body = buffer.split_to(length).freeze();
-                Some(Incoming::Request(head.map(|()| body)))
+                Some(Incoming::Request(Box::new(head.map(|()| body))))
             }
             ReadState::Chunked { head, mut body, mut step } => {
                 match read_chunks(buffer, &mut body, &mut step, self.max_body_bytes) {
-                    Ok(true) => Some(Incoming::Request(head.map(|()| body.freeze()))),
+                    Ok(true) => Some(Incoming::Request(Box::new(head.map(|()| body.freeze())))),
                     Ok(false) => {
                         self.state = ReadState::Chunked { head, body, step };
                         None
--- a/crates/galenastream_mesh/src/process/control_loop.rs
+++ b/crates/galenastream_mesh/src/process/control_loop.rs
@@ -84,7 +84,8 @@
     fn publish(&self) {
         let now = boot_now();
         if let Some(routing) = self.state.routing() {
-            let is_new = self.context.routing.load().as_ref().is_none_or(|it| !Arc::ptr_eq(it, routing));
+            let is_new =
+                self.context.routing.load().as_ref().is_none_or(|it| !Arc::ptr_eq(it, routing));
             if is_new {
                 self.context.routing.store(Some(routing.clone()));
             }
--- a/crates/galenastream_mesh/src/process/directory.rs
+++ b/crates/galenastream_mesh/src/process/directory.rs
@@ -79,9 +79,7 @@
 impl Directory {
     /// The node beside a target.
     pub fn node_of(&self, target: &TargetIncarnation) -> Option<&NodeEntry> {
-        self.nodes
-            .iter()
-            .find(|it| it.target.as_ref().is_some_and(|it| it.incarnation == *target))
+        self.nodes.iter().find(|it| it.target.as_ref().is_some_and(|it| it.incarnation == *target))
     }
 
     /// How many nodes were heard of lately.
--- a/crates/galenastream_mesh/src/process/local_target.rs
+++ b/crates/galenastream_mesh/src/process/local_target.rs
@@ -1,8 +1,9 @@
 //! The target beside this node, as its heartbeats show it.
 
-use std::{sync::Arc, time::Duration};
+use std::sync::Arc;
+use std::time::Duration;
 
-use galenastream_adapter::{HeartbeatReply, HeldKeys, ReleasedKeys};
+use galenastream_adapter::{Heartbeat, HeartbeatReply, HeldKeys, ReleasedKeys, TargetState};
 use galenastream_ownership::BootInstant;
 use galenastream_ranges::{KeyRange, TargetIncarnation};
 use tokio::sync::oneshot;
@@ -37,7 +38,50 @@
     pub(super) answer_by: BootInstant,
 }
 
+/// Releases that are remembered until the keys are passed on.
+const MAX_RELEASES: usize = 128;
+
 impl LocalRecord {
+    pub(super) fn new(
+        incarnation: TargetIncarnation,
+        heartbeat: &Heartbeat,
+        leases_end_at: BootInstant,
+        now: BootInstant,
+    ) -> Self {
+        Self {
+            incarnation,
+            service: Arc::from(heartbeat.service.as_str()),
+            slots: heartbeat.slots,
+            sequence: 0,
+            heartbeats: 0,
+            heard_at: now,
+            cold_until: now,
+            leave_acknowledged_at: None,
+            held: Vec::new(),
+            released: Vec::new(),
+            granted: None,
+            leases_end_at,
+            open_heartbeat: None,
+        }
+    }
+
+    pub(super) fn update(&mut self, heartbeat: &Heartbeat, now: BootInstant) {
+        self.sequence = heartbeat.sequence;
+        self.heartbeats = self.heartbeats.saturating_add(1);
+        self.heard_at = now;
+        self.slots = heartbeat.slots;
+        self.cold_until = now + Duration::from_millis(heartbeat.cold_remaining_ms);
+        self.held.clone_from(&heartbeat.held);
+        self.released.extend(heartbeat.released.iter().cloned());
+        // A later release of the same keys replaces an earlier one; only the newest are kept.
+        let surplus = self.released.len().saturating_sub(MAX_RELEASES);
+        self.released.drain(..surplus);
+        if heartbeat.state == TargetState::Draining && self.leave_acknowledged_at.is_none() {
+            log::info!(event = "target_leaves", target:% = self.incarnation, how = "draining"; "");
+            self.leave_acknowledged_at = Some(now);
+        }
+    }
+
     /// Whether the target may still hold keys of a range, or work on them.
     ///
     /// It does not if its last heartbeat leaves them out and the reply before that did too: a
--- a/crates/galenastream_mesh/src/process/mod.rs
+++ b/crates/galenastream_mesh/src/process/mod.rs
@@ -8,13 +8,17 @@
 mod daemon;
 mod directory;
 mod fleet_rows;
+mod heartbeats;
 mod key_meter;
 mod leases;
 mod local_target;
 mod metrics_page;
+mod ownership_facts;
 mod peer_book;
 mod planning;
+mod publication;
 mod store_follower;
+mod store_view;
 mod traffic;
 
 pub use context::{NodeContext, SyncSnapshot};
--- /dev/null
+++ b/crates/galenastream_mesh/src/process/ownership_facts.rs
@@ -0,0 +1,158 @@
+//! What this node alone knows of ownership: releases and ends of the target beside it.
+
+use galenastream_adapter::HeartbeatReply;
+use galenastream_ownership::BootInstant;
+use galenastream_ranges::{Assignment, Holding, KeyRange, RangeEntry, TargetIncarnation};
+use galenastream_wire::{IncarnationRecord, OwnershipFacts, ReleaseRecord};
+
+use super::Effect;
+use super::control_state::ControlState;
+use super::local_target::LocalRecord;
+
+/// Ended incarnations that are remembered.
+const MAX_ENDED: usize = 16;
+
+impl ControlState {
+    /// Applies what this node alone knows of the target beside it.
+    pub(super) fn apply_local_facts(
+        &self,
+        service: &str,
+        assignment: &mut Assignment,
+        now: BootInstant,
+    ) {
+        for target in self.ended_holders(assignment, now) {
+            log::info!(event = "owner_removed", service, target:% = target; "");
+            assignment.remove_owner(&target);
+        }
+        let Some(local) = self.local.as_ref().filter(|it| &*it.service == service) else {
+            return;
+        };
+        let is_staying = local.leave_acknowledged_at.is_none() && !self.is_closing;
+        let is_unplanned =
+            |it: &RangeEntry| matches!(it.holding, Holding::Leaving { to: None, .. });
+        if is_staying && assignment.leaving(&local.incarnation).any(is_unplanned) {
+            assignment.cancel_moves(&local.incarnation);
+            return;
+        }
+        for (range, handover) in released_pieces(local, assignment) {
+            assignment.complete_move(&local.incarnation, range, &handover);
+        }
+    }
+
+    /// Owners beside this node that have provably ended.
+    pub(super) fn ended_holders(
+        &self,
+        assignment: &Assignment,
+        now: BootInstant,
+    ) -> Vec<TargetIncarnation> {
+        let holders = assignment.holders().into_iter();
+        let ended = holders.filter(|it| it.node == self.node && self.has_ended(&it.target, now));
+        ended.map(|it| it.target).collect()
+    }
+
+    /// What this node would write if it reached the store.
+    pub(super) fn facts(&self, now: BootInstant) -> Vec<OwnershipFacts> {
+        if self.reaches_store {
+            return Vec::new();
+        }
+        let mut facts = Vec::new();
+        for (service, record) in &self.assignments {
+            let local = self.local.as_ref().filter(|it| *it.service == **service);
+            let pieces = local.map(|it| released_pieces(it, &record.assignment));
+            let releases = pieces.into_iter().flatten().map(|(range, handover)| ReleaseRecord {
+                first: u32::from(range.first),
+                last: u32::from(range.last),
+                handover,
+            });
+            let ended = self.ended_holders(&record.assignment, now).into_iter();
+            let ended =
+                ended.map(|it| IncarnationRecord { id: it.id.to_string(), born_ms: it.born_ms });
+            let of_service = OwnershipFacts {
+                service: service.clone(),
+                version: record.version,
+                releases: releases.collect(),
+                ended: ended.collect(),
+            };
+            if !of_service.releases.is_empty() || !of_service.ended.is_empty() {
+                facts.push(of_service);
+            }
+        }
+        facts
+    }
+
+    /// Whether an incarnation beside this node provably holds no keys any more.
+    pub(super) fn has_ended(&self, target: &TargetIncarnation, now: BootInstant) -> bool {
+        if self.ended.contains(target) {
+            return true;
+        }
+        match &self.local {
+            Some(local) if local.incarnation == *target => {
+                local.is_silent(now, self.silent_after()) && now >= local.leases_end_at
+            }
+            // Two heartbeats: one alone may have been delayed since an earlier life.
+            Some(local) => local.heartbeats >= 2 && local.incarnation.born_ms >= target.born_ms,
+            None => now >= self.terms.inherited_end(self.started_at),
+        }
+    }
+
+    /// Forgets the target beside this node, since it has provably ended.
+    pub(super) fn end_local(&mut self, why: &'static str) {
+        let Some(mut local) = self.local.take() else {
+            return;
+        };
+        log::info!(event = "target_ended", target:% = local.incarnation, why; "");
+        local.answer(HeartbeatReply::Acknowledged);
+        self.ended.push(local.incarnation);
+        if self.ended.len() > MAX_ENDED {
+            self.ended.remove(0);
+        }
+    }
+
+    /// Looks after a target whose heartbeats have stopped.
+    pub(super) fn watch_local(&mut self, now: BootInstant) {
+        let silent_after = self.silent_after();
+        let is_silent = match &self.local {
+            Some(local) => local.is_silent(now, silent_after / 2),
+            None => true,
+        };
+        let probed_lately = now.saturating_since(self.probed_at) < silent_after / 4;
+        if is_silent && !probed_lately {
+            self.probed_at = now;
+            self.effects.push(Effect::ProbeTarget);
+        }
+    }
+
+    /// Whether keys of the target beside this node are still to be passed on before it stops.
+    pub fn has_keys_to_pass_on(&self) -> bool {
+        let Some(local) = &self.local else {
+            return false;
+        };
+        let Some(record) = self.assignments.get(&*local.service) else {
+            return false;
+        };
+        record.assignment.holders().iter().any(|it| it.target == local.incarnation)
+    }
+}
+
+/// The keys that are to leave a target and that it has released, each with its handover token.
+fn released_pieces(local: &LocalRecord, assignment: &Assignment) -> Vec<(KeyRange, String)> {
+    let mut pieces = Vec::new();
+    for entry in assignment.leaving(&local.incarnation) {
+        if local.may_hold(entry.range) {
+            continue;
+        }
+        if let Some(handover) = local.handover_of(entry.range) {
+            pieces.push((entry.range, handover.to_owned()));
+            continue;
+        }
+        for release in &local.released {
+            let released = KeyRange::new(release.first, release.last);
+            if let Some(part) = released.and_then(|it| it.overlap(entry.range)) {
+                pieces.push((part, release.handover.clone()));
+            }
+        }
+        // What is left was never held. Pieces that were passed on already are not leaving any more.
+        pieces.push((entry.range, String::new()));
+    }
+    pieces
+}
--- /dev/null
+++ b/crates/galenastream_mesh/src/process/publication.rs
@@ -0,0 +1,129 @@
+//! What the control state tells: the traffic thread, other nodes and those that ask.
+
+use std::sync::Arc;
+
+use galenastream_ownership::BootInstant;
+use galenastream_ranges::TargetIncarnation;
+use galenastream_routing::NodeKey;
+use galenastream_wire::{NodeStatus, SharedRow, TargetStatus};
+
+use super::control_state::ControlState;
+use super::local_target::LocalRecord;
+use super::{Directory, LocalTarget, NodeEntry, SyncSnapshot, TargetEntry};
+
+impl ControlState {
+    /// What this node says of itself.
+    pub fn status(&self, now: BootInstant) -> NodeStatus {
+        NodeStatus {
+            node: self.node.to_string(),
+            started_boot_ns: self.started_at.as_ns(),
+            data_centre: self.settings.data_centre.clone(),
+            address: self.settings.listeners.peers.to_string(),
+            target: self.local.as_ref().map(|it| self.target_status(it, now)),
+            config_version: self.config_version(),
+            is_closing: self.is_closing,
+            reaches_store: self.reaches_store,
+            rows_version: self.rows_version,
+            facts: self.facts(now),
+        }
+    }
+
+    pub(super) fn target_status(&self, local: &LocalRecord, now: BootInstant) -> TargetStatus {
+        TargetStatus {
+            service: local.service.to_string(),
+            id: local.incarnation.id.to_string(),
+            born_ms: local.incarnation.born_ms,
+            slots: local.slots,
+            is_draining: local.leave_acknowledged_at.is_some(),
+            is_silent: local.is_silent(now, self.silent_after()),
+            capacity_milli_per_s: self.local_capacity_milli_per_s,
+            key_loads: self.local_key_loads.clone(),
+        }
+    }
+
+    /// What the traffic thread needs to know.
+    pub fn directory(&self, now: BootInstant) -> Directory {
+        let mut nodes = vec![self.local_entry()];
+        let planner = self.planner(now);
+        for (name, peer) in self.peers.iter() {
+            let status = peer.status.as_ref();
+            nodes.push(NodeEntry {
+                key: peer.key,
+                name: name.clone(),
+                address: peer.address,
+                data_centre: peer.data_centre.clone(),
+                target: status.and_then(|it| it.target.as_ref()).map(target_entry),
+                is_closing: status.is_some_and(|it| it.is_closing),
+                is_heard: peer.is_heard(now),
+                reaches_store: status.is_none_or(|it| it.reaches_store),
+                is_planner: **name == *planner,
+                is_local: false,
+            });
+        }
+        let assignments =
+            self.assignments.iter().map(|(name, it)| (name.clone(), it.assignment.clone()));
+        Directory {
+            nodes,
+            assignments: assignments.collect(),
+            local: self.local.as_ref().map(|it| self.local_target(it, now)),
+        }
+    }
+
+    pub(super) fn local_entry(&self) -> NodeEntry {
+        let target = self.local.as_ref().map(|it| TargetEntry {
+            service: it.service.clone(),
+            incarnation: it.incarnation.clone(),
+            slots: it.slots,
+            is_draining: it.leave_acknowledged_at.is_some(),
+        });
+        NodeEntry {
+            key: NodeKey(0),
+            name: self.node.clone(),
+            address: self.settings.listeners.peers,
+            data_centre: Arc::from(self.settings.data_centre.as_str()),
+            target,
+            is_closing: self.is_closing,
+            is_heard: true,
+            reaches_store: self.reaches_store,
+            is_planner: false,
+            is_local: true,
+        }
+    }
+
+    pub(super) fn local_target(&self, local: &LocalRecord, now: BootInstant) -> LocalTarget {
+        let cold = local.cold_until.saturating_since(now);
+        LocalTarget {
+            service: local.service.clone(),
+            incarnation: local.incarnation.clone(),
+            slots: local.slots,
+            cold_remaining_ms: u64::try_from(cold.as_millis()).unwrap_or(0),
+            leave_acknowledged_at: local.leave_acknowledged_at,
+            holds_keys: self.is_keyed(&local.service),
+            leases: local.granted.clone().unwrap_or_default(),
+        }
+    }
+
+    /// What other nodes may ask for.
+    pub fn sync_snapshot(&self) -> SyncSnapshot {
+        let rows = self.rows.values().filter_map(|it| {
+            let value = it.value.clone()?;
+            Some(SharedRow { key: it.key.clone(), value, version: it.version })
+        });
+        SyncSnapshot {
+            config_version: self.config_version(),
+            config: self.encoded_config.clone(),
+            rows: rows.collect(),
+            rows_version: self.rows_version,
+            confirmed_at: self.confirmed_at,
+        }
+    }
+}
+
+fn target_entry(status: &TargetStatus) -> TargetEntry {
+    TargetEntry {
+        service: Arc::from(status.service.as_str()),
+        incarnation: TargetIncarnation::new(status.id.as_str(), status.born_ms),
+        slots: status.slots,
+        is_draining: status.is_draining,
+    }
+}
--- /dev/null
+++ b/crates/galenastream_mesh/src/process/store_view.rs
@@ -0,0 +1,210 @@
+//! What the store and other nodes say: rows, config, statuses and the results of writes.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use galenastream_adapter::{RoutingConfig, Row, StoreError};
+use galenastream_ownership::BootInstant;
+use galenastream_ranges::{Assignment, VacancyWatch};
+use galenastream_wire::{NodeStatus, SyncState};
+use prost::Message;
+
+use super::Effect;
+use super::control_state::{AssignmentRecord, ControlState};
+use super::fleet_rows::{FleetRow, NodeRow, keys_row};
+use crate::version::RoutingTable;
+
+/// How long the store may be out of reach before a peer is asked instead.
+const ASK_PEER_AFTER: Duration = Duration::from_millis(600);
+
+/// Interval between two questions to peers while the store is out of reach.
+const ASK_PEER_INTERVAL: Duration = Duration::from_millis(800);
+
+impl ControlState {
+    pub(super) fn take_status(&mut self, status: NodeStatus, now: BootInstant) {
+        if status.node == *self.node {
+            return;
+        }
+        let node = status.node.clone();
+        let is_newer = status.config_version > self.config_version()
+            || status.rows_version > self.rows_version && !self.reaches_store;
+        if self.peers.hear(status, now) {
+            log::debug!(event = "node_changed", node = node.as_str(); "");
+        }
+        let asked_lately = now.saturating_since(self.asked_peer_at) < ASK_PEER_INTERVAL / 4;
+        if is_newer && !asked_lately {
+            self.asked_peer_at = now;
+            self.effects.push(Effect::AskPeer { node });
+        }
+    }
+
+    pub(super) fn take_peer_state(
+        &mut self,
+        state: SyncState,
+        asked_at: BootInstant,
+        now: BootInstant,
+    ) {
+        if !state.config.is_empty() {
+            match RoutingConfig::decode(&state.config) {
+                Ok(config) => self.take_config(config, state.config),
+                Err(error) => log::warn!(event = "config_refused", reason:% = error; ""),
+            }
+        }
+        let rows = state.rows.into_iter().map(|it| Row {
+            key: it.key,
+            value: Some(it.value),
+            version: it.version,
+        });
+        self.take_rows(rows.collect(), now);
+        if state.confirmed_age_ms != u64::MAX && state.rows_version >= self.rows_version {
+            self.rows_version = state.rows_version;
+            let age_ns = state.confirmed_age_ms.saturating_mul(1_000_000);
+            self.confirm(BootInstant::new(asked_at.as_ns().saturating_sub(age_ns)));
+        }
+    }
+
+    pub(super) fn take_config(&mut self, config: RoutingConfig, encoded: Bytes) {
+        if config.version.0 <= self.config_version() && self.routing.is_some() {
+            return;
+        }
+        log::info!(
+            event = "config_in_force",
+            version = config.version.0,
+            before = self.config_version(),
+            routes = config.routes.len();
+            ""
+        );
+        self.encoded_config = encoded;
+        self.routing = Some(Arc::new(RoutingTable::new(config)));
+    }
+
+    pub(super) fn take_rows(&mut self, rows: Vec<Row>, now: BootInstant) {
+        for row in rows {
+            let known = self.rows.get(&row.key).map_or(0, |it| it.version);
+            if row.version <= known {
+                continue;
+            }
+            self.take_row(&row, now);
+            self.rows.insert(row.key.clone(), row);
+        }
+    }
+
+    pub(super) fn take_row(&mut self, row: &Row, now: BootInstant) {
+        match FleetRow::parse(row) {
+            FleetRow::Node(node) if node == &*self.node => {}
+            FleetRow::Node(node) => match row.value.clone().map(NodeRow::decode) {
+                Some(Ok(decoded)) => self.peers.list(node, &decoded),
+                Some(Err(error)) => {
+                    log::warn!(event = "node_row_malformed", node, reason:% = error; "");
+                }
+                None => self.peers.remove(node),
+            },
+            FleetRow::Keys(service) => {
+                let decoded = row.value.as_deref().map(Assignment::decode_row);
+                match decoded {
+                    Some(Ok(assignment)) => self.adopt(service, assignment, row.version, now),
+                    Some(Err(error)) => {
+                        log::warn!(event = "keys_row_malformed", service, reason:% = error; "");
+                    }
+                    None => log::warn!(event = "keys_row_removed", service; ""),
+                }
+            }
+            FleetRow::Unknown => log::warn!(event = "row_unknown", key = row.key.as_str(); ""),
+        }
+    }
+
+    pub(super) fn adopt(
+        &mut self,
+        service: &str,
+        assignment: Assignment,
+        version: u64,
+        now: BootInstant,
+    ) {
+        let record = self.assignment_record(service);
+        if version <= record.version {
+            return;
+        }
+        record.vacancy.observe(&assignment, now);
+        record.version = version;
+        log::info!(
+            event = "assignment_known",
+            service,
+            version,
+            entries = assignment.entries().len(),
+            leaving = assignment.entries().iter().filter(|it| it.holding.leaver().is_some()).count();
+            ""
+        );
+        record.assignment = Arc::new(assignment);
+    }
+
+    pub(super) fn assignment_record(&mut self, service: &str) -> &mut AssignmentRecord {
+        self.assignments.entry(service.to_owned()).or_insert_with(|| AssignmentRecord {
+            assignment: Arc::new(Assignment::new()),
+            version: 0,
+            vacancy: VacancyWatch::new(),
+            is_writing: false,
+            balanced_at: BootInstant::default(),
+        })
+    }
+
+    pub(super) fn take_commit(
+        &mut self,
+        service: &str,
+        assignment: &Assignment,
+        result: Result<u64, StoreError>,
+        now: BootInstant,
+    ) {
+        self.assignment_record(service).is_writing = false;
+        match result {
+            Ok(version) => {
+                let value = Bytes::from(assignment.encode_row());
+                let row = Row { key: keys_row(service), value: Some(value), version };
+                self.take_rows(vec![row], now);
+            }
+            Err(StoreError::Conflict { rows }) => self.take_rows(rows, now),
+            Err(error) => {
+                log::warn!(event = "assignment_write_failed", service, reason:% = error; "");
+            }
+        }
+    }
+
+    pub(super) fn confirm(&mut self, confirmed_at: BootInstant) {
+        self.confirmed_at = Some(self.confirmed_at.map_or(confirmed_at, |it| it.max(confirmed_at)));
+    }
+
+    pub(super) fn note_store(&mut self, reached: bool, now: BootInstant) {
+        if reached != self.reaches_store {
+            log::info!(event = if reached { "store_reached" } else { "store_lost" }; "");
+        }
+        self.reaches_store = reached;
+        if reached {
+            self.last_store_contact_at = now;
+        }
+    }
+
+    /// Asks a peer while the store is out of reach.
+    pub(super) fn watch_store(&mut self, now: BootInstant) {
+        if self.reaches_store
+            || now.saturating_since(self.last_store_contact_at) < ASK_PEER_AFTER
+            || now.saturating_since(self.asked_peer_at) < ASK_PEER_INTERVAL
+        {
+            return;
+        }
+        let reaching = |status: &NodeStatus| status.reaches_store && !status.is_closing;
+        let peers = self.peers.iter().filter(|(_, it)| it.is_heard(now));
+        let candidate = peers
+            .filter(|(_, it)| it.status.as_ref().is_some_and(reaching))
+            .max_by_key(|(_, it)| it.status.as_ref().map_or(0, |it| it.rows_version));
+        let Some((node, _)) = candidate else {
+            return;
+        };
+        let node = node.to_string();
+        self.asked_peer_at = now;
+        self.effects.push(Effect::AskPeer { node });
+    }
+
+    pub(super) fn config_version(&self) -> u64 {
+        self.routing.as_ref().map_or(0, |it| it.version.0)
+    }
+}
--- a/crates/galenastream_mesh/src/request/attempt.rs
+++ b/crates/galenastream_mesh/src/request/attempt.rs
@@ -6,7 +6,9 @@
 use galenastream_ranges::TargetIncarnation;
 use galenastream_routing::{NodeKey, ObservedLoad};
 use galenastream_runtime::{PeerError, boot_now};
-use galenastream_wire::{Header, MeshOutcome, MeshReason, MeshReply, MeshRequest, mesh_frame::Body};
+use galenastream_wire::{
+    Header, MeshOutcome, MeshReason, MeshReply, MeshRequest, mesh_frame::Body,
+};
 
 use super::{caller_request::CallerRequest, target_run::run_at_target};
 use crate::process::{NodeEntry, Traffic};
@@ -41,8 +43,7 @@
     let now = boot_now();
     let mut placement = traffic.placement();
     if reply.service_time_us > 0 || reply.pending > 0 {
-        let load =
-            ObservedLoad { pending: reply.pending, service_time_us: reply.service_time_us };
+        let load = ObservedLoad { pending: reply.pending, service_time_us: reply.service_time_us };
         placement.observe(node, load, now);
     }
     placement.record_result(node, is_failure(&reply), now);
--- a/crates/galenastream_mesh/src/request/caller_request.rs
+++ b/crates/galenastream_mesh/src/request/caller_request.rs
@@ -79,7 +79,9 @@
     kept.retain(|it| {
         !matches!(
             it.name.as_str(),
-            header_names::DEADLINE_MS | header_names::EXPECTED_TARGET | header_names::CALLER_SERVICE
+            header_names::DEADLINE_MS
+                | header_names::EXPECTED_TARGET
+                | header_names::CALLER_SERVICE
         )
     });
     kept
--- a/crates/galenastream_mesh/src/request/entry.rs
+++ b/crates/galenastream_mesh/src/request/entry.rs
@@ -50,10 +50,7 @@
 const CLOSING_RETRY_AFTER_MS: u32 = 300;
 
 /// Answers a request of a caller.
-pub async fn answer_caller(
-    traffic: &Arc<Traffic>,
-    request: Request<Bytes>,
-) -> Response<Bytes> {
+pub async fn answer_caller(traffic: &Arc<Traffic>, request: Request<Bytes>) -> Response<Bytes> {
     let _counted = Counted::new(&traffic.in_progress);
     if traffic.context.is_refusing.load(Ordering::Relaxed) {
         let retry_after_ms = CLOSING_RETRY_AFTER_MS;
@@ -253,7 +250,8 @@
         // Nodes that are out of reach or about to stop are used only if there is no other.
         for is_last_resort in [false, true] {
             for node in &directory.nodes {
-                let Some(target) = node.target.as_ref().filter(|it| *it.service == *self.service) else {
+                let Some(target) = node.target.as_ref().filter(|it| *it.service == *self.service)
+                else {
                     continue;
                 };
                 let is_doubtful = target.is_draining || node.is_closing || !node.is_heard;
@@ -312,11 +310,7 @@
     }
 
     /// Tries another target after one was reached, within the route's limit and the budget.
-    fn try_elsewhere(
-        &self,
-        destination: Destination,
-        progress: &mut Progress,
-    ) -> Verdict {
+    fn try_elsewhere(&self, destination: Destination, progress: &mut Progress) -> Verdict {
         progress.reached += 1;
         // The owner of a key is the only target that may be tried again.
         if self.key.is_none() {
--- a/crates/galenastream_mesh/src/request/target_run.rs
+++ b/crates/galenastream_mesh/src/request/target_run.rs
@@ -30,6 +30,9 @@
 /// How long before the acknowledged leave of a target binds this node stops sending to it.
 const LEAVE_MARGIN: Duration = Duration::from_millis(400);
 
+/// Operators set the target latency of a route to about this many times its service time.
+const GUESS_DIVISOR: u32 = 3;
+
 /// When to come back while keys are on the move.
 const MOVING_RETRY_AFTER_MS: u32 = 100;
 
@@ -73,6 +76,8 @@
     let rank = u8::try_from(request.rank).unwrap_or(u8::MAX);
     let class_index = u16::try_from(request.target_latency_ms).unwrap_or(u16::MAX);
     let class = Class::new(class_index, u8::MAX - rank);
+    let guess = Duration::from_millis(u64::from(request.target_latency_ms)) / GUESS_DIVISOR;
+    traffic.desk.assume_service_time(class, guess);
     let mut slot = match traffic.desk.admit_promptly(class, prompt, deadline).await {
         Ok(slot) => slot,
         Err(refused) => return not_sent(MeshReason::Overloaded, refused.retry_after_ms),
@@ -228,7 +233,7 @@
     if headers.contains_key(header_names::NOT_RUN)
         || response.parts.status == StatusCode::MISDIRECTED_REQUEST
     {
-        return rejected(response);
+        return rejected(&response);
     }
     MeshReply {
         outcome: MeshOutcome::Answered as i32,
@@ -248,7 +253,7 @@
     echoed.as_bytes() == request_id.as_bytes()
 }
 
-fn rejected(response: WholeResponse) -> MeshReply {
+fn rejected(response: &WholeResponse) -> MeshReply {
     let said = response.parts.headers.get(header::RETRY_AFTER);
     let seconds = said.and_then(|it| it.to_str().ok()?.trim().parse::<f64>().ok());
     let retry_after_ms = seconds.map_or(MOVING_RETRY_AFTER_MS, |it| (it * 1_000.0).max(0.0) as u32);
--- a/crates/galenastream_mesh/src/version/routing_table.rs
+++ b/crates/galenastream_mesh/src/version/routing_table.rs
@@ -1,5 +1,7 @@
 //! The routes of one config, by host.
 
+use std::cmp::Reverse;
+
 use galenastream_adapter::{CallerLimits, ConfigVersion, Route, RoutingConfig, ServiceRules};
 use galenastream_ownership::FastMap;
 
@@ -32,7 +34,7 @@
         }
         for of_host in routes.values_mut() {
             // The first match is then the longest one.
-            of_host.sort_by(|a, b| b.prefix.len().cmp(&a.prefix.len()));
+            of_host.sort_by_key(|it| Reverse(it.prefix.len()));
         }
         let services = config.services.into_iter().map(|it| (it.name.clone(), it)).collect();
         Self { version: config.version, limits: config.limits, routes, services }
--- a/crates/galenastream_node/src/process/command_line.rs
+++ b/crates/galenastream_node/src/process/command_line.rs
@@ -75,7 +75,8 @@
                 .default_value("info")
                 .global(true)
                 .help("Log events to write: error, warn, info, debug, or a list of target=level"),
-        )        .subcommand_negates_reqs(true)
+        )
+        .subcommand_negates_reqs(true)
         .subcommand(
             Command::new(PLATFORM_COMMAND)
                 .about("Runs a node of a deployment on the platform")
--- a/crates/galenastream_routing/src/process/admission.rs
+++ b/crates/galenastream_routing/src/process/admission.rs
@@ -158,6 +158,15 @@
         Admitted { arrival, evicted: Some(evicted) }
     }
 
+    /// Takes a guess for the service time of a class of which nothing was measured yet. Without one
+    /// the first requests to a target would seem to take no time, and all of them would wait.
+    pub fn assume_service_time(&mut self, class: Class, guess: Duration) {
+        self.times.by_class.entry(class.index).or_insert_with(|| ServiceTime::new(guess));
+        if self.times.all.mean().is_zero() {
+            self.times.all = ServiceTime::new(guess);
+        }
+    }
+
     /// Frees the slot of a request that ended, without a whole answer or of a class whose service
     /// time is not kept apart.
     pub fn finish(&mut self, now: BootInstant, service_time: Option<Duration>) -> Released {
@@ -240,11 +249,27 @@
     ) -> Arrival {
         let id = WaitId(self.next_wait);
         self.next_wait += 1;
-        let until = (now + self.queue_wait()).min(deadline.at());
+        let until = (now + self.queue_wait()).min(self.useful_until(now, class, prompt, deadline));
         self.queue.push(Waiting { id, class, prompt, deadline, until });
         Arrival::Wait { id, until }
     }
 
+    /// Until when waiting is of use. A request that can be prompt gives up when it can be no longer:
+    /// what keeps it from its slot are others that can.
+    fn useful_until(
+        &self,
+        now: BootInstant,
+        class: Class,
+        prompt: Deadline,
+        deadline: Deadline,
+    ) -> BootInstant {
+        let time = self.times.mean_of(class);
+        if prompt == deadline || prompt.has_passed(now + time) {
+            return deadline.at();
+        }
+        now + prompt.remaining(now).saturating_sub(time)
+    }
+
     fn shed(&mut self, now: BootInstant) -> Arrival {
         Arrival::Shed { retry_after_ms: self.next_retry_after_ms(now) }
     }
--- a/crates/galenastream_routing/src/process/placement.rs
+++ b/crates/galenastream_routing/src/process/placement.rs
@@ -68,11 +68,7 @@
     }
 
     /// Chooses the target at which a request is expected to end first.
-    pub fn choose(
-        &self,
-        candidates: &[PlacementCandidate],
-        now: BootInstant,
-    ) -> Option<NodeKey> {
+    pub fn choose(&self, candidates: &[PlacementCandidate], now: BootInstant) -> Option<NodeKey> {
         let by_time = |a: &&PlacementCandidate, b: &&PlacementCandidate| {
             self.expected_time(a, now).total_cmp(&self.expected_time(b, now))
         };
--- a/crates/galenastream_runtime/src/admission_desk.rs
+++ b/crates/galenastream_runtime/src/admission_desk.rs
@@ -67,6 +67,11 @@
         self.lock().admission.restart(boot_now());
     }
 
+    /// Takes a guess for the service time of a class of which nothing was measured yet.
+    pub fn assume_service_time(&self, class: Class, guess: Duration) {
+        self.lock().admission.assume_service_time(class, guess);
+    }
+
     /// Waits for a slot, as long as that is of use.
     pub async fn admit(&self, class: Class, deadline: Deadline) -> Result<Slot<'_>, NotAdmitted> {
         self.admit_promptly(class, deadline, deadline).await
