--- /dev/null
+++ b/crates/galenastream_standin/src/row_store/mod.rs
@@ -0,0 +1,8 @@
+//! A stand-in of the platform's store of rows: tables, conditional transactions and feeds.
+
+mod fault;
+mod row_store_standin;
+mod row_table;
+
+pub use fault::StoreFault;
+pub use row_store_standin::RowStoreStandin;
--- /dev/null
+++ b/crates/galenastream_standin/src/row_store/row_store_standin.rs
@@ -0,0 +1,191 @@
+//! The HTTP server of the store.
+
+use std::{
+    collections::BTreeMap,
+    convert::Infallible,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use base64::{Engine, prelude::BASE64_STANDARD};
+use http::StatusCode;
+use serde_json::{Value, json};
+use tokio::{sync::watch, time::timeout};
+use volo::service::Service;
+use volo_http::{context::ServerContext, request::Request, response::Response};
+
+use super::{
+    StoreFault,
+    row_table::{RowTable, Transaction},
+};
+use crate::{HttpServer, json_reply, read_json, text_reply};
+
+/// A store of rows that listens on loopback.
+#[derive(Debug)]
+pub struct RowStoreStandin {
+    server: HttpServer,
+    state: Arc<State>,
+}
+
+#[derive(Debug)]
+struct State {
+    table: Mutex<RowTable>,
+    fault: Mutex<StoreFault>,
+    version: watch::Sender<u64>,
+}
+
+#[derive(Debug, Clone)]
+struct StoreService {
+    state: Arc<State>,
+}
+
+impl RowStoreStandin {
+    /// Starts an empty store.
+    pub async fn start(address: SocketAddr) -> anyhow::Result<Self> {
+        let state = Arc::new(State {
+            table: Mutex::default(),
+            fault: Mutex::default(),
+            version: watch::Sender::new(0),
+        });
+        let server = HttpServer::start(address, StoreService { state: state.clone() }).await?;
+        Ok(Self { server, state })
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Misbehaves from now on.
+    pub fn set_fault(&self, fault: StoreFault) {
+        *lock(&self.state.fault) = fault;
+    }
+
+    /// Writes a row as another writer does.
+    pub fn put(&self, table: &str, key: &str, value: &[u8]) {
+        self.put_encoded(table, key, &BASE64_STANDARD.encode(value));
+    }
+
+    /// Writes a row whose value need not be encoded as the store's page asks.
+    pub fn put_encoded(&self, table: &str, key: &str, value: &str) {
+        let put = json!({ "puts": [{ "table": table, "part": "", "key": key, "value": value }] });
+        if let Ok(transaction) = serde_json::from_value(put) {
+            // A transaction without conditions always applies.
+            let _ = self.state.apply(transaction);
+        }
+    }
+
+    /// Stops listening.
+    pub fn close(self) {
+        self.server.close();
+    }
+}
+
+impl State {
+    fn apply(&self, transaction: Transaction) -> Result<Value, Value> {
+        let (result, version) = {
+            let mut table = lock(&self.table);
+            let result = table.apply(transaction);
+            (result, table.version())
+        };
+        self.version.send_replace(version);
+        result
+    }
+}
+
+impl Service<ServerContext, Request> for StoreService {
+    type Response = Response;
+    type Error = Infallible;
+
+    async fn call(&self, _: &mut ServerContext, request: Request) -> Result<Response, Infallible> {
+        let fault = *lock(&self.state.fault);
+        Ok(match fault {
+            StoreFault::Refuse(status) => {
+                let status = StatusCode::from_u16(status);
+                text_reply(status.unwrap_or(StatusCode::SERVICE_UNAVAILABLE), "refused")
+            }
+            StoreFault::Silent => std::future::pending().await,
+            StoreFault::LoseAnswer => {
+                self.answer(request, fault).await;
+                std::future::pending().await
+            }
+            StoreFault::Late(delay) => {
+                let service = self.clone();
+                tokio::spawn(async move {
+                    tokio::time::sleep(delay).await;
+                    service.answer(request, fault).await;
+                });
+                std::future::pending().await
+            }
+            StoreFault::Slow(delay) => {
+                tokio::time::sleep(delay).await;
+                self.answer(request, fault).await
+            }
+            StoreFault::None | StoreFault::DropHistory => self.answer(request, fault).await,
+        })
+    }
+}
+
+impl StoreService {
+    async fn answer(&self, request: Request, fault: StoreFault) -> Response {
+        let path = request.uri().path().to_owned();
+        let query = parse_query(request.uri().query().unwrap_or_default());
+        match path.as_str() {
+            "/galenastream/rows-tx" => match read_json::<Transaction>(request).await {
+                Ok(transaction) => match self.state.apply(transaction) {
+                    Ok(done) => json_reply(StatusCode::OK, &done),
+                    Err(rows) => json_reply(StatusCode::PRECONDITION_FAILED, &rows),
+                },
+                Err(reason) => text_reply(StatusCode::BAD_REQUEST, reason),
+            },
+            "/galenastream/rows-get" => {
+                let table = lock(&self.state.table);
+                let rows = table.read(text(&query, "table"));
+                let page = json!({
+                    "rows": rows, "hasMore": false, "ver": table.version(), "nowMs": 0,
+                });
+                json_reply(StatusCode::OK, &page)
+            }
+            "/galenastream/rows-feed" if fault == StoreFault::DropHistory => {
+                text_reply(StatusCode::GONE, "the history was dropped")
+            }
+            "/galenastream/rows-feed" => self.feed(&query).await,
+            _ => text_reply(StatusCode::NOT_FOUND, "no such call"),
+        }
+    }
+
+    async fn feed(&self, query: &BTreeMap<String, String>) -> Response {
+        let table = text(query, "table");
+        let after = text(query, "after").parse().unwrap_or(0);
+        let wait = Duration::from_millis(text(query, "waitMs").parse().unwrap_or(0));
+        let mut versions = self.state.version.subscribe();
+        let wait_for_change = async {
+            while lock(&self.state.table).changes(table, after).is_empty() {
+                if versions.changed().await.is_err() {
+                    return;
+                }
+            }
+        };
+        // Without a change the answer is empty.
+        let _ = timeout(wait, wait_for_change).await;
+        let rows = lock(&self.state.table);
+        let page = json!({
+            "rows": rows.changes(table, after), "ver": rows.version(), "nowMs": 0,
+        });
+        json_reply(StatusCode::OK, &page)
+    }
+}
+
+fn parse_query(query: &str) -> BTreeMap<String, String> {
+    let pairs = query.split('&').filter_map(|it| it.split_once('='));
+    pairs.map(|(name, value)| (name.to_owned(), value.to_owned())).collect()
+}
+
+fn text<'a>(query: &'a BTreeMap<String, String>, name: &str) -> &'a str {
+    query.get(name).map_or("", String::as_str)
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
