--- a/crates/galenastream_mesh/src/connection/peer_connections.rs
+++ b/crates/galenastream_mesh/src/connection/peer_connections.rs
@@ -1,16 +1,11 @@
 //! Serves the connections that other nodes open.
 
-use std::{
-    sync::{Arc, Mutex, PoisonError},
-    time::Duration,
-};
+use std::sync::{Arc, Mutex, PoisonError};
 
 use futures::{SinkExt, StreamExt};
 use galenastream_ownership::FastMap;
 use galenastream_runtime::boot_now;
-use galenastream_wire::{
-    FrameCodec, MeshFrame, MeshRequest, StatusSeen, SyncQuery, SyncState, mesh_frame::Body,
-};
+use galenastream_wire::{FrameCodec, MeshFrame, MeshRequest, StatusSeen, mesh_frame::Body};
 use tokio::{
     net::{
         TcpListener, TcpStream,
@@ -23,7 +18,7 @@
 
 use super::accept::accept_all;
 use crate::{
-    process::{ControlEvent, NodeContext, Traffic},
+    process::{ControlEvent, Traffic},
     request::run_for_peer,
 };
 
@@ -100,7 +95,8 @@
                 self.reply(correlation, Body::StatusSeen(StatusSeen {}));
             }
             Some(Body::SyncQuery(query)) => {
-                let state = sync_state(&self.traffic.context, &query);
+                let known = self.traffic.context.sync.load();
+                let state = known.state_for(&query, boot_now());
                 self.reply(correlation, Body::SyncState(state));
             }
             Some(Body::Request(request)) => self.start(correlation, request),
@@ -148,20 +144,3 @@
 ) -> std::sync::MutexGuard<'_, FastMap<u64, AbortHandle>> {
     running.lock().unwrap_or_else(PoisonError::into_inner)
 }
-
-/// What this node read from the store and the asker has not.
-fn sync_state(context: &NodeContext, query: &SyncQuery) -> SyncState {
-    let known = context.sync.load();
-    let has_config = query.config_version >= known.config_version;
-    let age = |confirmed_at| boot_now().saturating_since(confirmed_at);
-    let confirmed_age = known.confirmed_at.map_or(Duration::MAX, age);
-    SyncState {
-        config: if has_config { Default::default() } else { known.config.clone() },
-        rows: match query.rows_version < known.rows_version {
-            true => known.rows.clone(),
-            false => Vec::new(),
-        },
-        rows_version: known.rows_version,
-        confirmed_age_ms: u64::try_from(confirmed_age.as_millis()).unwrap_or(u64::MAX),
-    }
-}
--- a/crates/galenastream_mesh/src/lib.rs
+++ b/crates/galenastream_mesh/src/lib.rs
@@ -10,4 +10,7 @@
 mod request;
 mod version;
 
-pub use process::{ControlState, Directory, Effect, LocalTarget, run_daemon};
+pub use process::{
+    ControlEvent, ControlState, Directory, Effect, HeartbeatAnswer, KeyMeter, LocalTarget,
+    run_daemon,
+};
--- a/crates/galenastream_mesh/src/process/context.rs
+++ b/crates/galenastream_mesh/src/process/context.rs
@@ -1,15 +1,18 @@
 //! What the threads of a process share.
 
-use std::sync::{
-    Arc, Mutex,
-    atomic::{AtomicBool, AtomicU64},
+use std::{
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, AtomicU64},
+    },
+    time::Duration,
 };
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use bytes::Bytes;
 use galenastream_adapter::NodeSettings;
 use galenastream_ownership::BootInstant;
-use galenastream_wire::{NodeStatus, SharedRow};
+use galenastream_wire::{NodeStatus, SharedRow, SyncQuery, SyncState};
 use tokio::sync::{mpsc, watch};
 
 use super::{ControlEvent, Directory, KeyMeter};
@@ -59,6 +62,24 @@
     pub confirmed_at: Option<BootInstant>,
 }
 
+impl SyncSnapshot {
+    /// What an asker has not read yet.
+    pub fn state_for(&self, query: &SyncQuery, now: BootInstant) -> SyncState {
+        let has_config = query.config_version >= self.config_version;
+        let age = |confirmed_at| now.saturating_since(confirmed_at);
+        let confirmed_age = self.confirmed_at.map_or(Duration::MAX, age);
+        SyncState {
+            config: if has_config { Bytes::new() } else { self.config.clone() },
+            rows: match query.rows_version < self.rows_version {
+                true => self.rows.clone(),
+                false => Vec::new(),
+            },
+            rows_version: self.rows_version,
+            confirmed_age_ms: u64::try_from(confirmed_age.as_millis()).unwrap_or(u64::MAX),
+        }
+    }
+}
+
 impl NodeContext {
     /// Tells the control thread of an event. One that finds its queue full is dropped and logged;
     /// all of them come again.
--- a/crates/galenastream_ranges/src/assignment.rs
+++ b/crates/galenastream_ranges/src/assignment.rs
@@ -57,7 +57,6 @@
     }
 
     pub(crate) fn from_entries(entries: Vec<RangeEntry>, highest_fence: u64) -> Self {
-        let highest_fence = entries.iter().map(|it| it.fence).fold(highest_fence, u64::max);
         Self { entries, highest_fence }
     }
 
--- a/crates/galenastream_ranges/src/error.rs
+++ b/crates/galenastream_ranges/src/error.rs
@@ -17,6 +17,12 @@
         /// The first key that is not covered exactly once.
         key: u32,
     },
+    /// An entry has a fencing token above the highest one that the row says was given.
+    #[error("an entry has fencing token {fence}, above the highest one; the row is incomplete")]
+    BadFence {
+        /// The token.
+        fence: u64,
+    },
     /// An entry names an owner that the row does not list.
     #[error("an entry names owner {index}, which the row does not list")]
     UnknownOwner {
--- a/crates/galenastream_ranges/src/row.rs
+++ b/crates/galenastream_ranges/src/row.rs
@@ -83,6 +83,9 @@
                 (Some(owner), None) => Holding::Owned(owner),
                 (to, Some(from)) => Holding::Leaving { from, to },
             };
+            if record.fence > row.highest_fence {
+                return Err(RowError::BadFence { fence: record.fence });
+            }
             entries.push(RangeEntry {
                 range,
                 holding,
--- /dev/null
+++ b/crates/galenastream_ranges/tests/assignment.rs
@@ -0,0 +1,184 @@
+//! Tests of assignments: what changes, what never does, and the row that holds them.
+
+use galenastream_ownership::BootInstant;
+use galenastream_ranges::{
+    Assignment, Holding, KeyRange, LeaseTerms, Owner, RowError, TargetIncarnation, VacancyWatch,
+};
+use proptest::prelude::*;
+use std::time::Duration;
+
+const TERMS: LeaseTerms =
+    LeaseTerms::new(Duration::from_millis(12_000), Duration::from_millis(6_000));
+
+fn owner(number: u64) -> Owner {
+    Owner::new(TargetIncarnation::new(format!("t-{number}"), number), format!("vm-{number}"))
+}
+
+fn range(first: u16, last: u16) -> KeyRange {
+    KeyRange::new(first, last).expect("the range is not empty")
+}
+
+fn at_ms(ms: u64) -> BootInstant {
+    BootInstant::new(ms * 1_000_000)
+}
+
+#[test]
+fn a_move_is_completed_only_by_the_owner_that_leaves() {
+    let (a, b) = (owner(1), owner(2));
+    let mut assignment = Assignment::new();
+    assignment.give(KeyRange::ALL, &a);
+    let first_fence = assignment.entry_of(7).fence;
+    assignment.begin_move(range(0, 99), Some(&b));
+    assert_eq!(assignment.owned_by(&b.target).count(), 0, "not before the release");
+    assert!(!assignment.complete_move(&b.target, range(0, 99), ""));
+    assert!(assignment.complete_move(&a.target, range(0, 49), "token"));
+    let entry = assignment.entry_of(7);
+    assert_eq!((entry.holding.owner(), entry.handover.as_str()), (Some(&b), "token"));
+    assert!(entry.fence > first_fence);
+    assert_eq!(assignment.entry_of(70).holding.leaver(), Some(&a), "the rest still leaves");
+    assert_eq!(assignment.entry_of(700).holding.owner(), Some(&a));
+}
+
+#[test]
+fn a_cancelled_move_leaves_everything_as_it_was() {
+    let a = owner(1);
+    let mut assignment = Assignment::new();
+    assignment.give(KeyRange::ALL, &a);
+    let before = assignment.clone();
+    assignment.begin_move(range(10, 20), None);
+    assert!(assignment.cancel_moves(&a.target));
+    assert_eq!(assignment, before);
+}
+
+#[test]
+fn an_owner_that_ended_loses_its_keys_and_its_place_as_successor() {
+    let (a, b) = (owner(1), owner(2));
+    let mut assignment = Assignment::new();
+    assignment.give(range(0, 999), &a);
+    assignment.give(range(1_000, 1_999), &b);
+    assignment.begin_move(range(0, 9), Some(&b));
+    assert!(assignment.remove_owner(&b.target));
+    assert_eq!(assignment.entry_of(1_500).holding, Holding::Free);
+    let leaving = Holding::Leaving { from: a.clone(), to: None };
+    assert_eq!(assignment.entry_of(5).holding, leaving);
+    assignment.remove_owner(&a.target);
+    assert_eq!(assignment.holders(), []);
+}
+
+#[test]
+fn malformed_rows_are_refused() {
+    let mut assignment = Assignment::new();
+    assignment.give(range(0, 9), &owner(1));
+    let row = assignment.encode_row();
+    for length in 0..row.len() {
+        assert!(Assignment::decode_row(&row[..length]).is_err(), "cut to {length} bytes");
+    }
+    assert!(matches!(Assignment::decode_row(&[]), Err(RowError::BadCover { key: 0 })));
+}
+
+#[test]
+fn a_lease_never_outlasts_the_trust_in_its_row_even_on_a_slow_clock() {
+    for age_ms in (0..13_000).step_by(50) {
+        let Some(lease) = TERMS.lease(at_ms(0), at_ms(age_ms)) else {
+            assert!(age_ms > 11_000, "withheld after {age_ms} ms");
+            continue;
+        };
+        let on_slow_clock = lease * 102 / 100;
+        assert!(at_ms(age_ms) + on_slow_clock <= at_ms(0) + TERMS.trust, "after {age_ms} ms");
+        assert!(at_ms(age_ms) + on_slow_clock <= TERMS.lease_end(at_ms(age_ms), lease));
+    }
+}
+
+#[test]
+fn keys_are_vacant_once_every_lease_of_an_older_row_has_run_out() {
+    let a = owner(1);
+    let mut assignment = Assignment::new();
+    assignment.give(KeyRange::ALL, &a);
+    let mut watch = VacancyWatch::new();
+    watch.observe(&assignment, at_ms(0));
+    assignment.begin_move(range(0, 9), None);
+    watch.observe(&assignment, at_ms(1_000));
+    watch.observe(&assignment, at_ms(5_000));
+    assert_eq!(watch.vacant(&TERMS, at_ms(12_999)), []);
+    assert_eq!(watch.vacant(&TERMS, at_ms(13_000)), [(a.target.clone(), range(0, 9))]);
+    assignment.cancel_moves(&a.target);
+    watch.observe(&assignment, at_ms(13_100));
+    assert_eq!(watch.vacant(&TERMS, at_ms(60_000)), []);
+}
+
+/// A change of an assignment.
+#[derive(Debug, Clone)]
+enum Change {
+    Give(u64),
+    Begin(Option<u64>),
+    Redirect(Option<u64>),
+    Cancel(u64),
+    Complete(u64),
+    Remove(u64),
+}
+
+fn change() -> impl Strategy<Value = (Change, KeyRange)> {
+    let number = 0_u64..4;
+    let change = prop_oneof![
+        number.clone().prop_map(Change::Give),
+        prop::option::of(number.clone()).prop_map(Change::Begin),
+        prop::option::of(number.clone()).prop_map(Change::Redirect),
+        number.clone().prop_map(Change::Cancel),
+        number.clone().prop_map(Change::Complete),
+        number.prop_map(Change::Remove),
+    ];
+    // Few distinct bounds, so that ranges often touch, overlap and agree.
+    let bound = prop_oneof![Just(0_u16), Just(9), Just(10), Just(100), Just(65_535), any::<u16>()];
+    (change, bound.clone(), bound)
+        .prop_map(|(change, a, b)| (change, KeyRange { first: a.min(b), last: a.max(b) }))
+}
+
+fn apply(assignment: &mut Assignment, change: &Change, range: KeyRange) {
+    match change {
+        Change::Give(to) => assignment.give(range, &owner(*to)),
+        Change::Begin(to) => assignment.begin_move(range, to.map(owner).as_ref()),
+        Change::Redirect(to) => assignment.redirect_move(range, to.map(owner).as_ref()),
+        Change::Cancel(of) => {
+            assignment.cancel_moves(&owner(*of).target);
+        }
+        Change::Complete(of) => {
+            assignment.complete_move(&owner(*of).target, range, "token");
+        }
+        Change::Remove(of) => {
+            assignment.remove_owner(&owner(*of).target);
+        }
+    }
+}
+
+proptest! {
+    #[test]
+    fn entries_cover_every_key_and_fences_rise_with_each_new_owner(
+        changes in prop::collection::vec(change(), 1..40),
+    ) {
+        let mut assignment = Assignment::new();
+        for (change, range) in changes {
+            let before = assignment.clone();
+            apply(&mut assignment, &change, range);
+            let mut next_key = 0_u32;
+            for entry in assignment.entries() {
+                prop_assert_eq!(u32::from(entry.range.first), next_key);
+                next_key = u32::from(entry.range.last) + 1;
+            }
+            prop_assert_eq!(next_key, 65_536);
+            for key in [0, 5, 9, 10, 50, 100, 101, 40_000, 65_535, range.first, range.last] {
+                let (old, new) = (before.entry_of(key), assignment.entry_of(key));
+                prop_assert!(new.fence >= old.fence);
+                let is_new_owner = new.holding.holder().is_some()
+                    && new.holding.holder() != old.holding.holder();
+                prop_assert!(!is_new_owner || new.fence > old.fence, "key {}", key);
+            }
+            let decoded = Assignment::decode_row(&assignment.encode_row());
+            prop_assert_eq!(decoded.as_ref(), Ok(&assignment));
+        }
+    }
+
+    #[test]
+    fn no_bytes_make_the_decoder_panic(bytes in prop::collection::vec(any::<u8>(), 0..256)) {
+        let _ = Assignment::decode_row(&bytes);
+    }
+}
--- /dev/null
+++ b/crates/galenastream_ranges/tests/planner.rs
@@ -0,0 +1,162 @@
+//! Tests of the planner: each replays a load pattern that it answers.
+
+use galenastream_ranges::{
+    Assignment, Holding, KeyLoad, KeyRange, Owner, PlannedMove, Planner, TargetIncarnation,
+    TargetLoad,
+};
+
+/// A piece of keys with its requests a second.
+type Demand = Vec<(KeyRange, f64)>;
+
+fn owner(number: u64) -> Owner {
+    Owner::new(TargetIncarnation::new(format!("t-{number}"), 0), format!("vm-{number}"))
+}
+
+/// The targets of a service, with what each sees of the demand.
+fn targets(assignment: &Assignment, demand: &Demand, capacities: &[f64]) -> Vec<TargetLoad> {
+    let mut targets = Vec::new();
+    for (number, capacity_per_s) in capacities.iter().enumerate() {
+        let owner = owner(number as u64);
+        let mut loads = Vec::new();
+        for entry in assignment.owned_by(&owner.target) {
+            for (range, per_s) in demand {
+                let Some(part) = range.overlap(entry.range) else {
+                    continue;
+                };
+                let share = f64::from(part.len()) / f64::from(range.len());
+                loads.push(KeyLoad { range: part, per_s: per_s * share });
+            }
+        }
+        let capacity_per_s = *capacity_per_s;
+        targets.push(TargetLoad { owner, capacity_per_s, takes_keys: true, loads });
+    }
+    targets
+}
+
+/// Requests a second of each target over its capacity.
+fn utilisations(assignment: &Assignment, demand: &Demand, capacities: &[f64]) -> Vec<f64> {
+    let targets = targets(assignment, demand, capacities);
+    let of = |it: &TargetLoad| it.loads.iter().map(|it| it.per_s).sum::<f64>() / it.capacity_per_s;
+    targets.iter().map(of).collect()
+}
+
+/// Carries moves out as if every release came at once. Returns how many keys moved.
+fn carry_out(assignment: &mut Assignment, moves: &[PlannedMove]) -> u32 {
+    let mut moved = 0;
+    for planned in moves {
+        assignment.begin_move(planned.range, Some(&planned.to));
+        assignment.give(planned.range, &planned.to);
+        for holder in assignment.holders() {
+            assignment.complete_move(&holder.target, planned.range, "");
+        }
+        moved += planned.range.len();
+    }
+    moved
+}
+
+fn settled(demand: &Demand, capacities: &[f64]) -> Assignment {
+    let mut assignment = Assignment::new();
+    let all = targets(&assignment, demand, capacities);
+    let moves = Planner::new().place_homeless(&assignment, &all);
+    carry_out(&mut assignment, &moves);
+    assignment
+}
+
+fn balance(assignment: &mut Assignment, demand: &Demand, capacities: &[f64], rounds: u32) -> u32 {
+    let mut moved = 0;
+    for _ in 0..rounds {
+        let all = targets(assignment, demand, capacities);
+        moved += carry_out(assignment, &Planner::new().balance(assignment, &all));
+    }
+    moved
+}
+
+fn busiest(utilisations: &[f64]) -> f64 {
+    utilisations.iter().copied().fold(0.0, f64::max)
+}
+
+/// Two hundred neighbouring keys take a third of the requests, in single-key pieces.
+fn hot_span(first: u16, per_s: f64) -> Demand {
+    let mut demand: Demand = Vec::new();
+    for key in first..first + 200 {
+        demand.push((KeyRange { first: key, last: key }, per_s * 0.35 / 200.0));
+    }
+    for start in (0..64_u16).map(|it| it * 1_024) {
+        demand.push((KeyRange { first: start, last: start + 1_023 }, per_s * 0.65 / 64.0));
+    }
+    demand.sort_by_key(|(range, _)| range.first);
+    demand
+}
+
+#[test]
+fn free_keys_are_dealt_in_proportion_to_capacity() {
+    let capacities = [100.0, 200.0, 100.0];
+    let assignment = settled(&Vec::new(), &capacities);
+    let keys = |number: u64| -> u32 {
+        assignment.owned_by(&owner(number).target).map(|it| it.range.len()).sum()
+    };
+    assert_eq!(keys(0) + keys(1) + keys(2), 65_536);
+    assert!(keys(1).abs_diff(2 * keys(0)) <= 2_048, "{} and {}", keys(0), keys(1));
+    assert_eq!(assignment.entries().len(), 3, "neighbouring keys stay together");
+}
+
+#[test]
+fn a_hot_span_is_spread_within_a_few_rounds_and_few_keys_move() {
+    let capacities = [150.0, 200.0, 200.0, 380.0];
+    let demand = hot_span(61_900, 500.0);
+    let mut assignment = settled(&Vec::new(), &capacities);
+    let before = busiest(&utilisations(&assignment, &demand, &capacities));
+    let moved = balance(&mut assignment, &demand, &capacities, 3);
+    let after = utilisations(&assignment, &demand, &capacities);
+    assert!(before > 0.75, "the pattern overloads one target: {before}");
+    assert!(busiest(&after) < 0.75, "{after:?}");
+    assert!(moved < 65_536 / 4, "{moved} keys moved");
+}
+
+#[test]
+fn nothing_moves_while_nothing_waits() {
+    let capacities = [150.0, 200.0, 200.0];
+    let demand = hot_span(100, 60.0);
+    let mut assignment = settled(&Vec::new(), &capacities);
+    assert_eq!(balance(&mut assignment, &demand, &capacities, 5), 0);
+}
+
+#[test]
+fn a_settled_load_stays_where_it_is() {
+    let capacities = [150.0, 200.0, 200.0, 380.0];
+    let demand = hot_span(30_000, 600.0);
+    let mut assignment = settled(&Vec::new(), &capacities);
+    balance(&mut assignment, &demand, &capacities, 8);
+    assert_eq!(balance(&mut assignment, &demand, &capacities, 5), 0);
+}
+
+#[test]
+fn a_new_target_gets_a_share_also_of_a_light_load() {
+    let demand = hot_span(100, 60.0);
+    let mut assignment = settled(&Vec::new(), &[150.0, 200.0]);
+    balance(&mut assignment, &demand, &[150.0, 200.0, 200.0], 1);
+    assert!(assignment.owned_by(&owner(2).target).next().is_some());
+}
+
+#[test]
+fn a_target_that_leaves_gives_all_of_its_keys_away() {
+    let capacities = [150.0, 200.0, 200.0];
+    let mut assignment = settled(&Vec::new(), &capacities);
+    let mut all = targets(&assignment, &Vec::new(), &capacities);
+    all[1].takes_keys = false;
+    let moves = Planner::new().place_homeless(&assignment, &all);
+    carry_out(&mut assignment, &moves);
+    assert_eq!(assignment.owned_by(&owner(1).target).count(), 0);
+    let is_owned = |holding: &Holding| holding.owner().is_some();
+    assert!(assignment.entries().iter().all(|it| is_owned(&it.holding)));
+}
+
+#[test]
+fn without_a_target_that_takes_keys_nothing_is_planned() {
+    let assignment = settled(&Vec::new(), &[100.0]);
+    let mut all = targets(&assignment, &Vec::new(), &[100.0]);
+    all[0].takes_keys = false;
+    assert_eq!(Planner::new().place_homeless(&assignment, &all), []);
+    assert_eq!(Planner::new().place_homeless(&Assignment::new(), &[]), []);
+    assert_eq!(Planner::new().balance(&assignment, &[]), []);
+}
