One log line for each request at both ends, within a budget; settings file and metrics address are followed

A request's line says route, service, key, config version, tries, target, node, reason and outcome; the node beside the target says why it was not answered. Lines are written by their own thread and dropped rather than waited for; a budget of 400 a second bounds them. The settings file is read again every second and on SIGHUP; metrics are served at port 9464.

--- a/crates/galenastream_mesh/src/connection/control_connections.rs
+++ b/crates/galenastream_mesh/src/connection/control_connections.rs
@@ -30,6 +30,20 @@
     .await;
 }
 
+/// Serves the page of metrics until the process ends.
+pub async fn serve_metrics(listener: TcpListener) {
+    accept_all(listener, |stream| {
+        tokio::spawn(serve_http(stream, |request| {
+            let response = match request.uri().path() {
+                METRICS_PATH => plain(StatusCode::OK, &render_metrics()),
+                _ => plain(StatusCode::NOT_FOUND, "no such page"),
+            };
+            async move { response }
+        }));
+    })
+    .await;
+}
+
 /// Serves health checks until the process ends.
 pub async fn serve_health(context: Arc<NodeContext>, listener: TcpListener) {
     accept_all(listener, |stream| {
@@ -60,9 +74,6 @@
     request: Request<Incoming>,
 ) -> Response<Full<Bytes>> {
     let (parts, body) = request.into_parts();
-    if parts.uri.path() == METRICS_PATH {
-        return plain(StatusCode::OK, &render_metrics());
-    }
     let (answer, answered) = oneshot::channel();
     let event = match ControlCall::parse(&parts.method, parts.uri.path()) {
         Some(ControlCall::Heartbeat { target_id }) => {
--- a/crates/galenastream_mesh/src/process/commit.rs
+++ b/crates/galenastream_mesh/src/process/commit.rs
@@ -31,16 +31,18 @@
     mut orders: mpsc::Receiver<CommitOrder>,
 ) {
     let mut lane = store.open_lane();
+    let settings = context.settings.load_full();
     let own_row = NodeRow {
-        address: context.settings.listeners.peers.to_string(),
-        data_centre: context.settings.data_centre.clone(),
+        address: settings.listeners.peers.to_string(),
+        data_centre: settings.data_centre.clone(),
     };
-    let announcement = [node_write(&context.settings.node_name, &own_row)];
+    let announcement = [node_write(&settings.node_name, &own_row)];
     while let Err(error) = lane.commit(FLEET_TABLE, &[], &announcement, STORE_CALL_LIMIT).await {
         log::warn!(event = "announcement_failed", reason:% = error; "");
         sleep(RETRY_PAUSE).await;
     }
     while let Some(order) = orders.recv().await {
+        lane.retarget(context.settings.load().store.address);
         let key = keys_row(&order.service);
         let expected = [ExpectedRow { key: key.clone(), version: order.expected_version }];
         let value = Bytes::from(order.assignment.encode_row());
--- a/crates/galenastream_mesh/src/process/context.rs
+++ b/crates/galenastream_mesh/src/process/context.rs
@@ -13,7 +13,7 @@
 use galenastream_adapter::NodeSettings;
 use galenastream_ownership::BootInstant;
 use galenastream_wire::{NodeStatus, SharedRow, SyncQuery, SyncState};
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{Notify, mpsc, watch};
 
 use super::{ControlEvent, Directory, KeyMeter};
 use crate::version::RoutingTable;
@@ -22,7 +22,9 @@
 #[derive(Debug)]
 pub struct NodeContext {
     /// The settings of the process.
-    pub settings: NodeSettings,
+    pub settings: ArcSwap<NodeSettings>,
+    /// Wakes whoever follows the settings file.
+    pub reload_requested: Notify,
     /// The routes in force.
     pub routing: ArcSwapOption<RoutingTable>,
     /// Nodes, targets and keys.
--- a/crates/galenastream_mesh/src/process/control_event.rs
+++ b/crates/galenastream_mesh/src/process/control_event.rs
@@ -1,7 +1,7 @@
 //! What happens to the control state, and what it asks for.
 
 use bytes::Bytes;
-use galenastream_adapter::{HeartbeatReply, RoutingConfig, Row, StoreError};
+use galenastream_adapter::{HeartbeatReply, NodeSettings, RoutingConfig, Row, StoreError};
 use galenastream_ownership::BootInstant;
 use galenastream_ranges::Assignment;
 use galenastream_wire::{NodeStatus, SyncState};
@@ -76,6 +76,8 @@
     },
     /// The target beside this node refused a connection.
     TargetRefused,
+    /// The settings file has changed.
+    Settings(Box<NodeSettings>),
     /// The process is about to stop.
     Closing,
 }
--- a/crates/galenastream_mesh/src/process/control_loop.rs
+++ b/crates/galenastream_mesh/src/process/control_loop.rs
@@ -128,7 +128,7 @@
 /// Tells the control state if the target refuses connections, twice in a row.
 async fn probe_target(context: Arc<NodeContext>) {
     for _ in 0..2 {
-        let address = context.settings.target_address;
+        let address = context.settings.load().target_address;
         match connect_tcp(address, PROBE_LIMIT).await {
             Err(error) if error.kind() == std::io::ErrorKind::ConnectionRefused => {}
             Ok(_) | Err(_) => return,
--- a/crates/galenastream_mesh/src/process/control_state.rs
+++ b/crates/galenastream_mesh/src/process/control_state.rs
@@ -116,6 +116,7 @@
                 self.take_commit(&service, &assignment, result, now);
             }
             ControlEvent::TargetRefused => self.end_local("connection refused"),
+            ControlEvent::Settings(settings) => self.settings = *settings,
             ControlEvent::Closing => self.is_closing = true,
         }
         self.settle(now);
--- a/crates/galenastream_mesh/src/process/daemon.rs
+++ b/crates/galenastream_mesh/src/process/daemon.rs
@@ -1,13 +1,15 @@
 //! Starts and stops the process.
 
 use std::{
-    path::Path,
+    net::SocketAddr,
+    path::{Path, PathBuf},
     sync::{Arc, atomic::Ordering},
     thread,
     time::Duration,
 };
 
 use anyhow::Context;
+use arc_swap::ArcSwap;
 use galenastream_adapter::{NodeSettings, StoreClient};
 use galenastream_routing::NodeKey;
 use galenastream_runtime::boot_now;
@@ -15,7 +17,7 @@
     net::TcpListener,
     runtime::{Builder, Runtime},
     signal::unix::{SignalKind, signal},
-    sync::mpsc,
+    sync::{Notify, mpsc, watch},
     time::{Instant, sleep},
 };
 
@@ -24,12 +26,16 @@
     commit::write_rows,
     control_loop::ControlLoop,
     metrics_page::start_metrics,
+    settings_follower::follow_settings,
     store_follower::{FollowedTable, follow_table},
 };
 use crate::connection::{
-    exchange_statuses, serve_callers, serve_control, serve_health, serve_peers,
+    exchange_statuses, serve_callers, serve_control, serve_health, serve_metrics, serve_peers,
 };
 
+/// The port of the metrics, as `deploy/system.toml` names it to the platform.
+const METRICS_PORT: u16 = 9_464;
+
 /// Events that may wait for the control thread.
 const CONTROL_QUEUE: usize = 1_024;
 
@@ -59,12 +65,13 @@
     let (control, events) = mpsc::channel(CONTROL_QUEUE);
     let (peer_questions, questions) = mpsc::channel(CONTROL_QUEUE);
     let context = Arc::new(NodeContext {
-        settings,
+        settings: ArcSwap::from_pointee(settings),
+        reload_requested: Notify::new(),
         routing: Default::default(),
-        directory: arc_swap::ArcSwap::from_pointee(state.directory(started_at)),
-        directory_changes: tokio::sync::watch::Sender::new(0),
-        sync: arc_swap::ArcSwap::from_pointee(SyncSnapshot::default()),
-        status: tokio::sync::watch::Sender::new(state.status(started_at)),
+        directory: ArcSwap::from_pointee(state.directory(started_at)),
+        directory_changes: watch::Sender::new(0),
+        sync: ArcSwap::from_pointee(SyncSnapshot::default()),
+        status: watch::Sender::new(state.status(started_at)),
         control,
         key_meter: KeyMeter::new().into(),
         service_time_us: Default::default(),
@@ -73,8 +80,10 @@
         has_keys_to_pass_on: Default::default(),
     });
     let for_control = context.clone();
+    let settings_path = settings_path.to_owned();
     thread::Builder::new().name("control".to_owned()).spawn(move || {
-        if let Err(error) = run_control(for_control, state, events, peer_questions) {
+        let ran = run_control(for_control, state, events, peer_questions, settings_path);
+        if let Err(error) = ran {
             log::error!(event = "control_thread_failed", reason:% = error; "");
             std::process::exit(1);
         }
@@ -93,13 +102,17 @@
     state: ControlState,
     events: mpsc::Receiver<ControlEvent>,
     peer_questions: mpsc::Sender<NodeKey>,
+    settings_path: PathBuf,
 ) -> anyhow::Result<()> {
     new_runtime()?.block_on(async {
-        let listeners = context.settings.listeners;
+        let listeners = context.settings.load().listeners;
         let control = bind(listeners.control).await?;
         let health = bind(listeners.ready).await?;
-        let store = StoreClient::new(&context.settings.store);
+        let store = StoreClient::new(&context.settings.load().store);
         let (commits, orders) = mpsc::channel(CONTROL_QUEUE);
+        let metrics = SocketAddr::new(listeners.control.ip(), METRICS_PORT);
+        tokio::spawn(serve_metrics(bind(metrics).await?));
+        tokio::spawn(follow_settings(context.clone(), settings_path));
         tokio::spawn(serve_control(context.clone(), control));
         tokio::spawn(serve_health(context.clone(), health));
         tokio::spawn(follow_table(context.clone(), store, FollowedTable::Config));
@@ -114,7 +127,7 @@
     context: Arc<NodeContext>,
     questions: mpsc::Receiver<NodeKey>,
 ) -> anyhow::Result<()> {
-    let listeners = context.settings.listeners;
+    let listeners = context.settings.load().listeners;
     let callers = bind(listeners.callers).await?;
     let peers = bind(listeners.peers).await?;
     let traffic = Arc::new(Traffic::new(context));
@@ -128,7 +141,7 @@
         tokio::select! {
             _ = terminate.recv() => break,
             _ = interrupt.recv() => break,
-            _ = reload.recv() => log::info!(event = "reload_requested"; ""),
+            _ = reload.recv() => traffic.context.reload_requested.notify_one(),
         }
     }
     stop(&traffic).await;
@@ -142,7 +155,7 @@
     let context = &traffic.context;
     context.is_closing.store(true, Ordering::Relaxed);
     context.tell(ControlEvent::Closing);
-    let grace = Duration::from_millis(context.settings.bounds.grace_ms);
+    let grace = Duration::from_millis(context.settings.load().bounds.grace_ms);
     let latest = began_at + grace.saturating_sub(EXIT_MARGIN);
     loop {
         if began_at.elapsed() >= LINGER {
@@ -158,7 +171,7 @@
     }
 }
 
-async fn bind(address: std::net::SocketAddr) -> anyhow::Result<TcpListener> {
+async fn bind(address: SocketAddr) -> anyhow::Result<TcpListener> {
     TcpListener::bind(address).await.with_context(|| {
         format!("cannot listen at {address}; end the other process there, or correct the settings")
     })
--- a/crates/galenastream_mesh/src/process/mod.rs
+++ b/crates/galenastream_mesh/src/process/mod.rs
@@ -17,6 +17,7 @@
 mod peer_book;
 mod planning;
 mod publication;
+mod settings_follower;
 mod store_follower;
 mod store_view;
 mod traffic;
--- /dev/null
+++ b/crates/galenastream_mesh/src/process/settings_follower.rs
@@ -0,0 +1,52 @@
+//! Follows the settings file.
+
+use std::{path::PathBuf, sync::Arc, time::Duration};
+
+use galenastream_adapter::NodeSettings;
+use tokio::time::timeout;
+
+use super::{ControlEvent, NodeContext};
+
+/// How often the file is read: it may change without a signal, and the platform notifies of no
+/// change by other means.
+const READ_INTERVAL: Duration = Duration::from_millis(1_000);
+
+/// Follows the settings file until the process ends.
+pub(super) async fn follow_settings(context: Arc<NodeContext>, path: PathBuf) {
+    loop {
+        let is_requested =
+            timeout(READ_INTERVAL, context.reload_requested.notified()).await.is_ok();
+        if is_requested {
+            log::info!(event = "reload_requested"; "");
+        }
+        let current = context.settings.load_full();
+        match NodeSettings::load(&path) {
+            Ok(settings) if settings == *current => {}
+            Ok(settings) => apply(&context, &current, settings),
+            Err(error) => log::warn!(event = "settings_refused", reason:% = error; ""),
+        }
+    }
+}
+
+/// Puts changed settings in force, but for the addresses that the process already serves.
+fn apply(context: &Arc<NodeContext>, current: &NodeSettings, mut settings: NodeSettings) {
+    let is_same_place = settings.listeners == current.listeners
+        && settings.target_address == current.target_address
+        && settings.node_name == current.node_name;
+    if !is_same_place {
+        log::warn!(
+            event = "settings_need_restart",
+            reason = "the addresses or the name of the process have changed";
+            ""
+        );
+        settings.listeners = current.listeners;
+        settings.target_address = current.target_address;
+        settings.node_name.clone_from(&current.node_name);
+    }
+    if settings == *current {
+        return;
+    }
+    log::info!(event = "settings_in_force"; "");
+    context.settings.store(Arc::new(settings.clone()));
+    context.tell(ControlEvent::Settings(Box::new(settings)));
+}
--- a/crates/galenastream_mesh/src/process/store_follower.rs
+++ b/crates/galenastream_mesh/src/process/store_follower.rs
@@ -45,6 +45,7 @@
     let mut known_version = None;
     let mut pause = FIRST_PAUSE;
     loop {
+        lane.retarget(context.settings.load().store.address);
         let asked_at = boot_now();
         match next_rows(&context, &mut lane, table, known_version).await {
             Ok(changed) => {
--- a/crates/galenastream_mesh/src/process/traffic.rs
+++ b/crates/galenastream_mesh/src/process/traffic.rs
@@ -12,7 +12,7 @@
 use galenastream_routing::{
     AdmissionLimits, PlacementBook, RetryTerms, WeightedSplit, WindowedRetryBudget,
 };
-use galenastream_runtime::{AdmissionDesk, boot_now};
+use galenastream_runtime::{AdmissionDesk, LogBudget, boot_now};
 
 use super::NodeContext;
 use crate::connection::{PeerLinks, TargetConnections};
@@ -29,6 +29,10 @@
 /// Slots of a target that has not said how many it has.
 const UNKNOWN_SLOTS: u32 = 1;
 
+/// Log lines about requests a second: twice the requests that a node carries on the busiest days,
+/// each with a line at both ends.
+const LOG_LINES_PER_S: u32 = 400;
+
 /// The state of the traffic thread.
 pub struct Traffic {
     /// What it shares with the control thread.
@@ -39,6 +43,8 @@
     pub target: TargetConnections,
     /// Admission to the target beside this node.
     pub desk: AdmissionDesk,
+    /// Bounds the log lines about requests.
+    pub log_budget: LogBudget,
     /// Requests that are in progress at this node.
     pub in_progress: AtomicUsize,
     placement: Mutex<PlacementBook>,
@@ -59,9 +65,10 @@
     pub fn new(context: Arc<NodeContext>) -> Self {
         Self {
             links: PeerLinks::new(),
-            target: TargetConnections::new(context.settings.target_address),
+            target: TargetConnections::new(context.settings.load().target_address),
             desk: AdmissionDesk::new(limits(UNKNOWN_SLOTS)),
             context,
+            log_budget: LogBudget::new(LOG_LINES_PER_S),
             in_progress: AtomicUsize::new(0),
             placement: Mutex::default(),
             budgets: Mutex::default(),
@@ -101,7 +108,7 @@
         service: &str,
         action: impl FnOnce(&mut WindowedRetryBudget) -> T,
     ) -> T {
-        let bounds = &self.context.settings.bounds;
+        let bounds = self.context.settings.load().bounds;
         let terms = RetryTerms {
             ratio: bounds.retry_ratio,
             allowance: bounds.retry_allowance,
--- a/crates/galenastream_mesh/src/request/attempt.rs
+++ b/crates/galenastream_mesh/src/request/attempt.rs
@@ -109,7 +109,7 @@
     let directory = traffic.context.directory.load();
     let service = match &directory.local {
         Some(local) => local.service.to_string(),
-        None => traffic.context.settings.service.clone(),
+        None => traffic.context.settings.load().service.clone(),
     };
     Header { name: header_names::CALLER_SERVICE.to_owned(), value: service.into() }
 }
--- a/crates/galenastream_mesh/src/request/entry.rs
+++ b/crates/galenastream_mesh/src/request/entry.rs
@@ -1,7 +1,7 @@
 //! A request at the node where it entered.
 
 use std::{
-    sync::{Arc, atomic::Ordering},
+    sync::{Arc, Mutex, PoisonError, atomic::Ordering},
     time::Duration,
 };
 
@@ -90,40 +90,27 @@
     request: CallerRequest,
 ) -> Response<Bytes> {
     let _counted = Counted::new(&traffic.in_progress);
-    let result = match Tries::new(traffic, routing, &request) {
-        Some(tries) => tokio::select! {
-            result = tries.run() => result,
-            () = sleep_until(request.deadline.at()) => Err(Refusal::TimedOut),
-        },
-        None => Err(Refusal::NoRoute),
+    let Some(tries) = Tries::new(traffic, routing, &request) else {
+        return refuse(Refusal::NoRoute, &request.id);
     };
-    record(&request, &result);
+    let result = tokio::select! {
+        result = tries.run() => result,
+        () = sleep_until(request.deadline.at()) => Err(Refusal::TimedOut),
+    };
+    tries.record(&result);
     match result {
         Ok(reply) => pass_on(reply),
         Err(refusal) => refuse(refusal, &request.id),
     }
 }
 
-fn record(request: &CallerRequest, result: &Result<MeshReply, Refusal>) {
-    let elapsed = boot_now().saturating_since(request.arrived_at);
-    let route = request.route.name.clone();
-    let outcome = match result {
-        Ok(_) => "answered",
-        Err(refusal) => refusal.as_str(),
-    };
-    counter!("galenastream_requests_total", "route" => route.clone(), "outcome" => outcome)
-        .increment(1);
-    histogram!("galenastream_request_seconds", "route" => route).record(elapsed.as_secs_f64());
-    if let Err(refusal) = result {
-        log::info!(
-            event = "request_failed",
-            request_id = request.id.as_str(),
-            route = request.route.name.as_str(),
-            outcome = refusal.as_str(),
-            elapsed_ms = u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX);
-            ""
-        );
-    }
+/// What the tries of a request came to, for its log line.
+#[derive(Debug, Default)]
+struct Trace {
+    tries: u32,
+    target: String,
+    node: String,
+    reason: &'static str,
 }
 
 /// The tries of one request.
@@ -133,6 +120,8 @@
     service: &'a str,
     /// The request's key, if the targets of the service hold keys.
     key: Option<u16>,
+    config_version: u64,
+    trace: Mutex<Trace>,
 }
 
 /// What is known after some tries.
@@ -167,7 +156,55 @@
         let service = &destinations.get(index)?.service;
         let holds_keys = routing.service(service).is_some_and(|it| it.holds_keys);
         let key = request.key.filter(|_| holds_keys);
-        Some(Self { traffic, request, service, key })
+        let (config_version, trace) = (routing.version.0, Mutex::default());
+        Some(Self { traffic, request, service, key, config_version, trace })
+    }
+
+    /// Counts and logs what became of the request, with what decided it.
+    fn record(&self, result: &Result<MeshReply, Refusal>) {
+        let request = self.request;
+        let elapsed = boot_now().saturating_since(request.arrived_at);
+        let (outcome, status) = match result {
+            Ok(reply) => ("answered", reply.status),
+            Err(refusal) => (refusal.as_str(), u32::from(refusal.status())),
+        };
+        let route = request.route.name.clone();
+        counter!("galenastream_requests_total", "route" => route.clone(), "outcome" => outcome)
+            .increment(1);
+        histogram!("galenastream_request_seconds", "route" => route).record(elapsed.as_secs_f64());
+        if !self.traffic.log_budget.allows(boot_now()) {
+            return;
+        }
+        let trace = self.trace.lock().unwrap_or_else(PoisonError::into_inner);
+        log::info!(
+            event = "request_finished",
+            request_id = request.id.as_str(),
+            route = request.route.name.as_str(),
+            service = self.service,
+            key = self.key,
+            config_version = self.config_version,
+            tries = trace.tries,
+            target_id = trace.target.as_str(),
+            node = trace.node.as_str(),
+            reason = trace.reason,
+            outcome,
+            status,
+            elapsed_ms = u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX);
+            ""
+        );
+    }
+
+    fn note_try(&self, destination: &Destination) {
+        let mut trace = self.trace.lock().unwrap_or_else(PoisonError::into_inner);
+        trace.tries += 1;
+        trace.target = destination.target.id.to_string();
+        trace.node = destination.node.name.to_string();
+        trace.reason = "waits-for-reply";
+    }
+
+    fn note_reason(&self, reason: i32) {
+        let reason = MeshReason::try_from(reason).unwrap_or(MeshReason::None);
+        self.trace.lock().unwrap_or_else(PoisonError::into_inner).reason = reason.as_word();
     }
 
     async fn run(&self) -> Result<MeshReply, Refusal> {
@@ -191,7 +228,9 @@
                 tokio::time::sleep(OWNER_POLL).await;
                 continue;
             };
+            self.note_try(&destination);
             let reply = attempt(self.traffic, self.request, self.key, &destination).await;
+            self.note_reason(reply.reason);
             match self.judge(destination, reply, &mut progress) {
                 Verdict::Done(result) => return result,
                 Verdict::TryAgain => {}
@@ -245,7 +284,8 @@
             let node = directory.node_of(&holder.target)?;
             return Some(Destination { node: node.clone(), target: holder.target.clone() });
         }
-        let near = &self.traffic.context.settings.data_centre;
+        let settings = self.traffic.context.settings.load();
+        let near = &settings.data_centre;
         let mut candidates = Vec::new();
         // Nodes that are out of reach or about to stop are used only if there is no other.
         for is_last_resort in [false, true] {
--- a/crates/galenastream_mesh/src/request/target_run.rs
+++ b/crates/galenastream_mesh/src/request/target_run.rs
@@ -46,12 +46,36 @@
     let arrived_at = boot_now();
     let deadline = Deadline::new(arrived_at, request.remaining_ms);
     let prompt = Deadline::new(arrived_at, request.prompt_ms);
+    let request_id = request.request_id.clone();
     let mut reply = run(traffic, request, prompt, deadline).await;
     reply.pending = traffic.pending();
     reply.service_time_us = traffic.service_time_us();
+    record(traffic, &request_id, arrived_at, &reply);
     reply
 }
 
+/// Logs a request that its target did not answer, with what decided that.
+fn record(traffic: &Traffic, request_id: &str, arrived_at: BootInstant, reply: &MeshReply) {
+    let reason = MeshReason::try_from(reply.reason).unwrap_or(MeshReason::None);
+    counter!("galenastream_target_requests_total", "reason" => reason.as_word()).increment(1);
+    let now = boot_now();
+    if reason == MeshReason::None || !traffic.log_budget.allows(now) {
+        return;
+    }
+    let elapsed = now.saturating_since(arrived_at);
+    log::info!(
+        event = "target_request_failed",
+        request_id,
+        reason = reason.as_word(),
+        status = reply.status,
+        pending = reply.pending,
+        service_time_us = reply.service_time_us,
+        retry_after_ms = reply.retry_after_ms,
+        elapsed_ms = u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX);
+        ""
+    );
+}
+
 /// Runs a request that another node sent, unless this one is about to end.
 pub async fn run_for_peer(traffic: &Arc<Traffic>, request: MeshRequest) -> MeshReply {
     if traffic.context.is_refusing.load(Ordering::Relaxed) {
@@ -175,7 +199,7 @@
     let Some(acknowledged_at) = local.leave_acknowledged_at else {
         return false;
     };
-    let bound = Duration::from_millis(traffic.context.settings.bounds.drain_ms);
+    let bound = Duration::from_millis(traffic.context.settings.load().bounds.drain_ms);
     now >= acknowledged_at + bound.saturating_sub(LEAVE_MARGIN)
 }
 
--- a/crates/galenastream_mesh/tests/ownership/world.rs
+++ b/crates/galenastream_mesh/tests/ownership/world.rs
@@ -40,6 +40,8 @@
     state: Option<ControlState>,
     target: Target,
     open: Option<oneshot::Receiver<HeartbeatAnswer>>,
+    /// Heartbeats that wait until the node thaws.
+    late: Vec<ControlEvent>,
     starts_at_ms: u64,
     frozen_until_ms: u64,
     cut_until_ms: u64,
@@ -90,6 +92,7 @@
                 state: None,
                 target,
                 open: None,
+                late: Vec::new(),
                 starts_at_ms,
                 frozen_until_ms: 0,
                 cut_until_ms: 0,
@@ -207,6 +210,9 @@
         if self.vms[index].state.is_none() || now_ms < self.vms[index].frozen_until_ms {
             return;
         }
+        for late in std::mem::take(&mut self.vms[index].late) {
+            self.tell(index, late);
+        }
         self.feed(index);
         self.gossip(index);
         let Some(state) = &mut self.vms[index].state else {
@@ -242,8 +248,11 @@
         let (answer, open) = oneshot::channel();
         vm.open = Some(open);
         let target_id = vm.target.id.clone();
-        if is_answering {
-            self.tell(index, ControlEvent::Heartbeat { target_id, body: body.into(), answer });
+        let heartbeat = ControlEvent::Heartbeat { target_id, body: body.into(), answer };
+        match is_answering {
+            true => self.tell(index, heartbeat),
+            false if vm.state.is_some() => vm.late.push(heartbeat),
+            false => {}
         }
     }
 
@@ -380,6 +389,7 @@
     fn stop(&mut self, until_ms: u64) {
         self.state = None;
         self.open = None;
+        self.late.clear();
         self.starts_at_ms = until_ms;
     }
 
--- a/crates/galenastream_node/src/process/logs.rs
+++ b/crates/galenastream_node/src/process/logs.rs
@@ -2,6 +2,9 @@
 
 use logforth::{append, filter::rustlog::RustLogFilterBuilder, layout::JsonLayout};
 
+/// Lines that wait for a slow reader; more are dropped. About a megabyte.
+const BUFFERED_LINES: usize = 4_096;
+
 /// Where the log goes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum LogStream {
@@ -18,7 +21,14 @@
     let builder = logforth::starter_log::builder();
     let builder = match stream {
         LogStream::Stdout => builder.dispatch(|dispatch| {
-            dispatch.filter(filter).append(append::Stdout::default().with_layout(layout))
+            // A reader that is slow or gone must not hold up requests.
+            let stdout = append::Stdout::default().with_layout(layout);
+            let unblocked = append::asynchronous::AsyncBuilder::new("log")
+                .buffered_lines_limit(Some(BUFFERED_LINES))
+                .overflow_drop_incoming()
+                .append(stdout)
+                .build();
+            dispatch.filter(filter).append(unblocked)
         }),
         LogStream::Stderr => builder.dispatch(|dispatch| {
             dispatch.filter(filter).append(append::Stderr::default().with_layout(layout))
--- /dev/null
+++ b/crates/galenastream_runtime/src/log_budget.rs
@@ -0,0 +1,51 @@
+//! How many lines about requests are logged.
+
+use std::{
+    sync::{Mutex, PoisonError},
+    time::Duration,
+};
+
+use galenastream_ownership::BootInstant;
+
+/// The span over which lines are counted.
+const WINDOW: Duration = Duration::from_secs(1);
+
+/// Bounds the lines about requests, so that an overload does not spend its time on logging.
+#[derive(Debug)]
+pub struct LogBudget {
+    lines_per_s: u32,
+    window: Mutex<Window>,
+}
+
+#[derive(Debug, Default)]
+struct Window {
+    began_at: BootInstant,
+    lines: u32,
+    dropped: u32,
+}
+
+impl LogBudget {
+    /// Creates a budget of so many lines a second.
+    pub fn new(lines_per_s: u32) -> Self {
+        Self { lines_per_s, window: Mutex::default() }
+    }
+
+    /// Whether a line may be logged now. Tells with the first one after a second with too many how
+    /// many were dropped.
+    pub fn allows(&self, now: BootInstant) -> bool {
+        let mut window = self.window.lock().unwrap_or_else(PoisonError::into_inner);
+        if now.saturating_since(window.began_at) >= WINDOW {
+            if window.dropped > 0 {
+                log::warn!(event = "request_lines_dropped", lines = window.dropped; "");
+            }
+            *window = Window { began_at: now, lines: 0, dropped: 0 };
+        }
+        if window.lines >= self.lines_per_s {
+            window.dropped += 1;
+            metrics::counter!("galenastream_log_lines_dropped_total").increment(1);
+            return false;
+        }
+        window.lines += 1;
+        true
+    }
+}
--- a/crates/galenastream_wire/src/mesh/request.rs
+++ b/crates/galenastream_wire/src/mesh/request.rs
@@ -124,3 +124,23 @@
     /// The request is malformed.
     Invalid = 11,
 }
+
+impl MeshReason {
+    /// The word in logs and metrics.
+    pub const fn as_word(self) -> &'static str {
+        match self {
+            Self::None => "none",
+            Self::OtherTarget => "other-target",
+            Self::Draining => "draining",
+            Self::NotOwner => "not-owner",
+            Self::Overloaded => "overloaded",
+            Self::TargetUnreachable => "target-unreachable",
+            Self::TargetRejected => "target-rejected",
+            Self::ConnectionLost => "connection-lost",
+            Self::DeadlinePassed => "deadline-passed",
+            Self::BadAnswer => "bad-answer",
+            Self::PeerLost => "peer-lost",
+            Self::Invalid => "invalid",
+        }
+    }
+}
