Process tests of the whole path on the platform's stand-ins

Found: a deadline that passed at the target was answered 502 instead of 504; the entry now passes the reason on.

--- a/crates/galenastream_mesh/src/request/entry.rs
+++ b/crates/galenastream_mesh/src/request/entry.rs
@@ -341,6 +341,9 @@
             MeshOutcome::Rejected => self.try_elsewhere(destination, progress),
             MeshOutcome::Unknown => {
                 progress.may_have_run = true;
+                if reply.reason == MeshReason::DeadlinePassed as i32 {
+                    return Verdict::Done(Err(Refusal::TimedOut));
+                }
                 if !self.request.route.is_idempotent {
                     return Verdict::Done(progress.give_up());
                 }
--- /dev/null
+++ b/crates/galenastream_standin/src/platform_target/heartbeat_sender.rs
@@ -0,0 +1,65 @@
+//! Sends the heartbeats of a target.
+
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use http::header;
+use http_body_util::BodyExt;
+use serde_json::json;
+use tokio::time::{sleep, timeout};
+use volo_http::{body::Body, client::Client};
+
+use super::{platform_target_standin::TargetState, target_leases::HeartbeatAnswer};
+
+/// How long an answer may take.
+const ANSWER_LIMIT: Duration = Duration::from_secs(1);
+
+/// Sends heartbeats to the node beside a target until the task is ended.
+pub(super) async fn send_heartbeats(
+    state: Arc<TargetState>,
+    address: SocketAddr,
+    control: SocketAddr,
+    interval: Duration,
+) {
+    let client = Client::default();
+    for sequence in 1_u64.. {
+        let sent_at = Instant::now();
+        let body = state.heartbeat(address, sequence);
+        let answered = timeout(ANSWER_LIMIT, send(&client, &state.id, control, body)).await;
+        if let Ok(Ok(answer)) = answered {
+            state.take_answer(answer, sent_at);
+        }
+        sleep(interval.saturating_sub(sent_at.elapsed())).await;
+    }
+}
+
+async fn send(
+    client: &Client,
+    id: &str,
+    control: SocketAddr,
+    body: String,
+) -> anyhow::Result<HeartbeatAnswer> {
+    let uri = format!("http://{control}/galenastream/instances/{id}/heartbeat");
+    let request = client.post(uri).header(header::CONTENT_TYPE, "application/json");
+    let response = request.body(Body::from(body)).send().await?;
+    let body = response.into_body().collect().await.map_err(|it| anyhow::anyhow!("{it}"))?;
+    Ok(serde_json::from_slice(&body.to_bytes())?)
+}
+
+impl TargetState {
+    fn heartbeat(&self, address: SocketAddr, sequence: u64) -> String {
+        let leases = self.leases();
+        let (holds, released) = leases.lists();
+        let body = json!({
+            "address": address,
+            "holds": holds,
+            "released": released,
+            "info": { "service": self.service, "version": "v1", "zone": "east", "slots": 8 },
+            "status": { "state": "ready", "seq": sequence, "coldRemainingMs": 0 },
+        });
+        body.to_string()
+    }
+}
--- /dev/null
+++ b/crates/galenastream_standin/src/platform_target/platform_target_standin.rs
@@ -0,0 +1,174 @@
+//! The HTTP server of a target.
+
+use std::{
+    convert::Infallible,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::{Duration, Instant},
+};
+
+use http::{HeaderMap, HeaderValue, StatusCode};
+use tokio::task::JoinHandle;
+use volo::service::Service;
+use volo_http::{context::ServerContext, request::Request, response::Response};
+
+use super::{
+    TargetAnswerFault,
+    heartbeat_sender::send_heartbeats,
+    target_leases::{HeartbeatAnswer, TargetLeases},
+};
+use crate::{HttpServer, half_reply, read_body, text_reply};
+
+/// A target that listens on loopback and sends heartbeats to the node beside it.
+#[derive(Debug)]
+pub struct PlatformTargetStandin {
+    server: HttpServer,
+    state: Arc<TargetState>,
+    heartbeats: JoinHandle<()>,
+}
+
+/// A request that ran.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct TargetRun {
+    /// Its id.
+    pub request_id: String,
+    /// The service on whose VM it began.
+    pub caller_service: String,
+    /// The time that it was given, in milliseconds.
+    pub deadline_ms: u64,
+}
+
+#[derive(Debug)]
+pub(super) struct TargetState {
+    pub(super) id: String,
+    pub(super) service: String,
+    leases: Mutex<TargetLeases>,
+    fault: Mutex<TargetAnswerFault>,
+    runs: Mutex<Vec<TargetRun>>,
+}
+
+#[derive(Debug, Clone)]
+struct TargetService {
+    state: Arc<TargetState>,
+}
+
+impl PlatformTargetStandin {
+    /// Starts a target of a service beside the node that listens at `control`.
+    pub async fn start(
+        id: &str,
+        service: &str,
+        address: SocketAddr,
+        control: SocketAddr,
+        heartbeat_interval: Duration,
+    ) -> anyhow::Result<Self> {
+        let state = Arc::new(TargetState {
+            id: id.to_owned(),
+            service: service.to_owned(),
+            leases: Mutex::default(),
+            fault: Mutex::default(),
+            runs: Mutex::default(),
+        });
+        let server = HttpServer::start(address, TargetService { state: state.clone() }).await?;
+        let sender = send_heartbeats(state.clone(), server.address(), control, heartbeat_interval);
+        Ok(Self { server, state, heartbeats: tokio::spawn(sender) })
+    }
+
+    /// Answers wrongly from now on.
+    pub fn set_fault(&self, fault: TargetAnswerFault) {
+        *lock(&self.state.fault) = fault;
+    }
+
+    /// The requests that ran.
+    pub fn runs(&self) -> Vec<TargetRun> {
+        lock(&self.state.runs).clone()
+    }
+
+    /// How many keys it holds.
+    pub fn key_count(&self) -> usize {
+        self.state.leases().key_count()
+    }
+
+    /// Ends it as a crash does.
+    pub fn close(self) {
+        self.heartbeats.abort();
+        self.server.close();
+    }
+}
+
+impl TargetState {
+    pub(super) fn leases(&self) -> MutexGuard<'_, TargetLeases> {
+        lock(&self.leases)
+    }
+
+    pub(super) fn take_answer(&self, answer: HeartbeatAnswer, sent_at: Instant) {
+        self.leases().take(answer, sent_at);
+    }
+}
+
+impl Service<ServerContext, Request> for TargetService {
+    type Response = Response;
+    type Error = Infallible;
+
+    async fn call(&self, _: &mut ServerContext, request: Request) -> Result<Response, Infallible> {
+        Ok(self.answer(request).await)
+    }
+}
+
+impl TargetService {
+    async fn answer(&self, request: Request) -> Response {
+        let headers = request.headers().clone();
+        let request_id = text(&headers, "x-request-id").to_owned();
+        let expected = text(&headers, "x-expected-instance");
+        if !expected.is_empty() && expected != self.state.id {
+            return refuse(StatusCode::MISDIRECTED_REQUEST, &request_id);
+        }
+        let key = text(&headers, "x-shard-key").parse().ok();
+        if key.is_some_and(|it| !self.state.leases().covers(it)) {
+            return refuse(StatusCode::MISDIRECTED_REQUEST, &request_id);
+        }
+        let fault = *lock(&self.state.fault);
+        if fault == TargetAnswerFault::Shed {
+            return refuse(StatusCode::SERVICE_UNAVAILABLE, &request_id);
+        }
+        let body = read_body(request).await.unwrap_or_default();
+        lock(&self.state.runs).push(TargetRun {
+            request_id: request_id.clone(),
+            caller_service: text(&headers, "x-caller-service").to_owned(),
+            deadline_ms: text(&headers, "x-deadline-ms").parse().unwrap_or(0),
+        });
+        if let TargetAnswerFault::Slow(time) = fault {
+            tokio::time::sleep(time).await;
+        }
+        let text = format!("{} ran {request_id} with {} bytes", self.state.id, body.len());
+        match fault {
+            TargetAnswerFault::Fail => named(StatusCode::INTERNAL_SERVER_ERROR, text, &request_id),
+            TargetAnswerFault::Cut => half_reply(named(StatusCode::OK, text, &request_id)),
+            TargetAnswerFault::Stray => named(StatusCode::OK, text, "another-request"),
+            TargetAnswerFault::None | TargetAnswerFault::Shed | TargetAnswerFault::Slow(_) => {
+                named(StatusCode::OK, text, &request_id)
+            }
+        }
+    }
+}
+
+fn named(status: StatusCode, text: String, request_id: &str) -> Response {
+    let mut response = text_reply(status, text);
+    if let Ok(id) = HeaderValue::from_str(request_id) {
+        response.headers_mut().insert("x-request-id", id);
+    }
+    response
+}
+
+fn refuse(status: StatusCode, request_id: &str) -> Response {
+    let mut response = named(status, "not run".to_owned(), request_id);
+    response.headers_mut().insert("x-not-executed", HeaderValue::from_static("1"));
+    response
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> &'a str {
+    headers.get(name).and_then(|it| it.to_str().ok()).unwrap_or_default()
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
