--- a/crates/galenastream_mesh/src/connection/mod.rs
+++ b/crates/galenastream_mesh/src/connection/mod.rs
@@ -6,6 +6,8 @@
 mod peer_connections;
 mod peer_links;
 mod request_codec;
+#[cfg(test)]
+mod request_codec_tests;
 mod target_connections;
 
 pub use caller_connections::serve_callers;
--- /dev/null
+++ b/crates/galenastream_routing/tests/load_patterns.rs
@@ -0,0 +1,232 @@
+//! Load patterns, replayed under virtual time against the decisions that answer them.
+
+use std::time::Duration;
+
+use galenastream_ownership::BootInstant;
+use galenastream_routing::{
+    Admission, AdmissionLimits, Arrival, Class, Deadline, NodeKey, ObservedLoad, PlacementBook,
+    PlacementCandidate, RetryTerms, WaitId, WeightedSplit, WindowedRetryBudget,
+};
+
+const SLOTS: u32 = 10;
+const SERVICE_MS: u64 = 60;
+const PROMPT_MS: u64 = 200;
+const DEADLINE_MS: u64 = 500;
+const CLASS: Class = Class::new(200, 3);
+
+const LIMITS: AdmissionLimits = AdmissionLimits {
+    slots: SLOTS,
+    queue_limit: 4 * SLOTS,
+    queue_wait_ms: 10_000,
+    retry_after_ms: 50,
+    ramp_up_ms: 0,
+};
+
+fn at_ms(ms: u64) -> BootInstant {
+    BootInstant::new(ms * 1_000_000)
+}
+
+/// What became of the requests of a load.
+#[derive(Debug, Default)]
+struct Served {
+    prompt: u32,
+    late: u32,
+    refused: u32,
+    longest_held_ms: u64,
+}
+
+/// Plays `per_s` requests a second against one target for ten seconds.
+fn play(per_s: u64, prompt_ms: u64) -> Served {
+    let mut admission = Admission::new(LIMITS, at_ms(0));
+    admission.assume_service_time(CLASS, Duration::from_millis(SERVICE_MS));
+    let mut served = Served::default();
+    let mut running: Vec<(u64, u64)> = Vec::new();
+    let mut waiting: Vec<(WaitId, u64, u64)> = Vec::new();
+    let mut arrivals = 0;
+    for now_ms in 0..10_000 {
+        let now = at_ms(now_ms);
+        let ended: Vec<_> = running.extract_if(.., |it| it.0 <= now_ms).collect();
+        for (_, arrived_ms) in ended {
+            match now_ms - arrived_ms <= PROMPT_MS {
+                true => served.prompt += 1,
+                false => served.late += 1,
+            }
+            let time = Duration::from_millis(SERVICE_MS);
+            let released = admission.finish_answered(now, CLASS, time);
+            for id in released.started {
+                let index = waiting.iter().position(|it| it.0 == id).expect("it waits");
+                running.push((now_ms + SERVICE_MS, waiting.remove(index).1));
+            }
+            for shed in released.shed {
+                let index = waiting.iter().position(|it| it.0 == shed.id).expect("it waits");
+                let held_ms = now_ms - waiting.remove(index).1;
+                served.longest_held_ms = served.longest_held_ms.max(held_ms);
+                served.refused += 1;
+            }
+        }
+        for (id, arrived_ms, _) in waiting.extract_if(.., |it| it.2 <= now_ms) {
+            admission.give_up(id);
+            served.longest_held_ms = served.longest_held_ms.max(now_ms - arrived_ms);
+            served.refused += 1;
+        }
+        while arrivals * 1_000 < now_ms * per_s {
+            arrivals += 1;
+            let prompt = Deadline::new(now, u32::try_from(prompt_ms).unwrap());
+            let deadline = Deadline::new(now, u32::try_from(DEADLINE_MS).unwrap());
+            match admission.arrive_promptly(now, CLASS, prompt, deadline).arrival {
+                Arrival::Start => running.push((now_ms + SERVICE_MS, now_ms)),
+                Arrival::Wait { id, until } => {
+                    waiting.push((id, now_ms, until.as_ns() / 1_000_000));
+                }
+                Arrival::Shed { .. } => served.refused += 1,
+            }
+        }
+    }
+    served
+}
+
+#[test]
+fn under_twice_its_capacity_a_target_answers_promptly_at_its_full_rate() {
+    let capacity = u64::from(SLOTS) * 1_000 / SERVICE_MS;
+    let served = play(2 * capacity, PROMPT_MS);
+    let full = u32::try_from(10 * capacity).unwrap();
+    assert!(served.prompt > full * 95 / 100, "{served:?} of {full}");
+    assert!(served.late < full / 100, "{served:?}");
+    assert!(served.longest_held_ms <= PROMPT_MS, "{served:?}");
+}
+
+#[test]
+fn in_the_order_of_arrival_the_same_load_is_answered_late() {
+    // Without the time at which an answer loses its worth, the queue fills up to the deadline.
+    let capacity = u64::from(SLOTS) * 1_000 / SERVICE_MS;
+    let served = play(2 * capacity, DEADLINE_MS);
+    assert!(served.late > served.prompt, "{served:?}");
+}
+
+#[test]
+fn below_its_capacity_a_target_refuses_nothing() {
+    let capacity = u64::from(SLOTS) * 1_000 / SERVICE_MS;
+    let served = play(capacity * 9 / 10, PROMPT_MS);
+    assert_eq!((served.refused, served.late), (0, 0));
+}
+
+#[test]
+fn requests_that_came_back_late_wait_only_while_the_target_would_idle() {
+    let mut admission = Admission::new(LIMITS, at_ms(0));
+    admission.assume_service_time(CLASS, Duration::from_millis(SERVICE_MS));
+    let passed = Deadline::new(at_ms(0), 0);
+    let deadline = Deadline::new(at_ms(0), 400);
+    for _ in 0..SLOTS {
+        admission.arrive_promptly(at_ms(1), CLASS, passed, deadline);
+    }
+    let mut waits = 0;
+    for _ in 0..SLOTS {
+        let arrival = admission.arrive_promptly(at_ms(1), CLASS, passed, deadline).arrival;
+        waits += u32::from(matches!(arrival, Arrival::Wait { .. }));
+    }
+    assert_eq!(waits, SLOTS / 4);
+}
+
+const NEAR: PlacementCandidate =
+    PlacementCandidate { node: NodeKey(1), slots: SLOTS, is_near: true };
+const FAR: PlacementCandidate =
+    PlacementCandidate { node: NodeKey(2), slots: SLOTS, is_near: false };
+
+fn book(near: ObservedLoad, far: ObservedLoad, now: BootInstant) -> PlacementBook {
+    let mut book = PlacementBook::new();
+    book.observe(NEAR.node, near, now);
+    book.observe(FAR.node, far, now);
+    book
+}
+
+const fn load(pending: u32, service_time_us: u32) -> ObservedLoad {
+    ObservedLoad { pending, service_time_us }
+}
+
+#[test]
+fn a_target_in_the_own_data_centre_is_preferred_while_it_has_room() {
+    let now = at_ms(100);
+    let cases = [
+        (load(2, 60_000), load(2, 60_000), NEAR),
+        (load(SLOTS, 60_000), load(0, 60_000), FAR),
+        (load(3 * SLOTS, 60_000), load(SLOTS, 60_000), FAR),
+        (load(2, 300_000), load(2, 60_000), FAR),
+    ];
+    for (near, far, expected) in cases {
+        let chosen = book(near, far, now).choose(&[NEAR, FAR], now);
+        assert_eq!(chosen, Some(expected.node), "{near:?} {far:?}");
+    }
+}
+
+#[test]
+fn a_target_that_fails_fast_does_not_look_fast() {
+    let now = at_ms(100);
+    let mut book = book(load(0, 20_000), load(5, 60_000), now);
+    for _ in 0..20 {
+        book.record_result(NEAR.node, true, now);
+    }
+    assert_eq!(book.choose(&[NEAR, FAR], now), Some(FAR.node));
+    let later = at_ms(10_000);
+    assert_eq!(book.choose(&[NEAR, FAR], later), Some(NEAR.node), "it is tried again");
+}
+
+#[test]
+fn own_requests_count_before_any_reply_tells_of_them() {
+    let now = at_ms(100);
+    let mut book = book(load(0, 60_000), load(0, 60_000), now);
+    for _ in 0..2 * SLOTS {
+        book.begin(NEAR.node);
+    }
+    assert_eq!(book.choose(&[NEAR, FAR], now), Some(FAR.node));
+    for _ in 0..2 * SLOTS {
+        book.finish(NEAR.node);
+    }
+    assert_eq!(book.choose(&[NEAR, FAR], now), Some(NEAR.node));
+}
+
+const TERMS: RetryTerms =
+    RetryTerms { ratio: 0.2, allowance: 60.0, window: Duration::from_millis(10_000) };
+
+#[test]
+fn retries_of_all_nodes_stay_within_the_terms_in_every_window() {
+    const NODES: usize = 6;
+    let mut budgets = vec![WindowedRetryBudget::new(TERMS); NODES];
+    let mut retries_at = Vec::new();
+    let mut requests_at = Vec::new();
+    // A third of the requests comes in one burst; every request asks for two retries.
+    for now_ms in (0..30_000).step_by(20) {
+        let per_step = if (9_000..10_000).contains(&now_ms) { 40 } else { 2 };
+        for number in 0..per_step {
+            let budget = &mut budgets[number % NODES];
+            budget.add_request(at_ms(now_ms));
+            requests_at.push(now_ms);
+            for _ in 0..2 {
+                if budget.take(at_ms(now_ms), NODES) {
+                    retries_at.push(now_ms);
+                }
+            }
+        }
+    }
+    for start in (0..20_000).step_by(100) {
+        let within = |times: &[u64]| -> usize {
+            times.iter().filter(|it| (start..start + 10_000).contains(*it)).count()
+        };
+        let (retries, requests) = (within(&retries_at), within(&requests_at));
+        let allowed = TERMS.ratio * requests as f64 + TERMS.allowance;
+        assert!(retries as f64 <= allowed, "{retries} of {allowed} from {start} ms");
+    }
+    assert!(retries_at.len() > 100, "a budget that gives nothing is of no use");
+}
+
+#[test]
+fn a_division_by_weight_shows_the_weights_after_a_hundred_requests() {
+    let weights = [90.0, 7.0, 0.0, 3.0];
+    let mut split = WeightedSplit::new();
+    let mut counts = [0_u32; 4];
+    for _ in 0..100 {
+        counts[split.next(&weights).unwrap()] += 1;
+    }
+    assert_eq!(counts, [90, 7, 0, 3]);
+    assert_eq!(split.next(&[0.0]), None);
+    assert_eq!(split.next(&[]), None);
+}
