--- a/crates/galenastream_mesh/src/process/heartbeats.rs
+++ b/crates/galenastream_mesh/src/process/heartbeats.rs
@@ -5,7 +5,7 @@
 
 use galenastream_adapter::{Grant, Heartbeat, HeartbeatReply};
 use galenastream_ownership::BootInstant;
-use galenastream_ranges::{Assignment, Holding, TargetIncarnation};
+use galenastream_ranges::{Assignment, KeyRange, TargetIncarnation};
 use tokio::sync::oneshot;
 
 use super::control_state::ControlState;
@@ -116,7 +116,10 @@
         send_answer(answer, HeartbeatAnswer::Reply(HeartbeatReply::Acknowledged));
     }
 
-    /// Answers the open heartbeat once nothing is on its way to the target, or time is up.
+    /// Answers the open heartbeat once there is news for the target, or time is up.
+    ///
+    /// A target hears of a change of its keys only in an answer, so an answer without news is kept
+    /// back for a while: a move then takes two round trips instead of two heartbeat intervals.
     pub(super) fn answer_heartbeat(&mut self, now: BootInstant) {
         let Some(local) = &self.local else {
             return;
@@ -124,29 +127,26 @@
         let Some(open) = &local.open_heartbeat else {
             return;
         };
+        let is_time_up = now >= open.answer_by;
         let service = local.service.to_string();
-        let is_keyed = self.is_keyed(&service);
-        let record = self.assignments.get(&service).filter(|_| is_keyed);
-        let awaits_keys = match record {
-            Some(record) => awaits_keys(&record.assignment, local),
-            None => is_keyed && self.confirmed_at.is_none(),
-        };
-        if awaits_keys && now < open.answer_by {
-            return;
-        }
-        let reply = match (record, self.confirmed_at) {
+        let reply = match (self.assignments.get(&service), self.confirmed_at) {
+            _ if !self.is_keyed(&service) => HeartbeatReply::Acknowledged,
             (Some(record), Some(confirmed_at)) => {
                 let assignment = record.assignment.clone();
+                if !is_time_up && !has_news(local, &assignment) {
+                    return;
+                }
                 self.lease_reply(&assignment, confirmed_at, now)
             }
-            _ => HeartbeatReply::Acknowledged,
+            _ if is_time_up => HeartbeatReply::Acknowledged,
+            _ => return,
         };
         if let Some(local) = &mut self.local {
             local.answer(reply);
         }
     }
 
-    pub(super) fn lease_reply(
+    fn lease_reply(
         &mut self,
         assignment: &Assignment,
         confirmed_at: BootInstant,
@@ -159,20 +159,9 @@
         let Some(local) = &mut self.local else {
             return HeartbeatReply::Acknowledged;
         };
-        let mut grants = Vec::new();
-        let mut ranges = Vec::new();
-        for entry in assignment.owned_by(&local.incarnation) {
-            ranges.push(entry.range);
-            grants.push(Grant {
-                first: entry.range.first,
-                last: entry.range.last,
-                fence: entry.fence,
-                handover: entry.handover.clone(),
-            });
-        }
-        // The target counts from when it sent the heartbeat, so its leases end a little sooner.
-        let sent_at_least = local.heard_at;
-        local.granted = Some(HeldLeases::new(ranges, sent_at_least + lease));
+        let grants = grants_of(assignment, &local.incarnation);
+        // The target counts from when it sent the heartbeat, just before it was heard.
+        local.granted = Some(HeldLeases::new(ranges_of(&grants), local.heard_at + lease));
         local.leases_end_at = local.leases_end_at.max(self.terms.lease_end(now, lease));
         let hold_ms = u64::try_from(lease.as_millis()).unwrap_or(0);
         HeartbeatReply::Leases { grants, hold_ms }
@@ -184,21 +173,38 @@
     }
 }
 
-/// Whether keys are on their way to a target, and none are waiting to be taken from it.
-fn awaits_keys(assignment: &Assignment, local: &LocalRecord) -> bool {
-    let mut awaits = false;
-    for entry in assignment.entries() {
-        match &entry.holding {
-            Holding::Leaving { from, .. } if from.target == local.incarnation => return false,
-            Holding::Leaving { to: Some(to), .. } if to.target == local.incarnation => {
-                awaits = true;
-            }
-            _ => {}
-        }
+fn grants_of(assignment: &Assignment, target: &TargetIncarnation) -> Vec<Grant> {
+    let entries = assignment.owned_by(target);
+    let grants = entries.map(|entry| Grant {
+        first: entry.range.first,
+        last: entry.range.last,
+        fence: entry.fence,
+        handover: entry.handover.clone(),
+    });
+    grants.collect()
+}
+
+fn ranges_of(grants: &[Grant]) -> Vec<(KeyRange, u64)> {
+    let ranges = grants.iter().map(|it| (KeyRange { first: it.first, last: it.last }, it.fence));
+    ranges.collect()
+}
+
+/// Whether the target has to be told of something: it leaves, its keys have changed, or it still
+/// holds keys that it is to release.
+fn has_news(local: &LocalRecord, assignment: &Assignment) -> bool {
+    if local.leave_acknowledged_at.is_some() {
+        return true;
+    }
+    let ranges = ranges_of(&grants_of(assignment, &local.incarnation));
+    match &local.granted {
+        Some(granted) if granted.is_same(&ranges) => local.held.iter().any(|held| {
+            let is_granted =
+                |(range, _): &(KeyRange, u64)| range.first <= held.first && held.last <= range.last;
+            !ranges.iter().any(is_granted)
+        }),
+        Some(_) => true,
+        None => !ranges.is_empty() || !local.held.is_empty(),
     }
-    let is_new = local.granted.is_none() && local.held.is_empty();
-    let owns_nothing = assignment.owned_by(&local.incarnation).next().is_none();
-    awaits || (is_new && owns_nothing)
 }
 
 fn refuse(answer: oneshot::Sender<HeartbeatAnswer>, target_id: &str, reason: String) {
--- a/crates/galenastream_mesh/src/process/leases.rs
+++ b/crates/galenastream_mesh/src/process/leases.rs
@@ -6,23 +6,29 @@
 /// The leases that the target beside this node was granted last.
 #[derive(Debug, Clone, Default)]
 pub struct HeldLeases {
-    ranges: Vec<KeyRange>,
+    /// Each range with its fencing token.
+    ranges: Vec<(KeyRange, u64)>,
     until: BootInstant,
 }
 
 impl HeldLeases {
     /// Creates the leases of one reply. `until` is a time at which the target holds them for sure.
-    pub const fn new(ranges: Vec<KeyRange>, until: BootInstant) -> Self {
+    pub const fn new(ranges: Vec<(KeyRange, u64)>, until: BootInstant) -> Self {
         Self { ranges, until }
     }
 
     /// Whether a key is held.
     pub fn covers(&self, key: u16, now: BootInstant) -> bool {
-        now < self.until && self.ranges.iter().any(|it| it.contains(key))
+        now < self.until && self.ranges.iter().any(|(range, _)| range.contains(key))
     }
 
     /// Whether any key of a range was granted.
     pub fn overlaps(&self, range: KeyRange) -> bool {
-        self.ranges.iter().any(|it| it.overlap(range).is_some())
+        self.ranges.iter().any(|(it, _)| it.overlap(range).is_some())
+    }
+
+    /// Whether exactly these ranges were granted.
+    pub fn is_same(&self, ranges: &[(KeyRange, u64)]) -> bool {
+        self.ranges == ranges
     }
 }
--- a/crates/galenastream_mesh/src/process/planning.rs
+++ b/crates/galenastream_mesh/src/process/planning.rs
@@ -21,8 +21,9 @@
 /// How many heartbeat intervals, in hundredths, a planner waits for the targets to show up.
 const SETTLE_PERCENT: u32 = 220;
 
-/// Requests a second that a slot is taken to process while nothing is measured.
-const UNKNOWN_CAPACITY_PER_SLOT: f64 = 10.0;
+/// Operators set the target latency of a route to about this many times its service time; a guess
+/// while nothing is measured.
+const LATENCY_PER_SERVICE_TIME: f64 = 3.0;
 
 impl ControlState {
     /// Whether this node plans: the first by name of those that reach the store. Two nodes that
@@ -136,11 +137,13 @@
     /// The targets of a service that live.
     fn targets_of(&self, service: &str, now: BootInstant) -> Vec<TargetLoad> {
         let mut targets = Vec::new();
+        let latency_ms = self.routing.as_ref().and_then(|it| it.least_target_latency_ms(service));
+        let guess = LATENCY_PER_SERVICE_TIME * 1_000.0 / latency_ms.unwrap_or(1_000).max(1) as f64;
         if let (Some(local), Some(owner)) = (&self.local, self.local_owner())
             && &*local.service == service
         {
             let status = self.status(now).target.unwrap_or_default();
-            targets.push(target_load(owner, &status, !self.is_closing));
+            targets.push(target_load(owner, &status, !self.is_closing, guess));
         }
         for (name, peer) in self.peers.iter() {
             let status = peer.status.as_ref();
@@ -153,16 +156,22 @@
             let incarnation = TargetIncarnation::new(target.id.as_str(), target.born_ms);
             let owner = Owner::new(incarnation, name.clone());
             let is_staying = status.is_some_and(|it| !it.is_closing);
-            targets.push(target_load(owner, target, is_staying));
+            targets.push(target_load(owner, target, is_staying, guess));
         }
         targets.sort_by(|a, b| a.owner.node.cmp(&b.owner.node));
         targets
     }
 }
 
-fn target_load(owner: Owner, status: &TargetStatus, is_staying: bool) -> TargetLoad {
+/// `guessed_per_s` is what a slot is taken to process while nothing is measured.
+fn target_load(
+    owner: Owner,
+    status: &TargetStatus,
+    is_staying: bool,
+    guessed_per_s: f64,
+) -> TargetLoad {
     let capacity_per_s = match status.capacity_milli_per_s {
-        0 => UNKNOWN_CAPACITY_PER_SLOT * f64::from(status.slots),
+        0 => guessed_per_s * f64::from(status.slots),
         measured => measured as f64 / 1_000.0,
     };
     let mut loads = Vec::with_capacity(status.key_loads.len());
--- a/crates/galenastream_mesh/src/version/routing_table.rs
+++ b/crates/galenastream_mesh/src/version/routing_table.rs
@@ -55,6 +55,13 @@
         self.services.get(name)
     }
 
+    /// The least target latency of the routes to a service.
+    pub fn least_target_latency_ms(&self, service: &str) -> Option<u64> {
+        let routes = self.routes.values().flatten();
+        let to_service = routes.filter(|it| it.destinations.iter().any(|it| it.service == service));
+        to_service.map(|it| it.target_latency_ms).min()
+    }
+
     /// The services whose targets hold keys.
     pub fn keyed_services(&self) -> impl Iterator<Item = &ServiceRules> {
         self.services.values().filter(|it| it.holds_keys)
