Two nodes read the shared rows, the others ask them; a request whose caller left is not sent to its target

Change: the first two nodes by name follow the rows, and tell the others that there is news; these ask for it and have their rows confirmed every 1.2 s where leases depend on it. Who hears of no reader reads itself. A request that waits ends when its caller leaves; one that was sent goes on.

--- a/crates/galenastream_mesh/src/connection/peer_connections.rs
+++ b/crates/galenastream_mesh/src/connection/peer_connections.rs
@@ -117,7 +117,6 @@
     fn start(&self, correlation: u64, request: MeshRequest) {
         let (traffic, replies) = (self.traffic.clone(), self.replies.clone());
         let running = self.running.clone();
-        let is_idempotent = request.is_idempotent;
         let task = tokio::spawn(async move {
             let reply = run_for_peer(&traffic, request).await;
             lock(&running).remove(&correlation);
@@ -126,8 +125,7 @@
                 log::debug!(event = "reply_unwanted"; "");
             }
         });
-        // A request that may run only once is left to finish when its caller is gone.
-        if is_idempotent && !task.is_finished() {
+        if !task.is_finished() {
             lock(&self.running).insert(correlation, task.abort_handle());
         }
     }
--- a/crates/galenastream_mesh/src/connection/peer_links.rs
+++ b/crates/galenastream_mesh/src/connection/peer_links.rs
@@ -140,7 +140,7 @@
         let audience = match (&sent, due) {
             (None, _) | (_, Some(Audience::All)) => Audience::All,
             (Some(sent), _) if is_urgent(sent, &status) => Audience::All,
-            (Some(sent), _) if has_news(sent, &status) => Audience::CutOff,
+            (Some(sent), _) if has_news(sent, &status) => Audience::NoReaders,
             (_, Some(audience)) => audience,
             (_, None) => continue,
         };
@@ -161,9 +161,10 @@
         || identity(sent) != identity(status)
 }
 
-/// Whether a node that does not reach the store should ask for what this one has read.
+/// Whether nodes that do not read the store should ask for what this one has read.
 fn has_news(sent: &NodeStatus, status: &NodeStatus) -> bool {
     status.reaches_store
+        && status.reads_rows
         && (sent.rows_version, sent.config_version) != (status.rows_version, status.config_version)
 }
 
@@ -172,8 +173,8 @@
 enum Audience {
     /// All other nodes.
     All,
-    /// Nodes that do not reach the store.
-    CutOff,
+    /// Nodes that do not read the shared rows from the store.
+    NoReaders,
     /// The node that plans.
     Planner,
 }
@@ -186,7 +187,7 @@
     for node in &directory.nodes {
         let is_told = match audience {
             Audience::All => true,
-            Audience::CutOff => !node.reaches_store,
+            Audience::NoReaders => !node.reads_rows,
             Audience::Planner => node.is_planner,
         };
         if node.is_local || !is_told {
--- a/crates/galenastream_mesh/src/process/commit.rs
+++ b/crates/galenastream_mesh/src/process/commit.rs
@@ -41,6 +41,7 @@
         log::warn!(event = "announcement_failed", reason:% = error; "");
         sleep(RETRY_PAUSE).await;
     }
+    context.announced.notify_one();
     while let Some(order) = orders.recv().await {
         lane.retarget(context.settings.load().store.address);
         let key = keys_row(&order.service);
--- a/crates/galenastream_mesh/src/process/context.rs
+++ b/crates/galenastream_mesh/src/process/context.rs
@@ -41,6 +41,10 @@
     pub key_meter: Mutex<KeyMeter>,
     /// The mean service time of the target beside this node, in microseconds.
     pub service_time_us: AtomicU64,
+    /// Whether this node follows the shared rows in the store itself.
+    pub reads_rows: AtomicBool,
+    /// Whether this node's own row is written.
+    pub announced: Notify,
     /// Whether the process is about to stop.
     pub is_closing: AtomicBool,
     /// Whether the process takes no more requests, since it is about to end.
--- a/crates/galenastream_mesh/src/process/control_loop.rs
+++ b/crates/galenastream_mesh/src/process/control_loop.rs
@@ -93,6 +93,8 @@
         self.context.directory.store(Arc::new(self.state.directory(now)));
         self.context.directory_changes.send_modify(|it| *it += 1);
         self.context.sync.store(Arc::new(self.state.sync_snapshot()));
+        let reads_rows = self.state.reads_rows(now);
+        self.context.reads_rows.store(reads_rows, Ordering::Relaxed);
         let keys_left = self.state.has_keys_to_pass_on();
         self.context.has_keys_to_pass_on.store(keys_left, Ordering::Relaxed);
         let status = self.state.status(now);
--- a/crates/galenastream_mesh/src/process/daemon.rs
+++ b/crates/galenastream_mesh/src/process/daemon.rs
@@ -75,6 +75,8 @@
         control,
         key_meter: KeyMeter::new().into(),
         service_time_us: Default::default(),
+        reads_rows: true.into(),
+        announced: Notify::new(),
         is_closing: Default::default(),
         is_refusing: Default::default(),
         has_keys_to_pass_on: Default::default(),
--- a/crates/galenastream_mesh/src/process/directory.rs
+++ b/crates/galenastream_mesh/src/process/directory.rs
@@ -36,8 +36,8 @@
     pub is_closing: bool,
     /// Whether it was heard of lately.
     pub is_heard: bool,
-    /// Whether it reaches the store, or nothing is known of it.
-    pub reaches_store: bool,
+    /// Whether it reads the shared rows from the store itself, or nothing is known of it.
+    pub reads_rows: bool,
     /// Whether it is the one that plans, as far as this node can tell.
     pub is_planner: bool,
     /// Whether it is this node.
--- a/crates/galenastream_mesh/src/process/peer_book.rs
+++ b/crates/galenastream_mesh/src/process/peer_book.rs
@@ -95,6 +95,12 @@
         self.heard_at.is_some_and(|it| now.saturating_since(it) <= HEARD_WITHIN)
     }
 
+    /// Whether it follows the shared rows in the store.
+    pub(super) fn is_reader(&self) -> bool {
+        let status = self.status.as_ref();
+        status.is_some_and(|it| it.reaches_store && it.reads_rows && !it.is_closing)
+    }
+
     /// The incarnation of the target beside the node.
     pub(super) fn target(&self) -> Option<TargetIncarnation> {
         let target = self.status.as_ref()?.target.as_ref()?;
--- a/crates/galenastream_mesh/src/process/publication.rs
+++ b/crates/galenastream_mesh/src/process/publication.rs
@@ -24,6 +24,7 @@
             is_closing: self.is_closing,
             reaches_store: self.reaches_store,
             rows_version: self.rows_version,
+            reads_rows: self.reads_rows(now),
             facts: self.facts(now),
         }
     }
@@ -55,7 +56,7 @@
                 target: status.and_then(|it| it.target.as_ref()).map(target_entry),
                 is_closing: status.is_some_and(|it| it.is_closing),
                 is_heard: peer.is_heard(now),
-                reaches_store: status.is_none_or(|it| it.reaches_store),
+                reads_rows: status.is_none_or(|it| it.reaches_store && it.reads_rows),
                 is_planner: **name == *planner,
                 is_local: false,
             });
@@ -84,7 +85,7 @@
             target,
             is_closing: self.is_closing,
             is_heard: true,
-            reaches_store: self.reaches_store,
+            reads_rows: true,
             is_planner: false,
             is_local: true,
         }
--- a/crates/galenastream_mesh/src/process/store_follower.rs
+++ b/crates/galenastream_mesh/src/process/store_follower.rs
@@ -1,13 +1,16 @@
 //! Follows the tables of the store.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 use galenastream_adapter::{
     CONFIG_TABLE, ChangedRows, RoutingConfig, Row, StoreClient, StoreError, StoreLane, config_row,
 };
 use galenastream_ownership::BootInstant;
 use galenastream_runtime::boot_now;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use super::{ControlEvent, NodeContext, fleet_rows::FLEET_TABLE};
 
@@ -22,6 +25,16 @@
 /// How long a watch waits where leases depend on it: each one confirms that the rows are current.
 const LEASE_WAIT: Duration = Duration::from_millis(2_000);
 
+/// How long after its start a node does not watch the shared rows: all nodes of a deployment start
+/// within less, and tell each other what they are.
+const SETTLE_TIME: Duration = Duration::from_millis(1_200);
+
+/// How long the first reading waits for this node's own row to be written.
+const ANNOUNCE_LIMIT: Duration = Duration::from_millis(2_000);
+
+/// How often a node that does not read looks whether it should.
+const IDLE_POLL: Duration = Duration::from_millis(100);
+
 /// Pauses after calls that failed, from the first to the last.
 const FIRST_PAUSE: Duration = Duration::from_millis(60);
 const LONGEST_PAUSE: Duration = Duration::from_millis(500);
@@ -41,10 +54,24 @@
     store: StoreClient,
     table: FollowedTable,
 ) {
+    let started_at = boot_now();
     let mut lane = store.open_lane();
     let mut known_version = None;
     let mut pause = FIRST_PAUSE;
+    if table == FollowedTable::Fleet {
+        // Of two nodes that start, the one that reads later sees the other one's row.
+        if timeout(ANNOUNCE_LIMIT, context.announced.notified()).await.is_err() {
+            log::warn!(event = "announcement_outstanding"; "");
+        }
+    }
     loop {
+        let is_idle = table == FollowedTable::Fleet
+            && known_version.is_some()
+            && (is_settling(started_at) || !context.reads_rows.load(Ordering::Relaxed));
+        if is_idle {
+            sleep(IDLE_POLL).await;
+            continue;
+        }
         lane.retarget(context.settings.load().store.address);
         let asked_at = boot_now();
         match next_rows(&context, &mut lane, table, known_version).await {
@@ -67,6 +94,12 @@
     }
 }
 
+/// Whether the nodes of a deployment may still be announcing themselves, which a watch would be
+/// woken by each time.
+fn is_settling(started_at: BootInstant) -> bool {
+    boot_now().saturating_since(started_at) < SETTLE_TIME
+}
+
 async fn next_rows(
     context: &NodeContext,
     lane: &mut StoreLane,
--- a/crates/galenastream_mesh/src/process/store_view.rs
+++ b/crates/galenastream_mesh/src/process/store_view.rs
@@ -18,6 +18,18 @@
 /// How long the store may be out of reach before a peer is asked instead.
 const ASK_PEER_AFTER: Duration = Duration::from_millis(600);
 
+/// Nodes that follow the shared rows in the store: one that plans and one in reserve.
+const READERS: usize = 2;
+
+/// How old the confirmation of the rows may be before another one is asked for.
+const CONFIRM_AFTER: Duration = Duration::from_millis(1_200);
+
+/// How long a node whose target holds keys waits for an answer of a reader before it reads itself.
+const READ_AFTER: Duration = Duration::from_millis(4_000);
+
+/// Interval between two questions for news of which a status has told.
+const NEWS_INTERVAL: Duration = Duration::from_millis(30);
+
 /// Interval between two questions to peers while the store is out of reach.
 const ASK_PEER_INTERVAL: Duration = Duration::from_millis(800);
 
@@ -28,11 +40,12 @@
         }
         let node = status.node.clone();
         let is_newer = status.config_version > self.config_version()
-            || status.rows_version > self.rows_version && !self.reaches_store;
+            || status.rows_version > self.rows_version
+                && !(self.reaches_store && self.reads_rows(now));
         if self.peers.hear(status, now) {
             log::debug!(event = "node_changed", node = node.as_str(); "");
         }
-        let asked_lately = now.saturating_since(self.asked_peer_at) < ASK_PEER_INTERVAL / 4;
+        let asked_lately = now.saturating_since(self.asked_peer_at) < NEWS_INTERVAL;
         if is_newer && !asked_lately {
             self.asked_peer_at = now;
             self.effects.push(Effect::AskPeer { node });
@@ -57,6 +70,7 @@
             version: it.version,
         });
         self.take_rows(rows.collect(), now);
+        self.synced_at = asked_at;
         if state.confirmed_age_ms != u64::MAX && state.rows_version >= self.rows_version {
             self.rows_version = state.rows_version;
             let age_ns = state.confirmed_age_ms.saturating_mul(1_000_000);
@@ -165,6 +179,7 @@
             Err(StoreError::Conflict { rows }) => self.take_rows(rows, now),
             Err(error) => {
                 log::warn!(event = "assignment_write_failed", service, reason:% = error; "");
+                self.note_store(false, now);
             }
         }
     }
@@ -183,20 +198,24 @@
         }
     }
 
-    /// Asks a peer while the store is out of reach.
+    /// Asks a node that reads the store, while this one does not: for news, and to have its rows
+    /// confirmed to be current, which its target's leases depend on.
     pub(super) fn watch_store(&mut self, now: BootInstant) {
-        if self.reaches_store
-            || now.saturating_since(self.last_store_contact_at) < ASK_PEER_AFTER
-            || now.saturating_since(self.asked_peer_at) < ASK_PEER_INTERVAL
-        {
+        let is_cut_off = !self.reaches_store
+            && now.saturating_since(self.last_store_contact_at) >= ASK_PEER_AFTER;
+        let needs_leases = self.local.as_ref().is_some_and(|it| self.is_keyed(&it.service));
+        let is_stale = self.confirmed_at.is_none_or(|it| now.saturating_since(it) >= CONFIRM_AFTER);
+        let needs_confirmation = needs_leases && is_stale && !self.reads_rows(now);
+        let asked_ago = now.saturating_since(self.asked_peer_at);
+        let is_due = (is_cut_off || needs_confirmation) && asked_ago >= ASK_PEER_INTERVAL;
+        let is_behind = !self.reads_rows(now) && asked_ago >= NEWS_INTERVAL && self.is_behind(now);
+        if !is_due && !is_behind {
             return;
         }
-        let reaching = |status: &NodeStatus| status.reaches_store && !status.is_closing;
-        let peers = self.peers.iter().filter(|(_, it)| it.is_heard(now));
-        let candidate = peers
-            .filter(|(_, it)| it.status.as_ref().is_some_and(reaching))
-            .max_by_key(|(_, it)| it.status.as_ref().map_or(0, |it| it.rows_version));
-        let Some((node, _)) = candidate else {
+        let readers = self.peers.iter().filter(|(_, it)| it.is_heard(now) && it.is_reader());
+        let newest =
+            readers.max_by_key(|(_, it)| it.status.as_ref().map_or(0, |it| it.rows_version));
+        let Some((node, _)) = newest else {
             return;
         };
         let node = node.to_string();
@@ -204,6 +223,28 @@
         self.effects.push(Effect::AskPeer { node });
     }
 
+    /// Whether a reader knows newer rows.
+    fn is_behind(&self, now: BootInstant) -> bool {
+        self.peers.iter().any(|(_, peer)| {
+            let newest = peer.status.as_ref().map_or(0, |it| it.rows_version);
+            newest > self.rows_version && peer.is_reader() && peer.is_heard(now)
+        })
+    }
+
+    /// Whether this node follows the shared rows in the store itself: the first few by name do, and
+    /// whoever has not heard from one of them for a while. Each change costs a call of each reader.
+    pub fn reads_rows(&self, now: BootInstant) -> bool {
+        let ahead = self
+            .peers
+            .iter()
+            .filter(|(name, it)| ***name < *self.node && it.is_heard(now) && it.is_reader());
+        if ahead.count() < READERS {
+            return true;
+        }
+        let needs_leases = self.local.as_ref().is_some_and(|it| self.is_keyed(&it.service));
+        needs_leases && now.saturating_since(self.synced_at) > READ_AFTER
+    }
+
     pub(super) fn config_version(&self) -> u64 {
         self.routing.as_ref().map_or(0, |it| it.version.0)
     }
--- a/crates/galenastream_mesh/src/request/entry.rs
+++ b/crates/galenastream_mesh/src/request/entry.rs
@@ -66,17 +66,7 @@
             return refuse(refusal, &id);
         }
     };
-    if request.route.is_idempotent {
-        return finish(traffic, &routing, request).await;
-    }
-    // A request that may run only once goes on when its caller leaves.
-    let traffic = traffic.clone();
-    let id = request.id.clone();
-    let running = tokio::spawn(async move { finish(&traffic, &routing, request).await });
-    running.await.unwrap_or_else(|error| {
-        log::error!(event = "request_task_failed", request_id = id.as_str(), reason:% = error; "");
-        refuse(Refusal::Lost, &id)
-    })
+    finish(traffic, &routing, request).await
 }
 
 fn request_id(request: &Request<Bytes>) -> &str {
--- a/crates/galenastream_mesh/src/request/target_run.rs
+++ b/crates/galenastream_mesh/src/request/target_run.rs
@@ -14,6 +14,7 @@
 use http::{HeaderMap, HeaderValue, Method, Request, StatusCode, header};
 use http_body_util::Full;
 use metrics::counter;
+use tokio_util::sync::CancellationToken;
 
 use crate::{
     connection::TargetResult,
@@ -40,14 +41,35 @@
 const UNREACHABLE_RETRY_AFTER_MS: u32 = 300;
 
 /// Runs a request at the target beside this node.
+///
+/// When the future is dropped, the caller has left: an idempotent request is broken off, another one
+/// only if it has not been sent to the target yet.
 pub async fn run_at_target(traffic: &Arc<Traffic>, request: MeshRequest) -> MeshReply {
+    let caller_left = CancellationToken::new();
+    if request.is_idempotent {
+        return run_counted(traffic, request, &caller_left).await;
+    }
+    let _tells = caller_left.clone().drop_guard();
+    let traffic = traffic.clone();
+    let running = tokio::spawn(async move { run_counted(&traffic, request, &caller_left).await });
+    running.await.unwrap_or_else(|error| {
+        log::error!(event = "request_task_failed", reason:% = error; "");
+        unknown(MeshReason::ConnectionLost)
+    })
+}
+
+async fn run_counted(
+    traffic: &Arc<Traffic>,
+    request: MeshRequest,
+    caller_left: &CancellationToken,
+) -> MeshReply {
     let _counted = Counted::new(&traffic.in_progress);
     let _pending = traffic.count_pending();
     let arrived_at = boot_now();
     let deadline = Deadline::new(arrived_at, request.remaining_ms);
     let prompt = Deadline::new(arrived_at, request.prompt_ms);
     let request_id = request.request_id.clone();
-    let mut reply = run(traffic, request, prompt, deadline).await;
+    let mut reply = run(traffic, request, prompt, deadline, caller_left).await;
     reply.pending = traffic.pending();
     reply.service_time_us = traffic.service_time_us();
     record(traffic, &request_id, arrived_at, &reply);
@@ -89,8 +111,13 @@
     request: MeshRequest,
     prompt: Deadline,
     deadline: Deadline,
+    caller_left: &CancellationToken,
 ) -> MeshReply {
-    if let Err(reply) = await_entitled(traffic, &request, deadline).await {
+    let entitled = tokio::select! {
+        entitled = await_entitled(traffic, &request, deadline) => entitled,
+        () = caller_left.cancelled() => return not_sent(MeshReason::CallerLeft, 0),
+    };
+    if let Err(reply) = entitled {
         return reply;
     }
     if let Some(key) = key_of(&request) {
@@ -102,7 +129,11 @@
     let class = Class::new(class_index, u8::MAX - rank);
     let guess = Duration::from_millis(u64::from(request.target_latency_ms)) / GUESS_DIVISOR;
     traffic.desk.assume_service_time(class, guess);
-    let mut slot = match traffic.desk.admit_promptly(class, prompt, deadline).await {
+    let admitted = tokio::select! {
+        admitted = traffic.desk.admit_promptly(class, prompt, deadline) => admitted,
+        () = caller_left.cancelled() => return not_sent(MeshReason::CallerLeft, 0),
+    };
+    let mut slot = match admitted {
         Ok(slot) => slot,
         Err(refused) => return not_sent(MeshReason::Overloaded, refused.retry_after_ms),
     };
--- a/crates/galenastream_wire/src/mesh/node_status.rs
+++ b/crates/galenastream_wire/src/mesh/node_status.rs
@@ -32,6 +32,9 @@
     /// The version of the shared rows that it knows.
     #[prost(uint64, tag = "9")]
     pub rows_version: u64,
+    /// Whether it follows the shared rows in the store itself.
+    #[prost(bool, tag = "11")]
+    pub reads_rows: bool,
     /// What it would write if it reached the store.
     #[prost(message, repeated, tag = "10")]
     pub facts: Vec<OwnershipFacts>,
--- a/crates/galenastream_wire/src/mesh/request.rs
+++ b/crates/galenastream_wire/src/mesh/request.rs
@@ -123,6 +123,8 @@
     PeerLost = 10,
     /// The request is malformed.
     Invalid = 11,
+    /// The caller left before the request was sent.
+    CallerLeft = 12,
 }
 
 impl MeshReason {
@@ -141,6 +143,7 @@
             Self::BadAnswer => "bad-answer",
             Self::PeerLost => "peer-lost",
             Self::Invalid => "invalid",
+            Self::CallerLeft => "caller-left",
         }
     }
 }
