A late request that waits is refused before its deadline, as not run

Change: waiting ends one service time before the deadline, since it could not be answered any more. Test: a_late_request_is_told_that_it_has_not_run_before_its_deadline (failed before).

--- a/crates/galenastream_routing/src/process/admission.rs
+++ b/crates/galenastream_routing/src/process/admission.rs
@@ -255,7 +255,8 @@
     }
 
     /// Until when waiting is of use. A request that can be prompt gives up when it can be no longer:
-    /// what keeps it from its slot are others that can.
+    /// what keeps it from its slot are others that can. One that is late gives up when it could not
+    /// be answered before its deadline, early enough to be told that it has not run.
     fn useful_until(
         &self,
         now: BootInstant,
@@ -264,10 +265,11 @@
         deadline: Deadline,
     ) -> BootInstant {
         let time = self.times.mean_of(class);
-        if prompt == deadline || prompt.has_passed(now + time) {
+        if prompt == deadline {
             return deadline.at();
         }
-        now + prompt.remaining(now).saturating_sub(time)
+        let due = if prompt.has_passed(now + time) { deadline } else { prompt };
+        now + due.remaining(now).saturating_sub(time)
     }
 
     fn shed(&mut self, now: BootInstant) -> Arrival {
--- a/crates/galenastream_routing/tests/load_patterns.rs
+++ b/crates/galenastream_routing/tests/load_patterns.rs
@@ -127,6 +127,21 @@
     assert_eq!(waits, SLOTS / 4);
 }
 
+#[test]
+fn a_late_request_is_told_that_it_has_not_run_before_its_deadline() {
+    let mut admission = Admission::new(LIMITS, at_ms(0));
+    admission.assume_service_time(CLASS, Duration::from_millis(SERVICE_MS));
+    let (passed, deadline) = (Deadline::new(at_ms(0), 0), Deadline::new(at_ms(0), 400));
+    for _ in 0..SLOTS {
+        admission.arrive_promptly(at_ms(1), CLASS, passed, deadline);
+    }
+    let arrival = admission.arrive_promptly(at_ms(1), CLASS, passed, deadline).arrival;
+    let Arrival::Wait { until, .. } = arrival else {
+        panic!("{arrival:?}");
+    };
+    assert_eq!(until, at_ms(400 - SERVICE_MS));
+}
+
 const NEAR: PlacementCandidate =
     PlacementCandidate { node: NodeKey(1), slots: SLOTS, is_near: true };
 const FAR: PlacementCandidate =
