--- a/crates/galenastream_mesh/tests/ownership/target.rs
+++ b/crates/galenastream_mesh/tests/ownership/target.rs
@@ -1,7 +1,7 @@
 //! A target as its interface describes it: it enforces its leases on its own clock.
 
 use galenastream_adapter::{Grant, HeartbeatReply};
-use serde_json::json;
+use galenastream_standin::{HeartbeatFields, heartbeat_body};
 
 /// How long a target waits for the answer to a heartbeat.
 const ANSWER_LIMIT_MS: u64 = 1_000;
@@ -71,14 +71,14 @@
         self.next_beat_ms = now_ms + interval_ms;
         let held = self.holds.iter().chain(self.working.iter().map(|it| &it.0));
         let held: Vec<_> = held.map(|it| (it.first, it.last, it.fence)).collect();
-        let body = json!({
-            "address": self.address,
-            "holds": held,
-            "released": self.releases,
-            "info": { "service": "carts", "version": "v1", "zone": "east", "slots": 6 },
-            "status": { "state": "ready", "seq": self.sequence, "coldRemainingMs": 0 },
+        let body = heartbeat_body(HeartbeatFields {
+            address: &self.address,
+            service: "carts",
+            sequence: self.sequence,
+            held: &held,
+            released: &self.releases,
         });
-        Some(body.to_string().into_bytes())
+        Some(body.into_bytes())
     }
 
     /// Takes the answer to the heartbeat that is on its way.
--- a/crates/galenastream_node/tests/platform/deployment.rs
+++ b/crates/galenastream_node/tests/platform/deployment.rs
@@ -7,8 +7,11 @@
     time::Duration,
 };
 
-use galenastream_standin::{PlatformTargetStandin, Process, RowStoreStandin, wait_until};
-use serde_json::{Value, json};
+use galenastream_standin::{
+    PlatformTargetStandin, Process, RouteFields, RowStoreStandin, SettingsFields, config_document,
+    settings_document, wait_until,
+};
+use serde_json::Value;
 
 use crate::caller::{Answer, Caller};
 
@@ -33,30 +36,20 @@
     folder: PathBuf,
 }
 
-/// The config: `carts` holds keys, `stock` does not.
+/// The config: `carts` holds keys, `stock` does not. Orders may run only once.
 pub fn config(version: u32) -> Value {
-    let route = |prefix: &str, kind: &str, service: &str| {
-        json!({
-            "name": prefix, "pathPrefix": prefix, "kind": kind, "timeoutMs": 2_000,
-            "targetLatencyMs": 900, "priority": 1, "maxAttempts": 2, "service": service,
-        })
-    };
-    json!({
-        "version": format!("{version:08x}"),
-        "services": [
-            { "name": "carts", "maxConnections": 100, "sharded": true },
-            { "name": "stock", "maxConnections": 100 },
-        ],
-        "limits": {
-            "maxHeaderBytes": 16_384, "maxBodyBytes": 65_536,
-            "headerTimeoutMs": 3_000, "idleTimeoutMs": 15_000,
-        },
-        "virtualHosts": [{ "host": "shop.example", "paths": [
-            route("/carts/", "safe", "carts"),
-            route("/stock/", "safe", "stock"),
-            route("/orders/", "unsafe", "stock"),
-        ] }],
-    })
+    config_with_shelf(version, "/stock/")
+}
+
+/// The config with another path to `stock`.
+pub fn config_with_shelf(version: u32, shelf: &str) -> Value {
+    let route = |prefix, is_idempotent, service| RouteFields { prefix, is_idempotent, service };
+    let routes = [
+        route("/carts/", true, "carts"),
+        route(shelf, true, "stock"),
+        route("/orders/", false, "stock"),
+    ];
+    config_document(version, "shop.example", &[("carts", true), ("stock", false)], &routes)
 }
 
 impl Deployment {
@@ -125,7 +118,14 @@
         let target =
             PlatformTargetStandin::start(&id, service, address, control, interval).await.unwrap();
         let settings = folder.join(format!("vm-{index}.toml"));
-        std::fs::write(&settings, settings_text(index, ip, service, store.address())).unwrap();
+        let document = settings_document(SettingsFields {
+            node: &format!("vm-{index}"),
+            ip,
+            service,
+            heartbeat_ms: HEARTBEAT_MS,
+            store: store.address(),
+        });
+        std::fs::write(&settings, document).unwrap();
         let mut vm = Self { ip, service, target, node: None, settings };
         vm.start_node(index, folder);
         vm
@@ -180,27 +180,3 @@
     let third = u8::try_from(number % 256).unwrap();
     move |host| IpAddr::V4(Ipv4Addr::new(127, process.max(1), third, host))
 }
-
-fn settings_text(index: usize, ip: IpAddr, service: &str, store: SocketAddr) -> String {
-    format!(
-        r#"
-node = "vm-{index}"
-ip = "{ip}"
-zone = "east"
-heartbeatMs = {HEARTBEAT_MS}
-bounds = ["drainMs=2000", "graceS=6", "maxHoldMs=10000"]
-appAddr = "{ip}:8001"
-service = "{service}"
-[listen]
-inbound = "{ip}:8002"
-outbound = "{ip}:8003"
-ready = "{ip}:8004"
-control = "{ip}:8005"
-[limits]
-memoryMb = 260
-maxFds = 4100
-[platform]
-address = "{store}"
-"#
-    )
-}
--- a/crates/galenastream_node/tests/platform/main.rs
+++ b/crates/galenastream_node/tests/platform/main.rs
@@ -5,7 +5,7 @@
 
 use std::time::{Duration, Instant};
 
-use deployment::{Deployment, config};
+use deployment::{Deployment, config, config_with_shelf};
 use galenastream_standin::{StoreFault, TargetAnswerFault, wait_until};
 use serde_json::Value;
 
@@ -146,8 +146,7 @@
     let deployment = Deployment::start("config", &["stock"]).await;
     let vm = &deployment.vms[0];
     let status = async |path: &str| vm.caller().await.get(path, "c", None).await.unwrap().status;
-    let mut newer = config(9);
-    newer["virtualHosts"][0]["paths"][1]["pathPrefix"] = "/shelf/".into();
+    let newer = config_with_shelf(9, "/shelf/");
     deployment.store.put("op", "config", newer.to_string().as_bytes());
     wait_until("the config to be in force", LIMIT, async || status("/shelf/1").await == 200)
         .await
--- /dev/null
+++ b/crates/galenastream_standin/src/platform_document/config_document.rs
@@ -0,0 +1,48 @@
+//! A config as operators write it.
+
+use serde_json::{Value, json};
+
+/// A route of a config.
+#[derive(Debug, Clone, Copy)]
+pub struct RouteFields<'a> {
+    /// Its path prefix, which is also its name.
+    pub prefix: &'a str,
+    /// Whether its requests may run more than once.
+    pub is_idempotent: bool,
+    /// Its service.
+    pub service: &'a str,
+}
+
+/// A config with services, each with whether its targets hold keys, and routes of one host.
+pub fn config_document(
+    version: u32,
+    host: &str,
+    services: &[(&str, bool)],
+    routes: &[RouteFields<'_>],
+) -> Value {
+    let services: Vec<Value> = services
+        .iter()
+        .map(|(name, holds_keys)| {
+            json!({ "name": name, "maxConnections": 100, "sharded": holds_keys })
+        })
+        .collect();
+    let paths: Vec<Value> = routes.iter().map(route).collect();
+    json!({
+        "version": format!("{version:08x}"),
+        "services": services,
+        "limits": {
+            "maxHeaderBytes": 16_384, "maxBodyBytes": 65_536,
+            "headerTimeoutMs": 3_000, "idleTimeoutMs": 15_000,
+        },
+        "virtualHosts": [{ "host": host, "paths": paths }],
+    })
+}
+
+fn route(fields: &RouteFields<'_>) -> Value {
+    json!({
+        "name": fields.prefix, "pathPrefix": fields.prefix,
+        "kind": if fields.is_idempotent { "safe" } else { "unsafe" },
+        "timeoutMs": 2_000, "targetLatencyMs": 900, "priority": 1, "maxAttempts": 2,
+        "service": fields.service,
+    })
+}
--- /dev/null
+++ b/crates/galenastream_standin/src/platform_document/mod.rs
@@ -0,0 +1,7 @@
+//! Documents as the platform and its operators write them.
+
+mod config_document;
+mod settings_document;
+
+pub use config_document::{RouteFields, config_document};
+pub use settings_document::{SettingsFields, settings_document};
--- a/crates/galenastream_standin/src/platform_target/heartbeat_sender.rs
+++ b/crates/galenastream_standin/src/platform_target/heartbeat_sender.rs
@@ -8,11 +8,14 @@
 
 use http::header;
 use http_body_util::BodyExt;
-use serde_json::json;
 use tokio::time::{sleep, timeout};
 use volo_http::{body::Body, client::Client};
 
-use super::{platform_target_standin::TargetState, target_leases::HeartbeatAnswer};
+use super::{
+    heartbeat_body::{HeartbeatFields, heartbeat_body},
+    platform_target_standin::TargetState,
+    target_leases::HeartbeatAnswer,
+};
 
 /// How long an answer may take.
 const ANSWER_LIMIT: Duration = Duration::from_secs(1);
@@ -52,14 +55,13 @@
 impl TargetState {
     fn heartbeat(&self, address: SocketAddr, sequence: u64) -> String {
         let leases = self.leases();
-        let (holds, released) = leases.lists();
-        let body = json!({
-            "address": address,
-            "holds": holds,
-            "released": released,
-            "info": { "service": self.service, "version": "v1", "zone": "east", "slots": 8 },
-            "status": { "state": "ready", "seq": sequence, "coldRemainingMs": 0 },
-        });
-        body.to_string()
+        let (held, released) = leases.lists();
+        heartbeat_body(HeartbeatFields {
+            address: &address.to_string(),
+            service: &self.service,
+            sequence,
+            held,
+            released,
+        })
     }
 }
