A node that starts asks its peers for news until it follows the shared rows

The tests wait until every VM reaches every service and knows its own target (killed-node test, 503: the survivor had not heard its target yet).

--- a/crates/galenastream_mesh/src/process/daemon.rs
+++ b/crates/galenastream_mesh/src/process/daemon.rs
@@ -75,7 +75,7 @@
         control,
         key_meter: KeyMeter::new().into(),
         service_time_us: Default::default(),
-        reads_rows: true.into(),
+        reads_rows: Default::default(),
         announced: Notify::new(),
         is_closing: Default::default(),
         is_refusing: Default::default(),
--- a/crates/galenastream_mesh/src/process/store_follower.rs
+++ b/crates/galenastream_mesh/src/process/store_follower.rs
@@ -25,10 +25,6 @@
 /// How long a watch waits where leases depend on it: each one confirms that the rows are current.
 const LEASE_WAIT: Duration = Duration::from_millis(2_000);
 
-/// How long after its start a node does not watch the shared rows: all nodes of a deployment start
-/// within less, and tell each other what they are.
-const SETTLE_TIME: Duration = Duration::from_millis(1_200);
-
 /// How long the first reading waits for this node's own row to be written.
 const ANNOUNCE_LIMIT: Duration = Duration::from_millis(2_000);
 
@@ -54,7 +50,6 @@
     store: StoreClient,
     table: FollowedTable,
 ) {
-    let started_at = boot_now();
     let mut lane = store.open_lane();
     let mut known_version = None;
     let mut pause = FIRST_PAUSE;
@@ -67,7 +62,7 @@
     loop {
         let is_idle = table == FollowedTable::Fleet
             && known_version.is_some()
-            && (is_settling(started_at) || !context.reads_rows.load(Ordering::Relaxed));
+            && !context.reads_rows.load(Ordering::Relaxed);
         if is_idle {
             sleep(IDLE_POLL).await;
             continue;
@@ -94,12 +89,6 @@
     }
 }
 
-/// Whether the nodes of a deployment may still be announcing themselves, which a watch would be
-/// woken by each time.
-fn is_settling(started_at: BootInstant) -> bool {
-    boot_now().saturating_since(started_at) < SETTLE_TIME
-}
-
 async fn next_rows(
     context: &NodeContext,
     lane: &mut StoreLane,
--- a/crates/galenastream_mesh/src/process/store_view.rs
+++ b/crates/galenastream_mesh/src/process/store_view.rs
@@ -21,6 +21,10 @@
 /// Nodes that follow the shared rows in the store: one that plans and one in reserve.
 const READERS: usize = 2;
 
+/// How long after its start a node does not follow the shared rows. All nodes of a deployment start
+/// within less.
+const SETTLE_TIME: Duration = Duration::from_millis(1_200);
+
 /// How old the confirmation of the rows may be before another one is asked for.
 const CONFIRM_AFTER: Duration = Duration::from_millis(1_200);
 
@@ -233,7 +237,13 @@
 
     /// Whether this node follows the shared rows in the store itself: the first few by name do, and
     /// whoever has not heard from one of them for a while. Each change costs a call of each reader.
+    ///
+    /// While a deployment starts, every node announces itself there, which would wake all readers
+    /// each time; until then nodes hear of each other directly.
     pub fn reads_rows(&self, now: BootInstant) -> bool {
+        if now.saturating_since(self.started_at) < SETTLE_TIME {
+            return false;
+        }
         let ahead = self
             .peers
             .iter()
--- a/crates/galenastream_mesh/tests/ownership/world.rs
+++ b/crates/galenastream_mesh/tests/ownership/world.rs
@@ -364,7 +364,7 @@
             }
             let is_worked_on = self.vms.iter().any(|it| it.target.works_on(*key));
             if holders.len() > 1 || (is_worked_on && !holders.is_empty()) {
-                self.report(format!("key {key} is held twice: {holders:?}"));
+                self.report(&format!("key {key} is held twice: {holders:?}"));
             }
             let Some(holder) = holders.into_iter().next() else {
                 continue;
@@ -373,14 +373,14 @@
             let last = &self.last_holders[sample];
             let is_other = last.as_ref().is_some_and(|it| it.0 != holder.0);
             if is_other && holder.1 <= self.highest_fences[sample] {
-                self.report(format!("key {key} has no higher fence: {holder:?}"));
+                self.report(&format!("key {key} has no higher fence: {holder:?}"));
             }
             self.highest_fences[sample] = self.highest_fences[sample].max(holder.1);
             self.last_holders[sample] = Some(holder);
         }
     }
 
-    fn report(&mut self, violation: String) {
+    fn report(&mut self, violation: &str) {
         self.violations.push(format!("{} ms: {violation}", self.now_ms));
     }
 }
--- a/crates/galenastream_node/tests/platform/caller.rs
+++ b/crates/galenastream_node/tests/platform/caller.rs
@@ -38,7 +38,7 @@
     }
 
     pub async fn send(&mut self, bytes: &[u8]) {
-        self.stream.write_all(bytes).await.unwrap();
+        self.stream.write_all(bytes).await.expect("the stand-ins and the node work");
     }
 
     pub async fn get(&mut self, path: &str, id: &str, key: Option<u16>) -> Option<Answer> {
--- a/crates/galenastream_node/tests/platform/deployment.rs
+++ b/crates/galenastream_node/tests/platform/deployment.rs
@@ -57,13 +57,15 @@
     pub async fn start(name: &str, services: &[&'static str]) -> Self {
         let folder =
             std::env::temp_dir().join(format!("galenastream-{name}-{}", std::process::id()));
-        std::fs::create_dir_all(&folder).unwrap();
+        std::fs::create_dir_all(&folder).expect("the stand-ins and the node work");
         let network = new_network();
-        let store = RowStoreStandin::start((network(1), 0).into()).await.unwrap();
+        let store = RowStoreStandin::start((network(1), 0).into())
+            .await
+            .expect("the stand-ins and the node work");
         store.put("op", "config", config(1).to_string().as_bytes());
         let mut vms = Vec::new();
         for (index, service) in services.iter().enumerate() {
-            let ip = network(10 + u8::try_from(index).unwrap());
+            let ip = network(10 + u8::try_from(index).expect("the stand-ins and the node work"));
             vms.push(Vm::start(index, ip, service, &store, &folder).await);
         }
         let deployment = Self { store, vms, folder };
@@ -74,21 +76,32 @@
     async fn wait_until_ready(&self) {
         for vm in &self.vms {
             let what = format!("{} to be ready", vm.ip);
-            wait_until(&what, START_LIMIT, async || vm.ready().await == Some(200)).await.unwrap();
+            wait_until(&what, START_LIMIT, async || vm.ready().await == Some(200))
+                .await
+                .expect("the stand-ins and the node work");
         }
         let keys = || -> usize { self.vms.iter().map(|it| it.target.key_count()).sum() };
         if self.vms.iter().any(|it| it.service == "carts") {
             wait_until("all keys to be held", START_LIMIT, async || keys() == 65_536)
                 .await
-                .unwrap();
+                .expect("the stand-ins and the node work");
         }
-        for vm in self.vms.iter().filter(|_| self.vms.iter().any(|it| it.service == "stock")) {
-            let what = format!("{} to reach a target", vm.ip);
-            let is_served = async || {
-                let answer = vm.caller().await.get("/stock/probe", "probe", None).await;
-                answer.is_some_and(|it| it.status == 200)
-            };
-            wait_until(&what, START_LIMIT, is_served).await.unwrap();
+        for vm in &self.vms {
+            let what = format!("{} to know its target", vm.ip);
+            wait_until(&what, START_LIMIT, async || {
+                vm.log().iter().any(|it| it["kvs"]["event"] == "target_up")
+            })
+            .await
+            .expect("the stand-ins and the node work");
+            for service in ["stock", "carts"] {
+                if !self.vms.iter().any(|it| it.service == service) {
+                    continue;
+                }
+                let what = format!("{} to reach {service}", vm.ip);
+                wait_until(&what, START_LIMIT, async || vm.reaches(service).await)
+                    .await
+                    .expect("the stand-ins and the node work");
+            }
         }
     }
 
@@ -115,8 +128,9 @@
         let interval = Duration::from_millis(HEARTBEAT_MS);
         let address = SocketAddr::new(ip, 8_001);
         let id = format!("t-{index}");
-        let target =
-            PlatformTargetStandin::start(&id, service, address, control, interval).await.unwrap();
+        let target = PlatformTargetStandin::start(&id, service, address, control, interval)
+            .await
+            .expect("the stand-ins and the node work");
         let settings = folder.join(format!("vm-{index}.toml"));
         let document = settings_document(SettingsFields {
             node: &format!("vm-{index}"),
@@ -125,7 +139,7 @@
             heartbeat_ms: HEARTBEAT_MS,
             store: store.address(),
         });
-        std::fs::write(&settings, document).unwrap();
+        std::fs::write(&settings, document).expect("the stand-ins and the node work");
         let mut vm = Self { ip, service, target, node: None, settings };
         vm.start_node(index, folder);
         vm
@@ -133,12 +147,29 @@
 
     fn start_node(&mut self, index: usize, folder: &Path) {
         let program = Path::new(env!("CARGO_BIN_EXE_galenastreamd"));
-        let settings = self.settings.to_str().unwrap();
+        let settings = self.settings.to_str().expect("the stand-ins and the node work");
         let arguments = ["platform", "--settings", settings];
-        let node = Process::start(&format!("node-{index}"), program, &arguments, folder).unwrap();
+        let node = Process::start(&format!("node-{index}"), program, &arguments, folder)
+            .expect("the stand-ins and the node work");
         self.node = Some(node);
     }
 
+    /// Whether a caller on this VM is served by a service, with any key.
+    async fn reaches(&self, service: &str) -> bool {
+        let mut caller = self.caller().await;
+        let keys: &[Option<u16>] = match service {
+            "carts" => &[Some(0), Some(32_768), Some(65_535)],
+            _ => &[None],
+        };
+        for key in keys.iter().copied() {
+            let answer = caller.get(&format!("/{service}/probe"), "probe", key).await;
+            if answer.is_none_or(|it| it.status != 200) {
+                return false;
+            }
+        }
+        true
+    }
+
     /// The status of the health check, if there is an answer.
     pub async fn ready(&self) -> Option<u16> {
         let mut caller = Caller::connect(SocketAddr::new(self.ip, 8_004)).await?;
@@ -153,30 +184,45 @@
 
     /// The page of metrics.
     pub async fn metrics(&self) -> Answer {
-        let mut caller = Caller::connect(SocketAddr::new(self.ip, 9_464)).await.unwrap();
-        caller.get("/metrics", "metrics", None).await.unwrap()
+        let mut caller = Caller::connect(SocketAddr::new(self.ip, 9_464))
+            .await
+            .expect("the stand-ins and the node work");
+        caller.get("/metrics", "metrics", None).await.expect("the stand-ins and the node work")
     }
 
     /// The log of the node.
     pub fn log(&self) -> Vec<Value> {
-        let output = self.node.as_ref().map(|it| it.output().unwrap()).unwrap_or_default();
+        let output = self
+            .node
+            .as_ref()
+            .map(|it| it.output().expect("the stand-ins and the node work"))
+            .unwrap_or_default();
         output.lines().filter_map(|it| serde_json::from_str(it).ok()).collect()
     }
 
     /// Asks the node to stop and waits until it has.
     pub async fn stop_node(&mut self) -> std::process::ExitStatus {
-        self.node.take().unwrap().terminate().await.unwrap()
+        self.node
+            .take()
+            .expect("the stand-ins and the node work")
+            .terminate()
+            .await
+            .expect("the stand-ins and the node work")
     }
 
     /// Kills the node.
     pub fn kill_node(&mut self) {
-        self.node.take().unwrap().kill().unwrap();
+        self.node
+            .take()
+            .expect("the stand-ins and the node work")
+            .kill()
+            .expect("the stand-ins and the node work");
     }
 }
 
 fn new_network() -> impl Fn(u8) -> IpAddr {
     let number = NEXT_NETWORK.fetch_add(1, Ordering::Relaxed);
     let [process, _] = std::process::id().to_le_bytes()[..2] else { unreachable!() };
-    let third = u8::try_from(number % 256).unwrap();
+    let third = u8::try_from(number % 256).expect("the stand-ins and the node work");
     move |host| IpAddr::V4(Ipv4Addr::new(127, process.max(1), third, host))
 }
--- a/crates/galenastream_routing/tests/load_patterns.rs
+++ b/crates/galenastream_routing/tests/load_patterns.rs
@@ -10,8 +10,8 @@
 
 const SLOTS: u32 = 10;
 const SERVICE_MS: u64 = 60;
-const PROMPT_MS: u64 = 200;
-const DEADLINE_MS: u64 = 500;
+const PROMPT_MS: u32 = 200;
+const DEADLINE_MS: u32 = 500;
 const CLASS: Class = Class::new(200, 3);
 
 const LIMITS: AdmissionLimits = AdmissionLimits {
@@ -36,7 +36,7 @@
 }
 
 /// Plays `per_s` requests a second against one target for ten seconds.
-fn play(per_s: u64, prompt_ms: u64) -> Served {
+fn play(per_s: u64, prompt_ms: u32) -> Served {
     let mut admission = Admission::new(LIMITS, at_ms(0));
     admission.assume_service_time(CLASS, Duration::from_millis(SERVICE_MS));
     let mut served = Served::default();
@@ -47,7 +47,7 @@
         let now = at_ms(now_ms);
         let ended: Vec<_> = running.extract_if(.., |it| it.0 <= now_ms).collect();
         for (_, arrived_ms) in ended {
-            match now_ms - arrived_ms <= PROMPT_MS {
+            match now_ms - arrived_ms <= u64::from(PROMPT_MS) {
                 true => served.prompt += 1,
                 false => served.late += 1,
             }
@@ -71,8 +71,8 @@
         }
         while arrivals * 1_000 < now_ms * per_s {
             arrivals += 1;
-            let prompt = Deadline::new(now, u32::try_from(prompt_ms).unwrap());
-            let deadline = Deadline::new(now, u32::try_from(DEADLINE_MS).unwrap());
+            let prompt = Deadline::new(now, prompt_ms);
+            let deadline = Deadline::new(now, DEADLINE_MS);
             match admission.arrive_promptly(now, CLASS, prompt, deadline).arrival {
                 Arrival::Start => running.push((now_ms + SERVICE_MS, now_ms)),
                 Arrival::Wait { id, until } => {
@@ -92,7 +92,7 @@
     let full = u32::try_from(10 * capacity).unwrap();
     assert!(served.prompt > full * 95 / 100, "{served:?} of {full}");
     assert!(served.late < full / 100, "{served:?}");
-    assert!(served.longest_held_ms <= PROMPT_MS, "{served:?}");
+    assert!(served.longest_held_ms <= u64::from(PROMPT_MS), "{served:?}");
 }
 
 #[test]
--- a/crates/galenastream_standin/src/platform_target/heartbeat_sender.rs
+++ b/crates/galenastream_standin/src/platform_target/heartbeat_sender.rs
@@ -55,13 +55,12 @@
 impl TargetState {
     fn heartbeat(&self, address: SocketAddr, sequence: u64) -> String {
         let leases = self.leases();
-        let (held, released) = leases.lists();
         heartbeat_body(HeartbeatFields {
             address: &address.to_string(),
             service: &self.service,
             sequence,
-            held,
-            released,
+            held: leases.held(),
+            released: leases.released(),
         })
     }
 }
--- a/crates/galenastream_standin/src/platform_target/target_leases.rs
+++ b/crates/galenastream_standin/src/platform_target/target_leases.rs
@@ -21,9 +21,14 @@
 }
 
 impl TargetLeases {
-    /// The lists of the next heartbeat.
-    pub(super) fn lists(&self) -> (&[(u16, u16, u64)], &[(u16, u16, String)]) {
-        (&self.held, &self.released)
+    /// Ranges that are held, with their fencing tokens.
+    pub(super) fn held(&self) -> &[(u16, u16, u64)] {
+        &self.held
+    }
+
+    /// Ranges that were released since the last answer, with their handover tokens.
+    pub(super) fn released(&self) -> &[(u16, u16, String)] {
+        &self.released
     }
 
     /// Takes the answer to a heartbeat in that was sent at `sent_at`.
