--- a/crates/galenastream_node/tests/platform/main.rs
+++ b/crates/galenastream_node/tests/platform/main.rs
@@ -86,6 +86,13 @@
 async fn an_idempotent_request_is_repeated_elsewhere_and_another_one_is_not() {
     let deployment = Deployment::start("repeat", &["stock", "stock"]).await;
     deployment.vms[0].target.set_fault(TargetAnswerFault::Cut);
+    // The first node has to have heard of the second one's target.
+    wait_until("the other target to be known", LIMIT, async || {
+        let answer = deployment.vms[0].caller().await.get("/stock/1", "first", None).await;
+        answer.is_some_and(|it| it.status == 200)
+    })
+    .await
+    .unwrap();
     let mut statuses = Vec::new();
     for number in 0..10 {
         let mut caller = deployment.vms[0].caller().await;
