A target that goes on sending heartbeats lives, whatever showed its end

Cause (found by reading): a target that was taken for ended, by a refused connection, was never listened to again where targets name no time of birth. Change: only heartbeats within 10 s after the end are taken for delayed ones. Nothing is kept of its leases: its keys were passed on, and new ones come under a higher fencing token. Test: a_target_that_goes_on_sending_heartbeats_lives_whatever_showed_its_end (fails before).

--- a/crates/galenastream_mesh/src/process/control_state.rs
+++ b/crates/galenastream_mesh/src/process/control_state.rs
@@ -46,7 +46,8 @@
     pub(super) rows: FastMap<String, Row>,
     pub(super) rows_version: u64,
     pub(super) confirmed_at: Option<BootInstant>,
-    pub(super) ended: Vec<TargetIncarnation>,
+    /// Incarnations that ended, and when.
+    pub(super) ended: Vec<(TargetIncarnation, BootInstant)>,
     pub(super) last_store_contact_at: BootInstant,
     pub(super) asked_peer_at: BootInstant,
     pub(super) probed_at: BootInstant,
@@ -117,7 +118,7 @@
             ControlEvent::Committed { service, assignment, result } => {
                 self.take_commit(&service, &assignment, result, now);
             }
-            ControlEvent::TargetRefused => self.end_local("connection refused"),
+            ControlEvent::TargetRefused => self.end_local("connection refused", now),
             ControlEvent::Settings(settings) => self.settings = *settings,
             ControlEvent::Closing => self.is_closing = true,
         }
--- a/crates/galenastream_mesh/src/process/heartbeats.rs
+++ b/crates/galenastream_mesh/src/process/heartbeats.rs
@@ -60,7 +60,7 @@
         heartbeat: &Heartbeat,
         now: BootInstant,
     ) -> bool {
-        if self.ended.contains(incarnation) {
+        if self.has_ended_lately(incarnation, now) {
             return false;
         }
         if let Some(local) = &self.local {
@@ -70,7 +70,7 @@
             if !self.is_successor(local, heartbeat, now) {
                 return false;
             }
-            self.end_local("another incarnation started at its address");
+            self.end_local("another incarnation started at its address", now);
         }
         log::info!(
             event = "target_up",
--- a/crates/galenastream_mesh/src/process/ownership_facts.rs
+++ b/crates/galenastream_mesh/src/process/ownership_facts.rs
@@ -1,5 +1,7 @@
 //! What this node alone knows of ownership: releases and ends of the target beside it.
 
+use std::time::Duration;
+
 use galenastream_adapter::HeartbeatReply;
 use galenastream_ownership::BootInstant;
 use galenastream_ranges::{Assignment, Holding, KeyRange, RangeEntry, TargetIncarnation};
@@ -9,6 +11,9 @@
 use super::control_state::ControlState;
 use super::local_target::LocalRecord;
 
+/// How late a heartbeat may arrive: seconds, and no longer than the longest lease.
+const HEARTBEAT_DELAY: Duration = Duration::from_millis(10_000);
+
 /// Ended incarnations that are remembered.
 const MAX_ENDED: usize = 16;
 
@@ -82,7 +87,7 @@
 
     /// Whether an incarnation beside this node provably holds no keys any more.
     pub(super) fn has_ended(&self, target: &TargetIncarnation, now: BootInstant) -> bool {
-        if self.ended.contains(target) {
+        if self.has_ended_lately(target, now) {
             return true;
         }
         match &self.local {
@@ -95,14 +100,21 @@
         }
     }
 
+    /// Whether an incarnation ended so short a while ago that a heartbeat of it must be a delayed
+    /// one. Later ones come from a target that lives, whatever showed its end.
+    pub(super) fn has_ended_lately(&self, target: &TargetIncarnation, now: BootInstant) -> bool {
+        let ended = self.ended.iter().rev().find(|(it, _)| it == target);
+        ended.is_some_and(|(_, at)| now.saturating_since(*at) < HEARTBEAT_DELAY)
+    }
+
     /// Forgets the target beside this node, since it has provably ended.
-    pub(super) fn end_local(&mut self, why: &'static str) {
+    pub(super) fn end_local(&mut self, why: &'static str, now: BootInstant) {
         let Some(mut local) = self.local.take() else {
             return;
         };
         log::info!(event = "target_ended", target:% = local.incarnation, why; "");
         local.answer(HeartbeatReply::Acknowledged);
-        self.ended.push(local.incarnation);
+        self.ended.push((local.incarnation, now));
         if self.ended.len() > MAX_ENDED {
             self.ended.remove(0);
         }
--- /dev/null
+++ b/crates/galenastream_mesh/tests/ownership/incarnations.rs
@@ -0,0 +1,56 @@
+//! Which heartbeats are taken for news of the target beside a node.
+
+use galenastream_mesh::{ControlEvent, ControlState};
+use galenastream_standin::{HeartbeatFields, heartbeat_body};
+use tokio::sync::oneshot;
+
+use crate::world::{address, at, settings};
+
+fn beat(state: &mut ControlState, id: &str, sequence: u64, now_ms: u64) {
+    let body = heartbeat_body(HeartbeatFields {
+        address: &address(0),
+        service: "carts",
+        sequence,
+        held: &[],
+        released: &[],
+    });
+    let (answer, _) = oneshot::channel();
+    let target_id = id.to_owned();
+    state.handle(ControlEvent::Heartbeat { target_id, body: body.into(), answer }, at(now_ms));
+}
+
+fn target(state: &ControlState, now_ms: u64) -> Option<String> {
+    state.status(at(now_ms)).target.map(|it| it.id)
+}
+
+#[test]
+fn a_delayed_heartbeat_of_an_earlier_life_does_not_bring_it_back() {
+    let mut state = ControlState::new(settings(0), at(0));
+    beat(&mut state, "old", 1, 100);
+    state.handle(ControlEvent::TargetRefused, at(500));
+    beat(&mut state, "old", 2, 3_000);
+    assert_eq!(target(&state, 3_000), None);
+    beat(&mut state, "new", 1, 3_100);
+    beat(&mut state, "old", 3, 3_200);
+    assert_eq!(target(&state, 3_200).as_deref(), Some("new"));
+}
+
+#[test]
+fn a_target_that_goes_on_sending_heartbeats_lives_whatever_showed_its_end() {
+    let mut state = ControlState::new(settings(0), at(0));
+    beat(&mut state, "t", 1, 100);
+    state.handle(ControlEvent::TargetRefused, at(500));
+    for sequence in 2..14 {
+        beat(&mut state, "t", sequence, 100 + sequence * 900);
+    }
+    assert_eq!(target(&state, 13_000).as_deref(), Some("t"));
+}
+
+#[test]
+fn an_older_sequence_of_the_same_life_is_no_news() {
+    let mut state = ControlState::new(settings(0), at(0));
+    beat(&mut state, "t", 5, 100);
+    beat(&mut state, "t", 4, 9_000);
+    let status = state.status(at(9_000)).target.expect("it is known");
+    assert!(status.is_silent, "the delayed heartbeat does not count");
+}
--- a/crates/galenastream_mesh/tests/ownership/main.rs
+++ b/crates/galenastream_mesh/tests/ownership/main.rs
@@ -1,6 +1,7 @@
 //! Ownership under virtual time: at most one holder of a key at any moment, fences that rise, keys
 //! that are served again. Each run follows from its seed.
 
+mod incarnations;
 mod target;
 mod world;
 
--- a/crates/galenastream_mesh/tests/ownership/world.rs
+++ b/crates/galenastream_mesh/tests/ownership/world.rs
@@ -75,7 +75,7 @@
     pub served_samples: u64,
 }
 
-fn at(ms: u64) -> BootInstant {
+pub fn at(ms: u64) -> BootInstant {
     BootInstant::new(ms * 1_000_000)
 }
 
@@ -429,11 +429,11 @@
     }
 }
 
-fn address(index: usize) -> String {
+pub fn address(index: usize) -> String {
     format!("10.0.0.{}:80", index + 1)
 }
 
-fn settings(index: usize) -> NodeSettings {
+pub fn settings(index: usize) -> NodeSettings {
     let target_address = address(index).parse().expect("an address");
     let any = "10.0.0.99:1".parse().expect("an address");
     let peers = format!("10.0.0.{}:7000", index + 1).parse().expect("an address");
