A leave that is acknowledged before its target is known binds all the same

Change: such leaves are remembered by the target's id, with their time. Test: a_leave_that_was_acknowledged_before_the_target_was_known_binds_all_the_same (failed before).

--- a/crates/galenastream_mesh/src/process/control_state.rs
+++ b/crates/galenastream_mesh/src/process/control_state.rs
@@ -48,6 +48,8 @@
     pub(super) confirmed_at: Option<BootInstant>,
     /// Incarnations that ended, and when.
     pub(super) ended: Vec<(TargetIncarnation, BootInstant)>,
+    /// Ids of targets whose leave was acknowledged before they were known, and when.
+    pub(super) early_leaves: Vec<(String, BootInstant)>,
     pub(super) last_store_contact_at: BootInstant,
     pub(super) asked_peer_at: BootInstant,
     pub(super) probed_at: BootInstant,
@@ -89,6 +91,7 @@
             rows_version: 0,
             confirmed_at: None,
             ended: Vec::new(),
+            early_leaves: Vec::new(),
             last_store_contact_at: started_at,
             asked_peer_at: started_at,
             probed_at: started_at,
--- a/crates/galenastream_mesh/src/process/heartbeats.rs
+++ b/crates/galenastream_mesh/src/process/heartbeats.rs
@@ -19,6 +19,9 @@
 /// Share of the interval between heartbeats for which one is left open, in hundredths.
 const OPEN_HEARTBEAT_PERCENT: u32 = 75;
 
+/// Leaves of targets not known yet that are remembered.
+const MAX_EARLY_LEAVES: usize = 16;
+
 impl ControlState {
     pub(super) fn take_heartbeat(
         &mut self,
@@ -80,7 +83,10 @@
             ""
         );
         let inherited_end = self.terms.inherited_end(self.started_at);
-        self.local = Some(LocalRecord::new(incarnation.clone(), heartbeat, inherited_end, now));
+        let mut local = LocalRecord::new(incarnation.clone(), heartbeat, inherited_end, now);
+        let early_leave = self.early_leaves.iter().find(|(id, _)| **id == *incarnation.id);
+        local.leave_acknowledged_at = early_leave.map(|(_, at)| *at);
+        self.local = Some(local);
         true
     }
 
@@ -111,7 +117,13 @@
                 local.leave_acknowledged_at.get_or_insert(now);
                 log::info!(event = "target_leaves", target:% = local.incarnation, how = "deregister"; "");
             }
-            _ => log::info!(event = "leave_of_unknown_target", target_id; ""),
+            // The process may have started a moment ago. The acknowledgement binds it all the same.
+            _ => {
+                log::info!(event = "leave_of_unknown_target", target_id; "");
+                self.early_leaves.push((target_id.to_owned(), now));
+                let surplus = self.early_leaves.len().saturating_sub(MAX_EARLY_LEAVES);
+                self.early_leaves.drain(..surplus);
+            }
         }
         send_answer(answer, HeartbeatAnswer::Reply(HeartbeatReply::Acknowledged));
     }
