--- /dev/null
+++ b/crates/galenastream_standin/tests/day.rs
@@ -0,0 +1,52 @@
+//! Days are read and checked.
+
+use std::{fs, path::Path};
+
+use expect_test::{Expect, expect};
+use galenastream_standin::DayPlan;
+
+const HEAD: &str = r#"
+name = "a-day"
+length_ms = 1_000
+warm_up_ms = 0
+rate_per_s = 10.0
+vms = [{ service = "carts", data_centre = "east", slots = 1, service_time_ms = 1 }]
+"#;
+
+fn check_refused(rest: &str, expected: &Expect) {
+    let error = DayPlan::parse(&format!("{HEAD}{rest}")).expect_err("the day is refused");
+    expected.assert_eq(error.to_string().trim_end());
+}
+
+#[test]
+fn the_days_of_the_repository_are_valid() {
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples/days");
+    let mut count = 0;
+    for entry in fs::read_dir(folder).unwrap() {
+        let day = DayPlan::load(&entry.unwrap().path()).unwrap();
+        day.load_plan(vec![([127, 0, 0, 1], 1).into()], 1).check().unwrap();
+        count += 1;
+    }
+    assert!(count > 0);
+}
+
+#[test]
+fn a_day_that_cannot_be_played_is_refused() {
+    check_refused(
+        "traffic = [{ name = \"a\", path = \"/other/\", share_percent = 100.0, deadline_ms = 1 }]",
+        &expect!["/other/ is not under /carts/, /stock/ or /orders/"],
+    );
+    check_refused(
+        "traffic = []\n[[faults]]\nkind = \"node-killed\"\nvm = 1\nat_ms = 0\nfor_ms = 1\n",
+        &expect!["there is no VM 1; count from 0"],
+    );
+    check_refused(
+        "traffic = []\n[[faults]]\nkind = \"node-lost\"\nat_ms = 0\nfor_ms = 1\n",
+        &expect![[r#"
+            TOML parse error at line 9, column 8
+              |
+            9 | kind = "node-lost"
+              |        ^^^^^^^^^^^
+            unknown variant `node-lost`, expected one of `node-killed`, `node-stopped`, `node-suspended`, `target-replaced`, `target-sheds`, `target-fails`, `target-cuts-answers`, `target-mixes-answers`, `target-slow`, `store-refuses`, `store-silent`, `store-loses-answers`, `store-late`, `store-slow`, `store-forgets`"#]],
+    );
+}
--- a/crates/galenastream_wire/src/frame/correlated_frame.rs
+++ b/crates/galenastream_wire/src/frame/correlated_frame.rs
@@ -2,7 +2,7 @@
 
 use prost::Message;
 
-use crate::{Cancel, MeshFrame, PeerFrame, mesh_frame, peer_frame};
+use crate::{Cancel, PeerFrame, peer_frame};
 
 /// A frame that pairs a reply with its request by a number.
 pub trait CorrelatedFrame: Message + Default + Clone + Send + Sync + 'static {
@@ -34,19 +34,3 @@
         peer_frame::Body::Cancel(Cancel {})
     }
 }
-
-impl CorrelatedFrame for MeshFrame {
-    type Body = mesh_frame::Body;
-
-    fn new(correlation: u64, body: Self::Body) -> Self {
-        Self { correlation, body: Some(body) }
-    }
-
-    fn into_parts(self) -> (u64, Option<Self::Body>) {
-        (self.correlation, self.body)
-    }
-
-    fn cancel() -> Self::Body {
-        mesh_frame::Body::Cancel(Cancel {})
-    }
-}
--- a/crates/galenastream_wire/src/frame/frame_codec.rs
+++ b/crates/galenastream_wire/src/frame/frame_codec.rs
@@ -8,7 +8,11 @@
 };
 use tokio_util::codec::{Decoder, Encoder, LengthDelimitedCodec};
 
-use crate::{MAX_FRAME_BYTES, PeerFrame, WireError};
+use crate::WireError;
+
+/// The longest frame that a node sends or accepts, in bytes: the largest body that a config allows
+/// with its headers.
+pub const MAX_FRAME_BYTES: usize = 4 * 1024 * 1024;
 
 /// Reads and writes frames of one message type, each behind its length. Use it with `Framed`.
 ///
@@ -16,18 +20,17 @@
 #[derive(Debug)]
 pub struct FrameCodec<M> {
     frames: LengthDelimitedCodec,
+    /// Whether the length of a frame was read and its bytes are still missing.
+    is_inside: bool,
     message: PhantomData<M>,
 }
 
-/// Reads and writes [`PeerFrame`]s.
-pub type PeerCodec = FrameCodec<PeerFrame>;
-
 impl<M> FrameCodec<M> {
     /// Creates a codec that accepts frames of up to [`MAX_FRAME_BYTES`].
     pub fn new() -> Self {
         let mut builder = LengthDelimitedCodec::builder();
         builder.max_frame_length(MAX_FRAME_BYTES);
-        Self { frames: builder.new_codec(), message: PhantomData }
+        Self { frames: builder.new_codec(), is_inside: false, message: PhantomData }
     }
 }
 
@@ -43,11 +46,14 @@
 
     fn decode(&mut self, buffer: &mut BytesMut) -> Result<Option<M>, WireError> {
         let announced_bytes = announced_length(buffer);
+        let available_bytes = buffer.len();
         let Some(bytes) =
             self.frames.decode(buffer).map_err(|it| too_long(&it, announced_bytes))?
         else {
+            self.is_inside |= announced_bytes > 0 && buffer.len() < available_bytes;
             return Ok(None);
         };
+        self.is_inside = false;
         // Bodies share the frame's memory instead of being copied.
         Ok(Some(M::decode(bytes.freeze())?))
     }
@@ -56,7 +62,7 @@
         if let Some(frame) = self.decode(buffer)? {
             return Ok(Some(frame));
         }
-        if buffer.is_empty() {
+        if buffer.is_empty() && !self.is_inside {
             return Ok(None);
         }
         Err(WireError::Malformed { reason: "the connection ended inside a frame".to_owned() })
--- a/crates/galenastream_wire/src/frame/mod.rs
+++ b/crates/galenastream_wire/src/frame/mod.rs
@@ -3,5 +3,5 @@
 mod correlated_frame;
 mod frame_codec;
 
-pub use correlated_frame::*;
-pub use frame_codec::*;
+pub use correlated_frame::CorrelatedFrame;
+pub use frame_codec::{FrameCodec, MAX_FRAME_BYTES};
--- a/crates/galenastream_wire/src/lib.rs
+++ b/crates/galenastream_wire/src/lib.rs
@@ -1,25 +1,21 @@
-//! Messages and framing between the system's own processes.
+//! Messages and framing between nodes.
+//!
+//! One [`PeerFrame`] carries one message; [`FrameCodec`] reads and writes it behind its length. Use
+//! both with `tokio_util`'s `Framed`. Decoders accept any bytes: they end with a message or a
+//! [`WireError`].
 
-mod control;
 mod error;
 mod frame;
-mod header;
-mod identity;
-mod mesh;
-mod peer;
-mod row;
+mod message;
 
-pub use control::*;
-pub use error::*;
-pub use frame::*;
-pub use mesh::*;
-pub use peer::*;
-pub use row::*;
+pub use error::WireError;
+pub use frame::{CorrelatedFrame, FrameCodec, MAX_FRAME_BYTES};
+pub use message::*;
 
 /// The types that most programs need.
 pub mod prelude {
     pub use crate::{
-        Answer, Forward, PeerCodec, PeerFrame, RouteQuery, RouteReply, WireError, decode_control,
-        decode_row, encode_control, encode_row, peer_frame,
+        CorrelatedFrame, ForwardedReply, ForwardedRequest, FrameCodec, PeerFrame, WireError,
+        peer_frame,
     };
 }
--- a/crates/galenastream_wire/src/mesh/frame.rs
+++ b/crates/galenastream_wire/src/message/frame.rs
@@ -4,20 +4,22 @@
 
 /// One message on a connection between two nodes.
 #[derive(Clone, PartialEq, Message)]
-pub struct MeshFrame {
+pub struct PeerFrame {
     /// Pairs a reply with its request. Chosen by the side that opened the connection.
     #[prost(uint64, tag = "1")]
     pub correlation: u64,
     /// The message.
-    #[prost(oneof = "mesh_frame::Body", tags = "2, 3, 4, 5, 6, 7, 8")]
-    pub body: Option<mesh_frame::Body>,
+    #[prost(oneof = "peer_frame::Body", tags = "2, 3, 4, 5, 6, 7, 8")]
+    pub body: Option<peer_frame::Body>,
 }
 
-/// The kinds of messages in a [`MeshFrame`].
-pub mod mesh_frame {
+/// The kinds of messages in a [`PeerFrame`].
+pub mod peer_frame {
     use prost::Oneof;
 
-    use crate::{Cancel, MeshReply, MeshRequest, NodeStatus, StatusSeen, SyncQuery, SyncState};
+    use crate::{
+        Cancel, ForwardedReply, ForwardedRequest, NodeStatus, StatusSeen, SyncQuery, SyncState,
+    };
 
     /// A message.
     #[derive(Clone, PartialEq, Oneof)]
@@ -30,10 +32,10 @@
         StatusSeen(StatusSeen),
         /// A request for the target beside the receiver.
         #[prost(message, tag = "4")]
-        Request(MeshRequest),
+        Request(ForwardedRequest),
         /// The reply to a `Request`.
         #[prost(message, tag = "5")]
-        Reply(MeshReply),
+        Reply(ForwardedReply),
         /// The sender no longer wants the reply to the request with the same correlation.
         #[prost(message, tag = "6")]
         Cancel(Cancel),
@@ -45,3 +47,7 @@
         SyncState(SyncState),
     }
 }
+
+/// The sender no longer wants a reply.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub struct Cancel {}
--- a/crates/galenastream_wire/src/mesh/mod.rs
+++ b/crates/galenastream_wire/src/message/mod.rs
@@ -1,11 +1,13 @@
-//! Messages between nodes that share the platform's store.
+//! Messages between nodes.
 
 mod frame;
+mod header;
 mod node_status;
 mod request;
 mod sync;
 
-pub use frame::*;
+pub use frame::{Cancel, PeerFrame, peer_frame};
+pub use header::Header;
 pub use node_status::*;
 pub use request::*;
 pub use sync::*;
--- a/crates/galenastream_wire/src/mesh/request.rs
+++ b/crates/galenastream_wire/src/message/request.rs
@@ -6,7 +6,7 @@
 
 /// A request for the target beside the receiver.
 #[derive(Clone, PartialEq, Message)]
-pub struct MeshRequest {
+pub struct ForwardedRequest {
     /// The caller's id of the request.
     #[prost(string, tag = "1")]
     pub request_id: String,
@@ -54,12 +54,12 @@
 
 /// What became of a request.
 #[derive(Clone, PartialEq, Message)]
-pub struct MeshReply {
+pub struct ForwardedReply {
     /// What became of it.
-    #[prost(enumeration = "MeshOutcome", tag = "1")]
+    #[prost(enumeration = "ReplyOutcome", tag = "1")]
     pub outcome: i32,
     /// Why it did not run or why nobody knows.
-    #[prost(enumeration = "MeshReason", tag = "2")]
+    #[prost(enumeration = "ReplyReason", tag = "2")]
     pub reason: i32,
     /// The status of the target's response.
     #[prost(uint32, tag = "3")]
@@ -84,7 +84,7 @@
 /// What became of a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Enumeration)]
 #[repr(i32)]
-pub enum MeshOutcome {
+pub enum ReplyOutcome {
     /// Nobody knows whether it ran.
     Unknown = 0,
     /// The target answered.
@@ -98,7 +98,7 @@
 /// Why a request was not answered by the target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Enumeration)]
 #[repr(i32)]
-pub enum MeshReason {
+pub enum ReplyReason {
     /// There is nothing to explain.
     None = 0,
     /// The target is not beside this node, or is another incarnation.
@@ -127,7 +127,7 @@
     CallerLeft = 12,
 }
 
-impl MeshReason {
+impl ReplyReason {
     /// The word in logs and metrics.
     pub const fn as_word(self) -> &'static str {
         match self {
