Nodes read the tree of settings from the store; status page; publish on change only

- The row settings/tree of galenastream's table holds the tree.
It reaches nodes as the owners of keys do; a refused one leaves what is in force (tree_refused).
Ten constants of admission, placement, retries, log and planner are fields of the tree now, with the same values as defaults.
- The port of the metrics also serves /status, a JSON page.
- Statuses that tell nothing new are not acted on; the directory is stored, and waiting requests woken, only if it differs; the rows for other nodes are built once a change.
- Placement: what is known of a target's service time fades (half-life 3 s) towards the fastest one's.

--- a/crates/galenastream_node/src/connection/control_connections.rs
+++ b/crates/galenastream_node/src/connection/control_connections.rs
@@ -3,7 +3,7 @@
 use std::sync::{Arc, atomic::Ordering};
 
 use bytes::Bytes;
-use galenastream_adapter::{ControlCall, HeartbeatReply, READY_PATH};
+use galenastream_adapter::{ControlCall, READY_PATH};
 use http::{HeaderValue, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
@@ -18,6 +18,9 @@
 /// The path of the metrics.
 const METRICS_PATH: &str = "/metrics";
 
+/// The path of the page that tells what the node is and does.
+const STATUS_PATH: &str = "/status";
+
 /// Serves heartbeats until the process ends.
 pub async fn serve_control(context: Arc<NodeContext>, listener: TcpListener) {
     accept_all(listener, |stream| {
@@ -30,20 +33,30 @@
     .await;
 }
 
-/// Serves the page of metrics until the process ends.
-pub async fn serve_metrics(listener: TcpListener) {
+/// Serves the pages for operators until the process ends.
+pub async fn serve_operators(context: Arc<NodeContext>, listener: TcpListener) {
     accept_all(listener, |stream| {
-        tokio::spawn(serve_http(stream, |request| {
-            let response = match request.uri().path() {
-                METRICS_PATH => plain(StatusCode::OK, &render_metrics()),
-                _ => plain(StatusCode::NOT_FOUND, "no such page"),
-            };
+        let context = context.clone();
+        tokio::spawn(serve_http(stream, move |request| {
+            let response = answer_operator(&context, request.uri().path());
             async move { response }
         }));
     })
     .await;
 }
 
+fn answer_operator(context: &NodeContext, path: &str) -> Response<Full<Bytes>> {
+    match path {
+        METRICS_PATH => plain(StatusCode::OK, &render_metrics()),
+        STATUS_PATH => match context.page.load().as_deref().map(serde_json::to_vec) {
+            Some(Ok(page)) => json(Bytes::from(page)),
+            Some(Err(error)) => plain(StatusCode::INTERNAL_SERVER_ERROR, &error.to_string()),
+            None => plain(StatusCode::SERVICE_UNAVAILABLE, "the node has just started"),
+        },
+        _ => plain(StatusCode::NOT_FOUND, "no such page"),
+    }
+}
+
 /// Serves health checks until the process ends.
 pub async fn serve_health(context: Arc<NodeContext>, listener: TcpListener) {
     accept_all(listener, |stream| {
@@ -92,14 +105,14 @@
         return plain(StatusCode::SERVICE_UNAVAILABLE, "the node is about to stop");
     }
     match answered.await {
-        Ok(HeartbeatAnswer::Reply(reply)) => json(&reply),
+        Ok(HeartbeatAnswer::Reply(reply)) => json(Bytes::from(reply.encode())),
         Ok(HeartbeatAnswer::Refused { reason }) => plain(StatusCode::BAD_REQUEST, &reason),
         Err(_) => plain(StatusCode::SERVICE_UNAVAILABLE, "the node is about to stop"),
     }
 }
 
-fn json(reply: &HeartbeatReply) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::new(Bytes::from(reply.encode())));
+fn json(body: Bytes) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(body));
     let json = HeaderValue::from_static("application/json");
     response.headers_mut().insert(header::CONTENT_TYPE, json);
     response
--- a/crates/galenastream_node/src/connection/mod.rs
+++ b/crates/galenastream_node/src/connection/mod.rs
@@ -11,7 +11,7 @@
 mod target_connections;
 
 pub use caller_connections::serve_callers;
-pub use control_connections::{serve_control, serve_health, serve_metrics};
+pub use control_connections::{serve_control, serve_health, serve_operators};
 pub use peer_connections::serve_peers;
 pub use peer_links::{PeerLinks, exchange_statuses};
 pub use target_connections::{TargetConnections, TargetResult};
--- a/crates/galenastream_node/src/lib.rs
+++ b/crates/galenastream_node/src/lib.rs
@@ -12,7 +12,7 @@
 
 pub use process::{
     CommandLine, ControlEvent, ControlState, Directory, Effect, HeartbeatAnswer, KeyMeter,
-    LocalTarget, command, run_daemon, start_log,
+    LeasePage, LocalTarget, StatusPage, TargetPage, command, run_daemon, start_log,
 };
 
 /// The types that most programs need.
--- a/crates/galenastream_node/src/process/commit.rs
+++ b/crates/galenastream_node/src/process/commit.rs
@@ -5,13 +5,11 @@
 use bytes::Bytes;
 use galenastream_adapter::{ExpectedRow, RowWrite, StoreClient, StoreError};
 use galenastream_ranges::Assignment;
+use galenastream_wire::{FLEET_TABLE, FleetRow, NodeRow};
+use prost::Message;
 use tokio::{sync::mpsc, time::sleep};
 
-use super::{
-    ControlEvent, NodeContext,
-    fleet_rows::{FLEET_TABLE, NodeRow, keys_row, node_write},
-    store_follower::STORE_CALL_LIMIT,
-};
+use super::{ControlEvent, NodeContext, store_follower::STORE_CALL_LIMIT};
 
 /// Pause after a write that got no response or was refused.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
@@ -36,7 +34,8 @@
         address: settings.listeners.peers.to_string(),
         data_centre: settings.data_centre.clone(),
     };
-    let announcement = [node_write(&settings.node_name, &own_row)];
+    let key = FleetRow::Node(&settings.node_name).key();
+    let announcement = [RowWrite::Put { key, value: Bytes::from(own_row.encode_to_vec()) }];
     while let Err(error) = lane.commit(FLEET_TABLE, &[], &announcement, STORE_CALL_LIMIT).await {
         log::warn!(event = "announcement_failed", reason:% = error; "");
         sleep(RETRY_PAUSE).await;
@@ -44,7 +43,7 @@
     context.announced.notify_one();
     while let Some(order) = orders.recv().await {
         lane.retarget(context.settings.load().store.address);
-        let key = keys_row(&order.service);
+        let key = FleetRow::Keys(&order.service).key();
         let expected = [ExpectedRow { key: key.clone(), version: order.expected_version }];
         let value = Bytes::from(order.assignment.encode_row());
         let writes = [RowWrite::Put { key, value }];
--- a/crates/galenastream_node/src/process/context.rs
+++ b/crates/galenastream_node/src/process/context.rs
@@ -11,11 +11,12 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use bytes::Bytes;
 use galenastream_adapter::NodeSettings;
+use galenastream_settings::SettingsTree;
 use galenastream_utils::BootInstant;
 use galenastream_wire::{NodeStatus, SharedRow, SyncQuery, SyncState};
 use tokio::sync::{Notify, mpsc, watch};
 
-use super::{ControlEvent, Directory, KeyMeter};
+use super::{ControlEvent, Directory, KeyMeter, StatusPage};
 use crate::version::RoutingTable;
 
 /// What the threads of a process share. The control thread writes the snapshots.
@@ -31,6 +32,10 @@
     pub directory: ArcSwap<Directory>,
     /// Counts the changes of the directory; requests that found no owner wait for the next one.
     pub directory_changes: watch::Sender<u64>,
+    /// The settings of galenastream's own decisions.
+    pub tree: ArcSwap<SettingsTree>,
+    /// What operators see of this node.
+    pub page: ArcSwapOption<StatusPage>,
     /// What other nodes may ask for.
     pub sync: ArcSwap<SyncSnapshot>,
     /// What this node says of itself.
@@ -61,7 +66,7 @@
     /// The config as its writer encoded it.
     pub config: Bytes,
     /// The shared rows.
-    pub rows: Vec<SharedRow>,
+    pub rows: Arc<[SharedRow]>,
     /// The version of the shared rows.
     pub rows_version: u64,
     /// When the rows were last known to be current.
@@ -77,7 +82,7 @@
         SyncState {
             config: if has_config { Bytes::new() } else { self.config.clone() },
             rows: match query.rows_version < self.rows_version {
-                true => self.rows.clone(),
+                true => self.rows.to_vec(),
                 false => Vec::new(),
             },
             rows_version: self.rows_version,
--- a/crates/galenastream_node/src/process/control_loop.rs
+++ b/crates/galenastream_node/src/process/control_loop.rs
@@ -81,24 +81,33 @@
     }
 
     /// Publishes what has changed to the traffic thread.
-    fn publish(&self) {
+    fn publish(&mut self) {
+        if !self.state.take_news() {
+            return;
+        }
         let now = boot_now();
+        let context = &self.context;
         if let Some(routing) = self.state.routing() {
-            let is_new =
-                self.context.routing.load().as_ref().is_none_or(|it| !Arc::ptr_eq(it, routing));
+            let is_new = context.routing.load().as_ref().is_none_or(|it| !Arc::ptr_eq(it, routing));
             if is_new {
-                self.context.routing.store(Some(routing.clone()));
+                context.routing.store(Some(routing.clone()));
             }
         }
-        self.context.directory.store(Arc::new(self.state.directory(now)));
-        self.context.directory_changes.send_modify(|it| *it += 1);
-        self.context.sync.store(Arc::new(self.state.sync_snapshot()));
-        let reads_rows = self.state.reads_rows(now);
-        self.context.reads_rows.store(reads_rows, Ordering::Relaxed);
+        if !Arc::ptr_eq(&context.tree.load(), self.state.tree()) {
+            context.tree.store(self.state.tree().clone());
+        }
+        let directory = self.state.directory(now);
+        if **context.directory.load() != directory {
+            context.directory.store(Arc::new(directory));
+            context.directory_changes.send_modify(|it| *it += 1);
+        }
+        context.sync.store(Arc::new(self.state.sync_snapshot()));
+        context.page.store(Some(Arc::new(self.state.status_page(now))));
+        context.reads_rows.store(self.state.reads_rows(now), Ordering::Relaxed);
         let keys_left = self.state.has_keys_to_pass_on();
-        self.context.has_keys_to_pass_on.store(keys_left, Ordering::Relaxed);
+        context.has_keys_to_pass_on.store(keys_left, Ordering::Relaxed);
         let status = self.state.status(now);
-        self.context.status.send_if_modified(|current| {
+        context.status.send_if_modified(|current| {
             let is_new = *current != status;
             *current = status;
             is_new
--- a/crates/galenastream_node/src/process/control_state.rs
+++ b/crates/galenastream_node/src/process/control_state.rs
@@ -6,8 +6,9 @@
 use bytes::Bytes;
 use galenastream_adapter::{NodeSettings, Row};
 use galenastream_ranges::{Assignment, LeaseTerms, Owner, TargetIncarnation, VacancyWatch};
+use galenastream_settings::SettingsTree;
 use galenastream_utils::{BootInstant, FastMap};
-use galenastream_wire::KeyLoadRecord;
+use galenastream_wire::{KeyLoadRecord, SharedRow};
 
 use super::local_target::LocalRecord;
 use super::peer_book::PeerBook;
@@ -44,6 +45,12 @@
     pub(super) effects: Vec<Effect>,
     pub(super) encoded_config: Bytes,
     pub(super) rows: FastMap<String, Row>,
+    /// The rows as other nodes get them, until they change.
+    pub(super) shared_rows: Option<Arc<[SharedRow]>>,
+    pub(super) tree: Arc<SettingsTree>,
+    pub(super) tree_version: u64,
+    /// Whether anything may have changed that is published.
+    has_news: bool,
     pub(super) rows_version: u64,
     pub(super) confirmed_at: Option<BootInstant>,
     /// Incarnations that ended, and when.
@@ -88,6 +95,10 @@
             effects: Vec::new(),
             encoded_config: Bytes::new(),
             rows: FastMap::default(),
+            shared_rows: None,
+            tree: Arc::default(),
+            tree_version: 0,
+            has_news: true,
             rows_version: 0,
             confirmed_at: None,
             ended: Vec::new(),
@@ -107,7 +118,12 @@
             ControlEvent::Deregister { target_id, answer } => {
                 self.take_leave(&target_id, answer, now);
             }
-            ControlEvent::PeerStatus(status) => self.take_status(status, now),
+            ControlEvent::PeerStatus(status) => {
+                // Most statuses only say that their sender lives.
+                if !self.take_status(status, now) && self.effects.is_empty() {
+                    return Vec::new();
+                }
+            }
             ControlEvent::PeerState { state, asked_at } => {
                 self.take_peer_state(state, asked_at, now);
             }
@@ -125,6 +141,7 @@
             ControlEvent::Settings(settings) => self.settings = *settings,
             ControlEvent::Closing => self.is_closing = true,
         }
+        self.has_news = true;
         self.settle(now);
         std::mem::take(&mut self.effects)
     }
@@ -134,15 +151,26 @@
         self.settle(now);
         self.watch_local(now);
         self.watch_store(now);
+        self.has_news = true;
         std::mem::take(&mut self.effects)
     }
 
+    /// Whether anything may have changed that is published since this was asked last.
+    pub fn take_news(&mut self) -> bool {
+        std::mem::take(&mut self.has_news)
+    }
+
     /// Notes what the traffic thread measured of the target beside this node.
     pub fn set_local_load(&mut self, capacity_milli_per_s: u64, key_loads: Vec<KeyLoadRecord>) {
         self.local_capacity_milli_per_s = capacity_milli_per_s;
         self.local_key_loads = key_loads;
     }
 
+    /// The settings of galenastream's own decisions that are in force.
+    pub fn tree(&self) -> &Arc<SettingsTree> {
+        &self.tree
+    }
+
     /// The routes in force.
     pub fn routing(&self) -> Option<&Arc<RoutingTable>> {
         self.routing.as_ref()
--- a/crates/galenastream_node/src/process/daemon.rs
+++ b/crates/galenastream_node/src/process/daemon.rs
@@ -30,10 +30,10 @@
     store_follower::{FollowedTable, follow_table},
 };
 use crate::connection::{
-    exchange_statuses, serve_callers, serve_control, serve_health, serve_metrics, serve_peers,
+    exchange_statuses, serve_callers, serve_control, serve_health, serve_operators, serve_peers,
 };
 
-/// The port of the metrics, as `deploy/system.toml` names it to the platform.
+/// The port of the pages for operators, as `deploy/system.toml` names it to the platform.
 const METRICS_PORT: u16 = 9_464;
 
 /// Events that may wait for the control thread.
@@ -70,6 +70,8 @@
         routing: Default::default(),
         directory: ArcSwap::from_pointee(state.directory(started_at)),
         directory_changes: watch::Sender::new(0),
+        tree: Default::default(),
+        page: Default::default(),
         sync: ArcSwap::from_pointee(SyncSnapshot::default()),
         status: watch::Sender::new(state.status(started_at)),
         control,
@@ -113,7 +115,7 @@
         let store = StoreClient::new(&context.settings.load().store);
         let (commits, orders) = mpsc::channel(CONTROL_QUEUE);
         let metrics = SocketAddr::new(listeners.control.ip(), METRICS_PORT);
-        tokio::spawn(serve_metrics(bind(metrics).await?));
+        tokio::spawn(serve_operators(context.clone(), bind(metrics).await?));
         tokio::spawn(follow_settings(context.clone(), settings_path));
         tokio::spawn(serve_control(context.clone(), control));
         tokio::spawn(serve_health(context.clone(), health));
--- a/crates/galenastream_node/src/process/directory.rs
+++ b/crates/galenastream_node/src/process/directory.rs
@@ -9,7 +9,7 @@
 use super::HeldLeases;
 
 /// What the traffic thread knows of nodes, targets and keys.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone, Default, PartialEq)]
 pub struct Directory {
     /// All known nodes, this one first.
     pub nodes: Vec<NodeEntry>,
@@ -20,7 +20,7 @@
 }
 
 /// A node.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct NodeEntry {
     /// Its place in the arena of the process.
     pub key: NodeKey,
@@ -45,7 +45,7 @@
 }
 
 /// A target beside a node.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct TargetEntry {
     /// Its service.
     pub service: Arc<str>,
@@ -58,7 +58,7 @@
 }
 
 /// The target beside this node.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct LocalTarget {
     /// Its service.
     pub service: Arc<str>,
@@ -66,8 +66,6 @@
     pub incarnation: TargetIncarnation,
     /// Requests that it processes at once.
     pub slots: u32,
-    /// For how much longer it is slow after its start, counted from when this was said.
-    pub cold_remaining_ms: u64,
     /// When its leave was acknowledged.
     pub leave_acknowledged_at: Option<BootInstant>,
     /// Whether its service's targets hold keys.
--- a/crates/galenastream_node/src/process/leases.rs
+++ b/crates/galenastream_node/src/process/leases.rs
@@ -3,8 +3,10 @@
 use galenastream_ranges::KeyRange;
 use galenastream_utils::BootInstant;
 
+use super::LeasePage;
+
 /// The leases that the target beside this node was granted last.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct HeldLeases {
     /// Each range with its fencing token.
     ranges: Vec<(KeyRange, u64)>,
@@ -27,6 +29,18 @@
         self.ranges.iter().any(|(it, _)| it.overlap(range).is_some())
     }
 
+    /// The leases as operators see them.
+    pub fn pages(&self, now: BootInstant) -> Vec<LeasePage> {
+        let remaining = self.until.saturating_since(now);
+        let page = |(range, fence): &(KeyRange, u64)| LeasePage {
+            first: range.first,
+            last: range.last,
+            fence: *fence,
+            remaining,
+        };
+        self.ranges.iter().map(page).collect()
+    }
+
     /// Whether exactly these ranges were granted.
     pub fn is_same(&self, ranges: &[(KeyRange, u64)]) -> bool {
         self.ranges == ranges
--- a/crates/galenastream_node/src/process/local_target.rs
+++ b/crates/galenastream_node/src/process/local_target.rs
@@ -20,7 +20,6 @@
     /// Heartbeats of this incarnation that this process has seen.
     pub(super) heartbeats: u32,
     pub(super) heard_at: BootInstant,
-    pub(super) cold_until: BootInstant,
     pub(super) leave_acknowledged_at: Option<BootInstant>,
     pub(super) held: Vec<HeldKeys>,
     pub(super) released: Vec<ReleasedKeys>,
@@ -55,7 +54,6 @@
             sequence: 0,
             heartbeats: 0,
             heard_at: now,
-            cold_until: now,
             leave_acknowledged_at: None,
             held: Vec::new(),
             released: Vec::new(),
@@ -70,7 +68,6 @@
         self.heartbeats = self.heartbeats.saturating_add(1);
         self.heard_at = now;
         self.slots = heartbeat.slots;
-        self.cold_until = now + Duration::from_millis(heartbeat.cold_remaining_ms);
         self.held.clone_from(&heartbeat.held);
         self.released.extend(heartbeat.released.iter().cloned());
         // A later release of the same keys replaces an earlier one; only the newest are kept.
--- a/crates/galenastream_node/src/process/peer_book.rs
+++ b/crates/galenastream_node/src/process/peer_book.rs
@@ -5,9 +5,7 @@
 use galenastream_ranges::TargetIncarnation;
 use galenastream_routing::NodeKey;
 use galenastream_utils::{BootInstant, FastMap};
-use galenastream_wire::NodeStatus;
-
-use super::fleet_rows::NodeRow;
+use galenastream_wire::{NodeRow, NodeStatus};
 
 /// A node that was not heard of for this long counts as out of reach: two and a half of the
 /// intervals at which statuses are sent.
--- a/crates/galenastream_node/src/process/planning.rs
+++ b/crates/galenastream_node/src/process/planning.rs
@@ -3,9 +3,10 @@
 use std::time::Duration;
 
 use galenastream_ranges::{
-    Assignment, Holding, KeyLoad, KeyRange, Owner, PlannedMove, Planner, TargetIncarnation,
-    TargetLoad,
+    Assignment, BalanceTerms, Holding, KeyLoad, KeyRange, Owner, PlannedMove, Planner,
+    TargetIncarnation, TargetLoad,
 };
+use galenastream_settings::EffectiveSettings;
 use galenastream_utils::BootInstant;
 use galenastream_wire::{OwnershipFacts, TargetStatus};
 
@@ -15,9 +16,6 @@
 /// than the restart of a process.
 const LOST_AFTER: Duration = Duration::from_millis(3_500);
 
-/// Interval between two rounds of balancing, so that the load shows what the last one changed.
-const BALANCE_INTERVAL: Duration = Duration::from_millis(1_000);
-
 /// How many heartbeat intervals, in hundredths, a planner waits for the targets to show up.
 const SETTLE_PERCENT: u32 = 220;
 
@@ -68,17 +66,20 @@
         self.pass_on_vacant(service, assignment, now);
         self.evacuate_lost(service, assignment, now);
         let targets = self.targets_of(service, now);
-        for planned in Planner::new().place_homeless(assignment, &targets) {
+        let settings = *self.tree.effective(service, &self.settings.data_centre, None);
+        let planner = Planner::new(balance_terms(&settings));
+        for planned in planner.place_homeless(assignment, &targets) {
             apply(assignment, &planned);
         }
         let is_moving = assignment.entries().iter().any(|it| it.holding.leaver().is_some());
+        let round = Duration::from_millis(u64::from(settings.planner_round_ms));
         let record = self.assignment_record(service);
-        if is_moving || now.saturating_since(record.balanced_at) < BALANCE_INTERVAL {
+        if is_moving || now.saturating_since(record.balanced_at) < round {
             return;
         }
         record.balanced_at = now;
         log_loads(service, &targets);
-        for planned in Planner::new().balance(assignment, &targets) {
+        for planned in planner.balance(assignment, &targets) {
             log::info!(event = "keys_move", service, range:% = planned.range, to:% = planned.to.target; "");
             apply(assignment, &planned);
         }
@@ -185,6 +186,14 @@
     TargetLoad { owner, capacity_per_s, takes_keys, loads }
 }
 
+fn balance_terms(settings: &EffectiveSettings) -> BalanceTerms {
+    BalanceTerms {
+        imbalance_ratio: f64::from(settings.planner_imbalance_percent) / 100.0,
+        busy_utilisation: f64::from(settings.planner_busy_percent) / 100.0,
+        moves_per_round: settings.planner_moves_per_round as usize,
+    }
+}
+
 fn apply_facts(
     assignment: &mut Assignment,
     facts: &OwnershipFacts,
--- a/crates/galenastream_node/src/process/publication.rs
+++ b/crates/galenastream_node/src/process/publication.rs
@@ -5,11 +5,11 @@
 use galenastream_ranges::TargetIncarnation;
 use galenastream_routing::NodeKey;
 use galenastream_utils::BootInstant;
-use galenastream_wire::{NodeStatus, SharedRow, TargetStatus};
+use galenastream_wire::{NodeStatus, TargetStatus};
 
 use super::control_state::ControlState;
 use super::local_target::LocalRecord;
-use super::{Directory, LocalTarget, NodeEntry, SyncSnapshot, TargetEntry};
+use super::{Directory, LocalTarget, NodeEntry, StatusPage, SyncSnapshot, TargetEntry, TargetPage};
 
 impl ControlState {
     /// What this node says of itself.
@@ -66,7 +66,7 @@
         Directory {
             nodes,
             assignments: assignments.collect(),
-            local: self.local.as_ref().map(|it| self.local_target(it, now)),
+            local: self.local.as_ref().map(|it| self.local_target(it)),
         }
     }
 
@@ -91,13 +91,11 @@
         }
     }
 
-    pub(super) fn local_target(&self, local: &LocalRecord, now: BootInstant) -> LocalTarget {
-        let cold = local.cold_until.saturating_since(now);
+    pub(super) fn local_target(&self, local: &LocalRecord) -> LocalTarget {
         LocalTarget {
             service: local.service.clone(),
             incarnation: local.incarnation.clone(),
             slots: local.slots,
-            cold_remaining_ms: u64::try_from(cold.as_millis()).unwrap_or(0),
             leave_acknowledged_at: local.leave_acknowledged_at,
             holds_keys: self.is_keyed(&local.service),
             leases: local.granted.clone().unwrap_or_default(),
@@ -105,19 +103,46 @@
     }
 
     /// What other nodes may ask for.
-    pub fn sync_snapshot(&self) -> SyncSnapshot {
-        let rows = self.rows.values().filter_map(|it| {
-            let value = it.value.clone()?;
-            Some(SharedRow { key: it.key.clone(), value, version: it.version })
-        });
+    pub fn sync_snapshot(&mut self) -> SyncSnapshot {
         SyncSnapshot {
             config_version: self.config_version(),
             config: self.encoded_config.clone(),
-            rows: rows.collect(),
+            rows: self.shared_rows(),
             rows_version: self.rows_version,
             confirmed_at: self.confirmed_at,
         }
     }
+
+    /// What operators see of this node.
+    pub fn status_page(&self, now: BootInstant) -> StatusPage {
+        let target = self.local.as_ref().map(|it| TargetPage {
+            id: it.incarnation.id.to_string(),
+            born_ms: it.incarnation.born_ms,
+            service: it.service.to_string(),
+            slots: it.slots,
+            is_draining: it.leave_acknowledged_at.is_some(),
+            is_silent: it.is_silent(now, self.silent_after()),
+            leases: it.granted.as_ref().map_or_else(Vec::new, |it| it.pages(now)),
+        });
+        let confirmed_age = self.confirmed_at.map(|it| now.saturating_since(it));
+        StatusPage {
+            node: self.node.to_string(),
+            data_centre: self.settings.data_centre.clone(),
+            version: env!("CARGO_PKG_VERSION").to_owned(),
+            up: now.saturating_since(self.started_at),
+            config_version: self.config_version(),
+            tree_version: self.tree_version,
+            rows_version: self.rows_version,
+            rows_confirmed_age: confirmed_age,
+            reaches_store: self.reaches_store,
+            reads_rows: self.reads_rows(now),
+            plans: self.is_planner(now),
+            is_closing: self.is_closing,
+            peers_heard: self.peers.iter().filter(|(_, it)| it.is_heard(now)).count(),
+            peers_known: self.peers.iter().count(),
+            target,
+        }
+    }
 }
 
 fn target_entry(status: &TargetStatus) -> TargetEntry {
--- a/crates/galenastream_node/src/process/store_follower.rs
+++ b/crates/galenastream_node/src/process/store_follower.rs
@@ -10,9 +10,10 @@
 };
 use galenastream_runtime::boot_now;
 use galenastream_utils::BootInstant;
+use galenastream_wire::FLEET_TABLE;
 use tokio::time::{sleep, timeout};
 
-use super::{ControlEvent, NodeContext, fleet_rows::FLEET_TABLE};
+use super::{ControlEvent, NodeContext};
 
 /// How long a call to the store may take beyond the time for which it waits: many times the 4 ms
 /// that it takes normally, and about what it takes while it is slow.
--- a/crates/galenastream_node/src/process/store_view.rs
+++ b/crates/galenastream_node/src/process/store_view.rs
@@ -6,13 +6,13 @@
 use bytes::Bytes;
 use galenastream_adapter::{RoutingConfig, Row, StoreError};
 use galenastream_ranges::{Assignment, VacancyWatch};
+use galenastream_settings::SettingsTree;
 use galenastream_utils::BootInstant;
-use galenastream_wire::{NodeStatus, SyncState};
+use galenastream_wire::{FleetRow, NodeRow, NodeStatus, SharedRow, SyncState};
 use prost::Message;
 
 use super::Effect;
 use super::control_state::{AssignmentRecord, ControlState};
-use super::fleet_rows::{FleetRow, NodeRow, keys_row};
 use crate::version::RoutingTable;
 
 /// How long the store may be out of reach before a peer is asked instead.
@@ -38,15 +38,17 @@
 const ASK_PEER_INTERVAL: Duration = Duration::from_millis(800);
 
 impl ControlState {
-    pub(super) fn take_status(&mut self, status: NodeStatus, now: BootInstant) {
+    /// Returns whether the status told anything new.
+    pub(super) fn take_status(&mut self, status: NodeStatus, now: BootInstant) -> bool {
         if status.node == *self.node {
-            return;
+            return false;
         }
         let node = status.node.clone();
         let is_newer = status.config_version > self.config_version()
             || status.rows_version > self.rows_version
                 && !(self.reaches_store && self.reads_rows(now));
-        if self.peers.hear(status, now) {
+        let is_news = self.peers.hear(status, now);
+        if is_news {
             log::debug!(event = "node_changed", node = node.as_str(); "");
         }
         let asked_lately = now.saturating_since(self.asked_peer_at) < NEWS_INTERVAL;
@@ -54,6 +56,7 @@
             self.asked_peer_at = now;
             self.effects.push(Effect::AskPeer { node });
         }
+        is_news
     }
 
     pub(super) fn take_peer_state(
@@ -105,20 +108,54 @@
             }
             self.take_row(&row, now);
             self.rows.insert(row.key.clone(), row);
+            self.shared_rows = None;
+        }
+    }
+
+    /// Puts a tree of settings in force. One that is refused changes nothing.
+    fn take_tree(&mut self, row: &Row) {
+        let version = row.version;
+        let source = format!("version {version}");
+        let Some(value) = &row.value else {
+            log::info!(event = "tree_removed", version; "");
+            self.tree = Arc::default();
+            return;
+        };
+        match SettingsTree::parse(&source, &String::from_utf8_lossy(value)) {
+            Ok(tree) => {
+                log::info!(event = "tree_in_force", version, services = tree.services().len(); "");
+                self.tree = Arc::new(tree);
+                self.tree_version = version;
+            }
+            Err(errors) => log::warn!(event = "tree_refused", version, reason:% = errors; ""),
+        }
+    }
+
+    /// The rows as other nodes get them.
+    pub(super) fn shared_rows(&mut self) -> Arc<[SharedRow]> {
+        if let Some(shared) = &self.shared_rows {
+            return shared.clone();
         }
+        let rows = self.rows.values().filter_map(|it| {
+            let value = it.value.clone()?;
+            Some(SharedRow { key: it.key.clone(), value, version: it.version })
+        });
+        let shared: Arc<[SharedRow]> = rows.collect();
+        self.shared_rows = Some(shared.clone());
+        shared
     }
 
     pub(super) fn take_row(&mut self, row: &Row, now: BootInstant) {
-        match FleetRow::parse(row) {
-            FleetRow::Node(node) if node == &*self.node => {}
-            FleetRow::Node(node) => match row.value.clone().map(NodeRow::decode) {
+        match FleetRow::parse(&row.key) {
+            Some(FleetRow::Node(node)) if node == &*self.node => {}
+            Some(FleetRow::Node(node)) => match row.value.clone().map(NodeRow::decode) {
                 Some(Ok(decoded)) => self.peers.list(node, &decoded),
                 Some(Err(error)) => {
                     log::warn!(event = "node_row_malformed", node, reason:% = error; "");
                 }
                 None => self.peers.remove(node),
             },
-            FleetRow::Keys(service) => {
+            Some(FleetRow::Keys(service)) => {
                 let decoded = row.value.as_deref().map(Assignment::decode_row);
                 match decoded {
                     Some(Ok(assignment)) => self.adopt(service, assignment, row.version, now),
@@ -128,7 +165,8 @@
                     None => log::warn!(event = "keys_row_removed", service; ""),
                 }
             }
-            FleetRow::Unknown => log::warn!(event = "row_unknown", key = row.key.as_str(); ""),
+            Some(FleetRow::Tree) => self.take_tree(row),
+            None => log::warn!(event = "row_unknown", key = row.key.as_str(); ""),
         }
     }
 
@@ -177,7 +215,7 @@
         match result {
             Ok(version) => {
                 let value = Bytes::from(assignment.encode_row());
-                let row = Row { key: keys_row(service), value: Some(value), version };
+                let row = Row { key: FleetRow::Keys(service).key(), value: Some(value), version };
                 self.take_rows(vec![row], now);
             }
             Err(StoreError::Conflict { rows }) => self.take_rows(rows, now),
--- a/crates/galenastream_node/src/process/traffic.rs
+++ b/crates/galenastream_node/src/process/traffic.rs
@@ -3,7 +3,7 @@
 use std::{
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicU64, AtomicUsize, Ordering},
+        atomic::{AtomicUsize, Ordering},
     },
     time::Duration,
 };
@@ -12,27 +12,18 @@
     AdmissionLimits, PlacementBook, RetryTerms, WeightedSplit, WindowedRetryBudget,
 };
 use galenastream_runtime::{AdmissionDesk, LogBudget, boot_now};
+use galenastream_settings::EffectiveSettings;
 use galenastream_utils::FastMap;
 
 use super::NodeContext;
 use crate::connection::{PeerLinks, TargetConnections};
 
-/// Requests that wait at a target for each of its slots, at most. The deadline decides long before.
-const QUEUED_PER_SLOT: u32 = 4;
-
 /// The longest wait for a slot. The deadlines of the requests are the real limit.
 const LONGEST_WAIT_MS: u32 = 10_000;
 
-/// The least time after which a refused caller shall come back.
-const LEAST_RETRY_AFTER_MS: u32 = 50;
-
 /// Slots of a target that has not said how many it has.
 const UNKNOWN_SLOTS: u32 = 1;
 
-/// Log lines about requests a second: twice the requests that a node carries on the busiest days,
-/// each with a line at both ends.
-const LOG_LINES_PER_S: u32 = 400;
-
 /// The state of the traffic thread.
 pub struct Traffic {
     /// What it shares with the control thread.
@@ -43,8 +34,7 @@
     pub target: TargetConnections,
     /// Admission to the target beside this node.
     pub desk: AdmissionDesk,
-    /// Bounds the log lines about requests.
-    pub log_budget: LogBudget,
+    log_budget: LogBudget,
     /// Requests that are in progress at this node.
     pub in_progress: AtomicUsize,
     placement: Mutex<PlacementBook>,
@@ -52,7 +42,7 @@
     splits: Mutex<FastMap<String, WeightedSplit>>,
     service_time: Mutex<galenastream_routing::ServiceTime>,
     pending: AtomicUsize,
-    slots: AtomicU64,
+    limits: Mutex<Option<AdmissionLimits>>,
 }
 
 /// Counts a request until it is dropped.
@@ -66,16 +56,16 @@
         Self {
             links: PeerLinks::new(),
             target: TargetConnections::new(context.settings.load().target_address),
-            desk: AdmissionDesk::new(limits(UNKNOWN_SLOTS)),
+            desk: AdmissionDesk::new(limits(UNKNOWN_SLOTS, &EffectiveSettings::default())),
             context,
-            log_budget: LogBudget::new(LOG_LINES_PER_S),
+            log_budget: LogBudget::new(),
             in_progress: AtomicUsize::new(0),
             placement: Mutex::default(),
             budgets: Mutex::default(),
             splits: Mutex::default(),
             service_time: Mutex::default(),
             pending: AtomicUsize::new(0),
-            slots: AtomicU64::new(u64::from(UNKNOWN_SLOTS)),
+            limits: Mutex::default(),
         }
     }
 
@@ -109,14 +99,17 @@
         action: impl FnOnce(&mut WindowedRetryBudget) -> T,
     ) -> T {
         let bounds = self.context.settings.load().bounds;
+        let used_percent = self.settings_of(service, None).retry_budget_percent;
+        let used_share = f64::from(used_percent) / 100.0;
         let terms = RetryTerms {
-            ratio: bounds.retry_ratio,
-            allowance: bounds.retry_allowance,
+            ratio: bounds.retry_ratio * used_share,
+            allowance: bounds.retry_allowance * used_share,
             window: Duration::from_millis(bounds.retry_window_ms),
         };
         let mut budgets = lock(&self.budgets);
         let budget =
             budgets.entry(service.to_owned()).or_insert_with(|| WindowedRetryBudget::new(terms));
+        budget.set_terms(terms);
         action(budget)
     }
 
@@ -146,12 +139,28 @@
         u32::try_from(self.context.service_time_us.load(Ordering::Relaxed)).unwrap_or(u32::MAX)
     }
 
-    /// Puts the number of slots of the target beside this node in force.
-    pub fn set_slots(&self, slots: u32) {
-        if self.slots.swap(u64::from(slots), Ordering::Relaxed) != u64::from(slots) {
-            self.desk.set_limits(limits(slots));
+    /// The settings of a request that enters at this node, or ends at its target.
+    pub fn settings_of(&self, service: &str, key: Option<u16>) -> EffectiveSettings {
+        let place = &self.context.settings.load().data_centre;
+        *self.context.tree.load().effective(service, place, key)
+    }
+
+    /// Puts the number of slots of the target beside this node in force, and the settings for it.
+    pub fn set_target(&self, service: &str, slots: u32) {
+        let next = limits(slots, &self.settings_of(service, None));
+        let mut current = lock(&self.limits);
+        if *current != Some(next) {
+            *current = Some(next);
+            self.desk.set_limits(next);
         }
     }
+
+    /// Whether a line about a request may be logged.
+    pub fn may_log(&self) -> bool {
+        let service = &self.context.settings.load().service;
+        let lines_per_s = self.settings_of(service, None).log_lines_per_s;
+        self.log_budget.allows(lines_per_s, boot_now())
+    }
 }
 
 impl<'a> Counted<'a> {
@@ -168,12 +177,12 @@
     }
 }
 
-fn limits(slots: u32) -> AdmissionLimits {
+fn limits(slots: u32, settings: &EffectiveSettings) -> AdmissionLimits {
     AdmissionLimits {
         slots: slots.max(1),
-        queue_limit: slots.saturating_mul(QUEUED_PER_SLOT),
+        queue_limit: slots.saturating_mul(settings.queue_per_slot),
         queue_wait_ms: LONGEST_WAIT_MS,
-        retry_after_ms: LEAST_RETRY_AFTER_MS,
+        retry_after_ms: settings.retry_after_ms,
         ramp_up_ms: 0,
     }
 }
--- a/crates/galenastream_node/src/request/entry.rs
+++ b/crates/galenastream_node/src/request/entry.rs
@@ -10,6 +10,7 @@
 use galenastream_ranges::{Holding, Owner, TargetIncarnation};
 use galenastream_routing::PlacementCandidate;
 use galenastream_runtime::{boot_now, sleep_until};
+use galenastream_settings::EffectiveSettings;
 use galenastream_wire::{ForwardedReply, ReplyOutcome, ReplyReason};
 use http::{Request, Response};
 use metrics::{counter, histogram};
@@ -28,10 +29,6 @@
 /// How long a request waits before it looks for the owner of its key again.
 const OWNER_POLL: Duration = Duration::from_millis(30);
 
-/// Share of the target latency for which a request is held while its key moves, in hundredths. A
-/// planned move takes about that; held for longer, the request had better come back.
-const HELD_PERCENT: u32 = 40;
-
 /// A refused caller is told to come back after this part of the time that it has left. Callers do
 /// not wait for longer.
 const RETRY_AFTER_DIVISOR: u32 = 3;
@@ -110,6 +107,7 @@
     service: &'a str,
     /// The request's key, if the targets of the service hold keys.
     key: Option<u16>,
+    settings: EffectiveSettings,
     config_version: u64,
     trace: Mutex<Trace>,
 }
@@ -146,8 +144,9 @@
         let service = &destinations.get(index)?.service;
         let holds_keys = routing.service(service).is_some_and(|it| it.holds_keys);
         let key = request.key.filter(|_| holds_keys);
+        let settings = traffic.settings_of(service, key);
         let (config_version, trace) = (routing.version.0, Mutex::default());
-        Some(Self { traffic, request, service, key, config_version, trace })
+        Some(Self { traffic, request, service, key, settings, config_version, trace })
     }
 
     /// Counts and logs what became of the request, with what decided it.
@@ -162,7 +161,7 @@
         counter!("galenastream_requests_total", "route" => route.clone(), "outcome" => outcome)
             .increment(1);
         histogram!("galenastream_request_seconds", "route" => route).record(elapsed.as_secs_f64());
-        if !self.traffic.log_budget.allows(boot_now()) {
+        if !self.traffic.may_log() {
             return;
         }
         let trace = self.trace.lock().unwrap_or_else(PoisonError::into_inner);
@@ -240,7 +239,8 @@
     fn may_hold(&self) -> bool {
         let directory = self.traffic.context.directory.load();
         let target_latency = Duration::from_millis(self.request.route.target_latency_ms);
-        let held_until = self.request.arrived_at + target_latency * HELD_PERCENT / 100;
+        let held_until =
+            self.request.arrived_at + target_latency * self.settings.hold_percent / 100;
         if boot_now() >= held_until {
             return false;
         }
@@ -262,7 +262,8 @@
     fn refuse_for_owner(&self, progress: &mut Progress) -> Result<ForwardedReply, Refusal> {
         let remaining_ms = self.request.deadline.remaining_ms(boot_now());
         let retry_after_ms = remaining_ms / RETRY_AFTER_DIVISOR;
-        progress.retry_after_ms = retry_after_ms.min(LONGEST_OWNER_RETRY_AFTER_MS);
+        let longest_ms = LONGEST_OWNER_RETRY_AFTER_MS.max(self.settings.retry_after_ms);
+        progress.retry_after_ms = retry_after_ms.clamp(self.settings.retry_after_ms, longest_ms);
         progress.give_up()
     }
 
@@ -296,7 +297,8 @@
                 break;
             }
         }
-        let chosen = self.traffic.placement().choose(&candidates, boot_now())?;
+        let remote_penalty = f64::from(self.settings.remote_penalty_percent) / 100.0;
+        let chosen = self.traffic.placement().choose(&candidates, remote_penalty, boot_now())?;
         let node = directory.nodes.iter().find(|it| it.key == chosen)?;
         let target = node.target.as_ref()?.incarnation.clone();
         Some(Destination { node: node.clone(), target })
--- a/crates/galenastream_node/src/request/target_run.rs
+++ b/crates/galenastream_node/src/request/target_run.rs
@@ -81,7 +81,7 @@
     let reason = ReplyReason::try_from(reply.reason).unwrap_or(ReplyReason::None);
     counter!("galenastream_target_requests_total", "reason" => reason.as_word()).increment(1);
     let now = boot_now();
-    if reason == ReplyReason::None || !traffic.log_budget.allows(now) {
+    if reason == ReplyReason::None || !traffic.may_log() {
         return;
     }
     let elapsed = now.saturating_since(arrived_at);
@@ -210,7 +210,7 @@
         traffic.target.clear();
         return Err(not_sent(ReplyReason::OtherTarget, MOVING_RETRY_AFTER_MS));
     }
-    traffic.set_slots(local.slots);
+    traffic.set_target(&local.service, local.slots);
     let now = boot_now();
     if has_left(traffic, local, now) {
         return Err(not_sent(ReplyReason::Draining, MOVING_RETRY_AFTER_MS));
--- a/crates/galenastream_ranges/src/planner.rs
+++ b/crates/galenastream_ranges/src/planner.rs
@@ -5,15 +5,6 @@
 
 use crate::{Assignment, Holding, KEY_COUNT, KeyRange, Owner};
 
-/// Busiest over mean utilisation above which keys move. Below it a move costs more than it wins.
-const MOVE_ABOVE_RATIO: f64 = 1.25;
-
-/// Utilisation of the busiest target below which nothing waits, so that nothing needs to move.
-const MOVE_ABOVE_UTILISATION: f64 = 0.55;
-
-/// Ranges that one round moves, so that the next one sees what they changed.
-const MAX_MOVES_PER_ROUND: usize = 6;
-
 /// Entries that a target may own; the reply to its heartbeat lists them and is bounded by 4 KiB.
 const MAX_ENTRIES_PER_TARGET: usize = 48;
 
@@ -55,9 +46,22 @@
     pub to: Owner,
 }
 
+/// When keys move for the sake of balance.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct BalanceTerms {
+    /// Busiest over mean utilisation above which keys move. Below it a move costs more than it wins.
+    pub imbalance_ratio: f64,
+    /// Utilisation of the busiest target below which nothing waits, so that nothing needs to move.
+    pub busy_utilisation: f64,
+    /// Ranges that one round moves, so that the next one sees what they changed.
+    pub moves_per_round: usize,
+}
+
 /// Decides which target is to own which keys.
-#[derive(Debug, Clone, Copy, Default)]
-pub struct Planner;
+#[derive(Debug, Clone, Copy)]
+pub struct Planner {
+    terms: BalanceTerms,
+}
 
 /// A piece of keys, its load and its owner among the targets.
 #[derive(Debug, Clone, Copy)]
@@ -69,8 +73,8 @@
 
 impl Planner {
     /// Creates a planner.
-    pub const fn new() -> Self {
-        Self
+    pub const fn new(terms: BalanceTerms) -> Self {
+        Self { terms }
     }
 
     /// Decides who gets the keys that are free, or whose owner is about to leave.
@@ -105,12 +109,12 @@
         let mut pieces = cut_pieces(assignment, targets);
         let mut usage = Usage::new(&pieces, targets);
         let mut moves = Vec::new();
-        for _ in 0..MAX_MOVES_PER_ROUND {
+        for _ in 0..self.terms.moves_per_round {
             let Some((from, to)) = usage.widest_pair() else {
                 break;
             };
             let newcomer = !pieces.iter().any(|it| it.target == Some(to));
-            if !newcomer && !usage.is_unbalanced(from) {
+            if !newcomer && !usage.is_unbalanced(from, self.terms) {
                 break;
             }
             let Some(chosen) = choose_run(&pieces, from, usage.excess(from, to)) else {
@@ -195,10 +199,10 @@
         (from != to).then_some((from, to))
     }
 
-    fn is_unbalanced(&self, from: usize) -> bool {
+    fn is_unbalanced(&self, from: usize, terms: BalanceTerms) -> bool {
         let mean = self.total / self.capacity.max(f64::MIN_POSITIVE);
         let utilisation = self.utilisation(from);
-        utilisation > MOVE_ABOVE_UTILISATION && utilisation > mean * MOVE_ABOVE_RATIO
+        utilisation > terms.busy_utilisation && utilisation > mean * terms.imbalance_ratio
     }
 
     /// The load that is to move from one target to another.
--- a/crates/galenastream_routing/src/process/placement.rs
+++ b/crates/galenastream_routing/src/process/placement.rs
@@ -12,12 +12,13 @@
 /// How much longer a request seems to take at a target that fails all of them.
 const FAILURE_PENALTY: f64 = 12.0;
 
-/// How much longer a request seems to take in another data centre.
-const REMOTE_PENALTY: f64 = 0.25;
-
 /// Time after which the load and the failures that a target showed count for half.
 const HALF_LIFE_MS: f64 = 700.0;
 
+/// Time after which the service time that a target showed counts for half, the other half being that
+/// of the fastest one: about as long as targets are cold or slow.
+const SERVICE_TIME_HALF_LIFE_MS: f64 = 3_000.0;
+
 /// The service time of a target that nothing is known of.
 const UNKNOWN_SERVICE_TIME_US: f64 = 50_000.0;
 
@@ -67,11 +68,21 @@
         Self::default()
     }
 
-    /// Chooses the target at which a request is expected to end first.
-    pub fn choose(&self, candidates: &[PlacementCandidate], now: BootInstant) -> Option<NodeKey> {
-        let by_time = |a: &&PlacementCandidate, b: &&PlacementCandidate| {
-            self.expected_time(a, now).total_cmp(&self.expected_time(b, now))
+    /// Chooses the target at which a request is expected to end first. In another data centre it
+    /// seems to take longer by `remote_penalty` times the service time.
+    pub fn choose(
+        &self,
+        candidates: &[PlacementCandidate],
+        remote_penalty: f64,
+        now: BootInstant,
+    ) -> Option<NodeKey> {
+        let least_us = self.least_service_time_us(candidates);
+        let expected = |it: &PlacementCandidate| {
+            let remote = if it.is_near { 0.0 } else { remote_penalty };
+            self.expected_time(it, least_us, remote, now)
         };
+        let by_time =
+            |a: &&PlacementCandidate, b: &&PlacementCandidate| expected(a).total_cmp(&expected(b));
         candidates.iter().min_by(by_time).map(|it| it.node)
     }
 
@@ -106,24 +117,40 @@
         }
     }
 
-    fn expected_time(&self, candidate: &PlacementCandidate, now: BootInstant) -> f64 {
+    /// The service time of the fastest target.
+    fn least_service_time_us(&self, candidates: &[PlacementCandidate]) -> f64 {
+        let known = candidates.iter().filter_map(|it| self.nodes.get(&it.node));
+        let times = known.map(|it| it.service_time_us).filter(|it| *it > 0.0);
+        times.min_by(f64::total_cmp).unwrap_or(UNKNOWN_SERVICE_TIME_US)
+    }
+
+    fn expected_time(
+        &self,
+        candidate: &PlacementCandidate,
+        least_us: f64,
+        remote: f64,
+        now: BootInstant,
+    ) -> f64 {
         let record = self.nodes.get(&candidate.node).copied().unwrap_or_default();
-        let service_time = match record.service_time_us > 0.0 {
-            true => record.service_time_us,
-            false => UNKNOWN_SERVICE_TIME_US,
+        // A target that is avoided tells nothing new, so what is known of it must not last.
+        let certainty = match record.service_time_us > 0.0 {
+            true => fade(record.observed_at, now, SERVICE_TIME_HALF_LIFE_MS),
+            false => 0.0,
         };
-        let observed = record.observed_pending * fade(record.observed_at, now);
+        let service_time = least_us + (record.service_time_us - least_us) * certainty;
+        let observed = record.observed_pending * fade(record.observed_at, now, HALF_LIFE_MS);
         let pending = observed.max(f64::from(record.in_progress)) + 1.0;
         let occupancy = pending / f64::from(candidate.slots.max(1));
         // Targets slow down before their slots are full, so load spreads before anything waits.
         let waiting = (occupancy - 1.0).max(0.0) + occupancy.min(1.0).powi(2) / 2.0;
-        let remote = if candidate.is_near { 0.0 } else { REMOTE_PENALTY };
-        let failures = record.failure_share * fade(record.failed_at, now) * FAILURE_PENALTY;
+        let failures =
+            record.failure_share * fade(record.failed_at, now, HALF_LIFE_MS) * FAILURE_PENALTY;
         service_time * (1.0 + waiting + remote + failures)
     }
 }
 
-fn fade(since: BootInstant, now: BootInstant) -> f64 {
+/// What is left of the weight of something that was seen at `since`.
+fn fade(since: BootInstant, now: BootInstant, half_life_ms: f64) -> f64 {
     let age_ms = now.saturating_since(since).as_secs_f64() * 1_000.0;
-    (-age_ms / HALF_LIFE_MS).exp2()
+    (-age_ms / half_life_ms).exp2()
 }
--- a/crates/galenastream_routing/src/process/windowed_retry_budget.rs
+++ b/crates/galenastream_routing/src/process/windowed_retry_budget.rs
@@ -10,10 +10,6 @@
 /// The window is counted in this many steps.
 const STEPS_PER_WINDOW: u32 = 20;
 
-/// The share of the allowed retries that is used, so that what this node cannot see has room: the
-/// calls that repeated requests make, and the edges of windows.
-const USED_SHARE: f64 = 0.45;
-
 /// How many retries a service bears.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct RetryTerms {
@@ -46,6 +42,11 @@
         Self { terms, steps: VecDeque::new() }
     }
 
+    /// Puts terms in force.
+    pub fn set_terms(&mut self, terms: RetryTerms) {
+        self.terms = terms;
+    }
+
     /// Counts a request that is sent for the first time.
     pub fn add_request(&mut self, now: BootInstant) {
         self.step(now).requests += 1;
@@ -57,7 +58,7 @@
         let requests: u32 = self.steps.iter().map(|it| it.requests).sum();
         let retries: u32 = self.steps.iter().map(|it| it.retries).sum();
         let own_allowance = self.terms.allowance / node_count.max(1) as f64;
-        let allowed = USED_SHARE * (self.terms.ratio * f64::from(requests) + own_allowance);
+        let allowed = self.terms.ratio * f64::from(requests) + own_allowance;
         if f64::from(retries + 1) > allowed {
             return false;
         }
--- a/crates/galenastream_runtime/src/log_budget.rs
+++ b/crates/galenastream_runtime/src/log_budget.rs
@@ -11,9 +11,8 @@
 const WINDOW: Duration = Duration::from_secs(1);
 
 /// Bounds the lines about requests, so that an overload does not spend its time on logging.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct LogBudget {
-    lines_per_s: u32,
     window: Mutex<Window>,
 }
 
@@ -25,14 +24,14 @@
 }
 
 impl LogBudget {
-    /// Creates a budget of so many lines a second.
-    pub fn new(lines_per_s: u32) -> Self {
-        Self { lines_per_s, window: Mutex::default() }
+    /// Creates a budget without history.
+    pub fn new() -> Self {
+        Self::default()
     }
 
-    /// Whether a line may be logged now. Tells with the first one after a second with too many how
+    /// Whether a line may be logged now, with so many lines a second. Tells with the first one after a second with too many how
     /// many were dropped.
-    pub fn allows(&self, now: BootInstant) -> bool {
+    pub fn allows(&self, lines_per_s: u32, now: BootInstant) -> bool {
         let mut window = self.window.lock().unwrap_or_else(PoisonError::into_inner);
         if now.saturating_since(window.began_at) >= WINDOW {
             if window.dropped > 0 {
@@ -40,7 +39,7 @@
             }
             *window = Window { began_at: now, lines: 0, dropped: 0 };
         }
-        if window.lines >= self.lines_per_s {
+        if window.lines >= lines_per_s {
             window.dropped += 1;
             metrics::counter!("galenastream_log_lines_dropped_total").increment(1);
             return false;
--- a/crates/galenastream_settings/src/version/tree.rs
+++ b/crates/galenastream_settings/src/version/tree.rs
@@ -21,6 +21,21 @@
     pub(crate) removed: Vec<String>,
 }
 
+impl Default for SettingsTree {
+    /// A tree that overrides nothing.
+    fn default() -> Self {
+        Self {
+            source_name: "built-in".to_owned(),
+            defaults: Arc::default(),
+            root: EffectiveSettings::default(),
+            places: Vec::new(),
+            services: Vec::new(),
+            service_positions: FastMap::default(),
+            removed: Vec::new(),
+        }
+    }
+}
+
 impl SettingsTree {
     /// Reads and checks a tree. `source_name` is the file's name in messages.
     ///
--- a/crates/galenastream_wire/src/lib.rs
+++ b/crates/galenastream_wire/src/lib.rs
@@ -1,4 +1,4 @@
-//! Messages and framing between nodes.
+//! Messages and framing between nodes, and the rows that they share in the platform's store.
 //!
 //! One [`PeerFrame`] carries one message; [`FrameCodec`] reads and writes it behind its length. Use
 //! both with `tokio_util`'s `Framed`. Decoders accept any bytes: they end with a message or a
@@ -7,10 +7,12 @@
 mod error;
 mod frame;
 mod message;
+mod row;
 
 pub use error::WireError;
 pub use frame::{CorrelatedFrame, FrameCodec, MAX_FRAME_BYTES};
 pub use message::*;
+pub use row::{FLEET_TABLE, FleetRow, NodeRow};
 
 /// The types that most programs need.
 pub mod prelude {
