galenastreamctl on the platform: settings, config, ranges, members, trace

Cause: its commands spoke to the standalone deployment, which is gone. It reads the rows that nodes share, applies the tree of settings by one conditional write, asks each node's status page, explains the config that operators write, and follows a request's id through log files.

Tests: tables of command lines, and four runs against real nodes (owners and members; a tree applied, in force everywhere, refused when malformed; a lost answer told as unknown; a request traced through both nodes).

--- /dev/null
+++ b/crates/galenastream_ctl/src/process/ctl_error.rs
@@ -0,0 +1,156 @@
+//! Why a command failed.
+
+use std::{net::SocketAddr, path::PathBuf};
+
+use galenastream_adapter::{FormatError, StoreError};
+use galenastream_ranges::RowError;
+use galenastream_settings::SettingsErrors;
+use thiserror::Error;
+
+use crate::ExitStatus;
+
+/// Why a command failed. Each message names the remedy.
+#[derive(Debug, Error)]
+pub enum CtlError {
+    /// A file could not be read.
+    #[error("{}: {reason}\n  remedy: check the path and its permissions", file.display())]
+    UnreadableFile {
+        /// The file.
+        file: PathBuf,
+        /// What the system says.
+        reason: String,
+    },
+    /// A file of settings was refused.
+    #[error("{0}")]
+    Settings(#[from] SettingsErrors),
+    /// The tree in force is not valid for this release.
+    #[error(
+        "version {version} in force cannot be read by this release:\n{errors}\n  remedy: use the galenastreamctl of the release that applied it"
+    )]
+    InForceUnreadable {
+        /// The version.
+        version: u64,
+        /// What is wrong with it.
+        errors: SettingsErrors,
+    },
+    /// Another operator applied a tree in the meantime.
+    #[error(
+        "conflict: the change was made for version {expected}, but version {in_force} is in force; nothing was changed\n  remedy: run `galenastreamctl settings show`, merge your change into it, and apply the result"
+    )]
+    Conflict {
+        /// The version that the change was made for.
+        expected: u64,
+        /// The version in force.
+        in_force: u64,
+    },
+    /// The answer of the store was lost.
+    #[error(
+        "it is not known whether the tree was applied ({reason})\n  remedy: run `galenastreamctl settings show`; apply again only if it shows the old version"
+    )]
+    ApplyUnknown {
+        /// What happened.
+        reason: String,
+    },
+    /// The store did not answer.
+    #[error(
+        "the store at {address} did not answer ({reason}); nothing was changed\n  remedy: check --store, and try again when the store answers"
+    )]
+    StoreUnreachable {
+        /// Its address.
+        address: SocketAddr,
+        /// What happened.
+        reason: String,
+    },
+    /// There is nothing in force yet.
+    #[error("there is no {what} yet\n  remedy: {remedy}")]
+    Missing {
+        /// What is missing.
+        what: &'static str,
+        /// What to do.
+        remedy: &'static str,
+    },
+    /// A config that nodes refuse.
+    #[error("nodes would refuse the config: {error}")]
+    Config {
+        /// Why.
+        error: FormatError,
+    },
+    /// A row of owners that cannot be read.
+    #[error("the owners of {service} cannot be read: {error}")]
+    Owners {
+        /// The service.
+        service: String,
+        /// Why.
+        error: RowError,
+    },
+    /// A name that is not known.
+    #[error("{}", unknown_name(what, name, suggestion.as_deref(), known))]
+    UnknownName {
+        /// What was named, for example a service.
+        what: &'static str,
+        /// The name.
+        name: String,
+        /// The nearest known name.
+        suggestion: Option<String>,
+        /// The known names.
+        known: Vec<String>,
+    },
+    /// The logs have no line about a request.
+    #[error(
+        "no line of the {logs} logs names {request_id}\n  remedy: give the log of the node on the caller's VM first; lines about requests are bounded, and `request_lines_dropped` tells when some were left out"
+    )]
+    NotTraced {
+        /// The request.
+        request_id: String,
+        /// How many logs were read.
+        logs: usize,
+    },
+    /// The process could not start its runtime.
+    #[error("cannot start: {reason}\n  remedy: raise the limits of this shell")]
+    Runtime {
+        /// What the system says.
+        reason: String,
+    },
+}
+
+impl CtlError {
+    /// The exit code that scripts see.
+    pub fn exit_status(&self) -> ExitStatus {
+        match self {
+            Self::UnreadableFile { .. }
+            | Self::Settings(_)
+            | Self::InForceUnreadable { .. }
+            | Self::Missing { .. }
+            | Self::Config { .. }
+            | Self::Owners { .. }
+            | Self::UnknownName { .. }
+            | Self::NotTraced { .. }
+            | Self::Runtime { .. } => ExitStatus::Refused,
+            Self::Conflict { .. } => ExitStatus::Conflict,
+            Self::StoreUnreachable { .. } => ExitStatus::Unreachable,
+            Self::ApplyUnknown { .. } => ExitStatus::Unknown,
+        }
+    }
+
+    /// The errors of a tree, if that is what went wrong.
+    pub(crate) fn settings_errors(&self) -> Option<&SettingsErrors> {
+        match self {
+            Self::Settings(errors) | Self::InForceUnreadable { errors, .. } => Some(errors),
+            _ => None,
+        }
+    }
+
+    /// A call that changes nothing has failed.
+    pub(crate) fn unreachable(address: SocketAddr, error: &StoreError) -> Self {
+        Self::StoreUnreachable { address, reason: error.to_string() }
+    }
+}
+
+fn unknown_name(what: &str, name: &str, suggestion: Option<&str>, known: &[String]) -> String {
+    let known = if known.is_empty() { "none".to_owned() } else { known.join(", ") };
+    let remedy = match suggestion {
+        Some(suggestion) => format!("write {suggestion}"),
+        None => "use one of the known names".to_owned(),
+    };
+    format!("there is no {what} {name}\n  known: {known}\n  remedy: {remedy}")
+}
--- /dev/null
+++ b/crates/galenastream_ctl/src/request/config_source.rs
@@ -0,0 +1,30 @@
+//! Where a config is read from.
+
+use std::{fs, path::PathBuf};
+
+use clap::ArgMatches;
+use galenastream_adapter::{CONFIG_TABLE, RoutingConfig, config_row};
+
+use crate::{CtlError, request::fleet::Fleet};
+
+/// Reads the config in the file that the arguments name, or the one in the store.
+pub(crate) async fn read_config(matches: &ArgMatches) -> Result<RoutingConfig, CtlError> {
+    let encoded = match matches.get_one::<String>("file") {
+        Some(name) => fs::read(name).map_err(|error| CtlError::UnreadableFile {
+            file: PathBuf::from(name),
+            reason: error.to_string(),
+        })?,
+        None => read_stored(matches).await?,
+    };
+    RoutingConfig::decode(&encoded).map_err(|error| CtlError::Config { error })
+}
+
+async fn read_stored(matches: &ArgMatches) -> Result<Vec<u8>, CtlError> {
+    let rows = Fleet::new(matches).read(CONFIG_TABLE).await?;
+    let value = config_row(&rows).and_then(|it| it.value.clone());
+    let missing = CtlError::Missing {
+        what: "config in the store",
+        remedy: "write one; until then nodes answer 503",
+    };
+    Ok(value.ok_or(missing)?.to_vec())
+}
--- /dev/null
+++ b/crates/galenastream_ctl/src/request/fleet.rs
@@ -0,0 +1,76 @@
+//! The rows that nodes share, in the platform's store.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use clap::ArgMatches;
+use galenastream_adapter::{ExpectedRow, Row, RowWrite, StoreClient, StoreError, StoreLane};
+use galenastream_settings::SettingsTree;
+use galenastream_wire::{FLEET_TABLE, FleetRow};
+
+use crate::CtlError;
+
+/// The store that the arguments name.
+pub(crate) struct Fleet {
+    pub(crate) address: SocketAddr,
+    pub(crate) limit: Duration,
+    lane: StoreLane,
+}
+
+/// The tree in force.
+pub(crate) struct TreeInForce {
+    /// The version of its row; 0 if there is none.
+    pub(crate) version: u64,
+    pub(crate) toml: String,
+    pub(crate) tree: SettingsTree,
+}
+
+impl Fleet {
+    /// Reads the arguments.
+    pub(crate) fn new(matches: &ArgMatches) -> Self {
+        let address = *matches.get_one::<SocketAddr>("store").expect("clap requires the address");
+        let timeout_ms = matches.get_one::<u64>("timeout_ms").copied().unwrap_or_default();
+        Self {
+            address,
+            limit: Duration::from_millis(timeout_ms),
+            lane: StoreClient::new(address).open_lane(),
+        }
+    }
+
+    /// Reads all rows of a table.
+    pub(crate) async fn read(&mut self, table: &str) -> Result<Vec<Row>, CtlError> {
+        let read = self.lane.read_table(table, self.limit).await;
+        Ok(read.map_err(|error| CtlError::unreachable(self.address, &error))?.rows)
+    }
+
+    /// Reads the tree in force; one that overrides nothing before the first was applied.
+    pub(crate) async fn read_tree(&mut self) -> Result<TreeInForce, CtlError> {
+        let key = FleetRow::Tree.key();
+        let rows = self.read(FLEET_TABLE).await?;
+        let row = rows.into_iter().find(|it| it.key == key);
+        let Some((version, value)) = row.and_then(|it| Some((it.version, it.value?))) else {
+            let (toml, tree) = (String::new(), SettingsTree::default());
+            return Ok(TreeInForce { version: 0, toml, tree });
+        };
+        let toml = String::from_utf8_lossy(&value).into_owned();
+        let tree = SettingsTree::parse(&format!("version {version}"), &toml)
+            .map_err(|errors| CtlError::InForceUnreadable { version, errors })?;
+        Ok(TreeInForce { version, toml, tree })
+    }
+
+    /// Writes a tree if the one in force still has the given version. Returns the new version.
+    pub(crate) async fn write_tree(&mut self, expected: u64, toml: &str) -> Result<u64, CtlError> {
+        let key = FleetRow::Tree.key();
+        let condition = [ExpectedRow { key: key.clone(), version: expected }];
+        let writes = [RowWrite::Put { key, value: Bytes::copy_from_slice(toml.as_bytes()) }];
+        match self.lane.commit(FLEET_TABLE, &condition, &writes, self.limit).await {
+            Ok(version) => Ok(version),
+            Err(StoreError::Conflict { rows }) => {
+                let in_force = rows.first().map_or(0, |it| it.version);
+                Err(CtlError::Conflict { expected, in_force })
+            }
+            Err(StoreError::NoResponse { reason }) => Err(CtlError::ApplyUnknown { reason }),
+            Err(error) => Err(CtlError::unreachable(self.address, &error)),
+        }
+    }
+}
--- /dev/null
+++ b/crates/galenastream_ctl/src/request/mod.rs
@@ -0,0 +1,52 @@
+//! One request of an operator, a file each.
+
+mod config_check;
+mod config_explain;
+mod config_source;
+mod fleet;
+mod members;
+mod ranges;
+mod settings_apply;
+mod settings_check;
+mod settings_diff;
+mod settings_explain;
+mod settings_file;
+mod settings_show;
+mod trace;
+
+use clap::ArgMatches;
+
+use crate::{CtlError, OutputFormat};
+
+/// Carries out the command that the arguments name.
+pub(crate) async fn run(matches: &ArgMatches, output: OutputFormat) -> Result<(), CtlError> {
+    match matches.subcommand() {
+        Some(("settings", matches)) => run_settings(matches, output).await,
+        Some(("config", matches)) => match matches.subcommand() {
+            Some(("check", matches)) => config_check::run(matches, output).await,
+            Some(("explain", matches)) => config_explain::run(matches, output).await,
+            _ => Ok(()),
+        },
+        Some(("ranges", matches)) => ranges::run(matches, output).await,
+        Some(("members", matches)) => members::run(matches, output).await,
+        Some(("trace", matches)) => trace::run(matches, output),
+        // clap requires one of its subcommands.
+        _ => Ok(()),
+    }
+}
+
+async fn run_settings(matches: &ArgMatches, output: OutputFormat) -> Result<(), CtlError> {
+    match matches.subcommand() {
+        Some(("check", matches)) => settings_check::run(matches, output),
+        Some(("diff", matches)) => settings_diff::run(matches, output).await,
+        Some(("apply", matches)) => settings_apply::run(matches, output).await,
+        Some(("show", matches)) => settings_show::run(matches, output).await,
+        Some(("explain", matches)) => settings_explain::run(matches, output).await,
+        _ => Ok(()),
+    }
+}
+
+/// An argument that clap requires.
+fn argument<'a>(matches: &'a ArgMatches, name: &str) -> &'a str {
+    matches.get_one::<String>(name).map(String::as_str).unwrap_or_default()
+}
--- /dev/null
+++ b/crates/galenastream_ctl/src/request/settings_file.rs
@@ -0,0 +1,29 @@
+//! A file of settings.
+
+use std::{fs, path::PathBuf};
+
+use clap::ArgMatches;
+use galenastream_settings::SettingsTree;
+
+use crate::{CtlError, request::argument};
+
+/// A file of settings that passed its checks.
+#[derive(Debug)]
+pub(crate) struct SettingsFile {
+    pub(crate) name: String,
+    pub(crate) toml: String,
+    pub(crate) tree: SettingsTree,
+}
+
+impl SettingsFile {
+    /// Reads and checks the file that the arguments name.
+    pub(crate) fn read(matches: &ArgMatches) -> Result<Self, CtlError> {
+        let name = argument(matches, "file").to_owned();
+        let toml = fs::read_to_string(&name).map_err(|error| CtlError::UnreadableFile {
+            file: PathBuf::from(&name),
+            reason: error.to_string(),
+        })?;
+        let tree = SettingsTree::parse(&name, &toml)?;
+        Ok(Self { name, toml, tree })
+    }
+}
--- a/crates/galenastream_node/src/connection/control_connections.rs
+++ b/crates/galenastream_node/src/connection/control_connections.rs
@@ -10,7 +10,7 @@
 use tokio::{net::TcpListener, sync::oneshot};
 
 use super::accept::{accept_all, serve_http};
-use crate::process::{ControlEvent, HeartbeatAnswer, NodeContext, render_metrics};
+use crate::process::{ControlEvent, HeartbeatAnswer, NodeContext, STATUS_PATH, render_metrics};
 
 /// The longest heartbeat. One with a few hundred ranges stays far below it.
 const MAX_HEARTBEAT_BYTES: usize = 256 * 1024;
@@ -18,9 +18,6 @@
 /// The path of the metrics.
 const METRICS_PATH: &str = "/metrics";
 
-/// The path of the page that tells what the node is and does.
-const STATUS_PATH: &str = "/status";
-
 /// Serves heartbeats until the process ends.
 pub async fn serve_control(context: Arc<NodeContext>, listener: TcpListener) {
     accept_all(listener, |stream| {
--- a/crates/galenastream_node/src/lib.rs
+++ b/crates/galenastream_node/src/lib.rs
@@ -12,9 +12,12 @@
 
 pub use process::{
     CommandLine, ControlEvent, ControlState, Directory, Effect, HeartbeatAnswer, KeyMeter,
-    LeasePage, LocalTarget, StatusPage, TargetPage, command, run_daemon, start_log,
+    LeasePage, LocalTarget, OPERATORS_PORT, STATUS_PATH, StatusPage, TargetPage, command,
+    run_daemon, start_log,
 };
 
+pub use version::{RouteMatch, RoutingTable};
+
 /// The types that most programs need.
 pub mod prelude {
     pub use crate::{CommandLine, ControlState, run_daemon, start_log};
--- a/crates/galenastream_node/src/process/daemon.rs
+++ b/crates/galenastream_node/src/process/daemon.rs
@@ -34,7 +34,7 @@
 };
 
 /// The port of the pages for operators, as `deploy/system.toml` names it to the platform.
-const METRICS_PORT: u16 = 9_464;
+pub const OPERATORS_PORT: u16 = 9_464;
 
 /// Events that may wait for the control thread.
 const CONTROL_QUEUE: usize = 1_024;
@@ -112,9 +112,9 @@
         let listeners = context.settings.load().listeners;
         let control = bind(listeners.control).await?;
         let health = bind(listeners.ready).await?;
-        let store = StoreClient::new(&context.settings.load().store);
+        let store = StoreClient::new(context.settings.load().store.address);
         let (commits, orders) = mpsc::channel(CONTROL_QUEUE);
-        let metrics = SocketAddr::new(listeners.control.ip(), METRICS_PORT);
+        let metrics = SocketAddr::new(listeners.control.ip(), OPERATORS_PORT);
         tokio::spawn(serve_operators(context.clone(), bind(metrics).await?));
         tokio::spawn(follow_settings(context.clone(), settings_path));
         tokio::spawn(serve_control(context.clone(), control));
--- a/crates/galenastream_node/src/process/status_page.rs
+++ b/crates/galenastream_node/src/process/status_page.rs
@@ -5,6 +5,9 @@
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, serde_as};
 
+/// The path of the page.
+pub const STATUS_PATH: &str = "/status";
+
 /// What operators see of a node.
 #[serde_as]
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/galenastream_standin/src/row_store/fault.rs
+++ b/crates/galenastream_standin/src/row_store/fault.rs
@@ -14,6 +14,8 @@
     Silent,
     /// It does what it is asked and never answers.
     LoseAnswer,
+    /// It does what it is asked, and the answers to writes are lost.
+    LoseWriteAnswer,
     /// It does what it is asked after a while, if the condition still holds, and never answers.
     Late(Duration),
     /// It answers after a while.
--- a/crates/galenastream_standin/src/row_store/row_store_standin.rs
+++ b/crates/galenastream_standin/src/row_store/row_store_standin.rs
@@ -9,7 +9,7 @@
 };
 
 use base64::{Engine, prelude::BASE64_STANDARD};
-use http::StatusCode;
+use http::{Method, StatusCode};
 use serde_json::{Value, json};
 use tokio::{sync::watch, time::timeout};
 use volo::service::Service;
@@ -106,7 +106,10 @@
                 text_reply(status.unwrap_or(StatusCode::SERVICE_UNAVAILABLE), "refused")
             }
             StoreFault::Silent => std::future::pending().await,
-            StoreFault::LoseAnswer => {
+            StoreFault::LoseWriteAnswer if request.method() == Method::GET => {
+                self.answer(request, fault).await
+            }
+            StoreFault::LoseAnswer | StoreFault::LoseWriteAnswer => {
                 self.answer(request, fault).await;
                 std::future::pending().await
             }
