--- a/crates/galenastream_ctl/tests/command_line.rs
+++ b/crates/galenastream_ctl/tests/command_line.rs
@@ -26,7 +26,9 @@
 
 #[test]
 fn help() {
-    check(&["--help"], &expect![[r#"
+    check(
+        &["--help"],
+        &expect![[r#"
         exit 0
         Looks at and steers a galenastream router.
 
@@ -67,12 +69,15 @@
           3  conflict: another operator was first; nothing was changed
           4  the store did not answer; nothing was changed
           5  the answer was lost; it is not known whether the command took effect
-    "#]]);
+    "#]],
+    );
 }
 
 #[test]
 fn what_is_missing_or_wrong_on_the_command_line_ends_with_code_2() {
-    check(&["settings", "apply", "examples/settings/halvorsen.toml"], &expect![[r#"
+    check(
+        &["settings", "apply", "examples/settings/halvorsen.toml"],
+        &expect![[r#"
         exit 2
         error: the following required arguments were not provided:
           --store <IP:PORT>
@@ -80,21 +85,28 @@
         Usage: galenastreamctl settings apply --store <IP:PORT> <FILE>
 
         For more information, try '--help'.
-    "#]]);
-    check(&["ranges", "--store", "127.0.0.1:1", "--key", "65536"], &expect![[r#"
+    "#]],
+    );
+    check(
+        &["ranges", "--store", "127.0.0.1:1", "--key", "65536"],
+        &expect![[r#"
         exit 2
         error: invalid value '65536' for '--key <KEY>': 65536 is not in 0..=65535
 
         For more information, try '--help'.
-    "#]]);
+    "#]],
+    );
 }
 
 #[test]
 fn a_valid_tree_passes_its_check() {
-    check(&["settings", "check", "examples/settings/halvorsen.toml"], &expect![[r#"
+    check(
+        &["settings", "check", "examples/settings/halvorsen.toml"],
+        &expect![[r#"
         exit 0
         examples/settings/halvorsen.toml: valid, 3 places, 2 services
-    "#]]);
+    "#]],
+    );
     check(
         &["--output", "json", "settings", "check", "examples/settings/pamplemousses.toml"],
         &expect![[r#"
@@ -157,12 +169,17 @@
 
 #[test]
 fn a_file_that_is_not_there_or_not_a_tree_is_refused() {
-    check(&["settings", "check", "nowhere.toml"], &expect![[r#"
+    check(
+        &["settings", "check", "nowhere.toml"],
+        &expect![[r#"
         exit 1
         error: nowhere.toml: No such file or directory (os error 2)
           remedy: check the path and its permissions
-    "#]]);
-    check(&["--output", "json", "settings", "check", "README.md"], &expect![[r#"
+    "#]],
+    );
+    check(
+        &["--output", "json", "settings", "check", "README.md"],
+        &expect![[r#"
         exit 1
         {
           "error": {
@@ -793,27 +810,37 @@
             ]
           }
         }
-    "#]]);
-    check(&["config", "check", "--file", "Cargo.toml"], &expect![[r#"
+    "#]],
+    );
+    check(
+        &["config", "check", "--file", "Cargo.toml"],
+        &expect![[r#"
         exit 1
         error: nodes would refuse the config: the document cannot be decoded (expected value at line 1 column 2); correct it at its writer
-    "#]]);
+    "#]],
+    );
 }
 
 #[test]
 fn a_store_that_does_not_answer_ends_with_code_4() {
-    check(&["members", "--store", "127.0.0.1:1"], &expect![[r#"
+    check(
+        &["members", "--store", "127.0.0.1:1"],
+        &expect![[r#"
         exit 4
         error: the store at 127.0.0.1:1 did not answer (the store did not respond (the request was not sent (Connection refused (os error 111)); it may be sent again on another connection); read the row to learn what was written); nothing was changed
           remedy: check --store, and try again when the store answers
-    "#]]);
+    "#]],
+    );
 }
 
 #[test]
 fn a_request_that_no_log_names_is_not_traced() {
-    check(&["trace", "id-1", "README.md"], &expect![[r#"
+    check(
+        &["trace", "id-1", "README.md"],
+        &expect![[r#"
         exit 1
         error: no line of the 1 logs names id-1
           remedy: give the log of the node on the caller's VM first; lines about requests are bounded, and `request_lines_dropped` tells when some were left out
-    "#]]);
+    "#]],
+    );
 }
--- a/crates/galenastream_node/src/request/target_run.rs
+++ b/crates/galenastream_node/src/request/target_run.rs
@@ -68,16 +68,22 @@
     let arrived_at = boot_now();
     let deadline = Deadline::new(arrived_at, request.remaining_ms);
     let prompt = Deadline::new(arrived_at, request.prompt_ms);
-    let request_id = request.request_id.clone();
+    let (request_id, rank) = (request.request_id.clone(), request.rank);
     let mut reply = run(traffic, request, prompt, deadline, caller_left).await;
     reply.pending = traffic.pending();
     reply.service_time_us = traffic.service_time_us();
-    record(traffic, &request_id, arrived_at, &reply);
+    record(traffic, &request_id, rank, arrived_at, &reply);
     reply
 }
 
 /// Logs a request that its target did not answer, with what decided that.
-fn record(traffic: &Traffic, request_id: &str, arrived_at: BootInstant, reply: &ForwardedReply) {
+fn record(
+    traffic: &Traffic,
+    request_id: &str,
+    rank: u32,
+    arrived_at: BootInstant,
+    reply: &ForwardedReply,
+) {
     let reason = ReplyReason::try_from(reply.reason).unwrap_or(ReplyReason::None);
     counter!("galenastream_target_requests_total", "reason" => reason.as_word()).increment(1);
     let now = boot_now();
@@ -88,6 +94,7 @@
     log::info!(
         event = "target_request_failed",
         request_id,
+        rank,
         reason = reason.as_word(),
         status = reply.status,
         pending = reply.pending,
--- a/crates/galenastream_routing/src/process/admission.rs
+++ b/crates/galenastream_routing/src/process/admission.rs
@@ -18,6 +18,10 @@
 /// refused. Enough to keep the target busy while arrivals are uneven.
 const LATE_WAITERS_DIVISOR: u32 = 4;
 
+/// A request is short if it takes at most one in this many of the longest class's service time:
+/// refusing one frees next to nothing, and often fails a longer request that it is a part of.
+const SHORT_DIVISOR: u32 = 8;
+
 /// The room that a target has.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct AdmissionLimits {
@@ -56,6 +60,12 @@
 }
 
 impl ClassTimes {
+    /// Whether requests of a class are short beside those of another one.
+    fn is_short(&self, class: Class) -> bool {
+        let longest = self.by_class.values().map(|it| it.mean()).max().unwrap_or_default();
+        self.by_class.get(&class.index).is_some_and(|it| it.mean() * SHORT_DIVISOR <= longest)
+    }
+
     /// The mean of a class, or of all classes until it is known.
     fn mean_of(&self, class: Class) -> Duration {
         self.by_class.get(&class.index).map_or(self.all.mean(), |it| it.mean())
@@ -131,7 +141,8 @@
     ///
     /// Load pattern: more arrives than the target can work on. In the order of arrival every answer
     /// would then come late; so what could not be prompt any more is refused while other requests
-    /// still can be.
+    /// still can be. Requests that other targets send while they run one are short; a refusal
+    /// wastes what the other target has done, so these may come late.
     pub fn arrive_promptly(
         &mut self,
         now: BootInstant,
@@ -143,18 +154,22 @@
             self.in_progress += 1;
             return Admitted { arrival: Arrival::Start, evicted: None };
         }
-        let prompt = prompt.min(deadline);
-        if !self.is_worth_waiting(now, class, prompt, deadline) {
+        let due = prompt.min(deadline);
+        let prompt = if self.times.is_short(class) { deadline } else { due };
+        if !self.is_worth_waiting(now, class, due, prompt, deadline) {
             return Admitted { arrival: self.shed(now), evicted: None };
         }
         if self.queue.len() < self.limits.queue_limit as usize {
-            return Admitted { arrival: self.wait(now, class, prompt, deadline), evicted: None };
+            return Admitted {
+                arrival: self.wait(now, class, due, prompt, deadline),
+                evicted: None,
+            };
         }
         let Some(lowest) = self.queue.pop_lowest_below(class) else {
             return Admitted { arrival: self.shed(now), evicted: None };
         };
         let evicted = Evicted { id: lowest.id, retry_after_ms: self.next_retry_after_ms(now) };
-        let arrival = self.wait(now, class, prompt, deadline);
+        let arrival = self.wait(now, class, due, prompt, deadline);
         Admitted { arrival, evicted: Some(evicted) }
     }
 
@@ -244,13 +259,14 @@
         &mut self,
         now: BootInstant,
         class: Class,
+        due: Deadline,
         prompt: Deadline,
         deadline: Deadline,
     ) -> Arrival {
         let id = WaitId(self.next_wait);
         self.next_wait += 1;
         let until = (now + self.queue_wait()).min(self.useful_until(now, class, prompt, deadline));
-        self.queue.push(Waiting { id, class, prompt, deadline, until });
+        self.queue.push(Waiting { id, class, due, prompt, deadline, until });
         Arrival::Wait { id, until }
     }
 
@@ -290,10 +306,12 @@
         &self,
         now: BootInstant,
         class: Class,
+        due: Deadline,
         prompt: Deadline,
         deadline: Deadline,
     ) -> bool {
-        let wait = self.expected_wait(now, self.queue.count_ahead_of(class, prompt, now));
+        let ahead = self.queue.count_ahead_of(class, due, prompt, now);
+        let wait = self.expected_wait(now, ahead);
         let answered_at = now + wait + self.times.mean_of(class);
         if wait > self.queue_wait() || deadline.has_passed(answered_at) {
             return false;
--- a/crates/galenastream_routing/src/process/queue.rs
+++ b/crates/galenastream_routing/src/process/queue.rs
@@ -14,6 +14,8 @@
 pub(crate) struct Waiting {
     pub(crate) id: WaitId,
     pub(crate) class: Class,
+    /// Those that are due first go first.
+    pub(crate) due: Deadline,
     /// When an answer loses most of its worth.
     pub(crate) prompt: Deadline,
     pub(crate) deadline: Deadline,
@@ -33,8 +35,14 @@
         self.len
     }
 
-    /// How many waiting requests go before a new one of this class that is due at `prompt`.
-    pub(crate) fn count_ahead_of(&self, class: Class, prompt: Deadline, now: BootInstant) -> usize {
+    /// How many waiting requests go before a new one of this class.
+    pub(crate) fn count_ahead_of(
+        &self,
+        class: Class,
+        due: Deadline,
+        prompt: Deadline,
+        now: BootInstant,
+    ) -> usize {
         let mut ahead = 0;
         for (priority, lane) in self.lanes.range(class.priority..) {
             if *priority > class.priority {
@@ -43,7 +51,7 @@
             }
             let is_ahead = |it: &&Waiting| match prompt.has_passed(now) {
                 true => true,
-                false => it.prompt <= prompt && !it.prompt.has_passed(now),
+                false => it.due <= due && !it.prompt.has_passed(now),
             };
             ahead += lane.iter().filter(is_ahead).count();
         }
@@ -59,7 +67,7 @@
     pub(crate) fn pop_first(&mut self, is_prompt: impl Fn(&Waiting) -> bool) -> Option<Waiting> {
         let mut lane = self.lanes.last_entry()?;
         let prompt = lane.get().iter().enumerate().filter(|(_, it)| is_prompt(it));
-        let index = prompt.min_by_key(|(_, it)| it.prompt).map_or(0, |(index, _)| index);
+        let index = prompt.min_by_key(|(_, it)| it.due).map_or(0, |(index, _)| index);
         let waiting = lane.get_mut().remove(index);
         if lane.get().is_empty() {
             lane.remove();
--- /dev/null
+++ b/examples/embed_admission.rs
@@ -0,0 +1,37 @@
+//! The admission queue in front of a server of your own: what exceeds its slots waits in the order of
+//! its due times, and what could not be answered in time is refused at once.
+
+use std::time::Duration;
+
+use galenastream::{prelude::*, routing::Arrival};
+
+const SLOTS: u32 = 2;
+const SERVICE_TIME_MS: u64 = 100;
+
+fn main() {
+    let limits = AdmissionLimits {
+        slots: SLOTS,
+        queue_limit: 8,
+        queue_wait_ms: 1_000,
+        retry_after_ms: 50,
+        ramp_up_ms: 0,
+    };
+    let start = BootInstant::new(0);
+    let mut admission = Admission::new(limits, start);
+    let class = Class::new(0, 1);
+    admission.assume_service_time(class, Duration::from_millis(SERVICE_TIME_MS));
+    // Six requests at once, each with 250 ms: two run, some wait, the rest is told when to come back.
+    for number in 1..=6 {
+        let deadline = Deadline::new(start, 250);
+        match admission.arrive(start, class, deadline).arrival {
+            Arrival::Start => println!("request {number} starts"),
+            Arrival::Wait { .. } => println!("request {number} waits"),
+            Arrival::Shed { retry_after_ms } => {
+                println!("request {number} is refused; come back in {retry_after_ms} ms");
+            }
+        }
+    }
+    let later = start + Duration::from_millis(SERVICE_TIME_MS);
+    let released = admission.finish_answered(later, class, Duration::from_millis(SERVICE_TIME_MS));
+    println!("{} start when the first one ends", released.started.len());
+}
