A target's capacity is measured by requests for keys alone, from a guess on

Keys went to these targets, and for ten seconds the hot ones were refused.

Change: where targets hold keys, only requests for keys count; the mean starts from a third of the route's target latency. The status page shows the capacity. The test a_few_fast_requests_do_not_make_a_target_look_large failed before (3,325/s against 27/s).

--- a/crates/galenastream_node/src/process/publication.rs
+++ b/crates/galenastream_node/src/process/publication.rs
@@ -120,6 +120,7 @@
             born_ms: it.incarnation.born_ms,
             service: it.service.to_string(),
             slots: it.slots,
+            capacity_milli_per_s: self.local_capacity_milli_per_s,
             is_draining: it.leave_acknowledged_at.is_some(),
             is_silent: it.is_silent(now, self.silent_after()),
             leases: it.granted.as_ref().map_or_else(Vec::new, |it| it.pages(now)),
--- a/crates/galenastream_node/src/process/status_page.rs
+++ b/crates/galenastream_node/src/process/status_page.rs
@@ -59,6 +59,8 @@
     pub service: String,
     /// Requests that it processes at once.
     pub slots: u32,
+    /// Requests a second that it can take, in thousandths; 0 before anything was measured.
+    pub capacity_milli_per_s: u64,
     /// Whether it is about to leave.
     pub is_draining: bool,
     /// Whether its heartbeats have stopped.
--- a/crates/galenastream_node/src/process/traffic.rs
+++ b/crates/galenastream_node/src/process/traffic.rs
@@ -9,7 +9,7 @@
 };
 
 use galenastream_routing::{
-    AdmissionLimits, PlacementBook, RetryTerms, WeightedSplit, WindowedRetryBudget,
+    AdmissionLimits, PlacementBook, RetryTerms, ServiceTime, WeightedSplit, WindowedRetryBudget,
 };
 use galenastream_runtime::{AdmissionDesk, LogBudget, boot_now};
 use galenastream_settings::EffectiveSettings;
@@ -40,7 +40,7 @@
     placement: Mutex<PlacementBook>,
     budgets: Mutex<FastMap<String, WindowedRetryBudget>>,
     splits: Mutex<FastMap<String, WeightedSplit>>,
-    service_time: Mutex<galenastream_routing::ServiceTime>,
+    service_time: Mutex<ServiceTime>,
     pending: AtomicUsize,
     limits: Mutex<Option<AdmissionLimits>>,
 }
@@ -123,10 +123,14 @@
         u32::try_from(self.pending.load(Ordering::Relaxed)).unwrap_or(u32::MAX)
     }
 
-    /// Adds a measured service time of the target beside this node.
-    pub fn add_service_time(&self, sample: Duration) {
+    /// Adds a measured service time of the target beside this node. The mean starts from a guess, so
+    /// that a few samples do not say much.
+    pub fn add_service_time(&self, sample: Duration, guess: Duration) {
         let mean = {
             let mut service_time = lock(&self.service_time);
+            if service_time.mean().is_zero() {
+                *service_time = ServiceTime::new(guess);
+            }
             service_time.add(sample);
             service_time.mean()
         };
--- a/crates/galenastream_node/src/request/target_run.rs
+++ b/crates/galenastream_node/src/request/target_run.rs
@@ -151,6 +151,8 @@
     let Some(outgoing) = build(&request, deadline) else {
         return not_sent(ReplyReason::Invalid, 0);
     };
+    // Where targets hold keys, other requests say nothing of how many of the keyed ones they can take.
+    let is_typical = key_of(&request).is_some() || !holds_keys(traffic);
     let began_at = boot_now();
     let result = tokio::select! {
         result = traffic.target.send(outgoing) => result,
@@ -159,8 +161,8 @@
     let reply = judge(traffic, &request, result);
     if reply.outcome == ReplyOutcome::Answered as i32 {
         slot.answered();
-        if reply.status < 500 {
-            traffic.add_service_time(boot_now().saturating_since(began_at));
+        if reply.status < 500 && is_typical {
+            traffic.add_service_time(boot_now().saturating_since(began_at), guess);
         }
     }
     reply
@@ -233,6 +235,10 @@
     }
 }
 
+fn holds_keys(traffic: &Traffic) -> bool {
+    traffic.context.directory.load().local.as_ref().is_some_and(|it| it.holds_keys)
+}
+
 fn has_left(traffic: &Traffic, local: &LocalTarget, now: BootInstant) -> bool {
     let Some(acknowledged_at) = local.leave_acknowledged_at else {
         return false;
--- a/crates/galenastream_node/tests/platform/main.rs
+++ b/crates/galenastream_node/tests/platform/main.rs
@@ -6,7 +6,7 @@
 
 use deployment::start;
 use galenastream_standin::{
-    DeploymentPlan, StoreFault, TargetAnswerFault, request_bytes, wait_until,
+    CallerConnection, DeploymentPlan, StoreFault, TargetAnswerFault, request_bytes, wait_until,
 };
 use serde_json::Value;
 
@@ -240,3 +240,30 @@
     }
     deployment.close().unwrap();
 }
+
+/// Requests without a key say nothing of how many requests for keys a target can take.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_few_fast_requests_do_not_make_a_target_look_large() {
+    let deployment = start("capacity", &["carts", "stock"]).await;
+    let vm = &deployment.vms[0];
+    let mut caller = vm.caller().await.unwrap();
+    for number in 0..5 {
+        let answer = caller.get("/carts/1", &format!("plain-{number}"), None).await.unwrap();
+        assert_eq!(answer.status, 200);
+    }
+    assert_eq!(caller.get("/carts/1", "keyed", Some(7)).await.unwrap().status, 200);
+    let capacity = async || -> Option<u64> {
+        let mut operator = CallerConnection::connect(vm.metrics_address()).await?;
+        let page = operator.get("/status", "status", None).await?;
+        let page: Value = serde_json::from_str(&page.body).ok()?;
+        page["target"]["capacity_milli_per_s"].as_u64().filter(|it| *it > 0)
+    };
+    wait_until("the capacity to be measured", LIMIT, async || capacity().await.is_some())
+        .await
+        .unwrap();
+    // Eight slots, and a third of the route's target latency until more is measured.
+    let guessed = 8 * 1_000 * 1_000 / 300;
+    let measured = capacity().await.unwrap();
+    assert!(measured < 2 * guessed, "{measured} against {guessed}");
+    deployment.close().unwrap();
+}
