Keys of lost targets hold up no balancing; large services move more at once

Cause: a round of balancing waited until no key of the service was leaving its owner.

Change: a round waits only for planned moves; ranges that are moving count for their next owner and are not planned again; a round moves as many ranges as a quarter of the targets if that is more than the setting.

--- a/crates/galenastream_node/src/process/planning.rs
+++ b/crates/galenastream_node/src/process/planning.rs
@@ -71,10 +71,14 @@
         for planned in planner.place_homeless(assignment, &targets) {
             apply(assignment, &planned);
         }
-        let is_moving = assignment.entries().iter().any(|it| it.holding.leaver().is_some());
         let round = Duration::from_millis(u64::from(settings.planner_round_ms));
+        // Keys of a lost target wait for long; others need not wait for them.
+        let is_balancing = assignment
+            .entries()
+            .iter()
+            .any(|it| matches!(it.holding, Holding::Leaving { to: Some(_), .. }));
         let record = self.assignment_record(service);
-        if is_moving || now.saturating_since(record.balanced_at) < round {
+        if is_balancing || now.saturating_since(record.balanced_at) < round {
             return;
         }
         record.balanced_at = now;
--- /dev/null
+++ b/crates/galenastream_node/tests/ownership/documents.rs
@@ -0,0 +1,59 @@
+//! What the platform and its operators write in these runs.
+
+use std::time::Duration;
+
+use galenastream_adapter::{
+    Bounds, CallerLimits, ConfigVersion, Listeners, NodeSettings, ProcessLimits, RoutingConfig,
+    ServiceRules, StoreSettings,
+};
+
+/// Time between two heartbeats of a target.
+pub const HEARTBEAT_MS: u64 = 900;
+
+pub fn address(index: usize) -> String {
+    format!("10.0.0.{}:80", index + 1)
+}
+
+pub fn settings(index: usize) -> NodeSettings {
+    let target_address = address(index).parse().expect("an address");
+    let any = "10.0.0.99:1".parse().expect("an address");
+    let peers = format!("10.0.0.{}:7000", index + 1).parse().expect("an address");
+    NodeSettings {
+        node_name: format!("vm-{}", address(index)),
+        ip: "10.0.0.1".parse().expect("an address"),
+        data_centre: "east".to_owned(),
+        service: "carts".to_owned(),
+        target_address,
+        heartbeat_ms: HEARTBEAT_MS,
+        listeners: Listeners { callers: any, peers, ready: any, control: any },
+        store: StoreSettings { address: any, transaction_ms: 5.0, max_row_bytes: 65_536 },
+        bounds: Bounds {
+            drain_ms: 2_000,
+            config_apply_ms: 2_000,
+            grace_ms: 6_000,
+            max_hold_ms: 10_000,
+            retry_ratio: 0.2,
+            retry_window_ms: Duration::from_secs(10).as_millis() as u64,
+            retry_allowance: 60.0,
+        },
+        limits: ProcessLimits { memory_mb: 260, descriptors: 4_100 },
+    }
+}
+
+pub fn config() -> RoutingConfig {
+    RoutingConfig {
+        version: ConfigVersion(1),
+        routes: Vec::new(),
+        services: vec![ServiceRules {
+            name: "carts".to_owned(),
+            max_connections: 120,
+            holds_keys: true,
+        }],
+        limits: CallerLimits {
+            max_header_bytes: 16_384,
+            max_body_bytes: 1_024,
+            header_timeout_ms: 3_000,
+            idle_timeout_ms: 15_000,
+        },
+    }
+}
--- a/crates/galenastream_node/tests/ownership/incarnations.rs
+++ b/crates/galenastream_node/tests/ownership/incarnations.rs
@@ -4,7 +4,10 @@
 use galenastream_standin::{HeartbeatFields, heartbeat_body};
 use tokio::sync::oneshot;
 
-use crate::world::{address, at, settings};
+use crate::{
+    documents::{address, settings},
+    world::at,
+};
 
 fn beat(state: &mut ControlState, id: &str, sequence: u64, now_ms: u64) {
     let body = heartbeat_body(HeartbeatFields {
--- a/crates/galenastream_node/tests/ownership/main.rs
+++ b/crates/galenastream_node/tests/ownership/main.rs
@@ -1,11 +1,14 @@
 //! Ownership under virtual time: at most one holder of a key at any moment, fences that rise, keys
 //! that are served again. Each run follows from its seed.
 
+mod documents;
 mod incarnations;
+mod planted;
 mod target;
 mod world;
 
-use world::{Planted, World};
+use planted::Planted;
+use world::World;
 
 const SEEDS: u64 = 100;
 const FAULTY_MS: u64 = 40_000;
--- a/crates/galenastream_node/tests/ownership/world.rs
+++ b/crates/galenastream_node/tests/ownership/world.rs
@@ -1,41 +1,25 @@
 //! A deployment under virtual time: nodes, targets, the store and the faults between them.
 
-use std::time::Duration;
-
 use bytes::Bytes;
-use galenastream_adapter::{
-    Bounds, CallerLimits, ConfigVersion, HeartbeatReply, Listeners, NodeSettings, ProcessLimits,
-    RoutingConfig, Row, ServiceRules, StoreError, StoreSettings,
-};
+use galenastream_adapter::{Row, StoreError};
 use galenastream_node::{ControlEvent, ControlState, Effect, HeartbeatAnswer};
-use galenastream_ranges::{Assignment, Holding};
+use galenastream_ranges::Assignment;
 use galenastream_utils::BootInstant;
 use galenastream_wire::SyncQuery;
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 use tokio::sync::oneshot;
 
-use crate::target::Target;
+use crate::{
+    documents::{HEARTBEAT_MS, address, config, settings},
+    planted::{Planted, complete_all, tamper},
+    target::Target,
+};
 
 pub const STEP_MS: u64 = 10;
-const BEAT_MS: u64 = 900;
 const ROW: &str = "keys/carts";
 /// Keys that the judge looks at.
 const SAMPLES: [u16; 9] = [0, 1, 9_000, 21_845, 21_846, 32_768, 43_690, 43_691, 65_535];
 
-/// A rule that is broken on purpose, to see that the judge notices.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Planted {
-    Nothing,
-    /// Targets are told to hold keys for three times as long.
-    LongerHolds,
-    /// All grants carry the same fencing token.
-    FlatFences,
-    /// A node takes a change for written before it is.
-    UnwrittenChange,
-    /// Keys are passed on as soon as they are to leave their owner.
-    NoRelease,
-}
-
 struct Vm {
     state: Option<ControlState>,
     target: Target,
@@ -246,7 +230,7 @@
                 Err(_) => {}
             }
         }
-        let Some(body) = vm.target.beat(now_ms, BEAT_MS) else {
+        let Some(body) = vm.target.beat(now_ms, HEARTBEAT_MS) else {
             return;
         };
         let (answer, open) = oneshot::channel();
@@ -405,74 +389,3 @@
         self.open = None;
     }
 }
-
-fn tamper(reply: HeartbeatReply, planted: Planted) -> HeartbeatReply {
-    let HeartbeatReply::Leases { mut grants, mut hold_ms } = reply else {
-        return reply;
-    };
-    if planted == Planted::LongerHolds {
-        hold_ms *= 3;
-    }
-    if planted == Planted::FlatFences {
-        for grant in &mut grants {
-            grant.fence = 1;
-        }
-    }
-    HeartbeatReply::Leases { grants, hold_ms }
-}
-
-fn complete_all(assignment: &mut Assignment) {
-    for entry in assignment.clone().entries() {
-        if let Holding::Leaving { from, .. } = &entry.holding {
-            assignment.complete_move(&from.target, entry.range, "");
-        }
-    }
-}
-
-pub fn address(index: usize) -> String {
-    format!("10.0.0.{}:80", index + 1)
-}
-
-pub fn settings(index: usize) -> NodeSettings {
-    let target_address = address(index).parse().expect("an address");
-    let any = "10.0.0.99:1".parse().expect("an address");
-    let peers = format!("10.0.0.{}:7000", index + 1).parse().expect("an address");
-    NodeSettings {
-        node_name: format!("vm-{}", address(index)),
-        ip: "10.0.0.1".parse().expect("an address"),
-        data_centre: "east".to_owned(),
-        service: "carts".to_owned(),
-        target_address,
-        heartbeat_ms: BEAT_MS,
-        listeners: Listeners { callers: any, peers, ready: any, control: any },
-        store: StoreSettings { address: any, transaction_ms: 5.0, max_row_bytes: 65_536 },
-        bounds: Bounds {
-            drain_ms: 2_000,
-            config_apply_ms: 2_000,
-            grace_ms: 6_000,
-            max_hold_ms: 10_000,
-            retry_ratio: 0.2,
-            retry_window_ms: Duration::from_secs(10).as_millis() as u64,
-            retry_allowance: 60.0,
-        },
-        limits: ProcessLimits { memory_mb: 260, descriptors: 4_100 },
-    }
-}
-
-fn config() -> RoutingConfig {
-    RoutingConfig {
-        version: ConfigVersion(1),
-        routes: Vec::new(),
-        services: vec![ServiceRules {
-            name: "carts".to_owned(),
-            max_connections: 120,
-            holds_keys: true,
-        }],
-        limits: CallerLimits {
-            max_header_bytes: 16_384,
-            max_body_bytes: 1_024,
-            header_timeout_ms: 3_000,
-            idle_timeout_ms: 15_000,
-        },
-    }
-}
--- a/crates/galenastream_ranges/src/planner.rs
+++ b/crates/galenastream_ranges/src/planner.rs
@@ -63,12 +63,18 @@
     terms: BalanceTerms,
 }
 
-/// A piece of keys, its load and its owner among the targets.
+/// One in this many of a service's targets: how many ranges a round moves at least. A large service has
+/// more hot keys at once than a small one.
+const TARGETS_PER_MOVE: usize = 4;
+
+/// A piece of keys, its load and who has it, or is about to, among the targets.
 #[derive(Debug, Clone, Copy)]
 struct Piece {
     range: KeyRange,
     weight: f64,
     target: Option<usize>,
+    /// Whether its owner is about to change already.
+    is_moving: bool,
 }
 
 impl Planner {
@@ -92,7 +98,7 @@
         for piece in &pieces {
             let stays = piece.target.is_some_and(|it| targets[it].takes_keys);
             let is_held_elsewhere = piece.target.is_none() && !is_free(assignment, piece.range);
-            if stays || is_held_elsewhere {
+            if stays || is_held_elsewhere || piece.is_moving {
                 continue;
             }
             let Some(taker) = usage.next_taker(piece.weight) else {
@@ -109,7 +115,7 @@
         let mut pieces = cut_pieces(assignment, targets);
         let mut usage = Usage::new(&pieces, targets);
         let mut moves = Vec::new();
-        for _ in 0..self.terms.moves_per_round {
+        for _ in 0..self.moves_per_round(targets.len()) {
             let Some((from, to)) = usage.widest_pair() else {
                 break;
             };
@@ -140,6 +146,15 @@
     }
 }
 
+impl Planner {
+    fn moves_per_round(&self, target_count: usize) -> usize {
+        match self.terms.moves_per_round {
+            0 => 0,
+            moves => moves.max(target_count / TARGETS_PER_MOVE),
+        }
+    }
+}
+
 /// The utilisation of each target.
 struct Usage<'a> {
     targets: &'a [TargetLoad],
@@ -219,36 +234,35 @@
     let even_per_key = (measured * EVEN_SHARE).max(1.0) / f64::from(KEY_COUNT);
     let mut pieces = Vec::new();
     for entry in assignment.entries() {
-        let target = match &entry.holding {
-            Holding::Owned(owner) => targets.iter().position(|it| it.owner == *owner),
-            Holding::Free | Holding::Leaving { .. } => None,
+        let index_of = |owner: &Owner| targets.iter().position(|it| it.owner == *owner);
+        let (measured_by, target) = match &entry.holding {
+            Holding::Owned(owner) => (index_of(owner), index_of(owner)),
+            Holding::Leaving { from, to } => (index_of(from), to.as_ref().and_then(index_of)),
+            Holding::Free => (None, None),
         };
-        let loads = target.map_or(&[][..], |it| &targets[it].loads);
+        let is_moving = entry.holding.leaver().is_some();
+        let loads = measured_by.map_or(&[][..], |it| &targets[it].loads);
         let mut next_key = u32::from(entry.range.first);
         for load in loads {
             let Some(range) = load.range.overlap(entry.range) else {
                 continue;
             };
-            push_even(&mut pieces, next_key, u32::from(range.first), even_per_key, target);
+            let before = Piece { range: entry.range, weight: even_per_key, target, is_moving };
+            push_even(&mut pieces, next_key, u32::from(range.first), before);
             let share = f64::from(range.len()) / f64::from(load.range.len());
             let weight = load.per_s * share + even_per_key * f64::from(range.len());
-            pieces.push(Piece { range, weight, target });
+            pieces.push(Piece { range, weight, target, is_moving });
             next_key = u32::from(range.last) + 1;
         }
         let end = u32::from(entry.range.last) + 1;
-        push_even(&mut pieces, next_key, end, even_per_key, target);
+        let rest = Piece { range: entry.range, weight: even_per_key, target, is_moving };
+        push_even(&mut pieces, next_key, end, rest);
     }
     pieces
 }
 
-/// Adds keys from `first` up to `end` of which nothing is measured.
-fn push_even(
-    pieces: &mut Vec<Piece>,
-    first: u32,
-    end: u32,
-    even_per_key: f64,
-    target: Option<usize>,
-) {
+/// Adds keys from `first` up to `end` of which nothing is measured. `like` has the weight of one key.
+fn push_even(pieces: &mut Vec<Piece>, first: u32, end: u32, like: Piece) {
     let mut first = first;
     while first < end {
         let last = (first + UNKNOWN_PIECE_KEYS).min(end) - 1;
@@ -256,7 +270,7 @@
             return;
         };
         let range = KeyRange { first: first_key, last: last_key };
-        pieces.push(Piece { range, weight: even_per_key * f64::from(range.len()), target });
+        pieces.push(Piece { range, weight: like.weight * f64::from(range.len()), ..like });
         first = last + 1;
     }
 }
@@ -267,7 +281,7 @@
     let mut start = 0;
     let mut sum = 0.0;
     for end in 0..pieces.len() {
-        if pieces[end].target != Some(from) {
+        if pieces[end].target != Some(from) || pieces[end].is_moving {
             start = end + 1;
             sum = 0.0;
             continue;
--- a/crates/galenastream_ranges/tests/planner.rs
+++ b/crates/galenastream_ranges/tests/planner.rs
@@ -163,3 +163,36 @@
     assert_eq!(Planner::new(TERMS).place_homeless(&Assignment::new(), &[]), []);
     assert_eq!(Planner::new(TERMS).balance(&assignment, &[]), []);
 }
+
+/// A move that is under way, perhaps for long, neither holds up others nor is planned again.
+#[test]
+fn a_move_under_way_counts_for_its_next_owner_and_holds_up_no_other() {
+    let mut assignment = Assignment::new();
+    let owners: Vec<Owner> = (0..3)
+        .map(|it| Owner::new(TargetIncarnation::new(format!("t-{it}"), 1), format!("vm-{it}")))
+        .collect();
+    let range = |first, last| KeyRange::new(first, last).unwrap();
+    assignment.give(range(0, 40_000), &owners[0]);
+    assignment.give(range(40_001, 60_000), &owners[1]);
+    assignment.give(range(60_001, 65_535), &owners[2]);
+    // The hottest range of the first target is on its way to the third one.
+    assignment.begin_move(range(0, 999), Some(&owners[2]));
+    let load = |first, last, per_s| KeyLoad { range: range(first, last), per_s };
+    let target = |index: usize, loads: Vec<KeyLoad>| TargetLoad {
+        owner: owners[index].clone(),
+        capacity_per_s: 100.0,
+        takes_keys: true,
+        loads,
+    };
+    let targets = [
+        target(0, vec![load(0, 999, 60.0), load(1_000, 1_999, 40.0), load(2_000, 2_999, 40.0)]),
+        target(1, vec![load(40_001, 60_000, 10.0)]),
+        target(2, vec![load(60_001, 65_535, 5.0)]),
+    ];
+    let moves = Planner::new(TERMS).balance(&assignment, &targets);
+    assert!(!moves.is_empty(), "the first target is still busy");
+    for planned in moves {
+        assert_eq!(planned.to, owners[1], "the third one has its share already");
+        assert!(planned.range.first >= 1_000, "{} moves already", planned.range);
+    }
+}
