After a loss of power a new target says who it is, and nobody waits for more

Cause: keys were not served for about three seconds after all power was back. Heartbeats of the sites do not say when a target was born, so two of them had to show that the target before it had ended; and the planner waited 2.2 heartbeat intervals for targets to show up, whether any was missing or not.

Change: a node whose target inherits keys asks the target at its address for its id, over its service's health check, once a start; that proves as much as a second heartbeat. The planner waits for targets only until all nodes of the rows have said theirs, if the service had owners before.

Tests: a_new_target_that_says_who_it_is_ends_the_one_before_at_once (also: another id proves nothing); the virtual-time runs answer the question with whoever listens, and hold.

--- a/crates/galenastream_node/src/process/control_event.rs
+++ b/crates/galenastream_node/src/process/control_event.rs
@@ -76,6 +76,11 @@
     },
     /// The target beside this node refused a connection.
     TargetRefused,
+    /// A target that listens beside this node was asked who it is.
+    TargetIdentified {
+        /// Its id.
+        target_id: String,
+    },
     /// The settings file has changed.
     Settings(Box<NodeSettings>),
     /// The process is about to stop.
@@ -101,4 +106,9 @@
     },
     /// Find out whether the target beside this node still takes connections.
     ProbeTarget,
+    /// Ask the target that listens beside this node who it is.
+    IdentifyTarget {
+        /// The path that its service answers with the target's id.
+        path: String,
+    },
 }
--- a/crates/galenastream_node/src/process/control_loop.rs
+++ b/crates/galenastream_node/src/process/control_loop.rs
@@ -5,11 +5,15 @@
     time::Duration,
 };
 
+use bytes::Bytes;
+use galenastream_adapter::header_names;
 use galenastream_routing::NodeKey;
-use galenastream_runtime::{boot_now, connect_tcp};
+use galenastream_runtime::{ExchangeError, HttpConnection, boot_now, connect_tcp};
+use http::{Request, header};
+use http_body_util::Full;
 use tokio::{
     sync::mpsc,
-    time::{Instant, MissedTickBehavior, interval},
+    time::{Instant, MissedTickBehavior, interval, timeout},
 };
 
 use super::{ControlEvent, ControlState, Effect, NodeContext, commit::CommitOrder};
@@ -23,6 +27,12 @@
 /// How long opening a connection to the target beside this node may take.
 const PROBE_LIMIT: Duration = Duration::from_millis(150);
 
+/// How long a target may take to say who it is: less than until its second heartbeat.
+const IDENTITY_LIMIT: Duration = Duration::from_millis(700);
+
+/// The longest answer of a health check.
+const MAX_IDENTITY_BYTES: usize = 64 * 1024;
+
 /// Pause between the two refusals that show that the target has ended.
 const PROBE_PAUSE: Duration = Duration::from_millis(30);
 
@@ -132,10 +142,37 @@
             Effect::ProbeTarget => {
                 tokio::spawn(probe_target(self.context.clone()));
             }
+            Effect::IdentifyTarget { path } => {
+                tokio::spawn(identify_target(self.context.clone(), path));
+            }
         }
     }
 }
 
+/// Asks who listens beside this node, and tells the control state.
+async fn identify_target(context: Arc<NodeContext>, path: String) {
+    match timeout(IDENTITY_LIMIT, ask_identity(&context, &path)).await {
+        Ok(Ok(Some(target_id))) => context.tell(ControlEvent::TargetIdentified { target_id }),
+        Ok(Ok(None)) => log::info!(event = "target_unnamed"; ""),
+        Ok(Err(error)) => log::info!(event = "target_not_identified", reason:% = error; ""),
+        Err(_) => log::info!(event = "target_not_identified", reason = "timed out"; ""),
+    }
+}
+
+async fn ask_identity(context: &NodeContext, path: &str) -> Result<Option<String>, ExchangeError> {
+    let address = context.settings.load().target_address;
+    let not_sent = |reason: String| ExchangeError::NotSent { reason };
+    let request = Request::builder()
+        .uri(path)
+        .header(header::HOST, address.to_string())
+        .body(Full::new(Bytes::new()))
+        .map_err(|it| not_sent(it.to_string()))?;
+    let mut connection = HttpConnection::connect(address, PROBE_LIMIT).await?;
+    let response = connection.exchange(request, MAX_IDENTITY_BYTES).await?;
+    let id = response.parts.headers.get(header_names::TARGET_ID);
+    Ok(id.and_then(|it| it.to_str().ok()).map(str::to_owned))
+}
+
 /// Tells the control state if the target refuses connections, twice in a row.
 async fn probe_target(context: Arc<NodeContext>) {
     for _ in 0..2 {
--- a/crates/galenastream_node/src/process/control_state.rs
+++ b/crates/galenastream_node/src/process/control_state.rs
@@ -137,6 +137,7 @@
             ControlEvent::Committed { service, assignment, result } => {
                 self.take_commit(&service, &assignment, result, now);
             }
+            ControlEvent::TargetIdentified { target_id } => self.take_identity(&target_id),
             ControlEvent::TargetRefused => self.end_local("connection refused", now),
             ControlEvent::Settings(settings) => self.settings = *settings,
             ControlEvent::Closing => self.is_closing = true,
@@ -184,6 +185,7 @@
             .flat_map(|it| it.keyed_services())
             .map(|it| it.name.clone())
             .collect();
+        self.ask_identity();
         let is_planner = self.is_planner(now);
         for service in keyed {
             self.settle_service(&service, is_planner, now);
--- a/crates/galenastream_node/src/process/local_target.rs
+++ b/crates/galenastream_node/src/process/local_target.rs
@@ -20,6 +20,8 @@
     /// Heartbeats of this incarnation that this process has seen.
     pub(super) heartbeats: u32,
     pub(super) heard_at: BootInstant,
+    /// Whether it was asked who it is, and said so.
+    pub(super) identity: Identity,
     pub(super) leave_acknowledged_at: Option<BootInstant>,
     pub(super) held: Vec<HeldKeys>,
     pub(super) released: Vec<ReleasedKeys>,
@@ -30,6 +32,17 @@
     pub(super) open_heartbeat: Option<OpenHeartbeat>,
 }
 
+/// What is known of who listens beside this node, apart from heartbeats.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Identity {
+    /// Nothing.
+    Unasked,
+    /// It was asked.
+    Asked,
+    /// The target that the heartbeats name.
+    Confirmed,
+}
+
 /// A heartbeat that is not answered yet.
 #[derive(Debug)]
 pub(super) struct OpenHeartbeat {
@@ -54,6 +67,7 @@
             sequence: 0,
             heartbeats: 0,
             heard_at: now,
+            identity: Identity::Unasked,
             leave_acknowledged_at: None,
             held: Vec::new(),
             released: Vec::new(),
--- a/crates/galenastream_node/src/process/ownership_facts.rs
+++ b/crates/galenastream_node/src/process/ownership_facts.rs
@@ -9,7 +9,7 @@
 
 use super::Effect;
 use super::control_state::ControlState;
-use super::local_target::LocalRecord;
+use super::local_target::{Identity, LocalRecord};
 
 /// How late a heartbeat may arrive: seconds, and no longer than the longest lease.
 const HEARTBEAT_DELAY: Duration = Duration::from_millis(10_000);
@@ -94,8 +94,11 @@
             Some(local) if local.incarnation == *target => {
                 local.is_silent(now, self.silent_after()) && now >= local.leases_end_at
             }
-            // Two heartbeats: one alone may have been delayed since an earlier life.
-            Some(local) => local.heartbeats >= 2 && local.incarnation.born_ms >= target.born_ms,
+            // One heartbeat alone may have been delayed since an earlier life.
+            Some(local) => {
+                let is_certain = local.heartbeats >= 2 || local.identity == Identity::Confirmed;
+                is_certain && local.incarnation.born_ms >= target.born_ms
+            }
             None => now >= self.terms.inherited_end(self.started_at),
         }
     }
@@ -134,6 +137,43 @@
         }
     }
 
+    /// Asks a target who it is whose keys still belong to an earlier one, so that they need not wait
+    /// for its second heartbeat.
+    pub(super) fn ask_identity(&mut self) {
+        let Some(local) = &self.local else {
+            return;
+        };
+        if local.identity != Identity::Unasked || local.heartbeats >= 2 {
+            return;
+        }
+        let rules = self.routing.as_ref().and_then(|it| it.service(&local.service));
+        let Some(path) = rules.map(|it| it.health_path.clone()).filter(|it| !it.is_empty()) else {
+            return;
+        };
+        let assignment = self.assignments.get(&*local.service).map(|it| &it.assignment);
+        let holders = assignment.map(|it| it.holders()).unwrap_or_default();
+        let is_heir =
+            holders.iter().any(|it| it.node == self.node && it.target != local.incarnation);
+        if !is_heir {
+            return;
+        }
+        if let Some(local) = &mut self.local {
+            local.identity = Identity::Asked;
+        }
+        self.effects.push(Effect::IdentifyTarget { path });
+    }
+
+    /// Takes in who listens beside this node.
+    pub(super) fn take_identity(&mut self, target_id: &str) {
+        match &mut self.local {
+            Some(local) if &*local.incarnation.id == target_id => {
+                log::info!(event = "target_identified", target:% = local.incarnation; "");
+                local.identity = Identity::Confirmed;
+            }
+            _ => log::info!(event = "target_differs", target_id; ""),
+        }
+    }
+
     /// Whether keys of the target beside this node are still to be passed on before it stops.
     pub fn has_keys_to_pass_on(&self) -> bool {
         let Some(local) = &self.local else {
--- a/crates/galenastream_node/src/process/planning.rs
+++ b/crates/galenastream_node/src/process/planning.rs
@@ -11,6 +11,7 @@
 use galenastream_wire::{OwnershipFacts, TargetStatus};
 
 use super::control_state::ControlState;
+use super::peer_book::PeerRecord;
 
 /// A node that was not heard of for this long is lost, and its target's keys are taken away: longer
 /// than the restart of a process.
@@ -58,8 +59,7 @@
         assignment: &mut Assignment,
         now: BootInstant,
     ) {
-        let settled = Duration::from_millis(self.settings.heartbeat_ms) * SETTLE_PERCENT / 100;
-        if now.saturating_since(self.started_at) < settled {
+        if !self.has_settled(service, now) {
             return;
         }
         self.apply_peer_facts(service, assignment, now);
@@ -89,6 +89,20 @@
         }
     }
 
+    /// Whether all targets of a service have had time to show up, so that the first ones do not get all
+    /// keys. After a restart of everything the rows tell whom to wait for.
+    fn has_settled(&self, service: &str, now: BootInstant) -> bool {
+        let settle_time = Duration::from_millis(self.settings.heartbeat_ms) * SETTLE_PERCENT / 100;
+        if now.saturating_since(self.started_at) >= settle_time {
+            return true;
+        }
+        let had_owners = self.assignments.get(service).is_some_and(|it| it.version > 0);
+        let is_there = |peer: &PeerRecord| {
+            peer.is_heard(now) && peer.status.as_ref().is_some_and(|it| it.target.is_some())
+        };
+        had_owners && self.local.is_some() && self.peers.iter().all(|(_, it)| is_there(it))
+    }
+
     /// Applies what nodes know that do not reach the store. Facts hold for one version of the row.
     fn apply_peer_facts(&mut self, service: &str, assignment: &mut Assignment, now: BootInstant) {
         let version = self.assignment_record(service).version;
--- a/crates/galenastream_node/tests/ownership/documents.rs
+++ b/crates/galenastream_node/tests/ownership/documents.rs
@@ -48,6 +48,7 @@
             name: "carts".to_owned(),
             max_connections: 120,
             holds_keys: true,
+            health_path: "/health".to_owned(),
         }],
         limits: CallerLimits {
             max_header_bytes: 16_384,
--- a/crates/galenastream_node/tests/ownership/incarnations.rs
+++ b/crates/galenastream_node/tests/ownership/incarnations.rs
@@ -1,15 +1,18 @@
 //! Which heartbeats are taken for news of the target beside a node.
 
-use galenastream_node::{ControlEvent, ControlState};
+use bytes::Bytes;
+use galenastream_adapter::Row;
+use galenastream_node::{ControlEvent, ControlState, Effect};
+use galenastream_ranges::{Assignment, KeyRange, Owner, TargetIncarnation};
 use galenastream_standin::{HeartbeatFields, heartbeat_body};
 use tokio::sync::oneshot;
 
 use crate::{
-    documents::{address, settings},
+    documents::{address, config, settings},
     world::at,
 };
 
-fn beat(state: &mut ControlState, id: &str, sequence: u64, now_ms: u64) {
+fn beat(state: &mut ControlState, id: &str, sequence: u64, now_ms: u64) -> Vec<Effect> {
     let body = heartbeat_body(HeartbeatFields {
         address: &address(0),
         service: "carts",
@@ -20,7 +23,7 @@
     });
     let (answer, _) = oneshot::channel();
     let target_id = id.to_owned();
-    state.handle(ControlEvent::Heartbeat { target_id, body: body.into(), answer }, at(now_ms));
+    state.handle(ControlEvent::Heartbeat { target_id, body: body.into(), answer }, at(now_ms))
 }
 
 fn target(state: &ControlState, now_ms: u64) -> Option<String> {
@@ -70,3 +73,37 @@
     let status = state.status(at(2_300)).target.expect("it is known");
     assert!(status.is_draining, "other nodes choose other targets");
 }
+
+/// After a loss of power one heartbeat of the new target may be a late one of an earlier life; whoever
+/// listens at its address can say who it is.
+#[test]
+fn a_new_target_that_says_who_it_is_ends_the_one_before_at_once() {
+    let holds = |state: &ControlState, now_ms: u64| state.status(at(now_ms)).facts;
+    for (answer, is_ended) in [("new", true), ("old", false)] {
+        let mut state = ControlState::new(settings(0), at(0));
+        let mut assignment = Assignment::new();
+        let name = settings(0).node_name;
+        assignment.give(KeyRange::ALL, &Owner::new(TargetIncarnation::new("old", 0), name));
+        let row = Row {
+            key: "keys/carts".to_owned(),
+            value: Some(assignment.encode_row().into()),
+            version: 3,
+        };
+        state.handle(
+            ControlEvent::Rows { rows: vec![row], version: 3, confirmed_at: at(90) },
+            at(95),
+        );
+        state.handle(
+            ControlEvent::Config { config: Box::new(config()), encoded: Bytes::new() },
+            at(96),
+        );
+        // What the node would write shows what it believes.
+        state.handle(ControlEvent::StoreReached(false), at(97));
+        let effects = beat(&mut state, "new", 1, 100);
+        assert!(effects.iter().any(|it| matches!(it, Effect::IdentifyTarget { .. })));
+        assert!(holds(&state, 101).is_empty(), "one heartbeat proves nothing");
+        let target_id = answer.to_owned();
+        state.handle(ControlEvent::TargetIdentified { target_id }, at(102));
+        assert_eq!(!holds(&state, 103).is_empty(), is_ended, "{answer} listens there");
+    }
+}
--- a/crates/galenastream_node/tests/ownership/target.rs
+++ b/crates/galenastream_node/tests/ownership/target.rs
@@ -24,6 +24,7 @@
     /// Its clock runs slow by this many hundredths.
     pub slow_percent: u64,
     pub sent_at_ms: Option<u64>,
+    pub starts_at_ms: u64,
     pub next_beat_ms: u64,
     sequence: u64,
     releases: Vec<(u16, u16, String)>,
@@ -39,6 +40,7 @@
             holds: Vec::new(),
             slow_percent,
             sent_at_ms: None,
+            starts_at_ms,
             next_beat_ms: starts_at_ms,
             sequence: 0,
             releases: Vec::new(),
--- a/crates/galenastream_node/tests/ownership/world.rs
+++ b/crates/galenastream_node/tests/ownership/world.rs
@@ -300,10 +300,21 @@
                 }
                 Effect::AskPeer { node } => self.answer_question(index, &node),
                 Effect::ProbeTarget => {}
+                Effect::IdentifyTarget { .. } => self.identify(index),
             }
         }
     }
 
+    /// The target that listens beside a node says who it is, whatever heartbeats are on their way.
+    fn identify(&mut self, index: usize) {
+        let target = &self.vms[index].target;
+        if self.now_ms < target.starts_at_ms {
+            return;
+        }
+        let target_id = target.id.clone();
+        self.tell(index, ControlEvent::TargetIdentified { target_id });
+    }
+
     fn write(&mut self, index: usize, expected: u64, assignment: Box<Assignment>) {
         if self.planted == Planted::UnwrittenChange {
             let value = Some(Bytes::from(assignment.encode_row()));
--- a/crates/galenastream_standin/src/platform_document/config_document.rs
+++ b/crates/galenastream_standin/src/platform_document/config_document.rs
@@ -23,7 +23,9 @@
     let services: Vec<Value> = services
         .iter()
         .map(|(name, holds_keys)| {
-            json!({ "name": name, "maxConnections": 100, "sharded": holds_keys })
+            json!({
+                "name": name, "maxConnections": 100, "sharded": holds_keys, "healthPath": "/health",
+            })
         })
         .collect();
     let paths: Vec<Value> = routes.iter().map(route).collect();
--- a/crates/galenastream_standin/src/platform_target/platform_target_standin.rs
+++ b/crates/galenastream_standin/src/platform_target/platform_target_standin.rs
@@ -18,6 +18,9 @@
 };
 use crate::{HttpServer, half_reply, read_body, text_reply};
 
+/// The path that a target answers with its id.
+const HEALTH_PATH: &str = "/health";
+
 /// A target that listens on loopback and sends heartbeats to the node beside it.
 #[derive(Debug)]
 pub struct PlatformTargetStandin {
@@ -119,6 +122,13 @@
 
 impl TargetService {
     async fn answer(&self, request: Request) -> Response {
+        if request.uri().path() == HEALTH_PATH {
+            let mut response = text_reply(StatusCode::OK, "healthy");
+            if let Ok(id) = HeaderValue::from_str(&self.state.id) {
+                response.headers_mut().insert("x-instance-id", id);
+            }
+            return response;
+        }
         let headers = request.headers().clone();
         let request_id = text(&headers, "x-request-id").to_owned();
         let expected = text(&headers, "x-expected-instance");
