--- a/crates/galenastream_routing/tests/short_requests.rs
+++ b/crates/galenastream_routing/tests/short_requests.rs
@@ -95,15 +95,14 @@
         for (id, ..) in waiting.extract_if(.., |it| it.1 <= now_ms) {
             admission.give_up(id);
         }
-        for index in 0..kinds.len() {
-            while kinds[index].arrivals * 1_000 < now_ms * kinds[index].per_s {
-                kinds[index].arrivals += 1;
-                let kind = kinds[index];
+        for (index, kind) in kinds.iter_mut().enumerate() {
+            while kind.arrivals * 1_000 < now_ms * kind.per_s {
+                kind.arrivals += 1;
                 let request = Request { kind: index, arrived_ms: now_ms };
                 let prompt = Deadline::new(now, kind.prompt_ms);
                 let deadline = Deadline::new(now, kind.deadline_ms);
                 match admission.arrive_promptly(now, kind.class, prompt, deadline).arrival {
-                    Arrival::Start => running.push((now_ms + kinds[index].next_ms(), request)),
+                    Arrival::Start => running.push((now_ms + kind.next_ms(), request)),
                     Arrival::Wait { id, until } => {
                         waiting.push((id, until.as_ns() / 1_000_000, request));
                     }
