--- a/crates/galenastream_node/tests/platform/main.rs
+++ b/crates/galenastream_node/tests/platform/main.rs
@@ -2,16 +2,23 @@
 
 mod deployment;
 
-use std::time::{Duration, Instant};
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
 
 use deployment::start;
 use galenastream_standin::{
-    CallerConnection, DeploymentPlan, StoreFault, TargetAnswerFault, request_bytes, wait_until,
+    CallerConnection, DeploymentPlan, LocalDeployment, StoreFault, TargetAnswerFault,
+    request_bytes, wait_until,
 };
 use serde_json::Value;
 
 const LIMIT: Duration = Duration::from_secs(15);
 
+/// Why helpers of the tests do not expect a failure.
+const WORKS: &str = "the node and the stand-ins work";
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_request_reaches_a_target_on_another_vm_and_its_answer_comes_back_whole() {
     let deployment = start("path", &["carts", "stock"]).await;
@@ -267,3 +274,105 @@
     assert!(measured < 2 * guessed, "{measured} against {guessed}");
     deployment.close().unwrap();
 }
+
+/// Orders that enter elsewhere and run beside a node that stops are answered, or refused unrun.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_that_stops_interrupts_no_request_of_another_one() {
+    let mut deployment = start("stop-other", &["carts", "stock"]).await;
+    let mut vm = deployment.vms.remove(1);
+    vm.target.set_fault(TargetAnswerFault::Slow(Duration::from_millis(400)));
+    let entry = deployment.vms[0].callers_address();
+    let senders: Vec<_> = (0..4)
+        .map(|sender| tokio::spawn(send_orders(entry, sender, Duration::from_secs(5))))
+        .collect();
+    wait_until("orders to run beside it", LIMIT, async || vm.target.runs().len() > 4)
+        .await
+        .unwrap();
+    let stopped = vm.stop_node().await.unwrap();
+    assert!(stopped.success(), "{stopped}");
+    let mut answered = 0;
+    for sender in senders {
+        for (id, status) in sender.await.unwrap() {
+            let ran = vm.target.runs().iter().filter(|it| it.request_id == id).count();
+            let expected = if ran == 1 { 200 } else { 503 };
+            assert_eq!((ran.min(1), status), (ran, Some(expected)), "{id}");
+            answered += ran;
+        }
+    }
+    assert!(answered > 10, "{answered}");
+    vm.close();
+    deployment.close().unwrap();
+}
+
+/// Sends orders one after another, and returns their ids and statuses.
+async fn send_orders(
+    entry: SocketAddr,
+    sender: usize,
+    time: Duration,
+) -> Vec<(String, Option<u16>)> {
+    let mut answers = Vec::new();
+    let began_at = Instant::now();
+    while began_at.elapsed() < time {
+        let id = format!("order-{sender}-{}", answers.len());
+        let mut caller = CallerConnection::connect(entry).await.expect(WORKS);
+        let answer = caller.post("/orders/1", &id).await;
+        answers.push((id, answer.map(|it| it.status)));
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    answers
+}
+
+/// A request that may run only once and still waits for a slot when its caller leaves does not run.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_waiting_request_ends_with_its_caller() {
+    let deployment = start("leave", &["carts", "stock"]).await;
+    deployment.vms[1].target.set_fault(TargetAnswerFault::Slow(SLOT_TIME));
+    // On a machine that stalls, the caller may leave after the slots are free; that shows nothing.
+    let mut round = 0;
+    while !leave_while_slots_are_taken(&deployment, round).await {
+        round += 1;
+        assert!(round < 10, "the machine is too busy to show anything");
+    }
+    deployment.close().unwrap();
+}
+
+/// How long each request takes: less than a request waits at most, so that one that stays runs.
+const SLOT_TIME: Duration = Duration::from_millis(450);
+
+/// Returns whether the caller left in time.
+async fn leave_while_slots_are_taken(deployment: &LocalDeployment, round: u32) -> bool {
+    let target = &deployment.vms[1].target;
+    let runs = |id: &str| target.runs().iter().filter(|it| it.request_id == id).count();
+    let mut holders = Vec::new();
+    let began_at = Instant::now();
+    for number in 0..8 {
+        let mut caller = deployment.vms[1].caller().await.expect(WORKS);
+        let id = format!("slot-{round}-{number}");
+        caller.send(request_bytes("GET", "/stock/1", &id, None).as_bytes()).await.expect(WORKS);
+        holders.push(caller);
+    }
+    let slots_taken = || (0..8).all(|it| runs(&format!("slot-{round}-{it}")) == 1);
+    wait_until("all slots to be taken", LIMIT, async || slots_taken()).await.expect(WORKS);
+    // From another VM, so that both hops have to notice.
+    let (left, stayed) = (format!("left-{round}"), format!("stayed-{round}"));
+    let mut leaver = deployment.vms[0].caller().await.expect(WORKS);
+    leaver.send(request_bytes("POST", "/orders/1", &left, None).as_bytes()).await.expect(WORKS);
+    let mut stayer = deployment.vms[0].caller().await.expect(WORKS);
+    stayer.send(request_bytes("POST", "/orders/1", &stayed, None).as_bytes()).await.expect(WORKS);
+    tokio::time::sleep(SLOT_TIME / 5).await;
+    drop(leaver);
+    let has_left_in_time = began_at.elapsed() < SLOT_TIME * 3 / 4;
+    let answer = stayer.read().await.expect(WORKS);
+    for mut holder in holders {
+        assert_eq!(holder.read().await.expect(WORKS).status, 200);
+    }
+    // Whoever took the place of the slots' requests would have begun by now.
+    let mut caller = deployment.vms[0].caller().await.expect(WORKS);
+    let after = format!("after-{round}");
+    assert_eq!(caller.get("/stock/1", &after, None).await.expect(WORKS).status, 200);
+    if has_left_in_time {
+        assert_eq!(answer.status, 200, "the other one waits, and runs: {answer:?}");
+        assert_eq!(runs(&left), 0);
+    }
+    has_left_in_time
+}
