A node that ends is avoided before it does; requests for keys of an ended target are held

- a_node_that_stops_interrupts_no_request_of_another_one: an order was answered 502 though it had not run.
Cause: another node had no other target for it and sent it in the instant in which the process ended.
Change: a node says that it takes no more requests, 300 ms before it may end; others no longer send to it, and what was on its way is refused as not run.
- every_key_is_served_by_its_holder_and_by_another_one_after_a_loss: a read got 503 though its key's next owner held it.
Cause: the entry had heard that the target had ended, not yet of its successor, and refused at once.
Change: while the node beside an owner lives, its keys are passed on within milliseconds, so requests are held as for a planned move (40 in 100 of the target latency).

--- a/crates/galenastream_node/src/connection/peer_links.rs
+++ b/crates/galenastream_node/src/connection/peer_links.rs
@@ -156,6 +156,7 @@
         target.map(|it| (it.id.clone(), it.born_ms, it.is_draining, it.is_silent))
     };
     sent.is_closing != status.is_closing
+        || sent.is_refusing != status.is_refusing
         || sent.reaches_store != status.reaches_store
         || sent.facts != status.facts
         || identity(sent) != identity(status)
--- a/crates/galenastream_node/src/process/control_event.rs
+++ b/crates/galenastream_node/src/process/control_event.rs
@@ -85,6 +85,8 @@
     Settings(Box<NodeSettings>),
     /// The process is about to stop.
     Closing,
+    /// The process takes no more requests.
+    Refusing,
 }
 
 /// What the control state asks for.
--- a/crates/galenastream_node/src/process/control_state.rs
+++ b/crates/galenastream_node/src/process/control_state.rs
@@ -40,6 +40,7 @@
     pub(super) reaches_store: bool,
     pub(super) synced_at: BootInstant,
     pub(super) is_closing: bool,
+    pub(super) is_refusing: bool,
     pub(super) local_capacity_milli_per_s: u64,
     pub(super) local_key_loads: Vec<KeyLoadRecord>,
     pub(super) effects: Vec<Effect>,
@@ -90,6 +91,7 @@
             reaches_store: false,
             synced_at: started_at,
             is_closing: false,
+            is_refusing: false,
             local_capacity_milli_per_s: 0,
             local_key_loads: Vec::new(),
             effects: Vec::new(),
@@ -141,6 +143,7 @@
             ControlEvent::TargetRefused => self.end_local("connection refused", now),
             ControlEvent::Settings(settings) => self.settings = *settings,
             ControlEvent::Closing => self.is_closing = true,
+            ControlEvent::Refusing => self.is_refusing = true,
         }
         self.has_news = true;
         self.settle(now);
--- a/crates/galenastream_node/src/process/daemon.rs
+++ b/crates/galenastream_node/src/process/daemon.rs
@@ -43,6 +43,10 @@
 /// other nodes, which takes two failed health checks a second apart.
 const LINGER: Duration = Duration::from_millis(2_300);
 
+/// How long a process that takes no more requests goes on refusing them: until all nodes have heard of it
+/// and what they had sent is answered.
+const REFUSE_TIME: Duration = Duration::from_millis(300);
+
 /// How long before it would be killed a process stops at the latest.
 const EXIT_MARGIN: Duration = Duration::from_millis(600);
 
@@ -160,15 +164,16 @@
     context.is_closing.store(true, Ordering::Relaxed);
     context.tell(ControlEvent::Closing);
     let grace = Duration::from_millis(context.settings.load().bounds.grace_ms);
-    let latest = began_at + grace.saturating_sub(EXIT_MARGIN);
+    let longest = grace.saturating_sub(EXIT_MARGIN);
+    let latest = began_at + longest;
+    sleep(LINGER.min(longest.saturating_sub(REFUSE_TIME))).await;
+    context.is_refusing.store(true, Ordering::Relaxed);
+    context.tell(ControlEvent::Refusing);
+    sleep(REFUSE_TIME).await;
     loop {
-        if began_at.elapsed() >= LINGER {
-            context.is_refusing.store(true, Ordering::Relaxed);
-        }
         let is_idle = traffic.in_progress.load(Ordering::Relaxed) == 0;
         let has_keys = context.has_keys_to_pass_on.load(Ordering::Relaxed);
-        let has_lingered = began_at.elapsed() >= LINGER;
-        if Instant::now() >= latest || (has_lingered && is_idle && !has_keys) {
+        if Instant::now() >= latest || (is_idle && !has_keys) {
             return;
         }
         sleep(EXIT_POLL).await;
--- a/crates/galenastream_node/src/process/directory.rs
+++ b/crates/galenastream_node/src/process/directory.rs
@@ -34,6 +34,8 @@
     pub target: Option<TargetEntry>,
     /// Whether it is about to stop.
     pub is_closing: bool,
+    /// Whether it takes no more requests.
+    pub is_refusing: bool,
     /// Whether it was heard of lately.
     pub is_heard: bool,
     /// Whether it reads the shared rows from the store itself, or nothing is known of it.
--- a/crates/galenastream_node/src/request/entry.rs
+++ b/crates/galenastream_node/src/request/entry.rs
@@ -248,8 +248,10 @@
         let Some(entry) = self.key.and_then(|key| assignment.map(|it| it.entry_of(key))) else {
             return false;
         };
+        // The node beside an owner that has ended knows it at once, and its keys are passed on.
         let is_live = |owner: &Owner| {
-            directory.node_of(&owner.target).is_some_and(|it| it.is_heard && !it.is_closing)
+            let node = directory.nodes.iter().find(|it| it.name == owner.node);
+            node.is_some_and(|it| it.is_heard && !it.is_closing)
         };
         match &entry.holding {
             Holding::Owned(owner) => is_live(owner),
@@ -272,7 +274,7 @@
         if let Some(key) = self.key {
             let assignment = directory.assignments.get(self.service)?;
             let holder = assignment.entry_of(key).holding.holder()?;
-            let node = directory.node_of(&holder.target)?;
+            let node = directory.node_of(&holder.target).filter(|it| !it.is_refusing)?;
             return Some(Destination { node: node.clone(), target: holder.target.clone() });
         }
         let settings = self.traffic.context.settings.load();
@@ -286,7 +288,8 @@
                     continue;
                 };
                 let is_doubtful = target.is_draining || node.is_closing || !node.is_heard;
-                if progress.tried.contains(&target.incarnation) || is_doubtful != is_last_resort {
+                let is_used = progress.tried.contains(&target.incarnation) || node.is_refusing;
+                if is_used || is_doubtful != is_last_resort {
                     continue;
                 }
                 let is_near = *node.data_centre == **near;
--- a/crates/galenastream_wire/src/message/node_status.rs
+++ b/crates/galenastream_wire/src/message/node_status.rs
@@ -26,6 +26,9 @@
     /// Whether it is about to stop.
     #[prost(bool, tag = "7")]
     pub is_closing: bool,
+    /// Whether it takes no more requests, since it is about to end.
+    #[prost(bool, tag = "12")]
+    pub is_refusing: bool,
     /// Whether it reaches the store.
     #[prost(bool, tag = "8")]
     pub reaches_store: bool,
