A node that starts grants nothing on a row confirmed before its start

A node that starts without the store asks its peers; a peer that was cut off tells of an old row that is still trusted. The process before had passed the keys on at once, on the evidence that its target had released them; the argument for that evidence assumes that the node beside the target never goes back to an older row, and a restart forgets it.

Change: leases are granted only on rows that were known to be current at some time since the process started. Such a row shows at least the first write of every move that an earlier process acted upon.

Test: a_node_that_starts_anew_grants_nothing_on_a_row_confirmed_before; it failed before.

--- a/crates/galenastream_node/src/process/heartbeats.rs
+++ b/crates/galenastream_node/src/process/heartbeats.rs
@@ -164,7 +164,10 @@
         confirmed_at: BootInstant,
         now: BootInstant,
     ) -> HeartbeatReply {
-        let Some(lease) = self.terms.lease(confirmed_at, now) else {
+        // The process before this one may have acted on a newer row than a peer has told this one,
+        // and its target may have released keys.
+        let is_since_start = confirmed_at >= self.started_at;
+        let Some(lease) = self.terms.lease(confirmed_at, now).filter(|_| is_since_start) else {
             log::warn!(event = "lease_withheld", reason = "the assignment was not confirmed lately"; "");
             return HeartbeatReply::Acknowledged;
         };
--- a/crates/galenastream_node/tests/ownership/incarnations.rs
+++ b/crates/galenastream_node/tests/ownership/incarnations.rs
@@ -5,6 +5,7 @@
 use galenastream_node::{ControlEvent, ControlState, Effect};
 use galenastream_ranges::{Assignment, KeyRange, Owner, TargetIncarnation};
 use galenastream_standin::{HeartbeatFields, heartbeat_body};
+use galenastream_wire::{SharedRow, SyncState};
 use tokio::sync::oneshot;
 
 use crate::{
@@ -107,3 +108,42 @@
         assert_eq!(!holds(&state, 103).is_empty(), is_ended, "{answer} listens there");
     }
 }
+
+/// The process before this one may have seen its target release keys, as a newer row asked for. A peer
+/// that was cut off since before that tells of an older row, which is still trusted.
+#[test]
+fn a_node_that_starts_anew_grants_nothing_on_a_row_confirmed_before() {
+    const START_MS: u64 = 100_000;
+    let mut state = ControlState::new(settings(0), at(START_MS));
+    let config = ControlEvent::Config { config: Box::new(config()), encoded: Bytes::new() };
+    state.handle(config, at(START_MS + 10));
+    let mut assignment = Assignment::new();
+    let name = settings(0).node_name;
+    assignment.give(KeyRange::ALL, &Owner::new(TargetIncarnation::new("t", 0), name));
+    let row = SharedRow {
+        key: "keys/carts".to_owned(),
+        value: assignment.encode_row().into(),
+        version: 20,
+    };
+    let outdated = SyncState {
+        rows: vec![row],
+        rows_version: 20,
+        confirmed_age_ms: 8_000,
+        ..Default::default()
+    };
+    let told = ControlEvent::PeerState { state: outdated, asked_at: at(START_MS + 20) };
+    state.handle(told, at(START_MS + 30));
+    beat(&mut state, "t", 7, START_MS + 100);
+    let holds = |state: &ControlState, now_ms: u64| {
+        let local = state.directory(at(now_ms)).local.expect("it is known");
+        local.leases.covers(7, at(now_ms))
+    };
+    state.tick(at(START_MS + 900));
+    assert!(!holds(&state, START_MS + 900), "nothing is granted on the older row");
+    let confirmed =
+        ControlEvent::Rows { rows: Vec::new(), version: 20, confirmed_at: at(START_MS + 1_000) };
+    state.handle(confirmed, at(START_MS + 1_010));
+    beat(&mut state, "t", 8, START_MS + 1_100);
+    state.tick(at(START_MS + 1_900));
+    assert!(holds(&state, START_MS + 1_900), "the row is current since the start");
+}
