Log complete counts of requests and attempts at intervals

Each node now logs a line a service every 5 s with all outcomes and all attempts, by reason, with their total time. No decision changes.

--- a/crates/galenastream_node/src/process/daemon.rs
+++ b/crates/galenastream_node/src/process/daemon.rs
@@ -18,7 +18,7 @@
     runtime::{Builder, Runtime},
     signal::unix::{SignalKind, signal},
     sync::{Notify, mpsc, watch},
-    time::{Instant, sleep},
+    time::{Instant, MissedTickBehavior, interval, sleep},
 };
 
 use super::{
@@ -54,6 +54,9 @@
 /// Interval at which a stopping process checks whether it may exit.
 const EXIT_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Interval at which the counts of requests and attempts are logged.
+const TALLY_INTERVAL: Duration = Duration::from_secs(5);
+
 /// Runs the process until SIGTERM or SIGINT stops it.
 ///
 /// Returns an error if the settings cannot be loaded or a listener of the traffic thread cannot be
@@ -146,6 +149,7 @@
     tokio::spawn(serve_callers(traffic.clone(), callers));
     tokio::spawn(serve_peers(traffic.clone(), peers));
     tokio::spawn(exchange_statuses(traffic.clone(), queries));
+    tokio::spawn(log_tally(traffic.clone()));
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let mut reload = signal(SignalKind::hangup())?;
@@ -157,9 +161,19 @@
         }
     }
     stop(&traffic).await;
+    traffic.tally().log_and_reset();
     Ok(())
 }
 
+async fn log_tally(traffic: Arc<TrafficState>) {
+    let mut ticks = interval(TALLY_INTERVAL);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        traffic.tally().log_and_reset();
+    }
+}
+
 /// Stops gracefully: waits for the requests in progress and for the handover of the keys, within
 /// the platform's grace period.
 async fn stop(traffic: &TrafficState) {
--- a/crates/galenastream_node/src/process/mod.rs
+++ b/crates/galenastream_node/src/process/mod.rs
@@ -23,6 +23,7 @@
 mod store_follower;
 mod store_view;
 mod traffic_state;
+mod traffic_tally;
 
 pub use command_line::{CommandLine, command};
 pub use context::{NodeContext, SyncSnapshot};
@@ -36,3 +37,4 @@
 pub use metrics_page::render_metrics;
 pub use status_page::{LeasePage, STATUS_PATH, StatusPage, TargetPage};
 pub use traffic_state::{CountGuard, TrafficState};
+pub use traffic_tally::TrafficTally;
--- a/crates/galenastream_node/src/process/traffic_state.rs
+++ b/crates/galenastream_node/src/process/traffic_state.rs
@@ -16,7 +16,7 @@
 use galenastream_settings::EffectiveSettings;
 use galenastream_utils::FastMap;
 
-use super::NodeContext;
+use super::{NodeContext, TrafficTally};
 use crate::connection::{PeerLinks, TargetConnections};
 
 /// The longest wait for a slot. The deadlines of the requests are the effective limit.
@@ -36,6 +36,7 @@
     /// Controls the admission of requests to the local target.
     pub admission: AdmissionController,
     log_budget: LogBudget,
+    tally: Mutex<TrafficTally>,
     /// Counts the requests in progress at this node. A request may be counted more than once; 0
     /// means that there is none.
     pub in_progress: AtomicUsize,
@@ -64,6 +65,7 @@
             )),
             context,
             log_budget: LogBudget::new(),
+            tally: Mutex::default(),
             in_progress: AtomicUsize::new(0),
             placement: Mutex::default(),
             retry_budgets: Mutex::default(),
@@ -79,6 +81,11 @@
         lock(&self.placement)
     }
 
+    /// Locks the counts of requests and attempts.
+    pub fn tally(&self) -> MutexGuard<'_, TrafficTally> {
+        lock(&self.tally)
+    }
+
     /// The index of the destination of the next request of a route, chosen by weight.
     pub fn next_destination(&self, route: &str, weights: &[f64]) -> Option<usize> {
         if weights.len() == 1 {
--- a/crates/galenastream_node/src/request/entry.rs
+++ b/crates/galenastream_node/src/request/entry.rs
@@ -19,6 +19,7 @@
     answer::{refusal_response, target_response},
     attempt::{Destination, attempt},
     caller_request::CallerRequest,
+    counted_attempt::CountedAttempt,
     refusal::Refusal,
 };
 use crate::{
@@ -167,6 +168,7 @@
         counter!("galenastream_requests_total", "route" => route.clone(), "outcome" => outcome)
             .increment(1);
         histogram!("galenastream_request_seconds", "route" => route).record(elapsed.as_secs_f64());
+        self.traffic.tally().add_request(self.service, outcome, elapsed);
         if !self.traffic.may_log() {
             return;
         }
@@ -197,9 +199,10 @@
         summary.reason = "waits-for-reply";
     }
 
-    fn record_reason(&self, reason: i32) {
-        let reason = ReplyReason::try_from(reason).unwrap_or(ReplyReason::None);
-        self.summary.lock().unwrap_or_else(PoisonError::into_inner).reason = reason.as_str();
+    fn record_reason(&self, reason: i32) -> &'static str {
+        let reason = ReplyReason::try_from(reason).unwrap_or(ReplyReason::None).as_str();
+        self.summary.lock().unwrap_or_else(PoisonError::into_inner).reason = reason;
+        reason
     }
 
     /// Attempts the request until there is a final result.
@@ -225,8 +228,10 @@
                 continue;
             };
             self.record_attempt(&destination);
+            let mut counted = CountedAttempt::new(self.traffic, self.service, &destination);
             let reply = attempt(self.traffic, self.request, self.key, &destination).await;
-            self.record_reason(reply.reason);
+            counted.reason = self.record_reason(reply.reason);
+            drop(counted);
             match self.next_step(destination, reply, &mut progress) {
                 NextStep::Done(result) => return result,
                 NextStep::Retry => {}
--- a/crates/galenastream_node/src/request/mod.rs
+++ b/crates/galenastream_node/src/request/mod.rs
@@ -3,6 +3,7 @@
 mod answer;
 mod attempt;
 mod caller_request;
+mod counted_attempt;
 mod entry;
 mod refusal;
 mod target_run;
