--- a/crates/galenastream_node/tests/platform/main.rs
+++ b/crates/galenastream_node/tests/platform/main.rs
@@ -2,6 +2,7 @@
 //! targets.
 
 mod deployment;
+mod overload;
 
 use std::{
     net::SocketAddr,
