Give a request up after three nodes have refused it as overloaded

Callers saw: under overload of a service with 25 nodes, half of the requests took more than half of their target latency to reach a first target, and those that could not be served waited 188 ms (median) for a 503. Cause: attempts that a node refuses counted against no limit. The attempt limit of the route and the retry budget count only attempts that reached a target, so a refused request asked every node of the service in turn. The cost of an overload grew with the number of nodes, in processor time, links and time. Why this works: candidates are ordered by their observed loads, so when the best three have no room, others rarely have, and the caller learns when to come back while it still has time. The state of a request's attempts moves to a file of its own.

--- a/crates/galenastream_node/src/request/entry.rs
+++ b/crates/galenastream_node/src/request/entry.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use galenastream_adapter::header_names;
-use galenastream_ranges::{Holding, Owner, TargetIncarnation};
+use galenastream_ranges::{Holding, Owner};
 use galenastream_routing::TargetCandidate;
 use galenastream_runtime::{boot_now, sleep_until};
 use galenastream_settings::EffectiveSettings;
@@ -20,6 +20,7 @@
     attempt::{Destination, attempt},
     caller_request::CallerRequest,
     counted_attempt::CountedAttempt,
+    progress::Progress,
     refusal::Refusal,
 };
 use crate::{
@@ -38,9 +39,6 @@
 /// for more. Most moves of keys take less.
 const UNAVAILABLE_MAX_RETRY_AFTER_MS: u32 = 400;
 
-/// `Retry-After` unless the node beside a target asks for a shorter time.
-const DEFAULT_RETRY_AFTER_MS: u32 = 200;
-
 /// Minimum remaining time for which an attempt is worth starting.
 const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(15);
 
@@ -117,18 +115,6 @@
     summary: Mutex<AttemptSummary>,
 }
 
-/// State carried from one attempt of a request to the next.
-struct Progress {
-    /// Targets that are not chosen again.
-    tried: Vec<TargetIncarnation>,
-    /// Number of attempts that reached a target, or may have.
-    reached: u32,
-    retry_after_ms: u32,
-    /// The last 5xx response of a target, which [`Progress::give_up`] returns.
-    failure: Option<ForwardedReply>,
-    may_have_run: bool,
-}
-
 /// What follows from the reply of an attempt.
 enum NextStep {
     Done(Result<ForwardedReply, Refusal>),
@@ -209,13 +195,7 @@
     async fn run(&self) -> Result<ForwardedReply, Refusal> {
         let service = self.service;
         self.traffic.count_first_send(service);
-        let mut progress = Progress {
-            tried: Vec::new(),
-            reached: 0,
-            retry_after_ms: DEFAULT_RETRY_AFTER_MS,
-            failure: None,
-            may_have_run: false,
-        };
+        let mut progress = Progress::new();
         loop {
             if !self.has_time() {
                 return progress.give_up();
@@ -340,11 +320,12 @@
                 self.retry(destination, progress)
             }
             ReplyOutcome::NotSent => {
-                progress.retry_after_ms = progress.retry_after_ms.min(reply.retry_after_ms.max(1));
+                let may_continue = progress.record_not_sent(&reply);
                 if self.key.is_some() && may_be_owner_change(reply.reason) {
                     return NextStep::WaitForOwner;
                 }
-                if self.key.is_some() {
+                // A request with a key can only go to its owner.
+                if self.key.is_some() || !may_continue {
                     return NextStep::Done(progress.give_up());
                 }
                 progress.tried.push(destination.target);
@@ -381,19 +362,6 @@
     }
 }
 
-impl Progress {
-    /// Returns the final result if no further attempt is made.
-    fn give_up(&mut self) -> Result<ForwardedReply, Refusal> {
-        if let Some(failure) = self.failure.take() {
-            return Ok(failure);
-        }
-        match self.may_have_run {
-            true => Err(Refusal::Lost),
-            false => Err(Refusal::NotRun { retry_after_ms: self.retry_after_ms }),
-        }
-    }
-}
-
 /// Whether an attempt failed for a reason that a change of the key's owner may explain.
 fn may_be_owner_change(reason: i32) -> bool {
     let reason = ReplyReason::try_from(reason).unwrap_or(ReplyReason::None);
--- a/crates/galenastream_node/src/request/mod.rs
+++ b/crates/galenastream_node/src/request/mod.rs
@@ -5,6 +5,7 @@
 mod caller_request;
 mod counted_attempt;
 mod entry;
+mod progress;
 mod refusal;
 mod target_run;
 
--- /dev/null
+++ b/crates/galenastream_node/src/request/progress.rs
@@ -0,0 +1,62 @@
+//! The state that a request carries from one attempt to the next.
+
+use galenastream_ranges::TargetIncarnation;
+use galenastream_wire::{ForwardedReply, ReplyReason};
+
+use super::refusal::Refusal;
+
+/// Number of nodes that may refuse a request as overloaded before it is given up. Each one was the
+/// best candidate by the observed loads, so after a few the service has no room. More attempts
+/// would take time and bandwidth from requests that can be served.
+const MAX_REFUSALS: u32 = 3;
+
+/// `Retry-After` unless the node beside a target asks for a shorter time.
+const DEFAULT_RETRY_AFTER_MS: u32 = 200;
+
+/// The attempts of a request so far.
+#[derive(Debug)]
+pub(super) struct Progress {
+    /// Targets that are not chosen again.
+    pub(super) tried: Vec<TargetIncarnation>,
+    /// Number of attempts that reached a target, or may have.
+    pub(super) reached: u32,
+    /// Number of attempts that were refused because the target is overloaded.
+    refusals: u32,
+    pub(super) retry_after_ms: u32,
+    /// The last 5xx response of a target, which [`Progress::give_up`] returns.
+    pub(super) failure: Option<ForwardedReply>,
+    pub(super) may_have_run: bool,
+}
+
+impl Progress {
+    /// Creates the state of a request before its first attempt.
+    pub(super) const fn new() -> Self {
+        Self {
+            tried: Vec::new(),
+            reached: 0,
+            refusals: 0,
+            retry_after_ms: DEFAULT_RETRY_AFTER_MS,
+            failure: None,
+            may_have_run: false,
+        }
+    }
+
+    /// Records an attempt that was not sent to its target. Returns whether another target may be
+    /// attempted.
+    pub(super) fn record_not_sent(&mut self, reply: &ForwardedReply) -> bool {
+        self.retry_after_ms = self.retry_after_ms.min(reply.retry_after_ms.max(1));
+        self.refusals += u32::from(reply.reason == ReplyReason::Overloaded as i32);
+        self.refusals < MAX_REFUSALS
+    }
+
+    /// Returns the final result if no further attempt is made.
+    pub(super) fn give_up(&mut self) -> Result<ForwardedReply, Refusal> {
+        if let Some(failure) = self.failure.take() {
+            return Ok(failure);
+        }
+        match self.may_have_run {
+            true => Err(Refusal::Lost),
+            false => Err(Refusal::NotRun { retry_after_ms: self.retry_after_ms }),
+        }
+    }
+}
