Have answers ready before their callers give up

Cause: a node counted the caller's time from the arrival of the request and spent all of it, so its 504 left when the caller had already closed the connection. That also cancelled the requests pipelined behind it, whose runs at their targets were wasted, and which came back on new connections. Why this works: the answer is due 25 ms, at most a tenth, before the caller's patience ends.

--- a/crates/galenastream_node/src/request/caller_request.rs
+++ b/crates/galenastream_node/src/request/caller_request.rs
@@ -23,7 +23,7 @@
     pub(super) key: Option<u16>,
     pub(super) route: Route,
     pub(super) arrived_at: BootInstant,
-    /// The latest time for the response to the caller.
+    /// The latest time at which the response has to be ready.
     pub(super) deadline: Deadline,
 }
 
@@ -46,7 +46,9 @@
         let requested_ms = header_text(&parts.headers, header_names::DEADLINE_MS)
             .and_then(|it| it.trim().parse::<f64>().ok())
             .map_or(u64::MAX, |it| it.max(0.0) as u64);
-        let allowed_ms = u32::try_from(requested_ms.min(route.timeout_ms)).unwrap_or(u32::MAX);
+        let to_ms = |ms: u64| u32::try_from(ms).unwrap_or(u32::MAX);
+        let deadline = Deadline::of_answer(arrived_at, to_ms(requested_ms))
+            .min(Deadline::new(arrived_at, to_ms(route.timeout_ms)));
         let route = route.clone();
         if body.len() > routing.limits.max_body_bytes {
             return Err((Refusal::TooLong, id));
@@ -61,7 +63,7 @@
             key,
             route,
             arrived_at,
-            deadline: Deadline::new(arrived_at, allowed_ms),
+            deadline,
         })
     }
 }
--- a/crates/galenastream_node/tests/platform/overload.rs
+++ b/crates/galenastream_node/tests/platform/overload.rs
@@ -7,7 +7,7 @@
     request_bytes, wait_until,
 };
 
-use super::TIMEOUT;
+use super::{TIMEOUT, deployment::start};
 
 /// Number of targets of the overloaded service.
 const TARGETS: usize = 8;
@@ -18,6 +18,12 @@
 /// Nodes that may refuse a request before it is given up.
 const MAX_REFUSALS: u64 = 3;
 
+/// How long a caller waits for an answer.
+const CALLER_WAIT_MS: u64 = 1_500;
+
+/// Time before the end of the caller's patience at which its answer has to be ready.
+const ANSWER_MARGIN_MS: u64 = 25;
+
 /// Guards against refusals whose cost grows with the number of nodes of a service.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_refused_request_does_not_ask_every_node_of_its_service() {
@@ -64,3 +70,15 @@
     assert!(tries.iter().all(|it| *it <= MAX_REFUSALS), "{tries:?}");
     deployment.close().unwrap();
 }
+
+/// Guards against answers that are ready only when the caller has closed its connection.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_times_out_does_not_end_the_requests_pipelined_behind_it() {
+    let deployment = start("margin", &["stock"]).await;
+    let mut caller = deployment.vms[0].caller().await.unwrap();
+    assert_eq!(caller.get("/stock/1", "id-1", None).await.unwrap().status, 200);
+    let runs = deployment.vms[0].target.runs();
+    let run = runs.iter().find(|it| it.request_id == "id-1").unwrap();
+    assert!(run.deadline_ms <= CALLER_WAIT_MS - ANSWER_MARGIN_MS, "{run:?}");
+    deployment.close().unwrap();
+}
