--- a/crates/galenastream_routing/tests/load_patterns.rs
+++ b/crates/galenastream_routing/tests/load_patterns.rs
@@ -365,7 +365,7 @@
             }
         }
     }
-    let full = 20_000 * SLOTS / u32::try_from(SERVICE_MS).unwrap();
+    let full = 20_000 * SLOTS / u32::try_from(SERVICE_MS).expect("a service time is short");
     assert!(in_time_count > full * 85 / 100, "{in_time_count} of {full}");
     assert!(late_count < full / 10, "{late_count} of {full}");
 }
