Send one sync query at a time, and wait for the store first

Cause: each status that announced a newer config or newer rows triggered a query to its sender, up to 33 a second, whatever was already on its way. An answer carries the whole config and all rows, here over 300 kB on a link of 10 Mbit/s, so the link of the node filled with answers that it no longer waited for. No query ended within its 800 ms, reads of the store timed out too, and the node kept version 11 until it was restarted. Why this works: one query at a time has the link for itself, and a node that reaches the store gets the config from there and queries a peer only after 600 ms, so a change of the config no longer makes all nodes fetch it from each other.

--- a/crates/galenastream_node/src/connection/peer_links.rs
+++ b/crates/galenastream_node/src/connection/peer_links.rs
@@ -30,7 +30,7 @@
 const STATUS_TIMEOUT: Duration = Duration::from_millis(1_200);
 
 /// Timeout of the reply to a query.
-const QUERY_TIMEOUT: Duration = Duration::from_millis(800);
+const QUERY_TIMEOUT: Duration = Duration::from_millis(1_200);
 
 /// Backoff after a connection could not be opened. Meanwhile, requests to the node fail at once.
 const RECONNECT_BACKOFF: Duration = Duration::from_millis(200);
@@ -238,9 +238,13 @@
         Ok(Body::SyncState(state)) => {
             traffic.context.notify(ControlEvent::PeerSyncState { state, asked_at });
         }
-        Ok(_) => log::warn!(event = "peer_reply_unexpected", peer = &*entry.name; ""),
+        Ok(_) => {
+            log::warn!(event = "peer_reply_unexpected", peer = &*entry.name; "");
+            traffic.context.notify(ControlEvent::PeerQueryFailed);
+        }
         Err(error) => {
             log::info!(event = "peer_question_failed", peer = &*entry.name, reason:% = error; "");
+            traffic.context.notify(ControlEvent::PeerQueryFailed);
         }
     }
 }
--- a/crates/galenastream_node/src/process/control_event.rs
+++ b/crates/galenastream_node/src/process/control_event.rs
@@ -47,6 +47,8 @@
         /// When the query was sent.
         asked_at: BootInstant,
     },
+    /// A sync query got no answer.
+    PeerQueryFailed,
     /// The table of shared rows was read, or a watch on it ended.
     Rows {
         /// The rows that were read or have changed; none if a watch ended without a change.
--- a/crates/galenastream_node/src/process/control_state.rs
+++ b/crates/galenastream_node/src/process/control_state.rs
@@ -67,6 +67,10 @@
     pub(super) early_deregistrations: Vec<(String, BootInstant)>,
     pub(super) last_store_contact_at: BootInstant,
     pub(super) last_peer_query_at: BootInstant,
+    /// When the query to a peer was sent that has neither been answered nor failed yet.
+    pub(super) pending_peer_query_at: Option<BootInstant>,
+    /// Since when a peer is known to have a newer config than this node.
+    pub(super) newer_config_since: Option<BootInstant>,
     pub(super) last_probe_at: BootInstant,
 }
 
@@ -116,6 +120,8 @@
             early_deregistrations: Vec::new(),
             last_store_contact_at: started_at,
             last_peer_query_at: started_at,
+            pending_peer_query_at: None,
+            newer_config_since: None,
             last_probe_at: started_at,
         }
     }
@@ -138,6 +144,7 @@
             ControlEvent::PeerSyncState { state, asked_at } => {
                 self.handle_peer_sync_state(state, asked_at, now);
             }
+            ControlEvent::PeerQueryFailed => self.pending_peer_query_at = None,
             ControlEvent::Rows { rows, version, confirmed_at } => {
                 self.apply_rows(rows, now);
                 self.rows_version = self.rows_version.max(version);
--- a/crates/galenastream_node/src/process/store_view.rs
+++ b/crates/galenastream_node/src/process/store_view.rs
@@ -32,6 +32,13 @@
 /// store itself.
 const READER_TIMEOUT: Duration = Duration::from_millis(4_000);
 
+/// How long a node that reaches the store waits for a newer config from there before it queries a
+/// peer. A config may be large, and all nodes learn of it at the same time.
+const CONFIG_QUERY_DELAY: Duration = Duration::from_millis(600);
+
+/// Time after which a query counts as lost if neither its answer nor its failure has arrived.
+const QUERY_LOSS_TIMEOUT: Duration = Duration::from_millis(1_500);
+
 /// Minimum interval between queries for newer rows or a newer config that a status has announced.
 const NEWER_ROWS_QUERY_INTERVAL: Duration = Duration::from_millis(30);
 
@@ -47,7 +54,7 @@
             return false;
         }
         let node = status.node.clone();
-        let has_newer_state = status.config_version > self.config_version()
+        let has_newer_state = self.needs_config_of(&status, now)
             || status.rows_version > self.rows_version
                 && !(self.reaches_store && self.reads_rows(now));
         let is_changed = self.peers.record_status(status, now);
@@ -56,19 +63,43 @@
         }
         let queried_recently =
             now.saturating_since(self.last_peer_query_at) < NEWER_ROWS_QUERY_INTERVAL;
-        if has_newer_state && !queried_recently {
-            self.last_peer_query_at = now;
-            self.effects.push(Effect::QueryPeer { node });
+        if has_newer_state && !queried_recently && !self.is_query_pending(now) {
+            self.query_peer(node, now);
         }
         is_changed
     }
 
+    /// Whether a peer's status announces a config that this node has to get from a peer: it does
+    /// not reach the store, or the store has not delivered the config for a while.
+    fn needs_config_of(&mut self, status: &NodeStatus, now: BootInstant) -> bool {
+        if status.config_version <= self.config_version() {
+            return false;
+        }
+        let since = *self.newer_config_since.get_or_insert(now);
+        let is_overdue = now.saturating_since(since) >= CONFIG_QUERY_DELAY;
+        is_overdue || !self.reaches_store || self.routing.is_none()
+    }
+
+    /// Whether a query to a peer is in progress. Answers carry the complete config and all rows, so
+    /// several at once could fill the link of this node, and none would arrive in time.
+    fn is_query_pending(&self, now: BootInstant) -> bool {
+        let asked_at = self.pending_peer_query_at;
+        asked_at.is_some_and(|it| now.saturating_since(it) < QUERY_LOSS_TIMEOUT)
+    }
+
+    fn query_peer(&mut self, node: String, now: BootInstant) {
+        self.last_peer_query_at = now;
+        self.pending_peer_query_at = Some(now);
+        self.effects.push(Effect::QueryPeer { node });
+    }
+
     pub(super) fn handle_peer_sync_state(
         &mut self,
         state: SyncState,
         asked_at: BootInstant,
         now: BootInstant,
     ) {
+        self.pending_peer_query_at = None;
         if !state.config.is_empty() {
             match RoutingConfig::decode(&state.config) {
                 Ok(config) => self.apply_config(config, state.config),
@@ -100,6 +131,7 @@
             routes = config.routes.len();
             ""
         );
+        self.newer_config_since = None;
         self.encoded_config = encoded;
         self.routing = Some(Arc::new(RoutingTable::new(config)));
     }
@@ -264,7 +296,7 @@
         let is_behind = !self.reads_rows(now)
             && since_query >= NEWER_ROWS_QUERY_INTERVAL
             && self.is_behind(now);
-        if !is_due && !is_behind {
+        if !is_due && !is_behind || self.is_query_pending(now) {
             return;
         }
         let readers = self.peers.iter().filter(|(_, it)| it.is_reachable(now) && it.is_reader());
@@ -274,8 +306,7 @@
             return;
         };
         let node = node.to_string();
-        self.last_peer_query_at = now;
-        self.effects.push(Effect::QueryPeer { node });
+        self.query_peer(node, now);
     }
 
     /// Whether a reachable reader has newer rows than this node.
--- a/crates/galenastream_node/tests/ownership/main.rs
+++ b/crates/galenastream_node/tests/ownership/main.rs
@@ -6,6 +6,7 @@
 mod incarnations;
 mod injected_bug;
 mod simulation;
+mod sync_queries;
 mod target;
 mod vm;
 
