Let a request that waits among few wait for its slot

Cause: a request that arrives in time is refused when it can no longer meet its target latency by the upper estimate, while one that arrives late may wait among few until its deadline. The estimate is too high for some time after a start, since it begins with an assumption.

--- a/crates/galenastream_routing/src/process/admission.rs
+++ b/crates/galenastream_routing/src/process/admission.rs
@@ -303,9 +303,9 @@
 
     /// Returns the instant at which a wait ends. A request without a soft deadline of its own waits
     /// until its deadline. One that can meet its soft deadline waits until it no longer can: the
-    /// slots are then taken by requests that can. One that will miss it waits until it could not be
-    /// answered before its deadline, early enough for the caller to learn that the request has not
-    /// run.
+    /// slots are then taken by requests that can. One that will miss it, or that waits among few,
+    /// waits until it could not be answered before its deadline, early enough for the caller to
+    /// learn that the request has not run.
     fn wait_until(
         &self,
         now: BootInstant,
@@ -318,7 +318,8 @@
         }
         let (mean, upper_estimate) =
             (self.service_times.mean_of(class), self.service_times.upper_estimate(class));
-        match soft_deadline.has_passed(now + upper_estimate) {
+        let is_queue_short = self.queue.len() < self.late_queue_limit(now);
+        match is_queue_short || soft_deadline.has_passed(now + upper_estimate) {
             true => now + deadline.remaining(now).saturating_sub(mean),
             false => now + soft_deadline.remaining(now).saturating_sub(upper_estimate),
         }
