Count the time that a request is under way against its deadline

Cause: a forwarded request carries the time that is left when it is sent, and the receiving node counted from the moment at which it read the frame. A node that is short of processor time reads frames late, so it ran requests whose deadlines had passed, and stayed behind. Why this works: frames carry the boot clock of the sender. The excess over the fastest frame of the same connection is the delay, whatever the offset of the clocks, and is subtracted from the time left; a request without any is refused as not run. Frames of older nodes count as not delayed.

--- a/crates/galenastream_node/src/connection/peer_connections.rs
+++ b/crates/galenastream_node/src/connection/peer_connections.rs
@@ -3,6 +3,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 
 use futures::{SinkExt, StreamExt};
+use galenastream_routing::TransitDelay;
 use galenastream_runtime::boot_now;
 use galenastream_utils::FastMap;
 use galenastream_wire::{ForwardedRequest, FrameCodec, PeerFrame, StatusSeen, peer_frame::Body};
@@ -67,9 +68,15 @@
 impl PeerConnection {
     async fn read(&self, stream: OwnedReadHalf) {
         let mut reader = FramedRead::new(stream, FrameCodec::<PeerFrame>::new());
+        let mut transit_delay = TransitDelay::new();
         loop {
             match reader.next().await {
-                Some(Ok(frame)) => self.handle(frame),
+                Some(Ok(mut frame)) => {
+                    if let Some(Body::Request(request)) = &mut frame.body {
+                        subtract_delay(request, &mut transit_delay);
+                    }
+                    self.handle(frame);
+                }
                 Some(Err(error)) => {
                     log::info!(event = "peer_frame_unreadable", reason:% = error; "");
                     return;
@@ -137,6 +144,17 @@
     }
 }
 
+/// Subtracts the time that a request was under way from the time that it has left.
+fn subtract_delay(request: &mut ForwardedRequest, transit_delay: &mut TransitDelay) {
+    if request.sent_at_ns == 0 {
+        return;
+    }
+    let delay = transit_delay.record(request.sent_at_ns, boot_now());
+    let delay_ms = u32::try_from(delay.as_millis()).unwrap_or(u32::MAX);
+    request.remaining_ms = request.remaining_ms.saturating_sub(delay_ms);
+    request.prompt_ms = request.prompt_ms.saturating_sub(delay_ms);
+}
+
 fn lock(
     running: &Mutex<FastMap<u64, AbortHandle>>,
 ) -> std::sync::MutexGuard<'_, FastMap<u64, AbortHandle>> {
--- a/crates/galenastream_node/src/request/attempt.rs
+++ b/crates/galenastream_node/src/request/attempt.rs
@@ -99,6 +99,7 @@
         key_plus_one: key.map_or(0, |it| u32::from(it) + 1),
         prompt_ms: u32::try_from(prompt_ms).unwrap_or(u32::MAX),
         target_latency_ms: u32::try_from(request.route.target_latency_ms).unwrap_or(u32::MAX),
+        sent_at_ns: now.as_ns(),
     }
 }
 
--- a/crates/galenastream_node/src/request/target_run.rs
+++ b/crates/galenastream_node/src/request/target_run.rs
@@ -114,7 +114,8 @@
     );
 }
 
-/// Runs a request that another node forwarded, or refuses it if this node is about to stop.
+/// Runs a request that another node forwarded, or refuses it if this node is about to stop or the
+/// request's deadline passed on its way.
 pub async fn run_for_peer(
     traffic: &Arc<TrafficState>,
     request: ForwardedRequest,
@@ -122,6 +123,10 @@
     if traffic.context.is_refusing.load(Ordering::Relaxed) {
         return not_sent(ReplyReason::Draining, MOVING_RETRY_AFTER_MS);
     }
+    if request.remaining_ms == 0 {
+        counter!("galenastream_expired_requests_total").increment(1);
+        return not_sent(ReplyReason::DeadlinePassed, UNREACHABLE_RETRY_AFTER_MS);
+    }
     run_at_target(traffic, request).await
 }
 
--- /dev/null
+++ b/crates/galenastream_routing/src/connection/mod.rs
@@ -0,0 +1,5 @@
+//! State that lives as long as a connection.
+
+mod transit_delay;
+
+pub use transit_delay::*;
--- a/crates/galenastream_routing/src/lib.rs
+++ b/crates/galenastream_routing/src/lib.rs
@@ -5,9 +5,11 @@
 //! these types from its traffic thread; a program that embeds the router calls them from its own.
 //! The documentation of a module or function names the load pattern that it is built for.
 
+mod connection;
 mod process;
 mod request;
 
+pub use connection::*;
 pub use process::*;
 pub use request::*;
 
--- a/crates/galenastream_wire/src/message/request.rs
+++ b/crates/galenastream_wire/src/message/request.rs
@@ -53,6 +53,10 @@
     /// time.
     #[prost(uint32, tag = "14")]
     pub target_latency_ms: u32,
+    /// The boot clock of the sending node when the frame is created, in nanoseconds; 0 if the node
+    /// does not tell. The receiving node estimates from it how long the frame was under way.
+    #[prost(uint64, tag = "15")]
+    pub sent_at_ns: u64,
 }
 
 /// The reply to a [`ForwardedRequest`].
