Do not drop control events that nobody repeats

What could happen: a node that kept outdated settings after a reload, did not announce its stop, or waited for an identity that it had already been told. Cause: NodeContext::notify dropped every event that found the queue full. Statuses come again; settings, the steps of a stop, target ids, refused connections and the ends of sync queries do not. Change: a queue type of its own. Statuses may still be dropped; other events wait for room, in a task where the source cannot wait.

--- a/crates/galenastream_node/src/connection/control_connections.rs
+++ b/crates/galenastream_node/src/connection/control_connections.rs
@@ -101,9 +101,7 @@
         }
         None => return plain_text(StatusCode::NOT_FOUND, "no such call"),
     };
-    if context.control_events.send(event).await.is_err() {
-        return plain_text(StatusCode::SERVICE_UNAVAILABLE, "the node is about to stop");
-    }
+    context.control_events.send(event).await;
     match answered.await {
         Ok(HeartbeatAnswer::Reply(reply)) => json_response(Bytes::from(reply.encode())),
         Ok(HeartbeatAnswer::Refused { reason }) => plain_text(StatusCode::BAD_REQUEST, &reason),
--- a/crates/galenastream_node/src/connection/peer_connections.rs
+++ b/crates/galenastream_node/src/connection/peer_connections.rs
@@ -98,7 +98,7 @@
         let correlation = frame.correlation;
         match frame.body {
             Some(Body::Status(status)) => {
-                self.traffic.context.notify(ControlEvent::PeerStatus(status));
+                self.traffic.context.control_events.notify(ControlEvent::PeerStatus(status));
                 self.reply(correlation, Body::StatusSeen(StatusSeen {}));
             }
             Some(Body::SyncQuery(query)) => {
--- a/crates/galenastream_node/src/connection/peer_links.rs
+++ b/crates/galenastream_node/src/connection/peer_links.rs
@@ -236,15 +236,19 @@
         traffic.links.call(node, entry.address, Body::SyncQuery(query), QUERY_TIMEOUT).await;
     match result {
         Ok(Body::SyncState(state)) => {
-            traffic.context.notify(ControlEvent::PeerSyncState { state, asked_at });
+            traffic
+                .context
+                .control_events
+                .send(ControlEvent::PeerSyncState { state, asked_at })
+                .await;
         }
         Ok(_) => {
             log::warn!(event = "peer_reply_unexpected", peer = &*entry.name; "");
-            traffic.context.notify(ControlEvent::PeerQueryFailed);
+            traffic.context.control_events.send(ControlEvent::PeerQueryFailed).await;
         }
         Err(error) => {
             log::info!(event = "peer_question_failed", peer = &*entry.name, reason:% = error; "");
-            traffic.context.notify(ControlEvent::PeerQueryFailed);
+            traffic.context.control_events.send(ControlEvent::PeerQueryFailed).await;
         }
     }
 }
--- a/crates/galenastream_node/src/lib.rs
+++ b/crates/galenastream_node/src/lib.rs
@@ -11,8 +11,8 @@
 mod version;
 
 pub use process::{
-    CommandLine, ControlEvent, ControlState, Directory, Effect, HeartbeatAnswer, KeyMeter,
-    LeasePage, LocalTarget, OPERATORS_PORT, STATUS_PATH, StatusPage, TargetPage, command,
+    CommandLine, ControlEvent, ControlQueue, ControlState, Directory, Effect, HeartbeatAnswer,
+    KeyMeter, LeasePage, LocalTarget, OPERATORS_PORT, STATUS_PATH, StatusPage, TargetPage, command,
     run_daemon, start_log,
 };
 
--- a/crates/galenastream_node/src/process/commit.rs
+++ b/crates/galenastream_node/src/process/commit.rs
@@ -60,8 +60,6 @@
             assignment: write.assignment,
             result,
         };
-        if context.control_events.send(event).await.is_err() {
-            return;
-        }
+        context.control_events.send(event).await;
     }
 }
--- a/crates/galenastream_node/src/process/context.rs
+++ b/crates/galenastream_node/src/process/context.rs
@@ -14,9 +14,9 @@
 use galenastream_settings::SettingsTree;
 use galenastream_utils::BootInstant;
 use galenastream_wire::{NodeStatus, SharedRow, SyncQuery, SyncState};
-use tokio::sync::{Notify, mpsc, watch};
+use tokio::sync::{Notify, watch};
 
-use super::{ControlEvent, Directory, KeyMeter, StatusPage};
+use super::{ControlQueue, Directory, KeyMeter, StatusPage};
 use crate::version::RoutingTable;
 
 /// The state shared by the threads of a process. The control thread publishes the snapshots.
@@ -42,7 +42,7 @@
     /// The status that this node sends to all others.
     pub status: watch::Sender<NodeStatus>,
     /// The queue of events for the control thread.
-    pub control_events: mpsc::Sender<ControlEvent>,
+    pub control_events: ControlQueue,
     /// Measures the load of single keys at the local target.
     pub key_meter: Mutex<KeyMeter>,
     /// The mean service time of the local target in microseconds; 0 before anything was measured.
@@ -92,16 +92,3 @@
         }
     }
 }
-
-impl NodeContext {
-    /// Queues an event for the control thread without waiting. If the queue is full, the event is
-    /// dropped and logged.
-    ///
-    /// Statuses, sync states and refused connections are reported again. Target ids, changed
-    /// settings and the steps of a stop are not.
-    pub fn notify(self: &Arc<Self>, event: ControlEvent) {
-        if self.control_events.try_send(event).is_err() {
-            log::warn!(event = "control_event_dropped"; "");
-        }
-    }
-}
--- a/crates/galenastream_node/src/process/control_loop.rs
+++ b/crates/galenastream_node/src/process/control_loop.rs
@@ -156,7 +156,9 @@
 /// of its id.
 async fn identify_target(context: Arc<NodeContext>, path: String) {
     match timeout(IDENTITY_TIMEOUT, fetch_target_id(&context, &path)).await {
-        Ok(Ok(Some(target_id))) => context.notify(ControlEvent::TargetIdentified { target_id }),
+        Ok(Ok(Some(target_id))) => {
+            context.control_events.deliver(ControlEvent::TargetIdentified { target_id });
+        }
         Ok(Ok(None)) => log::info!(event = "target_unnamed"; ""),
         Ok(Err(error)) => log::info!(event = "target_not_identified", reason:% = error; ""),
         Err(_) => log::info!(event = "target_not_identified", reason = "timed out"; ""),
@@ -190,5 +192,5 @@
         }
         tokio::time::sleep(PROBE_INTERVAL).await;
     }
-    context.notify(ControlEvent::TargetRefused);
+    context.control_events.deliver(ControlEvent::TargetRefused);
 }
--- a/crates/galenastream_node/src/process/daemon.rs
+++ b/crates/galenastream_node/src/process/daemon.rs
@@ -22,7 +22,7 @@
 };
 
 use super::{
-    ControlEvent, ControlState, KeyMeter, NodeContext, SyncSnapshot, TrafficState,
+    ControlEvent, ControlQueue, ControlState, KeyMeter, NodeContext, SyncSnapshot, TrafficState,
     commit::write_rows,
     control_loop::ControlLoop,
     metrics_page::start_metrics,
@@ -73,7 +73,7 @@
     start_metrics()?;
     let started_at = boot_now();
     let state = ControlState::new(settings.clone(), started_at);
-    let (control_events, events) = mpsc::channel(QUEUE_CAPACITY);
+    let (control_events, events) = ControlQueue::new(QUEUE_CAPACITY);
     let (peer_queries, queries) = mpsc::channel(QUEUE_CAPACITY);
     let context = Arc::new(NodeContext {
         settings: ArcSwap::from_pointee(settings),
@@ -181,13 +181,13 @@
     let started_at = Instant::now();
     let context = &traffic.context;
     context.is_closing.store(true, Ordering::Relaxed);
-    context.notify(ControlEvent::Closing);
+    context.control_events.deliver(ControlEvent::Closing);
     let grace = Duration::from_millis(context.settings.load().bounds.grace_ms);
     let max_duration = grace.saturating_sub(EXIT_MARGIN);
     let stop_by = started_at + max_duration;
     sleep(CLOSING_TIME.min(max_duration.saturating_sub(REFUSING_TIME))).await;
     context.is_refusing.store(true, Ordering::Relaxed);
-    context.notify(ControlEvent::Refusing);
+    context.control_events.deliver(ControlEvent::Refusing);
     sleep(REFUSING_TIME).await;
     loop {
         let is_idle = traffic.in_progress.load(Ordering::Relaxed) == 0;
--- a/crates/galenastream_node/src/process/settings_follower.rs
+++ b/crates/galenastream_node/src/process/settings_follower.rs
@@ -49,5 +49,5 @@
     }
     log::info!(event = "settings_in_force"; "");
     context.settings.store(Arc::new(settings.clone()));
-    context.notify(ControlEvent::Settings(Box::new(settings)));
+    context.control_events.deliver(ControlEvent::Settings(Box::new(settings)));
 }
--- a/crates/galenastream_node/src/process/store_follower.rs
+++ b/crates/galenastream_node/src/process/store_follower.rs
@@ -85,7 +85,7 @@
             }
             Err(error) => {
                 log::info!(event = "store_call_failed", table = table.name(), reason:% = error; "");
-                send(&context, ControlEvent::StoreReached(false)).await;
+                context.control_events.send(ControlEvent::StoreReached(false)).await;
                 sleep(backoff).await;
                 backoff = (backoff * 2).min(MAX_BACKOFF);
             }
@@ -120,7 +120,7 @@
     changed: VersionedRows,
     asked_at: BootInstant,
 ) {
-    send(context, ControlEvent::StoreReached(true)).await;
+    context.control_events.send(ControlEvent::StoreReached(true)).await;
     match table {
         FollowedTable::SharedRows => {
             let event = ControlEvent::Rows {
@@ -128,7 +128,7 @@
                 version: changed.version,
                 confirmed_at: asked_at,
             };
-            send(context, event).await;
+            context.control_events.send(event).await;
         }
         FollowedTable::Config => {
             if let Some(row) = find_config_row(&changed.rows) {
@@ -145,7 +145,10 @@
     };
     match RoutingConfig::decode(&encoded) {
         Ok(config) => {
-            send(context, ControlEvent::Config { config: Box::new(config), encoded }).await;
+            context
+                .control_events
+                .send(ControlEvent::Config { config: Box::new(config), encoded })
+                .await;
         }
         Err(error) => {
             log::warn!(event = "config_refused", row_version = row.version, reason:% = error; "");
@@ -153,13 +156,6 @@
     }
 }
 
-async fn send(context: &NodeContext, event: ControlEvent) {
-    // Fails only while the process ends, since the control loop runs until then.
-    if context.control_events.send(event).await.is_err() {
-        log::debug!(event = "control_loop_gone"; "");
-    }
-}
-
 impl FollowedTable {
     const fn name(self) -> &'static str {
         match self {
