Plan a write again that found the queue full

What could happen: the assignment of a service was never written again by a process whose queue of writes was full once. Not seen; found by reading. Cause: the write counts as pending from the moment it is requested. The control loop dropped it with a log line and told nobody. Change: the control loop reports the drop, and the next tick plans the change again. The test covers the state; without the report the write stays pending for ever.

--- a/crates/galenastream_node/src/process/control_loop.rs
+++ b/crates/galenastream_node/src/process/control_loop.rs
@@ -127,12 +127,14 @@
         });
     }
 
-    fn execute(&self, effect: Effect) {
+    fn execute(&mut self, effect: Effect) {
         match effect {
             Effect::Commit { service, expected_version, assignment } => {
                 let write = AssignmentWrite { service, expected_version, assignment };
-                if self.commits.try_send(write).is_err() {
-                    log::warn!(event = "commit_dropped"; "");
+                if let Err(error) = self.commits.try_send(write) {
+                    let service = error.into_inner().service;
+                    log::warn!(event = "commit_dropped", service = service.as_str(); "");
+                    self.state.handle_dropped_commit(&service);
                 }
             }
             Effect::QueryPeer { node } => {
--- a/crates/galenastream_node/src/process/store_view.rs
+++ b/crates/galenastream_node/src/process/store_view.rs
@@ -267,6 +267,11 @@
         }
     }
 
+    /// Handles an [`Effect::Commit`] that was not carried out. The change is planned again.
+    pub fn handle_dropped_commit(&mut self, service: &str) {
+        self.assignment_record(service).is_write_pending = false;
+    }
+
     pub(super) fn record_confirmation(&mut self, confirmed_at: BootInstant) {
         self.confirmed_at = Some(self.confirmed_at.map_or(confirmed_at, |it| it.max(confirmed_at)));
     }
--- a/crates/galenastream_node/tests/ownership/incarnations.rs
+++ b/crates/galenastream_node/tests/ownership/incarnations.rs
@@ -152,3 +152,24 @@
     state.tick(at(START_MS + 1_900));
     assert!(holds_key(&state, START_MS + 1_900), "the row was confirmed after the start");
 }
+
+/// Guards against a service whose assignment is never written again by this process.
+#[test]
+fn a_write_that_found_the_queue_full_is_requested_again() {
+    let mut state = ControlState::new(settings(0), at(0));
+    let config = Box::new(config());
+    state.handle(ControlEvent::Config { config, encoded: Bytes::new() }, at(10));
+    state.handle(ControlEvent::StoreReached(true), at(20));
+    let rows = ControlEvent::Rows { rows: Vec::new(), version: 1, confirmed_at: at(20) };
+    state.handle(rows, at(30));
+    for sequence in 1..=2 {
+        send_heartbeat(&mut state, "t", sequence, sequence * 900);
+    }
+    let commits = |effects: &[Effect]| {
+        effects.iter().filter(|it| matches!(it, Effect::Commit { .. })).count()
+    };
+    assert_eq!(commits(&state.tick(at(2_100))), 1);
+    assert_eq!(commits(&state.tick(at(2_200))), 0, "the write is pending");
+    state.handle_dropped_commit("carts");
+    assert_eq!(commits(&state.tick(at(2_300))), 1);
+}
