--- a/crates/galenastream_standin/src/row_store/row_store_standin.rs
+++ b/crates/galenastream_standin/src/row_store/row_store_standin.rs
@@ -10,6 +10,7 @@
 
 use base64::{Engine, prelude::BASE64_STANDARD};
 use http::{Method, StatusCode};
+use percent_encoding::percent_decode_str;
 use serde_json::{Value, json};
 use tokio::{sync::watch, time::timeout};
 use volo::service::Service;
@@ -21,6 +22,9 @@
 };
 use crate::{HttpServer, json_reply, read_json, text_reply};
 
+/// The maximum number of rows of an answer.
+const MAX_PAGE_ROWS: usize = 500;
+
 /// A store of rows with an HTTP server.
 #[derive(Debug)]
 pub struct RowStoreStandin {
@@ -145,9 +149,13 @@
             },
             "/galenastream/rows-get" => {
                 let table = lock(&self.state.table);
-                let rows = table.read(parameter(&query, "table"));
+                let from = percent_decode_str(parameter(&query, "from")).decode_utf8_lossy();
+                let mut rows = table.read(parameter(&query, "table"), &from);
+                let limit = parameter(&query, "limit").parse().unwrap_or(MAX_PAGE_ROWS);
+                let has_more = rows.len() > limit;
+                rows.truncate(limit);
                 let page = json!({
-                    "rows": rows, "hasMore": false, "ver": table.version(), "nowMs": 0,
+                    "rows": rows, "hasMore": has_more, "ver": table.version(), "nowMs": 0,
                 });
                 json_reply(StatusCode::OK, &page)
             }
--- a/crates/galenastream_standin/src/row_store/row_table.rs
+++ b/crates/galenastream_standin/src/row_store/row_table.rs
@@ -73,9 +73,12 @@
         changed.into_iter().map(|((table, key), row)| row_json(table, key, row)).collect()
     }
 
-    /// Returns the rows of a table that exist, in the order of their keys.
-    pub(super) fn read(&self, table: &str) -> Vec<Value> {
-        let rows = self.rows.iter().filter(|((of, _), row)| of == table && row.value.is_some());
+    /// Returns the rows of a table that exist and whose keys are not below `from`, in the order of
+    /// their keys.
+    pub(super) fn read(&self, table: &str, from: &str) -> Vec<Value> {
+        let is_in_page = |of: &str, key: &str| of == table && key >= from;
+        let rows =
+            self.rows.iter().filter(|((of, key), row)| is_in_page(of, key) && row.value.is_some());
         rows.map(|((table, key), row)| row_json(table, key, row)).collect()
     }
 
