Select a target among four random ones

Cause: each of 82 nodes compared all targets of a service by observations that are up to a second old, so all of them selected the same one. The requests for one target filled the link of its node (10 Mbit/s) and its tenth of a core; it replied late, was taken for silent, its connections were closed, and all requests on them were lost. Refusals did not end this, as every node found the target that looked best again. In the new test 80 of 80 nodes select the same target before the change. Why this works: a node compares four random targets, so of n targets none gets more than four nths of the requests, and most of these from nodes that see it as the best of theirs. Four or fewer are compared as before.

--- a/crates/galenastream_node/src/process/traffic_state.rs
+++ b/crates/galenastream_node/src/process/traffic_state.rs
@@ -67,7 +67,7 @@
             log_budget: LogBudget::new(),
             tally: Mutex::default(),
             in_progress: AtomicUsize::new(0),
-            placement: Mutex::default(),
+            placement: Mutex::new(TargetSelector::new(rand::random())),
             retry_budgets: Mutex::default(),
             splits: Mutex::default(),
             service_time: Mutex::default(),
--- a/crates/galenastream_routing/src/process/target_selector.rs
+++ b/crates/galenastream_routing/src/process/target_selector.rs
@@ -2,9 +2,11 @@
 //!
 //! Load patterns: the targets of a service differ in speed by a factor of two and more; some become
 //! slow for seconds; some fail a part of their requests immediately, which makes them look fast;
-//! traffic to another data centre is billed.
+//! traffic to another data centre is billed; many nodes select from the same old observations at
+//! the same time.
 
 use galenastream_utils::{BootInstant, FastMap};
+use rand::{RngExt, SeedableRng, rngs::SmallRng};
 
 /// Weight of a new sample in the moving failure rate.
 const FAILURE_WEIGHT: f64 = 0.08;
@@ -22,6 +24,11 @@
 /// The assumed service time in microseconds if none of the candidates has a known one.
 const UNKNOWN_SERVICE_TIME_US: f64 = 50_000.0;
 
+/// The number of candidates that are compared for a request. Many nodes select at the same time from
+/// observations that are up to a second old. If they compared all candidates, all of them would
+/// select the one that looks best. Of n targets, each gets at most this many nths of the requests.
+const SAMPLE_SIZE: usize = 4;
+
 /// Identifies the node beside a target within this process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct NodeKey(pub u32);
@@ -47,8 +54,9 @@
 }
 
 /// Selects targets by their expected latencies, from the load and failures that this node observes.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub struct TargetSelector {
+    random: SmallRng,
     nodes: FastMap<NodeKey, NodeRecord>,
 }
 
@@ -63,19 +71,21 @@
 }
 
 impl TargetSelector {
-    /// Creates a selector without observations.
-    pub fn new() -> Self {
-        Self::default()
+    /// Creates a selector without observations. Nodes should have different seeds, so that they do
+    /// not select the same targets at the same time.
+    pub fn new(seed: u64) -> Self {
+        Self { random: SmallRng::seed_from_u64(seed), nodes: FastMap::default() }
     }
 
-    /// Selects the target with the lowest expected latency. For a target in another data centre,
-    /// `remote_penalty` service times are added.
+    /// Selects the target with the lowest expected latency among a few random candidates. For a
+    /// target in another data centre, `remote_penalty` service times are added.
     pub fn choose(
-        &self,
+        &mut self,
         candidates: &[TargetCandidate],
         remote_penalty: f64,
         now: BootInstant,
     ) -> Option<NodeKey> {
+        let sample = self.sample(candidates);
         let min_us = self.min_service_time_us(candidates);
         let expected = |it: &TargetCandidate| {
             let remote = if it.is_same_data_centre { 0.0 } else { remote_penalty };
@@ -83,7 +93,18 @@
         };
         let by_latency =
             |a: &&TargetCandidate, b: &&TargetCandidate| expected(a).total_cmp(&expected(b));
-        candidates.iter().min_by(by_latency).map(|it| it.node)
+        sample.iter().min_by(by_latency).map(|it| it.node)
+    }
+
+    /// Returns up to [`SAMPLE_SIZE`] random candidates.
+    fn sample(&mut self, candidates: &[TargetCandidate]) -> Vec<TargetCandidate> {
+        let mut sample = candidates.to_vec();
+        for index in 0..sample.len().min(SAMPLE_SIZE) {
+            let other = self.random.random_range(index..sample.len());
+            sample.swap(index, other);
+        }
+        sample.truncate(SAMPLE_SIZE);
+        sample
     }
 
     /// Counts a request that is sent to a target.
--- a/crates/galenastream_routing/tests/load_patterns.rs
+++ b/crates/galenastream_routing/tests/load_patterns.rs
@@ -154,11 +154,14 @@
 const FAR: TargetCandidate =
     TargetCandidate { node: NodeKey(2), slots: SLOTS, is_same_data_centre: false };
 
+/// The seed of a selector where the result does not depend on it.
+const SEED: u64 = 1;
+
 /// The default of `remote_penalty_percent`, as a fraction.
 const REMOTE_PENALTY: f64 = 0.25;
 
 fn selector_with(near: ObservedLoad, far: ObservedLoad, now: BootInstant) -> TargetSelector {
-    let mut selector = TargetSelector::new();
+    let mut selector = TargetSelector::new(SEED);
     selector.observe(NEAR.node, near, now);
     selector.observe(FAR.node, far, now);
     selector
@@ -278,7 +281,7 @@
     let candidates: Vec<TargetCandidate> = (0..4)
         .map(|it| TargetCandidate { node: NodeKey(it), slots: SLOTS, is_same_data_centre: true })
         .collect();
-    let mut selector = TargetSelector::new();
+    let mut selector = TargetSelector::new(SEED);
     let mut replay = |from_ms: u64, first_us: u32| {
         let mut to_first = 0;
         for step in 0..200 {
@@ -369,3 +372,29 @@
     assert!(in_time_count > full * 85 / 100, "{in_time_count} of {full}");
     assert!(late_count < full / 10, "{late_count} of {full}");
 }
+
+/// Guards against a target that gets the requests of all nodes at once, more than its link and the
+/// processor of its node can take, because it looked best a moment ago.
+#[test]
+fn many_nodes_with_the_same_observations_do_not_all_select_the_same_target() {
+    const NODES: u64 = 80;
+    const TARGETS: u32 = 20;
+    let now = at_ms(100);
+    let candidates: Vec<TargetCandidate> = (0..TARGETS)
+        .map(|it| TargetCandidate { node: NodeKey(it), slots: SLOTS, is_same_data_centre: true })
+        .collect();
+    let mut counts = [0_u32; TARGETS as usize];
+    for seed in 0..NODES {
+        let mut selector = TargetSelector::new(seed);
+        for target in 0..TARGETS {
+            // The first target looks idle, all others have requests waiting.
+            let pending = if target == 0 { 0 } else { SLOTS + 1 };
+            selector.observe(NodeKey(target), load(pending, 60_000), now);
+        }
+        let chosen = selector.choose(&candidates, REMOTE_PENALTY, now).unwrap();
+        counts[chosen.0 as usize] += 1;
+    }
+    assert!(counts[0] > 0, "the best target is selected by some: {counts:?}");
+    // Four in twenty on average.
+    assert!(counts[0] < 80 * 2 / 5, "{counts:?}");
+}
