Exempt short requests from refusal only when no target is left

Cause: an exempt call waits up to its deadline at the first target, although another one may have room. Why this works: a forwarded request says whether another target is attempted after a refusal. A call goes to the target that can answer it in time, and only the last attempt, or the only target of a key, takes it as late as its deadline allows.

--- a/crates/galenastream_node/src/request/attempt.rs
+++ b/crates/galenastream_node/src/request/attempt.rs
@@ -30,9 +30,11 @@
     request: &CallerRequest,
     key: Option<u16>,
     destination: &Destination,
+    has_alternatives: bool,
 ) -> ForwardedReply {
     let node = destination.node.key;
-    let message = forwarded_request(traffic, request, key, destination);
+    let mut message = forwarded_request(traffic, request, key, destination);
+    message.has_alternatives = has_alternatives;
     let reply = {
         let _in_progress = InProgressGuard::new(traffic, node);
         if destination.node.is_local {
@@ -100,6 +102,7 @@
         prompt_ms: u32::try_from(prompt_ms).unwrap_or(u32::MAX),
         target_latency_ms: u32::try_from(request.route.target_latency_ms).unwrap_or(u32::MAX),
         sent_at_ns: now.as_ns(),
+        has_alternatives: false,
     }
 }
 
--- a/crates/galenastream_node/src/request/entry.rs
+++ b/crates/galenastream_node/src/request/entry.rs
@@ -209,7 +209,9 @@
             };
             self.record_attempt(&destination);
             let mut counted = CountedAttempt::new(self.traffic, self.service, &destination);
-            let reply = attempt(self.traffic, self.request, self.key, &destination).await;
+            let has_alternatives = self.key.is_none() && progress.allows_another_refusal();
+            let reply =
+                attempt(self.traffic, self.request, self.key, &destination, has_alternatives).await;
             counted.reason = self.record_reason(reply.reason);
             drop(counted);
             match self.next_step(destination, reply, &mut progress) {
--- a/crates/galenastream_node/src/request/progress.rs
+++ b/crates/galenastream_node/src/request/progress.rs
@@ -49,6 +49,11 @@
         self.refusals < MAX_REFUSALS
     }
 
+    /// Whether another target is attempted if the next one refuses the request.
+    pub(super) const fn allows_another_refusal(&self) -> bool {
+        self.refusals + 1 < MAX_REFUSALS
+    }
+
     /// Returns the final result if no further attempt is made.
     pub(super) fn give_up(&mut self) -> Result<ForwardedReply, Refusal> {
         if let Some(failure) = self.failure.take() {
--- a/crates/galenastream_routing/src/process/admission.rs
+++ b/crates/galenastream_routing/src/process/admission.rs
@@ -162,7 +162,8 @@
     /// arrival, all answers would then miss their soft deadlines. So a request that will miss its
     /// own is refused in favour of those that can meet theirs, unless few requests wait. Short
     /// requests are exempt and have until the deadline: other targets send them while they run a
-    /// longer request, and a refusal wastes the work done on it.
+    /// longer request, and a refusal wastes the work done on it. As long as they have alternatives,
+    /// they are refused like others, since another target may be faster.
     pub fn arrive_with_soft_deadline(
         &mut self,
         now: BootInstant,
@@ -175,7 +176,8 @@
             return AdmissionOutcome { decision: AdmitDecision::Start, evicted: None };
         }
         let due = soft_deadline.min(deadline);
-        let soft_deadline = if self.service_times.is_short(class) { deadline } else { due };
+        let is_exempt = !class.has_alternatives && self.service_times.is_short(class);
+        let soft_deadline = if is_exempt { deadline } else { due };
         if !self.is_answerable_in_time(now, class, due, soft_deadline, deadline) {
             return AdmissionOutcome { decision: self.shed(now), evicted: None };
         }
--- a/crates/galenastream_routing/src/request/class.rs
+++ b/crates/galenastream_routing/src/request/class.rs
@@ -8,11 +8,18 @@
     pub index: u16,
     /// The priority; requests with a higher one start first.
     pub priority: u8,
+    /// Whether the request can go to another target if this one refuses it.
+    pub has_alternatives: bool,
 }
 
 impl Class {
     /// Creates a class from its index and its priority.
     pub const fn new(index: u16, priority: u8) -> Self {
-        Self { index, priority }
+        Self { index, priority, has_alternatives: false }
+    }
+
+    /// Sets whether the request can go to another target.
+    pub const fn with_alternatives(self, has_alternatives: bool) -> Self {
+        Self { has_alternatives, ..self }
     }
 }
--- a/crates/galenastream_routing/tests/short_requests.rs
+++ b/crates/galenastream_routing/tests/short_requests.rs
@@ -144,3 +144,14 @@
     let [_, call] = replay([long, call]);
     assert!(call.answered * 100 >= call.arrivals * 95, "{call:?}");
 }
+
+/// Guards against calls that wait at a slow target, and hold up the request that made them, while
+/// others have room.
+#[test]
+fn a_call_that_would_be_late_is_refused_while_it_can_go_elsewhere() {
+    let long = Kind::new(400, 210, 400, 1_200, 43);
+    let call = Kind::new(80, 42, 80, 500, 160);
+    let redirectable = Kind { class: call.class.with_alternatives(true), ..call };
+    let [_, call] = replay([long, redirectable]);
+    assert!(call.answered_in_time * 100 >= call.answered * 90, "{call:?}");
+}
--- a/crates/galenastream_wire/src/message/request.rs
+++ b/crates/galenastream_wire/src/message/request.rs
@@ -57,6 +57,9 @@
     /// does not tell. The receiving node estimates from it how long the frame was under way.
     #[prost(uint64, tag = "15")]
     pub sent_at_ns: u64,
+    /// Whether the sending node attempts another target if this one refuses the request.
+    #[prost(bool, tag = "16")]
+    pub has_alternatives: bool,
 }
 
 /// The reply to a [`ForwardedRequest`].
