Give a target that joins an idle service its share of the keys

What users saw: a target whose node started late got one hot key, or all keys but one, and no more for as long as the service was not busy. With the loss of the other target nearly all keys went unserved. Cause: a target without keys gets one move whatever the utilisation, and that was chosen for much load on few keys, as for a busy target. Afterwards it is no longer without keys, and below planner_busy_percent nothing moves. Why this works: if no target is busy, the move is chosen for keys instead: as many as the share of the target's capacity, with no more load than its share. A busy service is balanced as before.

--- a/crates/galenastream_ranges/src/planner.rs
+++ b/crates/galenastream_ranges/src/planner.rs
@@ -131,10 +131,15 @@
                 break;
             };
             let is_new_target = !pieces.iter().any(|it| it.target == Some(to));
-            if !is_new_target && !usage.is_unbalanced(from, self.settings) {
+            let is_unbalanced = usage.is_unbalanced(from, self.settings);
+            if !is_new_target && !is_unbalanced {
                 break;
             }
-            let Some(chosen) = choose_run(&pieces, from, usage.excess(from, to)) else {
+            let goal = match is_unbalanced {
+                true => RunGoal::Load,
+                false => RunGoal::Keys { at_most: usage.fair_key_count(to) },
+            };
+            let Some(chosen) = choose_run(&pieces, from, usage.excess(from, to), goal) else {
                 break;
             };
             let weight: f64 = pieces[chosen.clone()].iter().map(|it| it.weight).sum();
@@ -206,6 +211,12 @@
         self.total * self.targets[target].capacity_per_s / self.capacity.max(f64::MIN_POSITIVE)
     }
 
+    /// Returns the number of keys that a target gets in proportion to its capacity.
+    fn fair_key_count(&self, target: usize) -> u32 {
+        let share = self.targets[target].capacity_per_s / self.capacity.max(f64::MIN_POSITIVE);
+        (f64::from(KEY_COUNT) * share) as u32
+    }
+
     /// Returns the first eligible target whose fair share has room for a piece, so that
     /// neighbouring keys stay together; otherwise the one with the lowest utilisation.
     fn choose_owner(&self, weight: f64) -> Option<usize> {
@@ -242,6 +253,16 @@
     }
 }
 
+/// What a move to another target is for.
+#[derive(Debug, Clone, Copy)]
+enum RunGoal {
+    /// To relieve a busy target: much load on few keys.
+    Load,
+    /// To give a new target its share of the keys although no target is busy, so that few keys are
+    /// lost with any one of them.
+    Keys { at_most: u32 },
+}
+
 /// Splits all keys into pieces. A piece lies within one entry. A piece with measured load also lies
 /// within one measured range.
 fn cut_pieces(assignment: &Assignment, targets: &[TargetLoad]) -> Vec<Piece> {
@@ -291,30 +312,45 @@
     }
 }
 
-/// Chooses the run of neighbouring pieces of a target with the best score: a load close to
-/// `wanted_load` but not above it, on few keys. A run contains no piece that is moving.
-fn choose_run(pieces: &[Piece], from: usize, wanted_load: f64) -> Option<std::ops::Range<usize>> {
+/// Chooses the run of neighbouring pieces of a target that serves the goal best, with a load of at
+/// most `max_load`. A run contains no piece that is moving.
+fn choose_run(
+    pieces: &[Piece],
+    from: usize,
+    max_load: f64,
+    goal: RunGoal,
+) -> Option<std::ops::Range<usize>> {
+    let max_keys = match goal {
+        RunGoal::Load => KEY_COUNT,
+        RunGoal::Keys { at_most } => at_most,
+    };
     let mut best: Option<(f64, std::ops::Range<usize>)> = None;
     let mut start = 0;
     let mut sum = 0.0;
+    let mut keys = 0;
     for end in 0..pieces.len() {
         if pieces[end].target != Some(from) || pieces[end].is_moving {
             start = end + 1;
             sum = 0.0;
+            keys = 0;
             continue;
         }
         sum += pieces[end].weight;
-        while sum > wanted_load && start <= end {
+        keys += pieces[end].range.len();
+        while (sum > max_load || keys > max_keys) && start <= end {
             sum -= pieces[start].weight;
+            keys -= pieces[start].range.len();
             start += 1;
         }
         if start > end {
             sum = 0.0;
             continue;
         }
-        let keys: u32 = pieces[start..=end].iter().map(|it| it.range.len()).sum();
-        // The load is squared, so that half of the wanted load on a tenth of the keys scores lower.
-        let score = sum * sum / f64::from(keys).sqrt();
+        let score = match goal {
+            // The load is squared, so that half of the load on a tenth of the keys scores lower.
+            RunGoal::Load => sum * sum / f64::from(keys).sqrt(),
+            RunGoal::Keys { .. } => f64::from(keys),
+        };
         if best.as_ref().is_none_or(|(it, _)| score > *it) {
             best = Some((score, start..end + 1));
         }
--- a/crates/galenastream_ranges/tests/planner.rs
+++ b/crates/galenastream_ranges/tests/planner.rs
@@ -197,3 +197,16 @@
         assert!(planned.range.first >= 1_000, "{} is already moving", planned.range);
     }
 }
+
+/// Guards against a target that joins an idle service and gets a single hot key as its share.
+#[test]
+fn a_target_that_joins_an_idle_service_gets_its_share_of_the_keys() {
+    let hot_key = KeyRange::new(0, 0).expect("a range");
+    let demand = vec![(hot_key, 5.0)];
+    let capacities = [36.0, 36.0];
+    let mut assignment = placed(&demand, &capacities[..1]);
+    let targets = targets(&assignment, &demand, &capacities);
+    let moves = Planner::new(SETTINGS).balance(&assignment, &targets);
+    let moved = carry_out(&mut assignment, &moves);
+    assert!((20_000..=45_000).contains(&moved), "{moves:?}");
+}
