Count only remaining targets as alternatives of a short request

What could happen: at a service with one or two targets, short requests were refused under overload like all others, also at the last target, so the runs that had made them failed. Cause: the exemption went by the number of refusals alone, and with fewer than three targets the third attempt never comes. Change: the selection says whether other candidates are left; the test covers both conditions. The flag is part of the destination now, which spares a parameter.

--- a/crates/galenastream_node/src/request/attempt.rs
+++ b/crates/galenastream_node/src/request/attempt.rs
@@ -21,6 +21,8 @@
 pub(super) struct Destination {
     pub(super) node: NodeEntry,
     pub(super) target: TargetIncarnation,
+    /// Whether another target is attempted if this one refuses the request.
+    pub(super) has_alternatives: bool,
 }
 
 /// Sends a request to a target, waits for the reply, and records its result and the reported load,
@@ -30,11 +32,9 @@
     request: &CallerRequest,
     key: Option<u16>,
     destination: &Destination,
-    has_alternatives: bool,
 ) -> ForwardedReply {
     let node = destination.node.key;
-    let mut message = forwarded_request(traffic, request, key, destination);
-    message.has_alternatives = has_alternatives;
+    let message = forwarded_request(traffic, request, key, destination);
     let reply = {
         let _in_progress = InProgressGuard::new(traffic, node);
         if destination.node.is_local {
@@ -102,7 +102,7 @@
         prompt_ms: u32::try_from(prompt_ms).unwrap_or(u32::MAX),
         target_latency_ms: u32::try_from(request.route.target_latency_ms).unwrap_or(u32::MAX),
         sent_at_ns: now.as_ns(),
-        has_alternatives: false,
+        has_alternatives: destination.has_alternatives,
     }
 }
 
--- a/crates/galenastream_node/src/request/entry.rs
+++ b/crates/galenastream_node/src/request/entry.rs
@@ -209,9 +209,7 @@
             };
             self.record_attempt(&destination);
             let mut counted = CountedAttempt::new(self.traffic, self.service, &destination);
-            let has_alternatives = self.key.is_none() && progress.allows_another_refusal();
-            let reply =
-                attempt(self.traffic, self.request, self.key, &destination, has_alternatives).await;
+            let reply = attempt(self.traffic, self.request, self.key, &destination).await;
             counted.reason = self.record_reason(reply.reason);
             drop(counted);
             match self.next_step(destination, reply, &mut progress) {
@@ -272,7 +270,11 @@
             let assignment = directory.assignments.get(self.service)?;
             let holder = assignment.entry_of(key).holding.holder()?;
             let node = directory.node_of(&holder.target).filter(|it| !it.is_refusing)?;
-            return Some(Destination { node: node.clone(), target: holder.target.clone() });
+            return Some(Destination {
+                node: node.clone(),
+                target: holder.target.clone(),
+                has_alternatives: false,
+            });
         }
         let settings = self.traffic.context.settings.load();
         let data_centre = &settings.data_centre;
@@ -302,7 +304,8 @@
         let chosen = self.traffic.placement().choose(&candidates, remote_penalty, boot_now())?;
         let node = directory.nodes.iter().find(|it| it.key == chosen)?;
         let target = node.target.as_ref()?.incarnation.clone();
-        Some(Destination { node: node.clone(), target })
+        let has_alternatives = progress.has_alternatives(candidates.len());
+        Some(Destination { node: node.clone(), target, has_alternatives })
     }
 
     /// Decides from the reply of an attempt how the request continues.
--- a/crates/galenastream_node/src/request/mod.rs
+++ b/crates/galenastream_node/src/request/mod.rs
@@ -6,6 +6,8 @@
 mod counted_attempt;
 mod entry;
 mod progress;
+#[cfg(test)]
+mod progress_tests;
 mod refusal;
 mod target_run;
 
--- a/crates/galenastream_node/src/request/progress.rs
+++ b/crates/galenastream_node/src/request/progress.rs
@@ -49,9 +49,9 @@
         self.refusals < MAX_REFUSALS
     }
 
-    /// Whether another target is attempted if the next one refuses the request.
-    pub(super) const fn allows_another_refusal(&self) -> bool {
-        self.refusals + 1 < MAX_REFUSALS
+    /// Whether another of the candidates is attempted if the next one refuses the request.
+    pub(super) const fn has_alternatives(&self, candidate_count: usize) -> bool {
+        candidate_count > 1 && self.refusals + 1 < MAX_REFUSALS
     }
 
     /// Returns the final result if no further attempt is made.
