--- a/crates/galenastream_node/src/request/progress.rs
+++ b/crates/galenastream_node/src/request/progress.rs
@@ -6,8 +6,8 @@
 use super::refusal::Refusal;
 
 /// Number of nodes that may refuse a request as overloaded before it is given up. Each one was the
-/// best candidate by the observed loads, so after a few the service has no room. More attempts
-/// would take time and bandwidth from requests that can be served.
+/// best of several by the observed loads, so the service has hardly any room. More attempts would
+/// take time and bandwidth from requests that can be served.
 const MAX_REFUSALS: u32 = 3;
 
 /// `Retry-After` unless the node beside a target asks for a shorter time.
