--- a/crates/galenastream_routing/src/process/service_time.rs
+++ b/crates/galenastream_routing/src/process/service_time.rs
@@ -44,7 +44,7 @@
         Duration::from_nanos(self.mean_ns)
     }
 
-    /// Returns the mean plus [`UPPER_DEVIATIONS`] mean deviations, which few requests exceed.
+    /// Returns the mean plus two mean deviations, which few requests exceed.
     pub const fn upper_estimate(&self) -> Duration {
         Duration::from_nanos(self.mean_ns + UPPER_DEVIATIONS * self.deviation_ns)
     }
