Log the request limits and leaves that targets announce

No decision depends on it yet.

A lower limit counts at once, a higher one or none only in the response to a request that was sent after the last response that confirmed the current limit: others may be older. Values that cannot be decoded count as none and are logged once.

--- /dev/null
+++ b/crates/galenastream_node/src/process/local_announcement.rs
@@ -0,0 +1,87 @@
+//! What the local target announces in its responses.
+
+use galenastream_adapter::{FormatError, decode_leaving, decode_request_limit};
+use galenastream_ranges::TargetIncarnation;
+use galenastream_routing::{AnnouncedLimit, RequestRate};
+use galenastream_utils::BootInstant;
+use http::HeaderMap;
+use metrics::gauge;
+
+/// What the current incarnation of the local target announces in its responses.
+#[derive(Debug, Default)]
+pub struct LocalAnnouncement {
+    incarnation: Option<TargetIncarnation>,
+    limit: AnnouncedLimit,
+    leaving_since: Option<BootInstant>,
+    has_logged_malformed: bool,
+}
+
+impl LocalAnnouncement {
+    /// Discards what an earlier incarnation has announced.
+    pub fn set_incarnation(&mut self, incarnation: &TargetIncarnation) {
+        if self.incarnation.as_ref() == Some(incarnation) {
+            return;
+        }
+        *self = Self { incarnation: Some(incarnation.clone()), ..Self::default() };
+        set_limit_gauge(None);
+    }
+
+    /// Whether the announcements are those of the incarnation with this id and start time.
+    pub fn is_of(&self, target_id: &str, born_ms: u64) -> bool {
+        let incarnation = self.incarnation.as_ref();
+        incarnation.is_some_and(|it| *it.id == *target_id && it.born_ms == born_ms)
+    }
+
+    /// Records what the response to a request announces. Values that cannot be decoded count as not
+    /// announced, and are logged once for each incarnation.
+    pub fn record_response(
+        &mut self,
+        headers: &HeaderMap,
+        request_id: &str,
+        sent_at: BootInstant,
+        now: BootInstant,
+    ) {
+        let limit_milli_per_s = decode_request_limit(headers)
+            .unwrap_or_else(|error| self.log_malformed(request_id, &error));
+        let is_leaving =
+            decode_leaving(headers).unwrap_or_else(|error| self.log_malformed(request_id, &error));
+        let before = self.limit.current();
+        let announced = limit_milli_per_s.map(RequestRate::new);
+        if self.limit.record_response(announced, sent_at, now) {
+            self.log_limit(before, request_id);
+        }
+        if is_leaving && self.leaving_since.is_none() {
+            log::info!(event = "target_announces_leave", target_id = self.target_id(), request_id; "");
+            self.leaving_since = Some(now);
+        }
+    }
+
+    fn log_limit(&self, before: Option<RequestRate>, request_id: &str) {
+        let limit = self.limit.current();
+        set_limit_gauge(limit);
+        let event = match (before, limit) {
+            (None, _) => "target_limit_announced",
+            (Some(_), Some(_)) => "target_limit_changed",
+            (Some(_), None) => "target_limit_ended",
+        };
+        let limit_milli_per_s = limit.map(RequestRate::milli_per_s);
+        log::info!(event, target_id = self.target_id(), limit_milli_per_s, request_id; "");
+    }
+
+    fn log_malformed<T: Default>(&mut self, request_id: &str, error: &FormatError) -> T {
+        if !self.has_logged_malformed {
+            self.has_logged_malformed = true;
+            log::warn!(event = "announcement_malformed", target_id = self.target_id(), request_id, reason:% = error; "");
+        }
+        T::default()
+    }
+
+    fn target_id(&self) -> &str {
+        self.incarnation.as_ref().map_or("", |it| &it.id)
+    }
+}
+
+/// Publishes the limit in requests per second; -1 stands for none.
+fn set_limit_gauge(limit: Option<RequestRate>) {
+    gauge!("galenastream_target_limit_per_s").set(limit.map_or(-1.0, RequestRate::per_s));
+}
--- a/crates/galenastream_node/src/process/traffic_state.rs
+++ b/crates/galenastream_node/src/process/traffic_state.rs
@@ -16,7 +16,7 @@
 use galenastream_settings::EffectiveSettings;
 use galenastream_utils::FastMap;
 
-use super::{NodeContext, TrafficTally};
+use super::{LocalAnnouncement, NodeContext, TrafficTally};
 use crate::connection::{PeerLinks, TargetConnections};
 
 /// The longest wait for a slot. The deadlines of the requests are the effective limit.
@@ -46,6 +46,7 @@
     service_time: Mutex<ServiceTime>,
     pending: AtomicUsize,
     admission_limits: Mutex<Option<AdmissionLimits>>,
+    announcement: Mutex<LocalAnnouncement>,
 }
 
 /// Increments a counter of requests and decrements it when dropped.
@@ -73,6 +74,7 @@
             service_time: Mutex::default(),
             pending: AtomicUsize::new(0),
             admission_limits: Mutex::default(),
+            announcement: Mutex::default(),
         }
     }
 
@@ -81,6 +83,11 @@
         lock(&self.placement)
     }
 
+    /// Locks what the local target announces in its responses.
+    pub fn announcement(&self) -> MutexGuard<'_, LocalAnnouncement> {
+        lock(&self.announcement)
+    }
+
     /// Locks the counts of requests and attempts.
     pub fn tally(&self) -> MutexGuard<'_, TrafficTally> {
         lock(&self.tally)
--- a/crates/galenastream_node/src/request/target_run.rs
+++ b/crates/galenastream_node/src/request/target_run.rs
@@ -179,7 +179,7 @@
         result = traffic.target_connections.send(outgoing) => result,
         () = sleep_until(deadline.at()) => return unknown(ReplyReason::DeadlinePassed),
     };
-    let reply = reply_from_result(traffic, &request, result);
+    let reply = reply_from_result(traffic, &request, began_at, result);
     if reply.outcome == ReplyOutcome::Answered as i32 {
         slot.record_response();
         if reply.status < 500 && is_representative {
@@ -251,6 +251,7 @@
         return Err(not_sent(ReplyReason::OtherTarget, MOVING_RETRY_AFTER_MS));
     }
     traffic.set_admission_limits(&local.service, local.slots);
+    traffic.announcement().set_incarnation(&local.incarnation);
     let now = boot_now();
     if is_drain_over(traffic, local, now) {
         return Err(not_sent(ReplyReason::Draining, MOVING_RETRY_AFTER_MS));
@@ -310,6 +311,7 @@
 fn reply_from_result(
     traffic: &TrafficState,
     request: &ForwardedRequest,
+    sent_at: BootInstant,
     result: TargetResult,
 ) -> ForwardedReply {
     let response = match result {
@@ -332,6 +334,14 @@
         log::info!(event = "target_answer_stray", request_id = request.request_id.as_str(); "");
         return unknown(ReplyReason::BadAnswer);
     }
+    let mut announcement = traffic.announcement();
+    // A misdirected request was answered by another target.
+    if response.parts.status != StatusCode::MISDIRECTED_REQUEST
+        && announcement.is_of(&request.target_id, request.target_born_ms)
+    {
+        announcement.record_response(headers, &request.request_id, sent_at, boot_now());
+    }
+    drop(announcement);
     if headers.contains_key(header::CONTENT_ENCODING) {
         return unknown(ReplyReason::BadAnswer);
     }
--- a/crates/galenastream_routing/src/process/mod.rs
+++ b/crates/galenastream_routing/src/process/mod.rs
@@ -1,6 +1,7 @@
 //! State that lives as long as the process.
 
 mod admission;
+mod announced_limit;
 mod queue;
 mod service_time;
 mod target_selector;
@@ -8,6 +9,7 @@
 mod windowed_retry_budget;
 
 pub use admission::*;
+pub use announced_limit::*;
 pub use service_time::*;
 pub use target_selector::*;
 pub use weighted_split::*;
--- a/crates/galenastream_routing/src/request/mod.rs
+++ b/crates/galenastream_routing/src/request/mod.rs
@@ -2,6 +2,8 @@
 
 mod class;
 mod deadline;
+mod request_rate;
 
 pub use class::*;
 pub use deadline::*;
+pub use request_rate::*;
