--- /dev/null
+++ b/crates/galenastream_node/tests/platform/announced_leave.rs
@@ -0,0 +1,69 @@
+//! Tests of targets that announce in their responses that they leave.
+
+use std::time::{Duration, Instant};
+
+use galenastream_standin::{LocalDeployment, TargetAnnouncement};
+
+use super::{
+    announcement_load::{SentRequest, load_path},
+    deployment::start,
+};
+
+/// The drain period in the settings of the stand-ins.
+const DRAIN_TIME: Duration = Duration::from_secs(2);
+
+const LEAVING: TargetAnnouncement = TargetAnnouncement { limit: None, is_leaving: true };
+
+/// Asserts that no request reaches a leaving target that its caller sent after the drain period,
+/// which starts for each VM when its node passes on the first response with the announcement.
+fn assert_left_alone(deployment: &LocalDeployment, target_vm: usize, sent: &[SentRequest]) {
+    let arrivals = deployment.vms[target_vm].target.arrivals();
+    let mut late = Vec::new();
+    let mut announcing_vms = 0;
+    for vm in 0..deployment.vms.len() {
+        let from_vm = || sent.iter().filter(|it| it.vm == vm);
+        let announces = |it: &&SentRequest| {
+            it.answer.as_ref().is_some_and(|it| it.header("server-leaving").is_some())
+        };
+        let Some(passed_on_at) = from_vm().filter(announces).map(|it| it.answered_at).min() else {
+            continue;
+        };
+        announcing_vms += 1;
+        for request in from_vm().filter(|it| it.sent_at > passed_on_at + DRAIN_TIME) {
+            if arrivals.iter().any(|it| it.request_id == request.id) {
+                late.push((request.id.clone(), request.sent_at - passed_on_at));
+            }
+        }
+    }
+    assert!(announcing_vms > 0, "no node has passed on the announcement");
+    assert!(late.is_empty(), "{late:?}");
+}
+
+/// Guards against requests to a target that has announced its leave in its responses alone.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_target_that_announces_its_leave_gets_no_request_after_the_drain_period() {
+    let deployment = start("leave-announced", &["stock", "stock", "carts"]).await;
+    deployment.vms[0].target.announce(LEAVING);
+    let began_at = Instant::now();
+    let sent = load_path(&deployment, "/stock/1", false, DRAIN_TIME * 2).await;
+    assert_left_alone(&deployment, 0, &sent);
+    let is_after_drain = |it: &&SentRequest| it.sent_at > began_at + DRAIN_TIME;
+    for request in sent.iter().filter(is_after_drain) {
+        assert_eq!(request.status(), 200, "the other target serves: {request:?}");
+    }
+    deployment.close().unwrap();
+}
+
+/// Guards against keys that stay with a target that has announced its leave.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_keys_of_a_target_that_announces_its_leave_are_served_by_another() {
+    let deployment = start("leave-keys", &["carts", "carts", "stock"]).await;
+    deployment.vms[0].target.announce(LEAVING);
+    let began_at = Instant::now();
+    let sent = load_path(&deployment, "/carts/1", true, DRAIN_TIME * 2).await;
+    assert_left_alone(&deployment, 0, &sent);
+    for request in sent.iter().filter(|it| it.sent_at > began_at + DRAIN_TIME) {
+        assert_eq!(request.status(), 200, "the next owner serves: {request:?}");
+    }
+    deployment.close().unwrap();
+}
--- a/crates/galenastream_node/tests/platform/main.rs
+++ b/crates/galenastream_node/tests/platform/main.rs
@@ -1,8 +1,11 @@
 //! End-to-end tests of real nodes on loopback, with stand-ins for the platform's store and for
 //! targets.
 
+mod announced_leave;
+mod announcement_load;
 mod deployment;
 mod overload;
+mod request_limit;
 
 use std::{
     net::SocketAddr,
--- a/crates/galenastream_standin/src/platform_target/platform_target_standin.rs
+++ b/crates/galenastream_standin/src/platform_target/platform_target_standin.rs
@@ -12,7 +12,8 @@
 use volo_http::{context::ServerContext, request::Request, response::Response};
 
 use super::{
-    TargetAnswerFault, TargetCapacity, TargetHistory, TargetPlan, TargetRun,
+    TargetAnnouncement, TargetAnswerFault, TargetArrival, TargetCapacity, TargetHistory,
+    TargetPlan, TargetRun,
     heartbeat_sender::send_heartbeats,
     target_leases::{HeartbeatReply, TargetLeases},
 };
@@ -37,6 +38,8 @@
     slots: Semaphore,
     leases: Mutex<TargetLeases>,
     fault: Mutex<TargetAnswerFault>,
+    announcement: Mutex<TargetAnnouncement>,
+    arrivals: Mutex<Vec<TargetArrival>>,
     runs: Mutex<Vec<TargetRun>>,
 }
 
@@ -55,6 +58,8 @@
             capacity: plan.capacity,
             leases: Mutex::default(),
             fault: Mutex::default(),
+            announcement: Mutex::default(),
+            arrivals: Mutex::default(),
             runs: Mutex::default(),
         });
         let server = HttpServer::start(plan.address, TargetService { state: state.clone() })?;
@@ -68,6 +73,16 @@
         *lock(&self.state.fault) = fault;
     }
 
+    /// Sets what the responses announce from now on.
+    pub fn announce(&self, announcement: TargetAnnouncement) {
+        *lock(&self.state.announcement) = announcement;
+    }
+
+    /// Returns the requests that arrived, in the order of their arrival. Health checks are left out.
+    pub fn arrivals(&self) -> Vec<TargetArrival> {
+        lock(&self.state.arrivals).clone()
+    }
+
     /// Returns the requests that ran.
     pub fn runs(&self) -> Vec<TargetRun> {
         lock(&self.state.runs).clone()
@@ -117,7 +132,9 @@
     type Error = Infallible;
 
     async fn call(&self, _: &mut ServerContext, request: Request) -> Result<Response, Infallible> {
-        Ok(self.answer(request).await)
+        let mut response = self.answer(request).await;
+        lock(&self.state.announcement).append_to(response.headers_mut());
+        Ok(response)
     }
 }
 
@@ -132,6 +149,8 @@
         }
         let headers = request.headers().clone();
         let request_id = header_text(&headers, "x-request-id").to_owned();
+        lock(&self.state.arrivals)
+            .push(TargetArrival { request_id: request_id.clone(), arrived_at: Instant::now() });
         let expected = header_text(&headers, "x-expected-instance");
         if !expected.is_empty() && expected != self.state.id {
             return not_executed_reply(StatusCode::MISDIRECTED_REQUEST, &request_id);
--- /dev/null
+++ b/crates/galenastream_standin/src/platform_target/target_announcement.rs
@@ -0,0 +1,35 @@
+//! What a target announces in its responses.
+
+use std::time::Instant;
+
+use http::{HeaderMap, HeaderValue};
+
+/// What a target announces in the headers of its responses.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct TargetAnnouncement {
+    /// The request limit, as it is written in the header; `None` if there is no such header.
+    pub limit: Option<String>,
+    /// Whether the target leaves.
+    pub is_leaving: bool,
+}
+
+/// A request that arrived at a target, also one that the target refused.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct TargetArrival {
+    /// The id of the request.
+    pub request_id: String,
+    /// When the request arrived.
+    pub arrived_at: Instant,
+}
+
+impl TargetAnnouncement {
+    /// Appends the headers of the announcement to those of a response.
+    pub(super) fn append_to(&self, headers: &mut HeaderMap) {
+        if let Some(limit) = self.limit.as_ref().and_then(|it| HeaderValue::from_str(it).ok()) {
+            headers.append("server-limit", limit);
+        }
+        if self.is_leaving {
+            headers.append("server-leaving", HeaderValue::from_static("1"));
+        }
+    }
+}
