--- a/crates/galenastream_node/src/connection/peer_links.rs
+++ b/crates/galenastream_node/src/connection/peer_links.rs
@@ -155,7 +155,10 @@
 fn is_urgent(sent: &NodeStatus, status: &NodeStatus) -> bool {
     let target_state = |it: &NodeStatus| {
         let target = it.target.as_ref();
-        target.map(|it| (it.id.clone(), it.born_ms, it.is_draining, it.is_silent))
+        target.map(|it| {
+            let is_limited = it.limit_milli_per_s.is_some();
+            (it.id.clone(), it.born_ms, it.is_draining, it.is_silent, is_limited)
+        })
     };
     sent.is_closing != status.is_closing
         || sent.is_refusing != status.is_refusing
--- a/crates/galenastream_node/src/process/control_loop.rs
+++ b/crates/galenastream_node/src/process/control_loop.rs
@@ -1,7 +1,7 @@
 //! The event loop of the control thread.
 
 use std::{
-    sync::{Arc, atomic::Ordering},
+    sync::{Arc, PoisonError, atomic::Ordering},
     time::Duration,
 };
 
@@ -91,6 +91,9 @@
             service_time_us => u64::from(slots) * MILLI_PER_S_PER_US / service_time_us,
         };
         self.state.set_local_load(capacity_milli_per_s, key_loads);
+        let limit =
+            self.context.target_limit.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        self.state.set_local_limit(limit, boot_now());
     }
 
     /// Publishes changed snapshots to the traffic thread.
--- a/crates/galenastream_node/src/process/control_state.rs
+++ b/crates/galenastream_node/src/process/control_state.rs
@@ -6,10 +6,12 @@
 use bytes::Bytes;
 use galenastream_adapter::{NodeSettings, Row};
 use galenastream_ranges::{Assignment, LeaseTerms, Owner, TargetIncarnation, VacancyTracker};
+use galenastream_routing::RequestRate;
 use galenastream_settings::SettingsTree;
 use galenastream_utils::{BootInstant, FastMap};
 use galenastream_wire::{KeyLoadRecord, SharedRow};
 
+use super::local_limit::LocalLimit;
 use super::local_target::LocalTargetState;
 use super::peer_book::PeerRegistry;
 use super::{ControlEvent, Effect};
@@ -47,6 +49,7 @@
     pub(super) is_refusing: bool,
     pub(super) local_capacity_milli_per_s: u64,
     pub(super) local_key_loads: Vec<KeyLoadRecord>,
+    pub(super) local_limit: Option<LocalLimit>,
     pub(super) effects: Vec<Effect>,
     pub(super) encoded_config: Bytes,
     pub(super) rows: FastMap<String, Row>,
@@ -107,6 +110,7 @@
             is_refusing: false,
             local_capacity_milli_per_s: 0,
             local_key_loads: Vec::new(),
+            local_limit: None,
             effects: Vec::new(),
             encoded_config: Bytes::new(),
             rows: FastMap::default(),
@@ -187,6 +191,20 @@
         self.local_key_loads = key_loads;
     }
 
+    /// Sets the request limit that the local target announces, with the incarnation that announces
+    /// it.
+    pub fn set_local_limit(
+        &mut self,
+        announced: Option<(TargetIncarnation, RequestRate)>,
+        now: BootInstant,
+    ) {
+        let earlier = self.local_limit.take();
+        self.local_limit = announced.map(|(target, rate)| {
+            let since = earlier.filter(|it| it.target == target).map_or(now, |it| it.since);
+            LocalLimit { target, rate, since }
+        });
+    }
+
     /// The settings tree in force.
     pub fn settings_tree(&self) -> &Arc<SettingsTree> {
         &self.settings_tree
--- a/crates/galenastream_node/src/process/daemon.rs
+++ b/crates/galenastream_node/src/process/daemon.rs
@@ -87,6 +87,7 @@
         status: watch::Sender::new(state.status(started_at)),
         control_events,
         key_meter: KeyMeter::new().into(),
+        target_limit: Default::default(),
         service_time_us: Default::default(),
         reads_rows: Default::default(),
         own_row_written: Notify::new(),
@@ -150,6 +151,8 @@
     tokio::spawn(serve_peers(traffic.clone(), peers));
     tokio::spawn(exchange_statuses(traffic.clone(), queries));
     tokio::spawn(log_tally(traffic.clone()));
+    let limited = traffic.clone();
+    tokio::spawn(async move { limited.admission.run_request_limit().await });
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let mut reload = signal(SignalKind::hangup())?;
--- a/crates/galenastream_node/src/process/directory.rs
+++ b/crates/galenastream_node/src/process/directory.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, sync::Arc};
 
 use galenastream_ranges::{Assignment, TargetIncarnation};
-use galenastream_routing::NodeKey;
+use galenastream_routing::{NodeKey, RequestRate};
 use galenastream_utils::{BootInstant, FastMap};
 
 use super::HeldLeases;
@@ -57,6 +57,8 @@
     pub slots: u32,
     /// Whether it has announced its leave.
     pub is_draining: bool,
+    /// The request limit that it announces.
+    pub limit: Option<RequestRate>,
 }
 
 /// The local target: the one beside this node.
--- a/crates/galenastream_node/src/process/local_announcement.rs
+++ b/crates/galenastream_node/src/process/local_announcement.rs
@@ -1,12 +1,17 @@
 //! What the local target announces in its responses.
 
+use std::time::Duration;
+
 use galenastream_adapter::{FormatError, decode_leaving, decode_request_limit};
 use galenastream_ranges::TargetIncarnation;
 use galenastream_routing::{AnnouncedLimit, RequestRate};
 use galenastream_utils::BootInstant;
+use galenastream_wire::TargetAnnouncement;
 use http::HeaderMap;
 use metrics::gauge;
 
+use super::remembered_announcements::elapsed_ms;
+
 /// What the current incarnation of the local target announces in its responses.
 #[derive(Debug, Default)]
 pub struct LocalAnnouncement {
@@ -26,6 +31,20 @@
         set_limit_gauge(None);
     }
 
+    /// The limit in force, with the incarnation that announced it.
+    pub fn limit(&self) -> Option<(TargetIncarnation, RequestRate)> {
+        let limit = self.limit.current()?;
+        Some((self.incarnation.clone()?, limit))
+    }
+
+    /// The announcement for the node that sent a request.
+    pub fn to_message(&self, now: BootInstant) -> TargetAnnouncement {
+        TargetAnnouncement {
+            limit_milli_per_s: self.limit.current().map(RequestRate::milli_per_s),
+            leaving_for_ms: self.leaving_since.map(|it| elapsed_ms(it, now)),
+        }
+    }
+
     /// Whether the announcements are those of the incarnation with this id and start time.
     pub fn is_of(&self, target_id: &str, born_ms: u64) -> bool {
         let incarnation = self.incarnation.as_ref();
@@ -50,9 +69,35 @@
         if self.limit.record_response(announced, sent_at, now) {
             self.log_limit(before, request_id);
         }
-        if is_leaving && self.leaving_since.is_none() {
+        if is_leaving {
+            self.record_leave(request_id, now);
+        }
+    }
+
+    /// Records what another node remembers of the incarnation's announcements. This process may
+    /// have started after them.
+    pub fn record_report(
+        &mut self,
+        remembered: TargetAnnouncement,
+        request_id: &str,
+        now: BootInstant,
+    ) {
+        let before = self.limit.current();
+        let limit = remembered.limit_milli_per_s.map(RequestRate::new);
+        if limit.is_some_and(|it| self.limit.record_report(it, now)) {
+            self.log_limit(before, request_id);
+        }
+        if let Some(leaving_for_ms) = remembered.leaving_for_ms {
+            let since = now.saturating_sub(Duration::from_millis(leaving_for_ms));
+            self.record_leave(request_id, since);
+        }
+    }
+
+    /// The first announcement of a leave is the one from which the drain period counts.
+    fn record_leave(&mut self, request_id: &str, since: BootInstant) {
+        if self.leaving_since.is_none() {
             log::info!(event = "target_announces_leave", target_id = self.target_id(), request_id; "");
-            self.leaving_since = Some(now);
+            self.leaving_since = Some(since);
         }
     }
 
--- a/crates/galenastream_node/src/process/publication.rs
+++ b/crates/galenastream_node/src/process/publication.rs
@@ -3,11 +3,12 @@
 use std::sync::Arc;
 
 use galenastream_ranges::TargetIncarnation;
-use galenastream_routing::NodeKey;
+use galenastream_routing::{NodeKey, RequestRate};
 use galenastream_utils::BootInstant;
 use galenastream_wire::{NodeStatus, TargetStatus};
 
 use super::control_state::ControlState;
+use super::local_limit::LocalLimit;
 use super::local_target::LocalTargetState;
 use super::{Directory, LocalTarget, NodeEntry, StatusPage, SyncSnapshot, TargetEntry, TargetPage};
 
@@ -31,6 +32,8 @@
     }
 
     pub(super) fn target_status(&self, local: &LocalTargetState, now: BootInstant) -> TargetStatus {
+        let limit = self.limit_of(local);
+        let measured = self.local_capacity_milli_per_s;
         TargetStatus {
             service: local.service.to_string(),
             id: local.incarnation.id.to_string(),
@@ -38,11 +41,17 @@
             slots: local.slots,
             is_draining: local.draining_since.is_some(),
             is_silent: local.is_silent(now, self.heartbeat_timeout()),
-            capacity_milli_per_s: self.local_capacity_milli_per_s,
+            capacity_milli_per_s: limit.map_or(measured, |it| it.capacity(measured, now)),
             key_loads: self.local_key_loads.clone(),
+            limit_milli_per_s: limit.map(|it| it.rate.milli_per_s()),
         }
     }
 
+    /// The request limit that the local target announces.
+    fn limit_of(&self, local: &LocalTargetState) -> Option<&LocalLimit> {
+        self.local_limit.as_ref().filter(|it| it.target == local.incarnation)
+    }
+
     /// The snapshot of nodes, targets and assignments for the traffic thread.
     pub fn directory(&self, now: BootInstant) -> Directory {
         let mut nodes = vec![self.local_entry()];
@@ -78,6 +87,7 @@
             incarnation: it.incarnation.clone(),
             slots: it.slots,
             is_draining: it.draining_since.is_some(),
+            limit: self.limit_of(it).map(|it| it.rate),
         });
         NodeEntry {
             key: NodeKey(0),
@@ -123,6 +133,7 @@
             born_ms: it.incarnation.born_ms,
             service: it.service.to_string(),
             slots: it.slots,
+            limit_milli_per_s: self.limit_of(it).map(|it| it.rate.milli_per_s()),
             capacity_milli_per_s: self.local_capacity_milli_per_s,
             is_draining: it.draining_since.is_some(),
             is_silent: it.is_silent(now, self.heartbeat_timeout()),
@@ -155,5 +166,6 @@
         incarnation: TargetIncarnation::new(status.id.as_str(), status.born_ms),
         slots: status.slots,
         is_draining: status.is_draining,
+        limit: status.limit_milli_per_s.map(RequestRate::new),
     }
 }
--- /dev/null
+++ b/crates/galenastream_node/src/process/remembered_announcements.rs
@@ -0,0 +1,81 @@
+//! What targets have announced in the responses that this node has passed on.
+//!
+//! The node beside a target forgets its announcements when its process restarts. The nodes that
+//! have passed them on remember them, and send them along with their requests.
+
+use std::time::Duration;
+
+use galenastream_ranges::TargetIncarnation;
+use galenastream_routing::{NodeKey, RequestRate};
+use galenastream_utils::{BootInstant, FastMap};
+use galenastream_wire::TargetAnnouncement;
+
+/// The announcements of the targets beside all nodes. Only the newest incarnation that has
+/// announced anything is remembered for each node.
+#[derive(Debug, Default)]
+pub struct RememberedAnnouncements {
+    by_node: FastMap<NodeKey, Remembered>,
+}
+
+#[derive(Debug)]
+struct Remembered {
+    target: TargetIncarnation,
+    limit: Option<RequestRate>,
+    leaving_since: Option<BootInstant>,
+}
+
+impl RememberedAnnouncements {
+    /// Records what the node beside a target reports with a reply. A limit ends when the reply
+    /// reports none; a leave is final.
+    pub fn record(
+        &mut self,
+        node: NodeKey,
+        target: &TargetIncarnation,
+        announced: TargetAnnouncement,
+        now: BootInstant,
+    ) {
+        let limit = announced.limit_milli_per_s.map(RequestRate::new);
+        let leaving_since =
+            announced.leaving_for_ms.map(|it| now.saturating_sub(Duration::from_millis(it)));
+        let earlier = self.of(node, target).and_then(|it| it.leaving_since);
+        let leaving_since = match (earlier, leaving_since) {
+            (Some(earlier), Some(later)) => Some(earlier.min(later)),
+            (earlier, later) => earlier.or(later),
+        };
+        if limit.is_none() && leaving_since.is_none() {
+            if self.of(node, target).is_some() {
+                self.by_node.remove(&node);
+            }
+            return;
+        }
+        let target = target.clone();
+        self.by_node.insert(node, Remembered { target, limit, leaving_since });
+    }
+
+    /// Returns the request limit of a target, if one is remembered.
+    pub fn limit(&self, node: NodeKey, target: &TargetIncarnation) -> Option<RequestRate> {
+        self.of(node, target)?.limit
+    }
+
+    /// Returns the announcement of a target for the node beside it; `None` if there is none.
+    pub fn report(
+        &self,
+        node: NodeKey,
+        target: &TargetIncarnation,
+        now: BootInstant,
+    ) -> Option<TargetAnnouncement> {
+        let remembered = self.of(node, target)?;
+        Some(TargetAnnouncement {
+            limit_milli_per_s: remembered.limit.map(RequestRate::milli_per_s),
+            leaving_for_ms: remembered.leaving_since.map(|it| elapsed_ms(it, now)),
+        })
+    }
+
+    fn of(&self, node: NodeKey, target: &TargetIncarnation) -> Option<&Remembered> {
+        self.by_node.get(&node).filter(|it| it.target == *target)
+    }
+}
+
+pub(super) fn elapsed_ms(since: BootInstant, now: BootInstant) -> u64 {
+    u64::try_from(now.saturating_since(since).as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/galenastream_node/src/process/status_page.rs
+++ b/crates/galenastream_node/src/process/status_page.rs
@@ -61,6 +61,8 @@
     pub service: String,
     /// The number of requests that it processes concurrently.
     pub slots: u32,
+    /// The request limit that it announces, in thousandths of a request per second.
+    pub limit_milli_per_s: Option<u64>,
     /// The measured capacity in thousandths of a request per second; 0 before anything was
     /// measured.
     pub capacity_milli_per_s: u64,
--- a/crates/galenastream_node/src/process/traffic_state.rs
+++ b/crates/galenastream_node/src/process/traffic_state.rs
@@ -15,8 +15,9 @@
 use galenastream_runtime::{AdmissionController, LogBudget, boot_now};
 use galenastream_settings::EffectiveSettings;
 use galenastream_utils::FastMap;
+use galenastream_wire::TargetAnnouncement;
 
-use super::{LocalAnnouncement, NodeContext, TrafficTally};
+use super::{LocalAnnouncement, NodeContext, RememberedAnnouncements, TrafficTally};
 use crate::connection::{PeerLinks, TargetConnections};
 
 /// The longest wait for a slot. The deadlines of the requests are the effective limit.
@@ -47,6 +48,7 @@
     pending: AtomicUsize,
     admission_limits: Mutex<Option<AdmissionLimits>>,
     announcement: Mutex<LocalAnnouncement>,
+    remembered: Mutex<RememberedAnnouncements>,
 }
 
 /// Increments a counter of requests and decrements it when dropped.
@@ -75,6 +77,7 @@
             pending: AtomicUsize::new(0),
             admission_limits: Mutex::default(),
             announcement: Mutex::default(),
+            remembered: Mutex::default(),
         }
     }
 
@@ -83,9 +86,27 @@
         lock(&self.placement)
     }
 
-    /// Locks what the local target announces in its responses.
-    pub fn announcement(&self) -> MutexGuard<'_, LocalAnnouncement> {
-        lock(&self.announcement)
+    /// Locks what targets have announced in the responses that this node has passed on.
+    pub fn remembered(&self) -> MutexGuard<'_, RememberedAnnouncements> {
+        lock(&self.remembered)
+    }
+
+    /// What the local target announces, if it is the incarnation with this id and start time.
+    pub fn announcement_of(&self, target_id: &str, born_ms: u64) -> Option<TargetAnnouncement> {
+        let announcement = lock(&self.announcement);
+        announcement.is_of(target_id, born_ms).then(|| announcement.to_message(boot_now()))
+    }
+
+    /// Updates what the local target announces. A changed limit is applied to admission.
+    pub fn update_announcement(&self, action: impl FnOnce(&mut LocalAnnouncement)) {
+        let mut announcement = lock(&self.announcement);
+        let limit = announcement.limit();
+        action(&mut announcement);
+        if announcement.limit() != limit {
+            let limit = announcement.limit();
+            self.admission.set_request_limit(limit.as_ref().map(|(_, limit)| *limit));
+            *lock(&self.context.target_limit) = limit;
+        }
     }
 
     /// Locks the counts of requests and attempts.
--- a/crates/galenastream_node/src/request/attempt.rs
+++ b/crates/galenastream_node/src/request/attempt.rs
@@ -44,6 +44,9 @@
         }
     };
     let now = boot_now();
+    if let Some(announced) = reply.announcement {
+        traffic.remembered().record(node, &destination.target, announced, now);
+    }
     let mut placement = traffic.placement();
     if reply.service_time_us > 0 || reply.pending > 0 {
         let load = ObservedLoad { pending: reply.pending, service_time_us: reply.service_time_us };
@@ -103,6 +106,7 @@
         target_latency_ms: u32::try_from(request.route.target_latency_ms).unwrap_or(u32::MAX),
         sent_at_ns: now.as_ns(),
         has_alternatives: destination.has_alternatives,
+        remembered: traffic.remembered().report(destination.node.key, &destination.target, now),
     }
 }
 
@@ -116,11 +120,17 @@
     Header { name: header_names::CALLER_SERVICE.to_owned(), value: service.into() }
 }
 
+/// Whether a target was not sent a request because it has no capacity for it.
+pub(super) fn is_lack_of_capacity(reason: i32) -> bool {
+    let reason = ReplyReason::try_from(reason).unwrap_or(ReplyReason::None);
+    matches!(reason, ReplyReason::Overloaded | ReplyReason::RateLimited)
+}
+
 fn is_failure(reply: &ForwardedReply) -> bool {
     let outcome = ReplyOutcome::try_from(reply.outcome).unwrap_or(ReplyOutcome::Unknown);
     match outcome {
         ReplyOutcome::Answered => reply.status >= 500,
-        ReplyOutcome::NotSent => reply.reason != ReplyReason::Overloaded as i32,
+        ReplyOutcome::NotSent => !is_lack_of_capacity(reply.reason),
         ReplyOutcome::Unknown | ReplyOutcome::Rejected => true,
     }
 }
--- a/crates/galenastream_node/src/request/entry.rs
+++ b/crates/galenastream_node/src/request/entry.rs
@@ -8,7 +8,6 @@
 use bytes::Bytes;
 use galenastream_adapter::header_names;
 use galenastream_ranges::{Holding, Owner};
-use galenastream_routing::TargetCandidate;
 use galenastream_runtime::{boot_now, sleep_until};
 use galenastream_settings::EffectiveSettings;
 use galenastream_wire::{ForwardedReply, ReplyOutcome, ReplyReason};
@@ -22,6 +21,7 @@
     counted_attempt::CountedAttempt,
     progress::Progress,
     refusal::Refusal,
+    target_choice::TargetChoice,
 };
 use crate::{
     process::{CountGuard, TrafficState},
@@ -200,7 +200,8 @@
             if !self.has_time() {
                 return progress.give_up();
             }
-            let Some(destination) = self.choose_target(&progress) else {
+            let choice = TargetChoice::new(self.traffic, self.service, self.key, self.settings);
+            let Some(destination) = choice.choose(&progress) else {
                 if self.key.is_none() || !self.may_wait_for_owner() {
                     return self.give_up_without_target(&mut progress);
                 }
@@ -264,50 +265,6 @@
         progress.give_up()
     }
 
-    fn choose_target(&self, progress: &Progress) -> Option<Destination> {
-        let directory = self.traffic.context.directory.load();
-        if let Some(key) = self.key {
-            let assignment = directory.assignments.get(self.service)?;
-            let holder = assignment.entry_of(key).holding.holder()?;
-            let node = directory.node_of(&holder.target).filter(|it| !it.is_refusing)?;
-            return Some(Destination {
-                node: node.clone(),
-                target: holder.target.clone(),
-                has_alternatives: false,
-            });
-        }
-        let settings = self.traffic.context.settings.load();
-        let data_centre = &settings.data_centre;
-        let mut candidates = Vec::new();
-        // Draining targets, nodes that are about to stop and nodes that are not reachable are
-        // candidates only if there is no other.
-        for is_fallback_pass in [false, true] {
-            for node in &directory.nodes {
-                let Some(target) = node.target.as_ref().filter(|it| *it.service == *self.service)
-                else {
-                    continue;
-                };
-                let is_fallback = target.is_draining || node.is_closing || !node.is_reachable;
-                let is_excluded = progress.tried.contains(&target.incarnation) || node.is_refusing;
-                if is_excluded || is_fallback != is_fallback_pass {
-                    continue;
-                }
-                let is_same_data_centre = *node.data_centre == **data_centre;
-                let slots = target.slots;
-                candidates.push(TargetCandidate { node: node.key, slots, is_same_data_centre });
-            }
-            if !candidates.is_empty() {
-                break;
-            }
-        }
-        let remote_penalty = f64::from(self.settings.remote_penalty_percent) / 100.0;
-        let chosen = self.traffic.placement().choose(&candidates, remote_penalty, boot_now())?;
-        let node = directory.nodes.iter().find(|it| it.key == chosen)?;
-        let target = node.target.as_ref()?.incarnation.clone();
-        let has_alternatives = progress.has_alternatives(candidates.len());
-        Some(Destination { node: node.clone(), target, has_alternatives })
-    }
-
     /// Decides from the reply of an attempt how the request continues.
     fn next_step(
         &self,
--- a/crates/galenastream_node/src/request/mod.rs
+++ b/crates/galenastream_node/src/request/mod.rs
@@ -4,11 +4,14 @@
 mod attempt;
 mod caller_request;
 mod counted_attempt;
+mod drain;
 mod entry;
 mod progress;
 #[cfg(test)]
 mod progress_tests;
 mod refusal;
+mod target_choice;
+mod target_reply;
 mod target_run;
 
 pub use entry::answer_caller;
--- a/crates/galenastream_node/src/request/progress.rs
+++ b/crates/galenastream_node/src/request/progress.rs
@@ -1,11 +1,11 @@
 //! The state that a request carries from one attempt to the next.
 
 use galenastream_ranges::TargetIncarnation;
-use galenastream_wire::{ForwardedReply, ReplyReason};
+use galenastream_wire::ForwardedReply;
 
-use super::refusal::Refusal;
+use super::{attempt::is_lack_of_capacity, refusal::Refusal};
 
-/// Number of nodes that may refuse a request as overloaded before it is given up. Each one was the
+/// Number of nodes that may refuse a request for lack of capacity before it is given up. Each one was the
 /// best of several by the observed loads, so the service has hardly any room. More attempts would
 /// take time and bandwidth from requests that can be served.
 const MAX_REFUSALS: u32 = 3;
@@ -20,7 +20,7 @@
     pub(super) tried: Vec<TargetIncarnation>,
     /// Number of attempts that reached a target, or may have.
     pub(super) reached: u32,
-    /// Number of attempts that were refused because the target is overloaded.
+    /// Number of attempts that were refused because the target has no capacity.
     refusals: u32,
     pub(super) retry_after_ms: u32,
     /// The last 5xx response of a target, which [`Progress::give_up`] returns.
@@ -45,7 +45,7 @@
     /// attempted.
     pub(super) fn record_not_sent(&mut self, reply: &ForwardedReply) -> bool {
         self.retry_after_ms = self.retry_after_ms.min(reply.retry_after_ms.max(1));
-        self.refusals += u32::from(reply.reason == ReplyReason::Overloaded as i32);
+        self.refusals += u32::from(is_lack_of_capacity(reply.reason));
         self.refusals < MAX_REFUSALS
     }
 
--- /dev/null
+++ b/crates/galenastream_node/src/request/target_reply.rs
@@ -0,0 +1,108 @@
+//! Replies to forwarded requests from the results at the target.
+
+use galenastream_adapter::header_names;
+use galenastream_runtime::{WholeResponse, boot_now, end_to_end_headers};
+use galenastream_utils::BootInstant;
+use galenastream_wire::{ForwardedReply, ForwardedRequest, ReplyOutcome, ReplyReason};
+use http::{HeaderMap, StatusCode, header};
+use metrics::counter;
+
+use crate::{connection::TargetResult, process::TrafficState};
+
+/// `Retry-After` while keys move, or while a target or its node is leaving or replaced. Also used
+/// if a target rejects a request without this header.
+pub(super) const MOVING_RETRY_AFTER_MS: u32 = 100;
+
+/// `Retry-After` if there is no target or it cannot be reached.
+pub(super) const UNREACHABLE_RETRY_AFTER_MS: u32 = 300;
+
+/// Converts the result of a request to the target into a reply.
+pub(super) fn reply_from_result(
+    traffic: &TrafficState,
+    request: &ForwardedRequest,
+    sent_at: BootInstant,
+    result: TargetResult,
+) -> ForwardedReply {
+    let response = match result {
+        TargetResult::Response(response) => response,
+        TargetResult::Unreachable { reason } => {
+            log::info!(event = "target_unreachable", request_id = request.request_id.as_str(), reason = reason.as_str(); "");
+            return not_sent(ReplyReason::TargetUnreachable, UNREACHABLE_RETRY_AFTER_MS);
+        }
+        TargetResult::Unknown { reason } => {
+            log::info!(event = "target_answer_lost", request_id = request.request_id.as_str(), reason = reason.as_str(); "");
+            return unknown(ReplyReason::ConnectionLost);
+        }
+    };
+    let headers = &response.parts.headers;
+    if !echoes_request_id(headers, &request.request_id) {
+        // The response belongs to another request. Closes the idle connections, so that no other
+        // response that is still under way is read.
+        traffic.target_connections.clear();
+        counter!("galenastream_stray_answers_total").increment(1);
+        log::info!(event = "target_answer_stray", request_id = request.request_id.as_str(); "");
+        return unknown(ReplyReason::BadAnswer);
+    }
+    // A misdirected request was answered by another target.
+    if response.parts.status != StatusCode::MISDIRECTED_REQUEST {
+        traffic.update_announcement(|it| {
+            if it.is_of(&request.target_id, request.target_born_ms) {
+                it.record_response(headers, &request.request_id, sent_at, boot_now());
+            }
+        });
+    }
+    if headers.contains_key(header::CONTENT_ENCODING) {
+        return unknown(ReplyReason::BadAnswer);
+    }
+    if headers.contains_key(header_names::NOT_RUN)
+        || response.parts.status == StatusCode::MISDIRECTED_REQUEST
+    {
+        return rejected(&response);
+    }
+    ForwardedReply {
+        outcome: ReplyOutcome::Answered as i32,
+        status: u32::from(response.parts.status.as_u16()),
+        headers: end_to_end_headers(headers),
+        body: response.body,
+        ..Default::default()
+    }
+}
+
+/// Whether a response carries the id of its request.
+fn echoes_request_id(headers: &HeaderMap, request_id: &str) -> bool {
+    let Some(echoed) = headers.get(header_names::REQUEST_ID) else {
+        // A target that did not run the request may omit its id.
+        return headers.contains_key(header_names::NOT_RUN);
+    };
+    echoed.as_bytes() == request_id.as_bytes()
+}
+
+fn rejected(response: &WholeResponse) -> ForwardedReply {
+    let value = response.parts.headers.get(header::RETRY_AFTER);
+    let seconds = value.and_then(|it| it.to_str().ok()?.trim().parse::<f64>().ok());
+    let retry_after_ms = seconds.map_or(MOVING_RETRY_AFTER_MS, |it| (it * 1_000.0).max(0.0) as u32);
+    ForwardedReply {
+        outcome: ReplyOutcome::Rejected as i32,
+        reason: ReplyReason::TargetRejected as i32,
+        status: u32::from(response.parts.status.as_u16()),
+        retry_after_ms,
+        ..Default::default()
+    }
+}
+
+pub(super) fn not_sent(reason: ReplyReason, retry_after_ms: u32) -> ForwardedReply {
+    ForwardedReply {
+        outcome: ReplyOutcome::NotSent as i32,
+        reason: reason as i32,
+        retry_after_ms,
+        ..Default::default()
+    }
+}
+
+pub(super) fn unknown(reason: ReplyReason) -> ForwardedReply {
+    ForwardedReply {
+        outcome: ReplyOutcome::Unknown as i32,
+        reason: reason as i32,
+        ..Default::default()
+    }
+}
--- a/crates/galenastream_node/src/request/target_run.rs
+++ b/crates/galenastream_node/src/request/target_run.rs
@@ -8,20 +8,21 @@
 use bytes::Bytes;
 use galenastream_adapter::header_names;
 use galenastream_routing::{Class, Deadline};
-use galenastream_runtime::{
-    WholeResponse, append_headers, boot_now, end_to_end_headers, sleep_until,
-};
+use galenastream_runtime::{append_headers, boot_now, sleep_until};
 use galenastream_utils::BootInstant;
 use galenastream_wire::{ForwardedReply, ForwardedRequest, ReplyOutcome, ReplyReason};
-use http::{HeaderMap, HeaderValue, Method, Request, StatusCode, header};
+use http::{HeaderValue, Method, Request, header};
 use http_body_util::Full;
 use metrics::counter;
 use tokio_util::sync::CancellationToken;
 
-use crate::{
-    connection::TargetResult,
-    process::{CountGuard, LocalTarget, TrafficState},
+use super::{
+    drain::is_drain_over,
+    target_reply::{
+        MOVING_RETRY_AFTER_MS, UNREACHABLE_RETRY_AFTER_MS, not_sent, reply_from_result, unknown,
+    },
 };
+use crate::process::{CountGuard, TrafficState};
 
 /// Maximum time that a request waits for the target's lease on its key. Once the key is assigned to
 /// the target, the rest of its move takes about this long.
@@ -31,21 +32,10 @@
 /// that, a retry by the caller is better than a longer wait.
 const LEASE_WAIT_DIVISOR: u32 = 2;
 
-/// Time before the end of a leaving target's drain period, `PlatformBounds::drain_ms`, at which
-/// this node stops sending requests to it.
-const DRAIN_MARGIN: Duration = Duration::from_millis(400);
-
 /// Operators set the target latency of a route to about this many times its service time. The
 /// service time is estimated with it until it is measured.
 const SERVICE_TIME_ESTIMATE_DIVISOR: u32 = 3;
 
-/// `Retry-After` while keys move, or while a target or its node is leaving or replaced. Also used
-/// if a target rejects a request without this header.
-const MOVING_RETRY_AFTER_MS: u32 = 100;
-
-/// `Retry-After` if there is no target or it cannot be reached.
-const UNREACHABLE_RETRY_AFTER_MS: u32 = 300;
-
 /// Runs a request at the target beside this node.
 ///
 /// Dropping the future means that the caller has left. This cancels an idempotent request at any
@@ -78,9 +68,11 @@
     let deadline = Deadline::new(arrived_at, request.remaining_ms);
     let soft_deadline = Deadline::new(arrived_at, request.prompt_ms);
     let (request_id, rank) = (request.request_id.clone(), request.rank);
+    let (target_id, born_ms) = (request.target_id.clone(), request.target_born_ms);
     let mut reply = admit_and_send(traffic, request, soft_deadline, deadline, caller_left).await;
     reply.pending = traffic.pending();
     reply.service_time_us = traffic.service_time_us();
+    reply.announcement = traffic.announcement_of(&target_id, born_ms);
     record_reply(traffic, &request_id, rank, arrived_at, &reply);
     reply
 }
@@ -162,7 +154,13 @@
     };
     let mut slot = match admitted {
         Ok(slot) => slot,
-        Err(refused) => return not_sent(ReplyReason::Overloaded, refused.retry_after_ms),
+        Err(refused) => {
+            let reason = match refused.is_rate_limited {
+                true => ReplyReason::RateLimited,
+                false => ReplyReason::Overloaded,
+            };
+            return not_sent(reason, refused.retry_after_ms);
+        }
     };
     // The target or its leases may have changed while the request waited in the queue.
     if let Err(reply) = check_runnable(traffic, &request) {
@@ -251,9 +249,14 @@
         return Err(not_sent(ReplyReason::OtherTarget, MOVING_RETRY_AFTER_MS));
     }
     traffic.set_admission_limits(&local.service, local.slots);
-    traffic.announcement().set_incarnation(&local.incarnation);
+    traffic.update_announcement(|it| {
+        it.set_incarnation(&local.incarnation);
+        if let Some(remembered) = request.remembered {
+            it.record_report(remembered, &request.request_id, boot_now());
+        }
+    });
     let now = boot_now();
-    if is_drain_over(traffic, local, now) {
+    if local.draining_since.is_some_and(|it| is_drain_over(traffic, it, now)) {
         return Err(not_sent(ReplyReason::Draining, MOVING_RETRY_AFTER_MS));
     }
     if !local.holds_keys {
@@ -271,15 +274,6 @@
     traffic.context.directory.load().local.as_ref().is_some_and(|it| it.holds_keys)
 }
 
-/// Whether no more than the margin is left of the drain period of a leaving target.
-fn is_drain_over(traffic: &TrafficState, local: &LocalTarget, now: BootInstant) -> bool {
-    let Some(draining_since) = local.draining_since else {
-        return false;
-    };
-    let drain_time = Duration::from_millis(traffic.context.settings.load().bounds.drain_ms);
-    now >= draining_since + drain_time.saturating_sub(DRAIN_MARGIN)
-}
-
 fn http_request(request: &ForwardedRequest, deadline: Deadline) -> Option<Request<Full<Bytes>>> {
     let method = Method::from_bytes(request.method.as_bytes()).ok()?;
     let has_body = !request.body.is_empty() || expects_body(&method);
@@ -307,97 +301,6 @@
     HeaderValue::from(deadline.remaining_ms(boot_now()).max(1))
 }
 
-/// Converts the result of a request to the target into a reply.
-fn reply_from_result(
-    traffic: &TrafficState,
-    request: &ForwardedRequest,
-    sent_at: BootInstant,
-    result: TargetResult,
-) -> ForwardedReply {
-    let response = match result {
-        TargetResult::Response(response) => response,
-        TargetResult::Unreachable { reason } => {
-            log::info!(event = "target_unreachable", request_id = request.request_id.as_str(), reason = reason.as_str(); "");
-            return not_sent(ReplyReason::TargetUnreachable, UNREACHABLE_RETRY_AFTER_MS);
-        }
-        TargetResult::Unknown { reason } => {
-            log::info!(event = "target_answer_lost", request_id = request.request_id.as_str(), reason = reason.as_str(); "");
-            return unknown(ReplyReason::ConnectionLost);
-        }
-    };
-    let headers = &response.parts.headers;
-    if !echoes_request_id(headers, &request.request_id) {
-        // The response belongs to another request. Closes the idle connections, so that no other
-        // response that is still under way is read.
-        traffic.target_connections.clear();
-        counter!("galenastream_stray_answers_total").increment(1);
-        log::info!(event = "target_answer_stray", request_id = request.request_id.as_str(); "");
-        return unknown(ReplyReason::BadAnswer);
-    }
-    let mut announcement = traffic.announcement();
-    // A misdirected request was answered by another target.
-    if response.parts.status != StatusCode::MISDIRECTED_REQUEST
-        && announcement.is_of(&request.target_id, request.target_born_ms)
-    {
-        announcement.record_response(headers, &request.request_id, sent_at, boot_now());
-    }
-    drop(announcement);
-    if headers.contains_key(header::CONTENT_ENCODING) {
-        return unknown(ReplyReason::BadAnswer);
-    }
-    if headers.contains_key(header_names::NOT_RUN)
-        || response.parts.status == StatusCode::MISDIRECTED_REQUEST
-    {
-        return rejected(&response);
-    }
-    ForwardedReply {
-        outcome: ReplyOutcome::Answered as i32,
-        status: u32::from(response.parts.status.as_u16()),
-        headers: end_to_end_headers(headers),
-        body: response.body,
-        ..Default::default()
-    }
-}
-
-/// Whether a response carries the id of its request.
-fn echoes_request_id(headers: &HeaderMap, request_id: &str) -> bool {
-    let Some(echoed) = headers.get(header_names::REQUEST_ID) else {
-        // A target that did not run the request may omit its id.
-        return headers.contains_key(header_names::NOT_RUN);
-    };
-    echoed.as_bytes() == request_id.as_bytes()
-}
-
-fn rejected(response: &WholeResponse) -> ForwardedReply {
-    let value = response.parts.headers.get(header::RETRY_AFTER);
-    let seconds = value.and_then(|it| it.to_str().ok()?.trim().parse::<f64>().ok());
-    let retry_after_ms = seconds.map_or(MOVING_RETRY_AFTER_MS, |it| (it * 1_000.0).max(0.0) as u32);
-    ForwardedReply {
-        outcome: ReplyOutcome::Rejected as i32,
-        reason: ReplyReason::TargetRejected as i32,
-        status: u32::from(response.parts.status.as_u16()),
-        retry_after_ms,
-        ..Default::default()
-    }
-}
-
-fn not_sent(reason: ReplyReason, retry_after_ms: u32) -> ForwardedReply {
-    ForwardedReply {
-        outcome: ReplyOutcome::NotSent as i32,
-        reason: reason as i32,
-        retry_after_ms,
-        ..Default::default()
-    }
-}
-
-fn unknown(reason: ReplyReason) -> ForwardedReply {
-    ForwardedReply {
-        outcome: ReplyOutcome::Unknown as i32,
-        reason: reason as i32,
-        ..Default::default()
-    }
-}
-
 fn key_of(request: &ForwardedRequest) -> Option<u16> {
     u16::try_from(request.key_plus_one.checked_sub(1)?).ok()
 }
--- a/crates/galenastream_routing/src/process/admission.rs
+++ b/crates/galenastream_routing/src/process/admission.rs
@@ -2,11 +2,18 @@
 
 use std::time::Duration;
 
-use galenastream_utils::{BootInstant, FastMap};
+use galenastream_utils::BootInstant;
 
 pub use super::queue::WaitId;
-use super::queue::{Queue, Waiting};
-use crate::{Class, Deadline, ServiceTime};
+use super::{
+    class_service_times::ClassServiceTimes,
+    queue::{Queue, Waiting},
+    rate_limiter::RateLimiter,
+};
+use crate::{
+    AdmissionLimits, AdmissionOutcome, AdmitDecision, Class, Deadline, Dequeued, Evicted,
+    RequestRate,
+};
 
 /// The share of the slots that are open when a target has just started.
 const COLD_SHARE_PERCENT: u64 = 25;
@@ -19,27 +26,6 @@
 /// arrivals are uneven.
 const LATE_QUEUE_DIVISOR: u32 = 4;
 
-/// A class is short if its mean service time is at most that of the slowest class, divided by this.
-/// Refusing a short request frees little capacity, and often fails a longer request that depends on
-/// it.
-const SHORT_DIVISOR: u32 = 4;
-
-/// The capacity of a target and of the queue in front of it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct AdmissionLimits {
-    /// Requests that the target processes at once.
-    pub slots: u32,
-    /// The maximum number of requests that wait for a slot.
-    pub queue_limit: u32,
-    /// The maximum time that a request waits for a slot, in milliseconds.
-    pub queue_wait_ms: u32,
-    /// The minimum time in milliseconds after which a refused caller may retry.
-    pub retry_after_ms: u32,
-    /// The time in milliseconds over which the slots of a target that has just started open; 0
-    /// opens all of them at once.
-    pub ramp_up_ms: u32,
-}
-
 /// Admission control for one target: its slots and the short queue in front of them.
 ///
 /// Every request that arrives starts, waits or is shed immediately. The health and load
@@ -53,82 +39,8 @@
     next_wait_id: u64,
     shed_count: u32,
     service_times: ClassServiceTimes,
-}
-
-/// Service times of all requests together and of each class.
-#[derive(Debug, Clone, Default)]
-struct ClassServiceTimes {
-    all: ServiceTime,
-    by_class: FastMap<u16, ServiceTime>,
-}
-
-impl ClassServiceTimes {
-    /// Returns whether a class is short: see [`SHORT_DIVISOR`].
-    fn is_short(&self, class: Class) -> bool {
-        let longest = self.by_class.values().map(|it| it.mean()).max().unwrap_or_default();
-        self.by_class.get(&class.index).is_some_and(|it| it.mean() * SHORT_DIVISOR <= longest)
-    }
-
-    /// Returns a service time that most requests of a class do not exceed. Under overload, the
-    /// requests that start are those that can only just meet their soft deadlines: if they were
-    /// chosen by the mean, half of them would miss theirs.
-    fn upper_estimate(&self, class: Class) -> Duration {
-        self.by_class.get(&class.index).map_or(self.all.upper_estimate(), |it| it.upper_estimate())
-    }
-
-    /// Returns the mean of a class, or that of all requests while nothing is known of the class.
-    fn mean_of(&self, class: Class) -> Duration {
-        self.by_class.get(&class.index).map_or(self.all.mean(), |it| it.mean())
-    }
-}
-
-/// The decision on a request that arrives.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum AdmitDecision {
-    /// The request takes a slot now. The caller has to call [`Admission::finish`] or
-    /// [`Admission::finish_answered`] when it ends.
-    Start,
-    /// The request waits. If it has not started or been shed by `until`, the caller has to call
-    /// [`Admission::cancel_wait`].
-    Wait {
-        /// Identifies the waiting request.
-        id: WaitId,
-        /// The instant at which the wait ends.
-        until: BootInstant,
-    },
-    /// The request is refused.
-    Shed {
-        /// The time in milliseconds after which the caller may retry.
-        retry_after_ms: u32,
-    },
-}
-
-/// The effect of a request's arrival on it and on the waiting requests.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct AdmissionOutcome {
-    /// The decision on the request.
-    pub decision: AdmitDecision,
-    /// A waiting request of a lower priority that is shed to make room.
-    pub evicted: Option<Evicted>,
-}
-
-/// A waiting request that is shed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Evicted {
-    /// Identifies the waiting request.
-    pub id: WaitId,
-    /// The time in milliseconds after which the caller may retry.
-    pub retry_after_ms: u32,
-}
-
-/// The requests that leave the queue when slots are free.
-#[derive(Debug, Clone, PartialEq, Eq, Default)]
-pub struct Dequeued {
-    /// Requests that take a slot now.
-    pub started: Vec<WaitId>,
-    /// Requests that are shed because their waits have ended or they can no longer meet their
-    /// deadlines.
-    pub shed: Vec<Evicted>,
+    /// Present while the target announces a request limit.
+    rate_limiter: Option<RateLimiter>,
 }
 
 impl Admission {
@@ -142,6 +54,7 @@
             next_wait_id: 0,
             shed_count: 0,
             service_times: ClassServiceTimes::default(),
+            rate_limiter: None,
         }
     }
 
@@ -171,7 +84,8 @@
         soft_deadline: Deadline,
         deadline: Deadline,
     ) -> AdmissionOutcome {
-        if self.queue.len() == 0 && self.in_progress < self.open_slots(now) {
+        if self.queue.len() == 0 && self.in_progress < self.open_slots(now) && self.take_token(now)
+        {
             self.in_progress += 1;
             return AdmissionOutcome { decision: AdmitDecision::Start, evicted: None };
         }
@@ -198,10 +112,7 @@
     /// Sets the assumed service time of a class while nothing is known of it. Without one, the
     /// first requests to a target would be expected to take no time, and all of them would wait.
     pub fn assume_service_time(&mut self, class: Class, assumed: Duration) {
-        self.service_times.by_class.entry(class.index).or_insert_with(|| ServiceTime::new(assumed));
-        if self.service_times.all.mean().is_zero() {
-            self.service_times.all = ServiceTime::new(assumed);
-        }
+        self.service_times.assume(class, assumed);
     }
 
     /// Frees the slot of a request that ended. `service_time` is `None` if the request received no
@@ -231,7 +142,7 @@
     /// in time.
     pub fn dequeue(&mut self, now: BootInstant) -> Dequeued {
         let mut dequeued = Dequeued::default();
-        while self.in_progress < self.open_slots(now) {
+        while self.in_progress < self.open_slots(now) && self.token_wait(0, now).is_zero() {
             let times = &self.service_times;
             let is_timely =
                 |it: &Waiting| !it.soft_deadline.has_passed(now + times.upper_estimate(it.class));
@@ -245,12 +156,61 @@
                 dequeued.shed.push(Evicted { id: next.id, retry_after_ms });
                 continue;
             }
+            self.take_token(now);
             self.in_progress += 1;
             dequeued.started.push(next.id);
         }
         dequeued
     }
 
+    /// Sets the request limit that the target announces, or none. Waiting requests start, or are
+    /// shed if the limit keeps them from being answered by their soft deadlines.
+    ///
+    /// Load pattern: a target that takes 500 requests per second announces that it takes 20. Those
+    /// that wait would all miss their deadlines.
+    pub fn set_request_limit(&mut self, now: BootInstant, limit: Option<RequestRate>) -> Dequeued {
+        match (limit, &mut self.rate_limiter) {
+            (None, limiter) => *limiter = None,
+            (Some(limit), Some(limiter)) => limiter.set_limit(limit, now),
+            (Some(limit), limiter) => *limiter = Some(RateLimiter::new(limit, now)),
+        }
+        let mut shed = Vec::new();
+        let mut ahead = 0;
+        for waiting in self.queue.in_order() {
+            let service_time = self.service_times.upper_estimate(waiting.class);
+            let answered_at = now + self.token_wait(ahead, now) + service_time;
+            let is_limited = !self.token_wait(ahead, now).is_zero();
+            if !is_limited || !waiting.soft_deadline.has_passed(answered_at) {
+                ahead += 1;
+                continue;
+            }
+            self.queue.remove(waiting.id);
+            shed.push(Evicted { id: waiting.id, retry_after_ms: self.next_retry_after_ms(now) });
+        }
+        let mut dequeued = self.dequeue(now);
+        dequeued.shed.append(&mut shed);
+        dequeued
+    }
+
+    /// Returns when [`Self::dequeue`] has to be called because the request limit lets the next
+    /// waiting request start. `None` if no request waits for that.
+    pub fn next_start_at(&self, now: BootInstant) -> Option<BootInstant> {
+        let waits_for_token = self.queue.len() > 0 && self.in_progress < self.open_slots(now);
+        (waits_for_token && self.rate_limiter.is_some()).then(|| now + self.token_wait(0, now))
+    }
+
+    /// Returns whether a request that arrives now would wait for the request limit rather than for
+    /// a slot.
+    pub fn is_rate_limited(&self, now: BootInstant) -> bool {
+        let ahead = self.queue.len();
+        self.has_request_limit() && self.token_wait(ahead, now) > self.slot_wait(ahead, now)
+    }
+
+    /// Returns whether a request limit is set.
+    pub const fn has_request_limit(&self) -> bool {
+        self.rate_limiter.is_some()
+    }
+
     /// Removes a waiting request from the queue. Returns `false` if it has started or been shed
     /// already.
     pub fn cancel_wait(&mut self, id: WaitId) -> bool {
@@ -363,16 +323,32 @@
     }
 
     /// Returns the queue length from which requests that will miss their soft deadlines are shed:
-    /// see [`LATE_QUEUE_DIVISOR`].
+    /// see [`LATE_QUEUE_DIVISOR`]. A request limit counts as the number of slots that it fills.
     fn late_queue_limit(&self, now: BootInstant) -> usize {
-        (self.open_slots(now) / LATE_QUEUE_DIVISOR) as usize
+        let mean = self.service_times.all.mean();
+        let limited_slots = self.rate_limiter.map_or(u32::MAX, |it| it.requests_in(mean) as u32);
+        (self.open_slots(now).min(limited_slots) / LATE_QUEUE_DIVISOR) as usize
     }
 
+    /// Returns how long a request waits for a slot and for the request limit if `ahead` others
+    /// start before it.
     fn expected_wait(&self, now: BootInstant, ahead: usize) -> Duration {
+        self.slot_wait(ahead, now).max(self.token_wait(ahead, now))
+    }
+
+    fn slot_wait(&self, ahead: usize, now: BootInstant) -> Duration {
         let turns = u32::try_from(ahead + 1).unwrap_or(u32::MAX);
         self.service_times.all.mean().saturating_mul(turns) / self.open_slots(now).max(1)
     }
 
+    fn token_wait(&self, ahead: usize, now: BootInstant) -> Duration {
+        self.rate_limiter.map_or(Duration::ZERO, |it| it.time_until(ahead + 1, now))
+    }
+
+    fn take_token(&mut self, now: BootInstant) -> bool {
+        self.rate_limiter.as_mut().is_none_or(|it| it.take(now))
+    }
+
     fn queue_wait(&self) -> Duration {
         Duration::from_millis(u64::from(self.limits.queue_wait_ms))
     }
--- a/crates/galenastream_routing/src/process/queue.rs
+++ b/crates/galenastream_routing/src/process/queue.rs
@@ -95,6 +95,13 @@
         waiting
     }
 
+    /// Returns the waiting requests, those that start first at the front.
+    pub(crate) fn in_order(&self) -> Vec<Waiting> {
+        let mut waiting: Vec<Waiting> = self.by_priority.values().flatten().copied().collect();
+        waiting.sort_by_key(|it| (std::cmp::Reverse(it.class.priority), it.due));
+        waiting
+    }
+
     /// Removes a request. Returns whether it was in the queue.
     pub(crate) fn remove(&mut self, id: WaitId) -> bool {
         for same_priority in self.by_priority.values_mut() {
--- a/crates/galenastream_routing/src/process/target_selector.rs
+++ b/crates/galenastream_routing/src/process/target_selector.rs
@@ -2,12 +2,14 @@
 //!
 //! Load patterns: the targets of a service differ in speed by a factor of two and more; some become
 //! slow for seconds; some fail a part of their requests immediately, which makes them look fast;
-//! traffic to another data centre is billed; many nodes select from the same old observations at
-//! the same time.
+//! some announce that they take a fraction of the requests; traffic to another data centre is billed;
+//! many nodes select from the same old observations at the same time.
 
 use galenastream_utils::{BootInstant, FastMap};
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
 
+use crate::RequestRate;
+
 /// Weight of a new sample in the moving failure rate.
 const FAILURE_WEIGHT: f64 = 0.08;
 
@@ -29,6 +31,12 @@
 /// select the one that looks best. Of n targets, each gets at most this many nths of the requests.
 const SAMPLE_SIZE: usize = 4;
 
+/// The lowest assumed number of requests that a target processes at once, so that expected
+/// latencies stay finite.
+const MIN_CAPACITY: f64 = 0.001;
+
+const US_PER_S: f64 = 1_000_000.0;
+
 /// Identifies the node beside a target within this process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct NodeKey(pub u32);
@@ -42,6 +50,8 @@
     pub slots: u32,
     /// Whether the target is in the same data centre as this node.
     pub is_same_data_centre: bool,
+    /// The request limit that the target announces.
+    pub limit: Option<RequestRate>,
 }
 
 /// The load of a target, as its node reported it with a reply.
@@ -163,7 +173,7 @@
         let decayed_pending =
             record.observed_pending * decay(record.observed_at, now, LOAD_HALF_LIFE_MS);
         let pending = decayed_pending.max(f64::from(record.in_progress)) + 1.0;
-        let occupancy = pending / f64::from(candidate.slots.max(1));
+        let occupancy = pending / capacity(candidate, service_time);
         // Targets slow down before their slots are full, so load is spread before requests wait.
         let queueing = (occupancy - 1.0).max(0.0) + occupancy.min(1.0).powi(2) / 2.0;
         let failure_penalty =
@@ -172,6 +182,16 @@
     }
 }
 
+/// Returns how many requests a target processes at once. A request limit keeps only a part of the
+/// slots busy.
+fn capacity(candidate: &TargetCandidate, service_time_us: f64) -> f64 {
+    let slots = f64::from(candidate.slots.max(1));
+    let Some(limit) = candidate.limit else {
+        return slots;
+    };
+    slots.min(limit.per_s() * service_time_us / US_PER_S).max(MIN_CAPACITY)
+}
+
 /// Returns the remaining weight, from 1 down to 0, of an observation made at `since`.
 fn decay(since: BootInstant, now: BootInstant, half_life_ms: f64) -> f64 {
     let age_ms = now.saturating_since(since).as_secs_f64() * 1_000.0;
--- a/crates/galenastream_routing/tests/load_patterns.rs
+++ b/crates/galenastream_routing/tests/load_patterns.rs
@@ -150,9 +150,9 @@
 }
 
 const NEAR: TargetCandidate =
-    TargetCandidate { node: NodeKey(1), slots: SLOTS, is_same_data_centre: true };
+    TargetCandidate { node: NodeKey(1), slots: SLOTS, is_same_data_centre: true, limit: None };
 const FAR: TargetCandidate =
-    TargetCandidate { node: NodeKey(2), slots: SLOTS, is_same_data_centre: false };
+    TargetCandidate { node: NodeKey(2), slots: SLOTS, is_same_data_centre: false, limit: None };
 
 /// The seed of a selector where the result does not depend on it.
 const SEED: u64 = 1;
@@ -279,7 +279,12 @@
 fn a_slow_target_is_avoided_until_it_has_recovered() {
     const FAST_US: u32 = 20_000;
     let candidates: Vec<TargetCandidate> = (0..4)
-        .map(|it| TargetCandidate { node: NodeKey(it), slots: SLOTS, is_same_data_centre: true })
+        .map(|it| TargetCandidate {
+            node: NodeKey(it),
+            slots: SLOTS,
+            is_same_data_centre: true,
+            limit: None,
+        })
         .collect();
     let mut selector = TargetSelector::new(SEED);
     let mut replay = |from_ms: u64, first_us: u32| {
@@ -381,7 +386,12 @@
     const TARGETS: u32 = 20;
     let now = at_ms(100);
     let candidates: Vec<TargetCandidate> = (0..TARGETS)
-        .map(|it| TargetCandidate { node: NodeKey(it), slots: SLOTS, is_same_data_centre: true })
+        .map(|it| TargetCandidate {
+            node: NodeKey(it),
+            slots: SLOTS,
+            is_same_data_centre: true,
+            limit: None,
+        })
         .collect();
     let mut counts = [0_u32; TARGETS as usize];
     for seed in 0..NODES {
--- a/crates/galenastream_runtime/src/admission_controller.rs
+++ b/crates/galenastream_runtime/src/admission_controller.rs
@@ -6,10 +6,11 @@
 };
 
 use galenastream_routing::{
-    Admission, AdmissionLimits, AdmitDecision, Class, Deadline, Dequeued, Evicted, WaitId,
+    Admission, AdmissionLimits, AdmitDecision, Class, Deadline, Dequeued, Evicted, RequestRate,
+    WaitId,
 };
-use galenastream_utils::FastMap;
-use tokio::sync::oneshot;
+use galenastream_utils::{BootInstant, FastMap};
+use tokio::sync::{Notify, oneshot};
 
 use crate::{boot_now, sleep_until};
 
@@ -20,18 +21,22 @@
 #[derive(Debug)]
 pub struct AdmissionController {
     state: Mutex<ControllerState>,
+    /// Notified when [`AdmissionController::run_request_limit`] has to look for the next start.
+    next_start_changed: Notify,
 }
 
 #[derive(Debug)]
 struct ControllerState {
     admission: Admission,
     waiting: FastMap<WaitId, oneshot::Sender<WaitOutcome>>,
+    /// Whether a timer runs for the next start that the request limit allows.
+    has_timer: bool,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum WaitOutcome {
     Start,
-    Shed { retry_after_ms: u32 },
+    Shed(NotAdmitted),
 }
 
 /// A slot of the target that a request occupies. Dropping it frees the slot.
@@ -48,21 +53,61 @@
 pub struct NotAdmitted {
     /// Time after which the caller should retry, in milliseconds.
     pub retry_after_ms: u32,
+    /// Whether the request limit of the target is the reason, rather than its slots.
+    pub is_rate_limited: bool,
 }
 
 impl AdmissionController {
     /// Creates the controller of a target that has just started.
     pub fn new(limits: AdmissionLimits) -> Self {
         let admission = Admission::new(limits, boot_now());
-        Self { state: Mutex::new(ControllerState { admission, waiting: FastMap::default() }) }
+        let waiting = FastMap::default();
+        let state = ControllerState { admission, waiting, has_timer: false };
+        Self { state: Mutex::new(state), next_start_changed: Notify::new() }
     }
 
     /// Changes the limits, and starts waiting requests for which there are now slots.
     pub fn set_limits(&self, limits: AdmissionLimits) {
         let mut state = self.lock();
         state.admission.set_limits(limits);
-        let dequeued = state.admission.dequeue(boot_now());
-        state.notify(dequeued);
+        let now = boot_now();
+        let dequeued = state.admission.dequeue(now);
+        state.notify(dequeued, now);
+    }
+
+    /// Sets the request limit that the target announces, or none.
+    pub fn set_request_limit(&self, limit: Option<RequestRate>) {
+        let mut state = self.lock();
+        let now = boot_now();
+        let dequeued = state.admission.set_request_limit(now, limit);
+        state.notify(dequeued, now);
+        self.next_start_changed.notify_one();
+    }
+
+    /// Starts waiting requests whenever the request limit of the target allows another one. Has to
+    /// run as long as requests are admitted.
+    pub async fn run_request_limit(&self) {
+        loop {
+            let next_start_at = {
+                let mut state = self.lock();
+                let now = boot_now();
+                let dequeued = state.admission.dequeue(now);
+                state.notify(dequeued, now);
+                let next_start_at = state.admission.next_start_at(now);
+                state.has_timer = next_start_at.is_some();
+                next_start_at
+            };
+            let timer = async {
+                match next_start_at {
+                    Some(at) => sleep_until(at).await,
+                    None => std::future::pending().await,
+                }
+            };
+            tokio::select! {
+                () = timer => {}
+                () = self.next_start_changed.notified() => {}
+            }
+        }
     }
 
     /// Restarts the ramp-up and discards the service times, for a target that has restarted.
@@ -97,39 +142,49 @@
         let entry = QueueEntry { controller: self, class, id: Some(id), outcome };
         tokio::select! {
             slot = entry.wait() => slot,
-            () = sleep_until(until) => Err(NotAdmitted { retry_after_ms: self.retry_after_ms() }),
+            () = sleep_until(until) => Err(self.lock().not_admitted()),
         }
     }
 
     fn arrive(&self, class: Class, soft_deadline: Deadline, deadline: Deadline) -> Arrived {
         let mut state = self.lock();
+        let now = boot_now();
         let arrival =
-            state.admission.arrive_with_soft_deadline(boot_now(), class, soft_deadline, deadline);
+            state.admission.arrive_with_soft_deadline(now, class, soft_deadline, deadline);
         if let Some(evicted) = arrival.evicted {
-            state.shed(evicted);
+            state.shed(evicted, now);
         }
         match arrival.decision {
             AdmitDecision::Start => Arrived::Start,
-            AdmitDecision::Shed { retry_after_ms } => Arrived::Shed(NotAdmitted { retry_after_ms }),
+            AdmitDecision::Shed { retry_after_ms } => {
+                let is_rate_limited = state.admission.is_rate_limited(now);
+                Arrived::Shed(NotAdmitted { retry_after_ms, is_rate_limited })
+            }
             AdmitDecision::Wait { id, until } => {
                 let (sender, outcome) = oneshot::channel();
                 state.waiting.insert(id, sender);
+                self.start_timer(&state);
                 Arrived::Wait { id, until, outcome }
             }
         }
     }
 
-    fn retry_after_ms(&self) -> u32 {
-        self.lock().admission.retry_after_ms(boot_now())
+    /// Wakes [`Self::run_request_limit`] if there is a request limit and no timer runs yet.
+    fn start_timer(&self, state: &ControllerState) {
+        if !state.has_timer && state.admission.has_request_limit() {
+            self.next_start_changed.notify_one();
+        }
     }
 
     fn finish(&self, class: Class, service_time: Option<Duration>) {
         let mut state = self.lock();
+        let now = boot_now();
         let dequeued = match service_time {
-            Some(service_time) => state.admission.finish_answered(boot_now(), class, service_time),
-            None => state.admission.finish(boot_now(), None),
+            Some(service_time) => state.admission.finish_answered(now, class, service_time),
+            None => state.admission.finish(now, None),
         };
-        state.notify(dequeued);
+        state.notify(dequeued, now);
+        self.start_timer(&state);
     }
 
     /// Takes a request out of the queue. If it was started concurrently, frees its slot.
@@ -140,8 +195,9 @@
             return;
         }
         if outcome.try_recv() == Ok(WaitOutcome::Start) {
-            let dequeued = state.admission.finish(boot_now(), None);
-            state.notify(dequeued);
+            let now = boot_now();
+            let dequeued = state.admission.finish(now, None);
+            state.notify(dequeued, now);
         }
     }
 
@@ -153,16 +209,12 @@
 enum Arrived {
     Start,
     Shed(NotAdmitted),
-    Wait {
-        id: WaitId,
-        until: galenastream_utils::BootInstant,
-        outcome: oneshot::Receiver<WaitOutcome>,
-    },
+    Wait { id: WaitId, until: BootInstant, outcome: oneshot::Receiver<WaitOutcome> },
 }
 
 impl ControllerState {
     /// Notifies the requests that were started or shed.
-    fn notify(&mut self, dequeued: Dequeued) {
+    fn notify(&mut self, dequeued: Dequeued, now: BootInstant) {
         for id in dequeued.started {
             if let Some(sender) = self.waiting.remove(&id) {
                 // If the request is being dropped, `leave` finds this outcome and frees the slot.
@@ -170,13 +222,24 @@
             }
         }
         for evicted in dequeued.shed {
-            self.shed(evicted);
+            self.shed(evicted, now);
         }
     }
 
-    fn shed(&mut self, evicted: Evicted) {
+    fn shed(&mut self, evicted: Evicted, now: BootInstant) {
         if let Some(sender) = self.waiting.remove(&evicted.id) {
-            let _ = sender.send(WaitOutcome::Shed { retry_after_ms: evicted.retry_after_ms });
+            let retry_after_ms = evicted.retry_after_ms;
+            let is_rate_limited = self.admission.is_rate_limited(now);
+            let not_admitted = NotAdmitted { retry_after_ms, is_rate_limited };
+            let _ = sender.send(WaitOutcome::Shed(not_admitted));
+        }
+    }
+
+    fn not_admitted(&self) -> NotAdmitted {
+        let now = boot_now();
+        NotAdmitted {
+            retry_after_ms: self.admission.retry_after_ms(now),
+            is_rate_limited: self.admission.is_rate_limited(now),
         }
     }
 }
@@ -195,8 +258,8 @@
         self.id = None;
         match outcome {
             Ok(WaitOutcome::Start) => Ok(Slot::new(self.controller, self.class)),
-            Ok(WaitOutcome::Shed { retry_after_ms }) => Err(NotAdmitted { retry_after_ms }),
-            Err(_) => Err(NotAdmitted { retry_after_ms: self.controller.retry_after_ms() }),
+            Ok(WaitOutcome::Shed(not_admitted)) => Err(not_admitted),
+            Err(_) => Err(self.controller.lock().not_admitted()),
         }
     }
 }
--- a/crates/galenastream_utils/src/boot_instant.rs
+++ b/crates/galenastream_utils/src/boot_instant.rs
@@ -27,6 +27,12 @@
     pub const fn saturating_since(self, earlier: Self) -> Duration {
         Duration::from_nanos(self.since_boot_ns.saturating_sub(earlier.since_boot_ns))
     }
+
+    /// Returns the instant that lies `duration` before this one, or the boot if it is before that.
+    pub fn saturating_sub(self, duration: Duration) -> Self {
+        let duration_ns = u64::try_from(duration.as_nanos()).unwrap_or(u64::MAX);
+        Self::new(self.since_boot_ns.saturating_sub(duration_ns))
+    }
 }
 
 impl ops::Add<Duration> for BootInstant {
--- a/crates/galenastream_wire/src/message/mod.rs
+++ b/crates/galenastream_wire/src/message/mod.rs
@@ -5,9 +5,11 @@
 mod node_status;
 mod request;
 mod sync;
+mod target_announcement;
 
 pub use frame::{Cancel, PeerFrame, peer_frame};
 pub use header::Header;
 pub use node_status::*;
 pub use request::*;
 pub use sync::*;
+pub use target_announcement::*;
--- a/crates/galenastream_wire/src/message/node_status.rs
+++ b/crates/galenastream_wire/src/message/node_status.rs
@@ -72,6 +72,10 @@
     /// The load of the target's key ranges. Sent only to the planner.
     #[prost(message, repeated, tag = "8")]
     pub key_loads: Vec<KeyLoadRecord>,
+    /// The request limit that the target announces, in thousandths of a request per second; `None`
+    /// if it takes any number of requests.
+    #[prost(uint64, optional, tag = "9")]
+    pub limit_milli_per_s: Option<u64>,
 }
 
 /// Changes of an assignment that a node cannot write, since it does not reach the store. Another
--- a/crates/galenastream_wire/src/message/request.rs
+++ b/crates/galenastream_wire/src/message/request.rs
@@ -2,7 +2,7 @@
 
 use prost::{Enumeration, Message, bytes::Bytes};
 
-use crate::Header;
+use crate::{Header, TargetAnnouncement};
 
 /// A caller's request, forwarded to the node beside the target that is to run it.
 #[derive(Clone, PartialEq, Message)]
@@ -60,6 +60,10 @@
     /// Whether the sending node attempts another target if this one refuses the request.
     #[prost(bool, tag = "16")]
     pub has_alternatives: bool,
+    /// What the sending node remembers of the target's announcements; `None` if there is nothing.
+    /// It matters if the process beside the target has restarted since.
+    #[prost(message, optional, tag = "17")]
+    pub remembered: Option<TargetAnnouncement>,
 }
 
 /// The reply to a [`ForwardedRequest`].
@@ -89,6 +93,10 @@
     /// The mean service time of the target, in microseconds; 0 if none has been measured.
     #[prost(uint32, tag = "8")]
     pub service_time_us: u32,
+    /// What the target announces; `None` if the node knows nothing of the incarnation that the
+    /// request names.
+    #[prost(message, optional, tag = "9")]
+    pub announcement: Option<TargetAnnouncement>,
 }
 
 /// Whether a forwarded request ran.
@@ -136,6 +144,8 @@
     Invalid = 11,
     /// The caller left before the request was sent.
     CallerLeft = 12,
+    /// The request limit that the target announces does not allow the request in time.
+    RateLimited = 13,
 }
 
 impl ReplyReason {
@@ -155,6 +165,7 @@
             Self::PeerLost => "peer-lost",
             Self::Invalid => "invalid",
             Self::CallerLeft => "caller-left",
+            Self::RateLimited => "rate-limited",
         }
     }
 }
