Leave a target alone that announces in its responses that it leaves

What callers saw: requests went on to a target that had announced its leave in its responses for as long as its heartbeats did not say so, 2 s and more after the drain period in the process tests.

Cause: the node beside the target learned of a leave from heartbeats and deregistrations alone, and a process that starts after a deregistration learns of it from neither.

Change: the announcement counts like a deregistration, so the keys are handed over and other targets are preferred. Each node remembers when it first passed one on. It sends no request to the target when the drain period is over, whatever the node beside the target knows, and tells that node with its requests.

--- a/crates/galenastream_node/src/process/control_event.rs
+++ b/crates/galenastream_node/src/process/control_event.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use galenastream_adapter::{HeartbeatReply, NodeSettings, RoutingConfig, Row, StoreError};
-use galenastream_ranges::Assignment;
+use galenastream_ranges::{Assignment, TargetIncarnation};
 use galenastream_utils::BootInstant;
 use galenastream_wire::{NodeStatus, SyncState};
 use tokio::sync::oneshot;
@@ -78,6 +78,13 @@
     },
     /// The address of the local target refused connections, so the target has ended.
     TargetRefused,
+    /// The local target announced in a response that it leaves.
+    TargetLeaving {
+        /// The incarnation that leaves.
+        target: TargetIncarnation,
+        /// When its first announcement arrived.
+        since: BootInstant,
+    },
     /// The target that listens beside this node answered a health check with its id.
     TargetIdentified {
         /// The id in the answer.
--- a/crates/galenastream_node/src/process/control_state.rs
+++ b/crates/galenastream_node/src/process/control_state.rs
@@ -160,6 +160,7 @@
                 self.handle_commit_result(&service, &assignment, result, now);
             }
             ControlEvent::TargetIdentified { target_id } => self.handle_identity(&target_id),
+            ControlEvent::TargetLeaving { target, since } => self.handle_leave(&target, since),
             ControlEvent::TargetRefused => self.end_local_target("connection refused", now),
             ControlEvent::Settings(settings) => self.settings = *settings,
             ControlEvent::Closing => self.is_closing = true,
--- a/crates/galenastream_node/src/process/heartbeats.rs
+++ b/crates/galenastream_node/src/process/heartbeats.rs
@@ -57,6 +57,17 @@
             Some(PendingHeartbeat { answer, reply_by: now + max_reply_delay });
     }
 
+    /// Handles the leave that the local target announced in a response.
+    pub(super) fn handle_leave(&mut self, target: &TargetIncarnation, since: BootInstant) {
+        let Some(local) = self.local.as_mut().filter(|it| it.incarnation == *target) else {
+            return;
+        };
+        if local.draining_since.is_none() {
+            log::info!(event = "target_leaves", target:% = target, how = "announced"; "");
+        }
+        local.draining_since = Some(local.draining_since.map_or(since, |it| it.min(since)));
+    }
+
     /// Returns whether a heartbeat is current for the local target. Replaces the known incarnation
     /// if the heartbeat comes from its successor.
     pub(super) fn accept_incarnation(
--- a/crates/galenastream_node/src/process/local_announcement.rs
+++ b/crates/galenastream_node/src/process/local_announcement.rs
@@ -37,6 +37,12 @@
         Some((self.incarnation.clone()?, limit))
     }
 
+    /// When the incarnation announced that it leaves, if it has.
+    pub fn leaving(&self) -> Option<(TargetIncarnation, BootInstant)> {
+        let since = self.leaving_since?;
+        Some((self.incarnation.clone()?, since))
+    }
+
     /// The announcement for the node that sent a request.
     pub fn to_message(&self, now: BootInstant) -> TargetAnnouncement {
         TargetAnnouncement {
--- a/crates/galenastream_node/src/process/remembered_announcements.rs
+++ b/crates/galenastream_node/src/process/remembered_announcements.rs
@@ -57,6 +57,11 @@
         self.of(node, target)?.limit
     }
 
+    /// Returns since when a target leaves, if it has announced that.
+    pub fn leaving_since(&self, node: NodeKey, target: &TargetIncarnation) -> Option<BootInstant> {
+        self.of(node, target)?.leaving_since
+    }
+
     /// Returns the announcement of a target for the node beside it; `None` if there is none.
     pub fn report(
         &self,
--- a/crates/galenastream_node/src/process/traffic_state.rs
+++ b/crates/galenastream_node/src/process/traffic_state.rs
@@ -17,7 +17,7 @@
 use galenastream_utils::FastMap;
 use galenastream_wire::TargetAnnouncement;
 
-use super::{LocalAnnouncement, NodeContext, RememberedAnnouncements, TrafficTally};
+use super::{ControlEvent, LocalAnnouncement, NodeContext, RememberedAnnouncements, TrafficTally};
 use crate::connection::{PeerLinks, TargetConnections};
 
 /// The longest wait for a slot. The deadlines of the requests are the effective limit.
@@ -97,16 +97,23 @@
         announcement.is_of(target_id, born_ms).then(|| announcement.to_message(boot_now()))
     }
 
-    /// Updates what the local target announces. A changed limit is applied to admission.
+    /// Updates what the local target announces. A changed limit is applied to admission, and the
+    /// control state is notified of a leave.
     pub fn update_announcement(&self, action: impl FnOnce(&mut LocalAnnouncement)) {
         let mut announcement = lock(&self.announcement);
-        let limit = announcement.limit();
+        let (limit, leaving) = (announcement.limit(), announcement.leaving());
         action(&mut announcement);
         if announcement.limit() != limit {
             let limit = announcement.limit();
             self.admission.set_request_limit(limit.as_ref().map(|(_, limit)| *limit));
             *lock(&self.context.target_limit) = limit;
         }
+        if announcement.leaving() != leaving
+            && let Some((target, since)) = announcement.leaving()
+        {
+            let event = ControlEvent::TargetLeaving { target, since };
+            self.context.control_events.deliver(event);
+        }
     }
 
     /// Locks the counts of requests and attempts.
--- a/crates/galenastream_node/src/request/target_choice.rs
+++ b/crates/galenastream_node/src/request/target_choice.rs
@@ -6,7 +6,7 @@
 use galenastream_runtime::boot_now;
 use galenastream_settings::EffectiveSettings;
 
-use super::{attempt::Destination, progress::Progress};
+use super::{attempt::Destination, drain::is_drain_over, progress::Progress};
 use crate::process::{Directory, TrafficState};
 
 /// Chooses the targets for the attempts of a request to a service.
@@ -41,6 +41,10 @@
         let assignment = directory.assignments.get(self.service)?;
         let holder = assignment.entry_of(key).holding.holder()?;
         let node = directory.node_of(&holder.target).filter(|it| !it.is_refusing)?;
+        let leaving_since = self.traffic.remembered().leaving_since(node.key, &holder.target);
+        if leaving_since.is_some_and(|it| is_drain_over(self.traffic, it, boot_now())) {
+            return None;
+        }
         Some(Destination {
             node: node.clone(),
             target: holder.target.clone(),
@@ -72,7 +76,14 @@
             if progress.tried.contains(&target.incarnation) || node.is_refusing {
                 continue;
             }
-            let is_fallback = target.is_draining || node.is_closing || !node.is_reachable;
+            let leaving_since = remembered.leaving_since(node.key, &target.incarnation);
+            if leaving_since.is_some_and(|it| is_drain_over(self.traffic, it, boot_now())) {
+                continue;
+            }
+            let is_fallback = target.is_draining
+                || leaving_since.is_some()
+                || node.is_closing
+                || !node.is_reachable;
             let candidate = TargetCandidate {
                 node: node.key,
                 slots: target.slots,
