Check request limits and leaves through restarts of nodes

Process tests of limits that fall, rise, end or cannot be decoded, and of a limit and a leave whose node restarts while other nodes remember them.

--- a/crates/galenastream_node/tests/platform/announced_leave.rs
+++ b/crates/galenastream_node/tests/platform/announced_leave.rs
@@ -5,7 +5,7 @@
 use galenastream_standin::{LocalDeployment, TargetAnnouncement};
 
 use super::{
-    announcement_load::{SentRequest, load_path},
+    announcement_load::{SentRequest, entries, load_from, load_path},
     deployment::start,
 };
 
@@ -67,3 +67,26 @@
     }
     deployment.close().unwrap();
 }
+
+/// Guards against a leave that is forgotten when the node beside the target restarts. The heartbeats
+/// of the target do not show that it leaves.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leave_holds_when_the_node_beside_the_target_restarts() {
+    let mut deployment = start("leave-restart", &["stock", "carts", "carts"]).await;
+    deployment.vms[0].target.announce(LEAVING);
+    let began_at = Instant::now();
+    let load = load_from(entries(&deployment, 1), "/stock/1", false, DRAIN_TIME * 3);
+    let restart = async {
+        tokio::time::sleep(DRAIN_TIME / 4).await;
+        deployment.vms[0].kill_node().unwrap();
+        deployment.vms[0].start_node().unwrap();
+    };
+    let (sent, ()) = tokio::join!(load, restart);
+    assert_left_alone(&deployment, 0, &sent);
+    // No other target can take the requests, so they are refused with a time to come back.
+    for request in sent.iter().filter(|it| it.sent_at > began_at + DRAIN_TIME + DRAIN_TIME / 4) {
+        let retry_after = request.answer.as_ref().and_then(|it| it.header("retry-after"));
+        assert_eq!((request.status(), retry_after.is_some()), (503, true), "{request:?}");
+    }
+    deployment.close().unwrap();
+}
--- a/crates/galenastream_node/tests/platform/announcement_load.rs
+++ b/crates/galenastream_node/tests/platform/announcement_load.rs
@@ -1,8 +1,11 @@
 //! Callers that load a service while its targets announce limits or leaves.
 
-use std::time::{Duration, Instant};
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
 
-use galenastream_standin::{CallerAnswer, CallerConnection, LocalDeployment, LocalVm};
+use galenastream_standin::{CallerAnswer, CallerConnection, LocalDeployment};
 
 /// Callers on each VM.
 const CALLERS_PER_VM: usize = 2;
@@ -35,21 +38,27 @@
     is_keyed: bool,
     period: Duration,
 ) -> Vec<SentRequest> {
-    load_from(&deployment.vms.iter().collect::<Vec<_>>(), path, is_keyed, period).await
+    load_from(entries(deployment, 0), path, is_keyed, period).await
+}
+
+/// Returns the indexes of the VMs from `first` on and the addresses where their nodes accept
+/// callers.
+pub fn entries(deployment: &LocalDeployment, first: usize) -> Vec<(usize, SocketAddr)> {
+    let vms = deployment.vms.iter().enumerate().skip(first);
+    vms.map(|(index, vm)| (index, vm.callers_address())).collect()
 }
 
 /// Loads a path from some VMs for a period.
 pub async fn load_from(
-    vms: &[&LocalVm],
+    entries: Vec<(usize, SocketAddr)>,
     path: &'static str,
     is_keyed: bool,
     period: Duration,
 ) -> Vec<SentRequest> {
     let until = Instant::now() + period;
     let mut callers = Vec::new();
-    for (vm, entry) in vms.iter().enumerate() {
+    for (vm, address) in entries {
         for caller in 0..CALLERS_PER_VM {
-            let address = entry.callers_address();
             callers.push(tokio::spawn(async move {
                 let mut sent = Vec::new();
                 let mut connection = None;
--- a/crates/galenastream_node/tests/platform/request_limit.rs
+++ b/crates/galenastream_node/tests/platform/request_limit.rs
@@ -2,22 +2,24 @@
 
 use std::time::{Duration, Instant};
 
-use galenastream_standin::{TargetAnnouncement, TargetArrival};
+use galenastream_standin::{
+    LocalDeployment, TargetAnnouncement, TargetAnswerFault, check_invariants, wait_until,
+};
 
 use super::{
-    announcement_load::{SentRequest, load_path},
+    TIMEOUT,
+    announcement_load::{SentRequest, entries, load_from, load_path},
     deployment::start,
 };
 
 /// The announced limit in requests per second, far below what the callers send.
 const LIMIT_PER_S: f64 = 12.0;
 
-/// The bounds of the platform's rule: from this time after the first announcement, a target gets at
-/// most [`MAX_RATIO`] of its limit and [`MAX_EXTRA`] requests in any [`WINDOW`].
+/// How long after its announcement a limit is in force at the latest.
 const STABLE_TIME: Duration = Duration::from_secs(3);
-const WINDOW: Duration = Duration::from_secs(4);
-const MAX_RATIO: f64 = 1.5;
-const MAX_EXTRA: f64 = 5.0;
+
+/// How long the callers send requests: long enough for a window of the check.
+const LOAD_TIME: Duration = Duration::from_secs(9);
 
 /// The least share of its limit that a target gets while callers want more.
 const MIN_RATIO: f64 = 0.9;
@@ -26,24 +28,9 @@
 /// of 900 ms.
 const MAX_ANSWER_TIME: Duration = Duration::from_millis(1_000);
 
-fn limit(per_s: f64) -> TargetAnnouncement {
-    TargetAnnouncement { limit: Some(per_s.to_string()), is_leaving: false }
-}
-
-/// Returns the most arrivals in any window that starts at `from` or later.
-fn most_in_window(arrivals: &[TargetArrival], from: Instant) -> usize {
-    let counted: Vec<Instant> =
-        arrivals.iter().map(|it| it.arrived_at).filter(|it| *it >= from).collect();
-    let windows = counted.iter().enumerate().map(|(index, first)| {
-        counted[index..].iter().take_while(|it| **it < *first + WINDOW).count()
-    });
-    windows.max().unwrap_or(0)
-}
-
-fn assert_limited(arrivals: &[TargetArrival], announced_at: Instant, per_s: f64) {
-    let most = most_in_window(arrivals, announced_at + STABLE_TIME) as f64;
-    let allowed = per_s * MAX_RATIO * WINDOW.as_secs_f64() + MAX_EXTRA;
-    assert!(most <= allowed, "{most} requests in {WINDOW:?}, {allowed} allowed");
+/// Asserts that no target got more than its limit allows, whichever nodes sent the requests.
+fn assert_limited(deployment: &LocalDeployment) {
+    assert_eq!(check_invariants(&deployment.histories(), &[]), []);
 }
 
 /// Asserts that a target gets its limit, and that the other requests are refused in time, with a
@@ -70,10 +57,10 @@
 async fn a_target_without_keys_gets_no_more_requests_than_its_limit_allows() {
     let deployment = start("limit", &["stock", "carts", "carts"]).await;
     let target = &deployment.vms[0].target;
-    target.announce(limit(LIMIT_PER_S));
+    target.announce(TargetAnnouncement::limit(LIMIT_PER_S));
     let announced_at = Instant::now();
-    let sent = load_path(&deployment, "/stock/1", false, STABLE_TIME + WINDOW * 3 / 2).await;
-    assert_limited(&target.arrivals(), announced_at, LIMIT_PER_S);
+    let sent = load_path(&deployment, "/stock/1", false, LOAD_TIME).await;
+    assert_limited(&deployment);
     assert_served(&sent, announced_at);
     deployment.close().unwrap();
 }
@@ -83,10 +70,78 @@
 async fn an_owner_of_keys_gets_no_more_requests_than_its_limit_allows() {
     let deployment = start("limit-keys", &["carts", "stock", "stock"]).await;
     let target = &deployment.vms[0].target;
-    target.announce(limit(LIMIT_PER_S));
+    target.announce(TargetAnnouncement::limit(LIMIT_PER_S));
     let announced_at = Instant::now();
-    let sent = load_path(&deployment, "/carts/1", true, STABLE_TIME + WINDOW * 3 / 2).await;
-    assert_limited(&target.arrivals(), announced_at, LIMIT_PER_S);
+    let sent = load_path(&deployment, "/carts/1", true, LOAD_TIME).await;
+    assert_limited(&deployment);
     assert_served(&sent, announced_at);
     deployment.close().unwrap();
 }
+
+/// Guards against a limit that is forgotten when the node beside the target restarts. Each life of
+/// the node is shorter than a request, so that it learns of the limit from other nodes alone.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_limit_holds_while_the_node_beside_the_target_restarts_again_and_again() {
+    let mut deployment = start("limit-restarts", &["stock", "carts", "carts"]).await;
+    let target = &deployment.vms[0].target;
+    target.announce(TargetAnnouncement::limit(0.5));
+    let load = load_from(entries(&deployment, 1), "/stock/1", false, LOAD_TIME);
+    let slow = Duration::from_millis(900);
+    let restarts = async {
+        tokio::time::sleep(STABLE_TIME / 2).await;
+        deployment.vms[0].target.set_fault(TargetAnswerFault::Slow(slow));
+        let until = Instant::now() + LOAD_TIME - STABLE_TIME;
+        while Instant::now() < until {
+            deployment.vms[0].kill_node().unwrap();
+            deployment.vms[0].start_node().unwrap();
+            tokio::time::sleep(slow * 2 / 3).await;
+        }
+    };
+    let (sent, ()) = tokio::join!(load, restarts);
+    assert!(sent.iter().any(|it| it.status() == 200), "some requests are served");
+    assert_limited(&deployment);
+    deployment.close().unwrap();
+}
+
+/// Guards against limits that hold for one target at a time, and against limits that only rise.
+#[tokio::test(flavor = "multi_thread")]
+async fn limits_that_fall_rise_and_end_hold_for_all_targets_of_a_service() {
+    let deployment = start("limit-steps", &["stock", "stock", "carts"]).await;
+    let load = load_path(&deployment, "/stock/1", false, LOAD_TIME * 2);
+    let steps = async {
+        for (first, second) in [(60.0, 20.0), (5.0, 40.0)] {
+            deployment.vms[0].target.announce(TargetAnnouncement::limit(first));
+            deployment.vms[1].target.announce(TargetAnnouncement::limit(second));
+            tokio::time::sleep(LOAD_TIME * 9 / 10).await;
+        }
+        for vm in &deployment.vms {
+            vm.target.announce(TargetAnnouncement::default());
+        }
+        Instant::now()
+    };
+    let (sent, ended_at) = tokio::join!(load, steps);
+    assert_limited(&deployment);
+    // The lower limit lets a request through every 200 ms, whose response ends it.
+    let is_after_end = |it: &&SentRequest| it.sent_at > ended_at + Duration::from_millis(500);
+    let after_end: Vec<u16> = sent.iter().filter(is_after_end).map(SentRequest::status).collect();
+    assert!(after_end.len() > 10 && after_end.iter().all(|it| *it == 200), "{after_end:?}");
+    deployment.close().unwrap();
+}
+
+/// A limit that cannot be decoded is none, and is logged once.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_malformed_limit_limits_nothing_and_is_logged() {
+    let deployment = start("limit-malformed", &["stock"]).await;
+    let vm = &deployment.vms[0];
+    let limit = Some("1e400".to_owned());
+    vm.target.announce(TargetAnnouncement { limit, is_leaving: false });
+    let sent = load_path(&deployment, "/stock/1", false, Duration::from_secs(1)).await;
+    assert!(sent.iter().all(|it| it.status() == 200), "{sent:?}");
+    let lines = || {
+        let log = vm.log().into_iter().map(|mut it| it["kvs"].take());
+        log.filter(|it| it["event"] == "announcement_malformed").count()
+    };
+    wait_until("the line in the log", TIMEOUT, async || lines() > 0).await.unwrap();
+    assert_eq!(lines(), 1);
+    deployment.close().unwrap();
+}
--- a/crates/galenastream_standin/src/invariants/check.rs
+++ b/crates/galenastream_standin/src/invariants/check.rs
@@ -2,14 +2,16 @@
 
 use galenastream_utils::{FastMap, FastSet};
 
-use super::Violation;
+use super::{Violation, check_limits::check_limits};
 use crate::{HeldSpan, LoadOutcome, LoadSample, TargetHistory};
 
 /// Returns every violation of an invariant: two owners of a key at the same time, a later owner of a
 /// key without a higher fencing token, a request that changes state and ran more than once or
-/// although it was refused, a wrong answer, and a successful answer to a request that did not run.
+/// although it was refused, a wrong answer, a successful answer to a request that did not run, and
+/// more requests to a target than the limit that it announced allows.
 pub fn check_invariants(histories: &[TargetHistory], samples: &[LoadSample]) -> Vec<Violation> {
     let mut violations = check_owners(histories);
+    violations.extend(check_limits(histories));
     let mut run_counts: FastMap<&str, u32> = FastMap::default();
     let mut state_changing: FastSet<&str> = FastSet::default();
     for run in histories.iter().flat_map(|it| &it.runs) {
--- a/crates/galenastream_standin/src/invariants/mod.rs
+++ b/crates/galenastream_standin/src/invariants/mod.rs
@@ -1,6 +1,7 @@
 //! Checks the invariants of a run against what callers and targets observed.
 
 mod check;
+mod check_limits;
 mod violation;
 
 pub use check::check_invariants;
--- a/crates/galenastream_standin/src/invariants/violation.rs
+++ b/crates/galenastream_standin/src/invariants/violation.rs
@@ -23,6 +23,15 @@
         /// The fencing tokens of the targets, in the same order.
         fences: [u64; 2],
     },
+    /// A target got more requests than the limit that it announced allows.
+    LimitExceeded {
+        /// The id of the target.
+        target: String,
+        /// The most requests in any window.
+        most: usize,
+        /// The number of requests that the limit allows in a window.
+        allowed: usize,
+    },
     /// A request that changes state ran more than once.
     RanTwice {
         /// The id of the request.
@@ -59,6 +68,9 @@
                      with fencing token {second}; the token must rise"
                 )
             }
+            Self::LimitExceeded { target, most, allowed } => {
+                write!(f, "{target} got {most} requests where its limit allows {allowed}")
+            }
             Self::RanTwice { request_id } => write!(f, "{request_id} ran more than once"),
             Self::RanThoughRefused { request_id } => {
                 write!(f, "{request_id} ran although its caller was told that it had not")
--- a/crates/galenastream_standin/src/platform_target/mod.rs
+++ b/crates/galenastream_standin/src/platform_target/mod.rs
@@ -14,5 +14,5 @@
 pub use heartbeat_body::{HeartbeatFields, heartbeat_body};
 pub use platform_target_standin::PlatformTargetStandin;
 pub use target_announcement::{TargetAnnouncement, TargetArrival};
-pub use target_history::{HeldSpan, TargetHistory, TargetRun};
+pub use target_history::{HeldSpan, LimitSpan, TargetHistory, TargetRun};
 pub use target_plan::{TargetCapacity, TargetPlan};
--- a/crates/galenastream_standin/src/platform_target/platform_target_standin.rs
+++ b/crates/galenastream_standin/src/platform_target/platform_target_standin.rs
@@ -12,7 +12,7 @@
 use volo_http::{context::ServerContext, request::Request, response::Response};
 
 use super::{
-    TargetAnnouncement, TargetAnswerFault, TargetArrival, TargetCapacity, TargetHistory,
+    LimitSpan, TargetAnnouncement, TargetAnswerFault, TargetArrival, TargetCapacity, TargetHistory,
     TargetPlan, TargetRun,
     heartbeat_sender::send_heartbeats,
     target_leases::{HeartbeatReply, TargetLeases},
@@ -40,6 +40,8 @@
     fault: Mutex<TargetAnswerFault>,
     announcement: Mutex<TargetAnnouncement>,
     arrivals: Mutex<Vec<TargetArrival>>,
+    /// The limits announced so far; the last one may still be announced.
+    limits: Mutex<Vec<LimitSpan>>,
     runs: Mutex<Vec<TargetRun>>,
 }
 
@@ -60,6 +62,7 @@
             fault: Mutex::default(),
             announcement: Mutex::default(),
             arrivals: Mutex::default(),
+            limits: Mutex::default(),
             runs: Mutex::default(),
         });
         let server = HttpServer::start(plan.address, TargetService { state: state.clone() })?;
@@ -75,6 +78,12 @@
 
     /// Sets what the responses announce from now on.
     pub fn announce(&self, announcement: TargetAnnouncement) {
+        let now = Instant::now();
+        let mut limits = self.state.limits_until(now);
+        if let Some(per_s) = announcement.limit_per_s() {
+            limits.push(LimitSpan { per_s, from: now, until: now });
+        }
+        *lock(&self.state.limits) = limits;
         *lock(&self.state.announcement) = announcement;
     }
 
@@ -100,6 +109,8 @@
             service: self.state.service.clone(),
             runs: self.runs(),
             held: self.state.leases().spans().to_vec(),
+            arrivals: self.arrivals(),
+            limits: self.state.limits_until(Instant::now()),
         }
     }
 
@@ -122,6 +133,16 @@
         lock(&self.leases)
     }
 
+    /// Returns the limits announced so far, with the current one until `now`.
+    fn limits_until(&self, now: Instant) -> Vec<LimitSpan> {
+        let is_announced = lock(&self.announcement).limit_per_s().is_some();
+        let mut limits = lock(&self.limits).clone();
+        if let Some(last) = limits.last_mut().filter(|_| is_announced) {
+            last.until = now;
+        }
+        limits
+    }
+
     pub(super) fn apply_reply(&self, reply: HeartbeatReply, sent_at: Instant) {
         self.leases().apply(reply, sent_at);
     }
--- a/crates/galenastream_standin/src/platform_target/target_announcement.rs
+++ b/crates/galenastream_standin/src/platform_target/target_announcement.rs
@@ -23,6 +23,16 @@
 }
 
 impl TargetAnnouncement {
+    /// Creates the announcement of a request limit per second.
+    pub fn limit(per_s: f64) -> Self {
+        Self { limit: Some(per_s.to_string()), is_leaving: false }
+    }
+
+    /// Returns the limit, if it is a number.
+    pub(super) fn limit_per_s(&self) -> Option<f64> {
+        self.limit.as_ref()?.parse().ok()
+    }
+
     /// Appends the headers of the announcement to those of a response.
     pub(super) fn append_to(&self, headers: &mut HeaderMap) {
         if let Some(limit) = self.limit.as_ref().and_then(|it| HeaderValue::from_str(it).ok()) {
--- a/crates/galenastream_standin/src/platform_target/target_history.rs
+++ b/crates/galenastream_standin/src/platform_target/target_history.rs
@@ -2,6 +2,8 @@
 
 use std::time::Instant;
 
+use super::TargetArrival;
+
 /// The history of a target, for [`check_invariants`](crate::check_invariants).
 #[derive(Debug, Clone)]
 pub struct TargetHistory {
@@ -13,6 +15,21 @@
     pub runs: Vec<TargetRun>,
     /// The keys that the target held.
     pub held: Vec<HeldSpan>,
+    /// The requests that arrived, also those that the target refused.
+    pub arrivals: Vec<TargetArrival>,
+    /// The request limits that the target announced.
+    pub limits: Vec<LimitSpan>,
+}
+
+/// A request limit that a target announced, and for how long.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct LimitSpan {
+    /// The limit in requests per second.
+    pub per_s: f64,
+    /// From when the responses announced the limit.
+    pub from: Instant,
+    /// Until when the responses announced the limit.
+    pub until: Instant,
 }
 
 /// A request that a target ran.
--- a/crates/galenastream_standin/src/scenario/fault.rs
+++ b/crates/galenastream_standin/src/scenario/fault.rs
@@ -7,7 +7,7 @@
 
 /// A fault to inject in a scenario.
 #[serde_as]
-#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct ScenarioFault {
     /// The kind of the fault.
@@ -23,6 +23,9 @@
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(rename = "for_ms")]
     pub length: Duration,
+    /// The request limit per second of a target that is limited.
+    #[serde(default)]
+    pub limit_per_s: f64,
 }
 
 /// The kind of a fault.
@@ -48,6 +51,8 @@
     TargetMixesAnswers,
     /// The target processes each request for 200 ms longer.
     TargetSlow,
+    /// The target announces a request limit.
+    TargetLimited,
     /// The store refuses all calls without executing them.
     StoreRefuses,
     /// The store neither executes nor answers calls.
--- a/crates/galenastream_standin/src/scenario/scenario_run.rs
+++ b/crates/galenastream_standin/src/scenario/scenario_run.rs
@@ -6,8 +6,8 @@
 
 use super::{ScenarioFault, ScenarioFaultKind, ScenarioPlan};
 use crate::{
-    DeploymentPlan, LoadRun, LoadSummary, LocalDeployment, LocalVm, StoreFault, TargetAnswerFault,
-    Violation, check_invariants, run_load,
+    DeploymentPlan, LoadRun, LoadSummary, LocalDeployment, LocalVm, StoreFault, TargetAnnouncement,
+    TargetAnswerFault, Violation, check_invariants, run_load,
 };
 
 /// How much longer a slow target processes a request.
@@ -101,6 +101,13 @@
             Some(node) => node.resume(),
             None => Ok(()),
         },
+        (ScenarioFaultKind::TargetLimited, is_start) => {
+            vm.target.announce(match is_start {
+                true => TargetAnnouncement::limit(step.fault.limit_per_s),
+                false => TargetAnnouncement::default(),
+            });
+            Ok(())
+        }
         (ScenarioFaultKind::TargetReplaced, true) => vm.replace_target().await,
         _ => Ok(()),
     }
--- a/crates/galenastream_standin/tests/judge.rs
+++ b/crates/galenastream_standin/tests/judge.rs
@@ -4,7 +4,8 @@
 
 use expect_test::{Expect, expect};
 use galenastream_standin::{
-    HeldSpan, LoadOutcome, LoadSample, TargetHistory, TargetRun, check_invariants,
+    HeldSpan, LimitSpan, LoadOutcome, LoadSample, TargetArrival, TargetHistory, TargetRun,
+    check_invariants,
 };
 
 struct Case {
@@ -20,6 +21,8 @@
             service: "carts".to_owned(),
             runs: Vec::new(),
             held: Vec::new(),
+            arrivals: Vec::new(),
+            limits: Vec::new(),
         };
         let histories = vec![history("t-0"), history("t-1")];
         Self { began_at: Instant::now(), histories, samples: Vec::new() }
@@ -50,6 +53,19 @@
         self
     }
 
+    /// The target announces a limit of two requests per second for eight seconds. The requests
+    /// arrive 100 ms apart.
+    fn limited(mut self, target: usize, first_arrival_ms: u64, count: u64) -> Self {
+        let at = |ms| self.began_at + Duration::from_millis(ms);
+        let history = &mut self.histories[target];
+        history.limits.push(LimitSpan { per_s: 2.0, from: at(0), until: at(8_000) });
+        for number in 0..count {
+            let arrived_at = at(first_arrival_ms + number * 100);
+            history.arrivals.push(TargetArrival { request_id: String::new(), arrived_at });
+        }
+        self
+    }
+
     fn answered(mut self, request_id: &str, outcome: LoadOutcome) -> Self {
         self.samples.push(LoadSample {
             request_id: request_id.to_owned(),
@@ -115,3 +131,12 @@
             order-4 received an answer with a wrong id, body or status
         "#]]);
 }
+
+#[test]
+fn more_requests_than_a_limit_allows_are_a_violation_once_the_limit_is_binding() {
+    Case::new().limited(0, 3_000, 17).check(&expect![]);
+    Case::new().limited(0, 0, 40).check(&expect![]);
+    Case::new().limited(0, 3_000, 18).check(&expect![[r#"
+        t-0 got 18 requests where its limit allows 17
+    "#]]);
+}
