Remember which targets leave when the nodes beside them restart

What callers saw: requests that arrived at a target after its drain period and were cut off when it ended, if the node that had acknowledged its deregistration had restarted since.

Change: each node remembers for every incarnation since when statuses have shown it as draining, also if the process that sends them restarts and no longer knows. When the drain period is over it sends no requests there, the planner gives it no keys, and requests until then tell the node beside it.

--- a/crates/galenastream_node/src/process/directory.rs
+++ b/crates/galenastream_node/src/process/directory.rs
@@ -55,8 +55,9 @@
     pub incarnation: TargetIncarnation,
     /// The number of requests that it processes concurrently.
     pub slots: u32,
-    /// Whether it has announced its leave.
-    pub is_draining: bool,
+    /// Since when this node has known that it leaves. It lasts until another incarnation runs, also
+    /// if the node beside the target restarts and no longer knows.
+    pub draining_since: Option<BootInstant>,
     /// The request limit that it announces.
     pub limit: Option<RequestRate>,
 }
--- a/crates/galenastream_node/src/process/heartbeats.rs
+++ b/crates/galenastream_node/src/process/heartbeats.rs
@@ -10,6 +10,7 @@
 
 use super::control_state::ControlState;
 use super::local_target::{LocalTargetState, PendingHeartbeat};
+use super::remembered_announcements::earliest;
 use super::{HeartbeatAnswer, HeldLeases};
 
 /// The longest delay of a reply that has nothing new for the target. Targets wait for a reply for
@@ -65,7 +66,7 @@
         if local.draining_since.is_none() {
             log::info!(event = "target_leaves", target:% = target, how = "announced"; "");
         }
-        local.draining_since = Some(local.draining_since.map_or(since, |it| it.min(since)));
+        local.draining_since = earliest(local.draining_since, Some(since));
     }
 
     /// Returns whether a heartbeat is current for the local target. Replaces the known incarnation
--- a/crates/galenastream_node/src/process/local_announcement.rs
+++ b/crates/galenastream_node/src/process/local_announcement.rs
@@ -10,7 +10,7 @@
 use http::HeaderMap;
 use metrics::gauge;
 
-use super::remembered_announcements::elapsed_ms;
+use super::remembered_announcements::{earliest, elapsed_ms};
 
 /// What the current incarnation of the local target announces in its responses.
 #[derive(Debug, Default)]
@@ -43,11 +43,17 @@
         Some((self.incarnation.clone()?, since))
     }
 
-    /// The announcement for the node that sent a request.
-    pub fn to_message(&self, now: BootInstant) -> TargetAnnouncement {
+    /// The announcement for the node that sent a request. `draining_since` is what the target said
+    /// by other means than its responses.
+    pub fn to_message(
+        &self,
+        draining_since: Option<BootInstant>,
+        now: BootInstant,
+    ) -> TargetAnnouncement {
+        let leaving_since = earliest(self.leaving_since, draining_since);
         TargetAnnouncement {
             limit_milli_per_s: self.limit.current().map(RequestRate::milli_per_s),
-            leaving_for_ms: self.leaving_since.map(|it| elapsed_ms(it, now)),
+            leaving_for_ms: leaving_since.map(|it| elapsed_ms(it, now)),
         }
     }
 
--- a/crates/galenastream_node/src/process/mod.rs
+++ b/crates/galenastream_node/src/process/mod.rs
@@ -41,7 +41,7 @@
 pub use local_announcement::LocalAnnouncement;
 pub use logs::start_log;
 pub use metrics_page::render_metrics;
-pub use remembered_announcements::RememberedAnnouncements;
+pub use remembered_announcements::{RememberedAnnouncements, earliest};
 pub use status_page::{LeasePage, STATUS_PATH, StatusPage, TargetPage};
 pub use traffic_state::{CountGuard, TrafficState};
 pub use traffic_tally::TrafficTally;
--- a/crates/galenastream_node/src/process/peer_book.rs
+++ b/crates/galenastream_node/src/process/peer_book.rs
@@ -26,6 +26,8 @@
     pub(super) data_centre: Arc<str>,
     pub(super) status: Option<NodeStatus>,
     pub(super) last_status_at: Option<BootInstant>,
+    /// The target that a status showed as draining first, and when that status arrived.
+    draining: Option<(TargetIncarnation, BootInstant)>,
 }
 
 impl PeerRegistry {
@@ -68,6 +70,7 @@
         let differs = record.status.as_ref() != Some(&status);
         record.status = Some(status);
         record.last_status_at = Some(now);
+        record.remember_draining(now);
         differs || !was_reachable
     }
 
@@ -82,6 +85,7 @@
                 data_centre: Arc::from(data_centre),
                 status: None,
                 last_status_at: None,
+                draining: None,
             }
         });
         record.address = address;
@@ -94,6 +98,24 @@
         self.last_status_at.is_some_and(|it| now.saturating_since(it) <= REACHABILITY_TIMEOUT)
     }
 
+    /// Since when the target has been known to drain, also if later statuses no longer say so: the
+    /// process that sends them may have started after the target announced its leave.
+    pub(super) fn draining_since(&self, target: &TargetIncarnation) -> Option<BootInstant> {
+        let (draining, since) = self.draining.as_ref()?;
+        (draining == target).then_some(*since)
+    }
+
+    fn remember_draining(&mut self, now: BootInstant) {
+        let is_draining = |it: &NodeStatus| it.target.as_ref().is_some_and(|it| it.is_draining);
+        let Some(target) = self.target().filter(|_| self.status.as_ref().is_some_and(is_draining))
+        else {
+            return;
+        };
+        if self.draining_since(&target).is_none() {
+            self.draining = Some((target, now));
+        }
+    }
+
     /// Whether the node is a reader: it reaches the store, follows the shared rows there and is not
     /// about to stop.
     pub(super) fn is_reader(&self) -> bool {
--- a/crates/galenastream_node/src/process/planning.rs
+++ b/crates/galenastream_node/src/process/planning.rs
@@ -193,8 +193,9 @@
                 continue;
             }
             let incarnation = TargetIncarnation::new(target.id.as_str(), target.born_ms);
+            let is_draining = peer.draining_since(&incarnation).is_some();
             let owner = Owner::new(incarnation, name.clone());
-            let is_staying = status.is_some_and(|it| !it.is_closing);
+            let is_staying = status.is_some_and(|it| !it.is_closing) && !is_draining;
             targets.push(target_load(owner, target, is_staying, default_per_slot_per_s));
         }
         targets.sort_by(|a, b| a.owner.node.cmp(&b.owner.node));
--- a/crates/galenastream_node/src/process/publication.rs
+++ b/crates/galenastream_node/src/process/publication.rs
@@ -10,6 +10,7 @@
 use super::control_state::ControlState;
 use super::local_limit::LocalLimit;
 use super::local_target::LocalTargetState;
+use super::peer_book::PeerRecord;
 use super::{Directory, LocalTarget, NodeEntry, StatusPage, SyncSnapshot, TargetEntry, TargetPage};
 
 impl ControlState {
@@ -63,7 +64,7 @@
                 name: name.clone(),
                 address: peer.address,
                 data_centre: peer.data_centre.clone(),
-                target: status.and_then(|it| it.target.as_ref()).map(target_entry),
+                target: status.and_then(|it| it.target.as_ref()).map(|it| target_entry(peer, it)),
                 is_closing: status.is_some_and(|it| it.is_closing),
                 is_refusing: status.is_some_and(|it| it.is_refusing),
                 is_reachable: peer.is_reachable(now),
@@ -86,7 +87,7 @@
             service: it.service.clone(),
             incarnation: it.incarnation.clone(),
             slots: it.slots,
-            is_draining: it.draining_since.is_some(),
+            draining_since: it.draining_since,
             limit: self.limit_of(it).map(|it| it.rate),
         });
         NodeEntry {
@@ -160,12 +161,13 @@
     }
 }
 
-fn target_entry(status: &TargetStatus) -> TargetEntry {
+fn target_entry(peer: &PeerRecord, status: &TargetStatus) -> TargetEntry {
+    let incarnation = TargetIncarnation::new(status.id.as_str(), status.born_ms);
     TargetEntry {
         service: Arc::from(status.service.as_str()),
-        incarnation: TargetIncarnation::new(status.id.as_str(), status.born_ms),
         slots: status.slots,
-        is_draining: status.is_draining,
+        draining_since: peer.draining_since(&incarnation),
+        incarnation,
         limit: status.limit_milli_per_s.map(RequestRate::new),
     }
 }
--- a/crates/galenastream_node/src/process/remembered_announcements.rs
+++ b/crates/galenastream_node/src/process/remembered_announcements.rs
@@ -37,11 +37,7 @@
         let limit = announced.limit_milli_per_s.map(RequestRate::new);
         let leaving_since =
             announced.leaving_for_ms.map(|it| now.saturating_sub(Duration::from_millis(it)));
-        let earlier = self.of(node, target).and_then(|it| it.leaving_since);
-        let leaving_since = match (earlier, leaving_since) {
-            (Some(earlier), Some(later)) => Some(earlier.min(later)),
-            (earlier, later) => earlier.or(later),
-        };
+        let leaving_since = earliest(self.leaving_since(node, target), leaving_since);
         if limit.is_none() && leaving_since.is_none() {
             if self.of(node, target).is_some() {
                 self.by_node.remove(&node);
@@ -62,17 +58,22 @@
         self.of(node, target)?.leaving_since
     }
 
-    /// Returns the announcement of a target for the node beside it; `None` if there is none.
+    /// Returns what the node beside a target should know of its announcements; `None` if there is
+    /// nothing.
     pub fn report(
         &self,
         node: NodeKey,
         target: &TargetIncarnation,
+        leaving_since: Option<BootInstant>,
         now: BootInstant,
     ) -> Option<TargetAnnouncement> {
-        let remembered = self.of(node, target)?;
+        let limit = self.limit(node, target);
+        if limit.is_none() && leaving_since.is_none() {
+            return None;
+        }
         Some(TargetAnnouncement {
-            limit_milli_per_s: remembered.limit.map(RequestRate::milli_per_s),
-            leaving_for_ms: remembered.leaving_since.map(|it| elapsed_ms(it, now)),
+            limit_milli_per_s: limit.map(RequestRate::milli_per_s),
+            leaving_for_ms: leaving_since.map(|it| elapsed_ms(it, now)),
         })
     }
 
@@ -81,6 +82,11 @@
     }
 }
 
+/// Returns the earlier one of two instants that may be unknown.
+pub fn earliest(one: Option<BootInstant>, other: Option<BootInstant>) -> Option<BootInstant> {
+    one.into_iter().chain(other).min()
+}
+
 pub(super) fn elapsed_ms(since: BootInstant, now: BootInstant) -> u64 {
     u64::try_from(now.saturating_since(since).as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/galenastream_node/src/process/traffic_state.rs
+++ b/crates/galenastream_node/src/process/traffic_state.rs
@@ -17,7 +17,10 @@
 use galenastream_utils::FastMap;
 use galenastream_wire::TargetAnnouncement;
 
-use super::{ControlEvent, LocalAnnouncement, NodeContext, RememberedAnnouncements, TrafficTally};
+use super::{
+    ControlEvent, LocalAnnouncement, LocalTarget, NodeContext, RememberedAnnouncements,
+    TrafficTally,
+};
 use crate::connection::{PeerLinks, TargetConnections};
 
 /// The longest wait for a slot. The deadlines of the requests are the effective limit.
@@ -94,7 +97,15 @@
     /// What the local target announces, if it is the incarnation with this id and start time.
     pub fn announcement_of(&self, target_id: &str, born_ms: u64) -> Option<TargetAnnouncement> {
         let announcement = lock(&self.announcement);
-        announcement.is_of(target_id, born_ms).then(|| announcement.to_message(boot_now()))
+        if !announcement.is_of(target_id, born_ms) {
+            return None;
+        }
+        let directory = self.context.directory.load();
+        let is_same = |it: &&LocalTarget| {
+            *it.incarnation.id == *target_id && it.incarnation.born_ms == born_ms
+        };
+        let draining_since = directory.local.as_ref().filter(is_same)?.draining_since;
+        Some(announcement.to_message(draining_since, boot_now()))
     }
 
     /// Updates what the local target announces. A changed limit is applied to admission, and the
--- a/crates/galenastream_node/src/request/attempt.rs
+++ b/crates/galenastream_node/src/request/attempt.rs
@@ -6,6 +6,7 @@
 use galenastream_ranges::TargetIncarnation;
 use galenastream_routing::{NodeKey, ObservedLoad};
 use galenastream_runtime::{PeerError, boot_now};
+use galenastream_utils::BootInstant;
 use galenastream_wire::{
     ForwardedReply, ForwardedRequest, Header, ReplyOutcome, ReplyReason, peer_frame::Body,
 };
@@ -21,6 +22,8 @@
 pub(super) struct Destination {
     pub(super) node: NodeEntry,
     pub(super) target: TargetIncarnation,
+    /// Since when the target leaves.
+    pub(super) leaving_since: Option<BootInstant>,
     /// Whether another target is attempted if this one refuses the request.
     pub(super) has_alternatives: bool,
 }
@@ -106,7 +109,12 @@
         target_latency_ms: u32::try_from(request.route.target_latency_ms).unwrap_or(u32::MAX),
         sent_at_ns: now.as_ns(),
         has_alternatives: destination.has_alternatives,
-        remembered: traffic.remembered().report(destination.node.key, &destination.target, now),
+        remembered: traffic.remembered().report(
+            destination.node.key,
+            &destination.target,
+            destination.leaving_since,
+            now,
+        ),
     }
 }
 
--- a/crates/galenastream_node/src/request/target_choice.rs
+++ b/crates/galenastream_node/src/request/target_choice.rs
@@ -5,9 +5,10 @@
 use galenastream_routing::TargetCandidate;
 use galenastream_runtime::boot_now;
 use galenastream_settings::EffectiveSettings;
+use galenastream_utils::BootInstant;
 
 use super::{attempt::Destination, drain::is_drain_over, progress::Progress};
-use crate::process::{Directory, TrafficState};
+use crate::process::{Directory, NodeEntry, RememberedAnnouncements, TrafficState, earliest};
 
 /// Chooses the targets for the attempts of a request to a service.
 pub(super) struct TargetChoice<'a> {
@@ -41,13 +42,14 @@
         let assignment = directory.assignments.get(self.service)?;
         let holder = assignment.entry_of(key).holding.holder()?;
         let node = directory.node_of(&holder.target).filter(|it| !it.is_refusing)?;
-        let leaving_since = self.traffic.remembered().leaving_since(node.key, &holder.target);
-        if leaving_since.is_some_and(|it| is_drain_over(self.traffic, it, boot_now())) {
+        let leaving_since = leaving_since(node, &self.traffic.remembered());
+        if self.is_drained(leaving_since) {
             return None;
         }
         Some(Destination {
             node: node.clone(),
             target: holder.target.clone(),
+            leaving_since,
             has_alternatives: false,
         })
     }
@@ -57,9 +59,12 @@
         let remote_penalty = f64::from(self.settings.remote_penalty_percent) / 100.0;
         let chosen = self.traffic.placement().choose(&candidates, remote_penalty, boot_now())?;
         let node = directory.nodes.iter().find(|it| it.key == chosen)?;
-        let target = node.target.as_ref()?.incarnation.clone();
-        let has_alternatives = progress.has_alternatives(candidates.len());
-        Some(Destination { node: node.clone(), target, has_alternatives })
+        Some(Destination {
+            node: node.clone(),
+            target: node.target.as_ref()?.incarnation.clone(),
+            leaving_since: leaving_since(node, &self.traffic.remembered()),
+            has_alternatives: progress.has_alternatives(candidates.len()),
+        })
     }
 
     /// Returns the targets that may be selected. Targets that leave, nodes that are about to stop
@@ -76,14 +81,11 @@
             if progress.tried.contains(&target.incarnation) || node.is_refusing {
                 continue;
             }
-            let leaving_since = remembered.leaving_since(node.key, &target.incarnation);
-            if leaving_since.is_some_and(|it| is_drain_over(self.traffic, it, boot_now())) {
+            let leaving_since = leaving_since(node, &remembered);
+            if self.is_drained(leaving_since) {
                 continue;
             }
-            let is_fallback = target.is_draining
-                || leaving_since.is_some()
-                || node.is_closing
-                || !node.is_reachable;
+            let is_fallback = leaving_since.is_some() || node.is_closing || !node.is_reachable;
             let candidate = TargetCandidate {
                 node: node.key,
                 slots: target.slots,
@@ -97,4 +99,15 @@
         }
         if candidates.is_empty() { fallbacks } else { candidates }
     }
+
+    fn is_drained(&self, leaving_since: Option<BootInstant>) -> bool {
+        leaving_since.is_some_and(|it| is_drain_over(self.traffic, it, boot_now()))
+    }
+}
+
+/// Returns since when the target beside a node leaves, from its node's statuses and from its own
+/// responses.
+fn leaving_since(node: &NodeEntry, remembered: &RememberedAnnouncements) -> Option<BootInstant> {
+    let target = node.target.as_ref()?;
+    earliest(target.draining_since, remembered.leaving_since(node.key, &target.incarnation))
 }
--- a/crates/galenastream_node/tests/platform/announced_leave.rs
+++ b/crates/galenastream_node/tests/platform/announced_leave.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use galenastream_standin::{LocalDeployment, TargetAnnouncement};
+use galenastream_standin::{LocalDeployment, TargetAnnouncement, TargetArrival};
 
 use super::{
     announcement_load::{SentRequest, entries, load_from, load_path},
@@ -90,3 +90,25 @@
     }
     deployment.close().unwrap();
 }
+
+/// Guards against a deregistration that is forgotten when the node that acknowledged it restarts.
+/// Heartbeats go on, and neither they nor the responses show that the target leaves.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_deregistration_holds_when_the_node_that_acknowledged_it_restarts() {
+    let mut deployment = start("deregister-restart", &["stock", "carts", "carts"]).await;
+    let load = load_from(entries(&deployment, 1), "/stock/1", false, DRAIN_TIME * 3);
+    let leave = async {
+        tokio::time::sleep(DRAIN_TIME / 4).await;
+        deployment.vms[0].target.deregister().await.unwrap();
+        let acknowledged_at = Instant::now();
+        tokio::time::sleep(DRAIN_TIME / 4).await;
+        deployment.vms[0].kill_node().unwrap();
+        deployment.vms[0].start_node().unwrap();
+        acknowledged_at
+    };
+    let (_, acknowledged_at) = tokio::join!(load, leave);
+    let arrivals = deployment.vms[0].target.arrivals();
+    let is_late = |it: &&TargetArrival| it.arrived_at > acknowledged_at + DRAIN_TIME;
+    assert_eq!(arrivals.iter().filter(is_late).count(), 0);
+    deployment.close().unwrap();
+}
--- a/crates/galenastream_standin/src/platform_target/platform_target_standin.rs
+++ b/crates/galenastream_standin/src/platform_target/platform_target_standin.rs
@@ -2,6 +2,7 @@
 
 use std::{
     convert::Infallible,
+    net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::{Duration, Instant},
 };
@@ -9,7 +10,9 @@
 use http::{HeaderMap, HeaderValue, Method, StatusCode};
 use tokio::{sync::Semaphore, task::JoinHandle};
 use volo::service::Service;
-use volo_http::{context::ServerContext, request::Request, response::Response};
+use volo_http::{
+    body::Body, client::Client, context::ServerContext, request::Request, response::Response,
+};
 
 use super::{
     LimitSpan, TargetAnnouncement, TargetAnswerFault, TargetArrival, TargetCapacity, TargetHistory,
@@ -28,6 +31,7 @@
     server: HttpServer,
     state: Arc<TargetState>,
     heartbeats: JoinHandle<()>,
+    control: SocketAddr,
 }
 
 #[derive(Debug)]
@@ -68,7 +72,17 @@
         let server = HttpServer::start(plan.address, TargetService { state: state.clone() })?;
         let sender =
             send_heartbeats(state.clone(), server.address(), plan.control, plan.heartbeat_interval);
-        Ok(Self { server, state, heartbeats: tokio::spawn(sender) })
+        let heartbeats = tokio::spawn(sender);
+        Ok(Self { server, state, heartbeats, control: plan.control })
+    }
+
+    /// Deregisters the target at the node beside it. Its heartbeats go on and say that it is ready.
+    pub async fn deregister(&self) -> anyhow::Result<()> {
+        let uri =
+            format!("http://{}/galenastream/instances/{}/deregister", self.control, self.state.id);
+        let response = Client::default().post(uri).body(Body::from("{}")).send().await?;
+        anyhow::ensure!(response.status().is_success(), "the deregistration was refused");
+        Ok(())
     }
 
     /// Sets the fault of answers from now on.
