--- a/crates/galenastream_standin/tests/day.rs
+++ b/crates/galenastream_standin/tests/day.rs
@@ -47,6 +47,6 @@
               |
             9 | kind = "node-lost"
               |        ^^^^^^^^^^^
-            unknown variant `node-lost`, expected one of `node-killed`, `node-stopped`, `node-suspended`, `target-replaced`, `target-sheds`, `target-fails`, `target-cuts-answers`, `target-mixes-answers`, `target-slow`, `store-refuses`, `store-silent`, `store-loses-answers`, `store-late`, `store-slow`, `store-forgets`"#]],
+            unknown variant `node-lost`, expected one of `node-killed`, `node-stopped`, `node-suspended`, `target-replaced`, `target-sheds`, `target-fails`, `target-cuts-answers`, `target-mixes-answers`, `target-slow`, `target-limited`, `store-refuses`, `store-silent`, `store-loses-answers`, `store-late`, `store-slow`, `store-forgets`"#]],
     );
 }
