Follow a store that comes back from an older copy

The store may be restored from a copy some seconds old and gives lost versions out again; only its era rises. Before, nodes kept their own rows for ever, since restored rows have lower versions, no write ever succeeded, and lost settings stayed lost.

Rows of a new era come into force with one write, after every lease on earlier rows has expired: assignments under new fencing tokens, lost settings, and the row of the era, which all later writes of assignments expect. Nodes write their own rows again.

--- a/crates/galenastream_node/src/process/commit.rs
+++ b/crates/galenastream_node/src/process/commit.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use galenastream_adapter::{ExpectedRow, RowWrite, StoreClient, StoreError};
+use galenastream_adapter::{ExpectedRow, RowWrite, StoreClient, StoreConnection, StoreError};
 use galenastream_ranges::Assignment;
 use galenastream_wire::{NodeRow, SHARED_ROWS_TABLE, SharedRowKey};
 use prost::Message;
@@ -14,21 +14,53 @@
 /// Delay after a write that got no response or was refused. A version conflict needs no delay.
 const RETRY_DELAY: Duration = Duration::from_millis(250);
 
-/// A queued write of an assignment. It succeeds only if the row still has the expected version.
+/// A queued write.
+#[derive(Debug)]
+pub(super) enum StoreWrite {
+    /// An assignment.
+    Assignment(AssignmentWrite),
+    /// The rows that put an era of the store in force.
+    Settlement { expected: Vec<ExpectedRow>, writes: Vec<RowWrite> },
+    /// The row of this node.
+    NodeRow,
+}
+
+/// A write of an assignment. It succeeds only if the row still has the expected version.
 #[derive(Debug)]
 pub(super) struct AssignmentWrite {
     pub(super) service: String,
     pub(super) expected_version: u64,
     pub(super) assignment: Box<Assignment>,
+    pub(super) expected_era_version: Option<u64>,
 }
 
-/// Writes the row of this node until that succeeds, then the queued assignments one after another.
+/// Writes the row of this node until that succeeds, then the queued writes one after another.
 pub(super) async fn write_rows(
     context: Arc<NodeContext>,
     store: StoreClient,
-    mut queue: mpsc::Receiver<AssignmentWrite>,
+    mut queue: mpsc::Receiver<StoreWrite>,
 ) {
     let mut connection = store.new_connection();
+    write_node_row(&context, &mut connection).await;
+    context.own_row_written.notify_one();
+    while let Some(write) = queue.recv().await {
+        connection.set_address(context.settings.load().store.address);
+        let event = match write {
+            StoreWrite::Assignment(write) => write_assignment(&mut connection, write).await,
+            StoreWrite::Settlement { expected, writes } => {
+                let result = commit(&mut connection, &expected, &writes).await;
+                ControlEvent::Settled { result }
+            }
+            StoreWrite::NodeRow => {
+                write_node_row(&context, &mut connection).await;
+                continue;
+            }
+        };
+        context.control_events.send(event).await;
+    }
+}
+
+async fn write_node_row(context: &NodeContext, connection: &mut StoreConnection) {
     let settings = context.settings.load_full();
     let own_row = NodeRow {
         address: settings.listeners.peers.to_string(),
@@ -42,24 +74,33 @@
         log::warn!(event = "announcement_failed", reason:% = error; "");
         sleep(RETRY_DELAY).await;
     }
-    context.own_row_written.notify_one();
-    while let Some(write) = queue.recv().await {
-        connection.set_address(context.settings.load().store.address);
-        let key = SharedRowKey::Assignment(&write.service).key();
-        let expected = [ExpectedRow { key: key.clone(), version: write.expected_version }];
-        let value = Bytes::from(write.assignment.encode_row());
-        let writes = [RowWrite::Put { key, value }];
-        let result =
-            connection.commit(SHARED_ROWS_TABLE, &expected, &writes, STORE_CALL_TIMEOUT).await;
-        let is_conclusive = matches!(&result, Ok(_) | Err(StoreError::Conflict { .. }));
-        if !is_conclusive {
-            sleep(RETRY_DELAY).await;
-        }
-        let event = ControlEvent::Committed {
-            service: write.service,
-            assignment: write.assignment,
-            result,
-        };
-        context.control_events.send(event).await;
+}
+
+async fn write_assignment(
+    connection: &mut StoreConnection,
+    write: AssignmentWrite,
+) -> ControlEvent {
+    let key = SharedRowKey::Assignment(&write.service).key();
+    let mut expected = vec![ExpectedRow { key: key.clone(), version: write.expected_version }];
+    let value = Bytes::from(write.assignment.encode_row());
+    let writes = [RowWrite::Put { key, value }];
+    if let Some(version) = write.expected_era_version {
+        expected.push(ExpectedRow { key: SharedRowKey::Era.key(), version });
+    }
+    let result = commit(connection, &expected, &writes).await;
+    ControlEvent::Committed { service: write.service, assignment: write.assignment, result }
+}
+
+/// Writes rows, and waits after a failure that leaves the result open.
+async fn commit(
+    connection: &mut StoreConnection,
+    expected: &[ExpectedRow],
+    writes: &[RowWrite],
+) -> Result<u64, StoreError> {
+    let result = connection.commit(SHARED_ROWS_TABLE, expected, writes, STORE_CALL_TIMEOUT).await;
+    let is_conclusive = matches!(&result, Ok(_) | Err(StoreError::Conflict { .. }));
+    if !is_conclusive {
+        sleep(RETRY_DELAY).await;
     }
+    result
 }
--- a/crates/galenastream_node/src/process/control_event.rs
+++ b/crates/galenastream_node/src/process/control_event.rs
@@ -1,7 +1,9 @@
 //! The input and output of the control state.
 
 use bytes::Bytes;
-use galenastream_adapter::{HeartbeatReply, NodeSettings, RoutingConfig, Row, StoreError};
+use galenastream_adapter::{
+    ExpectedRow, HeartbeatReply, NodeSettings, RoutingConfig, Row, RowWrite, StoreError,
+};
 use galenastream_ranges::{Assignment, TargetIncarnation};
 use galenastream_utils::BootInstant;
 use galenastream_wire::{NodeStatus, SyncState};
@@ -67,6 +69,13 @@
     },
     /// A call to the store succeeded (`true`) or failed (`false`).
     StoreReached(bool),
+    /// The store named an era in its response.
+    StoreEra(u64),
+    /// The write of an [`Effect::Settle`] ended.
+    Settled {
+        /// The version of the write, or the error.
+        result: Result<u64, StoreError>,
+    },
     /// A write of an assignment ended.
     Committed {
         /// The service whose assignment was written.
@@ -109,7 +118,19 @@
         expected_version: u64,
         /// The assignment to write.
         assignment: Box<Assignment>,
+        /// The version that the row with the era in force must have; `None` if the store names no
+        /// eras.
+        expected_era_version: Option<u64>,
+    },
+    /// Write rows that put an era of the store in force, if the expected rows have their versions.
+    Settle {
+        /// The expected rows.
+        expected: Vec<ExpectedRow>,
+        /// The rows to write.
+        writes: Vec<RowWrite>,
     },
+    /// Write the row of this node again.
+    AnnounceNode,
     /// Send a sync query to another node.
     QueryPeer {
         /// The name of the node.
--- a/crates/galenastream_node/src/process/control_loop.rs
+++ b/crates/galenastream_node/src/process/control_loop.rs
@@ -16,7 +16,10 @@
     time::{Instant, MissedTickBehavior, interval, timeout},
 };
 
-use super::{ControlEvent, ControlState, Effect, NodeContext, commit::AssignmentWrite};
+use super::{
+    ControlEvent, ControlState, Effect, NodeContext,
+    commit::{AssignmentWrite, StoreWrite},
+};
 
 /// Interval at which the control state is advanced without events.
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
@@ -47,7 +50,7 @@
     pub(super) context: Arc<NodeContext>,
     pub(super) state: ControlState,
     pub(super) events: mpsc::Receiver<ControlEvent>,
-    pub(super) commits: mpsc::Sender<AssignmentWrite>,
+    pub(super) commits: mpsc::Sender<StoreWrite>,
     pub(super) peer_queries: mpsc::Sender<NodeKey>,
 }
 
@@ -132,12 +135,24 @@
 
     fn execute(&mut self, effect: Effect) {
         match effect {
-            Effect::Commit { service, expected_version, assignment } => {
-                let write = AssignmentWrite { service, expected_version, assignment };
-                if let Err(error) = self.commits.try_send(write) {
-                    let service = error.into_inner().service;
-                    log::warn!(event = "commit_dropped", service = service.as_str(); "");
-                    self.state.handle_dropped_commit(&service);
+            Effect::Commit { service, expected_version, assignment, expected_era_version } => {
+                let dropped = service.clone();
+                let write =
+                    AssignmentWrite { service, expected_version, assignment, expected_era_version };
+                if self.commits.try_send(StoreWrite::Assignment(write)).is_err() {
+                    log::warn!(event = "commit_dropped", service = dropped.as_str(); "");
+                    self.state.handle_dropped_commit(&dropped);
+                }
+            }
+            Effect::Settle { expected, writes } => {
+                if self.commits.try_send(StoreWrite::Settlement { expected, writes }).is_err() {
+                    log::warn!(event = "settlement_dropped"; "");
+                    self.state.handle_dropped_settlement();
+                }
+            }
+            Effect::AnnounceNode => {
+                if self.commits.try_send(StoreWrite::NodeRow).is_err() {
+                    log::warn!(event = "announcement_dropped"; "");
                 }
             }
             Effect::QueryPeer { node } => {
--- a/crates/galenastream_node/src/process/control_state.rs
+++ b/crates/galenastream_node/src/process/control_state.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use galenastream_adapter::{NodeSettings, Row};
+use galenastream_adapter::{NodeSettings, Row, era_of};
 use galenastream_ranges::{Assignment, LeaseTerms, Owner, TargetIncarnation, VacancyTracker};
 use galenastream_routing::RequestRate;
 use galenastream_settings::SettingsTree;
@@ -14,6 +14,7 @@
 use super::local_limit::LocalLimit;
 use super::local_target::LocalTargetState;
 use super::peer_book::PeerRegistry;
+use super::store_eras::StoreEras;
 use super::{ControlEvent, Effect};
 use crate::version::RoutingTable;
 
@@ -75,6 +76,7 @@
     /// Since when a peer is known to have a newer config than this node.
     pub(super) newer_config_since: Option<BootInstant>,
     pub(super) last_probe_at: BootInstant,
+    pub(super) eras: StoreEras,
 }
 
 /// The assignment of a service as decoded from its row.
@@ -127,6 +129,7 @@
             pending_peer_query_at: None,
             newer_config_since: None,
             last_probe_at: started_at,
+            eras: StoreEras::default(),
         }
     }
 
@@ -150,10 +153,16 @@
             }
             ControlEvent::PeerQueryFailed => self.pending_peer_query_at = None,
             ControlEvent::Rows { rows, version, confirmed_at } => {
+                self.record_era(era_of(version), now);
                 self.apply_rows(rows, now);
-                self.rows_version = self.rows_version.max(version);
-                self.record_confirmation(confirmed_at);
+                self.record_full_read(era_of(version));
+                if era_of(version) == self.eras.in_force() {
+                    self.rows_version = self.rows_version.max(version);
+                    self.record_confirmation(confirmed_at);
+                }
             }
+            ControlEvent::StoreEra(era) => self.record_era(era, now),
+            ControlEvent::Settled { result } => self.handle_settlement(result, now),
             ControlEvent::Config { config, encoded } => self.apply_config(*config, encoded),
             ControlEvent::StoreReached(reached) => self.set_store_reachable(reached, now),
             ControlEvent::Committed { service, assignment, result } => {
@@ -174,6 +183,7 @@
     /// Advances the state to `now` and returns the effects to execute.
     pub fn tick(&mut self, now: BootInstant) -> Vec<Effect> {
         self.reconcile(now);
+        self.settle_era(now);
         self.probe_silent_target(now);
         self.query_peer_if_needed(now);
         self.needs_publishing = true;
@@ -235,7 +245,11 @@
     /// Requests one write with all changes that the assignment of a service needs.
     fn reconcile_assignment(&mut self, service: &str, is_planner: bool, now: BootInstant) {
         let record = self.assignment_record(service);
-        if record.is_write_pending || self.confirmed_at.is_none() || !self.reaches_store {
+        if record.is_write_pending
+            || self.confirmed_at.is_none()
+            || !self.reaches_store
+            || !self.eras.is_settled()
+        {
             return;
         }
         let current = self.assignments[service].assignment.clone();
@@ -251,10 +265,12 @@
         record.is_write_pending = true;
         let expected_version = record.version;
         let service = service.to_owned();
+        let expected_era_version = self.expected_era_version();
         self.effects.push(Effect::Commit {
             service,
             expected_version,
             assignment: Box::new(desired),
+            expected_era_version,
         });
     }
 
--- a/crates/galenastream_node/src/process/mod.rs
+++ b/crates/galenastream_node/src/process/mod.rs
@@ -24,6 +24,7 @@
 mod remembered_announcements;
 mod settings_follower;
 mod status_page;
+mod store_eras;
 mod store_follower;
 mod store_view;
 mod traffic_state;
--- a/crates/galenastream_node/src/process/store_follower.rs
+++ b/crates/galenastream_node/src/process/store_follower.rs
@@ -7,7 +7,7 @@
 
 use galenastream_adapter::{
     CONFIG_TABLE, RoutingConfig, Row, StoreClient, StoreConnection, StoreError, VersionedRows,
-    find_config_row,
+    era_of, find_config_row,
 };
 use galenastream_runtime::boot_now;
 use galenastream_utils::BootInstant;
@@ -131,6 +131,8 @@
             context.control_events.send(event).await;
         }
         FollowedTable::Config => {
+            let era = era_of(changed.version);
+            context.control_events.send(ControlEvent::StoreEra(era)).await;
             if let Some(row) = find_config_row(&changed.rows) {
                 deliver_config(context, row).await;
             }
--- a/crates/galenastream_node/src/process/store_view.rs
+++ b/crates/galenastream_node/src/process/store_view.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use galenastream_adapter::{RoutingConfig, Row, StoreError};
+use galenastream_adapter::{RoutingConfig, Row, StoreError, era_of};
 use galenastream_ranges::{Assignment, VacancyTracker};
 use galenastream_settings::SettingsTree;
 use galenastream_utils::BootInstant;
@@ -113,7 +113,9 @@
         });
         self.apply_rows(rows.collect(), now);
         self.synced_at = asked_at;
-        if state.confirmed_age_ms != u64::MAX && state.rows_version >= self.rows_version {
+        let is_in_force = era_of(state.rows_version) == self.eras.in_force();
+        let is_confirmation = state.confirmed_age_ms != u64::MAX && is_in_force;
+        if is_confirmation && state.rows_version >= self.rows_version {
             self.rows_version = state.rows_version;
             let age_ns = state.confirmed_age_ms.saturating_mul(1_000_000);
             self.record_confirmation(BootInstant::new(asked_at.as_ns().saturating_sub(age_ns)));
@@ -137,9 +139,18 @@
     }
 
     pub(super) fn apply_rows(&mut self, rows: Vec<Row>, now: BootInstant) {
+        let mut rows = rows;
+        for row in &rows {
+            self.record_era(era_of(row.version), now);
+        }
+        // The row that names the era in force decides what the others mean.
+        let era_key = SharedRowKey::Era.key();
+        if let Some(era_row) = rows.iter().find(|it| it.key == era_key).cloned() {
+            rows.extend(self.apply_era_row(&era_row));
+        }
         for row in rows {
             let known = self.rows.get(&row.key).map_or(0, |it| it.version);
-            if row.version <= known {
+            if row.version <= known || self.hold_back(&row) {
                 continue;
             }
             self.apply_row(&row, now);
@@ -203,6 +214,8 @@
                 }
             }
             Some(SharedRowKey::SettingsTree) => self.apply_settings_tree(row),
+            // Applied before all other rows.
+            Some(SharedRowKey::Era) => {}
             None => log::warn!(event = "row_unknown", key = row.key.as_str(); ""),
         }
     }
--- a/crates/galenastream_node/tests/ownership/fixtures.rs
+++ b/crates/galenastream_node/tests/ownership/fixtures.rs
@@ -37,6 +37,7 @@
             retry_allowance: 60.0,
         },
         limits: ProcessLimits { memory_mb: 260, max_file_descriptors: 4_100 },
+        is_first_start: true,
     }
 }
 
--- a/crates/galenastream_node/tests/ownership/injected_bug.rs
+++ b/crates/galenastream_node/tests/ownership/injected_bug.rs
@@ -15,6 +15,8 @@
     UncommittedChange,
     /// Moves are completed when they begin, without waiting for the release of the keys.
     HandoverBeforeRelease,
+    /// The rows of a store that was restored from an older copy are in force at once.
+    RestoredRowsInForce,
 }
 
 /// Applies the bug to a reply to a heartbeat.
--- a/crates/galenastream_node/tests/ownership/main.rs
+++ b/crates/galenastream_node/tests/ownership/main.rs
@@ -6,6 +6,7 @@
 mod incarnations;
 mod injected_bug;
 mod simulation;
+mod store;
 mod sync_queries;
 mod target;
 mod vm;
@@ -78,3 +79,60 @@
 fn handovers_before_the_release_are_detected() {
     assert_detected(InjectedBug::HandoverBeforeRelease, "held twice");
 }
+
+/// Runs with faults while the store goes back to an older copy every few seconds.
+fn run_with_restores(seed: u64, bug: InjectedBug) -> Simulation {
+    let mut simulation = Simulation::new(seed, 3, bug).with_eras();
+    simulation.run_for(8_000, false);
+    for gap_ms in [3_000, 1_500, 14_000, 6_000, 16_000] {
+        simulation.run_for(gap_ms, true);
+        simulation.restore_store();
+    }
+    simulation.run_for(CALM_MS, false);
+    simulation
+}
+
+#[test]
+fn at_most_one_target_holds_a_key_while_the_store_goes_back() {
+    for seed in 0..SEEDS {
+        let simulation = run_with_restores(seed, InjectedBug::None);
+        assert_eq!(simulation.violations, Vec::<String>::new(), "seed {seed}");
+    }
+}
+
+#[test]
+fn every_key_is_held_again_after_the_store_went_back() {
+    for seed in 0..SEEDS {
+        let mut simulation = run_with_restores(seed, InjectedBug::None);
+        simulation.held_samples = 0;
+        simulation.run_for(1_000, false);
+        assert_eq!(simulation.held_samples, 9 * 1_000 / simulation::STEP_MS, "seed {seed}");
+    }
+}
+
+/// The longest time for which keys have no holder after the store went back: the age of the last
+/// confirmation (a watch of 2 s confirms the instant at which it began), 3% of the validity of a row,
+/// the time for which the store is away, the margin for clocks, the slowest write, and two
+/// heartbeats.
+const MAX_GAP_MS: u64 = 2 * 2_000 + 360 + 2_000 + 500 + 5_000 + 2 * fixtures::HEARTBEAT_MS;
+
+#[test]
+fn keys_have_no_holder_for_a_limited_time_after_the_store_went_back() {
+    for seed in 0..SEEDS {
+        let mut simulation = Simulation::new(seed, 4, InjectedBug::None).with_eras();
+        simulation.run_for(8_000, false);
+        simulation.held_samples = 0;
+        simulation.restore_store();
+        simulation.run_for(20_000, false);
+        let at_least = 9 * (20_000 - MAX_GAP_MS) / simulation::STEP_MS;
+        let held = simulation.held_samples;
+        assert!(held >= at_least, "seed {seed}: {held} of {at_least}");
+    }
+}
+
+#[test]
+fn rows_of_a_restored_store_that_are_in_force_at_once_are_detected() {
+    let is_detected =
+        |seed| !run_with_restores(seed, InjectedBug::RestoredRowsInForce).violations.is_empty();
+    assert!((0..SEEDS).any(is_detected));
+}
--- a/crates/galenastream_node/tests/ownership/simulation.rs
+++ b/crates/galenastream_node/tests/ownership/simulation.rs
@@ -1,17 +1,19 @@
 //! A deployment in virtual time: nodes, targets, the store and injected faults.
 
 use bytes::Bytes;
-use galenastream_adapter::{Row, StoreError};
+use galenastream_adapter::{ExpectedRow, Row, RowWrite, StoreError, era_of};
 use galenastream_node::{ControlEvent, ControlState, Effect, HeartbeatAnswer};
 use galenastream_ranges::Assignment;
 use galenastream_utils::BootInstant;
-use galenastream_wire::SyncQuery;
+use galenastream_wire::{EraRow, SharedRowKey, SyncQuery};
+use prost::Message;
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 use tokio::sync::oneshot;
 
 use crate::{
     fixtures::{HEARTBEAT_MS, address, config, settings},
     injected_bug::{InjectedBug, apply_to_reply, complete_all_moves},
+    store::Store,
     target::Target,
     vm::Vm,
 };
@@ -25,17 +27,21 @@
 struct Write {
     vm: usize,
     at_ms: u64,
-    expected: u64,
-    assignment: Box<Assignment>,
+    expected: Vec<ExpectedRow>,
+    content: WriteContent,
     is_answered: bool,
 }
 
+enum WriteContent {
+    Assignment(Box<Assignment>),
+    Settlement(Vec<RowWrite>),
+}
+
 pub struct Simulation {
     rng: StdRng,
     now_ms: u64,
     vms: Vec<Vm>,
-    row: Option<Bytes>,
-    version: u64,
+    store: Store,
     writes: Vec<Write>,
     bug: InjectedBug,
     highest_fences: [u64; SAMPLE_KEYS.len()],
@@ -76,8 +82,7 @@
             rng,
             now_ms: 1_000,
             vms,
-            row: None,
-            version: 1,
+            store: Store::new(0),
             writes: Vec::new(),
             bug,
             highest_fences: [0; SAMPLE_KEYS.len()],
@@ -87,6 +92,26 @@
         }
     }
 
+    /// Lets the store name eras, so that [`restore_store`](Self::restore_store) may be called.
+    pub fn with_eras(self) -> Self {
+        Self { store: Store::new(1), ..self }
+    }
+
+    /// Takes the store away for a moment, after which it is back as it was some seconds ago.
+    pub fn restore_store(&mut self) {
+        let lost_ms = self.rng.random_range(500..5_000);
+        self.store.restore(self.now_ms - lost_ms);
+        if self.bug == InjectedBug::RestoredRowsInForce {
+            let value = Bytes::from(EraRow { era: self.store.era }.encode_to_vec());
+            let put = RowWrite::Put { key: SharedRowKey::Era.key(), value };
+            self.store.commit(&[], &[put], self.now_ms).expect("it has no conditions");
+        }
+        let away_until_ms = self.now_ms + self.rng.random_range(50..2_000);
+        for vm in &mut self.vms {
+            vm.store_refuses_until_ms = vm.store_refuses_until_ms.max(away_until_ms);
+        }
+    }
+
     /// Runs the simulation for a time. With faults, about one per second is injected.
     pub fn run_for(&mut self, for_ms: u64, with_faults: bool) {
         let end_ms = self.now_ms + for_ms;
@@ -136,38 +161,32 @@
     fn complete_writes(&mut self) {
         let due: Vec<Write> = self.writes.extract_if(.., |it| it.at_ms <= self.now_ms).collect();
         for write in due {
-            let current = if self.row.is_some() { self.version } else { 0 };
-            let result = if write.expected == current {
-                self.version += 1;
-                let mut assignment = write.assignment.clone();
-                if self.bug == InjectedBug::HandoverBeforeRelease {
-                    complete_all_moves(&mut assignment);
+            let writes = match &write.content {
+                WriteContent::Settlement(writes) => writes.clone(),
+                WriteContent::Assignment(assignment) => {
+                    let mut assignment = assignment.clone();
+                    if self.bug == InjectedBug::HandoverBeforeRelease {
+                        complete_all_moves(&mut assignment);
+                    }
+                    let value = Bytes::from(assignment.encode_row());
+                    vec![RowWrite::Put { key: ROW.to_owned(), value }]
                 }
-                self.row = Some(Bytes::from(assignment.encode_row()));
-                Ok(self.version)
-            } else {
-                Err(StoreError::Conflict { rows: self.rows() })
             };
+            let result = self.store.commit(&write.expected, &writes, self.now_ms);
             let result = match write.is_answered {
                 true => result,
                 false => Err(StoreError::NoResponse { reason: "lost".to_owned() }),
             };
-            let event = ControlEvent::Committed {
-                service: "carts".to_owned(),
-                assignment: write.assignment,
-                result,
+            let event = match write.content {
+                WriteContent::Settlement(_) => ControlEvent::Settled { result },
+                WriteContent::Assignment(assignment) => {
+                    ControlEvent::Committed { service: "carts".to_owned(), assignment, result }
+                }
             };
             self.send_event(write.vm, event);
         }
     }
 
-    fn rows(&self) -> Vec<Row> {
-        let row = self.row.clone();
-        row.map(|it| Row { key: ROW.to_owned(), value: Some(it), version: self.version })
-            .into_iter()
-            .collect()
-    }
-
     fn step_vm(&mut self, index: usize) {
         let now_ms = self.now_ms;
         let vm = &mut self.vms[index];
@@ -233,7 +252,7 @@
     /// Sends the row of the store to a node, at once after a change and otherwise every 2 s.
     fn send_rows(&mut self, index: usize) {
         let now_ms = self.now_ms;
-        let (rows, version) = (self.rows(), self.version);
+        let (rows, version) = (self.store.rows(), self.store.version());
         let vm = &mut self.vms[index];
         if now_ms < vm.store_refuses_until_ms || now_ms < vm.partitioned_until_ms {
             self.send_event(index, ControlEvent::StoreReached(false));
@@ -244,7 +263,10 @@
             return;
         }
         let asked_at_ms = vm.rows_sent_at_ms.max(now_ms.saturating_sub(2_000));
-        let confirmed_at = at(if vm.rows_sent_at_ms == 0 { now_ms - STEP_MS } else { asked_at_ms });
+        // After a restart of the node or a restore of the store, all rows are read again.
+        let is_new_read =
+            vm.rows_sent_at_ms == 0 || era_of(vm.rows_sent_version) != era_of(version);
+        let confirmed_at = at(if is_new_read { now_ms - STEP_MS } else { asked_at_ms });
         vm.rows_sent_at_ms = now_ms;
         vm.rows_sent_version = version;
         self.send_event(index, ControlEvent::StoreReached(true));
@@ -283,9 +305,18 @@
     fn execute(&mut self, index: usize, effects: Vec<Effect>) {
         for effect in effects {
             match effect {
-                Effect::Commit { expected_version, assignment, .. } => {
-                    self.start_write(index, expected_version, assignment);
+                Effect::Commit { expected_version, assignment, expected_era_version, .. } => {
+                    self.start_assignment(
+                        index,
+                        expected_version,
+                        assignment,
+                        expected_era_version,
+                    );
                 }
+                Effect::Settle { expected, writes } => {
+                    self.start_write(index, expected, WriteContent::Settlement(writes));
+                }
+                Effect::AnnounceNode => {}
                 Effect::QueryPeer { node } => self.answer_sync_query(index, &node),
                 Effect::ProbeTarget => {}
                 Effect::IdentifyTarget { .. } => self.identify(index),
@@ -304,24 +335,38 @@
         self.send_event(index, ControlEvent::TargetIdentified { target_id });
     }
 
-    fn start_write(&mut self, index: usize, expected: u64, assignment: Box<Assignment>) {
+    fn start_assignment(
+        &mut self,
+        index: usize,
+        version: u64,
+        assignment: Box<Assignment>,
+        era_version: Option<u64>,
+    ) {
         if self.bug == InjectedBug::UncommittedChange {
             let value = Some(Bytes::from(assignment.encode_row()));
-            let row = Row { key: ROW.to_owned(), value, version: expected + 1 };
+            let row = Row { key: ROW.to_owned(), value, version: version + 1 };
             let event = ControlEvent::Rows {
                 rows: vec![row],
-                version: expected + 1,
+                version: version + 1,
                 confirmed_at: at(self.now_ms),
             };
             self.send_event(index, event);
         }
+        let mut expected = vec![ExpectedRow { key: ROW.to_owned(), version }];
+        expected.extend(
+            era_version.map(|version| ExpectedRow { key: SharedRowKey::Era.key(), version }),
+        );
+        self.start_write(index, expected, WriteContent::Assignment(assignment));
+    }
+
+    fn start_write(&mut self, index: usize, expected: Vec<ExpectedRow>, content: WriteContent) {
         let roll = self.rng.random_range(0..20);
         let delay_ms = match roll {
             0 => self.rng.random_range(1_000..5_000),
             _ => self.rng.random_range(1..40),
         };
         let at_ms = self.now_ms + delay_ms;
-        self.writes.push(Write { vm: index, at_ms, expected, assignment, is_answered: roll > 1 });
+        self.writes.push(Write { vm: index, at_ms, expected, content, is_answered: roll > 1 });
     }
 
     fn answer_sync_query(&mut self, index: usize, node: &str) {
--- a/crates/galenastream_ranges/src/assignment.rs
+++ b/crates/galenastream_ranges/src/assignment.rs
@@ -198,6 +198,25 @@
         completed || freed
     }
 
+    /// Returns the assignment after every lease on it has expired, with fencing tokens above
+    /// `min_fence` and above all issued ones. Owners keep their keys, and leaving keys become free.
+    ///
+    /// For a row that replaces lost ones, which may have moved keys.
+    #[must_use]
+    pub fn reissued(&self, min_fence: u64) -> Self {
+        let fence = self.highest_fence.max(min_fence) + 1;
+        let mut entries = Vec::with_capacity(self.entries.len());
+        for entry in &self.entries {
+            let holding = match &entry.holding {
+                Holding::Owned(owner) => Holding::Owned(owner.clone()),
+                Holding::Free | Holding::Leaving { .. } => Holding::Free,
+            };
+            let handover = String::new();
+            push_merged(&mut entries, RangeEntry { range: entry.range, holding, fence, handover });
+        }
+        Self { entries, highest_fence: fence }
+    }
+
     /// Returns all owners that may hold leases, sorted and without duplicates.
     pub fn holders(&self) -> Vec<Owner> {
         let mut holders: Vec<Owner> =
--- a/crates/galenastream_ranges/tests/assignment.rs
+++ b/crates/galenastream_ranges/tests/assignment.rs
@@ -189,3 +189,18 @@
         let _ = Assignment::decode_row(&bytes);
     }
 }
+
+#[test]
+fn a_reissued_assignment_has_higher_fencing_tokens_and_frees_leaving_keys() {
+    let (one, two) = (owner(1), owner(2));
+    let mut assignment = Assignment::new();
+    assignment.assign(range(0, 999), &one);
+    assignment.assign(range(1_000, 1_999), &two);
+    assignment.begin_move(range(500, 999), Some(&two));
+    let reissued = assignment.reissued(1 << 32);
+    assert_eq!(reissued.entry_of(0).holding, Holding::Owned(one));
+    assert_eq!(reissued.entry_of(500).holding, Holding::Free);
+    assert_eq!(reissued.entry_of(1_000).holding, Holding::Owned(two));
+    assert!(reissued.entries().iter().all(|it| it.fence > 1 << 32));
+    assert_eq!(Assignment::decode_row(&reissued.encode_row()), Ok(reissued));
+}
--- a/crates/galenastream_standin/src/platform_document/settings_document.rs
+++ b/crates/galenastream_standin/src/platform_document/settings_document.rs
@@ -32,6 +32,7 @@
 bounds = ["drainMs=2000", "graceS=6", "maxHoldMs=10000"]
 appAddr = "{ip}:8001"
 service = "{service}"
+bootstrap = true
 [listen]
 inbound = "{ip}:8002"
 outbound = "{ip}:8003"
--- a/crates/galenastream_standin/src/row_store/row_store_standin.rs
+++ b/crates/galenastream_standin/src/row_store/row_store_standin.rs
@@ -4,12 +4,15 @@
     collections::BTreeMap,
     convert::Infallible,
     net::SocketAddr,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
     time::Duration,
 };
 
 use base64::{Engine, prelude::BASE64_STANDARD};
-use http::{Method, StatusCode};
+use http::{HeaderValue, Method, StatusCode};
 use percent_encoding::percent_decode_str;
 use serde_json::{Value, json};
 use tokio::{sync::watch, time::timeout};
@@ -37,6 +40,9 @@
     table: Mutex<RowTable>,
     fault: Mutex<StoreFault>,
     version: watch::Sender<u64>,
+    /// How often the store was restored from a copy, counted from 1.
+    era: AtomicU64,
+    copy: Mutex<RowTable>,
 }
 
 #[derive(Debug, Clone)]
@@ -51,6 +57,8 @@
             table: Mutex::default(),
             fault: Mutex::default(),
             version: watch::Sender::new(0),
+            era: AtomicU64::new(1),
+            copy: Mutex::default(),
         });
         let server = HttpServer::start(address, StoreService { state: state.clone() })?;
         Ok(Self { server, state })
@@ -66,6 +74,24 @@
         *lock(&self.state.fault) = fault;
     }
 
+    /// Makes the copy to which [`restore`](Self::restore) goes back.
+    pub fn make_copy(&self) {
+        *lock(&self.state.copy) = lock(&self.state.table).clone();
+    }
+
+    /// Goes back to the last copy: what nodes have written since is lost, and its versions are given
+    /// out again. All responses name the next era. The config stays, as operators write it again.
+    pub fn restore(&self) {
+        let copy = lock(&self.state.copy).clone();
+        let version = {
+            let mut table = lock(&self.state.table);
+            table.restore(copy, &["op"]);
+            self.state.era.fetch_add(1, Ordering::Relaxed);
+            table.version()
+        };
+        self.state.version.send_replace(version);
+    }
+
     /// Writes a row with a value, as another writer would.
     pub fn put(&self, table: &str, key: &str, value: &[u8]) {
         self.put_encoded(table, key, &BASE64_STANDARD.encode(value));
@@ -105,7 +131,7 @@
 
     async fn call(&self, _: &mut ServerContext, request: Request) -> Result<Response, Infallible> {
         let fault = *lock(&self.state.fault);
-        Ok(match fault {
+        let mut response = match fault {
             StoreFault::Refuse(status) => {
                 let status = StatusCode::from_u16(status);
                 text_reply(status.unwrap_or(StatusCode::SERVICE_UNAVAILABLE), "refused")
@@ -131,7 +157,10 @@
                 self.answer(request, fault).await
             }
             StoreFault::None | StoreFault::DropHistory => self.answer(request, fault).await,
-        })
+        };
+        let era = self.state.era.load(Ordering::Relaxed);
+        response.headers_mut().insert("store-era", HeaderValue::from(era));
+        Ok(response)
     }
 }
 
@@ -172,6 +201,9 @@
         let after = parameter(query, "after").parse().unwrap_or(0);
         let wait = Duration::from_millis(parameter(query, "waitMs").parse().unwrap_or(0));
         let mut versions = self.state.version.subscribe();
+        if after > lock(&self.state.table).version() {
+            return text_reply(StatusCode::GONE, "the version is not known");
+        }
         let wait_for_change = async {
             while lock(&self.state.table).changes(table, after).is_empty() {
                 if versions.changed().await.is_err() {
--- a/crates/galenastream_standin/src/row_store/row_table.rs
+++ b/crates/galenastream_standin/src/row_store/row_table.rs
@@ -6,13 +6,13 @@
 use serde_json::{Value, json};
 
 /// The rows of all tables of a store. Each transaction that applies raises the version.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(super) struct RowTable {
     rows: BTreeMap<(String, String), StoredRow>,
     version: u64,
 }
 
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct StoredRow {
     /// The encoded value; `None` for a row that was removed.
     value: Option<String>,
@@ -45,6 +45,19 @@
         self.version
     }
 
+    /// Goes back to an older copy. Rows of the tables that nodes do not write are kept, since their
+    /// writers write them again.
+    pub(super) fn restore(&mut self, copy: Self, kept_tables: &[&str]) {
+        let lost = std::mem::replace(self, copy);
+        for ((table, key), row) in lost.rows {
+            if !kept_tables.contains(&table.as_str()) {
+                continue;
+            }
+            self.version += 1;
+            self.set(table, key, row.value);
+        }
+    }
+
     /// Applies a transaction if all expected rows have their expected versions. Otherwise changes
     /// nothing and returns the current state of these rows as `Err`.
     pub(super) fn apply(&mut self, transaction: Transaction) -> Result<Value, Value> {
--- a/crates/galenastream_wire/src/row/mod.rs
+++ b/crates/galenastream_wire/src/row/mod.rs
@@ -1,5 +1,7 @@
 //! Rows in the platform's store that all nodes share.
 
+mod era_row;
 mod shared_row_key;
 
+pub use era_row::EraRow;
 pub use shared_row_key::{NodeRow, SHARED_ROWS_TABLE, SharedRowKey};
--- a/crates/galenastream_wire/src/row/shared_row_key.rs
+++ b/crates/galenastream_wire/src/row/shared_row_key.rs
@@ -8,6 +8,7 @@
 const NODE_PREFIX: &str = "node/";
 const KEYS_PREFIX: &str = "keys/";
 const TREE_KEY: &str = "settings/tree";
+const ERA_KEY: &str = "era";
 
 /// The key of a row in [`SHARED_ROWS_TABLE`], parsed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -19,6 +20,8 @@
     Assignment(&'a str),
     /// The tree of settings. The value is a TOML document.
     SettingsTree,
+    /// The era of the store whose rows are in force. The value is an [`EraRow`](crate::EraRow).
+    Era,
 }
 
 /// Where a node accepts connections from other nodes.
@@ -39,6 +42,9 @@
         if key == TREE_KEY {
             return Some(Self::SettingsTree);
         }
+        if key == ERA_KEY {
+            return Some(Self::Era);
+        }
         if let Some(node) = key.strip_prefix(NODE_PREFIX) {
             return Some(Self::Node(node));
         }
@@ -51,6 +57,7 @@
             Self::Node(node) => format!("{NODE_PREFIX}{node}"),
             Self::Assignment(service) => format!("{KEYS_PREFIX}{service}"),
             Self::SettingsTree => TREE_KEY.to_owned(),
+            Self::Era => ERA_KEY.to_owned(),
         }
     }
 }
