Do not give up requests because their node was slow for a moment

Cause: the connection was closed, which loses all requests on it, though the node is only slow. A late status also closed a newer connection than the one that it was sent on.

Change: the connection takes no further requests. Those in progress are retried if they are idempotent and a retry is allowed, as before, and are cancelled at the slow node; the others wait until their deadlines.

--- a/crates/galenastream_node/src/connection/peer_links.rs
+++ b/crates/galenastream_node/src/connection/peer_links.rs
@@ -2,6 +2,7 @@
 
 use std::{
     net::SocketAddr,
+    pin::pin,
     sync::{
         Arc, Mutex, PoisonError,
         atomic::{AtomicU64, Ordering},
@@ -17,6 +18,7 @@
     sync::mpsc,
     time::{MissedTickBehavior, interval},
 };
+use tokio_util::sync::CancellationToken;
 
 use crate::process::{ControlEvent, Directory, TrafficState};
 
@@ -26,7 +28,7 @@
 /// Interval at which the load of keys is sent to the planner. Other nodes do not need it.
 const LOAD_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Timeout of the reply to a status. When it expires, the connection is closed.
+/// Timeout of the reply to a status. When it expires, the connection takes no more requests.
 const STATUS_TIMEOUT: Duration = Duration::from_millis(1_200);
 
 /// Timeout of the reply to a query.
@@ -45,11 +47,20 @@
 
 #[derive(Debug)]
 struct PeerLink {
-    link: tokio::sync::Mutex<Option<Arc<Link>>>,
+    link: tokio::sync::Mutex<Option<Arc<OpenLink>>>,
     /// When opening the connection failed last, on the boot clock; 0 if it never did.
     failed_at_ns: AtomicU64,
 }
 
+/// A connection to a node. It stays open until the last request on it has ended.
+#[derive(Debug)]
+struct OpenLink {
+    link: Link,
+    /// Cancelled when the node does not react in time, so that no further request uses the
+    /// connection.
+    retired: CancellationToken,
+}
+
 impl PeerLinks {
     /// Creates an empty set of connections.
     pub fn new() -> Self {
@@ -57,21 +68,50 @@
     }
 
     /// Sends a message to a node and waits for the reply. Dropping the future cancels the request.
+    ///
+    /// If the node turns out not to react, the request is given up with [`PeerError::Lost`] if
+    /// `may_give_up` returns true at that moment. Otherwise it goes on: the node may only be slow.
     pub async fn call(
         &self,
         node: NodeKey,
         address: SocketAddr,
         body: Body,
         reply_timeout: Duration,
+        may_give_up: impl Fn() -> bool,
     ) -> Result<Body, PeerError> {
-        let link = self.link(node, address).await?;
-        link.call(body, reply_timeout).await
+        let open = self.link(node, address).await?;
+        let mut reply = pin!(open.link.call(body, reply_timeout));
+        tokio::select! {
+            result = &mut reply => return result,
+            () = open.retired.cancelled() => {}
+        }
+        if may_give_up() {
+            return Err(PeerError::Lost);
+        }
+        reply.await
+    }
+
+    /// Sends a status to a node. If it is not acknowledged in time, later requests use another
+    /// connection: this one may be dead.
+    async fn send_status(&self, node: NodeKey, address: SocketAddr, status: NodeStatus) {
+        let Ok(open) = self.link(node, address).await else {
+            return;
+        };
+        let result = open.link.call(Body::Status(status), STATUS_TIMEOUT).await;
+        if result != Err(PeerError::TimedOut) || open.retired.is_cancelled() {
+            return;
+        }
+        log::info!(event = "peer_silent", peer:% = address; "");
+        open.retired.cancel();
+        let entry = self.entry(node);
+        let mut current = entry.link.lock().await;
+        current.take_if(|it| Arc::ptr_eq(it, &open));
     }
 
-    async fn link(&self, node: NodeKey, address: SocketAddr) -> Result<Arc<Link>, PeerError> {
+    async fn link(&self, node: NodeKey, address: SocketAddr) -> Result<Arc<OpenLink>, PeerError> {
         let entry = self.entry(node);
         let mut current = entry.link.lock().await;
-        if let Some(link) = current.as_ref().filter(|it| !it.is_closed()) {
+        if let Some(link) = current.as_ref().filter(|it| !it.link.is_closed()) {
             return Ok(link.clone());
         }
         let failed_at = BootInstant::new(entry.failed_at_ns.load(Ordering::Relaxed));
@@ -80,7 +120,7 @@
         }
         match Link::connect(address).await {
             Ok(link) => {
-                let link = Arc::new(link);
+                let link = Arc::new(OpenLink { link, retired: CancellationToken::new() });
                 *current = Some(link.clone());
                 Ok(link)
             }
@@ -91,13 +131,6 @@
         }
     }
 
-    /// Closes the connection to a node that does not reply.
-    async fn close(&self, node: NodeKey) {
-        if let Some(link) = self.entry(node).link.lock().await.take() {
-            link.close();
-        }
-    }
-
     fn entry(&self, node: NodeKey) -> Arc<PeerLink> {
         let mut links = self.links.lock().unwrap_or_else(PoisonError::into_inner);
         let entry = links.entry(node).or_insert_with(|| {
@@ -190,8 +223,7 @@
     status.target.as_ref().is_some_and(|it| !it.key_loads.is_empty())
 }
 
-/// Sends a status to each node of the audience, without the load of keys unless it is the planner. A
-/// connection on which the reply times out is closed.
+/// Sends a status to each node of the audience, without the load of keys unless it is the planner.
 fn send_status(
     traffic: &Arc<TrafficState>,
     directory: &Directory,
@@ -215,12 +247,7 @@
             target.key_loads.clear();
         }
         tokio::spawn(async move {
-            let result =
-                traffic.links.call(key, address, Body::Status(status), STATUS_TIMEOUT).await;
-            if result == Err(PeerError::TimedOut) {
-                log::info!(event = "peer_silent", peer:% = address; "");
-                traffic.links.close(key).await;
-            }
+            traffic.links.send_status(key, address, status).await;
         });
     }
 }
@@ -235,8 +262,10 @@
     let query =
         SyncQuery { config_version: snapshot.config_version, rows_version: snapshot.rows_version };
     let asked_at = boot_now();
-    let result =
-        traffic.links.call(node, entry.address, Body::SyncQuery(query), QUERY_TIMEOUT).await;
+    let result = traffic
+        .links
+        .call(node, entry.address, Body::SyncQuery(query), QUERY_TIMEOUT, || true)
+        .await;
     match result {
         Ok(Body::SyncState(state)) => {
             traffic
--- a/crates/galenastream_node/src/process/traffic_state.rs
+++ b/crates/galenastream_node/src/process/traffic_state.rs
@@ -151,6 +151,12 @@
         self.with_retry_budget(service, |budget| budget.take(boot_now(), node_count))
     }
 
+    /// Whether the budget of a service allows a retry now.
+    pub fn has_retry(&self, service: &str) -> bool {
+        let node_count = self.context.directory.load().reachable_count();
+        self.with_retry_budget(service, |budget| budget.is_available(boot_now(), node_count))
+    }
+
     fn with_retry_budget<T>(
         &self,
         service: &str,
--- a/crates/galenastream_node/src/request/attempt.rs
+++ b/crates/galenastream_node/src/request/attempt.rs
@@ -30,11 +30,15 @@
 
 /// Sends a request to a target, waits for the reply, and records its result and the reported load,
 /// which influence the choice of targets.
+///
+/// If the node beside the target does not react, the attempt is given up if `may_retry` returns true
+/// at that moment.
 pub(super) async fn attempt(
     traffic: &Arc<TrafficState>,
     request: &CallerRequest,
     key: Option<u16>,
     destination: &Destination,
+    may_retry: impl Fn() -> bool,
 ) -> ForwardedReply {
     let node = destination.node.key;
     let message = forwarded_request(traffic, request, key, destination);
@@ -43,7 +47,7 @@
         if destination.node.is_local {
             run_at_target(traffic, message).await
         } else {
-            forward_to_peer(traffic, destination, message).await
+            forward_to_peer(traffic, destination, message, may_retry).await
         }
     };
     let now = boot_now();
@@ -63,11 +67,13 @@
     traffic: &Arc<TrafficState>,
     destination: &Destination,
     message: ForwardedRequest,
+    may_retry: impl Fn() -> bool,
 ) -> ForwardedReply {
     let reply_timeout = Duration::from_millis(u64::from(message.remaining_ms)) + REPLY_GRACE;
     let (node, address) = (destination.node.key, destination.node.address);
+    let body = Body::Request(message);
     let (outcome, reason) =
-        match traffic.links.call(node, address, Body::Request(message), reply_timeout).await {
+        match traffic.links.call(node, address, body, reply_timeout, may_retry).await {
             Ok(Body::Reply(reply)) => return reply,
             Ok(_) => (ReplyOutcome::Unknown, ReplyReason::PeerLost),
             Err(PeerError::Lost) => (ReplyOutcome::Unknown, ReplyReason::PeerLost),
--- a/crates/galenastream_node/src/request/entry.rs
+++ b/crates/galenastream_node/src/request/entry.rs
@@ -210,7 +210,9 @@
             };
             self.record_attempt(&destination);
             let mut counted = CountedAttempt::new(self.traffic, self.service, &destination);
-            let reply = attempt(self.traffic, self.request, self.key, &destination).await;
+            let may_retry = || self.may_retry(&progress);
+            let reply =
+                attempt(self.traffic, self.request, self.key, &destination, may_retry).await;
             counted.reason = self.record_reason(reply.reason);
             drop(counted);
             match self.next_step(destination, reply, &mut progress) {
@@ -224,6 +226,14 @@
         }
     }
 
+    /// Whether a retry would be allowed now although the request may have run.
+    fn may_retry(&self, progress: &Progress) -> bool {
+        self.request.route.is_idempotent
+            && progress.reached + 1 < self.request.route.max_attempts
+            && self.has_time()
+            && self.traffic.has_retry(self.service)
+    }
+
     fn has_time(&self) -> bool {
         self.request.deadline.remaining(boot_now()) > MIN_ATTEMPT_TIME
     }
--- a/crates/galenastream_node/tests/platform/main.rs
+++ b/crates/galenastream_node/tests/platform/main.rs
@@ -6,6 +6,7 @@
 mod deployment;
 mod overload;
 mod request_limit;
+mod slow_node;
 mod store_restore;
 
 use std::{
--- a/crates/galenastream_routing/src/process/windowed_retry_budget.rs
+++ b/crates/galenastream_routing/src/process/windowed_retry_budget.rs
@@ -55,16 +55,21 @@
     /// Takes a retry from the budget. Returns `false` if the budget is exhausted. `node_count`
     /// nodes share the allowance.
     pub fn take(&mut self, now: BootInstant, node_count: usize) -> bool {
+        let is_available = self.is_available(now, node_count);
+        if is_available {
+            self.current_bucket(now).retries += 1;
+        }
+        is_available
+    }
+
+    /// Returns whether [`Self::take`] would succeed.
+    pub fn is_available(&mut self, now: BootInstant, node_count: usize) -> bool {
         self.current_bucket(now);
         let requests: u32 = self.buckets.iter().map(|it| it.requests).sum();
         let retries: u32 = self.buckets.iter().map(|it| it.retries).sum();
         let own_allowance = self.limits.allowance / node_count.max(1) as f64;
         let allowed = self.limits.ratio * f64::from(requests) + own_allowance;
-        if f64::from(retries + 1) > allowed {
-            return false;
-        }
-        self.current_bucket(now).retries += 1;
-        true
+        f64::from(retries + 1) <= allowed
     }
 
     /// Drops the buckets that have left the window, and returns the current one.
--- a/crates/galenastream_runtime/src/frame_link.rs
+++ b/crates/galenastream_runtime/src/frame_link.rs
@@ -52,12 +52,6 @@
         self.pending.is_closed()
     }
 
-    /// Closes the connection. Pending requests fail with [`PeerError::Lost`], and no more frames
-    /// are sent.
-    pub fn close(&self) {
-        self.pending.close();
-    }
-
     /// Sends a request and waits for its reply. Dropping the future cancels the request.
     pub async fn call(&self, body: F::Body, reply_timeout: Duration) -> Result<F::Body, PeerError> {
         let waiting = self.pending.add().ok_or(PeerError::NotSent)?;
