--- a/crates/galenastream_node/tests/platform/main.rs
+++ b/crates/galenastream_node/tests/platform/main.rs
@@ -4,6 +4,7 @@
 mod announced_leave;
 mod announcement_load;
 mod deployment;
+mod forwarded;
 mod overload;
 mod request_limit;
 mod slow_node;
