--- a/crates/galenastream_node/src/lib.rs
+++ b/crates/galenastream_node/src/lib.rs
@@ -13,7 +13,7 @@
 pub use process::{
     CommandLine, ControlEvent, ControlQueue, ControlState, Directory, Effect, HeartbeatAnswer,
     KeyMeter, LeasePage, LocalTarget, OPERATORS_PORT, STATUS_PATH, StatusPage, TargetPage, command,
-    run_daemon, start_log,
+    flush_log, run_daemon, start_log,
 };
 
 pub use version::{RouteMatch, RoutingTable};
--- a/crates/galenastream_node/src/main.rs
+++ b/crates/galenastream_node/src/main.rs
@@ -2,7 +2,7 @@
 
 use std::process::ExitCode;
 
-use galenastream_node::{CommandLine, run_daemon, start_log};
+use galenastream_node::{CommandLine, flush_log, run_daemon, start_log};
 
 fn main() -> ExitCode {
     let command_line = CommandLine::parse();
@@ -17,5 +17,7 @@
 
 fn run(command_line: &CommandLine) -> anyhow::Result<()> {
     start_log(&command_line.log)?;
-    run_daemon(&command_line.settings)
+    let result = run_daemon(&command_line.settings);
+    flush_log();
+    result
 }
--- a/crates/galenastream_node/src/process/daemon.rs
+++ b/crates/galenastream_node/src/process/daemon.rs
@@ -25,6 +25,7 @@
     ControlEvent, ControlQueue, ControlState, KeyMeter, NodeContext, SyncSnapshot, TrafficState,
     commit::write_rows,
     control_loop::ControlLoop,
+    logs::flush_log,
     metrics_page::start_metrics,
     settings_follower::follow_settings,
     store_follower::{FollowedTable, follow_table},
@@ -101,6 +102,7 @@
         let result = run_control(control_context, state, events, peer_queries, settings_path);
         if let Err(error) = result {
             log::error!(event = "control_thread_failed", reason:% = error; "");
+            flush_log();
             std::process::exit(1);
         }
     })?;
--- a/crates/galenastream_node/src/process/logs.rs
+++ b/crates/galenastream_node/src/process/logs.rs
@@ -1,10 +1,15 @@
 //! The log: JSON lines on standard output, one event per line.
 
+use std::{sync::mpsc, thread, time::Duration};
+
 use logforth::{append, filter::rustlog::RustLogFilterBuilder, layout::JsonLayout};
 
 /// Number of lines that are buffered for a slow reader, about 1 MB; further lines are dropped.
 const MAX_BUFFERED_LINES: usize = 4_096;
 
+/// How long the exit of the process waits until the buffered lines are written.
+const FLUSH_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// Starts logging with a filter such as `info` or `target=level`. Must be called once, before the
 /// first log event.
 ///
@@ -23,3 +28,15 @@
     builder.try_apply()?;
     Ok(())
 }
+
+/// Writes the buffered lines before the process exits. A reader that does not take them in time
+/// does not hold up the exit.
+pub fn flush_log() {
+    let (done, flushed) = mpsc::channel();
+    thread::spawn(move || {
+        log::logger().flush();
+        // The receiver is gone if the flush took too long.
+        let _ = done.send(());
+    });
+    let _ = flushed.recv_timeout(FLUSH_TIMEOUT);
+}
--- a/crates/galenastream_node/src/process/mod.rs
+++ b/crates/galenastream_node/src/process/mod.rs
@@ -40,7 +40,7 @@
 pub use key_meter::KeyMeter;
 pub use leases::HeldLeases;
 pub use local_announcement::LocalAnnouncement;
-pub use logs::start_log;
+pub use logs::{flush_log, start_log};
 pub use metrics_page::render_metrics;
 pub use remembered_announcements::{RememberedAnnouncements, earliest};
 pub use status_page::{LeasePage, STATUS_PATH, StatusPage, TargetPage};
--- a/crates/galenastream_node/tests/platform/main.rs
+++ b/crates/galenastream_node/tests/platform/main.rs
@@ -5,6 +5,7 @@
 mod announcement_load;
 mod deployment;
 mod forwarded;
+mod last_lines;
 mod overload;
 mod request_limit;
 mod slow_node;
