--- a/crates/galenastream_node/tests/ownership/simulation.rs
+++ b/crates/galenastream_node/tests/ownership/simulation.rs
@@ -12,31 +12,16 @@
 
 use crate::{
     fixtures::{HEARTBEAT_MS, address, config, settings},
-    injected_bug::{InjectedBug, apply_to_reply, complete_all_moves},
-    store::Store,
+    injected_bug::{InjectedBug, apply_to_reply},
+    store::{ASSIGNMENT_KEY, Store, Write, WriteContent},
     target::Target,
     vm::Vm,
 };
 
 pub const STEP_MS: u64 = 10;
-const ROW: &str = "keys/carts";
 /// The keys whose holders are checked in each step.
 const SAMPLE_KEYS: [u16; 9] = [0, 1, 9_000, 21_845, 21_846, 32_768, 43_690, 43_691, 65_535];
 
-/// A write to the store in flight. `is_answered` is false if its result is lost.
-struct Write {
-    vm: usize,
-    at_ms: u64,
-    expected: Vec<ExpectedRow>,
-    content: WriteContent,
-    is_answered: bool,
-}
-
-enum WriteContent {
-    Assignment(Box<Assignment>),
-    Settlement(Vec<RowWrite>),
-}
-
 pub struct Simulation {
     rng: StdRng,
     now_ms: u64,
@@ -161,17 +146,7 @@
     fn complete_writes(&mut self) {
         let due: Vec<Write> = self.writes.extract_if(.., |it| it.at_ms <= self.now_ms).collect();
         for write in due {
-            let writes = match &write.content {
-                WriteContent::Settlement(writes) => writes.clone(),
-                WriteContent::Assignment(assignment) => {
-                    let mut assignment = assignment.clone();
-                    if self.bug == InjectedBug::HandoverBeforeRelease {
-                        complete_all_moves(&mut assignment);
-                    }
-                    let value = Bytes::from(assignment.encode_row());
-                    vec![RowWrite::Put { key: ROW.to_owned(), value }]
-                }
-            };
+            let writes = write.content.row_writes(self.bug);
             let result = self.store.commit(&write.expected, &writes, self.now_ms);
             let result = match write.is_answered {
                 true => result,
@@ -344,7 +319,7 @@
     ) {
         if self.bug == InjectedBug::UncommittedChange {
             let value = Some(Bytes::from(assignment.encode_row()));
-            let row = Row { key: ROW.to_owned(), value, version: version + 1 };
+            let row = Row { key: ASSIGNMENT_KEY.to_owned(), value, version: version + 1 };
             let event = ControlEvent::Rows {
                 rows: vec![row],
                 version: version + 1,
@@ -352,7 +327,7 @@
             };
             self.send_event(index, event);
         }
-        let mut expected = vec![ExpectedRow { key: ROW.to_owned(), version }];
+        let mut expected = vec![ExpectedRow { key: ASSIGNMENT_KEY.to_owned(), version }];
         expected.extend(
             era_version.map(|version| ExpectedRow { key: SharedRowKey::Era.key(), version }),
         );
--- a/crates/galenastream_node/tests/ownership/store.rs
+++ b/crates/galenastream_node/tests/ownership/store.rs
@@ -4,12 +4,48 @@
 
 use bytes::Bytes;
 use galenastream_adapter::{ExpectedRow, Row, RowWrite, StoreError, number_of, version_in};
+use galenastream_ranges::Assignment;
+
+use crate::injected_bug::{InjectedBug, complete_all_moves};
+
+/// The key of the row with the assignment.
+pub const ASSIGNMENT_KEY: &str = "keys/carts";
 
 /// How far back copies reach.
 const COPIES_MS: u64 = 6_000;
 
 type Rows = BTreeMap<String, (Bytes, u64)>;
 
+/// A write to the store in flight. `is_answered` is false if its result is lost.
+pub struct Write {
+    pub vm: usize,
+    pub at_ms: u64,
+    pub expected: Vec<ExpectedRow>,
+    pub content: WriteContent,
+    pub is_answered: bool,
+}
+
+pub enum WriteContent {
+    Assignment(Box<Assignment>),
+    Settlement(Vec<RowWrite>),
+}
+
+impl WriteContent {
+    /// Returns the rows to write, with the bug applied.
+    pub fn row_writes(&self, bug: InjectedBug) -> Vec<RowWrite> {
+        let assignment = match self {
+            Self::Settlement(writes) => return writes.clone(),
+            Self::Assignment(assignment) => assignment,
+        };
+        let mut assignment = assignment.clone();
+        if bug == InjectedBug::HandoverBeforeRelease {
+            complete_all_moves(&mut assignment);
+        }
+        let value = Bytes::from(assignment.encode_row());
+        vec![RowWrite::Put { key: ASSIGNMENT_KEY.to_owned(), value }]
+    }
+}
+
 /// Rows with the numbers of their last writes. Numbers are given out again after a restore.
 pub struct Store {
     pub era: u64,
--- a/crates/galenastream_node/tests/platform/main.rs
+++ b/crates/galenastream_node/tests/platform/main.rs
@@ -5,16 +5,13 @@
 mod announcement_load;
 mod deployment;
 mod forwarded;
-mod last_lines;
+mod node_stop;
 mod overload;
 mod request_limit;
 mod slow_node;
 mod store_restore;
 
-use std::{
-    net::SocketAddr,
-    time::{Duration, Instant},
-};
+use std::time::{Duration, Instant};
 
 use deployment::start;
 use galenastream_standin::{
@@ -153,29 +150,6 @@
     deployment.close().unwrap();
 }
 
-#[tokio::test(flavor = "multi_thread")]
-async fn a_stopping_node_answers_the_requests_it_has_read() {
-    let mut deployment = start("stop", &["stock"]).await;
-    deployment.vms[0].target.set_fault(TargetAnswerFault::Slow(Duration::from_millis(700)));
-    let mut caller = deployment.vms[0].caller().await.unwrap();
-    let ahead: String =
-        ["a", "b"].iter().map(|it| request_bytes("GET", "/stock/1", it, None)).collect();
-    caller.send(ahead.as_bytes()).await.unwrap();
-    let target = &deployment.vms[0].target;
-    let runs = |id: &str| target.runs().iter().filter(|it| it.request_id == id).count();
-    wait_until("both to run", TIMEOUT, async || runs("a") + runs("b") == 2).await.unwrap();
-    let mut vm = deployment.vms.remove(0);
-    let (stopped, answers) =
-        tokio::join!(vm.stop_node(), async { (caller.read().await, caller.read().await) });
-    let stopped = stopped.unwrap();
-    assert!(stopped.success(), "{stopped}");
-    let (first, second) = (answers.0.unwrap(), answers.1.unwrap());
-    assert_eq!((first.status, second.status), (200, 200));
-    assert_eq!(second.header("connection"), Some("close"));
-    vm.target.close();
-    deployment.close().unwrap();
-}
-
 #[tokio::test(flavor = "multi_thread")]
 async fn a_newer_config_takes_effect_and_an_older_or_malformed_one_does_not() {
     let deployment = start("config", &["stock"]).await;
@@ -294,54 +268,6 @@
     deployment.close().unwrap();
 }
 
-/// Requests that other nodes forward to a stopping node either run once and are answered, or are
-/// refused without having run.
-#[tokio::test(flavor = "multi_thread")]
-async fn a_stopping_node_interrupts_no_forwarded_request() {
-    let mut deployment = start("stop-other", &["carts", "stock"]).await;
-    let mut vm = deployment.vms.remove(1);
-    vm.target.set_fault(TargetAnswerFault::Slow(Duration::from_millis(400)));
-    let callers_address = deployment.vms[0].callers_address();
-    let senders: Vec<_> = (0..4)
-        .map(|sender| tokio::spawn(send_orders(callers_address, sender, Duration::from_secs(5))))
-        .collect();
-    wait_until("orders to run at the target", TIMEOUT, async || vm.target.runs().len() > 4)
-        .await
-        .unwrap();
-    let stopped = vm.stop_node().await.unwrap();
-    assert!(stopped.success(), "{stopped}");
-    let mut answered = 0;
-    for sender in senders {
-        for (id, status) in sender.await.unwrap() {
-            let ran = vm.target.runs().iter().filter(|it| it.request_id == id).count();
-            let expected = if ran == 1 { 200 } else { 503 };
-            assert_eq!((ran.min(1), status), (ran, Some(expected)), "{id}");
-            answered += ran;
-        }
-    }
-    assert!(answered > 10, "{answered}");
-    vm.close();
-    deployment.close().unwrap();
-}
-
-/// Sends orders in sequence for a period of time, and returns their ids and statuses.
-async fn send_orders(
-    callers_address: SocketAddr,
-    sender: usize,
-    duration: Duration,
-) -> Vec<(String, Option<u16>)> {
-    let mut answers = Vec::new();
-    let began_at = Instant::now();
-    while began_at.elapsed() < duration {
-        let id = format!("order-{sender}-{}", answers.len());
-        let mut caller = CallerConnection::connect(callers_address).await.expect(WORKS);
-        let answer = caller.post("/orders/1", &id).await;
-        answers.push((id, answer.map(|it| it.status)));
-        tokio::time::sleep(Duration::from_millis(20)).await;
-    }
-    answers
-}
-
 /// A request that is not idempotent and still waits for a slot when its caller closes the
 /// connection does not run.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/galenastream_routing/tests/load_patterns.rs
+++ b/crates/galenastream_routing/tests/load_patterns.rs
@@ -278,14 +278,8 @@
 #[test]
 fn a_slow_target_is_avoided_until_it_has_recovered() {
     const FAST_US: u32 = 20_000;
-    let candidates: Vec<TargetCandidate> = (0..4)
-        .map(|it| TargetCandidate {
-            node: NodeKey(it),
-            slots: SLOTS,
-            is_same_data_centre: true,
-            limit: None,
-        })
-        .collect();
+    let candidates: Vec<TargetCandidate> =
+        (0..4).map(|it| TargetCandidate { node: NodeKey(it), ..NEAR }).collect();
     let mut selector = TargetSelector::new(SEED);
     let mut replay = |from_ms: u64, first_us: u32| {
         let mut to_first = 0;
@@ -385,14 +379,8 @@
     const NODES: u64 = 80;
     const TARGETS: u32 = 20;
     let now = at_ms(100);
-    let candidates: Vec<TargetCandidate> = (0..TARGETS)
-        .map(|it| TargetCandidate {
-            node: NodeKey(it),
-            slots: SLOTS,
-            is_same_data_centre: true,
-            limit: None,
-        })
-        .collect();
+    let candidates: Vec<TargetCandidate> =
+        (0..TARGETS).map(|it| TargetCandidate { node: NodeKey(it), ..NEAR }).collect();
     let mut counts = [0_u32; TARGETS as usize];
     for seed in 0..NODES {
         let mut selector = TargetSelector::new(seed);
