--- a/crates/galenastream_node/tests/platform/announced_leave.rs
+++ b/crates/galenastream_node/tests/platform/announced_leave.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use galenastream_adapter::header_names;
 use galenastream_standin::{LocalDeployment, TargetAnnouncement, TargetArrival};
 
 use super::{
@@ -23,7 +24,7 @@
     for vm in 0..deployment.vms.len() {
         let from_vm = || sent.iter().filter(|it| it.vm == vm);
         let announces = |it: &&SentRequest| {
-            it.answer.as_ref().is_some_and(|it| it.header("server-leaving").is_some())
+            it.answer.as_ref().is_some_and(|it| it.header(header_names::LEAVING).is_some())
         };
         let Some(passed_on_at) = from_vm().filter(announces).map(|it| it.answered_at).min() else {
             continue;
