--- a/crates/galenastream_node/src/request/progress.rs
+++ b/crates/galenastream_node/src/request/progress.rs
@@ -5,9 +5,9 @@
 
 use super::{attempt::is_lack_of_capacity, refusal::Refusal};
 
-/// Number of nodes that may refuse a request for lack of capacity before it is given up. Each one was the
-/// best of several by the observed loads, so the service has hardly any room. More attempts would
-/// take time and bandwidth from requests that can be served.
+/// Number of nodes that may refuse a request for lack of capacity before it is given up. Each one
+/// was the best of several by the observed loads, so the service has hardly any room. More attempts
+/// would take time and bandwidth from requests that can be served.
 const MAX_REFUSALS: u32 = 3;
 
 /// `Retry-After` unless the node beside a target asks for a shorter time.
