--- a/crates/galenastream_node/src/request/target_run.rs
+++ b/crates/galenastream_node/src/request/target_run.rs
@@ -232,8 +232,8 @@
 /// its drain period is not over, and it has a lease on the request's key, if there is one.
 /// Otherwise returns the reply to send back.
 ///
-/// Also updates the admission limits, and closes the idle connections if the request names another
-/// incarnation.
+/// Also updates the admission limits, takes over what the sending node remembers of the target's
+/// announcements, and closes the idle connections if the request names another incarnation.
 fn check_runnable(
     traffic: &TrafficState,
     request: &ForwardedRequest,
--- a/crates/galenastream_node/tests/platform/request_limit.rs
+++ b/crates/galenastream_node/tests/platform/request_limit.rs
@@ -3,7 +3,8 @@
 use std::time::{Duration, Instant};
 
 use galenastream_standin::{
-    LocalDeployment, TargetAnnouncement, TargetAnswerFault, check_invariants, wait_until,
+    LocalDeployment, TargetAnnouncement, TargetAnswerFault, TargetArrival, check_invariants,
+    wait_until,
 };
 
 use super::{
@@ -145,3 +146,22 @@
     assert_eq!(lines(), 1);
     deployment.close().unwrap();
 }
+
+/// Guards against a target that gets no request any more, and so cannot show that its limit of zero
+/// has ended, while other targets have room.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_target_is_selected_again_when_its_limit_of_zero_has_ended() {
+    let deployment = start("limit-zero", &["stock", "stock", "carts"]).await;
+    let target = &deployment.vms[0].target;
+    target.announce(TargetAnnouncement::limit(0.0));
+    let entry = || vec![(2, deployment.vms[2].callers_address())];
+    let _ = load_from(entry(), "/stock/1", false, STABLE_TIME).await;
+    target.announce(TargetAnnouncement::default());
+    let ended_at = Instant::now();
+    let _ = load_from(entry(), "/stock/1", false, LOAD_TIME).await;
+    // The limit ends with the first response after it, one request every 2 s being let through.
+    let is_after = |it: &&TargetArrival| it.arrived_at > ended_at + STABLE_TIME;
+    let after = target.arrivals().iter().filter(is_after).count();
+    assert!(after > 20, "{after} requests after the end of the limit");
+    deployment.close().unwrap();
+}
