Let the stand-in target sign its answers

Targets sign the answers to requests that they run. The stand-in never did, so no test could see whether a node passes on an answer without signature. It signs now, and has a fault that answers without signature. No logic of the router changes.

--- a/crates/galenastream_standin/src/platform_target/answer_fault.rs
+++ b/crates/galenastream_standin/src/platform_target/answer_fault.rs
@@ -16,6 +16,9 @@
     Truncate,
     /// Requests run, and the answer carries the id of another request.
     Stray,
+    /// Requests run and are answered with this status and their id, but without the signature of the
+    /// target.
+    Unsigned(u16),
     /// Requests run for this much longer.
     Slow(Duration),
 }
--- a/crates/galenastream_standin/src/platform_target/platform_target_standin.rs
+++ b/crates/galenastream_standin/src/platform_target/platform_target_standin.rs
@@ -218,15 +218,29 @@
         };
         tokio::time::sleep(self.state.capacity.service_time + extra_time).await;
         let text = format!("{} ran {request_id} with {} bytes", self.state.id, body.len());
+        let signed = |status, id: &str| self.signed(named(status, text.clone(), id), id);
         match fault {
-            TargetAnswerFault::Fail => named(StatusCode::INTERNAL_SERVER_ERROR, text, &request_id),
-            TargetAnswerFault::Truncate => partial_reply(named(StatusCode::OK, text, &request_id)),
-            TargetAnswerFault::Stray => named(StatusCode::OK, text, "another-request"),
+            TargetAnswerFault::Fail => signed(StatusCode::INTERNAL_SERVER_ERROR, &request_id),
+            TargetAnswerFault::Truncate => partial_reply(signed(StatusCode::OK, &request_id)),
+            TargetAnswerFault::Stray => signed(StatusCode::OK, "another-request"),
+            TargetAnswerFault::Unsigned(status) => {
+                let status = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_REQUEST);
+                named(status, text, &request_id)
+            }
             TargetAnswerFault::None | TargetAnswerFault::Shed | TargetAnswerFault::Slow(_) => {
-                named(StatusCode::OK, text, &request_id)
+                signed(StatusCode::OK, &request_id)
             }
         }
     }
+
+    /// Adds the signature of the target to the answer to a request that it ran.
+    fn signed(&self, mut response: Response, request_id: &str) -> Response {
+        let signature = format!("{}.{request_id}", self.state.id);
+        if let Ok(signature) = HeaderValue::from_str(&signature) {
+            response.headers_mut().insert("x-server-signature", signature);
+        }
+        response
+    }
 }
 
 /// Returns a text reply that names its request by id.
