Reproduce requests that end with unsigned responses, in failing tests

A target that answers with the id of the request but without its signature: the node passes its status on, to callers of requests that may be repeated and of those that may not, at the node beside the target and at another one, also if another target of the service is sound. Callers take a response without signature for the node's own, and do not repeat a request after a 3xx or 4xx.

--- a/crates/galenastream_node/tests/platform/main.rs
+++ b/crates/galenastream_node/tests/platform/main.rs
@@ -10,6 +10,7 @@
 mod request_limit;
 mod slow_node;
 mod store_restore;
+mod unsigned_answers;
 
 use std::time::{Duration, Instant};
 
