Prefer the faulty target in the test of unsigned responses

The sound target is slow now, so that requests reach the faulty one first; the test checks that they did.

--- a/crates/galenastream_node/tests/platform/unsigned_answers.rs
+++ b/crates/galenastream_node/tests/platform/unsigned_answers.rs
@@ -1,6 +1,6 @@
 //! Tests of targets that answer requests without their signature.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, time::Duration};
 
 use galenastream_standin::{LocalDeployment, TargetAnswerFault, wait_until};
 
@@ -12,6 +12,9 @@
 /// Requests of each kind for each status.
 const REQUESTS: u32 = 4;
 
+/// How much longer the sound target takes: so much that the other one is preferred although it fails.
+const SLOW_BY: Duration = Duration::from_millis(250);
+
 /// Sends requests under a path through the VM at `entry` while the target at `faulty` answers
 /// without its signature. Returns how many requests ended with each status. Checks that no request
 /// ran more often than `max_runs`.
@@ -71,6 +74,9 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn only_idempotent_requests_are_retried_elsewhere_after_an_unsigned_answer() {
     let deployment = start("unsigned-retry", &["stock", "stock"]).await;
+    // Requests go to the faster target first.
+    deployment.vms[0].target.set_fault(TargetAnswerFault::Slow(SLOW_BY));
+    let faulty_runs = || deployment.vms[1].target.runs().len();
     for entry in [0, 1] {
         wait_until("both targets to be known", TIMEOUT, async || {
             let mut caller = deployment.vms[entry].caller().await.expect(WORKS);
@@ -85,6 +91,8 @@
             let seen = statuses(&deployment, (entry, 1), "/orders/1", status, 1).await;
             assert!(seen.keys().all(|it| matches!(it, 200 | 502)), "from {entry}: {seen:?}");
         }
+        let faulty_runs = faulty_runs();
+        assert!(faulty_runs >= STATUSES.len() * (entry + 1), "{faulty_runs} runs from {entry}");
     }
     deployment.close().unwrap();
 }
