Accept an answer only with the signature of its target

What callers saw: proper requests ended with a 3xx or 4xx without signature, which they take for the node's own and do not repeat; also a 200 that no target vouched for.

Cause: any response at the target's address that echoed the request's id counted as the target's answer. Its status reached the caller, also when a target in trouble (or something in front of it) made it up.

Fix: what a response proves is decided in one place. An answer has the id of the request and one signature; a refusal needs none, but says so (or names another target at the address). Anything else proves nothing: the request may have run, so it goes elsewhere within the budget if it may be repeated, and ends as lost otherwise. Such a response counts as a failure of the target in selection, and what it announces is not believed. An unsigned 503, 429 or 408 is no promise that the request has not run, either.

--- a/crates/galenastream_node/src/request/mod.rs
+++ b/crates/galenastream_node/src/request/mod.rs
@@ -10,6 +10,9 @@
 #[cfg(test)]
 mod progress_tests;
 mod refusal;
+mod response_proof;
+#[cfg(test)]
+mod response_proof_tests;
 mod target_choice;
 mod target_reply;
 mod target_run;
--- /dev/null
+++ b/crates/galenastream_node/src/request/response_proof.rs
@@ -0,0 +1,92 @@
+//! What a response at the local target's address proves.
+//!
+//! Load pattern: targets in trouble answer requests with any status, at once or in bursts: from a
+//! layer in front of the program that would have run the request, with the bytes of another
+//! request, or from another target that has taken over the address.
+
+use galenastream_adapter::header_names;
+use http::{HeaderMap, StatusCode, header};
+
+/// What a response proves about the request that it was read for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum ResponseProof {
+    /// The target ran the request, and this is its answer.
+    Answer,
+    /// The target did not run the request.
+    NotRun,
+    /// Another target received the request and did not run it.
+    Misdirected,
+    /// Nothing: the response belongs to another request.
+    Stray,
+    /// Nothing: the response lacks the signature of the target.
+    Unsigned,
+    /// The body is not the one that the target signed.
+    Encoded,
+}
+
+impl ResponseProof {
+    pub(super) fn of(
+        status: StatusCode,
+        headers: &HeaderMap,
+        request_id: &str,
+        target_id: &str,
+    ) -> Self {
+        let is_refusal = headers.contains_key(header_names::NOT_RUN);
+        match only_value(headers, header_names::REQUEST_ID) {
+            HeaderCount::One(id) if id == request_id.as_bytes() => {}
+            // A target that did not run the request may omit its id.
+            HeaderCount::None if is_refusal || names_other_target(status, headers, target_id) => {}
+            HeaderCount::None | HeaderCount::One(_) | HeaderCount::Several => return Self::Stray,
+        }
+        if status == StatusCode::MISDIRECTED_REQUEST {
+            return Self::Misdirected;
+        }
+        if is_refusal {
+            return Self::NotRun;
+        }
+        match only_value(headers, header_names::SIGNATURE) {
+            HeaderCount::One(signature) if !signature.trim_ascii().is_empty() => {}
+            HeaderCount::None | HeaderCount::One(_) | HeaderCount::Several => {
+                return Self::Unsigned;
+            }
+        }
+        match headers.contains_key(header::CONTENT_ENCODING) {
+            true => Self::Encoded,
+            false => Self::Answer,
+        }
+    }
+
+    /// The event of the log line about a response that is not accepted as an answer; `None` if it
+    /// is one, or proves that the request did not run.
+    pub(super) const fn unaccepted_event(self) -> Option<&'static str> {
+        match self {
+            Self::Answer | Self::NotRun | Self::Misdirected => None,
+            Self::Stray => Some("target_answer_stray"),
+            Self::Unsigned => Some("target_answer_unsigned"),
+            Self::Encoded => Some("target_answer_encoded"),
+        }
+    }
+}
+
+enum HeaderCount<'a> {
+    None,
+    One(&'a [u8]),
+    Several,
+}
+
+fn only_value<'a>(headers: &'a HeaderMap, name: &str) -> HeaderCount<'a> {
+    let mut values = headers.get_all(name).iter();
+    match (values.next(), values.next()) {
+        (None, _) => HeaderCount::None,
+        (Some(value), None) => HeaderCount::One(value.as_bytes()),
+        (Some(_), Some(_)) => HeaderCount::Several,
+    }
+}
+
+/// Whether a misdirected request was answered in the name of another target than the one that it
+/// expects.
+fn names_other_target(status: StatusCode, headers: &HeaderMap, target_id: &str) -> bool {
+    let named = headers.get(header_names::TARGET_ID);
+    status == StatusCode::MISDIRECTED_REQUEST
+        && named.is_some_and(|it| it.as_bytes() != target_id.as_bytes())
+}
--- a/crates/galenastream_node/src/request/target_reply.rs
+++ b/crates/galenastream_node/src/request/target_reply.rs
@@ -4,9 +4,10 @@
 use galenastream_runtime::{WholeResponse, boot_now, end_to_end_headers};
 use galenastream_utils::BootInstant;
 use galenastream_wire::{ForwardedReply, ForwardedRequest, ReplyOutcome, ReplyReason};
-use http::{HeaderMap, StatusCode, header};
+use http::header;
 use metrics::counter;
 
+use super::response_proof::ResponseProof;
 use crate::{connection::TargetResult, process::TrafficState};
 
 /// `Retry-After` while keys move, or while a target or its node is leaving or replaced. Also used
@@ -34,38 +35,36 @@
             return unknown(ReplyReason::ConnectionLost);
         }
     };
-    let headers = &response.parts.headers;
-    if !echoes_request_id(headers, &request.request_id) {
-        // The response belongs to another request. Closes the idle connections, so that no other
-        // response that is still under way is read.
-        traffic.target_connections.clear();
-        counter!("galenastream_stray_answers_total").increment(1);
-        log_unaccepted("target_answer_stray", request, &response);
-        return unknown(ReplyReason::BadAnswer);
+    let (status, headers) = (response.parts.status, &response.parts.headers);
+    let proof = ResponseProof::of(status, headers, &request.request_id, &request.target_id);
+    if let Some(event) = proof.unaccepted_event() {
+        log_unaccepted(event, request, &response);
     }
-    // A misdirected request was answered by another target.
-    if response.parts.status != StatusCode::MISDIRECTED_REQUEST {
+    if matches!(proof, ResponseProof::Answer | ResponseProof::NotRun) {
         traffic.update_announcement(|it| {
             if it.is_of(&request.target_id, request.target_born_ms) {
                 it.record_response(headers, &request.request_id, sent_at, boot_now());
             }
         });
     }
-    if headers.contains_key(header::CONTENT_ENCODING) {
-        log_unaccepted("target_answer_encoded", request, &response);
-        return unknown(ReplyReason::BadAnswer);
-    }
-    if headers.contains_key(header_names::NOT_RUN)
-        || response.parts.status == StatusCode::MISDIRECTED_REQUEST
-    {
-        return rejected(&response);
-    }
-    ForwardedReply {
-        outcome: ReplyOutcome::Answered as i32,
-        status: u32::from(response.parts.status.as_u16()),
-        headers: end_to_end_headers(headers),
-        body: response.body,
-        ..Default::default()
+    match proof {
+        ResponseProof::Answer => ForwardedReply {
+            outcome: ReplyOutcome::Answered as i32,
+            status: u32::from(status.as_u16()),
+            headers: end_to_end_headers(headers),
+            body: response.body,
+            ..Default::default()
+        },
+        ResponseProof::NotRun | ResponseProof::Misdirected => rejected(&response),
+        ResponseProof::Stray => {
+            // Closes the idle connections, so that no other response that is still under way is
+            // read.
+            traffic.target_connections.clear();
+            counter!("galenastream_stray_answers_total").increment(1);
+            unknown(ReplyReason::BadAnswer)
+        }
+        ResponseProof::Unsigned => unknown(ReplyReason::UnsignedAnswer),
+        ResponseProof::Encoded => unknown(ReplyReason::BadAnswer),
     }
 }
 
@@ -82,15 +81,6 @@
     );
 }
 
-/// Whether a response carries the id of its request.
-fn echoes_request_id(headers: &HeaderMap, request_id: &str) -> bool {
-    let Some(echoed) = headers.get(header_names::REQUEST_ID) else {
-        // A target that did not run the request may omit its id.
-        return headers.contains_key(header_names::NOT_RUN);
-    };
-    echoed.as_bytes() == request_id.as_bytes()
-}
-
 fn rejected(response: &WholeResponse) -> ForwardedReply {
     let value = response.parts.headers.get(header::RETRY_AFTER);
     let seconds = value.and_then(|it| it.to_str().ok()?.trim().parse::<f64>().ok());
