Show requests that a node refuses by bounds of its own, in failing tests

What callers see: 400, 413 and 431, which they do not repeat, for requests that no config says are wrong: before the first config, on connections that are older than the config in force, with more than 128 headers, with chunk lines over 1,024 bytes, and with forms that RFC 9110 and RFC 9112 allow. A caller that still sends its body when it is refused gets a reset after 1 s.

The stand-ins can start a deployment without config, write configs with other limits, and take up to 4,096 headers.

--- a/crates/galenastream_node/src/connection/request_codec_tests.rs
+++ b/crates/galenastream_node/src/connection/request_codec_tests.rs
@@ -13,7 +13,12 @@
 
 /// Decodes bytes that arrive in pieces of the given size, and returns a text for each item.
 fn decode_in_pieces(bytes: &[u8], piece: usize) -> Vec<String> {
-    let mut codec = RequestCodec::new(MAX_HEADER_BYTES, MAX_BODY_BYTES);
+    decode_within(MAX_HEADER_BYTES, bytes, piece)
+}
+
+/// The same with another limit for the headers.
+fn decode_within(max_header_bytes: usize, bytes: &[u8], piece: usize) -> Vec<String> {
+    let mut codec = RequestCodec::new(max_header_bytes, MAX_BODY_BYTES);
     let mut buffer = BytesMut::new();
     let mut seen = Vec::new();
     for part in bytes.chunks(piece) {
@@ -79,6 +84,109 @@
     }
 }
 
+/// Guards against a bound on the number of headers beside that on their length.
+#[test]
+fn the_number_of_headers_is_not_limited() {
+    for count in [127, 128, 129, 130, 1_000, 5_000] {
+        let lines: String = (0..count).map(|it| format!("a{it}:\r\n")).collect();
+        let bytes = format!("\r\nGET /a HTTP/1.1\r\n{lines}\r\nGET /b HTTP/1.1\r\n\r\n");
+        for piece in [7, 1_000, bytes.len()] {
+            let seen = decode_within(65_536, bytes.as_bytes(), piece);
+            assert_eq!(seen, ["GET /a []", "GET /b []"], "{count} headers in pieces of {piece}");
+        }
+        // The limit on the length holds for them.
+        let seen = decode_within(lines.len(), bytes.as_bytes(), bytes.len());
+        assert_eq!(seen, ["HeadersTooLong"], "{count} headers");
+    }
+}
+
+/// Guards against a bound on the lines of chunked bodies beside that on headers.
+#[test]
+fn lines_of_chunked_bodies_may_be_as_long_as_the_headers() {
+    let head = "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+    let long = "x".repeat(6_000);
+    for body in [
+        format!("3;e={long}\r\nabc\r\n0\r\n\r\n"),
+        format!("3\r\nabc\r\n0;e={long}\r\n\r\n"),
+        format!("3\r\nabc\r\n0\r\nT: {long}\r\nU: {long}\r\n\r\n"),
+    ] {
+        let bytes = format!("{head}{body}GET /b HTTP/1.1\r\n\r\n");
+        for piece in [1_000, bytes.len()] {
+            let seen = decode_within(8_192, bytes.as_bytes(), piece);
+            assert_eq!(seen, ["POST /a [abc]", "GET /b []"], "in pieces of {piece}");
+            let seen = decode_within(4_096, bytes.as_bytes(), piece);
+            assert_eq!(seen, ["HeadersTooLong"], "in pieces of {piece}");
+        }
+    }
+}
+
+/// Guards against 400 for requests that RFC 9110 and RFC 9112 allow.
+#[test]
+fn unusual_but_valid_requests_are_read() {
+    let chunked = "1\r\nb\r\n0\r\n\r\n";
+    let cases = [
+        ("Content-Length: 1, 1", "b"),
+        ("Content-Length: 1\r\nContent-Length: 1", "b"),
+        ("Content-Length: 000000000000000000000000000001", "b"),
+        ("Transfer-Encoding: \t CHUNKED ", chunked),
+        ("Transfer-Encoding: chunked,", chunked),
+        ("Transfer-Encoding:\r\nTransfer-Encoding: chunked", chunked),
+        ("Transfer-Encoding: chunked", "00000000000000000000001 ; e\r\nb\r\n00\r\n\r\n"),
+        ("Transfer-Encoding: chunked", "1;e=\"a;b\"\r\nb\r\n0\r\nT: t\r\n\r\n"),
+    ];
+    for (header, body) in cases {
+        let bytes = format!("\r\n\r\nPOST /a HTTP/1.1\r\nHost: h\r\n{header}\r\n\r\n{body}");
+        for piece in [1, 5, bytes.len()] {
+            let seen = decode_in_pieces(bytes.as_bytes(), piece);
+            assert_eq!(seen, ["POST /a [b]"], "{header}, {body:?} in pieces of {piece}");
+        }
+    }
+}
+
+/// Guards against a length beyond the numbers of the node that counts as malformed.
+#[test]
+fn a_length_beyond_all_numbers_is_too_long() {
+    let digits = "9".repeat(30);
+    for (header, body) in [
+        (format!("Content-Length: {digits}"), String::new()),
+        ("Transfer-Encoding: chunked".to_owned(), format!("{digits}\r\n")),
+    ] {
+        let bytes = format!("POST /a HTTP/1.1\r\nHost: h\r\n{header}\r\n\r\n{body}");
+        assert_eq!(decode_in_pieces(bytes.as_bytes(), bytes.len()), ["BodyTooLong"]);
+    }
+}
+
+/// Guards against 400 for valid requests that the node cannot represent.
+#[test]
+fn valid_requests_that_the_node_cannot_serve_are_not_malformed() {
+    let long = "x".repeat(70_000);
+    let names: String = (0..40_000).map(|it| format!("a{it}:\r\n")).collect();
+    for bytes in [
+        format!("GET /{long} HTTP/1.1\r\n\r\n"),
+        format!("GET /a HTTP/1.1\r\n{long}: x\r\n\r\n"),
+        format!("GET /a HTTP/1.1\r\n{names}\r\n"),
+        "GET /a HTTP/1.1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n".to_owned(),
+    ] {
+        assert_eq!(decode_within(1_000_000, bytes.as_bytes(), bytes.len()), ["Unsupported"]);
+    }
+}
+
+/// Guards against an interim response that a caller with HTTP/1.0 takes for the answer.
+#[test]
+fn expect_continue_is_ignored_in_http_1_0() {
+    let bytes = b"POST /a HTTP/1.0\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\nok";
+    assert_eq!(decode_in_pieces(bytes, 16), ["POST /a [ok]"]);
+}
+
+/// Guards against a body that ends early and looks complete.
+#[test]
+fn an_empty_line_in_place_of_a_chunk_does_not_end_the_body() {
+    let bytes = b"POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nb\r\n\r\n\r\n";
+    for piece in [1, 5, bytes.len()] {
+        assert_eq!(decode_in_pieces(bytes, piece), ["Malformed"]);
+    }
+}
+
 #[test]
 fn malformed_chunks_are_rejected() {
     let long = format!("{:x}\r\n", MAX_BODY_BYTES + 1);
--- a/crates/galenastream_node/tests/platform/main.rs
+++ b/crates/galenastream_node/tests/platform/main.rs
@@ -7,6 +7,7 @@
 mod forwarded;
 mod node_stop;
 mod overload;
+mod refused_requests;
 mod request_limit;
 mod slow_node;
 mod store_restore;
--- a/crates/galenastream_standin/src/deployment/deployment_plan.rs
+++ b/crates/galenastream_standin/src/deployment/deployment_plan.rs
@@ -4,7 +4,7 @@
 
 use serde_json::Value;
 
-use crate::{RouteFields, TargetCapacity, config_document};
+use crate::{LimitFields, RouteFields, TargetCapacity, config_document};
 
 /// The plan of a local deployment.
 #[derive(Debug, Clone)]
@@ -13,8 +13,8 @@
     pub name: String,
     /// The executable of the nodes, `galenastreamd`.
     pub program: PathBuf,
-    /// The config in the store when the nodes start.
-    pub config: Value,
+    /// The config in the store when the nodes start; `None` if it is written later.
+    pub config: Option<Value>,
     /// The approximate time between two heartbeats of a target.
     pub heartbeat_interval: Duration,
     /// The VMs, each with a target and a node beside it.
@@ -40,22 +40,33 @@
         Self {
             name: name.to_owned(),
             program: program.into(),
-            config: Self::shop_config(1, "/stock/"),
+            config: Some(Self::shop_config(1, "/stock/")),
             heartbeat_interval: Duration::from_millis(200),
             vms: services.iter().map(|it| VmPlan::new(it)).collect(),
         }
     }
 
+    /// Leaves the config out, so that the nodes start without one.
+    pub fn without_config(self) -> Self {
+        Self { config: None, ..self }
+    }
+
     /// Returns a version of the shop's config. Reads from `stock` have the path prefix
     /// `stock_path`.
     pub fn shop_config(version: u32, stock_path: &str) -> Value {
+        Self::limited_shop_config(version, stock_path, LimitFields::default())
+    }
+
+    /// Returns a version of the shop's config with these limits on requests of callers.
+    pub fn limited_shop_config(version: u32, stock_path: &str, limits: LimitFields) -> Value {
         let route = |prefix, is_idempotent, service| RouteFields { prefix, is_idempotent, service };
         let routes = [
             route("/carts/", true, "carts"),
             route(stock_path, true, "stock"),
             route("/orders/", false, "stock"),
         ];
-        config_document(version, "shop.example", &[("carts", true), ("stock", false)], &routes)
+        let services = [("carts", true), ("stock", false)];
+        config_document(version, "shop.example", &services, &routes, limits)
     }
 }
 
--- a/crates/galenastream_standin/src/deployment/local_deployment.rs
+++ b/crates/galenastream_standin/src/deployment/local_deployment.rs
@@ -40,22 +40,36 @@
 
 impl LocalDeployment {
     /// Starts the store, targets and nodes, and waits until callers on every VM reach every
-    /// service. Fails if they do not in time.
+    /// service, or, in a deployment without config, until every node accepts callers. Fails if that
+    /// does not happen in time.
     pub async fn start(plan: &DeploymentPlan) -> anyhow::Result<Self> {
         let folder = DeploymentFolder::new(&plan.name)?;
         let network = new_network();
         let store = RowStoreStandin::start((network(STORE_HOST), 0).into()).await?;
-        store.put("op", "config", plan.config.to_string().as_bytes());
+        if let Some(config) = &plan.config {
+            store.put("op", "config", config.to_string().as_bytes());
+        }
         let mut vms = Vec::with_capacity(plan.vms.len());
         for (index, vm) in plan.vms.iter().enumerate() {
             let host = FIRST_VM_HOST + u8::try_from(index).context("the plan has too many VMs")?;
             vms.push(LocalVm::start(plan, index, network(host), vm, &store, &folder).await?);
         }
         let deployment = Self { store, vms, folder };
-        deployment.wait_until_ready(&plan.vms).await?;
+        match plan.config {
+            Some(_) => deployment.wait_until_ready(&plan.vms).await?,
+            None => deployment.wait_until_accepting().await?,
+        }
         Ok(deployment)
     }
 
+    async fn wait_until_accepting(&self) -> anyhow::Result<()> {
+        for vm in &self.vms {
+            let name = format!("{} to accept callers", vm.ip);
+            wait_until(&name, START_TIMEOUT, async || vm.caller().await.is_ok()).await?;
+        }
+        Ok(())
+    }
+
     async fn wait_until_ready(&self, plan: &[VmPlan]) -> anyhow::Result<()> {
         for vm in &self.vms {
             let name = format!("{} to be ready", vm.ip);
--- a/crates/galenastream_standin/src/platform_document/config_document.rs
+++ b/crates/galenastream_standin/src/platform_document/config_document.rs
@@ -13,6 +13,21 @@
     pub service: &'a str,
 }
 
+/// The limits of a config on requests of callers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LimitFields {
+    /// The maximum size of the headers of a request together, in bytes.
+    pub max_header_bytes: usize,
+    /// The maximum size of a body, in bytes.
+    pub max_body_bytes: usize,
+}
+
+impl Default for LimitFields {
+    fn default() -> Self {
+        Self { max_header_bytes: 16_384, max_body_bytes: 65_536 }
+    }
+}
+
 /// Returns a config with the routes of one host. `services` has the name of each service, and
 /// whether its targets hold keys.
 pub fn config_document(
@@ -20,6 +35,7 @@
     host: &str,
     services: &[(&str, bool)],
     routes: &[RouteFields<'_>],
+    limits: LimitFields,
 ) -> Value {
     let services: Vec<Value> = services
         .iter()
@@ -34,7 +50,7 @@
         "version": format!("{version:08x}"),
         "services": services,
         "limits": {
-            "maxHeaderBytes": 16_384, "maxBodyBytes": 65_536,
+            "maxHeaderBytes": limits.max_header_bytes, "maxBodyBytes": limits.max_body_bytes,
             "headerTimeoutMs": 3_000, "idleTimeoutMs": 15_000,
         },
         "virtualHosts": [{ "host": host, "paths": paths }],
--- a/crates/galenastream_standin/src/platform_document/mod.rs
+++ b/crates/galenastream_standin/src/platform_document/mod.rs
@@ -3,5 +3,5 @@
 mod config_document;
 mod settings_document;
 
-pub use config_document::{RouteFields, config_document};
+pub use config_document::{LimitFields, RouteFields, config_document};
 pub use settings_document::{SettingsFields, settings_document};
--- a/crates/galenastream_standin/src/server/http_server.rs
+++ b/crates/galenastream_standin/src/server/http_server.rs
@@ -11,6 +11,9 @@
 use volo::{Service, net::incoming::DefaultIncoming};
 use volo_http::{context::ServerContext, request::Request, response::Response, server::Server};
 
+/// The maximum number of headers of a request; more than nodes forward in tests.
+const MAX_HEADERS: usize = 4_096;
+
 /// An HTTP server. Its tasks have a runtime of their own, so that stopping it also closes all its
 /// connections immediately, as a crash does.
 #[derive(Debug)]
@@ -35,7 +38,9 @@
         let listener = tokio::net::TcpListener::from_std(listener)?;
         runtime.spawn(async move {
             let incoming = DefaultIncoming::from(listener);
-            if let Err(error) = Server::new(service).run(incoming).await {
+            let mut server = Server::new(service);
+            server.http1_config().set_max_headers(MAX_HEADERS);
+            if let Err(error) = server.run(incoming).await {
                 log::error!("the server at {address} stopped: {error}");
             }
         });
