Read each request within the limits of the config in force

What callers saw: 413 and 431, which they do not repeat, from a node without a config, and on connections opened before a config that raises a limit. Cause: the limits were read once, when a connection was accepted, with defaults of the node where there was no config. The check of the body against the config was then repeated with another config at the route's lookup. Change: the codec asks for the limits in force when it reads the head of each request, and takes over higher ones while the body arrives. Without a config, what exceeds the node's own sizes is refused with 503 (no-config). The second check is gone, so that a limit that is lowered in between refuses nothing that was allowed. Why: the answer now follows from the one config that the node knows when the request comes in.

--- a/crates/galenastream_node/src/connection/caller_connections.rs
+++ b/crates/galenastream_node/src/connection/caller_connections.rs
@@ -8,6 +8,7 @@
     future::{Either, ready},
     stream::FuturesOrdered,
 };
+use galenastream_adapter::CallerLimits;
 use http::{HeaderValue, Request, Response, Version, header};
 use tokio::{
     io::Interest,
@@ -29,10 +30,6 @@
 /// ahead.
 const MAX_PIPELINED: usize = 16;
 
-/// Header and body limits until there is a config.
-const DEFAULT_MAX_HEADER_BYTES: usize = 16 * 1024;
-const DEFAULT_MAX_BODY_BYTES: usize = 1024 * 1024;
-
 /// Timeout for the next request on a connection. Callers reuse idle connections for less time.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 
@@ -47,10 +44,8 @@
 /// Serves one connection. Requests run concurrently, and responses are sent in the order of their
 /// requests. If the caller closes the connection, the futures of its requests are dropped.
 async fn serve_connection(traffic: Arc<TrafficState>, stream: TcpStream) {
-    let limits = traffic.context.routing.load().as_ref().map(|it| it.limits);
-    let max_header_bytes = limits.map_or(DEFAULT_MAX_HEADER_BYTES, |it| it.max_header_bytes);
-    let max_body_bytes = limits.map_or(DEFAULT_MAX_BODY_BYTES, |it| it.max_body_bytes);
-    let mut framed = Framed::new(stream, RequestCodec::new(max_header_bytes, max_body_bytes));
+    let limits_in_force = || traffic.context.routing.load().as_ref().map(|it| it.limits);
+    let mut framed = Framed::new(stream, RequestCodec::new(limits_in_force));
     let mut in_progress = FuturesOrdered::new();
     let mut is_last_read = false;
     loop {
@@ -119,7 +114,13 @@
 }
 
 /// Waits for the next event. While no request may be read, only the close of the connection is one.
-async fn next_event(framed: &mut Framed<TcpStream, RequestCodec>, may_read: bool) -> CallerEvent {
+async fn next_event<F>(
+    framed: &mut Framed<TcpStream, RequestCodec<F>>,
+    may_read: bool,
+) -> CallerEvent
+where
+    F: Fn() -> Option<CallerLimits> + Unpin,
+{
     if !may_read {
         wait_for_close(framed.get_ref()).await;
         return CallerEvent::Closed;
--- a/crates/galenastream_node/src/connection/request_codec.rs
+++ b/crates/galenastream_node/src/connection/request_codec.rs
@@ -7,6 +7,7 @@
 use std::io;
 
 use bytes::{Buf, Bytes, BytesMut};
+use galenastream_adapter::CallerLimits;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response, Uri, Version, header};
 use httparse::Status;
 use tokio_util::codec::{Decoder, Encoder};
@@ -18,6 +19,11 @@
 /// trailer.
 const MAX_CHUNK_LINE_BYTES: usize = 1_024;
 
+/// Sizes up to which a request is read while there is no config. Longer ones are neither read nor
+/// refused for good.
+const MAX_HEADER_BYTES_WITHOUT_CONFIG: usize = 16 * 1024;
+const MAX_BODY_BYTES_WITHOUT_CONFIG: usize = 1024 * 1024;
+
 /// An item read from a caller's connection.
 #[derive(Debug)]
 pub(super) enum Incoming {
@@ -25,7 +31,7 @@
     Request(Box<Request<Bytes>>),
     /// The caller waits for `100 Continue` before it sends the body.
     ExpectsContinue,
-    /// The bytes are not a valid request. Nothing that follows is read.
+    /// The request cannot be read. Nothing that follows is read.
     Invalid {
         error: RequestError,
         /// The head, if it could be read.
@@ -33,15 +39,17 @@
     },
 }
 
-/// Why bytes are not a valid request.
+/// Why a request cannot be read.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RequestError {
     /// The bytes are not valid HTTP/1, or the length of the body is ambiguous.
     Malformed,
-    /// The headers are longer than allowed.
+    /// The headers are longer than the config allows.
     HeadersTooLong,
-    /// The body is longer than allowed.
+    /// The body is longer than the config allows.
     BodyTooLong,
+    /// The request is long, and there is no config that says whether it is too long.
+    LimitsUnknown,
 }
 
 /// An item written to a caller's connection.
@@ -53,11 +61,14 @@
     Continue,
 }
 
-/// Decodes requests, with limits for headers and bodies, and encodes responses.
+/// Decodes requests, with the limits of the config in force, and encodes responses.
 #[derive(Debug)]
-pub(super) struct RequestCodec {
-    max_header_bytes: usize,
-    max_body_bytes: usize,
+pub(super) struct RequestCodec<F> {
+    /// Returns the limits in force; `None` before the first config.
+    limits_in_force: F,
+    /// The limits of the request that is read: those in force at its head, or higher ones that came
+    /// into force since.
+    limits: Option<CallerLimits>,
     state: ReadState,
 }
 
@@ -77,19 +88,50 @@
     Trailers,
 }
 
-impl RequestCodec {
-    pub(super) fn new(max_header_bytes: usize, max_body_bytes: usize) -> Self {
-        Self { max_header_bytes, max_body_bytes, state: ReadState::Head }
+impl<F: Fn() -> Option<CallerLimits>> RequestCodec<F> {
+    pub(super) fn new(limits_in_force: F) -> Self {
+        Self { limits_in_force, limits: None, state: ReadState::Head }
+    }
+
+    fn max_header_bytes(&self) -> usize {
+        self.limits.map_or(MAX_HEADER_BYTES_WITHOUT_CONFIG, |it| it.max_header_bytes)
+    }
+
+    fn max_body_bytes(&self) -> usize {
+        self.limits.map_or(MAX_BODY_BYTES_WITHOUT_CONFIG, |it| it.max_body_bytes)
+    }
+
+    /// Takes over limits that came into force while the body arrives, unless they are lower: the
+    /// request was allowed when the caller began it.
+    fn raise_limits(&mut self) {
+        let Some(in_force) = (self.limits_in_force)() else {
+            return;
+        };
+        let known = self.limits.unwrap_or(in_force);
+        self.limits = Some(CallerLimits {
+            max_header_bytes: in_force.max_header_bytes.max(known.max_header_bytes),
+            max_body_bytes: in_force.max_body_bytes.max(known.max_body_bytes),
+            ..in_force
+        });
     }
 
     fn fail(&mut self, error: RequestError) -> Option<Incoming> {
-        self.state = ReadState::Invalid;
-        Some(Incoming::Invalid { error, head: None })
+        self.end(error, None)
     }
 
     fn fail_after_head(&mut self, error: RequestError, head: Box<Request<()>>) -> Option<Incoming> {
+        self.end(error, Some(head))
+    }
+
+    fn end(&mut self, error: RequestError, head: Option<Box<Request<()>>>) -> Option<Incoming> {
         self.state = ReadState::Invalid;
-        Some(Incoming::Invalid { error, head: Some(head) })
+        let error = match error {
+            RequestError::HeadersTooLong | RequestError::BodyTooLong if self.limits.is_none() => {
+                RequestError::LimitsUnknown
+            }
+            error => error,
+        };
+        Some(Incoming::Invalid { error, head })
     }
 
     fn read_head(&mut self, buffer: &mut BytesMut) -> Option<Incoming> {
@@ -97,13 +139,13 @@
         let mut parsed = httparse::Request::new(&mut headers);
         let length = match parsed.parse(buffer) {
             Ok(Status::Complete(length)) => length,
-            Ok(Status::Partial) if buffer.len() > self.max_header_bytes => {
+            Ok(Status::Partial) if buffer.len() > self.max_header_bytes() => {
                 return self.fail(RequestError::HeadersTooLong);
             }
             Ok(Status::Partial) => return None,
             Err(_) => return self.fail(RequestError::Malformed),
         };
-        if length > self.max_header_bytes {
+        if length > self.max_header_bytes() {
             return self.fail(RequestError::HeadersTooLong);
         }
         let Some(head) = build_head(&parsed) else {
@@ -113,7 +155,7 @@
         let expects_continue = head.headers().contains_key(header::EXPECT);
         let head = Box::new(head);
         match body_framing(head.headers()) {
-            Some(Framing::Sized(length)) if length > self.max_body_bytes => {
+            Some(Framing::Sized(length)) if length > self.max_body_bytes() => {
                 return self.fail_after_head(RequestError::BodyTooLong, head);
             }
             Some(Framing::Sized(length)) => self.state = ReadState::Sized { head, length },
@@ -131,6 +173,10 @@
 
     fn read_body(&mut self, buffer: &mut BytesMut) -> Option<Incoming> {
         match std::mem::replace(&mut self.state, ReadState::Head) {
+            // The first config came into force while the body arrived.
+            ReadState::Sized { head, length } if length > self.max_body_bytes() => {
+                self.fail_after_head(RequestError::BodyTooLong, head)
+            }
             ReadState::Sized { head, length } if buffer.len() < length => {
                 self.state = ReadState::Sized { head, length };
                 None
@@ -140,7 +186,7 @@
                 Some(Incoming::Request(Box::new(head.map(|()| body))))
             }
             ReadState::Chunked { head, mut body, mut step } => {
-                match read_chunks(buffer, &mut body, &mut step, self.max_body_bytes) {
+                match read_chunks(buffer, &mut body, &mut step, self.max_body_bytes()) {
                     Ok(true) => Some(Incoming::Request(Box::new(head.map(|()| body.freeze())))),
                     Ok(false) => {
                         self.state = ReadState::Chunked { head, body, step };
@@ -157,15 +203,21 @@
     }
 }
 
-impl Decoder for RequestCodec {
+impl<F: Fn() -> Option<CallerLimits>> Decoder for RequestCodec<F> {
     type Item = Incoming;
     type Error = io::Error;
 
     fn decode(&mut self, buffer: &mut BytesMut) -> io::Result<Option<Incoming>> {
         Ok(match self.state {
             ReadState::Head if buffer.is_empty() => None,
-            ReadState::Head => self.read_head(buffer),
-            ReadState::Sized { .. } | ReadState::Chunked { .. } => self.read_body(buffer),
+            ReadState::Head => {
+                self.limits = (self.limits_in_force)();
+                self.read_head(buffer)
+            }
+            ReadState::Sized { .. } | ReadState::Chunked { .. } => {
+                self.raise_limits();
+                self.read_body(buffer)
+            }
             ReadState::Invalid => {
                 buffer.clear();
                 None
@@ -181,7 +233,7 @@
     }
 }
 
-impl Encoder<Outgoing> for RequestCodec {
+impl<F> Encoder<Outgoing> for RequestCodec<F> {
     type Error = io::Error;
 
     fn encode(&mut self, outgoing: Outgoing, buffer: &mut BytesMut) -> io::Result<()> {
--- a/crates/galenastream_node/src/request/caller_request.rs
+++ b/crates/galenastream_node/src/request/caller_request.rs
@@ -28,7 +28,8 @@
 }
 
 impl CallerRequest {
-    /// Parses a request and finds its route.
+    /// Parses a request and finds its route. The limits are checked where the request is read: a
+    /// config that came into force since may have lowered them.
     pub(super) fn parse(
         parts: &Parts,
         body: Bytes,
@@ -48,9 +49,6 @@
         let deadline = Deadline::of_answer(arrived_at, to_ms(requested_ms))
             .min(Deadline::new(arrived_at, to_ms(route.timeout_ms)));
         let route = route.clone();
-        if body.len() > routing.limits.max_body_bytes {
-            return Err(Refusal::TooLong);
-        }
         Ok(Self {
             id: address.request_id.to_owned(),
             host: address.host.to_owned(),
--- a/crates/galenastream_node/src/request/entry.rs
+++ b/crates/galenastream_node/src/request/entry.rs
@@ -76,6 +76,7 @@
         RequestError::Malformed => Refusal::Malformed,
         RequestError::HeadersTooLong => Refusal::HeadersTooLong,
         RequestError::BodyTooLong => Refusal::TooLong,
+        RequestError::LimitsUnknown => Refusal::NoConfig,
     };
     let address = head.map(|it| RequestAddress::of_head(it.headers(), it.uri()));
     refuse(traffic, refusal, &address.unwrap_or_default())
