Refuse for good only requests that are wrong by HTTP/1 or by the config

What callers saw: 400, which they do not repeat, for valid requests: with more than 128 headers, with lines of a chunked body over 1,024 bytes, with a repeated identical Content-Length, an empty element in Transfer-Encoding or leading zeros in the size of a chunk, with a transfer coding, target or name of a header that the node cannot handle. Cause: bounds and parsers of the node's own, in the codec and in httparse. What the node cannot represent or decode becomes 503 (unsupported).

--- a/crates/galenastream_node/src/request/entry.rs
+++ b/crates/galenastream_node/src/request/entry.rs
@@ -77,6 +77,7 @@
         RequestError::HeadersTooLong => Refusal::HeadersTooLong,
         RequestError::BodyTooLong => Refusal::TooLong,
         RequestError::LimitsUnknown => Refusal::NoConfig,
+        RequestError::Unsupported => Refusal::Unsupported,
     };
     let address = head.map(|it| RequestAddress::of_head(it.headers(), it.uri()));
     refuse(traffic, refusal, &address.unwrap_or_default())
--- a/crates/galenastream_node/src/request/refusal.rs
+++ b/crates/galenastream_node/src/request/refusal.rs
@@ -15,6 +15,11 @@
         "the bytes are not a valid HTTP/1 request; check the request line, the headers and the framing of the body"
     )]
     Malformed,
+    /// The request is valid, and the node cannot represent or decode it.
+    #[error(
+        "the node cannot read this valid request, which has not run; send a shorter target, fewer headers or no transfer coding but chunked"
+    )]
+    Unsupported,
     /// The headers are longer than allowed.
     #[error("the headers are longer than the config allows; send less")]
     HeadersTooLong,
@@ -43,7 +48,7 @@
     /// The HTTP status. Only 4xx and 503 guarantee that the request has not run.
     pub(super) const fn status(self) -> u16 {
         match self {
-            Self::NoConfig | Self::NotRun { .. } => 503,
+            Self::NoConfig | Self::Unsupported | Self::NotRun { .. } => 503,
             Self::NoRoute => 404,
             Self::Malformed => 400,
             Self::HeadersTooLong => 431,
@@ -59,6 +64,7 @@
             Self::NoConfig => "no-config",
             Self::NoRoute => "no-route",
             Self::Malformed => "malformed",
+            Self::Unsupported => "unsupported",
             Self::HeadersTooLong => "headers-too-long",
             Self::TooLong => "too-long",
             Self::NotRun { .. } => "not-run",
@@ -72,6 +78,7 @@
         match self {
             Self::NotRun { retry_after_ms } => Some(retry_after_ms),
             Self::NoConfig => Some(NO_CONFIG_RETRY_AFTER_MS),
+            Self::Unsupported => Some(UNSUPPORTED_RETRY_AFTER_MS),
             _ => None,
         }
     }
@@ -79,3 +86,6 @@
 
 /// `Retry-After` of a node without config. It reads one within a few round trips.
 const NO_CONFIG_RETRY_AFTER_MS: u32 = 100;
+
+/// `Retry-After` of a request that the node cannot read. Another node may be of a newer version.
+const UNSUPPORTED_RETRY_AFTER_MS: u32 = 1_000;
