Route a request by the host of an absolute target

What callers saw: 404, which they do not repeat, for a request with an absolute target and another host in the header Host, as a proxy may send it. Cause: the header was preferred, against RFC 9112, section 3.2.2. Change: the authority of the target, without user information, takes precedence, and is the Host that the target gets. Evidence: the process test failed before with 404 and passes.

--- a/crates/galenastream_node/src/request/caller_request.rs
+++ b/crates/galenastream_node/src/request/caller_request.rs
@@ -83,7 +83,9 @@
     }
 
     pub(super) fn of_head(headers: &'a HeaderMap, uri: &'a Uri) -> Self {
-        let host = header_text(headers, header::HOST.as_str()).or_else(|| uri.host());
+        // RFC 9112, section 3.2.2: the host of the target takes precedence.
+        let of_target = uri.authority().and_then(|it| it.as_str().rsplit('@').next());
+        let host = of_target.or_else(|| header_text(headers, header::HOST.as_str()));
         Self {
             request_id: header_text(headers, header_names::REQUEST_ID).unwrap_or_default(),
             host: host.unwrap_or_default(),
