Let a caller that is refused finish sending

What callers saw: a broken connection while they still sent the body of a request that was refused, so that some never read the answer. Cause: the connection was closed, with a reset, 1 s after the answer, however much was still arriving. Change: what arrives is read and discarded as long as it goes on, up to 10 s; a peer that sends nothing for 1 s is still given up.

--- a/crates/galenastream_node/src/connection/accept.rs
+++ b/crates/galenastream_node/src/connection/accept.rs
@@ -21,9 +21,13 @@
 /// less time.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 
-/// Timeout for the peer to close its side too: a few round trips to callers.
+/// Timeout for the peer to close its side too, or to send more: a few round trips to callers.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(1_000);
 
+/// Maximum time for which a peer may go on sending on a connection that is being closed; longer
+/// than callers wait for a response.
+const MAX_DISCARD_TIME: Duration = Duration::from_secs(10);
+
 /// Accepts connections until the process ends, and passes each to `serve`.
 pub(super) async fn accept_all(listener: TcpListener, mut serve: impl FnMut(TcpStream)) {
     loop {
@@ -61,16 +65,24 @@
     }
 }
 
-/// Closes a connection without a reset. Requests that the peer has sent after the last answered one
-/// are read and discarded: closing a socket with unread bytes resets the connection, which may
-/// discard the last response before it is delivered.
+/// Closes a connection without a reset. What the peer sends after the last answered request, or to
+/// the end of one that was refused before it was read, is read and discarded: closing a socket with
+/// unread bytes resets the connection, which may discard the last response before it is delivered.
 pub(super) async fn close_gracefully(mut stream: TcpStream) {
     if stream.shutdown().await.is_err() {
         return;
     }
     let mut discarded = [0; 4_096];
-    let drain = async { while matches!(stream.read(&mut discarded).await, Ok(1..)) {} };
-    if timeout(CLOSE_TIMEOUT, drain).await.is_err() {
+    let discard = async {
+        loop {
+            match timeout(CLOSE_TIMEOUT, stream.read(&mut discarded)).await {
+                Ok(Ok(1..)) => {}
+                Ok(_) => return true,
+                Err(_) => return false,
+            }
+        }
+    };
+    if !timeout(MAX_DISCARD_TIME, discard).await.unwrap_or(false) {
         log::debug!(event = "connection_not_closed_by_peer"; "");
     }
 }
