Let a message that is too long end only its own request

Callers of other requests between the same two nodes got 502, and requests that may run only once were lost: a request or a reply above the 4 MiB of a frame ended the connection between the nodes. A config allows request bodies of up to 64 MiB.

A request that is too long was not sent: it ends with 503, request-too-long, or is served by another target. A reply that is too long becomes one of unknown outcome, answer-too-long. The codec refuses a frame before it writes any of it, so the connection goes on.

Evidence: both tests of long_bodies.rs failed before, with 502 for the other request on the connection.

--- a/crates/galenastream_node/src/connection/peer_connections.rs
+++ b/crates/galenastream_node/src/connection/peer_connections.rs
@@ -6,7 +6,10 @@
 use galenastream_routing::TransitDelay;
 use galenastream_runtime::boot_now;
 use galenastream_utils::FastMap;
-use galenastream_wire::{ForwardedRequest, FrameCodec, PeerFrame, StatusSeen, peer_frame::Body};
+use galenastream_wire::{
+    ForwardedReply, ForwardedRequest, FrameCodec, PeerFrame, ReplyOutcome, ReplyReason, StatusSeen,
+    WireError, peer_frame::Body,
+};
 use tokio::{
     net::{
         TcpListener, TcpStream,
@@ -47,7 +50,13 @@
 async fn write_replies(stream: OwnedWriteHalf, mut queue: mpsc::Receiver<PeerFrame>) {
     let mut writer = FramedWrite::new(stream, FrameCodec::<PeerFrame>::new());
     while let Some(frame) = queue.recv().await {
-        if let Err(error) = writer.feed(frame).await {
+        let correlation = frame.correlation;
+        let mut result = writer.feed(frame).await;
+        if let Err(error @ WireError::TooLong { .. }) = &result {
+            log::warn!(event = "reply_too_long", reason:% = error; "");
+            result = writer.feed(reply_too_long(correlation)).await;
+        }
+        if let Err(error) = result {
             log::info!(event = "reply_not_written", reason:% = error; "");
             return;
         }
@@ -58,6 +67,16 @@
     }
 }
 
+/// What is sent in place of a reply that is too long for a connection between nodes.
+fn reply_too_long(correlation: u64) -> PeerFrame {
+    let reply = ForwardedReply {
+        outcome: ReplyOutcome::Unknown as i32,
+        reason: ReplyReason::AnswerTooLong as i32,
+        ..Default::default()
+    };
+    PeerFrame { correlation, body: Some(Body::Reply(reply)) }
+}
+
 /// A connection that another node opened.
 struct PeerConnection {
     traffic: Arc<TrafficState>,
--- a/crates/galenastream_node/src/request/attempt.rs
+++ b/crates/galenastream_node/src/request/attempt.rs
@@ -83,6 +83,7 @@
             Err(PeerError::NotSent | PeerError::Unreachable | PeerError::QueueFull) => {
                 (ReplyOutcome::NotSent, ReplyReason::PeerLost)
             }
+            Err(PeerError::RequestTooLong) => (ReplyOutcome::NotSent, ReplyReason::RequestTooLong),
         };
     ForwardedReply { outcome: outcome as i32, reason: reason as i32, ..Default::default() }
 }
@@ -144,7 +145,10 @@
     let outcome = ReplyOutcome::try_from(reply.outcome).unwrap_or(ReplyOutcome::Unknown);
     match outcome {
         ReplyOutcome::Answered => reply.status >= 500,
-        ReplyOutcome::NotSent => !is_lack_of_capacity(reply.reason),
+        // The length of a request says nothing about the target.
+        ReplyOutcome::NotSent => {
+            !is_lack_of_capacity(reply.reason) && reply.reason != ReplyReason::RequestTooLong as i32
+        }
         ReplyOutcome::Unknown | ReplyOutcome::Rejected => true,
     }
 }
--- a/crates/galenastream_node/tests/platform/main.rs
+++ b/crates/galenastream_node/tests/platform/main.rs
@@ -6,6 +6,7 @@
 mod deployment;
 mod endless_answer;
 mod forwarded;
+mod long_bodies;
 mod node_stop;
 mod overload;
 mod request_limit;
--- a/crates/galenastream_runtime/src/frame_link.rs
+++ b/crates/galenastream_runtime/src/frame_link.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use futures::{SinkExt, StreamExt};
-use galenastream_wire::{CorrelatedFrame, FrameCodec};
+use galenastream_wire::{CorrelatedFrame, FrameCodec, WireError};
 use tokio::{
     net::{
         TcpStream,
@@ -22,11 +22,14 @@
 /// Timeout for opening a connection to another node.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// The requests that wait for their replies. An error ends just one of them.
+type Replies<F> = PendingReplies<Result<<F as CorrelatedFrame>::Body, PeerError>>;
+
 /// A connection to another node over which all requests to it are multiplexed.
 #[derive(Debug)]
 pub struct FrameLink<F: CorrelatedFrame> {
     frames: mpsc::Sender<F>,
-    pending: Arc<PendingReplies<F::Body>>,
+    pending: Arc<Replies<F>>,
 }
 
 impl<F: CorrelatedFrame> FrameLink<F> {
@@ -72,7 +75,7 @@
         let reply = timeout(reply_timeout, waiting.reply).await;
         drop(cancel_on_drop);
         match reply {
-            Ok(Ok(body)) => Ok(body),
+            Ok(Ok(result)) => result,
             Ok(Err(_)) => Err(PeerError::Lost),
             Err(_) => Err(PeerError::TimedOut),
         }
@@ -99,13 +102,21 @@
 async fn write_frames<F: CorrelatedFrame>(
     stream: OwnedWriteHalf,
     mut queue: mpsc::Receiver<F>,
-    pending: Arc<PendingReplies<F::Body>>,
+    pending: Arc<Replies<F>>,
 ) {
     let mut writer = FramedWrite::new(stream, FrameCodec::<F>::new());
     while let Some(frame) = queue.recv().await {
-        if pending.is_closed() || writer.feed(frame).await.is_err() {
+        if pending.is_closed() {
             break;
         }
+        let correlation = frame.correlation();
+        match writer.feed(frame).await {
+            Ok(()) => {}
+            Err(WireError::TooLong { .. }) => {
+                pending.complete(correlation, Err(PeerError::RequestTooLong));
+            }
+            Err(_) => break,
+        }
         // Frames that are already queued are sent in one write.
         if queue.is_empty() && writer.flush().await.is_err() {
             break;
@@ -114,10 +125,7 @@
     pending.close();
 }
 
-async fn read_frames<F: CorrelatedFrame>(
-    stream: OwnedReadHalf,
-    pending: Arc<PendingReplies<F::Body>>,
-) {
+async fn read_frames<F: CorrelatedFrame>(stream: OwnedReadHalf, pending: Arc<Replies<F>>) {
     let mut reader = FramedRead::new(stream, FrameCodec::<F>::new());
     while let Some(Ok(frame)) = reader.next().await {
         let (correlation, body) = frame.into_parts();
@@ -125,7 +133,7 @@
             count_dropped_frame("empty");
             continue;
         };
-        if !pending.complete(correlation, body) {
+        if !pending.complete(correlation, Ok(body)) {
             count_dropped_frame("late-reply");
         }
     }
--- a/crates/galenastream_runtime/src/peer_error.rs
+++ b/crates/galenastream_runtime/src/peer_error.rs
@@ -15,6 +15,9 @@
     /// The write queue of the connection is full. Nothing was sent.
     #[error("the write queue to the node is full; retry later")]
     QueueFull,
+    /// The request is longer than a connection between nodes carries. Nothing was sent.
+    #[error("the request is too long for a connection between nodes; send a smaller body")]
+    RequestTooLong,
     /// The connection broke before the reply. The request may have run.
     #[error("the connection broke after the request was sent")]
     Lost,
@@ -33,6 +36,7 @@
             Self::NotSent => "not-sent",
             Self::Unreachable => "unreachable",
             Self::QueueFull => "queue-full",
+            Self::RequestTooLong => "request-too-long",
             Self::Lost => "lost",
             Self::TimedOut => "timed-out",
             Self::Unexpected => "unexpected",
--- a/crates/galenastream_standin/src/platform_target/endless_target.rs
+++ b/crates/galenastream_standin/src/platform_target/endless_target.rs
@@ -1,6 +1,9 @@
 //! A target whose answers do not end.
 
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::{
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
 
 use anyhow::Context;
 use tokio::{
@@ -17,6 +20,12 @@
 /// Requests whose path ends in this get an empty answer, whatever other requests get.
 const COMPLETE_PATH: &str = "/complete";
 
+/// Requests whose path ends in this get an empty answer after [`SLOW_TIME`].
+const SLOW_PATH: &str = "/slow";
+
+/// The time of a slow request; long enough for others to start and end meanwhile.
+const SLOW_TIME: Duration = Duration::from_millis(600);
+
 /// A target that speaks HTTP on bare connections, so that its answers need not end. It sends
 /// heartbeats like [`PlatformTargetStandin`](super::PlatformTargetStandin). Dropping it closes its
 /// connections.
@@ -127,7 +136,11 @@
             continue;
         }
         lock(&state.runs).push(request.id);
-        let answer = match request.path.ends_with(COMPLETE_PATH) {
+        let is_slow = request.path.ends_with(SLOW_PATH);
+        if is_slow {
+            tokio::time::sleep(SLOW_TIME).await;
+        }
+        let answer = match is_slow || request.path.ends_with(COMPLETE_PATH) {
             true => EndlessAnswer::Complete(0),
             false => *lock(&state.answer),
         };
--- a/crates/galenastream_wire/src/frame/correlated_frame.rs
+++ b/crates/galenastream_wire/src/frame/correlated_frame.rs
@@ -9,11 +9,14 @@
 /// Connections are generic over this trait.
 pub trait CorrelatedFrame: Message + Default + Clone + Send + Sync + 'static {
     /// The message that a frame carries.
-    type Body: Send + 'static;
+    type Body: std::fmt::Debug + Send + 'static;
 
     /// Creates a frame from a correlation id and a message.
     fn new(correlation: u64, body: Self::Body) -> Self;
 
+    /// Returns the correlation id.
+    fn correlation(&self) -> u64;
+
     /// Splits the frame into its correlation id and its message, which is `None` if the frame is
     /// empty or of an unknown kind.
     fn into_parts(self) -> (u64, Option<Self::Body>);
@@ -29,6 +32,10 @@
         Self { correlation, body: Some(body) }
     }
 
+    fn correlation(&self) -> u64 {
+        self.correlation
+    }
+
     fn into_parts(self) -> (u64, Option<Self::Body>) {
         (self.correlation, self.body)
     }
--- a/crates/galenastream_wire/src/message/request.rs
+++ b/crates/galenastream_wire/src/message/request.rs
@@ -148,6 +148,8 @@
     RateLimited = 13,
     /// The target's response is longer than a node accepts, or the node had no memory left for it.
     AnswerTooLong = 14,
+    /// The request is longer than a node takes from another one.
+    RequestTooLong = 15,
 }
 
 impl ReplyReason {
@@ -169,6 +171,7 @@
             Self::CallerLeft => "caller-left",
             Self::RateLimited => "rate-limited",
             Self::AnswerTooLong => "answer-too-long",
+            Self::RequestTooLong => "request-too-long",
         }
     }
 }
