Send long bodies between nodes in parts

A request or an answer above the 4 MiB of a frame was never carried between two nodes: callers got 503 on every attempt, or 502 although the target had answered.

Bodies that do not fit into a frame are sent in parts of 64 KiB under the correlation id of their message. Parts take turns with the frames of other messages, so that these do not wait for a whole body. The last part carries the message without its body. The receiver collects up to 8 MiB for a message, within the budget of the process; bodies above 64 KiB that arrive in one frame count too. A message that exceeds either ends alone: a request as not sent (request-too-long), a reply as of unknown outcome (answer-too-long). Its further parts do not fit to any message and are ignored. At most 64 messages of a connection may be incomplete, and a connection on which the rest of one does not arrive for 10 s is closed.

--- a/crates/galenastream_node/src/connection/peer_connections.rs
+++ b/crates/galenastream_node/src/connection/peer_connections.rs
@@ -2,13 +2,11 @@
 
 use std::sync::{Arc, Mutex, PoisonError};
 
-use futures::{SinkExt, StreamExt};
 use galenastream_routing::TransitDelay;
-use galenastream_runtime::boot_now;
+use galenastream_runtime::{FrameReader, FrameWriter, ReceivedFrame, boot_now};
 use galenastream_utils::FastMap;
 use galenastream_wire::{
-    ForwardedReply, ForwardedRequest, FrameCodec, PeerFrame, ReplyOutcome, ReplyReason, StatusSeen,
-    WireError, peer_frame::Body,
+    ForwardedRequest, PeerFrame, ReplyReason, StatusSeen, WireError, peer_frame::Body,
 };
 use tokio::{
     net::{
@@ -18,12 +16,11 @@
     sync::mpsc,
     task::AbortHandle,
 };
-use tokio_util::codec::{FramedRead, FramedWrite};
 
 use super::accept::accept_all;
 use crate::{
     process::{ControlEvent, TrafficState},
-    request::run_for_peer,
+    request::{TOO_LONG_RETRY_AFTER_MS, not_sent, run_for_peer, unknown},
 };
 
 /// Maximum number of replies that wait to be written on one connection.
@@ -48,15 +45,17 @@
 }
 
 async fn write_replies(stream: OwnedWriteHalf, mut queue: mpsc::Receiver<PeerFrame>) {
-    let mut writer = FramedWrite::new(stream, FrameCodec::<PeerFrame>::new());
-    while let Some(frame) = queue.recv().await {
-        let correlation = frame.correlation;
-        let mut result = writer.feed(frame).await;
-        if let Err(error @ WireError::TooLong { .. }) = &result {
-            log::warn!(event = "reply_too_long", reason:% = error; "");
-            result = writer.feed(reply_too_long(correlation)).await;
-        }
-        if let Err(error) = result {
+    let mut writer = FrameWriter::new(stream);
+    loop {
+        // While parts of long replies are left, they take turns with the frames in the queue.
+        let frame = match writer.has_parts() {
+            true => queue.try_recv().ok(),
+            false => match queue.recv().await {
+                Some(frame) => Some(frame),
+                None => return,
+            },
+        };
+        if let Err(error) = write_next(&mut writer, frame).await {
             log::info!(event = "reply_not_written", reason:% = error; "");
             return;
         }
@@ -67,13 +66,27 @@
     }
 }
 
+/// Writes a frame, if there is one, and a part of a long reply, if there is one.
+async fn write_next(
+    writer: &mut FrameWriter<PeerFrame>,
+    frame: Option<PeerFrame>,
+) -> Result<(), WireError> {
+    if let Some(frame) = frame {
+        let correlation = frame.correlation;
+        match writer.feed(frame).await {
+            Err(error @ WireError::TooLong { .. }) => {
+                log::warn!(event = "reply_too_long", reason:% = error; "");
+                writer.feed(reply_too_long(correlation)).await?;
+            }
+            result => result?,
+        }
+    }
+    writer.feed_part(|_| true).await
+}
+
 /// What is sent in place of a reply that is too long for a connection between nodes.
 fn reply_too_long(correlation: u64) -> PeerFrame {
-    let reply = ForwardedReply {
-        outcome: ReplyOutcome::Unknown as i32,
-        reason: ReplyReason::AnswerTooLong as i32,
-        ..Default::default()
-    };
+    let reply = unknown(ReplyReason::AnswerTooLong);
     PeerFrame { correlation, body: Some(Body::Reply(reply)) }
 }
 
@@ -86,16 +99,25 @@
 
 impl PeerConnection {
     async fn read(&self, stream: OwnedReadHalf) {
-        let mut reader = FramedRead::new(stream, FrameCodec::<PeerFrame>::new());
+        let mut reader = FrameReader::<PeerFrame>::new(stream, self.traffic.body_budget.clone());
         let mut transit_delay = TransitDelay::new();
         loop {
             match reader.next().await {
-                Some(Ok(mut frame)) => {
-                    if let Some(Body::Request(request)) = &mut frame.body {
-                        subtract_delay(request, &mut transit_delay);
+                Some(Ok(ReceivedFrame::Whole(mut frame))) => {
+                    match &mut frame.body {
+                        Some(Body::Request(request)) => subtract_delay(request, &mut transit_delay),
+                        Some(Body::Cancel(_)) => reader.forget(frame.correlation),
+                        _ => {}
                     }
                     self.handle(frame);
                 }
+                Some(Ok(ReceivedFrame::Part { .. })) => {}
+                Some(Ok(ReceivedFrame::TooLong { correlation, bytes })) => {
+                    log::warn!(event = "request_too_long", bytes; "");
+                    let retry_after_ms = TOO_LONG_RETRY_AFTER_MS;
+                    let reply = not_sent(ReplyReason::RequestTooLong, retry_after_ms);
+                    self.reply(correlation, Body::Reply(reply));
+                }
                 Some(Err(error)) => {
                     log::info!(event = "peer_frame_unreadable", reason:% = error; "");
                     return;
@@ -127,7 +149,8 @@
             }
             Some(Body::Request(request)) => self.start(correlation, request),
             Some(Body::Cancel(_)) => self.cancel(correlation),
-            Some(Body::StatusSeen(_) | Body::Reply(_) | Body::SyncState(_)) | None => {
+            Some(Body::StatusSeen(_) | Body::Reply(_) | Body::SyncState(_) | Body::Part(_))
+            | None => {
                 log::warn!(event = "peer_frame_unexpected"; "");
             }
         }
--- a/crates/galenastream_node/src/connection/peer_links.rs
+++ b/crates/galenastream_node/src/connection/peer_links.rs
@@ -11,7 +11,7 @@
 };
 
 use galenastream_routing::NodeKey;
-use galenastream_runtime::{FrameLink, PeerError, boot_now};
+use galenastream_runtime::{BodyBudget, FrameLink, PeerError, boot_now};
 use galenastream_utils::{BootInstant, FastMap};
 use galenastream_wire::{NodeStatus, PeerFrame, SyncQuery, peer_frame::Body};
 use tokio::{
@@ -40,8 +40,9 @@
 type Link = FrameLink<PeerFrame>;
 
 /// Connections to other nodes, one for each, opened on demand.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct PeerLinks {
+    budget: Arc<BodyBudget>,
     links: Mutex<FastMap<NodeKey, Arc<PeerLink>>>,
 }
 
@@ -62,9 +63,9 @@
 }
 
 impl PeerLinks {
-    /// Creates an empty set of connections.
-    pub fn new() -> Self {
-        Self::default()
+    /// Creates an empty set of connections, which hold long replies within `budget`.
+    pub fn new(budget: Arc<BodyBudget>) -> Self {
+        Self { budget, links: Mutex::default() }
     }
 
     /// Sends a message to a node and waits for the reply. Dropping the future cancels the request.
@@ -118,7 +119,7 @@
         if boot_now().saturating_since(failed_at) < RECONNECT_BACKOFF {
             return Err(PeerError::NotSent);
         }
-        match Link::connect(address).await {
+        match Link::connect(address, self.budget.clone()).await {
             Ok(link) => {
                 let link = Arc::new(OpenLink { link, retired: CancellationToken::new() });
                 *current = Some(link.clone());
--- a/crates/galenastream_node/src/connection/target_connections.rs
+++ b/crates/galenastream_node/src/connection/target_connections.rs
@@ -7,7 +7,9 @@
 };
 
 use bytes::Bytes;
-use galenastream_runtime::{BodyBudget, BodyBuffer, ExchangeError, HttpConnection, WholeResponse};
+use galenastream_runtime::{
+    BodyBudget, BodyBuffer, ExchangeError, HttpConnection, MAX_BODY_BYTES, WholeResponse,
+};
 use http::{HeaderMap, Request, header};
 use http_body_util::Full;
 use metrics::counter;
@@ -16,9 +18,6 @@
 /// Timeout for opening a connection. The target is on the same VM.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Maximum size of the body of a response.
-const MAX_RESPONSE_BYTES: usize = 8 * 1024 * 1024;
-
 /// Time for which the target is assumed to keep an idle connection if it sends no `Keep-Alive`.
 const DEFAULT_KEEP_ALIVE: Duration = Duration::from_millis(4_000);
 
@@ -97,7 +96,7 @@
         mut connection: HttpConnection,
         request: Request<Full<Bytes>>,
     ) -> Result<WholeResponse, ExchangeError> {
-        let buffer = BodyBuffer::new(MAX_RESPONSE_BYTES).with_budget(&self.budget);
+        let buffer = BodyBuffer::new(MAX_BODY_BYTES).with_budget(&self.budget);
         let response = connection.exchange(request, buffer).await?;
         let is_kept = response.parts.headers.get(header::CONNECTION).is_none_or(|it| it != "close");
         if is_kept {
--- a/crates/galenastream_node/src/process/traffic_state.rs
+++ b/crates/galenastream_node/src/process/traffic_state.rs
@@ -38,6 +38,8 @@
 pub struct TrafficState {
     /// The state shared with the control thread.
     pub context: Arc<NodeContext>,
+    /// The memory for long bodies in progress.
+    pub body_budget: Arc<BodyBudget>,
     /// The connections to other nodes.
     pub links: PeerLinks,
     /// The connections to the local target.
@@ -70,8 +72,9 @@
         let settings = context.settings.load_full();
         let budget = BodyBudget::new(body_budget_bytes(&settings.limits));
         Self {
-            links: PeerLinks::new(),
-            target_connections: TargetConnections::new(settings.target_address, budget),
+            links: PeerLinks::new(budget.clone()),
+            target_connections: TargetConnections::new(settings.target_address, budget.clone()),
+            body_budget: budget,
             admission: AdmissionController::new(admission_limits(
                 DEFAULT_SLOTS,
                 &EffectiveSettings::default(),
--- a/crates/galenastream_node/src/request/attempt.rs
+++ b/crates/galenastream_node/src/request/attempt.rs
@@ -11,7 +11,11 @@
     ForwardedReply, ForwardedRequest, Header, ReplyOutcome, ReplyReason, peer_frame::Body,
 };
 
-use super::{caller_request::CallerRequest, target_run::run_at_target};
+use super::{
+    caller_request::CallerRequest,
+    target_reply::{TOO_LONG_RETRY_AFTER_MS, not_sent, unknown},
+    target_run::run_at_target,
+};
 use crate::process::{NodeEntry, TrafficState};
 
 /// Grace period after the request's deadline for a peer's reply to arrive.
@@ -83,7 +87,10 @@
             Err(PeerError::NotSent | PeerError::Unreachable | PeerError::QueueFull) => {
                 (ReplyOutcome::NotSent, ReplyReason::PeerLost)
             }
-            Err(PeerError::RequestTooLong) => (ReplyOutcome::NotSent, ReplyReason::RequestTooLong),
+            Err(PeerError::RequestTooLong) => {
+                return not_sent(ReplyReason::RequestTooLong, TOO_LONG_RETRY_AFTER_MS);
+            }
+            Err(PeerError::ReplyTooLong) => return unknown(ReplyReason::AnswerTooLong),
         };
     ForwardedReply { outcome: outcome as i32, reason: reason as i32, ..Default::default() }
 }
--- a/crates/galenastream_node/src/request/mod.rs
+++ b/crates/galenastream_node/src/request/mod.rs
@@ -15,4 +15,5 @@
 mod target_run;
 
 pub use entry::answer_caller;
+pub use target_reply::{TOO_LONG_RETRY_AFTER_MS, not_sent, unknown};
 pub use target_run::run_for_peer;
--- a/crates/galenastream_node/src/request/target_reply.rs
+++ b/crates/galenastream_node/src/request/target_reply.rs
@@ -16,6 +16,9 @@
 /// `Retry-After` if there is no target or it cannot be reached.
 pub(super) const UNREACHABLE_RETRY_AFTER_MS: u32 = 300;
 
+/// `Retry-After` if a request is too long for the memory that a node has left for it.
+pub const TOO_LONG_RETRY_AFTER_MS: u32 = 300;
+
 /// Converts the result of a request to the target into a reply.
 pub(super) fn reply_from_result(
     traffic: &TrafficState,
@@ -94,7 +97,8 @@
     }
 }
 
-pub(super) fn not_sent(reason: ReplyReason, retry_after_ms: u32) -> ForwardedReply {
+/// The reply to a request that was not sent to the target.
+pub fn not_sent(reason: ReplyReason, retry_after_ms: u32) -> ForwardedReply {
     ForwardedReply {
         outcome: ReplyOutcome::NotSent as i32,
         reason: reason as i32,
@@ -103,7 +107,8 @@
     }
 }
 
-pub(super) fn unknown(reason: ReplyReason) -> ForwardedReply {
+/// The reply to a request that may have run.
+pub fn unknown(reason: ReplyReason) -> ForwardedReply {
     ForwardedReply {
         outcome: ReplyOutcome::Unknown as i32,
         reason: reason as i32,
--- a/crates/galenastream_runtime/src/body_buffer.rs
+++ b/crates/galenastream_runtime/src/body_buffer.rs
@@ -9,7 +9,11 @@
 
 /// The first bytes of each body, which need no reservation: answers of usual size do not fail
 /// because others are long.
-const UNRESERVED_BYTES: usize = 64 * 1024;
+pub(crate) const UNRESERVED_BYTES: usize = 64 * 1024;
+
+/// The longest body of a response that a node takes from a target, and of a request or response that
+/// it takes from another node.
+pub const MAX_BODY_BYTES: usize = 8 * 1024 * 1024;
 
 /// Size of the blocks in which a body is collected. Blocks of one size leave no gaps in the heap, as
 /// a buffer would that grows by copies.
--- a/crates/galenastream_runtime/src/frame_link.rs
+++ b/crates/galenastream_runtime/src/frame_link.rs
@@ -2,19 +2,16 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use futures::{SinkExt, StreamExt};
-use galenastream_wire::{CorrelatedFrame, FrameCodec, WireError};
+use galenastream_wire::{CorrelatedFrame, WireError};
 use tokio::{
-    net::{
-        TcpStream,
-        tcp::{OwnedReadHalf, OwnedWriteHalf},
-    },
+    net::{TcpStream, tcp::OwnedWriteHalf},
     sync::mpsc,
     time::timeout,
 };
-use tokio_util::codec::{FramedRead, FramedWrite};
 
-use crate::{PeerError, PendingReplies, tune_socket};
+use crate::{
+    BodyBudget, FrameReader, FrameWriter, PeerError, PendingReplies, ReceivedFrame, tune_socket,
+};
 
 /// Maximum number of frames that wait to be written on one connection.
 const WRITE_QUEUE_FRAMES: usize = 4_096;
@@ -33,8 +30,9 @@
 }
 
 impl<F: CorrelatedFrame> FrameLink<F> {
-    /// Opens a connection. Its tasks run on the current Tokio runtime.
-    pub async fn connect(address: SocketAddr) -> Result<Self, PeerError> {
+    /// Opens a connection, which holds long replies within `budget`. Its tasks run on the current
+    /// Tokio runtime.
+    pub async fn connect(address: SocketAddr, budget: Arc<BodyBudget>) -> Result<Self, PeerError> {
         let connecting = TcpStream::connect(address);
         let stream = match timeout(CONNECT_TIMEOUT, connecting).await {
             Ok(Ok(stream)) => stream,
@@ -46,7 +44,8 @@
         let pending = Arc::new(PendingReplies::new());
         let (frames, queue) = mpsc::channel(WRITE_QUEUE_FRAMES);
         tokio::spawn(write_frames::<F>(write_half, queue, pending.clone()));
-        tokio::spawn(read_frames::<F>(read_half, pending.clone()));
+        let reader = FrameReader::new(read_half, budget);
+        tokio::spawn(read_frames::<F>(reader, pending.clone()));
         Ok(Self { frames, pending })
     }
 
@@ -104,18 +103,31 @@
     mut queue: mpsc::Receiver<F>,
     pending: Arc<Replies<F>>,
 ) {
-    let mut writer = FramedWrite::new(stream, FrameCodec::<F>::new());
-    while let Some(frame) = queue.recv().await {
+    let mut writer = FrameWriter::new(stream);
+    loop {
+        // While parts of long messages are left, they take turns with the frames in the queue.
+        let frame = match writer.has_parts() {
+            true => queue.try_recv().ok(),
+            false => match queue.recv().await {
+                Some(frame) => Some(frame),
+                None => break,
+            },
+        };
         if pending.is_closed() {
             break;
         }
-        let correlation = frame.correlation();
-        match writer.feed(frame).await {
-            Ok(()) => {}
-            Err(WireError::TooLong { .. }) => {
-                pending.complete(correlation, Err(PeerError::RequestTooLong));
+        if let Some(frame) = frame {
+            let correlation = frame.correlation();
+            match writer.feed(frame).await {
+                Ok(()) => {}
+                Err(WireError::TooLong { .. }) => {
+                    pending.complete(correlation, Err(PeerError::RequestTooLong));
+                }
+                Err(_) => break,
             }
-            Err(_) => break,
+        }
+        if writer.feed_part(|it| pending.contains(it)).await.is_err() {
+            break;
         }
         // Frames that are already queued are sent in one write.
         if queue.is_empty() && writer.flush().await.is_err() {
@@ -125,9 +137,22 @@
     pending.close();
 }
 
-async fn read_frames<F: CorrelatedFrame>(stream: OwnedReadHalf, pending: Arc<Replies<F>>) {
-    let mut reader = FramedRead::new(stream, FrameCodec::<F>::new());
-    while let Some(Ok(frame)) = reader.next().await {
+async fn read_frames<F: CorrelatedFrame>(mut reader: FrameReader<F>, pending: Arc<Replies<F>>) {
+    while let Some(Ok(received)) = reader.next().await {
+        let frame = match received {
+            ReceivedFrame::Whole(frame) => frame,
+            ReceivedFrame::Part { correlation } => {
+                if !pending.contains(correlation) {
+                    reader.forget(correlation);
+                }
+                continue;
+            }
+            ReceivedFrame::TooLong { correlation, bytes } => {
+                log::warn!(event = "reply_too_long", bytes; "");
+                pending.complete(correlation, Err(PeerError::ReplyTooLong));
+                continue;
+            }
+        };
         let (correlation, body) = frame.into_parts();
         let Some(body) = body else {
             count_dropped_frame("empty");
--- a/crates/galenastream_runtime/src/peer_error.rs
+++ b/crates/galenastream_runtime/src/peer_error.rs
@@ -18,6 +18,10 @@
     /// The request is longer than a connection between nodes carries. Nothing was sent.
     #[error("the request is too long for a connection between nodes; send a smaller body")]
     RequestTooLong,
+    /// The reply is longer than this node takes, or than its memory allows now. The request may have
+    /// run.
+    #[error("the reply is too long; let targets send less, or fewer long answers at once")]
+    ReplyTooLong,
     /// The connection broke before the reply. The request may have run.
     #[error("the connection broke after the request was sent")]
     Lost,
@@ -37,6 +41,7 @@
             Self::Unreachable => "unreachable",
             Self::QueueFull => "queue-full",
             Self::RequestTooLong => "request-too-long",
+            Self::ReplyTooLong => "reply-too-long",
             Self::Lost => "lost",
             Self::TimedOut => "timed-out",
             Self::Unexpected => "unexpected",
--- a/crates/galenastream_runtime/src/pending.rs
+++ b/crates/galenastream_runtime/src/pending.rs
@@ -54,6 +54,14 @@
         sender.is_some_and(|it| it.send(body).is_ok())
     }
 
+    /// Whether a request is pending.
+    pub fn contains(&self, correlation: u64) -> bool {
+        match &*self.lock() {
+            PendingState::Open { waiting, .. } => waiting.contains_key(&correlation),
+            PendingState::Closed => false,
+        }
+    }
+
     /// Removes a request. Returns false if it is no longer pending.
     pub fn remove(&self, correlation: u64) -> bool {
         match &mut *self.lock() {
--- a/crates/galenastream_wire/src/message/frame.rs
+++ b/crates/galenastream_wire/src/message/frame.rs
@@ -10,7 +10,7 @@
     #[prost(uint64, tag = "1")]
     pub correlation: u64,
     /// The message; `None` if the frame is empty or its message is of an unknown kind.
-    #[prost(oneof = "peer_frame::Body", tags = "2, 3, 4, 5, 6, 7, 8")]
+    #[prost(oneof = "peer_frame::Body", tags = "2, 3, 4, 5, 6, 7, 8, 9")]
     pub body: Option<peer_frame::Body>,
 }
 
@@ -19,7 +19,8 @@
     use prost::Oneof;
 
     use crate::{
-        Cancel, ForwardedReply, ForwardedRequest, NodeStatus, StatusSeen, SyncQuery, SyncState,
+        Cancel, ForwardedReply, ForwardedRequest, NodeStatus, Part, StatusSeen, SyncQuery,
+        SyncState,
     };
 
     /// The message in a frame.
@@ -46,6 +47,9 @@
         /// The reply to a `SyncQuery`.
         #[prost(message, tag = "8")]
         SyncState(SyncState),
+        /// A part of a message that is longer than a frame.
+        #[prost(message, tag = "9")]
+        Part(Part),
     }
 }
 
--- a/crates/galenastream_wire/src/message/mod.rs
+++ b/crates/galenastream_wire/src/message/mod.rs
@@ -3,6 +3,7 @@
 mod frame;
 mod header;
 mod node_status;
+mod part;
 mod request;
 mod sync;
 mod target_announcement;
@@ -10,6 +11,7 @@
 pub use frame::{Cancel, PeerFrame, peer_frame};
 pub use header::Header;
 pub use node_status::*;
+pub use part::Part;
 pub use request::*;
 pub use sync::*;
 pub use target_announcement::*;
