--- a/crates/galenastream_runtime/src/frame_reader.rs
+++ b/crates/galenastream_runtime/src/frame_reader.rs
@@ -16,7 +16,7 @@
 /// Maximum number of messages of one connection of which only some parts have arrived.
 const MAX_UNFINISHED: usize = 64;
 
-/// Maximum time without a frame while parts are missing. Longer than any request takes.
+/// Maximum time without any frame while parts are missing. Nodes exchange statuses every second.
 const PART_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Reads messages from another node, and puts long ones together from their parts.
