--- a/crates/galenastream_node/src/request/mod.rs
+++ b/crates/galenastream_node/src/request/mod.rs
@@ -18,4 +18,5 @@
 mod target_run;
 
 pub use entry::{answer_caller, refuse_unread};
+pub use target_reply::{TOO_LONG_RETRY_AFTER_MS, not_sent, unknown};
 pub use target_run::run_for_peer;
--- /dev/null
+++ b/crates/galenastream_node/tests/platform/long_bodies.rs
@@ -0,0 +1,217 @@
+//! Tests of long bodies between two nodes.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use futures::{SinkExt, StreamExt};
+use galenastream_standin::{
+    CallerAnswer, DeploymentPlan, EndlessAnswer, EndlessTarget, LimitFields, LocalDeployment,
+    LocalVm, TargetCapacity, VmPlan, request_bytes, wait_until,
+};
+use galenastream_wire::{FrameCodec, Part, PeerFrame, ReplyOutcome, ReplyReason, peer_frame::Body};
+use tokio::net::TcpStream;
+use tokio_util::codec::Framed;
+
+use super::{TIMEOUT, WORKS, endless_answer::assert_memory, forwarded::PEERS_PORT};
+
+/// Slots of each target: enough for all requests of a test.
+const SLOTS: u32 = 64;
+
+/// The longest body that a config allows.
+const MAX_CONFIG_BYTES: usize = 64 * 1024 * 1024;
+
+/// A body that is longer than the messages between nodes once could be, and shorter than the
+/// longest one that nodes promise to carry.
+const LONG_BYTES: usize = 6 * 1024 * 1024;
+
+/// A body that is longer than the longest one that nodes promise to carry.
+const TOO_LONG_BYTES: usize = 20 * 1024 * 1024;
+
+/// The size of the parts of a message without end, and their number: four times the memory that a
+/// node may use.
+const PART_BYTES: usize = 64 * 1024;
+const ENDLESS_PARTS: u64 = 8_320;
+
+/// Long bodies at once; more than twice what the budget of a node holds.
+const MANY: usize = 24;
+
+/// Starts two VMs, of which the second one has the only target of `stock`, so that requests at the
+/// first one pass one link.
+async fn start_pair(name: &str) -> (LocalDeployment, EndlessTarget) {
+    let program = env!("CARGO_BIN_EXE_galenastreamd");
+    let mut plan = DeploymentPlan::shop(name, program, &[]);
+    let limits = LimitFields { max_body_bytes: MAX_CONFIG_BYTES, ..LimitFields::default() };
+    plan.config = Some(DeploymentPlan::limited_shop_config(1, "/stock/", limits));
+    let capacity = TargetCapacity { slots: SLOTS, ..Default::default() };
+    plan.vms = ["carts", "stock"].map(|it| VmPlan::new(it).with_capacity(capacity)).to_vec();
+    let mut deployment = LocalDeployment::start(&plan).await.expect("the deployment starts");
+    let complete = EndlessAnswer::Complete(0);
+    let target = deployment.vms[1].start_endless_target(complete).await.expect(WORKS);
+    wait_until("the new target to be known", TIMEOUT, async || {
+        let mut caller = deployment.vms[0].caller().await.expect(WORKS);
+        caller.get("/stock/1", "known", None).await;
+        target.runs().contains(&"known".to_owned())
+    })
+    .await
+    .expect(WORKS);
+    (deployment, target)
+}
+
+/// Sends a POST request with a body, which changes state.
+async fn post(vm: &LocalVm, id: &str, body_bytes: usize) -> CallerAnswer {
+    let head = request_bytes("POST", "/orders/1", id, None);
+    let length = format!("Content-Length: {body_bytes}");
+    let mut request = head.replace("Content-Length: 0", &length).into_bytes();
+    request.resize(request.len() + body_bytes, b'b');
+    let mut caller = vm.caller().await.expect(WORKS);
+    caller.send(&request).await.expect(WORKS);
+    caller.read().await.unwrap_or_else(|| panic!("{id} gets an answer"))
+}
+
+/// Runs `requests` while another request is in progress on the same link, and checks that this one
+/// is answered.
+async fn beside_another_request<T>(vm: &LocalVm, requests: impl Future<Output = T>) -> T {
+    let mut caller = vm.caller().await.expect(WORKS);
+    let other = request_bytes("POST", "/orders/slow", "other", None);
+    caller.send(other.as_bytes()).await.expect(WORKS);
+    let result = requests.await;
+    let answer = caller.read().await.expect(WORKS);
+    assert_eq!(answer.status, 200, "{answer:?}");
+    result
+}
+
+/// Guards against a request that ends the link to another node, and with it the requests of others
+/// in progress there, because its body is too long for the link.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_body_that_is_too_long_for_a_link_ends_only_its_own_request() {
+    let (deployment, target) = start_pair("too-long").await;
+    let entry = &deployment.vms[0];
+    let answer = beside_another_request(entry, post(entry, "too-long", TOO_LONG_BYTES)).await;
+    assert_eq!(answer.status, 503, "{answer:?}");
+    assert!(answer.header("retry-after").is_some(), "{answer:?}");
+    assert!(!target.runs().contains(&"too-long".to_owned()), "a refused request has not run");
+    // The target beside the caller's node gets any body that the config allows.
+    let answer = post(&deployment.vms[1], "beside", TOO_LONG_BYTES).await;
+    assert_eq!(answer.status, 200, "{answer:?}");
+    assert_eq!(answer.header("x-body-bytes"), Some(TOO_LONG_BYTES.to_string().as_str()));
+    deployment.close().unwrap();
+}
+
+/// Guards against requests that are never served since their bodies do not fit into a frame.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_long_request_body_reaches_a_target_beside_another_node() {
+    let (deployment, target) = start_pair("long-request").await;
+    let entry = &deployment.vms[0];
+    let answer = beside_another_request(entry, post(entry, "long", LONG_BYTES)).await;
+    assert_eq!(answer.status, 200, "{answer:?}");
+    assert_eq!(answer.header("x-body-bytes"), Some(LONG_BYTES.to_string().as_str()));
+    assert_eq!(target.runs().iter().filter(|it| *it == "long").count(), 1);
+    assert_memory(&deployment);
+    deployment.close().unwrap();
+}
+
+/// Guards against an answer that ends the link between two nodes, and with it the requests of others
+/// in progress there, because it is too long for a frame.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_long_answer_of_a_target_beside_another_node_is_complete() {
+    let (deployment, target) = start_pair("long-answer").await;
+    let entry = &deployment.vms[0];
+    target.set_answer(EndlessAnswer::Complete(LONG_BYTES));
+    let answer = beside_another_request(entry, post(entry, "long", 1)).await;
+    assert_eq!(answer.status, 200, "{}", answer.body);
+    assert_eq!(answer.body.len(), LONG_BYTES);
+    assert!(answer.body.bytes().all(|it| it == b'x'));
+    assert_eq!(target.runs().iter().filter(|it| *it == "long").count(), 1);
+    assert_memory(&deployment);
+    deployment.close().unwrap();
+}
+
+/// Guards against requests of others that wait until a long body has been sent.
+#[tokio::test(flavor = "multi_thread")]
+async fn short_requests_are_answered_while_long_bodies_pass_the_same_link() {
+    let (deployment, target) = start_pair("long-and-short").await;
+    let entry = &deployment.vms[0];
+    target.set_answer(EndlessAnswer::Complete(LONG_BYTES));
+    let long = async {
+        let posts = (0..4).map(|it| async move {
+            let id = format!("long-{it}");
+            post(entry, &id, LONG_BYTES).await
+        });
+        futures::future::join_all(posts).await
+    };
+    let short = async {
+        let mut caller = entry.caller().await.expect(WORKS);
+        let mut statuses = Vec::new();
+        for number in 0..20 {
+            let id = format!("short-{number}");
+            statuses.push(caller.get("/stock/complete", &id, None).await.expect(WORKS).status);
+        }
+        statuses
+    };
+    let (long, short) = tokio::join!(long, short);
+    assert!(short.iter().all(|it| *it == 200), "{short:?}");
+    for answer in long {
+        assert_eq!((answer.status, answer.body.len()), (200, LONG_BYTES));
+    }
+    deployment.close().unwrap();
+}
+
+/// Guards against long answers that are each allowed and together exceed the memory of a node.
+#[tokio::test(flavor = "multi_thread")]
+async fn many_long_answers_at_once_are_complete_or_lost_and_do_not_fill_the_memory_of_a_node() {
+    let (deployment, target) = start_pair("many-long").await;
+    let entry = &deployment.vms[0];
+    target.set_answer(EndlessAnswer::Complete(LONG_BYTES));
+    let posts = (0..MANY).map(|it| async move { post(entry, &format!("long-{it}"), 1).await });
+    let answers = beside_another_request(entry, futures::future::join_all(posts)).await;
+    for answer in &answers {
+        let is_complete = answer.status == 200 && answer.body.len() == LONG_BYTES;
+        assert!(is_complete || matches!(answer.status, 502 | 504), "{}", answer.status);
+    }
+    let runs = target.runs();
+    for number in 0..MANY {
+        let id = format!("long-{number}");
+        assert_eq!(runs.iter().filter(|it| **it == id).count(), 1, "{id}");
+    }
+    // Budgets are given back.
+    let answer = post(entry, "after", 1).await;
+    assert_eq!((answer.status, answer.body.len()), (200, LONG_BYTES));
+    assert_memory(&deployment);
+    deployment.close().unwrap();
+}
+
+/// Guards against a node that sends parts of messages without end, be it of one message or of many.
+#[tokio::test(flavor = "multi_thread")]
+async fn parts_without_end_do_not_fill_the_memory_of_a_node() {
+    let (deployment, target) = start_pair("endless-parts").await;
+    let address = SocketAddr::new(deployment.vms[1].ip, PEERS_PORT);
+    let stream = TcpStream::connect(address).await.unwrap();
+    let mut link = Framed::new(stream, FrameCodec::<PeerFrame>::new());
+    let bytes = Bytes::from(vec![0; PART_BYTES]);
+    let part = |correlation, offset| {
+        let part = Part { offset, bytes: bytes.clone(), message: Bytes::new() };
+        PeerFrame { correlation, body: Some(Body::Part(part)) }
+    };
+    for number in 0..ENDLESS_PARTS {
+        link.send(part(1, number * PART_BYTES as u64)).await.unwrap();
+    }
+    for correlation in 2..ENDLESS_PARTS {
+        link.send(part(correlation, 0)).await.unwrap();
+    }
+    let mut refused = Vec::new();
+    for _ in 0..2 {
+        let frame = link.next().await.unwrap().unwrap();
+        let Some(Body::Reply(reply)) = frame.body else {
+            panic!("{frame:?}");
+        };
+        assert_eq!(reply.outcome, ReplyOutcome::NotSent as i32);
+        assert_eq!(reply.reason, ReplyReason::RequestTooLong as i32);
+        refused.push(frame.correlation);
+    }
+    assert_eq!(refused[0], 1, "the endless message is refused first: {refused:?}");
+    let mut caller = deployment.vms[0].caller().await.unwrap();
+    assert_eq!(caller.get("/stock/complete", "after", None).await.unwrap().status, 200);
+    assert!(target.runs().contains(&"after".to_owned()));
+    assert_memory(&deployment);
+    deployment.close().unwrap();
+}
--- a/crates/galenastream_node/tests/platform/main.rs
+++ b/crates/galenastream_node/tests/platform/main.rs
@@ -4,7 +4,9 @@
 mod announced_leave;
 mod announcement_load;
 mod deployment;
+mod endless_answer;
 mod forwarded;
+mod long_bodies;
 mod node_stop;
 mod overload;
 mod refused_requests;
--- a/crates/galenastream_runtime/src/lib.rs
+++ b/crates/galenastream_runtime/src/lib.rs
@@ -1,6 +1,6 @@
-//! Runtime services of the galenastream programs: the boot clock, sockets, HTTP connections,
-//! connections between nodes, header conversion, admission control and the rate limit for log
-//! lines.
+//! Runtime services of the galenastream programs: the boot clock, sockets, HTTP connections, memory
+//! for bodies, connections between nodes, header conversion, admission control and the rate limit for
+//! log lines.
 //!
 //! Use [`HttpConnection`] where it matters whether a request was sent at all: every exchange ends
 //! with a complete response, with the guarantee that no byte of the request was sent, or with an
@@ -8,10 +8,14 @@
 //! [`HttpConnection`] uses hyper, on which that client is built, one connection at a time.
 
 mod admission_controller;
+mod body_budget;
+mod body_buffer;
 mod clock;
 mod connection;
 mod error;
 mod frame_link;
+mod frame_reader;
+mod frame_writer;
 mod header_fields;
 mod log_budget;
 mod peer_error;
@@ -19,10 +23,14 @@
 mod socket;
 
 pub use admission_controller::{AdmissionController, NotAdmitted, Slot};
+pub use body_budget::{BodyBudget, BodyReservation};
+pub use body_buffer::{BodyBuffer, BodyTooLong, MAX_BODY_BYTES};
 pub use clock::{boot_now, sleep_until};
 pub use connection::{HttpConnection, WholeResponse};
 pub use error::ExchangeError;
 pub use frame_link::FrameLink;
+pub use frame_reader::{FrameReader, ReceivedFrame};
+pub use frame_writer::FrameWriter;
 pub use header_fields::{append_headers, end_to_end_headers};
 pub use log_budget::LogBudget;
 pub use peer_error::PeerError;
--- a/crates/galenastream_wire/src/message/request.rs
+++ b/crates/galenastream_wire/src/message/request.rs
@@ -146,8 +146,12 @@
     CallerLeft = 12,
     /// The request limit that the target announces does not allow the request in time.
     RateLimited = 13,
+    /// The target's response is longer than a node accepts, or the node had no memory left for it.
+    AnswerTooLong = 14,
+    /// The request is longer than a node takes from another one.
+    RequestTooLong = 15,
     /// The target's response lacks its signature, so it is not known who made it.
-    UnsignedAnswer = 14,
+    UnsignedAnswer = 16,
 }
 
 impl ReplyReason {
@@ -168,6 +172,8 @@
             Self::Invalid => "invalid",
             Self::CallerLeft => "caller-left",
             Self::RateLimited => "rate-limited",
+            Self::AnswerTooLong => "answer-too-long",
+            Self::RequestTooLong => "request-too-long",
             Self::UnsignedAnswer => "unsigned-answer",
         }
     }
