Find out when a limit close to zero has ended

Two causes: - Only a response ends a limit, and other nodes send no request to a target with a limit of zero while others have room. - The mean service time of the target starts from a third of the target latency and changes by 1/32 with each sample. Under the limit there were two samples, so the target counted as 150 times slower than the others after the limit.

Now the node beside the target says in its status that a trial is wanted when no request was sent and none was answered for 2 s. The other nodes send a few requests there, for which the limit does not count in target selection; the token bucket beside the target stays in force. Each node draws a place, so that 4 nodes may try at once, and 4 times as many with each second, since it is not known which nodes have requests. A trial that is refused goes elsewhere at once, and its refusal does not count towards the three after which a request is given up.

A limit in a reply counts in selection for 3 s, as the status is newer by then: otherwise the nodes that did not send the trial would remember the limit for good.

When a limit ends, the mean service time starts from the first sample, other nodes are not told it for 10 s, and a node that learns of the end from a reply forgets what it had observed. A selector now ages the service time from when it was reported, as a reply may come without one; a node that has restarted and refuses requests no longer keeps its old one fresh.

--- a/crates/galenastream_node/src/process/context.rs
+++ b/crates/galenastream_node/src/process/context.rs
@@ -11,14 +11,12 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use bytes::Bytes;
 use galenastream_adapter::NodeSettings;
-use galenastream_ranges::TargetIncarnation;
-use galenastream_routing::RequestRate;
 use galenastream_settings::SettingsTree;
 use galenastream_utils::BootInstant;
 use galenastream_wire::{NodeStatus, SharedRow, SyncQuery, SyncState};
 use tokio::sync::{Notify, watch};
 
-use super::{ControlQueue, Directory, KeyMeter, StatusPage};
+use super::{ControlQueue, Directory, KeyMeter, StatusPage, TargetLimit};
 use crate::version::RoutingTable;
 
 /// The state shared by the threads of a process. The control thread publishes the snapshots.
@@ -47,8 +45,8 @@
     pub control_events: ControlQueue,
     /// Measures the load of single keys at the local target.
     pub key_meter: Mutex<KeyMeter>,
-    /// The request limit that the local target announces, with the incarnation that announces it.
-    pub target_limit: Mutex<Option<(TargetIncarnation, RequestRate)>>,
+    /// The request limit that the local target announces.
+    pub target_limit: Mutex<Option<TargetLimit>>,
     /// The mean service time of the local target in microseconds; 0 before anything was measured.
     pub service_time_us: AtomicU64,
     /// Whether this node follows the shared rows in the store itself.
--- a/crates/galenastream_node/src/process/control_state.rs
+++ b/crates/galenastream_node/src/process/control_state.rs
@@ -6,7 +6,6 @@
 use bytes::Bytes;
 use galenastream_adapter::{NodeSettings, Row, era_of};
 use galenastream_ranges::{Assignment, LeaseTerms, Owner, TargetIncarnation, VacancyTracker};
-use galenastream_routing::RequestRate;
 use galenastream_settings::SettingsTree;
 use galenastream_utils::{BootInstant, FastMap};
 use galenastream_wire::{KeyLoadRecord, SharedRow};
@@ -15,7 +14,7 @@
 use super::local_target::LocalTargetState;
 use super::peer_book::PeerRegistry;
 use super::store_eras::StoreEras;
-use super::{ControlEvent, Effect};
+use super::{ControlEvent, Effect, TargetLimit};
 use crate::version::RoutingTable;
 
 /// The longest lease that a node grants. It outlasts the restart of a process, and is short enough
@@ -202,18 +201,12 @@
         self.local_key_loads = key_loads;
     }
 
-    /// Sets the request limit that the local target announces, with the incarnation that announces
-    /// it.
-    pub fn set_local_limit(
-        &mut self,
-        announced: Option<(TargetIncarnation, RequestRate)>,
-        now: BootInstant,
-    ) {
+    /// Sets the request limit that the local target announces.
+    pub fn set_local_limit(&mut self, announced: Option<TargetLimit>, now: BootInstant) {
         let earlier = self.local_limit.take();
-        self.local_limit = announced.map(|(target, rate)| {
-            let since = earlier.filter(|it| it.target == target).map_or(now, |it| it.since);
-            LocalLimit { target, rate, since }
-        });
+        let holds_keys = self.local.as_ref().is_some_and(|it| self.holds_keys(&it.service));
+        self.local_limit =
+            announced.map(|announced| LocalLimit::new(announced, earlier, holds_keys, now));
     }
 
     /// The settings tree in force.
--- a/crates/galenastream_node/src/process/directory.rs
+++ b/crates/galenastream_node/src/process/directory.rs
@@ -60,6 +60,9 @@
     pub draining_since: Option<BootInstant>,
     /// The request limit that it announces.
     pub limit: Option<RequestRate>,
+    /// Since when this node has known that a request should be sent there to find out whether the
+    /// limit has ended.
+    pub trial_wanted_since: Option<BootInstant>,
 }
 
 /// The local target: the one beside this node.
--- a/crates/galenastream_node/src/process/local_announcement.rs
+++ b/crates/galenastream_node/src/process/local_announcement.rs
@@ -10,6 +10,7 @@
 use http::HeaderMap;
 use metrics::gauge;
 
+use super::TargetLimit;
 use super::remembered_announcements::{earliest, elapsed_ms};
 
 /// What the current incarnation of the local target announces in its responses.
@@ -31,10 +32,16 @@
         set_limit_gauge(None);
     }
 
-    /// The limit in force, with the incarnation that announced it.
-    pub fn limit(&self) -> Option<(TargetIncarnation, RequestRate)> {
-        let limit = self.limit.current()?;
-        Some((self.incarnation.clone()?, limit))
+    /// The limit in force.
+    pub fn limit(&self) -> Option<TargetLimit> {
+        let rate = self.limit.current()?;
+        let last_exchange_at = self.limit.last_exchange_at();
+        Some(TargetLimit { target: self.incarnation.clone()?, rate, last_exchange_at })
+    }
+
+    /// Records that a request is sent to the incarnation.
+    pub const fn record_request(&mut self, now: BootInstant) {
+        self.limit.record_request(now);
     }
 
     /// When the incarnation announced that it leaves, if it has.
--- a/crates/galenastream_node/src/process/mod.rs
+++ b/crates/galenastream_node/src/process/mod.rs
@@ -14,6 +14,8 @@
 mod leases;
 mod local_announcement;
 mod local_limit;
+#[cfg(test)]
+mod local_limit_tests;
 mod local_target;
 mod logs;
 mod metrics_page;
@@ -27,6 +29,7 @@
 mod store_eras;
 mod store_follower;
 mod store_view;
+mod target_limit;
 mod traffic_state;
 mod traffic_tally;
 
@@ -44,5 +47,6 @@
 pub use metrics_page::render_metrics;
 pub use remembered_announcements::{RememberedAnnouncements, earliest};
 pub use status_page::{LeasePage, STATUS_PATH, StatusPage, TargetPage};
+pub use target_limit::TargetLimit;
 pub use traffic_state::{CountGuard, TrafficState};
 pub use traffic_tally::TrafficTally;
--- a/crates/galenastream_node/src/process/peer_book.rs
+++ b/crates/galenastream_node/src/process/peer_book.rs
@@ -28,6 +28,8 @@
     pub(super) last_status_at: Option<BootInstant>,
     /// The target that a status showed as draining first, and when that status arrived.
     draining: Option<(TargetIncarnation, BootInstant)>,
+    /// Since when the statuses have said that the target wants a trial of its limit.
+    trial_wanted_since: Option<BootInstant>,
 }
 
 impl PeerRegistry {
@@ -71,6 +73,7 @@
         record.status = Some(status);
         record.last_status_at = Some(now);
         record.remember_draining(now);
+        record.remember_trial(now);
         differs || !was_reachable
     }
 
@@ -86,6 +89,7 @@
                 status: None,
                 last_status_at: None,
                 draining: None,
+                trial_wanted_since: None,
             }
         });
         record.address = address;
@@ -105,6 +109,18 @@
         (draining == target).then_some(*since)
     }
 
+    /// Since when the target has been known to want a trial of its limit.
+    pub(super) const fn trial_wanted_since(&self) -> Option<BootInstant> {
+        self.trial_wanted_since
+    }
+
+    fn remember_trial(&mut self, now: BootInstant) {
+        let target = self.status.as_ref().and_then(|it| it.target.as_ref());
+        let is_wanted = target.is_some_and(|it| it.wants_trial);
+        let since = self.trial_wanted_since.unwrap_or(now);
+        self.trial_wanted_since = is_wanted.then_some(since);
+    }
+
     fn remember_draining(&mut self, now: BootInstant) {
         let is_draining = |it: &NodeStatus| it.target.as_ref().is_some_and(|it| it.is_draining);
         let Some(target) = self.target().filter(|_| self.status.as_ref().is_some_and(is_draining))
--- a/crates/galenastream_node/src/process/publication.rs
+++ b/crates/galenastream_node/src/process/publication.rs
@@ -44,13 +44,14 @@
             is_silent: local.is_silent(now, self.heartbeat_timeout()),
             capacity_milli_per_s: limit.map_or(measured, |it| it.capacity(measured, now)),
             key_loads: self.local_key_loads.clone(),
-            limit_milli_per_s: limit.map(|it| it.rate.milli_per_s()),
+            limit_milli_per_s: limit.map(|it| it.announced.rate.milli_per_s()),
+            wants_trial: limit.is_some_and(|it| it.trial_wanted_since().is_some()),
         }
     }
 
     /// The request limit that the local target announces.
     fn limit_of(&self, local: &LocalTargetState) -> Option<&LocalLimit> {
-        self.local_limit.as_ref().filter(|it| it.target == local.incarnation)
+        self.local_limit.as_ref().filter(|it| it.announced.target == local.incarnation)
     }
 
     /// The snapshot of nodes, targets and assignments for the traffic thread.
@@ -88,7 +89,8 @@
             incarnation: it.incarnation.clone(),
             slots: it.slots,
             draining_since: it.draining_since,
-            limit: self.limit_of(it).map(|it| it.rate),
+            limit: self.limit_of(it).map(|it| it.announced.rate),
+            trial_wanted_since: self.limit_of(it).and_then(LocalLimit::trial_wanted_since),
         });
         NodeEntry {
             key: NodeKey(0),
@@ -134,7 +136,7 @@
             born_ms: it.incarnation.born_ms,
             service: it.service.to_string(),
             slots: it.slots,
-            limit_milli_per_s: self.limit_of(it).map(|it| it.rate.milli_per_s()),
+            limit_milli_per_s: self.limit_of(it).map(|it| it.announced.rate.milli_per_s()),
             capacity_milli_per_s: self.local_capacity_milli_per_s,
             is_draining: it.draining_since.is_some(),
             is_silent: it.is_silent(now, self.heartbeat_timeout()),
@@ -167,6 +169,7 @@
         service: Arc::from(status.service.as_str()),
         slots: status.slots,
         draining_since: peer.draining_since(&incarnation),
+        trial_wanted_since: peer.trial_wanted_since(),
         incarnation,
         limit: status.limit_milli_per_s.map(RequestRate::new),
     }
--- a/crates/galenastream_node/src/process/traffic_state.rs
+++ b/crates/galenastream_node/src/process/traffic_state.rs
@@ -9,23 +9,28 @@
 };
 
 use galenastream_routing::{
-    AdmissionLimits, RetryBudgetLimits, ServiceTime, TargetSelector, WeightedSplit,
+    AdmissionLimits, LimitTrials, RetryBudgetLimits, ServiceTime, TargetSelector, WeightedSplit,
     WindowedRetryBudget,
 };
 use galenastream_runtime::{AdmissionController, LogBudget, boot_now};
 use galenastream_settings::EffectiveSettings;
-use galenastream_utils::FastMap;
+use galenastream_utils::{BootInstant, FastMap};
 use galenastream_wire::TargetAnnouncement;
 
 use super::{
     ControlEvent, LocalAnnouncement, LocalTarget, NodeContext, RememberedAnnouncements,
-    TrafficTally,
+    TargetLimit, TrafficTally,
 };
 use crate::connection::{PeerLinks, TargetConnections};
 
 /// The longest wait for a slot. The deadlines of the requests are the effective limit.
 const MAX_QUEUE_WAIT_MS: u32 = 10_000;
 
+/// Time after the end of a request limit for which other nodes are not told the service time of the
+/// local target. The first few samples would keep their requests away from it, if they are slow by
+/// chance; the requests in progress show them its load.
+const RECOVERY_TIME: Duration = Duration::from_secs(10);
+
 /// Number of slots assumed before the local target is known.
 const DEFAULT_SLOTS: u32 = 1;
 
@@ -48,10 +53,13 @@
     retry_budgets: Mutex<FastMap<String, WindowedRetryBudget>>,
     splits: Mutex<FastMap<String, WeightedSplit>>,
     service_time: Mutex<ServiceTime>,
+    /// When the last request limit of the local target ended.
+    limit_ended_at: Mutex<Option<BootInstant>>,
     pending: AtomicUsize,
     admission_limits: Mutex<Option<AdmissionLimits>>,
     announcement: Mutex<LocalAnnouncement>,
     remembered: Mutex<RememberedAnnouncements>,
+    limit_trials: Mutex<LimitTrials>,
 }
 
 /// Increments a counter of requests and decrements it when dropped.
@@ -77,10 +85,12 @@
             retry_budgets: Mutex::default(),
             splits: Mutex::default(),
             service_time: Mutex::default(),
+            limit_ended_at: Mutex::default(),
             pending: AtomicUsize::new(0),
             admission_limits: Mutex::default(),
             announcement: Mutex::default(),
             remembered: Mutex::default(),
+            limit_trials: Mutex::new(LimitTrials::new(rand::random())),
         }
     }
 
@@ -94,6 +104,11 @@
         lock(&self.remembered)
     }
 
+    /// Locks the decisions on requests that are sent to find out whether limits have ended.
+    pub fn limit_trials(&self) -> MutexGuard<'_, LimitTrials> {
+        lock(&self.limit_trials)
+    }
+
     /// What the local target announces, if it is the incarnation with this id and start time.
     pub fn announcement_of(&self, target_id: &str, born_ms: u64) -> Option<TargetAnnouncement> {
         let announcement = lock(&self.announcement);
@@ -114,10 +129,18 @@
         let mut announcement = lock(&self.announcement);
         let (limit, leaving) = (announcement.limit(), announcement.leaving());
         action(&mut announcement);
-        if announcement.limit() != limit {
-            let limit = announcement.limit();
-            self.admission.set_request_limit(limit.as_ref().map(|(_, limit)| *limit));
-            *lock(&self.context.target_limit) = limit;
+        let next_limit = announcement.limit();
+        let rate_of = |it: &Option<TargetLimit>| it.as_ref().map(|it| (it.target.clone(), it.rate));
+        if rate_of(&next_limit) != rate_of(&limit) {
+            self.admission.set_request_limit(next_limit.as_ref().map(|it| it.rate));
+        }
+        let is_same = |it: &TargetLimit| announcement.is_of(&it.target.id, it.target.born_ms);
+        if next_limit.is_none() && limit.as_ref().is_some_and(is_same) {
+            *lock(&self.limit_ended_at) = Some(boot_now());
+            *lock(&self.service_time) = ServiceTime::default();
+        }
+        if next_limit != limit {
+            *lock(&self.context.target_limit) = next_limit;
         }
         if announcement.leaving() != leaving
             && let Some((target, since)) = announcement.leaving()
@@ -189,11 +212,14 @@
     }
 
     /// Adds a measured service time of the local target to the mean. The mean starts from
-    /// `initial_estimate`, so that a few samples have little weight.
+    /// `initial_estimate`, so that a few samples have little weight. After the end of a request limit
+    /// it starts from the first sample: what was measured of a target in need, or estimated because
+    /// it got few requests, would keep the requests away from it.
     pub fn add_service_time(&self, sample: Duration, initial_estimate: Duration) {
         let mean = {
             let mut service_time = lock(&self.service_time);
-            if service_time.mean().is_zero() {
+            let has_limit_ended = lock(&self.limit_ended_at).is_some();
+            if service_time.mean().is_zero() && !has_limit_ended {
                 *service_time = ServiceTime::new(initial_estimate);
             }
             service_time.add(sample);
@@ -203,8 +229,13 @@
         self.context.service_time_us.store(mean_us, Ordering::Relaxed);
     }
 
-    /// The mean service time of the local target in microseconds; 0 before anything was measured.
+    /// The mean service time of the local target in microseconds, as other nodes are told; 0 before
+    /// anything was measured, and for some time after the end of a request limit.
     pub fn service_time_us(&self) -> u32 {
+        let limit_ended_at = *lock(&self.limit_ended_at);
+        if limit_ended_at.is_some_and(|it| boot_now().saturating_since(it) < RECOVERY_TIME) {
+            return 0;
+        }
         u32::try_from(self.context.service_time_us.load(Ordering::Relaxed)).unwrap_or(u32::MAX)
     }
 
--- a/crates/galenastream_node/src/request/attempt.rs
+++ b/crates/galenastream_node/src/request/attempt.rs
@@ -51,10 +51,13 @@
         }
     };
     let now = boot_now();
-    if let Some(announced) = reply.announcement {
-        traffic.remembered().record(node, &destination.target, announced, now);
-    }
+    let has_limit_ended = reply
+        .announcement
+        .is_some_and(|it| traffic.remembered().record(node, &destination.target, it, now));
     let mut placement = traffic.placement();
+    if has_limit_ended {
+        placement.forget_service_time(node);
+    }
     if reply.service_time_us > 0 || reply.pending > 0 {
         let load = ObservedLoad { pending: reply.pending, service_time_us: reply.service_time_us };
         placement.observe(node, load, now);
--- a/crates/galenastream_node/src/request/progress.rs
+++ b/crates/galenastream_node/src/request/progress.rs
@@ -1,5 +1,7 @@
 //! The state that a request carries from one attempt to the next.
 
+use std::sync::OnceLock;
+
 use galenastream_ranges::TargetIncarnation;
 use galenastream_wire::ForwardedReply;
 
@@ -26,6 +28,9 @@
     /// The last 5xx response of a target, which [`Progress::give_up`] returns.
     pub(super) failure: Option<ForwardedReply>,
     pub(super) may_have_run: bool,
+    /// The target to which the request was sent to find out whether its limit has ended. One trial
+    /// for each request is enough.
+    trial: OnceLock<TargetIncarnation>,
 }
 
 impl Progress {
@@ -38,13 +43,32 @@
             retry_after_ms: DEFAULT_RETRY_AFTER_MS,
             failure: None,
             may_have_run: false,
+            trial: OnceLock::new(),
         }
     }
 
+    /// Whether the next attempt may be a trial.
+    pub(super) fn may_try_limit(&self) -> bool {
+        self.trial.get().is_none()
+    }
+
+    /// Records that the next attempt is a trial.
+    pub(super) fn begin_trial(&self, target: &TargetIncarnation) {
+        self.trial.get_or_init(|| target.clone());
+    }
+
+    /// Whether the last attempt was a trial. A target that was tried earlier is not chosen again.
+    fn is_trial(&self) -> bool {
+        self.trial.get().is_some_and(|it| !self.tried.contains(it))
+    }
+
     /// Records an attempt that was not sent to its target. Returns whether another target may be
-    /// attempted.
+    /// attempted. The refusal of a trial says nothing about the room of the service.
     pub(super) fn record_not_sent(&mut self, reply: &ForwardedReply) -> bool {
         self.retry_after_ms = self.retry_after_ms.min(reply.retry_after_ms.max(1));
+        if self.is_trial() {
+            return true;
+        }
         self.refusals += u32::from(is_lack_of_capacity(reply.reason));
         self.refusals < MAX_REFUSALS
     }
--- a/crates/galenastream_node/src/request/target_choice.rs
+++ b/crates/galenastream_node/src/request/target_choice.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use galenastream_routing::TargetCandidate;
+use galenastream_routing::{NodeKey, TargetCandidate};
 use galenastream_runtime::boot_now;
 use galenastream_settings::EffectiveSettings;
 use galenastream_utils::BootInstant;
@@ -57,11 +57,14 @@
     fn best_target(&self, progress: &Progress, directory: &Directory) -> Option<Destination> {
         let candidates = self.candidates(progress, directory);
         let remote_penalty = f64::from(self.settings.remote_penalty_percent) / 100.0;
-        let chosen = self.traffic.placement().choose(&candidates, remote_penalty, boot_now())?;
+        let trial = self.limit_trial(progress, directory, &candidates);
+        let chosen = trial
+            .or_else(|| self.traffic.placement().choose(&candidates, remote_penalty, boot_now()))?;
         let node = directory.nodes.iter().find(|it| it.key == chosen)?;
+        let target = node.target.as_ref()?;
         Some(Destination {
             node: node.clone(),
-            target: node.target.as_ref()?.incarnation.clone(),
+            target: target.incarnation.clone(),
             leaving_since: leaving_since(node, &self.traffic.remembered()),
             has_alternatives: progress.has_alternatives(candidates.len()),
         })
@@ -72,6 +75,7 @@
     fn candidates(&self, progress: &Progress, directory: &Directory) -> Vec<TargetCandidate> {
         let settings = self.traffic.context.settings.load();
         let remembered = self.traffic.remembered();
+        let now = boot_now();
         let (mut candidates, mut fallbacks) = (Vec::new(), Vec::new());
         for node in &directory.nodes {
             let Some(target) = node.target.as_ref().filter(|it| *it.service == *self.service)
@@ -90,7 +94,7 @@
                 node: node.key,
                 slots: target.slots,
                 is_same_data_centre: *node.data_centre == *settings.data_centre,
-                limit: remembered.limit(node.key, &target.incarnation).or(target.limit),
+                limit: remembered.recent_limit(node.key, &target.incarnation, now).or(target.limit),
             };
             match is_fallback {
                 true => fallbacks.push(candidate),
@@ -100,6 +104,38 @@
         if candidates.is_empty() { fallbacks } else { candidates }
     }
 
+    /// Returns a target to which the request is sent to find out whether its limit has ended, if it
+    /// has others to go to should that target refuse it.
+    fn limit_trial(
+        &self,
+        progress: &Progress,
+        directory: &Directory,
+        candidates: &[TargetCandidate],
+    ) -> Option<NodeKey> {
+        if candidates.len() < 2 || !progress.may_try_limit() {
+            return None;
+        }
+        let now = boot_now();
+        for node in &directory.nodes {
+            let Some(target) = &node.target else {
+                continue;
+            };
+            let Some(wanted_since) = target.trial_wanted_since else {
+                continue;
+            };
+            if !candidates.iter().any(|it| it.node == node.key) {
+                continue;
+            }
+            let mut trials = self.traffic.limit_trials();
+            if trials.is_due(node.key, wanted_since, directory.reachable_count(), now) {
+                trials.begin(node.key, now);
+                progress.begin_trial(&target.incarnation);
+                return Some(node.key);
+            }
+        }
+        None
+    }
+
     fn is_drained(&self, leaving_since: Option<BootInstant>) -> bool {
         leaving_since.is_some_and(|it| is_drain_over(self.traffic, it, boot_now()))
     }
--- a/crates/galenastream_node/src/request/target_run.rs
+++ b/crates/galenastream_node/src/request/target_run.rs
@@ -173,6 +173,7 @@
     // capacity for requests with one.
     let is_representative = key_of(&request).is_some() || !holds_keys(traffic);
     let began_at = boot_now();
+    traffic.update_announcement(|it| it.record_request(began_at));
     let result = tokio::select! {
         result = traffic.target_connections.send(outgoing) => result,
         () = sleep_until(deadline.at()) => return unknown(ReplyReason::DeadlinePassed),
--- a/crates/galenastream_routing/src/process/admission.rs
+++ b/crates/galenastream_routing/src/process/admission.rs
@@ -89,6 +89,9 @@
             self.in_progress += 1;
             return AdmissionOutcome { decision: AdmitDecision::Start, evicted: None };
         }
+        if class.has_alternatives && self.is_closed_by_limit(now) {
+            return AdmissionOutcome { decision: self.shed(now), evicted: None };
+        }
         let due = soft_deadline.min(deadline);
         let is_exempt = !class.has_alternatives && self.service_times.is_short(class);
         let soft_deadline = if is_exempt { deadline } else { due };
@@ -345,6 +348,13 @@
         self.rate_limiter.map_or(Duration::ZERO, |it| it.time_until(ahead + 1, now))
     }
 
+    /// Whether a limit close to zero lets no request start now. A request that has alternatives does
+    /// not wait for the next one that does.
+    fn is_closed_by_limit(&self, now: BootInstant) -> bool {
+        self.rate_limiter
+            .is_some_and(|it| it.is_close_to_zero() && !it.time_until(1, now).is_zero())
+    }
+
     fn take_token(&mut self, now: BootInstant) -> bool {
         self.rate_limiter.as_mut().is_none_or(|it| it.take(now))
     }
--- a/crates/galenastream_routing/src/process/announced_limit.rs
+++ b/crates/galenastream_routing/src/process/announced_limit.rs
@@ -16,6 +16,7 @@
 pub struct AnnouncedLimit {
     current: Option<RequestRate>,
     confirmed_at: BootInstant,
+    last_sent_at: BootInstant,
     has_response: bool,
 }
 
@@ -25,6 +26,17 @@
         self.current
     }
 
+    /// Returns when the target was last sent a request or answered one. Its next response is not far
+    /// from then, unless it gets no more requests.
+    pub fn last_exchange_at(&self) -> BootInstant {
+        self.confirmed_at.max(self.last_sent_at)
+    }
+
+    /// Records that a request is sent to the target.
+    pub const fn record_request(&mut self, now: BootInstant) {
+        self.last_sent_at = now;
+    }
+
     /// Records what the response to a request that was sent at `sent_at` announces. Returns whether
     /// the limit in force has changed.
     pub fn record_response(
--- a/crates/galenastream_routing/src/process/rate_limiter.rs
+++ b/crates/galenastream_routing/src/process/rate_limiter.rs
@@ -27,22 +27,35 @@
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct RateLimiter {
     rate_per_s: f64,
+    /// Whether the limit is so low that requests start only to show whether it has ended.
+    is_close_to_zero: bool,
     tokens: f64,
     refilled_at: BootInstant,
 }
 
 impl RateLimiter {
     pub(crate) fn new(limit: RequestRate, now: BootInstant) -> Self {
-        Self { rate_per_s: rate_per_s(limit), tokens: 0.0, refilled_at: now }
+        Self {
+            rate_per_s: rate_per_s(limit),
+            is_close_to_zero: is_close_to_zero(limit),
+            tokens: 0.0,
+            refilled_at: now,
+        }
     }
 
     /// Changes the limit. Tokens that exceed the burst of the new limit are lost.
     pub(crate) fn set_limit(&mut self, limit: RequestRate, now: BootInstant) {
         self.refill(now);
         self.rate_per_s = rate_per_s(limit);
+        self.is_close_to_zero = is_close_to_zero(limit);
         self.tokens = self.tokens.min(self.max_tokens());
     }
 
+    /// Whether requests start only to show whether the limit has ended.
+    pub(crate) const fn is_close_to_zero(&self) -> bool {
+        self.is_close_to_zero
+    }
+
     /// Takes a token for a request that starts. Returns `false` if there is none.
     pub(crate) fn take(&mut self, now: BootInstant) -> bool {
         self.refill(now);
@@ -82,5 +95,13 @@
 }
 
 fn rate_per_s(limit: RequestRate) -> f64 {
-    limit.per_s().max(MIN_INTERVAL.as_secs_f64().recip())
+    limit.per_s().max(min_rate_per_s())
+}
+
+fn is_close_to_zero(limit: RequestRate) -> bool {
+    limit.per_s() < min_rate_per_s()
+}
+
+fn min_rate_per_s() -> f64 {
+    MIN_INTERVAL.as_secs_f64().recip()
 }
--- a/crates/galenastream_routing/src/process/target_selector.rs
+++ b/crates/galenastream_routing/src/process/target_selector.rs
@@ -76,6 +76,7 @@
     observed_pending: f64,
     observed_at: BootInstant,
     service_time_us: f64,
+    service_time_at: BootInstant,
     failure_rate: f64,
     failed_at: BootInstant,
 }
@@ -135,9 +136,17 @@
         record.observed_at = now;
         if load.service_time_us > 0 {
             record.service_time_us = f64::from(load.service_time_us);
+            record.service_time_at = now;
         }
     }
 
+    /// Discards the observed service time of a target, which then counts as fast as the fastest. For
+    /// a target whose request limit has ended: it was measured before or under the limit, from few
+    /// requests.
+    pub fn forget_service_time(&mut self, node: NodeKey) {
+        self.nodes.entry(node).or_default().service_time_us = 0.0;
+    }
+
     /// Records whether a target failed a request.
     pub fn record_result(&mut self, node: NodeKey, failed: bool, now: BootInstant) {
         let record = self.nodes.entry(node).or_default();
@@ -166,7 +175,7 @@
         let record = self.nodes.get(&candidate.node).copied().unwrap_or_default();
         // A target that is avoided sends no new observations, so old ones have to lose weight.
         let confidence = match record.service_time_us > 0.0 {
-            true => decay(record.observed_at, now, SERVICE_TIME_HALF_LIFE_MS),
+            true => decay(record.service_time_at, now, SERVICE_TIME_HALF_LIFE_MS),
             false => 0.0,
         };
         let service_time = min_us + (record.service_time_us - min_us) * confidence;
--- a/crates/galenastream_routing/tests/announced_limit.rs
+++ b/crates/galenastream_routing/tests/announced_limit.rs
@@ -44,3 +44,14 @@
     assert!(!limit.record_report(RequestRate::new(22_000), at(100)), "the response is newer");
     assert_eq!(limit.current(), None);
 }
+
+#[test]
+fn the_last_exchange_is_the_later_one_of_the_last_request_and_the_last_response() {
+    let mut limit = AnnouncedLimit::default();
+    limit.record_response(LOW, at(0), at(60));
+    assert_eq!(limit.last_exchange_at(), at(60));
+    limit.record_request(at(80));
+    assert_eq!(limit.last_exchange_at(), at(80));
+    limit.record_response(LOW, at(80), at(150));
+    assert_eq!(limit.last_exchange_at(), at(150));
+}
--- a/crates/galenastream_routing/tests/limited_selection.rs
+++ b/crates/galenastream_routing/tests/limited_selection.rs
@@ -44,3 +44,24 @@
     let wide = Some(RequestRate::new(1_000_000));
     assert_eq!(chosen_limited(wide), chosen_limited(None), "a limit above the slots has no effect");
 }
+
+/// Guards against a target that gets no requests after its limit has ended, since the few of before
+/// were slow.
+#[test]
+fn a_target_whose_service_time_is_forgotten_counts_as_fast_as_the_others() {
+    let now = BootInstant::new(0) + Duration::from_secs(1);
+    let mut selector = TargetSelector::new(1);
+    let candidates = [candidate(1, None), candidate(2, None)];
+    for (node, service_time_us) in [(1, 100 * SERVICE_TIME_US), (2, SERVICE_TIME_US)] {
+        selector.observe(NodeKey(node), ObservedLoad { pending: 0, service_time_us }, now);
+    }
+    let chosen_first = |selector: &mut TargetSelector| {
+        (0..100).filter(|_| selector.choose(&candidates, 0.0, now) == Some(NodeKey(1))).count()
+    };
+    assert_eq!(chosen_first(&mut selector), 0);
+    selector.forget_service_time(NodeKey(1));
+    assert!((30..=70).contains(&chosen_first(&mut selector)));
+    // A reply without a service time leaves it unknown.
+    selector.observe(NodeKey(1), ObservedLoad { pending: 0, service_time_us: 0 }, now);
+    assert!((30..=70).contains(&chosen_first(&mut selector)));
+}
--- a/crates/galenastream_wire/src/message/node_status.rs
+++ b/crates/galenastream_wire/src/message/node_status.rs
@@ -76,6 +76,10 @@
     /// if it takes any number of requests.
     #[prost(uint64, optional, tag = "9")]
     pub limit_milli_per_s: Option<u64>,
+    /// Whether a request should be sent to the target to find out whether its limit has ended, since
+    /// it has got none for a while.
+    #[prost(bool, tag = "10")]
+    pub wants_trial: bool,
 }
 
 /// Changes of an assignment that a node cannot write, since it does not reach the store. Another
