Give keys back to a target whose limit of zero has ended

While such a limit lasted, rounds of balancing moved nothing at all: the target looked like the one with the lowest utilisation and no piece fitted its fair share, or, with a last piece that exceeded its fair share, like the one with the highest. Requests for a hot key that exceeds the fair share of every target were refused for as long as the limit lasted (a_starved_target_passes_all_of_its_keys_on_and_gets_none, 1 key left).

Cause: only a response ends a limit, and a target without keys gets no requests. The capacity of such a target is nearly zero, and the planner took pieces and targets for a round that could not move.

Now a limited target with less than 0.5% of the mean capacity is starved: it passes all of its keys on, gets none in balancing, and does not end a round when it can pass nothing on. A round chooses the target with the lowest utilisation among those that can take a piece; with equal capacities this is the same one as before. When such a target wants a trial, the planner gives it the lightest range of keys with a request per second or more, and leaves it out of the balancing until a response shows whether the limit has ended.

Tests: the four new ones of the planner and the process test. The two places where tests of the planner build a TargetLoad name its new field; no check is changed.

--- a/crates/galenastream_node/src/process/control_state.rs
+++ b/crates/galenastream_node/src/process/control_state.rs
@@ -86,6 +86,8 @@
     pub(super) vacancy: VacancyTracker,
     pub(super) is_write_pending: bool,
     pub(super) balanced_at: BootInstant,
+    /// When targets were last given keys to find out whether their limits have ended.
+    pub(super) tried_limits_at: BootInstant,
 }
 
 impl ControlState {
--- a/crates/galenastream_node/src/process/planning.rs
+++ b/crates/galenastream_node/src/process/planning.rs
@@ -17,6 +17,10 @@
 /// than the restart of a process.
 const NODE_LOSS_TIMEOUT: Duration = Duration::from_millis(3_500);
 
+/// Minimum time between two rounds in which targets of a service get keys to find out whether their
+/// limits have ended. By then the keys of the first round have got requests.
+const TRIAL_GAP: Duration = Duration::from_secs(4);
+
 /// How long a planner waits after its start for the targets to appear, in hundredths of the
 /// heartbeat interval.
 const STARTUP_PERCENT: u32 = 220;
@@ -74,7 +78,7 @@
         self.apply_peer_facts(service, assignment, now);
         self.complete_vacant_moves(service, assignment, now);
         self.revoke_from_lost(service, assignment, now);
-        let targets = self.live_targets(service, now);
+        let mut targets = self.live_targets(service, now);
         let settings = *self.settings_tree.effective(service, &self.settings.data_centre, None);
         let planner = Planner::new(planner_settings(&settings));
         for planned in planner.place_orphaned_keys(assignment, &targets) {
@@ -93,7 +97,21 @@
             return;
         }
         record.balanced_at = now;
+        let is_trial_due = now.saturating_since(record.tried_limits_at) >= TRIAL_GAP;
         log_loads(service, &targets);
+        let wanting = self.targets_wanting_trial(service);
+        if is_trial_due {
+            let trials = planner.trials(assignment, &targets, &wanting);
+            for planned in &trials {
+                log::info!(event = "limit_trial", service, range:% = planned.range, to:% = planned.to.target; "");
+                apply_move(assignment, planned);
+            }
+            if !trials.is_empty() {
+                self.assignment_record(service).tried_limits_at = now;
+            }
+        }
+        // The keys of a trial stay until a response shows whether the limit has ended.
+        targets.retain(|it| !wanting.contains(&it.owner.target));
         for planned in planner.balance(assignment, &targets) {
             log::info!(event = "keys_move", service, range:% = planned.range, to:% = planned.to.target; "");
             apply_move(assignment, &planned);
@@ -172,6 +190,23 @@
         now.saturating_since(since) > NODE_LOSS_TIMEOUT
     }
 
+    /// The targets of a service that want to get keys to find out whether their limits have ended.
+    fn targets_wanting_trial(&self, service: &str) -> Vec<TargetIncarnation> {
+        let mut wanting = Vec::new();
+        if let Some(local) = self.local.as_ref().filter(|it| *it.service == *service)
+            && self.limit_of(local).is_some_and(|it| it.trial_wanted_since().is_some())
+        {
+            wanting.push(local.incarnation.clone());
+        }
+        for (_, peer) in self.peers.iter() {
+            let status = peer.status.as_ref().and_then(|it| it.target.as_ref());
+            if status.is_some_and(|it| it.service == service && it.wants_trial) {
+                wanting.extend(peer.target());
+            }
+        }
+        wanting
+    }
+
     /// The targets of a service whose nodes are reachable, with their load, ordered by node.
     fn live_targets(&self, service: &str, now: BootInstant) -> Vec<TargetLoad> {
         let mut targets = Vec::new();
@@ -222,8 +257,9 @@
         };
         loads.push(KeyLoad { range, per_s: record.milli_per_s as f64 / 1_000.0 });
     }
+    let is_limited = status.limit_milli_per_s.is_some();
     let is_eligible = is_staying && !status.is_draining && !status.is_silent;
-    TargetLoad { owner, capacity_per_s, is_eligible, loads }
+    TargetLoad { owner, capacity_per_s, is_limited, is_eligible, loads }
 }
 
 fn planner_settings(settings: &EffectiveSettings) -> PlannerSettings {
--- a/crates/galenastream_node/src/process/publication.rs
+++ b/crates/galenastream_node/src/process/publication.rs
@@ -50,7 +50,7 @@
     }
 
     /// The request limit that the local target announces.
-    fn limit_of(&self, local: &LocalTargetState) -> Option<&LocalLimit> {
+    pub(super) fn limit_of(&self, local: &LocalTargetState) -> Option<&LocalLimit> {
         self.local_limit.as_ref().filter(|it| it.announced.target == local.incarnation)
     }
 
--- a/crates/galenastream_node/src/process/store_view.rs
+++ b/crates/galenastream_node/src/process/store_view.rs
@@ -251,6 +251,7 @@
             vacancy: VacancyTracker::new(),
             is_write_pending: false,
             balanced_at: BootInstant::default(),
+            tried_limits_at: BootInstant::default(),
         })
     }
 
--- a/crates/galenastream_node/tests/platform/request_limit.rs
+++ b/crates/galenastream_node/tests/platform/request_limit.rs
@@ -8,7 +8,7 @@
 };
 
 use super::{
-    TIMEOUT,
+    TIMEOUT, WORKS,
     announcement_load::{SentRequest, entries, load_from, load_path},
     deployment::start,
 };
@@ -165,3 +165,73 @@
     assert!(after > 20, "{after} requests after the end of the limit");
     deployment.close().unwrap();
 }
+
+/// Keys that get all requests in the test of keys under a limit of zero.
+const HOT_KEYS: u16 = 24;
+
+/// Time within which the owner of a key without a lease has it.
+const MOVE_TIME: Duration = Duration::from_secs(12);
+
+/// Time after the end of a limit of zero within which its target gets requests for keys again: the
+/// shortest time without one after which the planner gives it a few keys, and two rounds with moves.
+const KEYS_RETURN_TIME: Duration = Duration::from_secs(10);
+
+/// Loads the hot keys from one VM for a period. Returns the statuses of the answers with the times
+/// of the requests.
+async fn load_hot_keys(
+    deployment: &LocalDeployment,
+    keys: &[u16],
+    name: &str,
+    period: Duration,
+) -> Vec<(Instant, u16)> {
+    let until = Instant::now() + period;
+    let mut caller = deployment.vms[2].caller().await.expect(WORKS);
+    let mut statuses = Vec::new();
+    while Instant::now() < until {
+        let id = format!("{name}-{}", statuses.len());
+        let key = keys[statuses.len() % keys.len()];
+        let sent_at = Instant::now();
+        let answer = caller.get("/carts/1", &id, Some(key)).await.expect(WORKS);
+        statuses.push((sent_at, answer.status));
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    statuses
+}
+
+/// Guards against an owner that loses its keys under a limit of zero and, as it gets no request any
+/// more, never shows that the limit has ended.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_owner_gets_requests_for_keys_again_when_its_limit_of_zero_has_ended() {
+    let deployment = start("limit-zero-keys", &["carts", "carts", "stock"]).await;
+    let target = &deployment.vms[0].target;
+    let shares = || [0, 1].map(|it: usize| deployment.vms[it].target.key_count());
+    wait_until("both targets to hold their shares", TIMEOUT, async || {
+        shares().iter().all(|it| *it > 20_000)
+    })
+    .await
+    .unwrap();
+    let mut caller = deployment.vms[2].caller().await.unwrap();
+    let mut keys = Vec::new();
+    for key in (0..=u16::MAX).step_by(300) {
+        let answer = caller.get("/carts/1", &format!("find-{key}"), Some(key)).await.unwrap();
+        assert_eq!(answer.status, 200, "key {key}: {answer:?}");
+        if target.runs().iter().any(|it| it.key == Some(key)) {
+            keys.push(key);
+        }
+    }
+    keys.truncate(usize::from(HOT_KEYS));
+    target.announce(TargetAnnouncement::limit(0.0));
+    let limited = load_hot_keys(&deployment, &keys, "limited", MOVE_TIME).await;
+    let is_late = |it: &&(Instant, u16)| it.0 > limited[0].0 + MOVE_TIME - Duration::from_secs(1);
+    let late: Vec<u16> = limited.iter().filter(is_late).map(|it| it.1).collect();
+    let served = late.iter().filter(|it| **it == 200).count();
+    assert!(served * 10 >= late.len() * 9, "the other target serves the keys: {late:?}");
+    target.announce(TargetAnnouncement::default());
+    let ended_at = Instant::now();
+    load_hot_keys(&deployment, &keys, "ended", KEYS_RETURN_TIME + STABLE_TIME).await;
+    let is_after = |it: &&TargetArrival| it.arrived_at > ended_at + KEYS_RETURN_TIME;
+    let after = target.arrivals().iter().filter(is_after).count();
+    assert!(after > 0, "no request for {STABLE_TIME:?}, {KEYS_RETURN_TIME:?} after the limit");
+    assert_limited(&deployment);
+    deployment.close().unwrap();
+}
--- a/crates/galenastream_ranges/src/planner.rs
+++ b/crates/galenastream_ranges/src/planner.rs
@@ -1,9 +1,10 @@
 //! Planning of the owners of keys.
 //!
 //! Load pattern: a few neighbouring keys receive a third of a service's requests, other keys become
-//! hot later, targets differ in speed, and targets join and leave.
+//! hot later, targets differ in speed, and targets join and leave. Some announce that they take next
+//! to no requests, and later that this has ended.
 
-use crate::{Assignment, Holding, KEY_COUNT, KeyRange, Owner};
+use crate::{Assignment, Holding, KEY_COUNT, KeyRange, Owner, TargetIncarnation};
 
 /// A target with this many entries gets no further keys to balance the load: the reply to its
 /// heartbeat lists all of its entries and is limited to 4 KiB.
@@ -16,6 +17,14 @@
 /// measured load count too.
 const EVEN_LOAD_SHARE: f64 = 0.1;
 
+/// A target with a request limit whose capacity is below this share of the mean is starved: it takes
+/// next to no requests. It passes all of its keys on and gets none.
+const STARVED_SHARE: f64 = 0.005;
+
+/// The measured load of the keys of a trial, at least, so that a request arrives within about a
+/// second.
+const TRIAL_PER_S: f64 = 1.0;
+
 /// The measured load of a range of keys.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct KeyLoad {
@@ -32,6 +41,8 @@
     pub owner: Owner,
     /// Requests per second that the target can process.
     pub capacity_per_s: f64,
+    /// Whether the target announces a request limit.
+    pub is_limited: bool,
     /// Whether the target may be assigned keys. A target that is not eligible, such as one that is
     /// draining, loses all of its keys.
     pub is_eligible: bool,
@@ -79,6 +90,7 @@
     range: KeyRange,
     /// The load in requests per second: the measured load plus an even share per key.
     weight: f64,
+    measured_per_s: f64,
     /// The index of the owner, or of the next owner if the piece is moving.
     target: Option<usize>,
     /// Whether a change of owner is under way.
@@ -114,7 +126,7 @@
             let Some(new_owner) = usage.choose_owner(piece.weight) else {
                 break;
             };
-            usage.add(new_owner, piece.weight);
+            usage.add(new_owner, piece.weight, piece.range.len());
             push_move(&mut moves, piece.range, &targets[new_owner].owner);
         }
         moves
@@ -127,19 +139,7 @@
         let mut usage = Usage::new(&pieces, targets);
         let mut moves = Vec::new();
         for _ in 0..self.moves_per_round(targets.len()) {
-            let Some((from, to)) = usage.busiest_and_idlest() else {
-                break;
-            };
-            let is_new_target = !pieces.iter().any(|it| it.target == Some(to));
-            let is_unbalanced = usage.is_unbalanced(from, self.settings);
-            if !is_new_target && !is_unbalanced {
-                break;
-            }
-            let goal = match is_unbalanced {
-                true => RunGoal::Load,
-                false => RunGoal::Keys { at_most: usage.fair_key_count(to) },
-            };
-            let Some(chosen) = choose_run(&pieces, from, usage.excess(from, to), goal) else {
+            let Some((from, to, chosen)) = self.next_move(&pieces, &usage) else {
                 break;
             };
             let weight: f64 = pieces[chosen.clone()].iter().map(|it| it.weight).sum();
@@ -151,8 +151,9 @@
             if entries + moves.len() >= MAX_ENTRIES_PER_TARGET {
                 break;
             }
-            usage.add(from, -weight);
-            usage.add(to, weight);
+            let keys: u32 = pieces[chosen.clone()].iter().map(|it| it.range.len()).sum();
+            usage.remove(from, weight, keys);
+            usage.add(to, weight, keys);
             for piece in &mut pieces[chosen] {
                 piece.target = Some(to);
             }
@@ -163,6 +164,96 @@
 }
 
 impl Planner {
+    /// Plans to give each of the `wanting` targets a few keys, so that requests show whether its
+    /// limit has ended: the lightest piece that is likely to get one. Targets whose keys have load
+    /// get none.
+    pub fn trials(
+        &self,
+        assignment: &Assignment,
+        targets: &[TargetLoad],
+        wanting: &[TargetIncarnation],
+    ) -> Vec<PlannedMove> {
+        let mut pieces = cut_pieces(assignment, targets);
+        let is_wanting = |index: usize| wanting.contains(&targets[index].owner.target);
+        let mut moves = Vec::new();
+        for to in 0..targets.len() {
+            let load: f64 = targets[to].loads.iter().map(|it| it.per_s).sum();
+            if !targets[to].is_eligible || !is_wanting(to) || load >= TRIAL_PER_S {
+                continue;
+            }
+            let entries = assignment.owned_by(&targets[to].owner.target).count();
+            if moves.len() >= self.moves_per_round(targets.len())
+                || entries >= MAX_ENTRIES_PER_TARGET
+            {
+                break;
+            }
+            let is_candidate = |it: &&mut Piece| {
+                let is_elsewhere = it.target.is_some_and(|it| !is_wanting(it));
+                is_elsewhere && !it.is_moving && it.measured_per_s >= TRIAL_PER_S
+            };
+            let by_load = |a: &&mut Piece, b: &&mut Piece| a.weight.total_cmp(&b.weight);
+            let Some(piece) = pieces.iter_mut().filter(is_candidate).min_by(by_load) else {
+                break;
+            };
+            piece.is_moving = true;
+            push_move(&mut moves, piece.range, &targets[to].owner);
+        }
+        moves
+    }
+
+    /// Chooses the next move: the target with the highest utilisation, the one that takes the keys,
+    /// and the pieces. A starved target that can pass nothing on does not hold up the others.
+    fn next_move(
+        &self,
+        pieces: &[Piece],
+        usage: &Usage<'_>,
+    ) -> Option<(usize, usize, std::ops::Range<usize>)> {
+        let mut stuck = Vec::new();
+        loop {
+            let from = usage.busiest(&stuck)?;
+            if let Some((to, chosen)) = self.choose_move(pieces, usage, from) {
+                return Some((from, to, chosen));
+            }
+            if !usage.is_starved(from) {
+                return None;
+            }
+            stuck.push(from);
+        }
+    }
+
+    /// Chooses the next move of keys from a target: to the one with the lowest utilisation that can
+    /// take a piece, and which pieces.
+    fn choose_move(
+        &self,
+        pieces: &[Piece],
+        usage: &Usage<'_>,
+        from: usize,
+    ) -> Option<(usize, std::ops::Range<usize>)> {
+        let is_movable = |it: &&Piece| it.target == Some(from) && !it.is_moving;
+        let lightest = pieces.iter().filter(is_movable).map(|it| it.weight);
+        let lightest = lightest.min_by(f64::total_cmp)?;
+        let is_unbalanced = usage.is_unbalanced(from, self.settings);
+        let max_load = |to: usize| match usage.is_starved(from) {
+            // Requests for keys that stay would be refused, so a piece may exceed the fair share.
+            true => usage.excess(from, to).max(lightest),
+            false => usage.excess(from, to),
+        };
+        let takes_piece = |to: usize| match is_unbalanced {
+            true => lightest <= max_load(to),
+            false => {
+                let max_keys = usage.fair_key_count(to);
+                let fits = |it: &Piece| it.weight <= max_load(to) && it.range.len() <= max_keys;
+                usage.keys[to] == 0 && pieces.iter().filter(is_movable).any(fits)
+            }
+        };
+        let to = usage.idlest(|to| to != from && takes_piece(to))?;
+        let goal = match is_unbalanced {
+            true => RunGoal::Load,
+            false => RunGoal::Keys { at_most: usage.fair_key_count(to) },
+        };
+        Some((to, choose_run(pieces, from, max_load(to), goal)?))
+    }
+
     fn moves_per_round(&self, target_count: usize) -> usize {
         match self.settings.moves_per_round {
             0 => 0,
@@ -175,31 +266,50 @@
 struct Usage<'a> {
     targets: &'a [TargetLoad],
     weights: Vec<f64>,
+    /// The number of keys of each target.
+    keys: Vec<u32>,
     total: f64,
     capacity: f64,
+    /// The mean capacity of the eligible targets.
+    mean_capacity: f64,
 }
 
 impl<'a> Usage<'a> {
     fn new(pieces: &[Piece], targets: &'a [TargetLoad]) -> Self {
         let mut weights = vec![0.0; targets.len()];
+        let mut keys = vec![0; targets.len()];
         let mut total = 0.0;
         for piece in pieces {
             total += piece.weight;
             if let Some(target) = piece.target {
                 weights[target] += piece.weight;
+                keys[target] += piece.range.len();
             }
         }
         let eligible = targets.iter().filter(|it| it.is_eligible);
-        let capacity = eligible.map(|it| it.capacity_per_s).sum();
-        Self { targets, weights, total, capacity }
+        let capacity = eligible.clone().map(|it| it.capacity_per_s).sum();
+        let mean_capacity = capacity / eligible.count().max(1) as f64;
+        Self { targets, weights, keys, total, capacity, mean_capacity }
     }
 
     fn has_eligible_targets(&self) -> bool {
         self.capacity > 0.0
     }
 
-    fn add(&mut self, target: usize, weight: f64) {
+    fn add(&mut self, target: usize, weight: f64, keys: u32) {
         self.weights[target] += weight;
+        self.keys[target] += keys;
+    }
+
+    fn remove(&mut self, target: usize, weight: f64, keys: u32) {
+        self.weights[target] -= weight;
+        self.keys[target] = self.keys[target].saturating_sub(keys);
+    }
+
+    /// Whether a target takes next to no requests.
+    fn is_starved(&self, target: usize) -> bool {
+        let target = &self.targets[target];
+        target.is_limited && target.capacity_per_s < self.mean_capacity * STARVED_SHARE
     }
 
     fn utilisation(&self, target: usize) -> f64 {
@@ -222,20 +332,25 @@
     fn choose_owner(&self, weight: f64) -> Option<usize> {
         let eligible = || (0..self.targets.len()).filter(|&it| self.targets[it].is_eligible);
         let fits = |&it: &usize| self.weights[it] + weight / 2.0 <= self.fair_share(it);
-        eligible().find(fits).or_else(|| {
-            eligible().min_by(|&a, &b| self.utilisation(a).total_cmp(&self.utilisation(b)))
-        })
+        eligible().find(fits).or_else(|| self.idlest(|_| true))
     }
 
-    /// Returns the eligible targets with the highest and the lowest utilisation, unless they are
-    /// the same.
-    fn busiest_and_idlest(&self) -> Option<(usize, usize)> {
-        let eligible = || (0..self.targets.len()).filter(|&it| self.targets[it].is_eligible);
+    /// Returns the eligible target with the highest utilisation that is not among the `stuck` ones.
+    fn busiest(&self, stuck: &[usize]) -> Option<usize> {
+        let is_candidate = |it: &usize| self.targets[*it].is_eligible && !stuck.contains(it);
+        let by_utilisation =
+            |a: &usize, b: &usize| self.utilisation(*a).total_cmp(&self.utilisation(*b));
+        (0..self.targets.len()).filter(is_candidate).max_by(by_utilisation)
+    }
+
+    /// Returns the eligible target with the lowest utilisation that is not starved and meets a
+    /// condition.
+    fn idlest(&self, meets: impl Fn(usize) -> bool) -> Option<usize> {
+        let is_candidate =
+            |it: &usize| self.targets[*it].is_eligible && !self.is_starved(*it) && meets(*it);
         let by_utilisation =
             |a: &usize, b: &usize| self.utilisation(*a).total_cmp(&self.utilisation(*b));
-        let from = eligible().max_by(by_utilisation)?;
-        let to = eligible().min_by(by_utilisation)?;
-        (from != to).then_some((from, to))
+        (0..self.targets.len()).filter(is_candidate).min_by(by_utilisation)
     }
 
     /// Returns whether the utilisation of a target is above both thresholds of the settings.
@@ -277,22 +392,28 @@
             Holding::Free => (None, None),
         };
         let is_moving = entry.holding.leaving_owner().is_some();
+        let template = Piece {
+            range: entry.range,
+            weight: even_load_per_key,
+            measured_per_s: 0.0,
+            target,
+            is_moving,
+        };
         let loads = measured_by.map_or(&[][..], |it| &targets[it].loads);
         let mut next_key = u32::from(entry.range.first);
         for load in loads {
             let Some(range) = load.range.overlap(entry.range) else {
                 continue;
             };
-            let before = Piece { range: entry.range, weight: even_load_per_key, target, is_moving };
-            push_unmeasured(&mut pieces, next_key, u32::from(range.first), before);
+            push_unmeasured(&mut pieces, next_key, u32::from(range.first), template);
             let share = f64::from(range.len()) / f64::from(load.range.len());
-            let weight = load.per_s * share + even_load_per_key * f64::from(range.len());
-            pieces.push(Piece { range, weight, target, is_moving });
+            let measured_per_s = load.per_s * share;
+            let weight = measured_per_s + even_load_per_key * f64::from(range.len());
+            pieces.push(Piece { range, weight, measured_per_s, target, is_moving });
             next_key = u32::from(range.last) + 1;
         }
         let end = u32::from(entry.range.last) + 1;
-        let rest = Piece { range: entry.range, weight: even_load_per_key, target, is_moving };
-        push_unmeasured(&mut pieces, next_key, end, rest);
+        push_unmeasured(&mut pieces, next_key, end, template);
     }
     pieces
 }
--- a/crates/galenastream_ranges/tests/planner.rs
+++ b/crates/galenastream_ranges/tests/planner.rs
@@ -8,6 +8,9 @@
 const SETTINGS: PlannerSettings =
     PlannerSettings { imbalance_ratio: 1.25, busy_utilisation: 0.55, moves_per_round: 6 };
 
+/// The capacity of a target that announces a limit of zero.
+const STARVED: f64 = 0.001;
+
 /// Ranges of keys and the requests per second for each.
 type Demand = Vec<(KeyRange, f64)>;
 
@@ -31,7 +34,8 @@
             }
         }
         let capacity_per_s = *capacity_per_s;
-        targets.push(TargetLoad { owner, capacity_per_s, is_eligible: true, loads });
+        let is_limited = capacity_per_s == STARVED;
+        targets.push(TargetLoad { owner, capacity_per_s, is_limited, is_eligible: true, loads });
     }
     targets
 }
@@ -182,6 +186,7 @@
     let target = |index: usize, loads: Vec<KeyLoad>| TargetLoad {
         owner: owners[index].clone(),
         capacity_per_s: 100.0,
+        is_limited: false,
         is_eligible: true,
         loads,
     };
@@ -210,3 +215,78 @@
     let moved = carry_out(&mut assignment, &moves);
     assert!((20_000..=45_000).contains(&moved), "{moves:?}");
 }
+
+/// Guards against rounds that move nothing, since a target with a limit close to zero looks like the
+/// one with the lowest utilisation, or, with a last piece, like the one with the highest.
+#[test]
+fn a_starved_target_does_not_hold_up_the_others() {
+    let hot = |first: u16, per_s: f64| (KeyRange::new(first, first + 99).unwrap(), per_s);
+    let demand: Demand = (0..10).map(|it| hot(it * 100, 15.0)).collect();
+    for last_keys in [0_u32, 1, 500] {
+        let mut assignment = Assignment::new();
+        let range = |first, last| KeyRange::new(first, last).unwrap();
+        assignment.assign(range(0, 29_999), &owner(0));
+        assignment.assign(range(30_000, 65_535), &owner(1));
+        if let Some(last) = u16::try_from(last_keys).ok().filter(|it| *it > 0) {
+            assignment.begin_move(range(60_000, 59_999 + last), Some(&owner(2)));
+            assignment.complete_move(&owner(1).target, range(60_000, 59_999 + last), "");
+        }
+        let capacities = [200.0, 200.0, STARVED];
+        let before = utilisations(&assignment, &demand, &capacities);
+        assert!(before[0] > 0.7 && before[1] < 0.1, "{before:?}");
+        balance(&mut assignment, &demand, &capacities, 4);
+        let after = utilisations(&assignment, &demand, &capacities);
+        assert!(after[0] < 0.55, "{after:?} with {last_keys} last keys");
+    }
+}
+
+/// Guards against a hot key that stays with a target that takes next to no requests, since it
+/// exceeds the fair share of any other.
+#[test]
+fn a_starved_target_passes_all_of_its_keys_on_and_gets_none() {
+    let hot_key = KeyRange::new(100, 100).unwrap();
+    let demand = vec![(hot_key, 90.0), (KeyRange::new(40_000, 40_099).unwrap(), 20.0)];
+    let mut assignment = placed(&Vec::new(), &[100.0, 100.0, 100.0]);
+    let capacities = [STARVED, 100.0, 100.0];
+    balance(&mut assignment, &demand, &capacities, 30);
+    let left: u32 = assignment.owned_by(&owner(0).target).map(|it| it.range.len()).sum();
+    assert_eq!(left, 0);
+    balance(&mut assignment, &demand, &capacities, 5);
+    assert_eq!(assignment.owned_by(&owner(0).target).count(), 0);
+}
+
+/// Guards against a target without requests that never shows that its limit has ended.
+#[test]
+fn a_target_that_wants_a_trial_gets_the_lightest_keys_that_are_likely_to_be_requested() {
+    let range = |first, last| KeyRange::new(first, last).unwrap();
+    let demand: Demand = vec![
+        (range(0, 9), 30.0),
+        (range(50, 59), 0.2),
+        (range(100, 109), 2.0),
+        (range(500, 509), 9.0),
+    ];
+    let mut assignment = placed(&Vec::new(), &[100.0]);
+    let capacities = [100.0, STARVED];
+    let all = targets(&assignment, &demand, &capacities);
+    let planner = Planner::new(SETTINGS);
+    let wanting = [owner(1).target];
+    let moves = planner.trials(&assignment, &all, &wanting);
+    assert_eq!(moves, [PlannedMove { range: range(100, 109), to: owner(1) }]);
+    assert_eq!(planner.trials(&assignment, &all, &[]), []);
+    carry_out(&mut assignment, &moves);
+    let all = targets(&assignment, &demand, &capacities);
+    assert_eq!(planner.trials(&assignment, &all, &wanting), [], "it gets requests now");
+    // If the response shows that the limit lasts, the keys go back.
+    balance(&mut assignment, &demand, &capacities, 1);
+    assert_eq!(assignment.owned_by(&owner(1).target).count(), 0);
+}
+
+/// Guards against a new target whose capacity is not measured yet and that never gets keys.
+#[test]
+fn a_target_without_a_limit_gets_keys_however_small_its_capacity_looks() {
+    let demand = demand_with_hot_range(100, 60.0);
+    let mut assignment = placed(&demand, &[5_000.0]);
+    let capacities = [5_000.0, 20.0];
+    balance(&mut assignment, &demand, &capacities, 1);
+    assert!(assignment.owned_by(&owner(1).target).next().is_some());
+}
