Do not take a bare status 421 or a success for a refusal

A target in trouble that answers 421 with the request's id may have run it; nothing in such a response proves the contrary. A success, or a signed response, is no refusal either, whatever else it says, and an informational response no answer. Lines about unaccepted responses keep to the log budget.

--- a/crates/galenastream_node/src/request/response_proof.rs
+++ b/crates/galenastream_node/src/request/response_proof.rs
@@ -18,7 +18,7 @@
     Misdirected,
     /// Nothing: the response belongs to another request.
     Stray,
-    /// Nothing: the response lacks the signature of the target.
+    /// Nothing: the response lacks the signature of the target, or cannot be an answer.
     Unsigned,
     /// The body is not the one that the target signed.
     Encoded,
@@ -31,24 +31,31 @@
         request_id: &str,
         target_id: &str,
     ) -> Self {
-        let is_refusal = headers.contains_key(header_names::NOT_RUN);
+        let signature = only_value(headers, header_names::SIGNATURE);
+        // A target signs only what it ran.
+        let is_refusal = headers.contains_key(header_names::NOT_RUN)
+            && matches!(signature, HeaderCount::None)
+            && (status.is_client_error() || status.is_server_error());
+        let is_misdirected = names_other_target(status, headers, target_id);
         match only_value(headers, header_names::REQUEST_ID) {
             HeaderCount::One(id) if id == request_id.as_bytes() => {}
             // A target that did not run the request may omit its id.
-            HeaderCount::None if is_refusal || names_other_target(status, headers, target_id) => {}
+            HeaderCount::None if is_refusal || is_misdirected => {}
             HeaderCount::None | HeaderCount::One(_) | HeaderCount::Several => return Self::Stray,
         }
-        if status == StatusCode::MISDIRECTED_REQUEST {
+        if is_misdirected || is_refusal && status == StatusCode::MISDIRECTED_REQUEST {
             return Self::Misdirected;
         }
         if is_refusal {
             return Self::NotRun;
         }
-        match only_value(headers, header_names::SIGNATURE) {
-            HeaderCount::One(signature) if !signature.trim_ascii().is_empty() => {}
-            HeaderCount::None | HeaderCount::One(_) | HeaderCount::Several => {
-                return Self::Unsigned;
-            }
+        let is_signed = match signature {
+            HeaderCount::One(signature) => !signature.trim_ascii().is_empty(),
+            HeaderCount::None | HeaderCount::Several => false,
+        };
+        // An informational response is never the last one to a request.
+        if !is_signed || status.is_informational() {
+            return Self::Unsigned;
         }
         match headers.contains_key(header::CONTENT_ENCODING) {
             true => Self::Encoded,
--- a/crates/galenastream_node/src/request/response_proof_tests.rs
+++ b/crates/galenastream_node/src/request/response_proof_tests.rs
@@ -49,11 +49,30 @@
 fn a_misdirected_request_did_not_run_if_its_id_or_another_target_is_named() {
     let own = (header_names::TARGET_ID, "i-1");
     let other = (header_names::TARGET_ID, "i-2");
-    assert_eq!(proof(421, &[ID]), ResponseProof::Misdirected);
     assert_eq!(proof(421, &[ID, NOT_RUN]), ResponseProof::Misdirected);
+    assert_eq!(proof(421, &[ID, other]), ResponseProof::Misdirected);
     assert_eq!(proof(421, &[other]), ResponseProof::Misdirected);
     assert_eq!(proof(421, &[own]), ResponseProof::Stray);
     assert_eq!(proof(421, &[]), ResponseProof::Stray);
     assert_eq!(proof(421, &[OTHER_ID, other]), ResponseProof::Stray);
     assert_eq!(proof(200, &[other, SIGNED]), ResponseProof::Stray);
 }
+
+/// Guards against requests that run twice because a target in trouble ran them and answered with a
+/// status that is a promise.
+#[test]
+fn a_bare_status_421_proves_nothing() {
+    assert_eq!(proof(421, &[ID]), ResponseProof::Unsigned);
+    assert_eq!(proof(421, &[ID, (header_names::TARGET_ID, "i-1")]), ResponseProof::Unsigned);
+    assert_eq!(proof(421, &[ID, SIGNED]), ResponseProof::Answer);
+}
+
+/// Guards against answers of requests that ran and are taken for refusals.
+#[test]
+fn a_success_or_a_signed_response_is_no_refusal() {
+    assert_eq!(proof(200, &[NOT_RUN]), ResponseProof::Stray);
+    assert_eq!(proof(200, &[ID, NOT_RUN]), ResponseProof::Unsigned);
+    assert_eq!(proof(503, &[NOT_RUN, SIGNED]), ResponseProof::Stray);
+    assert_eq!(proof(503, &[ID, NOT_RUN, SIGNED]), ResponseProof::Answer);
+    assert_eq!(proof(101, &[ID, SIGNED]), ResponseProof::Unsigned);
+}
--- a/crates/galenastream_node/src/request/target_reply.rs
+++ b/crates/galenastream_node/src/request/target_reply.rs
@@ -44,7 +44,9 @@
     };
     let (status, headers) = (response.parts.status, &response.parts.headers);
     let proof = ResponseProof::of(status, headers, &request.request_id, &request.target_id);
-    if let Some(event) = proof.unaccepted_event() {
+    if let Some(event) = proof.unaccepted_event()
+        && traffic.may_log()
+    {
         log_unaccepted(event, request, &response);
     }
     if matches!(proof, ResponseProof::Answer | ResponseProof::NotRun) {
--- a/crates/galenastream_node/tests/platform/unsigned_answers.rs
+++ b/crates/galenastream_node/tests/platform/unsigned_answers.rs
@@ -7,7 +7,7 @@
 use super::{TIMEOUT, WORKS, deployment::start};
 
 /// Statuses that end a request for its caller, that promise that it has not run, and a success.
-const STATUSES: [u16; 9] = [200, 302, 400, 401, 403, 404, 408, 413, 503];
+const STATUSES: [u16; 11] = [200, 302, 400, 401, 403, 404, 408, 413, 421, 429, 503];
 
 /// Requests of each kind for each status, if no other target could answer them.
 const REQUESTS: u32 = 4;
@@ -74,7 +74,7 @@
     let mut faulty_runs = 0;
     for (entry, methods) in [(0, ["GET", "POST"]), (1, ["POST", "GET"])] {
         wait_until_other_target_is_known(&deployment, entry).await;
-        for status in [200, 302, 404, 503] {
+        for status in [200, 302, 404, 421, 503] {
             deployment.vms[1].target.set_fault(TargetAnswerFault::Unsigned(status));
             for method in methods {
                 faulty_runs += send_round(&deployment, entry, method, status).await;
