Believe no unsigned answer of another node, and no table that was replaced

Two ways in which a 4xx still ended a request without proof: - A node of an earlier version beside a target passes on what the target did not sign. The entry now checks the signature, as the node beside the target does. - A request is looked up in a routing table, the next one is published and ends the doubt about the config, and then the request is refused for good by the old one. The window is microseconds wide; found in review, not seen. The table that decided is compared with the one in force.

Both are in one commit since the check of signatures moves from one file to the other.

--- a/crates/galenastream_node/src/request/attempt.rs
+++ b/crates/galenastream_node/src/request/attempt.rs
@@ -81,7 +81,9 @@
     let body = Body::Request(message);
     let (outcome, reason) =
         match traffic.links.call(node, address, body, reply_timeout, may_retry).await {
-            Ok(Body::Reply(reply)) => return reply,
+            Ok(Body::Reply(reply)) if is_proved(&reply) => return reply,
+            // An older version of the node passes on what its target did not sign.
+            Ok(Body::Reply(_)) => (ReplyOutcome::Unknown, ReplyReason::UnsignedAnswer),
             Ok(_) => (ReplyOutcome::Unknown, ReplyReason::PeerLost),
             Err(PeerError::Lost) => (ReplyOutcome::Unknown, ReplyReason::PeerLost),
             Err(PeerError::TimedOut | PeerError::Unexpected) => {
@@ -151,6 +153,17 @@
     matches!(reason, ReplyReason::Overloaded | ReplyReason::RateLimited)
 }
 
+/// Whether a reply with an answer carries the signature of the target that made it.
+fn is_proved(reply: &ForwardedReply) -> bool {
+    reply.outcome != ReplyOutcome::Answered as i32 || is_signed(reply)
+}
+
+/// Whether a reply carries a target's signature. Callers take a response without one for the node's
+/// own.
+pub(super) fn is_signed(reply: &ForwardedReply) -> bool {
+    reply.headers.iter().any(|it| it.name == header_names::SIGNATURE)
+}
+
 fn is_failure(reply: &ForwardedReply) -> bool {
     let outcome = ReplyOutcome::try_from(reply.outcome).unwrap_or(ReplyOutcome::Unknown);
     match outcome {
--- a/crates/galenastream_node/src/request/entry.rs
+++ b/crates/galenastream_node/src/request/entry.rs
@@ -6,7 +6,6 @@
 };
 
 use bytes::Bytes;
-use galenastream_adapter::header_names;
 use galenastream_ranges::{Holding, Owner};
 use galenastream_runtime::{boot_now, sleep_until};
 use galenastream_settings::EffectiveSettings;
@@ -16,7 +15,7 @@
 
 use super::{
     answer::{refusal_response, target_response},
-    attempt::{Destination, attempt},
+    attempt::{Destination, attempt, is_signed},
     caller_request::{CallerRequest, RequestAddress},
     counted_attempt::CountedAttempt,
     progress::Progress,
@@ -58,14 +57,14 @@
     let (parts, body) = request.into_parts();
     if traffic.context.is_refusing.load(Ordering::Relaxed) {
         let refusal = Refusal::NotRun { retry_after_ms: CLOSING_RETRY_AFTER_MS };
-        return refuse(traffic, refusal, &RequestAddress::of(&parts));
+        return refuse(traffic, refusal, &RequestAddress::of(&parts), None);
     }
     let Some(routing) = traffic.context.routing.load_full() else {
-        return refuse(traffic, Refusal::NoConfig, &RequestAddress::of(&parts));
+        return refuse(traffic, Refusal::NoConfig, &RequestAddress::of(&parts), None);
     };
     match CallerRequest::parse(&parts, body, &routing) {
         Ok(request) => process_request(traffic, &routing, request).await,
-        Err(refusal) => refuse(traffic, refusal, &RequestAddress::of(&parts)),
+        Err(refusal) => refuse(traffic, refusal, &RequestAddress::of(&parts), Some(&routing)),
     }
 }
 
@@ -83,16 +82,18 @@
         RequestError::Unsupported => Refusal::Unsupported,
     };
     let address = head.map(|it| RequestAddress::of_head(it.headers(), it.uri()));
-    refuse(traffic, refusal, &address.unwrap_or_default())
+    refuse(traffic, refusal, &address.unwrap_or_default(), None)
 }
 
-/// Ends a request before its first attempt. The log line names the config that decided.
+/// Ends a request before its first attempt. The log line names the config that decided. `used` is
+/// the routing table that does not allow the request.
 fn refuse(
     traffic: &TrafficState,
     refusal: Refusal,
     address: &RequestAddress<'_>,
+    used: Option<&Arc<RoutingTable>>,
 ) -> Response<Bytes> {
-    let doubt = *traffic.context.config_doubt.lock().unwrap_or_else(PoisonError::into_inner);
+    let doubt = config_doubt(traffic, used);
     let refusal = if doubt.is_some() { refusal.under_doubt() } else { refusal };
     counter!("galenastream_refused_total", "reason" => refusal.as_str()).increment(1);
     if traffic.may_log() {
@@ -114,6 +115,18 @@
     refusal_response(refusal, address.request_id)
 }
 
+/// Why the config that does not allow a request may be older than the newest one. `used` is the
+/// routing table that decided.
+fn config_doubt(traffic: &TrafficState, used: Option<&Arc<RoutingTable>>) -> Option<ConfigDoubt> {
+    // Another table may have been published, and the doubt ended, since the request was looked up.
+    let in_force = traffic.context.routing.load();
+    let is_replaced = used.is_some_and(|it| !in_force.as_ref().is_some_and(|f| Arc::ptr_eq(f, it)));
+    if is_replaced {
+        return Some(ConfigDoubt::NewerAnnounced);
+    }
+    *traffic.context.config_doubt.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// Attempts a request until its deadline and builds the response to the caller.
 async fn process_request(
     traffic: &Arc<TrafficState>,
@@ -123,7 +136,7 @@
     let _counted = CountGuard::new(&traffic.in_progress);
     let Some(attempts) = Attempts::new(traffic, routing, &request) else {
         let refusal = Refusal::NotRun { retry_after_ms: NO_DESTINATION_RETRY_AFTER_MS };
-        return refuse(traffic, refusal, &request.address());
+        return refuse(traffic, refusal, &request.address(), None);
     };
     let result = tokio::select! {
         result = attempts.run() => result,
@@ -377,12 +390,6 @@
     }
 }
 
-/// Whether the reply carries a target's signature. Callers take a response without one for the
-/// node's own.
-fn is_signed(reply: &ForwardedReply) -> bool {
-    reply.headers.iter().any(|it| it.name == header_names::SIGNATURE)
-}
-
 /// Whether an attempt failed for a reason that a change of the key's owner may explain.
 fn may_be_owner_change(reason: i32) -> bool {
     let reason = ReplyReason::try_from(reason).unwrap_or(ReplyReason::None);
--- a/crates/galenastream_node/tests/platform/unsigned_answers.rs
+++ b/crates/galenastream_node/tests/platform/unsigned_answers.rs
@@ -1,10 +1,18 @@
 //! Tests of targets that answer requests without their signature.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
+use futures::{SinkExt, StreamExt};
+use galenastream_runtime::{BodyBudget, FrameLink};
 use galenastream_standin::{LocalDeployment, TargetAnswerFault, request_bytes, wait_until};
+use galenastream_wire::{
+    ForwardedReply, FrameCodec, NodeStatus, PeerFrame, ReplyOutcome, StatusSeen, TargetStatus,
+    peer_frame::Body,
+};
+use tokio::net::TcpListener;
+use tokio_util::codec::Framed;
 
-use super::{TIMEOUT, WORKS, deployment::start};
+use super::{TIMEOUT, WORKS, deployment::start, forwarded::PEERS_PORT};
 
 /// Statuses that end a request for its caller, that promise that it has not run, and a success.
 const STATUSES: [u16; 11] = [200, 302, 400, 401, 403, 404, 408, 413, 421, 429, 503];
@@ -137,3 +145,64 @@
     }
     faulty_runs
 }
+
+/// A node that answers every request in the place of the target beside it, without its signature.
+async fn serve_unsigned_replies(listener: TcpListener) {
+    while let Ok((stream, _)) = listener.accept().await {
+        let mut frames = Framed::new(stream, FrameCodec::<PeerFrame>::new());
+        tokio::spawn(async move {
+            while let Some(Ok(frame)) = frames.next().await {
+                let body = match frame.body {
+                    Some(Body::Status(_)) => Body::StatusSeen(StatusSeen {}),
+                    Some(Body::Request(_)) => Body::Reply(ForwardedReply {
+                        outcome: ReplyOutcome::Answered as i32,
+                        status: 404,
+                        ..Default::default()
+                    }),
+                    _ => continue,
+                };
+                let reply = PeerFrame { correlation: frame.correlation, body: Some(body) };
+                frames.send(reply).await.expect(WORKS);
+            }
+        });
+    }
+}
+
+/// Guards against unsigned answers that another node passes on, as earlier versions do.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_unsigned_answer_from_another_node_does_not_end_a_request_for_good() {
+    let deployment = start("unsigned-peer", &["carts"]).await;
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect(WORKS);
+    let address = listener.local_addr().expect(WORKS).to_string();
+    tokio::spawn(serve_unsigned_replies(listener));
+    let vm = &deployment.vms[0];
+    let peers = SocketAddr::new(vm.ip, PEERS_PORT);
+    let link = FrameLink::<PeerFrame>::connect(peers, BodyBudget::new(0)).await.expect(WORKS);
+    let target = TargetStatus {
+        service: "stock".to_owned(),
+        id: "i-9".to_owned(),
+        slots: 4,
+        ..Default::default()
+    };
+    let status = NodeStatus {
+        node: "another".to_owned(),
+        address,
+        data_centre: "east".to_owned(),
+        config_version: 1,
+        reaches_store: true,
+        target: Some(target),
+        ..Default::default()
+    };
+    link.call(Body::Status(status), TIMEOUT).await.expect(WORKS);
+    let mut number = 0;
+    wait_until("the request to reach the other node", TIMEOUT, async || {
+        number += 1;
+        let mut caller = vm.caller().await.expect(WORKS);
+        let answer = caller.get("/stock/1", &format!("peer-{number}"), None).await.expect(WORKS);
+        assert!(matches!(answer.status, 502 | 503), "{answer:?}");
+        answer.status == 502
+    })
+    .await
+    .expect(WORKS);
+    deployment.close().unwrap();
+}
