Send no body with the response to HEAD

What callers saw: a refusal of HEAD had a body, which a caller on a kept connection reads as the next response; a target's answer to HEAD got a length of 0. The response remembers whether its request was HEAD, and then ends with its head. The test failed before: its second response was the body of the first one.

--- a/crates/galenastream_node/src/connection/caller_connections.rs
+++ b/crates/galenastream_node/src/connection/caller_connections.rs
@@ -4,12 +4,12 @@
 
 use bytes::Bytes;
 use futures::{
-    SinkExt, StreamExt,
+    FutureExt, SinkExt, StreamExt,
     future::{Either, ready},
     stream::FuturesOrdered,
 };
 use galenastream_adapter::CallerLimits;
-use http::{HeaderValue, Request, Response, Version, header};
+use http::{HeaderValue, Method, Request, Response, Version, header};
 use tokio::{
     io::Interest,
     net::{TcpListener, TcpStream},
@@ -51,7 +51,7 @@
     loop {
         let may_read = !is_last_read && in_progress.len() < MAX_PIPELINED;
         tokio::select! {
-            Some(response) = in_progress.next(), if !in_progress.is_empty() => {
+            Some((is_to_head, response)) = in_progress.next(), if !in_progress.is_empty() => {
                 let mut response: Response<Bytes> = response;
                 is_last_read |= is_closing(&traffic);
                 let is_final = is_last_read && in_progress.is_empty();
@@ -60,7 +60,7 @@
                     let close = HeaderValue::from_static("close");
                     response.headers_mut().insert(header::CONNECTION, close);
                 }
-                if framed.send(Outgoing::Response(response)).await.is_err() {
+                if framed.send(Outgoing::Response { response, is_to_head }).await.is_err() {
                     return;
                 }
                 if is_final {
@@ -70,7 +70,9 @@
             event = next_event(&mut framed, may_read) => match event {
                 CallerEvent::Incoming(Incoming::Request(request)) => {
                     is_last_read |= asks_for_close(&request);
-                    in_progress.push_back(Either::Left(answer_caller(&traffic, *request)));
+                    let is_to_head = request.method() == Method::HEAD;
+                    let response = answer_caller(&traffic, *request);
+                    in_progress.push_back(Either::Left(response.map(move |it| (is_to_head, it))));
                 }
                 CallerEvent::Incoming(Incoming::ExpectsContinue) => {
                     if framed.send(Outgoing::Continue).await.is_err() {
@@ -80,7 +82,8 @@
                 CallerEvent::Incoming(Incoming::Invalid { error, head }) => {
                     is_last_read = true;
                     let response = refuse_unread(&traffic, error, head.as_deref());
-                    in_progress.push_back(Either::Right(ready(response)));
+                    let is_to_head = head.is_some_and(|it| it.method() == Method::HEAD);
+                    in_progress.push_back(Either::Right(ready((is_to_head, response))));
                 }
                 CallerEvent::Closed => return,
                 CallerEvent::Idle if in_progress.is_empty() => break,
--- a/crates/galenastream_node/src/connection/request_codec.rs
+++ b/crates/galenastream_node/src/connection/request_codec.rs
@@ -58,7 +58,11 @@
 #[derive(Debug)]
 pub(super) enum Outgoing {
     /// A response.
-    Response(Response<Bytes>),
+    Response {
+        response: Response<Bytes>,
+        /// Whether its request only asks for the head. Then no body follows.
+        is_to_head: bool,
+    },
     /// `100 Continue`.
     Continue,
 }
@@ -261,7 +265,7 @@
     type Error = io::Error;
 
     fn encode(&mut self, outgoing: Outgoing, buffer: &mut BytesMut) -> io::Result<()> {
-        let Outgoing::Response(response) = outgoing else {
+        let Outgoing::Response { response, is_to_head } = outgoing else {
             buffer.extend_from_slice(b"HTTP/1.1 100 Continue\r\n\r\n");
             return Ok(());
         };
@@ -274,7 +278,7 @@
             buffer.extend_from_slice(value.as_bytes());
             buffer.extend_from_slice(b"\r\n");
         }
-        let has_no_body = status.as_u16() == 204 || status.as_u16() == 304;
+        let has_no_body = is_to_head || matches!(status.as_u16(), 204 | 304);
         if has_no_body {
             buffer.extend_from_slice(b"\r\n");
             return Ok(());
--- a/crates/galenastream_node/src/connection/request_codec_tests.rs
+++ b/crates/galenastream_node/src/connection/request_codec_tests.rs
@@ -301,7 +301,7 @@
     let mut response = Response::new(Bytes::from_static(b"hello"));
     *response.status_mut() = StatusCode::CREATED;
     response.headers_mut().insert("x-a", http::HeaderValue::from_static("b"));
-    codec.encode(Outgoing::Response(response), &mut buffer).unwrap();
+    codec.encode(Outgoing::Response { response, is_to_head: false }, &mut buffer).unwrap();
     let expected = "HTTP/1.1 201 Created\r\nx-a: b\r\ncontent-length: 5\r\n\r\nhello";
     assert_eq!(String::from_utf8_lossy(&buffer), expected);
 }
--- a/crates/galenastream_node/tests/platform/refused_requests.rs
+++ b/crates/galenastream_node/tests/platform/refused_requests.rs
@@ -10,6 +10,11 @@
 };
 use galenastream_wire::{NodeStatus, PeerFrame, peer_frame::Body};
 use serde_json::Value;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    time::timeout,
+};
 
 use super::{
     TIMEOUT,
@@ -301,3 +306,27 @@
     wait_for_refusal(vm, 200).await;
     deployment.close().unwrap();
 }
+
+/// Guards against the body of a refusal of HEAD, which its caller reads as the next response.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_response_to_head_has_no_body() {
+    let deployment = start("head", &["stock"]).await;
+    let mut stream = TcpStream::connect(deployment.vms[0].callers_address()).await.unwrap();
+    let requests =
+        [("HEAD", "/nowhere/1", "h-1"), ("HEAD", "/stock/1", "h-2"), ("GET", "/stock/1", "g")];
+    let all: String =
+        requests.iter().map(|(method, path, id)| request_bytes(method, path, id, None)).collect();
+    stream.write_all(all.as_bytes()).await.unwrap();
+    let mut read = String::new();
+    while !read.ends_with("t-0 ran g with 0 bytes") {
+        let mut buffer = [0; 4_096];
+        let length = timeout(TIMEOUT, stream.read(&mut buffer)).await.expect(&read).unwrap();
+        assert!(length > 0, "{read}");
+        read += &String::from_utf8_lossy(&buffer[..length]);
+    }
+    let heads: Vec<&str> = read.split("\r\n\r\n").collect();
+    let is_head = |it: &&&str| it.starts_with("HTTP/1.1 ");
+    assert_eq!(heads.iter().filter(is_head).count(), 3, "{read}");
+    assert_eq!(heads.len(), 4, "{read}");
+    deployment.close().unwrap();
+}
