Check who answered a request, and put proxies between the processes of a deployment

A success without the signature of the target counted as served, and any unexpected status as a wrong answer, whoever gave it. So no test could see that a node passes on what no target vouches for, or ends a proper request for good out of ignorance.

- A success counts only with the signature of a target, and only if that target ran the request.
- A 3xx or 4xx other than 408, 421 and 429 without such a signature is a violation of its own, also if it does not name the request.
- A signed answer has the status that its target gave.
- Requests can have bodies, and classes can begin later, for routes and bodies that a newer config allows.
- All links of a VM can pass through proxies: callers, target, heartbeats, store, and other nodes, which learn the proxied port since the store and the proxies replace it in what nodes say of themselves.

The cases in tests/judge.rs and tests/load.rs cover the new checks. Strictness: the sample of a request names more, and the check that a successful request ran now also asks on which target.

--- a/crates/galenastream_standin/src/deployment/deployment_plan.rs
+++ b/crates/galenastream_standin/src/deployment/deployment_plan.rs
@@ -19,6 +19,8 @@
     pub heartbeat_interval: Duration,
     /// The VMs, each with a target and a node beside it.
     pub vms: Vec<VmPlan>,
+    /// Whether all connections pass through proxies that can inject faults.
+    pub has_proxies: bool,
 }
 
 /// The plan of a VM with a target and a node.
@@ -43,6 +45,7 @@
             config: Self::shop_config(1, "/stock/"),
             heartbeat_interval: Duration::from_millis(200),
             vms: services.iter().map(|it| VmPlan::new(it)).collect(),
+            has_proxies: false,
         }
     }
 
@@ -57,6 +60,23 @@
         ];
         config_document(version, "shop.example", &[("carts", true), ("stock", false)], &routes)
     }
+
+    /// Returns a version of the shop's config that allows longer bodies and has routes to `stock`
+    /// under `/added-1/` to `/added-COUNT/`.
+    pub fn grown_config(version: u32, added_routes: u32, max_body_bytes: u64) -> Value {
+        let added: Vec<String> = (1..=added_routes).map(|it| format!("/added-{it}/")).collect();
+        let route = |prefix, is_idempotent, service| RouteFields { prefix, is_idempotent, service };
+        let mut routes = vec![
+            route("/carts/", true, "carts"),
+            route("/stock/", true, "stock"),
+            route("/orders/", false, "stock"),
+        ];
+        routes.extend(added.iter().map(|it| route(it, true, "stock")));
+        let services = [("carts", true), ("stock", false)];
+        let mut config = config_document(version, "shop.example", &services, &routes);
+        config["limits"]["maxBodyBytes"] = max_body_bytes.into();
+        config
+    }
 }
 
 impl VmPlan {
--- a/crates/galenastream_standin/src/deployment/local_deployment.rs
+++ b/crates/galenastream_standin/src/deployment/local_deployment.rs
@@ -8,6 +8,7 @@
 
 use anyhow::Context;
 
+use super::vm_links::PEER_PORT_REPLACEMENT;
 use crate::{
     DeploymentFolder, DeploymentPlan, LocalVm, RowStoreStandin, TargetHistory, VmPlan, wait_until,
 };
@@ -45,6 +46,9 @@
         let folder = DeploymentFolder::new(&plan.name)?;
         let network = new_network();
         let store = RowStoreStandin::start((network(STORE_HOST), 0).into()).await?;
+        if plan.has_proxies {
+            store.replace_in_rows(PEER_PORT_REPLACEMENT);
+        }
         store.put("op", "config", plan.config.to_string().as_bytes());
         let mut vms = Vec::with_capacity(plan.vms.len());
         for (index, vm) in plan.vms.iter().enumerate() {
@@ -91,11 +95,17 @@
 
     /// Stops the targets and the store, kills the nodes, and removes the temporary folder.
     pub fn close(self) -> anyhow::Result<()> {
+        self.close_and_keep_logs().close()
+    }
+
+    /// Stops the targets and the store, and kills the nodes. Returns the folder, which holds their
+    /// logs.
+    pub fn close_and_keep_logs(self) -> DeploymentFolder {
         for vm in self.vms {
             vm.close();
         }
         self.store.close();
-        self.folder.close()
+        self.folder
     }
 }
 
--- a/crates/galenastream_standin/src/deployment/local_vm.rs
+++ b/crates/galenastream_standin/src/deployment/local_vm.rs
@@ -10,17 +10,18 @@
 use anyhow::Context;
 use serde_json::Value;
 
+use super::{
+    VmLink,
+    vm_links::{VmAddresses, VmLinks},
+};
 use crate::{
-    CallerAnswer, CallerConnection, DeploymentFolder, DeploymentPlan, PlatformTargetStandin,
-    Process, RowStoreStandin, SettingsFields, TargetHistory, TargetPlan, VmPlan, settings_document,
-    wait_until,
+    CallerAnswer, CallerConnection, DeploymentFolder, DeploymentPlan, LinkFault,
+    PlatformTargetStandin, Process, RowStoreStandin, SettingsFields, TargetHistory, TargetPlan,
+    VmPlan, settings_document, wait_until,
 };
 
-/// The ports of a VM, as [`settings_document`] assigns them.
-const TARGET_PORT: u16 = 8_001;
-const CALLERS_PORT: u16 = 8_003;
+/// The port of health checks, as [`settings_document`] assigns it.
 const READY_PORT: u16 = 8_004;
-const CONTROL_PORT: u16 = 8_005;
 
 /// The port where a node serves its metrics and its status page.
 const METRICS_PORT: u16 = 9_464;
@@ -45,6 +46,8 @@
     target_count: u32,
     ended_targets: Vec<TargetHistory>,
     node: Option<Process>,
+    addresses: VmAddresses,
+    links: Option<VmLinks>,
 }
 
 impl LocalVm {
@@ -57,10 +60,15 @@
         folder: &DeploymentFolder,
     ) -> anyhow::Result<Self> {
         let name = format!("vm-{index}");
+        let addresses = VmAddresses::new(ip, store.address(), plan.has_proxies);
+        let links = match plan.has_proxies {
+            true => Some(VmLinks::start(ip, store.address()).await?),
+            false => None,
+        };
         let target = PlatformTargetStandin::start(&target_plan(
             plan.heartbeat_interval,
             vm,
-            ip,
+            addresses,
             format!("t-{index}"),
         ))
         .await
@@ -71,7 +79,7 @@
             service: &vm.service,
             data_centre: &vm.data_centre,
             heartbeat_ms: u64::try_from(plan.heartbeat_interval.as_millis())?,
-            store: store.address(),
+            store: addresses.store,
         });
         let settings = folder.write(&format!("{name}.toml"), &document)?;
         let mut started = Self {
@@ -86,6 +94,8 @@
             target_count: 1,
             ended_targets: Vec::new(),
             node: None,
+            addresses,
+            links,
         };
         started.start_node()?;
         Ok(started)
@@ -108,7 +118,7 @@
         self.target_count += 1;
         let id = format!("{}-{}", self.name.replace("vm", "t"), self.target_count);
         self.target.crash();
-        let plan = target_plan(self.heartbeat_interval, &self.plan, self.ip, id);
+        let plan = target_plan(self.heartbeat_interval, &self.plan, self.addresses, id);
         let mut next = None;
         // The address becomes free when the task of the old listener has ended.
         wait_until("the address of the old target to become free", ADDRESS_TIMEOUT, async || {
@@ -157,7 +167,7 @@
 
     /// Returns the address where the node accepts callers.
     pub fn callers_address(&self) -> SocketAddr {
-        SocketAddr::new(self.ip, CALLERS_PORT)
+        self.addresses.callers
     }
 
     /// Opens a connection of a caller on this VM.
@@ -209,18 +219,44 @@
         node.kill()
     }
 
+    /// Sets the fault of a link from now on. Fails if the deployment has no proxies.
+    pub fn set_link_fault(&self, link: VmLink, fault: LinkFault) -> anyhow::Result<()> {
+        let links = self.links.as_ref().context("the deployment has no proxies")?;
+        links.set_fault(link, fault);
+        Ok(())
+    }
+
+    /// Returns the status with which the node ended by itself, and forgets its process. Returns
+    /// `None` while it runs, and after it was stopped or killed.
+    pub fn take_ended_node(&mut self) -> Option<ExitStatus> {
+        let status = self.node.as_mut()?.exit_status()?;
+        self.node = None;
+        Some(status)
+    }
+
+    /// Takes the process of the node, for a stop in steps. The node can then be started again.
+    pub fn take_node(&mut self) -> Option<Process> {
+        self.node.take()
+    }
+
     /// Kills the node and stops the target.
     pub fn close(self) {
         self.target.close();
     }
 }
 
-fn target_plan(heartbeat_interval: Duration, vm: &VmPlan, ip: IpAddr, id: String) -> TargetPlan {
+fn target_plan(
+    heartbeat_interval: Duration,
+    vm: &VmPlan,
+    addresses: VmAddresses,
+    id: String,
+) -> TargetPlan {
     TargetPlan {
         id,
         service: vm.service.clone(),
-        address: SocketAddr::new(ip, TARGET_PORT),
-        control: SocketAddr::new(ip, CONTROL_PORT),
+        address: addresses.target,
+        advertised_address: addresses.advertised_target,
+        control: addresses.control,
         heartbeat_interval,
         capacity: vm.capacity,
     }
--- a/crates/galenastream_standin/src/deployment/process.rs
+++ b/crates/galenastream_standin/src/deployment/process.rs
@@ -77,6 +77,25 @@
         matches!(self.child.try_wait(), Ok(None))
     }
 
+    /// Returns the exit status of a process that has ended.
+    pub fn exit_status(&mut self) -> Option<ExitStatus> {
+        self.child.try_wait().ok().flatten()
+    }
+
+    /// Returns the most memory that the process has used so far, in megabytes. Returns `None` if it
+    /// has ended.
+    pub fn peak_memory_mb(&self) -> Option<u64> {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.id())).ok()?;
+        let line = status.lines().find_map(|it| it.strip_prefix("VmHWM:"))?;
+        let kib: u64 = line.trim().strip_suffix(" kB")?.parse().ok()?;
+        Some(kib * 1_024 / 1_000_000)
+    }
+
+    /// Sends SIGTERM and returns immediately.
+    pub fn request_stop(&self) -> anyhow::Result<()> {
+        self.signal(Signal::TERM)
+    }
+
     /// Kills the process with SIGKILL, as abruptly as the loss of its VM would end it.
     pub fn kill(mut self) -> anyhow::Result<()> {
         self.child.kill()?;
--- a/crates/galenastream_standin/src/invariants/check.rs
+++ b/crates/galenastream_standin/src/invariants/check.rs
@@ -7,15 +7,22 @@
 
 /// Returns every violation of an invariant: two owners of a key at the same time, a later owner of a
 /// key without a higher fencing token, a request that changes state and ran more than once or
-/// although it was refused, a wrong answer, a successful answer to a request that did not run, and
-/// more requests to a target than the limit that it announced allows.
+/// although it was refused, a wrong answer, an answer that ends a request for good without the
+/// signature of a target, a signed answer with another status than the target gave, a successful
+/// answer to a request that did not run, and more requests to a target than the limit that it
+/// announced allows.
 pub fn check_invariants(histories: &[TargetHistory], samples: &[LoadSample]) -> Vec<Violation> {
     let mut violations = check_owners(histories);
     violations.extend(check_limits(histories));
     let mut run_counts: FastMap<&str, u32> = FastMap::default();
     let mut state_changing: FastSet<&str> = FastSet::default();
-    for run in histories.iter().flat_map(|it| &it.runs) {
+    let mut given: FastSet<(&str, u16)> = FastSet::default();
+    let mut ran_on: FastSet<(&str, &str)> = FastSet::default();
+    let runs = histories.iter().flat_map(|of| of.runs.iter().map(move |it| (of, it)));
+    for (target, run) in runs {
         *run_counts.entry(&run.request_id).or_default() += 1;
+        given.insert((&run.request_id, run.status));
+        ran_on.insert((&target.id, &run.request_id));
         if run.changes_state {
             state_changing.insert(&run.request_id);
         }
@@ -28,12 +35,21 @@
     for sample in samples {
         let request_id = sample.request_id.clone();
         let has_run = run_counts.contains_key(sample.request_id.as_str());
+        let status = sample.status;
+        if sample.is_signed && !given.contains(&(sample.request_id.as_str(), status)) {
+            violations.push(Violation::OtherStatus { request_id: request_id.clone(), status });
+        }
         match sample.outcome {
+            LoadOutcome::Denied => violations.push(Violation::Denied { request_id, status }),
             LoadOutcome::Wrong => violations.push(Violation::WrongAnswer { request_id }),
             LoadOutcome::NotRun if has_run && state_changing.contains(request_id.as_str()) => {
                 violations.push(Violation::RanThoughRefused { request_id });
             }
-            LoadOutcome::Ran if !has_run => violations.push(Violation::NeverRan { request_id }),
+            LoadOutcome::Ran
+                if !ran_on.contains(&(sample.target.as_str(), request_id.as_str())) =>
+            {
+                violations.push(Violation::NeverRan { request_id });
+            }
             LoadOutcome::Ran
             | LoadOutcome::Failed
             | LoadOutcome::NotRun
--- a/crates/galenastream_standin/src/invariants/violation.rs
+++ b/crates/galenastream_standin/src/invariants/violation.rs
@@ -48,13 +48,60 @@
         /// The id of the request.
         request_id: String,
     },
-    /// A request ran on no target although its caller received a successful answer.
+    /// A proper request was ended for good by an answer without the signature of a target.
+    Denied {
+        /// The id of the request.
+        request_id: String,
+        /// The status of the answer.
+        status: u16,
+    },
+    /// An answer bears the signature of a target and another status than the target gave.
+    OtherStatus {
+        /// The id of the request.
+        request_id: String,
+        /// The status of the answer.
+        status: u16,
+    },
+    /// A node ended although nothing stopped or killed it, or failed to stop.
+    NodeEnded {
+        /// The name of the node.
+        node: String,
+        /// Its exit status.
+        status: String,
+    },
+    /// A node used more memory than its settings allow.
+    MemoryExceeded {
+        /// The name of the node.
+        node: String,
+        /// The most memory that it used.
+        peak_mb: u64,
+        /// The memory that its settings allow.
+        limit_mb: u64,
+    },
+    /// Too few requests were served once all faults had ended.
+    NotRecovered {
+        /// The class of the requests.
+        class: String,
+        /// How many requests ran.
+        ran: usize,
+        /// How many requests there were.
+        total: usize,
+    },
+    /// A request did not run on the target that its successful answer names.
     NeverRan {
         /// The id of the request.
         request_id: String,
     },
 }
 
+impl Violation {
+    /// Returns the name of the kind of the violation.
+    pub fn kind(&self) -> String {
+        let text = format!("{self:?}");
+        text.split_whitespace().next().unwrap_or_default().to_owned()
+    }
+}
+
 impl fmt::Display for Violation {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
@@ -78,11 +125,21 @@
             Self::WrongAnswer { request_id } => {
                 write!(f, "{request_id} received an answer with a wrong id, body or status")
             }
+            Self::Denied { request_id, status } => {
+                write!(f, "{request_id} was ended for good with status {status} of no target")
+            }
+            Self::OtherStatus { request_id, status } => {
+                write!(f, "{request_id} received status {status}, which its target did not give")
+            }
+            Self::NodeEnded { node, status } => write!(f, "{node} ended by itself: {status}"),
+            Self::MemoryExceeded { node, peak_mb, limit_mb } => {
+                write!(f, "{node} used {peak_mb} MB of memory where its limit is {limit_mb} MB")
+            }
+            Self::NotRecovered { class, ran, total } => {
+                write!(f, "only {ran} of {total} requests of {class} ran after all faults")
+            }
             Self::NeverRan { request_id } => {
-                write!(
-                    f,
-                    "{request_id} ran on no target although its caller received a successful answer"
-                )
+                write!(f, "{request_id} did not run on the target that its successful answer names")
             }
         }
     }
--- a/crates/galenastream_standin/src/load/arrivals.rs
+++ b/crates/galenastream_standin/src/load/arrivals.rs
@@ -72,6 +72,8 @@
         let number = self.next_number;
         self.next_number += 1;
         let key = self.keys.pick(self.at, &mut self.rng);
-        Some(Arrival { number, at: self.at, key, class: self.pick_class() })
+        let class = self.pick_class();
+        let has_begun = self.plan.classes[class].from <= self.at;
+        Some(Arrival { number, at: self.at, key, class: if has_begun { class } else { 0 } })
     }
 }
--- a/crates/galenastream_standin/src/load/chart.rs
+++ b/crates/galenastream_standin/src/load/chart.rs
@@ -7,7 +7,7 @@
     coord::Shift,
     prelude::{
         BLACK, BLUE, CYAN, ChartBuilder, Color, DrawingArea, GREEN, IntoDrawingArea, IntoFont,
-        MAGENTA, PathElement, RED, RGBColor, SVGBackend, WHITE,
+        MAGENTA, PathElement, RED, RGBColor, SVGBackend, WHITE, YELLOW,
     },
     series::LineSeries,
 };
@@ -72,6 +72,7 @@
         LoadOutcome::Unknown => MAGENTA,
         LoadOutcome::NoAnswer => RED,
         LoadOutcome::Wrong => BLACK,
+        LoadOutcome::Denied => YELLOW,
     };
     let points = points(summary, |it| it.count(outcome) as f64);
     Line { name: outcome.name(), color, points }
--- a/crates/galenastream_standin/src/load/load_caller.rs
+++ b/crates/galenastream_standin/src/load/load_caller.rs
@@ -6,9 +6,14 @@
 };
 
 use anyhow::Context;
+use bytes::Bytes;
 use http::{HeaderValue, Method, StatusCode, header};
 use tokio::time::timeout;
-use volo_http::{body::BodyConversion, client::Client, response::Response};
+use volo_http::{
+    body::{Body, BodyConversion},
+    client::Client,
+    response::Response,
+};
 
 use super::{Arrival, LoadClass, LoadKind, LoadOutcome, LoadPlan};
 
@@ -34,6 +39,20 @@
     pub(crate) outcome: LoadOutcome,
     /// The id of the target that ran the request; empty if it is not known.
     pub(crate) target: String,
+    /// The index of the node where the request entered, in the plan.
+    pub(crate) entry: usize,
+    /// The status of the answer; zero if there is none.
+    pub(crate) status: u16,
+    /// Whether the answer bears the signature of a target.
+    pub(crate) is_signed: bool,
+}
+
+/// An answer, classified.
+struct Classified {
+    outcome: LoadOutcome,
+    target: String,
+    status: u16,
+    is_signed: bool,
 }
 
 /// A request in flight.
@@ -56,26 +75,29 @@
     /// Sends one request, waits for its answer and classifies it.
     pub(crate) async fn request(&self, arrival: Arrival, intended_start: Instant) -> RequestResult {
         let entries = &self.plan.entries;
+        let entry = arrival.number as usize % entries.len();
         let exchange = Exchange {
             class: &self.plan.classes[arrival.class],
-            address: entries[arrival.number as usize % entries.len()],
+            address: entries[entry],
             key: arrival.key,
             request_id: format!("load-{}-{}", self.plan.seed, arrival.number),
             intended_start,
         };
         let answer_timeout = exchange.remaining() + ANSWER_GRACE;
-        let (outcome, target) = match timeout(answer_timeout, self.send(&exchange)).await {
+        let classified = match timeout(answer_timeout, self.send(&exchange)).await {
             Ok(Ok(classified)) => classified,
             Ok(Err(error)) => {
                 log::debug!("request {} got no complete answer: {error:#}", exchange.request_id);
-                (LoadOutcome::NoAnswer, String::new())
+                Classified::no_answer()
             }
-            Err(_) => (LoadOutcome::NoAnswer, String::new()),
+            Err(_) => Classified::no_answer(),
         };
-        RequestResult { request_id: exchange.request_id, outcome, target }
+        let Classified { outcome, target, status, is_signed } = classified;
+        let request_id = exchange.request_id;
+        RequestResult { request_id, outcome, target, entry, status, is_signed }
     }
 
-    async fn send(&self, exchange: &Exchange<'_>) -> anyhow::Result<(LoadOutcome, String)> {
+    async fn send(&self, exchange: &Exchange<'_>) -> anyhow::Result<Classified> {
         let class = exchange.class;
         let method = match class.kind {
             LoadKind::Read => Method::GET,
@@ -91,7 +113,15 @@
         if class.has_key {
             request = request.header("x-shard-key", exchange.key.to_string());
         }
-        classify_answer(exchange, request.send().await?).await
+        let body = Bytes::from(vec![b'b'; class.body_bytes]);
+        classify_answer(exchange, request.body(Body::from(body)).send().await?).await
+    }
+}
+
+impl Classified {
+    fn no_answer() -> Self {
+        let outcome = LoadOutcome::NoAnswer;
+        Self { outcome, target: String::new(), status: 0, is_signed: false }
     }
 }
 
@@ -109,30 +139,53 @@
 async fn classify_answer(
     exchange: &Exchange<'_>,
     response: Response,
-) -> anyhow::Result<(LoadOutcome, String)> {
+) -> anyhow::Result<Classified> {
     let status = response.status();
     let echoed = response.headers().get("x-request-id");
     let is_own = echoed.is_some_and(|it| it.as_bytes() == exchange.request_id.as_bytes());
+    let has_no_id = echoed.is_none();
+    let signature = response.headers().get("x-server-signature").cloned();
     let body = response.into_body().into_bytes().await.context("cannot read the whole answer")?;
+    let (answered, target) = classify_body(exchange, &body);
+    // The stand-in of a target signs with its id and the id of the request.
+    let expected_signature = format!("{target}.{}", exchange.request_id);
+    let is_signed = signature.is_some_and(|it| it.as_bytes() == expected_signature.as_bytes());
     let outcome = match status {
+        // An answer that ends the request for good does so also without its id.
+        _ if has_no_id && ends_for_good(status) => LoadOutcome::Denied,
         _ if !is_own => LoadOutcome::Wrong,
-        StatusCode::OK => return Ok(classify_body(exchange, &body)),
+        StatusCode::OK if is_signed => answered,
         StatusCode::REQUEST_TIMEOUT
         | StatusCode::MISDIRECTED_REQUEST
         | StatusCode::TOO_MANY_REQUESTS
         | StatusCode::SERVICE_UNAVAILABLE => LoadOutcome::NotRun,
         StatusCode::BAD_GATEWAY | StatusCode::GATEWAY_TIMEOUT => LoadOutcome::Unknown,
         status if status.is_server_error() => LoadOutcome::Failed,
+        status if ends_for_good(status) && is_signed => LoadOutcome::Failed,
+        status if ends_for_good(status) => LoadOutcome::Denied,
         _ => LoadOutcome::Wrong,
     };
-    Ok((outcome, String::new()))
+    Ok(Classified { outcome, target, status: status.as_u16(), is_signed })
+}
+
+/// Returns whether callers do not repeat a request after this status.
+fn ends_for_good(status: StatusCode) -> bool {
+    let is_promise = matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+    );
+    (status.is_redirection() || status.is_client_error()) && !is_promise
 }
 
-/// Classifies the body of a successful answer, and returns the id of the target that ran the
-/// request. The stand-in of a target answers `TARGET ran REQUEST with N bytes`.
+/// Classifies the body of an answer of a target, and returns the id of the target that ran the
+/// request. The stand-in of a target answers `TARGET ran REQUEST with N
+/// bytes`.
 fn classify_body(exchange: &Exchange<'_>, body: &[u8]) -> (LoadOutcome, String) {
     let text = String::from_utf8_lossy(body);
-    let ran = text.strip_suffix(" with 0 bytes").and_then(|it| it.split_once(" ran "));
+    let suffix = format!(" with {} bytes", exchange.class.body_bytes);
+    let ran = text.strip_suffix(&suffix).and_then(|it| it.split_once(" ran "));
     match ran {
         Some((target, id)) if id == exchange.request_id => (LoadOutcome::Ran, target.to_owned()),
         Some(_) | None => (LoadOutcome::Wrong, String::new()),
--- a/crates/galenastream_standin/src/load/outcome.rs
+++ b/crates/galenastream_standin/src/load/outcome.rs
@@ -7,7 +7,7 @@
 pub enum LoadOutcome {
     /// The request ran, and its answer is complete and correct.
     Ran,
-    /// The target ran the request and answered with a server error.
+    /// The target ran the request and answered with a failure.
     Failed,
     /// The request was refused and did not run (status 408, 421, 429 or 503).
     NotRun,
@@ -15,14 +15,25 @@
     Unknown,
     /// No complete answer arrived in time.
     NoAnswer,
-    /// The answer belongs to another request, has a wrong body or has an unexpected status.
+    /// The answer belongs to another request, has a wrong body, has an unexpected status, or is a
+    /// success without the signature of the target.
     Wrong,
+    /// The answer ends the request for good (another status 3xx or 4xx) and bears no signature of a
+    /// target.
+    Denied,
 }
 
 impl LoadOutcome {
     /// All outcomes, in the order of the columns of reports.
-    pub const ALL: [Self; 6] =
-        [Self::Ran, Self::Failed, Self::NotRun, Self::Unknown, Self::NoAnswer, Self::Wrong];
+    pub const ALL: [Self; 7] = [
+        Self::Ran,
+        Self::Failed,
+        Self::NotRun,
+        Self::Unknown,
+        Self::NoAnswer,
+        Self::Wrong,
+        Self::Denied,
+    ];
 
     /// Returns the name in reports.
     pub fn name(self) -> &'static str {
@@ -33,6 +44,7 @@
             Self::Unknown => "unknown",
             Self::NoAnswer => "no answer",
             Self::Wrong => "wrong",
+            Self::Denied => "denied",
         }
     }
 }
@@ -52,4 +64,10 @@
     pub outcome: LoadOutcome,
     /// The id of the target that ran the request; empty if it is not known.
     pub target: String,
+    /// The index of the node where the request entered, in the plan.
+    pub entry: usize,
+    /// The status of the answer; zero if there is none.
+    pub status: u16,
+    /// Whether the answer bears the signature of a target.
+    pub is_signed: bool,
 }
--- a/crates/galenastream_standin/src/load/plan.rs
+++ b/crates/galenastream_standin/src/load/plan.rs
@@ -60,6 +60,11 @@
     pub share_percent: f64,
     /// The time that a request may take, from its intended start.
     pub deadline_ms: u64,
+    /// The size of the bodies of the requests.
+    pub body_bytes: usize,
+    /// When the requests of the class begin, from the start of the run. Requests of the first class
+    /// take their place before.
+    pub from: Duration,
 }
 
 /// Whether the requests of a class read or write.
@@ -139,6 +144,8 @@
             has_key: false,
             share_percent,
             deadline_ms: 1_000,
+            body_bytes: 0,
+            from: Duration::ZERO,
         }
     }
 
@@ -147,6 +154,16 @@
         Self { has_key: true, ..self }
     }
 
+    /// Sets the size of the bodies.
+    pub fn with_body_bytes(self, body_bytes: usize) -> Self {
+        Self { body_bytes, ..self }
+    }
+
+    /// Sets when the requests of the class begin.
+    pub fn with_start(self, from: Duration) -> Self {
+        Self { from, ..self }
+    }
+
     /// Sets the deadline.
     pub fn with_deadline_ms(self, deadline_ms: u64) -> Self {
         Self { deadline_ms, ..self }
--- a/crates/galenastream_standin/src/load/run.rs
+++ b/crates/galenastream_standin/src/load/run.rs
@@ -76,5 +76,8 @@
         latency: intended_start.elapsed(),
         outcome: result.outcome,
         target: result.target,
+        entry: result.entry,
+        status: result.status,
+        is_signed: result.is_signed,
     }
 }
--- a/crates/galenastream_standin/src/load/summary.rs
+++ b/crates/galenastream_standin/src/load/summary.rs
@@ -165,7 +165,8 @@
             LoadOutcome::Failed
             | LoadOutcome::Unknown
             | LoadOutcome::NoAnswer
-            | LoadOutcome::Wrong => {}
+            | LoadOutcome::Wrong
+            | LoadOutcome::Denied => {}
         }
     }
 }
--- a/crates/galenastream_standin/src/platform_document/settings_document.rs
+++ b/crates/galenastream_standin/src/platform_document/settings_document.rs
@@ -2,6 +2,9 @@
 
 use std::net::{IpAddr, SocketAddr};
 
+/// The memory that a node may use, in megabytes.
+pub const MEMORY_LIMIT_MB: u64 = 260;
+
 /// The fields of a settings file.
 #[derive(Debug, Clone, Copy)]
 pub struct SettingsFields<'a> {
@@ -39,7 +42,7 @@
 ready = "{ip}:8004"
 control = "{ip}:8005"
 [limits]
-memoryMb = 260
+memoryMb = {MEMORY_LIMIT_MB}
 maxFds = 4100
 [platform]
 address = "{store}"
--- a/crates/galenastream_standin/src/platform_target/platform_target_standin.rs
+++ b/crates/galenastream_standin/src/platform_target/platform_target_standin.rs
@@ -70,8 +70,12 @@
             runs: Mutex::default(),
         });
         let server = HttpServer::start(plan.address, TargetService { state: state.clone() })?;
-        let sender =
-            send_heartbeats(state.clone(), server.address(), plan.control, plan.heartbeat_interval);
+        let sender = send_heartbeats(
+            state.clone(),
+            plan.advertised_address,
+            plan.control,
+            plan.heartbeat_interval,
+        );
         let heartbeats = tokio::spawn(sender);
         Ok(Self { server, state, heartbeats, control: plan.control })
     }
@@ -203,6 +207,13 @@
             return std::future::pending().await;
         };
         let changes_state = request.method() != Method::GET;
+        let status = match fault {
+            TargetAnswerFault::Fail => StatusCode::INTERNAL_SERVER_ERROR,
+            TargetAnswerFault::Unsigned(status) => {
+                StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_REQUEST)
+            }
+            _ => StatusCode::OK,
+        };
         let body = read_body(request).await.unwrap_or_default();
         lock(&self.state.runs).push(TargetRun {
             request_id: request_id.clone(),
@@ -210,6 +221,7 @@
             deadline_ms: header_text(&headers, "x-deadline-ms").parse().unwrap_or(0),
             key,
             changes_state,
+            status: status.as_u16(),
             began_at: Instant::now(),
         });
         let extra_time = match fault {
@@ -218,18 +230,15 @@
         };
         tokio::time::sleep(self.state.capacity.service_time + extra_time).await;
         let text = format!("{} ran {request_id} with {} bytes", self.state.id, body.len());
-        let signed = |status, id: &str| self.signed(named(status, text.clone(), id), id);
+        let signed = |id: &str| self.signed(named(status, text.clone(), id), id);
         match fault {
-            TargetAnswerFault::Fail => signed(StatusCode::INTERNAL_SERVER_ERROR, &request_id),
-            TargetAnswerFault::Truncate => partial_reply(signed(StatusCode::OK, &request_id)),
-            TargetAnswerFault::Stray => signed(StatusCode::OK, "another-request"),
-            TargetAnswerFault::Unsigned(status) => {
-                let status = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_REQUEST);
-                named(status, text, &request_id)
-            }
-            TargetAnswerFault::None | TargetAnswerFault::Shed | TargetAnswerFault::Slow(_) => {
-                signed(StatusCode::OK, &request_id)
-            }
+            TargetAnswerFault::Truncate => partial_reply(signed(&request_id)),
+            TargetAnswerFault::Stray => signed("another-request"),
+            TargetAnswerFault::Unsigned(_) => named(status, text, &request_id),
+            TargetAnswerFault::None
+            | TargetAnswerFault::Fail
+            | TargetAnswerFault::Shed
+            | TargetAnswerFault::Slow(_) => signed(&request_id),
         }
     }
 
--- a/crates/galenastream_standin/src/platform_target/target_history.rs
+++ b/crates/galenastream_standin/src/platform_target/target_history.rs
@@ -45,6 +45,8 @@
     pub key: Option<u16>,
     /// Whether the request changes state and thus may run only once: its method is not GET.
     pub changes_state: bool,
+    /// The status with which the target answers the request.
+    pub status: u16,
     /// When the target started the request.
     pub began_at: Instant,
 }
--- a/crates/galenastream_standin/src/platform_target/target_plan.rs
+++ b/crates/galenastream_standin/src/platform_target/target_plan.rs
@@ -11,6 +11,8 @@
     pub service: String,
     /// The address where the target accepts requests.
     pub address: SocketAddr,
+    /// The address that heartbeats name; differs from `address` if a proxy is in between.
+    pub advertised_address: SocketAddr,
     /// The address where the node beside the target accepts heartbeats.
     pub control: SocketAddr,
     /// The approximate time between two heartbeats.
--- a/crates/galenastream_standin/src/row_store/row_store_standin.rs
+++ b/crates/galenastream_standin/src/row_store/row_store_standin.rs
@@ -43,6 +43,8 @@
     /// How often the store was restored from a copy, counted from 1.
     era: AtomicU64,
     copy: Mutex<RowTable>,
+    /// A text that is replaced by another one in all rows that nodes write.
+    replacement: Mutex<Option<[&'static str; 2]>>,
 }
 
 #[derive(Debug, Clone)]
@@ -59,6 +61,7 @@
             version: watch::Sender::new(0),
             era: AtomicU64::new(1),
             copy: Mutex::default(),
+            replacement: Mutex::default(),
         });
         let server = HttpServer::start(address, StoreService { state: state.clone() })?;
         Ok(Self { server, state })
@@ -74,6 +77,11 @@
         *lock(&self.state.fault) = fault;
     }
 
+    /// Replaces a text by another one of the same length in all rows that are written from now on.
+    pub fn replace_in_rows(&self, replacement: [&'static str; 2]) {
+        *lock(&self.state.replacement) = Some(replacement);
+    }
+
     /// Makes the copy to which [`restore`](Self::restore) goes back.
     pub fn make_copy(&self) {
         *lock(&self.state.copy) = lock(&self.state.table).clone();
@@ -114,7 +122,10 @@
 }
 
 impl State {
-    fn apply(&self, transaction: Transaction) -> Result<Value, Value> {
+    fn apply(&self, mut transaction: Transaction) -> Result<Value, Value> {
+        if let Some([from, to]) = *lock(&self.replacement) {
+            transaction.replace_in_values(from, to);
+        }
         let (result, version) = {
             let mut table = lock(&self.table);
             let result = table.apply(transaction);
--- a/crates/galenastream_standin/src/row_store/row_table.rs
+++ b/crates/galenastream_standin/src/row_store/row_table.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use base64::{Engine, prelude::BASE64_STANDARD};
 use serde::Deserialize;
 use serde_json::{Value, json};
 
@@ -40,6 +41,22 @@
     value: String,
 }
 
+impl Transaction {
+    /// Replaces a text by another one of the same length in the rows to put.
+    pub(super) fn replace_in_values(&mut self, from: &str, to: &str) {
+        for row in &mut self.puts {
+            let Ok(mut value) = BASE64_STANDARD.decode(&row.value) else {
+                continue;
+            };
+            let Some(start) = value.windows(from.len()).position(|it| it == from.as_bytes()) else {
+                continue;
+            };
+            value[start..start + to.len()].copy_from_slice(to.as_bytes());
+            row.value = BASE64_STANDARD.encode(value);
+        }
+    }
+}
+
 impl RowTable {
     pub(super) const fn version(&self) -> u64 {
         self.version
--- a/crates/galenastream_standin/tests/judge.rs
+++ b/crates/galenastream_standin/tests/judge.rs
@@ -48,6 +48,7 @@
             deadline_ms: 500,
             key: None,
             changes_state,
+            status: 200,
             began_at: self.began_at,
         });
         self
@@ -66,14 +67,27 @@
         self
     }
 
-    fn answered(mut self, request_id: &str, outcome: LoadOutcome) -> Self {
+    fn answered(self, request_id: &str, outcome: LoadOutcome) -> Self {
+        self.answered_with(request_id, outcome, 0, false)
+    }
+
+    fn answered_with(
+        mut self,
+        request_id: &str,
+        outcome: LoadOutcome,
+        status: u16,
+        is_signed: bool,
+    ) -> Self {
         self.samples.push(LoadSample {
             request_id: request_id.to_owned(),
             class: 0,
             at: Duration::ZERO,
             latency: Duration::ZERO,
             outcome,
-            target: String::new(),
+            target: if is_signed { "t-0".to_owned() } else { String::new() },
+            entry: 0,
+            status,
+            is_signed,
         });
         self
     }
@@ -127,11 +141,28 @@
         .check(&expect![[r#"
             order-1 ran more than once
             order-2 ran although its caller was told that it had not
-            order-3 ran on no target although its caller received a successful answer
+            order-3 did not run on the target that its successful answer names
             order-4 received an answer with a wrong id, body or status
         "#]]);
 }
 
+#[test]
+fn an_end_for_good_without_a_signature_and_a_changed_status_are_violations() {
+    Case::new()
+        .ran(0, "order-1", true)
+        .answered_with("order-1", LoadOutcome::Denied, 404, false)
+        .answered_with("order-2", LoadOutcome::Denied, 302, false)
+        .ran(0, "order-3", true)
+        .answered_with("order-3", LoadOutcome::Failed, 500, true)
+        .ran(0, "order-4", true)
+        .answered_with("order-4", LoadOutcome::Ran, 200, true)
+        .check(&expect![[r#"
+            order-1 was ended for good with status 404 of no target
+            order-2 was ended for good with status 302 of no target
+            order-3 received status 500, which its target did not give
+        "#]]);
+}
+
 #[test]
 fn more_requests_than_a_limit_allows_are_a_violation_once_the_limit_is_binding() {
     Case::new().limited(0, 3_000, 17).check(&expect![]);
--- a/crates/galenastream_standin/tests/load.rs
+++ b/crates/galenastream_standin/tests/load.rs
@@ -100,7 +100,17 @@
 
 fn sample(at: Duration, latency: Duration, outcome: LoadOutcome, target: &str) -> LoadSample {
     let (request_id, target) = ("load-1-1".to_owned(), target.to_owned());
-    LoadSample { request_id, class: 0, at, latency, outcome, target }
+    LoadSample {
+        request_id,
+        class: 0,
+        at,
+        latency,
+        outcome,
+        target,
+        entry: 0,
+        status: 0,
+        is_signed: false,
+    }
 }
 
 #[test]
@@ -114,9 +124,9 @@
         }
     }
     expect![[r#"
-        class         requests     ran/s       ran    failed   not run   unknown no answer     wrong   p50 ms   p99 ms p99.9 ms   max ms refused p50 refused p99
-        cart                 6         1         3         0         3         0         0         0    10.01    10.01    10.01    10.01        2.00        2.00
-        order                0         0         0         0         0         0         0         0        -        -        -        -           -           -
+        class         requests     ran/s       ran    failed   not run   unknown no answer     wrong    denied   p50 ms   p99 ms p99.9 ms   max ms refused p50 refused p99
+        cart                 6         1         3         0         3         0         0         0         0    10.01    10.01    10.01    10.01        2.00        2.00
+        order                0         0         0         0         0         0         0         0         0        -        -        -        -           -           -
         t-1                  3 ran
     "#]].assert_eq(&summary.to_string());
     assert_eq!(summary.seconds[0].count(LoadOutcome::Ran), 1);
@@ -131,6 +141,9 @@
     Refusal,
     Unknown,
     Failure,
+    Unsigned(u16),
+    Signed(u16),
+    WithoutId(u16),
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -153,9 +166,18 @@
             Answer::Refusal => StatusCode::SERVICE_UNAVAILABLE,
             Answer::Unknown => StatusCode::BAD_GATEWAY,
             Answer::Failure => StatusCode::INTERNAL_SERVER_ERROR,
+            Answer::Unsigned(status) | Answer::Signed(status) | Answer::WithoutId(status) => {
+                StatusCode::from_u16(status).expect("the status is valid")
+            }
         };
+        if matches!(self.0, Answer::Own | Answer::Signed(_)) {
+            let signature = HeaderValue::from_str(&format!("t-1.{id}")).expect("it is valid");
+            response.headers_mut().insert("x-server-signature", signature);
+        }
         let echoed = HeaderValue::from_str(&id).expect("the id is a header value");
-        response.headers_mut().insert("x-request-id", echoed);
+        if !matches!(self.0, Answer::WithoutId(_)) {
+            response.headers_mut().insert("x-request-id", echoed);
+        }
         Ok(response)
     }
 }
@@ -168,6 +190,13 @@
         (Answer::Refusal, LoadOutcome::NotRun),
         (Answer::Unknown, LoadOutcome::Unknown),
         (Answer::Failure, LoadOutcome::Failed),
+        (Answer::Signed(404), LoadOutcome::Failed),
+        (Answer::Unsigned(200), LoadOutcome::Wrong),
+        (Answer::Unsigned(302), LoadOutcome::Denied),
+        (Answer::Unsigned(404), LoadOutcome::Denied),
+        (Answer::Unsigned(413), LoadOutcome::Denied),
+        (Answer::WithoutId(413), LoadOutcome::Denied),
+        (Answer::WithoutId(503), LoadOutcome::Wrong),
     ];
     for (answer, expected) in cases {
         let address = (Ipv4Addr::LOCALHOST, 0).into();
