Add a fault soak with scenarios drawn from seeds

A seed draws a deployment of 4 to 12 VMs, its traffic and a series of overlapping faults: of targets (also unsigned and endless answers), of nodes (signals in series, to one node or all of them), of the store (also going back to an older copy), of the config, and of each link. Faults of one scenario may overlap now: the one that started last is in effect. Nodes are watched while the scenario runs: one that ends by itself or uses more memory than its settings allow is a violation, and so is a class of requests of which less than 90 % is served 15 s after the last fault.

Only a request that needs a newer config than the first one may be ended for good, and only by a node that was cut off from the store or restarted within the last 3 s: that node cannot know the config yet.

--- a/crates/galenastream_standin/src/scenario/mod.rs
+++ b/crates/galenastream_standin/src/scenario/mod.rs
@@ -2,11 +2,15 @@
 //! them. `examples/days` holds such files.
 
 mod fault;
+mod fault_injector;
 mod report;
 mod scenario_plan;
 mod scenario_run;
+mod soak_plan;
+mod soak_seed;
 
 pub use fault::{ScenarioFault, ScenarioFaultKind};
 pub use report::write_report;
-pub use scenario_plan::{ScenarioPlan, ScenarioTraffic, ScenarioVm};
+pub use scenario_plan::{ScenarioBurst, ScenarioPlan, ScenarioTraffic, ScenarioVm};
 pub use scenario_run::{ScenarioRun, run_scenario};
+pub use soak_seed::SoakSeed;
--- a/crates/galenastream_standin/src/scenario/scenario_plan.rs
+++ b/crates/galenastream_standin/src/scenario/scenario_plan.rs
@@ -7,7 +7,12 @@
 use serde_with::{DurationMilliSeconds, serde_as};
 
 use super::ScenarioFault;
-use crate::{Burst, LoadClass, LoadKind, LoadPlan, TargetCapacity, VmPlan};
+use crate::{
+    Burst, LoadClass, LoadKind, LoadOutcome, LoadPlan, LoadSample, TargetCapacity, VmPlan,
+};
+
+/// How long a node must have been without faults to know the newest config for sure.
+const STABLE_TIME: Duration = Duration::from_secs(3);
 
 /// The plan of a scenario: a deployment, its traffic and the faults to inject.
 #[serde_as]
@@ -63,17 +68,27 @@
 }
 
 /// A class of requests.
+#[serde_as]
 #[derive(Debug, Clone, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct ScenarioTraffic {
     /// The name in reports.
     pub name: String,
-    /// The path, under `/carts/`, `/stock/` or `/orders/`.
+    /// The path, under `/carts/`, `/stock/`, `/orders/`, or `/added-N/` after the Nth change of the
+    /// config.
     pub path: String,
     /// The share of all requests. The shares of all classes add up to 100.
     pub share_percent: f64,
     /// The time that a request may take, from its intended start.
     pub deadline_ms: u64,
+    /// The size of the bodies of the requests.
+    #[serde(default)]
+    pub body_bytes: usize,
+    /// When the requests begin, from the start of the traffic. Requests of the first class take
+    /// their place before.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "from_ms", default)]
+    pub from: Duration,
 }
 
 /// A period with a different rate.
@@ -113,9 +128,13 @@
             );
         }
         for class in &scenario.traffic {
-            let is_known =
-                ["/carts/", "/stock/", "/orders/"].iter().any(|it| class.path.starts_with(it));
-            ensure!(is_known, "the path {} is not under /carts/, /stock/ or /orders/", class.path);
+            let prefixes = ["/carts/", "/stock/", "/orders/", "/added-"];
+            let is_known = prefixes.iter().any(|it| class.path.starts_with(it));
+            ensure!(
+                is_known,
+                "the path {} is not under /carts/, /stock/, /orders/ or /added-N/",
+                class.path
+            );
         }
         Ok(scenario)
     }
@@ -129,6 +148,26 @@
         self.vms.iter().map(plan).collect()
     }
 
+    /// Returns whether faults of links need proxies.
+    pub(super) fn has_proxies(&self) -> bool {
+        self.faults.iter().any(|it| it.link_fault().is_some())
+    }
+
+    /// Returns whether a node may end a request for good because it does not know the newest
+    /// config: the config did not always allow the request, and the node has just been cut off from
+    /// the store, or has just started.
+    pub(super) fn may_deny(&self, sample: &LoadSample) -> bool {
+        let needs_newest_config = !self.traffic[sample.class].from.is_zero();
+        let since = sample.at.saturating_sub(STABLE_TIME);
+        let until = sample.at + sample.latency;
+        needs_newest_config
+            && sample.outcome == LoadOutcome::Denied
+            && self
+                .faults
+                .iter()
+                .any(|it| it.may_hide_config(sample.entry) && it.at <= until && it.end() >= since)
+    }
+
     /// Returns the load to generate. Requests enter at the nodes at `entries`.
     pub fn load_plan(&self, entries: Vec<std::net::SocketAddr>, seed: u64) -> LoadPlan {
         let burst =
@@ -151,7 +190,9 @@
         false => LoadKind::Read,
     };
     let class = LoadClass::new(&traffic.name, &traffic.path, kind, traffic.share_percent)
-        .with_deadline_ms(traffic.deadline_ms);
+        .with_deadline_ms(traffic.deadline_ms)
+        .with_body_bytes(traffic.body_bytes)
+        .with_start(traffic.from);
     match traffic.path.starts_with("/carts/") {
         true => class.with_key(),
         false => class,
--- a/crates/galenastream_standin/src/scenario/scenario_run.rs
+++ b/crates/galenastream_standin/src/scenario/scenario_run.rs
@@ -1,27 +1,29 @@
 //! Runs a scenario.
 
-use std::{path::Path, time::Duration};
+use std::{
+    fmt::Write,
+    path::{Path, PathBuf},
+    time::Duration,
+};
 
-use tokio::time::{Instant, sleep, sleep_until};
+use tokio::time::sleep;
 
-use super::{ScenarioFault, ScenarioFaultKind, ScenarioPlan};
+use super::{ScenarioPlan, fault_injector::FaultInjector};
 use crate::{
-    DeploymentPlan, LoadRun, LoadSummary, LocalDeployment, LocalVm, StoreFault, TargetAnnouncement,
-    TargetAnswerFault, Violation, check_invariants, run_load,
+    DeploymentPlan, LoadOutcome, LoadRun, LoadSample, LoadSummary, LocalDeployment, LocalVm,
+    Violation, check_invariants, run_load,
 };
 
-/// How much longer a slow target processes a request.
-const SLOW_TARGET_DELAY: Duration = Duration::from_millis(200);
-
-/// How long a slow store waits before it executes a call.
-const SLOW_STORE_DELAY: Duration = Duration::from_millis(300);
-
-/// How long a late store waits before it executes a call that it never answers.
-const LATE_STORE_DELAY: Duration = Duration::from_millis(2_000);
-
 /// How long requests may still run on targets after the end of the traffic.
 const SETTLE_TIME: Duration = Duration::from_millis(500);
 
+/// How long after the end of all faults the requests are served again.
+const RECOVERY_TIME: Duration = Duration::from_secs(15);
+
+/// The share of each class that is served from then on. The load is far below the capacity, and
+/// nothing is in trouble any more.
+const MIN_RECOVERED_PERCENT: usize = 90;
+
 /// The result of a scenario.
 #[derive(Debug)]
 pub struct ScenarioRun {
@@ -31,13 +33,9 @@
     pub summary: LoadSummary,
     /// The violations of invariants.
     pub violations: Vec<Violation>,
-}
-
-/// The start or the end of a fault.
-struct FaultStep<'a> {
-    at: Duration,
-    fault: &'a ScenarioFault,
-    is_start: bool,
+    /// The folder with the logs of the nodes and the outcomes of all requests, if there were
+    /// violations.
+    pub logs: Option<PathBuf>,
 }
 
 /// Runs a scenario with real nodes of the executable `program`, and checks the invariants.
@@ -48,90 +46,52 @@
 ) -> anyhow::Result<ScenarioRun> {
     let plan = DeploymentPlan {
         vms: scenario.vm_plans(),
+        config: DeploymentPlan::grown_config(1, 0, scenario.max_body_bytes(0)),
+        has_proxies: scenario.has_proxies(),
         ..DeploymentPlan::shop(&format!("day-{}-{seed}", scenario.name), program, &[])
     };
     let mut deployment = LocalDeployment::start(&plan).await?;
     let entries = deployment.vms.iter().map(LocalVm::callers_address).collect();
     let load = scenario.load_plan(entries, seed);
     let (load_run, injected) =
-        tokio::join!(run_load(&load), inject_faults(scenario, &mut deployment));
-    injected?;
+        tokio::join!(run_load(&load), FaultInjector::new(scenario, &mut deployment).run());
+    let mut violations = injected?;
     sleep(SETTLE_TIME).await;
     let LoadRun { summary, samples } = load_run?;
-    let violations = check_invariants(&deployment.histories(), &samples);
-    deployment.close()?;
-    Ok(ScenarioRun { seed, summary, violations })
-}
-
-async fn inject_faults(
-    scenario: &ScenarioPlan,
-    deployment: &mut LocalDeployment,
-) -> anyhow::Result<()> {
-    let mut steps = Vec::new();
-    for fault in &scenario.faults {
-        steps.push(FaultStep { at: fault.at, fault, is_start: true });
-        steps.push(FaultStep { at: fault.at + fault.length, fault, is_start: false });
+    let judged: Vec<LoadSample> =
+        samples.iter().filter(|it| !scenario.may_deny(it)).cloned().collect();
+    violations.extend(check_invariants(&deployment.histories(), &judged));
+    violations.extend(check_recovery(scenario, &samples));
+    let folder = deployment.close_and_keep_logs();
+    if violations.is_empty() {
+        folder.close()?;
+        return Ok(ScenarioRun { seed, summary, violations, logs: None });
     }
-    steps.sort_by_key(|it| it.at);
-    let began_at = Instant::now();
-    for step in steps {
-        sleep_until(began_at + step.at).await;
-        apply_step(&step, deployment).await?;
-    }
-    Ok(())
+    let outcomes = samples.iter().fold(String::new(), |mut text, it| {
+        // Writing into a string does not fail.
+        let _ = writeln!(text, "{it:?}");
+        text
+    });
+    folder.write("outcomes.txt", &outcomes)?;
+    folder.write("plan.txt", &format!("{scenario:#?}"))?;
+    Ok(ScenarioRun { seed, summary, violations, logs: Some(folder.path().to_owned()) })
 }
 
-async fn apply_step(step: &FaultStep<'_>, deployment: &mut LocalDeployment) -> anyhow::Result<()> {
-    let kind = step.fault.kind;
-    if let Some(fault) = store_fault(kind) {
-        deployment.store.set_fault(if step.is_start { fault } else { StoreFault::None });
-        return Ok(());
-    }
-    let vm = &mut deployment.vms[step.fault.vm];
-    if let Some(fault) = answer_fault(kind) {
-        vm.target.set_fault(if step.is_start { fault } else { TargetAnswerFault::None });
-        return Ok(());
-    }
-    match (kind, step.is_start) {
-        (ScenarioFaultKind::NodeKilled, true) => vm.kill_node(),
-        (ScenarioFaultKind::NodeStopped, true) => vm.stop_node().await.map(drop),
-        (ScenarioFaultKind::NodeKilled | ScenarioFaultKind::NodeStopped, false) => vm.start_node(),
-        (ScenarioFaultKind::NodeSuspended, is_start) => match vm.node() {
-            Some(node) if is_start => node.suspend(),
-            Some(node) => node.resume(),
-            None => Ok(()),
-        },
-        (ScenarioFaultKind::TargetLimited, is_start) => {
-            vm.target.announce(match is_start {
-                true => TargetAnnouncement::limit(step.fault.limit_per_s),
-                false => TargetAnnouncement::default(),
-            });
-            Ok(())
+/// Checks the requests that start after the time to recover from the last fault.
+fn check_recovery(scenario: &ScenarioPlan, samples: &[LoadSample]) -> Vec<Violation> {
+    let last_end = scenario.faults.iter().map(|it| it.end()).max().unwrap_or_default();
+    let mut violations = Vec::new();
+    for (index, class) in scenario.traffic.iter().enumerate() {
+        let late =
+            samples.iter().filter(|it| it.class == index && it.at >= last_end + RECOVERY_TIME);
+        let (mut ran, mut total) = (0, 0);
+        for sample in late {
+            total += 1;
+            ran += usize::from(sample.outcome == LoadOutcome::Ran);
+        }
+        if ran * 100 < total * MIN_RECOVERED_PERCENT {
+            violations.push(Violation::NotRecovered { class: class.name.clone(), ran, total });
         }
-        (ScenarioFaultKind::TargetReplaced, true) => vm.replace_target().await,
-        _ => Ok(()),
-    }
-}
-
-fn store_fault(kind: ScenarioFaultKind) -> Option<StoreFault> {
-    match kind {
-        ScenarioFaultKind::StoreRefuses => Some(StoreFault::Refuse(503)),
-        ScenarioFaultKind::StoreSilent => Some(StoreFault::Silent),
-        ScenarioFaultKind::StoreLosesAnswers => Some(StoreFault::LoseAnswer),
-        ScenarioFaultKind::StoreLate => Some(StoreFault::Late(LATE_STORE_DELAY)),
-        ScenarioFaultKind::StoreSlow => Some(StoreFault::Slow(SLOW_STORE_DELAY)),
-        ScenarioFaultKind::StoreForgets => Some(StoreFault::DropHistory),
-        _ => None,
-    }
-}
-
-fn answer_fault(kind: ScenarioFaultKind) -> Option<TargetAnswerFault> {
-    match kind {
-        ScenarioFaultKind::TargetSheds => Some(TargetAnswerFault::Shed),
-        ScenarioFaultKind::TargetFails => Some(TargetAnswerFault::Fail),
-        ScenarioFaultKind::TargetCutsAnswers => Some(TargetAnswerFault::Truncate),
-        ScenarioFaultKind::TargetMixesAnswers => Some(TargetAnswerFault::Stray),
-        ScenarioFaultKind::TargetSlow => Some(TargetAnswerFault::Slow(SLOW_TARGET_DELAY)),
-        _ => None,
     }
+    violations
 }
--- a/crates/galenastream_standin/tests/day.rs
+++ b/crates/galenastream_standin/tests/day.rs
@@ -1,9 +1,9 @@
-//! Files of scenarios are parsed and validated.
+//! Files of scenarios are parsed and validated, and the scenarios of the soak are drawn from seeds.
 
-use std::{fs, path::Path};
+use std::{collections::BTreeSet, fs, path::Path, time::Duration};
 
 use expect_test::{Expect, expect};
-use galenastream_standin::ScenarioPlan;
+use galenastream_standin::{ScenarioPlan, SoakSeed};
 
 const HEAD: &str = r#"
 name = "a-day"
@@ -34,7 +34,7 @@
 fn an_invalid_scenario_is_refused() {
     check_refused(
         "traffic = [{ name = \"a\", path = \"/other/\", share_percent = 100.0, deadline_ms = 1 }]",
-        &expect!["the path /other/ is not under /carts/, /stock/ or /orders/"],
+        &expect!["the path /other/ is not under /carts/, /stock/, /orders/ or /added-N/"],
     );
     check_refused(
         "traffic = []\n[[faults]]\nkind = \"node-killed\"\nvm = 1\nat_ms = 0\nfor_ms = 1\n",
@@ -47,6 +47,40 @@
               |
             9 | kind = "node-lost"
               |        ^^^^^^^^^^^
-            unknown variant `node-lost`, expected one of `node-killed`, `node-stopped`, `node-suspended`, `target-replaced`, `target-sheds`, `target-fails`, `target-cuts-answers`, `target-mixes-answers`, `target-slow`, `target-limited`, `store-refuses`, `store-silent`, `store-loses-answers`, `store-late`, `store-slow`, `store-forgets`"#]],
+            unknown variant `node-lost`, expected one of `node-killed`, `node-stopped`, `node-suspended`, `target-replaced`, `target-sheds`, `target-fails`, `target-cuts-answers`, `target-mixes-answers`, `target-unsigned`, `target-slow`, `target-limited`, `store-refuses`, `store-silent`, `store-loses-answers`, `store-late`, `store-slow`, `store-forgets`, `store-restored`, `config-changed`, `link-delayed`, `link-reset`, `link-cut-to-server`, `link-cut-to-client`, `link-silent`, `link-endless-head`, `link-endless-body`"#]],
     );
 }
+
+#[test]
+fn a_seed_of_the_soak_always_gives_the_same_scenario() {
+    assert_eq!(ScenarioPlan::soak(5, 12), ScenarioPlan::soak(5, 12));
+    assert_ne!(ScenarioPlan::soak(5, 12), ScenarioPlan::soak(6, 12));
+}
+
+#[test]
+fn the_seeds_of_the_soak_draw_valid_scenarios_with_every_fault() {
+    let mut kinds = BTreeSet::new();
+    let mut links = BTreeSet::new();
+    for seed in 1..=50 {
+        let scenario = ScenarioPlan::soak(seed, 12);
+        scenario.load_plan(vec![([127, 0, 0, 1], 1).into()], seed).check().unwrap();
+        assert!((4..=12).contains(&scenario.vms.len()));
+        for fault in &scenario.faults {
+            assert!(fault.vm < scenario.vms.len(), "{fault:?}");
+            // The rest of the traffic shows whether the deployment recovers.
+            assert!(fault.end() + Duration::from_secs(15) < scenario.length, "{fault:?}");
+            kinds.insert(format!("{:?}", fault.kind));
+            links.extend(fault.link.map(|it| format!("{it:?}")));
+        }
+    }
+    assert_eq!(kinds.len(), 26, "{kinds:?}");
+    assert_eq!(links.len(), 5, "{links:?}");
+}
+
+#[test]
+fn the_list_of_failed_seeds_names_a_cause_for_each() {
+    let file = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples/soak/seeds.toml");
+    for seed in SoakSeed::load_all(&file).unwrap() {
+        assert!(!seed.cause.is_empty(), "{seed:?}");
+    }
+}
