--- a/crates/galenastream_standin/src/invariants/violation.rs
+++ b/crates/galenastream_standin/src/invariants/violation.rs
@@ -73,6 +73,8 @@
     MemoryExceeded {
         /// The name of the node.
         node: String,
+        /// When it first used more, from the start of the traffic.
+        at: Duration,
         /// The most memory that it used.
         peak_mb: u64,
         /// The memory that its settings allow.
@@ -132,8 +134,12 @@
                 write!(f, "{request_id} received status {status}, which its target did not give")
             }
             Self::NodeEnded { node, status } => write!(f, "{node} ended by itself: {status}"),
-            Self::MemoryExceeded { node, peak_mb, limit_mb } => {
-                write!(f, "{node} used {peak_mb} MB of memory where its limit is {limit_mb} MB")
+            Self::MemoryExceeded { node, at, peak_mb, limit_mb } => {
+                write!(
+                    f,
+                    "{node} used {peak_mb} MB of memory where its limit is {limit_mb} MB, \
+                     first at {at:?}"
+                )
             }
             Self::NotRecovered { class, ran, total } => {
                 write!(f, "only {ran} of {total} requests of {class} ran after all faults")
--- a/crates/galenastream_standin/src/scenario/fault_injector.rs
+++ b/crates/galenastream_standin/src/scenario/fault_injector.rs
@@ -24,8 +24,9 @@
     /// Nodes that were told to stop, by their VM.
     stopping: FastMap<usize, Process>,
     config_changes: u32,
-    /// The most memory that the nodes of each VM used.
-    peaks_mb: Vec<u64>,
+    /// For each VM whose nodes used more memory than they may, since when and how much.
+    excesses: FastMap<usize, (Duration, u64)>,
+    began_at: Instant,
     violations: Vec<Violation>,
 }
 
@@ -38,14 +39,14 @@
 
 impl<'a> FaultInjector<'a> {
     pub(super) fn new(scenario: &'a ScenarioPlan, deployment: &'a mut LocalDeployment) -> Self {
-        let peaks_mb = vec![0; deployment.vms.len()];
         Self {
             scenario,
             deployment,
             active: Vec::new(),
             stopping: FastMap::default(),
             config_changes: 0,
-            peaks_mb,
+            excesses: FastMap::default(),
+            began_at: Instant::now(),
             violations: Vec::new(),
         }
     }
@@ -58,23 +59,22 @@
             steps.push(FaultStep { at: fault.at + fault.length, fault, is_start: false });
         }
         steps.sort_by_key(|it| it.at);
-        let began_at = Instant::now();
+        self.began_at = Instant::now();
         for step in steps {
-            self.watch_until(began_at + step.at).await?;
+            self.watch_until(step.at).await?;
             self.apply(&step).await?;
         }
-        self.watch_until(began_at + self.scenario.length).await?;
-        for (vm, peak_mb) in self.deployment.vms.iter().zip(&self.peaks_mb) {
-            if *peak_mb > MEMORY_LIMIT_MB {
-                let (node, peak_mb) = (vm.name.clone(), *peak_mb);
-                let limit_mb = MEMORY_LIMIT_MB;
-                self.violations.push(Violation::MemoryExceeded { node, peak_mb, limit_mb });
-            }
+        self.watch_until(self.scenario.length).await?;
+        for (index, (at, peak_mb)) in self.excesses {
+            let node = self.deployment.vms[index].name.clone();
+            let limit_mb = MEMORY_LIMIT_MB;
+            self.violations.push(Violation::MemoryExceeded { node, at, peak_mb, limit_mb });
         }
         Ok(self.violations)
     }
 
-    async fn watch_until(&mut self, until: Instant) -> anyhow::Result<()> {
+    async fn watch_until(&mut self, at: Duration) -> anyhow::Result<()> {
+        let until = self.began_at + at;
         loop {
             self.watch()?;
             if Instant::now() + WATCH_INTERVAL >= until {
@@ -90,7 +90,11 @@
         for (index, vm) in self.deployment.vms.iter_mut().enumerate() {
             let running = vm.node().into_iter().chain(self.stopping.get(&index));
             let peak_mb = running.filter_map(Process::peak_memory_mb).max().unwrap_or(0);
-            self.peaks_mb[index] = self.peaks_mb[index].max(peak_mb);
+            if peak_mb > MEMORY_LIMIT_MB {
+                let at = self.began_at.elapsed();
+                let excess = self.excesses.entry(index).or_insert((at, peak_mb));
+                excess.1 = excess.1.max(peak_mb);
+            }
             let Some(status) = vm.take_ended_node() else {
                 continue;
             };
--- a/crates/galenastream_standin/src/scenario/soak_plan.rs
+++ b/crates/galenastream_standin/src/scenario/soak_plan.rs
@@ -84,8 +84,12 @@
         let vms = draw.vms();
         draw.draw_faults(&vms);
         let bursts = draw.bursts();
-        let mut draw_body = || draw.rng.random_range(20_000..40_000);
-        let (body_bytes, grown_bytes) = (draw_body(), 1_500_000 + draw_body());
+        // Above the limit that a node without a config might assume.
+        let grown_bytes = draw.rng.random_range(1_100_000..1_600_000);
+        let body_bytes = match draw.rng.random_bool(0.5) {
+            true => draw.rng.random_range(20_000..60_000),
+            false => grown_bytes,
+        };
         let mut changes: Vec<Duration> = draw
             .faults
             .iter()
@@ -106,7 +110,7 @@
             class("stock", "/stock/1", 28.0, 600),
             class("cart", "/carts/1", 40.0, 900),
             class("order", "/orders/1", 16.0, 1_500),
-            ScenarioTraffic { body_bytes, ..class("upload", "/orders/upload", 4.0, 1_500) },
+            ScenarioTraffic { body_bytes, ..class("upload", "/orders/upload", 4.0, 2_500) },
             ScenarioTraffic { from: grown_from, ..class("added", "/added-1/1", 10.0, 900) },
             ScenarioTraffic {
                 from: grown_from,
@@ -130,7 +134,12 @@
 
     /// Returns the maximum body after a number of changes of the config.
     pub(super) fn max_body_bytes(&self, config_changes: u32) -> u64 {
-        if config_changes == 0 { SMALL_BODY_BYTES } else { LARGE_BODY_BYTES }
+        let is_large =
+            |it: &ScenarioTraffic| it.from.is_zero() && it.body_bytes as u64 > SMALL_BODY_BYTES;
+        match config_changes > 0 || self.traffic.iter().any(is_large) {
+            true => LARGE_BODY_BYTES,
+            false => SMALL_BODY_BYTES,
+        }
     }
 }
 
