--- a/crates/galenastream_standin/examples/soak.rs
+++ b/crates/galenastream_standin/examples/soak.rs
@@ -12,13 +12,20 @@
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use futures::{StreamExt, stream};
 use galenastream_standin::{ScenarioPlan, ScenarioRun, SoakSeed, run_scenario};
+use tokio::signal::unix::{SignalKind, signal};
 
 /// How many violations of one kind are printed for a seed.
 const MAX_PRINTED: usize = 4;
 
 #[tokio::main]
 async fn main() -> ExitCode {
-    match run(&command().get_matches()).await {
+    let matches = command().get_matches();
+    // Dropping the run ends the processes that it has started.
+    let result = tokio::select! {
+        result = run(&matches) => result,
+        () = interrupted() => Err(anyhow::anyhow!("interrupted")),
+    };
+    match result {
         Ok(0) => ExitCode::SUCCESS,
         Ok(failed) => {
             println!("{failed} seeds failed");
@@ -31,6 +38,18 @@
     }
 }
 
+/// Waits for SIGINT or SIGTERM.
+async fn interrupted() {
+    let Ok(mut terminate) = signal(SignalKind::terminate()) else {
+        eprintln!("soak: SIGTERM would leave processes running, as its handler cannot be set");
+        return std::future::pending().await;
+    };
+    tokio::select! {
+        _ = tokio::signal::ctrl_c() => {}
+        _ = terminate.recv() => {}
+    }
+}
+
 fn command() -> Command {
     let number = |name, default, help| {
         Arg::new(name)
