--- a/crates/galenastream_standin/src/scenario/scenario_run.rs
+++ b/crates/galenastream_standin/src/scenario/scenario_run.rs
@@ -1,7 +1,6 @@
 //! Runs a scenario.
 
 use std::{
-    fmt::Write,
     path::{Path, PathBuf},
     time::Duration,
 };
@@ -67,12 +66,10 @@
         folder.close()?;
         return Ok(ScenarioRun { seed, summary, violations, logs: None });
     }
-    let outcomes = samples.iter().fold(String::new(), |mut text, it| {
-        // Writing into a string does not fail.
-        let _ = writeln!(text, "{it:?}");
-        text
-    });
-    folder.write("outcomes.txt", &outcomes)?;
+    let outcomes: Vec<String> = samples.iter().map(|it| format!("{it:?}\n")).collect();
+    let texts: Vec<String> = violations.iter().map(|it| format!("{it}\n")).collect();
+    folder.write("outcomes.txt", &outcomes.concat())?;
+    folder.write("violations.txt", &texts.concat())?;
     folder.write("plan.txt", &format!("{scenario:#?}"))?;
     Ok(ScenarioRun { seed, summary, violations, logs: Some(folder.path().to_owned()) })
 }
