--- a/crates/galenastream_standin/src/deployment/deployment_plan.rs
+++ b/crates/galenastream_standin/src/deployment/deployment_plan.rs
@@ -19,6 +19,8 @@
     pub heartbeat_interval: Duration,
     /// The VMs, each with a target and a node beside it.
     pub vms: Vec<VmPlan>,
+    /// Whether all connections pass through proxies that can inject faults.
+    pub has_proxies: bool,
 }
 
 /// The plan of a VM with a target and a node.
@@ -43,6 +45,7 @@
             config: Some(Self::shop_config(1, "/stock/")),
             heartbeat_interval: Duration::from_millis(200),
             vms: services.iter().map(|it| VmPlan::new(it)).collect(),
+            has_proxies: false,
         }
     }
 
@@ -59,12 +62,29 @@
 
     /// Returns a version of the shop's config with these limits on requests of callers.
     pub fn limited_shop_config(version: u32, stock_path: &str, limits: LimitFields) -> Value {
+        Self::shop_config_with_routes(version, stock_path, 0, limits)
+    }
+
+    /// Returns a version of the shop's config with more routes to `stock`, under `/added-1/` to
+    /// `/added-COUNT/`.
+    pub fn grown_shop_config(version: u32, added_routes: u32, limits: LimitFields) -> Value {
+        Self::shop_config_with_routes(version, "/stock/", added_routes, limits)
+    }
+
+    fn shop_config_with_routes(
+        version: u32,
+        stock_path: &str,
+        added_routes: u32,
+        limits: LimitFields,
+    ) -> Value {
+        let added: Vec<String> = (1..=added_routes).map(|it| format!("/added-{it}/")).collect();
         let route = |prefix, is_idempotent, service| RouteFields { prefix, is_idempotent, service };
-        let routes = [
+        let mut routes = vec![
             route("/carts/", true, "carts"),
             route(stock_path, true, "stock"),
             route("/orders/", false, "stock"),
         ];
+        routes.extend(added.iter().map(|it| route(it, true, "stock")));
         let services = [("carts", true), ("stock", false)];
         config_document(version, "shop.example", &services, &routes, limits)
     }
--- a/crates/galenastream_standin/src/platform_target/endless_target.rs
+++ b/crates/galenastream_standin/src/platform_target/endless_target.rs
@@ -68,7 +68,7 @@
         });
         let heartbeats = send_heartbeats(
             Arc::new(TargetState::new(plan)),
-            plan.address,
+            plan.advertised_address,
             plan.control,
             plan.heartbeat_interval,
         );
