Fuzz the platform's documents from a kept corpus

Tests of decoders drew random bytes, which are refused at the first one. Kept documents, each named after what it shows, are now replayed and mutated (flipped, cut, duplicated, spliced, numbers at the limits of their types). Accepted documents are compared with an independent reading, and checked for what routing relies on. The corpus, the mutations, the strict HTTP reader and the server that answers any bytes are in galenastream_standin, for the tests of all crates.

--- a/crates/galenastream_standin/src/lib.rs
+++ b/crates/galenastream_standin/src/lib.rs
@@ -1,11 +1,13 @@
 //! Small stand-ins of the platform's store, of targets and of callers, a load generator, and
-//! scenarios that run them with real nodes. For tests and experiments only.
+//! scenarios that run them with real nodes, and hostile input for the decoders. For tests and
+//! experiments only.
 //!
 //! Use [`LocalDeployment`] to start a store, targets and nodes on loopback, [`run_load`] to
 //! generate load, and [`run_scenario`] to run a whole scenario and check the invariants.
 
 mod caller;
 mod deployment;
+mod fuzz;
 mod invariants;
 mod load;
 mod platform_document;
@@ -16,6 +18,7 @@
 
 pub use caller::*;
 pub use deployment::*;
+pub use fuzz::*;
 pub use invariants::*;
 pub use load::*;
 pub use platform_document::*;
