--- a/crates/galenastream_standin/src/fuzz/pieces.rs
+++ b/crates/galenastream_standin/src/fuzz/pieces.rs
@@ -15,6 +15,11 @@
             .prop_map(|lengths| Self { lengths })
     }
 
+    /// Pieces of one length, which is at least 1.
+    pub fn of_length(length: usize) -> Self {
+        Self { lengths: vec![length] }
+    }
+
     /// Cuts bytes into the pieces.
     pub fn of<'a>(&self, bytes: &'a [u8]) -> Vec<&'a [u8]> {
         let mut pieces = Vec::new();
