Refuse a row of keys that leaves no room for further fencing tokens

Cause: decode_row compared tokens with the highest issued one only. Such a row is malformed now and keeps the earlier one in force.

--- a/crates/galenastream_ranges/src/error.rs
+++ b/crates/galenastream_ranges/src/error.rs
@@ -25,6 +25,12 @@
         /// The fencing token of the entry.
         fence: u64,
     },
+    /// The highest issued fencing token leaves no room for further ones.
+    #[error("the highest issued fencing token is {fence}; another program has changed the row")]
+    NoFurtherFence {
+        /// The highest issued fencing token of the row.
+        fence: u64,
+    },
     /// An entry refers to an owner that the row does not list.
     #[error("an entry refers to owner {index}, which the row does not list; the row is incomplete")]
     UnknownOwner {
--- a/crates/galenastream_ranges/src/row.rs
+++ b/crates/galenastream_ranges/src/row.rs
@@ -6,6 +6,10 @@
     Assignment, Holding, KEY_COUNT, KeyRange, Owner, RangeEntry, RowError, TargetIncarnation,
 };
 
+/// The highest fencing token in a row. A correct writer does not come near it, and each change needs
+/// a higher token.
+const MAX_FENCE: u64 = u64::MAX / 2;
+
 #[derive(Clone, PartialEq, Message)]
 struct AssignmentRow {
     #[prost(message, repeated, tag = "1")]
@@ -70,10 +74,14 @@
     /// Decodes an assignment from a row.
     ///
     /// Fails if the bytes are malformed, the entries do not cover every key exactly once, an entry
-    /// refers to an owner that is not listed, or a fencing token is above the highest issued one.
+    /// refers to an owner that is not listed, a fencing token is above the highest issued one, or the
+    /// highest one leaves no room for further ones.
     pub fn decode_row(bytes: &[u8]) -> Result<Self, RowError> {
         let row = AssignmentRow::decode(bytes)
             .map_err(|it| RowError::Undecodable { reason: it.to_string() })?;
+        if row.highest_fence > MAX_FENCE {
+            return Err(RowError::NoFurtherFence { fence: row.highest_fence });
+        }
         let owners: Vec<Owner> = row.owners.into_iter().map(OwnerRecord::into_owner).collect();
         let mut entries = Vec::with_capacity(row.entries.len());
         let mut next_key = 0_u32;
