--- a/crates/galenastream_standin/tests/fuzz.rs
+++ b/crates/galenastream_standin/tests/fuzz.rs
@@ -62,6 +62,10 @@
     };
     assert_eq!(read("200 OK", "abc").as_deref(), Some("abc"));
     assert_eq!(read("200 OK\r\nContent-Length: 2", "abc").as_deref(), Some("ab"));
+    // Section 6.3: without chunks as the last coding, the body ends with the connection.
+    assert_eq!(read("200 OK\r\nTransfer-Encoding: gzip", "1\r\na").as_deref(), Some("1\r\na"));
+    let chunks = "1\r\na\r\n0\r\n\r\n";
+    assert_eq!(read("200 OK\r\nTransfer-Encoding: x, chunked", chunks).as_deref(), Some("a"));
     assert_eq!(read("204 No Content", "abc").as_deref(), Some(""));
     let continued = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nz";
     assert_eq!(read("100 Continue", continued).as_deref(), Some("z"));
