--- a/crates/galenastream_runtime/tests/exchange_fuzz.rs
+++ b/crates/galenastream_runtime/tests/exchange_fuzz.rs
@@ -65,7 +65,8 @@
             }
         }
         other => {
-            prop_assert!(false, "{:?} was accepted, the strict reading is {:?}", response, other)
+            let strict = format!("{response:?} was accepted, the strict reading is {other:?}");
+            return Err(TestCaseError::fail(strict));
         }
     }
     Ok(true)
