Fuzz the control state with hostile heartbeats, statuses and rows

Events with mutated documents and numbers at the limits of their types never make the control state panic. Assignments that it writes or publishes survive their row, a heartbeat is granted each key once at most, and leases keep to their longest duration.

--- /dev/null
+++ b/crates/galenastream_node/tests/ownership/hostile_input.rs
@@ -0,0 +1,311 @@
+//! Fuzz tests of the control state: heartbeats, statuses, sync states and rows with hostile values.
+//! It never panics, and what it writes, answers and publishes keeps its invariants.
+
+use std::sync::LazyLock;
+
+use bytes::Bytes;
+use galenastream_adapter::{HeartbeatReply, RoutingConfig, Row, StoreError};
+use galenastream_node::{ControlEvent, ControlState, Effect, HeartbeatAnswer, RouteMatch};
+use galenastream_ranges::Assignment;
+use galenastream_standin::{Corpus, fuzz_config};
+use galenastream_wire::{
+    EraRow, IncarnationRecord, KeyLoadRecord, NodeStatus, OwnershipFacts, ReleaseRecord, SharedRow,
+    SyncState, TargetStatus,
+};
+use proptest::{collection::vec, option, prelude::*};
+use prost::Message;
+use tokio::sync::oneshot;
+
+use super::{
+    fixtures::{config, settings},
+    simulation::at,
+};
+
+static HEARTBEATS: LazyLock<Corpus> = LazyLock::new(|| corpus("../../platform", "heartbeat"));
+static CONFIGS: LazyLock<Corpus> = LazyLock::new(|| corpus("../../platform", "config"));
+static ASSIGNMENTS: LazyLock<Corpus> =
+    LazyLock::new(|| corpus("../galenastream_ranges", "assignment"));
+static TREES: LazyLock<Corpus> = LazyLock::new(|| corpus("../galenastream_settings", "tree"));
+static NODE_ROWS: LazyLock<Corpus> = LazyLock::new(|| corpus("../galenastream_wire", "node_row"));
+static ERA_ROWS: LazyLock<Corpus> = LazyLock::new(|| corpus("../galenastream_wire", "era_row"));
+
+fn corpus(package: &str, decoder: &str) -> Corpus {
+    let root = env!("CARGO_MANIFEST_DIR");
+    Corpus::load(format!("{root}/{package}/tests/corpus/{decoder}"))
+        .expect("the corpus is in the repository")
+}
+
+/// Numbers at the limits of types, and small ones.
+fn number() -> impl Strategy<Value = u64> {
+    prop_oneof![
+        3 => 0_u64..4,
+        1 => Just(u64::MAX),
+        1 => Just(u64::MAX - 1),
+        1 => Just(1 << 40),
+        1 => any::<u64>(),
+    ]
+}
+
+fn small_number() -> impl Strategy<Value = u32> {
+    prop_oneof![3 => 0_u32..4, 1 => Just(65_535), 1 => Just(65_536), 1 => Just(u32::MAX)]
+}
+
+fn name() -> impl Strategy<Value = String> {
+    prop_oneof![
+        4 => Just("carts".to_owned()),
+        2 => Just("t-1".to_owned()),
+        1 => Just(String::new()),
+        1 => "[ -~]{0,6}",
+    ]
+}
+
+fn node() -> impl Strategy<Value = String> {
+    prop_oneof![4 => "vm-(10\\.0\\.0\\.[12]:80|1|2)", 1 => ".{0,4}"]
+}
+
+fn target() -> impl Strategy<Value = TargetStatus> {
+    let loads = vec((small_number(), small_number(), number()), 0..4);
+    let flags = (any::<bool>(), any::<bool>());
+    let numbers = (number(), small_number(), number(), option::of(number()));
+    (name(), name(), numbers, flags, loads).prop_map(
+        |(service, id, (born_ms, slots, capacity, limit), (is_draining, is_silent), loads)| {
+            let record = |(first, last, milli_per_s)| KeyLoadRecord { first, last, milli_per_s };
+            TargetStatus {
+                service,
+                id,
+                born_ms,
+                slots,
+                is_draining,
+                is_silent,
+                capacity_milli_per_s: capacity,
+                key_loads: loads.into_iter().map(record).collect(),
+                limit_milli_per_s: limit,
+            }
+        },
+    )
+}
+
+fn facts() -> impl Strategy<Value = OwnershipFacts> {
+    let releases = vec((small_number(), small_number(), name()), 0..3);
+    let ended = vec((name(), number()), 0..3);
+    (name(), number(), releases, ended).prop_map(|(service, version, releases, ended)| {
+        let release = |(first, last, handover)| ReleaseRecord { first, last, handover };
+        let incarnation = |(id, born_ms)| IncarnationRecord { id, born_ms };
+        OwnershipFacts {
+            service,
+            version,
+            releases: releases.into_iter().map(release).collect(),
+            ended: ended.into_iter().map(incarnation).collect(),
+        }
+    })
+}
+
+fn status() -> impl Strategy<Value = ControlEvent> {
+    let flags = (any::<bool>(), any::<bool>(), any::<bool>(), any::<bool>());
+    let numbers = (number(), number(), number());
+    let address = prop_oneof![4 => Just("10.0.0.2:7000".to_owned()), 1 => ".{0,9}"];
+    (node(), address, option::of(target()), flags, numbers, vec(facts(), 0..3)).prop_map(
+        |(node, address, target, flags, numbers, facts)| {
+            ControlEvent::PeerStatus(NodeStatus {
+                node,
+                started_boot_ns: numbers.0,
+                data_centre: "east".to_owned(),
+                address,
+                target,
+                config_version: numbers.1,
+                is_closing: flags.0,
+                is_refusing: flags.1,
+                reaches_store: flags.2,
+                rows_version: numbers.2,
+                reads_rows: flags.3,
+                facts,
+            })
+        },
+    )
+}
+
+/// A row with a key and a content that belong together, or nearly so.
+fn row() -> impl Strategy<Value = (String, Bytes)> {
+    let era = (0_u64..4).prop_map(|era| Bytes::from(EraRow { era }.encode_to_vec()));
+    let era = prop_oneof![era, ERA_ROWS.mutated()];
+    prop_oneof![
+        4 => ("keys/(carts)?", ASSIGNMENTS.mutated()),
+        1 => ("settings/tree", TREES.mutated()),
+        1 => (node().prop_map(|it| format!("node/{it}")), NODE_ROWS.mutated()),
+        2 => ("era", era),
+        1 => (".{0,9}", ERA_ROWS.mutated()),
+    ]
+}
+
+/// A version of the eras 0 to 3, or any.
+fn version() -> impl Strategy<Value = u64> {
+    prop_oneof![4 => (0_u64..4, 0_u64..9).prop_map(|(era, it)| era << 40 | it), 1 => number()]
+}
+
+fn rows() -> impl Strategy<Value = Vec<Row>> {
+    let row = (row(), version(), any::<bool>());
+    vec(row, 0..4).prop_map(|rows| {
+        let row = |((key, value), version, is_removed): (_, _, bool)| Row {
+            key,
+            value: (!is_removed).then_some(value),
+            version,
+        };
+        rows.into_iter().map(row).collect()
+    })
+}
+
+fn sync_state() -> impl Strategy<Value = ControlEvent> {
+    let config = prop_oneof![Just(Bytes::new()), CONFIGS.mutated()];
+    let rows = vec((row(), version()), 0..4);
+    (config, rows, version(), number(), 0_u64..9_000).prop_map(
+        |(config, rows, rows_version, confirmed_age_ms, asked_at)| {
+            let shared = |((key, value), version)| SharedRow { key, value, version };
+            let rows = rows.into_iter().map(shared).collect();
+            let state = SyncState { config, rows, rows_version, confirmed_age_ms };
+            ControlEvent::PeerSyncState { state, asked_at: at(asked_at) }
+        },
+    )
+}
+
+fn heartbeat() -> impl Strategy<Value = ControlEvent> {
+    // With the address beside the simulated node, so that more than the first check is reached.
+    let body = HEARTBEATS.mutated().prop_map(|it| {
+        let text = String::from_utf8_lossy(&it).replace("10.0.0.7:8001", "10.0.0.1:80");
+        Bytes::from(text.into_bytes())
+    });
+    (name(), body, any::<bool>()).prop_map(|(target_id, body, is_heartbeat)| {
+        let (answer, _) = oneshot::channel();
+        match is_heartbeat {
+            true => ControlEvent::Heartbeat { target_id, body, answer },
+            false => ControlEvent::Deregister { target_id, answer },
+        }
+    })
+}
+
+fn event() -> impl Strategy<Value = ControlEvent> {
+    let read = (rows(), version(), 0_u64..9_000);
+    let store = prop_oneof![
+        4 => read.prop_map(|(rows, version, confirmed_at)| {
+            ControlEvent::Rows { rows, version, confirmed_at: at(confirmed_at) }
+        }),
+        1 => (0_u64..1 << 24).prop_map(ControlEvent::StoreEra),
+        1 => any::<bool>().prop_map(ControlEvent::StoreReached),
+        2 => rows().prop_map(|rows| ControlEvent::Committed {
+            service: "carts".to_owned(),
+            assignment: Box::new(Assignment::new()),
+            result: Err(StoreError::Conflict { rows }),
+        }),
+        1 => CONFIGS.mutated().prop_map(|encoded| match RoutingConfig::decode(&encoded) {
+            Ok(config) => ControlEvent::Config { config: Box::new(config), encoded },
+            Err(_) => ControlEvent::PeerQueryFailed,
+        }),
+    ];
+    prop_oneof![3 => heartbeat(), 3 => status(), 2 => sync_state(), 4 => store]
+}
+
+fn check_assignment(assignment: &Assignment) -> Result<(), TestCaseError> {
+    let decoded = Assignment::decode_row(&assignment.encode_row());
+    prop_assert_eq!(decoded.as_ref(), Ok(assignment));
+    Ok(())
+}
+
+fn check_effect(effect: &Effect) -> Result<(), TestCaseError> {
+    match effect {
+        Effect::Commit { assignment, .. } => check_assignment(assignment),
+        Effect::Settle { expected, writes } => {
+            prop_assert_eq!(expected.len(), writes.len());
+            Ok(())
+        }
+        _ => Ok(()),
+    }
+}
+
+/// Checks the answer to a heartbeat: each key is granted once at most.
+fn check_answer(answer: Option<HeartbeatAnswer>) -> Result<(), TestCaseError> {
+    let Some(HeartbeatAnswer::Reply(HeartbeatReply::Leases { grants, lease_ms })) = answer else {
+        return Ok(());
+    };
+    prop_assert!(lease_ms > 0 && lease_ms <= 10_000, "a lease of {} ms", lease_ms);
+    for pair in grants.windows(2) {
+        prop_assert!(pair[0].last < pair[1].first, "{:?}", grants);
+    }
+    prop_assert!(grants.iter().all(|it| it.first <= it.last), "{:?}", grants);
+    Ok(())
+}
+
+/// Handles events at rising times and checks everything that comes out.
+fn check_events(events: Vec<(ControlEvent, u64)>) -> Result<(), TestCaseError> {
+    let mut state = ControlState::new(settings(0), at(0));
+    let mut now_ms = 2_000;
+    let start = ControlEvent::Config { config: Box::new(config()), encoded: Bytes::new() };
+    let mut answers = Vec::new();
+    for (event, step_ms) in std::iter::once((start, 0)).chain(events) {
+        now_ms += step_ms;
+        let event = match event {
+            ControlEvent::Heartbeat { target_id, body, .. } => {
+                let (answer, answered) = oneshot::channel();
+                answers.push(answered);
+                ControlEvent::Heartbeat { target_id, body, answer }
+            }
+            other => other,
+        };
+        let mut effects = state.handle(event, at(now_ms));
+        effects.extend(state.tick(at(now_ms)));
+        for effect in &effects {
+            check_effect(effect)?;
+        }
+        let directory = state.directory(at(now_ms));
+        for assignment in directory.assignments.values() {
+            check_assignment(assignment)?;
+        }
+        let _ = state.status_page(at(now_ms));
+        let _ = state.sync_snapshot();
+        let _ = state.status(at(now_ms)).encode_to_vec();
+        if let Some(routing) = state.routing()
+            && let RouteMatch::Found(route) = routing.find("shop.example", "/a/b")
+        {
+            prop_assert!(!route.destinations.is_empty());
+        }
+    }
+    for mut answered in answers {
+        check_answer(answered.try_recv().ok())?;
+    }
+    Ok(())
+}
+
+#[test]
+fn kept_heartbeats_are_answered_without_a_panic() {
+    let events = HEARTBEATS.documents().iter().map(|document| {
+        let (answer, _) = oneshot::channel();
+        let body = String::from_utf8_lossy(&document.bytes).replace("10.0.0.7:8001", "10.0.0.1:80");
+        let body = Bytes::from(body.into_bytes());
+        (ControlEvent::Heartbeat { target_id: "t-1".to_owned(), body, answer }, 900)
+    });
+    check_events(events.collect()).expect("no check fails");
+}
+
+#[test]
+fn kept_rows_of_keys_are_applied_without_a_panic() {
+    for document in ASSIGNMENTS.documents() {
+        let value = Some(Bytes::from(document.bytes.clone()));
+        let row = Row { key: "keys/carts".to_owned(), value, version: 7 };
+        let event = ControlEvent::Rows { rows: vec![row], version: 7, confirmed_at: at(2_000) };
+        let events = vec![
+            (ControlEvent::StoreReached(true), 0),
+            (event, 10),
+            (ControlEvent::StoreReached(true), 20_000),
+        ];
+        check_events(events).expect(&document.name);
+    }
+}
+
+proptest! {
+    #![proptest_config(fuzz_config(400))]
+
+    #[test]
+    fn hostile_events_leave_the_invariants_of_the_control_state(
+        events in vec((event(), prop_oneof![Just(0_u64), 1..1_000_u64, Just(15_000)]), 1..24),
+    ) {
+        check_events(events)?;
+    }
+}
--- a/crates/galenastream_node/tests/ownership/main.rs
+++ b/crates/galenastream_node/tests/ownership/main.rs
@@ -3,6 +3,7 @@
 //! determined by its seed.
 
 mod fixtures;
+mod hostile_input;
 mod incarnations;
 mod injected_bug;
 mod simulation;
