Fuzz the planner with any reported loads

Planned moves are of at least one key; with ascending loads, as nodes report them, no key is planned twice. With overlapping loads keys can be planned twice, which the changes of an assignment tolerate: the second move finds them leaving.

--- a/crates/galenastream_ranges/tests/fuzz.rs
+++ b/crates/galenastream_ranges/tests/fuzz.rs
@@ -3,9 +3,12 @@
 
 use std::sync::LazyLock;
 
-use galenastream_ranges::{Assignment, KeyRange, Owner, TargetIncarnation};
+use galenastream_ranges::{
+    Assignment, KeyLoad, KeyRange, Owner, PlannedMove, Planner, PlannerSettings, TargetIncarnation,
+    TargetLoad,
+};
 use galenastream_standin::{Corpus, fuzz_config};
-use proptest::prelude::*;
+use proptest::{collection::vec, prelude::*};
 
 static ROWS: LazyLock<Corpus> = LazyLock::new(|| {
     Corpus::load(concat!(env!("CARGO_MANIFEST_DIR"), "/tests/corpus/assignment"))
@@ -59,6 +62,43 @@
     Ok(true)
 }
 
+/// Loads as another node may report them: any ranges in any order, any numbers.
+fn target_load(number: u64) -> impl Strategy<Value = TargetLoad> {
+    let milli = || prop_oneof![Just(0), Just(u64::MAX), 0_u64..1 << 20, any::<u64>()];
+    let key = || prop_oneof![0_u16..300, any::<u16>()];
+    let load = (key(), key(), milli()).prop_map(|(a, b, milli_per_s)| KeyLoad {
+        range: KeyRange { first: a.min(b), last: a.max(b) },
+        per_s: milli_per_s as f64 / 1_000.0,
+    });
+    (vec(load, 0..5), milli(), any::<bool>()).prop_map(move |(loads, capacity, is_eligible)| {
+        let target = TargetIncarnation::new(format!("t-{number}"), 1_700_000_000_000 + number);
+        TargetLoad {
+            owner: Owner::new(target, format!("vm-{number}")),
+            capacity_per_s: capacity as f64 / 1_000.0,
+            is_eligible,
+            loads,
+        }
+    })
+}
+
+/// Whether loads are in ascending order and do not overlap, as those of a correct node.
+fn are_ascending(loads: &[KeyLoad]) -> bool {
+    loads.windows(2).all(|it| it[0].range.last < it[1].range.first)
+}
+
+/// Checks that each move is of keys, and that no key is planned twice if the loads are correct.
+fn check_moves(moves: &[PlannedMove], targets: &[TargetLoad]) -> Result<(), TestCaseError> {
+    let is_correct = targets.iter().all(|it| are_ascending(&it.loads));
+    for (position, planned) in moves.iter().enumerate() {
+        prop_assert!(planned.range.first <= planned.range.last, "{:?}", moves);
+        for other in &moves[..position] {
+            let is_planned_twice = planned.range.overlap(other.range).is_some();
+            prop_assert!(!is_correct || !is_planned_twice, "{:?}", moves);
+        }
+    }
+    Ok(())
+}
+
 #[test]
 fn kept_rows_are_decoded_or_refused() {
     for document in ROWS.documents() {
@@ -68,7 +108,7 @@
 }
 
 proptest! {
-    #![proptest_config(fuzz_config(4_000))]
+    #![proptest_config(fuzz_config(2_000))]
 
     #[test]
     fn mutated_rows_are_refused_or_have_all_invariants(
@@ -78,4 +118,27 @@
     ) {
         check_row(&row, KeyRange { first: a.min(b), last: a.max(b) })?;
     }
+
+    #[test]
+    fn moves_planned_on_any_reported_loads_are_of_keys_and_of_each_once_if_the_loads_are_correct(
+        row in ROWS.mutated(),
+        targets in (target_load(1), target_load(2), target_load(3)),
+        sort_loads in any::<bool>(),
+    ) {
+        let Ok(assignment) = Assignment::decode_row(&row) else {
+            return Ok(());
+        };
+        let mut targets = [targets.0, targets.1, targets.2];
+        if sort_loads {
+            for target in &mut targets {
+                target.loads.sort_by_key(|it| it.range);
+                target.loads.dedup_by(|next, kept| next.range.first <= kept.range.last);
+            }
+        }
+        let (imbalance_ratio, busy_utilisation, moves_per_round) = (1.1, 0.5, 6);
+        let settings = PlannerSettings { imbalance_ratio, busy_utilisation, moves_per_round };
+        let planner = Planner::new(settings);
+        check_moves(&planner.place_orphaned_keys(&assignment, &targets), &targets)?;
+        check_moves(&planner.balance(&assignment, &targets), &targets)?;
+    }
 }
