Do not overflow the longest retry time

Callers would have been told to retry soon, or their node would have panicked with overflow checks, when the expected wait exceeds u32::MAX milliseconds: a target latency near that, from a config or from a peer, is the assumed service time of a class. Cause: the spread of retry times was added without saturation. The new fuzz test of decisions on hostile values failed before ('attempt to add with overflow' in next_retry_after_ms), and so did the_longest_retry_time_does_not_overflow. The sum saturates now.

The other new tests (deadlines, transit delays, announced limits, splits, target selection) found nothing.

--- a/crates/galenastream_routing/src/process/admission.rs
+++ b/crates/galenastream_routing/src/process/admission.rs
@@ -297,7 +297,7 @@
         self.shed_count = self.shed_count.wrapping_add(1);
         let min_ms = self.retry_after_ms(now);
         let step_ms = min_ms / RETRY_SPREAD_STEPS;
-        min_ms + step_ms * (self.shed_count % RETRY_SPREAD_STEPS)
+        min_ms.saturating_add(step_ms * (self.shed_count % RETRY_SPREAD_STEPS))
     }
 
     /// Returns whether a request would be answered in time if it waited: by its soft deadline, or
