Do not pass on the length or the host that a peer sends

Callers would have read two lengths in a response, and targets two hosts or lengths in a request, if another node sends them among its headers: the end of a message is then ambiguous. Cause: only the sending node left out headers that are not end-to-end. the_length_that_a_peer_sends_is_not_passed_on failed before ('content-length: 0' was appended), and so did the fuzz test beside it. The receiving node skips them, too.

--- a/crates/galenastream_runtime/src/header_fields.rs
+++ b/crates/galenastream_runtime/src/header_fields.rs
@@ -32,12 +32,16 @@
     kept
 }
 
-/// Appends headers that another node sent. Skips those that are not valid.
+/// Appends headers that another node sent. Skips those that are not valid, and those that are not
+/// end-to-end: a second length would let a reader find another message.
 pub fn append_headers(headers: &mut HeaderMap, sent: &[Header]) {
     for header in sent {
         let Ok(name) = HeaderName::try_from(header.name.as_str()) else {
             continue;
         };
+        if is_set_by_each_node(&name) {
+            continue;
+        }
         let Ok(value) = HeaderValue::from_maybe_shared(header.value.clone()) else {
             continue;
         };
@@ -46,10 +50,11 @@
 }
 
 fn is_end_to_end(name: &HeaderName, headers: &HeaderMap) -> bool {
-    if HOP_BY_HOP.contains(name) || *name == header::CONTENT_LENGTH || *name == header::HOST {
-        return false;
-    }
-    !is_named_by_connection(name, headers)
+    !is_set_by_each_node(name) && !is_named_by_connection(name, headers)
+}
+
+fn is_set_by_each_node(name: &HeaderName) -> bool {
+    HOP_BY_HOP.contains(name) || *name == header::CONTENT_LENGTH || *name == header::HOST
 }
 
 fn is_named_by_connection(name: &HeaderName, headers: &HeaderMap) -> bool {
