Plan no empty range on loads that descend

Callers saw nothing: the planner planned a move of keys 4106 to 165, which changes nothing, and counted its load as moved, so that a busy target kept its keys. Cause: pieces of keys were taken in the order in which a node reports its loads. Loads that begin before the previous one are left out now. Correct nodes report them in ascending order.

--- a/crates/galenastream_ranges/src/planner.rs
+++ b/crates/galenastream_ranges/src/planner.rs
@@ -279,10 +279,16 @@
         let is_moving = entry.holding.leaving_owner().is_some();
         let loads = measured_by.map_or(&[][..], |it| &targets[it].loads);
         let mut next_key = u32::from(entry.range.first);
+        let mut previous_first = entry.range.first;
         for load in loads {
             let Some(range) = load.range.overlap(entry.range) else {
                 continue;
             };
+            // A run of pieces that do not ascend could end before it begins.
+            if range.first < previous_first {
+                continue;
+            }
+            previous_first = range.first;
             let before = Piece { range: entry.range, weight: even_load_per_key, target, is_moving };
             push_unmeasured(&mut pieces, next_key, u32::from(range.first), before);
             let share = f64::from(range.len()) / f64::from(load.range.len());
--- a/crates/galenastream_ranges/tests/fuzz.rs
+++ b/crates/galenastream_ranges/tests/fuzz.rs
@@ -107,6 +107,33 @@
     }
 }
 
+/// Guards against moves of ranges that end before they begin.
+#[test]
+fn loads_in_descending_order_give_no_empty_range() {
+    let mut rows = ROWS.documents().iter();
+    let row = rows.find(|it| it.name == "equal-neighbours").expect("a kept row");
+    let assignment = Assignment::decode_row(&row.bytes).unwrap();
+    let target = |number: u64, capacity_per_s, is_eligible, loads| {
+        let target = TargetIncarnation::new(format!("t-{number}"), 1_700_000_000_000 + number);
+        let owner = Owner::new(target, format!("vm-{number}"));
+        TargetLoad { owner, capacity_per_s, is_eligible, loads }
+    };
+    let load = |first, last, per_s| KeyLoad { range: KeyRange { first, last }, per_s };
+    let highest_per_s = u64::MAX as f64 / 1_000.0;
+    let loads = vec![load(7_281, 25_427, highest_per_s), load(63, 165, 0.899)];
+    let others = vec![load(0, 0, 162.001), load(0, 0, 1_048_679_174_251_882.0)];
+    let targets = [
+        target(1, 1_984_699_961_684_849.8, true, loads),
+        target(2, highest_per_s, true, Vec::new()),
+        target(3, 0.0, false, others),
+    ];
+    let (imbalance_ratio, busy_utilisation, moves_per_round) = (1.1, 0.5, 6);
+    let settings = PlannerSettings { imbalance_ratio, busy_utilisation, moves_per_round };
+    let moves = Planner::new(settings).balance(&assignment, &targets);
+    assert!(!moves.is_empty());
+    check_moves(&moves, &targets).expect("each range has a key");
+}
+
 proptest! {
     #![proptest_config(fuzz_config(2_000))]
 
