--- a/crates/galenastream_ranges/tests/fuzz.rs
+++ b/crates/galenastream_ranges/tests/fuzz.rs
@@ -136,6 +136,30 @@
     check_moves(&moves, &targets).expect("each range has a key");
 }
 
+/// Guards against a second move, in the same round, of keys that have just been planned to move.
+#[test]
+fn keys_are_planned_to_move_once_when_a_starved_target_has_a_load_near_the_limit() {
+    let mut rows = ROWS.documents().iter();
+    let row = rows.find(|it| it.name == "equal-neighbours").expect("a kept row");
+    let assignment = Assignment::decode_row(&row.bytes).unwrap();
+    let target = |number: u64, capacity_per_s, is_limited, loads| {
+        let target = TargetIncarnation::new(format!("t-{number}"), 1_700_000_000_000 + number);
+        let owner = Owner::new(target, format!("vm-{number}"));
+        TargetLoad { owner, capacity_per_s, is_eligible: true, is_limited, loads }
+    };
+    let load = |first, last, per_s| KeyLoad { range: KeyRange { first, last }, per_s };
+    let targets = [
+        target(1, 0.0, true, vec![load(0, 910, 2_795_385_052_626_804.0)]),
+        target(2, 1_166_290_128_527_607.8, false, Vec::new()),
+        target(3, 129_578_518_919_442.89, false, vec![load(0, 0, 576.251)]),
+    ];
+    let (imbalance_ratio, busy_utilisation, moves_per_round) = (1.1, 0.5, 6);
+    let settings = PlannerSettings { imbalance_ratio, busy_utilisation, moves_per_round };
+    let moves = Planner::new(settings).balance(&assignment, &targets);
+    assert!(!moves.is_empty());
+    check_moves(&moves, &targets).expect("each key is planned once");
+}
+
 proptest! {
     #![proptest_config(fuzz_config(2_000))]
 
