Refuse Transfer-Encoding in requests with HTTP/1.0

Callers, or an intermediary before the node, could send an HTTP/1.0 request with chunks, which other readers of HTTP/1.0 take for a request without a body: what one reader sees as a body is another request to the other.

Cause: the version did not count for the framing of the body. RFC 9112, section 6.1, has a server treat the framing of an HTTP/1.0 message with Transfer-Encoding as faulty, even beside a length. The codec now answers 400 and reads nothing that follows, as for other ambiguous lengths.

The valid requests of unusual_but_valid_requests_are_read get one with trailers of unusual characters, which was read before, too.

--- a/crates/galenastream_node/src/connection/request_codec.rs
+++ b/crates/galenastream_node/src/connection/request_codec.rs
@@ -160,7 +160,7 @@
         // RFC 9110, section 10.1.1: the expectation of an HTTP/1.0 request is ignored.
         let expects_continue =
             head.version() != Version::HTTP_10 && head.headers().contains_key(header::EXPECT);
-        match body_framing(head.headers()) {
+        match body_framing(head.version(), head.headers()) {
             Ok(Framing::Sized(length)) if length > self.max_body_bytes() => {
                 return self.fail_after_head(RequestError::BodyTooLong, head);
             }
@@ -343,12 +343,13 @@
 
 /// How the body is delimited. Ambiguous headers are malformed: another server could read an
 /// ambiguous message differently, which permits request smuggling.
-fn body_framing(headers: &HeaderMap) -> Result<Framing, RequestError> {
+fn body_framing(version: Version, headers: &HeaderMap) -> Result<Framing, RequestError> {
     let length = content_length(headers)?;
     if !headers.contains_key(header::TRANSFER_ENCODING) {
         return Ok(Framing::Sized(length.unwrap_or(0)));
     }
-    if length.is_some() {
+    // RFC 9112, section 6.1: the framing of an HTTP/1.0 message with a coding is faulty.
+    if length.is_some() || version == Version::HTTP_10 {
         return Err(RequestError::Malformed);
     }
     let values = headers.get_all(header::TRANSFER_ENCODING).iter();
--- a/crates/galenastream_node/src/connection/request_codec_tests.rs
+++ b/crates/galenastream_node/src/connection/request_codec_tests.rs
@@ -198,6 +198,7 @@
         ("Transfer-Encoding:\r\nTransfer-Encoding: chunked", chunked),
         ("Transfer-Encoding: chunked", "00000000000000000000001 ; e\r\nb\r\n00\r\n\r\n"),
         ("Transfer-Encoding: chunked", "1;e=\"a;b\"\r\nb\r\n0\r\nT: t\r\n\r\n"),
+        ("Transfer-Encoding: chunked", "1\r\nb\r\n0\r\n!#$%&'*+-.^_`|~9:\r\nU:\t\u{e4}\r\n\r\n"),
     ];
     for (header, body) in cases {
         let bytes = format!("\r\n\r\nPOST /a HTTP/1.1\r\nHost: h\r\n{header}\r\n\r\n{body}");
@@ -269,6 +270,20 @@
     }
 }
 
+/// Guards against a body that a reader of HTTP/1.0 does not find: RFC 9112, section 6.1.
+#[test]
+fn transfer_encoding_in_http_1_0_is_rejected() {
+    for headers in [
+        "Transfer-Encoding: chunked",
+        "Transfer-Encoding: gzip, chunked",
+        "Transfer-Encoding:",
+        "Content-Length: 5\r\nTransfer-Encoding: chunked",
+    ] {
+        let bytes = format!("POST /a HTTP/1.0\r\n{headers}\r\n\r\n0\r\n\r\n");
+        assert_eq!(decode_in_pieces(bytes.as_bytes(), 7), ["Malformed"], "{headers}");
+    }
+}
+
 #[test]
 fn malformed_chunks_are_rejected() {
     let long = format!("{:x}\r\n", MAX_BODY_BYTES + 1);
