Take any keep-alive time of a target

A target that answers with `Keep-Alive: timeout=` made the node panic in the task of the request, after the answer had arrived.

Cause: the time was multiplied by the share for which connections are reused, which overflows a duration. Now at most an hour counts; a connection that the target closes earlier is left out as before.

--- a/crates/galenastream_node/src/connection/mod.rs
+++ b/crates/galenastream_node/src/connection/mod.rs
@@ -12,6 +12,8 @@
 #[cfg(test)]
 mod request_codec_tests;
 mod target_connections;
+#[cfg(test)]
+mod target_connections_tests;
 
 pub use caller_connections::serve_callers;
 pub use control_connections::{serve_control, serve_health, serve_operators};
--- a/crates/galenastream_node/src/connection/target_connections.rs
+++ b/crates/galenastream_node/src/connection/target_connections.rs
@@ -21,6 +21,10 @@
 /// Time for which the target is assumed to keep an idle connection if it sends no `Keep-Alive`.
 const DEFAULT_KEEP_ALIVE: Duration = Duration::from_millis(4_000);
 
+/// The longest keep-alive time that counts: a percentage of a time near the limit of its type
+/// overflows.
+const MAX_KEEP_ALIVE_S: u64 = 3_600;
+
 /// Share of the target's keep-alive time for which this node reuses an idle connection, in percent:
 /// a request must not be sent while the target closes the connection.
 const REUSE_PERCENT: u32 = 60;
@@ -139,6 +143,8 @@
     let seconds = value.and_then(|text| {
         text.split(',').find_map(|it| it.trim().strip_prefix("timeout=")?.trim().parse().ok())
     });
-    let keep_alive = seconds.map_or(DEFAULT_KEEP_ALIVE, Duration::from_secs);
+    let keep_alive = seconds.map_or(DEFAULT_KEEP_ALIVE, |seconds: u64| {
+        Duration::from_secs(seconds.min(MAX_KEEP_ALIVE_S))
+    });
     keep_alive * REUSE_PERCENT / 100
 }
