Say what a second move of the same keys does

The fault was that a round counted its load at a target that did not get it, and spent a move on it. The comment gave another reason; no code is changed.

--- a/crates/galenastream_ranges/src/planner.rs
+++ b/crates/galenastream_ranges/src/planner.rs
@@ -156,7 +156,7 @@
             usage.add(to, weight, keys);
             for piece in &mut pieces[chosen] {
                 piece.target = Some(to);
-                // One round moves keys once: their owner gives them up only after it.
+                // A second move of the same keys would change nothing.
                 piece.is_moving = true;
             }
             push_move(&mut moves, range, &targets[to].owner);
