--- a/crates/galenastream_node/src/connection/request_codec.rs
+++ b/crates/galenastream_node/src/connection/request_codec.rs
@@ -164,7 +164,7 @@
         // RFC 9110, section 10.1.1: the expectation of an HTTP/1.0 request is ignored.
         let expects_continue =
             head.version() != Version::HTTP_10 && head.headers().contains_key(header::EXPECT);
-        match body_framing(head.headers()) {
+        match body_framing(head.version(), head.headers()) {
             Ok(Framing::Sized(length)) if length > self.max_body_bytes() => {
                 return self.fail_after_head(RequestError::BodyTooLong, head);
             }
@@ -347,12 +347,13 @@
 
 /// How the body is delimited. Ambiguous headers are malformed: another server could read an
 /// ambiguous message differently, which permits request smuggling.
-fn body_framing(headers: &HeaderMap) -> Result<Framing, RequestError> {
+fn body_framing(version: Version, headers: &HeaderMap) -> Result<Framing, RequestError> {
     let length = content_length(headers)?;
     if !headers.contains_key(header::TRANSFER_ENCODING) {
         return Ok(Framing::Sized(length.unwrap_or(0)));
     }
-    if length.is_some() {
+    // RFC 9112, section 6.1: the framing of an HTTP/1.0 message with a coding is faulty.
+    if length.is_some() || version == Version::HTTP_10 {
         return Err(RequestError::Malformed);
     }
     let values = headers.get_all(header::TRANSFER_ENCODING).iter();
@@ -459,6 +460,9 @@
                 let Some(end) = line_end(buffer, searched, limits.max_line_bytes)? else {
                     return Ok(false);
                 };
+                if end > 0 && !is_field_line(&buffer[..end]) {
+                    return Err(RequestError::Malformed);
+                }
                 buffer.advance(end + 2);
                 if end == 0 {
                     return Ok(true);
@@ -482,6 +486,18 @@
     }
 }
 
+/// Whether a line of trailers is a name, a colon and a value. Another server could take a line that
+/// is not for the next request.
+fn is_field_line(line: &[u8]) -> bool {
+    let Some(colon) = line.iter().position(|it| *it == b':') else {
+        return false;
+    };
+    let (name, value) = (&line[..colon], &line[colon + 1..]);
+    let is_name_byte = |it: &u8| it.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(it);
+    let is_value_byte = |it: &u8| *it == b'\t' || !it.is_ascii_control();
+    !name.is_empty() && name.iter().all(is_name_byte) && value.iter().all(is_value_byte)
+}
+
 /// The length of the line at the front of the buffer, or `None` if its end has not arrived.
 fn line_end(
     buffer: &BytesMut,
--- a/crates/galenastream_ranges/src/planner.rs
+++ b/crates/galenastream_ranges/src/planner.rs
@@ -156,6 +156,8 @@
             usage.add(to, weight, keys);
             for piece in &mut pieces[chosen] {
                 piece.target = Some(to);
+                // A second move of the same keys would change nothing.
+                piece.is_moving = true;
             }
             push_move(&mut moves, range, &targets[to].owner);
         }
@@ -401,10 +403,16 @@
         };
         let loads = measured_by.map_or(&[][..], |it| &targets[it].loads);
         let mut next_key = u32::from(entry.range.first);
+        let mut previous_first = entry.range.first;
         for load in loads {
             let Some(range) = load.range.overlap(entry.range) else {
                 continue;
             };
+            // A run of pieces that do not ascend could end before it begins.
+            if range.first < previous_first {
+                continue;
+            }
+            previous_first = range.first;
             push_unmeasured(&mut pieces, next_key, u32::from(range.first), template);
             let share = f64::from(range.len()) / f64::from(load.range.len());
             let measured_per_s = load.per_s * share;
--- a/crates/galenastream_standin/src/lib.rs
+++ b/crates/galenastream_standin/src/lib.rs
@@ -1,11 +1,13 @@
 //! Small stand-ins of the platform's store, of targets and of callers, a proxy that injects
-//! faults, a load generator, and scenarios that run them with real nodes. For tests and experiments only.
+//! faults, a load generator, scenarios that run them with real nodes, and hostile input for the
+//! decoders. For tests and experiments only.
 //!
 //! Use [`LocalDeployment`] to start a store, targets and nodes on loopback, [`run_load`] to
 //! generate load, and [`run_scenario`] to run a whole scenario and check the invariants.
 
 mod caller;
 mod deployment;
+mod fuzz;
 mod invariants;
 mod link;
 mod load;
@@ -17,6 +19,7 @@
 
 pub use caller::*;
 pub use deployment::*;
+pub use fuzz::*;
 pub use invariants::*;
 pub use link::*;
 pub use load::*;
