Doubt the config while a newer one cannot be decoded

What callers saw: 404 for routes of a newer config that the node could not decode, or whose row it could not. The node kept the old config and counted it as confirmed. Callers do not repeat a request after 404.

Cause: config_refused was only a log line, and a malformed row was left out of the rows without a trace for the follower of the table.

The config is doubted from then on (newer-unreadable) until a config is read from the store, unless the version of the other one can be told and is not above that in force. A peer with the same config does not end this doubt.

--- a/crates/galenastream_node/src/process/config_confirmation.rs
+++ b/crates/galenastream_node/src/process/config_confirmation.rs
@@ -12,6 +12,9 @@
     /// confirms it.
     pub fn config_doubt(&self, now: BootInstant) -> Option<ConfigDoubt> {
         let version = self.config_version();
+        if self.unreadable_config_version.is_some_and(|it| it > version) {
+            return Some(ConfigDoubt::NewerUnreadable);
+        }
         let mut is_confirmed = self.reaches_store;
         for status in self.statuses(now) {
             if status.config_version > version {
--- a/crates/galenastream_node/src/process/control_event.rs
+++ b/crates/galenastream_node/src/process/control_event.rs
@@ -67,6 +67,11 @@
         /// The config as its writer encoded it.
         encoded: Bytes,
     },
+    /// The store has a config that cannot be decoded.
+    ConfigUnreadable {
+        /// Its version, if that can be told.
+        version: Option<u64>,
+    },
     /// A call to the store succeeded (`true`) or failed (`false`).
     StoreReached(bool),
     /// The store named an era in its response.
--- a/crates/galenastream_node/src/process/control_state.rs
+++ b/crates/galenastream_node/src/process/control_state.rs
@@ -74,6 +74,9 @@
     pub(super) pending_peer_query_at: Option<BootInstant>,
     /// Since when a peer is known to have a newer config than this node.
     pub(super) newer_config_since: Option<BootInstant>,
+    /// The version of the config in the store that could not be decoded; `u64::MAX` if the version
+    /// could not either.
+    pub(super) unreadable_config_version: Option<u64>,
     pub(super) last_probe_at: BootInstant,
     pub(super) eras: StoreEras,
 }
@@ -129,6 +132,7 @@
             last_peer_query_at: started_at,
             pending_peer_query_at: None,
             newer_config_since: None,
+            unreadable_config_version: None,
             last_probe_at: started_at,
             eras: StoreEras::default(),
         }
@@ -164,7 +168,13 @@
             }
             ControlEvent::StoreEra(era) => self.record_era(era, now),
             ControlEvent::Settled { result } => self.handle_settlement(result, now),
-            ControlEvent::Config { config, encoded } => self.apply_config(*config, encoded, now),
+            ControlEvent::Config { config, encoded } => {
+                self.unreadable_config_version = None;
+                self.apply_config(*config, encoded, now);
+            }
+            ControlEvent::ConfigUnreadable { version } => {
+                self.unreadable_config_version = Some(version.unwrap_or(u64::MAX));
+            }
             ControlEvent::StoreReached(reached) => self.set_store_reachable(reached, now),
             ControlEvent::Committed { service, assignment, result } => {
                 self.handle_commit_result(&service, &assignment, result, now);
--- a/crates/galenastream_node/src/process/store_follower.rs
+++ b/crates/galenastream_node/src/process/store_follower.rs
@@ -7,7 +7,7 @@
 
 use galenastream_adapter::{
     CONFIG_TABLE, RoutingConfig, Row, StoreClient, StoreConnection, StoreError, VersionedRows,
-    era_of, find_config_row,
+    era_of, find_config_row, is_config_row_malformed,
 };
 use galenastream_runtime::boot_now;
 use galenastream_utils::BootInstant;
@@ -133,7 +133,10 @@
         FollowedTable::Config => {
             let era = era_of(changed.version);
             context.control_events.send(ControlEvent::StoreEra(era)).await;
-            if let Some(row) = find_config_row(&changed.rows) {
+            if is_config_row_malformed(&changed) {
+                let event = ControlEvent::ConfigUnreadable { version: None };
+                context.control_events.send(event).await;
+            } else if let Some(row) = find_config_row(&changed.rows) {
                 deliver_config(context, row).await;
             }
         }
@@ -154,6 +157,8 @@
         }
         Err(error) => {
             log::warn!(event = "config_refused", row_version = row.version, reason:% = error; "");
+            let version = RoutingConfig::decode_version(&encoded).map(|it| it.0);
+            context.control_events.send(ControlEvent::ConfigUnreadable { version }).await;
         }
     }
 }
--- a/crates/galenastream_node/src/version/config_doubt.rs
+++ b/crates/galenastream_node/src/version/config_doubt.rs
@@ -11,6 +11,8 @@
     Starting,
     /// Another node has a newer config.
     NewerAnnounced,
+    /// The store has a newer config that this node cannot decode.
+    NewerUnreadable,
     /// Neither this node nor another one with the same config reaches the store.
     StoreUnreachable,
 }
@@ -21,6 +23,7 @@
         match self {
             Self::Starting => "starting",
             Self::NewerAnnounced => "newer-announced",
+            Self::NewerUnreadable => "newer-unreadable",
             Self::StoreUnreachable => "store-unreachable",
         }
     }
--- a/crates/galenastream_node/tests/ownership/config_doubt.rs
+++ b/crates/galenastream_node/tests/ownership/config_doubt.rs
@@ -53,6 +53,33 @@
     assert_eq!(state.config_doubt(at(SETTLED_MS + 60)), None);
 }
 
+/// Guards against 404 for a route of a newer config that the node cannot decode.
+#[test]
+fn a_config_is_doubted_while_the_store_has_a_newer_one_that_cannot_be_decoded() {
+    let mut state = settled_node();
+    put_config(&mut state, 5, SETTLED_MS);
+    let mut doubt_after = |version, now_ms| {
+        state.handle(ControlEvent::ConfigUnreadable { version }, at(now_ms));
+        let doubt = state.config_doubt(at(now_ms));
+        put_config(&mut state, 4, now_ms + 1);
+        assert_eq!(state.config_doubt(at(now_ms + 1)), None, "the store has a config that is read");
+        doubt
+    };
+    assert_eq!(doubt_after(Some(4), SETTLED_MS + 10), None);
+    assert_eq!(doubt_after(Some(5), SETTLED_MS + 20), None);
+    assert_eq!(doubt_after(Some(6), SETTLED_MS + 30), Some(ConfigDoubt::NewerUnreadable));
+    assert_eq!(doubt_after(None, SETTLED_MS + 40), Some(ConfigDoubt::NewerUnreadable));
+}
+
+/// Guards against 404 of a node whose peers cannot decode the newest config either.
+#[test]
+fn the_doubt_about_an_unreadable_config_outlasts_the_statuses_of_peers() {
+    let mut state = settled_node();
+    state.handle(ControlEvent::ConfigUnreadable { version: None }, at(SETTLED_MS + 10));
+    state.handle(status(1, 1, true), at(SETTLED_MS + 20));
+    assert_eq!(state.config_doubt(at(SETTLED_MS + 20)), Some(ConfigDoubt::NewerUnreadable));
+}
+
 /// Guards against 404 of a node that is cut off from the store while operators change the config.
 #[test]
 fn a_config_is_doubted_without_the_store_unless_a_peer_that_reaches_it_has_the_same_one() {
--- a/crates/galenastream_node/tests/platform/refused_requests.rs
+++ b/crates/galenastream_node/tests/platform/refused_requests.rs
@@ -301,3 +301,22 @@
     wait_for_refusal(vm, 200).await;
     deployment.close().unwrap();
 }
+
+/// Guards against 404 for a route of a newer config that the node cannot decode, or whose row it cannot.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_route_of_a_config_that_cannot_be_decoded_is_not_refused_for_good() {
+    let deployment = start("undecodable", &["stock"]).await;
+    let vm = &deployment.vms[0];
+    wait_for_refusal(vm, 404).await;
+    deployment.store.put("op", "config", b"{\"version\":\"2\"}");
+    wait_for_refusal(vm, 503).await;
+    deployment.store.put_encoded("op", "config", "not base64!");
+    wait_for_refusal(vm, 503).await;
+    // The config in force is not older than this one.
+    deployment.store.put("op", "config", b"{\"version\":\"1\"}");
+    wait_for_refusal(vm, 404).await;
+    let config = DeploymentPlan::shop_config(2, "/added/").to_string();
+    deployment.store.put("op", "config", config.as_bytes());
+    wait_for_refusal(vm, 200).await;
+    deployment.close().unwrap();
+}
