Confirm the config only by reads of its own table

What callers saw: 404 now and then for a route that was added while a node could not read the config but still reached the store for the shared rows. Callers do not repeat a request after 404.

Cause: the config counted as confirmed whenever the last call to the store succeeded, of whichever table.

Fix: whether the table of the config is read is a fact of its own, set by the follower of that table only, after it has delivered what it read. A node confirms its config if that is so, the store has no newer one that cannot be decoded, and no other call has failed last; the last part only keeps an outage from being noticed later than before. Statuses carry the result in a new optional field (tag 13), which peers use instead of reaches_store; the status of an older node has none, and reaches_store counts as before.

The stand-in of the store got a fault that refuses one table. The existing state tests also report that the config was read where they reported only that the store was reached; their checks are unchanged.

--- a/crates/galenastream_node/src/connection/peer_links.rs
+++ b/crates/galenastream_node/src/connection/peer_links.rs
@@ -197,6 +197,7 @@
     sent.is_closing != status.is_closing
         || sent.is_refusing != status.is_refusing
         || sent.reaches_store != status.reaches_store
+        || sent.confirms_config != status.confirms_config
         || sent.facts != status.facts
         || target_state(sent) != target_state(status)
 }
--- a/crates/galenastream_node/src/process/config_confirmation.rs
+++ b/crates/galenastream_node/src/process/config_confirmation.rs
@@ -12,15 +12,16 @@
     /// confirms it.
     pub fn config_doubt(&self, now: BootInstant) -> Option<ConfigDoubt> {
         let version = self.config_version();
-        if self.unreadable_config_version.is_some_and(|it| it > version) {
+        if self.knows_unreadable_config() {
             return Some(ConfigDoubt::NewerUnreadable);
         }
-        let mut is_confirmed = self.reaches_store;
+        let mut is_confirmed = self.confirms_config();
         for status in self.statuses(now) {
             if status.config_version > version {
                 return Some(ConfigDoubt::NewerAnnounced);
             }
-            is_confirmed |= status.reaches_store && status.config_version == version;
+            let confirms_config = status.confirms_config.unwrap_or(status.reaches_store);
+            is_confirmed |= confirms_config && status.config_version == version;
         }
         if !is_confirmed {
             return Some(ConfigDoubt::StoreUnreachable);
@@ -28,6 +29,17 @@
         self.awaits_peers(now).then_some(ConfigDoubt::Starting)
     }
 
+    /// Whether this node knows from the store that its config is the newest one. Any other call that
+    /// fails puts that in doubt too, since the watch of the config may notice an outage late.
+    pub(super) fn confirms_config(&self) -> bool {
+        self.reads_config && self.reaches_store && !self.knows_unreadable_config()
+    }
+
+    /// Whether the store has a newer config that this node cannot decode.
+    fn knows_unreadable_config(&self) -> bool {
+        self.unreadable_config_version.is_some_and(|it| it > self.config_version())
+    }
+
     /// The statuses of all nodes that are reachable.
     fn statuses(&self, now: BootInstant) -> impl Iterator<Item = &NodeStatus> {
         let reachable = self.peers.iter().filter(move |(_, it)| it.is_reachable(now));
--- a/crates/galenastream_node/src/process/control_event.rs
+++ b/crates/galenastream_node/src/process/control_event.rs
@@ -67,6 +67,8 @@
         /// The config as its writer encoded it.
         encoded: Bytes,
     },
+    /// The table of the config was read or watched (`true`), or that failed (`false`).
+    ConfigRead(bool),
     /// The store has a config that cannot be decoded.
     ConfigUnreadable {
         /// Its version, if that can be told.
--- a/crates/galenastream_node/src/process/control_state.rs
+++ b/crates/galenastream_node/src/process/control_state.rs
@@ -43,6 +43,8 @@
     pub(super) local: Option<LocalTargetState>,
     pub(super) assignments: FastMap<String, AssignmentRecord>,
     pub(super) reaches_store: bool,
+    /// Whether the last read or watch of the table of the config succeeded.
+    pub(super) reads_config: bool,
     /// When the last sync query that a peer answered was sent; initially the start of the process.
     pub(super) synced_at: BootInstant,
     pub(super) is_closing: bool,
@@ -111,6 +113,7 @@
             local: None,
             assignments: FastMap::default(),
             reaches_store: false,
+            reads_config: false,
             synced_at: started_at,
             is_closing: false,
             is_refusing: false,
@@ -172,6 +175,7 @@
                 self.unreadable_config_version = None;
                 self.apply_config(*config, encoded, now);
             }
+            ControlEvent::ConfigRead(is_read) => self.reads_config = is_read,
             ControlEvent::ConfigUnreadable { version } => {
                 self.unreadable_config_version = Some(version.unwrap_or(u64::MAX));
             }
--- a/crates/galenastream_node/src/process/publication.rs
+++ b/crates/galenastream_node/src/process/publication.rs
@@ -26,6 +26,7 @@
             is_closing: self.is_closing,
             is_refusing: self.is_refusing,
             reaches_store: self.reaches_store,
+            confirms_config: Some(self.confirms_config()),
             rows_version: self.rows_version,
             reads_rows: self.reads_rows(now),
             facts: self.facts(now),
--- a/crates/galenastream_node/src/process/store_follower.rs
+++ b/crates/galenastream_node/src/process/store_follower.rs
@@ -86,6 +86,9 @@
             Err(error) => {
                 log::info!(event = "store_call_failed", table = table.name(), reason:% = error; "");
                 context.control_events.send(ControlEvent::StoreReached(false)).await;
+                if table == FollowedTable::Config {
+                    context.control_events.send(ControlEvent::ConfigRead(false)).await;
+                }
                 sleep(backoff).await;
                 backoff = (backoff * 2).min(MAX_BACKOFF);
             }
@@ -139,6 +142,7 @@
             } else if let Some(row) = find_config_row(&changed.rows) {
                 deliver_config(context, row).await;
             }
+            context.control_events.send(ControlEvent::ConfigRead(true)).await;
         }
     }
 }
--- a/crates/galenastream_node/tests/ownership/config_doubt.rs
+++ b/crates/galenastream_node/tests/ownership/config_doubt.rs
@@ -23,6 +23,14 @@
     })
 }
 
+/// A status of a node that says whether it reads the table of the config.
+fn reading_status(index: usize, config_version: u64, confirms_config: bool) -> ControlEvent {
+    let ControlEvent::PeerStatus(status) = status(index, config_version, true) else {
+        unreachable!("a status");
+    };
+    ControlEvent::PeerStatus(NodeStatus { confirms_config: Some(confirms_config), ..status })
+}
+
 fn put_config(state: &mut ControlState, version: u64, now_ms: u64) {
     let config = Box::new(galenastream_adapter::RoutingConfig {
         version: ConfigVersion(version),
@@ -36,6 +44,7 @@
     let mut state = ControlState::new(settings(0), at(0));
     put_config(&mut state, 1, 100);
     state.handle(ControlEvent::StoreReached(true), at(SETTLED_MS));
+    state.handle(ControlEvent::ConfigRead(true), at(SETTLED_MS));
     state
 }
 
@@ -97,12 +106,51 @@
     assert_eq!(state.config_doubt(later), None);
 }
 
+/// Guards against 404 of a node that reads the shared rows but not the config.
+#[test]
+fn a_config_is_doubted_while_its_table_is_not_read_although_the_store_is_reached() {
+    let mut state = settled_node();
+    state.handle(ControlEvent::ConfigRead(false), at(SETTLED_MS + 10));
+    state.handle(ControlEvent::StoreReached(true), at(SETTLED_MS + 20));
+    let now = at(SETTLED_MS + 20);
+    assert_eq!(state.config_doubt(now), Some(ConfigDoubt::StoreUnreachable));
+    assert_eq!(state.status(now).confirms_config, Some(false));
+    // A peer confirms the config only if it reads the table of the config itself.
+    state.handle(reading_status(1, 1, false), now);
+    assert_eq!(state.config_doubt(now), Some(ConfigDoubt::StoreUnreachable));
+    state.handle(reading_status(2, 1, true), now);
+    assert_eq!(state.config_doubt(now), None);
+    state.handle(reading_status(2, 1, false), now);
+    assert_eq!(state.config_doubt(now), Some(ConfigDoubt::StoreUnreachable));
+    state.handle(ControlEvent::ConfigRead(true), now);
+    assert_eq!(state.config_doubt(now), None);
+    assert_eq!(state.status(now).confirms_config, Some(true));
+}
+
+/// Guards against 404 of a node that starts while the table of the config is not read.
+#[test]
+fn a_store_that_is_reached_does_not_confirm_a_config_that_was_never_read() {
+    let mut state = ControlState::new(settings(0), at(0));
+    put_config(&mut state, 1, 100);
+    state.handle(ControlEvent::StoreReached(true), at(SETTLED_MS));
+    assert_eq!(state.config_doubt(at(SETTLED_MS)), Some(ConfigDoubt::StoreUnreachable));
+}
+
+/// Guards against nodes that confirm a config for others while the store has a newer one.
+#[test]
+fn a_node_that_cannot_decode_the_newest_config_confirms_none() {
+    let mut state = settled_node();
+    state.handle(ControlEvent::ConfigUnreadable { version: None }, at(SETTLED_MS + 10));
+    assert_eq!(state.status(at(SETTLED_MS + 10)).confirms_config, Some(false));
+}
+
 /// Guards against 404 of a node that starts on an old copy of the config.
 #[test]
 fn a_config_is_doubted_until_the_peers_were_heard_from_after_the_start() {
     let mut state = ControlState::new(settings(0), at(0));
     put_config(&mut state, 1, 100);
     state.handle(ControlEvent::StoreReached(true), at(100));
+    state.handle(ControlEvent::ConfigRead(true), at(100));
     assert_eq!(state.config_doubt(at(200)), Some(ConfigDoubt::Starting));
     state.handle(
         ControlEvent::Rows { rows: Vec::new(), version: 7, confirmed_at: at(250) },
--- a/crates/galenastream_node/tests/platform/refused_requests.rs
+++ b/crates/galenastream_node/tests/platform/refused_requests.rs
@@ -320,3 +320,26 @@
     wait_for_refusal(vm, 200).await;
     deployment.close().unwrap();
 }
+
+/// Guards against 404 of a node that still reads the shared rows, but no longer the config.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_route_is_not_refused_for_good_while_only_the_config_cannot_be_read() {
+    let deployment = start("config-unread", &["carts"]).await;
+    let vm = &deployment.vms[0];
+    wait_for_refusal(vm, 404).await;
+    deployment.store.set_fault(StoreFault::RefuseTable("op"));
+    // Ends the feed of the config.
+    let config = DeploymentPlan::shop_config(2, "/shelf/").to_string();
+    deployment.store.put("op", "config", config.as_bytes());
+    wait_for_refusal(vm, 503).await;
+    // The rows that the lease of the target depends on are read every 2 s.
+    for number in 0..100 {
+        let mut caller = vm.caller().await.unwrap();
+        let answer = caller.get("/added/1", &format!("unread-{number}"), None).await.unwrap();
+        assert_eq!(answer.status, 503, "{number}: {answer:?}");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    deployment.store.set_fault(StoreFault::None);
+    wait_for_refusal(vm, 404).await;
+    deployment.close().unwrap();
+}
--- a/crates/galenastream_standin/src/row_store/fault.rs
+++ b/crates/galenastream_standin/src/row_store/fault.rs
@@ -10,6 +10,8 @@
     None,
     /// The store refuses every call with this status and executes none.
     Refuse(u16),
+    /// The store refuses reads and feeds of this table with status 503.
+    RefuseTable(&'static str),
     /// The store neither executes nor answers calls.
     Silent,
     /// The store executes calls and never answers.
--- a/crates/galenastream_standin/src/row_store/row_store_standin.rs
+++ b/crates/galenastream_standin/src/row_store/row_store_standin.rs
@@ -156,7 +156,9 @@
                 tokio::time::sleep(delay).await;
                 self.answer(request, fault).await
             }
-            StoreFault::None | StoreFault::DropHistory => self.answer(request, fault).await,
+            StoreFault::None | StoreFault::DropHistory | StoreFault::RefuseTable(_) => {
+                self.answer(request, fault).await
+            }
         };
         let era = self.state.era.load(Ordering::Relaxed);
         response.headers_mut().insert("store-era", HeaderValue::from(era));
@@ -168,6 +170,11 @@
     async fn answer(&self, request: Request, fault: StoreFault) -> Response {
         let path = request.uri().path().to_owned();
         let query = parse_query(request.uri().query().unwrap_or_default());
+        if let StoreFault::RefuseTable(table) = fault
+            && parameter(&query, "table") == table
+        {
+            return text_reply(StatusCode::SERVICE_UNAVAILABLE, "refused");
+        }
         match path.as_str() {
             "/galenastream/rows-tx" => match read_json::<Transaction>(request).await {
                 Ok(transaction) => match self.state.apply(transaction) {
--- a/crates/galenastream_wire/src/message/node_status.rs
+++ b/crates/galenastream_wire/src/message/node_status.rs
@@ -33,6 +33,10 @@
     /// Whether the node reaches the store.
     #[prost(bool, tag = "8")]
     pub reaches_store: bool,
+    /// Whether the node knows from the table of the config that its config is the newest one; `None`
+    /// if it only reports whether it reaches the store.
+    #[prost(bool, optional, tag = "13")]
+    pub confirms_config: Option<bool>,
     /// The version of the shared rows that the node knows.
     #[prost(uint64, tag = "9")]
     pub rows_version: u64,
