Back off when the store drops its history again and again

What was seen: a node read its tables in a loop without a pause while the store answered every feed with 410, or without the header of the era. Calls to the store are limited for all nodes together.

Cause: the follower of a table read it again at once after each drop.

Fix: the first read after a drop is still immediate; if the next drop comes without a successful watch in between, reads wait 60 ms, doubled up to 500 ms.

--- a/crates/galenastream_node/src/process/store_follower.rs
+++ b/crates/galenastream_node/src/process/store_follower.rs
@@ -34,7 +34,7 @@
 /// Interval at which a node that does not follow the shared rows checks whether it has to.
 const IDLE_POLL: Duration = Duration::from_millis(100);
 
-/// Delays after failed calls: the first one, doubled after each failure up to the maximum.
+/// Delays after failed calls and repeated drops of the history: the first one, doubled after each failure up to the maximum.
 const INITIAL_BACKOFF: Duration = Duration::from_millis(60);
 const MAX_BACKOFF: Duration = Duration::from_millis(500);
 
@@ -56,6 +56,8 @@
     let mut connection = store.new_connection();
     let mut known_version = None;
     let mut backoff = INITIAL_BACKOFF;
+    // The delay before the next read if the history is dropped once more.
+    let mut drop_backoff = None;
     if table == FollowedTable::SharedRows {
         // Each node writes its row before its first read, so of two starting nodes at least the
         // later reader sees the row of the other.
@@ -76,12 +78,21 @@
         match next_rows(&context, &mut connection, table, known_version).await {
             Ok(changed) => {
                 backoff = INITIAL_BACKOFF;
+                // A watch has succeeded, not only the read after a drop.
+                if known_version.is_some() {
+                    drop_backoff = None;
+                }
                 known_version = Some(changed.version);
                 deliver(&context, table, changed, asked_at).await;
             }
             Err(StoreError::HistoryDropped) => {
                 log::info!(event = "store_history_dropped", table = table.name(); "");
                 known_version = None;
+                if let Some(delay) = drop_backoff {
+                    sleep(delay).await;
+                }
+                drop_backoff =
+                    Some(drop_backoff.map_or(INITIAL_BACKOFF, |it| (it * 2).min(MAX_BACKOFF)));
             }
             Err(error) => {
                 log::info!(event = "store_call_failed", table = table.name(), reason:% = error; "");
--- a/crates/galenastream_node/tests/platform/refused_requests.rs
+++ b/crates/galenastream_node/tests/platform/refused_requests.rs
@@ -343,3 +343,29 @@
     wait_for_refusal(vm, 404).await;
     deployment.close().unwrap();
 }
+
+/// Guards against a loop of reads without a pause when the store answers every feed with 410.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_store_that_has_dropped_its_history_is_not_read_without_a_pause() {
+    const OBSERVED: Duration = Duration::from_secs(3);
+    /// Two tables, each with a read at once, four delays that are doubled up to 500 ms, and a read
+    /// every 500 ms.
+    const MAX_DROPS: usize = 2 * (1 + 4 + 6);
+    let deployment = start("dropped-history", &["stock"]).await;
+    let vm = &deployment.vms[0];
+    wait_for_refusal(vm, 404).await;
+    let drops = || {
+        let log = vm.log().into_iter();
+        log.filter(|it| it["kvs"]["event"] == "store_history_dropped").count()
+    };
+    let before = drops();
+    deployment.store.set_fault(StoreFault::DropHistory);
+    // Ends the feed of the config.
+    let config = DeploymentPlan::shop_config(2, "/added/").to_string();
+    deployment.store.put("op", "config", config.as_bytes());
+    tokio::time::sleep(OBSERVED).await;
+    let count = drops() - before;
+    assert!((2..=MAX_DROPS).contains(&count), "{count} drops in {OBSERVED:?}");
+    wait_for_refusal(vm, 200).await;
+    deployment.close().unwrap();
+}
