Probe idle connections to the store

What was seen: a watch whose connection is dead ended only after its wait of 12 s and the 1 s of a call, and the config counted as confirmed until then.

Cause: the comment at that wait relied on keep-alive probes, but no socket had them. TCP_USER_TIMEOUT alone covers sent bytes that are not acknowledged, and a watch that waits has none.

Fix: connections to the store are probed after 2 s without traffic and every second from then on; TCP_USER_TIMEOUT limits how long a probe may stay unanswered. This costs no calls to the store. Open: a store whose host answers the probes while no call is answered is still noticed only at the end of the watch.

That a vanished peer ends a watch in about 3 s was not measured: no test drops packets.

--- a/crates/galenastream_node/src/process/store_follower.rs
+++ b/crates/galenastream_node/src/process/store_follower.rs
@@ -21,7 +21,8 @@
 pub(super) const STORE_CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
 
 /// How long a watch waits for a change. Long, since each watch costs a call, and a dead connection
-/// is detected by its keep-alive probes.
+/// is detected by its keep-alive probes. A store that answers the probes but no calls is noticed only
+/// at the end of the watch.
 const MAX_WATCH: Duration = Duration::from_millis(12_000);
 
 /// How long a watch waits if the local target holds keys. Each watch confirms that the rows are
--- a/crates/galenastream_runtime/src/connection.rs
+++ b/crates/galenastream_runtime/src/connection.rs
@@ -10,8 +10,9 @@
     client::conn::http1,
 };
 use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
 
-use crate::{BodyBuffer, BodyTooLong, ExchangeError, connect_tcp};
+use crate::{BodyBuffer, BodyTooLong, ExchangeError, connect_tcp, set_keep_alive};
 
 /// Maximum size of the head of a response, and of what is read ahead of a body.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
@@ -39,14 +40,28 @@
 impl HttpConnection {
     /// Opens a connection within a time limit. Its task runs on the current Tokio runtime.
     pub async fn connect(address: SocketAddr, limit: Duration) -> Result<Self, ExchangeError> {
-        let not_sent = |reason: String| ExchangeError::NotSent { reason };
-        let stream = connect_tcp(address, limit).await.map_err(|it| not_sent(it.to_string()))?;
+        let stream = connect_tcp(address, limit).await.map_err(not_sent)?;
+        Self::over(stream, address).await
+    }
+
+    /// Opens a connection like [`connect`](Self::connect) for exchanges whose response may take long:
+    /// it is probed while it waits.
+    pub async fn connect_with_keep_alive(
+        address: SocketAddr,
+        limit: Duration,
+    ) -> Result<Self, ExchangeError> {
+        let stream = connect_tcp(address, limit).await.map_err(not_sent)?;
+        set_keep_alive(&stream);
+        Self::over(stream, address).await
+    }
+
+    async fn over(stream: TcpStream, address: SocketAddr) -> Result<Self, ExchangeError> {
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_HEAD_BYTES)
             .max_headers(MAX_HEADERS)
             .handshake(TokioIo::new(stream))
             .await
-            .map_err(|it| not_sent(it.to_string()))?;
+            .map_err(not_sent)?;
         tokio::spawn(async move {
             if let Err(error) = connection.await {
                 log::debug!(event = "connection_ended", peer:% = address, reason:% = error; "");
@@ -108,3 +123,7 @@
         Self::TooLong { bytes: error.bytes }
     }
 }
+
+fn not_sent(error: impl std::fmt::Display) -> ExchangeError {
+    ExchangeError::NotSent { reason: error.to_string() }
+}
--- a/crates/galenastream_runtime/src/lib.rs
+++ b/crates/galenastream_runtime/src/lib.rs
@@ -35,4 +35,4 @@
 pub use log_budget::LogBudget;
 pub use peer_error::PeerError;
 pub use pending::{PendingReplies, PendingReply};
-pub use socket::{connect_tcp, tune_socket};
+pub use socket::{connect_tcp, set_keep_alive, tune_socket};
--- a/crates/galenastream_runtime/src/socket.rs
+++ b/crates/galenastream_runtime/src/socket.rs
@@ -2,7 +2,7 @@
 
 use std::{io, net::SocketAddr, time::Duration};
 
-use socket2::SockRef;
+use socket2::{SockRef, TcpKeepalive};
 use tokio::{net::TcpStream, time::timeout};
 
 /// Value of `TCP_USER_TIMEOUT`: how long sent bytes may stay unacknowledged before the kernel
@@ -10,6 +10,11 @@
 /// deadlines of callers.
 const USER_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// How long a connection may be idle before its first keep-alive probe, and the interval of further
+/// ones. `USER_TIMEOUT` limits how long they may stay unanswered.
+const KEEP_ALIVE_TIME: Duration = Duration::from_millis(2_000);
+const KEEP_ALIVE_INTERVAL: Duration = Duration::from_millis(1_000);
+
 /// Opens a TCP connection within a time limit.
 pub async fn connect_tcp(address: SocketAddr, limit: Duration) -> io::Result<TcpStream> {
     let stream = timeout(limit, TcpStream::connect(address)).await.map_err(io::Error::from)??;
@@ -28,3 +33,11 @@
         log::debug!(event = "socket_option_failed", option = "user_timeout", reason:% = error; "");
     }
 }
+
+/// Probes a connection while it is idle, so that one that waits for a peer that vanished fails too.
+pub fn set_keep_alive(stream: &TcpStream) {
+    let probes = TcpKeepalive::new().with_time(KEEP_ALIVE_TIME).with_interval(KEEP_ALIVE_INTERVAL);
+    if let Err(error) = SockRef::from(stream).set_tcp_keepalive(&probes) {
+        log::debug!(event = "socket_option_failed", option = "keep_alive", reason:% = error; "");
+    }
+}
