--- a/crates/galenastream_node/src/process/control_state.rs
+++ b/crates/galenastream_node/src/process/control_state.rs
@@ -43,6 +43,8 @@
     pub(super) local: Option<LocalTargetState>,
     pub(super) assignments: FastMap<String, AssignmentRecord>,
     pub(super) reaches_store: bool,
+    /// Whether the last read or watch of the table of the config succeeded.
+    pub(super) reads_config: bool,
     /// When the last sync query that a peer answered was sent; initially the start of the process.
     pub(super) synced_at: BootInstant,
     pub(super) is_closing: bool,
@@ -74,6 +76,9 @@
     pub(super) pending_peer_query_at: Option<BootInstant>,
     /// Since when a peer is known to have a newer config than this node.
     pub(super) newer_config_since: Option<BootInstant>,
+    /// The version of the config in the store that could not be decoded; `u64::MAX` if the version
+    /// could not either.
+    pub(super) unreadable_config_version: Option<u64>,
     pub(super) last_probe_at: BootInstant,
     pub(super) eras: StoreEras,
 }
@@ -108,6 +113,7 @@
             local: None,
             assignments: FastMap::default(),
             reaches_store: false,
+            reads_config: false,
             synced_at: started_at,
             is_closing: false,
             is_refusing: false,
@@ -129,6 +135,7 @@
             last_peer_query_at: started_at,
             pending_peer_query_at: None,
             newer_config_since: None,
+            unreadable_config_version: None,
             last_probe_at: started_at,
             eras: StoreEras::default(),
         }
@@ -164,7 +171,14 @@
             }
             ControlEvent::StoreEra(era) => self.record_era(era, now),
             ControlEvent::Settled { result } => self.handle_settlement(result, now),
-            ControlEvent::Config { config, encoded } => self.apply_config(*config, encoded, now),
+            ControlEvent::Config { config, encoded } => {
+                self.unreadable_config_version = None;
+                self.apply_config(*config, encoded, now);
+            }
+            ControlEvent::ConfigRead(is_read) => self.reads_config = is_read,
+            ControlEvent::ConfigUnreadable { version } => {
+                self.unreadable_config_version = Some(version.unwrap_or(u64::MAX));
+            }
             ControlEvent::StoreReached(reached) => self.set_store_reachable(reached, now),
             ControlEvent::Committed { service, assignment, result } => {
                 self.handle_commit_result(&service, &assignment, result, now);
--- a/crates/galenastream_node/src/process/store_follower.rs
+++ b/crates/galenastream_node/src/process/store_follower.rs
@@ -7,7 +7,7 @@
 
 use galenastream_adapter::{
     CONFIG_TABLE, RoutingConfig, Row, StoreClient, StoreConnection, StoreError, VersionedRows,
-    era_of, find_config_row,
+    era_of, find_config_row, is_config_row_malformed,
 };
 use galenastream_runtime::boot_now;
 use galenastream_utils::BootInstant;
@@ -21,7 +21,8 @@
 pub(super) const STORE_CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
 
 /// How long a watch waits for a change. Long, since each watch costs a call, and a dead connection
-/// is detected by its keep-alive probes.
+/// is detected by its keep-alive probes. A store that answers the probes but no calls is noticed only
+/// at the end of the watch.
 const MAX_WATCH: Duration = Duration::from_millis(12_000);
 
 /// How long a watch waits if the local target holds keys. Each watch confirms that the rows are
@@ -34,7 +35,7 @@
 /// Interval at which a node that does not follow the shared rows checks whether it has to.
 const IDLE_POLL: Duration = Duration::from_millis(100);
 
-/// Delays after failed calls: the first one, doubled after each failure up to the maximum.
+/// Delays after failed calls and repeated drops of the history: the first one, doubled after each failure up to the maximum.
 const INITIAL_BACKOFF: Duration = Duration::from_millis(60);
 const MAX_BACKOFF: Duration = Duration::from_millis(500);
 
@@ -56,6 +57,8 @@
     let mut connection = store.new_connection();
     let mut known_version = None;
     let mut backoff = INITIAL_BACKOFF;
+    // The delay before the next read if the history is dropped once more.
+    let mut drop_backoff = None;
     if table == FollowedTable::SharedRows {
         // Each node writes its row before its first read, so of two starting nodes at least the
         // later reader sees the row of the other.
@@ -76,16 +79,28 @@
         match next_rows(&context, &mut connection, table, known_version).await {
             Ok(changed) => {
                 backoff = INITIAL_BACKOFF;
+                // A watch has succeeded, not only the read after a drop.
+                if known_version.is_some() {
+                    drop_backoff = None;
+                }
                 known_version = Some(changed.version);
                 deliver(&context, table, changed, asked_at).await;
             }
             Err(StoreError::HistoryDropped) => {
                 log::info!(event = "store_history_dropped", table = table.name(); "");
                 known_version = None;
+                if let Some(delay) = drop_backoff {
+                    sleep(delay).await;
+                }
+                drop_backoff =
+                    Some(drop_backoff.map_or(INITIAL_BACKOFF, |it| (it * 2).min(MAX_BACKOFF)));
             }
             Err(error) => {
                 log::info!(event = "store_call_failed", table = table.name(), reason:% = error; "");
                 context.control_events.send(ControlEvent::StoreReached(false)).await;
+                if table == FollowedTable::Config {
+                    context.control_events.send(ControlEvent::ConfigRead(false)).await;
+                }
                 sleep(backoff).await;
                 backoff = (backoff * 2).min(MAX_BACKOFF);
             }
@@ -133,9 +148,13 @@
         FollowedTable::Config => {
             let era = era_of(changed.version);
             context.control_events.send(ControlEvent::StoreEra(era)).await;
-            if let Some(row) = find_config_row(&changed.rows) {
+            if is_config_row_malformed(&changed) {
+                let event = ControlEvent::ConfigUnreadable { version: None };
+                context.control_events.send(event).await;
+            } else if let Some(row) = find_config_row(&changed.rows) {
                 deliver_config(context, row).await;
             }
+            context.control_events.send(ControlEvent::ConfigRead(true)).await;
         }
     }
 }
@@ -154,6 +173,8 @@
         }
         Err(error) => {
             log::warn!(event = "config_refused", row_version = row.version, reason:% = error; "");
+            let version = RoutingConfig::decode_version(&encoded).map(|it| it.0);
+            context.control_events.send(ControlEvent::ConfigUnreadable { version }).await;
         }
     }
 }
--- a/crates/galenastream_node/tests/ownership/hostile_input.rs
+++ b/crates/galenastream_node/tests/ownership/hostile_input.rs
@@ -123,6 +123,7 @@
                 is_closing: flags.0,
                 is_refusing: flags.1,
                 reaches_store: flags.2,
+                confirms_config: flags.2.then_some(flags.3),
                 rows_version: numbers.2,
                 reads_rows: flags.3,
                 facts,
--- a/crates/galenastream_node/tests/platform/refused_requests.rs
+++ b/crates/galenastream_node/tests/platform/refused_requests.rs
@@ -330,3 +330,71 @@
     assert_eq!(heads.len(), 4, "{read}");
     deployment.close().unwrap();
 }
+
+/// Guards against 404 for a route of a newer config that the node cannot decode, or whose row it cannot.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_route_of_a_config_that_cannot_be_decoded_is_not_refused_for_good() {
+    let deployment = start("undecodable", &["stock"]).await;
+    let vm = &deployment.vms[0];
+    wait_for_refusal(vm, 404).await;
+    deployment.store.put("op", "config", b"{\"version\":\"2\"}");
+    wait_for_refusal(vm, 503).await;
+    deployment.store.put_encoded("op", "config", "not base64!");
+    wait_for_refusal(vm, 503).await;
+    // The config in force is not older than this one.
+    deployment.store.put("op", "config", b"{\"version\":\"1\"}");
+    wait_for_refusal(vm, 404).await;
+    let config = DeploymentPlan::shop_config(2, "/added/").to_string();
+    deployment.store.put("op", "config", config.as_bytes());
+    wait_for_refusal(vm, 200).await;
+    deployment.close().unwrap();
+}
+
+/// Guards against 404 of a node that still reads the shared rows, but no longer the config.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_route_is_not_refused_for_good_while_only_the_config_cannot_be_read() {
+    let deployment = start("config-unread", &["carts"]).await;
+    let vm = &deployment.vms[0];
+    wait_for_refusal(vm, 404).await;
+    deployment.store.set_fault(StoreFault::RefuseTable("op"));
+    // Ends the feed of the config.
+    let config = DeploymentPlan::shop_config(2, "/shelf/").to_string();
+    deployment.store.put("op", "config", config.as_bytes());
+    wait_for_refusal(vm, 503).await;
+    // The rows that the lease of the target depends on are read every 2 s.
+    for number in 0..100 {
+        let mut caller = vm.caller().await.unwrap();
+        let answer = caller.get("/added/1", &format!("unread-{number}"), None).await.unwrap();
+        assert_eq!(answer.status, 503, "{number}: {answer:?}");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    deployment.store.set_fault(StoreFault::None);
+    wait_for_refusal(vm, 404).await;
+    deployment.close().unwrap();
+}
+
+/// Guards against a loop of reads without a pause when the store answers every feed with 410.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_store_that_has_dropped_its_history_is_not_read_without_a_pause() {
+    const OBSERVED: Duration = Duration::from_secs(3);
+    /// Two tables, each with a read at once, four delays that are doubled up to 500 ms, and a read
+    /// every 500 ms.
+    const MAX_DROPS: usize = 2 * (1 + 4 + 6);
+    let deployment = start("dropped-history", &["stock"]).await;
+    let vm = &deployment.vms[0];
+    wait_for_refusal(vm, 404).await;
+    let drops = || {
+        let log = vm.log().into_iter();
+        log.filter(|it| it["kvs"]["event"] == "store_history_dropped").count()
+    };
+    let before = drops();
+    deployment.store.set_fault(StoreFault::DropHistory);
+    // Ends the feed of the config.
+    let config = DeploymentPlan::shop_config(2, "/added/").to_string();
+    deployment.store.put("op", "config", config.as_bytes());
+    tokio::time::sleep(OBSERVED).await;
+    let count = drops() - before;
+    assert!((2..=MAX_DROPS).contains(&count), "{count} drops in {OBSERVED:?}");
+    wait_for_refusal(vm, 200).await;
+    deployment.close().unwrap();
+}
