--- a/crates/galenastream_standin/examples/soak.rs
+++ b/crates/galenastream_standin/examples/soak.rs
@@ -11,7 +11,7 @@
 use anyhow::Context;
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use futures::{StreamExt, stream};
-use galenastream_standin::{ScenarioPlan, ScenarioRun, SoakSeed, run_scenario};
+use galenastream_standin::{LoadOutcome, ScenarioPlan, ScenarioRun, SoakSeed, run_scenario};
 use tokio::signal::unix::{SignalKind, signal};
 
 /// How many violations of one kind are printed for a seed.
@@ -123,8 +123,10 @@
         match result {
             Ok(run) => {
                 println!(
-                    "{head}, {} requests, {} violations",
+                    "{head}, {} requests, {} ran, {} denied, {} violations",
                     run.summary.total(),
+                    run.summary.count(LoadOutcome::Ran),
+                    run.summary.count(LoadOutcome::Denied),
                     run.violations.len()
                 );
                 print_violations(&run);
