Show that a silent store is noticed too late, in a failing test

Found in review: a store that keeps its connections open and answers nothing is noticed when the watch of the config ends, up to 13 s later. A node of which a peer still reaches the store hears of the newer config within about a second. Not mended: confirming more often has to be shared between nodes, or 7,700 of them exceed the store's rate.

--- a/crates/galenastream_node/tests/platform/refused_requests.rs
+++ b/crates/galenastream_node/tests/platform/refused_requests.rs
@@ -283,6 +283,27 @@
     deployment.close().unwrap();
 }
 
+/// Guards against 404 while the store neither answers nor closes its connections, which the nodes
+/// have not noticed yet.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_route_added_while_the_store_is_silent_is_not_refused_for_good() {
+    /// Until feeds that were open before have ended.
+    const OPEN_FEEDS: Duration = Duration::from_millis(12_500);
+    let deployment = start("silent-store", &["stock", "stock"]).await;
+    wait_for_refusal(&deployment.vms[0], 404).await;
+    deployment.store.set_fault(StoreFault::Silent);
+    tokio::time::sleep(OPEN_FEEDS).await;
+    let config = DeploymentPlan::shop_config(2, "/added/").to_string();
+    deployment.store.put("op", "config", config.as_bytes());
+    for number in 0..20 {
+        let mut caller = deployment.vms[0].caller().await.unwrap();
+        let answer = caller.get("/added/1", &format!("silent-{number}"), None).await.unwrap();
+        assert_eq!(answer.status, 503, "{answer:?}");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    deployment.close().unwrap();
+}
+
 /// Guards against 404 for a route of a newer config that another node already has.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_route_of_a_config_that_a_peer_announces_is_not_refused_for_good() {
