--- a/crates/galenastream_node/src/process/store_follower.rs
+++ b/crates/galenastream_node/src/process/store_follower.rs
@@ -35,7 +35,8 @@
 /// Interval at which a node that does not follow the shared rows checks whether it has to.
 const IDLE_POLL: Duration = Duration::from_millis(100);
 
-/// Delays after failed calls and repeated drops of the history: the first one, doubled after each failure up to the maximum.
+/// Delays after failed calls and repeated drops of the history: the first one, doubled after each
+/// failure up to the maximum.
 const INITIAL_BACKOFF: Duration = Duration::from_millis(60);
 const MAX_BACKOFF: Duration = Duration::from_millis(500);
 
--- a/crates/galenastream_node/tests/platform/refused_requests.rs
+++ b/crates/galenastream_node/tests/platform/refused_requests.rs
@@ -352,7 +352,8 @@
     deployment.close().unwrap();
 }
 
-/// Guards against 404 for a route of a newer config that the node cannot decode, or whose row it cannot.
+/// Guards against 404 for a route of a newer config that the node cannot decode, or of which it cannot
+/// decode the row.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_route_of_a_config_that_cannot_be_decoded_is_not_refused_for_good() {
     let deployment = start("undecodable", &["stock"]).await;
