Split the codec of requests by what it reads

The framing of bodies and the reading of chunks have files of their own; functions are moved without a change.

--- a/crates/galenastream_node/src/connection/mod.rs
+++ b/crates/galenastream_node/src/connection/mod.rs
@@ -2,7 +2,9 @@
 //! and the clients of peers and of the target.
 
 mod accept;
+mod body_framing;
 mod caller_connections;
+mod chunked_body;
 mod control_connections;
 mod peer_connections;
 mod peer_links;
--- a/crates/galenastream_node/src/connection/request_codec.rs
+++ b/crates/galenastream_node/src/connection/request_codec.rs
@@ -8,10 +8,15 @@
 
 use bytes::{Buf, Bytes, BytesMut};
 use galenastream_adapter::CallerLimits;
-use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response, Version, header};
+use http::{HeaderName, HeaderValue, Method, Request, Response, Version, header};
 use httparse::Status;
 use tokio_util::codec::{Decoder, Encoder};
 
+use super::{
+    body_framing::{Framing, body_framing},
+    chunked_body::{ChunkLimits, ChunkStep, read_chunks},
+};
+
 /// Number of headers up to which a head is parsed without an allocation. Most have fewer.
 const USUAL_MAX_HEADERS: usize = 128;
 
@@ -89,14 +94,6 @@
     Invalid,
 }
 
-#[derive(Debug, Clone, Copy)]
-enum ChunkStep {
-    Size,
-    Data { remaining: usize },
-    DataEnd,
-    Trailers,
-}
-
 impl<F: Fn() -> Option<CallerLimits>> RequestCodec<F> {
     pub(super) fn new(limits_in_force: F) -> Self {
         Self { limits_in_force, limits: None, searched: 0, state: ReadState::Head }
@@ -339,181 +336,3 @@
     }
     Ok(head)
 }
-
-enum Framing {
-    Sized(usize),
-    Chunked,
-}
-
-/// How the body is delimited. Ambiguous headers are malformed: another server could read an
-/// ambiguous message differently, which permits request smuggling.
-fn body_framing(version: Version, headers: &HeaderMap) -> Result<Framing, RequestError> {
-    let length = content_length(headers)?;
-    if !headers.contains_key(header::TRANSFER_ENCODING) {
-        return Ok(Framing::Sized(length.unwrap_or(0)));
-    }
-    // RFC 9112, section 6.1: the framing of an HTTP/1.0 message with a coding is faulty.
-    if length.is_some() || version == Version::HTTP_10 {
-        return Err(RequestError::Malformed);
-    }
-    let values = headers.get_all(header::TRANSFER_ENCODING).iter();
-    let mut codings = values.flat_map(list_elements).filter(|it| !it.is_empty());
-    let (mut is_chunked, mut has_other) = (false, false);
-    for coding in &mut codings {
-        if is_chunked {
-            // Nothing may follow the coding that delimits the body.
-            return Err(RequestError::Malformed);
-        }
-        is_chunked = coding.eq_ignore_ascii_case(b"chunked");
-        has_other |= !is_chunked;
-    }
-    match (is_chunked, has_other) {
-        (true, false) => Ok(Framing::Chunked),
-        (true, true) => Err(RequestError::Unsupported),
-        (false, _) => Err(RequestError::Malformed),
-    }
-}
-
-/// The length that the headers state. It may be repeated (RFC 9110, section 8.6).
-fn content_length(headers: &HeaderMap) -> Result<Option<usize>, RequestError> {
-    let mut length = None;
-    for digits in headers.get_all(header::CONTENT_LENGTH).iter().flat_map(list_elements) {
-        if digits.is_empty() || !digits.iter().all(u8::is_ascii_digit) {
-            return Err(RequestError::Malformed);
-        }
-        let stated = number(digits, 10);
-        if length.is_some_and(|it| it != stated) {
-            return Err(RequestError::Malformed);
-        }
-        length = Some(stated);
-    }
-    Ok(length)
-}
-
-fn list_elements(value: &HeaderValue) -> impl Iterator<Item = &[u8]> {
-    value.as_bytes().split(|it| *it == b',').map(<[u8]>::trim_ascii)
-}
-
-/// The value of digits. One that is beyond all sizes is longer than every limit.
-fn number(digits: &[u8], radix: u32) -> usize {
-    let values = digits.iter().filter_map(|it| char::from(*it).to_digit(radix));
-    values.fold(0, |sum: usize, it| sum.saturating_mul(radix as usize).saturating_add(it as usize))
-}
-
-#[derive(Debug, Clone, Copy)]
-struct ChunkLimits {
-    /// Maximum length of the size of a chunk with its extensions, or of a trailer.
-    max_line_bytes: usize,
-    max_body_bytes: usize,
-}
-
-/// Reads the chunks that have arrived. Returns whether the body is complete.
-fn read_chunks(
-    buffer: &mut BytesMut,
-    body: &mut BytesMut,
-    step: &mut ChunkStep,
-    searched: &mut usize,
-    limits: ChunkLimits,
-) -> Result<bool, RequestError> {
-    loop {
-        match *step {
-            ChunkStep::Size => {
-                let Some(size) = chunk_size(buffer)? else {
-                    line_end(buffer, searched, limits.max_line_bytes)?;
-                    return Ok(false);
-                };
-                if body.len().saturating_add(size) > limits.max_body_bytes {
-                    return Err(RequestError::BodyTooLong);
-                }
-                let Some(end) = line_end(buffer, searched, limits.max_line_bytes)? else {
-                    return Ok(false);
-                };
-                if buffer[..end].iter().any(|it| matches!(it, b'\r' | b'\n')) {
-                    return Err(RequestError::Malformed);
-                }
-                buffer.advance(end + 2);
-                *step = match size {
-                    0 => ChunkStep::Trailers,
-                    remaining => ChunkStep::Data { remaining },
-                };
-            }
-            ChunkStep::Data { remaining } => {
-                let part = remaining.min(buffer.len());
-                body.extend_from_slice(&buffer.split_to(part));
-                if part < remaining {
-                    *step = ChunkStep::Data { remaining: remaining - part };
-                    return Ok(false);
-                }
-                *step = ChunkStep::DataEnd;
-            }
-            ChunkStep::DataEnd => {
-                if buffer.len() < 2 {
-                    return Ok(false);
-                }
-                if &buffer[..2] != b"\r\n" {
-                    return Err(RequestError::Malformed);
-                }
-                buffer.advance(2);
-                *step = ChunkStep::Size;
-            }
-            ChunkStep::Trailers => {
-                let Some(end) = line_end(buffer, searched, limits.max_line_bytes)? else {
-                    return Ok(false);
-                };
-                if end > 0 && !is_field_line(&buffer[..end]) {
-                    return Err(RequestError::Malformed);
-                }
-                buffer.advance(end + 2);
-                if end == 0 {
-                    return Ok(true);
-                }
-            }
-        }
-    }
-}
-
-/// The size at the front of a chunk; `None` if it may go on in bytes that have not arrived. The
-/// parser of `httparse` takes an empty line for the last chunk and refuses leading zeros.
-fn chunk_size(bytes: &[u8]) -> Result<Option<usize>, RequestError> {
-    let digit_count = bytes.iter().take_while(|it| it.is_ascii_hexdigit()).count();
-    let (digits, rest) = bytes.split_at(digit_count);
-    let next = rest.iter().find(|it| !matches!(it, b' ' | b'\t'));
-    match next {
-        Some(b';' | b'\r') if !digits.is_empty() => Ok(Some(number(digits, 16))),
-        Some(_) => Err(RequestError::Malformed),
-        None if digits.is_empty() && !rest.is_empty() => Err(RequestError::Malformed),
-        None => Ok(None),
-    }
-}
-
-/// Whether a line of trailers is a name, a colon and a value. Another server could take a line that
-/// is not for the next request.
-fn is_field_line(line: &[u8]) -> bool {
-    let Some(colon) = line.iter().position(|it| *it == b':') else {
-        return false;
-    };
-    let (name, value) = (&line[..colon], &line[colon + 1..]);
-    let is_name_byte = |it: &u8| it.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(it);
-    let is_value_byte = |it: &u8| *it == b'\t' || !it.is_ascii_control();
-    !name.is_empty() && name.iter().all(is_name_byte) && value.iter().all(is_value_byte)
-}
-
-/// The length of the line at the front of the buffer, or `None` if its end has not arrived.
-fn line_end(
-    buffer: &BytesMut,
-    searched: &mut usize,
-    max_bytes: usize,
-) -> Result<Option<usize>, RequestError> {
-    let allowed = &buffer[..buffer.len().min(max_bytes.saturating_add(2))];
-    // The end may begin with the last byte that was searched.
-    let from = searched.saturating_sub(1).min(allowed.len());
-    if let Some(end) = allowed[from..].windows(2).position(|it| it == b"\r\n") {
-        *searched = 0;
-        return Ok(Some(from + end));
-    }
-    *searched = allowed.len();
-    if allowed.len() == max_bytes.saturating_add(2) {
-        return Err(RequestError::HeadersTooLong);
-    }
-    Ok(None)
-}
