Log who holds which keys, and what proves that a hold has ended

Two targets held the same keys, and the logs did not tell which node had granted what: no line for a grant, and none for the evidence of a takeover.

Each node now writes the leases of each reply (row version, fencing tokens, duration, age of the confirmation), each planned change of an owner with the version that it is based on, each end of a hold with its evidence and the age of that, and the version that a write created. A target that reports keys that the newest row assigns to another one leaves a warning.

A probe of the target's address reports what it saw, including how many connections between the process and its target are still open, so that a run shows whether a refused connection goes along with the end of the process. No decision uses that yet.

--- a/crates/galenastream_node/src/connection/control_connections.rs
+++ b/crates/galenastream_node/src/connection/control_connections.rs
@@ -22,10 +22,15 @@
 pub async fn serve_control(context: Arc<NodeContext>, listener: TcpListener) {
     accept_all(listener, |stream| {
         let context = context.clone();
-        tokio::spawn(serve_http(stream, move |request| {
-            let context = context.clone();
-            async move { answer_control(&context, request).await }
-        }));
+        let counted = context.heartbeat_connections.count();
+        tokio::spawn(async move {
+            let answer = |request| {
+                let context = context.clone();
+                async move { answer_control(&context, request).await }
+            };
+            serve_http(stream, answer).await;
+            drop(counted);
+        });
     })
     .await;
 }
--- a/crates/galenastream_node/src/connection/target_connections.rs
+++ b/crates/galenastream_node/src/connection/target_connections.rs
@@ -8,7 +8,8 @@
 
 use bytes::Bytes;
 use galenastream_runtime::{
-    BodyBudget, BodyBuffer, ExchangeError, HttpConnection, MAX_BODY_BYTES, WholeResponse,
+    BodyBudget, BodyBuffer, ConnectionCount, ExchangeError, HttpConnection, MAX_BODY_BYTES,
+    WholeResponse,
 };
 use http::{HeaderMap, Request, header};
 use http_body_util::Full;
@@ -34,6 +35,7 @@
 pub struct TargetConnections {
     address: SocketAddr,
     budget: Arc<BodyBudget>,
+    count: ConnectionCount,
     idle: Mutex<Vec<IdleConnection>>,
 }
 
@@ -69,7 +71,13 @@
 impl TargetConnections {
     /// Creates a pool without connections. The bodies of responses are held within `budget`.
     pub fn new(address: SocketAddr, budget: Arc<BodyBudget>) -> Self {
-        Self { address, budget, idle: Mutex::default() }
+        Self { address, budget, count: ConnectionCount::new(), idle: Mutex::default() }
+    }
+
+    /// Counts the open connections with `count`.
+    #[must_use]
+    pub fn with_count(self, count: ConnectionCount) -> Self {
+        Self { count, ..self }
     }
 
     /// Sends a request on an idle connection or on a new one. Dropping the future closes the
@@ -83,7 +91,7 @@
             }
         }
         counter!("galenastream_target_connections_total").increment(1);
-        match HttpConnection::connect(self.address, CONNECT_TIMEOUT).await {
+        match HttpConnection::connect_counted(self.address, CONNECT_TIMEOUT, &self.count).await {
             Ok(connection) => into_result(self.exchange(connection, request).await),
             Err(error) => TargetResult::Unreachable { reason: error.to_string() },
         }
--- a/crates/galenastream_node/src/process/context.rs
+++ b/crates/galenastream_node/src/process/context.rs
@@ -11,6 +11,7 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use bytes::Bytes;
 use galenastream_adapter::NodeSettings;
+use galenastream_runtime::ConnectionCount;
 use galenastream_settings::SettingsTree;
 use galenastream_utils::BootInstant;
 use galenastream_wire::{NodeStatus, SharedRow, SyncQuery, SyncState};
@@ -51,6 +52,10 @@
     pub target_limit: Mutex<Option<TargetLimit>>,
     /// The mean service time of the local target in microseconds; 0 before anything was measured.
     pub service_time_us: AtomicU64,
+    /// The open connections to the local target that carry requests.
+    pub target_connections: ConnectionCount,
+    /// The open connections on which the local target sends heartbeats.
+    pub heartbeat_connections: ConnectionCount,
     /// Whether this node follows the shared rows in the store itself.
     pub reads_rows: AtomicBool,
     /// Notified when the row of this node has been written.
--- a/crates/galenastream_node/src/process/control_event.rs
+++ b/crates/galenastream_node/src/process/control_event.rs
@@ -9,6 +9,8 @@
 use galenastream_wire::{NodeStatus, SyncState};
 use tokio::sync::oneshot;
 
+use super::TargetProbe;
+
 /// The answer to a heartbeat or a deregistration.
 #[derive(Debug)]
 pub enum HeartbeatAnswer {
@@ -92,8 +94,8 @@
         /// The version of the written row, or the error.
         result: Result<u64, StoreError>,
     },
-    /// The address of the local target refused connections, so the target has ended.
-    TargetRefused,
+    /// A probe of the address of the local target was answered or refused.
+    TargetProbed(TargetProbe),
     /// The local target announced in a response that it leaves.
     TargetLeaving {
         /// The incarnation that leaves.
@@ -101,11 +103,6 @@
         /// When its first announcement arrived.
         since: BootInstant,
     },
-    /// The target that listens beside this node answered a health check with its id.
-    TargetIdentified {
-        /// The id in the answer.
-        target_id: String,
-    },
     /// Changed settings of the process are in force.
     Settings(Box<NodeSettings>),
     /// The process is about to stop and still takes requests.
@@ -144,9 +141,14 @@
         node: String,
     },
     /// Check whether the address of the local target still accepts connections.
-    ProbeTarget,
+    ProbeTarget {
+        /// The local target.
+        target: TargetIncarnation,
+    },
     /// Send a health check to the target that listens beside this node, to learn its id.
     IdentifyTarget {
+        /// The local target.
+        target: TargetIncarnation,
         /// The health check path of its service; the answer carries the id in a header.
         path: String,
     },
--- a/crates/galenastream_node/src/process/control_loop.rs
+++ b/crates/galenastream_node/src/process/control_loop.rs
@@ -7,6 +7,7 @@
 
 use bytes::Bytes;
 use galenastream_adapter::header_names;
+use galenastream_ranges::TargetIncarnation;
 use galenastream_routing::NodeKey;
 use galenastream_runtime::{BodyBuffer, ExchangeError, HttpConnection, boot_now, connect_tcp};
 use galenastream_utils::BootInstant;
@@ -18,7 +19,7 @@
 };
 
 use super::{
-    ControlEvent, ControlState, Effect, NodeContext,
+    ControlEvent, ControlState, Effect, NodeContext, ProbeAnswer, TargetProbe,
     commit::{AssignmentWrite, StoreWrite},
 };
 
@@ -178,11 +179,11 @@
                     log::debug!(event = "peer_question_dropped", node = node.as_str(); "");
                 }
             }
-            Effect::ProbeTarget => {
-                tokio::spawn(probe_target(self.context.clone()));
+            Effect::ProbeTarget { target } => {
+                tokio::spawn(probe_target(self.context.clone(), target));
             }
-            Effect::IdentifyTarget { path } => {
-                tokio::spawn(identify_target(self.context.clone(), path));
+            Effect::IdentifyTarget { target, path } => {
+                tokio::spawn(identify_target(self.context.clone(), target, path));
             }
         }
     }
@@ -190,10 +191,12 @@
 
 /// Sends a health check to the target that listens beside this node and notifies the control state
 /// of its id.
-async fn identify_target(context: Arc<NodeContext>, path: String) {
+async fn identify_target(context: Arc<NodeContext>, target: TargetIncarnation, path: String) {
+    let began_at = boot_now();
     match timeout(IDENTITY_TIMEOUT, fetch_target_id(&context, &path)).await {
         Ok(Ok(Some(target_id))) => {
-            context.control_events.deliver(ControlEvent::TargetIdentified { target_id });
+            let answer = ProbeAnswer::Identified { target_id };
+            report_probe(&context, target, began_at, answer);
         }
         Ok(Ok(None)) => log::info!(event = "target_unnamed"; ""),
         Ok(Err(error)) => log::info!(event = "target_not_identified", reason:% = error; ""),
@@ -219,7 +222,8 @@
 }
 
 /// Notifies the control state if the address of the local target refuses two connections in a row.
-async fn probe_target(context: Arc<NodeContext>) {
+async fn probe_target(context: Arc<NodeContext>, target: TargetIncarnation) {
+    let began_at = boot_now();
     for _ in 0..2 {
         let address = context.settings.load().target_address;
         match connect_tcp(address, PROBE_TIMEOUT).await {
@@ -228,5 +232,16 @@
         }
         tokio::time::sleep(PROBE_INTERVAL).await;
     }
-    context.control_events.deliver(ControlEvent::TargetRefused);
+    report_probe(&context, target, began_at, ProbeAnswer::Refused);
+}
+
+fn report_probe(
+    context: &NodeContext,
+    target: TargetIncarnation,
+    began_at: BootInstant,
+    answer: ProbeAnswer,
+) {
+    let open_connections = context.target_connections.open() + context.heartbeat_connections.open();
+    let probe = TargetProbe { target, began_at, answer, open_connections };
+    context.control_events.deliver(ControlEvent::TargetProbed(probe));
 }
--- a/crates/galenastream_node/src/process/control_state.rs
+++ b/crates/galenastream_node/src/process/control_state.rs
@@ -5,13 +5,15 @@
 
 use bytes::Bytes;
 use galenastream_adapter::{NodeSettings, Row, era_of};
-use galenastream_ranges::{Assignment, LeaseTerms, Owner, TargetIncarnation, VacancyTracker};
+use galenastream_ranges::{Assignment, LeaseTerms, Owner, VacancyTracker};
 use galenastream_settings::SettingsTree;
 use galenastream_utils::{BootInstant, FastMap};
 use galenastream_wire::{KeyLoadRecord, SharedRow};
 
 use super::local_limit::LocalLimit;
 use super::local_target::LocalTargetState;
+use super::ownership_facts::EndedTarget;
+use super::ownership_log::log_owner_changes;
 use super::peer_book::PeerRegistry;
 use super::store_eras::StoreEras;
 use super::{ControlEvent, Effect, TargetLimit};
@@ -65,8 +67,8 @@
     pub(super) rows_version: u64,
     /// The latest instant at which the known rows were current in the store.
     pub(super) confirmed_at: Option<BootInstant>,
-    /// Incarnations that have ended, oldest first, with the time at which this was detected.
-    pub(super) ended: Vec<(TargetIncarnation, BootInstant)>,
+    /// Incarnations that have ended, oldest first.
+    pub(super) ended: Vec<EndedTarget>,
     /// Ids of targets that deregistered while unknown to this process, with the time of the
     /// acknowledgement.
     pub(super) early_deregistrations: Vec<(String, BootInstant)>,
@@ -89,7 +91,8 @@
     pub(super) assignment: Arc<Assignment>,
     pub(super) version: u64,
     pub(super) vacancy: VacancyTracker,
-    pub(super) is_write_pending: bool,
+    /// The version that the write in progress is based on.
+    pub(super) pending_write: Option<u64>,
     pub(super) balanced_at: BootInstant,
     /// When targets were last given keys to find out whether their limits have ended.
     pub(super) tried_limits_at: BootInstant,
@@ -183,9 +186,8 @@
             ControlEvent::Committed { service, assignment, result } => {
                 self.handle_commit_result(&service, &assignment, result, now);
             }
-            ControlEvent::TargetIdentified { target_id } => self.handle_identity(&target_id),
             ControlEvent::TargetLeaving { target, since } => self.handle_leave(&target, since),
-            ControlEvent::TargetRefused => self.end_local_target("connection refused", now),
+            ControlEvent::TargetProbed(probe) => self.handle_probe(&probe, now),
             ControlEvent::Settings(settings) => self.settings = *settings,
             ControlEvent::Closing => self.is_closing = true,
             ControlEvent::Refusing => self.is_refusing = true,
@@ -254,7 +256,7 @@
     /// Requests one write with all changes that the assignment of a service needs.
     fn reconcile_assignment(&mut self, service: &str, is_planner: bool, now: BootInstant) {
         let record = self.assignment_record(service);
-        if record.is_write_pending
+        if record.pending_write.is_some()
             || self.confirmed_at.is_none()
             || !self.reaches_store
             || !self.eras.is_settled()
@@ -271,8 +273,9 @@
             return;
         }
         let record = self.assignment_record(service);
-        record.is_write_pending = true;
         let expected_version = record.version;
+        record.pending_write = Some(expected_version);
+        log_owner_changes(service, expected_version, &current, &desired);
         let service = service.to_owned();
         let expected_era_version = self.expected_era_version();
         self.effects.push(Effect::Commit {
--- a/crates/galenastream_node/src/process/daemon.rs
+++ b/crates/galenastream_node/src/process/daemon.rs
@@ -92,6 +92,8 @@
         key_meter: KeyMeter::new().into(),
         target_limit: Default::default(),
         service_time_us: Default::default(),
+        target_connections: Default::default(),
+        heartbeat_connections: Default::default(),
         reads_rows: Default::default(),
         own_row_written: Notify::new(),
         is_closing: Default::default(),
--- a/crates/galenastream_node/src/process/heartbeats.rs
+++ b/crates/galenastream_node/src/process/heartbeats.rs
@@ -10,6 +10,7 @@
 
 use super::control_state::ControlState;
 use super::local_target::{LocalTargetState, PendingHeartbeat};
+use super::ownership_log::{EndEvidence, log_foreign_holds, log_leases, millis};
 use super::remembered_announcements::earliest;
 use super::{HeartbeatAnswer, HeldLeases};
 
@@ -54,6 +55,9 @@
         };
         local.send_reply(HeartbeatReply::Acknowledged);
         local.update(&heartbeat, now);
+        if let Some(record) = self.assignments.get(&*local.service) {
+            log_foreign_holds(local, &record.assignment, record.version);
+        }
         local.pending_heartbeat =
             Some(PendingHeartbeat { answer, reply_by: now + max_reply_delay });
     }
@@ -77,7 +81,7 @@
         heartbeat: &Heartbeat,
         now: BootInstant,
     ) -> bool {
-        if self.has_ended_recently(incarnation, now) {
+        if self.recently_ended(incarnation, now).is_some() {
             return false;
         }
         if let Some(local) = &self.local {
@@ -87,7 +91,7 @@
             if !self.is_successor(local, heartbeat, now) {
                 return false;
             }
-            self.end_local_target("another incarnation started at its address", now);
+            self.end_local_target(EndEvidence::AnotherIdentified, now);
         }
         log::info!(
             event = "target_up",
@@ -163,11 +167,11 @@
         let reply = match (self.assignments.get(&service), self.confirmed_at) {
             _ if !self.holds_keys(&service) => HeartbeatReply::Acknowledged,
             (Some(record), Some(confirmed_at)) => {
-                let assignment = record.assignment.clone();
+                let (assignment, row_version) = (record.assignment.clone(), record.version);
                 if !is_due && !needs_prompt_reply(local, &assignment) {
                     return;
                 }
-                self.lease_reply(&assignment, confirmed_at, now)
+                self.lease_reply(&assignment, row_version, confirmed_at, now)
             }
             _ if is_due => HeartbeatReply::Acknowledged,
             _ => return,
@@ -180,6 +184,7 @@
     fn lease_reply(
         &mut self,
         assignment: &Assignment,
+        row_version: u64,
         confirmed_at: BootInstant,
         now: BootInstant,
     ) -> HeartbeatReply {
@@ -196,11 +201,12 @@
             return HeartbeatReply::Acknowledged;
         };
         let grants = grants_of(assignment, &local.incarnation);
+        let confirmed_age = now.saturating_since(confirmed_at);
+        log_leases(local, &grants, row_version, confirmed_age, lease);
         // The target counts the lease from sending the heartbeat, shortly before it arrived here.
         local.granted = Some(HeldLeases::new(ranges_of(&grants), local.last_heartbeat_at + lease));
         local.leases_end_at = local.leases_end_at.max(self.lease_terms.lease_end(now, lease));
-        let lease_ms = u64::try_from(lease.as_millis()).unwrap_or(0);
-        HeartbeatReply::Leases { grants, lease_ms }
+        HeartbeatReply::Leases { grants, lease_ms: millis(lease) }
     }
 
     pub(super) fn max_reply_delay(&self) -> Duration {
--- a/crates/galenastream_node/src/process/ownership_facts.rs
+++ b/crates/galenastream_node/src/process/ownership_facts.rs
@@ -8,9 +8,10 @@
 use galenastream_utils::BootInstant;
 use galenastream_wire::{IncarnationRecord, OwnershipFacts, ReleaseRecord};
 
-use super::Effect;
 use super::control_state::ControlState;
 use super::local_target::{Identity, LocalTargetState};
+use super::ownership_log::{EndEvidence, HoldEnd, millis};
+use super::{Effect, ProbeAnswer, TargetProbe};
 
 /// Assumed maximum delay of a heartbeat in transit. The platform may delay heartbeats by seconds,
 /// but by no more than the longest lease that it permits (10 s).
@@ -19,6 +20,23 @@
 /// Number of remembered incarnations that have ended.
 const MAX_ENDED_INCARNATIONS: usize = 16;
 
+/// An incarnation that has provably ended.
+#[derive(Debug, Clone)]
+pub(super) struct EndedTarget {
+    pub(super) incarnation: TargetIncarnation,
+    /// When this process learned of its end.
+    pub(super) at: BootInstant,
+    pub(super) evidence: EndEvidence,
+}
+
+/// Keys that a target holds no longer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct Release {
+    range: KeyRange,
+    handover: String,
+    evidence: EndEvidence,
+}
+
 impl ControlState {
     /// Removes ended owners beside this node from an assignment and completes moves whose keys the
     /// local target has released.
@@ -31,9 +49,19 @@
         assignment: &mut Assignment,
         now: BootInstant,
     ) {
-        for target in self.ended_holders(assignment, now) {
-            log::info!(event = "owner_removed", service, target:% = target; "");
-            assignment.remove_owner(&target);
+        let row_version = self.assignments.get(service).map_or(0, |it| it.version);
+        let log_end = |target: &TargetIncarnation, range, evidence, since| {
+            let node = &*self.node;
+            let age = now.saturating_since(since);
+            HoldEnd { service, range, target, row_version, evidence, age, node }.log();
+        };
+        for ended in self.ended_holders(assignment, now) {
+            let target = &ended.incarnation;
+            log::info!(event = "owner_removed", service, target:%; "");
+            for entry in assignment.held_by(target) {
+                log_end(target, entry.range, ended.evidence, ended.at);
+            }
+            assignment.remove_owner(target);
         }
         let Some(local) = self.local.as_ref().filter(|it| &*it.service == service) else {
             return;
@@ -42,11 +70,15 @@
         let has_no_next_owner =
             |it: &RangeEntry| matches!(it.holding, Holding::Leaving { to: None, .. });
         if is_staying && assignment.leaving(&local.incarnation).any(has_no_next_owner) {
+            log::info!(event = "move_cancelled", service, target:% = local.incarnation, row_version; "");
             assignment.cancel_moves(&local.incarnation);
             return;
         }
-        for (range, handover) in released_ranges(local, assignment) {
-            assignment.complete_move(&local.incarnation, range, &handover);
+        for release in released_ranges(local, assignment) {
+            let target = &local.incarnation;
+            if assignment.complete_move(target, release.range, &release.handover) {
+                log_end(target, release.range, release.evidence, local.last_heartbeat_at);
+            }
         }
     }
 
@@ -55,10 +87,9 @@
         &self,
         assignment: &Assignment,
         now: BootInstant,
-    ) -> Vec<TargetIncarnation> {
-        let holders = assignment.holders().into_iter();
-        let ended = holders.filter(|it| it.node == self.node && self.has_ended(&it.target, now));
-        ended.map(|it| it.target).collect()
+    ) -> Vec<EndedTarget> {
+        let holders = assignment.holders().into_iter().filter(|it| it.node == self.node);
+        holders.filter_map(|it| self.ended_target(&it.target, now)).collect()
     }
 
     /// The facts that this node would write itself if it reached the store; empty if it does.
@@ -70,14 +101,16 @@
         for (service, record) in &self.assignments {
             let local = self.local.as_ref().filter(|it| *it.service == **service);
             let ranges = local.map(|it| released_ranges(it, &record.assignment));
-            let releases = ranges.into_iter().flatten().map(|(range, handover)| ReleaseRecord {
-                first: u32::from(range.first),
-                last: u32::from(range.last),
-                handover,
+            let releases = ranges.into_iter().flatten().map(|it| ReleaseRecord {
+                first: u32::from(it.range.first),
+                last: u32::from(it.range.last),
+                handover: it.handover,
             });
             let ended = self.ended_holders(&record.assignment, now).into_iter();
-            let ended =
-                ended.map(|it| IncarnationRecord { id: it.id.to_string(), born_ms: it.born_ms });
+            let ended = ended.map(|it| IncarnationRecord {
+                id: it.incarnation.id.to_string(),
+                born_ms: it.incarnation.born_ms,
+            });
             let service_facts = OwnershipFacts {
                 service: service.clone(),
                 version: record.version,
@@ -91,56 +124,73 @@
         facts
     }
 
-    /// Whether an incarnation beside this node provably holds no keys any longer.
-    pub(super) fn has_ended(&self, target: &TargetIncarnation, now: BootInstant) -> bool {
-        if self.has_ended_recently(target, now) {
-            return true;
+    /// The end of an incarnation beside this node, if it provably holds no keys any longer.
+    pub(super) fn ended_target(
+        &self,
+        target: &TargetIncarnation,
+        now: BootInstant,
+    ) -> Option<EndedTarget> {
+        if let Some(ended) = self.recently_ended(target, now) {
+            return Some(ended.clone());
         }
+        let ended = |evidence, at| Some(EndedTarget { incarnation: target.clone(), at, evidence });
         match &self.local {
             Some(local) if local.incarnation == *target => {
-                local.is_silent(now, self.heartbeat_timeout()) && now >= local.leases_end_at
+                let has_expired =
+                    local.is_silent(now, self.heartbeat_timeout()) && now >= local.leases_end_at;
+                has_expired.then_some(())?;
+                ended(EndEvidence::LeasesExpired, local.leases_end_at)
             }
             // A single heartbeat may be a delayed one of an earlier incarnation.
             Some(local) => {
                 let is_certain =
                     local.heartbeat_count >= 2 || local.identity == Identity::Confirmed;
-                is_certain && local.incarnation.born_ms >= target.born_ms
+                (is_certain && local.incarnation.born_ms >= target.born_ms).then_some(())?;
+                ended(EndEvidence::AnotherIdentified, local.last_heartbeat_at)
+            }
+            None => {
+                let leases_end = self.lease_terms.inherited_leases_end(self.started_at);
+                (now >= leases_end).then_some(())?;
+                ended(EndEvidence::EarlierLeasesExpired, leases_end)
             }
-            None => now >= self.lease_terms.inherited_leases_end(self.started_at),
         }
     }
 
-    /// Whether an incarnation ended so recently that a heartbeat of it must be a delayed one. A
-    /// later heartbeat comes from a live target, even if its end was detected before.
-    pub(super) fn has_ended_recently(&self, target: &TargetIncarnation, now: BootInstant) -> bool {
-        let ended = self.ended.iter().rev().find(|(it, _)| it == target);
-        ended.is_some_and(|(_, at)| now.saturating_since(*at) < MAX_HEARTBEAT_DELAY)
+    /// The end of an incarnation that ended so recently that a heartbeat of it must be a delayed
+    /// one. A later heartbeat comes from a live target, even if its end was detected before.
+    pub(super) fn recently_ended(
+        &self,
+        target: &TargetIncarnation,
+        now: BootInstant,
+    ) -> Option<&EndedTarget> {
+        let ended = self.ended.iter().rev().find(|it| it.incarnation == *target)?;
+        (now.saturating_since(ended.at) < MAX_HEARTBEAT_DELAY).then_some(ended)
     }
 
     /// Drops the local target, which has provably ended.
-    pub(super) fn end_local_target(&mut self, why: &'static str, now: BootInstant) {
+    pub(super) fn end_local_target(&mut self, evidence: EndEvidence, now: BootInstant) {
         let Some(mut local) = self.local.take() else {
             return;
         };
-        log::info!(event = "target_ended", target:% = local.incarnation, why; "");
+        log::info!(event = "target_ended", target:% = local.incarnation, why = evidence.as_str(); "");
         local.send_reply(HeartbeatReply::Acknowledged);
-        self.ended.push((local.incarnation, now));
+        self.ended.push(EndedTarget { incarnation: local.incarnation, at: now, evidence });
         if self.ended.len() > MAX_ENDED_INCARNATIONS {
             self.ended.remove(0);
         }
     }
 
-    /// Probes the address of the local target if its heartbeats are overdue or no target is known.
+    /// Probes the address of the local target if its heartbeats are overdue.
     pub(super) fn probe_silent_target(&mut self, now: BootInstant) {
         let heartbeat_timeout = self.heartbeat_timeout();
-        let is_silent = match &self.local {
-            Some(local) => local.is_silent(now, heartbeat_timeout / 2),
-            None => true,
+        let Some(local) = &self.local else {
+            return;
         };
+        let is_silent = local.is_silent(now, heartbeat_timeout / 2);
         let probed_recently = now.saturating_since(self.last_probe_at) < heartbeat_timeout / 4;
         if is_silent && !probed_recently {
             self.last_probe_at = now;
-            self.effects.push(Effect::ProbeTarget);
+            self.effects.push(Effect::ProbeTarget { target: local.incarnation.clone() });
         }
     }
 
@@ -166,12 +216,35 @@
         }
         if let Some(local) = &mut self.local {
             local.identity = Identity::Requested;
+            let target = local.incarnation.clone();
+            self.effects.push(Effect::IdentifyTarget { target, path });
+        }
+    }
+
+    /// Handles the answer to a probe of the address of the local target.
+    pub(super) fn handle_probe(&mut self, probe: &TargetProbe, now: BootInstant) {
+        let answer = match &probe.answer {
+            ProbeAnswer::Refused => "refused",
+            ProbeAnswer::Identified { target_id } => target_id,
+        };
+        let silence = self.local.as_ref().map(|it| now.saturating_since(it.last_heartbeat_at));
+        log::info!(
+            event = "target_probed",
+            target:% = probe.target,
+            answer,
+            age_ms = millis(now.saturating_since(probe.began_at)),
+            silence_ms = silence.map(millis),
+            open_connections = probe.open_connections;
+            ""
+        );
+        match &probe.answer {
+            ProbeAnswer::Refused => self.end_local_target(EndEvidence::ConnectionsClosed, now),
+            ProbeAnswer::Identified { target_id } => self.handle_identity(target_id),
         }
-        self.effects.push(Effect::IdentifyTarget { path });
     }
 
     /// Handles the target id in the answer to a health check.
-    pub(super) fn handle_identity(&mut self, target_id: &str) {
+    fn handle_identity(&mut self, target_id: &str) {
         match &mut self.local {
             Some(local) if &*local.incarnation.id == target_id => {
                 log::info!(event = "target_identified", target:% = local.incarnation; "");
@@ -194,25 +267,37 @@
 }
 
 /// The ranges that are leaving a target and that it holds no longer, each with its handover token.
-fn released_ranges(local: &LocalTargetState, assignment: &Assignment) -> Vec<(KeyRange, String)> {
+fn released_ranges(local: &LocalTargetState, assignment: &Assignment) -> Vec<Release> {
     let mut ranges = Vec::new();
     for entry in assignment.leaving(&local.incarnation) {
         if local.may_hold(entry.range) {
             continue;
         }
         if let Some(handover) = local.handover_token(entry.range) {
-            ranges.push((entry.range, handover.to_owned()));
+            ranges.push(Release {
+                range: entry.range,
+                handover: handover.to_owned(),
+                evidence: EndEvidence::Released,
+            });
             continue;
         }
         for release in &local.released {
             let released = KeyRange::new(release.first, release.last);
             if let Some(part) = released.and_then(|it| it.overlap(entry.range)) {
-                ranges.push((part, release.handover.clone()));
+                ranges.push(Release {
+                    range: part,
+                    handover: release.handover.clone(),
+                    evidence: EndEvidence::Released,
+                });
             }
         }
         // The target never held the rest. Completing a move skips parts of the range that were
         // moved above, since they are not leaving any longer.
-        ranges.push((entry.range, String::new()));
+        ranges.push(Release {
+            range: entry.range,
+            handover: String::new(),
+            evidence: EndEvidence::NeverHeld,
+        });
     }
     ranges
 }
--- a/crates/galenastream_node/src/process/peer_book.rs
+++ b/crates/galenastream_node/src/process/peer_book.rs
@@ -102,6 +102,11 @@
         self.last_status_at.is_some_and(|it| now.saturating_since(it) <= REACHABILITY_TIMEOUT)
     }
 
+    /// The time since the last status arrived.
+    pub(super) fn status_age(&self, now: BootInstant) -> Duration {
+        self.last_status_at.map_or(Duration::MAX, |it| now.saturating_since(it))
+    }
+
     /// Since when the target has been known to drain, also if later statuses no longer say so: the
     /// process that sends them may have started after the target announced its leave.
     pub(super) fn draining_since(&self, target: &TargetIncarnation) -> Option<BootInstant> {
--- a/crates/galenastream_node/src/process/planning.rs
+++ b/crates/galenastream_node/src/process/planning.rs
@@ -11,6 +11,7 @@
 use galenastream_wire::{OwnershipFacts, TargetStatus};
 
 use super::control_state::ControlState;
+use super::ownership_log::{EndEvidence, HoldEnd};
 use super::peer_book::PeerRecord;
 
 /// Time without a status after which a node is lost and the keys of its target are revoked. Longer
@@ -147,7 +148,19 @@
                     continue;
                 }
                 log::info!(event = "peer_facts_applied", service, node = &**node, version; "");
-                apply_facts(assignment, facts, peer.target());
+                let log_end = |target: &TargetIncarnation, range| {
+                    let end = HoldEnd {
+                        service,
+                        range,
+                        target,
+                        row_version: version,
+                        evidence: EndEvidence::ReportedByPeer,
+                        age: peer.status_age(now),
+                        node,
+                    };
+                    end.log();
+                };
+                apply_facts(assignment, facts, peer.target(), log_end);
             }
         }
     }
@@ -160,9 +173,22 @@
         now: BootInstant,
     ) {
         let terms = self.lease_terms;
-        for (target, range) in self.assignment_record(service).vacancy.vacant_ranges(&terms, now) {
-            log::info!(event = "keys_vacant", service, range:% = range, target:% = target; "");
-            assignment.complete_move(&target, range, "");
+        let record = self.assignment_record(service);
+        let row_version = record.version;
+        for (target, range, since) in record.vacancy.vacant_ranges(&terms, now) {
+            if assignment.complete_move(&target, range, "") {
+                log::info!(event = "keys_vacant", service, range:%, target:%; "");
+                let end = HoldEnd {
+                    service,
+                    range,
+                    target: &target,
+                    row_version,
+                    evidence: EndEvidence::RowValidity,
+                    age: now.saturating_since(since),
+                    node: &self.node,
+                };
+                end.log();
+            }
         }
     }
 
@@ -270,20 +296,29 @@
     }
 }
 
+/// Applies the facts that a node states, and calls `log_end` for each hold that they end.
 fn apply_facts(
     assignment: &mut Assignment,
     facts: &OwnershipFacts,
     target: Option<TargetIncarnation>,
+    log_end: impl Fn(&TargetIncarnation, KeyRange),
 ) {
     for ended in &facts.ended {
-        assignment.remove_owner(&TargetIncarnation::new(ended.id.as_str(), ended.born_ms));
+        let target = TargetIncarnation::new(ended.id.as_str(), ended.born_ms);
+        for entry in assignment.held_by(&target) {
+            log_end(&target, entry.range);
+        }
+        assignment.remove_owner(&target);
     }
     let Some(target) = target else {
         return;
     };
     for release in &facts.releases {
-        if let Some(range) = key_range(release.first, release.last) {
-            assignment.complete_move(&target, range, &release.handover);
+        let Some(range) = key_range(release.first, release.last) else {
+            continue;
+        };
+        if assignment.complete_move(&target, range, &release.handover) {
+            log_end(&target, range);
         }
     }
 }
--- a/crates/galenastream_node/src/process/store_view.rs
+++ b/crates/galenastream_node/src/process/store_view.rs
@@ -249,7 +249,7 @@
             assignment: Arc::new(Assignment::new()),
             version: 0,
             vacancy: VacancyTracker::new(),
-            is_write_pending: false,
+            pending_write: None,
             balanced_at: BootInstant::default(),
             tried_limits_at: BootInstant::default(),
         })
@@ -262,14 +262,15 @@
         result: Result<u64, StoreError>,
         now: BootInstant,
     ) {
-        self.assignment_record(service).is_write_pending = false;
+        let based_on = self.assignment_record(service).pending_write.take();
         match result {
-            Ok(version) => {
+            Ok(row_version) => {
+                log::info!(event = "assignment_written", service, row_version, based_on; "");
                 let value = Bytes::from(assignment.encode_row());
                 let row = Row {
                     key: SharedRowKey::Assignment(service).key(),
                     value: Some(value),
-                    version,
+                    version: row_version,
                 };
                 self.apply_rows(vec![row], now);
             }
@@ -283,7 +284,7 @@
 
     /// Handles an [`Effect::Commit`] that was not carried out. The change is planned again.
     pub fn handle_dropped_commit(&mut self, service: &str) {
-        self.assignment_record(service).is_write_pending = false;
+        self.assignment_record(service).pending_write = None;
     }
 
     pub(super) fn record_confirmation(&mut self, confirmed_at: BootInstant) {
--- a/crates/galenastream_node/src/process/traffic_state.rs
+++ b/crates/galenastream_node/src/process/traffic_state.rs
@@ -81,7 +81,8 @@
         let budget = BodyBudget::new(body_budget_bytes(&settings.limits));
         Self {
             links: PeerLinks::new(budget.clone()),
-            target_connections: TargetConnections::new(settings.target_address, budget.clone()),
+            target_connections: TargetConnections::new(settings.target_address, budget.clone())
+                .with_count(context.target_connections.clone()),
             body_budget: budget,
             admission: AdmissionController::new(admission_limits(
                 DEFAULT_SLOTS,
--- a/crates/galenastream_node/tests/ownership/incarnations.rs
+++ b/crates/galenastream_node/tests/ownership/incarnations.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use galenastream_adapter::Row;
-use galenastream_node::{ControlEvent, ControlState, Effect};
+use galenastream_node::{ControlEvent, ControlState, Effect, ProbeAnswer, TargetProbe};
 use galenastream_ranges::{Assignment, KeyRange, Owner, TargetIncarnation};
 use galenastream_standin::{HeartbeatFields, heartbeat_body};
 use galenastream_wire::{SharedRow, SyncState};
@@ -27,6 +27,20 @@
     state.handle(ControlEvent::Heartbeat { target_id, body: body.into(), answer }, at(now_ms))
 }
 
+fn send_probe(state: &mut ControlState, id: &str, answer: ProbeAnswer, now_ms: u64) {
+    let probe = TargetProbe {
+        target: TargetIncarnation::new(id, 0),
+        began_at: at(now_ms),
+        answer,
+        open_connections: 0,
+    };
+    state.handle(ControlEvent::TargetProbed(probe), at(now_ms));
+}
+
+fn send_refusal(state: &mut ControlState, id: &str, now_ms: u64) {
+    send_probe(state, id, ProbeAnswer::Refused, now_ms);
+}
+
 fn local_target_id(state: &ControlState, now_ms: u64) -> Option<String> {
     state.status(at(now_ms)).target.map(|it| it.id)
 }
@@ -35,7 +49,7 @@
 fn a_delayed_heartbeat_does_not_revive_an_ended_incarnation() {
     let mut state = ControlState::new(settings(0), at(0));
     send_heartbeat(&mut state, "old", 1, 100);
-    state.handle(ControlEvent::TargetRefused, at(500));
+    send_refusal(&mut state, "old", 500);
     send_heartbeat(&mut state, "old", 2, 3_000);
     assert_eq!(local_target_id(&state, 3_000), None);
     send_heartbeat(&mut state, "new", 1, 3_100);
@@ -47,7 +61,7 @@
 fn a_target_that_keeps_sending_heartbeats_is_live_after_a_refused_connection() {
     let mut state = ControlState::new(settings(0), at(0));
     send_heartbeat(&mut state, "t", 1, 100);
-    state.handle(ControlEvent::TargetRefused, at(500));
+    send_refusal(&mut state, "t", 500);
     for sequence in 2..14 {
         send_heartbeat(&mut state, "t", sequence, 100 + sequence * 900);
     }
@@ -104,8 +118,8 @@
         let effects = send_heartbeat(&mut state, "new", 1, 100);
         assert!(effects.iter().any(|it| matches!(it, Effect::IdentifyTarget { .. })));
         assert!(facts(&state, 101).is_empty(), "one heartbeat proves nothing");
-        let target_id = answer.to_owned();
-        state.handle(ControlEvent::TargetIdentified { target_id }, at(102));
+        let answer_to_probe = ProbeAnswer::Identified { target_id: answer.to_owned() };
+        send_probe(&mut state, "new", answer_to_probe, 102);
         assert_eq!(
             !facts(&state, 103).is_empty(),
             is_ended,
--- a/crates/galenastream_node/tests/ownership/simulation.rs
+++ b/crates/galenastream_node/tests/ownership/simulation.rs
@@ -2,8 +2,10 @@
 
 use bytes::Bytes;
 use galenastream_adapter::{ExpectedRow, Row, RowWrite, StoreError, era_of};
-use galenastream_node::{ControlEvent, ControlState, Effect, HeartbeatAnswer};
-use galenastream_ranges::Assignment;
+use galenastream_node::{
+    ControlEvent, ControlState, Effect, HeartbeatAnswer, ProbeAnswer, TargetProbe,
+};
+use galenastream_ranges::{Assignment, TargetIncarnation};
 use galenastream_utils::BootInstant;
 use galenastream_wire::{EraRow, SharedRowKey, SyncQuery};
 use prost::Message;
@@ -293,21 +295,26 @@
                 }
                 Effect::AnnounceNode => {}
                 Effect::QueryPeer { node } => self.answer_sync_query(index, &node),
-                Effect::ProbeTarget => {}
-                Effect::IdentifyTarget { .. } => self.identify(index),
+                Effect::ProbeTarget { .. } => {}
+                Effect::IdentifyTarget { target, .. } => self.identify(index, target),
             }
         }
     }
 
     /// Answers a health check with the id of the running target, even if delayed heartbeats of an
     /// earlier one are outstanding.
-    fn identify(&mut self, index: usize) {
-        let target = &self.vms[index].target;
-        if self.now_ms < target.starts_at_ms {
+    fn identify(&mut self, index: usize, target: TargetIncarnation) {
+        let running = &self.vms[index].target;
+        if self.now_ms < running.starts_at_ms {
             return;
         }
-        let target_id = target.id.clone();
-        self.send_event(index, ControlEvent::TargetIdentified { target_id });
+        let probe = TargetProbe {
+            target,
+            began_at: at(self.now_ms),
+            answer: ProbeAnswer::Identified { target_id: running.id.clone() },
+            open_connections: 0,
+        };
+        self.send_event(index, ControlEvent::TargetProbed(probe));
     }
 
     fn start_assignment(
--- a/crates/galenastream_ranges/src/assignment.rs
+++ b/crates/galenastream_ranges/src/assignment.rs
@@ -94,6 +94,14 @@
             .filter(|it| it.holding.leaving_owner().is_some_and(|it| it.target == *target))
     }
 
+    /// Returns the entries on which an incarnation may hold leases, whether they are leaving or not.
+    pub fn held_by<'a>(
+        &'a self,
+        target: &'a TargetIncarnation,
+    ) -> impl Iterator<Item = &'a RangeEntry> {
+        self.entries.iter().filter(|it| it.holding.holder().is_some_and(|it| it.target == *target))
+    }
+
     /// Assigns the free keys of a range to an owner under a new fencing token.
     ///
     /// Keys that are owned or leaving stay as they are.
--- a/crates/galenastream_ranges/src/vacancy.rs
+++ b/crates/galenastream_ranges/src/vacancy.rs
@@ -34,18 +34,19 @@
         self.leaving_since = leaving_since;
     }
 
-    /// Returns the leaving ranges on which every lease has expired at `now`, with their owners.
+    /// Returns the leaving ranges on which every lease has expired at `now`, with their owners and
+    /// since when they have been leaving.
     pub fn vacant_ranges(
         &self,
         terms: &LeaseTerms,
         now: BootInstant,
-    ) -> Vec<(TargetIncarnation, KeyRange)> {
+    ) -> Vec<(TargetIncarnation, KeyRange, BootInstant)> {
         let mut vacant = Vec::new();
         for ((target, range), since) in &self.leaving_since {
             if terms.all_leases_end(*since) > now {
                 continue;
             }
-            vacant.push((target.clone(), *range));
+            vacant.push((target.clone(), *range, *since));
         }
         vacant
     }
--- a/crates/galenastream_ranges/tests/assignment.rs
+++ b/crates/galenastream_ranges/tests/assignment.rs
@@ -107,7 +107,8 @@
     tracker.observe(&assignment, at_ms(1_000));
     tracker.observe(&assignment, at_ms(5_000));
     assert_eq!(tracker.vacant_ranges(&TERMS, at_ms(12_999)), []);
-    assert_eq!(tracker.vacant_ranges(&TERMS, at_ms(13_000)), [(a.target.clone(), range(0, 9))]);
+    let vacant = (a.target.clone(), range(0, 9), at_ms(1_000));
+    assert_eq!(tracker.vacant_ranges(&TERMS, at_ms(13_000)), [vacant]);
     assignment.cancel_moves(&a.target);
     tracker.observe(&assignment, at_ms(13_100));
     assert_eq!(tracker.vacant_ranges(&TERMS, at_ms(60_000)), []);
--- a/crates/galenastream_runtime/src/connection.rs
+++ b/crates/galenastream_runtime/src/connection.rs
@@ -12,7 +12,10 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 
-use crate::{BodyBuffer, BodyTooLong, ExchangeError, connect_tcp, set_keep_alive};
+use crate::{
+    BodyBuffer, BodyTooLong, ConnectionCount, CountedConnection, ExchangeError, connect_tcp,
+    set_keep_alive,
+};
 
 /// Maximum size of the head of a response, and of what is read ahead of a body.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
@@ -41,7 +44,18 @@
     /// Opens a connection within a time limit. Its task runs on the current Tokio runtime.
     pub async fn connect(address: SocketAddr, limit: Duration) -> Result<Self, ExchangeError> {
         let stream = connect_tcp(address, limit).await.map_err(not_sent)?;
-        Self::over(stream, address).await
+        Self::over(stream, address, None).await
+    }
+
+    /// Opens a connection like [`connect`](Self::connect) that is counted until it is closed by
+    /// either side.
+    pub async fn connect_counted(
+        address: SocketAddr,
+        limit: Duration,
+        count: &ConnectionCount,
+    ) -> Result<Self, ExchangeError> {
+        let stream = connect_tcp(address, limit).await.map_err(not_sent)?;
+        Self::over(stream, address, Some(count.count())).await
     }
 
     /// Opens a connection like [`connect`](Self::connect) for exchanges whose response may take long:
@@ -52,10 +66,14 @@
     ) -> Result<Self, ExchangeError> {
         let stream = connect_tcp(address, limit).await.map_err(not_sent)?;
         set_keep_alive(&stream);
-        Self::over(stream, address).await
+        Self::over(stream, address, None).await
     }
 
-    async fn over(stream: TcpStream, address: SocketAddr) -> Result<Self, ExchangeError> {
+    async fn over(
+        stream: TcpStream,
+        address: SocketAddr,
+        counted: Option<CountedConnection>,
+    ) -> Result<Self, ExchangeError> {
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_HEAD_BYTES)
             .max_headers(MAX_HEADERS)
@@ -66,6 +84,7 @@
             if let Err(error) = connection.await {
                 log::debug!(event = "connection_ended", peer:% = address, reason:% = error; "");
             }
+            drop(counted);
         });
         Ok(Self { sender })
     }
