Count the wait for vacant keys from the departure that is in the row

Callers of a target got answers while another target held the same keys. A node that saw keys leave, missed that their owner cancelled the move, and saw them leave again counted the 12 s from its first sight: it knew a departure by target and range only. It gave the keys away while the owner held a lease that was granted between the two departures.

A leaving entry now records the version of the row that the beginning of the move is based on. At most one write can follow a version, so this tells each departure from every other one, whatever a node missed. The tracker counts by it. Entries of programs that do not record it get one from the planner first. A range that is split keeps its wait.

--- a/crates/galenastream_ctl/src/request/ranges.rs
+++ b/crates/galenastream_ctl/src/request/ranges.rs
@@ -74,7 +74,7 @@
     let (state, owner, next) = match &entry.holding {
         Holding::Free => ("free", None, None),
         Holding::Owned(owner) => ("owned", Some(owner), None),
-        Holding::Leaving { from, to } => ("leaving", Some(from), to.as_ref()),
+        Holding::Leaving { from, to, .. } => ("leaving", Some(from), to.as_ref()),
     };
     RangeDocument {
         first: entry.range.first,
--- a/crates/galenastream_node/src/process/ownership_log.rs
+++ b/crates/galenastream_node/src/process/ownership_log.rs
@@ -179,7 +179,7 @@
             let (target, node, fence) = (&owner.target, &*owner.node, new.fence);
             log::info!(event = "keys_assigned", service, range:%, target:%, node, fence, row_version; "");
         }
-        Holding::Leaving { from, to } if old.holding.owner().is_some() => {
+        Holding::Leaving { from, to, .. } if old.holding.owner().is_some() => {
             let target = &from.target;
             let next = to.as_ref().map_or_else(|| "none".to_owned(), |it| it.target.to_string());
             let reason = if to.is_some() { "planned" } else { "owner-lost" };
--- a/crates/galenastream_node/src/process/planning.rs
+++ b/crates/galenastream_node/src/process/planning.rs
@@ -76,6 +76,8 @@
         if !self.is_startup_over(service, now) {
             return;
         }
+        let row_version = self.assignment_record(service).version;
+        assignment.record_departures(row_version);
         self.apply_peer_facts(service, assignment, now);
         self.complete_vacant_moves(service, assignment, now);
         self.revoke_from_lost(service, assignment, now);
@@ -83,7 +85,7 @@
         let settings = *self.settings_tree.effective(service, &self.settings.data_centre, None);
         let planner = Planner::new(planner_settings(&settings));
         for planned in planner.place_orphaned_keys(assignment, &targets) {
-            apply_move(assignment, &planned);
+            apply_move(assignment, &planned, row_version);
         }
         let round = Duration::from_millis(u64::from(settings.planner_round_ms));
         // A round of balancing starts only when the moves of the previous round are complete.
@@ -105,7 +107,7 @@
             let trials = planner.trials(assignment, &targets, &wanting);
             for planned in &trials {
                 log::info!(event = "limit_trial", service, range:% = planned.range, to:% = planned.to.target; "");
-                apply_move(assignment, planned);
+                apply_move(assignment, planned, row_version);
             }
             if !trials.is_empty() {
                 self.assignment_record(service).tried_limits_at = now;
@@ -115,7 +117,7 @@
         targets.retain(|it| !wanting.contains(&it.owner.target));
         for planned in planner.balance(assignment, &targets) {
             log::info!(event = "keys_move", service, range:% = planned.range, to:% = planned.to.target; "");
-            apply_move(assignment, &planned);
+            apply_move(assignment, &planned, row_version);
         }
     }
 
@@ -175,16 +177,17 @@
         let terms = self.lease_terms;
         let record = self.assignment_record(service);
         let row_version = record.version;
-        for (target, range, since) in record.vacancy.vacant_ranges(&terms, now) {
-            if assignment.complete_move(&target, range, "") {
+        for vacant in record.vacancy.vacant_ranges(assignment, &terms, now) {
+            let (range, target) = (vacant.range, &vacant.target);
+            if assignment.complete_move(target, range, "") {
                 log::info!(event = "keys_vacant", service, range:%, target:%; "");
                 let end = HoldEnd {
                     service,
                     range,
-                    target: &target,
+                    target,
                     row_version,
                     evidence: EndEvidence::RowValidity,
-                    age: now.saturating_since(since),
+                    age: now.saturating_since(vacant.seen_at),
                     node: &self.node,
                 };
                 end.log();
@@ -194,6 +197,7 @@
 
     /// Revokes the keys of targets whose nodes are lost.
     fn revoke_from_lost(&self, service: &str, assignment: &mut Assignment, now: BootInstant) {
+        let row_version = self.assignments.get(service).map_or(0, |it| it.version);
         for holder in assignment.holders() {
             if holder.node == self.node || !self.is_lost(&holder, now) {
                 continue;
@@ -204,7 +208,7 @@
                 log::info!(event = "owner_lost", service, target:% = holder.target, node = &*holder.node; "");
             }
             for range in owned {
-                assignment.begin_move(range, None);
+                assignment.begin_move(range, None, row_version);
             }
             clear_next_owner(assignment, &holder.target);
         }
@@ -327,9 +331,9 @@
     KeyRange::new(u16::try_from(first).ok()?, u16::try_from(last).ok()?)
 }
 
-fn apply_move(assignment: &mut Assignment, planned: &PlannedMove) {
+fn apply_move(assignment: &mut Assignment, planned: &PlannedMove, row_version: u64) {
     // The first call changes only owned keys, the second one only free keys.
-    assignment.begin_move(planned.range, Some(&planned.to));
+    assignment.begin_move(planned.range, Some(&planned.to), row_version);
     assignment.assign(planned.range, &planned.to);
 }
 
--- a/crates/galenastream_node/src/request/entry.rs
+++ b/crates/galenastream_node/src/request/entry.rs
@@ -316,7 +316,7 @@
         };
         match &entry.holding {
             Holding::Owned(owner) => is_live(owner),
-            Holding::Leaving { from, to: Some(to) } => is_live(from) && is_live(to),
+            Holding::Leaving { from, to: Some(to), .. } => is_live(from) && is_live(to),
             Holding::Leaving { .. } | Holding::Free => false,
         }
     }
--- a/crates/galenastream_ranges/src/assignment.rs
+++ b/crates/galenastream_ranges/src/assignment.rs
@@ -35,6 +35,10 @@
         from: Owner,
         /// The next owner, if it is chosen already.
         to: Option<Owner>,
+        /// The version of the row that the beginning of the move was planned on. Only one write can
+        /// follow a version, so it tells this departure from all others of the same keys. 0 if the
+        /// writer did not record it.
+        departure: u64,
     },
 }
 
@@ -122,24 +126,39 @@
     }
 
     /// Starts to move the owned keys of a range to the next owner, or to free them if `to` is
-    /// `None`.
-    pub fn begin_move(&mut self, range: KeyRange, to: Option<&Owner>) {
+    /// `None`. `row_version` is the version of the row that this change is based on.
+    pub fn begin_move(&mut self, range: KeyRange, to: Option<&Owner>, row_version: u64) {
         self.update_range(range, |entry| {
             let Holding::Owned(from) = &entry.holding else {
                 return None;
             };
-            let holding = Holding::Leaving { from: from.clone(), to: to.cloned() };
+            let departure = row_version;
+            let holding = Holding::Leaving { from: from.clone(), to: to.cloned(), departure };
             Some(RangeEntry { holding, ..entry.clone() })
         });
     }
 
+    /// Records the departure of leaving keys whose writer did not, as of `row_version`. The time
+    /// until they are vacant counts from then.
+    pub fn record_departures(&mut self, row_version: u64) {
+        self.update_range(KeyRange::ALL, |entry| match &entry.holding {
+            Holding::Leaving { from, to, departure: 0 } => {
+                let (from, to) = (from.clone(), to.clone());
+                let holding = Holding::Leaving { from, to, departure: row_version };
+                Some(RangeEntry { holding, ..entry.clone() })
+            }
+            _ => None,
+        });
+    }
+
     /// Replaces the next owner of the leaving keys of a range.
     pub fn redirect_move(&mut self, range: KeyRange, to: Option<&Owner>) {
         self.update_range(range, |entry| {
-            let Holding::Leaving { from, .. } = &entry.holding else {
+            let Holding::Leaving { from, departure, .. } = &entry.holding else {
                 return None;
             };
-            let holding = Holding::Leaving { from: from.clone(), to: to.cloned() };
+            let (from, departure) = (from.clone(), *departure);
+            let holding = Holding::Leaving { from, to: to.cloned(), departure };
             Some(RangeEntry { holding, ..entry.clone() })
         });
     }
@@ -168,7 +187,7 @@
     ) -> bool {
         let fence = self.highest_fence + 1;
         let changed = self.update_range(range, |entry| {
-            let Holding::Leaving { from: leaving_owner, to } = &entry.holding else {
+            let Holding::Leaving { from: leaving_owner, to, .. } = &entry.holding else {
                 return None;
             };
             if leaving_owner.target != *from {
@@ -197,8 +216,9 @@
                 fence: entry.fence,
                 handover: String::new(),
             }),
-            Holding::Leaving { from, to: Some(to) } if to.target == *target => {
-                let holding = Holding::Leaving { from: from.clone(), to: None };
+            Holding::Leaving { from, to: Some(to), departure } if to.target == *target => {
+                let (from, departure) = (from.clone(), *departure);
+                let holding = Holding::Leaving { from, to: None, departure };
                 Some(RangeEntry { holding, ..entry.clone() })
             }
             _ => None,
--- a/crates/galenastream_ranges/src/lib.rs
+++ b/crates/galenastream_ranges/src/lib.rs
@@ -24,7 +24,7 @@
 pub use lease_terms::LeaseTerms;
 pub use owner::{Owner, TargetIncarnation};
 pub use planner::{KeyLoad, PlannedMove, Planner, PlannerSettings, TargetLoad};
-pub use vacancy::VacancyTracker;
+pub use vacancy::{VacancyTracker, VacantRange};
 
 /// The types that most programs use.
 pub mod prelude {
--- a/crates/galenastream_ranges/src/planner.rs
+++ b/crates/galenastream_ranges/src/planner.rs
@@ -390,7 +390,7 @@
         let index_of = |owner: &Owner| targets.iter().position(|it| it.owner == *owner);
         let (measured_by, target) = match &entry.holding {
             Holding::Owned(owner) => (index_of(owner), index_of(owner)),
-            Holding::Leaving { from, to } => (index_of(from), to.as_ref().and_then(index_of)),
+            Holding::Leaving { from, to, .. } => (index_of(from), to.as_ref().and_then(index_of)),
             Holding::Free => (None, None),
         };
         let is_moving = entry.holding.leaving_owner().is_some();
--- a/crates/galenastream_ranges/src/row.rs
+++ b/crates/galenastream_ranges/src/row.rs
@@ -46,6 +46,9 @@
     fence: u64,
     #[prost(string, tag = "5")]
     handover: String,
+    /// Of a leaving entry: the version of the row that the beginning of the move was planned on.
+    #[prost(uint64, tag = "6")]
+    departure: u64,
 }
 
 impl Assignment {
@@ -54,10 +57,10 @@
         let mut owners: Vec<&Owner> = Vec::new();
         let mut entries = Vec::with_capacity(self.entries().len());
         for entry in self.entries() {
-            let (owner, leaver) = match &entry.holding {
-                Holding::Free => (None, None),
-                Holding::Owned(owner) => (Some(owner), None),
-                Holding::Leaving { from, to } => (to.as_ref(), Some(from)),
+            let (owner, leaver, departure) = match &entry.holding {
+                Holding::Free => (None, None, 0),
+                Holding::Owned(owner) => (Some(owner), None, 0),
+                Holding::Leaving { from, to, departure } => (to.as_ref(), Some(from), *departure),
             };
             entries.push(EntryRecord {
                 last: u32::from(entry.range.last),
@@ -65,6 +68,7 @@
                 leaver: intern(&mut owners, leaver),
                 fence: entry.fence,
                 handover: entry.handover.clone(),
+                departure,
             });
         }
         let owners = owners.into_iter().map(OwnerRecord::new).collect();
@@ -95,7 +99,7 @@
             let holding = match (owner, leaver) {
                 (None, None) => Holding::Free,
                 (Some(owner), None) => Holding::Owned(owner),
-                (to, Some(from)) => Holding::Leaving { from, to },
+                (to, Some(from)) => Holding::Leaving { from, to, departure: record.departure },
             };
             if record.fence > row.highest_fence {
                 return Err(RowError::FenceAboveHighest { fence: record.fence });
--- a/crates/galenastream_ranges/src/vacancy.rs
+++ b/crates/galenastream_ranges/src/vacancy.rs
@@ -4,14 +4,27 @@
 
 use crate::{Assignment, Holding, KeyRange, LeaseTerms, TargetIncarnation};
 
-/// Tracks since when ranges have been leaving, and finds the vacant ones: those on which every
-/// lease has expired.
+/// Tracks since when keys have been leaving, and finds the vacant ranges: those on which every lease
+/// has expired.
 ///
 /// After the loss of a whole VM no node can report that its target has ended, so the keys can move
-/// only once the leases have expired.
+/// only once the leases have expired. A departure is known by the version that it is based on: keys
+/// that came back and leave again, unseen by this process, are leaving in another departure.
 #[derive(Debug, Clone, Default)]
 pub struct VacancyTracker {
-    leaving_since: FastMap<(TargetIncarnation, KeyRange), BootInstant>,
+    /// When a row with the departure was first read.
+    seen_at: FastMap<u64, BootInstant>,
+}
+
+/// A leaving range on which every lease has expired.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct VacantRange {
+    /// The keys.
+    pub range: KeyRange,
+    /// The target that they are leaving.
+    pub target: TargetIncarnation,
+    /// When this process first read that they are leaving.
+    pub seen_at: BootInstant,
 }
 
 impl VacancyTracker {
@@ -20,34 +33,45 @@
         Self::default()
     }
 
-    /// Records which ranges are leaving in a row that was read at `now`, and forgets all others.
+    /// Records the departures in a row that was read at `now`, and forgets all others.
     pub fn observe(&mut self, assignment: &Assignment, now: BootInstant) {
-        let mut leaving_since = FastMap::default();
+        let mut seen_at = FastMap::default();
         for entry in assignment.entries() {
-            let Holding::Leaving { from, .. } = &entry.holding else {
+            let Some(departure) = departure_of(&entry.holding) else {
                 continue;
             };
-            let leaving = (from.target.clone(), entry.range);
-            let since = self.leaving_since.get(&leaving).copied().unwrap_or(now);
-            leaving_since.insert(leaving, since);
+            let since = self.seen_at.get(&departure).copied().unwrap_or(now);
+            seen_at.insert(departure, since);
         }
-        self.leaving_since = leaving_since;
+        self.seen_at = seen_at;
     }
 
-    /// Returns the leaving ranges on which every lease has expired at `now`, with their owners and
-    /// since when they have been leaving.
+    /// Returns the leaving ranges of an assignment on which every lease has expired at `now`.
     pub fn vacant_ranges(
         &self,
+        assignment: &Assignment,
         terms: &LeaseTerms,
         now: BootInstant,
-    ) -> Vec<(TargetIncarnation, KeyRange, BootInstant)> {
+    ) -> Vec<VacantRange> {
         let mut vacant = Vec::new();
-        for ((target, range), since) in &self.leaving_since {
-            if terms.all_leases_end(*since) > now {
+        for entry in assignment.entries() {
+            let seen_at = departure_of(&entry.holding).and_then(|it| self.seen_at.get(&it));
+            let (Some(owner), Some(&seen_at)) = (entry.holding.leaving_owner(), seen_at) else {
+                continue;
+            };
+            if terms.all_leases_end(seen_at) > now {
                 continue;
             }
-            vacant.push((target.clone(), *range, *since));
+            vacant.push(VacantRange { range: entry.range, target: owner.target.clone(), seen_at });
         }
         vacant
     }
 }
+
+/// The departure of leaving keys, if it was recorded.
+const fn departure_of(holding: &Holding) -> Option<u64> {
+    match holding {
+        Holding::Leaving { departure: 0, .. } | Holding::Free | Holding::Owned(_) => None,
+        Holding::Leaving { departure, .. } => Some(*departure),
+    }
+}
--- a/crates/galenastream_ranges/tests/assignment.rs
+++ b/crates/galenastream_ranges/tests/assignment.rs
@@ -2,6 +2,7 @@
 
 use galenastream_ranges::{
     Assignment, Holding, KeyRange, LeaseTerms, Owner, RowError, TargetIncarnation, VacancyTracker,
+    VacantRange,
 };
 use galenastream_utils::BootInstant;
 use proptest::prelude::*;
@@ -28,7 +29,7 @@
     let mut assignment = Assignment::new();
     assignment.assign(KeyRange::ALL, &a);
     let first_fence = assignment.entry_of(7).fence;
-    assignment.begin_move(range(0, 99), Some(&b));
+    assignment.begin_move(range(0, 99), Some(&b), 1);
     assert_eq!(assignment.owned_by(&b.target).count(), 0, "no lease before the release");
     assert!(!assignment.complete_move(&b.target, range(0, 99), ""));
     assert!(assignment.complete_move(&a.target, range(0, 49), "token"));
@@ -49,7 +50,7 @@
     let mut assignment = Assignment::new();
     assignment.assign(KeyRange::ALL, &a);
     let before = assignment.clone();
-    assignment.begin_move(range(10, 20), None);
+    assignment.begin_move(range(10, 20), None, 1);
     assert!(assignment.cancel_moves(&a.target));
     assert_eq!(assignment, before);
 }
@@ -60,10 +61,10 @@
     let mut assignment = Assignment::new();
     assignment.assign(range(0, 999), &a);
     assignment.assign(range(1_000, 1_999), &b);
-    assignment.begin_move(range(0, 9), Some(&b));
+    assignment.begin_move(range(0, 9), Some(&b), 1);
     assert!(assignment.remove_owner(&b.target));
     assert_eq!(assignment.entry_of(1_500).holding, Holding::Free);
-    let leaving = Holding::Leaving { from: a.clone(), to: None };
+    let leaving = Holding::Leaving { from: a.clone(), to: None, departure: 1 };
     assert_eq!(assignment.entry_of(5).holding, leaving);
     assignment.remove_owner(&a.target);
     assert_eq!(assignment.holders(), []);
@@ -103,15 +104,16 @@
     assignment.assign(KeyRange::ALL, &a);
     let mut tracker = VacancyTracker::new();
     tracker.observe(&assignment, at_ms(0));
-    assignment.begin_move(range(0, 9), None);
+    assignment.begin_move(range(0, 9), None, 1);
     tracker.observe(&assignment, at_ms(1_000));
     tracker.observe(&assignment, at_ms(5_000));
-    assert_eq!(tracker.vacant_ranges(&TERMS, at_ms(12_999)), []);
-    let vacant = (a.target.clone(), range(0, 9), at_ms(1_000));
-    assert_eq!(tracker.vacant_ranges(&TERMS, at_ms(13_000)), [vacant]);
+    assert_eq!(tracker.vacant_ranges(&assignment, &TERMS, at_ms(12_999)), []);
+    let vacant =
+        VacantRange { range: range(0, 9), target: a.target.clone(), seen_at: at_ms(1_000) };
+    assert_eq!(tracker.vacant_ranges(&assignment, &TERMS, at_ms(13_000)), [vacant]);
     assignment.cancel_moves(&a.target);
     tracker.observe(&assignment, at_ms(13_100));
-    assert_eq!(tracker.vacant_ranges(&TERMS, at_ms(60_000)), []);
+    assert_eq!(tracker.vacant_ranges(&assignment, &TERMS, at_ms(60_000)), []);
 }
 
 /// A change of an assignment.
@@ -144,7 +146,7 @@
 fn apply(assignment: &mut Assignment, change: &Change, range: KeyRange) {
     match change {
         Change::Assign(to) => assignment.assign(range, &owner(*to)),
-        Change::BeginMove(to) => assignment.begin_move(range, to.map(owner).as_ref()),
+        Change::BeginMove(to) => assignment.begin_move(range, to.map(owner).as_ref(), 1),
         Change::RedirectMove(to) => assignment.redirect_move(range, to.map(owner).as_ref()),
         Change::CancelMoves(of) => {
             assignment.cancel_moves(&owner(*of).target);
@@ -197,7 +199,7 @@
     let mut assignment = Assignment::new();
     assignment.assign(range(0, 999), &one);
     assignment.assign(range(1_000, 1_999), &two);
-    assignment.begin_move(range(500, 999), Some(&two));
+    assignment.begin_move(range(500, 999), Some(&two), 1);
     let reissued = assignment.reissued(1 << 32);
     assert_eq!(reissued.entry_of(0).holding, Holding::Owned(one));
     assert_eq!(reissued.entry_of(500).holding, Holding::Free);
--- a/crates/galenastream_ranges/tests/fuzz.rs
+++ b/crates/galenastream_ranges/tests/fuzz.rs
@@ -34,7 +34,7 @@
     let next = Owner::new(TargetIncarnation::new("next", 1), "vm-next");
     let mut changed = assignment.clone();
     for holder in assignment.holders() {
-        changed.begin_move(range, Some(&next));
+        changed.begin_move(range, Some(&next), 1);
         check_invariants(&changed)?;
         changed.complete_move(&holder.target, range, "token");
         check_invariants(&changed)?;
--- a/crates/galenastream_ranges/tests/planner.rs
+++ b/crates/galenastream_ranges/tests/planner.rs
@@ -51,7 +51,7 @@
 fn carry_out(assignment: &mut Assignment, moves: &[PlannedMove]) -> u32 {
     let mut moved = 0;
     for planned in moves {
-        assignment.begin_move(planned.range, Some(&planned.to));
+        assignment.begin_move(planned.range, Some(&planned.to), 1);
         assignment.assign(planned.range, &planned.to);
         for holder in assignment.holders() {
             assignment.complete_move(&holder.target, planned.range, "");
@@ -181,7 +181,7 @@
     assignment.assign(range(40_001, 60_000), &owners[1]);
     assignment.assign(range(60_001, 65_535), &owners[2]);
     // The hottest range of the first target is moving to the third one.
-    assignment.begin_move(range(0, 999), Some(&owners[2]));
+    assignment.begin_move(range(0, 999), Some(&owners[2]), 1);
     let load = |first, last, per_s| KeyLoad { range: range(first, last), per_s };
     let target = |index: usize, loads: Vec<KeyLoad>| TargetLoad {
         owner: owners[index].clone(),
@@ -228,7 +228,7 @@
         assignment.assign(range(0, 29_999), &owner(0));
         assignment.assign(range(30_000, 65_535), &owner(1));
         if let Some(last) = u16::try_from(last_keys).ok().filter(|it| *it > 0) {
-            assignment.begin_move(range(60_000, 59_999 + last), Some(&owner(2)));
+            assignment.begin_move(range(60_000, 59_999 + last), Some(&owner(2)), 1);
             assignment.complete_move(&owner(1).target, range(60_000, 59_999 + last), "");
         }
         let capacities = [200.0, 200.0, STARVED];
--- a/examples/embed_assignment.rs
+++ b/examples/embed_assignment.rs
@@ -17,7 +17,7 @@
 
     // First write: the keys are leaving. No node grants further leases on them.
     let upper = KeyRange::new(32_768, 65_535).context("the range is empty")?;
-    assignment.begin_move(upper, Some(&second));
+    assignment.begin_move(upper, Some(&second), 1);
     let is_leaving = matches!(assignment.entry_of(40_000).holding, Holding::Leaving { .. });
     ensure!(is_leaving, "the keys are not leaving");
 
