End a target only on evidence that its process has ended

Three kinds of news ended a target that was running, and its keys were given away at once while it held leases of up to 6 s: one heartbeat of another id with a later start time, one of another id after 1.1 s of silence, and two refused connections. After a restart of the node, two heartbeats of any target ended all others. A target that came back with an earlier start time was never accepted.

Start times do not order incarnations: the time of day may be set, and a heartbeat may be a delayed one. The known target now ends only if - its address refuses connections, no connection of it is open in either direction, and it has sent no heartbeat since the probe began; - a health check at its address is answered with another id (an address belongs to one target at a time), and no heartbeat of it came since; or - its heartbeats have stopped and its last lease has ended. A heartbeat of another incarnation only asks for the health check. What an earlier process may have granted ends by the time that its leases end, or by the health check.

A target that was taken for ended is told to release its keys, instead of an acknowledgement that leaves it its leases.

--- a/crates/galenastream_node/src/process/control_state.rs
+++ b/crates/galenastream_node/src/process/control_state.rs
@@ -82,6 +82,9 @@
     /// could not either.
     pub(super) unreadable_config_version: Option<u64>,
     pub(super) last_probe_at: BootInstant,
+    /// Whether a heartbeat of another target than the local one has arrived, so that a health check
+    /// is to tell which of them runs.
+    pub(super) is_identity_wanted: bool,
     pub(super) eras: StoreEras,
 }
 
@@ -140,6 +143,7 @@
             newer_config_since: None,
             unreadable_config_version: None,
             last_probe_at: started_at,
+            is_identity_wanted: false,
             eras: StoreEras::default(),
         }
     }
--- a/crates/galenastream_node/src/process/heartbeats.rs
+++ b/crates/galenastream_node/src/process/heartbeats.rs
@@ -1,6 +1,5 @@
 //! Heartbeats of the local target and the leases in the replies.
 
-use std::cmp::Ordering;
 use std::time::Duration;
 
 use galenastream_adapter::{Grant, Heartbeat, HeartbeatReply};
@@ -46,8 +45,8 @@
         let incarnation = TargetIncarnation::new(target_id, heartbeat.born_ms);
         if !self.accept_incarnation(&incarnation, &heartbeat, now) {
             log::info!(event = "heartbeat_outdated", target:% = incarnation, sequence = heartbeat.sequence; "");
-            let acknowledged = HeartbeatAnswer::Reply(HeartbeatReply::Acknowledged);
-            return send_reply(answer, acknowledged);
+            let reply = HeartbeatAnswer::Reply(self.reply_to_outdated(&incarnation, now));
+            return send_reply(answer, reply);
         }
         let max_reply_delay = self.max_reply_delay();
         let Some(local) = &mut self.local else {
@@ -73,8 +72,25 @@
         local.draining_since = earliest(local.draining_since, Some(since));
     }
 
+    /// The reply to a heartbeat that is not the next one of the local target. One that was taken for
+    /// ended is told to release all keys, in case that it is not.
+    fn reply_to_outdated(
+        &self,
+        incarnation: &TargetIncarnation,
+        now: BootInstant,
+    ) -> HeartbeatReply {
+        match self.recently_ended(incarnation, now) {
+            Some(_) => HeartbeatReply::Leases {
+                grants: Vec::new(),
+                lease_ms: millis(self.lease_terms.max_lease),
+            },
+            None => HeartbeatReply::Acknowledged,
+        }
+    }
+
     /// Returns whether a heartbeat is current for the local target. Replaces the known incarnation
-    /// if the heartbeat comes from its successor.
+    /// if that has provably ended: neither the heartbeat of another one nor its start time proves
+    /// it, since heartbeats may be delayed and the time of day may be set.
     pub(super) fn accept_incarnation(
         &mut self,
         incarnation: &TargetIncarnation,
@@ -85,13 +101,16 @@
             return false;
         }
         if let Some(local) = &self.local {
-            if local.incarnation == *incarnation {
-                return heartbeat.sequence > local.sequence;
+            if local.incarnation == *incarnation && heartbeat.sequence > local.sequence {
+                return true;
             }
-            if !self.is_successor(local, heartbeat, now) {
+            if !self.has_expired(local, now) {
+                if local.incarnation != *incarnation {
+                    self.is_identity_wanted = true;
+                }
                 return false;
             }
-            self.end_local_target(EndEvidence::AnotherIdentified, now);
+            self.end_local_target(EndEvidence::LeasesExpired, now);
         }
         log::info!(
             event = "target_up",
@@ -109,24 +128,6 @@
         true
     }
 
-    /// Whether a heartbeat of another incarnation shows that the known one has ended.
-    ///
-    /// Equal start times, such as those of targets that report none, do not order the incarnations:
-    /// the heartbeat may be a delayed one of an earlier incarnation. The known incarnation must
-    /// then be silent.
-    pub(super) fn is_successor(
-        &self,
-        local: &LocalTargetState,
-        heartbeat: &Heartbeat,
-        now: BootInstant,
-    ) -> bool {
-        match heartbeat.born_ms.cmp(&local.incarnation.born_ms) {
-            Ordering::Greater => true,
-            Ordering::Less => false,
-            Ordering::Equal => local.is_silent(now, self.heartbeat_timeout() / 2),
-        }
-    }
-
     pub(super) fn handle_deregister(
         &mut self,
         target_id: &str,
--- a/crates/galenastream_node/src/process/local_target.rs
+++ b/crates/galenastream_node/src/process/local_target.rs
@@ -17,8 +17,6 @@
     pub(super) service: Arc<str>,
     pub(super) slots: u32,
     pub(super) sequence: u64,
-    /// Heartbeats of this incarnation that this process has accepted.
-    pub(super) heartbeat_count: u32,
     pub(super) last_heartbeat_at: BootInstant,
     /// Whether a health check at the target's address has confirmed its id.
     pub(super) identity: Identity,
@@ -36,12 +34,15 @@
 /// What a health check has shown about the target that listens beside this node.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Identity {
-    /// No health check was sent.
+    /// No health check was sent since the last heartbeat.
     Unknown,
     /// A health check was sent, without a matching answer so far.
     Requested,
     /// The target id of the answer equals that of the heartbeats.
-    Confirmed,
+    Confirmed {
+        /// When the health check was sent.
+        at: BootInstant,
+    },
 }
 
 /// A heartbeat whose reply is delayed.
@@ -67,7 +68,6 @@
             service: Arc::from(heartbeat.service.as_str()),
             slots: heartbeat.slots,
             sequence: 0,
-            heartbeat_count: 0,
             last_heartbeat_at: now,
             identity: Identity::Unknown,
             draining_since: None,
@@ -81,8 +81,10 @@
 
     pub(super) fn update(&mut self, heartbeat: &Heartbeat, now: BootInstant) {
         self.sequence = heartbeat.sequence;
-        self.heartbeat_count = self.heartbeat_count.saturating_add(1);
         self.last_heartbeat_at = now;
+        if self.identity == Identity::Requested {
+            self.identity = Identity::Unknown;
+        }
         self.slots = heartbeat.slots;
         self.held.clone_from(&heartbeat.held);
         self.released.extend(heartbeat.released.iter().cloned());
--- a/crates/galenastream_node/src/process/ownership_facts.rs
+++ b/crates/galenastream_node/src/process/ownership_facts.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use galenastream_adapter::HeartbeatReply;
-use galenastream_ranges::{Assignment, Holding, KeyRange, RangeEntry, TargetIncarnation};
+use galenastream_ranges::{Assignment, Holding, KeyRange, Owner, RangeEntry, TargetIncarnation};
 use galenastream_utils::BootInstant;
 use galenastream_wire::{IncarnationRecord, OwnershipFacts, ReleaseRecord};
 
@@ -133,27 +133,26 @@
         if let Some(ended) = self.recently_ended(target, now) {
             return Some(ended.clone());
         }
-        let ended = |evidence, at| Some(EndedTarget { incarnation: target.clone(), at, evidence });
-        match &self.local {
+        let leases_end = self.lease_terms.inherited_leases_end(self.started_at);
+        let (evidence, at) = match &self.local {
             Some(local) if local.incarnation == *target => {
-                let has_expired =
-                    local.is_silent(now, self.heartbeat_timeout()) && now >= local.leases_end_at;
-                has_expired.then_some(())?;
-                ended(EndEvidence::LeasesExpired, local.leases_end_at)
+                self.has_expired(local, now).then_some((EndEvidence::LeasesExpired, now))?
             }
-            // A single heartbeat may be a delayed one of an earlier incarnation.
-            Some(local) => {
-                let is_certain =
-                    local.heartbeat_count >= 2 || local.identity == Identity::Confirmed;
-                (is_certain && local.incarnation.born_ms >= target.born_ms).then_some(())?;
-                ended(EndEvidence::AnotherIdentified, local.last_heartbeat_at)
-            }
-            None => {
-                let leases_end = self.lease_terms.inherited_leases_end(self.started_at);
-                (now >= leases_end).then_some(())?;
-                ended(EndEvidence::EarlierLeasesExpired, leases_end)
-            }
-        }
+            // This process has granted nothing to the target, since it would be local or ended.
+            local => match local.as_ref().map(|it| (it.identity, &*it.incarnation.id)) {
+                Some((Identity::Confirmed { at }, id)) if *id != *target.id => {
+                    (EndEvidence::AnotherIdentified, at)
+                }
+                _ if now >= leases_end => (EndEvidence::EarlierLeasesExpired, leases_end),
+                _ => return None,
+            },
+        };
+        Some(EndedTarget { incarnation: target.clone(), at, evidence })
+    }
+
+    /// Whether the heartbeats of the local target have stopped and its leases have expired.
+    pub(super) fn has_expired(&self, local: &LocalTargetState, now: BootInstant) -> bool {
+        local.is_silent(now, self.heartbeat_timeout()) && now >= local.leases_end_at
     }
 
     /// The end of an incarnation that ended so recently that a heartbeat of it must be a delayed
@@ -194,26 +193,27 @@
         }
     }
 
-    /// Requests the identity of a local target if an earlier one still holds keys, so that these
-    /// need not wait for the second heartbeat of the new one.
+    /// Asks the target beside this node for its id if heartbeats of two targets arrive, or if an
+    /// earlier one still holds keys: an id in the answer proves that all other targets have ended.
     pub(super) fn request_identity(&mut self) {
         let Some(local) = &self.local else {
             return;
         };
-        if local.identity != Identity::Unknown || local.heartbeat_count >= 2 {
+        if local.identity == Identity::Requested {
+            return;
+        }
+        let is_earlier = |it: &Owner| it.node == self.node && it.target != local.incarnation;
+        let assignment = self.assignments.get(&*local.service).map(|it| &it.assignment);
+        let replaces_holder = !matches!(local.identity, Identity::Confirmed { .. })
+            && assignment.is_some_and(|it| it.holders().iter().any(is_earlier));
+        if !replaces_holder && !self.is_identity_wanted {
             return;
         }
         let rules = self.routing.as_ref().and_then(|it| it.service(&local.service));
         let Some(path) = rules.map(|it| it.health_path.clone()).filter(|it| !it.is_empty()) else {
             return;
         };
-        let assignment = self.assignments.get(&*local.service).map(|it| &it.assignment);
-        let holders = assignment.map(|it| it.holders()).unwrap_or_default();
-        let replaces_holder =
-            holders.iter().any(|it| it.node == self.node && it.target != local.incarnation);
-        if !replaces_holder {
-            return;
-        }
+        self.is_identity_wanted = false;
         if let Some(local) = &mut self.local {
             local.identity = Identity::Requested;
             let target = local.incarnation.clone();
@@ -237,20 +237,27 @@
             open_connections = probe.open_connections;
             ""
         );
+        let Some(local) = self.local.as_mut().filter(|it| it.incarnation == probe.target) else {
+            return;
+        };
+        // A heartbeat that arrives after the probe began comes from a target that runs, or was
+        // delayed: it leaves open which.
+        let is_heard = local.last_heartbeat_at >= probe.began_at;
         match &probe.answer {
-            ProbeAnswer::Refused => self.end_local_target(EndEvidence::ConnectionsClosed, now),
-            ProbeAnswer::Identified { target_id } => self.handle_identity(target_id),
-        }
-    }
-
-    /// Handles the target id in the answer to a health check.
-    fn handle_identity(&mut self, target_id: &str) {
-        match &mut self.local {
-            Some(local) if &*local.incarnation.id == target_id => {
+            ProbeAnswer::Identified { target_id } if **target_id == *local.incarnation.id => {
+                local.identity = Identity::Confirmed { at: probe.began_at };
                 log::info!(event = "target_identified", target:% = local.incarnation; "");
-                local.identity = Identity::Confirmed;
             }
-            _ => log::info!(event = "target_differs", target_id; ""),
+            ProbeAnswer::Identified { target_id } if !is_heard => {
+                log::info!(event = "target_differs", target_id = target_id.as_str(); "");
+                self.end_local_target(EndEvidence::AnotherIdentified, now);
+            }
+            // A closed listener alone does not end a target: one that stops may close it first and
+            // go on with requests in progress.
+            ProbeAnswer::Refused if !is_heard && probe.open_connections == 0 => {
+                self.end_local_target(EndEvidence::ConnectionsClosed, now);
+            }
+            ProbeAnswer::Refused | ProbeAnswer::Identified { .. } => {}
         }
     }
 
