galenastreamctl trace-key: who held a key, from the logs of nodes

What operators saw: after two targets held a key, no command told from logs which node had granted the key to whom, on which row, and what had proved that the holder before had ended.

--- a/crates/galenastream_ctl/src/process/command_line.rs
+++ b/crates/galenastream_ctl/src/process/command_line.rs
@@ -3,6 +3,7 @@
 use std::{net::SocketAddr, path::PathBuf};
 
 use clap::{Arg, ArgAction, Command, builder::PossibleValuesParser, value_parser};
+use jiff::Timestamp;
 
 use crate::EXIT_CODES;
 
@@ -17,7 +18,7 @@
         .long_about(
             "Inspects a galenastream router and applies its settings.\n\n\
              Settings, the config, key owners and nodes are read from the platform's store; \
-             `members` also queries each node. `trace` only reads log files.",
+             `members` also queries each node. `trace` and `trace-key` only read log files.",
         )
         .after_help(EXIT_CODES)
         .subcommand_required(true)
@@ -45,6 +46,7 @@
         .subcommand(ranges_command())
         .subcommand(members_command())
         .subcommand(trace_command())
+        .subcommand(trace_key_command())
 }
 
 fn settings_command() -> Command {
@@ -178,15 +180,38 @@
                 .required(true)
                 .help("Id of the request"),
         )
+        .arg(logs_argument())
+}
+
+fn trace_key_command() -> Command {
+    Command::new("trace-key")
+        .about("Lists who held a key, by the logs of nodes")
+        .long_about(
+            "Lists who held a key, by the logs of nodes: the leases that were granted on it, the \
+             changes of its owner with the proof that the holder before had ended, and holds of \
+             two targets that overlap. Times are those of the logs, so the order of lines of \
+             several VMs is only as accurate as their clocks.",
+        )
+        .arg(service_argument().required(true))
+        .arg(key_argument().required(true))
         .arg(
-            Arg::new("logs")
-                .value_name("LOG")
-                .required(true)
-                .action(ArgAction::Append)
-                .num_args(1..)
-                .value_parser(value_parser!(PathBuf))
-                .help("Log files of nodes, with one JSON object per line"),
+            Arg::new("at")
+                .long("at")
+                .value_name("TIME")
+                .value_parser(value_parser!(Timestamp))
+                .help("Show only the leases at this instant, such as 2026-12-04T10:00:02.5Z"),
         )
+        .arg(logs_argument())
+}
+
+fn logs_argument() -> Arg {
+    Arg::new("logs")
+        .value_name("LOG")
+        .required(true)
+        .action(ArgAction::Append)
+        .num_args(1..)
+        .value_parser(value_parser!(PathBuf))
+        .help("Log files of nodes, with one JSON object per line")
 }
 
 fn file_argument() -> Arg {
--- a/crates/galenastream_ctl/src/process/ctl_error.rs
+++ b/crates/galenastream_ctl/src/process/ctl_error.rs
@@ -105,6 +105,18 @@
         /// Number of log files that were read.
         log_count: usize,
     },
+    /// The logs have no line about the ownership of the key.
+    #[error(
+        "no line in {log_count} log files concerns the ownership of key {key} of service {service}\n  remedy: check --service and --key, and include the logs of the nodes beside the service's targets and of the planner, at level info"
+    )]
+    KeyNotInLogs {
+        /// Name of the service.
+        service: String,
+        /// The key.
+        key: u16,
+        /// Number of log files that were read.
+        log_count: usize,
+    },
     /// The async runtime could not be started.
     #[error(
         "cannot start the async runtime: {reason}\n  remedy: raise the resource limits of this shell"
@@ -132,6 +144,7 @@
             | Self::UnreadableAssignment { .. }
             | Self::UnknownName { .. }
             | Self::RequestNotInLogs { .. }
+            | Self::KeyNotInLogs { .. }
             | Self::Runtime { .. } => ExitStatus::Failure,
             Self::Conflict { .. } => ExitStatus::Conflict,
             Self::StoreCallFailed { .. } => ExitStatus::StoreCallFailed,
--- a/crates/galenastream_ctl/src/request/mod.rs
+++ b/crates/galenastream_ctl/src/request/mod.rs
@@ -3,6 +3,7 @@
 mod config_check;
 mod config_explain;
 mod config_source;
+mod key_history;
 mod members;
 mod platform_store;
 mod ranges;
@@ -13,6 +14,7 @@
 mod settings_file;
 mod settings_show;
 mod trace;
+mod trace_key;
 
 use clap::ArgMatches;
 
@@ -30,6 +32,7 @@
         Some(("ranges", matches)) => ranges::run(matches, output).await,
         Some(("members", matches)) => members::run(matches, output).await,
         Some(("trace", matches)) => trace::run(matches, output),
+        Some(("trace-key", matches)) => trace_key::run(matches, output),
         // clap rejects a missing or unknown subcommand.
         _ => Ok(()),
     }
