Ignore a heartbeat with an older sequence number also after the leases have ended

The commit before took it for one of a new life of the target, which a delayed heartbeat can look like (an_older_sequence_of_the_same_incarnation_is_ignored failed).

--- a/crates/galenastream_node/src/process/heartbeats.rs
+++ b/crates/galenastream_node/src/process/heartbeats.rs
@@ -101,13 +101,11 @@
             return false;
         }
         if let Some(local) = &self.local {
-            if local.incarnation == *incarnation && heartbeat.sequence > local.sequence {
-                return true;
+            if local.incarnation == *incarnation {
+                return heartbeat.sequence > local.sequence;
             }
             if !self.has_expired(local, now) {
-                if local.incarnation != *incarnation {
-                    self.is_identity_wanted = true;
-                }
+                self.is_identity_wanted = true;
                 return false;
             }
             self.end_local_target(EndEvidence::LeasesExpired, now);
