Take nothing for released that an earlier process may have granted since

A heartbeat that was delayed since before the restart of the node says nothing of the leases that the process before granted in reply to a later one. The new process answered it without the keys, and took them for never held, or an old release of them for the present one: the keys moved while the target held them.

Until the leases of the earlier process have ended, a release counts only for keys that the target has reported to this process as held before, and keys that a heartbeat does not mention prove nothing. Releases of keys that are granted again are forgotten, so that no handover token is used that is older than the last hold.

--- a/crates/galenastream_node/src/process/heartbeats.rs
+++ b/crates/galenastream_node/src/process/heartbeats.rs
@@ -202,6 +202,7 @@
         let grants = grants_of(assignment, &local.incarnation);
         let confirmed_age = now.saturating_since(confirmed_at);
         log_leases(local, &grants, row_version, confirmed_age, lease);
+        local.forget_releases(&grants);
         // The target counts the lease from sending the heartbeat, shortly before it arrived here.
         local.granted = Some(HeldLeases::new(ranges_of(&grants), local.last_heartbeat_at + lease));
         local.leases_end_at = local.leases_end_at.max(self.lease_terms.lease_end(now, lease));
--- a/crates/galenastream_node/src/process/local_target.rs
+++ b/crates/galenastream_node/src/process/local_target.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use galenastream_adapter::{Heartbeat, HeartbeatReply, HeldKeys, ReleasedKeys, TargetState};
+use galenastream_adapter::{Grant, Heartbeat, HeartbeatReply, HeldKeys, ReleasedKeys, TargetState};
 use galenastream_ranges::{KeyRange, TargetIncarnation};
 use galenastream_utils::BootInstant;
 use tokio::sync::oneshot;
@@ -24,6 +24,8 @@
     /// The keys that the last heartbeat reports as held or still being processed.
     pub(super) held: Vec<HeldKeys>,
     pub(super) released: Vec<ReleasedKeys>,
+    /// The ranges that heartbeats to this process have reported as held.
+    pub(super) shown_held: Vec<KeyRange>,
     /// The leases of the last [`HeartbeatReply::Leases`]; `None` if this process has sent none.
     pub(super) granted: Option<HeldLeases>,
     /// When all leases expire that this process or an earlier one on the VM has granted.
@@ -53,7 +55,7 @@
     pub(super) reply_by: BootInstant,
 }
 
-/// Number of remembered releases; they are needed until the keys are handed over.
+/// Number of remembered releases and ranges; they are needed until the keys are handed over.
 const MAX_REMEMBERED_RELEASES: usize = 128;
 
 impl LocalTargetState {
@@ -73,6 +75,7 @@
             draining_since: None,
             held: Vec::new(),
             released: Vec::new(),
+            shown_held: Vec::new(),
             granted: None,
             leases_end_at,
             pending_heartbeat: None,
@@ -87,6 +90,9 @@
         }
         self.slots = heartbeat.slots;
         self.held.clone_from(&heartbeat.held);
+        for held in &heartbeat.held {
+            self.show_held(held);
+        }
         self.released.extend(heartbeat.released.iter().cloned());
         // A later release of the same keys supersedes an earlier one, so the oldest are dropped.
         let surplus = self.released.len().saturating_sub(MAX_REMEMBERED_RELEASES);
@@ -97,6 +103,34 @@
         }
     }
 
+    fn show_held(&mut self, held: &HeldKeys) {
+        let Some(range) = KeyRange::new(held.first, held.last) else {
+            return;
+        };
+        if self.has_shown(range) {
+            return;
+        }
+        self.shown_held.push(range);
+        let surplus = self.shown_held.len().saturating_sub(MAX_REMEMBERED_RELEASES);
+        self.shown_held.drain(..surplus);
+    }
+
+    /// Whether a heartbeat to this process has reported a whole range as held.
+    pub(super) fn has_shown(&self, range: KeyRange) -> bool {
+        self.shown_held.iter().any(|it| it.overlap(range) == Some(range))
+    }
+
+    /// Forgets the releases of keys that are granted again.
+    pub(super) fn forget_releases(&mut self, grants: &[Grant]) {
+        for grant in grants {
+            let Some(granted) = KeyRange::new(grant.first, grant.last) else {
+                continue;
+            };
+            let released = std::mem::take(&mut self.released);
+            self.released = released.iter().flat_map(|it| remaining_parts(it, granted)).collect();
+        }
+    }
+
     /// Whether the target may still hold keys of a range, or process requests for them.
     ///
     /// This is ruled out only if neither the last heartbeat nor the last granted leases contain
@@ -135,6 +169,18 @@
     }
 }
 
+/// The parts of a release outside of a range.
+fn remaining_parts(release: &ReleasedKeys, granted: KeyRange) -> Vec<ReleasedKeys> {
+    let Some(range) = KeyRange::new(release.first, release.last) else {
+        return Vec::new();
+    };
+    if range.overlap(granted).is_none() {
+        return vec![release.clone()];
+    }
+    let parts = range.without(granted).into_iter().flatten();
+    parts.map(|it| ReleasedKeys { first: it.first, last: it.last, ..release.clone() }).collect()
+}
+
 fn overlaps(first: u16, last: u16, range: KeyRange) -> bool {
     first <= range.last && range.first <= last
 }
--- a/crates/galenastream_node/src/process/ownership_facts.rs
+++ b/crates/galenastream_node/src/process/ownership_facts.rs
@@ -55,7 +55,7 @@
             let age = now.saturating_since(since);
             HoldEnd { service, range, target, row_version, evidence, age, node }.log();
         };
-        for ended in self.ended_holders(assignment, now) {
+        for ended in self.ended_holders(service, assignment, now) {
             let target = &ended.incarnation;
             log::info!(event = "owner_removed", service, target:%; "");
             for entry in assignment.held_by(target) {
@@ -74,7 +74,8 @@
             assignment.cancel_moves(&local.incarnation);
             return;
         }
-        for release in released_ranges(local, assignment) {
+        let has_earlier_leases = now < self.earlier_leases_end();
+        for release in released_ranges(local, assignment, has_earlier_leases) {
             let target = &local.incarnation;
             if assignment.complete_move(target, release.range, &release.handover) {
                 log_end(target, release.range, release.evidence, local.last_heartbeat_at);
@@ -85,11 +86,12 @@
     /// The holders beside this node that have provably ended.
     pub(super) fn ended_holders(
         &self,
+        service: &str,
         assignment: &Assignment,
         now: BootInstant,
     ) -> Vec<EndedTarget> {
         let holders = assignment.holders().into_iter().filter(|it| it.node == self.node);
-        holders.filter_map(|it| self.ended_target(&it.target, now)).collect()
+        holders.filter_map(|it| self.ended_target(service, &it.target, now)).collect()
     }
 
     /// The facts that this node would write itself if it reached the store; empty if it does.
@@ -100,13 +102,15 @@
         let mut facts = Vec::new();
         for (service, record) in &self.assignments {
             let local = self.local.as_ref().filter(|it| *it.service == **service);
-            let ranges = local.map(|it| released_ranges(it, &record.assignment));
+            let has_earlier_leases = now < self.earlier_leases_end();
+            let ranges =
+                local.map(|it| released_ranges(it, &record.assignment, has_earlier_leases));
             let releases = ranges.into_iter().flatten().map(|it| ReleaseRecord {
                 first: u32::from(it.range.first),
                 last: u32::from(it.range.last),
                 handover: it.handover,
             });
-            let ended = self.ended_holders(&record.assignment, now).into_iter();
+            let ended = self.ended_holders(service, &record.assignment, now).into_iter();
             let ended = ended.map(|it| IncarnationRecord {
                 id: it.incarnation.id.to_string(),
                 born_ms: it.incarnation.born_ms,
@@ -127,13 +131,13 @@
     /// The end of an incarnation beside this node, if it provably holds no keys any longer.
     pub(super) fn ended_target(
         &self,
+        service: &str,
         target: &TargetIncarnation,
         now: BootInstant,
     ) -> Option<EndedTarget> {
         if let Some(ended) = self.recently_ended(target, now) {
             return Some(ended.clone());
         }
-        let leases_end = self.lease_terms.inherited_leases_end(self.started_at);
         let (evidence, at) = match &self.local {
             Some(local) if local.incarnation == *target => {
                 self.has_expired(local, now).then_some((EndEvidence::LeasesExpired, now))?
@@ -143,8 +147,11 @@
                 Some((Identity::Confirmed { at }, id)) if *id != *target.id => {
                     (EndEvidence::AnotherIdentified, at)
                 }
-                _ if now >= leases_end => (EndEvidence::EarlierLeasesExpired, leases_end),
-                _ => return None,
+                _ => {
+                    let leases_end = self.earlier_leases_end();
+                    (now >= leases_end)
+                        .then_some((EndEvidence::EarlierLeasesExpired, leases_end))?
+                }
             },
         };
         Some(EndedTarget { incarnation: target.clone(), at, evidence })
@@ -152,7 +159,14 @@
 
     /// Whether the heartbeats of the local target have stopped and its leases have expired.
     pub(super) fn has_expired(&self, local: &LocalTargetState, now: BootInstant) -> bool {
-        local.is_silent(now, self.heartbeat_timeout()) && now >= local.leases_end_at
+        local.is_silent(now, self.heartbeat_timeout())
+            && now >= local.leases_end_at.max(self.earlier_leases_end())
+    }
+
+    /// The instant by which every lease has ended that an earlier process on this VM may have
+    /// granted.
+    pub(super) fn earlier_leases_end(&self) -> BootInstant {
+        self.lease_terms.inherited_leases_end(self.started_at)
     }
 
     /// The end of an incarnation that ended so recently that a heartbeat of it must be a delayed
@@ -274,37 +288,42 @@
 }
 
 /// The ranges that are leaving a target and that it holds no longer, each with its handover token.
-fn released_ranges(local: &LocalTargetState, assignment: &Assignment) -> Vec<Release> {
+///
+/// A heartbeat may have been delayed since before an earlier process on this VM granted keys. While
+/// leases of that process may last (`has_earlier_leases`), a release counts only for keys that the
+/// target has reported to this process as held before, and that keys are not mentioned proves nothing.
+fn released_ranges(
+    local: &LocalTargetState,
+    assignment: &Assignment,
+    has_earlier_leases: bool,
+) -> Vec<Release> {
     let mut ranges = Vec::new();
+    let counts = |range| !has_earlier_leases || local.has_shown(range);
+    let release = |range, handover: &str, evidence| Release {
+        range,
+        handover: handover.to_owned(),
+        evidence,
+    };
     for entry in assignment.leaving(&local.incarnation) {
         if local.may_hold(entry.range) {
             continue;
         }
-        if let Some(handover) = local.handover_token(entry.range) {
-            ranges.push(Release {
-                range: entry.range,
-                handover: handover.to_owned(),
-                evidence: EndEvidence::Released,
-            });
+        if let Some(handover) = local.handover_token(entry.range).filter(|_| counts(entry.range)) {
+            ranges.push(release(entry.range, handover, EndEvidence::Released));
             continue;
         }
-        for release in &local.released {
-            let released = KeyRange::new(release.first, release.last);
-            if let Some(part) = released.and_then(|it| it.overlap(entry.range)) {
-                ranges.push(Release {
-                    range: part,
-                    handover: release.handover.clone(),
-                    evidence: EndEvidence::Released,
-                });
+        for reported in &local.released {
+            let released = KeyRange::new(reported.first, reported.last);
+            let part = released.and_then(|it| it.overlap(entry.range));
+            if let Some(part) = part.filter(|it| counts(*it)) {
+                ranges.push(release(part, &reported.handover, EndEvidence::Released));
             }
         }
         // The target never held the rest. Completing a move skips parts of the range that were
         // moved above, since they are not leaving any longer.
-        ranges.push(Release {
-            range: entry.range,
-            handover: String::new(),
-            evidence: EndEvidence::NeverHeld,
-        });
+        if !has_earlier_leases {
+            ranges.push(release(entry.range, "", EndEvidence::NeverHeld));
+        }
     }
     ranges
 }
