Bind leases and waits to the limits that the row states

Each node took the longest lease and the validity of a row from its own settings, and applied them to leases of other nodes and of the process before it: with 4 s at one node and 10 s at another, keys moved seconds before their last lease ended. The same holds after a settings file has changed between two starts, and after an upgrade that changes a constant.

The row now states the limits of every lease on it and on all earlier rows. They are only ever raised, by the planner. A node grants within the limits of the row and of its own settings, and waits for those of the row: before it completes the move of a lost target, takes the leases of an earlier process for ended, or puts a new era in force. Rows of earlier programs state none; then those of the own settings hold, as before.

The planner counts on its clock what the granting node counted on its own: a lease now ends 2% of the validity of the row earlier, since each of the two clocks may be off by 1%.

--- a/crates/galenastream_node/src/process/control_state.rs
+++ b/crates/galenastream_node/src/process/control_state.rs
@@ -104,7 +104,7 @@
 impl ControlState {
     /// Creates the state of a process that started at `started_at`.
     pub fn new(settings: NodeSettings, started_at: BootInstant) -> Self {
-        let platform_max_lease = Duration::from_millis(settings.bounds.max_lease_ms);
+        let platform_max_lease = max_lease(&settings);
         let lease_terms = LeaseTerms::new(
             platform_max_lease + ROW_VALIDITY_MARGIN,
             platform_max_lease.min(MAX_LEASE),
@@ -273,6 +273,9 @@
         if is_planner {
             self.plan_service(service, &mut desired, now);
         }
+        if is_planner && (desired != *current || self.assignments[service].version > 0) {
+            desired.raise_terms(self.lease_terms);
+        }
         if desired == *current {
             return;
         }
@@ -290,6 +293,11 @@
         });
     }
 
+    /// The longest lease that the platform permits.
+    pub(super) const fn platform_max_lease(&self) -> Duration {
+        max_lease(&self.settings)
+    }
+
     pub(super) fn heartbeat_timeout(&self) -> Duration {
         Duration::from_millis(self.settings.heartbeat_ms) * HEARTBEAT_TIMEOUT_PERCENT / 100
     }
@@ -304,3 +312,7 @@
         Some(Owner::new(local.incarnation.clone(), self.node.clone()))
     }
 }
+
+const fn max_lease(settings: &NodeSettings) -> Duration {
+    Duration::from_millis(settings.bounds.max_lease_ms)
+}
--- a/crates/galenastream_node/src/process/heartbeats.rs
+++ b/crates/galenastream_node/src/process/heartbeats.rs
@@ -117,8 +117,7 @@
             slots = heartbeat.slots;
             ""
         );
-        let leases_end_at = self.lease_terms.inherited_leases_end(self.started_at);
-        let mut local = LocalTargetState::new(incarnation.clone(), heartbeat, leases_end_at, now);
+        let mut local = LocalTargetState::new(incarnation.clone(), heartbeat, now);
         let early_deregistration =
             self.early_deregistrations.iter().find(|(id, _)| **id == *incarnation.id);
         local.draining_since = early_deregistration.map(|(_, at)| *at);
@@ -190,8 +189,9 @@
         // The previous process on this VM may have acted on a newer row than the one that a peer
         // has sent to this process, and the target may have released keys accordingly.
         let is_confirmed_since_start = confirmed_at >= self.started_at;
-        let Some(lease) =
-            self.lease_terms.lease(confirmed_at, now).filter(|_| is_confirmed_since_start)
+        // Other nodes count on the limits in the row.
+        let terms = assignment.terms().map_or(self.lease_terms, |it| it.min(self.lease_terms));
+        let Some(lease) = terms.lease(confirmed_at, now).filter(|_| is_confirmed_since_start)
         else {
             log::warn!(event = "lease_withheld", reason = "the assignment was not confirmed lately"; "");
             return HeartbeatReply::Acknowledged;
@@ -205,7 +205,7 @@
         local.forget_releases(&grants);
         // The target counts the lease from sending the heartbeat, shortly before it arrived here.
         local.granted = Some(HeldLeases::new(ranges_of(&grants), local.last_heartbeat_at + lease));
-        local.leases_end_at = local.leases_end_at.max(self.lease_terms.lease_end(now, lease));
+        local.leases_end_at = local.leases_end_at.max(terms.lease_end(now, lease));
         HeartbeatReply::Leases { grants, lease_ms: millis(lease) }
     }
 
--- a/crates/galenastream_node/src/process/local_target.rs
+++ b/crates/galenastream_node/src/process/local_target.rs
@@ -28,7 +28,7 @@
     pub(super) shown_held: Vec<KeyRange>,
     /// The leases of the last [`HeartbeatReply::Leases`]; `None` if this process has sent none.
     pub(super) granted: Option<HeldLeases>,
-    /// When all leases expire that this process or an earlier one on the VM has granted.
+    /// When all leases expire that this process has granted.
     pub(super) leases_end_at: BootInstant,
     pub(super) pending_heartbeat: Option<PendingHeartbeat>,
 }
@@ -62,7 +62,6 @@
     pub(super) fn new(
         incarnation: TargetIncarnation,
         heartbeat: &Heartbeat,
-        leases_end_at: BootInstant,
         now: BootInstant,
     ) -> Self {
         Self {
@@ -77,7 +76,7 @@
             released: Vec::new(),
             shown_held: Vec::new(),
             granted: None,
-            leases_end_at,
+            leases_end_at: now,
             pending_heartbeat: None,
         }
     }
--- a/crates/galenastream_node/src/process/ownership_facts.rs
+++ b/crates/galenastream_node/src/process/ownership_facts.rs
@@ -74,7 +74,7 @@
             assignment.cancel_moves(&local.incarnation);
             return;
         }
-        let has_earlier_leases = now < self.earlier_leases_end();
+        let has_earlier_leases = now < self.earlier_leases_end(service);
         for release in released_ranges(local, assignment, has_earlier_leases) {
             let target = &local.incarnation;
             if assignment.complete_move(target, release.range, &release.handover) {
@@ -102,7 +102,7 @@
         let mut facts = Vec::new();
         for (service, record) in &self.assignments {
             let local = self.local.as_ref().filter(|it| *it.service == **service);
-            let has_earlier_leases = now < self.earlier_leases_end();
+            let has_earlier_leases = now < self.earlier_leases_end(service);
             let ranges =
                 local.map(|it| released_ranges(it, &record.assignment, has_earlier_leases));
             let releases = ranges.into_iter().flatten().map(|it| ReleaseRecord {
@@ -148,7 +148,7 @@
                     (EndEvidence::AnotherIdentified, at)
                 }
                 _ => {
-                    let leases_end = self.earlier_leases_end();
+                    let leases_end = self.earlier_leases_end(service);
                     (now >= leases_end)
                         .then_some((EndEvidence::EarlierLeasesExpired, leases_end))?
                 }
@@ -160,13 +160,18 @@
     /// Whether the heartbeats of the local target have stopped and its leases have expired.
     pub(super) fn has_expired(&self, local: &LocalTargetState, now: BootInstant) -> bool {
         local.is_silent(now, self.heartbeat_timeout())
-            && now >= local.leases_end_at.max(self.earlier_leases_end())
+            && now >= local.leases_end_at.max(self.earlier_leases_end(&local.service))
     }
 
     /// The instant by which every lease has ended that an earlier process on this VM may have
-    /// granted.
-    pub(super) fn earlier_leases_end(&self) -> BootInstant {
-        self.lease_terms.inherited_leases_end(self.started_at)
+    /// granted on keys of a service.
+    pub(super) fn earlier_leases_end(&self, service: &str) -> BootInstant {
+        let record = self.assignments.get(service).filter(|it| it.version > 0);
+        // Without the row, it is not known under which terms the earlier process granted.
+        let max_lease = record.map_or(self.platform_max_lease(), |it| {
+            it.assignment.terms().unwrap_or(self.lease_terms).max_lease
+        });
+        self.lease_terms.lease_end(self.started_at, max_lease)
     }
 
     /// The end of an incarnation that ended so recently that a heartbeat of it must be a delayed
--- a/crates/galenastream_node/src/process/planning.rs
+++ b/crates/galenastream_node/src/process/planning.rs
@@ -174,7 +174,8 @@
         assignment: &mut Assignment,
         now: BootInstant,
     ) {
-        let terms = self.lease_terms;
+        // The row states the limits of every lease on it; other nodes may have other settings.
+        let terms = assignment.terms().unwrap_or(self.lease_terms);
         let record = self.assignment_record(service);
         let row_version = record.version;
         for vacant in record.vacancy.vacant_ranges(assignment, &terms, now) {
--- a/crates/galenastream_node/src/process/store_eras.rs
+++ b/crates/galenastream_node/src/process/store_eras.rs
@@ -9,7 +9,7 @@
 
 use bytes::Bytes;
 use galenastream_adapter::{ExpectedRow, Row, RowWrite, StoreError, era_of, number_of};
-use galenastream_ranges::Assignment;
+use galenastream_ranges::{Assignment, LeaseTerms};
 use galenastream_utils::{BootInstant, FastMap};
 use galenastream_wire::{EraRow, SharedRowKey};
 use prost::Message;
@@ -137,7 +137,7 @@
     /// current era in force: with new fencing tokens, and with the settings tree if that was lost.
     pub(super) fn settle_era(&mut self, now: BootInstant) {
         let eras = &self.eras;
-        let leases_end = self.lease_terms.all_leases_end(eras.current_since) + CLOCK_MARGIN;
+        let leases_end = self.known_terms().all_leases_end(eras.current_since) + CLOCK_MARGIN;
         let is_due = eras.is_first || now >= leases_end;
         let is_ready = is_due && eras.read_era == eras.current && !eras.is_settlement_pending;
         if eras.is_settled() || !is_ready || !self.is_planner(now) {
@@ -222,6 +222,18 @@
         known.value.clone().filter(|_| is_lost && is_untouched)
     }
 
+    /// The longest limits of leases in any known row, and in the settings of this process.
+    fn known_terms(&self) -> LeaseTerms {
+        let in_force = self.assignments.values().filter_map(|it| it.assignment.terms());
+        let waiting = self.eras.waiting_rows.values().filter_map(|it| {
+            let Some(SharedRowKey::Assignment(_)) = SharedRowKey::parse(&it.key) else {
+                return None;
+            };
+            Assignment::decode_row(it.value.as_deref()?).ok()?.terms()
+        });
+        in_force.chain(waiting).fold(self.lease_terms, LeaseTerms::max)
+    }
+
     fn waiting_version(&self, key: &str) -> u64 {
         self.eras.waiting_rows.get(key).map_or(0, |it| it.version)
     }
--- a/crates/galenastream_ranges/src/assignment.rs
+++ b/crates/galenastream_ranges/src/assignment.rs
@@ -1,12 +1,13 @@
 //! Ownership of the keys of a service.
 
-use crate::{KeyRange, Owner, TargetIncarnation};
+use crate::{KeyRange, LeaseTerms, Owner, TargetIncarnation};
 
 /// Ownership of every key of a service, as adjacent ranges in ascending order.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Assignment {
     entries: Vec<RangeEntry>,
     highest_fence: u64,
+    terms: Option<LeaseTerms>,
 }
 
 /// A range of keys with the same owners, fencing token and handover.
@@ -57,11 +58,33 @@
             fence: 0,
             handover: String::new(),
         };
-        Self { entries: vec![entry], highest_fence: 0 }
+        Self { entries: vec![entry], highest_fence: 0, terms: None }
     }
 
-    pub(crate) fn from_entries(entries: Vec<RangeEntry>, highest_fence: u64) -> Self {
-        Self { entries, highest_fence }
+    /// Issues only fencing tokens above `fence`.
+    #[must_use]
+    pub fn with_fences_above(self, fence: u64) -> Self {
+        Self { highest_fence: self.highest_fence.max(fence), ..self }
+    }
+
+    pub(crate) fn from_entries(
+        entries: Vec<RangeEntry>,
+        highest_fence: u64,
+        terms: Option<LeaseTerms>,
+    ) -> Self {
+        Self { entries, highest_fence, terms }
+    }
+
+    /// Returns the limits that every lease on this row and on all earlier ones keeps; `None` if no
+    /// writer has stated them.
+    pub const fn terms(&self) -> Option<LeaseTerms> {
+        self.terms
+    }
+
+    /// Raises the limits of leases on this row to `terms` where they are shorter. They are never
+    /// lowered, so that they hold for leases on earlier rows too.
+    pub fn raise_terms(&mut self, terms: LeaseTerms) {
+        self.terms = Some(self.terms.map_or(terms, |it| it.max(terms)));
     }
 
     /// Returns the entries in ascending order of their keys.
@@ -242,7 +265,7 @@
             let handover = String::new();
             push_merged(&mut entries, RangeEntry { range: entry.range, holding, fence, handover });
         }
-        Self { entries, highest_fence: fence }
+        Self { entries, highest_fence: fence, terms: self.terms }
     }
 
     /// Returns all owners that may hold leases, sorted and without duplicates.
--- a/crates/galenastream_ranges/src/lease_terms.rs
+++ b/crates/galenastream_ranges/src/lease_terms.rs
@@ -6,7 +6,10 @@
 
 /// Safety margin for clock drift: a target's clock may run 2% slow, and the node's own clock may be
 /// off by less than 1%.
-const CLOCK_MARGIN_PERCENT: u64 = 3;
+const CLOCK_MARGIN_PERCENT: u32 = 3;
+
+/// Safety margin between the clocks of two nodes, each of which may be off by less than 1%.
+const NODE_CLOCKS_MARGIN_PERCENT: u32 = 2;
 
 /// The minimum duration of a lease. A shorter one would expire before the target's next heartbeat.
 const MIN_LEASE: Duration = Duration::from_millis(200);
@@ -30,8 +33,9 @@
     /// Returns the duration of the lease that may be granted at `now` on a row that was confirmed
     /// to be current at `confirmed_at`, or `None` if it would be shorter than the minimum.
     pub fn lease(&self, confirmed_at: BootInstant, now: BootInstant) -> Option<Duration> {
-        let remaining = (confirmed_at + self.row_validity).saturating_since(now);
-        let remaining = remaining * (100 - CLOCK_MARGIN_PERCENT) as u32 / 100;
+        let validity = self.row_validity * (100 - NODE_CLOCKS_MARGIN_PERCENT) / 100;
+        let remaining = (confirmed_at + validity).saturating_since(now);
+        let remaining = remaining * (100 - CLOCK_MARGIN_PERCENT) / 100;
         let lease = remaining.min(self.max_lease);
         (lease >= MIN_LEASE).then_some(lease)
     }
@@ -39,7 +43,7 @@
     /// Returns the instant by which a lease granted at `now` has expired at the target, even if the
     /// target's clock runs slow.
     pub fn lease_end(&self, now: BootInstant, lease: Duration) -> BootInstant {
-        now + lease * (100 + CLOCK_MARGIN_PERCENT) as u32 / 100
+        now + lease * (100 + CLOCK_MARGIN_PERCENT) / 100
     }
 
     /// Returns the instant by which every lease granted on a row has expired, if the row was
@@ -48,9 +52,21 @@
         replaced_by + self.row_validity
     }
 
-    /// Returns the instant by which every lease has expired that an earlier process on this VM may
-    /// have granted, if that process ended before `started_at`.
-    pub fn inherited_leases_end(&self, started_at: BootInstant) -> BootInstant {
-        self.lease_end(started_at, self.max_lease)
+    /// Returns the shorter limits of the two.
+    #[must_use]
+    pub fn min(self, other: Self) -> Self {
+        Self {
+            row_validity: self.row_validity.min(other.row_validity),
+            max_lease: self.max_lease.min(other.max_lease),
+        }
+    }
+
+    /// Returns the longer limits of the two.
+    #[must_use]
+    pub fn max(self, other: Self) -> Self {
+        Self {
+            row_validity: self.row_validity.max(other.row_validity),
+            max_lease: self.max_lease.max(other.max_lease),
+        }
     }
 }
--- a/crates/galenastream_ranges/src/row.rs
+++ b/crates/galenastream_ranges/src/row.rs
@@ -1,15 +1,21 @@
 //! Encoding of an assignment as a row of the store.
 
+use std::time::Duration;
+
 use prost::Message;
 
 use crate::{
-    Assignment, Holding, KEY_COUNT, KeyRange, Owner, RangeEntry, RowError, TargetIncarnation,
+    Assignment, Holding, KEY_COUNT, KeyRange, LeaseTerms, Owner, RangeEntry, RowError,
+    TargetIncarnation,
 };
 
 /// The highest fencing token in a row. A correct writer does not come near it, and each change needs
 /// a higher token.
 const MAX_FENCE: u64 = u64::MAX / 2;
 
+/// The longest limit of leases in a row. Sums of longer ones could overflow.
+const MAX_TERM_MS: u64 = 24 * 3_600 * 1_000;
+
 #[derive(Clone, PartialEq, Message)]
 struct AssignmentRow {
     #[prost(message, repeated, tag = "1")]
@@ -18,6 +24,11 @@
     entries: Vec<EntryRecord>,
     #[prost(uint64, tag = "3")]
     highest_fence: u64,
+    /// The limits of leases on this row and on all earlier ones; 0 if not stated.
+    #[prost(uint64, tag = "4")]
+    row_validity_ms: u64,
+    #[prost(uint64, tag = "5")]
+    max_lease_ms: u64,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -72,7 +83,15 @@
             });
         }
         let owners = owners.into_iter().map(OwnerRecord::new).collect();
-        AssignmentRow { owners, entries, highest_fence: self.highest_fence() }.encode_to_vec()
+        let terms = self.terms();
+        let row = AssignmentRow {
+            owners,
+            entries,
+            highest_fence: self.highest_fence(),
+            row_validity_ms: terms.map_or(0, |it| whole_millis(it.row_validity)),
+            max_lease_ms: terms.map_or(0, |it| whole_millis(it.max_lease)),
+        };
+        row.encode_to_vec()
     }
 
     /// Decodes an assignment from a row.
@@ -115,7 +134,11 @@
         if next_key != KEY_COUNT {
             return Err(RowError::KeyNotCoveredOnce { key: next_key });
         }
-        Ok(Self::from_entries(entries, row.highest_fence))
+        let terms = (row.row_validity_ms > 0 && row.max_lease_ms > 0).then(|| {
+            let row_validity = Duration::from_millis(row.row_validity_ms.min(MAX_TERM_MS));
+            LeaseTerms::new(row_validity, Duration::from_millis(row.max_lease_ms.min(MAX_TERM_MS)))
+        });
+        Ok(Self::from_entries(entries, row.highest_fence, terms))
     }
 }
 
@@ -133,6 +156,10 @@
     }
 }
 
+fn whole_millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// Returns the one-based index of an owner, which is added if it is missing; 0 for `None`.
 fn intern<'a>(owners: &mut Vec<&'a Owner>, owner: Option<&'a Owner>) -> u32 {
     let Some(owner) = owner else {
