Take a full read of the rows for current only if it shows a later write

The store may answer a read with rows that are seconds old: after it has dropped its history, or right after the start of a process. The read counted as a confirmation from when it was sent, so a node granted leases on a row that had been replaced before, and that ran longer than the planner waited.

A read now confirms the rows only if it shows the write of this node's own row, which each process makes before its first read, and only as of when that write was sent. Otherwise the watch that follows confirms them, as before. No call is added.

--- a/crates/galenastream_node/src/process/commit.rs
+++ b/crates/galenastream_node/src/process/commit.rs
@@ -5,11 +5,12 @@
 use bytes::Bytes;
 use galenastream_adapter::{ExpectedRow, RowWrite, StoreClient, StoreConnection, StoreError};
 use galenastream_ranges::Assignment;
+use galenastream_runtime::boot_now;
 use galenastream_wire::{NodeRow, SHARED_ROWS_TABLE, SharedRowKey};
 use prost::Message;
 use tokio::{sync::mpsc, time::sleep};
 
-use super::{ControlEvent, NodeContext, store_follower::STORE_CALL_TIMEOUT};
+use super::{ControlEvent, NodeContext, WrittenRow, store_follower::STORE_CALL_TIMEOUT};
 
 /// Delay after a write that got no response or was refused. A version conflict needs no delay.
 const RETRY_DELAY: Duration = Duration::from_millis(250);
@@ -42,7 +43,6 @@
 ) {
     let mut connection = store.new_connection();
     write_node_row(&context, &mut connection).await;
-    context.own_row_written.notify_one();
     while let Some(write) = queue.recv().await {
         connection.set_address(context.settings.load().store.address);
         let event = match write {
@@ -68,11 +68,18 @@
     };
     let key = SharedRowKey::Node(&settings.node_name).key();
     let announcement = [RowWrite::Put { key, value: Bytes::from(own_row.encode_to_vec()) }];
-    while let Err(error) =
-        connection.commit(SHARED_ROWS_TABLE, &[], &announcement, STORE_CALL_TIMEOUT).await
-    {
-        log::warn!(event = "announcement_failed", reason:% = error; "");
-        sleep(RETRY_DELAY).await;
+    loop {
+        let sent_at = boot_now();
+        match connection.commit(SHARED_ROWS_TABLE, &[], &announcement, STORE_CALL_TIMEOUT).await {
+            Ok(version) => {
+                context.own_row.send_replace(Some(WrittenRow { version, sent_at }));
+                return;
+            }
+            Err(error) => {
+                log::warn!(event = "announcement_failed", reason:% = error; "");
+                sleep(RETRY_DELAY).await;
+            }
+        }
     }
 }
 
--- a/crates/galenastream_node/src/process/context.rs
+++ b/crates/galenastream_node/src/process/context.rs
@@ -17,7 +17,7 @@
 use galenastream_wire::{NodeStatus, SharedRow, SyncQuery, SyncState};
 use tokio::sync::{Notify, watch};
 
-use super::{ControlQueue, Directory, KeyMeter, StatusPage, TargetLimit};
+use super::{ControlQueue, Directory, KeyMeter, StatusPage, TargetLimit, WrittenRow};
 use crate::version::{ConfigDoubt, RoutingTable};
 
 /// The state shared by the threads of a process. The control thread publishes the snapshots.
@@ -58,8 +58,8 @@
     pub heartbeat_connections: ConnectionCount,
     /// Whether this node follows the shared rows in the store itself.
     pub reads_rows: AtomicBool,
-    /// Notified when the row of this node has been written.
-    pub own_row_written: Notify,
+    /// The last write of the row of this node; `None` before the first one.
+    pub own_row: watch::Sender<Option<WrittenRow>>,
     /// Whether the process is about to stop.
     pub is_closing: AtomicBool,
     /// Whether the process is about to stop and refuses requests.
--- a/crates/galenastream_node/src/process/control_event.rs
+++ b/crates/galenastream_node/src/process/control_event.rs
@@ -59,8 +59,8 @@
         rows: Vec<Row>,
         /// The version of the table that the rows reflect.
         version: u64,
-        /// An instant at which these rows were current.
-        confirmed_at: BootInstant,
+        /// An instant at which these rows were current; `None` if that is not known.
+        confirmed_at: Option<BootInstant>,
     },
     /// A valid config was read from the store.
     Config {
--- a/crates/galenastream_node/src/process/control_state.rs
+++ b/crates/galenastream_node/src/process/control_state.rs
@@ -173,7 +173,9 @@
                 self.record_full_read(era_of(version));
                 if era_of(version) == self.eras.in_force() {
                     self.rows_version = self.rows_version.max(version);
-                    self.record_confirmation(confirmed_at);
+                    if let Some(confirmed_at) = confirmed_at {
+                        self.record_confirmation(confirmed_at);
+                    }
                 }
             }
             ControlEvent::StoreEra(era) => self.record_era(era, now),
--- a/crates/galenastream_node/src/process/daemon.rs
+++ b/crates/galenastream_node/src/process/daemon.rs
@@ -95,7 +95,7 @@
         target_connections: Default::default(),
         heartbeat_connections: Default::default(),
         reads_rows: Default::default(),
-        own_row_written: Notify::new(),
+        own_row: watch::Sender::new(None),
         is_closing: Default::default(),
         is_refusing: Default::default(),
         has_keys_to_hand_over: Default::default(),
--- a/crates/galenastream_node/src/process/mod.rs
+++ b/crates/galenastream_node/src/process/mod.rs
@@ -35,6 +35,9 @@
 mod target_probe;
 mod traffic_state;
 mod traffic_tally;
+mod written_row;
+#[cfg(test)]
+mod written_row_tests;
 
 pub use command_line::{CommandLine, command};
 pub use context::{NodeContext, SyncSnapshot};
@@ -54,3 +57,4 @@
 pub use target_probe::{ProbeAnswer, TargetProbe};
 pub use traffic_state::{CountGuard, TrafficState};
 pub use traffic_tally::TrafficTally;
+pub use written_row::WrittenRow;
--- a/crates/galenastream_node/src/process/store_follower.rs
+++ b/crates/galenastream_node/src/process/store_follower.rs
@@ -14,7 +14,7 @@
 use galenastream_wire::SHARED_ROWS_TABLE;
 use tokio::time::{sleep, timeout};
 
-use super::{ControlEvent, NodeContext};
+use super::{ControlEvent, NodeContext, WrittenRow};
 
 /// Timeout of a call to the store; a watch may take this much longer than its wait. A call normally
 /// takes 4 ms, and about this long while the store is slow.
@@ -63,7 +63,9 @@
     if table == FollowedTable::SharedRows {
         // Each node writes its row before its first read, so of two starting nodes at least the
         // later reader sees the row of the other.
-        if timeout(ANNOUNCEMENT_TIMEOUT, context.own_row_written.notified()).await.is_err() {
+        let mut own_row = context.own_row.subscribe();
+        let is_written = own_row.wait_for(Option::is_some);
+        if timeout(ANNOUNCEMENT_TIMEOUT, is_written).await.is_err() {
             log::warn!(event = "announcement_outstanding"; "");
         }
     }
@@ -77,15 +79,22 @@
         }
         connection.set_address(context.settings.load().store.address);
         let asked_at = boot_now();
+        let is_watch = known_version.is_some();
         match next_rows(&context, &mut connection, table, known_version).await {
             Ok(changed) => {
                 backoff = INITIAL_BACKOFF;
                 // A watch has succeeded, not only the read after a drop.
-                if known_version.is_some() {
+                if is_watch {
                     drop_backoff = None;
                 }
                 known_version = Some(changed.version);
-                deliver(&context, table, changed, asked_at).await;
+                let confirmed_at = match is_watch {
+                    true => Some(asked_at),
+                    false => {
+                        own_write(&context).and_then(|it| it.confirmation_of_read(changed.version))
+                    }
+                };
+                deliver(&context, table, changed, confirmed_at).await;
             }
             Err(StoreError::HistoryDropped) => {
                 log::info!(event = "store_history_dropped", table = table.name(); "");
@@ -125,6 +134,10 @@
     connection.watch_table(table.name(), after, wait, STORE_CALL_TIMEOUT).await
 }
 
+fn own_write(context: &NodeContext) -> Option<WrittenRow> {
+    *context.own_row.borrow()
+}
+
 fn target_holds_keys(context: &NodeContext) -> bool {
     let directory = context.directory.load();
     directory.local.as_ref().is_some_and(|it| it.holds_keys)
@@ -134,16 +147,13 @@
     context: &NodeContext,
     table: FollowedTable,
     changed: VersionedRows,
-    asked_at: BootInstant,
+    confirmed_at: Option<BootInstant>,
 ) {
     context.control_events.send(ControlEvent::StoreReached(true)).await;
     match table {
         FollowedTable::SharedRows => {
-            let event = ControlEvent::Rows {
-                rows: changed.rows,
-                version: changed.version,
-                confirmed_at: asked_at,
-            };
+            let event =
+                ControlEvent::Rows { rows: changed.rows, version: changed.version, confirmed_at };
             context.control_events.send(event).await;
         }
         FollowedTable::Config => {
--- a/crates/galenastream_node/tests/ownership/config_doubt.rs
+++ b/crates/galenastream_node/tests/ownership/config_doubt.rs
@@ -156,7 +156,7 @@
     state.handle(ControlEvent::ConfigRead(true), at(100));
     assert_eq!(state.config_doubt(at(200)), Some(ConfigDoubt::Starting));
     state.handle(
-        ControlEvent::Rows { rows: Vec::new(), version: 7, confirmed_at: at(250) },
+        ControlEvent::Rows { rows: Vec::new(), version: 7, confirmed_at: Some(at(250)) },
         at(300),
     );
     assert_eq!(state.config_doubt(at(300)), None, "no other node has a row");
--- a/crates/galenastream_node/tests/ownership/hostile_input.rs
+++ b/crates/galenastream_node/tests/ownership/hostile_input.rs
@@ -194,7 +194,7 @@
     let read = (rows(), version(), 0_u64..9_000);
     let store = prop_oneof![
         4 => read.prop_map(|(rows, version, confirmed_at)| {
-            ControlEvent::Rows { rows, version, confirmed_at: at(confirmed_at) }
+            ControlEvent::Rows { rows, version, confirmed_at: Some(at(confirmed_at)) }
         }),
         1 => (0_u64..1 << 24).prop_map(ControlEvent::StoreEra),
         1 => any::<bool>().prop_map(ControlEvent::StoreReached),
@@ -297,7 +297,8 @@
     for document in ASSIGNMENTS.documents() {
         let value = Some(Bytes::from(document.bytes.clone()));
         let row = Row { key: "keys/carts".to_owned(), value, version: 7 };
-        let event = ControlEvent::Rows { rows: vec![row], version: 7, confirmed_at: at(2_000) };
+        let event =
+            ControlEvent::Rows { rows: vec![row], version: 7, confirmed_at: Some(at(2_000)) };
         let events = vec![
             (ControlEvent::StoreReached(true), 0),
             (event, 10),
--- a/crates/galenastream_node/tests/ownership/incarnations.rs
+++ b/crates/galenastream_node/tests/ownership/incarnations.rs
@@ -105,7 +105,7 @@
             version: 3,
         };
         state.handle(
-            ControlEvent::Rows { rows: vec![row], version: 3, confirmed_at: at(90) },
+            ControlEvent::Rows { rows: vec![row], version: 3, confirmed_at: Some(at(90)) },
             at(95),
         );
         state.handle(
@@ -159,8 +159,11 @@
     };
     state.tick(at(START_MS + 900));
     assert!(!holds_key(&state, START_MS + 900), "nothing is granted on the outdated row");
-    let confirmed =
-        ControlEvent::Rows { rows: Vec::new(), version: 20, confirmed_at: at(START_MS + 1_000) };
+    let confirmed = ControlEvent::Rows {
+        rows: Vec::new(),
+        version: 20,
+        confirmed_at: Some(at(START_MS + 1_000)),
+    };
     state.handle(confirmed, at(START_MS + 1_010));
     send_heartbeat(&mut state, "t", 8, START_MS + 1_100);
     state.tick(at(START_MS + 1_900));
@@ -174,7 +177,7 @@
     let config = Box::new(config());
     state.handle(ControlEvent::Config { config, encoded: Bytes::new() }, at(10));
     state.handle(ControlEvent::StoreReached(true), at(20));
-    let rows = ControlEvent::Rows { rows: Vec::new(), version: 1, confirmed_at: at(20) };
+    let rows = ControlEvent::Rows { rows: Vec::new(), version: 1, confirmed_at: Some(at(20)) };
     state.handle(rows, at(30));
     for sequence in 1..=2 {
         send_heartbeat(&mut state, "t", sequence, sequence * 900);
--- a/crates/galenastream_node/tests/ownership/simulation.rs
+++ b/crates/galenastream_node/tests/ownership/simulation.rs
@@ -243,7 +243,7 @@
         // After a restart of the node or a restore of the store, all rows are read again.
         let is_new_read =
             vm.rows_sent_at_ms == 0 || era_of(vm.rows_sent_version) != era_of(version);
-        let confirmed_at = at(if is_new_read { now_ms - STEP_MS } else { asked_at_ms });
+        let confirmed_at = Some(at(if is_new_read { now_ms - STEP_MS } else { asked_at_ms }));
         vm.rows_sent_at_ms = now_ms;
         vm.rows_sent_version = version;
         self.send_event(index, ControlEvent::StoreReached(true));
@@ -330,7 +330,7 @@
             let event = ControlEvent::Rows {
                 rows: vec![row],
                 version: version + 1,
-                confirmed_at: at(self.now_ms),
+                confirmed_at: Some(at(self.now_ms)),
             };
             self.send_event(index, event);
         }
