Take the start of a process only once it has the listener of the heartbeats

Two processes of a node may overlap at a restart. The new one counted the leases of the one before from an instant at which that could still grant. Only one process at a time has the listener at which the target sends its heartbeats, so the start is now taken after it is bound.

--- a/crates/galenastream_node/src/process/daemon.rs
+++ b/crates/galenastream_node/src/process/daemon.rs
@@ -73,6 +73,9 @@
         ""
     );
     start_metrics()?;
+    // Only one process at a time has this listener, and a target gets leases only through it. So every
+    // lease of an earlier process was granted before `started_at`.
+    let control = bind_control(settings.listeners.control)?;
     let started_at = boot_now();
     let state = ControlState::new(settings.clone(), started_at);
     let (control_events, events) = ControlQueue::new(QUEUE_CAPACITY);
@@ -103,7 +106,8 @@
     let control_context = context.clone();
     let settings_path = settings_path.to_owned();
     thread::Builder::new().name("control".to_owned()).spawn(move || {
-        let result = run_control(control_context, state, events, peer_queries, settings_path);
+        let result =
+            run_control(control_context, control, state, events, peer_queries, settings_path);
         if let Err(error) = result {
             log::error!(event = "control_thread_failed", reason:% = error; "");
             flush_log();
@@ -121,6 +125,7 @@
 
 fn run_control(
     context: Arc<NodeContext>,
+    control: std::net::TcpListener,
     state: ControlState,
     events: mpsc::Receiver<ControlEvent>,
     peer_queries: mpsc::Sender<NodeKey>,
@@ -128,7 +133,7 @@
 ) -> anyhow::Result<()> {
     new_runtime()?.block_on(async {
         let listeners = context.settings.load().listeners;
-        let control = bind(listeners.control).await?;
+        let control = TcpListener::from_std(control)?;
         let health = bind(listeners.ready).await?;
         let store = StoreClient::new(context.settings.load().store.address);
         let (commits, writes) = mpsc::channel(QUEUE_CAPACITY);
@@ -208,8 +213,16 @@
     }
 }
 
+fn bind_control(address: SocketAddr) -> anyhow::Result<std::net::TcpListener> {
+    let listener = std::net::TcpListener::bind(address).with_context(|| listen_failure(address))?;
+    listener.set_nonblocking(true)?;
+    Ok(listener)
+}
+
 async fn bind(address: SocketAddr) -> anyhow::Result<TcpListener> {
-    TcpListener::bind(address).await.with_context(|| {
-        format!("cannot listen at {address}; end the other process there, or correct the settings")
-    })
+    TcpListener::bind(address).await.with_context(|| listen_failure(address))
+}
+
+fn listen_failure(address: SocketAddr) -> String {
+    format!("cannot listen at {address}; end the other process there, or correct the settings")
 }
