Withhold leases while the newest row of the keys cannot be decoded

A node that could not decode the newest row of a service, or saw it removed, kept the assignment before in force and went on confirming it with the version of the table: it granted leases on keys that the newer row may have given to another target. Such a row comes from a newer program during an upgrade.

The node now grants nothing and plans nothing for the service until it can read a row again; the leases that it has granted end by themselves.

--- a/crates/galenastream_node/src/process/control_state.rs
+++ b/crates/galenastream_node/src/process/control_state.rs
@@ -93,6 +93,9 @@
 pub(super) struct AssignmentRecord {
     pub(super) assignment: Arc<Assignment>,
     pub(super) version: u64,
+    /// The version of a newer row that cannot be decoded, or that removes the assignment. The keys
+    /// may have other owners by it, so the known assignment is not in force any longer.
+    pub(super) unreadable_version: Option<u64>,
     pub(super) vacancy: VacancyTracker,
     /// The version that the write in progress is based on.
     pub(super) pending_write: Option<u64>,
@@ -263,6 +266,7 @@
     fn reconcile_assignment(&mut self, service: &str, is_planner: bool, now: BootInstant) {
         let record = self.assignment_record(service);
         if record.pending_write.is_some()
+            || record.unreadable_version.is_some()
             || self.confirmed_at.is_none()
             || !self.reaches_store
             || !self.eras.is_settled()
--- a/crates/galenastream_node/src/process/heartbeats.rs
+++ b/crates/galenastream_node/src/process/heartbeats.rs
@@ -164,6 +164,10 @@
         let service = local.service.to_string();
         let reply = match (self.assignments.get(&service), self.confirmed_at) {
             _ if !self.holds_keys(&service) => HeartbeatReply::Acknowledged,
+            (Some(record), _) if record.unreadable_version.is_some() => {
+                log::warn!(event = "lease_withheld", reason = "the newest row cannot be decoded"; "");
+                HeartbeatReply::Acknowledged
+            }
             (Some(record), Some(confirmed_at)) => {
                 let (assignment, row_version) = (record.assignment.clone(), record.version);
                 if !is_due && !needs_prompt_reply(local, &assignment) {
--- a/crates/galenastream_node/src/process/store_view.rs
+++ b/crates/galenastream_node/src/process/store_view.rs
@@ -209,8 +209,12 @@
                     Some(Ok(it)) => self.apply_assignment(service, it, row.version, now),
                     Some(Err(error)) => {
                         log::warn!(event = "keys_row_malformed", service, reason:% = error; "");
+                        self.assignment_record(service).unreadable_version = Some(row.version);
+                    }
+                    None => {
+                        log::warn!(event = "keys_row_removed", service; "");
+                        self.assignment_record(service).unreadable_version = Some(row.version);
                     }
-                    None => log::warn!(event = "keys_row_removed", service; ""),
                 }
             }
             Some(SharedRowKey::SettingsTree) => self.apply_settings_tree(row),
@@ -233,6 +237,7 @@
         }
         record.vacancy.observe(&assignment, now);
         record.version = version;
+        record.unreadable_version = None;
         log::info!(
             event = "assignment_known",
             service,
@@ -248,6 +253,7 @@
         self.assignments.entry(service.to_owned()).or_insert_with(|| AssignmentRecord {
             assignment: Arc::new(Assignment::new()),
             version: 0,
+            unreadable_version: None,
             vacancy: VacancyTracker::new(),
             pending_write: None,
             balanced_at: BootInstant::default(),
