Assign keys without a row only where none can have been lost

An empty table proves a first start only in the first era: later ones have lost rows. Without bootstrap, keys without a row are assigned once every lease that a lost row may have granted has ended. Fencing tokens of a new assignment are above all of earlier eras.

--- a/crates/galenastream_node/src/process/control_state.rs
+++ b/crates/galenastream_node/src/process/control_state.rs
@@ -273,16 +273,24 @@
         {
             return;
         }
+        let has_row = self.assignments[service].version > 0;
+        if !has_row && !self.may_assign_without_row(now) {
+            return;
+        }
         let current = self.assignments[service].assignment.clone();
         let mut desired = Assignment::clone(&current);
+        if !has_row {
+            desired = desired.with_fences_above(self.highest_earlier_fence());
+        }
         self.apply_local_facts(service, &mut desired, now);
         if is_planner {
             self.plan_service(service, &mut desired, now);
         }
-        if is_planner && (desired != *current || self.assignments[service].version > 0) {
+        if is_planner && (has_row || desired.entries() != current.entries()) {
             desired.raise_terms(self.lease_terms);
         }
-        if desired == *current {
+        let is_unchanged = desired.entries() == current.entries();
+        if is_unchanged && desired.terms() == current.terms() {
             return;
         }
         let record = self.assignment_record(service);
--- a/crates/galenastream_node/src/process/store_eras.rs
+++ b/crates/galenastream_node/src/process/store_eras.rs
@@ -20,6 +20,9 @@
 /// Margin for the drift between the clocks of this node and of those that granted leases.
 const CLOCK_MARGIN: Duration = Duration::from_millis(500);
 
+/// The era of a store that was never restored.
+const FIRST_ERA: u64 = 1;
+
 /// Fencing tokens of an era are above this multiple of it, and thus above all that were issued on
 /// lost rows.
 const FENCES_PER_ERA: u64 = 1 << 32;
@@ -39,7 +42,8 @@
     read_era: u64,
     /// The version of the settings tree's row when the current era was read first.
     restored_tree_version: u64,
-    /// Whether the deployment has just started for the first time, so that there are no leases.
+    /// Whether the deployment has just started for the first time, so that there are no leases. Only
+    /// in the first era does an empty table prove that nothing was lost from it.
     is_first: bool,
     is_settlement_pending: bool,
 }
@@ -83,6 +87,7 @@
         self.eras.read_era = era;
         self.eras.restored_tree_version = self.waiting_version(&SharedRowKey::SettingsTree.key());
         self.eras.is_first = self.settings.is_first_start
+            && era == FIRST_ERA
             && self.eras.in_force == 0
             && self.eras.waiting_rows.is_empty()
             && !self.rows.contains_key(&SharedRowKey::Era.key());
@@ -103,6 +108,17 @@
         true
     }
 
+    /// A fencing token that is not below any that was issued on the rows of earlier eras.
+    pub(super) const fn highest_earlier_fence(&self) -> u64 {
+        self.eras.current.saturating_mul(FENCES_PER_ERA)
+    }
+
+    /// Whether keys without a row may be assigned: a row may have been lost, or removed, that
+    /// granted leases until now.
+    pub(super) fn may_assign_without_row(&self, now: BootInstant) -> bool {
+        self.settings.is_first_start || now >= self.lease_terms.all_leases_end(self.started_at)
+    }
+
     /// Puts the rows of an era in force that every lease on earlier rows has ended for. Returns the
     /// rows that were kept back until now.
     pub(super) fn apply_era_row(&mut self, row: &Row) -> Vec<Row> {
@@ -208,7 +224,7 @@
         let known = self.assignments.get(service).filter(|it| it.version > 0);
         let restored_fence = restored.as_ref().map_or(0, Assignment::highest_fence);
         let newest = known.map(|it| Assignment::clone(&it.assignment)).or(restored);
-        let min_fence = restored_fence.max(self.eras.current.saturating_mul(FENCES_PER_ERA));
+        let min_fence = restored_fence.max(self.highest_earlier_fence());
         newest.unwrap_or_default().reissued(min_fence)
     }
 
--- a/crates/galenastream_node/src/process/store_view.rs
+++ b/crates/galenastream_node/src/process/store_view.rs
@@ -251,7 +251,7 @@
 
     pub(super) fn assignment_record(&mut self, service: &str) -> &mut AssignmentRecord {
         self.assignments.entry(service.to_owned()).or_insert_with(|| AssignmentRecord {
-            assignment: Arc::new(Assignment::new()),
+            assignment: Arc::default(),
             version: 0,
             unreadable_version: None,
             vacancy: VacancyTracker::new(),
