Count the silence of a node only while others are heard

Versions 15 to 35 of a row were written in 0.4 s: a planner that had been cut off itself took every owner for lost that it had not heard meanwhile. The nodes of the owners cancelled, the planner marked the keys again, and each time the owners gave up their keys for a moment.

Silence of a node now counts from when this node hears others: not from before a gap in which no status of any node arrived, by a new status or by the return of the store. A cancelled move is a sign of life of the node that cancelled it, since only that node does.

--- a/crates/galenastream_node/src/process/peer_book.rs
+++ b/crates/galenastream_node/src/process/peer_book.rs
@@ -11,11 +11,20 @@
 /// statuses are sent.
 pub(super) const REACHABILITY_TIMEOUT: Duration = Duration::from_millis(2_500);
 
+/// Time without a status of any node after which this node may have been cut off or suspended itself:
+/// each node sends one per second.
+const MAX_STATUS_GAP: Duration = Duration::from_millis(1_500);
+
 /// The registry of the other nodes by name.
 #[derive(Debug, Default)]
 pub(super) struct PeerRegistry {
     peers: FastMap<Arc<str>, PeerRecord>,
     next_key: u32,
+    /// When the last status of any node arrived.
+    last_status_at: Option<BootInstant>,
+    /// Since when silence of a node tells something of that node: before, no node was heard, so this
+    /// one may have been suspended or cut off itself.
+    listening_since: BootInstant,
 }
 
 /// What is known of another node.
@@ -26,6 +35,8 @@
     pub(super) data_centre: Arc<str>,
     pub(super) status: Option<NodeStatus>,
     pub(super) last_status_at: Option<BootInstant>,
+    /// When a change of the rows last showed that the node is alive.
+    last_change_at: Option<BootInstant>,
     /// The target that a status showed as draining first, and when that status arrived.
     draining: Option<(TargetIncarnation, BootInstant)>,
     /// Since when the statuses have said that the target wants a trial of its limit.
@@ -35,15 +46,35 @@
 impl PeerRegistry {
     /// Creates an empty registry. [`NodeKey`] 0 is reserved for this node.
     pub(super) fn new() -> Self {
-        Self { peers: FastMap::default(), next_key: 1 }
+        Self { next_key: 1, ..Self::default() }
     }
 
-    pub(super) fn iter(&self) -> impl Iterator<Item = (&Arc<str>, &PeerRecord)> {
-        self.peers.iter()
+    /// The instant from which the silence of a node counts towards its loss.
+    pub(super) fn silent_since(&self, node: &str) -> BootInstant {
+        let record = self.peers.get(node);
+        let last_sign = record.map_or(BootInstant::default(), PeerRecord::last_sign_at);
+        last_sign.max(self.listening_since)
     }
 
-    pub(super) fn get(&self, node: &str) -> Option<&PeerRecord> {
-        self.peers.get(node)
+    /// Records that this node is about to judge the silence of others after a time in which it may
+    /// have been cut off. If no status has arrived meanwhile, their silence counts from now on only.
+    pub(super) fn resume_listening(&mut self, now: BootInstant) {
+        let is_deaf =
+            self.last_status_at.is_some_and(|it| now.saturating_since(it) > MAX_STATUS_GAP);
+        if is_deaf {
+            self.listening_since = now;
+        }
+    }
+
+    /// Records a change of the shared rows that only a live process of a node makes.
+    pub(super) fn record_sign_of_life(&mut self, node: &str, now: BootInstant) {
+        if let Some(record) = self.peers.get_mut(node) {
+            record.last_change_at = Some(now);
+        }
+    }
+
+    pub(super) fn iter(&self) -> impl Iterator<Item = (&Arc<str>, &PeerRecord)> {
+        self.peers.iter()
     }
 
     /// Adds or updates a node from its row in the store.
@@ -67,6 +98,8 @@
             log::warn!(event = "status_malformed", node = status.node.as_str(); "");
             return false;
         };
+        self.resume_listening(now);
+        self.last_status_at = Some(now);
         let record = self.insert(&status.node, address, &status.data_centre);
         let was_reachable = record.is_reachable(now);
         let differs = record.status.as_ref() != Some(&status);
@@ -88,6 +121,7 @@
                 data_centre: Arc::from(data_centre),
                 status: None,
                 last_status_at: None,
+                last_change_at: None,
                 draining: None,
                 trial_wanted_since: None,
             }
@@ -102,6 +136,10 @@
         self.last_status_at.is_some_and(|it| now.saturating_since(it) <= REACHABILITY_TIMEOUT)
     }
 
+    fn last_sign_at(&self) -> BootInstant {
+        self.last_status_at.max(self.last_change_at).unwrap_or_default()
+    }
+
     /// The time since the last status arrived.
     pub(super) fn status_age(&self, now: BootInstant) -> Duration {
         self.last_status_at.map_or(Duration::MAX, |it| now.saturating_since(it))
--- a/crates/galenastream_node/src/process/planning.rs
+++ b/crates/galenastream_node/src/process/planning.rs
@@ -216,8 +216,7 @@
     }
 
     fn is_lost(&self, holder: &Owner, now: BootInstant) -> bool {
-        let last_status_at = self.peers.get(&holder.node).and_then(|it| it.last_status_at);
-        let since = last_status_at.map_or(self.started_at, |it| it.max(self.started_at));
+        let since = self.peers.silent_since(&holder.node).max(self.started_at);
         now.saturating_since(since) > NODE_LOSS_TIMEOUT
     }
 
--- a/crates/galenastream_node/src/process/store_view.rs
+++ b/crates/galenastream_node/src/process/store_view.rs
@@ -235,6 +235,7 @@
         if version <= record.version {
             return;
         }
+        let returned_to = record.assignment.returned_to(&assignment);
         record.vacancy.observe(&assignment, now);
         record.version = version;
         record.unreadable_version = None;
@@ -247,6 +248,10 @@
             ""
         );
         record.assignment = Arc::new(assignment);
+        // Only the node beside a target cancels moves away from it.
+        for node in returned_to {
+            self.peers.record_sign_of_life(&node, now);
+        }
     }
 
     pub(super) fn assignment_record(&mut self, service: &str) -> &mut AssignmentRecord {
@@ -298,6 +303,9 @@
     }
 
     pub(super) fn set_store_reachable(&mut self, reached: bool, now: BootInstant) {
+        if reached && !self.reaches_store {
+            self.peers.resume_listening(now);
+        }
         if reached != self.reaches_store {
             log::info!(event = if reached { "store_reached" } else { "store_lost" }; "");
         }
--- a/crates/galenastream_ranges/src/assignment.rs
+++ b/crates/galenastream_ranges/src/assignment.rs
@@ -1,5 +1,7 @@
 //! Ownership of the keys of a service.
 
+use std::sync::Arc;
+
 use crate::{KeyRange, LeaseTerms, Owner, TargetIncarnation};
 
 /// Ownership of every key of a service, as adjacent ranges in ascending order.
@@ -198,6 +200,23 @@
         })
     }
 
+    /// Returns the nodes of the owners whose departures from keys have been cancelled in a later
+    /// assignment.
+    pub fn returned_to(&self, later: &Self) -> Vec<Arc<str>> {
+        let mut nodes: Vec<Arc<str>> = Vec::new();
+        for entry in &self.entries {
+            let Some(leaver) = entry.holding.leaving_owner() else {
+                continue;
+            };
+            let now = later.entry_of(entry.range.first);
+            let is_cancelled = now.fence == entry.fence && now.holding.owner() == Some(leaver);
+            if is_cancelled && !nodes.contains(&leaver.node) {
+                nodes.push(leaver.node.clone());
+            }
+        }
+        nodes
+    }
+
     /// Completes the moves of keys in a range away from `from`: the next owner gets them under a
     /// new fencing token; without a next owner they become free. Returns whether any keys changed.
     ///
