Grant nothing to a target whose end has been stated on the same version

A node that took a target for ended wrote that, or stated it in its status for the planner to write. If the target was heard again before the write took effect, it got leases on the version that the write was based on: the write frees its keys and may give them to another target in the same step, milliseconds later or, if it is performed late, seconds later.

The statement now binds the node as long as it knows no other version: the target gets no leases, and the node goes on to state and write its end.

--- a/crates/galenastream_node/src/process/control_state.rs
+++ b/crates/galenastream_node/src/process/control_state.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use galenastream_adapter::{NodeSettings, Row, era_of};
-use galenastream_ranges::{Assignment, LeaseTerms, Owner, VacancyTracker};
+use galenastream_ranges::{Assignment, LeaseTerms, Owner, TargetIncarnation, VacancyTracker};
 use galenastream_settings::SettingsTree;
 use galenastream_utils::{BootInstant, FastMap};
 use galenastream_wire::{KeyLoadRecord, SharedRow};
@@ -96,6 +96,9 @@
     /// The version of a newer row that cannot be decoded, or that removes the assignment. The keys
     /// may have other owners by it, so the known assignment is not in force any longer.
     pub(super) unreadable_version: Option<u64>,
+    /// Targets of which this process has stated, based on this version, that they have ended. The
+    /// statement may take effect at any later time, so they get no more leases on this version.
+    pub(super) stated_ends: Vec<EndedTarget>,
     pub(super) vacancy: VacancyTracker,
     /// The version that the write in progress is based on.
     pub(super) pending_write: Option<u64>,
@@ -257,6 +260,9 @@
         self.request_identity();
         let is_planner = self.is_planner(now);
         for service in keyed_services {
+            if !self.reaches_store {
+                self.state_ends(&service, now);
+            }
             self.reconcile_assignment(&service, is_planner, now);
         }
         self.reply_to_heartbeat(now);
@@ -327,6 +333,13 @@
     }
 }
 
+impl AssignmentRecord {
+    /// Whether this process has stated, based on this version, that a target has ended.
+    pub(super) fn has_stated_end(&self, target: &TargetIncarnation) -> bool {
+        self.stated_ends.iter().any(|it| it.incarnation == *target)
+    }
+}
+
 const fn max_lease(settings: &NodeSettings) -> Duration {
     Duration::from_millis(settings.bounds.max_lease_ms)
 }
--- a/crates/galenastream_node/src/process/heartbeats.rs
+++ b/crates/galenastream_node/src/process/heartbeats.rs
@@ -80,14 +80,17 @@
         now: BootInstant,
     ) -> HeartbeatReply {
         match self.recently_ended(incarnation, now) {
-            Some(_) => HeartbeatReply::Leases {
-                grants: Vec::new(),
-                lease_ms: millis(self.lease_terms.max_lease),
-            },
+            Some(_) => self.no_leases(),
             None => HeartbeatReply::Acknowledged,
         }
     }
 
+    /// A reply on which a target releases all of its keys.
+    const fn no_leases(&self) -> HeartbeatReply {
+        let lease_ms = self.lease_terms.max_lease.as_millis() as u64;
+        HeartbeatReply::Leases { grants: Vec::new(), lease_ms }
+    }
+
     /// Returns whether a heartbeat is current for the local target. Replaces the known incarnation
     /// if that has provably ended: neither the heartbeat of another one nor its start time proves
     /// it, since heartbeats may be delayed and the time of day may be set.
@@ -168,6 +171,7 @@
                 log::warn!(event = "lease_withheld", reason = "the newest row cannot be decoded"; "");
                 HeartbeatReply::Acknowledged
             }
+            (Some(record), _) if record.has_stated_end(&local.incarnation) => self.no_leases(),
             (Some(record), Some(confirmed_at)) => {
                 let (assignment, row_version) = (record.assignment.clone(), record.version);
                 if !is_due && !needs_prompt_reply(local, &assignment) {
--- a/crates/galenastream_node/src/process/ownership_facts.rs
+++ b/crates/galenastream_node/src/process/ownership_facts.rs
@@ -44,18 +44,19 @@
     /// If the target stays and one of its moves has no next owner, as after its node was taken for
     /// lost, all its moves are cancelled instead.
     pub(super) fn apply_local_facts(
-        &self,
+        &mut self,
         service: &str,
         assignment: &mut Assignment,
         now: BootInstant,
     ) {
         let row_version = self.assignments.get(service).map_or(0, |it| it.version);
+        let node = self.node.clone();
         let log_end = |target: &TargetIncarnation, range, evidence, since| {
-            let node = &*self.node;
+            let node = &*node;
             let age = now.saturating_since(since);
             HoldEnd { service, range, target, row_version, evidence, age, node }.log();
         };
-        for ended in self.ended_holders(service, assignment, now) {
+        for ended in self.state_ends(service, now) {
             let target = &ended.incarnation;
             log::info!(event = "owner_removed", service, target:%; "");
             for entry in assignment.held_by(target) {
@@ -83,15 +84,25 @@
         }
     }
 
-    /// The holders beside this node that have provably ended.
-    pub(super) fn ended_holders(
-        &self,
-        service: &str,
-        assignment: &Assignment,
-        now: BootInstant,
-    ) -> Vec<EndedTarget> {
-        let holders = assignment.holders().into_iter().filter(|it| it.node == self.node);
-        holders.filter_map(|it| self.ended_target(service, &it.target, now)).collect()
+    /// Returns the holders beside this node that have provably ended, for a statement based on the
+    /// known version of the assignment. A target that was stated to have ended stays so until another
+    /// version is known.
+    pub(super) fn state_ends(&mut self, service: &str, now: BootInstant) -> Vec<EndedTarget> {
+        let Some(record) = self.assignments.get(service) else {
+            return Vec::new();
+        };
+        let mut ends = record.stated_ends.clone();
+        for holder in record.assignment.holders() {
+            let is_stated = ends.iter().any(|it| it.incarnation == holder.target);
+            if holder.node != self.node || is_stated {
+                continue;
+            }
+            ends.extend(self.ended_target(service, &holder.target, now));
+        }
+        if let Some(record) = self.assignments.get_mut(service) {
+            record.stated_ends.clone_from(&ends);
+        }
+        ends
     }
 
     /// The facts that this node would write itself if it reached the store; empty if it does.
@@ -110,7 +121,7 @@
                 last: u32::from(it.range.last),
                 handover: it.handover,
             });
-            let ended = self.ended_holders(service, &record.assignment, now).into_iter();
+            let ended = record.stated_ends.iter();
             let ended = ended.map(|it| IncarnationRecord {
                 id: it.incarnation.id.to_string(),
                 born_ms: it.incarnation.born_ms,
--- a/crates/galenastream_node/src/process/store_view.rs
+++ b/crates/galenastream_node/src/process/store_view.rs
@@ -239,6 +239,7 @@
         record.vacancy.observe(&assignment, now);
         record.version = version;
         record.unreadable_version = None;
+        record.stated_ends.clear();
         log::info!(
             event = "assignment_known",
             service,
@@ -259,6 +260,7 @@
             assignment: Arc::default(),
             version: 0,
             unreadable_version: None,
+            stated_ends: Vec::new(),
             vacancy: VacancyTracker::new(),
             pending_write: None,
             balanced_at: BootInstant::default(),
