Directed tests of what proves that a target holds keys no longer

Cause: not changed here. Keys are given away on evidence that proves less than it is taken for. Change: one short test for each piece of evidence, on a control state alone. The standard body of a heartbeat may state the start of its target.

--- a/crates/galenastream_node/tests/ownership/target.rs
+++ b/crates/galenastream_node/tests/ownership/target.rs
@@ -82,6 +82,7 @@
             sequence: self.sequence,
             held: &held,
             released: &self.releases,
+            born_ms: None,
         });
         Some(body.into_bytes())
     }
--- a/crates/galenastream_ranges/tests/ownership_model/departure.rs
+++ b/crates/galenastream_ranges/tests/ownership_model/departure.rs
@@ -1,6 +1,9 @@
 //! Departures in assignments: the calls whose form depends on how a departure is identified.
 
-use galenastream_ranges::{Assignment, Holding, KeyRange, Owner};
+use galenastream_ranges::{
+    Assignment, Holding, KeyRange, LeaseTerms, Owner, TargetIncarnation, VacancyTracker,
+};
+use galenastream_utils::BootInstant;
 
 /// Starts to move the key, in a change that is based on the row with this version.
 pub fn begin(assignment: &mut Assignment, to: Option<&Owner>, _row_version: u64) {
@@ -14,3 +17,14 @@
         Holding::Free | Holding::Owned(_) => None,
     }
 }
+
+/// Returns the target that the key is leaving and since when, if every lease on it has expired.
+pub fn vacant(
+    tracker: &VacancyTracker,
+    _assignment: &Assignment,
+    terms: &LeaseTerms,
+    now: BootInstant,
+) -> Option<(TargetIncarnation, BootInstant)> {
+    let vacant = tracker.vacant_ranges(terms, now).into_iter().next();
+    vacant.map(|(target, _, since)| (target, since))
+}
--- a/crates/galenastream_ranges/tests/ownership_model/model.rs
+++ b/crates/galenastream_ranges/tests/ownership_model/model.rs
@@ -286,11 +286,8 @@
         };
         let known = view.known.clone();
         let mut assignment = known.assignment.clone();
-        let mut is_completed = false;
-        for (target, range, _) in view.vacancy.vacant_ranges(&terms, self.now) {
-            is_completed |= assignment.complete_move(&target, range, "");
-        }
-        if !is_completed {
+        let (target, _) = departure::vacant(&view.vacancy, &known.assignment, &terms, self.now)?;
+        if !assignment.complete_move(&target, KeyRange::ALL, "") {
             return None;
         }
         assignment.assign(KeyRange::ALL, &OTHER);
--- a/crates/galenastream_ranges/tests/ownership_model/state_key.rs
+++ b/crates/galenastream_ranges/tests/ownership_model/state_key.rs
@@ -41,11 +41,12 @@
         let mut planners = [Vec::with_capacity(8), Vec::with_capacity(8)];
         for (planner, key) in model.planners.iter().zip(&mut planners) {
             ranks.push_row(key, Some(&planner.known));
-            let leaving = planner.vacancy.vacant_ranges(&immediate, model.now);
+            let assignment = &planner.known.assignment;
+            let leaving = departure::vacant(&planner.vacancy, assignment, &immediate, model.now);
             key.extend([
                 age(planner.confirmed_at),
                 u32::from(planner.confirmed_at >= node.started_at),
-                leaving.first().map_or(u32::MAX, |(.., since)| age(*since)),
+                leaving.map_or(u32::MAX, |(_, since)| age(since)),
             ]);
         }
         // The planners do not differ.
