--- a/crates/galenastream_node/tests/ownership/hold_evidence.rs
+++ b/crates/galenastream_node/tests/ownership/hold_evidence.rs
@@ -101,7 +101,7 @@
 fn row(assignment: &Assignment, version: u64, confirmed_at_ms: u64) -> ControlEvent {
     let row =
         Row { key: "keys/carts".to_owned(), value: Some(assignment.encode_row().into()), version };
-    ControlEvent::Rows { rows: vec![row], version, confirmed_at: at(confirmed_at_ms) }
+    ControlEvent::Rows { rows: vec![row], version, confirmed_at: Some(at(confirmed_at_ms)) }
 }
 
 fn owned_by(owner: &Owner) -> Assignment {
@@ -111,8 +111,8 @@
 }
 
 /// Starts to move all keys, in a change that is based on the row with this version.
-fn begin_move(assignment: &mut Assignment, to: Option<&Owner>, _row_version: u64) {
-    assignment.begin_move(KeyRange::ALL, to);
+fn begin_move(assignment: &mut Assignment, to: Option<&Owner>, row_version: u64) {
+    assignment.begin_move(KeyRange::ALL, to, row_version);
 }
 
 /// A process that has just started and has read a row. It does not reach the store any longer, so
--- a/crates/galenastream_ranges/tests/ownership_model/departure.rs
+++ b/crates/galenastream_ranges/tests/ownership_model/departure.rs
@@ -6,14 +6,14 @@
 use galenastream_utils::BootInstant;
 
 /// Starts to move the key, in a change that is based on the row with this version.
-pub fn begin(assignment: &mut Assignment, to: Option<&Owner>, _row_version: u64) {
-    assignment.begin_move(KeyRange::ALL, to);
+pub fn begin(assignment: &mut Assignment, to: Option<&Owner>, row_version: u64) {
+    assignment.begin_move(KeyRange::ALL, to, row_version);
 }
 
 /// Returns the leaving owner, the next owner and the number of the departure.
 pub fn leaving(holding: &Holding) -> Option<(&Owner, Option<&Owner>, u64)> {
     match holding {
-        Holding::Leaving { from, to } => Some((from, to.as_ref(), 0)),
+        Holding::Leaving { from, to, departure } => Some((from, to.as_ref(), *departure)),
         Holding::Free | Holding::Owned(_) => None,
     }
 }
@@ -21,10 +21,10 @@
 /// Returns the target that the key is leaving and since when, if every lease on it has expired.
 pub fn vacant(
     tracker: &VacancyTracker,
-    _assignment: &Assignment,
+    assignment: &Assignment,
     terms: &LeaseTerms,
     now: BootInstant,
 ) -> Option<(TargetIncarnation, BootInstant)> {
-    let vacant = tracker.vacant_ranges(terms, now).into_iter().next();
-    vacant.map(|(target, _, since)| (target, since))
+    let vacant = tracker.vacant_ranges(assignment, terms, now).into_iter().next();
+    vacant.map(|it| (it.target, it.seen_at))
 }
