--- a/crates/galenastream_node/tests/ownership/main.rs
+++ b/crates/galenastream_node/tests/ownership/main.rs
@@ -9,6 +9,7 @@
 mod incarnations;
 mod injected_bug;
 mod simulation;
+mod state_machine;
 mod store;
 mod sync_queries;
 mod target;
