Split the ownership simulation by what its parts do, with variations of a run

Runs without variations draw as before: variations draw from a generator of their own. A variation plays one more kind of fault: series of cuts, suspensions and restarts, reader roles with delayed sync queries, drifting boot clocks, start times by a clock that is set back, orderly stops with refused probes, different bounds, outdated reads, rows that cannot be decoded, long work.

--- a/crates/galenastream_node/tests/ownership/fixtures.rs
+++ b/crates/galenastream_node/tests/ownership/fixtures.rs
@@ -41,6 +41,12 @@
     }
 }
 
+/// Settings whose longest lease differs.
+pub fn settings_with_bound(index: usize, max_lease_ms: u64) -> NodeSettings {
+    let settings = settings(index);
+    NodeSettings { bounds: PlatformBounds { max_lease_ms, ..settings.bounds }, ..settings }
+}
+
 pub fn config() -> RoutingConfig {
     RoutingConfig {
         version: ConfigVersion(1),
--- a/crates/galenastream_node/tests/ownership/incarnations.rs
+++ b/crates/galenastream_node/tests/ownership/incarnations.rs
@@ -21,6 +21,7 @@
         sequence,
         held: &[],
         released: &[],
+        born_ms: None,
     });
     let (answer, _) = oneshot::channel();
     let target_id = id.to_owned();
--- a/crates/galenastream_node/tests/ownership/main.rs
+++ b/crates/galenastream_node/tests/ownership/main.rs
@@ -3,14 +3,24 @@
 //! determined by its seed.
 
 mod config_doubt;
+mod faults;
 mod fixtures;
 mod hostile_input;
 mod incarnations;
 mod injected_bug;
+mod invariants;
+mod messages;
+mod node_clock;
+mod probes;
 mod simulation;
 mod store;
+mod store_access;
+mod store_call;
 mod sync_queries;
 mod target;
+mod target_steps;
+mod variation;
+mod varied_runs;
 mod vm;
 
 use injected_bug::InjectedBug;
--- a/crates/galenastream_node/tests/ownership/store.rs
+++ b/crates/galenastream_node/tests/ownership/store.rs
@@ -19,6 +19,8 @@
 /// A write to the store in flight. `is_answered` is false if its result is lost.
 pub struct Write {
     pub vm: usize,
+    /// The process of the node that sent it.
+    pub process: u64,
     pub at_ms: u64,
     pub expected: Vec<ExpectedRow>,
     pub content: WriteContent,
@@ -52,12 +54,23 @@
     rows: Rows,
     number: u64,
     copies: VecDeque<(u64, Rows, u64)>,
+    /// Removed rows with the numbers of their removals.
+    removed: BTreeMap<String, u64>,
+    /// The numbers of rows that older programs cannot decode.
+    unreadable: Vec<u64>,
 }
 
 impl Store {
     /// Creates an empty store. In era 0 it names none.
     pub fn new(era: u64) -> Self {
-        Self { era, rows: Rows::new(), number: 1, copies: VecDeque::new() }
+        Self {
+            era,
+            rows: Rows::new(),
+            number: 1,
+            copies: VecDeque::new(),
+            removed: BTreeMap::new(),
+            unreadable: Vec::new(),
+        }
     }
 
     pub fn version(&self) -> u64 {
@@ -65,12 +78,57 @@
     }
 
     pub fn rows(&self) -> Vec<Row> {
+        self.to_rows(&self.rows)
+    }
+
+    fn to_rows(&self, rows: &Rows) -> Vec<Row> {
         let to_row = |(key, (value, number)): (&String, &(Bytes, u64))| Row {
             key: key.clone(),
             value: Some(value.clone()),
             version: version_in(self.era, *number),
         };
-        self.rows.iter().map(to_row).collect()
+        rows.iter().map(to_row).collect()
+    }
+
+    /// The rows and the version as they were at an instant, or as far as the copies reach.
+    pub fn rows_at(&self, at_ms: u64) -> (Vec<Row>, u64) {
+        match self.copies.iter().find(|(written_ms, ..)| *written_ms > at_ms) {
+            Some((_, rows, number)) => (self.to_rows(rows), version_in(self.era, *number)),
+            None => (self.rows(), self.version()),
+        }
+    }
+
+    /// The rows that were written or removed after a version.
+    pub fn changes_after(&self, version: u64) -> Vec<Row> {
+        let mut rows = self.rows();
+        let removed = self.removed.iter().map(|(key, number)| Row {
+            key: key.clone(),
+            value: None,
+            version: version_in(self.era, *number),
+        });
+        rows.extend(removed);
+        rows.retain(|it| it.version > version);
+        rows
+    }
+
+    /// Makes the current assignment unreadable for older programs.
+    pub fn make_unreadable(&mut self) {
+        self.unreadable.extend(self.rows.get(ASSIGNMENT_KEY).map(|(_, number)| *number));
+    }
+
+    /// Whether older programs cannot decode a row.
+    pub fn is_unreadable(&self, key: &str, version: u64) -> bool {
+        key == ASSIGNMENT_KEY && self.unreadable.contains(&number_of(version))
+    }
+
+    pub fn remove_assignment(&mut self, now_ms: u64) {
+        let remove = RowWrite::Remove { key: ASSIGNMENT_KEY.to_owned() };
+        self.commit(&[], &[remove], now_ms).expect("it has no conditions");
+    }
+
+    /// Loses all rows.
+    pub fn empty(&mut self) {
+        *self = Self::new(self.era + 1);
     }
 
     /// Applies a write if the expected rows have their numbers. The era of the expected versions is
@@ -92,8 +150,12 @@
             match write {
                 RowWrite::Put { key, value } => {
                     self.rows.insert(key.clone(), (value.clone(), self.number));
+                    self.removed.remove(key);
+                }
+                RowWrite::Remove { key } => {
+                    self.rows.remove(key);
+                    self.removed.insert(key.clone(), self.number);
                 }
-                RowWrite::Remove { key } => drop(self.rows.remove(key)),
             }
         }
         Ok(self.version())
@@ -111,5 +173,7 @@
         self.rows = rows;
         self.number = number;
         self.copies.truncate(index);
+        self.removed.retain(|_, removed| *removed <= number);
+        self.unreadable.retain(|it| *it <= number);
     }
 }
--- a/crates/galenastream_node/tests/ownership/target.rs
+++ b/crates/galenastream_node/tests/ownership/target.rs
@@ -7,6 +7,9 @@
 /// How long a target waits for the reply to a heartbeat.
 const REPLY_TIMEOUT_MS: u64 = 1_000;
 
+/// The longest time to the next heartbeat while revoked keys are being released.
+const MAX_RELEASE_GAP_MS: u64 = 150;
+
 /// A range of keys that a target holds or is releasing.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct HeldRange {
@@ -24,15 +27,33 @@
     pub held: Vec<HeldRange>,
     /// By how many percent its clock runs slow.
     pub clock_slow_percent: u64,
+    /// Counts the targets at the address; an id may be used again.
+    pub life: u64,
+    /// The start time that it reports, if it reports one.
+    pub born_ms: Option<u64>,
+    pub stop: Option<OrderlyStop>,
+    /// Whether it gives up the work on revoked keys when their lease expires.
+    pub ends_work_with_lease: bool,
     pub sent_at_ms: Option<u64>,
     pub starts_at_ms: u64,
     pub next_heartbeat_ms: u64,
     sequence: u64,
     releases: Vec<(u16, u16, String)>,
+    /// The number of releases in the last heartbeat.
+    reported_releases: usize,
     /// Revoked keys for which requests are still in progress, and when these end.
     releasing: Vec<(HeldRange, u64)>,
 }
 
+/// The stop of a target that has closed its listener and still holds its keys.
+#[derive(Debug, Clone, Copy)]
+pub struct OrderlyStop {
+    pub ends_at_ms: u64,
+    /// The connections of its requests in progress.
+    pub open_connections: usize,
+    pub sends_heartbeats: bool,
+}
+
 impl Target {
     pub fn new(id: String, address: String, clock_slow_percent: u64, starts_at_ms: u64) -> Self {
         Self {
@@ -40,11 +61,16 @@
             address,
             held: Vec::new(),
             clock_slow_percent,
+            life: 0,
+            born_ms: None,
+            stop: None,
+            ends_work_with_lease: false,
             sent_at_ms: None,
             starts_at_ms,
             next_heartbeat_ms: starts_at_ms,
             sequence: 0,
             releases: Vec::new(),
+            reported_releases: 0,
             releasing: Vec::new(),
         }
     }
@@ -56,6 +82,10 @@
         let ended: Vec<HeldRange> =
             self.releasing.iter().filter(|it| now_ms >= it.1).map(|it| it.0.clone()).collect();
         for range in ended {
+            // An expired lease is not reported as released.
+            if self.ends_work_with_lease && now_ms >= range.until_ms {
+                continue;
+            }
             self.releases.push((range.first, range.last, format!("h-{}-{now_ms}", self.id)));
         }
         self.releasing.retain(|it| now_ms < it.1);
@@ -70,6 +100,9 @@
         if self.sent_at_ms.is_some() || now_ms < self.next_heartbeat_ms {
             return None;
         }
+        if self.stop.is_some_and(|it| !it.sends_heartbeats) {
+            return None;
+        }
         self.sequence += 1;
         self.sent_at_ms = Some(now_ms);
         self.next_heartbeat_ms = now_ms + interval_ms;
@@ -82,7 +115,9 @@
             sequence: self.sequence,
             held: &held,
             released: &self.releases,
+            born_ms: self.born_ms,
         });
+        self.reported_releases = self.releases.len();
         Some(body.into_bytes())
     }
 
@@ -92,7 +127,8 @@
         let Some(sent_at_ms) = self.sent_at_ms.take() else {
             return;
         };
-        self.releases.clear();
+        self.releases.drain(..self.reported_releases);
+        self.reported_releases = 0;
         let HeartbeatReply::Leases { grants, lease_ms } = reply else {
             return;
         };
@@ -101,8 +137,12 @@
         for range in std::mem::take(&mut self.held) {
             for (first, last) in uncovered_parts(range.first, range.last, grants) {
                 let revoked = HeldRange { first, last, ..range.clone() };
-                self.releasing.push((revoked, now_ms + release_delay_ms));
-                self.next_heartbeat_ms = now_ms + 100.max(release_delay_ms);
+                let ends_at_ms = match self.ends_work_with_lease {
+                    true => revoked.until_ms.min(now_ms + release_delay_ms),
+                    false => now_ms + release_delay_ms,
+                };
+                self.releasing.push((revoked, ends_at_ms));
+                self.next_heartbeat_ms = now_ms + release_delay_ms.clamp(100, MAX_RELEASE_GAP_MS);
             }
         }
         for grant in grants {
@@ -118,6 +158,20 @@
         held.filter(|it| now_ms < it.until_ms).map(|it| it.fence)
     }
 
+    /// Whether its listener accepts connections.
+    pub const fn is_listening(&self, now_ms: u64) -> bool {
+        now_ms >= self.starts_at_ms && self.stop.is_none()
+    }
+
+    /// The connections between it and its node.
+    pub fn open_connections(&self, now_ms: u64) -> usize {
+        if now_ms < self.starts_at_ms {
+            return 0;
+        }
+        let requests = self.stop.map_or(0, |it| it.open_connections);
+        requests + usize::from(self.sent_at_ms.is_some())
+    }
+
     /// Whether requests on a revoked key are still in progress.
     pub fn is_releasing(&self, key: u16) -> bool {
         self.releasing.iter().any(|it| it.0.first <= key && key <= it.0.last)
--- a/crates/galenastream_standin/src/platform_target/heartbeat_body.rs
+++ b/crates/galenastream_standin/src/platform_target/heartbeat_body.rs
@@ -17,11 +17,14 @@
     pub held: &'a [(u16, u16, u64)],
     /// The ranges that the target released: first key, last key and handover token.
     pub released: &'a [(u16, u16, String)],
+    /// When the target started, as Unix time, if it reports that.
+    pub born_ms: Option<u64>,
 }
 
 /// Returns the JSON body of a heartbeat of a target that is ready for requests.
 pub fn heartbeat_body(fields: HeartbeatFields<'_>) -> String {
     let body = json!({
+        "born": fields.born_ms,
         "address": fields.address,
         "holds": fields.held,
         "released": fields.released,
--- a/crates/galenastream_standin/src/platform_target/heartbeat_sender.rs
+++ b/crates/galenastream_standin/src/platform_target/heartbeat_sender.rs
@@ -62,6 +62,7 @@
             sequence,
             held: leases.held(),
             released: leases.released(),
+            born_ms: None,
         })
     }
 }
