--- a/crates/galenastream_node/tests/ownership/main.rs
+++ b/crates/galenastream_node/tests/ownership/main.rs
@@ -3,15 +3,28 @@
 //! determined by its seed.
 
 mod config_doubt;
+mod faults;
 mod fixtures;
 mod hold_evidence;
 mod hostile_input;
 mod incarnations;
 mod injected_bug;
+mod invariants;
+mod messages;
+mod node_clock;
+mod probes;
 mod simulation;
+mod state_machine;
 mod store;
+mod store_access;
+mod store_call;
+mod store_restarts;
 mod sync_queries;
+mod takeover_time;
 mod target;
+mod target_steps;
+mod variation;
+mod varied_runs;
 mod vm;
 
 use injected_bug::InjectedBug;
