Detect leases beyond the validity of a row in each seed

The test now loses each VM in turn for longer than a takeover, as suspended nodes whose targets run on, and requires that each of 20 seeds detects it. The same runs without the bug, with suspended nodes and with cuts, hold no key twice.

--- a/crates/galenastream_node/tests/ownership/faults.rs
+++ b/crates/galenastream_node/tests/ownership/faults.rs
@@ -25,6 +25,16 @@
         self.inject_varied_faults();
     }
 
+    /// Cuts a VM off from all others and from the store.
+    pub fn cut_off(&mut self, index: usize, lasts_ms: u64) {
+        self.vms[index].partitioned_until_ms = self.now_ms + lasts_ms;
+    }
+
+    /// Suspends the node of a VM, while its target runs on.
+    pub fn suspend(&mut self, index: usize, lasts_ms: u64) {
+        self.vms[index].suspended_until_ms = self.now_ms + lasts_ms;
+    }
+
     fn is_drawn_once_in(&mut self, ms: u64) -> bool {
         self.rng.random_range(0..ms / STEP_MS) == 0
     }
--- a/crates/galenastream_node/tests/ownership/main.rs
+++ b/crates/galenastream_node/tests/ownership/main.rs
@@ -33,6 +33,8 @@
 const SEEDS: u64 = 100;
 const FAULTY_MS: u64 = 40_000;
 /// Longer than the longest fault, the validity of a row and the detection of a lost node together.
+/// The detection of a lost node, the validity of a row, and some seconds for writes and heartbeats.
+const TAKEOVER_MS: u64 = 3_500 + 12_000 + 2_000;
 const CALM_MS: u64 = 45_000;
 
 fn run(seed: u64, bug: InjectedBug) -> Simulation {
@@ -76,9 +78,39 @@
     assert!((0..SEEDS).any(is_detected), "no seed detects {bug:?}");
 }
 
+/// Loses one VM after the other for longer than a takeover takes.
+fn run_with_lost_vms(
+    seed: u64,
+    lose: impl Fn(&mut Simulation, usize, u64),
+    bug: InjectedBug,
+) -> Simulation {
+    let mut simulation = Simulation::new(seed, 3, bug);
+    simulation.run_for(8_000, false);
+    for index in 0..3 {
+        lose(&mut simulation, index, TAKEOVER_MS + 5_000);
+        simulation.run_for(TAKEOVER_MS + 15_000, false);
+    }
+    simulation
+}
+
+#[test]
+fn at_most_one_target_holds_a_key_while_vms_are_lost() {
+    for seed in 0..SEEDS / 5 {
+        for lose in [Simulation::cut_off, Simulation::suspend] {
+            let simulation = run_with_lost_vms(seed, lose, InjectedBug::None);
+            assert_eq!(simulation.violations, Vec::<String>::new(), "seed {seed}");
+        }
+    }
+}
+
+/// Each seed detects them, since the target of a suspended node keeps its last lease.
 #[test]
 fn leases_beyond_the_validity_of_a_row_are_detected() {
-    assert_detected(InjectedBug::LongerLeases, "held twice");
+    for seed in 0..SEEDS / 5 {
+        let simulation = run_with_lost_vms(seed, Simulation::suspend, InjectedBug::LongerLeases);
+        let is_detected = simulation.violations.iter().any(|it| it.contains("held twice"));
+        assert!(is_detected, "seed {seed}");
+    }
 }
 
 #[test]
