Count the feeds of each table in the store stand-in

Tests of how often nodes call the store need a figure from the store itself. The count leaves out calls that a fault keeps from being executed.

--- a/crates/galenastream_standin/src/row_store/row_store_standin.rs
+++ b/crates/galenastream_standin/src/row_store/row_store_standin.rs
@@ -45,6 +45,8 @@
     copy: Mutex<RowTable>,
     /// A text that is replaced by another one in all rows that nodes write.
     replacement: Mutex<Option<[&'static str; 2]>>,
+    /// How many feeds of each table nodes have asked for.
+    feeds: Mutex<BTreeMap<String, usize>>,
 }
 
 #[derive(Debug, Clone)]
@@ -62,6 +64,7 @@
             era: AtomicU64::new(1),
             copy: Mutex::default(),
             replacement: Mutex::default(),
+            feeds: Mutex::default(),
         });
         let server = HttpServer::start(address, StoreService { state: state.clone() })?;
         Ok(Self { server, state })
@@ -82,6 +85,12 @@
         *lock(&self.state.replacement) = Some(replacement);
     }
 
+    /// Returns how many feeds of a table nodes have asked for, but for those that met a fault that
+    /// keeps the store from executing calls.
+    pub fn feed_count(&self, table: &str) -> usize {
+        lock(&self.state.feeds).get(table).copied().unwrap_or(0)
+    }
+
     /// Makes the copy to which [`restore`](Self::restore) goes back.
     pub fn make_copy(&self) {
         *lock(&self.state.copy) = lock(&self.state.table).clone();
@@ -216,6 +225,7 @@
 
     async fn feed(&self, query: &BTreeMap<String, String>) -> Response {
         let table = parameter(query, "table");
+        *lock(&self.state.feeds).entry(table.to_owned()).or_default() += 1;
         let after = parameter(query, "after").parse().unwrap_or(0);
         let wait = Duration::from_millis(parameter(query, "waitMs").parse().unwrap_or(0));
         let mut versions = self.state.version.subscribe();
