Let confirmations of the config expire

Callers saw 404 for a route that operators had just added, while the store kept its connections open and answered nothing, for up to 13 s: callers do not repeat a request after 404.

Cause: a successful watch confirmed the config until the next one ended, 12 s and a timeout later, and a status that said "I read the config" confirmed it for others, however old that knowledge was and however long the status had been under way.

Change: a confirmation is an instant at which the store had no config newer than the one in force. It is counted from when the call to the store was sent. The two nodes that read the shared rows watch the config for 2 s at a time; a node that becomes one ends its long watch after 1.5 s. They state the age of their confirmation in the acknowledgement of a status, not in the status: the receiver knows when it sent its own status, and counts the age from there, as for sync queries. So nothing that is held up on its way makes a confirmation younger, there is no further message, and statuses do not change each millisecond. A confirmation counts for 7 s: two watches, the timeout of a call and two statuses, of which one is lost. One that is older than the announcement of a newer config does not count. A peer that knew of no config newer than an older one also confirms the one in force, so a change of the config raises no doubt.

The watch of the shared rows cannot serve instead: its answer shows that the store answers for another table, and the version that it names rises with every write.

The tests of doubt use the new events: `ConfigRead(true)` is `ConfigRead` with the instant of the call, and `ConfigRead(false)` is `ConfigReadFailed`. What they check is unchanged.

--- a/crates/galenastream_node/src/connection/peer_connections.rs
+++ b/crates/galenastream_node/src/connection/peer_connections.rs
@@ -140,7 +140,7 @@
         match frame.body {
             Some(Body::Status(status)) => {
                 self.traffic.context.control_events.notify(ControlEvent::PeerStatus(status));
-                self.reply(correlation, Body::StatusSeen(StatusSeen {}));
+                self.reply(correlation, Body::StatusSeen(self.status_seen()));
             }
             Some(Body::SyncQuery(query)) => {
                 let snapshot = self.traffic.context.sync_snapshot.load();
@@ -156,6 +156,16 @@
         }
     }
 
+    /// The acknowledgement of a status. Only the few nodes that watch the config for short times
+    /// confirm it, since every node has to handle each confirmation.
+    fn status_seen(&self) -> StatusSeen {
+        let context = &self.traffic.context;
+        match *context.reads_rows.borrow() {
+            true => context.sync_snapshot.load().status_seen(boot_now()),
+            false => StatusSeen::default(),
+        }
+    }
+
     fn reply(&self, correlation: u64, body: Body) {
         let frame = PeerFrame { correlation, body: Some(body) };
         if self.replies.try_send(frame).is_err() {
--- a/crates/galenastream_node/src/connection/peer_links.rs
+++ b/crates/galenastream_node/src/connection/peer_links.rs
@@ -13,7 +13,7 @@
 use galenastream_routing::NodeKey;
 use galenastream_runtime::{BodyBudget, FrameLink, PeerError, boot_now};
 use galenastream_utils::{BootInstant, FastMap};
-use galenastream_wire::{NodeStatus, PeerFrame, SyncQuery, peer_frame::Body};
+use galenastream_wire::{NodeStatus, PeerFrame, StatusSeen, SyncQuery, peer_frame::Body};
 use tokio::{
     sync::mpsc,
     time::{MissedTickBehavior, interval},
@@ -92,21 +92,29 @@
         reply.await
     }
 
-    /// Sends a status to a node. If it is not acknowledged in time, later requests use another
-    /// connection: this one may be dead.
-    async fn send_status(&self, node: NodeKey, address: SocketAddr, status: NodeStatus) {
-        let Ok(open) = self.link(node, address).await else {
-            return;
-        };
+    /// Sends a status to a node, and returns the acknowledgement and when the status was sent. If
+    /// it is not acknowledged in time, later requests use another connection: this one may be dead.
+    async fn send_status(
+        &self,
+        node: NodeKey,
+        address: SocketAddr,
+        status: NodeStatus,
+    ) -> Option<(StatusSeen, BootInstant)> {
+        let open = self.link(node, address).await.ok()?;
+        let asked_at = boot_now();
         let result = open.link.call(Body::Status(status), STATUS_TIMEOUT).await;
+        if let Ok(Body::StatusSeen(seen)) = result {
+            return Some((seen, asked_at));
+        }
         if result != Err(PeerError::TimedOut) || open.retired.is_cancelled() {
-            return;
+            return None;
         }
         log::info!(event = "peer_silent", peer:% = address; "");
         open.retired.cancel();
         let entry = self.entry(node);
         let mut current = entry.link.lock().await;
         current.take_if(|it| Arc::ptr_eq(it, &open));
+        None
     }
 
     async fn link(&self, node: NodeKey, address: SocketAddr) -> Result<Arc<OpenLink>, PeerError> {
@@ -242,6 +250,7 @@
             continue;
         }
         let (traffic, key, address) = (traffic.clone(), node.key, node.address);
+        let name = node.name.clone();
         let mut status = status.clone();
         if !node.is_planner
             && let Some(target) = &mut status.target
@@ -249,7 +258,14 @@
             target.key_loads.clear();
         }
         tokio::spawn(async move {
-            traffic.links.send_status(key, address, status).await;
+            let acknowledged = traffic.links.send_status(key, address, status).await;
+            // Most nodes do not confirm the config, and their acknowledgements say nothing.
+            if let Some((seen, asked_at)) = acknowledged
+                && seen.config_age_ms.is_some()
+            {
+                let event = ControlEvent::StatusAcknowledged { node: name, seen, asked_at };
+                traffic.context.control_events.notify(event);
+            }
         });
     }
 }
--- a/crates/galenastream_node/src/process/config_confirmation.rs
+++ b/crates/galenastream_node/src/process/config_confirmation.rs
@@ -1,12 +1,22 @@
 //! Whether the config of this node is known to be the newest one.
+//!
+//! A confirmation is an instant at which the store had no config newer than the one in force, and
+//! loses its worth with age. The nodes that read the shared rows watch the config for a short time
+//! and thus renew it; all others learn of it from them.
+
+use std::time::Duration;
 
 use galenastream_utils::BootInstant;
-use galenastream_wire::NodeStatus;
+use galenastream_wire::StatusSeen;
 
 use super::control_state::ControlState;
 use super::peer_book::REACHABILITY_TIMEOUT;
 use crate::version::ConfigDoubt;
 
+/// Age from which a confirmation no longer counts. Two watches of a reader, of which the first is
+/// counted from its start, the timeout of a call, and two statuses, of which one is lost.
+pub(super) const MAX_CONFIG_AGE: Duration = Duration::from_millis(2 * 2_000 + 1_000 + 2 * 1_000);
+
 impl ControlState {
     /// Why the config in force may be older than the newest one; `None` if the store or a peer
     /// confirms it.
@@ -15,13 +25,14 @@
         if self.knows_unreadable_config() {
             return Some(ConfigDoubt::NewerUnreadable);
         }
-        let mut is_confirmed = self.confirms_config();
-        for status in self.statuses(now) {
-            if status.config_version > version {
+        let outdated_at = self.confirmations_outdated_at(now);
+        let mut is_confirmed =
+            self.confirms_config() && self.config_confirmed_at > Some(outdated_at);
+        for (_, peer) in self.peers.iter() {
+            if peer.announces_newer_config(version, now) {
                 return Some(ConfigDoubt::NewerAnnounced);
             }
-            let confirms_config = status.confirms_config.unwrap_or(status.reaches_store);
-            is_confirmed |= confirms_config && status.config_version == version;
+            is_confirmed |= peer.confirms_config(version, outdated_at, now);
         }
         if !is_confirmed {
             return Some(ConfigDoubt::StoreUnreachable);
@@ -29,8 +40,8 @@
         self.awaits_peers(now).then_some(ConfigDoubt::Starting)
     }
 
-    /// Whether this node knows from the store that its config is the newest one. Calls about other
-    /// tables say nothing about that, whether they succeed or fail.
+    /// Whether the last call for the table of the config told that the config in force is the newest
+    /// one. Calls about other tables say nothing about that, whether they succeed or fail.
     pub(super) fn confirms_config(&self) -> bool {
         self.reads_config && !self.knows_unreadable_config()
     }
@@ -40,10 +51,50 @@
         self.unreadable_config_version.is_some_and(|it| it > self.config_version())
     }
 
-    /// The statuses of all nodes that are reachable.
-    fn statuses(&self, now: BootInstant) -> impl Iterator<Item = &NodeStatus> {
-        let reachable = self.peers.iter().filter(move |(_, it)| it.is_reachable(now));
-        reachable.filter_map(|(_, it)| it.status.as_ref())
+    /// Records that the table of the config was read or watched. The config that it shows was the
+    /// newest one at some instant since the call was sent; the answer may have been under way for
+    /// any time.
+    pub(super) fn record_config_read(&mut self, asked_at: BootInstant) {
+        self.reads_config = true;
+        if !self.knows_unreadable_config() {
+            self.config_confirmed_at = self.config_confirmed_at.max(Some(asked_at));
+        }
+    }
+
+    /// Records what the acknowledgement of a status says about the config. A peer that knew of no
+    /// config newer than an older one confirms the one in force as well.
+    pub(super) fn record_peer_confirmation(
+        &mut self,
+        node: &str,
+        seen: StatusSeen,
+        asked_at: BootInstant,
+        now: BootInstant,
+    ) {
+        let Some(age_ms) = seen.config_age_ms else {
+            return;
+        };
+        if seen.config_version > self.config_version() {
+            self.record_announced_config(seen.config_version, now);
+            return;
+        }
+        let confirmed_at = asked_at.saturating_sub(Duration::from_millis(age_ms));
+        self.peers.record_config_confirmation(node, confirmed_at);
+    }
+
+    /// Records the version of a peer's config. If it is newer than the one in force, what was confirmed
+    /// before no longer counts, also after that peer is gone.
+    pub(super) fn record_announced_config(&mut self, version: u64, now: BootInstant) {
+        if version > self.config_version() {
+            let highest = self.announced_config.map_or(version, |it| it.0.max(version));
+            self.announced_config = Some((highest, now));
+        }
+    }
+
+    /// The instant up to which confirmations do not count.
+    fn confirmations_outdated_at(&self, now: BootInstant) -> BootInstant {
+        let expired_at = now.saturating_sub(MAX_CONFIG_AGE);
+        let newer = self.announced_config.filter(|it| it.0 > self.config_version());
+        newer.map_or(expired_at, |it| it.1.max(expired_at))
     }
 
     /// Whether the process started so recently that nodes may be live of which it has not heard.
--- a/crates/galenastream_node/src/process/context.rs
+++ b/crates/galenastream_node/src/process/context.rs
@@ -13,10 +13,12 @@
 use galenastream_adapter::NodeSettings;
 use galenastream_settings::SettingsTree;
 use galenastream_utils::BootInstant;
-use galenastream_wire::{NodeStatus, SharedRow, SyncQuery, SyncState};
+use galenastream_wire::{NodeStatus, SharedRow, StatusSeen, SyncQuery, SyncState};
 use tokio::sync::{Notify, watch};
 
-use super::{ControlQueue, Directory, KeyMeter, StatusPage, TargetLimit};
+use super::{
+    ControlQueue, Directory, KeyMeter, StatusPage, TargetLimit, config_confirmation::MAX_CONFIG_AGE,
+};
 use crate::version::{ConfigDoubt, RoutingTable};
 
 /// The state shared by the threads of a process. The control thread publishes the snapshots.
@@ -52,7 +54,7 @@
     /// The mean service time of the local target in microseconds; 0 before anything was measured.
     pub service_time_us: AtomicU64,
     /// Whether this node follows the shared rows in the store itself.
-    pub reads_rows: AtomicBool,
+    pub reads_rows: watch::Sender<bool>,
     /// Notified when the row of this node has been written.
     pub own_row_written: Notify,
     /// Whether the process is about to stop.
@@ -76,6 +78,9 @@
     pub rows_version: u64,
     /// The latest instant at which the rows were current in the store.
     pub confirmed_at: Option<BootInstant>,
+    /// The latest instant at which the store had no config newer than this one; `None` if this node
+    /// does not read it any more.
+    pub config_confirmed_at: Option<BootInstant>,
 }
 
 impl SyncSnapshot {
@@ -95,4 +100,18 @@
             confirmed_age_ms: u64::try_from(confirmed_age.as_millis()).unwrap_or(u64::MAX),
         }
     }
+
+    /// The acknowledgement of a status. It names the config only if that was confirmed recently.
+    pub fn status_seen(&self, now: BootInstant) -> StatusSeen {
+        let age = self.config_confirmed_at.map(|it| now.saturating_since(it));
+        let Some(age) = age.filter(|it| *it < MAX_CONFIG_AGE) else {
+            return StatusSeen::default();
+        };
+        // Rounded up: evidence is never stated as younger than it is.
+        let age_ms = age.as_nanos().div_ceil(1_000_000);
+        StatusSeen {
+            config_version: self.config_version,
+            config_age_ms: u64::try_from(age_ms).ok(),
+        }
+    }
 }
--- a/crates/galenastream_node/src/process/control_event.rs
+++ b/crates/galenastream_node/src/process/control_event.rs
@@ -1,12 +1,14 @@
 //! The input and output of the control state.
 
+use std::sync::Arc;
+
 use bytes::Bytes;
 use galenastream_adapter::{
     ExpectedRow, HeartbeatReply, NodeSettings, RoutingConfig, Row, RowWrite, StoreError,
 };
 use galenastream_ranges::{Assignment, TargetIncarnation};
 use galenastream_utils::BootInstant;
-use galenastream_wire::{NodeStatus, SyncState};
+use galenastream_wire::{NodeStatus, StatusSeen, SyncState};
 use tokio::sync::oneshot;
 
 /// The answer to a heartbeat or a deregistration.
@@ -42,6 +44,15 @@
     },
     /// Another node sent its status.
     PeerStatus(NodeStatus),
+    /// Another node acknowledged a status of this one.
+    StatusAcknowledged {
+        /// The name of the node.
+        node: Arc<str>,
+        /// The acknowledgement.
+        seen: StatusSeen,
+        /// When the status was sent.
+        asked_at: BootInstant,
+    },
     /// Another node answered a sync query.
     PeerSyncState {
         /// The answer: the config and the rows that this node did not have.
@@ -67,8 +78,13 @@
         /// The config as its writer encoded it.
         encoded: Bytes,
     },
-    /// The table of the config was read or watched (`true`), or that failed (`false`).
-    ConfigRead(bool),
+    /// The table of the config was read, or a watch on it ended, and its changes were delivered.
+    ConfigRead {
+        /// When the call was sent.
+        asked_at: BootInstant,
+    },
+    /// The table of the config could not be read or watched.
+    ConfigReadFailed,
     /// The store has a config that cannot be decoded.
     ConfigUnreadable {
         /// Its version, if that can be told.
--- a/crates/galenastream_node/src/process/control_loop.rs
+++ b/crates/galenastream_node/src/process/control_loop.rs
@@ -124,7 +124,10 @@
         }
         context.sync_snapshot.store(Arc::new(self.state.sync_snapshot()));
         context.status_page.store(Some(Arc::new(self.state.status_page(now))));
-        context.reads_rows.store(self.state.reads_rows(now), Ordering::Relaxed);
+        let reads_rows = self.state.reads_rows(now);
+        context
+            .reads_rows
+            .send_if_modified(|current| std::mem::replace(current, reads_rows) != reads_rows);
         let has_keys_left = self.state.has_keys_to_hand_over();
         context.has_keys_to_hand_over.store(has_keys_left, Ordering::Relaxed);
         let status = self.state.status(now);
--- a/crates/galenastream_node/src/process/control_state.rs
+++ b/crates/galenastream_node/src/process/control_state.rs
@@ -45,6 +45,12 @@
     pub(super) reaches_store: bool,
     /// Whether the last read or watch of the table of the config succeeded.
     pub(super) reads_config: bool,
+    /// The latest instant at which this node knew from the store that no config was newer than the
+    /// one in force.
+    pub(super) config_confirmed_at: Option<BootInstant>,
+    /// The highest version of the config that a peer had when it was newer than the one in force, and
+    /// when such a version was last announced.
+    pub(super) announced_config: Option<(u64, BootInstant)>,
     /// When the last sync query that a peer answered was sent; initially the start of the process.
     pub(super) synced_at: BootInstant,
     pub(super) is_closing: bool,
@@ -114,6 +120,8 @@
             assignments: FastMap::default(),
             reaches_store: false,
             reads_config: false,
+            config_confirmed_at: None,
+            announced_config: None,
             synced_at: started_at,
             is_closing: false,
             is_refusing: false,
@@ -156,6 +164,11 @@
                     return Vec::new();
                 }
             }
+            ControlEvent::StatusAcknowledged { node, seen, asked_at } => {
+                self.record_peer_confirmation(&node, seen, asked_at, now);
+                // The next tick publishes it.
+                return Vec::new();
+            }
             ControlEvent::PeerSyncState { state, asked_at } => {
                 self.handle_peer_sync_state(state, asked_at, now);
             }
@@ -175,7 +188,8 @@
                 self.unreadable_config_version = None;
                 self.apply_config(*config, encoded, now);
             }
-            ControlEvent::ConfigRead(is_read) => self.reads_config = is_read,
+            ControlEvent::ConfigRead { asked_at } => self.record_config_read(asked_at),
+            ControlEvent::ConfigReadFailed => self.reads_config = false,
             ControlEvent::ConfigUnreadable { version } => {
                 self.unreadable_config_version = Some(version.unwrap_or(u64::MAX));
             }
--- a/crates/galenastream_node/src/process/peer_book.rs
+++ b/crates/galenastream_node/src/process/peer_book.rs
@@ -26,6 +26,9 @@
     pub(super) data_centre: Arc<str>,
     pub(super) status: Option<NodeStatus>,
     pub(super) last_status_at: Option<BootInstant>,
+    /// The latest instant at which the node knew from the store that no config was newer than the
+    /// one in force here.
+    config_confirmed_at: Option<BootInstant>,
     /// The target that a status showed as draining first, and when that status arrived.
     draining: Option<(TargetIncarnation, BootInstant)>,
     /// Since when the statuses have said that the target wants a trial of its limit.
@@ -77,6 +80,14 @@
         differs || !was_reachable
     }
 
+    /// Records an instant at which a node knew from the store that no config was newer than the one
+    /// in force here.
+    pub(super) fn record_config_confirmation(&mut self, node: &str, confirmed_at: BootInstant) {
+        if let Some(record) = self.peers.get_mut(node) {
+            record.config_confirmed_at = record.config_confirmed_at.max(Some(confirmed_at));
+        }
+    }
+
     fn insert(&mut self, node: &str, address: SocketAddr, data_centre: &str) -> &mut PeerRecord {
         let next_key = &mut self.next_key;
         let record = self.peers.entry(Arc::from(node)).or_insert_with(|| {
@@ -88,6 +99,7 @@
                 data_centre: Arc::from(data_centre),
                 status: None,
                 last_status_at: None,
+                config_confirmed_at: None,
                 draining: None,
                 trial_wanted_since: None,
             }
@@ -139,6 +151,33 @@
         status.is_some_and(|it| it.reaches_store && it.reads_rows && !it.is_closing)
     }
 
+    /// Whether the node is reachable and has a config newer than a version.
+    pub(super) fn announces_newer_config(&self, version: u64, now: BootInstant) -> bool {
+        let status = self.status.as_ref();
+        status.is_some_and(|it| it.config_version > version) && self.is_reachable(now)
+    }
+
+    /// Whether the node confirms that a version of the config, the one in force here, is the newest
+    /// one. A confirmation whose age is known also counts while statuses are lost, if it is newer
+    /// than `outdated_at`.
+    pub(super) fn confirms_config(
+        &self,
+        version: u64,
+        outdated_at: BootInstant,
+        now: BootInstant,
+    ) -> bool {
+        let Some(status) = &self.status else {
+            return false;
+        };
+        if !status.confirms_config.unwrap_or(status.reaches_store) {
+            return false;
+        }
+        match status.states_config_age {
+            true => self.config_confirmed_at > Some(outdated_at),
+            false => status.config_version == version && self.is_reachable(now),
+        }
+    }
+
     /// The incarnation of the target beside the node.
     pub(super) fn target(&self) -> Option<TargetIncarnation> {
         let target = self.status.as_ref()?.target.as_ref()?;
--- a/crates/galenastream_node/src/process/publication.rs
+++ b/crates/galenastream_node/src/process/publication.rs
@@ -27,6 +27,7 @@
             is_refusing: self.is_refusing,
             reaches_store: self.reaches_store,
             confirms_config: Some(self.confirms_config()),
+            states_config_age: true,
             rows_version: self.rows_version,
             reads_rows: self.reads_rows(now),
             facts: self.facts(now),
@@ -127,6 +128,7 @@
             rows: self.shared_rows(),
             rows_version: self.rows_version,
             confirmed_at: self.confirmed_at,
+            config_confirmed_at: self.config_confirmed_at.filter(|_| self.confirms_config()),
         }
     }
 
--- a/crates/galenastream_node/src/process/store_follower.rs
+++ b/crates/galenastream_node/src/process/store_follower.rs
@@ -1,9 +1,6 @@
 //! Watches the tables of the store for changes.
 
-use std::{
-    sync::{Arc, atomic::Ordering},
-    time::Duration,
-};
+use std::{future::pending, sync::Arc, time::Duration};
 
 use galenastream_adapter::{
     CONFIG_TABLE, RoutingConfig, Row, StoreClient, StoreConnection, StoreError, VersionedRows,
@@ -21,14 +18,22 @@
 pub(super) const STORE_CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
 
 /// How long a watch waits for a change. Long, since each watch costs a call, and a dead connection
-/// is detected by its keep-alive probes. A store that answers the probes but no calls is noticed only
-/// at the end of the watch.
+/// is detected by its keep-alive probes.
 const MAX_WATCH: Duration = Duration::from_millis(12_000);
 
 /// How long a watch waits if the local target holds keys. Each watch confirms that the rows are
 /// current, which leases depend on.
 const MAX_LEASE_WATCH: Duration = Duration::from_millis(2_000);
 
+/// How long a node that follows the shared rows watches the config. Each watch confirms that the
+/// config is the newest one, on which all nodes rely, see
+/// [`MAX_CONFIG_AGE`](super::config_confirmation::MAX_CONFIG_AGE).
+const MAX_READER_CONFIG_WATCH: Duration = Duration::from_millis(2_000);
+
+/// How long a node has to follow the shared rows before it ends a watch of the config that is in
+/// progress. While a deployment starts, all nodes follow them until they hear of the readers.
+const READER_DELAY: Duration = Duration::from_millis(1_500);
+
 /// How long the first read of the shared rows waits until the row of this node is written.
 const ANNOUNCEMENT_TIMEOUT: Duration = Duration::from_millis(2_000);
 
@@ -70,14 +75,19 @@
     loop {
         let is_idle = table == FollowedTable::SharedRows
             && known_version.is_some()
-            && !context.reads_rows.load(Ordering::Relaxed);
+            && !*context.reads_rows.borrow();
         if is_idle {
             sleep(IDLE_POLL).await;
             continue;
         }
         connection.set_address(context.settings.load().store.address);
+        let wait = max_watch(&context, table);
         let asked_at = boot_now();
-        match next_rows(&context, &mut connection, table, known_version).await {
+        let result = tokio::select! {
+            result = next_rows(&mut connection, table, known_version, wait) => result,
+            () = watch_too_long(&context, table, known_version, wait) => continue,
+        };
+        match result {
             Ok(changed) => {
                 backoff = INITIAL_BACKOFF;
                 // A watch has succeeded, not only the read after a drop.
@@ -100,7 +110,7 @@
                 log::info!(event = "store_call_failed", table = table.name(), reason:% = error; "");
                 context.control_events.send(ControlEvent::StoreReached(false)).await;
                 if table == FollowedTable::Config {
-                    context.control_events.send(ControlEvent::ConfigRead(false)).await;
+                    context.control_events.send(ControlEvent::ConfigReadFailed).await;
                 }
                 sleep(backoff).await;
                 backoff = (backoff * 2).min(MAX_BACKOFF);
@@ -110,19 +120,43 @@
 }
 
 async fn next_rows(
-    context: &NodeContext,
     connection: &mut StoreConnection,
     table: FollowedTable,
     known_version: Option<u64>,
+    wait: Duration,
 ) -> Result<VersionedRows, StoreError> {
     let Some(after) = known_version else {
         return connection.read_table(table.name(), STORE_CALL_TIMEOUT).await;
     };
-    let wait = match table {
+    connection.watch_table(table.name(), after, wait, STORE_CALL_TIMEOUT).await
+}
+
+fn max_watch(context: &NodeContext, table: FollowedTable) -> Duration {
+    match table {
         FollowedTable::SharedRows if target_holds_keys(context) => MAX_LEASE_WATCH,
+        FollowedTable::Config if *context.reads_rows.borrow() => MAX_READER_CONFIG_WATCH,
         FollowedTable::SharedRows | FollowedTable::Config => MAX_WATCH,
-    };
-    connection.watch_table(table.name(), after, wait, STORE_CALL_TIMEOUT).await
+    }
+}
+
+/// Returns when a watch of the config has to be replaced by shorter ones, since this node has begun
+/// to follow the shared rows. Never returns if there is no such watch.
+async fn watch_too_long(
+    context: &NodeContext,
+    table: FollowedTable,
+    known_version: Option<u64>,
+    wait: Duration,
+) {
+    if table != FollowedTable::Config || known_version.is_none() || wait < MAX_WATCH {
+        return pending().await;
+    }
+    let mut reads_rows = context.reads_rows.subscribe();
+    // The sender lives as long as the process.
+    while reads_rows.wait_for(|it| *it).await.is_ok() {
+        if timeout(READER_DELAY, reads_rows.wait_for(|it| !*it)).await.is_err() {
+            return;
+        }
+    }
 }
 
 fn target_holds_keys(context: &NodeContext) -> bool {
@@ -155,7 +189,7 @@
             } else if let Some(row) = find_config_row(&changed.rows) {
                 deliver_config(context, row).await;
             }
-            context.control_events.send(ControlEvent::ConfigRead(true)).await;
+            context.control_events.send(ControlEvent::ConfigRead { asked_at }).await;
         }
     }
 }
--- a/crates/galenastream_node/src/process/store_view.rs
+++ b/crates/galenastream_node/src/process/store_view.rs
@@ -53,6 +53,7 @@
         if status.node == *self.node {
             return false;
         }
+        self.record_announced_config(status.config_version, now);
         let node = status.node.clone();
         let has_newer_state = self.needs_config_of(&status, now)
             || status.rows_version > self.rows_version
--- a/crates/galenastream_node/src/version/config_doubt.rs
+++ b/crates/galenastream_node/src/version/config_doubt.rs
@@ -13,7 +13,7 @@
     NewerAnnounced,
     /// The store has a newer config that this node cannot decode.
     NewerUnreadable,
-    /// Neither this node nor another one with the same config reads the config from the store.
+    /// Neither this node nor another one has lately learnt from the store that no config is newer.
     StoreUnreachable,
 }
 
--- a/crates/galenastream_node/tests/ownership/config_doubt.rs
+++ b/crates/galenastream_node/tests/ownership/config_doubt.rs
@@ -2,13 +2,18 @@
 
 use galenastream_adapter::ConfigVersion;
 use galenastream_node::{ConfigDoubt, ControlEvent, ControlState};
-use galenastream_wire::NodeStatus;
+use galenastream_utils::BootInstant;
+use galenastream_wire::{NodeStatus, StatusSeen};
 
 use crate::{
     fixtures::{address, config, settings},
+    healthy_store::HealthyStore,
     simulation::at,
 };
 
+/// Age from which a confirmation of the config no longer counts.
+const MAX_AGE_MS: u64 = 7_000;
+
 /// An instant at which the node has long heard of its peers.
 const SETTLED_MS: u64 = 20_000;
 
@@ -31,6 +36,23 @@
     ControlEvent::PeerStatus(NodeStatus { confirms_config: Some(confirms_config), ..status })
 }
 
+/// A status of a node that states in its acknowledgements how old its confirmation of the config is.
+fn aging_status(index: usize, config_version: u64) -> ControlEvent {
+    let ControlEvent::PeerStatus(status) = reading_status(index, config_version, true) else {
+        unreachable!("a status");
+    };
+    ControlEvent::PeerStatus(NodeStatus { states_config_age: true, ..status })
+}
+
+/// An acknowledgement of a status that was sent at an instant.
+fn acknowledgement(index: usize, version: u64, age_ms: Option<u64>, asked_ms: u64) -> ControlEvent {
+    ControlEvent::StatusAcknowledged {
+        node: format!("vm-{}", address(index)).into(),
+        seen: StatusSeen { config_version: version, config_age_ms: age_ms },
+        asked_at: at(asked_ms),
+    }
+}
+
 fn put_config(state: &mut ControlState, version: u64, now_ms: u64) {
     let config = Box::new(galenastream_adapter::RoutingConfig {
         version: ConfigVersion(version),
@@ -44,7 +66,7 @@
     let mut state = ControlState::new(settings(0), at(0));
     put_config(&mut state, 1, 100);
     state.handle(ControlEvent::StoreReached(true), at(SETTLED_MS));
-    state.handle(ControlEvent::ConfigRead(true), at(SETTLED_MS));
+    state.handle(ControlEvent::ConfigRead { asked_at: at(SETTLED_MS) }, at(SETTLED_MS));
     state
 }
 
@@ -94,7 +116,7 @@
 fn a_config_is_doubted_without_the_store_unless_a_peer_that_reaches_it_has_the_same_one() {
     let mut state = settled_node();
     state.handle(ControlEvent::StoreReached(false), at(SETTLED_MS + 10));
-    state.handle(ControlEvent::ConfigRead(false), at(SETTLED_MS + 10));
+    state.handle(ControlEvent::ConfigReadFailed, at(SETTLED_MS + 10));
     assert_eq!(state.config_doubt(at(SETTLED_MS + 10)), Some(ConfigDoubt::StoreUnreachable));
     state.handle(status(1, 1, false), at(SETTLED_MS + 20));
     assert_eq!(state.config_doubt(at(SETTLED_MS + 20)), Some(ConfigDoubt::StoreUnreachable));
@@ -105,7 +127,7 @@
     assert_eq!(state.config_doubt(later), Some(ConfigDoubt::StoreUnreachable));
     state.handle(ControlEvent::StoreReached(true), later);
     assert_eq!(state.config_doubt(later), Some(ConfigDoubt::StoreUnreachable));
-    state.handle(ControlEvent::ConfigRead(true), later);
+    state.handle(ControlEvent::ConfigRead { asked_at: later }, later);
     assert_eq!(state.config_doubt(later), None);
 }
 
@@ -113,7 +135,7 @@
 #[test]
 fn a_config_is_doubted_while_its_table_is_not_read_although_the_store_is_reached() {
     let mut state = settled_node();
-    state.handle(ControlEvent::ConfigRead(false), at(SETTLED_MS + 10));
+    state.handle(ControlEvent::ConfigReadFailed, at(SETTLED_MS + 10));
     state.handle(ControlEvent::StoreReached(true), at(SETTLED_MS + 20));
     let now = at(SETTLED_MS + 20);
     assert_eq!(state.config_doubt(now), Some(ConfigDoubt::StoreUnreachable));
@@ -125,7 +147,7 @@
     assert_eq!(state.config_doubt(now), None);
     state.handle(reading_status(2, 1, false), now);
     assert_eq!(state.config_doubt(now), Some(ConfigDoubt::StoreUnreachable));
-    state.handle(ControlEvent::ConfigRead(true), now);
+    state.handle(ControlEvent::ConfigRead { asked_at: now }, now);
     assert_eq!(state.config_doubt(now), None);
     assert_eq!(state.status(now).confirms_config, Some(true));
 }
@@ -153,7 +175,7 @@
     let mut state = ControlState::new(settings(0), at(0));
     put_config(&mut state, 1, 100);
     state.handle(ControlEvent::StoreReached(true), at(100));
-    state.handle(ControlEvent::ConfigRead(true), at(100));
+    state.handle(ControlEvent::ConfigRead { asked_at: at(100) }, at(100));
     assert_eq!(state.config_doubt(at(200)), Some(ConfigDoubt::Starting));
     state.handle(
         ControlEvent::Rows { rows: Vec::new(), version: 7, confirmed_at: at(250) },
@@ -161,3 +183,177 @@
     );
     assert_eq!(state.config_doubt(at(300)), None, "no other node has a row");
 }
+
+/// Guards against 404 while the store keeps its connections open and answers nothing.
+#[test]
+fn a_config_is_doubted_when_no_call_about_it_was_answered_for_a_while() {
+    let state = settled_node();
+    let last = at(SETTLED_MS + MAX_AGE_MS - 1);
+    assert_eq!(state.config_doubt(last), None);
+    let later = at(SETTLED_MS + MAX_AGE_MS);
+    assert_eq!(state.config_doubt(later), Some(ConfigDoubt::StoreUnreachable));
+}
+
+/// Guards against 404 on an answer of the store that was held up on its way.
+#[test]
+fn a_watch_confirms_the_config_from_when_it_was_sent() {
+    let mut state = settled_node();
+    let now_ms = SETTLED_MS + 12_000;
+    state.handle(ControlEvent::ConfigRead { asked_at: at(now_ms - MAX_AGE_MS) }, at(now_ms));
+    assert_eq!(state.config_doubt(at(now_ms)), Some(ConfigDoubt::StoreUnreachable));
+    state.handle(ControlEvent::ConfigRead { asked_at: at(now_ms - 2_000) }, at(now_ms));
+    assert_eq!(state.config_doubt(at(now_ms)), None);
+    let later = at(now_ms - 2_000 + MAX_AGE_MS);
+    assert_eq!(state.config_doubt(later), Some(ConfigDoubt::StoreUnreachable));
+}
+
+/// Guards against 404 on the word of a peer that was held up on its way.
+#[test]
+fn a_held_up_status_does_not_confirm_the_config() {
+    let mut state = settled_node();
+    let now_ms = SETTLED_MS + 30_000;
+    let doubt = Some(ConfigDoubt::StoreUnreachable);
+    state.handle(aging_status(1, 1), at(now_ms));
+    assert_eq!(state.config_doubt(at(now_ms)), doubt, "a status proves nothing");
+    state.handle(acknowledgement(1, 1, None, now_ms), at(now_ms));
+    assert_eq!(state.config_doubt(at(now_ms)), doubt, "the peer knows nothing");
+    state.handle(acknowledgement(1, 1, Some(0), now_ms - MAX_AGE_MS), at(now_ms));
+    assert_eq!(state.config_doubt(at(now_ms)), doubt, "the acknowledgement was held up");
+    state.handle(acknowledgement(1, 1, Some(MAX_AGE_MS - 10), now_ms - 10), at(now_ms));
+    assert_eq!(state.config_doubt(at(now_ms)), doubt, "the peer knew it long ago");
+    state.handle(acknowledgement(1, 1, Some(3_000), now_ms - 10), at(now_ms));
+    assert_eq!(state.config_doubt(at(now_ms)), None);
+    // An acknowledgement that overtook another one is not replaced by it.
+    state.handle(acknowledgement(1, 1, Some(u64::MAX), now_ms - 500), at(now_ms));
+    assert_eq!(state.config_doubt(at(now_ms)), None);
+    let later_ms = now_ms - 10 - 3_000 + MAX_AGE_MS;
+    state.handle(aging_status(1, 1), at(later_ms));
+    assert_eq!(state.config_doubt(at(later_ms)), doubt, "the confirmation was not renewed");
+}
+
+/// Guards against doubt after each change of the config, of which the peers hear at other instants.
+#[test]
+fn a_peer_with_an_older_config_confirms_that_none_newer_existed() {
+    let mut state = settled_node();
+    let now_ms = SETTLED_MS + 30_000;
+    state.handle(aging_status(1, 1), at(now_ms));
+    state.handle(acknowledgement(1, 1, Some(2_000), now_ms), at(now_ms));
+    assert_eq!(state.config_doubt(at(now_ms)), None);
+    put_config(&mut state, 3, now_ms + 10);
+    assert_eq!(state.config_doubt(at(now_ms + 10)), None);
+    state.handle(acknowledgement(1, 2, Some(0), now_ms + 4_000), at(now_ms + 4_000));
+    state.handle(aging_status(1, 2), at(now_ms + 6_000));
+    assert_eq!(state.config_doubt(at(now_ms + 6_000)), None);
+}
+
+/// Guards against 404 out of a config that is older than the one that the peer confirms.
+#[test]
+fn a_peer_with_a_newer_config_does_not_confirm_this_one() {
+    let mut state = settled_node();
+    let now_ms = SETTLED_MS + 30_000;
+    state.handle(aging_status(1, 1), at(now_ms));
+    state.handle(acknowledgement(1, 2, Some(0), now_ms), at(now_ms));
+    assert_eq!(state.config_doubt(at(now_ms)), Some(ConfigDoubt::StoreUnreachable));
+}
+
+/// Guards against 404 on confirmations that are older than the news of a newer config, of which the
+/// announcer has gone.
+#[test]
+fn a_confirmation_from_before_the_announcement_of_a_newer_config_does_not_count() {
+    let mut state = settled_node();
+    let now_ms = SETTLED_MS + 3_000;
+    state.handle(aging_status(1, 1), at(now_ms));
+    state.handle(acknowledgement(1, 1, Some(0), now_ms), at(now_ms));
+    state.handle(aging_status(2, 2), at(now_ms + 10));
+    assert_eq!(state.config_doubt(at(now_ms + 10)), Some(ConfigDoubt::NewerAnnounced));
+    let later = at(now_ms + 3_000);
+    assert_eq!(state.config_doubt(later), Some(ConfigDoubt::StoreUnreachable));
+    put_config(&mut state, 2, now_ms + 3_000);
+    assert_eq!(state.config_doubt(later), None, "none newer was announced");
+    state.handle(acknowledgement(1, 3, Some(0), now_ms + 3_010), at(now_ms + 3_020));
+    let later_ms = now_ms + 3_020;
+    assert_eq!(state.config_doubt(at(later_ms)), Some(ConfigDoubt::StoreUnreachable));
+    // The store says later that it has none.
+    state.handle(ControlEvent::ConfigRead { asked_at: at(later_ms + 10) }, at(later_ms + 2_000));
+    assert_eq!(state.config_doubt(at(later_ms + 2_000)), None);
+}
+
+/// Guards against a reader that goes on confirming the config for others while it is cut off from
+/// the store.
+#[test]
+fn a_reader_that_is_cut_off_from_the_store_stops_confirming_the_config() {
+    let mut reader = settled_node();
+    let mut other = ControlState::new(settings(1), at(0));
+    put_config(&mut other, 1, 100);
+    let doubt_of_other = |reader: &mut ControlState, other: &mut ControlState, now_ms| {
+        other.handle(ControlEvent::PeerStatus(reader.status(at(now_ms))), at(now_ms));
+        let seen = reader.sync_snapshot().status_seen(at(now_ms));
+        let node = format!("vm-{}", address(0)).into();
+        let event = ControlEvent::StatusAcknowledged { node, seen, asked_at: at(now_ms) };
+        other.handle(event, at(now_ms));
+        other.config_doubt(at(now_ms))
+    };
+    let doubt = Some(ConfigDoubt::StoreUnreachable);
+    // No call fails, and none is answered.
+    for age_ms in (0..MAX_AGE_MS + 5_000).step_by(250) {
+        let expected = if age_ms < MAX_AGE_MS { None } else { doubt };
+        let now_ms = SETTLED_MS + age_ms;
+        assert_eq!(doubt_of_other(&mut reader, &mut other, now_ms), expected, "{age_ms} ms");
+    }
+    let now_ms = SETTLED_MS + 20_000;
+    reader.handle(ControlEvent::ConfigRead { asked_at: at(now_ms) }, at(now_ms));
+    assert_eq!(doubt_of_other(&mut reader, &mut other, now_ms), None);
+    // A call fails.
+    reader.handle(ControlEvent::ConfigReadFailed, at(now_ms + 10));
+    assert_eq!(doubt_of_other(&mut reader, &mut other, now_ms + 20), doubt);
+}
+
+/// Guards against evidence that becomes younger by rounding.
+#[test]
+fn the_stated_age_of_a_confirmation_is_rounded_up() {
+    let mut state = settled_node();
+    let now = BootInstant::new(at(SETTLED_MS).as_ns() + 1);
+    let seen = state.sync_snapshot().status_seen(now);
+    assert_eq!(seen, StatusSeen { config_version: 1, config_age_ms: Some(1) });
+}
+
+const NODES: usize = 6;
+const READERS: usize = 2;
+
+/// Guards against requests that are asked to come back although the store answers.
+#[test]
+fn a_config_is_not_doubted_while_the_store_is_healthy() {
+    for seed in 0..20 {
+        let mut store = HealthyStore::new(seed, NODES);
+        store.run_for(600_000);
+        assert_eq!(store.doubts, Vec::<String>::new(), "seed {seed}");
+    }
+}
+
+/// Guards against doubt while a reader restarts and another node takes its place.
+#[test]
+fn a_config_is_not_doubted_while_readers_restart() {
+    for seed in 0..20 {
+        let mut store = HealthyStore::new(seed, NODES);
+        store.run_for(10_000);
+        for round in 0..30 {
+            store.restart(round % 3, round % 2 == 0);
+            store.run_for(12_000);
+        }
+        assert_eq!(store.doubts, Vec::<String>::new(), "seed {seed}");
+    }
+}
+
+/// Guards against calls that each node pays for although two readers suffice.
+#[test]
+fn only_readers_watch_the_config_often() {
+    const OBSERVED_MS: usize = 120_000;
+    let mut store = HealthyStore::new(3, NODES);
+    store.run_for(20_000);
+    store.calls = 0;
+    store.run_for(OBSERVED_MS as u64);
+    let of_readers = READERS * OBSERVED_MS.div_ceil(2_000);
+    let of_others = (NODES - READERS) * OBSERVED_MS.div_ceil(12_000);
+    let expected = of_readers + of_others;
+    assert!(store.calls <= expected, "{} calls, {expected} expected", store.calls);
+}
--- a/crates/galenastream_node/tests/ownership/hostile_input.rs
+++ b/crates/galenastream_node/tests/ownership/hostile_input.rs
@@ -10,7 +10,7 @@
 use galenastream_standin::{Corpus, fuzz_config};
 use galenastream_wire::{
     EraRow, IncarnationRecord, KeyLoadRecord, NodeStatus, OwnershipFacts, ReleaseRecord, SharedRow,
-    SyncState, TargetStatus,
+    StatusSeen, SyncState, TargetStatus,
 };
 use proptest::{collection::vec, option, prelude::*};
 use prost::Message;
@@ -124,6 +124,7 @@
                 is_refusing: flags.1,
                 reaches_store: flags.2,
                 confirms_config: flags.2.then_some(flags.3),
+                states_config_age: flags.1,
                 rows_version: numbers.2,
                 reads_rows: flags.3,
                 facts,
@@ -198,6 +199,8 @@
         }),
         1 => (0_u64..1 << 24).prop_map(ControlEvent::StoreEra),
         1 => any::<bool>().prop_map(ControlEvent::StoreReached),
+        1 => (0_u64..9_000).prop_map(|it| ControlEvent::ConfigRead { asked_at: at(it) }),
+        1 => any::<()>().prop_map(|()| ControlEvent::ConfigReadFailed),
         2 => rows().prop_map(|rows| ControlEvent::Committed {
             service: "carts".to_owned(),
             assignment: Box::new(Assignment::new()),
@@ -208,7 +211,20 @@
             Err(_) => ControlEvent::PeerQueryFailed,
         }),
     ];
-    prop_oneof![3 => heartbeat(), 3 => status(), 2 => sync_state(), 4 => store]
+    let acknowledged = (node(), number(), option::of(number()), 0_u64..9_000).prop_map(
+        |(node, config_version, config_age_ms, asked_at)| ControlEvent::StatusAcknowledged {
+            node: node.into(),
+            seen: StatusSeen { config_version, config_age_ms },
+            asked_at: at(asked_at),
+        },
+    );
+    prop_oneof![
+        3 => heartbeat(),
+        3 => status(),
+        1 => acknowledged,
+        2 => sync_state(),
+        4 => store,
+    ]
 }
 
 fn check_assignment(assignment: &Assignment) -> Result<(), TestCaseError> {
@@ -267,7 +283,8 @@
             check_assignment(assignment)?;
         }
         let _ = state.status_page(at(now_ms));
-        let _ = state.sync_snapshot();
+        let _ = state.sync_snapshot().status_seen(at(now_ms));
+        let _ = state.config_doubt(at(now_ms));
         let _ = state.status(at(now_ms)).encode_to_vec();
         if let Some(routing) = state.routing()
             && let RouteMatch::Found(route) = routing.find("shop.example", "/a/b")
--- a/crates/galenastream_node/tests/ownership/main.rs
+++ b/crates/galenastream_node/tests/ownership/main.rs
@@ -4,6 +4,7 @@
 
 mod config_doubt;
 mod fixtures;
+mod healthy_store;
 mod hostile_input;
 mod incarnations;
 mod injected_bug;
--- /dev/null
+++ b/crates/galenastream_node/tests/platform/config_confirmation.rs
@@ -0,0 +1,105 @@
+//! Tests of how nodes learn that their config is the newest one.
+
+use std::time::Duration;
+
+use galenastream_standin::{CallerConnection, LocalVm, StoreFault, wait_until};
+use serde_json::Value;
+
+use super::{
+    TIMEOUT, WORKS,
+    deployment::{start, wait_for_confirmed_config},
+};
+
+const NODES: usize = 5;
+const READERS: usize = 2;
+
+async fn reads_rows(vm: &LocalVm) -> Option<bool> {
+    let mut operator = CallerConnection::connect(vm.metrics_address()).await?;
+    let page = operator.get("/status", "status", None).await?;
+    let page: Value = serde_json::from_str(&page.body).ok()?;
+    page["reads_rows"].as_bool()
+}
+
+/// Returns the indexes of the nodes that read the shared rows.
+async fn readers(vms: &[LocalVm]) -> Vec<usize> {
+    let mut readers = Vec::new();
+    for (index, vm) in vms.iter().enumerate() {
+        if reads_rows(vm).await == Some(true) {
+            readers.push(index);
+        }
+    }
+    readers
+}
+
+async fn wait_for_readers(vms: &[LocalVm]) -> Vec<usize> {
+    wait_until("two nodes to read the rows", TIMEOUT, async || readers(vms).await.len() == READERS)
+        .await
+        .expect(WORKS);
+    readers(vms).await
+}
+
+/// Returns the doubts that a node has logged since its config was first confirmed.
+fn later_doubts(vm: &LocalVm) -> Vec<Value> {
+    let log = vm.log().into_iter();
+    let since = log.skip_while(|it| it["kvs"]["event"] != "config_confirmed");
+    since.filter(|it| it["kvs"]["event"] == "config_doubted").collect()
+}
+
+/// Guards against calls that each node pays for although two readers suffice, and against requests
+/// that are asked to come back although the store answers.
+#[tokio::test(flavor = "multi_thread")]
+async fn only_readers_watch_the_config_often_and_no_node_doubts_it() {
+    const OBSERVED: Duration = Duration::from_secs(12);
+    /// A watch of 2 s each for the readers and one of 12 s for each other node, and one more each
+    /// that is already due.
+    const MAX_FEEDS: usize = READERS * (6 + 1) + (NODES - READERS) * (1 + 1);
+    let mut deployment = start("confirmed-config", &["stock"; NODES]).await;
+    wait_for_confirmed_config(&deployment).await;
+    wait_for_readers(&deployment.vms).await;
+    // Until the readers have ended their long watches.
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let before = deployment.store.feed_count("op");
+    tokio::time::sleep(OBSERVED).await;
+    let feeds = deployment.store.feed_count("op") - before;
+    assert!(feeds <= MAX_FEEDS, "{feeds} feeds in {OBSERVED:?}");
+    println!("{feeds} feeds of the config by {NODES} nodes in {OBSERVED:?}");
+    let replaced = readers(&deployment.vms).await[0];
+    deployment.vms[replaced].kill_node().unwrap();
+    tokio::time::sleep(Duration::from_secs(8)).await;
+    let remaining = deployment.vms.iter().enumerate().filter(|(index, _)| *index != replaced);
+    for (index, vm) in remaining {
+        assert_eq!(later_doubts(vm), Vec::<Value>::new(), "node {index}");
+    }
+    deployment.close().unwrap();
+}
+
+/// Guards against 404 for as long as the watches of all nodes last while the store keeps its
+/// connections open and answers nothing.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_silent_store_is_noticed_before_the_watches_of_most_nodes_end() {
+    /// Age from which a confirmation no longer counts, and some ticks of the control thread.
+    const NOTICED: Duration = Duration::from_millis(7_000 + 500);
+    let deployment = start("noticed-silence", &["stock"; NODES]).await;
+    wait_for_confirmed_config(&deployment).await;
+    wait_for_readers(&deployment.vms).await;
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let statuses = async |id: &str| {
+        let mut statuses = Vec::new();
+        for vm in &deployment.vms {
+            let mut caller = vm.caller().await.expect(WORKS);
+            statuses.push(caller.get("/nowhere/1", id, None).await.expect(WORKS).status);
+        }
+        statuses
+    };
+    assert_eq!(statuses("before").await, [404; NODES]);
+    deployment.store.set_fault(StoreFault::Silent);
+    tokio::time::sleep(NOTICED).await;
+    assert_eq!(statuses("silent").await, [503; NODES]);
+    deployment.store.set_fault(StoreFault::None);
+    wait_until("the config to be confirmed again", TIMEOUT, async || {
+        statuses("after").await == [404; NODES]
+    })
+    .await
+    .expect(WORKS);
+    deployment.close().unwrap();
+}
--- a/crates/galenastream_node/tests/platform/main.rs
+++ b/crates/galenastream_node/tests/platform/main.rs
@@ -3,6 +3,7 @@
 
 mod announced_leave;
 mod announcement_load;
+mod config_confirmation;
 mod deployment;
 mod endless_answer;
 mod forwarded;
--- a/crates/galenastream_node/tests/platform/unsigned_answers.rs
+++ b/crates/galenastream_node/tests/platform/unsigned_answers.rs
@@ -153,7 +153,7 @@
         tokio::spawn(async move {
             while let Some(Ok(frame)) = frames.next().await {
                 let body = match frame.body {
-                    Some(Body::Status(_)) => Body::StatusSeen(StatusSeen {}),
+                    Some(Body::Status(_)) => Body::StatusSeen(StatusSeen::default()),
                     Some(Body::Request(_)) => Body::Reply(ForwardedReply {
                         outcome: ReplyOutcome::Answered as i32,
                         status: 404,
--- a/crates/galenastream_wire/src/message/node_status.rs
+++ b/crates/galenastream_wire/src/message/node_status.rs
@@ -37,6 +37,10 @@
     /// if it only reports whether it reaches the store.
     #[prost(bool, optional, tag = "13")]
     pub confirms_config: Option<bool>,
+    /// Whether the node states in its [`StatusSeen`] when it last knew that. If so,
+    /// `confirms_config` alone proves nothing.
+    #[prost(bool, tag = "14")]
+    pub states_config_age: bool,
     /// The version of the shared rows that the node knows.
     #[prost(uint64, tag = "9")]
     pub rows_version: u64,
@@ -144,6 +148,17 @@
     pub milli_per_s: u64,
 }
 
-/// Acknowledges a [`NodeStatus`].
-#[derive(Clone, PartialEq, Message)]
-pub struct StatusSeen {}
+/// Acknowledges a [`NodeStatus`], and states how long ago its sender knew which config is the newest.
+///
+/// The age is part of a reply so that its receiver can count it from when the status was sent. A
+/// message that arrives unasked may have been under way for any time.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub struct StatusSeen {
+    /// A version: at the instant of `config_age_ms`, the store had no config newer than this one.
+    #[prost(uint64, tag = "1")]
+    pub config_version: u64,
+    /// Time since that instant, in milliseconds; `None` if the sender does not know a recent one or
+    /// does not follow the shared rows.
+    #[prost(uint64, optional, tag = "2")]
+    pub config_age_ms: Option<u64>,
+}
--- a/crates/galenastream_wire/tests/codec.rs
+++ b/crates/galenastream_wire/tests/codec.rs
@@ -4,8 +4,8 @@
 use expect_test::expect;
 use galenastream_wire::{
     Cancel, ForwardedReply, ForwardedRequest, FrameCodec, Header, KeyLoadRecord, MAX_FRAME_BYTES,
-    NodeStatus, Part, PeerFrame, ReplyOutcome, ReplyReason, SharedRow, SyncQuery, SyncState,
-    TargetStatus, WireError, peer_frame::Body,
+    NodeStatus, Part, PeerFrame, ReplyOutcome, ReplyReason, SharedRow, StatusSeen, SyncQuery,
+    SyncState, TargetStatus, WireError, peer_frame::Body,
 };
 use proptest::prelude::*;
 use tokio_util::codec::{Decoder, Encoder};
@@ -92,6 +92,11 @@
         sync_state(),
         part(),
         Just(Body::Cancel(Cancel {})),
+        (any::<u64>(), prop::option::of(any::<u64>())).prop_map(
+            |(config_version, config_age_ms)| {
+                Body::StatusSeen(StatusSeen { config_version, config_age_ms })
+            }
+        ),
         any::<u64>()
             .prop_map(|it| Body::SyncQuery(SyncQuery { rows_version: it, config_version: it })),
     ];
