--- /dev/null
+++ b/crates/galenastream_node/tests/ownership/lease_conditions.rs
@@ -0,0 +1,176 @@
+//! Checks under which conditions a node grants leases and assigns keys.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use galenastream_adapter::{Grant, HeartbeatReply, NodeSettings, Row};
+use galenastream_node::{ControlEvent, ControlState, Effect, HeartbeatAnswer};
+use galenastream_ranges::{KeyRange, LeaseTerms};
+
+use crate::{
+    fixtures::{HEARTBEAT_MS, config, settings},
+    simulation::at,
+    single_node::{
+        ALL_KEYS, Reply, START_MS, TARGET, ended, node_with_leases, owned_by, row, send,
+    },
+};
+
+/// The validity of a row by the settings of the simulated nodes.
+const ROW_VALIDITY_MS: u64 = 12_000;
+
+/// The leases in a reply: the grants and their duration.
+fn leases(reply: &mut Reply) -> (Vec<Grant>, u64) {
+    match reply.try_recv().expect("the heartbeat is answered") {
+        HeartbeatAnswer::Reply(HeartbeatReply::Leases { grants, lease_ms }) => (grants, lease_ms),
+        HeartbeatAnswer::Reply(HeartbeatReply::Acknowledged) => (Vec::new(), 0),
+        other => panic!("the heartbeat is refused: {other:?}"),
+    }
+}
+
+/// Sends the heartbeat with this sequence number and returns the leases in the reply.
+fn leases_after_heartbeat(
+    state: &mut ControlState,
+    sequence: u64,
+    now_ms: u64,
+) -> (Vec<Grant>, u64) {
+    let mut reply = send(state, TARGET, sequence, ALL_KEYS, now_ms);
+    state.tick(at(now_ms + 800));
+    leases(&mut reply)
+}
+
+fn reaches_store(state: &mut ControlState, now_ms: u64) -> Vec<Effect> {
+    state.handle(ControlEvent::StoreReached(true), at(now_ms))
+}
+
+fn is_removal(effect: &Effect) -> bool {
+    matches!(effect, Effect::Commit { assignment, .. } if assignment.holders().is_empty())
+}
+
+/// Guards against a lease on keys that a write in progress frees, and that its planner may give to
+/// another target in the same write.
+#[test]
+fn a_target_whose_end_is_being_written_gets_no_lease_on_that_version() {
+    let (mut state, heard_ms) = node_with_leases(TARGET);
+    let silent_ms = heard_ms + 7_000;
+    let effects = reaches_store(&mut state, silent_ms);
+    assert!(effects.iter().any(is_removal), "the leases have expired: {effects:?}");
+    let assignment = owned_by(&TARGET.owner());
+    state.handle(row(&assignment, 3, silent_ms + 5), at(silent_ms + 10));
+    let (grants, _) = leases_after_heartbeat(&mut state, 13, silent_ms + 20);
+    assert_eq!(grants, [], "the write may still take effect");
+    // The write has failed on another one.
+    let later_ms = silent_ms + 1_000;
+    state.handle(row(&assignment, 4, later_ms), at(later_ms + 10));
+    let (grants, _) = leases_after_heartbeat(&mut state, 14, later_ms + 20);
+    assert_eq!(grants.len(), 1, "the target is an owner by the newer version");
+}
+
+/// The same for a node that states the end in its status, for the planner to write.
+#[test]
+fn a_target_whose_end_was_announced_gets_no_lease_on_that_version() {
+    let (mut state, heard_ms) = node_with_leases(TARGET);
+    let silent_ms = heard_ms + 7_000;
+    state.tick(at(silent_ms));
+    assert_eq!(ended(&state, silent_ms), ["t"]);
+    let assignment = owned_by(&TARGET.owner());
+    state.handle(row(&assignment, 3, silent_ms + 5), at(silent_ms + 10));
+    state.handle(ControlEvent::StoreReached(false), at(silent_ms + 15));
+    let (grants, _) = leases_after_heartbeat(&mut state, 13, silent_ms + 20);
+    assert_eq!(grants, [], "the planner may write the end");
+    assert_eq!(ended(&state, silent_ms + 900), ["t"], "the statement stands");
+}
+
+/// Guards against leases on an assignment that a newer row, which this program cannot read, has
+/// replaced.
+#[test]
+fn a_row_that_cannot_be_decoded_takes_the_assignment_before_out_of_force() {
+    let (mut state, heard_ms) = node_with_leases(TARGET);
+    let unreadable = Row {
+        key: "keys/carts".to_owned(),
+        value: Some(Bytes::from_static(&[0xff; 9])),
+        version: 4,
+    };
+    let confirmed_at = Some(at(heard_ms + 100));
+    let event = ControlEvent::Rows { rows: vec![unreadable], version: 4, confirmed_at };
+    state.handle(event, at(heard_ms + 110));
+    let (grants, _) = leases_after_heartbeat(&mut state, 13, heard_ms + HEARTBEAT_MS);
+    assert_eq!(grants, []);
+    let assignment = owned_by(&TARGET.owner());
+    state.handle(row(&assignment, 5, heard_ms + 2_000), at(heard_ms + 2_010));
+    let (grants, _) = leases_after_heartbeat(&mut state, 14, heard_ms + 2_100);
+    assert_eq!(grants.len(), 1);
+}
+
+/// Guards against leases that outlast what nodes with other settings wait for.
+#[test]
+fn leases_keep_to_the_limits_in_the_row() {
+    let (mut state, heard_ms) = node_with_leases(TARGET);
+    let mut assignment = owned_by(&TARGET.owner());
+    let max_lease = Duration::from_millis(1_500);
+    assignment.raise_terms(LeaseTerms::new(Duration::from_millis(4_000), max_lease));
+    let confirmed_ms = heard_ms + 100;
+    state.handle(row(&assignment, 4, confirmed_ms), at(confirmed_ms + 10));
+    let (grants, lease_ms) = leases_after_heartbeat(&mut state, 13, heard_ms + HEARTBEAT_MS);
+    assert_eq!(grants.len(), 1);
+    assert!(lease_ms <= 1_500, "{lease_ms} ms");
+    let (_, lease_ms) = leases_after_heartbeat(&mut state, 14, confirmed_ms + 3_000);
+    assert!(lease_ms <= 200, "{lease_ms} ms at {} ms of 4,000", 3_800);
+}
+
+/// When a planner that first reads the departure at `START_MS` completes the move.
+fn vacant_after_ms(terms: Option<LeaseTerms>) -> u64 {
+    let mut state = ControlState::new(settings(1), at(START_MS));
+    let config = ControlEvent::Config { config: Box::new(config()), encoded: Bytes::new() };
+    state.handle(config, at(START_MS));
+    reaches_store(&mut state, START_MS);
+    let mut assignment = owned_by(&TARGET.owner());
+    if let Some(terms) = terms {
+        assignment.raise_terms(terms);
+    }
+    assignment.begin_move(KeyRange::ALL, None, 2);
+    state.handle(row(&assignment, 3, START_MS), at(START_MS));
+    for after_ms in (100..60_000).step_by(100) {
+        if state.tick(at(START_MS + after_ms)).iter().any(is_removal) {
+            return after_ms;
+        }
+        state.handle_dropped_commit("carts");
+    }
+    panic!("the keys never become vacant");
+}
+
+/// Guards against a takeover before the leases end that nodes with longer limits have granted.
+#[test]
+fn a_planner_waits_for_the_limits_in_the_row() {
+    let second = Duration::from_secs(1);
+    assert_eq!(vacant_after_ms(Some(LeaseTerms::new(20 * second, 9 * second))), 20_000);
+    assert_eq!(vacant_after_ms(None), ROW_VALIDITY_MS, "the limits of the own settings");
+}
+
+/// When a node that starts with an empty store first writes an assignment.
+fn first_write_after_ms(is_first_start: bool) -> u64 {
+    let settings = NodeSettings { is_first_start, ..settings(0) };
+    let mut state = ControlState::new(settings, at(START_MS));
+    let config = ControlEvent::Config { config: Box::new(config()), encoded: Bytes::new() };
+    state.handle(config, at(START_MS));
+    reaches_store(&mut state, START_MS);
+    let rows =
+        ControlEvent::Rows { rows: Vec::new(), version: 1, confirmed_at: Some(at(START_MS)) };
+    state.handle(rows, at(START_MS));
+    for sequence in 1..40 {
+        let now_ms = START_MS + sequence * HEARTBEAT_MS;
+        send(&mut state, TARGET, sequence, &[], now_ms);
+        state.handle_dropped_commit("carts");
+        let effects = state.tick(at(now_ms + 100));
+        if effects.iter().any(|it| matches!(it, Effect::Commit { .. })) {
+            return now_ms - START_MS;
+        }
+    }
+    panic!("the keys are never assigned");
+}
+
+/// Guards against an assignment that begins anew while leases on a lost one last.
+#[test]
+fn keys_without_a_row_are_assigned_only_after_the_leases_of_a_lost_row() {
+    assert!(first_write_after_ms(true) <= 3 * HEARTBEAT_MS, "a first start has no leases");
+    assert!(first_write_after_ms(false) >= ROW_VALIDITY_MS - 100);
+}
