Fault soak: scenarios with several takeovers of the same keys

In the existing scenarios no fault lasts over 4 s and all end by 16 s, while a takeover without the node of the owner takes 15.5 s, so none happens there.

Change: ScenarioPlan::ownership_soak draws 3 to 6 VMs and 62 s of faults: cuts of a node from all others and the store, suspensions and kills in series on one VM or on two in turn, replaced targets, targets that close their listener first, outages, stale reads, deaf watches and restores of the store. ScenarioPlan::missed_cancellation is the traced case: the planner marks the keys of a node as leaving and is cut off, the node returns, cancels and is lost again, and the planner returns. A seed that fails keeps the list of its leases (leases.txt).

--- a/crates/galenastream_node/tests/soak.rs
+++ b/crates/galenastream_node/tests/soak.rs
@@ -1,26 +1,39 @@
-//! A short run of the fault soak: random faults from outside of real nodes, drawn from fixed seeds.
+//! Short runs of the fault soak: faults from outside of real nodes, drawn from fixed seeds.
 //! `tools/soak.sh` runs more seeds.
 
-use std::path::Path;
+use std::{path::Path, time::Duration};
 
 use galenastream_standin::{ScenarioPlan, run_scenario};
 
-/// The most VMs of each deployment; both seeds run at the same time.
+/// The most VMs of each deployment; all seeds run at the same time.
 const MAX_VMS: usize = 5;
 
-async fn check_seed(seed: u64) {
-    let scenario = ScenarioPlan::soak(seed, MAX_VMS);
+/// Until when the scenarios of the ownership soak have faults.
+const OWNERSHIP_FAULTS_UNTIL: Duration = Duration::from_secs(42);
+
+async fn check(scenario: &ScenarioPlan, seed: u64) {
     let program = Path::new(env!("CARGO_BIN_EXE_galenastreamd"));
-    let run = run_scenario(&scenario, program, seed).await.expect("the scenario runs to its end");
+    let run = run_scenario(scenario, program, seed).await.expect("the scenario runs to its end");
     assert_eq!(run.violations, [], "seed {seed}, logs in {:?}\n{}", run.logs, run.summary);
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn no_promise_is_broken_under_the_faults_of_seed_3() {
-    check_seed(3).await;
+    check(&ScenarioPlan::soak(3, MAX_VMS), 3).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn no_promise_is_broken_under_the_faults_of_seed_6() {
-    check_seed(6).await;
+    check(&ScenarioPlan::soak(6, MAX_VMS), 6).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn keys_have_one_owner_under_the_losses_of_seed_2() {
+    let scenario = ScenarioPlan::ownership_soak(2, MAX_VMS);
+    check(&scenario.with_faults_until(OWNERSHIP_FAULTS_UNTIL), 2).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planner_that_missed_a_cancellation_does_not_complete_the_move() {
+    check(&ScenarioPlan::missed_cancellation(), 1).await;
 }
--- a/crates/galenastream_standin/examples/soak.rs
+++ b/crates/galenastream_standin/examples/soak.rs
@@ -11,7 +11,7 @@
 use anyhow::Context;
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use futures::{StreamExt, stream};
-use galenastream_standin::{LoadOutcome, ScenarioPlan, ScenarioRun, SoakSeed, run_scenario};
+use galenastream_standin::{LoadOutcome, ScenarioRun, SoakKind, SoakSeed, run_scenario};
 use tokio::signal::unix::{SignalKind, signal};
 
 /// How many violations of one kind are printed for a seed.
@@ -69,6 +69,14 @@
                 .value_parser(value_parser!(PathBuf))
                 .help("The executable of the nodes, galenastreamd"),
         )
+        .arg(
+            Arg::new("kind")
+                .long("kind")
+                .value_name("KIND")
+                .default_value("faults")
+                .value_parser(["faults", "ownership", "missed-cancellation"])
+                .help("The kind of the scenarios"),
+        )
         .arg(number("first", "1", "The first seed"))
         .arg(number("seeds", "3", "How many seeds to run"))
         .arg(number("max-vms", "12", "The most VMs of a deployment"))
@@ -93,20 +101,27 @@
     let number = |name: &str| {
         matches.get_one::<u64>(name).copied().with_context(|| format!("{name} is missing"))
     };
+    let kind = match matches.get_one::<String>("kind").map(String::as_str) {
+        Some("ownership") => SoakKind::Ownership,
+        Some("missed-cancellation") => SoakKind::MissedCancellation,
+        _ => SoakKind::Faults,
+    };
     let (first, max_vms) = (number("first")?, usize::try_from(number("max-vms")?)?);
     let seeds = match matches.get_one::<PathBuf>("regressions") {
         Some(file) => SoakSeed::load_all(file)?,
-        None => (first..first + number("seeds")?).map(|it| SoakSeed::new(it, max_vms)).collect(),
+        None => {
+            (first..first + number("seeds")?).map(|it| SoakSeed::new(kind, it, max_vms)).collect()
+        }
     };
     if matches.get_flag("print-plan") {
         for seed in seeds {
-            println!("{:#?}", ScenarioPlan::soak(seed.seed, seed.max_vms));
+            println!("{:#?}", seed.scenario());
         }
         return Ok(0);
     }
     let program: &Path = matches.get_one::<PathBuf>("program").context("the program is missing")?;
     let runs = stream::iter(seeds).map(|seed| async move {
-        let scenario = ScenarioPlan::soak(seed.seed, seed.max_vms);
+        let scenario = seed.scenario();
         let result = run_scenario(&scenario, program, seed.seed).await;
         (seed, scenario, result)
     });
@@ -114,7 +129,8 @@
     let mut failed = 0;
     while let Some((seed, scenario, result)) = runs.next().await {
         let head = format!(
-            "seed {} of up to {} VMs: {} VMs, {} faults",
+            "{:?} seed {} of up to {} VMs: {} VMs, {} faults",
+            seed.kind,
             seed.seed,
             seed.max_vms,
             scenario.vms.len(),
--- a/crates/galenastream_standin/src/scenario/fault.rs
+++ b/crates/galenastream_standin/src/scenario/fault.rs
@@ -16,6 +16,9 @@
 /// How long a late store waits before it executes a call that it never answers.
 const LATE_STORE_DELAY: Duration = Duration::from_millis(2_000);
 
+/// How old the answers of a stale store are.
+const STORE_STALENESS: Duration = Duration::from_millis(3_000);
+
 /// How much longer each chunk of bytes takes on a link that is delayed.
 const LINK_DELAY: Duration = Duration::from_millis(150);
 
@@ -110,6 +113,15 @@
     LinkEndlessHead,
     /// Requests on the link are answered with a body that never ends.
     LinkEndlessBody,
+    /// The node is cut off from all other nodes and from the store: no byte passes either way.
+    NodeCut,
+    /// The target stops listening, and serves its open connections and sends heartbeats until the
+    /// end of the fault. Then another one starts at its address.
+    TargetStopped,
+    /// The store answers reads as of three seconds ago.
+    StoreStale,
+    /// Watches of the store hear nothing, and then that the history was dropped.
+    StoreDeaf,
 }
 
 impl ScenarioFault {
@@ -134,6 +146,8 @@
             ScenarioFaultKind::StoreLate => Some(StoreFault::Late(LATE_STORE_DELAY)),
             ScenarioFaultKind::StoreSlow => Some(StoreFault::Slow(SLOW_STORE_DELAY)),
             ScenarioFaultKind::StoreForgets => Some(StoreFault::DropHistory),
+            ScenarioFaultKind::StoreStale => Some(StoreFault::Stale(STORE_STALENESS)),
+            ScenarioFaultKind::StoreDeaf => Some(StoreFault::DeafFeeds),
             _ => None,
         }
     }
@@ -171,7 +185,8 @@
         match self.kind {
             ScenarioFaultKind::NodeKilled
             | ScenarioFaultKind::NodeStopped
-            | ScenarioFaultKind::NodeSuspended => self.vm == vm,
+            | ScenarioFaultKind::NodeSuspended
+            | ScenarioFaultKind::NodeCut => self.vm == vm,
             ScenarioFaultKind::StoreRestored => true,
             _ if self.store_fault().is_some() => true,
             _ => {
--- a/crates/galenastream_standin/src/scenario/fault_injector.rs
+++ b/crates/galenastream_standin/src/scenario/fault_injector.rs
@@ -7,8 +7,8 @@
 
 use super::{ScenarioFault, ScenarioFaultKind, ScenarioPlan};
 use crate::{
-    DeploymentPlan, LinkFault, LocalDeployment, LocalVm, MEMORY_LIMIT_MB, Process, StoreFault,
-    TargetAnnouncement, TargetAnswerFault, Violation,
+    DeploymentPlan, HostSet, LinkFault, LocalDeployment, LocalVm, MEMORY_LIMIT_MB, Process,
+    StoreFault, TargetAnnouncement, TargetAnswerFault, Violation,
 };
 
 /// The time between two looks at the processes.
@@ -121,7 +121,14 @@
             ScenarioFaultKind::NodeKilled
             | ScenarioFaultKind::NodeStopped
             | ScenarioFaultKind::NodeSuspended => self.apply_to_node(step),
-            ScenarioFaultKind::TargetReplaced if step.is_start => {
+            ScenarioFaultKind::NodeCut => self.apply_cuts(),
+            ScenarioFaultKind::TargetStopped if step.is_start => {
+                self.vm(fault).target.stop_listening();
+                Ok(())
+            }
+            ScenarioFaultKind::TargetStopped | ScenarioFaultKind::TargetReplaced
+                if step.is_start != (fault.kind == ScenarioFaultKind::TargetStopped) =>
+            {
                 self.vm(fault).replace_target().await?;
                 self.apply_to_target(fault);
                 Ok(())
@@ -162,6 +169,16 @@
         }
     }
 
+    fn apply_cuts(&self) -> anyhow::Result<()> {
+        let cuts = self.active.iter().filter(|it| it.kind == ScenarioFaultKind::NodeCut);
+        let hosts =
+            cuts.fold(HostSet::NONE, |hosts, it| hosts.with(self.deployment.vms[it.vm].host()));
+        for vm in &self.deployment.vms {
+            vm.set_cut_hosts(hosts)?;
+        }
+        Ok(())
+    }
+
     fn apply_to_node(&mut self, step: &FaultStep<'_>) -> anyhow::Result<()> {
         let index = step.fault.vm;
         let is_active = |kind| self.active.iter().any(|it| it.vm == index && it.kind == kind);
--- a/crates/galenastream_standin/src/scenario/mod.rs
+++ b/crates/galenastream_standin/src/scenario/mod.rs
@@ -3,6 +3,7 @@
 
 mod fault;
 mod fault_injector;
+mod ownership_plan;
 mod report;
 mod scenario_plan;
 mod scenario_run;
@@ -13,4 +14,4 @@
 pub use report::write_report;
 pub use scenario_plan::{ScenarioBurst, ScenarioPlan, ScenarioTraffic, ScenarioVm};
 pub use scenario_run::{ScenarioRun, run_scenario};
-pub use soak_seed::SoakSeed;
+pub use soak_seed::{SoakKind, SoakSeed};
--- a/crates/galenastream_standin/src/scenario/scenario_plan.rs
+++ b/crates/galenastream_standin/src/scenario/scenario_plan.rs
@@ -6,9 +6,10 @@
 use serde::Deserialize;
 use serde_with::{DurationMilliSeconds, serde_as};
 
-use super::ScenarioFault;
+use super::{ScenarioFault, ScenarioFaultKind};
 use crate::{
-    Burst, LoadClass, LoadKind, LoadOutcome, LoadPlan, LoadSample, TargetCapacity, VmPlan,
+    Burst, LoadClass, LoadKind, LoadOutcome, LoadPlan, LoadSample, TargetCapacity, TargetConduct,
+    VmPlan,
 };
 
 /// How long a node must have been without faults to know the newest config for sure.
@@ -65,6 +66,9 @@
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(rename = "service_time_ms")]
     pub service_time: Duration,
+    /// What the target does that its protocol allows.
+    #[serde(default)]
+    pub conduct: TargetConduct,
 }
 
 /// A class of requests.
@@ -143,14 +147,19 @@
     pub fn vm_plans(&self) -> Vec<VmPlan> {
         let plan = |vm: &ScenarioVm| {
             let capacity = TargetCapacity { slots: vm.slots, service_time: vm.service_time };
-            VmPlan::new(&vm.service).with_data_centre(&vm.data_centre).with_capacity(capacity)
+            VmPlan::new(&vm.service)
+                .with_data_centre(&vm.data_centre)
+                .with_capacity(capacity)
+                .with_conduct(vm.conduct)
         };
         self.vms.iter().map(plan).collect()
     }
 
     /// Returns whether faults of links need proxies.
     pub(super) fn has_proxies(&self) -> bool {
-        self.faults.iter().any(|it| it.link_fault().is_some())
+        let is_of_links =
+            |it: &ScenarioFault| it.kind == ScenarioFaultKind::NodeCut || it.link_fault().is_some();
+        self.faults.iter().any(is_of_links)
     }
 
     /// Returns whether a node may end a request for good because it does not know the newest
--- a/crates/galenastream_standin/src/scenario/scenario_run.rs
+++ b/crates/galenastream_standin/src/scenario/scenario_run.rs
@@ -2,7 +2,7 @@
 
 use std::{
     path::{Path, PathBuf},
-    time::Duration,
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
 use tokio::time::sleep;
@@ -10,7 +10,7 @@
 use super::{ScenarioPlan, fault_injector::FaultInjector};
 use crate::{
     DeploymentPlan, LoadOutcome, LoadRun, LoadSample, LoadSummary, LocalDeployment, LocalVm,
-    Violation, check_invariants, run_load,
+    TargetHistory, Violation, check_invariants, run_load,
 };
 
 /// How long requests may still run on targets after the end of the traffic.
@@ -52,6 +52,7 @@
     let mut deployment = LocalDeployment::start(&plan).await?;
     let entries = deployment.vms.iter().map(LocalVm::callers_address).collect();
     let load = scenario.load_plan(entries, seed);
+    let (began_at, began_unix) = (Instant::now(), SystemTime::now());
     let (load_run, injected) =
         tokio::join!(run_load(&load), FaultInjector::new(scenario, &mut deployment).run());
     let mut violations = injected?;
@@ -59,7 +60,8 @@
     let LoadRun { summary, samples } = load_run?;
     let judged: Vec<LoadSample> =
         samples.iter().filter(|it| !scenario.may_deny(it)).cloned().collect();
-    violations.extend(check_invariants(&deployment.histories(), &judged));
+    let histories = deployment.histories();
+    violations.extend(check_invariants(&histories, &judged));
     violations.extend(check_recovery(scenario, &samples));
     let folder = deployment.close_and_keep_logs();
     if violations.is_empty() {
@@ -70,10 +72,33 @@
     let texts: Vec<String> = violations.iter().map(|it| format!("{it}\n")).collect();
     folder.write("outcomes.txt", &outcomes.concat())?;
     folder.write("violations.txt", &texts.concat())?;
+    folder.write("leases.txt", &lease_list(&histories, began_at, began_unix))?;
     folder.write("plan.txt", &format!("{scenario:#?}"))?;
     Ok(ScenarioRun { seed, summary, violations, logs: Some(folder.path().to_owned()) })
 }
 
+/// Lists which target held which keys, and from when to when since the start of the traffic.
+fn lease_list(histories: &[TargetHistory], began_at: Instant, began_unix: SystemTime) -> String {
+    let began_unix = began_unix.duration_since(UNIX_EPOCH).unwrap_or_default();
+    let mut lines = vec![format!("the traffic began at {began_unix:?} after 1970\n")];
+    let since = |it: Instant| it.saturating_duration_since(began_at).as_secs_f64();
+    for history in histories {
+        for span in &history.held {
+            lines.push(format!(
+                "{:8.3} {:8.3} s: {} held {} to {} under fencing token {}\n",
+                since(span.from),
+                since(span.until),
+                history.id,
+                span.first,
+                span.last,
+                span.fence
+            ));
+        }
+    }
+    lines[1..].sort();
+    lines.concat()
+}
+
 /// Checks the requests that start after the time to recover from the last fault.
 fn check_recovery(scenario: &ScenarioPlan, samples: &[LoadSample]) -> Vec<Violation> {
     let last_end = scenario.faults.iter().map(|it| it.end()).max().unwrap_or_default();
--- a/crates/galenastream_standin/src/scenario/soak_plan.rs
+++ b/crates/galenastream_standin/src/scenario/soak_plan.rs
@@ -12,7 +12,7 @@
     ScenarioBurst, ScenarioFault, ScenarioFaultKind as Kind, ScenarioPlan, ScenarioTraffic,
     ScenarioVm,
 };
-use crate::{LimitFields, VmLink};
+use crate::{LimitFields, TargetConduct, VmLink};
 
 /// The duration of the traffic.
 const LENGTH: Duration = Duration::from_secs(36);
@@ -158,6 +158,7 @@
                 data_centre: data_centre.to_owned(),
                 slots: self.rng.random_range(8..=16),
                 service_time: Duration::from_millis(self.rng.random_range(1..=20)),
+                conduct: TargetConduct::default(),
             });
         }
         vms
--- a/crates/galenastream_standin/src/scenario/soak_seed.rs
+++ b/crates/galenastream_standin/src/scenario/soak_seed.rs
@@ -5,6 +5,8 @@
 use anyhow::Context;
 use serde::Deserialize;
 
+use super::ScenarioPlan;
+
 /// A seed of the fault soak.
 #[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -13,11 +15,27 @@
     pub seed: u64,
     /// The most VMs of its deployment.
     pub max_vms: usize,
+    /// The kind of its scenario.
+    #[serde(default)]
+    pub kind: SoakKind,
     /// What failed, and why.
     #[serde(default)]
     pub cause: String,
 }
 
+/// A kind of scenarios of the fault soak.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum SoakKind {
+    /// Short faults of every kind.
+    #[default]
+    Faults,
+    /// Faults that last long enough for several takeovers of the same keys.
+    Ownership,
+    /// A node that is cut off misses the cancellation of a move; the seed affects traffic only.
+    MissedCancellation,
+}
+
 #[derive(Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 struct SoakSeeds {
@@ -27,8 +45,17 @@
 
 impl SoakSeed {
     /// Creates a seed that has not failed yet.
-    pub fn new(seed: u64, max_vms: usize) -> Self {
-        Self { seed, max_vms, cause: String::new() }
+    pub fn new(kind: SoakKind, seed: u64, max_vms: usize) -> Self {
+        Self { seed, max_vms, kind, cause: String::new() }
+    }
+
+    /// Draws the scenario of the seed.
+    pub fn scenario(&self) -> ScenarioPlan {
+        match self.kind {
+            SoakKind::Faults => ScenarioPlan::soak(self.seed, self.max_vms),
+            SoakKind::Ownership => ScenarioPlan::ownership_soak(self.seed, self.max_vms),
+            SoakKind::MissedCancellation => ScenarioPlan::missed_cancellation(),
+        }
     }
 
     /// Reads a file of seeds.
--- a/crates/galenastream_standin/tests/day.rs
+++ b/crates/galenastream_standin/tests/day.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeSet, fs, path::Path, time::Duration};
 
 use expect_test::{Expect, expect};
-use galenastream_standin::{ScenarioPlan, SoakSeed};
+use galenastream_standin::{ScenarioFault, ScenarioFaultKind, ScenarioPlan, SoakSeed};
 
 const HEAD: &str = r#"
 name = "a-day"
@@ -47,7 +47,7 @@
               |
             9 | kind = "node-lost"
               |        ^^^^^^^^^^^
-            unknown variant `node-lost`, expected one of `node-killed`, `node-stopped`, `node-suspended`, `target-replaced`, `target-sheds`, `target-fails`, `target-cuts-answers`, `target-mixes-answers`, `target-unsigned`, `target-slow`, `target-limited`, `store-refuses`, `store-silent`, `store-loses-answers`, `store-late`, `store-slow`, `store-forgets`, `store-restored`, `config-changed`, `link-delayed`, `link-reset`, `link-cut-to-server`, `link-cut-to-client`, `link-silent`, `link-endless-head`, `link-endless-body`"#]],
+            unknown variant `node-lost`, expected one of `node-killed`, `node-stopped`, `node-suspended`, `target-replaced`, `target-sheds`, `target-fails`, `target-cuts-answers`, `target-mixes-answers`, `target-unsigned`, `target-slow`, `target-limited`, `store-refuses`, `store-silent`, `store-loses-answers`, `store-late`, `store-slow`, `store-forgets`, `store-restored`, `config-changed`, `link-delayed`, `link-reset`, `link-cut-to-server`, `link-cut-to-client`, `link-silent`, `link-endless-head`, `link-endless-body`, `node-cut`, `target-stopped`, `store-stale`, `store-deaf`"#]],
     );
 }
 
@@ -77,6 +77,32 @@
     assert_eq!(links.len(), 5, "{links:?}");
 }
 
+#[test]
+fn the_seeds_of_the_ownership_soak_draw_valid_scenarios_with_every_fault() {
+    assert_eq!(ScenarioPlan::ownership_soak(5, 6), ScenarioPlan::ownership_soak(5, 6));
+    let mut kinds = BTreeSet::new();
+    let mut series = 0;
+    for seed in 1..=50 {
+        let scenario = ScenarioPlan::ownership_soak(seed, 6);
+        scenario.load_plan(vec![([127, 0, 0, 1], 1).into()], seed).check().unwrap();
+        assert!((3..=6).contains(&scenario.vms.len()));
+        for fault in &scenario.faults {
+            assert!(fault.vm < scenario.vms.len(), "{fault:?}");
+            assert!(fault.end() + Duration::from_secs(20) <= scenario.length, "{fault:?}");
+            kinds.insert(format!("{:?}", fault.kind));
+        }
+        let is_lost_twice = |vm| {
+            let is_loss = |it: &&ScenarioFault| {
+                it.vm == vm && it.kind == ScenarioFaultKind::NodeCut && it.length.as_secs() >= 4
+            };
+            scenario.faults.iter().filter(is_loss).count() >= 2
+        };
+        series += usize::from((0..scenario.vms.len()).any(is_lost_twice));
+    }
+    assert_eq!(kinds.len(), 11, "{kinds:?}");
+    assert!(series >= 40, "{series}");
+}
+
 #[test]
 fn the_list_of_failed_seeds_names_a_cause_for_each() {
     let file = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples/soak/seeds.toml");
