Fault soak: late heartbeats are a fault that ends

Cause: as a property of targets they went on through the time to recover, in which nothing may be in trouble any more.

--- a/crates/galenastream_standin/src/platform_target/platform_target_standin.rs
+++ b/crates/galenastream_standin/src/platform_target/platform_target_standin.rs
@@ -15,8 +15,8 @@
 };
 
 use super::{
-    LimitSpan, TargetAnnouncement, TargetAnswerFault, TargetArrival, TargetCapacity, TargetConduct,
-    TargetHistory, TargetPlan, TargetRun,
+    LimitSpan, TargetAnnouncement, TargetAnswerFault, TargetArrival, TargetCapacity, TargetHistory,
+    TargetPlan, TargetRun,
     heartbeat_sender::send_heartbeats,
     target_leases::{HeartbeatReply, TargetLeases},
 };
@@ -39,11 +39,11 @@
     pub(super) id: String,
     pub(super) service: String,
     pub(super) capacity: TargetCapacity,
-    pub(super) conduct: TargetConduct,
     pub(super) started_unix_ms: Option<u64>,
     slots: Semaphore,
     leases: Mutex<TargetLeases>,
     fault: Mutex<TargetAnswerFault>,
+    max_heartbeat_delay: Mutex<Duration>,
     announcement: Mutex<TargetAnnouncement>,
     arrivals: Mutex<Vec<TargetArrival>>,
     /// The limits announced so far; the last one may still be announced.
@@ -85,6 +85,11 @@
         *lock(&self.state.fault) = fault;
     }
 
+    /// Sets how long some heartbeats are under way at most, also past the end of the target.
+    pub fn set_max_heartbeat_delay(&self, delay: Duration) {
+        *lock(&self.state.max_heartbeat_delay) = delay;
+    }
+
     /// Sets what the responses announce from now on.
     pub fn announce(&self, announcement: TargetAnnouncement) {
         let now = Instant::now();
@@ -149,10 +154,10 @@
             service: plan.service.clone(),
             slots: Semaphore::new(plan.capacity.slots as usize),
             capacity: plan.capacity,
-            conduct: plan.conduct,
             started_unix_ms: plan.started_unix_ms,
             leases: Mutex::new(TargetLeases::new(plan.conduct)),
             fault: Mutex::default(),
+            max_heartbeat_delay: Mutex::default(),
             announcement: Mutex::default(),
             arrivals: Mutex::default(),
             limits: Mutex::default(),
@@ -164,6 +169,10 @@
         lock(&self.leases)
     }
 
+    pub(super) fn max_heartbeat_delay(&self) -> Duration {
+        *lock(&self.max_heartbeat_delay)
+    }
+
     /// Returns the limits announced so far, with the current one until `now`.
     fn limits_until(&self, now: Instant) -> Vec<LimitSpan> {
         let is_announced = lock(&self.announcement).limit_per_s().is_some();
--- a/crates/galenastream_standin/src/scenario/fault.rs
+++ b/crates/galenastream_standin/src/scenario/fault.rs
@@ -19,6 +19,9 @@
 /// How old the answers of a stale store are.
 const STORE_STALENESS: Duration = Duration::from_millis(3_000);
 
+/// How long late heartbeats are under way at most.
+const HEARTBEAT_DELAY: Duration = Duration::from_millis(6_000);
+
 /// How much longer each chunk of bytes takes on a link that is delayed.
 const LINK_DELAY: Duration = Duration::from_millis(150);
 
@@ -118,6 +121,8 @@
     /// The target stops listening, and serves its open connections and sends heartbeats until the
     /// end of the fault. Then another one starts at its address.
     TargetStopped,
+    /// Some heartbeats of the target are under way for up to six seconds, also past its end.
+    HeartbeatsLate,
     /// The store answers reads as of three seconds ago.
     StoreStale,
     /// Watches of the store hear nothing, and then that the history was dropped.
@@ -152,6 +157,10 @@
         }
     }
 
+    pub(super) fn heartbeat_delay(&self) -> Option<Duration> {
+        (self.kind == ScenarioFaultKind::HeartbeatsLate).then_some(HEARTBEAT_DELAY)
+    }
+
     pub(super) fn answer_fault(&self) -> Option<TargetAnswerFault> {
         match self.kind {
             ScenarioFaultKind::TargetSheds => Some(TargetAnswerFault::Shed),
