Fault soak: no 4xx is exempt on nodes that may not know the newest config

Such nodes answer 503 since the config counts as doubted there. The exemption covered requests that need a newer config, on nodes that were cut off, suspended or just restarted, and all nodes during faults of the store.

--- a/crates/galenastream_standin/src/scenario/fault.rs
+++ b/crates/galenastream_standin/src/scenario/fault.rs
@@ -188,20 +188,4 @@
         };
         Some((self.link.unwrap_or(VmLink::Callers), fault))
     }
-
-    /// Returns whether the node of a VM may be unaware of a config during the fault.
-    pub(super) fn may_hide_config(&self, vm: usize) -> bool {
-        match self.kind {
-            ScenarioFaultKind::NodeKilled
-            | ScenarioFaultKind::NodeStopped
-            | ScenarioFaultKind::NodeSuspended
-            | ScenarioFaultKind::NodeCut => self.vm == vm,
-            ScenarioFaultKind::StoreRestored => true,
-            _ if self.store_fault().is_some() => true,
-            _ => {
-                let link = self.link_fault().map(|it| it.0);
-                self.vm == vm && matches!(link, Some(VmLink::Store | VmLink::Peers))
-            }
-        }
-    }
 }
--- a/crates/galenastream_standin/src/scenario/scenario_plan.rs
+++ b/crates/galenastream_standin/src/scenario/scenario_plan.rs
@@ -7,13 +7,7 @@
 use serde_with::{DurationMilliSeconds, serde_as};
 
 use super::{ScenarioFault, ScenarioFaultKind};
-use crate::{
-    Burst, LoadClass, LoadKind, LoadOutcome, LoadPlan, LoadSample, TargetCapacity, TargetConduct,
-    VmPlan,
-};
-
-/// How long a node must have been without faults to know the newest config for sure.
-const STABLE_TIME: Duration = Duration::from_secs(3);
+use crate::{Burst, LoadClass, LoadKind, LoadPlan, TargetCapacity, TargetConduct, VmPlan};
 
 /// The plan of a scenario: a deployment, its traffic and the faults to inject.
 #[serde_as]
@@ -162,21 +156,6 @@
         self.faults.iter().any(is_of_links)
     }
 
-    /// Returns whether a node may end a request for good because it does not know the newest
-    /// config: the config did not always allow the request, and the node has just been cut off from
-    /// the store, or has just started.
-    pub(super) fn may_deny(&self, sample: &LoadSample) -> bool {
-        let needs_newest_config = !self.traffic[sample.class].from.is_zero();
-        let since = sample.at.saturating_sub(STABLE_TIME);
-        let until = sample.at + sample.latency;
-        needs_newest_config
-            && sample.outcome == LoadOutcome::Denied
-            && self
-                .faults
-                .iter()
-                .any(|it| it.may_hide_config(sample.entry) && it.at <= until && it.end() >= since)
-    }
-
     /// Returns the load to generate. Requests enter at the nodes at `entries`.
     pub fn load_plan(&self, entries: Vec<std::net::SocketAddr>, seed: u64) -> LoadPlan {
         let burst =
--- a/crates/galenastream_standin/src/scenario/scenario_run.rs
+++ b/crates/galenastream_standin/src/scenario/scenario_run.rs
@@ -58,10 +58,8 @@
     let mut violations = injected?;
     sleep(SETTLE_TIME).await;
     let LoadRun { summary, samples } = load_run?;
-    let judged: Vec<LoadSample> =
-        samples.iter().filter(|it| !scenario.may_deny(it)).cloned().collect();
     let histories = deployment.histories();
-    violations.extend(check_invariants(&histories, &judged));
+    violations.extend(check_invariants(&histories, &samples));
     violations.extend(check_recovery(scenario, &samples));
     let folder = deployment.close_and_keep_logs();
     if violations.is_empty() {
