--- a/crates/galenastream_standin/src/platform_target/platform_target_standin.rs
+++ b/crates/galenastream_standin/src/platform_target/platform_target_standin.rs
@@ -22,6 +22,9 @@
 };
 use crate::{HttpServer, partial_reply, read_body, text_reply};
 
+/// How long a target that has stopped listening goes on sending heartbeats.
+const LAST_HEARTBEATS_TIME: Duration = Duration::from_millis(500);
+
 /// The path of the health check, whose answer carries the id of the target.
 const HEALTH_PATH: &str = "/health";
 
@@ -128,9 +131,15 @@
         }
     }
 
-    /// Stops listening. Open connections and heartbeats go on until [`crash`](Self::crash).
+    /// Stops listening. Heartbeats go on for a moment, and open connections are served until
+    /// [`crash`](Self::crash).
     pub fn stop_listening(&self) {
         self.server.stop_listening();
+        let heartbeats = self.heartbeats.abort_handle();
+        tokio::spawn(async move {
+            tokio::time::sleep(LAST_HEARTBEATS_TIME).await;
+            heartbeats.abort();
+        });
     }
 
     /// Stops listening and sending heartbeats abruptly, as a crash does. The history stays
--- a/crates/galenastream_standin/src/scenario/fault.rs
+++ b/crates/galenastream_standin/src/scenario/fault.rs
@@ -118,8 +118,8 @@
     LinkEndlessBody,
     /// The node is cut off from all other nodes and from the store: no byte passes either way.
     NodeCut,
-    /// The target stops listening, and serves its open connections and sends heartbeats until the
-    /// end of the fault. Then another one starts at its address.
+    /// The target stops listening, sends heartbeats for another moment, and serves its open
+    /// connections until the end of the fault. Then another one starts at its address.
     TargetStopped,
     /// Some heartbeats of the target are under way for up to six seconds, also past its end.
     HeartbeatsLate,
