--- a/crates/galenastream_standin/src/platform_target/platform_target_standin.rs
+++ b/crates/galenastream_standin/src/platform_target/platform_target_standin.rs
@@ -22,6 +22,9 @@
 };
 use crate::{HttpServer, partial_reply, read_body, text_reply};
 
+/// How long a target that has stopped listening goes on sending heartbeats.
+const LAST_HEARTBEATS_TIME: Duration = Duration::from_millis(500);
+
 /// The path of the health check, whose answer carries the id of the target.
 const HEALTH_PATH: &str = "/health";
 
@@ -39,9 +42,11 @@
     pub(super) id: String,
     pub(super) service: String,
     pub(super) capacity: TargetCapacity,
+    pub(super) started_unix_ms: Option<u64>,
     slots: Semaphore,
     leases: Mutex<TargetLeases>,
     fault: Mutex<TargetAnswerFault>,
+    max_heartbeat_delay: Mutex<Duration>,
     announcement: Mutex<TargetAnnouncement>,
     arrivals: Mutex<Vec<TargetArrival>>,
     /// The limits announced so far; the last one may still be announced.
@@ -83,6 +88,11 @@
         *lock(&self.state.fault) = fault;
     }
 
+    /// Sets how long some heartbeats are under way at most, also past the end of the target.
+    pub fn set_max_heartbeat_delay(&self, delay: Duration) {
+        *lock(&self.state.max_heartbeat_delay) = delay;
+    }
+
     /// Sets what the responses announce from now on.
     pub fn announce(&self, announcement: TargetAnnouncement) {
         let now = Instant::now();
@@ -115,12 +125,23 @@
             id: self.state.id.clone(),
             service: self.state.service.clone(),
             runs: self.runs(),
-            held: self.state.leases().spans().to_vec(),
+            held: self.state.leases().spans(),
             arrivals: self.arrivals(),
             limits: self.state.limits_until(Instant::now()),
         }
     }
 
+    /// Stops listening. Heartbeats go on for a moment, and open connections are served until
+    /// [`crash`](Self::crash).
+    pub fn stop_listening(&self) {
+        self.server.stop_listening();
+        let heartbeats = self.heartbeats.abort_handle();
+        tokio::spawn(async move {
+            tokio::time::sleep(LAST_HEARTBEATS_TIME).await;
+            heartbeats.abort();
+        });
+    }
+
     /// Stops listening and sending heartbeats abruptly, as a crash does. The history stays
     /// available.
     pub fn crash(&self) {
@@ -142,8 +163,10 @@
             service: plan.service.clone(),
             slots: Semaphore::new(plan.capacity.slots as usize),
             capacity: plan.capacity,
-            leases: Mutex::default(),
+            started_unix_ms: plan.started_unix_ms,
+            leases: Mutex::new(TargetLeases::new(plan.conduct)),
             fault: Mutex::default(),
+            max_heartbeat_delay: Mutex::default(),
             announcement: Mutex::default(),
             arrivals: Mutex::default(),
             limits: Mutex::default(),
@@ -155,6 +178,10 @@
         lock(&self.leases)
     }
 
+    pub(super) fn max_heartbeat_delay(&self) -> Duration {
+        *lock(&self.max_heartbeat_delay)
+    }
+
     /// Returns the limits announced so far, with the current one until `now`.
     fn limits_until(&self, now: Instant) -> Vec<LimitSpan> {
         let is_announced = lock(&self.announcement).limit_per_s().is_some();
@@ -170,6 +197,56 @@
     }
 }
 
+impl TargetState {
+    /// Waits for the time that a request takes. Returns false as soon as its lease has ended.
+    async fn run(&self, key: Option<u16>, time: Duration) -> bool {
+        let done_at = Instant::now() + time;
+        loop {
+            let lease_end = key.and_then(|it| self.leases().request_end(it));
+            let until = lease_end.map_or(done_at, |it| it.min(done_at));
+            tokio::time::sleep_until(until.into()).await;
+            if until == done_at {
+                return true;
+            }
+            let is_renewed = key
+                .and_then(|it| self.leases().request_end(it))
+                .is_some_and(|it| Instant::now() < it);
+            if !is_renewed {
+                return false;
+            }
+        }
+    }
+
+    fn set_run_status(&self, request_id: &str, status: StatusCode) {
+        let mut runs = lock(&self.runs);
+        if let Some(run) = runs.iter_mut().rev().find(|it| it.request_id == request_id) {
+            run.status = status.as_u16();
+        }
+    }
+}
+
+/// A request in progress on a key, also if its connection closes.
+struct KeyUse {
+    state: Arc<TargetState>,
+    key: Option<u16>,
+}
+
+impl KeyUse {
+    /// Starts a request. Returns `None` if its key is not held.
+    fn begin(state: &Arc<TargetState>, key: Option<u16>) -> Option<Self> {
+        let is_held = key.is_none_or(|it| state.leases().begin_request(it));
+        is_held.then(|| Self { state: state.clone(), key })
+    }
+}
+
+impl Drop for KeyUse {
+    fn drop(&mut self) {
+        if let Some(key) = self.key {
+            self.state.leases().end_request(key);
+        }
+    }
+}
+
 impl Service<ServerContext, Request> for TargetService {
     type Response = Response;
     type Error = Infallible;
@@ -219,6 +296,9 @@
             _ => StatusCode::OK,
         };
         let body = read_body(request).await.unwrap_or_default();
+        let Some(_key_use) = KeyUse::begin(&self.state, key) else {
+            return not_executed_reply(StatusCode::MISDIRECTED_REQUEST, &request_id);
+        };
         lock(&self.state.runs).push(TargetRun {
             request_id: request_id.clone(),
             caller_service: header_text(&headers, "x-caller-service").to_owned(),
@@ -232,7 +312,12 @@
             TargetAnswerFault::Slow(time) => time,
             _ => Duration::ZERO,
         };
-        tokio::time::sleep(self.state.capacity.service_time + extra_time).await;
+        if !self.state.run(key, self.state.capacity.service_time + extra_time).await {
+            let status = StatusCode::INTERNAL_SERVER_ERROR;
+            self.state.set_run_status(&request_id, status);
+            let text = format!("{} ended {request_id} with its lease", self.state.id);
+            return self.signed(named(status, text, &request_id), &request_id);
+        }
         let text = format!("{} ran {request_id} with {} bytes", self.state.id, body.len());
         let signed = |id: &str| self.signed(named(status, text.clone(), id), id);
         match fault {
--- a/crates/galenastream_standin/src/scenario/fault.rs
+++ b/crates/galenastream_standin/src/scenario/fault.rs
@@ -16,6 +16,12 @@
 /// How long a late store waits before it executes a call that it never answers.
 const LATE_STORE_DELAY: Duration = Duration::from_millis(2_000);
 
+/// How old the answers of a stale store are.
+const STORE_STALENESS: Duration = Duration::from_millis(3_000);
+
+/// How long late heartbeats are under way at most.
+const HEARTBEAT_DELAY: Duration = Duration::from_millis(6_000);
+
 /// How much longer each chunk of bytes takes on a link that is delayed.
 const LINK_DELAY: Duration = Duration::from_millis(150);
 
@@ -110,6 +116,17 @@
     LinkEndlessHead,
     /// Requests on the link are answered with a body that never ends.
     LinkEndlessBody,
+    /// The node is cut off from all other nodes and from the store: no byte passes either way.
+    NodeCut,
+    /// The target stops listening, sends heartbeats for another moment, and serves its open
+    /// connections until the end of the fault. Then another one starts at its address.
+    TargetStopped,
+    /// Some heartbeats of the target are under way for up to six seconds, also past its end.
+    HeartbeatsLate,
+    /// The store answers reads as of three seconds ago.
+    StoreStale,
+    /// Watches of the store hear nothing, and then that the history was dropped.
+    StoreDeaf,
 }
 
 impl ScenarioFault {
@@ -134,10 +151,16 @@
             ScenarioFaultKind::StoreLate => Some(StoreFault::Late(LATE_STORE_DELAY)),
             ScenarioFaultKind::StoreSlow => Some(StoreFault::Slow(SLOW_STORE_DELAY)),
             ScenarioFaultKind::StoreForgets => Some(StoreFault::DropHistory),
+            ScenarioFaultKind::StoreStale => Some(StoreFault::Stale(STORE_STALENESS)),
+            ScenarioFaultKind::StoreDeaf => Some(StoreFault::DeafFeeds),
             _ => None,
         }
     }
 
+    pub(super) fn heartbeat_delay(&self) -> Option<Duration> {
+        (self.kind == ScenarioFaultKind::HeartbeatsLate).then_some(HEARTBEAT_DELAY)
+    }
+
     pub(super) fn answer_fault(&self) -> Option<TargetAnswerFault> {
         match self.kind {
             ScenarioFaultKind::TargetSheds => Some(TargetAnswerFault::Shed),
@@ -165,19 +188,4 @@
         };
         Some((self.link.unwrap_or(VmLink::Callers), fault))
     }
-
-    /// Returns whether the node of a VM may be unaware of a config during the fault.
-    pub(super) fn may_hide_config(&self, vm: usize) -> bool {
-        match self.kind {
-            ScenarioFaultKind::NodeKilled
-            | ScenarioFaultKind::NodeStopped
-            | ScenarioFaultKind::NodeSuspended => self.vm == vm,
-            ScenarioFaultKind::StoreRestored => true,
-            _ if self.store_fault().is_some() => true,
-            _ => {
-                let link = self.link_fault().map(|it| it.0);
-                self.vm == vm && matches!(link, Some(VmLink::Store | VmLink::Peers))
-            }
-        }
-    }
 }
--- a/crates/galenastream_standin/src/scenario/scenario_plan.rs
+++ b/crates/galenastream_standin/src/scenario/scenario_plan.rs
@@ -6,13 +6,8 @@
 use serde::Deserialize;
 use serde_with::{DurationMilliSeconds, serde_as};
 
-use super::ScenarioFault;
-use crate::{
-    Burst, LoadClass, LoadKind, LoadOutcome, LoadPlan, LoadSample, TargetCapacity, VmPlan,
-};
-
-/// How long a node must have been without faults to know the newest config for sure.
-const STABLE_TIME: Duration = Duration::from_secs(3);
+use super::{ScenarioFault, ScenarioFaultKind};
+use crate::{Burst, LoadClass, LoadKind, LoadPlan, TargetCapacity, TargetConduct, VmPlan};
 
 /// The plan of a scenario: a deployment, its traffic and the faults to inject.
 #[serde_as]
@@ -65,6 +60,9 @@
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(rename = "service_time_ms")]
     pub service_time: Duration,
+    /// What the target does that its protocol allows.
+    #[serde(default)]
+    pub conduct: TargetConduct,
 }
 
 /// A class of requests.
@@ -143,29 +141,19 @@
     pub fn vm_plans(&self) -> Vec<VmPlan> {
         let plan = |vm: &ScenarioVm| {
             let capacity = TargetCapacity { slots: vm.slots, service_time: vm.service_time };
-            VmPlan::new(&vm.service).with_data_centre(&vm.data_centre).with_capacity(capacity)
+            VmPlan::new(&vm.service)
+                .with_data_centre(&vm.data_centre)
+                .with_capacity(capacity)
+                .with_conduct(vm.conduct)
         };
         self.vms.iter().map(plan).collect()
     }
 
     /// Returns whether faults of links need proxies.
     pub(super) fn has_proxies(&self) -> bool {
-        self.faults.iter().any(|it| it.link_fault().is_some())
-    }
-
-    /// Returns whether a node may end a request for good because it does not know the newest
-    /// config: the config did not always allow the request, and the node has just been cut off from
-    /// the store, or has just started.
-    pub(super) fn may_deny(&self, sample: &LoadSample) -> bool {
-        let needs_newest_config = !self.traffic[sample.class].from.is_zero();
-        let since = sample.at.saturating_sub(STABLE_TIME);
-        let until = sample.at + sample.latency;
-        needs_newest_config
-            && sample.outcome == LoadOutcome::Denied
-            && self
-                .faults
-                .iter()
-                .any(|it| it.may_hide_config(sample.entry) && it.at <= until && it.end() >= since)
+        let is_of_links =
+            |it: &ScenarioFault| it.kind == ScenarioFaultKind::NodeCut || it.link_fault().is_some();
+        self.faults.iter().any(is_of_links)
     }
 
     /// Returns the load to generate. Requests enter at the nodes at `entries`.
