--- a/crates/galenastream_node/tests/ownership/simulation.rs
+++ b/crates/galenastream_node/tests/ownership/simulation.rs
@@ -31,6 +31,9 @@
     pub writes: Vec<Write>,
     pub bug: InjectedBug,
     pub first_sights: FirstSights,
+    /// Whether the last faults were injected, so that variations end as well.
+    pub are_faults_over: bool,
+    has_had_faults: bool,
     pub variations: Vec<Variation>,
     pub series: Vec<Series>,
     /// Until when new programs write assignments that old ones cannot decode.
@@ -67,6 +70,8 @@
             writes: Vec::new(),
             bug,
             first_sights: FirstSights::default(),
+            are_faults_over: false,
+            has_had_faults: false,
             variations: Vec::new(),
             series: Vec::new(),
             unreadable_until_ms: 0,
@@ -122,6 +127,8 @@
     /// Runs the simulation for a time. With faults, about one per second is injected, or a series.
     pub fn run_for(&mut self, for_ms: u64, with_faults: bool) {
         let end_ms = self.now_ms + for_ms;
+        self.has_had_faults |= with_faults;
+        self.are_faults_over = self.has_had_faults && !with_faults;
         while self.now_ms < end_ms {
             self.now_ms += STEP_MS;
             if with_faults {
