--- a/crates/galenastream_node/tests/ownership/simulation.rs
+++ b/crates/galenastream_node/tests/ownership/simulation.rs
@@ -8,7 +8,7 @@
 use crate::{
     faults::Series,
     fixtures::{address, config, settings_with_bound},
-    injected_bug::InjectedBug,
+    injected_bug::{FirstSights, InjectedBug},
     invariants::Observations,
     messages::{Message, PeerQuery},
     node_clock::NodeClock,
@@ -30,6 +30,10 @@
     pub store: Store,
     pub writes: Vec<Write>,
     pub bug: InjectedBug,
+    pub first_sights: FirstSights,
+    /// Whether the last faults were injected, so that variations end as well.
+    pub are_faults_over: bool,
+    has_had_faults: bool,
     pub variations: Vec<Variation>,
     pub series: Vec<Series>,
     /// Until when new programs write assignments that old ones cannot decode.
@@ -65,6 +69,9 @@
             store: Store::new(0),
             writes: Vec::new(),
             bug,
+            first_sights: FirstSights::default(),
+            are_faults_over: false,
+            has_had_faults: false,
             variations: Vec::new(),
             series: Vec::new(),
             unreadable_until_ms: 0,
@@ -83,13 +90,18 @@
     }
 
     pub fn with_variations(self, variations: &[Variation]) -> Self {
+        let bug = self.bug;
         let mut simulation = Self { variations: variations.to_vec(), ..self };
         let varies = |it: Variation| variations.contains(&it);
         let rng = &mut simulation.varied_rng;
+        let max_drift = if bug == InjectedBug::InaccurateClocks { 3_000 } else { 100 };
         for vm in &mut simulation.vms {
             if varies(Variation::DriftingClocks) {
                 let offset_ms = rng.random_range(0..1_000_000);
-                vm.clock = NodeClock { offset_ms, drift_per_10_000: rng.random_range(-100..=100) };
+                vm.clock = NodeClock {
+                    offset_ms,
+                    drift_per_10_000: rng.random_range(-max_drift..=max_drift),
+                };
             }
             if varies(Variation::TimeOfDay) {
                 vm.wall_offset_ms += rng.random_range(0..20_000);
@@ -115,6 +127,8 @@
     /// Runs the simulation for a time. With faults, about one per second is injected, or a series.
     pub fn run_for(&mut self, for_ms: u64, with_faults: bool) {
         let end_ms = self.now_ms + for_ms;
+        self.has_had_faults |= with_faults;
+        self.are_faults_over = self.has_had_faults && !with_faults;
         while self.now_ms < end_ms {
             self.now_ms += STEP_MS;
             if with_faults {
