State machine test: clocks of nodes drift, and nodes are cut off from each other alone

Change: the clocks of the nodes start at different values and run up to 0.9% fast or slow; a step cuts a node off from other nodes while it reaches the store.

--- a/crates/galenastream_node/tests/ownership/state_machine.rs
+++ b/crates/galenastream_node/tests/ownership/state_machine.rs
@@ -102,6 +102,7 @@
         (0..3_usize, 500..8_000_u64).prop_map(|(vm, ms)| Step::SuspendVm { vm, ms }),
         (0..3_usize, 500..8_000_u64).prop_map(|(vm, ms)| Step::SuspendNode { vm, ms }),
         (0..3_usize, 500..20_000_u64).prop_map(|(vm, ms)| Step::CutNode { vm, ms }),
+        (0..3_usize, 500..16_000_u64).prop_map(|(vm, ms)| Step::CutPeers { vm, ms }),
         (0..3_usize, 500..16_000_u64).prop_map(|(vm, ms)| Step::CutStore { vm, ms }),
         (0..3_usize, 500..6_000_u64).prop_map(|(vm, ms)| Step::MissRows { vm, ms }),
         (0..3_usize, 500..5_000_u64).prop_map(|(vm, ms)| Step::DelayWrite { vm, ms }),
@@ -116,6 +117,7 @@
     prop_oneof![
         (0..3_usize, 3_600..9_000_u64).prop_map(|(vm, ms)| Step::SuspendVm { vm, ms }),
         (0..3_usize, 3_600..20_000_u64).prop_map(|(vm, ms)| Step::CutNode { vm, ms }),
+        (0..3_usize, 3_600..20_000_u64).prop_map(|(vm, ms)| Step::CutPeers { vm, ms }),
     ]
     .boxed()
 }
--- a/crates/galenastream_node/tests/ownership/state_machine/deployment.rs
+++ b/crates/galenastream_node/tests/ownership/state_machine/deployment.rs
@@ -18,7 +18,7 @@
 use crate::{
     fixtures::{address, config, settings},
     injected_bug::{InjectedBug, apply_to_reply},
-    simulation::at,
+    node_clock::NodeClock,
 };
 
 /// The keys whose holders are checked.
@@ -38,6 +38,9 @@
 /// The longest delay of a heartbeat.
 const MAX_HEARTBEAT_DELAY_MS: u64 = 9_000;
 
+/// The drifts of the clocks of nodes, each less than 1%.
+const DRIFTS_PER_10_000: [i64; 3] = [90, -90, 50];
+
 /// What a target can process, and the load of each part of the holds of an overloaded one.
 const CAPACITY_MILLI_PER_S: u64 = 100_000;
 const BUSY_MILLI_PER_S: u64 = 20_000;
@@ -81,7 +84,9 @@
                 slow_percent,
                 starts_at_ms + 50,
             );
-            vms.push(PlayedVm::new(target, starts_at_ms));
+            let drift_per_10_000 = DRIFTS_PER_10_000[index % DRIFTS_PER_10_000.len()];
+            let clock = NodeClock { offset_ms: 10_000 * index as u64, drift_per_10_000 };
+            vms.push(PlayedVm::new(target, clock, starts_at_ms));
         }
         let mut deployment = Self {
             now_ms: START_MS,
@@ -121,6 +126,7 @@
             Step::SuspendVm { vm, ms } => self.vm(vm).vm_suspended_until_ms = now_ms + ms,
             Step::SuspendNode { vm, ms } => self.vm(vm).node_suspended_until_ms = now_ms + ms,
             Step::CutNode { vm, ms } => self.vm(vm).cut_until_ms = now_ms + ms,
+            Step::CutPeers { vm, ms } => self.vm(vm).peers_cut_until_ms = now_ms + ms,
             Step::CutStore { vm, ms } => self.vm(vm).store_cut_until_ms = now_ms + ms,
             Step::MissRows { vm, ms } => self.vm(vm).silent_until_ms = now_ms + ms,
             Step::DelayWrite { vm, ms } => self.vm(vm).next_write = WriteFate::Late { ms },
@@ -152,7 +158,7 @@
             return;
         }
         if vm.state.is_none() && now_ms >= vm.starts_at_ms {
-            vm.state = Some(ControlState::new(settings(index), at(now_ms)));
+            vm.state = Some(ControlState::new(settings(index), vm.clock.at(now_ms)));
             let config = ControlEvent::Config { config: Box::new(config()), encoded: Bytes::new() };
             self.send(index, config);
         }
@@ -166,8 +172,9 @@
         self.report_probes(index);
         self.read_store(index);
         self.send_status(index);
+        let clock = self.vms[index].clock;
         if let Some(state) = &mut self.vms[index].state {
-            let effects = state.tick(at(now_ms));
+            let effects = state.tick(clock.at(now_ms));
             self.execute(index, effects);
         }
     }
@@ -372,7 +379,7 @@
             return;
         };
         let is_due = vm.rows_version < version || now_ms >= vm.rows_read_at_ms + WATCH_MS;
-        if !state.reads_rows(at(now_ms)) || !is_due {
+        if !state.reads_rows(vm.clock.at(now_ms)) || !is_due {
             return;
         }
         let asked_at_ms = match vm.rows_read_at_ms {
@@ -382,7 +389,7 @@
         vm.rows_read_at_ms = now_ms;
         vm.rows_version = version;
         let rows = self.rows();
-        let confirmed_at = at(asked_at_ms);
+        let confirmed_at = self.vms[index].clock.at(asked_at_ms);
         self.send(index, ControlEvent::Rows { rows, version, confirmed_at });
     }
 
@@ -447,7 +454,7 @@
             return;
         }
         vm.status_sent_at_ms = now_ms;
-        let Some(status) = vm.state.as_ref().map(|it| it.status(at(now_ms))) else {
+        let Some(status) = vm.state.as_ref().map(|it| it.status(vm.clock.at(now_ms))) else {
             return;
         };
         for other in 0..self.vms.len() {
@@ -465,11 +472,13 @@
         let Some(other) = other.filter(is_possible) else {
             return self.send(index, ControlEvent::PeerQueryFailed);
         };
+        let other_now = self.vms[other].clock.at(now_ms);
         let Some(peer) = self.vms[other].state.as_mut() else {
             return;
         };
-        let state = peer.sync_snapshot().state_for(&SyncQuery::default(), at(now_ms));
-        self.send(index, ControlEvent::PeerSyncState { state, asked_at: at(now_ms) });
+        let state = peer.sync_snapshot().state_for(&SyncQuery::default(), other_now);
+        let asked_at = self.vms[index].clock.at(now_ms);
+        self.send(index, ControlEvent::PeerSyncState { state, asked_at });
     }
 
     fn start_probe(&mut self, index: usize, target: TargetIncarnation, is_health_check: bool) {
@@ -484,7 +493,8 @@
             true => ProbeAnswer::Identified { target_id: vm.target.id.clone() },
             false => ProbeAnswer::Refused,
         };
-        let probe = TargetProbe { target, began_at: at(now_ms), answer, open_connections: 0 };
+        let probe =
+            TargetProbe { target, began_at: vm.clock.at(now_ms), answer, open_connections: 0 };
         let due_ms = now_ms + PROBE_MS + vm.probe_delay_ms;
         vm.probes.push(ProbeUnderWay { due_ms, began_ms: now_ms, probe, is_live });
     }
@@ -527,10 +537,11 @@
 
     fn send(&mut self, index: usize, event: ControlEvent) {
         let now_ms = self.now_ms;
+        let now = self.vms[index].clock.at(now_ms);
         let Some(state) = &mut self.vms[index].state else {
             return;
         };
-        let effects = state.handle(event, at(now_ms));
+        let effects = state.handle(event, now);
         self.execute(index, effects);
     }
 }
--- a/crates/galenastream_node/tests/ownership/state_machine/played_vm.rs
+++ b/crates/galenastream_node/tests/ownership/state_machine/played_vm.rs
@@ -5,12 +5,14 @@
 use tokio::sync::oneshot;
 
 use super::played_target::PlayedTarget;
+use crate::node_clock::NodeClock;
 
 /// A VM. Instants in milliseconds are those until which a fault lasts.
 pub struct PlayedVm {
     /// The process of the node; `None` while it is down.
     pub state: Option<ControlState>,
     pub starts_at_ms: u64,
+    pub clock: NodeClock,
     pub target: PlayedTarget,
     /// Heartbeats that have stayed under way.
     pub delayed: Vec<DelayedHeartbeat>,
@@ -24,6 +26,7 @@
     pub vm_suspended_until_ms: u64,
     pub node_suspended_until_ms: u64,
     pub cut_until_ms: u64,
+    pub peers_cut_until_ms: u64,
     pub store_cut_until_ms: u64,
     pub silent_until_ms: u64,
     pub next_write: WriteFate,
@@ -73,10 +76,11 @@
 }
 
 impl PlayedVm {
-    pub fn new(target: PlayedTarget, starts_at_ms: u64) -> Self {
+    pub fn new(target: PlayedTarget, clock: NodeClock, starts_at_ms: u64) -> Self {
         Self {
             state: None,
             starts_at_ms,
+            clock,
             target,
             delayed: Vec::new(),
             delay_count: 0,
@@ -89,6 +93,7 @@
             vm_suspended_until_ms: 0,
             node_suspended_until_ms: 0,
             cut_until_ms: 0,
+            peers_cut_until_ms: 0,
             store_cut_until_ms: 0,
             silent_until_ms: 0,
             next_write: WriteFate::Answered,
@@ -121,8 +126,9 @@
         now_ms < self.node_suspended_until_ms.max(self.vm_suspended_until_ms)
     }
 
+    /// Whether the node reaches no other node.
     pub fn is_cut(&self, now_ms: u64) -> bool {
-        now_ms < self.cut_until_ms
+        now_ms < self.cut_until_ms.max(self.peers_cut_until_ms)
     }
 
     pub fn reaches_store(&self, now_ms: u64) -> bool {
--- a/crates/galenastream_node/tests/ownership/state_machine/step.rs
+++ b/crates/galenastream_node/tests/ownership/state_machine/step.rs
@@ -42,6 +42,8 @@
     SuspendNode { vm: usize, ms: u64 },
     /// A node reaches neither the store nor other nodes.
     CutNode { vm: usize, ms: u64 },
+    /// A node does not reach other nodes.
+    CutPeers { vm: usize, ms: u64 },
     /// A node does not reach the store.
     CutStore { vm: usize, ms: u64 },
     /// A node's watch of the store hears nothing.
