--- a/crates/galenastream_node/src/process/control_state.rs
+++ b/crates/galenastream_node/src/process/control_state.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use galenastream_adapter::{NodeSettings, Row, era_of};
-use galenastream_ranges::{Assignment, LeaseTerms, Owner, VacancyTracker};
+use galenastream_ranges::{Assignment, LeaseTerms, Owner, TargetIncarnation, VacancyTracker};
 use galenastream_settings::SettingsTree;
 use galenastream_utils::{BootInstant, FastMap};
 use galenastream_wire::{KeyLoadRecord, SharedRow};
@@ -82,6 +82,9 @@
     /// could not either.
     pub(super) unreadable_config_version: Option<u64>,
     pub(super) last_probe_at: BootInstant,
+    /// Whether a heartbeat of another target than the local one has arrived, so that a health check
+    /// is to tell which of them runs.
+    pub(super) is_identity_wanted: bool,
     pub(super) eras: StoreEras,
 }
 
@@ -90,6 +93,12 @@
 pub(super) struct AssignmentRecord {
     pub(super) assignment: Arc<Assignment>,
     pub(super) version: u64,
+    /// The version of a newer row that cannot be decoded, or that removes the assignment. The keys
+    /// may have other owners by it, so the known assignment is not in force any longer.
+    pub(super) unreadable_version: Option<u64>,
+    /// Targets of which this process has stated, based on this version, that they have ended. The
+    /// statement may take effect at any later time, so they get no more leases on this version.
+    pub(super) stated_ends: Vec<EndedTarget>,
     pub(super) vacancy: VacancyTracker,
     /// The version that the write in progress is based on.
     pub(super) pending_write: Option<u64>,
@@ -101,7 +110,7 @@
 impl ControlState {
     /// Creates the state of a process that started at `started_at`.
     pub fn new(settings: NodeSettings, started_at: BootInstant) -> Self {
-        let platform_max_lease = Duration::from_millis(settings.bounds.max_lease_ms);
+        let platform_max_lease = max_lease(&settings);
         let lease_terms = LeaseTerms::new(
             platform_max_lease + ROW_VALIDITY_MARGIN,
             platform_max_lease.min(MAX_LEASE),
@@ -140,6 +149,7 @@
             newer_config_since: None,
             unreadable_config_version: None,
             last_probe_at: started_at,
+            is_identity_wanted: false,
             eras: StoreEras::default(),
         }
     }
@@ -169,7 +179,9 @@
                 self.record_full_read(era_of(version));
                 if era_of(version) == self.eras.in_force() {
                     self.rows_version = self.rows_version.max(version);
-                    self.record_confirmation(confirmed_at);
+                    if let Some(confirmed_at) = confirmed_at {
+                        self.record_confirmation(confirmed_at);
+                    }
                 }
             }
             ControlEvent::StoreEra(era) => self.record_era(era, now),
@@ -248,6 +260,9 @@
         self.request_identity();
         let is_planner = self.is_planner(now);
         for service in keyed_services {
+            if !self.reaches_store {
+                self.state_ends(&service, now);
+            }
             self.reconcile_assignment(&service, is_planner, now);
         }
         self.reply_to_heartbeat(now);
@@ -257,19 +272,31 @@
     fn reconcile_assignment(&mut self, service: &str, is_planner: bool, now: BootInstant) {
         let record = self.assignment_record(service);
         if record.pending_write.is_some()
+            || record.unreadable_version.is_some()
             || self.confirmed_at.is_none()
             || !self.reaches_store
             || !self.eras.is_settled()
         {
             return;
         }
+        let has_row = self.assignments[service].version > 0;
+        if !has_row && !self.may_assign_without_row(now) {
+            return;
+        }
         let current = self.assignments[service].assignment.clone();
         let mut desired = Assignment::clone(&current);
+        if !has_row {
+            desired = desired.with_fences_above(self.highest_earlier_fence());
+        }
         self.apply_local_facts(service, &mut desired, now);
         if is_planner {
             self.plan_service(service, &mut desired, now);
         }
-        if desired == *current {
+        if is_planner && (has_row || desired.entries() != current.entries()) {
+            desired.raise_terms(self.lease_terms);
+        }
+        let is_unchanged = desired.entries() == current.entries();
+        if is_unchanged && desired.terms() == current.terms() {
             return;
         }
         let record = self.assignment_record(service);
@@ -286,6 +313,11 @@
         });
     }
 
+    /// The longest lease that the platform permits.
+    pub(super) const fn platform_max_lease(&self) -> Duration {
+        max_lease(&self.settings)
+    }
+
     pub(super) fn heartbeat_timeout(&self) -> Duration {
         Duration::from_millis(self.settings.heartbeat_ms) * HEARTBEAT_TIMEOUT_PERCENT / 100
     }
@@ -300,3 +332,14 @@
         Some(Owner::new(local.incarnation.clone(), self.node.clone()))
     }
 }
+
+impl AssignmentRecord {
+    /// Whether this process has stated, based on this version, that a target has ended.
+    pub(super) fn has_stated_end(&self, target: &TargetIncarnation) -> bool {
+        self.stated_ends.iter().any(|it| it.incarnation == *target)
+    }
+}
+
+const fn max_lease(settings: &NodeSettings) -> Duration {
+    Duration::from_millis(settings.bounds.max_lease_ms)
+}
--- a/crates/galenastream_node/src/process/heartbeats.rs
+++ b/crates/galenastream_node/src/process/heartbeats.rs
@@ -1,6 +1,5 @@
 //! Heartbeats of the local target and the leases in the replies.
 
-use std::cmp::Ordering;
 use std::time::Duration;
 
 use galenastream_adapter::{Grant, Heartbeat, HeartbeatReply};
@@ -46,8 +45,8 @@
         let incarnation = TargetIncarnation::new(target_id, heartbeat.born_ms);
         if !self.accept_incarnation(&incarnation, &heartbeat, now) {
             log::info!(event = "heartbeat_outdated", target:% = incarnation, sequence = heartbeat.sequence; "");
-            let acknowledged = HeartbeatAnswer::Reply(HeartbeatReply::Acknowledged);
-            return send_reply(answer, acknowledged);
+            let reply = HeartbeatAnswer::Reply(self.reply_to_outdated(&incarnation, now));
+            return send_reply(answer, reply);
         }
         let max_reply_delay = self.max_reply_delay();
         let Some(local) = &mut self.local else {
@@ -73,8 +72,28 @@
         local.draining_since = earliest(local.draining_since, Some(since));
     }
 
+    /// The reply to a heartbeat that is not the next one of the local target. One that was taken for
+    /// ended is told to release all keys, in case that it is not.
+    fn reply_to_outdated(
+        &self,
+        incarnation: &TargetIncarnation,
+        now: BootInstant,
+    ) -> HeartbeatReply {
+        match self.recently_ended(incarnation, now) {
+            Some(_) => self.no_leases(),
+            None => HeartbeatReply::Acknowledged,
+        }
+    }
+
+    /// A reply on which a target releases all of its keys.
+    const fn no_leases(&self) -> HeartbeatReply {
+        let lease_ms = self.lease_terms.max_lease.as_millis() as u64;
+        HeartbeatReply::Leases { grants: Vec::new(), lease_ms }
+    }
+
     /// Returns whether a heartbeat is current for the local target. Replaces the known incarnation
-    /// if the heartbeat comes from its successor.
+    /// if that has provably ended: neither the heartbeat of another one nor its start time proves
+    /// it, since heartbeats may be delayed and the time of day may be set.
     pub(super) fn accept_incarnation(
         &mut self,
         incarnation: &TargetIncarnation,
@@ -88,10 +107,11 @@
             if local.incarnation == *incarnation {
                 return heartbeat.sequence > local.sequence;
             }
-            if !self.is_successor(local, heartbeat, now) {
+            if !self.has_expired(local, now) {
+                self.is_identity_wanted = true;
                 return false;
             }
-            self.end_local_target(EndEvidence::AnotherIdentified, now);
+            self.end_local_target(EndEvidence::LeasesExpired, now);
         }
         log::info!(
             event = "target_up",
@@ -100,8 +120,7 @@
             slots = heartbeat.slots;
             ""
         );
-        let leases_end_at = self.lease_terms.inherited_leases_end(self.started_at);
-        let mut local = LocalTargetState::new(incarnation.clone(), heartbeat, leases_end_at, now);
+        let mut local = LocalTargetState::new(incarnation.clone(), heartbeat, now);
         let early_deregistration =
             self.early_deregistrations.iter().find(|(id, _)| **id == *incarnation.id);
         local.draining_since = early_deregistration.map(|(_, at)| *at);
@@ -109,24 +128,6 @@
         true
     }
 
-    /// Whether a heartbeat of another incarnation shows that the known one has ended.
-    ///
-    /// Equal start times, such as those of targets that report none, do not order the incarnations:
-    /// the heartbeat may be a delayed one of an earlier incarnation. The known incarnation must
-    /// then be silent.
-    pub(super) fn is_successor(
-        &self,
-        local: &LocalTargetState,
-        heartbeat: &Heartbeat,
-        now: BootInstant,
-    ) -> bool {
-        match heartbeat.born_ms.cmp(&local.incarnation.born_ms) {
-            Ordering::Greater => true,
-            Ordering::Less => false,
-            Ordering::Equal => local.is_silent(now, self.heartbeat_timeout() / 2),
-        }
-    }
-
     pub(super) fn handle_deregister(
         &mut self,
         target_id: &str,
@@ -166,6 +167,11 @@
         let service = local.service.to_string();
         let reply = match (self.assignments.get(&service), self.confirmed_at) {
             _ if !self.holds_keys(&service) => HeartbeatReply::Acknowledged,
+            (Some(record), _) if record.unreadable_version.is_some() => {
+                log::warn!(event = "lease_withheld", reason = "the newest row cannot be decoded"; "");
+                HeartbeatReply::Acknowledged
+            }
+            (Some(record), _) if record.has_stated_end(&local.incarnation) => self.no_leases(),
             (Some(record), Some(confirmed_at)) => {
                 let (assignment, row_version) = (record.assignment.clone(), record.version);
                 if !is_due && !needs_prompt_reply(local, &assignment) {
@@ -191,8 +197,9 @@
         // The previous process on this VM may have acted on a newer row than the one that a peer
         // has sent to this process, and the target may have released keys accordingly.
         let is_confirmed_since_start = confirmed_at >= self.started_at;
-        let Some(lease) =
-            self.lease_terms.lease(confirmed_at, now).filter(|_| is_confirmed_since_start)
+        // Other nodes count on the limits in the row.
+        let terms = assignment.terms().map_or(self.lease_terms, |it| it.min(self.lease_terms));
+        let Some(lease) = terms.lease(confirmed_at, now).filter(|_| is_confirmed_since_start)
         else {
             log::warn!(event = "lease_withheld", reason = "the assignment was not confirmed lately"; "");
             return HeartbeatReply::Acknowledged;
@@ -203,9 +210,10 @@
         let grants = grants_of(assignment, &local.incarnation);
         let confirmed_age = now.saturating_since(confirmed_at);
         log_leases(local, &grants, row_version, confirmed_age, lease);
+        local.forget_releases(&grants);
         // The target counts the lease from sending the heartbeat, shortly before it arrived here.
         local.granted = Some(HeldLeases::new(ranges_of(&grants), local.last_heartbeat_at + lease));
-        local.leases_end_at = local.leases_end_at.max(self.lease_terms.lease_end(now, lease));
+        local.leases_end_at = local.leases_end_at.max(terms.lease_end(now, lease));
         HeartbeatReply::Leases { grants, lease_ms: millis(lease) }
     }
 
--- a/crates/galenastream_node/src/process/local_target.rs
+++ b/crates/galenastream_node/src/process/local_target.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use galenastream_adapter::{Heartbeat, HeartbeatReply, HeldKeys, ReleasedKeys, TargetState};
+use galenastream_adapter::{Grant, Heartbeat, HeartbeatReply, HeldKeys, ReleasedKeys, TargetState};
 use galenastream_ranges::{KeyRange, TargetIncarnation};
 use galenastream_utils::BootInstant;
 use tokio::sync::oneshot;
@@ -17,8 +17,6 @@
     pub(super) service: Arc<str>,
     pub(super) slots: u32,
     pub(super) sequence: u64,
-    /// Heartbeats of this incarnation that this process has accepted.
-    pub(super) heartbeat_count: u32,
     pub(super) last_heartbeat_at: BootInstant,
     /// Whether a health check at the target's address has confirmed its id.
     pub(super) identity: Identity,
@@ -26,9 +24,11 @@
     /// The keys that the last heartbeat reports as held or still being processed.
     pub(super) held: Vec<HeldKeys>,
     pub(super) released: Vec<ReleasedKeys>,
+    /// The ranges that heartbeats to this process have reported as held.
+    pub(super) shown_held: Vec<KeyRange>,
     /// The leases of the last [`HeartbeatReply::Leases`]; `None` if this process has sent none.
     pub(super) granted: Option<HeldLeases>,
-    /// When all leases expire that this process or an earlier one on the VM has granted.
+    /// When all leases expire that this process has granted.
     pub(super) leases_end_at: BootInstant,
     pub(super) pending_heartbeat: Option<PendingHeartbeat>,
 }
@@ -36,12 +36,15 @@
 /// What a health check has shown about the target that listens beside this node.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Identity {
-    /// No health check was sent.
+    /// No health check was sent since the last heartbeat.
     Unknown,
     /// A health check was sent, without a matching answer so far.
     Requested,
     /// The target id of the answer equals that of the heartbeats.
-    Confirmed,
+    Confirmed {
+        /// When the health check was sent.
+        at: BootInstant,
+    },
 }
 
 /// A heartbeat whose reply is delayed.
@@ -52,14 +55,13 @@
     pub(super) reply_by: BootInstant,
 }
 
-/// Number of remembered releases; they are needed until the keys are handed over.
+/// Number of remembered releases and ranges; they are needed until the keys are handed over.
 const MAX_REMEMBERED_RELEASES: usize = 128;
 
 impl LocalTargetState {
     pub(super) fn new(
         incarnation: TargetIncarnation,
         heartbeat: &Heartbeat,
-        leases_end_at: BootInstant,
         now: BootInstant,
     ) -> Self {
         Self {
@@ -67,24 +69,29 @@
             service: Arc::from(heartbeat.service.as_str()),
             slots: heartbeat.slots,
             sequence: 0,
-            heartbeat_count: 0,
             last_heartbeat_at: now,
             identity: Identity::Unknown,
             draining_since: None,
             held: Vec::new(),
             released: Vec::new(),
+            shown_held: Vec::new(),
             granted: None,
-            leases_end_at,
+            leases_end_at: now,
             pending_heartbeat: None,
         }
     }
 
     pub(super) fn update(&mut self, heartbeat: &Heartbeat, now: BootInstant) {
         self.sequence = heartbeat.sequence;
-        self.heartbeat_count = self.heartbeat_count.saturating_add(1);
         self.last_heartbeat_at = now;
+        if self.identity == Identity::Requested {
+            self.identity = Identity::Unknown;
+        }
         self.slots = heartbeat.slots;
         self.held.clone_from(&heartbeat.held);
+        for held in &heartbeat.held {
+            self.show_held(held);
+        }
         self.released.extend(heartbeat.released.iter().cloned());
         // A later release of the same keys supersedes an earlier one, so the oldest are dropped.
         let surplus = self.released.len().saturating_sub(MAX_REMEMBERED_RELEASES);
@@ -95,6 +102,34 @@
         }
     }
 
+    fn show_held(&mut self, held: &HeldKeys) {
+        let Some(range) = KeyRange::new(held.first, held.last) else {
+            return;
+        };
+        if self.has_shown(range) {
+            return;
+        }
+        self.shown_held.push(range);
+        let surplus = self.shown_held.len().saturating_sub(MAX_REMEMBERED_RELEASES);
+        self.shown_held.drain(..surplus);
+    }
+
+    /// Whether a heartbeat to this process has reported a whole range as held.
+    pub(super) fn has_shown(&self, range: KeyRange) -> bool {
+        self.shown_held.iter().any(|it| it.overlap(range) == Some(range))
+    }
+
+    /// Forgets the releases of keys that are granted again.
+    pub(super) fn forget_releases(&mut self, grants: &[Grant]) {
+        for grant in grants {
+            let Some(granted) = KeyRange::new(grant.first, grant.last) else {
+                continue;
+            };
+            let released = std::mem::take(&mut self.released);
+            self.released = released.iter().flat_map(|it| remaining_parts(it, granted)).collect();
+        }
+    }
+
     /// Whether the target may still hold keys of a range, or process requests for them.
     ///
     /// This is ruled out only if neither the last heartbeat nor the last granted leases contain
@@ -133,6 +168,18 @@
     }
 }
 
+/// The parts of a release outside of a range.
+fn remaining_parts(release: &ReleasedKeys, granted: KeyRange) -> Vec<ReleasedKeys> {
+    let Some(range) = KeyRange::new(release.first, release.last) else {
+        return Vec::new();
+    };
+    if range.overlap(granted).is_none() {
+        return vec![release.clone()];
+    }
+    let parts = range.without(granted).into_iter().flatten();
+    parts.map(|it| ReleasedKeys { first: it.first, last: it.last, ..release.clone() }).collect()
+}
+
 fn overlaps(first: u16, last: u16, range: KeyRange) -> bool {
     first <= range.last && range.first <= last
 }
--- a/crates/galenastream_node/src/process/ownership_facts.rs
+++ b/crates/galenastream_node/src/process/ownership_facts.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use galenastream_adapter::HeartbeatReply;
-use galenastream_ranges::{Assignment, Holding, KeyRange, RangeEntry, TargetIncarnation};
+use galenastream_ranges::{Assignment, Holding, KeyRange, Owner, RangeEntry, TargetIncarnation};
 use galenastream_utils::BootInstant;
 use galenastream_wire::{IncarnationRecord, OwnershipFacts, ReleaseRecord};
 
@@ -44,18 +44,19 @@
     /// If the target stays and one of its moves has no next owner, as after its node was taken for
     /// lost, all its moves are cancelled instead.
     pub(super) fn apply_local_facts(
-        &self,
+        &mut self,
         service: &str,
         assignment: &mut Assignment,
         now: BootInstant,
     ) {
         let row_version = self.assignments.get(service).map_or(0, |it| it.version);
+        let node = self.node.clone();
         let log_end = |target: &TargetIncarnation, range, evidence, since| {
-            let node = &*self.node;
+            let node = &*node;
             let age = now.saturating_since(since);
             HoldEnd { service, range, target, row_version, evidence, age, node }.log();
         };
-        for ended in self.ended_holders(assignment, now) {
+        for ended in self.state_ends(service, now) {
             let target = &ended.incarnation;
             log::info!(event = "owner_removed", service, target:%; "");
             for entry in assignment.held_by(target) {
@@ -74,7 +75,8 @@
             assignment.cancel_moves(&local.incarnation);
             return;
         }
-        for release in released_ranges(local, assignment) {
+        let has_earlier_leases = now < self.earlier_leases_end(service);
+        for release in released_ranges(local, assignment, has_earlier_leases) {
             let target = &local.incarnation;
             if assignment.complete_move(target, release.range, &release.handover) {
                 log_end(target, release.range, release.evidence, local.last_heartbeat_at);
@@ -82,14 +84,25 @@
         }
     }
 
-    /// The holders beside this node that have provably ended.
-    pub(super) fn ended_holders(
-        &self,
-        assignment: &Assignment,
-        now: BootInstant,
-    ) -> Vec<EndedTarget> {
-        let holders = assignment.holders().into_iter().filter(|it| it.node == self.node);
-        holders.filter_map(|it| self.ended_target(&it.target, now)).collect()
+    /// Returns the holders beside this node that have provably ended, for a statement based on the
+    /// known version of the assignment. A target that was stated to have ended stays so until another
+    /// version is known.
+    pub(super) fn state_ends(&mut self, service: &str, now: BootInstant) -> Vec<EndedTarget> {
+        let Some(record) = self.assignments.get(service) else {
+            return Vec::new();
+        };
+        let mut ends = record.stated_ends.clone();
+        for holder in record.assignment.holders() {
+            let is_stated = ends.iter().any(|it| it.incarnation == holder.target);
+            if holder.node != self.node || is_stated {
+                continue;
+            }
+            ends.extend(self.ended_target(service, &holder.target, now));
+        }
+        if let Some(record) = self.assignments.get_mut(service) {
+            record.stated_ends.clone_from(&ends);
+        }
+        ends
     }
 
     /// The facts that this node would write itself if it reached the store; empty if it does.
@@ -100,13 +113,15 @@
         let mut facts = Vec::new();
         for (service, record) in &self.assignments {
             let local = self.local.as_ref().filter(|it| *it.service == **service);
-            let ranges = local.map(|it| released_ranges(it, &record.assignment));
+            let has_earlier_leases = now < self.earlier_leases_end(service);
+            let ranges =
+                local.map(|it| released_ranges(it, &record.assignment, has_earlier_leases));
             let releases = ranges.into_iter().flatten().map(|it| ReleaseRecord {
                 first: u32::from(it.range.first),
                 last: u32::from(it.range.last),
                 handover: it.handover,
             });
-            let ended = self.ended_holders(&record.assignment, now).into_iter();
+            let ended = record.stated_ends.iter();
             let ended = ended.map(|it| IncarnationRecord {
                 id: it.incarnation.id.to_string(),
                 born_ms: it.incarnation.born_ms,
@@ -127,33 +142,47 @@
     /// The end of an incarnation beside this node, if it provably holds no keys any longer.
     pub(super) fn ended_target(
         &self,
+        service: &str,
         target: &TargetIncarnation,
         now: BootInstant,
     ) -> Option<EndedTarget> {
         if let Some(ended) = self.recently_ended(target, now) {
             return Some(ended.clone());
         }
-        let ended = |evidence, at| Some(EndedTarget { incarnation: target.clone(), at, evidence });
-        match &self.local {
+        let (evidence, at) = match &self.local {
             Some(local) if local.incarnation == *target => {
-                let has_expired =
-                    local.is_silent(now, self.heartbeat_timeout()) && now >= local.leases_end_at;
-                has_expired.then_some(())?;
-                ended(EndEvidence::LeasesExpired, local.leases_end_at)
+                self.has_expired(local, now).then_some((EndEvidence::LeasesExpired, now))?
             }
-            // A single heartbeat may be a delayed one of an earlier incarnation.
-            Some(local) => {
-                let is_certain =
-                    local.heartbeat_count >= 2 || local.identity == Identity::Confirmed;
-                (is_certain && local.incarnation.born_ms >= target.born_ms).then_some(())?;
-                ended(EndEvidence::AnotherIdentified, local.last_heartbeat_at)
-            }
-            None => {
-                let leases_end = self.lease_terms.inherited_leases_end(self.started_at);
-                (now >= leases_end).then_some(())?;
-                ended(EndEvidence::EarlierLeasesExpired, leases_end)
-            }
-        }
+            // This process has granted nothing to the target, since it would be local or ended.
+            local => match local.as_ref().map(|it| (it.identity, &*it.incarnation.id)) {
+                Some((Identity::Confirmed { at }, id)) if *id != *target.id => {
+                    (EndEvidence::AnotherIdentified, at)
+                }
+                _ => {
+                    let leases_end = self.earlier_leases_end(service);
+                    (now >= leases_end)
+                        .then_some((EndEvidence::EarlierLeasesExpired, leases_end))?
+                }
+            },
+        };
+        Some(EndedTarget { incarnation: target.clone(), at, evidence })
+    }
+
+    /// Whether the heartbeats of the local target have stopped and its leases have expired.
+    pub(super) fn has_expired(&self, local: &LocalTargetState, now: BootInstant) -> bool {
+        local.is_silent(now, self.heartbeat_timeout())
+            && now >= local.leases_end_at.max(self.earlier_leases_end(&local.service))
+    }
+
+    /// The instant by which every lease has ended that an earlier process on this VM may have
+    /// granted on keys of a service.
+    pub(super) fn earlier_leases_end(&self, service: &str) -> BootInstant {
+        let record = self.assignments.get(service).filter(|it| it.version > 0);
+        // Without the row, it is not known under which terms the earlier process granted.
+        let max_lease = record.map_or(self.platform_max_lease(), |it| {
+            it.assignment.terms().unwrap_or(self.lease_terms).max_lease
+        });
+        self.lease_terms.lease_end(self.started_at, max_lease)
     }
 
     /// The end of an incarnation that ended so recently that a heartbeat of it must be a delayed
@@ -194,26 +223,27 @@
         }
     }
 
-    /// Requests the identity of a local target if an earlier one still holds keys, so that these
-    /// need not wait for the second heartbeat of the new one.
+    /// Asks the target beside this node for its id if heartbeats of two targets arrive, or if an
+    /// earlier one still holds keys: an id in the answer proves that all other targets have ended.
     pub(super) fn request_identity(&mut self) {
         let Some(local) = &self.local else {
             return;
         };
-        if local.identity != Identity::Unknown || local.heartbeat_count >= 2 {
+        if local.identity == Identity::Requested {
+            return;
+        }
+        let is_earlier = |it: &Owner| it.node == self.node && it.target != local.incarnation;
+        let assignment = self.assignments.get(&*local.service).map(|it| &it.assignment);
+        let replaces_holder = !matches!(local.identity, Identity::Confirmed { .. })
+            && assignment.is_some_and(|it| it.holders().iter().any(is_earlier));
+        if !replaces_holder && !self.is_identity_wanted {
             return;
         }
         let rules = self.routing.as_ref().and_then(|it| it.service(&local.service));
         let Some(path) = rules.map(|it| it.health_path.clone()).filter(|it| !it.is_empty()) else {
             return;
         };
-        let assignment = self.assignments.get(&*local.service).map(|it| &it.assignment);
-        let holders = assignment.map(|it| it.holders()).unwrap_or_default();
-        let replaces_holder =
-            holders.iter().any(|it| it.node == self.node && it.target != local.incarnation);
-        if !replaces_holder {
-            return;
-        }
+        self.is_identity_wanted = false;
         if let Some(local) = &mut self.local {
             local.identity = Identity::Requested;
             let target = local.incarnation.clone();
@@ -237,20 +267,27 @@
             open_connections = probe.open_connections;
             ""
         );
+        let Some(local) = self.local.as_mut().filter(|it| it.incarnation == probe.target) else {
+            return;
+        };
+        // A heartbeat that arrives after the probe began comes from a target that runs, or was
+        // delayed: it leaves open which.
+        let is_heard = local.last_heartbeat_at >= probe.began_at;
         match &probe.answer {
-            ProbeAnswer::Refused => self.end_local_target(EndEvidence::ConnectionsClosed, now),
-            ProbeAnswer::Identified { target_id } => self.handle_identity(target_id),
-        }
-    }
-
-    /// Handles the target id in the answer to a health check.
-    fn handle_identity(&mut self, target_id: &str) {
-        match &mut self.local {
-            Some(local) if &*local.incarnation.id == target_id => {
+            ProbeAnswer::Identified { target_id } if **target_id == *local.incarnation.id => {
+                local.identity = Identity::Confirmed { at: probe.began_at };
                 log::info!(event = "target_identified", target:% = local.incarnation; "");
-                local.identity = Identity::Confirmed;
             }
-            _ => log::info!(event = "target_differs", target_id; ""),
+            ProbeAnswer::Identified { target_id } if !is_heard => {
+                log::info!(event = "target_differs", target_id = target_id.as_str(); "");
+                self.end_local_target(EndEvidence::AnotherIdentified, now);
+            }
+            // A closed listener alone does not end a target: one that stops may close it first and
+            // go on with requests in progress.
+            ProbeAnswer::Refused if !is_heard && probe.open_connections == 0 => {
+                self.end_local_target(EndEvidence::ConnectionsClosed, now);
+            }
+            ProbeAnswer::Refused | ProbeAnswer::Identified { .. } => {}
         }
     }
 
@@ -267,37 +304,42 @@
 }
 
 /// The ranges that are leaving a target and that it holds no longer, each with its handover token.
-fn released_ranges(local: &LocalTargetState, assignment: &Assignment) -> Vec<Release> {
+///
+/// A heartbeat may have been delayed since before an earlier process on this VM granted keys. While
+/// leases of that process may last (`has_earlier_leases`), a release counts only for keys that the
+/// target has reported to this process as held before, and that keys are not mentioned proves nothing.
+fn released_ranges(
+    local: &LocalTargetState,
+    assignment: &Assignment,
+    has_earlier_leases: bool,
+) -> Vec<Release> {
     let mut ranges = Vec::new();
+    let counts = |range| !has_earlier_leases || local.has_shown(range);
+    let release = |range, handover: &str, evidence| Release {
+        range,
+        handover: handover.to_owned(),
+        evidence,
+    };
     for entry in assignment.leaving(&local.incarnation) {
         if local.may_hold(entry.range) {
             continue;
         }
-        if let Some(handover) = local.handover_token(entry.range) {
-            ranges.push(Release {
-                range: entry.range,
-                handover: handover.to_owned(),
-                evidence: EndEvidence::Released,
-            });
+        if let Some(handover) = local.handover_token(entry.range).filter(|_| counts(entry.range)) {
+            ranges.push(release(entry.range, handover, EndEvidence::Released));
             continue;
         }
-        for release in &local.released {
-            let released = KeyRange::new(release.first, release.last);
-            if let Some(part) = released.and_then(|it| it.overlap(entry.range)) {
-                ranges.push(Release {
-                    range: part,
-                    handover: release.handover.clone(),
-                    evidence: EndEvidence::Released,
-                });
+        for reported in &local.released {
+            let released = KeyRange::new(reported.first, reported.last);
+            let part = released.and_then(|it| it.overlap(entry.range));
+            if let Some(part) = part.filter(|it| counts(*it)) {
+                ranges.push(release(part, &reported.handover, EndEvidence::Released));
             }
         }
         // The target never held the rest. Completing a move skips parts of the range that were
         // moved above, since they are not leaving any longer.
-        ranges.push(Release {
-            range: entry.range,
-            handover: String::new(),
-            evidence: EndEvidence::NeverHeld,
-        });
+        if !has_earlier_leases {
+            ranges.push(release(entry.range, "", EndEvidence::NeverHeld));
+        }
     }
     ranges
 }
--- a/crates/galenastream_node/src/process/store_view.rs
+++ b/crates/galenastream_node/src/process/store_view.rs
@@ -209,8 +209,12 @@
                     Some(Ok(it)) => self.apply_assignment(service, it, row.version, now),
                     Some(Err(error)) => {
                         log::warn!(event = "keys_row_malformed", service, reason:% = error; "");
+                        self.assignment_record(service).unreadable_version = Some(row.version);
+                    }
+                    None => {
+                        log::warn!(event = "keys_row_removed", service; "");
+                        self.assignment_record(service).unreadable_version = Some(row.version);
                     }
-                    None => log::warn!(event = "keys_row_removed", service; ""),
                 }
             }
             Some(SharedRowKey::SettingsTree) => self.apply_settings_tree(row),
@@ -231,8 +235,11 @@
         if version <= record.version {
             return;
         }
+        let returned_to = record.assignment.returned_to(&assignment);
         record.vacancy.observe(&assignment, now);
         record.version = version;
+        record.unreadable_version = None;
+        record.stated_ends.clear();
         log::info!(
             event = "assignment_known",
             service,
@@ -242,12 +249,18 @@
             ""
         );
         record.assignment = Arc::new(assignment);
+        // Only the node beside a target cancels moves away from it.
+        for node in returned_to {
+            self.peers.record_sign_of_life(&node, now);
+        }
     }
 
     pub(super) fn assignment_record(&mut self, service: &str) -> &mut AssignmentRecord {
         self.assignments.entry(service.to_owned()).or_insert_with(|| AssignmentRecord {
-            assignment: Arc::new(Assignment::new()),
+            assignment: Arc::default(),
             version: 0,
+            unreadable_version: None,
+            stated_ends: Vec::new(),
             vacancy: VacancyTracker::new(),
             pending_write: None,
             balanced_at: BootInstant::default(),
@@ -292,6 +305,9 @@
     }
 
     pub(super) fn set_store_reachable(&mut self, reached: bool, now: BootInstant) {
+        if reached && !self.reaches_store {
+            self.peers.resume_listening(now);
+        }
         if reached != self.reaches_store {
             log::info!(event = if reached { "store_reached" } else { "store_lost" }; "");
         }
--- a/crates/galenastream_node/tests/ownership/state_machine/deployment.rs
+++ b/crates/galenastream_node/tests/ownership/state_machine/deployment.rs
@@ -389,7 +389,7 @@
         vm.rows_read_at_ms = now_ms;
         vm.rows_version = version;
         let rows = self.rows();
-        let confirmed_at = self.vms[index].clock.at(asked_at_ms);
+        let confirmed_at = Some(self.vms[index].clock.at(asked_at_ms));
         self.send(index, ControlEvent::Rows { rows, version, confirmed_at });
     }
 
--- a/crates/galenastream_node/tests/ownership/store_access.rs
+++ b/crates/galenastream_node/tests/ownership/store_access.rs
@@ -60,14 +60,12 @@
         }
     }
 
-    /// The event for rows that the store has returned. A full read is one that follows no other.
-    fn rows_event(
-        rows: Vec<Row>,
-        version: u64,
-        confirmed_at: BootInstant,
-        _is_full_read: bool,
-    ) -> ControlEvent {
-        ControlEvent::Rows { rows, version, confirmed_at }
+    /// What a full read confirms: a process writes the row of its node when it starts, and rows that
+    /// show the write are not older than that.
+    fn confirmation_of_read(&self, index: usize, read_at_ms: u64) -> Option<BootInstant> {
+        let vm = &self.vms[index];
+        let written_ms = vm.starts_at_ms + STEP_MS;
+        (read_at_ms > written_ms).then(|| vm.at(written_ms))
     }
 
     /// Sends the row of the store to a node, at once after a change and otherwise every 2 s.
@@ -87,11 +85,11 @@
         // After a restart of the node or a restore of the store, all rows are read again.
         let is_new_read =
             vm.rows_sent_at_ms == 0 || era_of(vm.rows_sent_version) != era_of(version);
-        let confirmed_at = vm.at(if is_new_read { now_ms - STEP_MS } else { asked_at_ms });
+        let confirmed_at = Some(vm.at(if is_new_read { now_ms - STEP_MS } else { asked_at_ms }));
         vm.rows_sent_at_ms = now_ms;
         vm.rows_sent_version = version;
         self.send_event(index, ControlEvent::StoreReached(true));
-        self.send_event(index, Self::rows_event(rows, version, confirmed_at, is_new_read));
+        self.send_event(index, ControlEvent::Rows { rows, version, confirmed_at });
     }
 
     /// Advances the call with which a node reads or watches the rows, or sends the next one.
@@ -142,10 +140,10 @@
             self.vms[index].store_call = Some(call);
             return;
         }
-        let confirmed_at = self.vms[index].at(call.sent_at_ms);
+        let asked_at = self.vms[index].at(call.sent_at_ms);
         match call.answer {
             Some(answer) if !is_cut_off && now_ms >= answer.arrives_at_ms => {
-                self.deliver_answer(index, answer.content, confirmed_at, call.after.is_none());
+                self.deliver_answer(index, answer.content, asked_at, call.after.is_none());
             }
             _ if now_ms >= call.sent_at_ms + WATCH_MS + CALL_TIMEOUT_MS => {
                 self.send_event(index, ControlEvent::StoreReached(false));
@@ -168,7 +166,8 @@
                 0 => (self.store.rows(), version),
                 _ => self.store.rows_at(now_ms.saturating_sub(age_ms)),
             };
-            return Some(AnswerContent::Rows { rows, version });
+            let read_at_ms = now_ms.saturating_sub(age_ms);
+            return Some(AnswerContent::Rows { rows, version, read_at_ms });
         };
         if now_ms < self.vms[index].deaf_until_ms {
             return None;
@@ -180,26 +179,31 @@
         if version <= after && !is_over {
             return None;
         }
-        Some(AnswerContent::Rows { rows: self.store.changes_after(after), version })
+        let rows = self.store.changes_after(after);
+        Some(AnswerContent::Rows { rows, version, read_at_ms: now_ms })
     }
 
     fn deliver_answer(
         &mut self,
         index: usize,
         content: AnswerContent,
-        confirmed_at: BootInstant,
+        asked_at: BootInstant,
         is_full_read: bool,
     ) {
         match content {
             AnswerContent::HistoryDropped => self.vms[index].known_version = None,
-            AnswerContent::Rows { rows, version } => {
+            AnswerContent::Rows { rows, version, read_at_ms } => {
                 self.vms[index].known_version = Some(version);
                 if is_full_read && self.varies(Variation::OutdatedReads) {
                     self.cut_off_after_read(index);
                 }
                 self.send_event(index, ControlEvent::StoreReached(true));
                 let rows = self.rows_as_read(index, rows);
-                self.send_event(index, Self::rows_event(rows, version, confirmed_at, is_full_read));
+                let confirmed_at = match is_full_read {
+                    true => self.confirmation_of_read(index, read_at_ms),
+                    false => Some(asked_at),
+                };
+                self.send_event(index, ControlEvent::Rows { rows, version, confirmed_at });
             }
         }
     }
@@ -275,7 +279,7 @@
             let event = ControlEvent::Rows {
                 rows: vec![row],
                 version: version + 1,
-                confirmed_at: self.vms[index].at(self.now_ms),
+                confirmed_at: Some(self.vms[index].at(self.now_ms)),
             };
             self.send_event(index, event);
         }
--- a/crates/galenastream_node/tests/ownership/store_call.rs
+++ b/crates/galenastream_node/tests/ownership/store_call.rs
@@ -19,6 +19,11 @@
 }
 
 pub enum AnswerContent {
-    Rows { rows: Vec<Row>, version: u64 },
+    Rows {
+        rows: Vec<Row>,
+        version: u64,
+        /// The instant that the rows show.
+        read_at_ms: u64,
+    },
     HistoryDropped,
 }
--- a/crates/galenastream_ranges/src/assignment.rs
+++ b/crates/galenastream_ranges/src/assignment.rs
@@ -1,12 +1,15 @@
 //! Ownership of the keys of a service.
 
-use crate::{KeyRange, Owner, TargetIncarnation};
+use std::sync::Arc;
+
+use crate::{KeyRange, LeaseTerms, Owner, TargetIncarnation};
 
 /// Ownership of every key of a service, as adjacent ranges in ascending order.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Assignment {
     entries: Vec<RangeEntry>,
     highest_fence: u64,
+    terms: Option<LeaseTerms>,
 }
 
 /// A range of keys with the same owners, fencing token and handover.
@@ -35,6 +38,10 @@
         from: Owner,
         /// The next owner, if it is chosen already.
         to: Option<Owner>,
+        /// The version of the row that the beginning of the move was planned on. Only one write can
+        /// follow a version, so it tells this departure from all others of the same keys. 0 if the
+        /// writer did not record it.
+        departure: u64,
     },
 }
 
@@ -53,11 +60,33 @@
             fence: 0,
             handover: String::new(),
         };
-        Self { entries: vec![entry], highest_fence: 0 }
+        Self { entries: vec![entry], highest_fence: 0, terms: None }
+    }
+
+    /// Issues only fencing tokens above `fence`.
+    #[must_use]
+    pub fn with_fences_above(self, fence: u64) -> Self {
+        Self { highest_fence: self.highest_fence.max(fence), ..self }
+    }
+
+    pub(crate) fn from_entries(
+        entries: Vec<RangeEntry>,
+        highest_fence: u64,
+        terms: Option<LeaseTerms>,
+    ) -> Self {
+        Self { entries, highest_fence, terms }
     }
 
-    pub(crate) fn from_entries(entries: Vec<RangeEntry>, highest_fence: u64) -> Self {
-        Self { entries, highest_fence }
+    /// Returns the limits that every lease on this row and on all earlier ones keeps; `None` if no
+    /// writer has stated them.
+    pub const fn terms(&self) -> Option<LeaseTerms> {
+        self.terms
+    }
+
+    /// Raises the limits of leases on this row to `terms` where they are shorter. They are never
+    /// lowered, so that they hold for leases on earlier rows too.
+    pub fn raise_terms(&mut self, terms: LeaseTerms) {
+        self.terms = Some(self.terms.map_or(terms, |it| it.max(terms)));
     }
 
     /// Returns the entries in ascending order of their keys.
@@ -122,24 +151,39 @@
     }
 
     /// Starts to move the owned keys of a range to the next owner, or to free them if `to` is
-    /// `None`.
-    pub fn begin_move(&mut self, range: KeyRange, to: Option<&Owner>) {
+    /// `None`. `row_version` is the version of the row that this change is based on.
+    pub fn begin_move(&mut self, range: KeyRange, to: Option<&Owner>, row_version: u64) {
         self.update_range(range, |entry| {
             let Holding::Owned(from) = &entry.holding else {
                 return None;
             };
-            let holding = Holding::Leaving { from: from.clone(), to: to.cloned() };
+            let departure = row_version;
+            let holding = Holding::Leaving { from: from.clone(), to: to.cloned(), departure };
             Some(RangeEntry { holding, ..entry.clone() })
         });
     }
 
+    /// Records the departure of leaving keys whose writer did not, as of `row_version`. The time
+    /// until they are vacant counts from then.
+    pub fn record_departures(&mut self, row_version: u64) {
+        self.update_range(KeyRange::ALL, |entry| match &entry.holding {
+            Holding::Leaving { from, to, departure: 0 } => {
+                let (from, to) = (from.clone(), to.clone());
+                let holding = Holding::Leaving { from, to, departure: row_version };
+                Some(RangeEntry { holding, ..entry.clone() })
+            }
+            _ => None,
+        });
+    }
+
     /// Replaces the next owner of the leaving keys of a range.
     pub fn redirect_move(&mut self, range: KeyRange, to: Option<&Owner>) {
         self.update_range(range, |entry| {
-            let Holding::Leaving { from, .. } = &entry.holding else {
+            let Holding::Leaving { from, departure, .. } = &entry.holding else {
                 return None;
             };
-            let holding = Holding::Leaving { from: from.clone(), to: to.cloned() };
+            let (from, departure) = (from.clone(), *departure);
+            let holding = Holding::Leaving { from, to: to.cloned(), departure };
             Some(RangeEntry { holding, ..entry.clone() })
         });
     }
@@ -156,6 +200,23 @@
         })
     }
 
+    /// Returns the nodes of the owners whose departures from keys have been cancelled in a later
+    /// assignment.
+    pub fn returned_to(&self, later: &Self) -> Vec<Arc<str>> {
+        let mut nodes: Vec<Arc<str>> = Vec::new();
+        for entry in &self.entries {
+            let Some(leaver) = entry.holding.leaving_owner() else {
+                continue;
+            };
+            let now = later.entry_of(entry.range.first);
+            let is_cancelled = now.fence == entry.fence && now.holding.owner() == Some(leaver);
+            if is_cancelled && !nodes.contains(&leaver.node) {
+                nodes.push(leaver.node.clone());
+            }
+        }
+        nodes
+    }
+
     /// Completes the moves of keys in a range away from `from`: the next owner gets them under a
     /// new fencing token; without a next owner they become free. Returns whether any keys changed.
     ///
@@ -168,7 +229,7 @@
     ) -> bool {
         let fence = self.highest_fence + 1;
         let changed = self.update_range(range, |entry| {
-            let Holding::Leaving { from: leaving_owner, to } = &entry.holding else {
+            let Holding::Leaving { from: leaving_owner, to, .. } = &entry.holding else {
                 return None;
             };
             if leaving_owner.target != *from {
@@ -197,8 +258,9 @@
                 fence: entry.fence,
                 handover: String::new(),
             }),
-            Holding::Leaving { from, to: Some(to) } if to.target == *target => {
-                let holding = Holding::Leaving { from: from.clone(), to: None };
+            Holding::Leaving { from, to: Some(to), departure } if to.target == *target => {
+                let (from, departure) = (from.clone(), *departure);
+                let holding = Holding::Leaving { from, to: None, departure };
                 Some(RangeEntry { holding, ..entry.clone() })
             }
             _ => None,
@@ -222,7 +284,7 @@
             let handover = String::new();
             push_merged(&mut entries, RangeEntry { range: entry.range, holding, fence, handover });
         }
-        Self { entries, highest_fence: fence }
+        Self { entries, highest_fence: fence, terms: self.terms }
     }
 
     /// Returns all owners that may hold leases, sorted and without duplicates.
--- a/crates/galenastream_ranges/src/row.rs
+++ b/crates/galenastream_ranges/src/row.rs
@@ -1,15 +1,21 @@
 //! Encoding of an assignment as a row of the store.
 
+use std::time::Duration;
+
 use prost::Message;
 
 use crate::{
-    Assignment, Holding, KEY_COUNT, KeyRange, Owner, RangeEntry, RowError, TargetIncarnation,
+    Assignment, Holding, KEY_COUNT, KeyRange, LeaseTerms, Owner, RangeEntry, RowError,
+    TargetIncarnation,
 };
 
 /// The highest fencing token in a row. A correct writer does not come near it, and each change needs
 /// a higher token.
 const MAX_FENCE: u64 = u64::MAX / 2;
 
+/// The longest limit of leases in a row. Sums of longer ones could overflow.
+const MAX_TERM_MS: u64 = 24 * 3_600 * 1_000;
+
 #[derive(Clone, PartialEq, Message)]
 struct AssignmentRow {
     #[prost(message, repeated, tag = "1")]
@@ -18,6 +24,11 @@
     entries: Vec<EntryRecord>,
     #[prost(uint64, tag = "3")]
     highest_fence: u64,
+    /// The limits of leases on this row and on all earlier ones; 0 if not stated.
+    #[prost(uint64, tag = "4")]
+    row_validity_ms: u64,
+    #[prost(uint64, tag = "5")]
+    max_lease_ms: u64,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -46,6 +57,9 @@
     fence: u64,
     #[prost(string, tag = "5")]
     handover: String,
+    /// Of a leaving entry: the version of the row that the beginning of the move was planned on.
+    #[prost(uint64, tag = "6")]
+    departure: u64,
 }
 
 impl Assignment {
@@ -54,10 +68,10 @@
         let mut owners: Vec<&Owner> = Vec::new();
         let mut entries = Vec::with_capacity(self.entries().len());
         for entry in self.entries() {
-            let (owner, leaver) = match &entry.holding {
-                Holding::Free => (None, None),
-                Holding::Owned(owner) => (Some(owner), None),
-                Holding::Leaving { from, to } => (to.as_ref(), Some(from)),
+            let (owner, leaver, departure) = match &entry.holding {
+                Holding::Free => (None, None, 0),
+                Holding::Owned(owner) => (Some(owner), None, 0),
+                Holding::Leaving { from, to, departure } => (to.as_ref(), Some(from), *departure),
             };
             entries.push(EntryRecord {
                 last: u32::from(entry.range.last),
@@ -65,10 +79,19 @@
                 leaver: intern(&mut owners, leaver),
                 fence: entry.fence,
                 handover: entry.handover.clone(),
+                departure,
             });
         }
         let owners = owners.into_iter().map(OwnerRecord::new).collect();
-        AssignmentRow { owners, entries, highest_fence: self.highest_fence() }.encode_to_vec()
+        let terms = self.terms();
+        let row = AssignmentRow {
+            owners,
+            entries,
+            highest_fence: self.highest_fence(),
+            row_validity_ms: terms.map_or(0, |it| whole_millis(it.row_validity)),
+            max_lease_ms: terms.map_or(0, |it| whole_millis(it.max_lease)),
+        };
+        row.encode_to_vec()
     }
 
     /// Decodes an assignment from a row.
@@ -95,7 +118,7 @@
             let holding = match (owner, leaver) {
                 (None, None) => Holding::Free,
                 (Some(owner), None) => Holding::Owned(owner),
-                (to, Some(from)) => Holding::Leaving { from, to },
+                (to, Some(from)) => Holding::Leaving { from, to, departure: record.departure },
             };
             if record.fence > row.highest_fence {
                 return Err(RowError::FenceAboveHighest { fence: record.fence });
@@ -111,7 +134,11 @@
         if next_key != KEY_COUNT {
             return Err(RowError::KeyNotCoveredOnce { key: next_key });
         }
-        Ok(Self::from_entries(entries, row.highest_fence))
+        let terms = (row.row_validity_ms > 0 && row.max_lease_ms > 0).then(|| {
+            let row_validity = Duration::from_millis(row.row_validity_ms.min(MAX_TERM_MS));
+            LeaseTerms::new(row_validity, Duration::from_millis(row.max_lease_ms.min(MAX_TERM_MS)))
+        });
+        Ok(Self::from_entries(entries, row.highest_fence, terms))
     }
 }
 
@@ -129,6 +156,10 @@
     }
 }
 
+fn whole_millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// Returns the one-based index of an owner, which is added if it is missing; 0 for `None`.
 fn intern<'a>(owners: &mut Vec<&'a Owner>, owner: Option<&'a Owner>) -> u32 {
     let Some(owner) = owner else {
