--- a/crates/galenastream_node/tests/ownership/main.rs
+++ b/crates/galenastream_node/tests/ownership/main.rs
@@ -5,6 +5,7 @@
 mod config_doubt;
 mod faults;
 mod fixtures;
+mod healthy_store;
 mod hold_evidence;
 mod hostile_input;
 mod incarnations;
