--- a/crates/galenastream_standin/src/scenario/fault_injector.rs
+++ b/crates/galenastream_standin/src/scenario/fault_injector.rs
@@ -7,8 +7,8 @@
 
 use super::{ScenarioFault, ScenarioFaultKind, ScenarioPlan};
 use crate::{
-    DeploymentPlan, LinkFault, LocalDeployment, LocalVm, MEMORY_LIMIT_MB, Process, StoreFault,
-    TargetAnnouncement, TargetAnswerFault, Violation,
+    DeploymentPlan, HostSet, LinkFault, LocalDeployment, LocalVm, MEMORY_LIMIT_MB, Process,
+    StoreFault, TargetAnnouncement, TargetAnswerFault, Violation,
 };
 
 /// The time between two looks at the processes.
@@ -121,7 +121,13 @@
             ScenarioFaultKind::NodeKilled
             | ScenarioFaultKind::NodeStopped
             | ScenarioFaultKind::NodeSuspended => self.apply_to_node(step),
-            ScenarioFaultKind::TargetReplaced if step.is_start => {
+            ScenarioFaultKind::NodeCut => self.apply_cuts(),
+            ScenarioFaultKind::TargetStopped if step.is_start => {
+                self.vm(fault).target.stop_listening();
+                Ok(())
+            }
+            ScenarioFaultKind::TargetReplaced if !step.is_start => Ok(()),
+            ScenarioFaultKind::TargetStopped | ScenarioFaultKind::TargetReplaced => {
                 self.vm(fault).replace_target().await?;
                 self.apply_to_target(fault);
                 Ok(())
@@ -162,6 +168,16 @@
         }
     }
 
+    fn apply_cuts(&self) -> anyhow::Result<()> {
+        let cuts = self.active.iter().filter(|it| it.kind == ScenarioFaultKind::NodeCut);
+        let hosts =
+            cuts.fold(HostSet::NONE, |hosts, it| hosts.with(self.deployment.vms[it.vm].host()));
+        for vm in &self.deployment.vms {
+            vm.set_cut_hosts(hosts)?;
+        }
+        Ok(())
+    }
+
     fn apply_to_node(&mut self, step: &FaultStep<'_>) -> anyhow::Result<()> {
         let index = step.fault.vm;
         let is_active = |kind| self.active.iter().any(|it| it.vm == index && it.kind == kind);
@@ -207,7 +223,9 @@
             let is_limit = it.kind == ScenarioFaultKind::TargetLimited && of_vm(it);
             is_limit.then(|| TargetAnnouncement::limit(it.limit_per_s))
         });
+        let delay = self.latest(|it| it.heartbeat_delay().filter(|_| of_vm(it)));
         let target = &self.vm(fault).target;
+        target.set_max_heartbeat_delay(delay.unwrap_or_default());
         target.set_fault(answer.unwrap_or(TargetAnswerFault::None));
         if fault.kind == ScenarioFaultKind::TargetLimited {
             target.announce(limit.unwrap_or_default());
