Follow the rule that a heartbeat alone ends no target in the test of late probes

a_refused_probe_of_an_earlier_target_does_not_end_its_successor let a heartbeat of the successor end the silent target before, which is the fault that is mended. A health check that names the successor ends it now; the checks are the same.

--- a/crates/galenastream_node/tests/ownership/incarnations.rs
+++ b/crates/galenastream_node/tests/ownership/incarnations.rs
@@ -74,7 +74,8 @@
 fn a_refused_probe_of_an_earlier_target_does_not_end_its_successor() {
     let mut state = ControlState::new(settings(0), at(0));
     send_heartbeat(&mut state, "old", 1, 100);
-    // The start times do not tell the targets apart, so the first one has to be silent.
+    let answer = ProbeAnswer::Identified { target_id: "new".to_owned() };
+    send_probe(&mut state, "old", answer, 1_390);
     send_heartbeat(&mut state, "new", 1, 1_400);
     assert_eq!(local_target_id(&state, 1_400).as_deref(), Some("new"));
     send_refusal(&mut state, "old", 1_420);
