--- a/crates/galenastream_node/tests/ownership/main.rs
+++ b/crates/galenastream_node/tests/ownership/main.rs
@@ -2,6 +2,7 @@
 //! time, that fencing tokens increase and that all keys are held again after faults. Each run is
 //! determined by its seed.
 
+mod clock_bounds;
 mod config_doubt;
 mod faults;
 mod fixtures;
