Add a failing test of a cancelled move that costs a target its keys

While its node writes the cancellation, the pending heartbeat is answered without the keys, so the target releases them at once and holds them cold afterwards. A planner that does not hear a node which reaches the store repeats this.

The product is not changed.

--- a/crates/galenastream_node/tests/ownership/review_liveness.rs
+++ b/crates/galenastream_node/tests/ownership/review_liveness.rs
@@ -1,14 +1,17 @@
 //! Checks that keys of a lost owner do not stay without a holder, and that live owners keep theirs.
 
 use bytes::Bytes;
-use galenastream_node::{ControlEvent, ControlState, Effect, ProbeAnswer, TargetProbe};
+use galenastream_adapter::HeartbeatReply;
+use galenastream_node::{
+    ControlEvent, ControlState, Effect, HeartbeatAnswer, ProbeAnswer, TargetProbe,
+};
 use galenastream_wire::NodeStatus;
 
 use crate::{
     fixtures::{HEARTBEAT_MS, config, settings},
     node_beside::{
-        START_MS, Sender, TARGET, begin_move, ended, heartbeat, next_owner, node_with_leases,
-        owned_by, row,
+        ALL_KEYS, START_MS, Sender, TARGET, begin_move, ended, heartbeat, next_owner,
+        node_with_leases, owned_by, row,
     },
     simulation::at,
 };
@@ -157,3 +160,23 @@
     }
     assert!(freed_after_ms.is_some_and(|it| it <= 30_000), "free after {freed_after_ms:?} ms");
 }
+
+/// Guards against a target that releases its keys, and holds them cold afterwards, since a planner
+/// that does not hear its node has taken that for lost.
+#[test]
+fn a_move_that_is_being_cancelled_takes_no_keys_from_the_target() {
+    let (mut state, now_ms) = node_with_leases(TARGET);
+    state.handle(ControlEvent::StoreReached(true), at(now_ms + 850));
+    state.handle_dropped_commit("carts");
+    let (event, mut reply) = heartbeat(TARGET, 13, ALL_KEYS, &[]);
+    state.handle(event, at(now_ms + 900));
+    state.handle_dropped_commit("carts");
+    let mut departed = owned_by(&TARGET.owner());
+    begin_move(&mut departed, None, 3);
+    let effects = state.handle(row(&departed, 4, now_ms + 940), at(now_ms + 950));
+    let is_cancelled = |it: &Effect| matches!(it, Effect::Commit { assignment, .. } if assignment.owned_by(&TARGET.incarnation()).next().is_some());
+    assert!(effects.iter().any(is_cancelled), "the node cancels the move");
+    if let Ok(HeartbeatAnswer::Reply(HeartbeatReply::Leases { grants, .. })) = reply.try_recv() {
+        assert!(!grants.is_empty(), "told to release before the cancellation is written");
+    }
+}
