--- a/crates/galenastream_node/tests/ownership/clock_bounds.rs
+++ b/crates/galenastream_node/tests/ownership/clock_bounds.rs
@@ -44,7 +44,7 @@
     for entry in assignment.clone().entries() {
         let is_moved = matches!(&entry.holding, Holding::Owned(owner) if *owner == from);
         if moves_keys && is_moved {
-            assignment.begin_move(entry.range, Some(&to));
+            assignment.begin_move(entry.range, Some(&to), 1);
         }
     }
     let value = Bytes::from(assignment.encode_row());
--- a/crates/galenastream_node/tests/ownership/main.rs
+++ b/crates/galenastream_node/tests/ownership/main.rs
@@ -16,6 +16,8 @@
 mod messages;
 mod node_clock;
 mod probes;
+mod review_evidence;
+mod review_liveness;
 mod silent_nodes;
 mod simulation;
 mod single_node;
--- a/crates/galenastream_node/tests/ownership/single_node.rs
+++ b/crates/galenastream_node/tests/ownership/single_node.rs
@@ -65,6 +65,18 @@
     released: &[(u16, u16, String)],
     now_ms: u64,
 ) -> Reply {
+    let (heartbeat, reply) = heartbeat(sender, sequence, held, released);
+    state.handle(heartbeat, at(now_ms));
+    reply
+}
+
+/// A heartbeat as an event for the node, and its reply.
+pub fn heartbeat(
+    sender: Sender,
+    sequence: u64,
+    held: Held<'_>,
+    released: &[(u16, u16, String)],
+) -> (ControlEvent, Reply) {
     let body = heartbeat_body(HeartbeatFields {
         address: &address(0),
         service: "carts",
@@ -76,8 +88,7 @@
     });
     let (answer, reply) = oneshot::channel();
     let target_id = sender.id.to_owned();
-    state.handle(ControlEvent::Heartbeat { target_id, body: body.into(), answer }, at(now_ms));
-    reply
+    (ControlEvent::Heartbeat { target_id, body: body.into(), answer }, reply)
 }
 
 pub fn send_probe(
