Free the keys of a silent target only after a version on which they leave

A statement bound the process that made it, not the next one, and a status of the earlier process could say the same later.

Evidence is now of two kinds. That the process of a target is gone (closed connections, another id at its address) is true for everybody, so its keys are free by one write. That leases have ended is true only until the next grant, so the first write marks the keys as leaving, and they are free by a further one, on a version on which nobody grants. Nodes state the two kinds apart; what nodes of earlier versions state counts as the second.

The tests of stated ends use the first kind now, which still binds.

--- a/crates/galenastream_node/src/process/control_state.rs
+++ b/crates/galenastream_node/src/process/control_state.rs
@@ -102,8 +102,7 @@
     /// The version of a newer row that cannot be decoded, or that removes the assignment. The keys
     /// may have other owners by it, so the known assignment is not in force any longer.
     pub(super) unreadable_version: Option<u64>,
-    /// Targets of which this process has stated, based on this version, that they have ended. The
-    /// statement may take effect at any later time, so they get no more leases on this version.
+    /// Targets of which this process has stated, based on this version, that they have ended.
     pub(super) stated_ends: Vec<EndedTarget>,
     pub(super) vacancy: VacancyTracker,
     /// The version that the write in progress is based on.
@@ -348,9 +347,10 @@
 }
 
 impl AssignmentRecord {
-    /// Whether this process has stated, based on this version, that a target has ended.
-    pub(super) fn has_stated_end(&self, target: &TargetIncarnation) -> bool {
-        self.stated_ends.iter().any(|it| it.incarnation == *target)
+    /// Whether this process has stated, based on this version, that a target is gone. The statement
+    /// may take effect at any later time, so the target gets no more leases on this version.
+    pub(super) fn is_stated_gone(&self, target: &TargetIncarnation) -> bool {
+        self.stated_ends.iter().any(|it| it.incarnation == *target && it.evidence.is_final())
     }
 }
 
--- a/crates/galenastream_node/src/process/heartbeats.rs
+++ b/crates/galenastream_node/src/process/heartbeats.rs
@@ -171,7 +171,7 @@
                 log::warn!(event = "lease_withheld", reason = "the newest row cannot be decoded"; "");
                 HeartbeatReply::Acknowledged
             }
-            (Some(record), _) if record.has_stated_end(&local.incarnation) => self.no_leases(),
+            (Some(record), _) if record.is_stated_gone(&local.incarnation) => self.no_leases(),
             (Some(record), Some(confirmed_at)) => {
                 let (assignment, row_version) = (record.assignment.clone(), record.version);
                 if !is_due && !needs_prompt_reply(local, &assignment) {
--- a/crates/galenastream_node/src/process/ownership_facts.rs
+++ b/crates/galenastream_node/src/process/ownership_facts.rs
@@ -56,8 +56,15 @@
             let age = now.saturating_since(since);
             HoldEnd { service, range, target, row_version, evidence, age, node }.log();
         };
-        for ended in self.state_ends(service, now) {
+        let ends = self.state_ends(service, now);
+        for ended in &ends {
             let target = &ended.incarnation;
+            if !ended.evidence.is_final() {
+                for range in expire_holds(assignment, target, row_version) {
+                    log_end(target, range, ended.evidence, ended.at);
+                }
+                continue;
+            }
             log::info!(event = "owner_removed", service, target:%; "");
             for entry in assignment.held_by(target) {
                 log_end(target, entry.range, ended.evidence, ended.at);
@@ -67,6 +74,9 @@
         let Some(local) = self.local.as_ref().filter(|it| &*it.service == service) else {
             return;
         };
+        if ends.iter().any(|it| it.incarnation == local.incarnation) {
+            return;
+        }
         let is_staying = local.draining_since.is_none() && !self.is_closing;
         let has_no_next_owner =
             |it: &RangeEntry| matches!(it.holding, Holding::Leaving { to: None, .. });
@@ -85,13 +95,14 @@
     }
 
     /// Returns the holders beside this node that have provably ended, for a statement based on the
-    /// known version of the assignment. A target that was stated to have ended stays so until another
+    /// known version of the assignment. A target that was stated to be gone stays so until another
     /// version is known.
     pub(super) fn state_ends(&mut self, service: &str, now: BootInstant) -> Vec<EndedTarget> {
         let Some(record) = self.assignments.get(service) else {
             return Vec::new();
         };
         let mut ends = record.stated_ends.clone();
+        ends.retain(|it| it.evidence.is_final());
         for holder in record.assignment.holders() {
             let is_stated = ends.iter().any(|it| it.incarnation == holder.target);
             if holder.node != self.node || is_stated {
@@ -121,18 +132,22 @@
                 last: u32::from(it.range.last),
                 handover: it.handover,
             });
-            let ended = record.stated_ends.iter();
-            let ended = ended.map(|it| IncarnationRecord {
-                id: it.incarnation.id.to_string(),
-                born_ms: it.incarnation.born_ms,
-            });
+            let ends_with = |is_final| {
+                let ends = record.stated_ends.iter();
+                let ends = ends.filter(move |it| it.evidence.is_final() == is_final);
+                let records = ends.map(|it| IncarnationRecord {
+                    id: it.incarnation.id.to_string(),
+                    born_ms: it.incarnation.born_ms,
+                });
+                records.collect::<Vec<_>>()
+            };
             let service_facts = OwnershipFacts {
-                service: service.clone(),
-                version: record.version,
                 releases: releases.collect(),
-                ended: ended.collect(),
+                gone: ends_with(true),
+                expired: ends_with(false),
+                ..OwnershipFacts::new(service.as_str(), record.version)
             };
-            if !service_facts.releases.is_empty() || !service_facts.ended.is_empty() {
+            if !service_facts.is_empty() {
                 facts.push(service_facts);
             }
         }
@@ -303,6 +318,26 @@
     }
 }
 
+/// Completes the moves of keys away from a target whose leases have ended, and starts to free those
+/// that it owns: they are free only by a further write, since another process may grant leases on
+/// them as long as it knows no version on which they are leaving. Returns the completed ranges.
+pub(super) fn expire_holds(
+    assignment: &mut Assignment,
+    target: &TargetIncarnation,
+    row_version: u64,
+) -> Vec<KeyRange> {
+    let leaving: Vec<KeyRange> = assignment.leaving(target).map(|it| it.range).collect();
+    for range in &leaving {
+        assignment.complete_move(target, *range, "");
+    }
+    let owned: Vec<KeyRange> = assignment.owned_by(target).map(|it| it.range).collect();
+    for range in owned {
+        assignment.begin_move(range, None, row_version);
+    }
+    assignment.clear_next_owner(target);
+    leaving
+}
+
 /// The ranges that are leaving a target and that it holds no longer, each with its handover token.
 ///
 /// A heartbeat may have been delayed since before an earlier process on this VM granted keys. While
--- a/crates/galenastream_node/src/process/ownership_log.rs
+++ b/crates/galenastream_node/src/process/ownership_log.rs
@@ -29,6 +29,20 @@
 }
 
 impl EndEvidence {
+    /// Whether the evidence shows that the process of a target is gone, so that nobody can grant keys
+    /// to it any more. Otherwise only its leases have ended, and another process may grant new ones.
+    pub(super) const fn is_final(self) -> bool {
+        match self {
+            Self::ConnectionsClosed | Self::AnotherIdentified => true,
+            Self::Released
+            | Self::NeverHeld
+            | Self::RowValidity
+            | Self::LeasesExpired
+            | Self::EarlierLeasesExpired
+            | Self::ReportedByPeer => false,
+        }
+    }
+
     /// The word for the evidence in log lines.
     pub(super) const fn as_str(self) -> &'static str {
         match self {
--- a/crates/galenastream_node/src/process/planning.rs
+++ b/crates/galenastream_node/src/process/planning.rs
@@ -8,9 +8,10 @@
 };
 use galenastream_settings::EffectiveSettings;
 use galenastream_utils::BootInstant;
-use galenastream_wire::{OwnershipFacts, TargetStatus};
+use galenastream_wire::{IncarnationRecord, OwnershipFacts, TargetStatus};
 
 use super::control_state::ControlState;
+use super::ownership_facts::expire_holds;
 use super::ownership_log::{EndEvidence, HoldEnd};
 use super::peer_book::PeerRecord;
 
@@ -211,7 +212,7 @@
             for range in owned {
                 assignment.begin_move(range, None, row_version);
             }
-            clear_next_owner(assignment, &holder.target);
+            assignment.clear_next_owner(&holder.target);
         }
     }
 
@@ -307,13 +308,18 @@
     target: Option<TargetIncarnation>,
     log_end: impl Fn(&TargetIncarnation, KeyRange),
 ) {
-    for ended in &facts.ended {
-        let target = TargetIncarnation::new(ended.id.as_str(), ended.born_ms);
+    let incarnation = |it: &IncarnationRecord| TargetIncarnation::new(it.id.as_str(), it.born_ms);
+    for target in facts.gone.iter().map(incarnation) {
         for entry in assignment.held_by(&target) {
             log_end(&target, entry.range);
         }
         assignment.remove_owner(&target);
     }
+    for target in facts.ended.iter().chain(&facts.expired).map(incarnation) {
+        for range in expire_holds(assignment, &target, facts.version) {
+            log_end(&target, range);
+        }
+    }
     let Some(target) = target else {
         return;
     };
@@ -337,20 +343,6 @@
     assignment.assign(planned.range, &planned.to);
 }
 
-/// Removes a lost target as the next owner of leaving keys.
-fn clear_next_owner(assignment: &mut Assignment, lost: &TargetIncarnation) {
-    let entries = assignment.entries().to_vec();
-    for entry in entries {
-        let is_next_owner = matches!(
-            &entry.holding,
-            Holding::Leaving { to: Some(to), .. } if to.target == *lost
-        );
-        if is_next_owner {
-            assignment.redirect_move(entry.range, None);
-        }
-    }
-}
-
 /// Logs the load and capacity of each target, in requests per second, before a round of balancing.
 fn log_loads(service: &str, targets: &[TargetLoad]) {
     let mut loads = String::new();
--- a/crates/galenastream_node/tests/ownership/hostile_input.rs
+++ b/crates/galenastream_node/tests/ownership/hostile_input.rs
@@ -94,15 +94,18 @@
 
 fn facts() -> impl Strategy<Value = OwnershipFacts> {
     let releases = vec((small_number(), small_number(), name()), 0..3);
-    let ended = vec((name(), number()), 0..3);
-    (name(), number(), releases, ended).prop_map(|(service, version, releases, ended)| {
+    let incarnations = || vec((name(), number()), 0..3);
+    let ends = (incarnations(), incarnations(), incarnations());
+    (name(), number(), releases, ends).prop_map(|(service, version, releases, ends)| {
         let release = |(first, last, handover)| ReleaseRecord { first, last, handover };
         let incarnation = |(id, born_ms)| IncarnationRecord { id, born_ms };
         OwnershipFacts {
             service,
             version,
             releases: releases.into_iter().map(release).collect(),
-            ended: ended.into_iter().map(incarnation).collect(),
+            ended: ends.0.into_iter().map(incarnation).collect(),
+            gone: ends.1.into_iter().map(incarnation).collect(),
+            expired: ends.2.into_iter().map(incarnation).collect(),
         }
     })
 }
--- a/crates/galenastream_node/tests/ownership/lease_conditions.rs
+++ b/crates/galenastream_node/tests/ownership/lease_conditions.rs
@@ -11,7 +11,7 @@
     fixtures::{HEARTBEAT_MS, config, settings},
     simulation::at,
     single_node::{
-        ALL_KEYS, Reply, START_MS, TARGET, ended, node_with_leases, owned_by, row, send,
+        ALL_KEYS, Reply, START_MS, TARGET, ended, node_with_leases, owned_by, row, send, send_probe,
     },
 };
 
@@ -46,20 +46,25 @@
     matches!(effect, Effect::Commit { assignment, .. } if assignment.holders().is_empty())
 }
 
+/// How long heartbeats of a target that was taken for ended count as delayed ones.
+const DELAYED_MS: u64 = 10_000;
+
 /// Guards against a lease on keys that a write in progress frees, and that its planner may give to
 /// another target in the same write.
 #[test]
 fn a_target_whose_end_is_being_written_gets_no_lease_on_that_version() {
     let (mut state, heard_ms) = node_with_leases(TARGET);
-    let silent_ms = heard_ms + 7_000;
-    let effects = reaches_store(&mut state, silent_ms);
-    assert!(effects.iter().any(is_removal), "the leases have expired: {effects:?}");
+    let probe_ms = heard_ms + 1_200;
+    send_probe(&mut state, TARGET, probe_ms, 0, probe_ms + 60);
+    let effects = reaches_store(&mut state, probe_ms + 70);
+    assert!(effects.iter().any(is_removal), "the target has ended: {effects:?}");
     let assignment = owned_by(&TARGET.owner());
-    state.handle(row(&assignment, 3, silent_ms + 5), at(silent_ms + 10));
-    let (grants, _) = leases_after_heartbeat(&mut state, 13, silent_ms + 20);
+    let back_ms = probe_ms + DELAYED_MS + 100;
+    state.handle(row(&assignment, 3, back_ms - 10), at(back_ms - 5));
+    let (grants, _) = leases_after_heartbeat(&mut state, 13, back_ms);
     assert_eq!(grants, [], "the write may still take effect");
     // The write has failed on another one.
-    let later_ms = silent_ms + 1_000;
+    let later_ms = back_ms + 1_000;
     state.handle(row(&assignment, 4, later_ms), at(later_ms + 10));
     let (grants, _) = leases_after_heartbeat(&mut state, 14, later_ms + 20);
     assert_eq!(grants.len(), 1, "the target is an owner by the newer version");
@@ -69,15 +74,41 @@
 #[test]
 fn a_target_whose_end_was_announced_gets_no_lease_on_that_version() {
     let (mut state, heard_ms) = node_with_leases(TARGET);
-    let silent_ms = heard_ms + 7_000;
-    state.tick(at(silent_ms));
-    assert_eq!(ended(&state, silent_ms), ["t"]);
+    let probe_ms = heard_ms + 1_200;
+    send_probe(&mut state, TARGET, probe_ms, 0, probe_ms + 60);
+    assert_eq!(ended(&state, probe_ms + 70), ["t"]);
     let assignment = owned_by(&TARGET.owner());
-    state.handle(row(&assignment, 3, silent_ms + 5), at(silent_ms + 10));
-    state.handle(ControlEvent::StoreReached(false), at(silent_ms + 15));
-    let (grants, _) = leases_after_heartbeat(&mut state, 13, silent_ms + 20);
+    let back_ms = probe_ms + DELAYED_MS + 100;
+    state.handle(row(&assignment, 3, back_ms - 10), at(back_ms - 5));
+    state.handle(ControlEvent::StoreReached(false), at(back_ms - 2));
+    let (grants, _) = leases_after_heartbeat(&mut state, 13, back_ms);
     assert_eq!(grants, [], "the planner may write the end");
-    assert_eq!(ended(&state, silent_ms + 900), ["t"], "the statement stands");
+    assert_eq!(ended(&state, back_ms + 900), ["t"], "the statement stands");
+}
+
+/// Guards against keys that are free by one write although their owner may get leases meanwhile, from
+/// this process or the next one.
+#[test]
+fn keys_of_a_silent_target_are_free_only_after_a_version_on_which_they_are_leaving() {
+    let (mut state, heard_ms) = node_with_leases(TARGET);
+    let silent_ms = heard_ms + 7_000;
+    for tick_ms in (heard_ms + 900..silent_ms).step_by(100) {
+        state.tick(at(tick_ms));
+    }
+    let effects = reaches_store(&mut state, silent_ms);
+    let departed = effects.into_iter().find_map(|it| match it {
+        Effect::Commit { assignment, .. } => Some(assignment),
+        _ => None,
+    });
+    let departed = departed.expect("the leases have expired");
+    assert!(departed.leaving(&TARGET.incarnation()).next().is_some(), "{departed:?}");
+    let committed = ControlEvent::Committed {
+        service: "carts".to_owned(),
+        assignment: departed,
+        result: Ok(4),
+    };
+    let effects = state.handle(committed, at(silent_ms + 10));
+    assert!(effects.iter().any(is_removal), "{effects:?}");
 }
 
 /// Guards against leases on an assignment that a newer row, which this program cannot read, has
--- a/crates/galenastream_node/tests/ownership/single_node.rs
+++ b/crates/galenastream_node/tests/ownership/single_node.rs
@@ -156,7 +156,7 @@
 /// The ids of the incarnations that the node takes for ended.
 pub fn ended(state: &ControlState, now_ms: u64) -> Vec<String> {
     let facts = state.status(at(now_ms)).facts;
-    facts.into_iter().flat_map(|it| it.ended).map(|it| it.id).collect()
+    facts.into_iter().flat_map(|it| [it.gone, it.expired].concat()).map(|it| it.id).collect()
 }
 
 /// The handover tokens of the keys that the node takes for released.
--- a/crates/galenastream_ranges/src/assignment.rs
+++ b/crates/galenastream_ranges/src/assignment.rs
@@ -188,6 +188,18 @@
         });
     }
 
+    /// Removes an incarnation as the next owner of leaving keys.
+    pub fn clear_next_owner(&mut self, target: &TargetIncarnation) -> bool {
+        self.update_range(KeyRange::ALL, |entry| match &entry.holding {
+            Holding::Leaving { from, to: Some(to), departure } if to.target == *target => {
+                let (from, departure) = (from.clone(), *departure);
+                let holding = Holding::Leaving { from, to: None, departure };
+                Some(RangeEntry { holding, ..entry.clone() })
+            }
+            _ => None,
+        })
+    }
+
     /// Cancels all moves away from an incarnation, which owns the keys again. Returns whether there
     /// were any.
     pub fn cancel_moves(&mut self, target: &TargetIncarnation) -> bool {
@@ -258,14 +270,10 @@
                 fence: entry.fence,
                 handover: String::new(),
             }),
-            Holding::Leaving { from, to: Some(to), departure } if to.target == *target => {
-                let (from, departure) = (from.clone(), *departure);
-                let holding = Holding::Leaving { from, to: None, departure };
-                Some(RangeEntry { holding, ..entry.clone() })
-            }
             _ => None,
         });
-        completed || freed
+        let cleared = self.clear_next_owner(target);
+        completed || freed || cleared
     }
 
     /// Returns the assignment after every lease on it has expired, with fencing tokens above
--- a/crates/galenastream_wire/src/message/node_status.rs
+++ b/crates/galenastream_wire/src/message/node_status.rs
@@ -103,9 +103,31 @@
     /// The key ranges that the target beside the node has released.
     #[prost(message, repeated, tag = "3")]
     pub releases: Vec<ReleaseRecord>,
-    /// The owners beside the node that no longer run.
+    /// The owners beside the node that no longer run, or whose leases have ended. Nodes of earlier
+    /// versions state both here; others leave it empty.
     #[prost(message, repeated, tag = "4")]
     pub ended: Vec<IncarnationRecord>,
+    /// The owners beside the node that no longer run.
+    #[prost(message, repeated, tag = "5")]
+    pub gone: Vec<IncarnationRecord>,
+    /// The owners beside the node whose leases have ended and that may run.
+    #[prost(message, repeated, tag = "6")]
+    pub expired: Vec<IncarnationRecord>,
+}
+
+impl OwnershipFacts {
+    /// Creates a list of no changes of this version of an assignment.
+    pub fn new(service: impl Into<String>, version: u64) -> Self {
+        Self { service: service.into(), version, ..Self::default() }
+    }
+
+    /// Whether there are no changes.
+    pub const fn is_empty(&self) -> bool {
+        self.releases.is_empty()
+            && self.ended.is_empty()
+            && self.gone.is_empty()
+            && self.expired.is_empty()
+    }
 }
 
 /// A key range that a target has released.
