Measure the silence of a node by the time for which the planner listened

A planner that heard the only other node every 1.6 s or less often never took a third one for lost: each gap began the count anew, and keys of the lost node were not served for 120 s and longer.

The planner now adds up the time for which it listened: not while it was suspended or reached nothing, half of it while it heard nobody but the store.

--- a/crates/galenastream_node/src/process/control_state.rs
+++ b/crates/galenastream_node/src/process/control_state.rs
@@ -224,6 +224,7 @@
 
     /// Advances the state to `now` and returns the effects to execute.
     pub fn tick(&mut self, now: BootInstant) -> Vec<Effect> {
+        self.peers.listen(self.reaches_store, now);
         self.reconcile(now);
         self.settle_era(now);
         self.probe_silent_target(now);
--- a/crates/galenastream_node/src/process/peer_book.rs
+++ b/crates/galenastream_node/src/process/peer_book.rs
@@ -15,6 +15,10 @@
 /// each node sends one per second.
 const MAX_STATUS_GAP: Duration = Duration::from_millis(1_500);
 
+/// The longest time between two ticks that counts as listened. A longer one is a suspension of the
+/// process or a lack of processor time.
+const MAX_TICK_GAP: Duration = Duration::from_millis(500);
+
 /// The registry of the other nodes by name.
 #[derive(Debug, Default)]
 pub(super) struct PeerRegistry {
@@ -22,9 +26,10 @@
     next_key: u32,
     /// When the last status of any node arrived.
     last_status_at: Option<BootInstant>,
-    /// Since when silence of a node tells something of that node: before, no node was heard, so this
-    /// one may have been suspended or cut off itself.
-    listening_since: BootInstant,
+    /// For how long this node has listened to the others since its start.
+    listened: Duration,
+    /// Until when `listened` counts.
+    listened_until: BootInstant,
 }
 
 /// What is known of another node.
@@ -35,8 +40,9 @@
     pub(super) data_centre: Arc<str>,
     pub(super) status: Option<NodeStatus>,
     pub(super) last_status_at: Option<BootInstant>,
-    /// When a change of the rows last showed that the node is alive.
-    last_change_at: Option<BootInstant>,
+    /// For how long this node had listened when a status, or a change of the rows, last showed that
+    /// the other one is alive.
+    heard_after: Duration,
     /// The latest instant at which the node knew from the store that no config was newer than the
     /// one in force here.
     config_confirmed_at: Option<BootInstant>,
@@ -52,27 +58,31 @@
         Self { next_key: 1, ..Self::default() }
     }
 
-    /// The instant from which the silence of a node counts towards its loss.
-    pub(super) fn silent_since(&self, node: &str) -> BootInstant {
-        let record = self.peers.get(node);
-        let last_sign = record.map_or(BootInstant::default(), PeerRecord::last_sign_at);
-        last_sign.max(self.listening_since)
-    }
-
-    /// Records that this node is about to judge the silence of others after a time in which it may
-    /// have been cut off. If no status has arrived meanwhile, their silence counts from now on only.
-    pub(super) fn resume_listening(&mut self, now: BootInstant) {
-        let is_deaf =
-            self.last_status_at.is_some_and(|it| now.saturating_since(it) > MAX_STATUS_GAP);
-        if is_deaf {
-            self.listening_since = now;
-        }
+    /// How long a node has been silent while this node listened.
+    pub(super) fn silence(&self, node: &str) -> Duration {
+        let heard = self.peers.get(node).map_or(Duration::ZERO, |it| it.heard_after);
+        self.listened.saturating_sub(heard)
+    }
+
+    /// Counts the time since the last call as listened, as far as silence of a node tells something of
+    /// that node: not while this node was suspended or reached nothing, and half of it while it heard
+    /// no node at all, since it may be cut off itself.
+    pub(super) fn listen(&mut self, reaches_store: bool, now: BootInstant) {
+        let elapsed = now.saturating_since(self.listened_until).min(MAX_TICK_GAP);
+        self.listened_until = now;
+        let hears_others =
+            self.last_status_at.is_some_and(|it| now.saturating_since(it) <= MAX_STATUS_GAP);
+        self.listened += match (hears_others, reaches_store) {
+            (true, _) => elapsed,
+            (false, true) => elapsed / 2,
+            (false, false) => Duration::ZERO,
+        };
     }
 
     /// Records a change of the shared rows that only a live process of a node makes.
-    pub(super) fn record_sign_of_life(&mut self, node: &str, now: BootInstant) {
+    pub(super) fn record_sign_of_life(&mut self, node: &str) {
         if let Some(record) = self.peers.get_mut(node) {
-            record.last_change_at = Some(now);
+            record.heard_after = self.listened;
         }
     }
 
@@ -101,13 +111,14 @@
             log::warn!(event = "status_malformed", node = status.node.as_str(); "");
             return false;
         };
-        self.resume_listening(now);
         self.last_status_at = Some(now);
+        let listened = self.listened;
         let record = self.insert(&status.node, address, &status.data_centre);
         let was_reachable = record.is_reachable(now);
         let differs = record.status.as_ref() != Some(&status);
         record.status = Some(status);
         record.last_status_at = Some(now);
+        record.heard_after = listened;
         record.remember_draining(now);
         record.remember_trial(now);
         differs || !was_reachable
@@ -132,7 +143,7 @@
                 data_centre: Arc::from(data_centre),
                 status: None,
                 last_status_at: None,
-                last_change_at: None,
+                heard_after: Duration::ZERO,
                 config_confirmed_at: None,
                 draining: None,
                 trial_wanted_since: None,
@@ -148,10 +159,6 @@
         self.last_status_at.is_some_and(|it| now.saturating_since(it) <= REACHABILITY_TIMEOUT)
     }
 
-    fn last_sign_at(&self) -> BootInstant {
-        self.last_status_at.max(self.last_change_at).unwrap_or_default()
-    }
-
     /// The time since the last status arrived.
     pub(super) fn status_age(&self, now: BootInstant) -> Duration {
         self.last_status_at.map_or(Duration::MAX, |it| now.saturating_since(it))
--- a/crates/galenastream_node/src/process/planning.rs
+++ b/crates/galenastream_node/src/process/planning.rs
@@ -81,7 +81,7 @@
         assignment.record_departures(row_version);
         self.apply_peer_facts(service, assignment, now);
         self.complete_vacant_moves(service, assignment, now);
-        self.revoke_from_lost(service, assignment, now);
+        self.revoke_from_lost(service, assignment);
         let mut targets = self.live_targets(service, now);
         let settings = *self.settings_tree.effective(service, &self.settings.data_centre, None);
         let planner = Planner::new(planner_settings(&settings));
@@ -198,10 +198,10 @@
     }
 
     /// Revokes the keys of targets whose nodes are lost.
-    fn revoke_from_lost(&self, service: &str, assignment: &mut Assignment, now: BootInstant) {
+    fn revoke_from_lost(&self, service: &str, assignment: &mut Assignment) {
         let row_version = self.assignments.get(service).map_or(0, |it| it.version);
         for holder in assignment.holders() {
-            if holder.node == self.node || !self.is_lost(&holder, now) {
+            if holder.node == self.node || !self.is_lost(&holder) {
                 continue;
             }
             let owned: Vec<KeyRange> =
@@ -216,9 +216,8 @@
         }
     }
 
-    fn is_lost(&self, holder: &Owner, now: BootInstant) -> bool {
-        let since = self.peers.silent_since(&holder.node).max(self.started_at);
-        now.saturating_since(since) > NODE_LOSS_TIMEOUT
+    fn is_lost(&self, holder: &Owner) -> bool {
+        self.peers.silence(&holder.node) > NODE_LOSS_TIMEOUT
     }
 
     /// The targets of a service that want to get keys to find out whether their limits have ended.
--- a/crates/galenastream_node/src/process/store_view.rs
+++ b/crates/galenastream_node/src/process/store_view.rs
@@ -252,7 +252,7 @@
         record.assignment = Arc::new(assignment);
         // Only the node beside a target cancels moves away from it.
         for node in returned_to {
-            self.peers.record_sign_of_life(&node, now);
+            self.peers.record_sign_of_life(&node);
         }
     }
 
@@ -306,9 +306,6 @@
     }
 
     pub(super) fn set_store_reachable(&mut self, reached: bool, now: BootInstant) {
-        if reached && !self.reaches_store {
-            self.peers.resume_listening(now);
-        }
         if reached != self.reaches_store {
             log::info!(event = if reached { "store_reached" } else { "store_lost" }; "");
         }
