Judge silence, health checks and ended leases by what this process could know

Silence now counts only the time for which the process ran. - A health check without an answer was not repeated until the leases ended, 7 s later. It is now, every 0.8 s. - An end that was found under the own settings, before the row was known, was applied to a row with longer leases. It now counts once the leases by the limits of the row have ended. - While a node wrote that a move is cancelled, its target was told to release the keys, and held them cold afterwards. The reply now waits for the write, and renews nothing if that takes longer than replies may wait.

--- a/crates/galenastream_node/src/process/control_state.rs
+++ b/crates/galenastream_node/src/process/control_state.rs
@@ -28,6 +28,9 @@
 /// validity.
 const ROW_VALIDITY_MARGIN: Duration = Duration::from_millis(2_000);
 
+/// The longest time between two ticks for which the process counts as running.
+const MAX_TICK_GAP: Duration = Duration::from_millis(500);
+
 /// Time without a heartbeat after which a target is silent, in hundredths of the heartbeat
 /// interval.
 const HEARTBEAT_TIMEOUT_PERCENT: u32 = 250;
@@ -87,6 +90,9 @@
     /// The version of the config in the store that could not be decoded; `u64::MAX` if the version
     /// could not either.
     pub(super) unreadable_config_version: Option<u64>,
+    /// For how long the process has run, without the time for which it was suspended.
+    ran: Duration,
+    last_tick_at: BootInstant,
     pub(super) last_probe_at: BootInstant,
     /// Whether a heartbeat of another target than the local one has arrived, so that a health check
     /// is to tell which of them runs.
@@ -155,6 +161,8 @@
             pending_peer_query_at: None,
             newer_config_since: None,
             unreadable_config_version: None,
+            ran: Duration::ZERO,
+            last_tick_at: started_at,
             last_probe_at: started_at,
             is_identity_wanted: false,
             eras: StoreEras::default(),
@@ -224,6 +232,8 @@
 
     /// Advances the state to `now` and returns the effects to execute.
     pub fn tick(&mut self, now: BootInstant) -> Vec<Effect> {
+        self.ran = self.ran_for(now);
+        self.last_tick_at = now;
         self.peers.listen(self.reaches_store, now);
         self.reconcile(now);
         self.settle_era(now);
@@ -271,7 +281,7 @@
             .flat_map(|it| it.keyed_services())
             .map(|it| it.name.clone())
             .collect();
-        self.request_identity();
+        self.request_identity(now);
         let is_planner = self.is_planner(now);
         for service in keyed_services {
             if !self.reaches_store {
@@ -327,6 +337,12 @@
         });
     }
 
+    /// For how long the process has run until `now`. Longer gaps between two ticks count as
+    /// suspensions.
+    pub(super) fn ran_for(&self, now: BootInstant) -> Duration {
+        self.ran + now.saturating_since(self.last_tick_at).min(MAX_TICK_GAP)
+    }
+
     /// The longest lease that the platform permits.
     pub(super) const fn platform_max_lease(&self) -> Duration {
         max_lease(&self.settings)
--- a/crates/galenastream_node/src/process/heartbeats.rs
+++ b/crates/galenastream_node/src/process/heartbeats.rs
@@ -49,11 +49,12 @@
             return send_reply(answer, reply);
         }
         let max_reply_delay = self.max_reply_delay();
+        let ran = self.ran_for(now);
         let Some(local) = &mut self.local else {
             return;
         };
         local.send_reply(HeartbeatReply::Acknowledged);
-        local.update(&heartbeat, now);
+        local.update(&heartbeat, ran, now);
         if let Some(record) = self.assignments.get(&*local.service) {
             log_foreign_holds(local, &record.assignment, record.version);
         }
@@ -167,6 +168,10 @@
         let service = local.service.to_string();
         let reply = match (self.assignments.get(&service), self.confirmed_at) {
             _ if !self.holds_keys(&service) => HeartbeatReply::Acknowledged,
+            (Some(record), _) if self.is_cancelling_moves(local, record) => match is_due {
+                true => HeartbeatReply::Acknowledged,
+                false => return,
+            },
             (Some(record), _) if record.unreadable_version.is_some() => {
                 log::warn!(event = "lease_withheld", reason = "the newest row cannot be decoded"; "");
                 HeartbeatReply::Acknowledged
--- a/crates/galenastream_node/src/process/local_target.rs
+++ b/crates/galenastream_node/src/process/local_target.rs
@@ -18,6 +18,8 @@
     pub(super) slots: u32,
     pub(super) sequence: u64,
     pub(super) last_heartbeat_at: BootInstant,
+    /// For how long the process of the node had run when the last heartbeat arrived.
+    pub(super) heard_after: Duration,
     /// Whether a health check at the target's address has confirmed its id.
     pub(super) identity: Identity,
     pub(super) draining_since: Option<BootInstant>,
@@ -36,10 +38,13 @@
 /// What a health check has shown about the target that listens beside this node.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Identity {
-    /// No health check was sent since the last heartbeat.
+    /// No health check was sent.
     Unknown,
     /// A health check was sent, without a matching answer so far.
-    Requested,
+    Requested {
+        /// When it was sent.
+        at: BootInstant,
+    },
     /// The target id of the answer equals that of the heartbeats.
     Confirmed {
         /// When the health check was sent.
@@ -70,6 +75,7 @@
             slots: heartbeat.slots,
             sequence: 0,
             last_heartbeat_at: now,
+            heard_after: Duration::ZERO,
             identity: Identity::Unknown,
             draining_since: None,
             held: Vec::new(),
@@ -81,12 +87,10 @@
         }
     }
 
-    pub(super) fn update(&mut self, heartbeat: &Heartbeat, now: BootInstant) {
+    pub(super) fn update(&mut self, heartbeat: &Heartbeat, ran: Duration, now: BootInstant) {
         self.sequence = heartbeat.sequence;
         self.last_heartbeat_at = now;
-        if self.identity == Identity::Requested {
-            self.identity = Identity::Unknown;
-        }
+        self.heard_after = ran;
         self.slots = heartbeat.slots;
         self.held.clone_from(&heartbeat.held);
         for held in &heartbeat.held {
--- a/crates/galenastream_node/src/process/ownership_facts.rs
+++ b/crates/galenastream_node/src/process/ownership_facts.rs
@@ -8,7 +8,7 @@
 use galenastream_utils::BootInstant;
 use galenastream_wire::{IncarnationRecord, OwnershipFacts, ReleaseRecord};
 
-use super::control_state::ControlState;
+use super::control_state::{AssignmentRecord, ControlState};
 use super::local_target::{Identity, LocalTargetState};
 use super::ownership_log::{EndEvidence, HoldEnd, millis};
 use super::{Effect, ProbeAnswer, TargetProbe};
@@ -17,6 +17,10 @@
 /// but by no more than the longest lease that it permits (10 s).
 const MAX_HEARTBEAT_DELAY: Duration = Duration::from_millis(10_000);
 
+/// Interval between two health checks that identify the target. A check without an answer takes
+/// slightly less.
+const IDENTITY_RETRY_INTERVAL: Duration = Duration::from_millis(800);
+
 /// Number of remembered incarnations that have ended.
 const MAX_ENDED_INCARNATIONS: usize = 16;
 
@@ -27,6 +31,8 @@
     /// When this process learned of its end.
     pub(super) at: BootInstant,
     pub(super) evidence: EndEvidence,
+    /// When the last lease that this process has granted to it ends.
+    pub(super) leases_end_at: BootInstant,
 }
 
 /// Keys that a target holds no longer.
@@ -77,10 +83,9 @@
         if ends.iter().any(|it| it.incarnation == local.incarnation) {
             return;
         }
-        let is_staying = local.draining_since.is_none() && !self.is_closing;
         let has_no_next_owner =
             |it: &RangeEntry| matches!(it.holding, Holding::Leaving { to: None, .. });
-        if is_staying && assignment.leaving(&local.incarnation).any(has_no_next_owner) {
+        if self.is_staying(local) && assignment.leaving(&local.incarnation).any(has_no_next_owner) {
             log::info!(event = "move_cancelled", service, target:% = local.incarnation, row_version; "");
             assignment.cancel_moves(&local.incarnation);
             return;
@@ -161,8 +166,12 @@
         target: &TargetIncarnation,
         now: BootInstant,
     ) -> Option<EndedTarget> {
+        let leases_end = self.earlier_leases_end(service);
+        // That leases have ended depends on the limits in the row, which may be known only now.
+        let is_over =
+            |it: &&EndedTarget| it.evidence.is_final() || now >= it.leases_end_at.max(leases_end);
         if let Some(ended) = self.recently_ended(target, now) {
-            return Some(ended.clone());
+            return Some(ended).filter(is_over).cloned();
         }
         let (evidence, at) = match &self.local {
             Some(local) if local.incarnation == *target => {
@@ -173,22 +182,25 @@
                 Some((Identity::Confirmed { at }, id)) if *id != *target.id => {
                     (EndEvidence::AnotherIdentified, at)
                 }
-                _ => {
-                    let leases_end = self.earlier_leases_end(service);
-                    (now >= leases_end)
-                        .then_some((EndEvidence::EarlierLeasesExpired, leases_end))?
-                }
+                _ => (now >= leases_end)
+                    .then_some((EndEvidence::EarlierLeasesExpired, leases_end))?,
             },
         };
-        Some(EndedTarget { incarnation: target.clone(), at, evidence })
+        Some(EndedTarget { incarnation: target.clone(), at, evidence, leases_end_at: at })
     }
 
     /// Whether the heartbeats of the local target have stopped and its leases have expired.
     pub(super) fn has_expired(&self, local: &LocalTargetState, now: BootInstant) -> bool {
-        local.is_silent(now, self.heartbeat_timeout())
+        self.silence(local, now) > self.heartbeat_timeout()
             && now >= local.leases_end_at.max(self.earlier_leases_end(&local.service))
     }
 
+    /// The time without a heartbeat of the local target for which this process ran. Heartbeats that
+    /// arrived while it was suspended may not have been read yet.
+    fn silence(&self, local: &LocalTargetState, now: BootInstant) -> Duration {
+        self.ran_for(now).saturating_sub(local.heard_after)
+    }
+
     /// The instant by which every lease has ended that an earlier process on this VM may have
     /// granted on keys of a service.
     pub(super) fn earlier_leases_end(&self, service: &str) -> BootInstant {
@@ -218,7 +230,12 @@
         };
         log::info!(event = "target_ended", target:% = local.incarnation, why = evidence.as_str(); "");
         local.send_reply(HeartbeatReply::Acknowledged);
-        self.ended.push(EndedTarget { incarnation: local.incarnation, at: now, evidence });
+        self.ended.push(EndedTarget {
+            incarnation: local.incarnation,
+            at: now,
+            evidence,
+            leases_end_at: local.leases_end_at,
+        });
         if self.ended.len() > MAX_ENDED_INCARNATIONS {
             self.ended.remove(0);
         }
@@ -230,7 +247,7 @@
         let Some(local) = &self.local else {
             return;
         };
-        let is_silent = local.is_silent(now, heartbeat_timeout / 2);
+        let is_silent = self.silence(local, now) > heartbeat_timeout / 2;
         let probed_recently = now.saturating_since(self.last_probe_at) < heartbeat_timeout / 4;
         if is_silent && !probed_recently {
             self.last_probe_at = now;
@@ -240,11 +257,15 @@
 
     /// Asks the target beside this node for its id if heartbeats of two targets arrive, or if an
     /// earlier one still holds keys: an id in the answer proves that all other targets have ended.
-    pub(super) fn request_identity(&mut self) {
+    pub(super) fn request_identity(&mut self, now: BootInstant) {
         let Some(local) = &self.local else {
             return;
         };
-        if local.identity == Identity::Requested {
+        let waits_for_answer = matches!(
+            local.identity,
+            Identity::Requested { at } if now.saturating_since(at) < IDENTITY_RETRY_INTERVAL
+        );
+        if waits_for_answer {
             return;
         }
         let is_earlier = |it: &Owner| it.node == self.node && it.target != local.incarnation;
@@ -260,7 +281,7 @@
         };
         self.is_identity_wanted = false;
         if let Some(local) = &mut self.local {
-            local.identity = Identity::Requested;
+            local.identity = Identity::Requested { at: now };
             let target = local.incarnation.clone();
             self.effects.push(Effect::IdentifyTarget { target, path });
         }
@@ -306,6 +327,24 @@
         }
     }
 
+    /// Whether a write is under way after which the local target owns keys again that have been
+    /// leaving it. It need not release them meanwhile, and gets no further leases.
+    pub(super) fn is_cancelling_moves(
+        &self,
+        local: &LocalTargetState,
+        record: &AssignmentRecord,
+    ) -> bool {
+        let is_cancelled =
+            |it: &RangeEntry| matches!(it.holding, Holding::Leaving { to: None, .. });
+        record.pending_write.is_some()
+            && self.is_staying(local)
+            && record.assignment.leaving(&local.incarnation).any(is_cancelled)
+    }
+
+    fn is_staying(&self, local: &LocalTargetState) -> bool {
+        local.draining_since.is_none() && !self.is_closing
+    }
+
     /// Whether keys of the local target still have to be handed over before this node stops.
     pub fn has_keys_to_hand_over(&self) -> bool {
         let Some(local) = &self.local else {
