Tell other nodes that an assignment was removed

A node that gets its rows from a peer kept granting leases on an assignment that was removed from the store: the peer left removed rows out of its answer and confirmed the version of the table. Removed assignments are now named in answers to sync queries.

--- a/crates/galenastream_node/src/process/store_view.rs
+++ b/crates/galenastream_node/src/process/store_view.rs
@@ -109,7 +109,7 @@
         }
         let rows = state.rows.into_iter().map(|it| Row {
             key: it.key,
-            value: Some(it.value),
+            value: (!it.is_removed).then_some(it.value),
             version: it.version,
         });
         self.apply_rows(rows.collect(), now);
@@ -186,8 +186,15 @@
             return shared.clone();
         }
         let rows = self.rows.values().filter_map(|it| {
-            let value = it.value.clone()?;
-            Some(SharedRow { key: it.key.clone(), value, version: it.version })
+            let is_assignment =
+                matches!(SharedRowKey::parse(&it.key), Some(SharedRowKey::Assignment(_)));
+            let is_removed = it.value.is_none();
+            // The others hold no leases.
+            if is_removed && !is_assignment {
+                return None;
+            }
+            let value = it.value.clone().unwrap_or_default();
+            Some(SharedRow { key: it.key.clone(), value, version: it.version, is_removed })
         });
         let shared: Arc<[SharedRow]> = rows.collect();
         self.shared_rows = Some(shared.clone());
--- a/crates/galenastream_node/tests/ownership/hostile_input.rs
+++ b/crates/galenastream_node/tests/ownership/hostile_input.rs
@@ -171,7 +171,10 @@
     let rows = vec((row(), version()), 0..4);
     (config, rows, version(), number(), 0_u64..9_000).prop_map(
         |(config, rows, rows_version, confirmed_age_ms, asked_at)| {
-            let shared = |((key, value), version)| SharedRow { key, value, version };
+            let shared = |((key, value), version): ((String, Bytes), u64)| {
+                let is_removed = value.is_empty();
+                SharedRow { key, value, version, is_removed }
+            };
             let rows = rows.into_iter().map(shared).collect();
             let state = SyncState { config, rows, rows_version, confirmed_age_ms };
             ControlEvent::PeerSyncState { state, asked_at: at(asked_at) }
--- a/crates/galenastream_node/tests/ownership/incarnations.rs
+++ b/crates/galenastream_node/tests/ownership/incarnations.rs
@@ -157,6 +157,7 @@
         key: "keys/carts".to_owned(),
         value: assignment.encode_row().into(),
         version: 20,
+        is_removed: false,
     };
     let outdated_state = SyncState {
         rows: vec![row],
--- a/crates/galenastream_wire/src/message/sync.rs
+++ b/crates/galenastream_wire/src/message/sync.rs
@@ -38,10 +38,13 @@
     /// The key, see [`SharedRowKey`](crate::SharedRowKey).
     #[prost(string, tag = "1")]
     pub key: String,
-    /// The content.
+    /// The content; empty if the row was removed.
     #[prost(bytes = "bytes", tag = "2")]
     pub value: Bytes,
     /// The version of the row's last change.
     #[prost(uint64, tag = "3")]
     pub version: u64,
+    /// Whether the row was removed.
+    #[prost(bool, tag = "4")]
+    pub is_removed: bool,
 }
--- a/crates/galenastream_wire/tests/codec.rs
+++ b/crates/galenastream_wire/tests/codec.rs
@@ -73,7 +73,9 @@
 
 fn sync_state() -> impl Strategy<Value = Body> {
     (prop::collection::vec(any::<u8>(), 0..200), any::<u64>()).prop_map(|(value, version)| {
-        let row = SharedRow { key: "keys/carts".to_owned(), value: Bytes::from(value), version };
+        let is_removed = value.is_empty();
+        let value = Bytes::from(value);
+        let row = SharedRow { key: "keys/carts".to_owned(), value, version, is_removed };
         Body::SyncState(SyncState { rows: vec![row], rows_version: version, ..Default::default() })
     })
 }
