Round ages up, and cover both clocks in the end of a lease

The age of a confirmation was rounded down, by which it could look up to 1 ms younger; the margin of 3% of a lease missed a target's clock that is 2% slow beside a node's that is 1% off by less than 1 ms.

--- a/crates/galenastream_node/src/process/context.rs
+++ b/crates/galenastream_node/src/process/context.rs
@@ -103,7 +103,7 @@
                 false => Vec::new(),
             },
             rows_version: self.rows_version,
-            confirmed_age_ms: u64::try_from(confirmed_age.as_millis()).unwrap_or(u64::MAX),
+            confirmed_age_ms: age_ms(confirmed_age),
         }
     }
 
@@ -113,11 +113,11 @@
         let Some(age) = age.filter(|it| *it < MAX_CONFIG_AGE) else {
             return StatusSeen::default();
         };
-        // Rounded up: evidence is never stated as younger than it is.
-        let age_ms = age.as_nanos().div_ceil(1_000_000);
-        StatusSeen {
-            config_version: self.config_version,
-            config_age_ms: u64::try_from(age_ms).ok(),
-        }
+        StatusSeen { config_version: self.config_version, config_age_ms: Some(age_ms(age)) }
     }
 }
+
+/// The age of evidence in milliseconds, rounded up: it is never stated as younger than it is.
+fn age_ms(age: Duration) -> u64 {
+    u64::try_from(age.as_nanos().div_ceil(1_000_000)).unwrap_or(u64::MAX)
+}
--- a/crates/galenastream_node/tests/ownership/review_evidence.rs
+++ b/crates/galenastream_node/tests/ownership/review_evidence.rs
@@ -114,6 +114,10 @@
     let planner = ControlState::new(settings(1), at(START_MS));
     let mut planner = configured(planner, START_MS + 10);
     planner.handle(ControlEvent::StoreReached(true), at(START_MS + 20));
+    // The owner's node is never heard.
+    for now_ms in (START_MS + 100..written_ms - 100).step_by(100) {
+        planner.tick(at(now_ms));
+    }
     let mut effects = planner.handle(row(&assignment, 3, written_ms - 100), at(written_ms - 90));
     let (departed, _) = commit_of(&effects).expect("the lost owner's keys depart");
     assert!(departed.leaving(&TARGET.incarnation()).next().is_some());
--- a/crates/galenastream_ranges/src/lease_terms.rs
+++ b/crates/galenastream_ranges/src/lease_terms.rs
@@ -4,9 +4,9 @@
 
 use galenastream_utils::BootInstant;
 
-/// Safety margin for clock drift: a target's clock may run 2% slow, and the node's own clock may be
-/// off by less than 1%.
-const CLOCK_MARGIN_PERCENT: u32 = 3;
+/// Safety margin for clock drift in thousandths: a target's clock may run 2% slow, and the node's own
+/// clock may be off by less than 1%.
+const CLOCK_MARGIN_PERMILLE: u32 = 31;
 
 /// Safety margin between the clocks of two nodes, each of which may be off by less than 1%.
 const NODE_CLOCKS_MARGIN_PERCENT: u32 = 2;
@@ -35,7 +35,7 @@
     pub fn lease(&self, confirmed_at: BootInstant, now: BootInstant) -> Option<Duration> {
         let validity = self.row_validity * (100 - NODE_CLOCKS_MARGIN_PERCENT) / 100;
         let remaining = (confirmed_at + validity).saturating_since(now);
-        let remaining = remaining * (100 - CLOCK_MARGIN_PERCENT) / 100;
+        let remaining = remaining * (1_000 - CLOCK_MARGIN_PERMILLE) / 1_000;
         let lease = remaining.min(self.max_lease);
         (lease >= MIN_LEASE).then_some(lease)
     }
@@ -43,7 +43,7 @@
     /// Returns the instant by which a lease granted at `now` has expired at the target, even if the
     /// target's clock runs slow.
     pub fn lease_end(&self, now: BootInstant, lease: Duration) -> BootInstant {
-        now + lease * (100 + CLOCK_MARGIN_PERCENT) / 100
+        now + lease * (1_000 + CLOCK_MARGIN_PERMILLE) / 1_000
     }
 
     /// Returns the instant by which every lease granted on a row has expired, if the row was
