--- a/crates/galenastream_node/tests/soak.rs
+++ b/crates/galenastream_node/tests/soak.rs
@@ -1,5 +1,5 @@
-//! Short runs of the fault soak: faults from outside of real nodes, drawn from fixed seeds.
-//! `tools/soak.sh` runs more seeds.
+//! Short runs of the fault soak: faults from outside of real nodes, drawn from fixed seeds or
+//! directed. `tools/soak.sh` runs more seeds.
 
 use std::{path::Path, time::Duration};
 
@@ -17,6 +17,12 @@
     assert_eq!(run.violations, [], "seed {seed}, logs in {:?}\n{}", run.logs, run.summary);
 }
 
+/// Reads a directed scenario.
+fn day(name: &str) -> ScenarioPlan {
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples/days");
+    ScenarioPlan::load(&folder.join(name).with_extension("toml")).expect("the scenario is valid")
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn no_promise_is_broken_under_the_faults_of_seed_3() {
     check(&ScenarioPlan::soak(3, MAX_VMS), 3).await;
@@ -35,5 +41,15 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_planner_that_missed_a_cancellation_does_not_complete_the_move() {
-    check(&ScenarioPlan::missed_cancellation(), 1).await;
+    check(&day("missed-cancellation"), 1).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_target_that_closed_its_listener_keeps_its_keys_until_it_ends() {
+    check(&day("closed-listener"), 1).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_target_that_states_an_earlier_start_than_the_one_before_is_accepted() {
+    check(&day("clock-set-back"), 1).await;
 }
--- a/crates/galenastream_standin/examples/soak.rs
+++ b/crates/galenastream_standin/examples/soak.rs
@@ -74,7 +74,7 @@
                 .long("kind")
                 .value_name("KIND")
                 .default_value("faults")
-                .value_parser(["faults", "ownership", "missed-cancellation"])
+                .value_parser(["faults", "ownership"])
                 .help("The kind of the scenarios"),
         )
         .arg(number("first", "1", "The first seed"))
@@ -103,7 +103,6 @@
     };
     let kind = match matches.get_one::<String>("kind").map(String::as_str) {
         Some("ownership") => SoakKind::Ownership,
-        Some("missed-cancellation") => SoakKind::MissedCancellation,
         _ => SoakKind::Faults,
     };
     let (first, max_vms) = (number("first")?, usize::try_from(number("max-vms")?)?);
--- a/crates/galenastream_standin/src/deployment/local_vm.rs
+++ b/crates/galenastream_standin/src/deployment/local_vm.rs
@@ -112,12 +112,23 @@
         Ok(())
     }
 
+    /// Makes the target stop listening; [`replace_target`](Self::replace_target) ends it.
+    pub fn stop_target_listening(&self) {
+        self.target.stop_listening();
+        if let Some(links) = &self.links {
+            links.set_target_refuses(true);
+        }
+    }
+
     /// Stops the target abruptly, as a crash does, and starts another one with another id at its
     /// address.
     pub async fn replace_target(&mut self) -> anyhow::Result<()> {
         self.target_count += 1;
         let id = format!("{}-{}", self.name.replace("vm", "t"), self.target_count);
         self.target.crash();
+        if let Some(links) = &self.links {
+            links.set_target_refuses(false);
+        }
         let mut plan = target_plan(self.heartbeat_interval, &self.plan, self.addresses, id);
         // Each start sets the time of day back further.
         let step_back = self.plan.conduct.clock_step_back * (self.target_count - 1);
--- a/crates/galenastream_standin/src/deployment/vm_links.rs
+++ b/crates/galenastream_standin/src/deployment/vm_links.rs
@@ -97,6 +97,11 @@
         self.store.set_cut_hosts(if is_cut { HostSet::ALL } else { HostSet::NONE });
     }
 
+    /// Sets whether the target refuses new connections.
+    pub(super) fn set_target_refuses(&self, refuses: bool) {
+        self.target.set_refuses(refuses);
+    }
+
     pub(super) fn set_fault(&self, link: VmLink, fault: LinkFault) {
         let proxy = match link {
             VmLink::Callers => &self.callers,
--- a/crates/galenastream_standin/src/link/fault_proxy.rs
+++ b/crates/galenastream_standin/src/link/fault_proxy.rs
@@ -1,22 +1,27 @@
 //! The proxy and its listener.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
 use anyhow::Context;
 use tokio::{
     net::TcpListener,
     sync::watch,
     task::{JoinHandle, JoinSet},
+    time::sleep,
 };
 
 use super::{HostSet, LinkFault, relay::Relay};
 
+/// The time after an attempt to listen again.
+const REOPEN_INTERVAL: Duration = Duration::from_millis(5);
+
 /// A TCP proxy between clients and one server. Dropping it closes its connections.
 #[derive(Debug)]
 pub struct FaultProxy {
     address: SocketAddr,
     fault: watch::Sender<LinkFault>,
     cut_hosts: watch::Sender<HostSet>,
+    refuses: watch::Sender<bool>,
     listener: JoinHandle<()>,
 }
 
@@ -39,20 +44,33 @@
         let address = listener.local_addr()?;
         let (fault, faults) = watch::channel(LinkFault::None);
         let (cut_hosts, cuts) = watch::channel(HostSet::NONE);
+        let (refuses, mut refusals) = watch::channel(false);
         let listener = tokio::spawn(async move {
             let mut relays = JoinSet::new();
+            let mut listener = Some(listener);
             loop {
-                match listener.accept().await {
-                    Ok((client, _)) => {
+                let Some(open) = &listener else {
+                    let _ = refusals.wait_for(|it| !*it).await;
+                    listener = TcpListener::bind(address).await.ok();
+                    sleep(REOPEN_INTERVAL).await;
+                    continue;
+                };
+                let accepted = tokio::select! {
+                    accepted = open.accept() => Some(accepted),
+                    _ = refusals.wait_for(|it| *it) => None,
+                };
+                match accepted {
+                    Some(Ok((client, _))) => {
                         let relay = Relay::new(server, faults.clone(), cuts.clone(), replacement);
                         relays.spawn(relay.run(client));
                     }
-                    Err(error) => log::warn!("the proxy cannot accept a connection: {error}"),
+                    Some(Err(error)) => log::warn!("the proxy cannot accept a connection: {error}"),
+                    None => listener = None,
                 }
                 while relays.try_join_next().is_some() {}
             }
         });
-        Ok(Self { address, fault, cut_hosts, listener })
+        Ok(Self { address, fault, cut_hosts, refuses, listener })
     }
 
     /// Returns the address where the proxy listens.
@@ -72,6 +90,11 @@
         self.cut_hosts.send_if_modified(|it| std::mem::replace(it, hosts) != hosts);
     }
 
+    /// Sets whether new connections are refused. Open ones go on.
+    pub fn set_refuses(&self, refuses: bool) {
+        self.refuses.send_if_modified(|it| std::mem::replace(it, refuses) != refuses);
+    }
+
     /// Closes all connections and stops listening.
     pub fn close(self) {
         drop(self);
--- a/crates/galenastream_standin/src/scenario/fault_injector.rs
+++ b/crates/galenastream_standin/src/scenario/fault_injector.rs
@@ -123,7 +123,7 @@
             | ScenarioFaultKind::NodeSuspended => self.apply_to_node(step),
             ScenarioFaultKind::NodeCut => self.apply_cuts(),
             ScenarioFaultKind::TargetStopped if step.is_start => {
-                self.vm(fault).target.stop_listening();
+                self.vm(fault).stop_target_listening();
                 Ok(())
             }
             ScenarioFaultKind::TargetReplaced if !step.is_start => Ok(()),
--- a/crates/galenastream_standin/src/scenario/ownership_plan.rs
+++ b/crates/galenastream_standin/src/scenario/ownership_plan.rs
@@ -32,50 +32,7 @@
         let conduct = draw.conduct();
         let vms = (0..vm_count).map(|it| draw.vm(it, conduct)).collect();
         draw.draw_faults();
-        let rate_per_s = draw.rng.random_range(30.0..60.0);
-        Self::of_ownership("ownership", vms, draw.faults, rate_per_s)
-    }
-
-    /// Leaves out the faults that end later, and shortens the traffic accordingly.
-    pub fn with_faults_until(mut self, end: Duration) -> Self {
-        self.faults.retain(|it| it.end() <= end);
-        self.length = self.length.min(end + Duration::from_millis(RECOVERY_MS));
-        self
-    }
-
-    /// The planner `vm-0` marks the keys of `vm-1` as leaving and is cut off. `vm-1` returns,
-    /// cancels, and is lost again before the planner returns: the planner has then seen both
-    /// departures, and not that the first one was cancelled.
-    pub fn missed_cancellation() -> Self {
-        let conduct = TargetConduct {
-            finishes_requests: true,
-            checks_fences: true,
-            ..TargetConduct::default()
-        };
-        let vm = |service: &str| ScenarioVm {
-            service: service.to_owned(),
-            data_centre: "east".to_owned(),
-            slots: 64,
-            service_time: Duration::from_millis(20),
-            conduct,
-        };
-        let cut = |vm, from_ms, until_ms| {
-            let (at, length) =
-                (Duration::from_millis(from_ms), Duration::from_millis(until_ms - from_ms));
-            ScenarioFault::new(Kind::NodeCut, vm, at, length)
-        };
-        let faults = vec![cut(1, 2_000, 8_000), cut(0, 7_000, 17_000), cut(1, 12_000, 26_000)];
-        let vms = vec![vm("stock"), vm("carts"), vm("carts"), vm("stock")];
-        Self::of_ownership("missed-cancellation", vms, faults, 40.0)
-    }
-
-    fn of_ownership(
-        name: &str,
-        vms: Vec<ScenarioVm>,
-        faults: Vec<ScenarioFault>,
-        rate_per_s: f64,
-    ) -> Self {
-        let last_end = faults.iter().map(ScenarioFault::end).max().unwrap_or_default();
+        let last_end = draw.faults.iter().map(ScenarioFault::end).max().unwrap_or_default();
         let class = |name: &str, path: &str, share_percent, deadline_ms| ScenarioTraffic {
             name: name.to_owned(),
             path: path.to_owned(),
@@ -85,10 +42,10 @@
             from: Duration::ZERO,
         };
         Self {
-            name: name.to_owned(),
+            name: "ownership".to_owned(),
             length: last_end + Duration::from_millis(RECOVERY_MS),
             warm_up: Duration::ZERO,
-            rate_per_s,
+            rate_per_s: draw.rng.random_range(30.0..60.0),
             zipf_exponent: 0.0,
             shift_interval: Duration::ZERO,
             vms,
@@ -98,9 +55,16 @@
                 class("order", "/orders/1", 15.0, 2_000),
             ],
             bursts: Vec::new(),
-            faults,
+            faults: draw.faults,
         }
     }
+
+    /// Leaves out the faults that end later, and shortens the traffic accordingly.
+    pub fn with_faults_until(mut self, end: Duration) -> Self {
+        self.faults.retain(|it| it.end() <= end);
+        self.length = self.length.min(end + Duration::from_millis(RECOVERY_MS));
+        self
+    }
 }
 
 impl OwnershipDraw {
--- a/crates/galenastream_standin/src/scenario/soak_seed.rs
+++ b/crates/galenastream_standin/src/scenario/soak_seed.rs
@@ -32,8 +32,6 @@
     Faults,
     /// Faults that last long enough for several takeovers of the same keys.
     Ownership,
-    /// A node that is cut off misses the cancellation of a move; the seed affects traffic only.
-    MissedCancellation,
 }
 
 #[derive(Debug, Deserialize)]
@@ -54,7 +52,6 @@
         match self.kind {
             SoakKind::Faults => ScenarioPlan::soak(self.seed, self.max_vms),
             SoakKind::Ownership => ScenarioPlan::ownership_soak(self.seed, self.max_vms),
-            SoakKind::MissedCancellation => ScenarioPlan::missed_cancellation(),
         }
     }
 
--- a/crates/galenastream_standin/tests/fault_proxy.rs
+++ b/crates/galenastream_standin/tests/fault_proxy.rs
@@ -124,6 +124,21 @@
     assert!(read(&mut stream).await.unwrap().is_err());
 }
 
+#[tokio::test]
+async fn new_connections_are_refused_while_open_ones_go_on() {
+    let proxy = start(None).await;
+    let mut open = connect(&proxy).await;
+    assert_eq!(echo(&mut open, "a").await.as_deref(), Some("a"));
+    proxy.set_refuses(true);
+    sleep(SHORT).await;
+    let refused = TcpStream::connect(proxy.address()).await.unwrap_err();
+    assert_eq!(refused.kind(), std::io::ErrorKind::ConnectionRefused);
+    assert_eq!(echo(&mut open, "b").await.as_deref(), Some("b"));
+    proxy.set_refuses(false);
+    sleep(SHORT).await;
+    assert_eq!(echo(&mut connect(&proxy).await, "c").await.as_deref(), Some("c"));
+}
+
 #[tokio::test]
 async fn requests_are_answered_without_an_end() {
     for (fault, second_line) in [(LinkFault::EndlessHead, "X-Filler"), (LinkFault::EndlessBody, "")]
