--- a/crates/galenastream_node/src/process/mod.rs
+++ b/crates/galenastream_node/src/process/mod.rs
@@ -33,6 +33,7 @@
 mod store_view;
 mod target_limit;
 mod target_probe;
+mod target_probes;
 mod traffic_state;
 mod traffic_tally;
 mod written_row;
