--- a/crates/galenastream_node/src/process/control_state.rs
+++ b/crates/galenastream_node/src/process/control_state.rs
@@ -28,7 +28,8 @@
 /// validity.
 const ROW_VALIDITY_MARGIN: Duration = Duration::from_millis(2_000);
 
-/// The longest time between two ticks for which the process counts as running.
+/// The longest time between two ticks for which the process counts as running. A longer one is a
+/// suspension or a lack of processor time.
 const MAX_TICK_GAP: Duration = Duration::from_millis(500);
 
 /// Time without a heartbeat after which a target is silent, in hundredths of the heartbeat
@@ -232,9 +233,10 @@
 
     /// Advances the state to `now` and returns the effects to execute.
     pub fn tick(&mut self, now: BootInstant) -> Vec<Effect> {
-        self.ran = self.ran_for(now);
+        let ran = self.ran_for(now);
+        self.peers.listen(ran.saturating_sub(self.ran), self.reaches_store, now);
+        self.ran = ran;
         self.last_tick_at = now;
-        self.peers.listen(self.reaches_store, now);
         self.reconcile(now);
         self.settle_era(now);
         self.probe_silent_target(now);
--- a/crates/galenastream_node/src/process/peer_book.rs
+++ b/crates/galenastream_node/src/process/peer_book.rs
@@ -15,10 +15,6 @@
 /// each node sends one per second.
 const MAX_STATUS_GAP: Duration = Duration::from_millis(1_500);
 
-/// The longest time between two ticks that counts as listened. A longer one is a suspension of the
-/// process or a lack of processor time.
-const MAX_TICK_GAP: Duration = Duration::from_millis(500);
-
 /// The registry of the other nodes by name.
 #[derive(Debug, Default)]
 pub(super) struct PeerRegistry {
@@ -28,8 +24,6 @@
     last_status_at: Option<BootInstant>,
     /// For how long this node has listened to the others since its start.
     listened: Duration,
-    /// Until when `listened` counts.
-    listened_until: BootInstant,
 }
 
 /// What is known of another node.
@@ -64,17 +58,15 @@
         self.listened.saturating_sub(heard)
     }
 
-    /// Counts the time since the last call as listened, as far as silence of a node tells something of
-    /// that node: not while this node was suspended or reached nothing, and half of it while it heard
-    /// no node at all, since it may be cut off itself.
-    pub(super) fn listen(&mut self, reaches_store: bool, now: BootInstant) {
-        let elapsed = now.saturating_since(self.listened_until).min(MAX_TICK_GAP);
-        self.listened_until = now;
+    /// Counts the time for which this process has `run` since the last call as listened, as far as
+    /// silence of a node tells something of that node: not while this node reached nothing, and half
+    /// of it while it heard no node at all, since it may be cut off itself.
+    pub(super) fn listen(&mut self, run: Duration, reaches_store: bool, now: BootInstant) {
         let hears_others =
             self.last_status_at.is_some_and(|it| now.saturating_since(it) <= MAX_STATUS_GAP);
         self.listened += match (hears_others, reaches_store) {
-            (true, _) => elapsed,
-            (false, true) => elapsed / 2,
+            (true, _) => run,
+            (false, true) => run / 2,
             (false, false) => Duration::ZERO,
         };
     }
