Tests of ownership: one list of variations, and a comment at its constant

Found in the read-through: print_failing_seeds repeated the list of all variations, and the comment on the time without faults stood above another constant.

--- a/crates/galenastream_node/tests/ownership/main.rs
+++ b/crates/galenastream_node/tests/ownership/main.rs
@@ -39,9 +39,9 @@
 
 const SEEDS: u64 = 100;
 const FAULTY_MS: u64 = 40_000;
-/// Longer than the longest fault, the validity of a row and the detection of a lost node together.
 /// The detection of a lost node, the validity of a row, and some seconds for writes and heartbeats.
 const TAKEOVER_MS: u64 = 3_500 + 12_000 + 2_000;
+/// Longer than the longest fault, the validity of a row and the detection of a lost node together.
 const CALM_MS: u64 = 45_000;
 
 fn run(seed: u64, bug: InjectedBug) -> Simulation {
--- a/crates/galenastream_node/tests/ownership/varied_runs.rs
+++ b/crates/galenastream_node/tests/ownership/varied_runs.rs
@@ -185,19 +185,8 @@
 fn print_failing_seeds() {
     let range = std::env::var("SEEDS").unwrap_or_else(|_| "0..100".to_owned());
     let names = std::env::var("VARY").unwrap_or_else(|_| "Series".to_owned());
-    let all = [
-        Variation::Series,
-        Variation::ReaderRoles,
-        Variation::DriftingClocks,
-        Variation::TimeOfDay,
-        Variation::OrderlyStops,
-        Variation::DifferentBounds,
-        Variation::OutdatedReads,
-        Variation::UnreadableRows,
-        Variation::RemovedRows,
-        Variation::LongWork,
-        Variation::PromptWrites,
-    ];
+    let mut all = ALL_VARIATIONS.to_vec();
+    all.extend([Variation::RemovedRows, Variation::PromptWrites]);
     let is_named = |it: &Variation| names.split(',').any(|name| name == format!("{it:?}"));
     let variations: Vec<Variation> = all.into_iter().filter(is_named).collect();
     let (first, last) = range.split_once("..").expect("a range");
