Find the entries of a range without a look at all others

The log lines of a heartbeat compared each range that a target holds with each entry of the assignment, and those of a planned write each entry with each one before. At the size to design for that is too much for a heartbeat.

--- a/crates/galenastream_node/src/process/ownership_log.rs
+++ b/crates/galenastream_node/src/process/ownership_log.rs
@@ -142,7 +142,7 @@
         let Some(range) = KeyRange::new(held.first, held.last) else {
             continue;
         };
-        for entry in assignment.entries() {
+        for entry in assignment.entries_in(range) {
             let Some(part) = entry.range.overlap(range) else {
                 continue;
             };
@@ -172,7 +172,7 @@
     planned: &Assignment,
 ) {
     for new in planned.entries() {
-        for old in current.entries() {
+        for old in current.entries_in(new.range) {
             let Some(range) = new.range.overlap(old.range) else {
                 continue;
             };
--- a/crates/galenastream_ranges/src/assignment.rs
+++ b/crates/galenastream_ranges/src/assignment.rs
@@ -105,6 +105,12 @@
         &self.entries[index.min(self.entries.len() - 1)]
     }
 
+    /// Returns the entries that have keys of a range, in ascending order.
+    pub fn entries_in(&self, range: KeyRange) -> impl Iterator<Item = &RangeEntry> {
+        let first = self.entries.partition_point(|it| it.range.last < range.first);
+        self.entries[first..].iter().take_while(move |it| it.range.first <= range.last)
+    }
+
     /// Returns the entries on which an incarnation may be granted leases.
     pub fn owned_by<'a>(
         &'a self,
--- a/crates/galenastream_ranges/tests/assignment.rs
+++ b/crates/galenastream_ranges/tests/assignment.rs
@@ -116,6 +116,20 @@
     assert_eq!(tracker.vacant_ranges(&assignment, &TERMS, at_ms(60_000)), []);
 }
 
+#[test]
+fn entries_in_a_range_are_those_that_overlap_it() {
+    let mut assignment = Assignment::new();
+    assignment.assign(range(0, 9), &owner(1));
+    assignment.assign(range(10, 19), &owner(2));
+    let entries_in = |first, last| {
+        let entries = assignment.entries_in(range(first, last));
+        entries.map(|it| it.range).collect::<Vec<_>>()
+    };
+    assert_eq!(entries_in(0, 9), [range(0, 9)]);
+    assert_eq!(entries_in(9, 10), [range(0, 9), range(10, 19)]);
+    assert_eq!(entries_in(15, 65_535), [range(10, 19), range(20, 65_535)]);
+}
+
 /// A change of an assignment.
 #[derive(Debug, Clone)]
 enum Change {
