Keep the longest lease of the platform as it was at the start

A settings file that is read again while the process runs, with shorter leases, shortened the wait for leases of the process before until the row was known. From reading; no run shows it.

--- a/crates/galenastream_node/src/process/control_state.rs
+++ b/crates/galenastream_node/src/process/control_state.rs
@@ -44,6 +44,8 @@
     pub(super) settings: NodeSettings,
     pub(super) started_at: BootInstant,
     pub(super) lease_terms: LeaseTerms,
+    /// The longest lease that the platform permitted when the process started.
+    pub(super) platform_max_lease: Duration,
     pub(super) routing: Option<Arc<RoutingTable>>,
     pub(super) peers: PeerRegistry,
     pub(super) local: Option<LocalTargetState>,
@@ -122,7 +124,7 @@
 impl ControlState {
     /// Creates the state of a process that started at `started_at`.
     pub fn new(settings: NodeSettings, started_at: BootInstant) -> Self {
-        let platform_max_lease = max_lease(&settings);
+        let platform_max_lease = Duration::from_millis(settings.bounds.max_lease_ms);
         let lease_terms = LeaseTerms::new(
             platform_max_lease + ROW_VALIDITY_MARGIN,
             platform_max_lease.min(MAX_LEASE),
@@ -132,6 +134,7 @@
             settings,
             started_at,
             lease_terms,
+            platform_max_lease,
             routing: None,
             peers: PeerRegistry::new(),
             local: None,
@@ -345,11 +348,6 @@
         self.ran + now.saturating_since(self.last_tick_at).min(MAX_TICK_GAP)
     }
 
-    /// The longest lease that the platform permits.
-    pub(super) const fn platform_max_lease(&self) -> Duration {
-        max_lease(&self.settings)
-    }
-
     pub(super) fn heartbeat_timeout(&self) -> Duration {
         Duration::from_millis(self.settings.heartbeat_ms) * HEARTBEAT_TIMEOUT_PERCENT / 100
     }
@@ -372,7 +370,3 @@
         self.stated_ends.iter().any(|it| it.incarnation == *target && it.evidence.is_final())
     }
 }
-
-const fn max_lease(settings: &NodeSettings) -> Duration {
-    Duration::from_millis(settings.bounds.max_lease_ms)
-}
--- a/crates/galenastream_node/src/process/ownership_facts.rs
+++ b/crates/galenastream_node/src/process/ownership_facts.rs
@@ -201,7 +201,7 @@
     pub(super) fn earlier_leases_end(&self, service: &str) -> BootInstant {
         let record = self.assignments.get(service).filter(|it| it.version > 0);
         // Without the row, it is not known under which terms the earlier process granted.
-        let max_lease = record.map_or(self.platform_max_lease(), |it| {
+        let max_lease = record.map_or(self.platform_max_lease, |it| {
             it.assignment.terms().unwrap_or(self.lease_terms).max_lease
         });
         self.lease_terms.lease_end(self.started_at, max_lease)
