Let a starting node behind two others not read the rows for a moment

Its entry learned of the change 438 ms late, by the next status of a reader.

Those that stop again, once they hear of the readers, say so only in their next status, up to 1 s later; until then the readers do not tell them of new rows. The keys moved in that second.

A starting node now counts those ahead of it that reach the store as readers, until statuses have told which nodes read. The test of this fails on the code before (it became a reader after 1.2 s).

--- a/crates/galenastream_node/src/process/peer_book.rs
+++ b/crates/galenastream_node/src/process/peer_book.rs
@@ -189,8 +189,12 @@
     /// Whether the node is a reader: it reaches the store, follows the shared rows there and is not
     /// about to stop.
     pub(super) fn is_reader(&self) -> bool {
-        let status = self.status.as_ref();
-        status.is_some_and(|it| it.reaches_store && it.reads_rows && !it.is_closing)
+        self.reaches_store() && self.status.as_ref().is_some_and(|it| it.reads_rows)
+    }
+
+    /// Whether the node reaches the store and is not about to stop.
+    pub(super) fn reaches_store(&self) -> bool {
+        self.status.as_ref().is_some_and(|it| it.reaches_store && !it.is_closing)
     }
 
     /// Whether the node is reachable and has a config newer than a version.
--- a/crates/galenastream_node/src/process/store_view.rs
+++ b/crates/galenastream_node/src/process/store_view.rs
@@ -13,6 +13,7 @@
 
 use super::Effect;
 use super::control_state::{AssignmentRecord, ControlState};
+use super::peer_book::REACHABILITY_TIMEOUT;
 use crate::version::RoutingTable;
 
 /// How long the store may be unreachable before a peer is queried instead.
@@ -369,10 +370,14 @@
         if now.saturating_since(self.started_at) < STARTUP_TIME {
             return false;
         }
-        let ahead = self
-            .peers
-            .iter()
-            .filter(|(name, it)| ***name < *self.node && it.is_reachable(now) && it.is_reader());
+        // Until statuses have told which nodes read, those that reach the store are about to. Otherwise
+        // all nodes would read for a moment, and readers would not notify those that no longer do.
+        let knows_readers =
+            now.saturating_since(self.started_at) >= STARTUP_TIME + REACHABILITY_TIMEOUT;
+        let ahead = self.peers.iter().filter(|(name, it)| {
+            let reads = it.is_reader() || !knows_readers && it.reaches_store();
+            ***name < *self.node && it.is_reachable(now) && reads
+        });
         if ahead.count() < ROW_READERS {
             return true;
         }
--- a/crates/galenastream_node/tests/ownership/silent_nodes.rs
+++ b/crates/galenastream_node/tests/ownership/silent_nodes.rs
@@ -83,6 +83,25 @@
     panic!("the owner is never taken for lost");
 }
 
+/// Guards against nodes that read the rows for a moment after the start: the readers take them for
+/// readers until their next statuses, and do not tell them of new rows.
+#[test]
+fn a_starting_node_behind_two_that_reach_the_store_does_not_become_a_reader() {
+    let mut state = ControlState::new(settings(3), at(START_MS));
+    state.handle(ControlEvent::StoreReached(true), at(START_MS + 10));
+    for now_ms in (START_MS + 100..START_MS + 3_000).step_by(100) {
+        // They do not read yet, or their statuses do not say so.
+        send_status(&mut state, 0, now_ms);
+        send_status(&mut state, 1, now_ms);
+        state.tick(at(now_ms));
+        assert!(!state.reads_rows(at(now_ms)), "{} ms", now_ms - START_MS);
+    }
+    let later_ms = START_MS + 4_000;
+    send_status(&mut state, 0, later_ms);
+    send_status(&mut state, 1, later_ms);
+    assert!(state.reads_rows(at(later_ms)), "nobody else does");
+}
+
 #[test]
 fn a_silent_node_is_lost_while_others_are_heard() {
     let (mut state, heard_ms) = planner();
