Complete only departures that an earlier version has

Found in the read-through. A status that states the end of an owner's leases twice, such as once in the form of earlier versions, made the planner begin the departure and complete it in the same write: the keys were free by one write, which only final evidence allows. Departures that are based on the version at hand are left alone now.

an_end_that_is_stated_twice_does_not_free_keys_by_one_write fails with the guard taken out. The departure of keys is read in one place.

--- a/crates/galenastream_node/src/process/ownership_facts.rs
+++ b/crates/galenastream_node/src/process/ownership_facts.rs
@@ -274,7 +274,10 @@
     target: &TargetIncarnation,
     row_version: u64,
 ) -> Vec<KeyRange> {
-    let leaving: Vec<KeyRange> = assignment.leaving(target).map(|it| it.range).collect();
+    // A departure that is based on this version is only about to be written.
+    let is_written = |it: &&RangeEntry| it.holding.departure() != Some(row_version);
+    let leaving = assignment.leaving(target).filter(is_written).map(|it| it.range);
+    let leaving: Vec<KeyRange> = leaving.collect();
     for range in &leaving {
         assignment.complete_move(target, *range, "");
     }
--- a/crates/galenastream_node/tests/ownership/other_processes.rs
+++ b/crates/galenastream_node/tests/ownership/other_processes.rs
@@ -3,8 +3,8 @@
 use bytes::Bytes;
 use galenastream_adapter::{HeartbeatReply, Row};
 use galenastream_node::{ControlEvent, ControlState, Effect, HeartbeatAnswer};
-use galenastream_ranges::{Assignment, LeaseTerms};
-use galenastream_wire::SyncQuery;
+use galenastream_ranges::{Assignment, LeaseTerms, Owner, TargetIncarnation};
+use galenastream_wire::{IncarnationRecord, NodeStatus, OwnershipFacts, SyncQuery};
 
 use crate::{
     fixtures::{HEARTBEAT_MS, config, settings, settings_with_bound},
@@ -219,3 +219,31 @@
     assert_eq!(violations, Vec::<String>::new(), "{late_writes} late writes");
     assert!(late_writes > 0, "no node states the end of its target");
 }
+
+/// Guards against keys that are free by one write because a status states the end of their owner's
+/// leases twice: once as nodes of earlier versions do.
+#[test]
+fn an_end_that_is_stated_twice_does_not_free_keys_by_one_write() {
+    let owner = settings(1);
+    let mut planner = configured(ControlState::new(settings(0), at(START_MS)), START_MS);
+    planner.handle(ControlEvent::StoreReached(true), at(START_MS));
+    let target = TargetIncarnation::new("u", 0);
+    let mut assignment = owned_by(&Owner::new(target, owner.node_name.as_str()));
+    let seconds = std::time::Duration::from_secs;
+    assignment.raise_terms(LeaseTerms::new(seconds(12), seconds(6)));
+    planner.handle(row(&assignment, 3, START_MS), at(START_MS));
+    let record = || vec![IncarnationRecord { id: "u".to_owned(), born_ms: 0 }];
+    let facts =
+        OwnershipFacts { ended: record(), expired: record(), ..OwnershipFacts::new("carts", 3) };
+    let now_ms = START_MS + 3_000;
+    let status = NodeStatus {
+        node: owner.node_name,
+        address: owner.listeners.peers.to_string(),
+        data_centre: owner.data_centre,
+        facts: vec![facts],
+        ..NodeStatus::default()
+    };
+    let effects = planner.handle(ControlEvent::PeerStatus(status), at(now_ms));
+    let (written, _) = commit_of(&effects).expect("the planner acts on the facts");
+    assert!(!written.holders().is_empty(), "no version has the keys as leaving: {written:?}");
+}
--- a/crates/galenastream_ranges/src/assignment.rs
+++ b/crates/galenastream_ranges/src/assignment.rs
@@ -360,6 +360,14 @@
         }
     }
 
+    /// Returns the departure of leaving keys, if it was recorded.
+    pub const fn departure(&self) -> Option<u64> {
+        match self {
+            Self::Leaving { departure: 0, .. } | Self::Free | Self::Owned(_) => None,
+            Self::Leaving { departure, .. } => Some(*departure),
+        }
+    }
+
     /// Returns the owner that may hold leases now, whether it is leaving or not.
     pub const fn holder(&self) -> Option<&Owner> {
         match self {
--- a/crates/galenastream_ranges/src/vacancy.rs
+++ b/crates/galenastream_ranges/src/vacancy.rs
@@ -2,7 +2,7 @@
 
 use galenastream_utils::{BootInstant, FastMap};
 
-use crate::{Assignment, Holding, KeyRange, LeaseTerms, TargetIncarnation};
+use crate::{Assignment, KeyRange, LeaseTerms, TargetIncarnation};
 
 /// Tracks since when keys have been leaving, and finds the vacant ranges: those on which every lease
 /// has expired.
@@ -37,7 +37,7 @@
     pub fn observe(&mut self, assignment: &Assignment, now: BootInstant) {
         let mut seen_at = FastMap::default();
         for entry in assignment.entries() {
-            let Some(departure) = departure_of(&entry.holding) else {
+            let Some(departure) = entry.holding.departure() else {
                 continue;
             };
             let since = self.seen_at.get(&departure).copied().unwrap_or(now);
@@ -55,7 +55,7 @@
     ) -> Vec<VacantRange> {
         let mut vacant = Vec::new();
         for entry in assignment.entries() {
-            let seen_at = departure_of(&entry.holding).and_then(|it| self.seen_at.get(&it));
+            let seen_at = entry.holding.departure().and_then(|it| self.seen_at.get(&it));
             let (Some(owner), Some(&seen_at)) = (entry.holding.leaving_owner(), seen_at) else {
                 continue;
             };
@@ -67,11 +67,3 @@
         vacant
     }
 }
-
-/// The departure of leaving keys, if it was recorded.
-const fn departure_of(holding: &Holding) -> Option<u64> {
-    match holding {
-        Holding::Leaving { departure: 0, .. } | Holding::Free | Holding::Owned(_) => None,
-        Holding::Leaving { departure, .. } => Some(*departure),
-    }
-}
