Log how old the end of expired leases is, and why keys leave

Found in the read-through: hold_ended stated an age of 0 for leases that have expired, instead of the time since their end, and keys that leave because the leases of their owner have expired were logged as those of a lost node.

--- a/crates/galenastream_node/src/process/control_state.rs
+++ b/crates/galenastream_node/src/process/control_state.rs
@@ -331,7 +331,7 @@
         let record = self.assignment_record(service);
         let expected_version = record.version;
         record.pending_write = Some(expected_version);
-        log_owner_changes(service, expected_version, &current, &desired);
+        log_owner_changes(&self.node, service, expected_version, &current, &desired);
         let service = service.to_owned();
         let expected_era_version = self.expected_era_version();
         self.effects.push(Effect::Commit {
--- a/crates/galenastream_node/src/process/ownership_facts.rs
+++ b/crates/galenastream_node/src/process/ownership_facts.rs
@@ -170,7 +170,8 @@
         }
         let (evidence, at) = match &self.local {
             Some(local) if local.incarnation == *target => {
-                self.has_expired(local, now).then_some((EndEvidence::LeasesExpired, now))?
+                let expired_at = local.leases_end_at.max(leases_end);
+                self.has_expired(local, now).then_some((EndEvidence::LeasesExpired, expired_at))?
             }
             // This process has granted nothing to the target, since it would be local or ended.
             local => match local.as_ref().map(|it| (it.identity, &*it.incarnation.id)) {
--- a/crates/galenastream_node/src/process/ownership_log.rs
+++ b/crates/galenastream_node/src/process/ownership_log.rs
@@ -164,8 +164,9 @@
     }
 }
 
-/// Logs how the owners in a planned write differ from those in the row that it is based on.
+/// Logs how the owners in a write that `node` plans differ from those in the row that it is based on.
 pub(super) fn log_owner_changes(
+    node: &str,
     service: &str,
     row_version: u64,
     current: &Assignment,
@@ -176,12 +177,13 @@
             let Some(range) = new.range.overlap(old.range) else {
                 continue;
             };
-            log_owner_change(service, row_version, range, old, new);
+            log_owner_change(node, service, row_version, range, old, new);
         }
     }
 }
 
 fn log_owner_change(
+    planned_by: &str,
     service: &str,
     row_version: u64,
     range: KeyRange,
@@ -196,7 +198,12 @@
         Holding::Leaving { from, to, .. } if old.holding.owner().is_some() => {
             let target = &from.target;
             let next = to.as_ref().map_or_else(|| "none".to_owned(), |it| it.target.to_string());
-            let reason = if to.is_some() { "planned" } else { "owner-lost" };
+            let reason = match to {
+                Some(_) => "planned",
+                // Only the node beside a target knows that its leases have expired.
+                None if *from.node == *planned_by => "leases-expired",
+                None => "owner-lost",
+            };
             log::info!(event = "keys_leave", service, range:%, target:%, to = next, row_version, reason; "");
         }
         Holding::Free | Holding::Owned(_) | Holding::Leaving { .. } => {}
