Failing tests: connections to the store go silent and are noticed late

The proxy acknowledges nothing on such a connection, by a socket filter that discards what arrives. A call on one fails after 2.8 s (bound 2.5 s); by the options of the socket alone, without TCP_USER_TIMEOUT, after 11 s. The bound: 3 s after a reset of connections, what operators were promised holds again.

--- a/crates/galenastream_node/tests/platform/config_confirmation.rs
+++ b/crates/galenastream_node/tests/platform/config_confirmation.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use galenastream_standin::{CallerConnection, LocalVm, StoreFault, wait_until};
+use galenastream_standin::{
+    CallerConnection, DeploymentPlan, LocalDeployment, LocalVm, StoreFault, VmLink, wait_until,
+};
 use serde_json::Value;
 
 use super::{
@@ -103,3 +105,43 @@
     .expect(WORKS);
     deployment.close().unwrap();
 }
+
+/// Guards against nodes that go on with an old config, and answer 404 for the routes of the new one,
+/// while their connections to the store are dead.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_config_is_in_force_soon_after_all_connections_to_the_store_went_silent() {
+    /// What operators were promised holds again 3 s after connections went silent; half a second of
+    /// it is for reading the config.
+    const NOTICED: Duration = Duration::from_millis(2_500);
+    let program = env!("CARGO_BIN_EXE_galenastreamd");
+    let plan = DeploymentPlan::shop("silent-connections", program, &["stock"; NODES]);
+    let plan = DeploymentPlan { has_proxies: true, ..plan };
+    let deployment = LocalDeployment::start(&plan).await.unwrap();
+    wait_for_confirmed_config(&deployment).await;
+    wait_for_readers(&deployment.vms).await;
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let statuses = async |path: &str, id: &str| {
+        let mut statuses = Vec::new();
+        for vm in &deployment.vms {
+            let mut caller = vm.caller().await.expect(WORKS);
+            statuses.push(caller.get(path, id, None).await.expect(WORKS).status);
+        }
+        statuses
+    };
+    // All watches begin anew with the first of two configs.
+    let config = DeploymentPlan::shop_config(2, "/first/").to_string();
+    deployment.store.put("op", "config", config.as_bytes());
+    wait_until("the first config to be in force", TIMEOUT, async || {
+        statuses("/first/1", "first").await == [200; NODES]
+    })
+    .await
+    .expect(WORKS);
+    for vm in &deployment.vms {
+        vm.silence_open_connections(VmLink::Store).unwrap();
+    }
+    let config = DeploymentPlan::shop_config(3, "/second/").to_string();
+    deployment.store.put("op", "config", config.as_bytes());
+    tokio::time::sleep(NOTICED).await;
+    assert_eq!(statuses("/second/1", "second").await, [200; NODES]);
+    deployment.close().unwrap();
+}
--- a/crates/galenastream_standin/src/deployment/local_vm.rs
+++ b/crates/galenastream_standin/src/deployment/local_vm.rs
@@ -257,7 +257,15 @@
     /// Sets the fault of a link from now on. Fails if the deployment has no proxies.
     pub fn set_link_fault(&self, link: VmLink, fault: LinkFault) -> anyhow::Result<()> {
         let links = self.links.as_ref().context("the deployment has no proxies")?;
-        links.set_fault(link, fault);
+        links.proxy(link).set_fault(fault);
+        Ok(())
+    }
+
+    /// Makes the open connections of a link go silent for good; new ones work. Fails if the deployment
+    /// has no proxies.
+    pub fn silence_open_connections(&self, link: VmLink) -> anyhow::Result<()> {
+        let links = self.links.as_ref().context("the deployment has no proxies")?;
+        links.proxy(link).silence_open_connections();
         Ok(())
     }
 
--- a/crates/galenastream_standin/src/deployment/vm_links.rs
+++ b/crates/galenastream_standin/src/deployment/vm_links.rs
@@ -4,7 +4,7 @@
 
 use serde::Deserialize;
 
-use crate::{FaultProxy, HostSet, LinkFault};
+use crate::{FaultProxy, HostSet};
 
 /// The ports of the nodes and of the proxies in front of them. The last two have the same number of
 /// digits, as the proxies replace one by the other in what nodes say of themselves.
@@ -102,14 +102,13 @@
         self.target.set_refuses(refuses);
     }
 
-    pub(super) fn set_fault(&self, link: VmLink, fault: LinkFault) {
-        let proxy = match link {
+    pub(super) fn proxy(&self, link: VmLink) -> &FaultProxy {
+        match link {
             VmLink::Callers => &self.callers,
             VmLink::Target => &self.target,
             VmLink::Heartbeats => &self.heartbeats,
             VmLink::Store => &self.store,
             VmLink::Peers => &self.peers,
-        };
-        proxy.set_fault(fault);
+        }
     }
 }
--- a/crates/galenastream_standin/src/link/fault_proxy.rs
+++ b/crates/galenastream_standin/src/link/fault_proxy.rs
@@ -21,6 +21,8 @@
     address: SocketAddr,
     fault: watch::Sender<LinkFault>,
     cut_hosts: watch::Sender<HostSet>,
+    /// How often the open connections were silenced.
+    silences: watch::Sender<u64>,
     refuses: watch::Sender<bool>,
     listener: JoinHandle<()>,
 }
@@ -44,6 +46,7 @@
         let address = listener.local_addr()?;
         let (fault, faults) = watch::channel(LinkFault::None);
         let (cut_hosts, cuts) = watch::channel(HostSet::NONE);
+        let (silences, silence_count) = watch::channel(0);
         let (refuses, mut refusals) = watch::channel(false);
         let listener = tokio::spawn(async move {
             let mut relays = JoinSet::new();
@@ -61,7 +64,10 @@
                 };
                 match accepted {
                     Some(Ok((client, _))) => {
-                        let relay = Relay::new(server, faults.clone(), cuts.clone(), replacement);
+                        let mut silences = silence_count.clone();
+                        silences.mark_unchanged();
+                        let (faults, cuts) = (faults.clone(), cuts.clone());
+                        let relay = Relay::new(server, faults, cuts, silences, replacement);
                         relays.spawn(relay.run(client));
                     }
                     Some(Err(error)) => log::warn!("the proxy cannot accept a connection: {error}"),
@@ -70,7 +76,7 @@
                 while relays.try_join_next().is_some() {}
             }
         });
-        Ok(Self { address, fault, cut_hosts, refuses, listener })
+        Ok(Self { address, fault, cut_hosts, silences, refuses, listener })
     }
 
     /// Returns the address where the proxy listens.
@@ -90,6 +96,12 @@
         self.cut_hosts.send_if_modified(|it| std::mem::replace(it, hosts) != hosts);
     }
 
+    /// Makes the open connections go silent for good, without a reset: nothing passes, and what
+    /// clients send is not acknowledged. New connections work.
+    pub fn silence_open_connections(&self) {
+        self.silences.send_modify(|it| *it += 1);
+    }
+
     /// Sets whether new connections are refused. Open ones go on.
     pub fn set_refuses(&self, refuses: bool) {
         self.refuses.send_if_modified(|it| std::mem::replace(it, refuses) != refuses);
--- a/crates/galenastream_standin/src/link/relay.rs
+++ b/crates/galenastream_standin/src/link/relay.rs
@@ -7,6 +7,7 @@
     time::{Duration, Instant},
 };
 
+use socket2::{SockFilter, SockRef};
 use tokio::{
     io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt},
     net::TcpStream,
@@ -25,11 +26,16 @@
 /// bytes for longer than this. Otherwise they pass late.
 const MAX_HELD_TIME: Duration = Duration::from_secs(5);
 
+/// A socket filter of one instruction, `return 0`: the kernel discards all that arrives and
+/// acknowledges none of it.
+const DISCARD_ALL: SockFilter = SockFilter::new(0x06, 0, 0, 0);
+
 /// Passes the bytes of one connection on.
 pub(super) struct Relay {
     server: SocketAddr,
     faults: watch::Receiver<LinkFault>,
     cuts: watch::Receiver<HostSet>,
+    silences: watch::Receiver<u64>,
     replacement: Option<[&'static str; 2]>,
     /// The last octet of the address of the client; 0 as long as it is not known.
     host: AtomicU8,
@@ -41,6 +47,8 @@
     Closed,
     /// Both connections are to be reset.
     Reset,
+    /// Both connections stay open and nothing passes any more.
+    Silent,
     /// The proxy answers the request with this id itself, without an end.
     Endless(String),
 }
@@ -50,9 +58,10 @@
         server: SocketAddr,
         faults: watch::Receiver<LinkFault>,
         cuts: watch::Receiver<HostSet>,
+        silences: watch::Receiver<u64>,
         replacement: Option<[&'static str; 2]>,
     ) -> Self {
-        Self { server, faults, cuts, replacement, host: AtomicU8::new(0) }
+        Self { server, faults, cuts, silences, replacement, host: AtomicU8::new(0) }
     }
 
     pub(super) async fn run(self, mut client: TcpStream) {
@@ -68,10 +77,12 @@
             let (mut client_reader, mut client_writer) = client.split();
             let (mut server_reader, mut server_writer) = server.split();
             let mut reset = self.faults.clone();
+            let mut silences = self.silences.clone();
             tokio::select! {
                 it = self.forward_requests(&mut client_reader, &mut server_writer) => it,
                 it = self.forward(&mut server_reader, &mut client_writer, false) => it,
                 _ = reset.wait_for(|it| *it == LinkFault::Reset) => Ok(RelayEnd::Reset),
+                Ok(()) = silences.changed() => Ok(RelayEnd::Silent),
             }
         };
         match end {
@@ -81,6 +92,10 @@
                 // The client closes the connection when it has read enough.
                 let _ = self.answer_endlessly(&mut client, &request_id).await;
             }
+            Ok(RelayEnd::Silent) => {
+                silence(&client);
+                std::future::pending::<()>().await;
+            }
             Ok(RelayEnd::Reset) | Err(_) => {
                 reset(&client);
                 reset(&server);
@@ -204,6 +219,13 @@
     }
 }
 
+/// Makes the kernel acknowledge nothing more that arrives on the connection, not even probes.
+fn silence(stream: &TcpStream) {
+    if let Err(error) = SockRef::from(stream).attach_filter(&[DISCARD_ALL]) {
+        log::warn!("the proxy cannot silence a connection: {error}");
+    }
+}
+
 /// Makes the connection end with a reset when it is dropped.
 fn reset(stream: &TcpStream) {
     if let Err(error) = stream.set_zero_linger() {
--- a/crates/galenastream_standin/tests/fault_proxy.rs
+++ b/crates/galenastream_standin/tests/fault_proxy.rs
@@ -6,6 +6,7 @@
 };
 
 use galenastream_standin::{FaultProxy, HostSet, LinkFault};
+use socket2::SockRef;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
@@ -92,6 +93,26 @@
     assert_eq!(echo(&mut connect(&proxy).await, "b").await.as_deref(), Some("b"));
 }
 
+/// Guards against a proxy that acknowledges what arrives on silent connections: probes would find them
+/// alive.
+#[tokio::test]
+async fn open_connections_go_silent_and_new_ones_work() {
+    /// The kernel of the client gives up after this time without an acknowledgement.
+    const UNACKNOWLEDGED: Duration = Duration::from_millis(500);
+    let proxy = start(None).await;
+    let mut open = connect(&proxy).await;
+    assert_eq!(echo(&mut open, "a").await.as_deref(), Some("a"));
+    proxy.silence_open_connections();
+    sleep(SHORT).await;
+    let mut new = connect(&proxy).await;
+    assert_eq!(echo(&mut new, "b").await.as_deref(), Some("b"));
+    SockRef::from(&open).set_tcp_user_timeout(Some(UNACKNOWLEDGED)).expect("an option of Linux");
+    assert_eq!(echo(&mut open, "c").await, None);
+    let error = timeout(4 * UNACKNOWLEDGED, open.read_u8()).await.expect("the kernel gives up");
+    assert_eq!(error.expect_err("no answer").kind(), std::io::ErrorKind::TimedOut);
+    assert_eq!(echo(&mut new, "d").await.as_deref(), Some("d"));
+}
+
 #[tokio::test]
 async fn only_connections_of_cut_hosts_are_held_back() {
     let proxy = start(Some([":1", ":2"])).await;
