Name the content of requests and the crashes of targets in the log

A lost answer now carries the fingerprint of the request (method, host, path, calling service and body; a hash that callers cannot collide), and target_crashed names the requests whose connections broke while nothing listened at the target's address any more.

No decision changes.

--- a/crates/galenastream_node/src/connection/target_connections.rs
+++ b/crates/galenastream_node/src/connection/target_connections.rs
@@ -1,6 +1,7 @@
 //! Pool of HTTP connections to the target beside this node.
 
 use std::{
+    io::ErrorKind,
     net::SocketAddr,
     sync::{Arc, Mutex, PoisonError},
     time::Duration,
@@ -9,7 +10,7 @@
 use bytes::Bytes;
 use galenastream_runtime::{
     BodyBudget, BodyBuffer, ConnectionCount, ExchangeError, HttpConnection, MAX_BODY_BYTES,
-    WholeResponse,
+    WholeResponse, connect_tcp,
 };
 use http::{HeaderMap, Request, header};
 use http_body_util::Full;
@@ -97,6 +98,24 @@
         }
     }
 
+    /// Whether the target refuses connections: nothing listens at its address. A connection that it
+    /// accepts is kept for the next request.
+    pub async fn is_refused(&self) -> bool {
+        let stream = match connect_tcp(self.address, CONNECT_TIMEOUT).await {
+            Ok(stream) => stream,
+            Err(error) => return error.kind() == ErrorKind::ConnectionRefused,
+        };
+        counter!("galenastream_target_connections_total").increment(1);
+        match HttpConnection::over_counted(stream, self.address, &self.count).await {
+            Ok(connection) => {
+                let usable_until = Instant::now() + DEFAULT_KEEP_ALIVE * REUSE_PERCENT / 100;
+                self.lock().push(IdleConnection { connection, usable_until });
+            }
+            Err(error) => log::debug!(event = "target_not_probed", reason:% = error; ""),
+        }
+        false
+    }
+
     /// Closes all idle connections. Called if the target has been replaced, or if a connection may
     /// still carry the response to another request.
     pub fn clear(&self) {
--- a/crates/galenastream_node/src/request/mod.rs
+++ b/crates/galenastream_node/src/request/mod.rs
@@ -6,6 +6,7 @@
 mod counted_attempt;
 mod drain;
 mod entry;
+mod fingerprint;
 mod progress;
 #[cfg(test)]
 mod progress_tests;
--- a/crates/galenastream_node/src/request/target_reply.rs
+++ b/crates/galenastream_node/src/request/target_reply.rs
@@ -7,7 +7,7 @@
 use http::header;
 use metrics::counter;
 
-use super::response_proof::ResponseProof;
+use super::{fingerprint::fingerprint_of_forwarded, response_proof::ResponseProof};
 use crate::{connection::TargetResult, process::TrafficState};
 
 /// `Retry-After` while keys move, or while a target or its node is leaving or replaced. Also used
@@ -34,7 +34,13 @@
             return not_sent(ReplyReason::TargetUnreachable, UNREACHABLE_RETRY_AFTER_MS);
         }
         TargetResult::Unknown { reason } => {
-            log::info!(event = "target_answer_lost", request_id = request.request_id.as_str(), reason = reason.as_str(); "");
+            log::info!(
+                event = "target_answer_lost",
+                request_id = request.request_id.as_str(),
+                fingerprint:% = fingerprint_of_forwarded(request),
+                reason = reason.as_str();
+                ""
+            );
             return unknown(ReplyReason::ConnectionLost);
         }
         TargetResult::TooLong { bytes } => {
--- a/crates/galenastream_node/src/request/target_run.rs
+++ b/crates/galenastream_node/src/request/target_run.rs
@@ -18,11 +18,15 @@
 
 use super::{
     drain::is_drain_over,
+    fingerprint::fingerprint_of_forwarded,
     target_reply::{
         MOVING_RETRY_AFTER_MS, UNREACHABLE_RETRY_AFTER_MS, not_sent, reply_from_result, unknown,
     },
 };
-use crate::process::{CountGuard, TrafficState};
+use crate::{
+    connection::TargetResult,
+    process::{CountGuard, LocalTarget, TrafficState},
+};
 
 /// Maximum time that a request waits for the target's lease on its key. Once the key is assigned to
 /// the target, the rest of its move takes about this long.
@@ -178,6 +182,15 @@
         result = traffic.target_connections.send(outgoing) => result,
         () = sleep_until(deadline.at()) => return unknown(ReplyReason::DeadlinePassed),
     };
+    if matches!(result, TargetResult::Unknown { .. }) && has_crashed(traffic, &request).await {
+        log::warn!(
+            event = "target_crashed",
+            target_id = request.target_id.as_str(),
+            request_id = request.request_id.as_str(),
+            fingerprint:% = fingerprint_of_forwarded(&request);
+            ""
+        );
+    }
     let reply = reply_from_result(traffic, &request, began_at, result);
     if reply.outcome == ReplyOutcome::Answered as i32 {
         slot.record_response();
@@ -188,6 +201,17 @@
     reply
 }
 
+/// Whether the target has ended without having announced it: the connection of a request broke, and
+/// nothing listens at its address any more. A connection that was reset alone proves nothing.
+async fn has_crashed(traffic: &TrafficState, request: &ForwardedRequest) -> bool {
+    let is_leaving =
+        |it: &LocalTarget| *it.incarnation.id == *request.target_id && it.draining_since.is_some();
+    if traffic.context.directory.load().local.as_ref().is_some_and(is_leaving) {
+        return false;
+    }
+    traffic.target_connections.is_refused().await
+}
+
 /// Waits until the target may run the request, if only its lease on the key is missing and expected
 /// soon.
 async fn wait_for_lease(
--- a/crates/galenastream_runtime/src/connection.rs
+++ b/crates/galenastream_runtime/src/connection.rs
@@ -55,6 +55,15 @@
         count: &ConnectionCount,
     ) -> Result<Self, ExchangeError> {
         let stream = connect_tcp(address, limit).await.map_err(not_sent)?;
+        Self::over_counted(stream, address, count).await
+    }
+
+    /// Uses an open TCP connection, and counts it until it is closed by either side.
+    pub async fn over_counted(
+        stream: TcpStream,
+        address: SocketAddr,
+        count: &ConnectionCount,
+    ) -> Result<Self, ExchangeError> {
         Self::over(stream, address, Some(count.count())).await
     }
 
