--- a/crates/galenastream_routing/src/request/request_fingerprint.rs
+++ b/crates/galenastream_routing/src/request/request_fingerprint.rs
@@ -5,6 +5,9 @@
 /// The context of the hash. Hashes of other kinds of data never equal a fingerprint.
 const HASH_CONTEXT: &str = "galenastream 2026-12 request fingerprint";
 
+/// The context of the hash of a request and a target.
+const WEIGHT_CONTEXT: &str = "galenastream 2026-12 target of a suspected request";
+
 /// The content of a request that is the same each time it is sent.
 #[derive(Debug, Clone, Copy)]
 pub struct RequestContent<'a> {
@@ -45,6 +48,17 @@
         Self(u128::from_be_bytes(bytes))
     }
 
+    /// The weight of a target in the choice of the one that runs the request while it is suspected.
+    /// All nodes compute the same, so they choose the same target.
+    pub fn weight_of(self, target_id: &str) -> u64 {
+        let mut hasher = blake3::Hasher::new_derive_key(WEIGHT_CONTEXT);
+        hasher.update(&self.to_bytes());
+        hasher.update(target_id.as_bytes());
+        let mut bytes = [0; 8];
+        bytes.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
+        u64::from_be_bytes(bytes)
+    }
+
     /// Decodes a fingerprint. Returns `None` if it has another length.
     pub fn from_bytes(bytes: &[u8]) -> Option<Self> {
         Some(Self(u128::from_be_bytes(bytes.try_into().ok()?)))
@@ -55,6 +69,11 @@
         self.0.to_be_bytes()
     }
 
+    /// Both halves of the fingerprint in one number, for digests of sets.
+    pub(crate) const fn folded(self) -> u64 {
+        (self.0 >> 64) as u64 ^ self.0 as u64
+    }
+
     /// Parses the hexadecimal form. Returns `None` if the text is no fingerprint.
     pub fn parse(text: &str) -> Option<Self> {
         let is_complete = text.len() == 2 * Self::BYTES;
