Refuse requests that crash the targets that run them

Cause: nothing knew a request again. An attempt that ended with its target was forgotten with the request, which the entry also handed on to the next target at once.

The node beside a target notices that its target has ended under a request: the connection broke and nothing listens at the address, or the control state has proved the end. It tells the entry in its reply and all nodes in a status at once; a status also brings a node whose digest of the quarantine differs up to date, so a restarted or healed node knows within a second; the planner writes the row 'quarantine', from which nodes learn that all restarted. A suspected request is sent to one target, the same from all nodes, one run at a time. A quarantined one is refused at its entry, and also beside the target if the entry does not know yet, with 503: it has not run.

--- a/crates/galenastream_node/src/connection/peer_links.rs
+++ b/crates/galenastream_node/src/connection/peer_links.rs
@@ -207,6 +207,7 @@
         || sent.reaches_store != status.reaches_store
         || sent.confirms_config != status.confirms_config
         || sent.facts != status.facts
+        || sent.crash_count != status.crash_count
         || target_state(sent) != target_state(status)
 }
 
@@ -257,6 +258,10 @@
         {
             target.key_loads.clear();
         }
+        // Also a node that has restarted, or was cut off, has to refuse the same requests.
+        if node.quarantine_digest != status.quarantine_digest {
+            status.suspects.extend(traffic.context.quarantine.quarantined());
+        }
         tokio::spawn(async move {
             let acknowledged = traffic.links.send_status(key, address, status).await;
             // Most nodes do not confirm the config, and their acknowledgements say nothing.
--- a/crates/galenastream_node/src/process/commit.rs
+++ b/crates/galenastream_node/src/process/commit.rs
@@ -1,4 +1,4 @@
-//! Writes the rows of this node and of assignments to the store.
+//! Writes the rows of this node, of assignments and of the quarantine to the store.
 
 use std::{sync::Arc, time::Duration};
 
@@ -22,6 +22,8 @@
     Assignment(AssignmentWrite),
     /// The rows that put an era of the store in force.
     Settlement { expected: Vec<ExpectedRow>, writes: Vec<RowWrite> },
+    /// The row of the quarantine.
+    Quarantine { expected_version: u64, value: Bytes },
     /// The row of this node.
     NodeRow,
 }
@@ -51,6 +53,13 @@
                 let result = commit(&mut connection, &expected, &writes).await;
                 ControlEvent::Settled { result }
             }
+            StoreWrite::Quarantine { expected_version, value } => {
+                let key = SharedRowKey::Quarantine.key();
+                let expected = [ExpectedRow { key: key.clone(), version: expected_version }];
+                let writes = [RowWrite::Put { key, value: value.clone() }];
+                let result = commit(&mut connection, &expected, &writes).await;
+                ControlEvent::QuarantineWritten { value, result }
+            }
             StoreWrite::NodeRow => {
                 write_node_row(&context, &mut connection).await;
                 continue;
--- a/crates/galenastream_node/src/process/context.rs
+++ b/crates/galenastream_node/src/process/context.rs
@@ -18,7 +18,7 @@
 use tokio::sync::{Notify, watch};
 
 use super::{
-    ControlQueue, Directory, KeyMeter, StatusPage, TargetLimit, WrittenRow,
+    ControlQueue, Directory, KeyMeter, RequestQuarantine, StatusPage, TargetLimit, WrittenRow,
     config_confirmation::MAX_CONFIG_AGE,
 };
 use crate::version::{ConfigDoubt, RoutingTable};
@@ -51,6 +51,8 @@
     pub control_events: ControlQueue,
     /// Measures the load of single keys at the local target.
     pub key_meter: Mutex<KeyMeter>,
+    /// The requests that are suspected of crashing targets, or refused for it.
+    pub quarantine: Arc<RequestQuarantine>,
     /// The request limit that the local target announces.
     pub target_limit: Mutex<Option<TargetLimit>>,
     /// The mean service time of the local target in microseconds; 0 before anything was measured.
--- a/crates/galenastream_node/src/process/control_event.rs
+++ b/crates/galenastream_node/src/process/control_event.rs
@@ -112,6 +112,15 @@
     },
     /// A probe of the address of the local target was answered or refused.
     TargetProbed(TargetProbe),
+    /// The local target crashed under requests, which the quarantine has recorded.
+    TargetCrashed,
+    /// The write of the quarantine's row ended.
+    QuarantineWritten {
+        /// The value that was written.
+        value: Bytes,
+        /// The version of the written row, or the error.
+        result: Result<u64, StoreError>,
+    },
     /// The local target announced in a response that it leaves.
     TargetLeaving {
         /// The incarnation that leaves.
@@ -149,6 +158,13 @@
         /// The rows to write.
         writes: Vec<RowWrite>,
     },
+    /// Write the row of the quarantine if it still has the given version; 0 if it must not exist.
+    WriteQuarantine {
+        /// The version that the row must have.
+        expected_version: u64,
+        /// The encoded row.
+        value: Bytes,
+    },
     /// Write the row of this node again.
     AnnounceNode,
     /// Send a sync query to another node.
--- a/crates/galenastream_node/src/process/control_loop.rs
+++ b/crates/galenastream_node/src/process/control_loop.rs
@@ -170,6 +170,13 @@
                     self.state.handle_dropped_settlement();
                 }
             }
+            Effect::WriteQuarantine { expected_version, value } => {
+                let write = StoreWrite::Quarantine { expected_version, value };
+                if self.commits.try_send(write).is_err() {
+                    log::warn!(event = "quarantine_write_dropped"; "");
+                    self.state.handle_dropped_quarantine();
+                }
+            }
             Effect::AnnounceNode => {
                 if self.commits.try_send(StoreWrite::NodeRow).is_err() {
                     log::warn!(event = "announcement_dropped"; "");
--- a/crates/galenastream_node/src/process/control_state.rs
+++ b/crates/galenastream_node/src/process/control_state.rs
@@ -15,8 +15,9 @@
 use super::ownership_facts::EndedTarget;
 use super::ownership_log::log_owner_changes;
 use super::peer_book::PeerRegistry;
+use super::quarantine_spread::QuarantineWrite;
 use super::store_eras::StoreEras;
-use super::{ControlEvent, Effect, TargetLimit};
+use super::{ControlEvent, Effect, RequestQuarantine, TargetLimit};
 use crate::version::RoutingTable;
 
 /// The longest lease that a node grants. It outlasts the restart of a process, and is short enough
@@ -101,6 +102,8 @@
     /// is to tell which of them runs.
     pub(super) is_identity_wanted: bool,
     pub(super) eras: StoreEras,
+    pub(super) quarantine: Arc<RequestQuarantine>,
+    pub(super) quarantine_write: QuarantineWrite,
 }
 
 /// The assignment of a service as decoded from its row.
@@ -170,9 +173,17 @@
             last_probe_at: started_at,
             is_identity_wanted: false,
             eras: StoreEras::default(),
+            quarantine: Arc::default(),
+            quarantine_write: QuarantineWrite::default(),
         }
     }
 
+    /// Shares the quarantine of the process.
+    #[must_use]
+    pub fn with_quarantine(self, quarantine: Arc<RequestQuarantine>) -> Self {
+        Self { quarantine, ..self }
+    }
+
     /// Handles an event and returns the effects to execute.
     pub fn handle(&mut self, event: ControlEvent, now: BootInstant) -> Vec<Effect> {
         match event {
@@ -225,6 +236,10 @@
             }
             ControlEvent::TargetLeaving { target, since } => self.handle_leave(&target, since),
             ControlEvent::TargetProbed(probe) => self.handle_probe(&probe, now),
+            ControlEvent::TargetCrashed => {}
+            ControlEvent::QuarantineWritten { value, result } => {
+                self.handle_quarantine_written(value, result, now);
+            }
             ControlEvent::Settings(settings) => self.settings = *settings,
             ControlEvent::Closing => self.is_closing = true,
             ControlEvent::Refusing => self.is_refusing = true,
@@ -294,6 +309,7 @@
             }
             self.reconcile_assignment(&service, is_planner, now);
         }
+        self.write_quarantine(is_planner);
         self.reply_to_heartbeat(now);
     }
 
--- a/crates/galenastream_node/src/process/daemon.rs
+++ b/crates/galenastream_node/src/process/daemon.rs
@@ -22,7 +22,8 @@
 };
 
 use super::{
-    ControlEvent, ControlQueue, ControlState, KeyMeter, NodeContext, SyncSnapshot, TrafficState,
+    ControlEvent, ControlQueue, ControlState, KeyMeter, NodeContext, RequestQuarantine,
+    SyncSnapshot, TrafficState,
     commit::write_rows,
     control_loop::ControlLoop,
     logs::flush_log,
@@ -77,7 +78,8 @@
     // lease of an earlier process was granted before `started_at`.
     let control = bind_control(settings.listeners.control)?;
     let started_at = boot_now();
-    let state = ControlState::new(settings.clone(), started_at);
+    let quarantine = Arc::new(RequestQuarantine::new());
+    let state = ControlState::new(settings.clone(), started_at).with_quarantine(quarantine.clone());
     let (control_events, events) = ControlQueue::new(QUEUE_CAPACITY);
     let (peer_queries, queries) = mpsc::channel(QUEUE_CAPACITY);
     let context = Arc::new(NodeContext {
@@ -93,6 +95,7 @@
         status: watch::Sender::new(state.status(started_at)),
         control_events,
         key_meter: KeyMeter::new().into(),
+        quarantine,
         target_limit: Default::default(),
         service_time_us: Default::default(),
         target_connections: Default::default(),
--- a/crates/galenastream_node/src/process/ownership_facts.rs
+++ b/crates/galenastream_node/src/process/ownership_facts.rs
@@ -226,6 +226,9 @@
         };
         log::info!(event = "target_ended", target:% = local.incarnation, why = evidence.as_str(); "");
         local.send_reply(HeartbeatReply::Acknowledged);
+        if evidence.is_final() && local.draining_since.is_none() {
+            self.quarantine.record_crash(&local.incarnation, now);
+        }
         self.ended.push(EndedTarget {
             incarnation: local.incarnation,
             at: now,
--- a/crates/galenastream_node/src/process/publication.rs
+++ b/crates/galenastream_node/src/process/publication.rs
@@ -31,6 +31,9 @@
             rows_version: self.rows_version,
             reads_rows: self.reads_rows(now),
             facts: self.facts(now),
+            suspects: self.quarantine.stated(now),
+            quarantine_digest: self.quarantine.digest(),
+            crash_count: self.quarantine.crash_count(),
         }
     }
 
@@ -73,6 +76,7 @@
                 is_reachable: peer.is_reachable(now),
                 reads_rows: status.is_none_or(|it| it.reaches_store && it.reads_rows),
                 is_planner: **name == *planner,
+                quarantine_digest: status.map_or(0, |it| it.quarantine_digest),
                 is_local: false,
             });
         }
@@ -105,6 +109,7 @@
             is_reachable: true,
             reads_rows: true,
             is_planner: false,
+            quarantine_digest: 0,
             is_local: true,
         }
     }
@@ -161,6 +166,7 @@
             is_closing: self.is_closing,
             peers_heard: self.peers.iter().filter(|(_, it)| it.is_reachable(now)).count(),
             peers_known: self.peers.iter().count(),
+            quarantined_requests: self.quarantine.quarantined_count(),
             target,
         }
     }
--- a/crates/galenastream_node/src/process/status_page.rs
+++ b/crates/galenastream_node/src/process/status_page.rs
@@ -46,6 +46,10 @@
     pub peers_heard: usize,
     /// The number of other nodes that are known from rows of the store or from statuses.
     pub peers_known: usize,
+    /// The number of requests that the node refuses because they crash targets. Earlier versions do not
+    /// report it.
+    #[serde(default)]
+    pub quarantined_requests: usize,
     /// The local target, if one is known.
     pub target: Option<TargetPage>,
 }
--- a/crates/galenastream_node/src/process/store_view.rs
+++ b/crates/galenastream_node/src/process/store_view.rs
@@ -54,6 +54,8 @@
         if status.node == *self.node {
             return false;
         }
+        let mut status = status;
+        self.merge_suspects(&std::mem::take(&mut status.suspects), now);
         self.record_announced_config(status.config_version, now);
         let node = status.node.clone();
         let has_newer_state = self.needs_config_of(&status, now)
@@ -227,6 +229,7 @@
                 }
             }
             Some(SharedRowKey::SettingsTree) => self.apply_settings_tree(row),
+            Some(SharedRowKey::Quarantine) => self.apply_quarantine(row, now),
             // Applied before all other rows.
             Some(SharedRowKey::Era) => {}
             None => log::warn!(event = "row_unknown", key = row.key.as_str(); ""),
--- a/crates/galenastream_node/src/process/traffic_state.rs
+++ b/crates/galenastream_node/src/process/traffic_state.rs
@@ -10,12 +10,12 @@
 
 use galenastream_adapter::ProcessLimits;
 use galenastream_routing::{
-    AdmissionLimits, LimitTrials, RetryBudgetLimits, ServiceTime, TargetSelector, WeightedSplit,
-    WindowedRetryBudget,
+    AdmissionLimits, LimitTrials, RequestFingerprint, RetryBudgetLimits, ServiceTime,
+    TargetSelector, WeightedSplit, WindowedRetryBudget,
 };
 use galenastream_runtime::{AdmissionController, BodyBudget, LogBudget, boot_now};
 use galenastream_settings::EffectiveSettings;
-use galenastream_utils::{BootInstant, FastMap};
+use galenastream_utils::{BootInstant, FastMap, FastSet};
 use galenastream_wire::TargetAnnouncement;
 
 use super::{
@@ -67,6 +67,14 @@
     announcement: Mutex<LocalAnnouncement>,
     remembered: Mutex<RememberedAnnouncements>,
     limit_trials: Mutex<LimitTrials>,
+    /// The suspected requests that the local target is running.
+    running_suspects: Mutex<FastSet<RequestFingerprint>>,
+}
+
+/// A suspected request that the local target is running, until it is dropped.
+pub struct RunningSuspect<'a> {
+    traffic: &'a TrafficState,
+    fingerprint: RequestFingerprint,
 }
 
 /// Increments a counter of requests and decrements it when dropped.
@@ -102,6 +110,7 @@
             announcement: Mutex::default(),
             remembered: Mutex::default(),
             limit_trials: Mutex::new(LimitTrials::new(rand::random())),
+            running_suspects: Mutex::default(),
         }
     }
 
@@ -268,6 +277,20 @@
         }
     }
 
+    /// Records that the local target runs a suspected request. Returns `None` if it already does.
+    pub fn begin_suspect(&self, fingerprint: RequestFingerprint) -> Option<RunningSuspect<'_>> {
+        let is_first = lock(&self.running_suspects).insert(fingerprint);
+        is_first.then_some(RunningSuspect { traffic: self, fingerprint })
+    }
+
+    /// The service on this VM, on which the requests of callers originate.
+    pub fn caller_service(&self) -> String {
+        match &self.context.directory.load().local {
+            Some(local) => local.service.to_string(),
+            None => self.context.settings.load().service.clone(),
+        }
+    }
+
     /// Whether the log budget allows another line about a request.
     pub fn may_log(&self) -> bool {
         let service = &self.context.settings.load().service;
@@ -276,6 +299,12 @@
     }
 }
 
+impl Drop for RunningSuspect<'_> {
+    fn drop(&mut self) {
+        lock(&self.traffic.running_suspects).remove(&self.fingerprint);
+    }
+}
+
 impl<'a> CountGuard<'a> {
     /// Increments `counter` until the guard is dropped.
     pub fn new(counter: &'a AtomicUsize) -> Self {
--- a/crates/galenastream_node/src/request/attempt.rs
+++ b/crates/galenastream_node/src/request/attempt.rs
@@ -4,7 +4,7 @@
 
 use galenastream_adapter::header_names;
 use galenastream_ranges::TargetIncarnation;
-use galenastream_routing::{NodeKey, ObservedLoad};
+use galenastream_routing::{NodeKey, ObservedLoad, RequestFingerprint};
 use galenastream_runtime::{PeerError, boot_now};
 use galenastream_utils::BootInstant;
 use galenastream_wire::{
@@ -30,6 +30,8 @@
     pub(super) leaving_since: Option<BootInstant>,
     /// Whether another target is attempted if this one refuses the request.
     pub(super) has_alternatives: bool,
+    /// Whether the request was suspected of crashing targets when the target was chosen.
+    pub(super) is_suspected: bool,
 }
 
 /// Sends a request to a target, waits for the reply, and records its result and the reported load,
@@ -40,12 +42,15 @@
 pub(super) async fn attempt(
     traffic: &Arc<TrafficState>,
     request: &CallerRequest,
+    fingerprint: RequestFingerprint,
     key: Option<u16>,
     destination: &Destination,
     may_retry: impl Fn() -> bool,
 ) -> ForwardedReply {
     let node = destination.node.key;
-    let message = forwarded_request(traffic, request, key, destination);
+    let suspect = traffic.context.quarantine.record_of(fingerprint);
+    let message =
+        ForwardedRequest { suspect, ..forwarded_request(traffic, request, key, destination) };
     let reply = {
         let _in_progress = InProgressGuard::new(traffic, node);
         if destination.node.is_local {
@@ -55,6 +60,7 @@
         }
     };
     let now = boot_now();
+    record_suspicion(traffic, fingerprint, &reply, now);
     let has_limit_ended = reply
         .announcement
         .is_some_and(|it| traffic.remembered().record(node, &destination.target, it, now));
@@ -70,6 +76,22 @@
     reply
 }
 
+/// Takes over what a reply shows of a request that may crash targets.
+fn record_suspicion(
+    traffic: &TrafficState,
+    fingerprint: RequestFingerprint,
+    reply: &ForwardedReply,
+    now: BootInstant,
+) {
+    let quarantine = &traffic.context.quarantine;
+    if let Some(record) = &reply.suspect {
+        quarantine.merge(record, now);
+    }
+    if reply.outcome == ReplyOutcome::Answered as i32 {
+        quarantine.record_answer(fingerprint, now);
+    }
+}
+
 async fn forward_to_peer(
     traffic: &Arc<TrafficState>,
     destination: &Destination,
@@ -108,7 +130,10 @@
 ) -> ForwardedRequest {
     let now = boot_now();
     let mut headers = request.headers.clone();
-    headers.push(caller_service_header(traffic));
+    headers.push(Header {
+        name: header_names::CALLER_SERVICE.to_owned(),
+        value: traffic.caller_service().into(),
+    });
     let soft_deadline = request.arrived_at + Duration::from_millis(request.route.target_latency_ms);
     let prompt_ms = soft_deadline.saturating_since(now).as_millis();
     ForwardedRequest {
@@ -134,19 +159,10 @@
             destination.leaving_since,
             now,
         ),
+        suspect: None,
     }
 }
 
-/// Builds the header that names the service on this VM, on which the request originated.
-fn caller_service_header(traffic: &TrafficState) -> Header {
-    let directory = traffic.context.directory.load();
-    let service = match &directory.local {
-        Some(local) => local.service.to_string(),
-        None => traffic.context.settings.load().service.clone(),
-    };
-    Header { name: header_names::CALLER_SERVICE.to_owned(), value: service.into() }
-}
-
 /// Whether a target was not sent a request because it has no capacity for it.
 pub(super) fn is_lack_of_capacity(reason: i32) -> bool {
     let reason = ReplyReason::try_from(reason).unwrap_or(ReplyReason::None);
--- a/crates/galenastream_node/src/request/entry.rs
+++ b/crates/galenastream_node/src/request/entry.rs
@@ -7,6 +7,7 @@
 
 use bytes::Bytes;
 use galenastream_ranges::{Holding, Owner};
+use galenastream_routing::{RequestFingerprint, Suspicion};
 use galenastream_runtime::{boot_now, sleep_until};
 use galenastream_settings::EffectiveSettings;
 use galenastream_wire::{ForwardedReply, ReplyOutcome, ReplyReason};
@@ -18,6 +19,7 @@
     attempt::{Destination, attempt, is_signed},
     caller_request::{CallerRequest, RequestAddress},
     counted_attempt::CountedAttempt,
+    fingerprint::fingerprint_at_entry,
     progress::Progress,
     refusal::Refusal,
     target_choice::TargetChoice,
@@ -134,7 +136,11 @@
     request: CallerRequest,
 ) -> Response<Bytes> {
     let _counted = CountGuard::new(&traffic.in_progress);
-    let Some(attempts) = Attempts::new(traffic, routing, &request) else {
+    let fingerprint = fingerprint_at_entry(&request, &traffic.caller_service());
+    if traffic.context.quarantine.suspicion(fingerprint) == Suspicion::Quarantined {
+        return refuse(traffic, Refusal::Quarantined, &request.address(), None);
+    }
+    let Some(attempts) = Attempts::new(traffic, routing, &request, fingerprint) else {
         let refusal = Refusal::NotRun { retry_after_ms: NO_DESTINATION_RETRY_AFTER_MS };
         return refuse(traffic, refusal, &request.address(), None);
     };
@@ -162,6 +168,7 @@
 struct Attempts<'a> {
     traffic: &'a Arc<TrafficState>,
     request: &'a CallerRequest,
+    fingerprint: RequestFingerprint,
     service: &'a str,
     /// The request's key, if the targets of the service hold keys.
     key: Option<u16>,
@@ -185,6 +192,7 @@
         traffic: &'a Arc<TrafficState>,
         routing: &RoutingTable,
         request: &'a CallerRequest,
+        fingerprint: RequestFingerprint,
     ) -> Option<Self> {
         let destinations = &request.route.destinations;
         let weights: Vec<f64> = destinations.iter().map(|it| it.weight).collect();
@@ -194,7 +202,16 @@
         let key = request.key.filter(|_| holds_keys);
         let settings = traffic.effective_settings(service, key);
         let (config_version, summary) = (routing.version.0, Mutex::default());
-        Some(Self { traffic, request, service, key, settings, config_version, summary })
+        Some(Self {
+            traffic,
+            request,
+            fingerprint,
+            service,
+            key,
+            settings,
+            config_version,
+            summary,
+        })
     }
 
     /// Records the result in the metrics and, within the budget of log lines, in the log.
@@ -256,7 +273,13 @@
             if !self.has_time() {
                 return progress.give_up();
             }
-            let choice = TargetChoice::new(self.traffic, self.service, self.key, self.settings);
+            let suspect = match self.traffic.context.quarantine.suspicion(self.fingerprint) {
+                Suspicion::None => None,
+                Suspicion::Suspected => Some(self.fingerprint),
+                Suspicion::Quarantined => return progress.give_up_quarantined(),
+            };
+            let choice = TargetChoice::new(self.traffic, self.service, self.key, self.settings)
+                .with_suspect(suspect);
             let Some(destination) = choice.choose(&progress) else {
                 if self.key.is_none() || !self.may_wait_for_owner() {
                     return self.give_up_without_target(&mut progress);
@@ -267,8 +290,9 @@
             self.record_attempt(&destination);
             let mut counted = CountedAttempt::new(self.traffic, self.service, &destination);
             let may_retry = || self.may_retry(&progress);
+            let (traffic, request, key) = (self.traffic, self.request, self.key);
             let reply =
-                attempt(self.traffic, self.request, self.key, &destination, may_retry).await;
+                attempt(traffic, request, self.fingerprint, key, &destination, may_retry).await;
             counted.reason = self.record_reason(reply.reason);
             drop(counted);
             match self.next_step(destination, reply, &mut progress) {
@@ -347,6 +371,14 @@
                 progress.failure = Some(reply);
                 self.retry(destination, progress)
             }
+            ReplyOutcome::NotSent if reply.reason == ReplyReason::Quarantined as i32 => {
+                NextStep::Done(progress.give_up_quarantined())
+            }
+            // Another target would run the request at the same time.
+            ReplyOutcome::NotSent if reply.reason == ReplyReason::SuspectRunning as i32 => {
+                progress.retry_after_ms = reply.retry_after_ms;
+                NextStep::Done(progress.give_up())
+            }
             ReplyOutcome::NotSent => {
                 let may_continue = progress.record_not_sent(&reply);
                 if self.key.is_some() && may_be_owner_change(reply.reason) {
@@ -365,7 +397,10 @@
                 if reply.reason == ReplyReason::DeadlinePassed as i32 {
                     return NextStep::Done(Err(Refusal::TimedOut));
                 }
-                if !self.request.route.is_idempotent {
+                // A request that has crashed two targets in a row is not sent to a third one at once.
+                let has_crashed_again =
+                    destination.is_suspected && reply.reason == ReplyReason::TargetCrashed as i32;
+                if !self.request.route.is_idempotent || has_crashed_again {
                     return NextStep::Done(progress.give_up());
                 }
                 self.retry(destination, progress)
--- a/crates/galenastream_node/src/request/progress.rs
+++ b/crates/galenastream_node/src/request/progress.rs
@@ -78,6 +78,14 @@
         candidate_count > 1 && self.refusals + 1 < MAX_REFUSALS
     }
 
+    /// Returns the final result of a request that is refused because it crashes targets.
+    pub(super) fn give_up_quarantined(&mut self) -> Result<ForwardedReply, Refusal> {
+        match self.may_have_run {
+            true => self.give_up(),
+            false => Err(Refusal::Quarantined),
+        }
+    }
+
     /// Returns the final result if no further attempt is made.
     pub(super) fn give_up(&mut self) -> Result<ForwardedReply, Refusal> {
         if let Some(failure) = self.failure.take() {
--- a/crates/galenastream_node/src/request/refusal.rs
+++ b/crates/galenastream_node/src/request/refusal.rs
@@ -34,6 +34,11 @@
     /// The body is longer than the config allows.
     #[error("the body is longer than the config allows; send less")]
     TooLong,
+    /// Targets have crashed whenever they began to run the request.
+    #[error(
+        "the request is refused and has not run, since the targets that ran it before have crashed; ask the operators to release it"
+    )]
+    Quarantined,
     /// No target took the request, so it has not run.
     #[error("no target could take the request, which has not run; come back later")]
     NotRun {
@@ -59,6 +64,7 @@
             | Self::ConfigDoubted
             | Self::Malformed
             | Self::Unsupported
+            | Self::Quarantined
             | Self::NotRun { .. }
             | Self::Lost
             | Self::TimedOut => self,
@@ -68,7 +74,11 @@
     /// The HTTP status. Only 4xx and 503 guarantee that the request has not run.
     pub(super) const fn status(self) -> u16 {
         match self {
-            Self::NoConfig | Self::ConfigDoubted | Self::Unsupported | Self::NotRun { .. } => 503,
+            Self::NoConfig
+            | Self::ConfigDoubted
+            | Self::Unsupported
+            | Self::Quarantined
+            | Self::NotRun { .. } => 503,
             Self::NoRoute => 404,
             Self::Malformed => 400,
             Self::HeadersTooLong => 431,
@@ -88,6 +98,7 @@
             Self::Unsupported => "unsupported",
             Self::HeadersTooLong => "headers-too-long",
             Self::TooLong => "too-long",
+            Self::Quarantined => "quarantined",
             Self::NotRun { .. } => "not-run",
             Self::Lost => "lost",
             Self::TimedOut => "timed-out",
@@ -101,6 +112,7 @@
             Self::NoConfig => Some(NO_CONFIG_RETRY_AFTER_MS),
             Self::ConfigDoubted => Some(CONFIG_DOUBTED_RETRY_AFTER_MS),
             Self::Unsupported => Some(UNSUPPORTED_RETRY_AFTER_MS),
+            Self::Quarantined => Some(QUARANTINED_RETRY_AFTER_MS),
             _ => None,
         }
     }
@@ -114,3 +126,6 @@
 
 /// `Retry-After` of a request that the node cannot read. Another node may be of a newer version.
 const UNSUPPORTED_RETRY_AFTER_MS: u32 = 1_000;
+
+/// `Retry-After` of a request that is refused because it crashes targets. Only operators release it.
+pub(super) const QUARANTINED_RETRY_AFTER_MS: u32 = 60_000;
--- a/crates/galenastream_node/src/request/target_choice.rs
+++ b/crates/galenastream_node/src/request/target_choice.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use galenastream_routing::{NodeKey, TargetCandidate};
+use galenastream_routing::{NodeKey, RequestFingerprint, TargetCandidate};
 use galenastream_runtime::boot_now;
 use galenastream_settings::EffectiveSettings;
 use galenastream_utils::BootInstant;
@@ -17,6 +17,8 @@
     /// The request's key, if the targets of the service hold keys.
     key: Option<u16>,
     settings: EffectiveSettings,
+    /// The request, if it is suspected of crashing targets.
+    suspect: Option<RequestFingerprint>,
 }
 
 impl<'a> TargetChoice<'a> {
@@ -26,7 +28,13 @@
         key: Option<u16>,
         settings: EffectiveSettings,
     ) -> Self {
-        Self { traffic, service, key, settings }
+        Self { traffic, service, key, settings, suspect: None }
+    }
+
+    /// Chooses the target for a request that is suspected of crashing targets: all nodes send it to
+    /// the same one, so that it cannot crash several at once.
+    pub(super) const fn with_suspect(self, suspect: Option<RequestFingerprint>) -> Self {
+        Self { suspect, ..self }
     }
 
     /// Chooses the target for the next attempt, if there is one.
@@ -51,14 +59,16 @@
             target: holder.target.clone(),
             leaving_since,
             has_alternatives: false,
+            is_suspected: self.suspect.is_some(),
         })
     }
 
     fn best_target(&self, progress: &Progress, directory: &Directory) -> Option<Destination> {
         let candidates = self.candidates(progress, directory);
         let remote_penalty = f64::from(self.settings.remote_penalty_percent) / 100.0;
-        let trial = self.limit_trial(progress, directory, &candidates);
-        let chosen = trial
+        let only = self.suspect.and_then(|it| target_of_suspect(it, directory, &candidates));
+        let chosen = only
+            .or_else(|| self.limit_trial(progress, directory, &candidates))
             .or_else(|| self.traffic.placement().choose(&candidates, remote_penalty, boot_now()))?;
         let node = directory.nodes.iter().find(|it| it.key == chosen)?;
         let target = node.target.as_ref()?;
@@ -67,6 +77,7 @@
             target: target.incarnation.clone(),
             leaving_since: leaving_since(node, &self.traffic.remembered()),
             has_alternatives: progress.has_alternatives(candidates.len()),
+            is_suspected: self.suspect.is_some(),
         })
     }
 
@@ -141,6 +152,19 @@
     }
 }
 
+/// The candidate that runs a request as long as it is suspected of crashing targets.
+fn target_of_suspect(
+    suspect: RequestFingerprint,
+    directory: &Directory,
+    candidates: &[TargetCandidate],
+) -> Option<NodeKey> {
+    let nodes = directory.nodes.iter().filter(|it| candidates.iter().any(|c| c.node == it.key));
+    let weight = |it: &&NodeEntry| {
+        it.target.as_ref().map(|target| suspect.weight_of(&target.incarnation.id))
+    };
+    nodes.max_by_key(weight).map(|it| it.key)
+}
+
 /// Returns since when the target beside a node leaves, from its node's statuses and from its own
 /// responses.
 fn leaving_since(node: &NodeEntry, remembered: &RememberedAnnouncements) -> Option<BootInstant> {
--- a/crates/galenastream_node/src/request/target_run.rs
+++ b/crates/galenastream_node/src/request/target_run.rs
@@ -7,7 +7,8 @@
 
 use bytes::Bytes;
 use galenastream_adapter::header_names;
-use galenastream_routing::{Class, Deadline};
+use galenastream_ranges::TargetIncarnation;
+use galenastream_routing::{Class, CrashId, Deadline, LostRun, RequestFingerprint, Suspicion};
 use galenastream_runtime::{append_headers, boot_now, sleep_until};
 use galenastream_utils::BootInstant;
 use galenastream_wire::{ForwardedReply, ForwardedRequest, ReplyOutcome, ReplyReason};
@@ -19,13 +20,14 @@
 use super::{
     drain::is_drain_over,
     fingerprint::fingerprint_of_forwarded,
+    refusal::QUARANTINED_RETRY_AFTER_MS,
     target_reply::{
         MOVING_RETRY_AFTER_MS, UNREACHABLE_RETRY_AFTER_MS, not_sent, reply_from_result, unknown,
     },
 };
 use crate::{
     connection::TargetResult,
-    process::{CountGuard, LocalTarget, TrafficState},
+    process::{ControlEvent, CountGuard, LocalTarget, TrafficState, describe_request},
 };
 
 /// Maximum time that a request waits for the target's lease on its key. Once the key is assigned to
@@ -36,6 +38,10 @@
 /// that, a retry by the caller is better than a longer wait.
 const LEASE_WAIT_DIVISOR: u32 = 2;
 
+/// `Retry-After` of a suspected request that the target is already running: its run shows soon whether
+/// it may run.
+const SUSPECT_RETRY_AFTER_MS: u32 = 300;
+
 /// Operators set the target latency of a route to about this many times its service time. The
 /// service time is estimated with it until it is measured.
 const SERVICE_TIME_ESTIMATE_DIVISOR: u32 = 3;
@@ -73,7 +79,14 @@
     let soft_deadline = Deadline::new(arrived_at, request.prompt_ms);
     let (request_id, rank) = (request.request_id.clone(), request.rank);
     let (target_id, born_ms) = (request.target_id.clone(), request.target_born_ms);
-    let mut reply = admit_and_send(traffic, request, soft_deadline, deadline, caller_left).await;
+    let fingerprint = fingerprint_of_forwarded(&request);
+    let quarantine = &traffic.context.quarantine;
+    if let Some(record) = &request.suspect {
+        quarantine.merge(record, arrived_at);
+    }
+    let times = (soft_deadline, deadline);
+    let mut reply = admit_and_send(traffic, request, fingerprint, times, caller_left).await;
+    reply.suspect = quarantine.record_of(fingerprint).map(Box::new);
     reply.pending = traffic.pending();
     reply.service_time_us = traffic.service_time_us();
     reply.announcement = traffic.announcement_of(&target_id, born_ms);
@@ -129,10 +142,13 @@
 async fn admit_and_send(
     traffic: &Arc<TrafficState>,
     request: ForwardedRequest,
-    soft_deadline: Deadline,
-    deadline: Deadline,
+    fingerprint: RequestFingerprint,
+    (soft_deadline, deadline): (Deadline, Deadline),
     caller_left: &CancellationToken,
 ) -> ForwardedReply {
+    if traffic.context.quarantine.suspicion(fingerprint) == Suspicion::Quarantined {
+        return not_sent(ReplyReason::Quarantined, QUARANTINED_RETRY_AFTER_MS);
+    }
     let runnable = tokio::select! {
         runnable = wait_for_lease(traffic, &request, deadline) => runnable,
         () = caller_left.cancelled() => return not_sent(ReplyReason::CallerLeft, 0),
@@ -170,6 +186,17 @@
     if let Err(reply) = check_runnable(traffic, &request) {
         return reply;
     }
+    let suspicion = traffic.context.quarantine.suspicion(fingerprint);
+    let _running = match suspicion {
+        Suspicion::None => None,
+        Suspicion::Suspected => match traffic.begin_suspect(fingerprint) {
+            Some(running) => Some(running),
+            None => return not_sent(ReplyReason::SuspectRunning, SUSPECT_RETRY_AFTER_MS),
+        },
+        Suspicion::Quarantined => {
+            return not_sent(ReplyReason::Quarantined, QUARANTINED_RETRY_AFTER_MS);
+        }
+    };
     let Some(outgoing) = http_request(&request, deadline) else {
         return not_sent(ReplyReason::Invalid, 0);
     };
@@ -182,17 +209,17 @@
         result = traffic.target_connections.send(outgoing) => result,
         () = sleep_until(deadline.at()) => return unknown(ReplyReason::DeadlinePassed),
     };
-    if matches!(result, TargetResult::Unknown { .. }) && has_crashed(traffic, &request).await {
-        log::warn!(
-            event = "target_crashed",
-            target_id = request.target_id.as_str(),
-            request_id = request.request_id.as_str(),
-            fingerprint:% = fingerprint_of_forwarded(&request);
-            ""
-        );
+    let is_lost = matches!(result, TargetResult::Unknown { .. });
+    let mut reply = reply_from_result(traffic, &request, began_at, result);
+    if is_lost {
+        record_lost_run(traffic, &request, fingerprint, suspicion);
+        if has_crashed(traffic, &request).await {
+            record_crash(traffic, &request);
+            reply.reason = ReplyReason::TargetCrashed as i32;
+        }
     }
-    let reply = reply_from_result(traffic, &request, began_at, result);
     if reply.outcome == ReplyOutcome::Answered as i32 {
+        traffic.context.quarantine.record_answer(fingerprint, boot_now());
         slot.record_response();
         if reply.status < 500 && is_representative {
             traffic.add_service_time(boot_now().saturating_since(began_at), estimate);
@@ -201,6 +228,30 @@
     reply
 }
 
+/// Records a run whose connection broke, in case that the target has ended.
+fn record_lost_run(
+    traffic: &TrafficState,
+    request: &ForwardedRequest,
+    fingerprint: RequestFingerprint,
+    suspicion: Suspicion,
+) {
+    traffic.context.quarantine.record_lost_run(LostRun {
+        fingerprint,
+        crash: CrashId::of(&request.target_id, request.target_born_ms),
+        was_suspected: suspicion != Suspicion::None,
+        description: describe_request(&request.method, &request.host, &request.path),
+        lost_at: boot_now(),
+    });
+}
+
+/// Records that the target has crashed under a request, and makes the control thread tell the other
+/// nodes.
+fn record_crash(traffic: &TrafficState, request: &ForwardedRequest) {
+    let target = TargetIncarnation::new(request.target_id.as_str(), request.target_born_ms);
+    traffic.context.quarantine.record_crash(&target, boot_now());
+    traffic.context.control_events.notify(ControlEvent::TargetCrashed);
+}
+
 /// Whether the target has ended without having announced it: the connection of a request broke, and
 /// nothing listens at its address any more. A connection that was reset alone proves nothing.
 async fn has_crashed(traffic: &TrafficState, request: &ForwardedRequest) -> bool {
--- a/crates/galenastream_node/tests/ownership/hostile_input.rs
+++ b/crates/galenastream_node/tests/ownership/hostile_input.rs
@@ -9,8 +9,8 @@
 use galenastream_ranges::Assignment;
 use galenastream_standin::{Corpus, fuzz_config};
 use galenastream_wire::{
-    EraRow, IncarnationRecord, KeyLoadRecord, NodeStatus, OwnershipFacts, ReleaseRecord, SharedRow,
-    StatusSeen, SyncState, TargetStatus,
+    CrashEntry, EraRow, IncarnationRecord, KeyLoadRecord, NodeStatus, OwnershipFacts,
+    QuarantineRow, ReleaseRecord, SharedRow, StatusSeen, SuspectRecord, SyncState, TargetStatus,
 };
 use proptest::{collection::vec, option, prelude::*};
 use prost::Message;
@@ -114,8 +114,9 @@
     let flags = (any::<bool>(), any::<bool>(), any::<bool>(), any::<bool>());
     let numbers = (number(), number(), number());
     let address = prop_oneof![4 => Just("10.0.0.2:7000".to_owned()), 1 => ".{0,9}"];
-    (node(), address, option::of(target()), flags, numbers, vec(facts(), 0..3)).prop_map(
-        |(node, address, target, flags, numbers, facts)| {
+    let lists = (vec(facts(), 0..3), vec(suspect(), 0..4));
+    (node(), address, option::of(target()), flags, numbers, lists).prop_map(
+        |(node, address, target, flags, numbers, (facts, suspects))| {
             ControlEvent::PeerStatus(NodeStatus {
                 node,
                 started_boot_ns: numbers.0,
@@ -131,20 +132,44 @@
                 rows_version: numbers.2,
                 reads_rows: flags.3,
                 facts,
+                suspects,
+                quarantine_digest: numbers.0,
+                crash_count: numbers.1,
             })
         },
     )
 }
 
+/// A record of few requests and crashes, so that records are joined, or one that names no request.
+fn suspect() -> impl Strategy<Value = SuspectRecord> {
+    let fingerprint = prop_oneof![
+        4 => (0_u8..4).prop_map(|it| vec![it; 16]),
+        1 => vec(any::<u8>(), 0..20),
+    ];
+    let crash = (0_u64..6, any::<bool>(), any::<bool>())
+        .prop_map(|(id, was_suspected, is_cleared)| CrashEntry { id, was_suspected, is_cleared });
+    (fingerprint, vec(crash, 0..30), ".{0,200}", any::<bool>()).prop_map(
+        |(fingerprint, crashes, description, was_quarantined)| SuspectRecord {
+            fingerprint: fingerprint.into(),
+            crashes,
+            description,
+            was_quarantined,
+        },
+    )
+}
+
 /// A row with a key and a content that belong together, or nearly so.
 fn row() -> impl Strategy<Value = (String, Bytes)> {
     let era = (0_u64..4).prop_map(|era| Bytes::from(EraRow { era }.encode_to_vec()));
     let era = prop_oneof![era, ERA_ROWS.mutated()];
+    let quarantine = vec(suspect(), 0..4)
+        .prop_map(|records| Bytes::from(QuarantineRow { records }.encode_to_vec()));
     prop_oneof![
         4 => ("keys/(carts)?", ASSIGNMENTS.mutated()),
         1 => ("settings/tree", TREES.mutated()),
         1 => (node().prop_map(|it| format!("node/{it}")), NODE_ROWS.mutated()),
         2 => ("era", era),
+        1 => ("quarantine", quarantine),
         1 => (".{0,9}", ERA_ROWS.mutated()),
     ]
 }
--- a/crates/galenastream_node/tests/ownership/simulation.rs
+++ b/crates/galenastream_node/tests/ownership/simulation.rs
@@ -206,7 +206,8 @@
                 Effect::Settle { expected, writes } => {
                     self.start_write(index, expected, WriteContent::Settlement(writes));
                 }
-                Effect::AnnounceNode => {}
+                // No request crashes a target here.
+                Effect::AnnounceNode | Effect::WriteQuarantine { .. } => {}
                 Effect::QueryPeer { node } => self.query_peer(index, &node),
                 Effect::ProbeTarget { target } => self.start_probe(index, target),
                 Effect::IdentifyTarget { target, .. } => self.identify(index, target),
--- a/crates/galenastream_node/tests/ownership/state_machine/deployment.rs
+++ b/crates/galenastream_node/tests/ownership/state_machine/deployment.rs
@@ -522,7 +522,8 @@
                 Effect::QueryPeer { node } => self.answer_sync_query(index, &node),
                 Effect::ProbeTarget { target } => self.start_probe(index, target, false),
                 Effect::IdentifyTarget { target, .. } => self.start_probe(index, target, true),
-                Effect::Settle { .. } | Effect::AnnounceNode => {}
+                // No request crashes a target here.
+                Effect::Settle { .. } | Effect::AnnounceNode | Effect::WriteQuarantine { .. } => {}
             }
         }
     }
--- a/crates/galenastream_wire/src/message/mod.rs
+++ b/crates/galenastream_wire/src/message/mod.rs
@@ -5,6 +5,7 @@
 mod node_status;
 mod part;
 mod request;
+mod suspect;
 mod sync;
 mod target_announcement;
 
@@ -13,5 +14,6 @@
 pub use node_status::*;
 pub use part::Part;
 pub use request::*;
+pub use suspect::*;
 pub use sync::*;
 pub use target_announcement::*;
--- a/crates/galenastream_wire/src/message/node_status.rs
+++ b/crates/galenastream_wire/src/message/node_status.rs
@@ -2,6 +2,8 @@
 
 use prost::Message;
 
+use crate::SuspectRecord;
+
 /// The state that each node reports to all others.
 #[derive(Clone, PartialEq, Message)]
 pub struct NodeStatus {
@@ -50,6 +52,15 @@
     /// Changes of ownership that the node cannot write itself, since it does not reach the store.
     #[prost(message, repeated, tag = "10")]
     pub facts: Vec<OwnershipFacts>,
+    /// Requests that are suspected of crashing targets, as far as the receiver may not know.
+    #[prost(message, repeated, tag = "15")]
+    pub suspects: Vec<SuspectRecord>,
+    /// A digest of the requests that the node refuses because they crash targets; 0 if there are none.
+    #[prost(fixed64, tag = "16")]
+    pub quarantine_digest: u64,
+    /// The number of crashes under requests that the node has seen at its target.
+    #[prost(uint64, tag = "17")]
+    pub crash_count: u64,
 }
 
 /// The state of the target beside a node.
--- a/crates/galenastream_wire/src/message/request.rs
+++ b/crates/galenastream_wire/src/message/request.rs
@@ -2,7 +2,7 @@
 
 use prost::{Enumeration, Message, bytes::Bytes};
 
-use crate::{Header, TargetAnnouncement};
+use crate::{Header, SuspectRecord, TargetAnnouncement};
 
 /// A caller's request, forwarded to the node beside the target that is to run it.
 #[derive(Clone, PartialEq, Message)]
@@ -64,6 +64,9 @@
     /// It matters if the process beside the target has restarted since.
     #[prost(message, optional, tag = "17")]
     pub remembered: Option<TargetAnnouncement>,
+    /// What the sending node knows of crashes under the request; `None` if there were none.
+    #[prost(message, optional, tag = "18")]
+    pub suspect: Option<SuspectRecord>,
 }
 
 /// The reply to a [`ForwardedRequest`].
@@ -97,6 +100,9 @@
     /// request names.
     #[prost(message, optional, tag = "9")]
     pub announcement: Option<TargetAnnouncement>,
+    /// What the node knows of crashes under the request; `None` if there were none.
+    #[prost(message, optional, boxed, tag = "10")]
+    pub suspect: Option<Box<SuspectRecord>>,
 }
 
 /// Whether a forwarded request ran.
@@ -152,6 +158,12 @@
     RequestTooLong = 15,
     /// The target's response lacks its signature, so it is not known who made it.
     UnsignedAnswer = 16,
+    /// The target crashed while the request was at work there.
+    TargetCrashed = 17,
+    /// The request is refused because it crashes targets.
+    Quarantined = 18,
+    /// The request is suspected of crashing targets, and the target is already running it.
+    SuspectRunning = 19,
 }
 
 impl ReplyReason {
@@ -175,6 +187,9 @@
             Self::AnswerTooLong => "answer-too-long",
             Self::RequestTooLong => "request-too-long",
             Self::UnsignedAnswer => "unsigned-answer",
+            Self::TargetCrashed => "target-crashed",
+            Self::Quarantined => "quarantined",
+            Self::SuspectRunning => "suspect-running",
         }
     }
 }
--- a/crates/galenastream_wire/src/row/shared_row_key.rs
+++ b/crates/galenastream_wire/src/row/shared_row_key.rs
@@ -9,6 +9,7 @@
 const KEYS_PREFIX: &str = "keys/";
 const TREE_KEY: &str = "settings/tree";
 const ERA_KEY: &str = "era";
+const QUARANTINE_KEY: &str = "quarantine";
 
 /// The key of a row in [`SHARED_ROWS_TABLE`], parsed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -22,6 +23,9 @@
     SettingsTree,
     /// The era of the store whose rows are in force. The value is an [`EraRow`](crate::EraRow).
     Era,
+    /// The requests that are refused because they crash targets. The value is a
+    /// [`QuarantineRow`](crate::QuarantineRow).
+    Quarantine,
 }
 
 /// Where a node accepts connections from other nodes.
@@ -45,6 +49,9 @@
         if key == ERA_KEY {
             return Some(Self::Era);
         }
+        if key == QUARANTINE_KEY {
+            return Some(Self::Quarantine);
+        }
         if let Some(node) = key.strip_prefix(NODE_PREFIX) {
             return Some(Self::Node(node));
         }
@@ -58,6 +65,7 @@
             Self::Assignment(service) => format!("{KEYS_PREFIX}{service}"),
             Self::SettingsTree => TREE_KEY.to_owned(),
             Self::Era => ERA_KEY.to_owned(),
+            Self::Quarantine => QUARANTINE_KEY.to_owned(),
         }
     }
 }
