List and release requests in quarantine

galenastreamctl quarantine list|release, by the row in the store. A release marks all crashes of the request as cleared, which every node joins with what it knows; nothing takes the suspicion up again but three further crashes.

--- a/crates/galenastream_ctl/src/process/command_line.rs
+++ b/crates/galenastream_ctl/src/process/command_line.rs
@@ -44,6 +44,7 @@
         .subcommand(settings_command())
         .subcommand(config_command())
         .subcommand(ranges_command())
+        .subcommand(quarantine_command())
         .subcommand(members_command())
         .subcommand(trace_command())
         .subcommand(trace_key_command())
@@ -163,6 +164,29 @@
         .arg(key_argument())
 }
 
+fn quarantine_command() -> Command {
+    Command::new("quarantine")
+        .about("Lists and releases requests that nodes refuse because they crash targets")
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommand(
+            Command::new("list")
+                .about("Lists the requests that are refused, and those that were released")
+                .arg(store_argument().required(true)),
+        )
+        .subcommand(
+            Command::new("release")
+                .about("Lets a request run again; it is refused anew after three further crashes")
+                .arg(
+                    Arg::new("fingerprint")
+                        .value_name("FINGERPRINT")
+                        .required(true)
+                        .help("Fingerprint of the request, as `quarantine list` prints it"),
+                )
+                .arg(store_argument().required(true)),
+        )
+}
+
 fn members_command() -> Command {
     Command::new("members")
         .about(
--- a/crates/galenastream_ctl/src/process/ctl_error.rs
+++ b/crates/galenastream_ctl/src/process/ctl_error.rs
@@ -51,6 +51,22 @@
         /// Error of the connection.
         reason: String,
     },
+    /// The write of a release got no answer from the store, so it may have taken effect.
+    #[error(
+        "it is not known whether the request was released ({reason})\n  remedy: run `galenastreamctl quarantine list`; release it again if it is still refused"
+    )]
+    ReleaseOutcomeUnknown {
+        /// Error of the connection.
+        reason: String,
+    },
+    /// The row of the quarantine cannot be decoded.
+    #[error(
+        "the quarantine in the store cannot be read: {reason}\n  remedy: use the galenastreamctl of the release that the nodes run"
+    )]
+    UnreadableQuarantine {
+        /// Error of the decoder.
+        reason: String,
+    },
     /// The store did not answer, refused the call, or sent an answer that cannot be decoded.
     #[error(
         "the call to the store at {address} failed ({reason}); nothing was changed\n  remedy: check --store, and try again when the store answers"
@@ -142,13 +158,16 @@
             | Self::Missing { .. }
             | Self::InvalidConfig { .. }
             | Self::UnreadableAssignment { .. }
+            | Self::UnreadableQuarantine { .. }
             | Self::UnknownName { .. }
             | Self::RequestNotInLogs { .. }
             | Self::KeyNotInLogs { .. }
             | Self::Runtime { .. } => ExitStatus::Failure,
             Self::Conflict { .. } => ExitStatus::Conflict,
             Self::StoreCallFailed { .. } => ExitStatus::StoreCallFailed,
-            Self::ApplyOutcomeUnknown { .. } => ExitStatus::OutcomeUnknown,
+            Self::ApplyOutcomeUnknown { .. } | Self::ReleaseOutcomeUnknown { .. } => {
+                ExitStatus::OutcomeUnknown
+            }
         }
     }
 
--- a/crates/galenastream_ctl/src/request/mod.rs
+++ b/crates/galenastream_ctl/src/request/mod.rs
@@ -6,6 +6,7 @@
 mod key_history;
 mod members;
 mod platform_store;
+mod quarantine;
 mod ranges;
 mod settings_apply;
 mod settings_check;
@@ -30,6 +31,11 @@
             _ => Ok(()),
         },
         Some(("ranges", matches)) => ranges::run(matches, output).await,
+        Some(("quarantine", matches)) => match matches.subcommand() {
+            Some(("list", matches)) => quarantine::list(matches, output).await,
+            Some(("release", matches)) => quarantine::release(matches, output).await,
+            _ => Ok(()),
+        },
         Some(("members", matches)) => members::run(matches, output).await,
         Some(("trace", matches)) => trace::run(matches, output),
         Some(("trace-key", matches)) => trace_key::run(matches, output),
--- a/crates/galenastream_ctl/src/request/platform_store.rs
+++ b/crates/galenastream_ctl/src/request/platform_store.rs
@@ -61,6 +61,19 @@
         Ok(TreeInForce { version, toml, tree })
     }
 
+    /// Writes a shared row if it still has the expected version. Returns the new version.
+    pub(crate) async fn write_row(
+        &mut self,
+        key: String,
+        expected_version: u64,
+        value: Bytes,
+    ) -> Result<u64, StoreError> {
+        let condition = [ExpectedRow { key: key.clone(), version: expected_version }];
+        let writes = [RowWrite::Put { key, value }];
+        let timeout = self.answer_timeout;
+        self.connection.commit(SHARED_ROWS_TABLE, &condition, &writes, timeout).await
+    }
+
     /// Writes a tree if the one in force still has the expected version. Returns the new version.
     pub(crate) async fn write_tree(
         &mut self,
@@ -68,13 +81,8 @@
         toml: &str,
     ) -> Result<u64, CtlError> {
         let key = SharedRowKey::SettingsTree.key();
-        let condition = [ExpectedRow { key: key.clone(), version: expected_version }];
-        let writes = [RowWrite::Put { key, value: Bytes::copy_from_slice(toml.as_bytes()) }];
-        match self
-            .connection
-            .commit(SHARED_ROWS_TABLE, &condition, &writes, self.answer_timeout)
-            .await
-        {
+        let value = Bytes::copy_from_slice(toml.as_bytes());
+        match self.write_row(key, expected_version, value).await {
             Ok(version) => Ok(version),
             Err(StoreError::Conflict { rows }) => {
                 let in_force = rows.first().map_or(0, |it| it.version);
--- a/crates/galenastream_ctl/tests/command_line.rs
+++ b/crates/galenastream_ctl/tests/command_line.rs
@@ -37,13 +37,14 @@
             Usage: galenastreamctl [OPTIONS] <COMMAND>
 
             Commands:
-              settings   Checks, compares, applies, shows and explains the settings tree
-              config     Checks and explains the config of routes and services
-              ranges     Shows the owner and the fencing token of each key range, and pending moves
-              members    Lists the nodes with their target, versions in force, roles, leases and drain state
-              trace      Traces a request by its id through the logs of nodes
-              trace-key  Lists who held a key, by the logs of nodes
-              help       Print this message or the help of the given subcommand(s)
+              settings    Checks, compares, applies, shows and explains the settings tree
+              config      Checks and explains the config of routes and services
+              ranges      Shows the owner and the fencing token of each key range, and pending moves
+              quarantine  Lists and releases requests that nodes refuse because they crash targets
+              members     Lists the nodes with their target, versions in force, roles, leases and drain state
+              trace       Traces a request by its id through the logs of nodes
+              trace-key   Lists who held a key, by the logs of nodes
+              help        Print this message or the help of the given subcommand(s)
 
             Options:
                   --output <FORMAT>
--- a/crates/galenastream_ctl/tests/deployment.rs
+++ b/crates/galenastream_ctl/tests/deployment.rs
@@ -6,9 +6,12 @@
     time::Duration,
 };
 
+use galenastream_routing::{RequestContent, RequestFingerprint};
 use galenastream_standin::{
     DeploymentPlan, LocalDeployment, StoreFault, TargetAnswerFault, wait_until,
 };
+use galenastream_wire::{CrashEntry, QuarantineRow, SuspectRecord};
+use prost::Message;
 use serde_json::Value;
 
 const WAIT_TIMEOUT: Duration = Duration::from_secs(15);
@@ -156,3 +159,65 @@
     assert_eq!(explained["route"]["is_idempotent"], false, "the route allows no retry");
     deployment.close().unwrap();
 }
+
+/// The row of a quarantine with one request, under which three targets have crashed.
+fn quarantine_row(fingerprint: RequestFingerprint) -> Vec<u8> {
+    let crash = |id| CrashEntry { id, was_suspected: id > 1, is_cleared: false };
+    let record = SuspectRecord {
+        fingerprint: fingerprint.to_bytes().to_vec().into(),
+        crashes: (1..=3).map(crash).collect(),
+        description: "GET shop.example/stock/bad".to_owned(),
+        was_quarantined: true,
+    };
+    QuarantineRow { records: vec![record] }.encode_to_vec()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_in_quarantine_is_listed_and_runs_again_after_its_release() {
+    let (deployment, store) = start_deployment("ctl-quarantine", &["stock", "stock"]).await;
+    let empty = run_ctl(&["quarantine", "list", "--store", &store]).stdout;
+    assert_eq!(empty, "no request is in quarantine\n");
+    let fingerprint = RequestFingerprint::of(&RequestContent {
+        method: "GET",
+        host: "shop.example",
+        path: "/stock/bad",
+        caller_service: b"stock",
+        body: b"",
+    });
+    deployment.store.put("galenastream", "quarantine", &quarantine_row(fingerprint));
+    for vm in &deployment.vms {
+        // An answer before would clear the request.
+        wait_until("the request to be in quarantine", WAIT_TIMEOUT, async || {
+            vm.log().iter().any(|it| it["kvs"]["event"] == "request_quarantined")
+        })
+        .await
+        .unwrap();
+        let answer = vm.caller().await.unwrap().get("/stock/bad", "bad", None).await.unwrap();
+        assert_eq!(answer.status, 503, "{answer:?}");
+        assert!(answer.body.contains("quarantined"), "{answer:?}");
+        assert_eq!(answer.header("retry-after"), Some("60.000"));
+        let other = vm.caller().await.unwrap().get("/stock/good", "good", None).await.unwrap();
+        assert_eq!(other.status, 200, "{other:?}");
+    }
+    let fingerprint = fingerprint.to_string();
+    let listed = run_ctl_json(&["quarantine", "list", "--store", &store]);
+    let request = &listed["requests"][0];
+    assert_eq!(request["fingerprint"], *fingerprint);
+    assert_eq!((&request["state"], &request["crashes"]), (&"refused".into(), &3.into()));
+    assert_eq!(request["request"], "GET shop.example/stock/bad");
+    let unknown = run_ctl(&["quarantine", "release", "0123", "--store", &store]);
+    assert!(unknown.code == 1 && unknown.stderr.contains(&fingerprint), "{}", unknown.stderr);
+    let released = run_ctl(&["quarantine", "release", &fingerprint, "--store", &store]);
+    assert_eq!(released.code, 0, "{}", released.stderr);
+    for vm in &deployment.vms {
+        wait_until("the request to run", WAIT_TIMEOUT, async || {
+            let answer = vm.caller().await.unwrap().get("/stock/bad", "ok", None).await.unwrap();
+            answer.status == 200
+        })
+        .await
+        .unwrap();
+    }
+    let listed = run_ctl(&["quarantine", "list", "--store", &store]).stdout;
+    assert!(listed.contains("released"), "{listed}");
+    deployment.close().unwrap();
+}
--- a/crates/galenastream_node/src/process/mod.rs
+++ b/crates/galenastream_node/src/process/mod.rs
@@ -55,7 +55,7 @@
 pub use logs::{flush_log, start_log};
 pub use metrics_page::render_metrics;
 pub use remembered_announcements::{RememberedAnnouncements, earliest};
-pub use request_quarantine::{RequestQuarantine, describe_request};
+pub use request_quarantine::{RequestQuarantine, decode_suspect, describe_request, encode_suspect};
 pub use status_page::{LeasePage, STATUS_PATH, StatusPage, TargetPage};
 pub use target_limit::TargetLimit;
 pub use target_probe::{ProbeAnswer, TargetProbe};
