Let copies of a suspected request wait for each other

Copies of an innocent request that came to be suspected were refused while one of them ran. They wait now; the answer to the first clears them all. If the first one crashes its target, the next goes on with one crash more.

--- a/crates/galenastream_node/src/process/mod.rs
+++ b/crates/galenastream_node/src/process/mod.rs
@@ -59,6 +59,6 @@
 pub use status_page::{LeasePage, STATUS_PATH, StatusPage, TargetPage};
 pub use target_limit::TargetLimit;
 pub use target_probe::{ProbeAnswer, TargetProbe};
-pub use traffic_state::{CountGuard, TrafficState};
+pub use traffic_state::{CountGuard, RunningSuspect, TrafficState};
 pub use traffic_tally::TrafficTally;
 pub use written_row::WrittenRow;
--- a/crates/galenastream_node/src/process/traffic_state.rs
+++ b/crates/galenastream_node/src/process/traffic_state.rs
@@ -17,6 +17,7 @@
 use galenastream_settings::EffectiveSettings;
 use galenastream_utils::{BootInstant, FastMap, FastSet};
 use galenastream_wire::TargetAnnouncement;
+use tokio::sync::{Notify, futures::Notified};
 
 use super::{
     ControlEvent, LocalAnnouncement, LocalTarget, NodeContext, RememberedAnnouncements,
@@ -69,6 +70,8 @@
     limit_trials: Mutex<LimitTrials>,
     /// The suspected requests that the local target is running.
     running_suspects: Mutex<FastSet<RequestFingerprint>>,
+    /// Notified when the run of a suspected request has ended.
+    suspect_ended: Notify,
 }
 
 /// A suspected request that the local target is running, until it is dropped.
@@ -111,6 +114,7 @@
             remembered: Mutex::default(),
             limit_trials: Mutex::new(LimitTrials::new(rand::random())),
             running_suspects: Mutex::default(),
+            suspect_ended: Notify::new(),
         }
     }
 
@@ -283,6 +287,11 @@
         is_first.then_some(RunningSuspect { traffic: self, fingerprint })
     }
 
+    /// Completes when the run of a suspected request has ended, counted from this call.
+    pub fn suspect_ended(&self) -> Notified<'_> {
+        self.suspect_ended.notified()
+    }
+
     /// The service on this VM, on which the requests of callers originate.
     pub fn caller_service(&self) -> String {
         match &self.context.directory.load().local {
@@ -302,6 +311,7 @@
 impl Drop for RunningSuspect<'_> {
     fn drop(&mut self) {
         lock(&self.traffic.running_suspects).remove(&self.fingerprint);
+        self.traffic.suspect_ended.notify_waiters();
     }
 }
 
--- a/crates/galenastream_node/src/request/target_run.rs
+++ b/crates/galenastream_node/src/request/target_run.rs
@@ -1,6 +1,7 @@
 //! Admission and execution of a request at the node beside its target.
 
 use std::{
+    pin::pin,
     sync::{Arc, atomic::Ordering},
     time::Duration,
 };
@@ -27,7 +28,9 @@
 };
 use crate::{
     connection::TargetResult,
-    process::{ControlEvent, CountGuard, LocalTarget, TrafficState, describe_request},
+    process::{
+        ControlEvent, CountGuard, LocalTarget, RunningSuspect, TrafficState, describe_request,
+    },
 };
 
 /// Maximum time that a request waits for the target's lease on its key. Once the key is assigned to
@@ -146,9 +149,14 @@
     (soft_deadline, deadline): (Deadline, Deadline),
     caller_left: &CancellationToken,
 ) -> ForwardedReply {
-    if traffic.context.quarantine.suspicion(fingerprint) == Suspicion::Quarantined {
-        return not_sent(ReplyReason::Quarantined, QUARANTINED_RETRY_AFTER_MS);
-    }
+    let turn = tokio::select! {
+        turn = wait_for_turn(traffic, fingerprint, deadline) => turn,
+        () = caller_left.cancelled() => return not_sent(ReplyReason::CallerLeft, 0),
+    };
+    let mut turn = match turn {
+        Ok(turn) => turn,
+        Err(reply) => return *reply,
+    };
     let runnable = tokio::select! {
         runnable = wait_for_lease(traffic, &request, deadline) => runnable,
         () = caller_left.cancelled() => return not_sent(ReplyReason::CallerLeft, 0),
@@ -186,17 +194,13 @@
     if let Err(reply) = check_runnable(traffic, &request) {
         return reply;
     }
-    let suspicion = traffic.context.quarantine.suspicion(fingerprint);
-    let _running = match suspicion {
-        Suspicion::None => None,
-        Suspicion::Suspected => match traffic.begin_suspect(fingerprint) {
-            Some(running) => Some(running),
-            None => return not_sent(ReplyReason::SuspectRunning, SUSPECT_RETRY_AFTER_MS),
-        },
-        Suspicion::Quarantined => {
-            return not_sent(ReplyReason::Quarantined, QUARANTINED_RETRY_AFTER_MS);
-        }
-    };
+    // A target may have crashed under the request while it waited in the queue.
+    if turn.is_none() || is_quarantined(traffic, fingerprint) {
+        turn = match wait_for_turn(traffic, fingerprint, deadline).await {
+            Ok(turn) => turn,
+            Err(reply) => return *reply,
+        };
+    }
     let Some(outgoing) = http_request(&request, deadline) else {
         return not_sent(ReplyReason::Invalid, 0);
     };
@@ -212,7 +216,7 @@
     let is_lost = matches!(result, TargetResult::Unknown { .. });
     let mut reply = reply_from_result(traffic, &request, began_at, result);
     if is_lost {
-        record_lost_run(traffic, &request, fingerprint, suspicion);
+        record_lost_run(traffic, &request, fingerprint, turn.is_some());
         if has_crashed(traffic, &request).await {
             record_crash(traffic, &request);
             reply.reason = ReplyReason::TargetCrashed as i32;
@@ -228,17 +232,52 @@
     reply
 }
 
+/// Waits until a request that is suspected of crashing targets may run here: after all other runs of
+/// it. Returns no turn if it is not suspected, and the reply to send back if it must not run.
+async fn wait_for_turn(
+    traffic: &TrafficState,
+    fingerprint: RequestFingerprint,
+    deadline: Deadline,
+) -> Result<Option<RunningSuspect<'_>>, Box<ForwardedReply>> {
+    loop {
+        let mut ended = pin!(traffic.suspect_ended());
+        ended.as_mut().enable();
+        match traffic.context.quarantine.suspicion(fingerprint) {
+            Suspicion::None => return Ok(None),
+            Suspicion::Suspected => {}
+            Suspicion::Quarantined => {
+                let reply = not_sent(ReplyReason::Quarantined, QUARANTINED_RETRY_AFTER_MS);
+                return Err(Box::new(reply));
+            }
+        }
+        if let Some(turn) = traffic.begin_suspect(fingerprint) {
+            return Ok(Some(turn));
+        }
+        tokio::select! {
+            () = ended => {}
+            () = sleep_until(deadline.at()) => {
+                let reply = not_sent(ReplyReason::SuspectRunning, SUSPECT_RETRY_AFTER_MS);
+                return Err(Box::new(reply));
+            }
+        }
+    }
+}
+
+fn is_quarantined(traffic: &TrafficState, fingerprint: RequestFingerprint) -> bool {
+    traffic.context.quarantine.suspicion(fingerprint) == Suspicion::Quarantined
+}
+
 /// Records a run whose connection broke, in case that the target has ended.
 fn record_lost_run(
     traffic: &TrafficState,
     request: &ForwardedRequest,
     fingerprint: RequestFingerprint,
-    suspicion: Suspicion,
+    was_suspected: bool,
 ) {
     traffic.context.quarantine.record_lost_run(LostRun {
         fingerprint,
         crash: CrashId::of(&request.target_id, request.target_born_ms),
-        was_suspected: suspicion != Suspicion::None,
+        was_suspected,
         description: describe_request(&request.method, &request.host, &request.path),
         lost_at: boot_now(),
     });
