Simulate the spread of the quarantine

Nodes in virtual time, statuses of which a tenth is lost, a caller that repeats a crashing request at any node, at times three at once, beside a popular request.

--- a/crates/galenastream_node/src/connection/peer_links.rs
+++ b/crates/galenastream_node/src/connection/peer_links.rs
@@ -258,10 +258,7 @@
         {
             target.key_loads.clear();
         }
-        // Also a node that has restarted, or was cut off, has to refuse the same requests.
-        if node.quarantine_digest != status.quarantine_digest {
-            status.suspects.extend(traffic.context.quarantine.quarantined());
-        }
+        traffic.context.quarantine.add_missing(&mut status, node.quarantine_digest);
         tokio::spawn(async move {
             let acknowledged = traffic.links.send_status(key, address, status).await;
             // Most nodes do not confirm the config, and their acknowledgements say nothing.
--- a/crates/galenastream_node/src/process/request_quarantine.rs
+++ b/crates/galenastream_node/src/process/request_quarantine.rs
@@ -7,7 +7,7 @@
     CrashId, CrashRecord, LostRun, Quarantine, RequestFingerprint, Suspect, Suspicion,
 };
 use galenastream_utils::BootInstant;
-use galenastream_wire::{CrashEntry, QuarantineRow, SuspectRecord};
+use galenastream_wire::{CrashEntry, NodeStatus, QuarantineRow, SuspectRecord};
 use metrics::{counter, gauge};
 use prost::bytes::Bytes;
 
@@ -99,6 +99,14 @@
         self.lock().quarantined().into_iter().map(encode_suspect).collect()
     }
 
+    /// Adds the records to a status that its receiver lacks, by the digest that the receiver stated
+    /// last: it may have restarted or have been cut off.
+    pub fn add_missing(&self, status: &mut NodeStatus, known_digest: u64) {
+        if status.quarantine_digest != known_digest {
+            status.suspects.extend(self.quarantined());
+        }
+    }
+
     /// The row of the store with these records.
     pub fn row(&self) -> QuarantineRow {
         let mut records = self.quarantined();
--- a/crates/galenastream_node/tests/ownership/main.rs
+++ b/crates/galenastream_node/tests/ownership/main.rs
@@ -4,6 +4,7 @@
 
 mod clock_bounds;
 mod config_doubt;
+mod crashing_deployment;
 mod faults;
 mod fixtures;
 mod healthy_store;
@@ -18,6 +19,7 @@
 mod node_clock;
 mod other_processes;
 mod probes;
+mod quarantine_spread;
 mod silent_nodes;
 mod simulation;
 mod single_node;
