Stand-in targets that a request crashes

A request whose last path segment begins with `crash` crashes the target that runs it, after `CrashPlan::run_time`: heartbeats end, the listener and all connections close. The VM starts another incarnation with a new id after `CrashPlan::restart_delay`, while `LocalDeployment::run_for` (or `restart_crashed_targets`) runs; a proxy in front of the target refuses connections until then. `TargetHistory` states when each incarnation ended and which request crashed it, and arrivals state path and caller service.

--- a/crates/galenastream_standin/src/deployment/deployment_plan.rs
+++ b/crates/galenastream_standin/src/deployment/deployment_plan.rs
@@ -4,7 +4,7 @@
 
 use serde_json::Value;
 
-use crate::{LimitFields, RouteFields, TargetCapacity, TargetConduct, config_document};
+use crate::{CrashPlan, LimitFields, RouteFields, TargetCapacity, TargetConduct, config_document};
 
 /// The plan of a local deployment.
 #[derive(Debug, Clone)]
@@ -34,6 +34,8 @@
     pub capacity: TargetCapacity,
     /// What the target does that its protocol allows.
     pub conduct: TargetConduct,
+    /// How the target crashes under requests that crash their targets, and starts again.
+    pub crash: CrashPlan,
 }
 
 impl DeploymentPlan {
@@ -100,6 +102,7 @@
             data_centre: "east".to_owned(),
             capacity: TargetCapacity::default(),
             conduct: TargetConduct::default(),
+            crash: CrashPlan::default(),
         }
     }
 
@@ -117,4 +120,9 @@
     pub fn with_conduct(self, conduct: TargetConduct) -> Self {
         Self { conduct, ..self }
     }
+
+    /// Sets how the target crashes and starts again.
+    pub fn with_crash(self, crash: CrashPlan) -> Self {
+        Self { crash, ..self }
+    }
 }
--- a/crates/galenastream_standin/src/deployment/local_deployment.rs
+++ b/crates/galenastream_standin/src/deployment/local_deployment.rs
@@ -3,10 +3,11 @@
 use std::{
     net::{IpAddr, Ipv4Addr},
     sync::atomic::{AtomicU16, Ordering},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use anyhow::Context;
+use tokio::time::sleep;
 
 use super::vm_links::PEER_PORT_REPLACEMENT;
 use crate::{
@@ -16,6 +17,9 @@
 /// The timeout of each step of the start; several times what a busy machine needs.
 const START_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// The time between two looks for crashed targets.
+const RESTART_INTERVAL: Duration = Duration::from_millis(10);
+
 /// The number of keys of a service whose targets hold keys.
 const KEY_COUNT: usize = 65_536;
 
@@ -102,6 +106,24 @@
         Ok(())
     }
 
+    /// Runs the deployment for a period, and starts the targets again that requests crash.
+    pub async fn run_for(&mut self, period: Duration) -> anyhow::Result<()> {
+        let until = Instant::now() + period;
+        while Instant::now() < until {
+            self.restart_crashed_targets().await?;
+            sleep(RESTART_INTERVAL.min(until.saturating_duration_since(Instant::now()))).await;
+        }
+        Ok(())
+    }
+
+    /// Starts the targets again that requests have crashed and whose delay is over.
+    pub async fn restart_crashed_targets(&mut self) -> anyhow::Result<()> {
+        for vm in &mut self.vms {
+            vm.restart_crashed_target().await?;
+        }
+        Ok(())
+    }
+
     /// Returns the histories of all targets, also of those that were replaced.
     pub fn histories(&self) -> Vec<TargetHistory> {
         self.vms.iter().flat_map(LocalVm::histories).collect()
--- a/crates/galenastream_standin/src/deployment/local_vm.rs
+++ b/crates/galenastream_standin/src/deployment/local_vm.rs
@@ -147,6 +147,21 @@
         Ok(())
     }
 
+    /// Starts another target in the place of one that a request has crashed, once the delay of the
+    /// plan is over. Until then, the address refuses connections, also that of a proxy.
+    pub async fn restart_crashed_target(&mut self) -> anyhow::Result<()> {
+        let Some(end) = self.target.end().filter(|it| it.crashed_by.is_some()) else {
+            return Ok(());
+        };
+        if end.at.elapsed() >= self.plan.crash.restart_delay {
+            return self.replace_target().await;
+        }
+        if let Some(links) = &self.links {
+            links.set_target_refuses(true);
+        }
+        Ok(())
+    }
+
     /// Stops the target abruptly, as a crash does, and starts one at its address that answers with
     /// `answer`.
     pub async fn start_endless_target(
@@ -316,6 +331,7 @@
         heartbeat_interval,
         capacity: vm.capacity,
         conduct: vm.conduct,
+        crash: vm.crash,
         started_unix_ms: vm.conduct.states_start.then(unix_ms),
     }
 }
--- a/crates/galenastream_standin/src/platform_target/mod.rs
+++ b/crates/galenastream_standin/src/platform_target/mod.rs
@@ -9,6 +9,7 @@
 mod platform_target_standin;
 mod target_announcement;
 mod target_conduct;
+mod target_crash;
 mod target_history;
 mod target_leases;
 #[cfg(test)]
@@ -22,5 +23,6 @@
 pub use platform_target_standin::PlatformTargetStandin;
 pub use target_announcement::{TargetAnnouncement, TargetArrival};
 pub use target_conduct::TargetConduct;
+pub use target_crash::{CrashPlan, TargetEnd, crashes_targets};
 pub use target_history::{HeldSpan, LimitSpan, TargetHistory, TargetRun};
 pub use target_plan::{TargetCapacity, TargetPlan};
--- a/crates/galenastream_standin/src/platform_target/platform_target_standin.rs
+++ b/crates/galenastream_standin/src/platform_target/platform_target_standin.rs
@@ -3,20 +3,23 @@
 use std::{
     convert::Infallible,
     net::SocketAddr,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex, MutexGuard, PoisonError, Weak},
     time::{Duration, Instant},
 };
 
 use http::{HeaderMap, HeaderValue, Method, StatusCode};
-use tokio::{sync::Semaphore, task::JoinHandle};
+use tokio::{
+    sync::{Notify, Semaphore},
+    task::{AbortHandle, JoinHandle},
+};
 use volo::service::Service;
 use volo_http::{
     body::Body, client::Client, context::ServerContext, request::Request, response::Response,
 };
 
 use super::{
-    LimitSpan, TargetAnnouncement, TargetAnswerFault, TargetArrival, TargetCapacity, TargetHistory,
-    TargetPlan, TargetRun,
+    CrashPlan, LimitSpan, TargetAnnouncement, TargetAnswerFault, TargetArrival, TargetCapacity,
+    TargetEnd, TargetHistory, TargetPlan, TargetRun, crashes_targets,
     heartbeat_sender::send_heartbeats,
     target_leases::{HeartbeatReply, TargetLeases},
 };
@@ -31,7 +34,7 @@
 /// A target that serves requests over HTTP and sends heartbeats to the node beside it.
 #[derive(Debug)]
 pub struct PlatformTargetStandin {
-    server: HttpServer,
+    server: Arc<HttpServer>,
     state: Arc<TargetState>,
     heartbeats: JoinHandle<()>,
     control: SocketAddr,
@@ -43,6 +46,7 @@
     pub(super) service: String,
     pub(super) capacity: TargetCapacity,
     pub(super) started_unix_ms: Option<u64>,
+    crash: CrashPlan,
     slots: Semaphore,
     leases: Mutex<TargetLeases>,
     fault: Mutex<TargetAnswerFault>,
@@ -52,6 +56,9 @@
     /// The limits announced so far; the last one may still be announced.
     limits: Mutex<Vec<LimitSpan>>,
     runs: Mutex<Vec<TargetRun>>,
+    end: Mutex<Option<TargetEnd>>,
+    /// Notified when a request crashes the target.
+    crashes: Notify,
 }
 
 #[derive(Debug, Clone)]
@@ -63,7 +70,8 @@
     /// Starts a target and its heartbeats.
     pub async fn start(plan: &TargetPlan) -> anyhow::Result<Self> {
         let state = Arc::new(TargetState::new(plan));
-        let server = HttpServer::start(plan.address, TargetService { state: state.clone() })?;
+        let service = TargetService { state: state.clone() };
+        let server = Arc::new(HttpServer::start(plan.address, service)?);
         let sender = send_heartbeats(
             state.clone(),
             plan.advertised_address,
@@ -71,6 +79,9 @@
             plan.heartbeat_interval,
         );
         let heartbeats = tokio::spawn(sender);
+        // A target that is dropped ends at once, so the task must not keep its server.
+        let server_to_stop = Arc::downgrade(&server);
+        tokio::spawn(stop_on_crash(state.clone(), server_to_stop, heartbeats.abort_handle()));
         Ok(Self { server, state, heartbeats, control: plan.control })
     }
 
@@ -128,9 +139,15 @@
             held: self.state.leases().spans(),
             arrivals: self.arrivals(),
             limits: self.state.limits_until(Instant::now()),
+            end: self.end(),
         }
     }
 
+    /// Returns the end of the target, or `None` while it runs.
+    pub fn end(&self) -> Option<TargetEnd> {
+        lock(&self.state.end).clone()
+    }
+
     /// Stops listening. Heartbeats go on for a moment, and open connections are served until
     /// [`crash`](Self::crash).
     pub fn stop_listening(&self) {
@@ -145,6 +162,7 @@
     /// Stops listening and sending heartbeats abruptly, as a crash does. The history stays
     /// available.
     pub fn crash(&self) {
+        self.state.set_end(None);
         self.heartbeats.abort();
         self.server.stop();
         self.state.leases().end();
@@ -163,6 +181,7 @@
             service: plan.service.clone(),
             slots: Semaphore::new(plan.capacity.slots as usize),
             capacity: plan.capacity,
+            crash: plan.crash,
             started_unix_ms: plan.started_unix_ms,
             leases: Mutex::new(TargetLeases::new(plan.conduct)),
             fault: Mutex::default(),
@@ -171,9 +190,17 @@
             arrivals: Mutex::default(),
             limits: Mutex::default(),
             runs: Mutex::default(),
+            end: Mutex::default(),
+            crashes: Notify::new(),
         }
     }
 
+    /// Records the end of the target. Of several causes, the first one counts.
+    fn set_end(&self, crashed_by: Option<String>) {
+        let end = TargetEnd { at: Instant::now(), crashed_by };
+        lock(&self.end).get_or_insert(end);
+    }
+
     pub(super) fn leases(&self) -> MutexGuard<'_, TargetLeases> {
         lock(&self.leases)
     }
@@ -269,8 +296,15 @@
         }
         let headers = request.headers().clone();
         let request_id = header_text(&headers, "x-request-id").to_owned();
-        lock(&self.state.arrivals)
-            .push(TargetArrival { request_id: request_id.clone(), arrived_at: Instant::now() });
+        let path = request.uri().path_and_query().map_or("", |it| it.as_str()).to_owned();
+        let caller_service = header_text(&headers, "x-caller-service").to_owned();
+        let crashes_target = crashes_targets(&path);
+        lock(&self.state.arrivals).push(TargetArrival {
+            request_id: request_id.clone(),
+            path,
+            caller_service: caller_service.clone(),
+            arrived_at: Instant::now(),
+        });
         let expected = header_text(&headers, "x-expected-instance");
         if !expected.is_empty() && expected != self.state.id {
             return not_executed_reply(StatusCode::MISDIRECTED_REQUEST, &request_id);
@@ -301,7 +335,7 @@
         };
         lock(&self.state.runs).push(TargetRun {
             request_id: request_id.clone(),
-            caller_service: header_text(&headers, "x-caller-service").to_owned(),
+            caller_service,
             deadline_ms: header_text(&headers, "x-deadline-ms").parse().unwrap_or(0),
             key,
             changes_state,
@@ -312,12 +346,21 @@
             TargetAnswerFault::Slow(time) => time,
             _ => Duration::ZERO,
         };
-        if !self.state.run(key, self.state.capacity.service_time + extra_time).await {
+        let run_time = match crashes_target {
+            true => self.state.crash.run_time,
+            false => self.state.capacity.service_time + extra_time,
+        };
+        if !self.state.run(key, run_time).await {
             let status = StatusCode::INTERNAL_SERVER_ERROR;
             self.state.set_run_status(&request_id, status);
             let text = format!("{} ended {request_id} with its lease", self.state.id);
             return self.signed(named(status, text, &request_id), &request_id);
         }
+        if crashes_target {
+            self.state.set_end(Some(request_id));
+            self.state.crashes.notify_one();
+            return std::future::pending().await;
+        }
         let text = format!("{} ran {request_id} with {} bytes", self.state.id, body.len());
         let signed = |id: &str| self.signed(named(status, text.clone(), id), id);
         match fault {
@@ -341,6 +384,16 @@
     }
 }
 
+/// Ends a target when a request crashes it: its listener, its connections and its heartbeats.
+async fn stop_on_crash(state: Arc<TargetState>, server: Weak<HttpServer>, heartbeats: AbortHandle) {
+    state.crashes.notified().await;
+    heartbeats.abort();
+    if let Some(server) = server.upgrade() {
+        server.stop();
+    }
+    state.leases().end();
+}
+
 /// Returns a text reply that names its request by id.
 fn named(status: StatusCode, text: String, request_id: &str) -> Response {
     let mut response = text_reply(status, text);
--- a/crates/galenastream_standin/src/platform_target/target_announcement.rs
+++ b/crates/galenastream_standin/src/platform_target/target_announcement.rs
@@ -18,6 +18,10 @@
 pub struct TargetArrival {
     /// The id of the request.
     pub request_id: String,
+    /// The path of the request with its query.
+    pub path: String,
+    /// The service of the VM where the request entered, from its headers.
+    pub caller_service: String,
     /// When the request arrived.
     pub arrived_at: Instant,
 }
--- /dev/null
+++ b/crates/galenastream_standin/src/platform_target/target_crash.rs
@@ -0,0 +1,37 @@
+//! Requests that crash their targets.
+
+use std::time::{Duration, Instant};
+
+/// The last segment of the path of a request that crashes its target begins with this.
+const CRASHING_SEGMENT: &str = "crash";
+
+/// How a target crashes under a request that [`crashes_targets`], and starts again.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CrashPlan {
+    /// How long the request runs until the target crashes.
+    pub run_time: Duration,
+    /// How long after the crash another incarnation starts at the address of the target.
+    pub restart_delay: Duration,
+}
+
+impl Default for CrashPlan {
+    fn default() -> Self {
+        Self { run_time: Duration::from_millis(50), restart_delay: Duration::from_secs(1) }
+    }
+}
+
+/// The end of a target.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct TargetEnd {
+    /// When the target ended.
+    pub at: Instant,
+    /// The id of the request that crashed the target; `None` if it ended for another reason.
+    pub crashed_by: Option<String>,
+}
+
+/// Returns whether a request with this path, with or without a query, crashes the target that runs
+/// it.
+pub fn crashes_targets(path: &str) -> bool {
+    let path = path.split('?').next().unwrap_or_default();
+    path.rsplit('/').next().is_some_and(|it| it.starts_with(CRASHING_SEGMENT))
+}
--- a/crates/galenastream_standin/src/platform_target/target_history.rs
+++ b/crates/galenastream_standin/src/platform_target/target_history.rs
@@ -2,7 +2,7 @@
 
 use std::time::Instant;
 
-use super::TargetArrival;
+use super::{TargetArrival, TargetEnd};
 
 /// The history of a target, for [`check_invariants`](crate::check_invariants).
 #[derive(Debug, Clone)]
@@ -19,6 +19,8 @@
     pub arrivals: Vec<TargetArrival>,
     /// The request limits that the target announced.
     pub limits: Vec<LimitSpan>,
+    /// The end of the target; `None` while it runs.
+    pub end: Option<TargetEnd>,
 }
 
 /// A request limit that a target announced, and for how long.
@@ -45,7 +47,7 @@
     pub key: Option<u16>,
     /// Whether the request changes state and thus may run only once: its method is not GET.
     pub changes_state: bool,
-    /// The status with which the target answers the request.
+    /// The status with which the target answers the request, unless it ends before.
     pub status: u16,
     /// When the target started the request.
     pub began_at: Instant,
--- a/crates/galenastream_standin/src/platform_target/target_plan.rs
+++ b/crates/galenastream_standin/src/platform_target/target_plan.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use super::TargetConduct;
+use super::{CrashPlan, TargetConduct};
 
 /// The plan of a target.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -23,6 +23,8 @@
     pub capacity: TargetCapacity,
     /// What the target does that its protocol allows.
     pub conduct: TargetConduct,
+    /// How the target crashes under requests that crash their targets.
+    pub crash: CrashPlan,
     /// The Unix time in milliseconds that heartbeats state as the start of the target, if any.
     pub started_unix_ms: Option<u64>,
 }
--- a/crates/galenastream_standin/tests/judge.rs
+++ b/crates/galenastream_standin/tests/judge.rs
@@ -23,6 +23,7 @@
             held: Vec::new(),
             arrivals: Vec::new(),
             limits: Vec::new(),
+            end: None,
         };
         let histories = vec![history("t-0"), history("t-1")];
         Self { began_at: Instant::now(), histories, samples: Vec::new() }
@@ -62,7 +63,12 @@
         history.limits.push(LimitSpan { per_s: 2.0, from: at(0), until: at(8_000) });
         for number in 0..count {
             let arrived_at = at(first_arrival_ms + number * 100);
-            history.arrivals.push(TargetArrival { request_id: String::new(), arrived_at });
+            history.arrivals.push(TargetArrival {
+                request_id: String::new(),
+                path: "/carts/1".to_owned(),
+                caller_service: "stock".to_owned(),
+                arrived_at,
+            });
         }
         self
     }
