Repeats of requests that crash their targets; tests that fail

`CallerLoad` of the stand-ins has callers that send the same request, or distinct ones, again and again at some nodes, with method, path, body and pause; `load_from` uses it in place of its own loop. A body that begins with `crash` crashes the target too, so that two requests may differ in their body alone. `tests/platform/crashing_requests.rs` has real nodes: the budget, the same with a silent store, with one node and with all nodes restarted, and for orders; and guards for ordinary requests beside crashes, replacements and drains, and for orders, which run at most once.

--- a/crates/galenastream_node/tests/platform/announced_leave.rs
+++ b/crates/galenastream_node/tests/platform/announced_leave.rs
@@ -3,10 +3,10 @@
 use std::time::{Duration, Instant};
 
 use galenastream_adapter::header_names;
-use galenastream_standin::{LocalDeployment, TargetAnnouncement, TargetArrival};
+use galenastream_standin::{LocalDeployment, SentRequest, TargetAnnouncement, TargetArrival};
 
 use super::{
-    announcement_load::{SentRequest, entries, load_from, load_path},
+    announcement_load::{entries, load_from, load_path},
     deployment::start,
 };
 
--- a/crates/galenastream_node/tests/platform/main.rs
+++ b/crates/galenastream_node/tests/platform/main.rs
@@ -4,6 +4,7 @@
 mod announced_leave;
 mod announcement_load;
 mod config_confirmation;
+mod crashing_requests;
 mod deployment;
 mod endless_answer;
 mod forwarded;
--- a/crates/galenastream_node/tests/platform/request_limit.rs
+++ b/crates/galenastream_node/tests/platform/request_limit.rs
@@ -3,13 +3,13 @@
 use std::time::{Duration, Instant};
 
 use galenastream_standin::{
-    LocalDeployment, TargetAnnouncement, TargetAnswerFault, TargetArrival, check_invariants,
-    wait_until,
+    LocalDeployment, SentRequest, TargetAnnouncement, TargetAnswerFault, TargetArrival,
+    check_invariants, wait_until,
 };
 
 use super::{
     TIMEOUT, WORKS,
-    announcement_load::{SentRequest, entries, load_from, load_path},
+    announcement_load::{entries, load_from, load_path},
     deployment::start,
 };
 
--- a/crates/galenastream_standin/src/caller/caller_connection.rs
+++ b/crates/galenastream_standin/src/caller/caller_connection.rs
@@ -36,14 +36,18 @@
     /// Sends a GET request and reads its answer. Returns `None` if no complete answer arrives in
     /// time.
     pub async fn get(&mut self, path: &str, id: &str, key: Option<u16>) -> Option<CallerAnswer> {
-        self.send(request_bytes("GET", path, id, key).as_bytes()).await.ok()?;
-        self.read().await
+        self.exchange(&request_bytes("GET", path, id, key)).await
     }
 
     /// Sends a POST request and reads its answer. Returns `None` if no complete answer arrives in
     /// time.
     pub async fn post(&mut self, path: &str, id: &str) -> Option<CallerAnswer> {
-        self.send(request_bytes("POST", path, id, None).as_bytes()).await.ok()?;
+        self.exchange(&request_bytes("POST", path, id, None)).await
+    }
+
+    /// Sends a request and reads its answer. Returns `None` if no complete answer arrives in time.
+    pub(super) async fn exchange(&mut self, request: &str) -> Option<CallerAnswer> {
+        self.send(request.as_bytes()).await.ok()?;
         self.read().await
     }
 
@@ -70,9 +74,21 @@
 /// Returns the bytes of a request without a body and with a deadline of 1.5 s. Its header
 /// `X-Caller-Service` is forged; a node must replace it.
 pub fn request_bytes(method: &str, path: &str, id: &str, key: Option<u16>) -> String {
+    request_with_body(method, path, id, key, "")
+}
+
+/// Returns the bytes of a request like [`request_bytes`], with a body.
+pub(super) fn request_with_body(
+    method: &str,
+    path: &str,
+    id: &str,
+    key: Option<u16>,
+    body: &str,
+) -> String {
     let key = key.map_or_else(String::new, |it| format!("X-Shard-Key: {it}\r\n"));
     format!(
         "{method} {path} HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: {id}\r\n\
-         X-Deadline-Ms: 1500\r\nX-Caller-Service: forged\r\n{key}Content-Length: 0\r\n\r\n"
+         X-Deadline-Ms: 1500\r\nX-Caller-Service: forged\r\n{key}Content-Length: {}\r\n\r\n{body}",
+        body.len()
     )
 }
--- a/crates/galenastream_standin/src/caller/mod.rs
+++ b/crates/galenastream_standin/src/caller/mod.rs
@@ -3,6 +3,10 @@
 
 mod caller_answer;
 mod caller_connection;
+mod caller_load;
+mod sent_request;
 
 pub use caller_answer::CallerAnswer;
 pub use caller_connection::{CallerConnection, request_bytes};
+pub use caller_load::CallerLoad;
+pub use sent_request::SentRequest;
--- a/crates/galenastream_standin/src/deployment/local_vm.rs
+++ b/crates/galenastream_standin/src/deployment/local_vm.rs
@@ -16,7 +16,7 @@
 };
 use crate::{
     CallerAnswer, CallerConnection, DeploymentFolder, DeploymentPlan, EndlessAnswer, EndlessTarget,
-    HostSet, LinkFault, PlatformTargetStandin, Process, RowStoreStandin, SettingsFields,
+    HostSet, LinkFault, PlatformTargetStandin, Process, RowStoreStandin, SettingsFields, TargetEnd,
     TargetHistory, TargetPlan, VmPlan, settings_document, wait_until,
 };
 
@@ -189,6 +189,12 @@
         histories
     }
 
+    /// Returns the ends of all targets of the VM that have ended, in their order.
+    pub fn ends(&self) -> Vec<TargetEnd> {
+        let ended = self.ended_targets.iter().filter_map(|it| it.end.clone());
+        ended.chain(self.target.end()).collect()
+    }
+
     /// Returns whether a service answers requests of callers on this VM with status 200. For
     /// `carts`, these are requests for the lowest, a middle and the highest key.
     pub async fn reaches(&self, service: &str) -> bool {
--- a/crates/galenastream_standin/src/platform_target/mod.rs
+++ b/crates/galenastream_standin/src/platform_target/mod.rs
@@ -23,6 +23,7 @@
 pub use platform_target_standin::PlatformTargetStandin;
 pub use target_announcement::{TargetAnnouncement, TargetArrival};
 pub use target_conduct::TargetConduct;
+use target_crash::CRASHING_BODY;
 pub use target_crash::{CrashPlan, TargetEnd, crashes_targets};
 pub use target_history::{HeldSpan, LimitSpan, TargetHistory, TargetRun};
 pub use target_plan::{TargetCapacity, TargetPlan};
--- a/crates/galenastream_standin/src/platform_target/platform_target_standin.rs
+++ b/crates/galenastream_standin/src/platform_target/platform_target_standin.rs
@@ -18,8 +18,8 @@
 };
 
 use super::{
-    CrashPlan, LimitSpan, TargetAnnouncement, TargetAnswerFault, TargetArrival, TargetCapacity,
-    TargetEnd, TargetHistory, TargetPlan, TargetRun, crashes_targets,
+    CRASHING_BODY, CrashPlan, LimitSpan, TargetAnnouncement, TargetAnswerFault, TargetArrival,
+    TargetCapacity, TargetEnd, TargetHistory, TargetPlan, TargetRun, crashes_targets,
     heartbeat_sender::send_heartbeats,
     target_leases::{HeartbeatReply, TargetLeases},
 };
@@ -298,7 +298,7 @@
         let request_id = header_text(&headers, "x-request-id").to_owned();
         let path = request.uri().path_and_query().map_or("", |it| it.as_str()).to_owned();
         let caller_service = header_text(&headers, "x-caller-service").to_owned();
-        let crashes_target = crashes_targets(&path);
+        let has_crashing_path = crashes_targets(&path);
         lock(&self.state.arrivals).push(TargetArrival {
             request_id: request_id.clone(),
             path,
@@ -330,6 +330,7 @@
             _ => StatusCode::OK,
         };
         let body = read_body(request).await.unwrap_or_default();
+        let crashes_target = has_crashing_path || body.starts_with(CRASHING_BODY);
         let Some(_key_use) = KeyUse::begin(&self.state, key) else {
             return not_executed_reply(StatusCode::MISDIRECTED_REQUEST, &request_id);
         };
--- a/crates/galenastream_standin/src/platform_target/target_crash.rs
+++ b/crates/galenastream_standin/src/platform_target/target_crash.rs
@@ -5,7 +5,10 @@
 /// The last segment of the path of a request that crashes its target begins with this.
 const CRASHING_SEGMENT: &str = "crash";
 
-/// How a target crashes under a request that [`crashes_targets`], and starts again.
+/// A request whose body begins with this crashes its target too, whatever its path.
+pub(super) const CRASHING_BODY: &[u8] = b"crash";
+
+/// How a target crashes under a request that crashes its targets, and starts again.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct CrashPlan {
     /// How long the request runs until the target crashes.
@@ -29,7 +32,7 @@
     pub crashed_by: Option<String>,
 }
 
-/// Returns whether a request with this path, with or without a query, crashes the target that runs
+/// Returns whether each request with this path, with or without a query, crashes the target that runs
 /// it.
 pub fn crashes_targets(path: &str) -> bool {
     let path = path.split('?').next().unwrap_or_default();
