--- a/crates/galenastream_routing/src/process/quarantine.rs
+++ b/crates/galenastream_routing/src/process/quarantine.rs
@@ -231,7 +231,7 @@
             (true, false) => self.refused.count -= 1,
             (false, false) | (true, true) => return,
         }
-        self.refused.digest ^= fingerprint.folded();
+        self.refused.digest ^= fingerprint.short_hash();
     }
 
     fn is_refused(&self, fingerprint: RequestFingerprint) -> bool {
--- a/crates/galenastream_routing/src/request/request_fingerprint.rs
+++ b/crates/galenastream_routing/src/request/request_fingerprint.rs
@@ -69,9 +69,9 @@
         self.0.to_be_bytes()
     }
 
-    /// Both halves of the fingerprint in one number, for digests of sets.
-    pub(crate) const fn folded(self) -> u64 {
-        (self.0 >> 64) as u64 ^ self.0 as u64
+    /// A shorter hash, for digests of sets.
+    pub(crate) const fn short_hash(self) -> u64 {
+        self.0 as u64
     }
 
     /// Parses the hexadecimal form. Returns `None` if the text is no fingerprint.
