Fault soak with requests that crash their targets

`--kind crashes` draws callers at all nodes that repeat two requests that crash their targets, beside ordinary load and faults of nodes, links, targets and the store; in some scenarios all nodes end at once. What is known of the requests always lasts somewhere: the store serves, or the first node is left alone. The generators of the other kinds draw as before. `check_crashes` counts retries later than 3 s after the third crash, for each path and caller service. A retry counts if neither the node of its caller nor the one beside the target was killed, stopped, suspended, cut off or had a fault on a link in the 3 s before; a crash counts if the node beside the target was undisturbed for 1 s from it, so that it could tell others. An ordinary request that is refused as `quarantined` is a violation of its own.

--- a/crates/galenastream_node/tests/soak.rs
+++ b/crates/galenastream_node/tests/soak.rs
@@ -39,6 +39,16 @@
     check(&scenario.with_faults_until(OWNERSHIP_FAULTS_UNTIL), 8).await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_that_crash_their_targets_are_stopped_under_the_faults_of_seed_2() {
+    check(&ScenarioPlan::crash_soak(2, MAX_VMS), 2).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_that_crash_their_targets_are_stopped_under_the_faults_of_seed_5() {
+    check(&ScenarioPlan::crash_soak(5, MAX_VMS), 5).await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_planner_that_missed_a_cancellation_does_not_complete_the_move() {
     check(&day("missed-cancellation"), 1).await;
--- a/crates/galenastream_standin/examples/soak.rs
+++ b/crates/galenastream_standin/examples/soak.rs
@@ -74,7 +74,7 @@
                 .long("kind")
                 .value_name("KIND")
                 .default_value("faults")
-                .value_parser(["faults", "ownership"])
+                .value_parser(["faults", "ownership", "crashes"])
                 .help("The kind of the scenarios"),
         )
         .arg(number("first", "1", "The first seed"))
@@ -103,6 +103,7 @@
     };
     let kind = match matches.get_one::<String>("kind").map(String::as_str) {
         Some("ownership") => SoakKind::Ownership,
+        Some("crashes") => SoakKind::Crashes,
         _ => SoakKind::Faults,
     };
     let (first, max_vms) = (number("first")?, usize::try_from(number("max-vms")?)?);
--- a/crates/galenastream_standin/src/caller/mod.rs
+++ b/crates/galenastream_standin/src/caller/mod.rs
@@ -10,3 +10,4 @@
 pub use caller_connection::{CallerConnection, request_bytes};
 pub use caller_load::CallerLoad;
 pub use sent_request::SentRequest;
+pub(crate) use sent_request::refusal_reason;
--- a/crates/galenastream_standin/src/caller/sent_request.rs
+++ b/crates/galenastream_standin/src/caller/sent_request.rs
@@ -32,7 +32,12 @@
 
     /// Returns the reason in the body of an answer that a node gave itself.
     pub fn reason(&self) -> Option<String> {
-        let body = serde_json::from_str(&self.answer.as_ref()?.body).ok();
-        Some(body.as_ref().and_then(|it: &serde_json::Value| it["reason"].as_str())?.to_owned())
+        refusal_reason(self.answer.as_ref()?.body.as_bytes())
     }
 }
+
+/// Returns the reason in the body of an answer that a node gave itself.
+pub(crate) fn refusal_reason(body: &[u8]) -> Option<String> {
+    let body: serde_json::Value = serde_json::from_slice(body).ok()?;
+    Some(body["reason"].as_str()?.to_owned())
+}
--- a/crates/galenastream_standin/src/invariants/violation.rs
+++ b/crates/galenastream_standin/src/invariants/violation.rs
@@ -32,6 +32,20 @@
         /// The number of requests that the limit allows in a window.
         allowed: usize,
     },
+    /// A request that crashes its targets went on to reach targets.
+    CrashesGoOn {
+        /// The path of the request.
+        path: String,
+        /// The service of its callers.
+        caller_service: String,
+        /// How many targets it reached later than the stable window after its third crash.
+        retries: usize,
+    },
+    /// A request that crashes no target was refused as if it did.
+    InnocentQuarantined {
+        /// The id of the request.
+        request_id: String,
+    },
     /// A request that changes state ran more than once.
     RanTwice {
         /// The id of the request.
@@ -120,6 +134,16 @@
             Self::LimitExceeded { target, most, allowed } => {
                 write!(f, "{target} got {most} requests where its limit allows {allowed}")
             }
+            Self::CrashesGoOn { path, caller_service, retries } => {
+                write!(
+                    f,
+                    "{path} of {caller_service} reached targets {retries} times later than 3 s \
+                     after it had crashed three"
+                )
+            }
+            Self::InnocentQuarantined { request_id } => {
+                write!(f, "{request_id} was refused like a request that crashes its targets")
+            }
             Self::RanTwice { request_id } => write!(f, "{request_id} ran more than once"),
             Self::RanThoughRefused { request_id } => {
                 write!(f, "{request_id} ran although its caller was told that it had not")
--- a/crates/galenastream_standin/src/load/load_caller.rs
+++ b/crates/galenastream_standin/src/load/load_caller.rs
@@ -16,6 +16,7 @@
 };
 
 use super::{Arrival, LoadClass, LoadKind, LoadOutcome, LoadPlan};
+use crate::refusal_reason;
 
 /// How long past the deadline a caller waits for an answer.
 const ANSWER_GRACE: Duration = Duration::from_millis(500);
@@ -36,6 +37,7 @@
 #[derive(Debug)]
 pub(crate) struct RequestResult {
     pub(crate) request_id: String,
+    pub(crate) path: String,
     pub(crate) outcome: LoadOutcome,
     /// The id of the target that ran the request; empty if it is not known.
     pub(crate) target: String,
@@ -45,6 +47,8 @@
     pub(crate) status: u16,
     /// Whether the answer bears the signature of a target.
     pub(crate) is_signed: bool,
+    /// Whether a node refused the request since it crashes targets.
+    pub(crate) is_quarantined: bool,
 }
 
 /// An answer, classified.
@@ -53,6 +57,7 @@
     target: String,
     status: u16,
     is_signed: bool,
+    is_quarantined: bool,
 }
 
 /// A request in flight.
@@ -92,9 +97,18 @@
             }
             Err(_) => Classified::no_answer(),
         };
-        let Classified { outcome, target, status, is_signed } = classified;
-        let request_id = exchange.request_id;
-        RequestResult { request_id, outcome, target, entry, status, is_signed }
+        let Classified { outcome, target, status, is_signed, is_quarantined } = classified;
+        let (request_id, path) = (exchange.request_id, exchange.class.path.clone());
+        RequestResult {
+            request_id,
+            path,
+            outcome,
+            target,
+            entry,
+            status,
+            is_signed,
+            is_quarantined,
+        }
     }
 
     async fn send(&self, exchange: &Exchange<'_>) -> anyhow::Result<Classified> {
@@ -121,7 +135,8 @@
 impl Classified {
     fn no_answer() -> Self {
         let outcome = LoadOutcome::NoAnswer;
-        Self { outcome, target: String::new(), status: 0, is_signed: false }
+        let target = String::new();
+        Self { outcome, target, status: 0, is_signed: false, is_quarantined: false }
     }
 }
 
@@ -165,7 +180,9 @@
         status if ends_for_good(status) => LoadOutcome::Denied,
         _ => LoadOutcome::Wrong,
     };
-    Ok(Classified { outcome, target, status: status.as_u16(), is_signed })
+    let is_quarantined = status == StatusCode::SERVICE_UNAVAILABLE
+        && refusal_reason(&body).is_some_and(|it| it == "quarantined");
+    Ok(Classified { outcome, target, status: status.as_u16(), is_signed, is_quarantined })
 }
 
 /// Returns whether callers do not repeat a request after this status.
--- a/crates/galenastream_standin/src/load/outcome.rs
+++ b/crates/galenastream_standin/src/load/outcome.rs
@@ -56,6 +56,8 @@
     pub request_id: String,
     /// The index of the class in the plan.
     pub class: usize,
+    /// The path of the request.
+    pub path: String,
     /// The intended start, from the start of the run.
     pub at: Duration,
     /// The time from the intended start to the end of the request.
@@ -70,4 +72,6 @@
     pub status: u16,
     /// Whether the answer bears the signature of a target.
     pub is_signed: bool,
+    /// Whether a node refused the request since it crashes targets.
+    pub is_quarantined: bool,
 }
--- a/crates/galenastream_standin/src/load/run.rs
+++ b/crates/galenastream_standin/src/load/run.rs
@@ -72,6 +72,7 @@
     LoadSample {
         request_id: result.request_id,
         class: arrival.class,
+        path: result.path,
         at: arrival.at,
         latency: intended_start.elapsed(),
         outcome: result.outcome,
@@ -79,5 +80,6 @@
         entry: result.entry,
         status: result.status,
         is_signed: result.is_signed,
+        is_quarantined: result.is_quarantined,
     }
 }
--- a/crates/galenastream_standin/src/platform_target/target_crash.rs
+++ b/crates/galenastream_standin/src/platform_target/target_crash.rs
@@ -2,6 +2,9 @@
 
 use std::time::{Duration, Instant};
 
+use serde::Deserialize;
+use serde_with::{DurationMilliSeconds, serde_as};
+
 /// The last segment of the path of a request that crashes its target begins with this.
 const CRASHING_SEGMENT: &str = "crash";
 
@@ -9,11 +12,17 @@
 pub(super) const CRASHING_BODY: &[u8] = b"crash";
 
 /// How a target crashes under a request that crashes its targets, and starts again.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[serde_as]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[serde(default, deny_unknown_fields)]
 pub struct CrashPlan {
     /// How long the request runs until the target crashes.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "run_time_ms")]
     pub run_time: Duration,
     /// How long after the crash another incarnation starts at the address of the target.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "restart_delay_ms")]
     pub restart_delay: Duration,
 }
 
--- a/crates/galenastream_standin/src/scenario/fault.rs
+++ b/crates/galenastream_standin/src/scenario/fault.rs
@@ -143,6 +143,18 @@
         }
     }
 
+    /// Returns whether the node beside the target is out of touch with other nodes, callers, the
+    /// target or the store.
+    pub(super) fn disturbs_node(&self) -> bool {
+        match self.kind {
+            ScenarioFaultKind::NodeKilled
+            | ScenarioFaultKind::NodeStopped
+            | ScenarioFaultKind::NodeSuspended
+            | ScenarioFaultKind::NodeCut => true,
+            _ => self.link_fault().is_some(),
+        }
+    }
+
     pub(super) fn store_fault(&self) -> Option<StoreFault> {
         match self.kind {
             ScenarioFaultKind::StoreRefuses => Some(StoreFault::Refuse(503)),
--- a/crates/galenastream_standin/src/scenario/fault_injector.rs
+++ b/crates/galenastream_standin/src/scenario/fault_injector.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use galenastream_utils::FastMap;
-use tokio::time::{Instant, sleep_until};
+use tokio::time::Instant;
 
 use super::{ScenarioFault, ScenarioFaultKind, ScenarioPlan};
 use crate::{
@@ -77,11 +77,11 @@
         let until = self.began_at + at;
         loop {
             self.watch()?;
-            if Instant::now() + WATCH_INTERVAL >= until {
-                sleep_until(until).await;
+            let next = until.min(Instant::now() + WATCH_INTERVAL);
+            self.deployment.run_for(next.saturating_duration_since(Instant::now())).await?;
+            if next == until {
                 return Ok(());
             }
-            sleep_until(Instant::now() + WATCH_INTERVAL).await;
         }
     }
 
--- a/crates/galenastream_standin/src/scenario/mod.rs
+++ b/crates/galenastream_standin/src/scenario/mod.rs
@@ -1,6 +1,7 @@
 //! Scenarios: a small deployment, its traffic and the faults to inject, as a TOML file describes
 //! them. `examples/days` holds such files.
 
+mod crash_plan;
 mod fault;
 mod fault_injector;
 mod ownership_plan;
--- a/crates/galenastream_standin/src/scenario/ownership_plan.rs
+++ b/crates/galenastream_standin/src/scenario/ownership_plan.rs
@@ -5,7 +5,7 @@
 use rand::{RngExt, SeedableRng, rngs::StdRng, seq::IndexedRandom};
 
 use super::{ScenarioFault, ScenarioFaultKind as Kind, ScenarioPlan, ScenarioTraffic, ScenarioVm};
-use crate::TargetConduct;
+use crate::{CrashPlan, TargetConduct};
 
 /// The period in which faults start and end. A takeover without the node of the owner takes 15.5 s.
 const FAULTS_FROM_MS: u64 = 1_000;
@@ -97,6 +97,7 @@
             slots: 64,
             service_time: Duration::from_millis(service_time_ms),
             conduct,
+            crash: CrashPlan::default(),
         }
     }
 
--- a/crates/galenastream_standin/src/scenario/scenario_plan.rs
+++ b/crates/galenastream_standin/src/scenario/scenario_plan.rs
@@ -7,7 +7,9 @@
 use serde_with::{DurationMilliSeconds, serde_as};
 
 use super::{ScenarioFault, ScenarioFaultKind};
-use crate::{Burst, LoadClass, LoadKind, LoadPlan, TargetCapacity, TargetConduct, VmPlan};
+use crate::{
+    Burst, CrashPlan, LoadClass, LoadKind, LoadPlan, TargetCapacity, TargetConduct, VmPlan,
+};
 
 /// The plan of a scenario: a deployment, its traffic and the faults to inject.
 #[serde_as]
@@ -63,6 +65,9 @@
     /// What the target does that its protocol allows.
     #[serde(default)]
     pub conduct: TargetConduct,
+    /// How the target crashes under requests that crash their targets, and starts again.
+    #[serde(default)]
+    pub crash: CrashPlan,
 }
 
 /// A class of requests.
@@ -145,6 +150,7 @@
                 .with_data_centre(&vm.data_centre)
                 .with_capacity(capacity)
                 .with_conduct(vm.conduct)
+                .with_crash(vm.crash)
         };
         self.vms.iter().map(plan).collect()
     }
--- a/crates/galenastream_standin/src/scenario/scenario_run.rs
+++ b/crates/galenastream_standin/src/scenario/scenario_run.rs
@@ -7,10 +7,10 @@
 
 use tokio::time::sleep;
 
-use super::{ScenarioPlan, fault_injector::FaultInjector};
+use super::{ScenarioFault, ScenarioPlan, fault_injector::FaultInjector};
 use crate::{
-    DeploymentPlan, LoadOutcome, LoadRun, LoadSample, LoadSummary, LocalDeployment, LocalVm,
-    TargetHistory, Violation, check_invariants, run_load,
+    DeploymentPlan, Disturbance, LoadOutcome, LoadRun, LoadSample, LoadSummary, LocalDeployment,
+    LocalVm, TargetHistory, Violation, check_crashes, check_invariants, run_load,
 };
 
 /// How long requests may still run on targets after the end of the traffic.
@@ -19,6 +19,9 @@
 /// How long after the end of all faults the requests are served again.
 const RECOVERY_TIME: Duration = Duration::from_secs(15);
 
+/// How late a fault ends at most, and how long a node takes to start.
+const FAULT_DELAY: Duration = Duration::from_millis(500);
+
 /// The share of each class that is served from then on. The load is far below the capacity, and
 /// nothing is in trouble any more.
 const MIN_RECOVERED_PERCENT: usize = 90;
@@ -60,6 +63,8 @@
     let LoadRun { summary, samples } = load_run?;
     let histories = deployment.histories();
     violations.extend(check_invariants(&histories, &samples));
+    let by_vm: Vec<Vec<TargetHistory>> = deployment.vms.iter().map(LocalVm::histories).collect();
+    violations.extend(check_crashes(&by_vm, &samples, &disturbances(scenario, began_at)));
     violations.extend(check_recovery(scenario, &samples));
     let folder = deployment.close_and_keep_logs();
     if violations.is_empty() {
@@ -75,6 +80,16 @@
     Ok(ScenarioRun { seed, summary, violations, logs: Some(folder.path().to_owned()) })
 }
 
+/// Returns when nodes were out of touch with others.
+fn disturbances(scenario: &ScenarioPlan, began_at: Instant) -> Vec<Disturbance> {
+    let disturbance = |it: &ScenarioFault| Disturbance {
+        vm: it.vm,
+        from: began_at + it.at,
+        until: began_at + it.end() + FAULT_DELAY,
+    };
+    scenario.faults.iter().filter(|it| it.disturbs_node()).map(disturbance).collect()
+}
+
 /// Lists which target held which keys, and from when to when since the start of the traffic.
 fn lease_list(histories: &[TargetHistory], began_at: Instant, began_unix: SystemTime) -> String {
     let began_unix = began_unix.duration_since(UNIX_EPOCH).unwrap_or_default();
@@ -102,6 +117,9 @@
     let last_end = scenario.faults.iter().map(|it| it.end()).max().unwrap_or_default();
     let mut violations = Vec::new();
     for (index, class) in scenario.traffic.iter().enumerate() {
+        if scenario.is_crashing(index) {
+            continue;
+        }
         let late =
             samples.iter().filter(|it| it.class == index && it.at >= last_end + RECOVERY_TIME);
         let (mut ran, mut total) = (0, 0);
--- a/crates/galenastream_standin/src/scenario/soak_plan.rs
+++ b/crates/galenastream_standin/src/scenario/soak_plan.rs
@@ -12,7 +12,7 @@
     ScenarioBurst, ScenarioFault, ScenarioFaultKind as Kind, ScenarioPlan, ScenarioTraffic,
     ScenarioVm,
 };
-use crate::{LimitFields, TargetConduct, VmLink};
+use crate::{CrashPlan, LimitFields, TargetConduct, VmLink};
 
 /// The duration of the traffic.
 const LENGTH: Duration = Duration::from_secs(36);
@@ -159,6 +159,7 @@
                 slots: self.rng.random_range(8..=16),
                 service_time: Duration::from_millis(self.rng.random_range(1..=20)),
                 conduct: TargetConduct::default(),
+                crash: CrashPlan::default(),
             });
         }
         vms
--- a/crates/galenastream_standin/src/scenario/soak_seed.rs
+++ b/crates/galenastream_standin/src/scenario/soak_seed.rs
@@ -32,6 +32,8 @@
     Faults,
     /// Faults that last long enough for several takeovers of the same keys.
     Ownership,
+    /// Requests that crash their targets, beside faults of nodes, links and the store.
+    Crashes,
 }
 
 #[derive(Debug, Deserialize)]
@@ -52,6 +54,7 @@
         match self.kind {
             SoakKind::Faults => ScenarioPlan::soak(self.seed, self.max_vms),
             SoakKind::Ownership => ScenarioPlan::ownership_soak(self.seed, self.max_vms),
+            SoakKind::Crashes => ScenarioPlan::crash_soak(self.seed, self.max_vms),
         }
     }
 
--- a/crates/galenastream_standin/tests/day.rs
+++ b/crates/galenastream_standin/tests/day.rs
@@ -103,6 +103,47 @@
     assert!(series >= 40, "{series}");
 }
 
+#[test]
+fn the_seeds_of_the_crash_soak_draw_valid_scenarios_in_which_crashes_are_remembered() {
+    assert_eq!(ScenarioPlan::crash_soak(5, 6), ScenarioPlan::crash_soak(5, 6));
+    let mut kinds = BTreeSet::new();
+    let mut total_restarts = 0;
+    for seed in 1..=50 {
+        let scenario = ScenarioPlan::crash_soak(seed, 6);
+        scenario.load_plan(vec![([127, 0, 0, 1], 1).into()], seed).check().unwrap();
+        assert!((4..=6).contains(&scenario.vms.len()));
+        for fault in &scenario.faults {
+            assert!(fault.vm < scenario.vms.len(), "{fault:?}");
+            assert!(fault.end() + Duration::from_secs(20) <= scenario.length, "{fault:?}");
+            kinds.insert(format!("{:?}", fault.kind));
+        }
+        let is_store_fault = |it: &ScenarioFault| {
+            matches!(it.kind, ScenarioFaultKind::StoreSilent | ScenarioFaultKind::StoreRefuses)
+        };
+        let is_of_first_node =
+            |it: &ScenarioFault| it.vm == 0 && it.kind != ScenarioFaultKind::TargetReplaced;
+        match scenario.faults.iter().any(is_store_fault) {
+            // The node of the first VM remembers.
+            true => {
+                let mut faults = scenario.faults.iter().filter(|it| !is_store_fault(it));
+                assert!(!faults.any(is_of_first_node), "{scenario:?}");
+            }
+            // The store remembers.
+            false => {
+                let is_killed = |vm| {
+                    let is_kill = |it: &ScenarioFault| {
+                        it.vm == vm && it.kind == ScenarioFaultKind::NodeKilled
+                    };
+                    scenario.faults.iter().any(is_kill)
+                };
+                total_restarts += usize::from((0..scenario.vms.len()).all(is_killed));
+            }
+        }
+    }
+    assert_eq!(kinds.len(), 10, "{kinds:?}");
+    assert!(total_restarts >= 5, "{total_restarts}");
+}
+
 #[test]
 fn the_list_of_failed_seeds_names_a_cause_for_each() {
     let file = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples/soak/seeds.toml");
--- a/crates/galenastream_standin/tests/judge.rs
+++ b/crates/galenastream_standin/tests/judge.rs
@@ -87,6 +87,7 @@
         self.samples.push(LoadSample {
             request_id: request_id.to_owned(),
             class: 0,
+            path: "/carts/1".to_owned(),
             at: Duration::ZERO,
             latency: Duration::ZERO,
             outcome,
@@ -94,6 +95,7 @@
             entry: 0,
             status,
             is_signed,
+            is_quarantined: false,
         });
         self
     }
--- a/crates/galenastream_standin/tests/load.rs
+++ b/crates/galenastream_standin/tests/load.rs
@@ -103,6 +103,7 @@
     LoadSample {
         request_id,
         class: 0,
+        path: "/carts/1".to_owned(),
         at,
         latency,
         outcome,
@@ -110,6 +111,7 @@
         entry: 0,
         status: 0,
         is_signed: false,
+        is_quarantined: false,
     }
 }
 
--- a/tools/soak.sh
+++ b/tools/soak.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Builds galenastreamd and runs the fault soak with random scenarios on loopback. Prints the
 # violations of each seed, and keeps the logs of a seed that fails.
-# Usage: tools/soak.sh [--kind faults|ownership] [--first N] [--seeds N] [--max-vms N] [--jobs N] [--regressions FILE]
+# Usage: tools/soak.sh [--kind faults|ownership|crashes] [--first N] [--seeds N] [--max-vms N] [--jobs N] [--regressions FILE]
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
