--- a/crates/galenastream_node/src/connection/peer_links.rs
+++ b/crates/galenastream_node/src/connection/peer_links.rs
@@ -207,6 +207,7 @@
         || sent.reaches_store != status.reaches_store
         || sent.confirms_config != status.confirms_config
         || sent.facts != status.facts
+        || sent.crash_count != status.crash_count
         || target_state(sent) != target_state(status)
 }
 
@@ -257,6 +258,7 @@
         {
             target.key_loads.clear();
         }
+        traffic.context.quarantine.add_missing(&mut status, node.quarantine_digest);
         tokio::spawn(async move {
             let acknowledged = traffic.links.send_status(key, address, status).await;
             // Most nodes do not confirm the config, and their acknowledgements say nothing.
