Let departures go on in rows of programs that drop them

During a rolling upgrade, keys of a lost VM had no holder for as long as a node of an earlier version wrote the row every few seconds: such a node drops the departures, the planner recorded a new one each time and counted its wait from that.

A departure proves that the owner had no version on which its node could grant. In a row without departures, a process knows the same if it knows the version directly before, in which the keys leave the same owner under the same fencing token. Versions are numbers that rise with each write, so two versions of a row are adjacent if every number in between belongs to another row. Each process remembers which row each of the last 256 versions belongs to (RowVersions), and takes the departure over (continue_departures); the next write states it for the others. After a number that it has not read, or a row that it could not decode, the wait begins anew, as before.

Only the write that puts an era in force changes several rows at once. It raises every fencing token and belongs to a later era, so nothing goes on over it. No test fails without the comparison of fencing tokens.

New: - earlier_programs.rs: a departure goes on over versions of other rows, but neither over a version that was not read nor over one that was not decoded. With the condition taken out, the last two fail (free 6,000 and 1,000 ms after); with adjacent numbers alone the first one does. - Model: programs of an earlier version write the row. In 40,000 states each, all orders of up to 9 steps, of up to 8 with cancellations, and of up to 19 that begin with a departure that was taken back: no counterexample. A departure that goes on over gaps is an injected bug, which is found. - Simulation: VARY=EarlierPrograms, one in three assignments is written as by a program without departures and limits.

--- a/crates/galenastream_node/src/process/control_state.rs
+++ b/crates/galenastream_node/src/process/control_state.rs
@@ -15,6 +15,7 @@
 use super::ownership_facts::EndedTarget;
 use super::ownership_log::log_owner_changes;
 use super::peer_book::PeerRegistry;
+use super::row_versions::RowVersions;
 use super::store_eras::StoreEras;
 use super::{ControlEvent, Effect, TargetLimit};
 use crate::version::RoutingTable;
@@ -69,6 +70,7 @@
     pub(super) effects: Vec<Effect>,
     pub(super) encoded_config: Bytes,
     pub(super) rows: FastMap<String, Row>,
+    pub(super) row_versions: RowVersions,
     /// Cache of the rows in the form that is sent to other nodes; dropped when a row changes.
     pub(super) shared_rows: Option<Arc<[SharedRow]>>,
     pub(super) settings_tree: Arc<SettingsTree>,
@@ -152,6 +154,7 @@
             effects: Vec::new(),
             encoded_config: Bytes::new(),
             rows: FastMap::default(),
+            row_versions: RowVersions::default(),
             shared_rows: None,
             settings_tree: Arc::default(),
             tree_version: 0,
--- a/crates/galenastream_node/src/process/store_view.rs
+++ b/crates/galenastream_node/src/process/store_view.rs
@@ -144,6 +144,7 @@
         let mut rows = rows;
         for row in &rows {
             self.record_era(era_of(row.version), now);
+            self.row_versions.record(&row.key, row.version);
         }
         // The row that names the era in force decides what the others mean.
         let era_key = SharedRowKey::Era.key();
@@ -240,10 +241,18 @@
         version: u64,
         now: BootInstant,
     ) {
-        let record = self.assignment_record(service);
-        if version <= record.version {
+        let mut assignment = assignment;
+        let known_version = self.assignment_record(service).version;
+        if version <= known_version {
             return;
         }
+        let key = SharedRowKey::Assignment(service).key();
+        let is_next_version = self.row_versions.are_adjacent(&key, known_version, version);
+        let record = self.assignment_record(service);
+        // Programs of earlier versions drop departures from the rows that they write.
+        if is_next_version {
+            assignment.continue_departures(&record.assignment);
+        }
         let returned_to = record.assignment.returned_to(&assignment);
         record.vacancy.observe(&assignment, now);
         record.version = version;
--- a/crates/galenastream_node/tests/ownership/main.rs
+++ b/crates/galenastream_node/tests/ownership/main.rs
@@ -4,6 +4,8 @@
 
 mod clock_bounds;
 mod config_doubt;
+mod earlier_program;
+mod earlier_programs;
 mod faults;
 mod fixtures;
 mod healthy_store;
--- a/crates/galenastream_node/tests/ownership/simulation.rs
+++ b/crates/galenastream_node/tests/ownership/simulation.rs
@@ -131,6 +131,7 @@
             }
             self.complete_writes();
             self.make_readable();
+            self.rewrite_by_earlier_program();
             self.answer_queries();
             for index in 0..self.vms.len() {
                 self.step_vm(index);
--- a/crates/galenastream_node/tests/ownership/store_access.rs
+++ b/crates/galenastream_node/tests/ownership/store_access.rs
@@ -10,6 +10,7 @@
 use rand::RngExt;
 
 use crate::{
+    earlier_program::rewritten,
     injected_bug::InjectedBug,
     simulation::{STEP_MS, Simulation},
     store::{ASSIGNMENT_KEY, Write, WriteContent},
@@ -238,6 +239,7 @@
             {
                 self.first_sights.complete_old_moves(assignment, self.now_ms);
             }
+            self.drop_new_fields(&mut write);
             let writes = write.content.row_writes(self.bug);
             let result = self.store.commit(&write.expected, &writes, self.now_ms);
             self.make_unreadable(&write, result.is_ok());
@@ -283,6 +285,40 @@
         }
     }
 
+    /// Whether a program of an earlier version makes a change, which is so with a chance of one in
+    /// `one_in`.
+    fn is_by_earlier_program(&mut self, one_in: u64) -> bool {
+        self.varies(Variation::EarlierPrograms)
+            && !self.are_faults_over
+            && self.varied_rng.random_range(0..one_in) == 0
+    }
+
+    fn drop_new_fields(&mut self, write: &mut Write) {
+        if !self.is_by_earlier_program(3) {
+            return;
+        }
+        if let WriteContent::Assignment(assignment) = &mut write.content {
+            **assignment = rewritten(assignment);
+        }
+    }
+
+    /// Writes the assignment again, about every 5 s, as a program of an earlier version does that
+    /// changes something else in it.
+    pub fn rewrite_by_earlier_program(&mut self) {
+        if !self.is_by_earlier_program(5_000 / STEP_MS) {
+            return;
+        }
+        let rows = self.store.rows();
+        let row = rows.iter().find(|it| it.key == ASSIGNMENT_KEY);
+        let Some(value) = row.and_then(|it| it.value.as_deref()) else {
+            return;
+        };
+        let assignment = Assignment::decode_row(value).expect("it can be decoded");
+        let value = Bytes::from(rewritten(&assignment).encode_row());
+        let put = RowWrite::Put { key: ASSIGNMENT_KEY.to_owned(), value };
+        self.store.commit(&[], &[put], self.now_ms).expect("it has no conditions");
+    }
+
     /// While the programs are being replaced, the new ones write rows that the old ones cannot
     /// decode.
     fn make_unreadable(&mut self, write: &Write, is_written: bool) {
--- a/crates/galenastream_node/tests/ownership/variation.rs
+++ b/crates/galenastream_node/tests/ownership/variation.rs
@@ -25,6 +25,9 @@
     UnreadableRows,
     /// The row of the assignment is removed now and then.
     RemovedRows,
+    /// One in three assignments is written by a program of an earlier version, and such a program
+    /// also writes them again every few seconds.
+    EarlierPrograms,
     /// Work on revoked keys goes on for up to the end of the lease.
     LongWork,
     /// Each write to the store is fast, and its result arrives.
--- a/crates/galenastream_node/tests/ownership/varied_runs.rs
+++ b/crates/galenastream_node/tests/ownership/varied_runs.rs
@@ -132,6 +132,13 @@
     assert_invariants(&[Variation::LongWork], 0..4);
 }
 
+#[test]
+fn at_most_one_target_holds_a_key_while_earlier_programs_write_rows() {
+    assert_invariants(&[Variation::EarlierPrograms, Variation::Series], 0..4);
+    let variations = [Variation::EarlierPrograms, Variation::ReaderRoles, Variation::Series];
+    assert_invariants(&variations, [0, 1, 2, 159]);
+}
+
 const ALL_VARIATIONS: [Variation; 9] = [
     Variation::Series,
     Variation::ReaderRoles,
@@ -186,7 +193,7 @@
     let range = std::env::var("SEEDS").unwrap_or_else(|_| "0..100".to_owned());
     let names = std::env::var("VARY").unwrap_or_else(|_| "Series".to_owned());
     let mut all = ALL_VARIATIONS.to_vec();
-    all.extend([Variation::RemovedRows, Variation::PromptWrites]);
+    all.extend([Variation::RemovedRows, Variation::PromptWrites, Variation::EarlierPrograms]);
     let is_named = |it: &Variation| names.split(',').any(|name| name == format!("{it:?}"));
     let variations: Vec<Variation> = all.into_iter().filter(is_named).collect();
     let (first, last) = range.split_once("..").expect("a range");
--- a/crates/galenastream_ranges/src/assignment.rs
+++ b/crates/galenastream_ranges/src/assignment.rs
@@ -182,6 +182,27 @@
         });
     }
 
+    /// Takes over departures that the writer of this assignment has not recorded from `before`, the
+    /// version directly before. Keys that left the same owner there under the same fencing token have
+    /// been leaving it since, as there is no version in between on which it owned them.
+    pub fn continue_departures(&mut self, before: &Self) {
+        for earlier in &before.entries {
+            let Holding::Leaving { from: leaver, departure: known, .. } = &earlier.holding else {
+                continue;
+            };
+            self.update_range(earlier.range, |entry| match &entry.holding {
+                Holding::Leaving { from, to, departure: 0 }
+                    if from == leaver && entry.fence == earlier.fence =>
+                {
+                    let (from, to) = (from.clone(), to.clone());
+                    let holding = Holding::Leaving { from, to, departure: *known };
+                    Some(RangeEntry { holding, ..entry.clone() })
+                }
+                _ => None,
+            });
+        }
+    }
+
     /// Replaces the next owner of the leaving keys of a range.
     pub fn redirect_move(&mut self, range: KeyRange, to: Option<&Owner>) {
         self.update_range(range, |entry| {
--- a/crates/galenastream_ranges/tests/ownership_model/departure.rs
+++ b/crates/galenastream_ranges/tests/ownership_model/departure.rs
@@ -10,6 +10,15 @@
     assignment.begin_move(KeyRange::ALL, to, row_version);
 }
 
+/// Drops the departure from an assignment, as programs of earlier versions do.
+pub fn drop_from(assignment: &mut Assignment) {
+    let holding = assignment.entry_of(0).holding.clone();
+    if let Some((from, to, _)) = leaving(&holding) {
+        assignment.cancel_moves(&from.target);
+        begin(assignment, to, 0);
+    }
+}
+
 /// Returns the leaving owner, the next owner and the number of the departure.
 pub fn leaving(holding: &Holding) -> Option<(&Owner, Option<&Owner>, u64)> {
     match holding {
--- a/crates/galenastream_ranges/tests/ownership_model/display.rs
+++ b/crates/galenastream_ranges/tests/ownership_model/display.rs
@@ -35,6 +35,10 @@
             Self::PlannerCompletes { planner, delivery } => {
                 write!(f, "planner {} takes the key for vacant{delivery}", planner + 1)
             }
+            Self::PlannerRecords { planner } => {
+                write!(f, "planner {} records the departure", planner + 1)
+            }
+            Self::EarlierProgramWrites => write!(f, "an earlier program writes the row again"),
             Self::OtherReleases => write!(f, "U releases the key, which T gets"),
             Self::LateWriteArrives => write!(f, "the write under way reaches the store"),
         }
--- a/crates/galenastream_ranges/tests/ownership_model/injected_bug.rs
+++ b/crates/galenastream_ranges/tests/ownership_model/injected_bug.rs
@@ -14,6 +14,8 @@
     LateConfirmation,
     /// Planners complete a move without waiting for the leases to end.
     ImpatientPlanner,
+    /// A departure continues in a row without one, whatever was written in between.
+    DepartureContinuesOverGaps,
     /// The store does not compare versions.
     UnconditionalWrites,
     /// The next owner gets the key under the fencing token of the one before.
--- a/crates/galenastream_ranges/tests/ownership_model/main.rs
+++ b/crates/galenastream_ranges/tests/ownership_model/main.rs
@@ -78,6 +78,28 @@
     explore(&[], &Scope::new().with_lost_answers());
 }
 
+/// Steps in which planner 1 waits for a departure that an earlier program has dropped, and the key
+/// returns to its owner after that.
+const KEY_RETURNED: [Step; 9] = [
+    Step::PlannerRevokes { planner: 1, delivery: Answered },
+    Step::EarlierProgramWrites,
+    Step::PlannerReads { planner: 0 },
+    Step::PlannerRecords { planner: 0 },
+    Step::TimePasses,
+    Step::TimePasses,
+    Step::NodeReads,
+    Step::NodeCancels(Answered),
+    Step::NodeReplies,
+];
+
+#[test]
+fn a_departure_that_earlier_programs_drop_counts_while_no_version_is_missed() {
+    let scope = Scope::new().with_earlier_programs();
+    explore(&[], &scope);
+    explore(&[], &scope.with_cancellations());
+    explore(&KEY_RETURNED, &scope.with_cancellations());
+}
+
 /// Checks that an exploration finds a bug.
 fn assert_detected(bug: InjectedBug, prefix: &[Step], scope: &Scope, rule: &str) {
     let exploration = Exploration::run(prefix, &scope.with_bug(bug), MAX_STATES);
@@ -113,6 +135,13 @@
     assert_detected(InjectedBug::ImpatientPlanner, &[], &Scope::new(), HELD_TWICE);
 }
 
+#[test]
+fn departures_that_continue_over_missed_versions_are_detected() {
+    let bug = InjectedBug::DepartureContinuesOverGaps;
+    let scope = Scope::new().with_earlier_programs().with_cancellations();
+    assert_detected(bug, &KEY_RETURNED, &scope, HELD_TWICE);
+}
+
 #[test]
 fn writes_without_a_condition_are_detected() {
     let scope = Scope::new().with_moves();
--- a/crates/galenastream_ranges/tests/ownership_model/model.rs
+++ b/crates/galenastream_ranges/tests/ownership_model/model.rs
@@ -118,6 +118,12 @@
                 }
             }
         }
+        if scope.with_earlier_programs {
+            steps.push(Step::EarlierProgramWrites);
+            for planner in 0..2 {
+                steps.push(Step::PlannerRecords { planner });
+            }
+        }
         if scope.with_moves {
             steps.push(Step::OtherReleases);
         }
@@ -159,7 +165,7 @@
                 };
             }
             Step::PlannerReads { planner } => {
-                next.planners[planner].learn(&self.store, next.now);
+                next.planners[planner].learn(&self.store, next.now, scope);
             }
             Step::PlannerRevokes { planner, delivery } => {
                 let known = self.planners[planner].known.clone();
@@ -179,6 +185,21 @@
             Step::PlannerCompletes { planner, delivery } => {
                 next.complete_vacant(planner, delivery, scope)?;
             }
+            Step::PlannerRecords { planner } => {
+                let known = self.planners[planner].known.clone();
+                if !matches!(departure::leaving(&known.entry().holding), Some((_, _, 0))) {
+                    return None;
+                }
+                let mut assignment = known.assignment.clone();
+                assignment.record_departures(known.version);
+                next.commit_of_planner(planner, &known, assignment, Delivery::Answered, scope)?;
+            }
+            Step::EarlierProgramWrites => {
+                let row = self.store.clone();
+                let mut assignment = row.assignment.clone();
+                departure::drop_from(&mut assignment);
+                next.write(&row, assignment, Delivery::AnswerLost, scope)?;
+            }
             Step::OtherReleases => {
                 let row = self.store.clone();
                 if !row.is_left_by(&OTHER) {
@@ -319,7 +340,7 @@
         self.write(based_on, assignment, delivery, scope)?;
         if delivery == Delivery::Answered {
             let confirmed_at = self.planners[planner].confirmed_at;
-            self.planners[planner].learn_at(&self.store, confirmed_at, self.now);
+            self.planners[planner].learn_at(&self.store, confirmed_at, self.now, scope);
         }
         Some(())
     }
@@ -372,15 +393,27 @@
 }
 
 impl PlannerView {
-    fn learn(&mut self, row: &Rc<Row>, now: BootInstant) {
-        self.learn_at(row, now, now);
+    fn learn(&mut self, row: &Rc<Row>, now: BootInstant, scope: &Scope) {
+        self.learn_at(row, now, now, scope);
     }
 
-    fn learn_at(&mut self, row: &Rc<Row>, confirmed_at: BootInstant, now: BootInstant) {
+    fn learn_at(
+        &mut self,
+        row: &Rc<Row>,
+        confirmed_at: BootInstant,
+        now: BootInstant,
+        scope: &Scope,
+    ) {
         self.confirmed_at = confirmed_at;
-        if row.version > self.known.version {
-            self.known = row.clone();
-            self.vacancy.observe(&row.assignment, now);
+        if row.version <= self.known.version {
+            return;
+        }
+        let is_next_version = row.version == self.known.version + 1;
+        let mut row = Row::clone(row);
+        if is_next_version || scope.bug == InjectedBug::DepartureContinuesOverGaps {
+            row.assignment.continue_departures(&self.known.assignment);
         }
+        self.vacancy.observe(&row.assignment, now);
+        self.known = Rc::new(row);
     }
 }
--- a/crates/galenastream_ranges/tests/ownership_model/scope.rs
+++ b/crates/galenastream_ranges/tests/ownership_model/scope.rs
@@ -22,6 +22,8 @@
     pub with_peers: bool,
     /// Whether writes take effect late and answers are lost.
     pub with_lost_answers: bool,
+    /// Whether programs of an earlier version write the row, without departures.
+    pub with_earlier_programs: bool,
 }
 
 impl Scope {
@@ -35,6 +37,7 @@
             with_restarts: false,
             with_peers: false,
             with_lost_answers: false,
+            with_earlier_programs: false,
         }
     }
 
@@ -66,6 +69,10 @@
         Self { with_peers: true, ..self }
     }
 
+    pub const fn with_earlier_programs(self) -> Self {
+        Self { with_earlier_programs: true, ..self }
+    }
+
     pub const fn with_lost_answers(self) -> Self {
         Self { with_lost_answers: true, ..self }
     }
--- a/crates/galenastream_ranges/tests/ownership_model/step.rs
+++ b/crates/galenastream_ranges/tests/ownership_model/step.rs
@@ -25,6 +25,10 @@
     PlannerMoves { planner: usize, delivery: Delivery },
     /// A planner takes the key for vacant and assigns it to the next owner.
     PlannerCompletes { planner: usize, delivery: Delivery },
+    /// A planner records the departure of a key whose writer did not.
+    PlannerRecords { planner: usize },
+    /// A program of an earlier version writes the row again.
+    EarlierProgramWrites,
     /// The other target releases the key, and the node beside it hands it over.
     OtherReleases,
     /// A write that was under way takes effect, if its condition still holds.
