--- a/crates/galenastream_node/src/process/mod.rs
+++ b/crates/galenastream_node/src/process/mod.rs
@@ -28,6 +28,7 @@
 mod quarantine_spread;
 mod remembered_announcements;
 mod request_quarantine;
+mod row_versions;
 mod settings_follower;
 mod status_page;
 mod store_eras;
--- a/crates/galenastream_node/tests/ownership/main.rs
+++ b/crates/galenastream_node/tests/ownership/main.rs
@@ -5,6 +5,8 @@
 mod clock_bounds;
 mod config_doubt;
 mod crashing_deployment;
+mod earlier_program;
+mod earlier_programs;
 mod faults;
 mod fixtures;
 mod healthy_store;
