Guard the leases of nodes with shorter bounds by tests that fail without it

The seeds of the regression test, 1123 and 1148, had ceased to guard it: later changes of the program have changed the runs, and both passed with the change taken out. Seeds 9 and 1124 fail without it, as do 79 further ones of 0..600, 1000..1150 and 2000..2600, and so does the directed test, which does not depend on the course of a run.

--- a/crates/galenastream_node/tests/ownership/lease_conditions.rs
+++ b/crates/galenastream_node/tests/ownership/lease_conditions.rs
@@ -8,7 +8,7 @@
 use galenastream_ranges::{KeyRange, LeaseTerms};
 
 use crate::{
-    fixtures::{HEARTBEAT_MS, config, settings},
+    fixtures::{HEARTBEAT_MS, config, settings, settings_with_bound},
     simulation::at,
     single_node::{
         ALL_KEYS, Reply, START_MS, TARGET, ended, node_with_leases, owned_by, row, send, send_probe,
@@ -148,6 +148,24 @@
     assert!(lease_ms <= 200, "{lease_ms} ms at {} ms of 4,000", 3_800);
 }
 
+/// Guards against leases that lapse before the row does on which others wait, since the node's own
+/// settings permit shorter ones.
+#[test]
+fn a_node_with_shorter_bounds_grants_within_the_validity_of_the_row() {
+    let mut state = ControlState::new(settings_with_bound(0, 4_000), at(START_MS));
+    let config = ControlEvent::Config { config: Box::new(config()), encoded: Bytes::new() };
+    state.handle(config, at(START_MS));
+    let mut assignment = owned_by(&TARGET.owner());
+    let second = Duration::from_secs(1);
+    assignment.raise_terms(LeaseTerms::new(12 * second, 6 * second));
+    state.handle(row(&assignment, 3, START_MS + 10), at(START_MS + 20));
+    let (grants, lease_ms) = leases_after_heartbeat(&mut state, 1, START_MS + 5_000);
+    assert_eq!(grants.len(), 1);
+    assert_eq!(lease_ms, 4_000, "the longest lease by the settings");
+    let (_, lease_ms) = leases_after_heartbeat(&mut state, 2, START_MS + 9_000);
+    assert!((1..=2_200).contains(&lease_ms), "{lease_ms} ms at 9,790 ms of 12,000");
+}
+
 /// When a planner that first reads the departure at `START_MS` completes the move.
 fn vacant_after_ms(terms: Option<LeaseTerms>) -> u64 {
     let mut state = ControlState::new(settings(1), at(START_MS));
--- a/crates/galenastream_node/tests/ownership/varied_runs.rs
+++ b/crates/galenastream_node/tests/ownership/varied_runs.rs
@@ -152,7 +152,7 @@
 /// Guards against gaps between the leases of a node whose settings permit shorter ones than the row.
 #[test]
 fn a_node_with_shorter_bounds_renews_leases_without_a_gap() {
-    assert_invariants(&ALL_VARIATIONS, [1_123, 1_148]);
+    assert_invariants(&ALL_VARIATIONS, [1_123, 1_148, 9, 1_124]);
 }
 
 fn assert_detected(bug: InjectedBug, variations: &[Variation], seeds: std::ops::Range<u64>) {
