--- a/crates/galenastream_node/tests/ownership/varied_runs.rs
+++ b/crates/galenastream_node/tests/ownership/varied_runs.rs
@@ -155,6 +155,12 @@
     assert_invariants(&ALL_VARIATIONS, [1_123, 1_148, 9, 1_124]);
 }
 
+/// Guards against a run of a target that reports its id with the start time of an earlier run.
+#[test]
+fn a_target_that_starts_again_under_its_id_gets_keys_under_a_higher_fence() {
+    assert_invariants(&ALL_VARIATIONS, [4_590]);
+}
+
 fn assert_detected(bug: InjectedBug, variations: &[Variation], seeds: std::ops::Range<u64>) {
     let is_detected = |seed| {
         let violations = run_varied(seed, variations, bug).violations;
