Let readers confirm the rows for all targets, also without an own one

Callers of most keys would get 503 for as long as the first node by name has no target that holds keys: its target has ended and none follows, or its service holds no keys. Found while looking for gaps that the simulation cannot show.

Cause: a watch of the shared rows, which confirms them, waited 2 s if the target beside the node held keys, and 12 s otherwise. Two nodes read the rows, and the leases of all others depend on what these confirm. A confirmation counts from when the watch was sent, so that of a reader without a target was 12 to 24 s old, and a row is valid for 12 s. The node that asked got an answer each time, so it did not read the rows itself either.

Evidence: the simulation now takes the wait of a watch from the program instead of 2 s.

A reader now watches for 2 s at a time while the config has a service whose targets hold keys, or is not known yet. Readers without a target that holds keys send a call in 2 s in place of one in 12 s; all others send what they did. The decision is in the control state, so that the simulation plays it.

--- a/crates/galenastream_node/src/process/context.rs
+++ b/crates/galenastream_node/src/process/context.rs
@@ -63,6 +63,8 @@
     pub own_row: watch::Sender<Option<WrittenRow>>,
     /// Whether this node follows the shared rows in the store itself.
     pub reads_rows: watch::Sender<bool>,
+    /// How long a watch of the shared rows waits for a change.
+    pub rows_watch_ms: AtomicU64,
     /// Whether the process is about to stop.
     pub is_closing: AtomicBool,
     /// Whether the process is about to stop and refuses requests.
--- a/crates/galenastream_node/src/process/control_loop.rs
+++ b/crates/galenastream_node/src/process/control_loop.rs
@@ -18,6 +18,7 @@
     time::{Instant, MissedTickBehavior, interval, timeout},
 };
 
+use super::ownership_log::millis;
 use super::{
     ControlEvent, ControlState, Effect, NodeContext, ProbeAnswer, TargetProbe,
     commit::{AssignmentWrite, StoreWrite},
@@ -129,6 +130,7 @@
         context
             .reads_rows
             .send_if_modified(|current| std::mem::replace(current, reads_rows) != reads_rows);
+        context.rows_watch_ms.store(millis(self.state.rows_watch()), Ordering::Relaxed);
         let has_keys_left = self.state.has_keys_to_hand_over();
         context.has_keys_to_hand_over.store(has_keys_left, Ordering::Relaxed);
         let status = self.state.status(now);
--- a/crates/galenastream_node/src/process/daemon.rs
+++ b/crates/galenastream_node/src/process/daemon.rs
@@ -3,7 +3,10 @@
 use std::{
     net::SocketAddr,
     path::{Path, PathBuf},
-    sync::{Arc, atomic::Ordering},
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
     thread,
     time::Duration,
 };
@@ -21,6 +24,7 @@
     time::{Instant, MissedTickBehavior, interval, sleep},
 };
 
+use super::ownership_log::millis;
 use super::{
     ControlEvent, ControlQueue, ControlState, KeyMeter, NodeContext, SyncSnapshot, TrafficState,
     commit::write_rows,
@@ -98,6 +102,7 @@
         target_connections: Default::default(),
         heartbeat_connections: Default::default(),
         reads_rows: Default::default(),
+        rows_watch_ms: AtomicU64::new(millis(state.rows_watch())),
         own_row: watch::Sender::new(None),
         is_closing: Default::default(),
         is_refusing: Default::default(),
--- a/crates/galenastream_node/src/process/mod.rs
+++ b/crates/galenastream_node/src/process/mod.rs
@@ -26,6 +26,7 @@
 mod planning;
 mod publication;
 mod remembered_announcements;
+mod row_confirmation;
 mod settings_follower;
 mod status_page;
 mod store_eras;
--- a/crates/galenastream_node/src/process/store_follower.rs
+++ b/crates/galenastream_node/src/process/store_follower.rs
@@ -1,6 +1,10 @@
 //! Watches the tables of the store for changes.
 
-use std::{future::pending, sync::Arc, time::Duration};
+use std::{
+    future::pending,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 use galenastream_adapter::{
     CONFIG_TABLE, RoutingConfig, Row, StoreClient, StoreConnection, StoreError, VersionedRows,
@@ -11,20 +15,13 @@
 use galenastream_wire::SHARED_ROWS_TABLE;
 use tokio::time::{sleep, timeout};
 
+use super::row_confirmation::MAX_WATCH;
 use super::{ControlEvent, NodeContext, WrittenRow};
 
 /// Timeout of a call to the store; a watch may take this much longer than its wait. A call normally
 /// takes 4 ms, and about this long while the store is slow.
 pub(super) const STORE_CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
 
-/// How long a watch waits for a change. Long, since each watch costs a call, and a dead connection
-/// is detected by its keep-alive probes.
-const MAX_WATCH: Duration = Duration::from_millis(12_000);
-
-/// How long a watch waits if the local target holds keys. Each watch confirms that the rows are
-/// current, which leases depend on.
-const MAX_LEASE_WATCH: Duration = Duration::from_millis(2_000);
-
 /// How long a node that follows the shared rows watches the config. Each watch confirms that the
 /// config is the newest one, on which all nodes rely, see
 /// [`MAX_CONFIG_AGE`](super::config_confirmation::MAX_CONFIG_AGE).
@@ -142,9 +139,11 @@
 
 fn max_watch(context: &NodeContext, table: FollowedTable) -> Duration {
     match table {
-        FollowedTable::SharedRows if target_holds_keys(context) => MAX_LEASE_WATCH,
+        FollowedTable::SharedRows => {
+            Duration::from_millis(context.rows_watch_ms.load(Ordering::Relaxed))
+        }
         FollowedTable::Config if *context.reads_rows.borrow() => MAX_READER_CONFIG_WATCH,
-        FollowedTable::SharedRows | FollowedTable::Config => MAX_WATCH,
+        FollowedTable::Config => MAX_WATCH,
     }
 }
 
@@ -168,11 +167,6 @@
     }
 }
 
-fn target_holds_keys(context: &NodeContext) -> bool {
-    let directory = context.directory.load();
-    directory.local.as_ref().is_some_and(|it| it.holds_keys)
-}
-
 async fn deliver(
     context: &NodeContext,
     table: FollowedTable,
--- a/crates/galenastream_node/tests/ownership/main.rs
+++ b/crates/galenastream_node/tests/ownership/main.rs
@@ -36,6 +36,7 @@
 
 use injected_bug::InjectedBug;
 use simulation::Simulation;
+use variation::Variation;
 
 const SEEDS: u64 = 100;
 const FAULTY_MS: u64 = 40_000;
@@ -80,6 +81,23 @@
     assert_eq!(simulation.held_samples, 9 * 60_000 / simulation::STEP_MS);
 }
 
+/// Guards against rows that are seldom confirmed, on which the leases of all other targets depend.
+#[test]
+fn every_key_is_held_at_all_times_while_readers_have_no_target() {
+    for seed in 0..SEEDS / 10 {
+        let mut simulation = Simulation::new(seed, 4, InjectedBug::None)
+            .with_variations(&[Variation::ReaderRoles, Variation::PromptWrites]);
+        simulation.run_for(8_000, false);
+        for index in 0..2 {
+            simulation.crash_target(index, 10 * TAKEOVER_MS);
+        }
+        simulation.run_for(TAKEOVER_MS, false);
+        simulation.observations.reset_gaps();
+        simulation.run_for(60_000, false);
+        assert_eq!(simulation.observations.longest_gap_ms, 0, "seed {seed}");
+    }
+}
+
 fn assert_detected(bug: InjectedBug, violation: &str) {
     let is_detected = |seed| run(seed, bug).violations.iter().any(|it| it.contains(violation));
     assert!((0..SEEDS).any(is_detected), "no seed detects {bug:?}");
--- a/crates/galenastream_node/tests/ownership/store_access.rs
+++ b/crates/galenastream_node/tests/ownership/store_access.rs
@@ -1,8 +1,10 @@
 //! Reads, watches and writes of the store.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use galenastream_adapter::{ExpectedRow, Row, RowWrite, StoreError, era_of};
-use galenastream_node::ControlEvent;
+use galenastream_node::{ControlEvent, ControlState};
 use galenastream_ranges::{Assignment, Holding, RangeEntry};
 use galenastream_utils::BootInstant;
 use galenastream_wire::{EraRow, SharedRowKey};
@@ -17,7 +19,7 @@
     variation::Variation,
 };
 
-/// How long a watch waits for a change.
+/// How long a watch waits for a change, in runs that do not play calls one by one.
 const WATCH_MS: u64 = 2_000;
 /// How much longer a node waits for the answer to a call.
 const CALL_TIMEOUT_MS: u64 = 1_000;
@@ -123,8 +125,10 @@
         }
         let arrives_at_ms = now_ms + self.varied_rng.random_range(0..=2) * STEP_MS;
         let after = vm.known_version;
-        self.vms[index].store_call =
-            Some(StoreCall { sent_at_ms: now_ms, after, arrives_at_ms, answer: None });
+        let wait = vm.state.as_ref().map_or(Duration::ZERO, ControlState::rows_watch);
+        let wait_ms = wait.as_millis() as u64;
+        let call = StoreCall { sent_at_ms: now_ms, after, wait_ms, arrives_at_ms, answer: None };
+        self.vms[index].store_call = Some(call);
     }
 
     fn advance_store_call(&mut self, index: usize, mut call: StoreCall) {
@@ -145,7 +149,7 @@
             Some(answer) if !is_cut_off && now_ms >= answer.arrives_at_ms => {
                 self.deliver_answer(index, answer.content, asked_at, call.after.is_none());
             }
-            _ if now_ms >= call.sent_at_ms + WATCH_MS + CALL_TIMEOUT_MS => {
+            _ if now_ms >= call.sent_at_ms + call.wait_ms + CALL_TIMEOUT_MS => {
                 self.send_event(index, ControlEvent::StoreReached(false));
             }
             _ => self.vms[index].store_call = Some(call),
@@ -175,7 +179,7 @@
         if self.vms[index].is_history_dropped || era_of(after) != era_of(version) {
             return Some(AnswerContent::HistoryDropped);
         }
-        let is_over = now_ms >= call.sent_at_ms + WATCH_MS;
+        let is_over = now_ms >= call.sent_at_ms + call.wait_ms;
         if version <= after && !is_over {
             return None;
         }
--- a/crates/galenastream_node/tests/ownership/store_call.rs
+++ b/crates/galenastream_node/tests/ownership/store_call.rs
@@ -7,6 +7,8 @@
     pub sent_at_ms: u64,
     /// The version after which changes are watched; `None` reads all rows.
     pub after: Option<u64>,
+    /// How long a watch waits for a change.
+    pub wait_ms: u64,
     /// When the store executes the call at the earliest.
     pub arrives_at_ms: u64,
     pub answer: Option<StoreAnswer>,
