Notice a connection to the store that went silent within 2 s

Cause: the design relies on keep-alive probes for dead connections, and left their number to the system: 9, one second apart, after 2 s of silence.

One unanswered probe, 1 s after 1 s of silence, now ends the connection at every node, readers or not: less than the 3 s after which operators' promises hold again. It costs no call to the store. A kernel with TCP_USER_TIMEOUT ended connections after one lost probe before as well.

--- a/crates/galenastream_runtime/src/socket.rs
+++ b/crates/galenastream_runtime/src/socket.rs
@@ -10,10 +10,13 @@
 /// deadlines of callers.
 const USER_TIMEOUT: Duration = Duration::from_millis(1_500);
 
-/// How long a connection may be idle before its first keep-alive probe, and the interval of further
-/// ones. `USER_TIMEOUT` limits how long they may stay unanswered.
-const KEEP_ALIVE_TIME: Duration = Duration::from_millis(2_000);
+/// How long a connection may be idle before its first keep-alive probe, the interval of further ones,
+/// and how many may stay unanswered. Together less than the 3 s after which a config has to be in
+/// force although connections went silent. `USER_TIMEOUT` need not apply to probes. The kernel
+/// counts in whole seconds.
+const KEEP_ALIVE_TIME: Duration = Duration::from_millis(1_000);
 const KEEP_ALIVE_INTERVAL: Duration = Duration::from_millis(1_000);
+const MAX_UNANSWERED_PROBES: u32 = 1;
 
 /// Opens a TCP connection within a time limit.
 pub async fn connect_tcp(address: SocketAddr, limit: Duration) -> io::Result<TcpStream> {
@@ -36,7 +39,10 @@
 
 /// Probes a connection while it is idle, so that one that waits for a peer that vanished fails too.
 pub fn set_keep_alive(stream: &TcpStream) {
-    let probes = TcpKeepalive::new().with_time(KEEP_ALIVE_TIME).with_interval(KEEP_ALIVE_INTERVAL);
+    let probes = TcpKeepalive::new()
+        .with_time(KEEP_ALIVE_TIME)
+        .with_interval(KEEP_ALIVE_INTERVAL)
+        .with_retries(MAX_UNANSWERED_PROBES);
     if let Err(error) = SockRef::from(stream).set_tcp_keepalive(&probes) {
         log::debug!(event = "socket_option_failed", option = "keep_alive", reason:% = error; "");
     }
