Let a suspected request wait for half of its time at most, and only before admission

A second wait behind the queue could have held a slot that the run it waited for needed. Statements of suspects carry no descriptions, which operators want of requests in quarantine only; a crash has many suspects.

--- a/crates/galenastream_node/src/process/request_quarantine.rs
+++ b/crates/galenastream_node/src/process/request_quarantine.rs
@@ -177,8 +177,13 @@
     shorten(&format!("{method} {host}{path}"))
 }
 
-/// Encodes a record for other nodes and the store.
+/// Encodes a record for other nodes and the store. Operators want the description of requests in
+/// quarantine only; a crash has many suspects.
 pub fn encode_suspect(suspect: &Suspect) -> SuspectRecord {
+    let description = match suspect.was_quarantined {
+        true => suspect.description.to_string(),
+        false => String::new(),
+    };
     let crashes = suspect.crashes.iter().map(|it| CrashEntry {
         id: it.id.0,
         was_suspected: it.was_suspected,
@@ -187,7 +192,7 @@
     SuspectRecord {
         fingerprint: Bytes::copy_from_slice(&suspect.fingerprint.to_bytes()),
         crashes: crashes.collect(),
-        description: suspect.description.to_string(),
+        description,
         was_quarantined: suspect.was_quarantined,
     }
 }
--- a/crates/galenastream_node/src/request/target_run.rs
+++ b/crates/galenastream_node/src/request/target_run.rs
@@ -41,6 +41,9 @@
 /// that, a retry by the caller is better than a longer wait.
 const LEASE_WAIT_DIVISOR: u32 = 2;
 
+/// A suspected request waits for other runs of it for the time to its deadline divided by this.
+const TURN_WAIT_DIVISOR: u32 = 2;
+
 /// `Retry-After` of a suspected request that the target is already running: its run shows soon whether
 /// it may run.
 const SUSPECT_RETRY_AFTER_MS: u32 = 300;
@@ -153,7 +156,7 @@
         turn = wait_for_turn(traffic, fingerprint, deadline) => turn,
         () = caller_left.cancelled() => return not_sent(ReplyReason::CallerLeft, 0),
     };
-    let mut turn = match turn {
+    let turn = match turn {
         Ok(turn) => turn,
         Err(reply) => return *reply,
     };
@@ -194,12 +197,9 @@
     if let Err(reply) = check_runnable(traffic, &request) {
         return reply;
     }
-    // A target may have crashed under the request while it waited in the queue.
-    if turn.is_none() || is_quarantined(traffic, fingerprint) {
-        turn = match wait_for_turn(traffic, fingerprint, deadline).await {
-            Ok(turn) => turn,
-            Err(reply) => return *reply,
-        };
+    // Targets may have crashed under the request while it waited in the queue.
+    if traffic.context.quarantine.suspicion(fingerprint) == Suspicion::Quarantined {
+        return not_sent(ReplyReason::Quarantined, QUARANTINED_RETRY_AFTER_MS);
     }
     let Some(outgoing) = http_request(&request, deadline) else {
         return not_sent(ReplyReason::Invalid, 0);
@@ -233,12 +233,15 @@
 }
 
 /// Waits until a request that is suspected of crashing targets may run here: after all other runs of
-/// it. Returns no turn if it is not suspected, and the reply to send back if it must not run.
+/// it, if they end while there is time to run. Returns no turn if it is not suspected, and the reply to
+/// send back if it must not run.
 async fn wait_for_turn(
     traffic: &TrafficState,
     fingerprint: RequestFingerprint,
     deadline: Deadline,
 ) -> Result<Option<RunningSuspect<'_>>, Box<ForwardedReply>> {
+    let now = boot_now();
+    let until = now + deadline.remaining(now) / TURN_WAIT_DIVISOR;
     loop {
         let mut ended = pin!(traffic.suspect_ended());
         ended.as_mut().enable();
@@ -255,7 +258,7 @@
         }
         tokio::select! {
             () = ended => {}
-            () = sleep_until(deadline.at()) => {
+            () = sleep_until(until) => {
                 let reply = not_sent(ReplyReason::SuspectRunning, SUSPECT_RETRY_AFTER_MS);
                 return Err(Box::new(reply));
             }
@@ -263,10 +266,6 @@
     }
 }
 
-fn is_quarantined(traffic: &TrafficState, fingerprint: RequestFingerprint) -> bool {
-    traffic.context.quarantine.suspicion(fingerprint) == Suspicion::Quarantined
-}
-
 /// Records a run whose connection broke, in case that the target has ended.
 fn record_lost_run(
     traffic: &TrafficState,
--- a/crates/galenastream_routing/src/process/quarantine.rs
+++ b/crates/galenastream_routing/src/process/quarantine.rs
@@ -144,7 +144,8 @@
         let before = self.suspicion(fingerprint);
         let is_answered = self.answers.contains(fingerprint, now);
         let suspect = self.entry(fingerprint, now);
-        if suspect.description.is_empty() {
+        let is_named = suspect.description.is_empty() && !other.description.is_empty();
+        if is_named {
             suspect.description = other.description.clone();
         }
         let is_changed = suspect.merge(&other.crashes);
@@ -160,7 +161,7 @@
             suspect.state(now);
         }
         let is_other = suspect.suspicion() != before;
-        if is_changed || is_cleared || is_ahead {
+        if is_changed || is_named || is_cleared || is_ahead {
             self.record_change(fingerprint, before == Suspicion::Quarantined, now);
         }
         is_other
