--- a/crates/galenastream_node/tests/ownership/store_access.rs
+++ b/crates/galenastream_node/tests/ownership/store_access.rs
@@ -1,8 +1,10 @@
 //! Reads, watches and writes of the store.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use galenastream_adapter::{ExpectedRow, Row, RowWrite, StoreError, era_of};
-use galenastream_node::ControlEvent;
+use galenastream_node::{ControlEvent, ControlState};
 use galenastream_ranges::{Assignment, Holding, RangeEntry};
 use galenastream_utils::BootInstant;
 use galenastream_wire::{EraRow, SharedRowKey};
@@ -10,6 +12,7 @@
 use rand::RngExt;
 
 use crate::{
+    earlier_program::rewritten,
     injected_bug::InjectedBug,
     simulation::{STEP_MS, Simulation},
     store::{ASSIGNMENT_KEY, Write, WriteContent},
@@ -17,7 +20,7 @@
     variation::Variation,
 };
 
-/// How long a watch waits for a change.
+/// How long a watch waits for a change, in runs that do not play calls one by one.
 const WATCH_MS: u64 = 2_000;
 /// How much longer a node waits for the answer to a call.
 const CALL_TIMEOUT_MS: u64 = 1_000;
@@ -123,8 +126,10 @@
         }
         let arrives_at_ms = now_ms + self.varied_rng.random_range(0..=2) * STEP_MS;
         let after = vm.known_version;
-        self.vms[index].store_call =
-            Some(StoreCall { sent_at_ms: now_ms, after, arrives_at_ms, answer: None });
+        let wait = vm.state.as_ref().map_or(Duration::ZERO, ControlState::rows_watch);
+        let wait_ms = wait.as_millis() as u64;
+        let call = StoreCall { sent_at_ms: now_ms, after, wait_ms, arrives_at_ms, answer: None };
+        self.vms[index].store_call = Some(call);
     }
 
     fn advance_store_call(&mut self, index: usize, mut call: StoreCall) {
@@ -145,7 +150,7 @@
             Some(answer) if !is_cut_off && now_ms >= answer.arrives_at_ms => {
                 self.deliver_answer(index, answer.content, asked_at, call.after.is_none());
             }
-            _ if now_ms >= call.sent_at_ms + WATCH_MS + CALL_TIMEOUT_MS => {
+            _ if now_ms >= call.sent_at_ms + call.wait_ms + CALL_TIMEOUT_MS => {
                 self.send_event(index, ControlEvent::StoreReached(false));
             }
             _ => self.vms[index].store_call = Some(call),
@@ -175,7 +180,7 @@
         if self.vms[index].is_history_dropped || era_of(after) != era_of(version) {
             return Some(AnswerContent::HistoryDropped);
         }
-        let is_over = now_ms >= call.sent_at_ms + WATCH_MS;
+        let is_over = now_ms >= call.sent_at_ms + call.wait_ms;
         if version <= after && !is_over {
             return None;
         }
@@ -238,6 +243,7 @@
             {
                 self.first_sights.complete_old_moves(assignment, self.now_ms);
             }
+            self.drop_new_fields(&mut write);
             let writes = write.content.row_writes(self.bug);
             let result = self.store.commit(&write.expected, &writes, self.now_ms);
             self.make_unreadable(&write, result.is_ok());
@@ -283,6 +289,40 @@
         }
     }
 
+    /// Whether a program of an earlier version makes a change, which is so with a chance of one in
+    /// `one_in`.
+    fn is_by_earlier_program(&mut self, one_in: u64) -> bool {
+        self.varies(Variation::EarlierPrograms)
+            && !self.are_faults_over
+            && self.varied_rng.random_range(0..one_in) == 0
+    }
+
+    fn drop_new_fields(&mut self, write: &mut Write) {
+        if !self.is_by_earlier_program(3) {
+            return;
+        }
+        if let WriteContent::Assignment(assignment) = &mut write.content {
+            **assignment = rewritten(assignment);
+        }
+    }
+
+    /// Writes the assignment again, about every 5 s, as a program of an earlier version does that
+    /// changes something else in it.
+    pub fn rewrite_by_earlier_program(&mut self) {
+        if !self.is_by_earlier_program(5_000 / STEP_MS) {
+            return;
+        }
+        let rows = self.store.rows();
+        let row = rows.iter().find(|it| it.key == ASSIGNMENT_KEY);
+        let Some(value) = row.and_then(|it| it.value.as_deref()) else {
+            return;
+        };
+        let assignment = Assignment::decode_row(value).expect("it can be decoded");
+        let value = Bytes::from(rewritten(&assignment).encode_row());
+        let put = RowWrite::Put { key: ASSIGNMENT_KEY.to_owned(), value };
+        self.store.commit(&[], &[put], self.now_ms).expect("it has no conditions");
+    }
+
     /// While the programs are being replaced, the new ones write rows that the old ones cannot
     /// decode.
     fn make_unreadable(&mut self, write: &Write, is_written: bool) {
