--- a/crates/galenastream_node/src/request/mod.rs
+++ b/crates/galenastream_node/src/request/mod.rs
@@ -4,6 +4,7 @@
 mod attempt;
 mod caller_request;
 mod counted_attempt;
+mod crash;
 mod drain;
 mod entry;
 mod fingerprint;
--- a/crates/galenastream_node/src/request/target_run.rs
+++ b/crates/galenastream_node/src/request/target_run.rs
@@ -1,15 +1,13 @@
 //! Admission and execution of a request at the node beside its target.
 
 use std::{
-    pin::pin,
     sync::{Arc, atomic::Ordering},
     time::Duration,
 };
 
 use bytes::Bytes;
 use galenastream_adapter::header_names;
-use galenastream_ranges::TargetIncarnation;
-use galenastream_routing::{Class, CrashId, Deadline, LostRun, RequestFingerprint, Suspicion};
+use galenastream_routing::{Class, Deadline, RequestFingerprint, Suspicion};
 use galenastream_runtime::{append_headers, boot_now, sleep_until};
 use galenastream_utils::BootInstant;
 use galenastream_wire::{ForwardedReply, ForwardedRequest, ReplyOutcome, ReplyReason};
@@ -19,6 +17,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::{
+    crash::{record_lost_run, wait_for_turn},
     drain::is_drain_over,
     fingerprint::fingerprint_of_forwarded,
     refusal::QUARANTINED_RETRY_AFTER_MS,
@@ -28,9 +27,7 @@
 };
 use crate::{
     connection::TargetResult,
-    process::{
-        ControlEvent, CountGuard, LocalTarget, RunningSuspect, TrafficState, describe_request,
-    },
+    process::{CountGuard, TrafficState},
 };
 
 /// Maximum time that a request waits for the target's lease on its key. Once the key is assigned to
@@ -41,13 +38,6 @@
 /// that, a retry by the caller is better than a longer wait.
 const LEASE_WAIT_DIVISOR: u32 = 2;
 
-/// A suspected request waits for other runs of it for the time to its deadline divided by this.
-const TURN_WAIT_DIVISOR: u32 = 2;
-
-/// `Retry-After` of a suspected request that the target is already running: its run shows soon whether
-/// it may run.
-const SUSPECT_RETRY_AFTER_MS: u32 = 300;
-
 /// Operators set the target latency of a route to about this many times its service time. The
 /// service time is estimated with it until it is measured.
 const SERVICE_TIME_ESTIMATE_DIVISOR: u32 = 3;
@@ -215,12 +205,8 @@
     };
     let is_lost = matches!(result, TargetResult::Unknown { .. });
     let mut reply = reply_from_result(traffic, &request, began_at, result);
-    if is_lost {
-        record_lost_run(traffic, &request, fingerprint, turn.is_some());
-        if has_crashed(traffic, &request).await {
-            record_crash(traffic, &request);
-            reply.reason = ReplyReason::TargetCrashed as i32;
-        }
+    if is_lost && record_lost_run(traffic, &request, fingerprint, turn.is_some()).await {
+        reply.reason = ReplyReason::TargetCrashed as i32;
     }
     if reply.outcome == ReplyOutcome::Answered as i32 {
         traffic.context.quarantine.record_answer(fingerprint, boot_now());
@@ -232,75 +218,6 @@
     reply
 }
 
-/// Waits until a request that is suspected of crashing targets may run here: after all other runs of
-/// it, if they end while there is time to run. Returns no turn if it is not suspected, and the reply to
-/// send back if it must not run.
-async fn wait_for_turn(
-    traffic: &TrafficState,
-    fingerprint: RequestFingerprint,
-    deadline: Deadline,
-) -> Result<Option<RunningSuspect<'_>>, Box<ForwardedReply>> {
-    let now = boot_now();
-    let until = now + deadline.remaining(now) / TURN_WAIT_DIVISOR;
-    loop {
-        let mut ended = pin!(traffic.suspect_ended());
-        ended.as_mut().enable();
-        match traffic.context.quarantine.suspicion(fingerprint) {
-            Suspicion::None => return Ok(None),
-            Suspicion::Suspected => {}
-            Suspicion::Quarantined => {
-                let reply = not_sent(ReplyReason::Quarantined, QUARANTINED_RETRY_AFTER_MS);
-                return Err(Box::new(reply));
-            }
-        }
-        if let Some(turn) = traffic.begin_suspect(fingerprint) {
-            return Ok(Some(turn));
-        }
-        tokio::select! {
-            () = ended => {}
-            () = sleep_until(until) => {
-                let reply = not_sent(ReplyReason::SuspectRunning, SUSPECT_RETRY_AFTER_MS);
-                return Err(Box::new(reply));
-            }
-        }
-    }
-}
-
-/// Records a run whose connection broke, in case that the target has ended.
-fn record_lost_run(
-    traffic: &TrafficState,
-    request: &ForwardedRequest,
-    fingerprint: RequestFingerprint,
-    was_suspected: bool,
-) {
-    traffic.context.quarantine.record_lost_run(LostRun {
-        fingerprint,
-        crash: CrashId::of(&request.target_id, request.target_born_ms),
-        was_suspected,
-        description: describe_request(&request.method, &request.host, &request.path),
-        lost_at: boot_now(),
-    });
-}
-
-/// Records that the target has crashed under a request, and makes the control thread tell the other
-/// nodes.
-fn record_crash(traffic: &TrafficState, request: &ForwardedRequest) {
-    let target = TargetIncarnation::new(request.target_id.as_str(), request.target_born_ms);
-    traffic.context.quarantine.record_crash(&target, boot_now());
-    traffic.context.control_events.notify(ControlEvent::TargetCrashed);
-}
-
-/// Whether the target has ended without having announced it: the connection of a request broke, and
-/// nothing listens at its address any more. A connection that was reset alone proves nothing.
-async fn has_crashed(traffic: &TrafficState, request: &ForwardedRequest) -> bool {
-    let is_leaving =
-        |it: &LocalTarget| *it.incarnation.id == *request.target_id && it.draining_since.is_some();
-    if traffic.context.directory.load().local.as_ref().is_some_and(is_leaving) {
-        return false;
-    }
-    traffic.target_connections.is_refused().await
-}
-
 /// Waits until the target may run the request, if only its lease on the key is missing and expected
 /// soon.
 async fn wait_for_lease(
