Directed scenario: keys without an owner beside a reader without keys

Cause, from the status pages and the code, not yet tried by a change: a reader whose target holds no keys watches the shared rows for 12 s at a time (MAX_WATCH), and a watch confirms as of when it was sent. What it confirms to another node is thus 12 to 24 s old, where a row is valid for 12 s less 2 %. `query_peer_if_needed` selects the reader by its rows version alone, and any answer sets `synced_at`, so the node neither asks the other reader nor reads itself.

--- a/crates/galenastream_node/tests/soak.rs
+++ b/crates/galenastream_node/tests/soak.rs
@@ -63,3 +63,8 @@
 async fn a_target_that_states_an_earlier_start_than_the_one_before_is_accepted() {
     check(&day("clock-set-back"), 1).await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn keys_stay_owned_while_a_node_whose_target_holds_none_confirms_the_rows() {
+    check(&day("keyless-reader"), 1).await;
+}
