Let nodes that restart learn of requests that are close to quarantine

The first three crashes had come at one moment, of which none counts as under suspicion, so the request was not in quarantine yet; the node that restarted then did not know of it, sent two copies to two targets at once, and repeated both when these ended.

What every node should have, and the row of the store, now includes requests with two crashes. The digest covers the number of crashes. Whether an attempt is repeated after a crash depends on what the entry knows after the reply, not on what it knew before.

--- a/crates/galenastream_ctl/src/request/quarantine.rs
+++ b/crates/galenastream_ctl/src/request/quarantine.rs
@@ -25,7 +25,7 @@
 #[derive(Serialize)]
 struct RequestDocument {
     fingerprint: String,
-    /// `refused` or `released`.
+    /// `refused`, `suspected` or `released`.
     state: &'static str,
     /// The crashes that count against the request.
     crashes: usize,
@@ -98,7 +98,8 @@
     let suspect = decode_suspect(record)?;
     let state = match suspect.suspicion() {
         Suspicion::Quarantined => "refused",
-        Suspicion::None | Suspicion::Suspected => "released",
+        Suspicion::Suspected => "suspected",
+        Suspicion::None => "released",
     };
     Some(RequestDocument {
         fingerprint: suspect.fingerprint.to_string(),
@@ -123,7 +124,7 @@
         return "no request is in quarantine".to_owned();
     }
     let lines = document.requests.iter().map(|it| {
-        format!("{}  {:<8}  {} crashes  {}", it.fingerprint, it.state, it.crashes, it.request)
+        format!("{}  {:<9}  {} crashes  {}", it.fingerprint, it.state, it.crashes, it.request)
     });
     lines.collect::<Vec<_>>().join("\n")
 }
--- a/crates/galenastream_node/src/process/request_quarantine.rs
+++ b/crates/galenastream_node/src/process/request_quarantine.rs
@@ -34,6 +34,11 @@
         self.lock().suspicion(fingerprint)
     }
 
+    /// Whether a request has crashed more than one target. It is not sent to another one at once.
+    pub fn has_crashed_again(&self, fingerprint: RequestFingerprint) -> bool {
+        self.lock().suspect(fingerprint).is_some_and(|it| it.counted() > 1)
+    }
+
     /// What this node knows of crashes under a request; `None` if there were none.
     pub fn record_of(&self, fingerprint: RequestFingerprint) -> Option<SuspectRecord> {
         self.lock().suspect(fingerprint).map(encode_suspect)
@@ -95,21 +100,21 @@
     }
 
     /// The records that every node should have.
-    pub fn quarantined(&self) -> Vec<SuspectRecord> {
-        self.lock().quarantined().into_iter().map(encode_suspect).collect()
+    pub fn shared(&self) -> Vec<SuspectRecord> {
+        self.lock().shared().into_iter().map(encode_suspect).collect()
     }
 
     /// Adds the records to a status that its receiver lacks, by the digest that the receiver stated
     /// last: it may have restarted or have been cut off.
     pub fn add_missing(&self, status: &mut NodeStatus, known_digest: u64) {
         if status.quarantine_digest != known_digest {
-            status.suspects.extend(self.quarantined());
+            status.suspects.extend(self.shared());
         }
     }
 
     /// The row of the store with these records.
     pub fn row(&self) -> QuarantineRow {
-        let mut records = self.quarantined();
+        let mut records = self.shared();
         records.sort_by(|a, b| a.fingerprint.cmp(&b.fingerprint));
         for record in &mut records {
             record.crashes.sort_by_key(|it| it.id);
@@ -177,10 +182,10 @@
     shorten(&format!("{method} {host}{path}"))
 }
 
-/// Encodes a record for other nodes and the store. Operators want the description of requests in
-/// quarantine only; a crash has many suspects.
+/// Encodes a record for other nodes and the store. Most suspects of a crash need no description: they
+/// are cleared before another one.
 pub fn encode_suspect(suspect: &Suspect) -> SuspectRecord {
-    let description = match suspect.was_quarantined {
+    let description = match suspect.counted() > 1 || suspect.was_quarantined {
         true => suspect.description.to_string(),
         false => String::new(),
     };
--- a/crates/galenastream_node/src/request/attempt.rs
+++ b/crates/galenastream_node/src/request/attempt.rs
@@ -30,8 +30,6 @@
     pub(super) leaving_since: Option<BootInstant>,
     /// Whether another target is attempted if this one refuses the request.
     pub(super) has_alternatives: bool,
-    /// Whether the request was suspected of crashing targets when the target was chosen.
-    pub(super) is_suspected: bool,
 }
 
 /// Sends a request to a target, waits for the reply, and records its result and the reported load,
--- a/crates/galenastream_node/src/request/entry.rs
+++ b/crates/galenastream_node/src/request/entry.rs
@@ -397,10 +397,11 @@
                 if reply.reason == ReplyReason::DeadlinePassed as i32 {
                     return NextStep::Done(Err(Refusal::TimedOut));
                 }
-                // A request that has crashed two targets in a row is not sent to a third one at once.
-                let has_crashed_again =
-                    destination.is_suspected && reply.reason == ReplyReason::TargetCrashed as i32;
-                if !self.request.route.is_idempotent || has_crashed_again {
+                let has_crashed = reply.reason == ReplyReason::TargetCrashed as i32;
+                let quarantine = &self.traffic.context.quarantine;
+                if !self.request.route.is_idempotent
+                    || has_crashed && quarantine.has_crashed_again(self.fingerprint)
+                {
                     return NextStep::Done(progress.give_up());
                 }
                 self.retry(destination, progress)
--- a/crates/galenastream_node/src/request/target_choice.rs
+++ b/crates/galenastream_node/src/request/target_choice.rs
@@ -59,7 +59,6 @@
             target: holder.target.clone(),
             leaving_since,
             has_alternatives: false,
-            is_suspected: self.suspect.is_some(),
         })
     }
 
@@ -77,7 +76,6 @@
             target: target.incarnation.clone(),
             leaving_since: leaving_since(node, &self.traffic.remembered()),
             has_alternatives: progress.has_alternatives(candidates.len()),
-            is_suspected: self.suspect.is_some(),
         })
     }
 
--- a/crates/galenastream_routing/src/process/quarantine.rs
+++ b/crates/galenastream_routing/src/process/quarantine.rs
@@ -24,9 +24,8 @@
 /// the oldest of them at first.
 const MAX_SUSPECTS: usize = 4_096;
 
-/// The most records of requests that are or were quarantined, which are exchanged with every node and
-/// written to the store.
-pub const MAX_QUARANTINED: usize = 64;
+/// The most records that nodes which lack them get, and that are written to the store.
+pub const MAX_SHARED: usize = 64;
 
 /// The most records in one statement to other nodes.
 pub const MAX_STATED: usize = 64;
@@ -58,15 +57,21 @@
     version: u64,
     /// When a record last changed that this node tells others.
     stated_at: BootInstant,
-    /// The digest and the number of the requests in quarantine.
-    refused: RefusedSet,
+    summary: Summary,
 }
 
-/// A summary of the requests in quarantine.
+/// A summary of the records that every node should have.
 #[derive(Debug, Clone, Copy, Default)]
-struct RefusedSet {
+struct Summary {
     digest: u64,
-    count: usize,
+    quarantined_count: usize,
+}
+
+/// What a record contributes to the [`Summary`].
+#[derive(Debug, Clone, Copy, Default)]
+struct SummaryPart {
+    digest: u64,
+    is_quarantined: bool,
 }
 
 impl Quarantine {
@@ -122,14 +127,14 @@
                 was_suspected: run.was_suspected,
                 is_cleared: self.answers.contains(run.fingerprint, now),
             };
-            let was_refused = self.is_refused(run.fingerprint);
+            let before = self.summary_part(run.fingerprint);
             let suspect = self.entry(run.fingerprint, now);
             if suspect.description.is_empty() {
                 suspect.description = run.description.clone();
             }
             if suspect.merge(&[record]) {
                 suspect.state(now);
-                self.record_change(run.fingerprint, was_refused, now);
+                self.record_change(run.fingerprint, before, now);
             }
         }
         self.crash_count += 1;
@@ -141,7 +146,7 @@
     /// strongly it is suspected.
     pub fn merge(&mut self, other: &Suspect, now: BootInstant) -> bool {
         let fingerprint = other.fingerprint;
-        let before = self.suspicion(fingerprint);
+        let (suspicion, before) = (self.suspicion(fingerprint), self.summary_part(fingerprint));
         let is_answered = self.answers.contains(fingerprint, now);
         let suspect = self.entry(fingerprint, now);
         let is_named = suspect.description.is_empty() && !other.description.is_empty();
@@ -160,16 +165,16 @@
         if is_cleared || is_ahead {
             suspect.state(now);
         }
-        let is_other = suspect.suspicion() != before;
+        let is_other = suspect.suspicion() != suspicion;
         if is_changed || is_named || is_cleared || is_ahead {
-            self.record_change(fingerprint, before == Suspicion::Quarantined, now);
+            self.record_change(fingerprint, before, now);
         }
         is_other
     }
 
     /// Clears a request of all crashes that are known. Returns whether any counted.
     pub fn release(&mut self, fingerprint: RequestFingerprint, now: BootInstant) -> bool {
-        let was_refused = self.is_refused(fingerprint);
+        let before = self.summary_part(fingerprint);
         let Some(suspect) = self.suspects.get_mut(&fingerprint) else {
             return false;
         };
@@ -177,7 +182,7 @@
             return false;
         }
         suspect.state(now);
-        self.record_change(fingerprint, was_refused, now);
+        self.record_change(fingerprint, before, now);
         true
     }
 
@@ -191,20 +196,21 @@
         newest(self.suspects.values().filter(is_recent), MAX_STATED)
     }
 
-    /// The records of requests that are or were quarantined, which every node should have, newest
-    /// first.
-    pub fn quarantined(&self) -> Vec<&Suspect> {
-        newest(self.suspects.values().filter(|it| it.was_quarantined), MAX_QUARANTINED)
+    /// The records that every node should have, newest first: of requests that are or were in
+    /// quarantine, or are close to it.
+    pub fn shared(&self) -> Vec<&Suspect> {
+        newest(self.suspects.values().filter(|it| it.is_shared()), MAX_SHARED)
     }
 
-    /// A digest of the requests in quarantine. Nodes with the same digest refuse the same requests.
+    /// A digest of these requests and the number of crashes that count against each. Nodes with the
+    /// same digest refuse the same requests.
     pub const fn digest(&self) -> u64 {
-        self.refused.digest
+        self.summary.digest
     }
 
     /// The number of requests in quarantine.
     pub const fn quarantined_count(&self) -> usize {
-        self.refused.count
+        self.summary.quarantined_count
     }
 
     /// Counts the changes of records.
@@ -217,26 +223,32 @@
         self.crash_count
     }
 
-    /// Records that what is known of a request has changed, which was in quarantine before or not.
+    /// Records that what is known of a request has changed. `before` is what its record contributed to
+    /// the summary.
     fn record_change(
         &mut self,
         fingerprint: RequestFingerprint,
-        was_refused: bool,
+        before: SummaryPart,
         now: BootInstant,
     ) {
         self.version += 1;
         self.stated_at = now;
-        let is_refused = self.is_refused(fingerprint);
-        match (was_refused, is_refused) {
-            (false, true) => self.refused.count += 1,
-            (true, false) => self.refused.count -= 1,
-            (false, false) | (true, true) => return,
-        }
-        self.refused.digest ^= fingerprint.short_hash();
+        let after = self.summary_part(fingerprint);
+        self.summary.digest ^= before.digest ^ after.digest;
+        self.summary.quarantined_count += usize::from(after.is_quarantined);
+        self.summary.quarantined_count -= usize::from(before.is_quarantined);
     }
 
-    fn is_refused(&self, fingerprint: RequestFingerprint) -> bool {
-        self.suspicion(fingerprint) == Suspicion::Quarantined
+    fn summary_part(&self, fingerprint: RequestFingerprint) -> SummaryPart {
+        let Some(suspect) = self.suspects.get(&fingerprint).filter(|it| it.counted() > 0) else {
+            return SummaryPart::default();
+        };
+        let digest = match suspect.is_shared() {
+            true => fingerprint.short_hash().rotate_left(suspect.counted() as u32),
+            false => 0,
+        };
+        let is_quarantined = suspect.suspicion() == Suspicion::Quarantined;
+        SummaryPart { digest, is_quarantined }
     }
 
     fn entry(&mut self, fingerprint: RequestFingerprint, now: BootInstant) -> &mut Suspect {
@@ -264,11 +276,9 @@
         let Some(fingerprint) = least else {
             return;
         };
-        let was_refused = self.is_refused(fingerprint);
+        let before = self.summary_part(fingerprint);
         self.suspects.remove(&fingerprint);
-        if was_refused {
-            self.record_change(fingerprint, was_refused, self.stated_at);
-        }
+        self.record_change(fingerprint, before, self.stated_at);
     }
 }
 
--- a/crates/galenastream_routing/src/process/suspect.rs
+++ b/crates/galenastream_routing/src/process/suspect.rs
@@ -74,6 +74,12 @@
         self.is_stated = true;
     }
 
+    /// Whether every node should have the record, also after its restart: the request is or was in
+    /// quarantine, or is close to it.
+    pub(super) fn is_shared(&self) -> bool {
+        self.was_quarantined || self.counted() >= REPEATED_CRASHES
+    }
+
     /// Takes over crashes that another copy of the record knows. Returns whether this one changes.
     pub(super) fn merge(&mut self, crashes: &[CrashRecord]) -> bool {
         let mut is_changed = false;
--- a/crates/galenastream_routing/tests/quarantine.rs
+++ b/crates/galenastream_routing/tests/quarantine.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use galenastream_routing::{
-    CrashId, CrashRecord, LostRun, MAX_QUARANTINED, MAX_STATED, Quarantine, RequestContent,
+    CrashId, CrashRecord, LostRun, MAX_SHARED, MAX_STATED, Quarantine, RequestContent,
     RequestFingerprint, Suspect, Suspicion,
 };
 use galenastream_utils::BootInstant;
@@ -135,7 +135,7 @@
     tell(&first, &mut second, at(3_000));
     assert!(second.release(request("/released"), at(20_000)));
     // The first node was cut off until long after the second one has stated the release.
-    for suspect in first.quarantined() {
+    for suspect in first.shared() {
         second.merge(suspect, at(60_000));
     }
     assert_eq!(suspicion(&second, "/released"), Suspicion::None);
@@ -194,7 +194,7 @@
             );
         }
     }
-    assert_eq!(quarantine.quarantined().len(), MAX_QUARANTINED);
+    assert_eq!(quarantine.shared().len(), MAX_SHARED);
     assert_eq!(quarantine.quarantined_count(), 101);
 }
 
