Bound leases on rows that state no limits

After an upgrade, or a write of an earlier program, the row states no limits of leases. A node whose settings permit long leases granted by these, 22 s after the confirmation in the listed test. A planner with shorter settings stated its limits together with the departure, waited for 12 s by them, and gave the keys to a second target.

A statement binds nobody who has not read it, so the bound has to be known without it. Programs from here on grant at most within 12 s and for 6 s on a row without limits (LeaseTerms::UNSTATED, what the platform's default gives), and wait for no less. Writing the statement first and the departure later, as was considered, does not help alone: leases on rows before the statement may end after the wait for a departure that follows it at once.

Shorter limits (a longest lease of 4 s: 6 s) would be waited for with 12 s forever, so the row says which leases keep its limits: Since(version), or AllRows. Only one write follows a version, so a planner that has known a statement for the longest of all bounds knows that leases on rows before it have ended, and says so for the others. Programs that do not know the field drop it; it goes on by the rule for departures. Nothing is written where limits are 12 s or more. A planner restates the longest limits that it has read, also if an earlier program has dropped them.

Not covered, and in the design: nodes of earlier versions with settings above both 10 s and the planner's grant by these on rows without limits.

--- a/crates/galenastream_node/src/process/control_state.rs
+++ b/crates/galenastream_node/src/process/control_state.rs
@@ -115,6 +115,8 @@
     pub(super) unreadable_version: Option<u64>,
     /// Targets of which this process has stated, based on this version, that they have ended.
     pub(super) stated_ends: Vec<EndedTarget>,
+    /// The longest limits of leases that any row has stated that this process has read.
+    pub(super) longest_terms: Option<LeaseTerms>,
     pub(super) vacancy: VacancyTracker,
     /// The version that the write in progress is based on.
     pub(super) pending_write: Option<u64>,
@@ -325,10 +327,12 @@
             self.plan_service(service, &mut desired, now);
         }
         if is_planner && (has_row || desired.entries() != current.entries()) {
-            desired.raise_terms(self.lease_terms);
+            self.state_terms(service, &mut desired, now);
         }
-        let is_unchanged = desired.entries() == current.entries();
-        if is_unchanged && desired.terms() == current.terms() {
+        let is_unchanged = desired.entries() == current.entries()
+            && desired.terms() == current.terms()
+            && desired.terms_statement() == current.terms_statement();
+        if is_unchanged {
             return;
         }
         let record = self.assignment_record(service);
@@ -345,6 +349,34 @@
         });
     }
 
+    /// States the limits of leases in an assignment, and which leases keep them.
+    fn state_terms(&self, service: &str, assignment: &mut Assignment, now: BootInstant) {
+        let record = &self.assignments[service];
+        let longest = self.longest_terms(service);
+        assignment.raise_terms(longest);
+        if record.version == 0 {
+            if self.settings.is_first_start {
+                assignment.state_terms_of_all_rows();
+            }
+            return;
+        }
+        // A statement is worth a write only if others wait for less because of it.
+        let granted = assignment.granted_terms(longest);
+        if assignment.terms() == Some(granted) {
+            return;
+        }
+        assignment.state_terms_since(record.version);
+        if record.vacancy.have_leases_before_statement_ended(&granted, now) {
+            assignment.state_terms_of_all_rows();
+        }
+    }
+
+    /// The longest limits of leases that this process knows for a service.
+    pub(super) fn longest_terms(&self, service: &str) -> LeaseTerms {
+        let read = self.assignments.get(service).and_then(|it| it.longest_terms);
+        read.map_or(self.lease_terms, |it| it.max(self.lease_terms))
+    }
+
     /// For how long the process has run until `now`. Longer gaps between two ticks count as
     /// suspensions.
     pub(super) fn ran_for(&self, now: BootInstant) -> Duration {
--- a/crates/galenastream_node/src/process/heartbeats.rs
+++ b/crates/galenastream_node/src/process/heartbeats.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use galenastream_adapter::{Grant, Heartbeat, HeartbeatReply};
-use galenastream_ranges::{Assignment, KeyRange, LeaseTerms, TargetIncarnation};
+use galenastream_ranges::{Assignment, KeyRange, TargetIncarnation};
 use galenastream_utils::BootInstant;
 use tokio::sync::oneshot;
 
@@ -202,10 +202,7 @@
         // The previous process on this VM may have acted on a newer row than the one that a peer
         // has sent to this process, and the target may have released keys accordingly.
         let is_confirmed_since_start = confirmed_at >= self.started_at;
-        // Other nodes count on the limits in the row; the settings also limit what the target takes.
-        let terms = assignment.terms().map_or(self.lease_terms, |it| {
-            LeaseTerms::new(it.row_validity, it.max_lease.min(self.lease_terms.max_lease))
-        });
+        let terms = assignment.grant_terms(self.lease_terms);
         let Some(lease) = terms.lease(confirmed_at, now).filter(|_| is_confirmed_since_start)
         else {
             log::warn!(event = "lease_withheld", reason = "the assignment was not confirmed lately"; "");
--- a/crates/galenastream_node/src/process/ownership_facts.rs
+++ b/crates/galenastream_node/src/process/ownership_facts.rs
@@ -203,7 +203,7 @@
         let record = self.assignments.get(service).filter(|it| it.version > 0);
         // Without the row, it is not known under which terms the earlier process granted.
         let max_lease = record.map_or(self.platform_max_lease, |it| {
-            it.assignment.terms().unwrap_or(self.lease_terms).max_lease
+            it.assignment.granted_terms(self.lease_terms).max_lease
         });
         self.lease_terms.lease_end(self.started_at, max_lease)
     }
--- a/crates/galenastream_node/src/process/planning.rs
+++ b/crates/galenastream_node/src/process/planning.rs
@@ -175,8 +175,8 @@
         assignment: &mut Assignment,
         now: BootInstant,
     ) {
-        // The row states the limits of every lease on it; other nodes may have other settings.
-        let terms = assignment.terms().unwrap_or(self.lease_terms);
+        // Other nodes may have other settings.
+        let terms = assignment.granted_terms(self.longest_terms(service));
         let record = self.assignment_record(service);
         let row_version = record.version;
         for vacant in record.vacancy.vacant_ranges(assignment, &terms, now) {
--- a/crates/galenastream_node/src/process/store_eras.rs
+++ b/crates/galenastream_node/src/process/store_eras.rs
@@ -238,14 +238,16 @@
         known.value.clone().filter(|_| is_lost && is_untouched)
     }
 
-    /// The longest limits of leases in any known row, and in the settings of this process.
+    /// The longest limits of leases on any known row, and in the settings of this process.
     fn known_terms(&self) -> LeaseTerms {
-        let in_force = self.assignments.values().filter_map(|it| it.assignment.terms());
+        let in_force = self.assignments.values().filter(|it| it.version > 0);
+        let in_force = in_force.map(|it| it.assignment.granted_terms(self.lease_terms));
         let waiting = self.eras.waiting_rows.values().filter_map(|it| {
             let Some(SharedRowKey::Assignment(_)) = SharedRowKey::parse(&it.key) else {
                 return None;
             };
-            Assignment::decode_row(it.value.as_deref()?).ok()?.terms()
+            let restored = Assignment::decode_row(it.value.as_deref()?).ok()?;
+            Some(restored.granted_terms(self.lease_terms))
         });
         in_force.chain(waiting).fold(self.lease_terms, LeaseTerms::max)
     }
--- a/crates/galenastream_node/src/process/store_view.rs
+++ b/crates/galenastream_node/src/process/store_view.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use galenastream_adapter::{RoutingConfig, Row, StoreError, era_of};
-use galenastream_ranges::{Assignment, VacancyTracker};
+use galenastream_ranges::{Assignment, LeaseTerms, VacancyTracker};
 use galenastream_settings::SettingsTree;
 use galenastream_utils::BootInstant;
 use galenastream_wire::{NodeRow, NodeStatus, SharedRow, SharedRowKey, SyncState};
@@ -249,10 +249,12 @@
         let key = SharedRowKey::Assignment(service).key();
         let is_next_version = self.row_versions.are_adjacent(&key, known_version, version);
         let record = self.assignment_record(service);
-        // Programs of earlier versions drop departures from the rows that they write.
+        // Programs of earlier versions drop what they do not know from the rows that they write.
         if is_next_version {
-            assignment.continue_departures(&record.assignment);
+            assignment.continue_from(&record.assignment);
         }
+        let terms = [record.longest_terms, assignment.terms()];
+        record.longest_terms = terms.into_iter().flatten().reduce(LeaseTerms::max);
         let returned_to = record.assignment.returned_to(&assignment);
         record.vacancy.observe(&assignment, now);
         record.version = version;
@@ -279,6 +281,7 @@
             version: 0,
             unreadable_version: None,
             stated_ends: Vec::new(),
+            longest_terms: None,
             vacancy: VacancyTracker::new(),
             pending_write: None,
             balanced_at: BootInstant::default(),
--- a/crates/galenastream_ranges/src/assignment.rs
+++ b/crates/galenastream_ranges/src/assignment.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use crate::{KeyRange, LeaseTerms, Owner, TargetIncarnation};
+use crate::{KeyRange, LeaseTerms, Owner, TargetIncarnation, TermsStatement};
 
 /// Ownership of every key of a service, as adjacent ranges in ascending order.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -10,6 +10,7 @@
     entries: Vec<RangeEntry>,
     highest_fence: u64,
     terms: Option<LeaseTerms>,
+    statement: TermsStatement,
 }
 
 /// A range of keys with the same owners, fencing token and handover.
@@ -60,7 +61,8 @@
             fence: 0,
             handover: String::new(),
         };
-        Self { entries: vec![entry], highest_fence: 0, terms: None }
+        let statement = TermsStatement::Unrecorded;
+        Self { entries: vec![entry], highest_fence: 0, terms: None, statement }
     }
 
     /// Issues only fencing tokens above `fence`.
@@ -73,22 +75,60 @@
         entries: Vec<RangeEntry>,
         highest_fence: u64,
         terms: Option<LeaseTerms>,
+        statement: TermsStatement,
     ) -> Self {
-        Self { entries, highest_fence, terms }
+        Self { entries, highest_fence, terms, statement }
     }
 
-    /// Returns the limits that every lease on this row and on all earlier ones keeps; `None` if no
-    /// writer has stated them.
+    /// Returns the limits that every lease on this row keeps; `None` if no writer has stated them.
+    /// Leases on earlier rows are another matter, see [`terms_statement`](Self::terms_statement).
     pub const fn terms(&self) -> Option<LeaseTerms> {
         self.terms
     }
 
+    /// Returns which leases keep the limits in this row.
+    pub const fn terms_statement(&self) -> TermsStatement {
+        self.statement
+    }
+
+    /// Returns the limits of new leases on this row, for a node whose own ones are `own`.
+    pub fn grant_terms(&self, own: LeaseTerms) -> LeaseTerms {
+        // Others count on the limits in the row; the own ones also limit what the target takes.
+        self.terms.map_or_else(
+            || own.min(LeaseTerms::UNSTATED),
+            |it| LeaseTerms::new(it.row_validity, it.max_lease.min(own.max_lease)),
+        )
+    }
+
+    /// Returns limits that all leases keep that were granted on this row or an earlier one, for a
+    /// process whose own limits are `own`.
+    pub fn granted_terms(&self, own: LeaseTerms) -> LeaseTerms {
+        match (self.statement, self.terms) {
+            (TermsStatement::AllRows, Some(terms)) => terms,
+            (_, terms) => terms.unwrap_or(own).max(own).max(LeaseTerms::UNSTATED),
+        }
+    }
+
     /// Raises the limits of leases on this row to `terms` where they are shorter. They are never
-    /// lowered, so that they hold for leases on earlier rows too.
+    /// lowered, so that they hold for leases on earlier rows too that state limits.
     pub fn raise_terms(&mut self, terms: LeaseTerms) {
         self.terms = Some(self.terms.map_or(terms, |it| it.max(terms)));
     }
 
+    /// States, if nobody has, that leases keep the limits from the row on that follows `row_version`.
+    pub fn state_terms_since(&mut self, row_version: u64) {
+        if self.terms.is_some() && self.statement == TermsStatement::Unrecorded {
+            self.statement = TermsStatement::Since(row_version);
+        }
+    }
+
+    /// States that leases on all earlier rows keep the limits too, or have ended.
+    pub const fn state_terms_of_all_rows(&mut self) {
+        if self.terms.is_some() {
+            self.statement = TermsStatement::AllRows;
+        }
+    }
+
     /// Returns the entries in ascending order of their keys.
     pub fn entries(&self) -> &[RangeEntry] {
         &self.entries
@@ -182,10 +222,16 @@
         });
     }
 
-    /// Takes over departures that the writer of this assignment has not recorded from `before`, the
-    /// version directly before. Keys that left the same owner there under the same fencing token have
-    /// been leaving it since, as there is no version in between on which it owned them.
-    pub fn continue_departures(&mut self, before: &Self) {
+    /// Takes over what the writer of this assignment has not recorded from `before`, the version
+    /// directly before.
+    ///
+    /// Keys that left the same owner there under the same fencing token have been leaving it since,
+    /// as there is no version in between on which it owned them. If both versions state limits, so do
+    /// all since those were first stated.
+    pub fn continue_from(&mut self, before: &Self) {
+        if self.statement == TermsStatement::Unrecorded && self.keeps_terms_of(before) {
+            self.statement = before.statement;
+        }
         for earlier in &before.entries {
             let Holding::Leaving { from: leaver, departure: known, .. } = &earlier.holding else {
                 continue;
@@ -203,6 +249,11 @@
         }
     }
 
+    fn keeps_terms_of(&self, before: &Self) -> bool {
+        let terms = self.terms.zip(before.terms);
+        terms.is_some_and(|(terms, before)| terms.max(before) == terms)
+    }
+
     /// Replaces the next owner of the leaving keys of a range.
     pub fn redirect_move(&mut self, range: KeyRange, to: Option<&Owner>) {
         self.update_range(range, |entry| {
@@ -319,7 +370,7 @@
             let handover = String::new();
             push_merged(&mut entries, RangeEntry { range: entry.range, holding, fence, handover });
         }
-        Self { entries, highest_fence: fence, terms: self.terms }
+        Self { entries, highest_fence: fence, terms: self.terms, statement: self.statement }
     }
 
     /// Returns all owners that may hold leases, sorted and without duplicates.
--- a/crates/galenastream_ranges/src/lease_terms.rs
+++ b/crates/galenastream_ranges/src/lease_terms.rs
@@ -25,6 +25,10 @@
 }
 
 impl LeaseTerms {
+    /// The limits of leases on rows that state none, which all nodes have to know alike: none grants
+    /// longer ones on such rows, whatever its settings permit, and none waits for less.
+    pub const UNSTATED: Self = Self::new(Duration::from_secs(12), Duration::from_secs(6));
+
     /// Creates limits from the validity of a row and the maximum duration of a lease.
     pub const fn new(row_validity: Duration, max_lease: Duration) -> Self {
         Self { row_validity, max_lease }
@@ -52,6 +56,15 @@
         replaced_by + self.row_validity
     }
 
+    /// Returns the shorter limits of the two.
+    #[must_use]
+    pub fn min(self, other: Self) -> Self {
+        Self {
+            row_validity: self.row_validity.min(other.row_validity),
+            max_lease: self.max_lease.min(other.max_lease),
+        }
+    }
+
     /// Returns the longer limits of the two.
     #[must_use]
     pub fn max(self, other: Self) -> Self {
--- a/crates/galenastream_ranges/src/lib.rs
+++ b/crates/galenastream_ranges/src/lib.rs
@@ -16,6 +16,7 @@
 mod owner;
 mod planner;
 mod row;
+mod terms_statement;
 mod vacancy;
 
 pub use assignment::{Assignment, Holding, RangeEntry};
@@ -24,6 +25,7 @@
 pub use lease_terms::LeaseTerms;
 pub use owner::{Owner, TargetIncarnation};
 pub use planner::{KeyLoad, PlannedMove, Planner, PlannerSettings, TargetLoad};
+pub use terms_statement::TermsStatement;
 pub use vacancy::{VacancyTracker, VacantRange};
 
 /// The types that most programs use.
--- a/crates/galenastream_ranges/src/row.rs
+++ b/crates/galenastream_ranges/src/row.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     Assignment, Holding, KEY_COUNT, KeyRange, LeaseTerms, Owner, RangeEntry, RowError,
-    TargetIncarnation,
+    TargetIncarnation, TermsStatement,
 };
 
 /// The highest fencing token in a row. A correct writer does not come near it, and each change needs
@@ -24,11 +24,17 @@
     entries: Vec<EntryRecord>,
     #[prost(uint64, tag = "3")]
     highest_fence: u64,
-    /// The limits of leases on this row and on all earlier ones; 0 if not stated.
+    /// The limits of leases on this row; 0 if not stated.
     #[prost(uint64, tag = "4")]
     row_validity_ms: u64,
     #[prost(uint64, tag = "5")]
     max_lease_ms: u64,
+    /// The version that the first statement of the limits was planned on; 0 if not recorded.
+    #[prost(uint64, tag = "6")]
+    terms_since: u64,
+    /// Whether leases on all earlier rows keep the limits too.
+    #[prost(bool, tag = "7")]
+    terms_cover_all_rows: bool,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -84,12 +90,19 @@
         }
         let owners = owners.into_iter().map(OwnerRecord::new).collect();
         let terms = self.terms();
+        let (terms_since, terms_cover_all_rows) = match self.terms_statement() {
+            TermsStatement::Unrecorded => (0, false),
+            TermsStatement::Since(version) => (version, false),
+            TermsStatement::AllRows => (0, true),
+        };
         let row = AssignmentRow {
             owners,
             entries,
             highest_fence: self.highest_fence(),
             row_validity_ms: terms.map_or(0, |it| whole_millis(it.row_validity)),
             max_lease_ms: terms.map_or(0, |it| whole_millis(it.max_lease)),
+            terms_since,
+            terms_cover_all_rows,
         };
         row.encode_to_vec()
     }
@@ -138,7 +151,13 @@
             let row_validity = Duration::from_millis(row.row_validity_ms.min(MAX_TERM_MS));
             LeaseTerms::new(row_validity, Duration::from_millis(row.max_lease_ms.min(MAX_TERM_MS)))
         });
-        Ok(Self::from_entries(entries, row.highest_fence, terms))
+        let statement = match (row.terms_cover_all_rows, row.terms_since) {
+            _ if terms.is_none() => TermsStatement::Unrecorded,
+            (true, _) => TermsStatement::AllRows,
+            (false, 0) => TermsStatement::Unrecorded,
+            (false, version) => TermsStatement::Since(version),
+        };
+        Ok(Self::from_entries(entries, row.highest_fence, terms, statement))
     }
 }
 
--- a/crates/galenastream_ranges/src/vacancy.rs
+++ b/crates/galenastream_ranges/src/vacancy.rs
@@ -2,7 +2,7 @@
 
 use galenastream_utils::{BootInstant, FastMap};
 
-use crate::{Assignment, KeyRange, LeaseTerms, TargetIncarnation};
+use crate::{Assignment, KeyRange, LeaseTerms, TargetIncarnation, TermsStatement};
 
 /// Tracks since when keys have been leaving, and finds the vacant ranges: those on which every lease
 /// has expired.
@@ -14,6 +14,9 @@
 pub struct VacancyTracker {
     /// When a row with the departure was first read.
     seen_at: FastMap<u64, BootInstant>,
+    /// The statement of limits in the row that leases on earlier rows may exceed, and when a row with
+    /// it was first read.
+    terms_since: Option<(u64, BootInstant)>,
 }
 
 /// A leaving range on which every lease has expired.
@@ -33,7 +36,8 @@
         Self::default()
     }
 
-    /// Records the departures in a row that was read at `now`, and forgets all others.
+    /// Records the departures and the statement of limits in a row that was read at `now`, and forgets
+    /// all others.
     pub fn observe(&mut self, assignment: &Assignment, now: BootInstant) {
         let mut seen_at = FastMap::default();
         for entry in assignment.entries() {
@@ -44,6 +48,19 @@
             seen_at.insert(departure, since);
         }
         self.seen_at = seen_at;
+        self.terms_since = match (assignment.terms_statement(), self.terms_since) {
+            (TermsStatement::Since(version), Some((known, at))) if known == version => {
+                Some((version, at))
+            }
+            (TermsStatement::Since(version), _) => Some((version, now)),
+            (TermsStatement::Unrecorded | TermsStatement::AllRows, _) => None,
+        };
+    }
+
+    /// Whether every lease has expired at `now` that was granted on a row before the limits in the
+    /// last observed row were stated. `terms` are the limits of such leases.
+    pub fn have_leases_before_statement_ended(&self, terms: &LeaseTerms, now: BootInstant) -> bool {
+        self.terms_since.is_some_and(|(_, seen_at)| terms.all_leases_end(seen_at) <= now)
     }
 
     /// Returns the leaving ranges of an assignment on which every lease has expired at `now`.
--- a/crates/galenastream_ranges/tests/ownership_model/model.rs
+++ b/crates/galenastream_ranges/tests/ownership_model/model.rs
@@ -411,7 +411,7 @@
         let is_next_version = row.version == self.known.version + 1;
         let mut row = Row::clone(row);
         if is_next_version || scope.bug == InjectedBug::DepartureContinuesOverGaps {
-            row.assignment.continue_departures(&self.known.assignment);
+            row.assignment.continue_from(&self.known.assignment);
         }
         self.vacancy.observe(&row.assignment, now);
         self.known = Rc::new(row);
