Confirm rows more often where they are valid for a shorter time

Where the platform permits leases of 4 s, targets that rely on peers for the confirmation of rows had no valid lease for up to 1.3 s now and then, without any fault: callers of their keys would get 503.

Cause: rows are valid for 2 s more than the longest lease, here 6 s, but the intervals between confirmations were set for the usual 12 s. A reader watches for 2 s and counts from when the watch was sent, so it is up to 4 s behind; the others query it every 0.8 s. What is left of 6 s is less than the time between two replies to heartbeats.

Validity and waits are as before, so what proves the end of a hold is as well. With rows of 12 s nothing changes. The variation ShortLeases plays it.

--- a/crates/galenastream_node/src/process/store_view.rs
+++ b/crates/galenastream_node/src/process/store_view.rs
@@ -330,11 +330,12 @@
         let is_cut_off = !self.reaches_store
             && now.saturating_since(self.last_store_contact_at) >= STORE_OUTAGE_THRESHOLD;
         let needs_leases = self.local.as_ref().is_some_and(|it| self.holds_keys(&it.service));
-        let is_stale =
-            self.confirmed_at.is_none_or(|it| now.saturating_since(it) >= MAX_CONFIRMATION_AGE);
+        let max_age = self.confirmation_interval(MAX_CONFIRMATION_AGE);
+        let is_stale = self.confirmed_at.is_none_or(|it| now.saturating_since(it) >= max_age);
         let needs_confirmation = needs_leases && is_stale && !self.reads_rows(now);
         let since_query = now.saturating_since(self.last_peer_query_at);
-        let is_due = (is_cut_off || needs_confirmation) && since_query >= PEER_QUERY_INTERVAL;
+        let is_due = (is_cut_off || needs_confirmation)
+            && since_query >= self.confirmation_interval(PEER_QUERY_INTERVAL);
         let is_behind = !self.reads_rows(now)
             && since_query >= NEWER_ROWS_QUERY_INTERVAL
             && self.is_behind(now);
--- a/crates/galenastream_node/tests/ownership/main.rs
+++ b/crates/galenastream_node/tests/ownership/main.rs
@@ -98,6 +98,20 @@
     }
 }
 
+/// Guards against leases that lapse between two confirmations where the platform permits short ones.
+#[test]
+fn every_key_is_held_at_all_times_with_short_leases() {
+    let variations = [Variation::ReaderRoles, Variation::ShortLeases, Variation::PromptWrites];
+    for seed in 0..SEEDS / 10 {
+        let mut simulation =
+            Simulation::new(seed, 4, InjectedBug::None).with_variations(&variations);
+        simulation.run_for(12_000, false);
+        simulation.observations.reset_gaps();
+        simulation.run_for(60_000, false);
+        assert_eq!(simulation.observations.longest_gap_ms, 0, "seed {seed}");
+    }
+}
+
 fn assert_detected(bug: InjectedBug, violation: &str) {
     let is_detected = |seed| run(seed, bug).violations.iter().any(|it| it.contains(violation));
     assert!((0..SEEDS).any(is_detected), "no seed detects {bug:?}");
--- a/crates/galenastream_node/tests/ownership/simulation.rs
+++ b/crates/galenastream_node/tests/ownership/simulation.rs
@@ -21,6 +21,10 @@
 
 pub const STEP_MS: u64 = 10;
 
+/// The longest lease of a platform that permits only short ones. A target renews its leases each
+/// 1.6 s: the interval between its heartbeats, and the delay of a reply.
+const SHORT_LEASE_MS: u64 = 4_000;
+
 pub struct Simulation {
     pub rng: StdRng,
     /// Draws what variations play, so that these do not change the draws of other runs.
@@ -172,6 +176,9 @@
             let bounds_ms = [10_000, 4_000];
             self.vms[index].max_lease_ms = bounds_ms[self.varied_rng.random_range(0..2)];
         }
+        if self.varies(Variation::ShortLeases) {
+            self.vms[index].max_lease_ms = SHORT_LEASE_MS;
+        }
         let vm = &mut self.vms[index];
         let settings = settings_with_bound(index, vm.max_lease_ms);
         vm.state = Some(ControlState::new(settings, vm.at(self.now_ms)));
--- a/crates/galenastream_node/tests/ownership/variation.rs
+++ b/crates/galenastream_node/tests/ownership/variation.rs
@@ -18,6 +18,8 @@
     OrderlyStops,
     /// The nodes have different bounds for leases, also from one start to the next.
     DifferentBounds,
+    /// The platform permits only short leases, so that rows are valid for half of the usual time.
+    ShortLeases,
     /// Full reads are up to 3 s old, and watches hear nothing for a second before the history is
     /// dropped.
     OutdatedReads,
--- a/crates/galenastream_node/tests/ownership/varied_runs.rs
+++ b/crates/galenastream_node/tests/ownership/varied_runs.rs
@@ -192,7 +192,7 @@
     let range = std::env::var("SEEDS").unwrap_or_else(|_| "0..100".to_owned());
     let names = std::env::var("VARY").unwrap_or_else(|_| "Series".to_owned());
     let mut all = ALL_VARIATIONS.to_vec();
-    all.extend([Variation::RemovedRows, Variation::PromptWrites]);
+    all.extend([Variation::RemovedRows, Variation::PromptWrites, Variation::ShortLeases]);
     let is_named = |it: &Variation| names.split(',').any(|name| name == format!("{it:?}"));
     let variations: Vec<Variation> = all.into_iter().filter(is_named).collect();
     let (first, last) = range.split_once("..").expect("a range");
