--- a/crates/galenastream_node/tests/platform/config_confirmation.rs
+++ b/crates/galenastream_node/tests/platform/config_confirmation.rs
@@ -145,3 +145,37 @@
     assert_eq!(statuses("/second/1", "second").await, [200; NODES]);
     deployment.close().unwrap();
 }
+
+/// Guards against 404 on reads that are seconds old, while the store has dropped its history and no
+/// watch succeeds.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_read_that_may_be_old_does_not_confirm_the_config() {
+    const STALENESS: Duration = Duration::from_secs(9);
+    /// Until watches that were open before have ended.
+    const OPEN_WATCHES: Duration = Duration::from_millis(2_500);
+    /// Age from which a confirmation no longer counts, and some ticks of the control thread.
+    const NOTICED: Duration = Duration::from_millis(7_000 + 500);
+    let deployment = start("old-reads", &["stock"; READERS]).await;
+    wait_for_confirmed_config(&deployment).await;
+    wait_for_readers(&deployment.vms).await;
+    // Until all reads show the first config.
+    tokio::time::sleep(STALENESS).await;
+    deployment.store.set_fault(StoreFault::StaleWithoutHistory(STALENESS));
+    tokio::time::sleep(OPEN_WATCHES).await;
+    let config = DeploymentPlan::shop_config(2, "/added/").to_string();
+    deployment.store.put("op", "config", config.as_bytes());
+    tokio::time::sleep(NOTICED).await;
+    for vm in &deployment.vms {
+        let mut caller = vm.caller().await.expect(WORKS);
+        let answer = caller.get("/added/1", "old-read", None).await.expect(WORKS);
+        assert_eq!(answer.status, 503, "{answer:?}");
+    }
+    deployment.store.set_fault(StoreFault::None);
+    wait_until("the config to be in force", TIMEOUT, async || {
+        let mut caller = deployment.vms[0].caller().await.expect(WORKS);
+        caller.get("/added/1", "after", None).await.expect(WORKS).status == 200
+    })
+    .await
+    .expect(WORKS);
+    deployment.close().unwrap();
+}
--- a/crates/galenastream_standin/src/row_store/fault.rs
+++ b/crates/galenastream_standin/src/row_store/fault.rs
@@ -27,6 +27,8 @@
     DropHistory,
     /// The store answers reads as of this long ago, with the versions of then.
     Stale(Duration),
+    /// The store has dropped its history, and answers reads as of this long ago: feeds get status 410.
+    StaleWithoutHistory(Duration),
     /// Feeds get no answer before the end of the fault, and then status 410.
     DeafFeeds,
 }
--- a/crates/galenastream_standin/src/row_store/row_store_standin.rs
+++ b/crates/galenastream_standin/src/row_store/row_store_standin.rs
@@ -222,6 +222,7 @@
             | StoreFault::DropHistory
             | StoreFault::RefuseTable(_)
             | StoreFault::Stale(_)
+            | StoreFault::StaleWithoutHistory(_)
             | StoreFault::DeafFeeds => self.answer(request, fault).await,
         };
         let era = self.state.era.load(Ordering::Relaxed);
@@ -249,7 +250,9 @@
             },
             "/galenastream/rows-get" => {
                 let table = match fault {
-                    StoreFault::Stale(age) => self.state.table_before(age),
+                    StoreFault::Stale(age) | StoreFault::StaleWithoutHistory(age) => {
+                        self.state.table_before(age)
+                    }
                     _ => lock(&self.state.table).clone(),
                 };
                 let from = percent_decode_str(parameter(&query, "from")).decode_utf8_lossy();
@@ -262,10 +265,12 @@
                 });
                 json_reply(StatusCode::OK, &page)
             }
-            "/galenastream/rows-feed" if fault == StoreFault::DropHistory => {
-                text_reply(StatusCode::GONE, "the history was dropped")
-            }
-            "/galenastream/rows-feed" => self.feed(&query).await,
+            "/galenastream/rows-feed" => match fault {
+                StoreFault::DropHistory | StoreFault::StaleWithoutHistory(_) => {
+                    text_reply(StatusCode::GONE, "the history was dropped")
+                }
+                _ => self.feed(&query).await,
+            },
             _ => text_reply(StatusCode::NOT_FOUND, "no such call"),
         }
     }
