Take a read of the config for current only as of the node's own write

Cause: a full read of the config's table confirmed the config as of when the call was sent. While the history is dropped, each repeated read renewed the false proof, which the two readers pass on to all nodes.

A read now proves what it proves for the shared rows: the state as of the write of the node's own row, if it shows that write. The first read after the start usually precedes that write, so the config is read once more when the row is written: one call per start. Without it a starting deployment would doubt its config until the first watches end.

The events of config_doubt.rs, hostile_input.rs and healthy_store.rs have the new field; what they assert is the same.

--- a/crates/galenastream_node/src/process/config_confirmation.rs
+++ b/crates/galenastream_node/src/process/config_confirmation.rs
@@ -51,13 +51,13 @@
         self.unreadable_config_version.is_some_and(|it| it > self.config_version())
     }
 
-    /// Records that the table of the config was read or watched. The config that it shows was the
-    /// newest one at some instant since the call was sent; the answer may have been under way for
-    /// any time.
-    pub(super) fn record_config_read(&mut self, asked_at: BootInstant) {
+    /// Records that the table of the config was read or watched, and an instant at which the store
+    /// had no newer config than the one that it showed, if that is known: when the call was sent, for
+    /// a watch. Its answer may have been under way for any time.
+    pub(super) fn record_config_read(&mut self, confirmed_at: Option<BootInstant>) {
         self.reads_config = true;
         if !self.knows_unreadable_config() {
-            self.config_confirmed_at = self.config_confirmed_at.max(Some(asked_at));
+            self.config_confirmed_at = self.config_confirmed_at.max(confirmed_at);
         }
     }
 
--- a/crates/galenastream_node/src/process/control_event.rs
+++ b/crates/galenastream_node/src/process/control_event.rs
@@ -82,8 +82,8 @@
     },
     /// The table of the config was read, or a watch on it ended, and its changes were delivered.
     ConfigRead {
-        /// When the call was sent.
-        asked_at: BootInstant,
+        /// An instant at which the store had no newer config; `None` if that is not known.
+        confirmed_at: Option<BootInstant>,
     },
     /// The table of the config could not be read or watched.
     ConfigReadFailed,
--- a/crates/galenastream_node/src/process/control_state.rs
+++ b/crates/galenastream_node/src/process/control_state.rs
@@ -214,7 +214,7 @@
                 self.unreadable_config_version = None;
                 self.apply_config(*config, encoded, now);
             }
-            ControlEvent::ConfigRead { asked_at } => self.record_config_read(asked_at),
+            ControlEvent::ConfigRead { confirmed_at } => self.record_config_read(confirmed_at),
             ControlEvent::ConfigReadFailed => self.reads_config = false,
             ControlEvent::ConfigUnreadable { version } => {
                 self.unreadable_config_version = Some(version.unwrap_or(u64::MAX));
--- a/crates/galenastream_node/src/process/store_follower.rs
+++ b/crates/galenastream_node/src/process/store_follower.rs
@@ -65,10 +65,12 @@
     let mut backoff = INITIAL_BACKOFF;
     // The delay before the next read if the history is dropped once more.
     let mut drop_backoff = None;
+    let mut own_row = context.own_row.subscribe();
+    // Whether a call has told that the rows are current.
+    let mut is_confirmed = false;
     if table == FollowedTable::SharedRows {
         // Each node writes its row before its first read, so of two starting nodes at least the
         // later reader sees the row of the other.
-        let mut own_row = context.own_row.subscribe();
         let is_written = own_row.wait_for(Option::is_some);
         if timeout(ANNOUNCEMENT_TIMEOUT, is_written).await.is_err() {
             log::warn!(event = "announcement_outstanding"; "");
@@ -86,9 +88,15 @@
         let wait = max_watch(&context, table);
         let asked_at = boot_now();
         let is_watch = known_version.is_some();
+        let awaits_proof = table == FollowedTable::Config && is_watch && !is_confirmed;
         let result = tokio::select! {
             result = next_rows(&mut connection, table, known_version, wait) => result,
             () = watch_too_long(&context, table, known_version, wait) => continue,
+            Ok(()) = own_row.changed(), if awaits_proof => {
+                // A read that shows this write is current.
+                known_version = None;
+                continue;
+            }
         };
         match result {
             Ok(changed) => {
@@ -98,7 +106,13 @@
                     drop_backoff = None;
                 }
                 known_version = Some(changed.version);
-                deliver(&context, table, changed, asked_at, is_watch).await;
+                // The store may answer a read with rows that are seconds old.
+                let confirmed_at = match is_watch {
+                    true => Some(asked_at),
+                    false => confirmation_of_read(&context, changed.version),
+                };
+                is_confirmed |= confirmed_at.is_some();
+                deliver(&context, table, changed, confirmed_at).await;
             }
             Err(StoreError::HistoryDropped) => {
                 log::info!(event = "store_history_dropped", table = table.name(); "");
@@ -177,16 +191,11 @@
     context: &NodeContext,
     table: FollowedTable,
     changed: VersionedRows,
-    asked_at: BootInstant,
-    is_watch: bool,
+    confirmed_at: Option<BootInstant>,
 ) {
     context.control_events.send(ControlEvent::StoreReached(true)).await;
     match table {
         FollowedTable::SharedRows => {
-            let confirmed_at = match is_watch {
-                true => Some(asked_at),
-                false => confirmation_of_read(context, changed.version),
-            };
             let event =
                 ControlEvent::Rows { rows: changed.rows, version: changed.version, confirmed_at };
             context.control_events.send(event).await;
@@ -200,7 +209,7 @@
             } else if let Some(row) = find_config_row(&changed.rows) {
                 deliver_config(context, row).await;
             }
-            context.control_events.send(ControlEvent::ConfigRead { asked_at }).await;
+            context.control_events.send(ControlEvent::ConfigRead { confirmed_at }).await;
         }
     }
 }
--- a/crates/galenastream_node/tests/ownership/config_doubt.rs
+++ b/crates/galenastream_node/tests/ownership/config_doubt.rs
@@ -66,7 +66,7 @@
     let mut state = ControlState::new(settings(0), at(0));
     put_config(&mut state, 1, 100);
     state.handle(ControlEvent::StoreReached(true), at(SETTLED_MS));
-    state.handle(ControlEvent::ConfigRead { asked_at: at(SETTLED_MS) }, at(SETTLED_MS));
+    state.handle(ControlEvent::ConfigRead { confirmed_at: Some(at(SETTLED_MS)) }, at(SETTLED_MS));
     state
 }
 
@@ -127,7 +127,7 @@
     assert_eq!(state.config_doubt(later), Some(ConfigDoubt::StoreUnreachable));
     state.handle(ControlEvent::StoreReached(true), later);
     assert_eq!(state.config_doubt(later), Some(ConfigDoubt::StoreUnreachable));
-    state.handle(ControlEvent::ConfigRead { asked_at: later }, later);
+    state.handle(ControlEvent::ConfigRead { confirmed_at: Some(later) }, later);
     assert_eq!(state.config_doubt(later), None);
 }
 
@@ -147,7 +147,7 @@
     assert_eq!(state.config_doubt(now), None);
     state.handle(reading_status(2, 1, false), now);
     assert_eq!(state.config_doubt(now), Some(ConfigDoubt::StoreUnreachable));
-    state.handle(ControlEvent::ConfigRead { asked_at: now }, now);
+    state.handle(ControlEvent::ConfigRead { confirmed_at: Some(now) }, now);
     assert_eq!(state.config_doubt(now), None);
     assert_eq!(state.status(now).confirms_config, Some(true));
 }
@@ -175,7 +175,7 @@
     let mut state = ControlState::new(settings(0), at(0));
     put_config(&mut state, 1, 100);
     state.handle(ControlEvent::StoreReached(true), at(100));
-    state.handle(ControlEvent::ConfigRead { asked_at: at(100) }, at(100));
+    state.handle(ControlEvent::ConfigRead { confirmed_at: Some(at(100)) }, at(100));
     assert_eq!(state.config_doubt(at(200)), Some(ConfigDoubt::Starting));
     state.handle(
         ControlEvent::Rows { rows: Vec::new(), version: 7, confirmed_at: Some(at(250)) },
@@ -199,9 +199,12 @@
 fn a_watch_confirms_the_config_from_when_it_was_sent() {
     let mut state = settled_node();
     let now_ms = SETTLED_MS + 12_000;
-    state.handle(ControlEvent::ConfigRead { asked_at: at(now_ms - MAX_AGE_MS) }, at(now_ms));
+    state.handle(
+        ControlEvent::ConfigRead { confirmed_at: Some(at(now_ms - MAX_AGE_MS)) },
+        at(now_ms),
+    );
     assert_eq!(state.config_doubt(at(now_ms)), Some(ConfigDoubt::StoreUnreachable));
-    state.handle(ControlEvent::ConfigRead { asked_at: at(now_ms - 2_000) }, at(now_ms));
+    state.handle(ControlEvent::ConfigRead { confirmed_at: Some(at(now_ms - 2_000)) }, at(now_ms));
     assert_eq!(state.config_doubt(at(now_ms)), None);
     let later = at(now_ms - 2_000 + MAX_AGE_MS);
     assert_eq!(state.config_doubt(later), Some(ConfigDoubt::StoreUnreachable));
@@ -274,7 +277,10 @@
     let later_ms = now_ms + 3_020;
     assert_eq!(state.config_doubt(at(later_ms)), Some(ConfigDoubt::StoreUnreachable));
     // The store says later that it has none.
-    state.handle(ControlEvent::ConfigRead { asked_at: at(later_ms + 10) }, at(later_ms + 2_000));
+    state.handle(
+        ControlEvent::ConfigRead { confirmed_at: Some(at(later_ms + 10)) },
+        at(later_ms + 2_000),
+    );
     assert_eq!(state.config_doubt(at(later_ms + 2_000)), None);
 }
 
@@ -301,7 +307,7 @@
         assert_eq!(doubt_of_other(&mut reader, &mut other, now_ms), expected, "{age_ms} ms");
     }
     let now_ms = SETTLED_MS + 20_000;
-    reader.handle(ControlEvent::ConfigRead { asked_at: at(now_ms) }, at(now_ms));
+    reader.handle(ControlEvent::ConfigRead { confirmed_at: Some(at(now_ms)) }, at(now_ms));
     assert_eq!(doubt_of_other(&mut reader, &mut other, now_ms), None);
     // A call fails.
     reader.handle(ControlEvent::ConfigReadFailed, at(now_ms + 10));
--- a/crates/galenastream_node/tests/ownership/healthy_store.rs
+++ b/crates/galenastream_node/tests/ownership/healthy_store.rs
@@ -129,7 +129,7 @@
                 state.handle(rows, at(now_ms));
             }
             state.handle(ControlEvent::StoreReached(true), at(now_ms));
-            state.handle(ControlEvent::ConfigRead { asked_at }, at(now_ms));
+            state.handle(ControlEvent::ConfigRead { confirmed_at: Some(asked_at) }, at(now_ms));
         }
         node.asked_at_ms = now_ms;
         node.wait_ms = if is_reader { READER_WATCH_MS } else { LONG_WATCH_MS };
--- a/crates/galenastream_node/tests/ownership/hostile_input.rs
+++ b/crates/galenastream_node/tests/ownership/hostile_input.rs
@@ -205,7 +205,7 @@
         }),
         1 => (0_u64..1 << 24).prop_map(ControlEvent::StoreEra),
         1 => any::<bool>().prop_map(ControlEvent::StoreReached),
-        1 => (0_u64..9_000).prop_map(|it| ControlEvent::ConfigRead { asked_at: at(it) }),
+        1 => (0_u64..9_000).prop_map(|it| ControlEvent::ConfigRead { confirmed_at: Some(at(it)) }),
         1 => any::<()>().prop_map(|()| ControlEvent::ConfigReadFailed),
         2 => rows().prop_map(|rows| ControlEvent::Committed {
             service: "carts".to_owned(),
