Test a way to 404 out of an old config, and calls on silent connections

Another test passes and guards what none did: probes do not run while sent bytes are unacknowledged, so a call that is sent on a connection that is silent already ends by TCP_USER_TIMEOUT alone.

--- a/crates/galenastream_node/tests/platform/config_confirmation.rs
+++ b/crates/galenastream_node/tests/platform/config_confirmation.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use galenastream_standin::{
-    CallerConnection, DeploymentPlan, LocalDeployment, LocalVm, StoreFault, VmLink, wait_until,
+    CallerConnection, DeploymentPlan, LocalDeployment, LocalVm, StoreFault, VmLink, request_bytes,
+    wait_until,
 };
 use serde_json::Value;
 
@@ -179,3 +180,35 @@
     .expect(WORKS);
     deployment.close().unwrap();
 }
+
+/// Guards against 404 of a node that goes on after a suspension and takes its config for confirmed until
+/// its control thread has run.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_that_was_suspended_does_not_refuse_on_its_old_confirmation() {
+    /// Longer than a confirmation counts.
+    const SUSPENDED: Duration = Duration::from_millis(8_000);
+    const CALLERS: usize = 64;
+    let deployment = start("suspended-confirmation", &["stock"; 2]).await;
+    wait_for_confirmed_config(&deployment).await;
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let node = deployment.vms[1].node().expect(WORKS);
+    node.suspend().expect(WORKS);
+    let config = DeploymentPlan::shop_config(2, "/second/").to_string();
+    deployment.store.put("op", "config", config.as_bytes());
+    tokio::time::sleep(SUSPENDED).await;
+    let mut callers = Vec::new();
+    for number in 0..CALLERS {
+        let mut caller = deployment.vms[1].caller().await.expect(WORKS);
+        let request = request_bytes("GET", "/second/1", &format!("second-{number}"), None);
+        caller.send(request.as_bytes()).await.expect(WORKS);
+        callers.push(caller);
+    }
+    node.resume().expect(WORKS);
+    let mut statuses = Vec::new();
+    for caller in &mut callers {
+        statuses.push(caller.read().await.expect(WORKS).status);
+    }
+    let refused = statuses.iter().filter(|it| **it == 404).count();
+    assert_eq!(refused, 0, "of {CALLERS}: {statuses:?}");
+    deployment.close().unwrap();
+}
--- a/crates/galenastream_runtime/tests/silent_connections.rs
+++ b/crates/galenastream_runtime/tests/silent_connections.rs
@@ -58,6 +58,25 @@
     assert!(noticed_after < NOTICED, "noticed after {noticed_after:?}");
 }
 
+/// Guards against calls that are sent on a connection that is dead already: probes do not run while sent
+/// bytes are not acknowledged.
+#[tokio::test]
+async fn a_call_on_a_silent_connection_fails_soon() {
+    let proxy = FaultProxy::start(ANY_PORT, start_silent_server().await).await.expect("it starts");
+    let mut connection = HttpConnection::connect_with_keep_alive(proxy.address(), TIMEOUT)
+        .await
+        .expect("the proxy listens");
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    proxy.silence_open_connections();
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    let request = Request::builder().uri("/").body(Full::new(Bytes::new())).expect("it is valid");
+    let sent_at = Instant::now();
+    let result = timeout(TIMEOUT, connection.exchange(request, BodyBuffer::new(1_024))).await;
+    let noticed_after = sent_at.elapsed();
+    assert!(result.is_ok_and(|it| it.is_err()), "the connection fails");
+    assert!(noticed_after < NOTICED, "noticed after {noticed_after:?}");
+}
+
 /// Guards against probes whose number is left to the system, where nothing else ends a connection:
 /// `TCP_USER_TIMEOUT` need not apply to probes.
 #[tokio::test]
