Doubt a config that the control thread has not judged for 1 s

Callers got 404 for a route that was added 8 s before, from a node that was suspended meanwhile: 6 and 7 of 64 requests in 2 of 4 runs of a_node_that_was_suspended_does_not_refuse_on_its_old_confirmation.

Cause: the control thread judges the age of the confirmations every 100 ms and publishes the result, which the traffic threads take without looking at its age. After a suspension, or while the control thread is held up, the last result stands although the confirmation has expired.

What is published has its instant now, and after 1 s, ten ticks, it counts as doubt (store-unreachable): requests that the config does not allow get 503 until the control thread has run. No call or message is added.

The directed test in config_doubt.rs needs the new type.

--- a/crates/galenastream_node/src/lib.rs
+++ b/crates/galenastream_node/src/lib.rs
@@ -17,7 +17,7 @@
     run_daemon, start_log,
 };
 
-pub use version::{ConfigDoubt, RouteMatch, RoutingTable};
+pub use version::{ConfigDoubt, PublishedDoubt, RouteMatch, RoutingTable};
 
 /// The items that a program needs to run a node.
 pub mod prelude {
--- a/crates/galenastream_node/src/process/context.rs
+++ b/crates/galenastream_node/src/process/context.rs
@@ -21,7 +21,7 @@
     ControlQueue, Directory, KeyMeter, RequestQuarantine, StatusPage, TargetLimit, WrittenRow,
     config_confirmation::MAX_CONFIG_AGE,
 };
-use crate::version::{ConfigDoubt, RoutingTable};
+use crate::version::{PublishedDoubt, RoutingTable};
 
 /// The state shared by the threads of a process. The control thread publishes the snapshots.
 #[derive(Debug)]
@@ -33,7 +33,7 @@
     /// The routing table in force; `None` before the first config.
     pub routing: ArcSwapOption<RoutingTable>,
     /// Why the config in force may be older than the newest one.
-    pub config_doubt: Mutex<Option<ConfigDoubt>>,
+    pub config_doubt: Mutex<PublishedDoubt>,
     /// The snapshot of nodes, targets and assignments.
     pub directory: ArcSwap<Directory>,
     /// Counts the changes of the directory. Requests whose key is not granted to the local target
--- a/crates/galenastream_node/src/process/control_loop.rs
+++ b/crates/galenastream_node/src/process/control_loop.rs
@@ -23,6 +23,7 @@
     ControlEvent, ControlState, Effect, NodeContext, ProbeAnswer, TargetProbe,
     commit::{AssignmentWrite, StoreWrite},
 };
+use crate::version::PublishedDoubt;
 
 /// Interval at which the control state is advanced without events.
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
@@ -145,10 +146,10 @@
         let doubt = self.state.config_doubt(now);
         let mut published =
             self.context.config_doubt.lock().unwrap_or_else(PoisonError::into_inner);
-        if *published == doubt {
+        let before = std::mem::replace(&mut *published, PublishedDoubt { doubt, judged_at: now });
+        if before.doubt == doubt {
             return;
         }
-        *published = doubt;
         match doubt {
             Some(doubt) => log::info!(event = "config_doubted", reason = doubt.as_str(); ""),
             None => log::info!(event = "config_confirmed"; ""),
--- a/crates/galenastream_node/src/process/daemon.rs
+++ b/crates/galenastream_node/src/process/daemon.rs
@@ -38,7 +38,7 @@
 use crate::connection::{
     exchange_statuses, serve_callers, serve_control, serve_health, serve_operators, serve_peers,
 };
-use crate::version::ConfigDoubt;
+use crate::version::{ConfigDoubt, PublishedDoubt};
 
 /// The port of the status and metrics pages, as declared to the platform in `deploy/system.toml`.
 pub const OPERATORS_PORT: u16 = 9_464;
@@ -90,7 +90,8 @@
         settings: ArcSwap::from_pointee(settings),
         reload_requested: Notify::new(),
         routing: Default::default(),
-        config_doubt: Some(ConfigDoubt::Starting).into(),
+        config_doubt: PublishedDoubt { doubt: Some(ConfigDoubt::Starting), judged_at: boot_now() }
+            .into(),
         directory: ArcSwap::from_pointee(state.directory(started_at)),
         directory_changes: watch::Sender::new(0),
         settings_tree: Default::default(),
--- a/crates/galenastream_node/src/request/entry.rs
+++ b/crates/galenastream_node/src/request/entry.rs
@@ -126,7 +126,8 @@
     if is_replaced {
         return Some(ConfigDoubt::NewerAnnounced);
     }
-    *traffic.context.config_doubt.lock().unwrap_or_else(PoisonError::into_inner)
+    let published = *traffic.context.config_doubt.lock().unwrap_or_else(PoisonError::into_inner);
+    published.at(boot_now())
 }
 
 /// Attempts a request until its deadline and builds the response to the caller.
--- a/crates/galenastream_node/tests/ownership/config_doubt.rs
+++ b/crates/galenastream_node/tests/ownership/config_doubt.rs
@@ -1,7 +1,7 @@
 //! Checks when a node doubts that its config is the newest one.
 
 use galenastream_adapter::ConfigVersion;
-use galenastream_node::{ConfigDoubt, ControlEvent, ControlState};
+use galenastream_node::{ConfigDoubt, ControlEvent, ControlState, PublishedDoubt};
 use galenastream_utils::BootInstant;
 use galenastream_wire::{NodeStatus, StatusSeen};
 
@@ -363,3 +363,13 @@
     let expected = of_readers + of_others;
     assert!(store.calls <= expected, "{} calls, {expected} expected", store.calls);
 }
+
+/// Guards against 404 of a process that was suspended, before its control thread has run again.
+#[test]
+fn a_judgement_that_the_control_thread_has_not_renewed_does_not_confirm_the_config() {
+    let published = PublishedDoubt { doubt: None, judged_at: at(SETTLED_MS) };
+    assert_eq!(published.at(at(SETTLED_MS + 1_000)), None);
+    assert_eq!(published.at(at(SETTLED_MS + 1_001)), Some(ConfigDoubt::StoreUnreachable));
+    let published = PublishedDoubt { doubt: Some(ConfigDoubt::Starting), ..published };
+    assert_eq!(published.at(at(SETTLED_MS + 1_001)), Some(ConfigDoubt::Starting));
+}
