--- a/crates/galenastream_node/src/request/attempt.rs
+++ b/crates/galenastream_node/src/request/attempt.rs
@@ -109,8 +109,6 @@
     let now = boot_now();
     let mut headers = request.headers.clone();
     headers.push(caller_service_header(traffic));
-    let soft_deadline = request.arrived_at + Duration::from_millis(request.route.target_latency_ms);
-    let prompt_ms = soft_deadline.saturating_since(now).as_millis();
     ForwardedRequest {
         request_id: request.id.clone(),
         target_id: destination.target.id.to_string(),
@@ -124,7 +122,7 @@
         rank: u32::from(request.route.rank),
         is_idempotent: request.route.is_idempotent,
         key_plus_one: key.map_or(0, |it| u32::from(it) + 1),
-        prompt_ms: u32::try_from(prompt_ms).unwrap_or(u32::MAX),
+        prompt_ms: request.soft_deadline.remaining_ms(now),
         target_latency_ms: u32::try_from(request.route.target_latency_ms).unwrap_or(u32::MAX),
         sent_at_ns: now.as_ns(),
         has_alternatives: destination.has_alternatives,
--- a/crates/galenastream_node/src/request/caller_request.rs
+++ b/crates/galenastream_node/src/request/caller_request.rs
@@ -23,6 +23,10 @@
     pub(super) key: Option<u16>,
     pub(super) route: Route,
     pub(super) arrived_at: BootInstant,
+    /// How long the caller waits, as it says; `u64::MAX` if it does not.
+    pub(super) wait_ms: u64,
+    /// The time after which the response loses most of its value.
+    pub(super) soft_deadline: Deadline,
     /// The latest time at which the response has to be ready.
     pub(super) deadline: Deadline,
 }
@@ -48,6 +52,7 @@
         let to_ms = |ms: u64| u32::try_from(ms).unwrap_or(u32::MAX);
         let deadline = Deadline::of_answer(arrived_at, to_ms(requested_ms))
             .min(Deadline::new(arrived_at, to_ms(route.timeout_ms)));
+        let soft_deadline = Deadline::of_answer(arrived_at, to_ms(route.target_latency_ms));
         let route = route.clone();
         Ok(Self {
             id: address.request_id.to_owned(),
@@ -59,6 +64,8 @@
             key,
             route,
             arrived_at,
+            wait_ms: requested_ms,
+            soft_deadline,
             deadline,
         })
     }
--- a/crates/galenastream_node/src/request/entry.rs
+++ b/crates/galenastream_node/src/request/entry.rs
@@ -221,6 +221,7 @@
             service = self.service,
             key = self.key,
             config_version = self.config_version,
+            wait_ms = request.wait_ms,
             tries = summary.attempts,
             target_id = summary.target.as_str(),
             node = summary.node.as_str(),
