--- a/crates/galenastream_node/src/process/traffic_state.rs
+++ b/crates/galenastream_node/src/process/traffic_state.rs
@@ -10,8 +10,8 @@
 
 use galenastream_adapter::ProcessLimits;
 use galenastream_routing::{
-    AdmissionLimits, LimitTrials, RetryBudgetLimits, ServiceTime, TargetSelector, WeightedSplit,
-    WindowedRetryBudget,
+    AdmissionLimits, LimitTrials, RetryBudgetLimits, ServiceTime, TargetSelector, UsualWaits,
+    WeightedSplit, WindowedRetryBudget,
 };
 use galenastream_runtime::{AdmissionController, BodyBudget, LogBudget, boot_now};
 use galenastream_settings::EffectiveSettings;
@@ -59,6 +59,8 @@
     placement: Mutex<TargetSelector>,
     retry_budgets: Mutex<FastMap<String, WindowedRetryBudget>>,
     splits: Mutex<FastMap<String, WeightedSplit>>,
+    /// The waits that callers state, by the target latency of the route.
+    usual_waits: Mutex<FastMap<u64, UsualWaits>>,
     service_time: Mutex<ServiceTime>,
     /// When the last request limit of the local target ended.
     limit_ended_at: Mutex<Option<BootInstant>>,
@@ -95,6 +97,7 @@
             placement: Mutex::new(TargetSelector::new(rand::random())),
             retry_budgets: Mutex::default(),
             splits: Mutex::default(),
+            usual_waits: Mutex::default(),
             service_time: Mutex::default(),
             limit_ended_at: Mutex::default(),
             pending: AtomicUsize::new(0),
@@ -174,6 +177,12 @@
         lock(&self.splits).entry(route.to_owned()).or_default().next(weights)
     }
 
+    /// Counts the wait that the caller of a request states. Returns for how many milliseconds the
+    /// caller has waited before this attempt.
+    pub fn waited_before_ms(&self, target_latency_ms: u64, wait_ms: u32) -> u32 {
+        lock(&self.usual_waits).entry(target_latency_ms).or_default().add(wait_ms)
+    }
+
     /// Counts the first attempt of a request in the retry budget of its service.
     pub fn count_first_send(&self, service: &str) {
         self.with_retry_budget(service, |budget| budget.add_request(boot_now()));
--- a/crates/galenastream_node/src/request/entry.rs
+++ b/crates/galenastream_node/src/request/entry.rs
@@ -63,7 +63,12 @@
         return refuse(traffic, Refusal::NoConfig, &RequestAddress::of(&parts), None);
     };
     match CallerRequest::parse(&parts, body, &routing) {
-        Ok(request) => process_request(traffic, &routing, request).await,
+        Ok(request) => {
+            let waited_ms = request
+                .wait_ms
+                .map_or(0, |it| traffic.waited_before_ms(request.route.target_latency_ms, it));
+            process_request(traffic, &routing, request.with_waited_before(waited_ms)).await
+        }
         Err(refusal) => refuse(traffic, refusal, &RequestAddress::of(&parts), Some(&routing)),
     }
 }
--- a/crates/galenastream_routing/src/process/mod.rs
+++ b/crates/galenastream_routing/src/process/mod.rs
@@ -10,6 +10,7 @@
 mod rate_limiter;
 mod service_time;
 mod target_selector;
+mod usual_waits;
 mod weighted_split;
 mod windowed_retry_budget;
 
@@ -20,5 +21,6 @@
 pub use limit_trials::*;
 pub use service_time::*;
 pub use target_selector::*;
+pub use usual_waits::*;
 pub use weighted_split::*;
 pub use windowed_retry_budget::*;
