--- a/crates/galenastream_node/src/request/attempt.rs
+++ b/crates/galenastream_node/src/request/attempt.rs
@@ -126,6 +126,7 @@
         target_latency_ms: u32::try_from(request.route.target_latency_ms).unwrap_or(u32::MAX),
         sent_at_ns: now.as_ns(),
         has_alternatives: destination.has_alternatives,
+        waited_ms: request.waited_ms,
         remembered: traffic.remembered().report(
             destination.node.key,
             &destination.target,
--- a/crates/galenastream_node/src/request/caller_request.rs
+++ b/crates/galenastream_node/src/request/caller_request.rs
@@ -25,6 +25,8 @@
     pub(super) arrived_at: BootInstant,
     /// How long the caller waits, if it says so.
     pub(super) wait_ms: Option<u32>,
+    /// For how many milliseconds the caller has waited before this attempt.
+    pub(super) waited_ms: u32,
     /// The time after which the response loses most of its value.
     pub(super) soft_deadline: Deadline,
     /// The latest time at which the response has to be ready.
@@ -52,8 +54,7 @@
         let to_ms = |ms: u64| u32::try_from(ms).unwrap_or(u32::MAX);
         let deadline = Deadline::of_answer(arrived_at, wait_ms.unwrap_or(u32::MAX))
             .min(Deadline::new(arrived_at, to_ms(route.timeout_ms)));
-        let soft_deadline =
-            Deadline::of_prompt_answer(arrived_at, to_ms(route.target_latency_ms), 0);
+        let soft_deadline = Deadline::of_answer(arrived_at, to_ms(route.target_latency_ms));
         let route = route.clone();
         Ok(Self {
             id: address.request_id.to_owned(),
@@ -66,20 +67,12 @@
             route,
             arrived_at,
             wait_ms,
+            waited_ms: 0,
             soft_deadline,
             deadline,
         })
     }
 
-    /// Counts the target latency from the caller's first attempt. `waited_ms` is the time that the
-    /// caller has waited before this one.
-    pub(super) fn with_waited_before(self, waited_ms: u32) -> Self {
-        let target_latency_ms = u32::try_from(self.route.target_latency_ms).unwrap_or(u32::MAX);
-        let soft_deadline =
-            Deadline::of_prompt_answer(self.arrived_at, target_latency_ms, waited_ms);
-        Self { soft_deadline, ..self }
-    }
-
     /// What identifies the request in responses and log lines.
     pub(super) fn address(&self) -> RequestAddress<'_> {
         RequestAddress { request_id: &self.id, host: &self.host, path: &self.path }
--- a/crates/galenastream_node/src/request/entry.rs
+++ b/crates/galenastream_node/src/request/entry.rs
@@ -63,11 +63,12 @@
         return refuse(traffic, Refusal::NoConfig, &RequestAddress::of(&parts), None);
     };
     match CallerRequest::parse(&parts, body, &routing) {
-        Ok(request) => {
-            let waited_ms = request
-                .wait_ms
-                .map_or(0, |it| traffic.waited_before_ms(request.route.target_latency_ms, it));
-            process_request(traffic, &routing, request.with_waited_before(waited_ms)).await
+        Ok(mut request) => {
+            if let Some(wait_ms) = request.wait_ms {
+                let target_latency_ms = request.route.target_latency_ms;
+                request.waited_ms = traffic.waited_before_ms(target_latency_ms, wait_ms);
+            }
+            process_request(traffic, &routing, request).await
         }
         Err(refusal) => refuse(traffic, refusal, &RequestAddress::of(&parts), Some(&routing)),
     }
@@ -227,6 +228,7 @@
             key = self.key,
             config_version = self.config_version,
             wait_ms = request.wait_ms,
+            waited_ms = request.waited_ms,
             tries = summary.attempts,
             target_id = summary.target.as_str(),
             node = summary.node.as_str(),
--- a/crates/galenastream_node/src/request/target_run.rs
+++ b/crates/galenastream_node/src/request/target_run.rs
@@ -142,7 +142,9 @@
     }
     let rank = u8::try_from(request.rank).unwrap_or(u8::MAX);
     let class_index = u16::try_from(request.target_latency_ms).unwrap_or(u16::MAX);
-    let class = Class::new(class_index, u8::MAX - rank).with_alternatives(request.has_alternatives);
+    let class = Class::new(class_index, u8::MAX - rank)
+        .with_alternatives(request.has_alternatives)
+        .with_waited_ms(request.waited_ms);
     let estimate =
         Duration::from_millis(u64::from(request.target_latency_ms)) / SERVICE_TIME_ESTIMATE_DIVISOR;
     traffic.admission.assume_service_time(class, estimate);
--- a/crates/galenastream_routing/src/process/admission.rs
+++ b/crates/galenastream_routing/src/process/admission.rs
@@ -26,6 +26,10 @@
 /// arrivals are uneven.
 const LATE_QUEUE_DIVISOR: u32 = 4;
 
+/// The longest burst. A target counts as overloaded for longer if requests that can meet their soft
+/// deadlines have taken all of its slots for this time.
+const MAX_BURST: Duration = Duration::from_millis(1_000);
+
 /// Admission control for one target: its slots and the short queue in front of them.
 ///
 /// Every request that arrives starts, waits or is shed immediately. The health and load
@@ -38,6 +42,8 @@
     queue: Queue,
     next_wait_id: u64,
     shed_count: u32,
+    /// When a slot was last free, or was taken by a request that will miss its soft deadline.
+    had_room_at: BootInstant,
     service_times: ClassServiceTimes,
     /// Present while the target announces a request limit.
     rate_limiter: Option<RateLimiter>,
@@ -53,6 +59,7 @@
             queue: Queue::default(),
             next_wait_id: 0,
             shed_count: 0,
+            had_room_at: target_up_at,
             service_times: ClassServiceTimes::default(),
             rate_limiter: None,
         }
@@ -87,11 +94,13 @@
         if self.queue.len() == 0 && self.in_progress < self.open_slots(now) && self.take_token(now)
         {
             self.in_progress += 1;
+            self.had_room_at = now;
             return AdmissionOutcome { decision: AdmitDecision::Start, evicted: None };
         }
         if class.has_alternatives && self.is_closed_by_limit(now) {
             return AdmissionOutcome { decision: self.shed(now), evicted: None };
         }
+        let soft_deadline = self.soft_deadline_in_force(now, class, soft_deadline);
         let due = soft_deadline.min(deadline);
         let is_exempt = !class.has_alternatives && self.service_times.is_short(class);
         let soft_deadline = if is_exempt { deadline } else { due };
@@ -150,8 +159,12 @@
             let is_timely =
                 |it: &Waiting| !it.soft_deadline.has_passed(now + times.upper_estimate(it.class));
             let Some(next) = self.queue.pop_first(is_timely) else {
+                self.had_room_at = now;
                 break;
             };
+            if !is_timely(&next) {
+                self.had_room_at = now;
+            }
             if next.until <= now
                 || next.deadline.has_passed(now + self.service_times.mean_of(next.class))
             {
@@ -250,6 +263,26 @@
         u32::try_from(drain_ms).unwrap_or(u32::MAX).max(self.limits.retry_after_ms)
     }
 
+    /// Returns the soft deadline of a request whose caller may have waited before this attempt.
+    ///
+    /// Load pattern: refused callers come back, and the time that they expect an answer in counts
+    /// from their first attempt. During a burst each attempt gets the full time, since the target
+    /// will have room for all before they give up. During longer overload it has not: with the full
+    /// time, every other slot would serve a caller who is late already, in place of one who can get
+    /// an answer in time.
+    fn soft_deadline_in_force(
+        &self,
+        now: BootInstant,
+        class: Class,
+        soft_deadline: Deadline,
+    ) -> Deadline {
+        if now.saturating_since(self.had_room_at) < MAX_BURST {
+            return soft_deadline;
+        }
+        let remaining_ms = soft_deadline.remaining_ms(now).saturating_sub(class.waited_ms);
+        Deadline::new(now, remaining_ms)
+    }
+
     fn enqueue(
         &mut self,
         now: BootInstant,
--- a/crates/galenastream_routing/src/request/class.rs
+++ b/crates/galenastream_routing/src/request/class.rs
@@ -10,16 +10,23 @@
     pub priority: u8,
     /// Whether the request can go to another target if this one refuses it.
     pub has_alternatives: bool,
+    /// For how many milliseconds the caller has waited before this attempt.
+    pub waited_ms: u32,
 }
 
 impl Class {
     /// Creates a class from its index and its priority.
     pub const fn new(index: u16, priority: u8) -> Self {
-        Self { index, priority, has_alternatives: false }
+        Self { index, priority, has_alternatives: false, waited_ms: 0 }
     }
 
     /// Sets whether the request can go to another target.
     pub const fn with_alternatives(self, has_alternatives: bool) -> Self {
         Self { has_alternatives, ..self }
     }
+
+    /// Sets for how many milliseconds the caller has waited before this attempt.
+    pub const fn with_waited_ms(self, waited_ms: u32) -> Self {
+        Self { waited_ms, ..self }
+    }
 }
--- a/crates/galenastream_routing/src/request/deadline.rs
+++ b/crates/galenastream_routing/src/request/deadline.rs
@@ -33,18 +33,6 @@
         Self::new(arrived_at, wait_ms - margin_ms)
     }
 
-    /// Creates the deadline of an answer that has to reach its caller within the target latency.
-    /// `waited_ms` is the time that the caller has waited before this attempt.
-    pub fn of_prompt_answer(
-        arrived_at: BootInstant,
-        target_latency_ms: u32,
-        waited_ms: u32,
-    ) -> Self {
-        let margin_ms = ANSWER_MARGIN_MS.min(target_latency_ms / ANSWER_MARGIN_DIVISOR);
-        let latency_ms = target_latency_ms - margin_ms;
-        Self::new(arrived_at, latency_ms.saturating_sub(waited_ms))
-    }
-
     /// Returns the instant on this VM's boot clock.
     pub const fn at(self) -> BootInstant {
         self.at
--- a/crates/galenastream_routing/tests/returning_callers.rs
+++ b/crates/galenastream_routing/tests/returning_callers.rs
@@ -99,11 +99,11 @@
                 let elapsed_ms = now_ms - WAY_MS - request.first_sent_ms;
                 let stated_ms = u32::try_from(WAIT_MS - elapsed_ms).expect("a wait is short");
                 let waited_ms = waits.add(stated_ms);
- let waited_ms = if std::env::var("OLD").is_ok() { 0 } else { waited_ms };
-                let soft_deadline = if std::env::var("OLDD").is_ok() { Deadline::new(now, TARGET_LATENCY_MS) } else { Deadline::of_prompt_answer(now, TARGET_LATENCY_MS, waited_ms)};
+                let class = CLASS.with_waited_ms(waited_ms);
+                let soft_deadline = Deadline::of_answer(now, TARGET_LATENCY_MS);
                 let deadline = Deadline::of_answer(now, stated_ms);
                 let outcome =
-                    admission.arrive_with_soft_deadline(now, CLASS, soft_deadline, deadline);
+                    admission.arrive_with_soft_deadline(now, class, soft_deadline, deadline);
                 match outcome.decision {
                     AdmitDecision::Start => running.push((now_ms + SERVICE_MS, request)),
                     AdmitDecision::Wait { id, until } => {
@@ -162,7 +162,7 @@
 fn an_overloaded_target_serves_first_attempts_before_callers_who_are_late() {
     for (max_attempts, load_percent) in [(2, 150), (2, 250), (4, 150), (4, 250)] {
         let served = Replay::new(max_attempts, |_| CAPACITY_PER_S * load_percent / 100).run();
-        let case = format!("{max_attempts} attempts at {load_percent}%: {served:?} of {FULL}"); println!("{case}");
+        let case = format!("{max_attempts} attempts at {load_percent}%: {served:?} of {FULL}");
         assert!(served.in_time > FULL * 90 / 100, "{case}");
         assert!(served.in_time + served.late > FULL * 95 / 100, "{case}");
     }
@@ -177,7 +177,6 @@
         false => CAPACITY_PER_S * 3 / 5,
     };
     let served = Replay::new(2, per_s).run();
-    println!("{served:?}");
     let asked = FULL * 95 / 100;
     assert!(served.in_time + served.late > asked * 95 / 100, "{served:?} of {asked}");
 }
--- a/crates/galenastream_wire/src/message/request.rs
+++ b/crates/galenastream_wire/src/message/request.rs
@@ -64,6 +64,10 @@
     /// It matters if the process beside the target has restarted since.
     #[prost(message, optional, tag = "17")]
     pub remembered: Option<TargetAnnouncement>,
+    /// For how many milliseconds the caller has waited before this attempt of its own; 0 if the
+    /// sending node does not know.
+    #[prost(uint32, tag = "18")]
+    pub waited_ms: u32,
 }
 
 /// The reply to a [`ForwardedRequest`].
