--- a/crates/galenastream_routing/src/process/admission.rs
+++ b/crates/galenastream_routing/src/process/admission.rs
@@ -42,7 +42,7 @@
     queue: Queue,
     next_wait_id: u64,
     shed_count: u32,
-    /// When a slot was last free, or was taken by a request that will miss its soft deadline.
+    /// When a slot was last left free by the requests that can meet their soft deadlines.
     had_room_at: BootInstant,
     service_times: ClassServiceTimes,
     /// Present while the target announces a request limit.
@@ -162,7 +162,7 @@
                 self.had_room_at = now;
                 break;
             };
-            if !is_timely(&next) {
+            if !is_timely(&next) && !self.queue.any(is_timely) {
                 self.had_room_at = now;
             }
             if next.until <= now
--- a/crates/galenastream_routing/src/process/queue.rs
+++ b/crates/galenastream_routing/src/process/queue.rs
@@ -67,6 +67,11 @@
         self.len += 1;
     }
 
+    /// Returns whether the condition holds for a waiting request.
+    pub(crate) fn any(&self, condition: impl Fn(&Waiting) -> bool) -> bool {
+        self.by_priority.values().flatten().any(condition)
+    }
+
     /// Removes the request that starts next. `is_timely` tells whether a request can still meet its
     /// soft deadline.
     pub(crate) fn pop_first(&mut self, is_timely: impl Fn(&Waiting) -> bool) -> Option<Waiting> {
