--- a/crates/galenastream_routing/src/process/admission.rs
+++ b/crates/galenastream_routing/src/process/admission.rs
@@ -146,7 +146,7 @@
         class: Class,
         service_time: Duration,
     ) -> Dequeued {
-        self.service_times.by_class.entry(class.index).or_default().add(service_time);
+        self.service_times.add(class, service_time);
         self.finish(now, Some(service_time))
     }
 
