--- a/crates/galenastream_routing/tests/short_requests.rs
+++ b/crates/galenastream_routing/tests/short_requests.rs
@@ -155,3 +155,16 @@
     let [_, call] = replay([long, redirectable]);
     assert!(call.answered_in_time * 100 >= call.answered * 90, "{call:?}");
 }
+
+/// Guards against answers that all come late because a few requests of another class take long: all
+/// others would count as short, and wait until their deadlines.
+#[test]
+fn a_few_slow_requests_do_not_make_all_others_short() {
+    // The target never answers the slow requests before their time ends, and they take a third of
+    // its slots. The others need three times its capacity.
+    let slow = Kind::new(1_200, 1_000, 1_200, 3_000, 2);
+    let common = Kind::new(200, 40, 180, 475, 300);
+    let [_, common] = replay([slow, common]);
+    assert!(common.answered > 800, "{common:?}");
+    assert!(common.answered_in_time * 100 >= common.answered * 90, "{common:?}");
+}
