--- a/crates/galenastream_node/src/request/caller_request.rs
+++ b/crates/galenastream_node/src/request/caller_request.rs
@@ -23,6 +23,12 @@
     pub(super) key: Option<u16>,
     pub(super) route: Route,
     pub(super) arrived_at: BootInstant,
+    /// How long the caller waits, if it says so.
+    pub(super) wait_ms: Option<u32>,
+    /// For how many milliseconds the caller has waited before this attempt.
+    pub(super) waited_ms: u32,
+    /// The time after which the response loses most of its value.
+    pub(super) soft_deadline: Deadline,
     /// The latest time at which the response has to be ready.
     pub(super) deadline: Deadline,
 }
@@ -42,12 +48,13 @@
         };
         let key =
             header_text(&parts.headers, header_names::KEY).and_then(|it| it.trim().parse().ok());
-        let requested_ms = header_text(&parts.headers, header_names::DEADLINE_MS)
+        let wait_ms = header_text(&parts.headers, header_names::DEADLINE_MS)
             .and_then(|it| it.trim().parse::<f64>().ok())
-            .map_or(u64::MAX, |it| it.max(0.0) as u64);
+            .map(|it| it.max(0.0) as u32);
         let to_ms = |ms: u64| u32::try_from(ms).unwrap_or(u32::MAX);
-        let deadline = Deadline::of_answer(arrived_at, to_ms(requested_ms))
+        let deadline = Deadline::of_answer(arrived_at, wait_ms.unwrap_or(u32::MAX))
             .min(Deadline::new(arrived_at, to_ms(route.timeout_ms)));
+        let soft_deadline = Deadline::of_answer(arrived_at, to_ms(route.target_latency_ms));
         let route = route.clone();
         Ok(Self {
             id: address.request_id.to_owned(),
@@ -59,6 +66,9 @@
             key,
             route,
             arrived_at,
+            wait_ms,
+            waited_ms: 0,
+            soft_deadline,
             deadline,
         })
     }
--- a/crates/galenastream_node/src/request/entry.rs
+++ b/crates/galenastream_node/src/request/entry.rs
@@ -65,7 +65,13 @@
         return refuse(traffic, Refusal::NoConfig, &RequestAddress::of(&parts), None);
     };
     match CallerRequest::parse(&parts, body, &routing) {
-        Ok(request) => process_request(traffic, &routing, request).await,
+        Ok(mut request) => {
+            if let Some(wait_ms) = request.wait_ms {
+                let target_latency_ms = request.route.target_latency_ms;
+                request.waited_ms = traffic.waited_before_ms(target_latency_ms, wait_ms);
+            }
+            process_request(traffic, &routing, request).await
+        }
         Err(refusal) => refuse(traffic, refusal, &RequestAddress::of(&parts), Some(&routing)),
     }
 }
@@ -239,6 +245,8 @@
             service = self.service,
             key = self.key,
             config_version = self.config_version,
+            wait_ms = request.wait_ms,
+            waited_ms = request.waited_ms,
             tries = summary.attempts,
             target_id = summary.target.as_str(),
             node = summary.node.as_str(),
--- a/crates/galenastream_routing/src/process/mod.rs
+++ b/crates/galenastream_routing/src/process/mod.rs
@@ -17,6 +17,7 @@
 mod suspect;
 mod suspicion;
 mod target_selector;
+mod usual_waits;
 mod weighted_split;
 mod windowed_retry_budget;
 
@@ -33,5 +34,6 @@
 pub use suspect::*;
 pub use suspicion::*;
 pub use target_selector::*;
+pub use usual_waits::*;
 pub use weighted_split::*;
 pub use windowed_retry_budget::*;
--- a/crates/galenastream_wire/src/message/request.rs
+++ b/crates/galenastream_wire/src/message/request.rs
@@ -67,6 +67,10 @@
     /// What the sending node knows of crashes under the request; `None` if there were none.
     #[prost(message, optional, tag = "18")]
     pub suspect: Option<SuspectRecord>,
+    /// For how many milliseconds the caller has waited before this attempt of its own; 0 if the
+    /// sending node does not know.
+    #[prost(uint32, tag = "19")]
+    pub waited_ms: u32,
 }
 
 /// The reply to a [`ForwardedRequest`].
