Say what ends a connection by its probes

On kernels where TCP_USER_TIMEOUT applies to probes it replaces their number.

One lost probe ends a sound connection.

--- a/crates/galenastream_runtime/src/socket.rs
+++ b/crates/galenastream_runtime/src/socket.rs
@@ -12,8 +12,9 @@
 
 /// How long a connection may be idle before its first keep-alive probe, the interval of further ones,
 /// and how many may stay unanswered. Together less than the 3 s after which a config has to be in
-/// force although connections went silent. `USER_TIMEOUT` need not apply to probes. The kernel
-/// counts in whole seconds.
+/// force although connections went silent. The kernel counts in whole seconds. Where `USER_TIMEOUT`
+/// applies to probes, it replaces their number: the connection ends when a further probe is due after
+/// it. One lost probe thus ends a sound connection, and its call has to be repeated.
 const KEEP_ALIVE_TIME: Duration = Duration::from_millis(1_000);
 const KEEP_ALIVE_INTERVAL: Duration = Duration::from_millis(1_000);
 const MAX_UNANSWERED_PROBES: u32 = 1;
