Test that connections of peers that went silent are closed

The side that accepted a connection between nodes waits for frames without a limit, and without probes. With many nodes and a network that fails often, a node runs out of files.

--- a/crates/galenastream_node/tests/platform/slow_node.rs
+++ b/crates/galenastream_node/tests/platform/slow_node.rs
@@ -2,10 +2,12 @@
 
 use std::time::Duration;
 
-use galenastream_standin::{CallerConnection, request_bytes};
+use galenastream_standin::{
+    CallerConnection, DeploymentPlan, LocalDeployment, VmLink, request_bytes, wait_until,
+};
 use tokio::time::sleep;
 
-use super::deployment::start;
+use super::deployment::{start, wait_for_confirmed_config};
 
 /// How long the node does not react: a status is sent to it within the first second and times out
 /// 1.2 s later.
@@ -62,3 +64,40 @@
     node.resume().unwrap();
     deployment.close().unwrap();
 }
+
+/// Guards against nodes that keep each connection whose other end went silent, until they can open no
+/// more files.
+#[tokio::test(flavor = "multi_thread")]
+async fn connections_of_peers_that_went_silent_are_closed() {
+    const NODES: usize = 4;
+    const SILENCES: usize = 3;
+    /// A status times out after 1.2 s and opens another connection within the next second.
+    const REOPENED: Duration = Duration::from_secs(4);
+    const CLOSED: Duration = Duration::from_secs(40);
+    /// Files that a node may open for other reasons meanwhile: fewer than one silence leaves.
+    const OTHER_FILES: usize = NODES - 2;
+    let program = env!("CARGO_BIN_EXE_galenastreamd");
+    let plan = DeploymentPlan::shop("silent-peers", program, &["stock"; NODES]);
+    let plan = DeploymentPlan { has_proxies: true, ..plan };
+    let deployment = LocalDeployment::start(&plan).await.unwrap();
+    wait_for_confirmed_config(&deployment).await;
+    sleep(REOPENED).await;
+    let open_files = || {
+        let ids = deployment.vms.iter().map(|it| it.node().unwrap().id());
+        let counts = ids.map(|it| std::fs::read_dir(format!("/proc/{it}/fd")).unwrap().count());
+        counts.collect::<Vec<_>>()
+    };
+    let before = open_files();
+    for _ in 0..SILENCES {
+        for vm in &deployment.vms {
+            vm.silence_open_connections(VmLink::Peers).unwrap();
+        }
+        sleep(REOPENED).await;
+    }
+    let after = open_files();
+    let closed = wait_until("the silent connections to be closed", CLOSED, async || {
+        open_files().iter().zip(&before).all(|(now, before)| *now <= before + OTHER_FILES)
+    });
+    assert!(closed.await.is_ok(), "{before:?}, {after:?}, then {:?}", open_files());
+    deployment.close().unwrap();
+}
