--- a/crates/galenastream_node/src/request/mod.rs
+++ b/crates/galenastream_node/src/request/mod.rs
@@ -2,6 +2,7 @@
 
 mod answer;
 mod attempt;
+mod attempts;
 mod caller_request;
 mod counted_attempt;
 mod crash;
