Close connections of peers that bring no frame for 30 s

Cause: the accepting side only reads. A peer that gives a connection up as silent cannot say so on it, and opens another.

A connection that brings no frame for 30 s while no request runs on it is closed (peer_connection_idle). A status comes on a live one every second; one that a peer has retired carries requests until their deadlines. Closing it loses none.

--- a/crates/galenastream_node/src/connection/peer_connections.rs
+++ b/crates/galenastream_node/src/connection/peer_connections.rs
@@ -1,6 +1,9 @@
 //! Server for the connections that other nodes open.
 
-use std::sync::{Arc, Mutex, PoisonError};
+use std::{
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
 
 use galenastream_routing::TransitDelay;
 use galenastream_runtime::{FrameReader, FrameWriter, ReceivedFrame, boot_now};
@@ -15,6 +18,7 @@
     },
     sync::mpsc,
     task::AbortHandle,
+    time::timeout,
 };
 
 use super::accept::accept_all;
@@ -26,6 +30,10 @@
 /// Maximum number of replies that wait to be written on one connection.
 const WRITE_QUEUE_FRAMES: usize = 4_096;
 
+/// How long a connection without requests in progress may bring no frame. A status comes every
+/// second; this is longer than most suspensions, after which the other node uses the connection again.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+
 /// Serves the connections of other nodes until the process ends.
 pub async fn serve_peers(traffic: Arc<TrafficState>, listener: TcpListener) {
     accept_all(listener, |stream| {
@@ -102,7 +110,14 @@
         let mut reader = FrameReader::<PeerFrame>::new(stream, self.traffic.body_budget.clone());
         let mut transit_delay = TransitDelay::new();
         loop {
-            match reader.next().await {
+            let Ok(next) = timeout(IDLE_TIMEOUT, reader.next()).await else {
+                if lock(&self.running).is_empty() {
+                    log::info!(event = "peer_connection_idle"; "");
+                    return;
+                }
+                continue;
+            };
+            match next {
                 Some(Ok(ReceivedFrame::Whole(mut frame))) => {
                     match &mut frame.body {
                         Some(Body::Request(request)) => subtract_delay(request, &mut transit_delay),
