Let one run of a suspected request at a target go on at a time

The log shows two copies of the request at work at one target, both in their turn. The guard of a turn was built before it was known whether the target already ran the request, and dropping it gave the other one's turn back.

--- a/crates/galenastream_node/src/process/traffic_state.rs
+++ b/crates/galenastream_node/src/process/traffic_state.rs
@@ -293,7 +293,8 @@
     /// Records that the local target runs a suspected request. Returns `None` if it already does.
     pub fn begin_suspect(&self, fingerprint: RequestFingerprint) -> Option<RunningSuspect<'_>> {
         let is_first = lock(&self.running_suspects).insert(fingerprint);
-        is_first.then_some(RunningSuspect { traffic: self, fingerprint })
+        // Built only then: dropping it ends the run that has the turn.
+        is_first.then(|| RunningSuspect { traffic: self, fingerprint })
     }
 
     /// Completes when the run of a suspected request has ended, counted from this call.
