--- a/crates/galenastream_node/src/process/directory.rs
+++ b/crates/galenastream_node/src/process/directory.rs
@@ -42,7 +42,7 @@
     pub reads_rows: bool,
     /// Whether it is the planner in the view of this node. Never set for this node itself.
     pub is_planner: bool,
-    /// The digest of the requests that it refuses because they crash targets. Not used for this node.
+    /// The digest of what it knows of requests that crash targets. Not used for this node.
     pub quarantine_digest: u64,
     /// Whether it is this node.
     pub is_local: bool,
--- a/crates/galenastream_node/src/process/quarantine_spread.rs
+++ b/crates/galenastream_node/src/process/quarantine_spread.rs
@@ -5,12 +5,10 @@
 //! crash at once, and those that lack a request of the quarantine again; the row in the store outlasts
 //! the restart of all nodes.
 
-use galenastream_adapter::Row;
-use galenastream_adapter::StoreError;
+use galenastream_adapter::{Row, StoreError};
 use galenastream_utils::BootInstant;
 use galenastream_wire::{QuarantineRow, SharedRowKey, SuspectRecord};
-use prost::Message;
-use prost::bytes::Bytes;
+use prost::{Message, bytes::Bytes};
 
 use super::Effect;
 use super::control_state::ControlState;
--- a/crates/galenastream_node/src/process/request_quarantine.rs
+++ b/crates/galenastream_node/src/process/request_quarantine.rs
@@ -122,7 +122,7 @@
         QuarantineRow { records }
     }
 
-    /// A digest of the requests that this node refuses.
+    /// A digest of the records that every node should have.
     pub fn digest(&self) -> u64 {
         self.lock().digest()
     }
--- a/crates/galenastream_wire/src/message/node_status.rs
+++ b/crates/galenastream_wire/src/message/node_status.rs
@@ -55,7 +55,8 @@
     /// Requests that are suspected of crashing targets, as far as the receiver may not know.
     #[prost(message, repeated, tag = "15")]
     pub suspects: Vec<SuspectRecord>,
-    /// A digest of the requests that the node refuses because they crash targets; 0 if there are none.
+    /// A digest of the requests under which two targets or more have crashed, and of how many; 0 if
+    /// there are none.
     #[prost(fixed64, tag = "16")]
     pub quarantine_digest: u64,
     /// The number of crashes under requests that the node has seen at its target.
