Lease calls: one connection each, denied keys are granted again, refused fences are raised

A late copy of an answer on a connection in use again would be taken for the answer to the next call, a release among them.

Change: each call has a connection of its own. A key that the target denies (421) is granted again at once, at most once a second; a fencing token that it refuses twice is raised by a write of the row.

--- a/crates/galenastream_node/src/process/lease_call_client.rs
+++ b/crates/galenastream_node/src/process/lease_call_client.rs
@@ -1,33 +1,41 @@
 //! Sends calls that change the leases of the local target.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
+use bytes::Bytes;
 use galenastream_adapter::{LeaseCall, LeaseCallAnswer};
 use galenastream_ranges::{CallOutcome, LeaseOrder, PlannedCall, TargetIncarnation};
-use galenastream_runtime::{BodyBudget, ConnectionCount, boot_now};
+use galenastream_runtime::{
+    BodyBuffer, ConnectionCount, ExchangeError, HttpConnection, WholeResponse, boot_now,
+};
 use galenastream_utils::BootInstant;
+use http::Request;
+use http_body_util::Full;
+use metrics::counter;
 use tokio::time::timeout;
 
 use super::lease_calls::{GRANT_TIMEOUT, RELEASE_TIMEOUT};
 use super::ownership_log::millis;
-use crate::connection::{TargetConnections, TargetResult};
 
-/// Memory for the bodies of answers, which are empty.
-const ANSWER_BUDGET_BYTES: usize = 64 * 1024;
+/// Timeout for opening a connection; part of the timeout of a call. The target is on the same VM.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(120);
 
-/// Sends calls that change the leases of the local target.
+/// The longest accepted answer, which is empty as a rule.
+const MAX_ANSWER_BYTES: usize = 4 * 1024;
+
+/// Sends calls that change the leases of the local target, each on a connection of its own: an answer
+/// names neither its call nor its target, so a late copy of one could be taken for the answer to the
+/// next call on the same connection.
 #[derive(Debug)]
 pub(super) struct LeaseCallClient {
     address: SocketAddr,
-    connections: TargetConnections,
+    count: ConnectionCount,
 }
 
 impl LeaseCallClient {
-    /// Creates a client without connections. The open ones are counted with `count`.
-    pub(super) fn new(address: SocketAddr, count: ConnectionCount) -> Self {
-        let budget = BodyBudget::new(ANSWER_BUDGET_BYTES);
-        let connections = TargetConnections::new(address, budget).with_count(count);
-        Self { address, connections }
+    /// Creates a client. Its open connections are counted with `count`.
+    pub(super) const fn new(address: SocketAddr, count: ConnectionCount) -> Self {
+        Self { address, count }
     }
 
     /// Sends a call that was planned at `planned_at`, and returns how it ended. A call without an
@@ -44,23 +52,41 @@
         };
         let (outcome, reason) = match self.request(target, call) {
             Err(error) => (CallOutcome::NotSent, error.to_string()),
-            Ok(_) if boot_now() >= planned_at + limit => {
-                (CallOutcome::NotSent, "planned too long ago".to_owned())
-            }
-            Ok(request) => match timeout(limit, self.connections.send(request)).await {
-                Ok(result) => outcome_of(result),
-                Err(_) => (CallOutcome::NoAnswer, "timed out".to_owned()),
-            },
+            Ok(request) => self.send(request, planned_at, limit).await,
         };
         log_end(target, call, &outcome, &reason, planned_at);
         outcome
     }
 
+    async fn send(
+        &self,
+        request: Request<Full<Bytes>>,
+        planned_at: BootInstant,
+        limit: Duration,
+    ) -> (CallOutcome, String) {
+        counter!("galenastream_target_connections_total").increment(1);
+        let connecting =
+            HttpConnection::connect_counted(self.address, CONNECT_TIMEOUT, &self.count);
+        let mut connection = match connecting.await {
+            Ok(connection) => connection,
+            Err(error) => return (CallOutcome::NotSent, error.to_string()),
+        };
+        // The process may have been suspended. The lease was planned for an earlier arrival.
+        if boot_now() >= planned_at + CONNECT_TIMEOUT {
+            return (CallOutcome::NotSent, "planned too long ago".to_owned());
+        }
+        let exchange = connection.exchange(request, BodyBuffer::new(MAX_ANSWER_BYTES));
+        match timeout(limit.saturating_sub(CONNECT_TIMEOUT), exchange).await {
+            Ok(result) => outcome_of(result),
+            Err(_) => (CallOutcome::NoAnswer, "timed out".to_owned()),
+        }
+    }
+
     fn request(
         &self,
         target: &TargetIncarnation,
         call: &PlannedCall,
-    ) -> Result<http::Request<http_body_util::Full<bytes::Bytes>>, http::Error> {
+    ) -> Result<Request<Full<Bytes>>, http::Error> {
         let call = match &call.order {
             LeaseOrder::Grant { range, fence, handover, lease } => LeaseCall::Grant {
                 first: range.first,
@@ -77,12 +103,12 @@
     }
 }
 
-fn outcome_of(result: TargetResult) -> (CallOutcome, String) {
+fn outcome_of(result: Result<WholeResponse, ExchangeError>) -> (CallOutcome, String) {
     let response = match result {
-        TargetResult::Response(response) => response,
-        TargetResult::Unreachable { reason } => return (CallOutcome::NotSent, reason),
-        TargetResult::Unknown { reason } => return (CallOutcome::NoAnswer, reason),
-        TargetResult::TooLong { bytes } => {
+        Ok(response) => response,
+        Err(ExchangeError::NotSent { reason }) => return (CallOutcome::NotSent, reason),
+        Err(ExchangeError::Unknown { reason }) => return (CallOutcome::NoAnswer, reason),
+        Err(ExchangeError::TooLong { bytes }) => {
             return (CallOutcome::NoAnswer, format!("an answer of {bytes} bytes"));
         }
     };
--- a/crates/galenastream_node/src/process/ownership_facts.rs
+++ b/crates/galenastream_node/src/process/ownership_facts.rs
@@ -97,6 +97,13 @@
             assignment.cancel_moves(&local.incarnation);
             return;
         }
+        for (range, fence) in local.calls.ranges_with_low_fence() {
+            let target = &local.incarnation;
+            let is_current = assignment.entry_of(range.first).fence == fence;
+            if is_current && assignment.reissue(range, target) {
+                log::warn!(event = "fence_refused", service, range:%, target:%, fence, row_version; "");
+            }
+        }
         for release in self.ended_holds(local, assignment, now) {
             let target = &local.incarnation;
             if assignment.complete_move(target, release.range, &release.handover) {
--- a/crates/galenastream_node/src/request/target_reply.rs
+++ b/crates/galenastream_node/src/request/target_reply.rs
@@ -1,14 +1,20 @@
 //! Replies to forwarded requests from the results at the target.
 
 use galenastream_adapter::header_names;
+use galenastream_ranges::TargetIncarnation;
 use galenastream_runtime::{WholeResponse, boot_now, end_to_end_headers};
 use galenastream_utils::BootInstant;
 use galenastream_wire::{ForwardedReply, ForwardedRequest, ReplyOutcome, ReplyReason};
-use http::header;
+use http::{HeaderMap, header};
 use metrics::counter;
 
-use super::{fingerprint::fingerprint_of_forwarded, response_proof::ResponseProof};
-use crate::{connection::TargetResult, process::TrafficState};
+use super::{
+    fingerprint::fingerprint_of_forwarded, response_proof::ResponseProof, target_run::key_of,
+};
+use crate::{
+    connection::TargetResult,
+    process::{ControlEvent, TrafficState},
+};
 
 /// `Retry-After` while keys move, or while a target or its node is leaving or replaced. Also used
 /// if a target rejects a request without this header.
@@ -70,7 +76,11 @@
             body: response.body,
             ..Default::default()
         },
-        ResponseProof::NotRun | ResponseProof::Misdirected => rejected(&response),
+        ResponseProof::NotRun => rejected(&response),
+        ResponseProof::Misdirected => {
+            report_denied_key(traffic, request, headers);
+            rejected(&response)
+        }
         ResponseProof::Stray => {
             // Closes the idle connections, so that no other response that is still under way is
             // read.
@@ -83,6 +93,19 @@
     }
 }
 
+/// Tells the control thread that the target does not hold the key of a request, unless another target
+/// has refused it.
+fn report_denied_key(traffic: &TrafficState, request: &ForwardedRequest, headers: &HeaderMap) {
+    let named = headers.get(header_names::TARGET_ID);
+    let is_other = named.is_some_and(|it| it.as_bytes() != request.target_id.as_bytes());
+    let Some(key) = key_of(request).filter(|_| !is_other) else {
+        return;
+    };
+    let target = TargetIncarnation::new(request.target_id.as_str(), request.target_born_ms);
+    log::info!(event = "key_denied", request_id = request.request_id.as_str(), key, target:%; "");
+    traffic.context.control_events.notify(ControlEvent::KeyDenied { target, key });
+}
+
 /// Logs a response that is not accepted as the answer to its request.
 fn log_unaccepted(event: &str, request: &ForwardedRequest, response: &WholeResponse) {
     log::info!(
--- a/crates/galenastream_node/src/request/target_run.rs
+++ b/crates/galenastream_node/src/request/target_run.rs
@@ -334,6 +334,6 @@
     HeaderValue::from(deadline.remaining_ms(boot_now()).max(1))
 }
 
-fn key_of(request: &ForwardedRequest) -> Option<u16> {
+pub(super) fn key_of(request: &ForwardedRequest) -> Option<u16> {
     u16::try_from(request.key_plus_one.checked_sub(1)?).ok()
 }
--- a/crates/galenastream_ranges/src/assignment.rs
+++ b/crates/galenastream_ranges/src/assignment.rs
@@ -196,6 +196,22 @@
         }
     }
 
+    /// Gives an owner the keys of a range that it owns under a new fencing token, as it has seen a
+    /// higher one than theirs. Returns whether any keys changed.
+    pub fn reissue(&mut self, range: KeyRange, target: &TargetIncarnation) -> bool {
+        let fence = self.highest_fence + 1;
+        let changed = self.update_range(range, |entry| match &entry.holding {
+            Holding::Owned(owner) if owner.target == *target => {
+                Some(RangeEntry { fence, ..entry.clone() })
+            }
+            Holding::Owned(_) | Holding::Free | Holding::Leaving { .. } => None,
+        });
+        if changed {
+            self.highest_fence = fence;
+        }
+        changed
+    }
+
     /// Starts to move the owned keys of a range to the next owner, or to free them if `to` is
     /// `None`. `row_version` is the version of the row that this change is based on.
     pub fn begin_move(&mut self, range: KeyRange, to: Option<&Owner>, row_version: u64) {
--- a/crates/galenastream_ranges/src/calls/call_leases.rs
+++ b/crates/galenastream_ranges/src/calls/call_leases.rs
@@ -24,6 +24,10 @@
 /// A renewal that extends a lease by less is not sent.
 const MIN_EXTENSION: Duration = Duration::from_millis(250);
 
+/// Number of refusals in a row after which a range needs a higher fencing token. Between two of them
+/// the row is read again.
+const FENCE_REFUSALS: u32 = 2;
+
 /// How long the answer to a release is remembered if its keys are not leaving.
 const RELEASE_MEMORY: Duration = Duration::from_secs(20);
 
@@ -195,6 +199,13 @@
         self.grants.iter().map(end).max().unwrap_or_default()
     }
 
+    /// Returns the ranges that need a higher fencing token: the target has repeatedly refused theirs.
+    pub fn ranges_with_low_fence(&self) -> Vec<(KeyRange, u64)> {
+        let schedules = self.grant_schedules.iter();
+        let refused = schedules.filter(|it| it.1.fence_refusals >= FENCE_REFUSALS);
+        refused.map(|it| *it.0).collect()
+    }
+
     /// Returns whether a grant may have been accepted since an instant.
     pub fn may_have_granted_since(&self, since: BootInstant) -> bool {
         self.grants.iter().any(|it| it.is_open() || it.sent_at >= since)
@@ -329,7 +340,7 @@
                 self.grants.swap_remove(index);
             }
             CallOutcome::HigherFenceSeen => {
-                schedule.record_refusal(now);
+                schedule.record_fence_refusal(now);
                 self.grants.swap_remove(index);
                 for earlier in &mut self.grants {
                     let is_same = earlier.range.overlap(ended.range).is_some();
--- a/crates/galenastream_ranges/src/calls/call_schedule.rs
+++ b/crates/galenastream_ranges/src/calls/call_schedule.rs
@@ -27,13 +27,15 @@
 pub(super) struct CallSchedule {
     pub(super) due_at: BootInstant,
     pub(super) failures: u32,
+    /// How often in a row the target has refused the fencing token.
+    pub(super) fence_refusals: u32,
     /// When the target last denied that it holds a key of the range.
     pub(super) denied_at: Option<BootInstant>,
 }
 
 impl CallSchedule {
     pub(super) const fn due(due_at: BootInstant) -> Self {
-        Self { due_at, failures: 0, denied_at: None }
+        Self { due_at, failures: 0, fence_refusals: 0, denied_at: None }
     }
 
     /// The target has accepted a grant that was sent at `sent_at`.
@@ -44,6 +46,7 @@
         lease: Duration,
     ) {
         self.failures = 0;
+        self.fence_refusals = 0;
         self.due_at = sent_at + renewal_delay(range, lease);
     }
 
@@ -60,6 +63,12 @@
         self.due_at = now + REFUSED_RETRY;
     }
 
+    /// The target has refused the fencing token of a grant.
+    pub(super) fn record_fence_refusal(&mut self, now: BootInstant) {
+        self.fence_refusals += 1;
+        self.record_refusal(now);
+    }
+
     /// The target has denied that it holds a key. The next grant is due at once, but not in a loop.
     pub(super) fn record_denial(&mut self, now: BootInstant) {
         let may_repeat = self.denied_at.is_none_or(|it| now >= it + REFUSED_RETRY);
