--- a/crates/galenastream_node/tests/platform/main.rs
+++ b/crates/galenastream_node/tests/platform/main.rs
@@ -8,6 +8,7 @@
 mod deployment;
 mod endless_answer;
 mod forwarded;
+mod lease_calls;
 mod long_bodies;
 mod node_stop;
 mod overload;
--- a/crates/galenastream_standin/src/deployment/local_vm.rs
+++ b/crates/galenastream_standin/src/deployment/local_vm.rs
@@ -80,6 +80,7 @@
             data_centre: &vm.data_centre,
             heartbeat_ms: u64::try_from(plan.heartbeat_interval.as_millis())?,
             store: addresses.store,
+            takes_calls: vm.conduct.takes_calls,
         });
         let settings = folder.write(&format!("{name}.toml"), &document)?;
         let mut started = Self {
--- a/crates/galenastream_standin/src/platform_document/settings_document.rs
+++ b/crates/galenastream_standin/src/platform_document/settings_document.rs
@@ -20,12 +20,16 @@
     pub heartbeat_ms: u64,
     /// The address of the store.
     pub store: SocketAddr,
+    /// Whether the target is granted its keys by calls.
+    pub takes_calls: bool,
 }
 
 /// Returns a settings file in TOML. The target listens at port 8001, the node at 8002 for other
 /// nodes, at 8003 for callers, at 8004 for health checks and at 8005 for the target.
 pub fn settings_document(fields: SettingsFields<'_>) -> String {
-    let SettingsFields { node, ip, service, data_centre, heartbeat_ms, store } = fields;
+    let SettingsFields { node, ip, service, data_centre, heartbeat_ms, store, takes_calls } =
+        fields;
+    let grants = if takes_calls { "call" } else { "heartbeat" };
     format!(
         r#"
 node = "{node}"
@@ -36,6 +40,7 @@
 appAddr = "{ip}:8001"
 service = "{service}"
 bootstrap = true
+grants = "{grants}"
 [listen]
 inbound = "{ip}:8002"
 outbound = "{ip}:8003"
--- a/crates/galenastream_standin/src/platform_target/platform_target_standin.rs
+++ b/crates/galenastream_standin/src/platform_target/platform_target_standin.rs
@@ -3,7 +3,10 @@
 use std::{
     convert::Infallible,
     net::SocketAddr,
-    sync::{Arc, Mutex, MutexGuard, PoisonError, Weak},
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError, Weak,
+        atomic::{AtomicU32, AtomicU64, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -21,7 +24,7 @@
     CRASHING_BODY, CrashPlan, LimitSpan, TargetAnnouncement, TargetAnswerFault, TargetArrival,
     TargetCapacity, TargetEnd, TargetHistory, TargetPlan, TargetRun, crashes_targets,
     heartbeat_sender::send_heartbeats,
-    target_leases::{HeartbeatReply, TargetLeases},
+    target_leases::{GrantCall, HeartbeatReply, ReleaseCall, TargetLeases},
 };
 use crate::{HttpServer, partial_reply, read_body, text_reply};
 
@@ -31,6 +34,15 @@
 /// The path of the health check, whose answer carries the id of the target.
 const HEALTH_PATH: &str = "/health";
 
+const GRANT_PATH: &str = "/galenastream/grant";
+const RELEASE_PATH: &str = "/galenastream/release";
+
+/// How often a release checks whether the requests in progress have ended.
+const RELEASE_POLL_INTERVAL: Duration = Duration::from_millis(5);
+
+/// How late a call that gets no answer is carried out at most.
+const MAX_CALL_LATENESS_MS: u64 = 8_000;
+
 /// A target that serves requests over HTTP and sends heartbeats to the node beside it.
 #[derive(Debug)]
 pub struct PlatformTargetStandin {
@@ -47,6 +59,10 @@
     pub(super) capacity: TargetCapacity,
     pub(super) started_unix_ms: Option<u64>,
     crash: CrashPlan,
+    /// How many of 100 calls that change leases are late.
+    late_call_percent: AtomicU32,
+    /// Counts the calls that change leases.
+    lease_calls: AtomicU64,
     slots: Semaphore,
     leases: Mutex<TargetLeases>,
     fault: Mutex<TargetAnswerFault>,
@@ -104,6 +120,11 @@
         *lock(&self.state.max_heartbeat_delay) = delay;
     }
 
+    /// Sets how many of 100 calls that change leases get no answer and are carried out late.
+    pub fn set_late_calls(&self, percent: u32) {
+        self.state.late_call_percent.store(percent, Ordering::Relaxed);
+    }
+
     /// Sets what the responses announce from now on.
     pub fn announce(&self, announcement: TargetAnnouncement) {
         let now = Instant::now();
@@ -182,6 +203,8 @@
             slots: Semaphore::new(plan.capacity.slots as usize),
             capacity: plan.capacity,
             crash: plan.crash,
+            late_call_percent: AtomicU32::new(plan.conduct.late_call_percent),
+            lease_calls: AtomicU64::new(0),
             started_unix_ms: plan.started_unix_ms,
             leases: Mutex::new(TargetLeases::new(plan.conduct)),
             fault: Mutex::default(),
@@ -219,6 +242,15 @@
         limits
     }
 
+    /// Returns how late the next call that changes leases is carried out; `None` if at once.
+    fn draw_lateness(&self) -> Option<Duration> {
+        let count = self.lease_calls.fetch_add(1, Ordering::Relaxed);
+        // Scatters consecutive numbers over the percentages and the delays.
+        let scattered = count.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 32;
+        let is_late = scattered % 100 < u64::from(self.late_call_percent.load(Ordering::Relaxed));
+        is_late.then(|| Duration::from_millis(scattered / 100 % MAX_CALL_LATENESS_MS))
+    }
+
     pub(super) fn apply_reply(&self, reply: HeartbeatReply, sent_at: Instant) {
         self.leases().apply(reply, sent_at);
     }
@@ -294,6 +326,10 @@
             }
             return response;
         }
+        if let Some(path @ (GRANT_PATH | RELEASE_PATH)) = Some(request.uri().path()) {
+            let is_grant = path == GRANT_PATH;
+            return self.answer_lease_call(is_grant, request).await;
+        }
         let headers = request.headers().clone();
         let request_id = header_text(&headers, "x-request-id").to_owned();
         let path = request.uri().path_and_query().map_or("", |it| it.as_str()).to_owned();
@@ -375,6 +411,26 @@
         }
     }
 
+    /// Answers a call that grants keys or takes them back.
+    async fn answer_lease_call(&self, is_grant: bool, request: Request) -> Response {
+        let arrived_at = Instant::now();
+        let expected = header_text(request.headers(), "x-expected-instance").to_owned();
+        if !expected.is_empty() && expected != self.state.id {
+            return text_reply(StatusCode::MISDIRECTED_REQUEST, "");
+        }
+        let body = read_body(request).await.unwrap_or_default();
+        let Some(lateness) = self.state.draw_lateness() else {
+            return carry_out(&self.state, is_grant, &body, arrived_at).await;
+        };
+        let state = self.state.clone();
+        // The call is carried out even if its connection is closed.
+        tokio::spawn(async move {
+            tokio::time::sleep(lateness).await;
+            carry_out(&state, is_grant, &body, arrived_at).await;
+        });
+        std::future::pending().await
+    }
+
     /// Adds the signature of the target to the answer to a request that it ran.
     fn signed(&self, mut response: Response, request_id: &str) -> Response {
         let signature = format!("{}.{request_id}", self.state.id);
@@ -385,6 +441,37 @@
     }
 }
 
+/// Carries out a call that changes leases, if the target has not ended.
+async fn carry_out(
+    state: &TargetState,
+    is_grant: bool,
+    body: &[u8],
+    arrived_at: Instant,
+) -> Response {
+    if lock(&state.end).is_some() {
+        return text_reply(StatusCode::SERVICE_UNAVAILABLE, "");
+    }
+    if is_grant {
+        let Ok(call) = serde_json::from_slice::<GrantCall>(body) else {
+            return text_reply(StatusCode::BAD_REQUEST, "");
+        };
+        let is_accepted = state.leases().grant(&call, arrived_at);
+        return text_reply(if is_accepted { StatusCode::OK } else { StatusCode::CONFLICT }, "");
+    }
+    let Ok(ReleaseCall { first, last }) = serde_json::from_slice::<ReleaseCall>(body) else {
+        return text_reply(StatusCode::BAD_REQUEST, "");
+    };
+    state.leases().begin_release(first, last);
+    while !state.leases().is_released(first, last) {
+        tokio::time::sleep(RELEASE_POLL_INTERVAL).await;
+    }
+    let mut response = text_reply(StatusCode::OK, "");
+    if let Ok(token) = HeaderValue::from_str(&format!("handover-{first}-{last}")) {
+        response.headers_mut().insert("x-handover", token);
+    }
+    response
+}
+
 /// Ends a target when a request crashes it: its listener, its connections and its heartbeats.
 async fn stop_on_crash(state: Arc<TargetState>, server: Weak<HttpServer>, heartbeats: AbortHandle) {
     state.crashes.notified().await;
--- a/crates/galenastream_standin/src/platform_target/target_conduct.rs
+++ b/crates/galenastream_standin/src/platform_target/target_conduct.rs
@@ -18,6 +18,11 @@
     pub checks_fences: bool,
     /// By how much the clock that measures leases runs slow, in percent.
     pub slow_clock_percent: u32,
+    /// Whether keys are granted and released by calls. Heartbeats report none then, their replies grant
+    /// none, and the answer to a release waits for the requests in progress.
+    pub takes_calls: bool,
+    /// How many of 100 calls that change leases get no answer and are carried out up to 8 s late.
+    pub late_call_percent: u32,
     /// Whether heartbeats state when the target started.
     pub states_start: bool,
     /// How far the time of day is set back with each start of another target of the VM.
--- a/crates/galenastream_standin/src/scenario/fault.rs
+++ b/crates/galenastream_standin/src/scenario/fault.rs
@@ -22,6 +22,9 @@
 /// How long late heartbeats are under way at most.
 const HEARTBEAT_DELAY: Duration = Duration::from_millis(6_000);
 
+/// How many of 100 calls that change leases are late.
+const LATE_CALL_PERCENT: u32 = 40;
+
 /// How much longer each chunk of bytes takes on a link that is delayed.
 const LINK_DELAY: Duration = Duration::from_millis(150);
 
@@ -123,6 +126,9 @@
     TargetStopped,
     /// Some heartbeats of the target are under way for up to six seconds, also past its end.
     HeartbeatsLate,
+    /// Of the calls that change the leases of the target, 40 in 100 get no answer and are carried out up
+    /// to eight seconds late.
+    CallsLate,
     /// The store answers reads as of three seconds ago.
     StoreStale,
     /// Watches of the store hear nothing, and then that the history was dropped.
@@ -173,6 +179,10 @@
         (self.kind == ScenarioFaultKind::HeartbeatsLate).then_some(HEARTBEAT_DELAY)
     }
 
+    pub(super) fn late_call_percent(&self) -> Option<u32> {
+        (self.kind == ScenarioFaultKind::CallsLate).then_some(LATE_CALL_PERCENT)
+    }
+
     pub(super) fn answer_fault(&self) -> Option<TargetAnswerFault> {
         match self.kind {
             ScenarioFaultKind::TargetSheds => Some(TargetAnswerFault::Shed),
--- a/crates/galenastream_standin/src/scenario/fault_injector.rs
+++ b/crates/galenastream_standin/src/scenario/fault_injector.rs
@@ -224,7 +224,9 @@
             is_limit.then(|| TargetAnnouncement::limit(it.limit_per_s))
         });
         let delay = self.latest(|it| it.heartbeat_delay().filter(|_| of_vm(it)));
+        let late_calls = self.latest(|it| it.late_call_percent().filter(|_| of_vm(it)));
         let target = &self.vm(fault).target;
+        target.set_late_calls(late_calls.unwrap_or_default());
         target.set_max_heartbeat_delay(delay.unwrap_or_default());
         target.set_fault(answer.unwrap_or(TargetAnswerFault::None));
         if fault.kind == ScenarioFaultKind::TargetLimited {
--- a/crates/galenastream_standin/src/scenario/mod.rs
+++ b/crates/galenastream_standin/src/scenario/mod.rs
@@ -4,6 +4,7 @@
 mod crash_plan;
 mod fault;
 mod fault_injector;
+mod lease_call_plan;
 mod ownership_plan;
 mod report;
 mod scenario_plan;
--- a/crates/galenastream_standin/src/scenario/ownership_plan.rs
+++ b/crates/galenastream_standin/src/scenario/ownership_plan.rs
@@ -77,6 +77,7 @@
             slow_clock_percent: 2,
             states_start,
             clock_step_back: Duration::from_secs(if steps_back { 60 } else { 0 }),
+            ..TargetConduct::default()
         }
     }
 
