Balance the load although one move of keys takes long

Cause: a round of balancing waited until no planned move was in progress. The same holds for every deployment on which a planned move is stuck.

Change: a move counts for 2 s from when its departure was first read. The test fails with a wait without end.

--- a/crates/galenastream_node/src/process/planning.rs
+++ b/crates/galenastream_node/src/process/planning.rs
@@ -4,7 +4,7 @@
 
 use galenastream_ranges::{
     Assignment, Holding, KeyLoad, KeyRange, Owner, PlannedMove, Planner, PlannerSettings,
-    TargetIncarnation, TargetLoad,
+    RangeEntry, TargetIncarnation, TargetLoad,
 };
 use galenastream_settings::EffectiveSettings;
 use galenastream_utils::BootInstant;
@@ -19,6 +19,10 @@
 /// than the restart of a process.
 const NODE_LOSS_TIMEOUT: Duration = Duration::from_millis(3_500);
 
+/// How long a round of balancing waits for a move in progress. Longer than the work on the keys of most
+/// moves.
+const MOVE_PATIENCE: Duration = Duration::from_millis(2_000);
+
 /// Minimum time between two rounds in which targets of a service get keys to find out whether their
 /// limits have ended. By then the keys of the first round have got requests.
 const TRIAL_GAP: Duration = Duration::from_secs(4);
@@ -91,12 +95,17 @@
         let round = Duration::from_millis(u64::from(settings.planner_round_ms));
         // A round of balancing starts only when the moves of the previous round are complete.
         // Leaving keys without a next owner do not count, since those of a lost target keep leaving
-        // until its leases have expired.
-        let has_planned_moves = assignment
-            .entries()
-            .iter()
-            .any(|it| matches!(it.holding, Holding::Leaving { to: Some(_), .. }));
+        // until its leases have expired. Neither do moves that take long, as those whose release is
+        // not answered: they would hold up the balancing of all other keys.
         let record = self.assignment_record(service);
+        let is_awaited = |it: &RangeEntry| match &it.holding {
+            Holding::Leaving { to: Some(_), departure, .. } => {
+                let seen_at = record.vacancy.seen_at(*departure);
+                seen_at.is_none_or(|it| now.saturating_since(it) < MOVE_PATIENCE)
+            }
+            _ => false,
+        };
+        let has_planned_moves = assignment.entries().iter().any(is_awaited);
         if has_planned_moves || now.saturating_since(record.balanced_at) < round {
             return;
         }
--- a/crates/galenastream_node/tests/ownership/main.rs
+++ b/crates/galenastream_node/tests/ownership/main.rs
@@ -22,6 +22,7 @@
 mod messages;
 mod node_clock;
 mod other_processes;
+mod planner_rounds;
 mod probes;
 mod quarantine_spread;
 mod silent_nodes;
--- a/crates/galenastream_ranges/src/vacancy.rs
+++ b/crates/galenastream_ranges/src/vacancy.rs
@@ -57,6 +57,11 @@
         };
     }
 
+    /// Returns when a row with a departure was first read, if the last observed row has it.
+    pub fn seen_at(&self, departure: u64) -> Option<BootInstant> {
+        self.seen_at.get(&departure).copied()
+    }
+
     /// Whether every lease has expired at `now` that was granted on a row before the limits in the
     /// last observed row were stated. `terms` are the limits of such leases.
     pub fn have_leases_before_statement_ended(&self, terms: &LeaseTerms, now: BootInstant) -> bool {
