Keep the keys of leaving targets together, and spare targets that cannot release yet

Cause: the light keys between the hot ones of a band went to one target and the hot ones to the next, so that a target had 108 ranges. Each range is a call of its own where keys are granted by calls, and a row of the reply to heartbeats, which is limited to 4 KiB. And a node that has just restarted cannot count a release for 6.2 s, so keys that were taken from its target to balance load had no server meanwhile.

Change: placement goes on with the target that took the last keys and does not return to a full one; a status says whether releases count late; grants have 700 ms to be answered, and a process that is about to stop renews only leases that would lapse; up to 32 releases are open and 120 calls sent a second.

--- a/crates/galenastream_node/src/process/lease_call_client.rs
+++ b/crates/galenastream_node/src/process/lease_call_client.rs
@@ -18,7 +18,7 @@
 use super::ownership_log::millis;
 
 /// Timeout for opening a connection; part of the timeout of a call. The target is on the same VM.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(120);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// The longest accepted answer, which is empty as a rule.
 const MAX_ANSWER_BYTES: usize = 4 * 1024;
--- a/crates/galenastream_node/src/process/lease_calls.rs
+++ b/crates/galenastream_node/src/process/lease_calls.rs
@@ -10,15 +10,20 @@
 
 use super::Effect;
 use super::control_state::ControlState;
+use super::local_target::LocalTargetState;
 use super::ownership_log::millis;
 
-/// How long a grant is under way at most. It is not sent later, and closed without an answer then. A
-/// lease is granted so that it ends in time even if its call arrives at the last moment.
-pub(super) const GRANT_TIMEOUT: Duration = Duration::from_millis(300);
+/// How long a grant is under way at most. A lease is granted so that it ends in time even if its call
+/// arrives at the last moment. A grant without an answer delays moves of its keys until its lease has
+/// ended, so busy VMs get time to answer.
+pub(super) const GRANT_TIMEOUT: Duration = Duration::from_millis(700);
 
 /// How long a release is under way at most: as long as the leases that it ends.
 pub(super) const RELEASE_TIMEOUT: Duration = Duration::from_millis(7_000);
 
+/// The remaining time of a lease below which a process that is about to stop renews it.
+const CLOSING_RENEWAL: Duration = Duration::from_millis(1_500);
+
 /// Number of ids for the calls to one local target.
 const CALL_IDS_PER_TARGET: u64 = 1 << 32;
 
@@ -87,6 +92,7 @@
         }
         if let Err(reason) = lease
             && owns_keys
+            && !self.is_closing
         {
             self.log_withheld(reason, now);
         }
@@ -106,6 +112,10 @@
         if self.silence(local, now) > self.heartbeat_timeout() / 2 {
             return Err("the heartbeats of the target have stopped");
         }
+        // The keys are moving away, and a grant that is not answered would delay that.
+        if self.is_closing && !self.is_about_to_lapse(local, now) {
+            return Err("the process is about to stop");
+        }
         // The previous process on this VM may have acted on a newer row.
         let confirmed_at = self.confirmed_at.filter(|it| *it >= self.started_at);
         let terms = record.assignment.grant_terms(self.lease_terms);
@@ -114,6 +124,12 @@
         lease.ok_or("the assignment was not confirmed lately")
     }
 
+    /// Whether a lease of the local target ends soon.
+    fn is_about_to_lapse(&self, local: &LocalTargetState, now: BootInstant) -> bool {
+        let held = local.calls.held(now);
+        held.is_empty() || held.iter().any(|it| it.2 < now + CLOSING_RENEWAL)
+    }
+
     /// Handles the end of a call to the local target.
     pub(super) fn handle_lease_call_end(
         &mut self,
--- a/crates/galenastream_node/src/process/ownership_facts.rs
+++ b/crates/galenastream_node/src/process/ownership_facts.rs
@@ -212,6 +212,16 @@
         granted_here.max(self.earlier_leases_end(&local.service))
     }
 
+    /// Whether a release of the local target's keys cannot count yet.
+    pub(super) fn releases_late(&self, local: &LocalTargetState, now: BootInstant) -> bool {
+        match self.lease_delivery(&local.service) {
+            LeaseDelivery::Calls => {
+                now < self.earlier_leases_end(&local.service).max(local.replies_end_at)
+            }
+            LeaseDelivery::Heartbeats | LeaseDelivery::Unknown(_) => false,
+        }
+    }
+
     /// The ranges that are leaving the local target and that it holds no longer.
     fn ended_holds(
         &self,
--- a/crates/galenastream_node/src/process/planning.rs
+++ b/crates/galenastream_node/src/process/planning.rs
@@ -298,7 +298,8 @@
     }
     let is_limited = status.limit_milli_per_s.is_some();
     let is_eligible = is_staying && !status.is_draining && !status.is_silent;
-    TargetLoad { owner, capacity_per_s, is_limited, is_eligible, loads }
+    let releases_late = status.releases_late;
+    TargetLoad { owner, capacity_per_s, is_limited, is_eligible, releases_late, loads }
 }
 
 fn planner_settings(settings: &EffectiveSettings) -> PlannerSettings {
--- a/crates/galenastream_node/src/process/publication.rs
+++ b/crates/galenastream_node/src/process/publication.rs
@@ -50,6 +50,7 @@
             capacity_milli_per_s: limit.map_or(measured, |it| it.capacity(measured, now)),
             key_loads: self.local_key_loads.clone(),
             limit_milli_per_s: limit.map(|it| it.announced.rate.milli_per_s()),
+            releases_late: self.releases_late(local, now),
             wants_trial: limit.is_some_and(|it| it.trial_wanted_since().is_some()),
         }
     }
--- a/crates/galenastream_ranges/src/calls/call_leases.rs
+++ b/crates/galenastream_ranges/src/calls/call_leases.rs
@@ -14,10 +14,10 @@
 const MAX_OPEN_GRANTS: usize = 8;
 
 /// The maximum number of releases under way. Each one lasts as long as the work on its keys.
-const MAX_OPEN_RELEASES: usize = 16;
+const MAX_OPEN_RELEASES: usize = 32;
 
 /// The maximum number of calls within [`RATE_WINDOW`].
-const MAX_CALLS_PER_WINDOW: usize = 60;
+const MAX_CALLS_PER_WINDOW: usize = 120;
 
 const RATE_WINDOW: Duration = Duration::from_millis(1_000);
 
--- a/crates/galenastream_ranges/src/planner.rs
+++ b/crates/galenastream_ranges/src/planner.rs
@@ -46,6 +46,9 @@
     /// Whether the target may be assigned keys. A target that is not eligible, such as one that is
     /// draining, loses all of its keys.
     pub is_eligible: bool,
+    /// Whether keys that begin to leave it cannot be served for some time. None are taken from it to
+    /// balance load.
+    pub releases_late: bool,
     /// The measured load of its keys, in ascending order of the keys.
     pub loads: Vec<KeyLoad>,
 }
@@ -117,15 +120,17 @@
             return Vec::new();
         }
         let mut moves = Vec::new();
+        let mut last_owner = None;
         for piece in &pieces {
             let stays = piece.target.is_some_and(|it| targets[it].is_eligible);
             let is_held_elsewhere = piece.target.is_none() && !is_free(assignment, piece.range);
             if stays || is_held_elsewhere || piece.is_moving {
                 continue;
             }
-            let Some(new_owner) = usage.choose_owner(piece.weight) else {
+            let Some(new_owner) = usage.choose_owner(piece.weight, last_owner) else {
                 break;
             };
+            last_owner = Some(new_owner);
             usage.add(new_owner, piece.weight, piece.range.len());
             push_move(&mut moves, piece.range, &targets[new_owner].owner);
         }
@@ -210,7 +215,8 @@
         pieces: &[Piece],
         usage: &Usage<'_>,
     ) -> Option<(usize, usize, std::ops::Range<usize>)> {
-        let mut stuck = Vec::new();
+        let mut stuck: Vec<usize> =
+            (0..usage.targets.len()).filter(|it| usage.targets[*it].releases_late).collect();
         loop {
             let from = usage.busiest(&stuck)?;
             if let Some((to, chosen)) = self.choose_move(pieces, usage, from) {
@@ -329,12 +335,16 @@
         (f64::from(KEY_COUNT) * share) as u32
     }
 
-    /// Returns the first eligible target whose fair share has room for a piece, so that
-    /// neighbouring keys stay together; otherwise the one with the lowest utilisation.
-    fn choose_owner(&self, weight: f64) -> Option<usize> {
-        let eligible = || (0..self.targets.len()).filter(|&it| self.targets[it].is_eligible);
-        let fits = |&it: &usize| self.weights[it] + weight / 2.0 <= self.fair_share(it);
-        eligible().find(fits).or_else(|| self.idlest(|_| true))
+    /// Returns the first eligible target, from `last` on, whose fair share has room for a piece;
+    /// otherwise the one with the lowest utilisation. Neighbouring keys stay together that way: a
+    /// target whose share is full is not returned to for the light pieces between heavy ones.
+    fn choose_owner(&self, weight: f64, last: Option<usize>) -> Option<usize> {
+        let count = self.targets.len();
+        let from = last.unwrap_or(0);
+        let mut eligible =
+            (from..from + count).map(|it| it % count).filter(|it| self.targets[*it].is_eligible);
+        let fits = |it: &usize| self.weights[*it] + weight / 2.0 <= self.fair_share(*it);
+        eligible.find(fits).or_else(|| self.idlest(|_| true))
     }
 
     /// Returns the eligible target with the highest utilisation that is not among the `stuck` ones.
--- a/crates/galenastream_wire/src/message/node_status.rs
+++ b/crates/galenastream_wire/src/message/node_status.rs
@@ -100,6 +100,10 @@
     /// it has got none for a while.
     #[prost(bool, tag = "10")]
     pub wants_trial: bool,
+    /// Whether a release of the target's keys cannot count for some time, since leases of an earlier
+    /// process of the node may last. Earlier versions do not say so.
+    #[prost(bool, tag = "11")]
+    pub releases_late: bool,
 }
 
 /// Changes of an assignment that a node cannot write, since it does not reach the store. Another
