Trace calls that change leases, and say where nothing is granted

lease_call_ended names service, row and its age; galenastreamctl trace-key lists calls with fence, duration, outcome and time, and counts a grant without an answer as a hold. The status page and the text of the health check say why a target gets no keys by calls.

--- a/crates/galenastream_ctl/src/request/key_history/change.rs
+++ b/crates/galenastream_ctl/src/request/key_history/change.rs
@@ -2,7 +2,7 @@
 
 use serde::Serialize;
 
-use super::{Evidence, LogTime};
+use super::{Evidence, LeaseCallKind, LogTime};
 
 /// Decision about the key or observation of it, by a node.
 #[derive(Debug, Serialize)]
@@ -51,6 +51,17 @@
         count: u64,
         last_at: LogTime,
     },
+    /// A call to a target, other than an accepted renewal.
+    LeaseCall {
+        kind: LeaseCallKind,
+        target: String,
+        fence: u64,
+        /// The duration of the lease that a grant orders.
+        lease_ms: Option<u64>,
+        outcome: String,
+        /// The time from the decision to the outcome.
+        elapsed_ms: u64,
+    },
     ForeignHold {
         target: String,
         fence: u64,
@@ -74,7 +85,7 @@
             | Self::MoveCancelled { based_on, .. }
             | Self::HoldEnded { based_on, .. }
             | Self::KeysAssigned { based_on, .. } => Some(*based_on),
-            Self::LeaseWithheld { .. } | Self::ForeignHold { .. } => None,
+            Self::LeaseWithheld { .. } | Self::LeaseCall { .. } | Self::ForeignHold { .. } => None,
         }
     }
 
@@ -85,7 +96,7 @@
             | Self::MoveCancelled { written, .. }
             | Self::HoldEnded { written, .. }
             | Self::KeysAssigned { written, .. } => *written,
-            Self::LeaseWithheld { .. } | Self::ForeignHold { .. } => None,
+            Self::LeaseWithheld { .. } | Self::LeaseCall { .. } | Self::ForeignHold { .. } => None,
         }
     }
 
@@ -100,7 +111,7 @@
                     *written = Some(write);
                 }
             }
-            Self::LeaseWithheld { .. } | Self::ForeignHold { .. } => {}
+            Self::LeaseWithheld { .. } | Self::LeaseCall { .. } | Self::ForeignHold { .. } => {}
         }
     }
 }
@@ -117,6 +128,7 @@
         ChangeKind::HoldEnded { .. }
         | ChangeKind::KeysAssigned { .. }
         | ChangeKind::LeaseWithheld { .. }
+        | ChangeKind::LeaseCall { .. }
         | ChangeKind::ForeignHold { .. } => true,
     });
 }
--- a/crates/galenastream_ctl/src/request/key_history/evidence.rs
+++ b/crates/galenastream_ctl/src/request/key_history/evidence.rs
@@ -14,6 +14,7 @@
     ConnectionsClosed,
     AnotherIdentified,
     LeasesExpired,
+    GrantsExpired,
     EarlierProcessLeasesExpired,
     ReportedByPeer,
     /// A word of another release.
@@ -25,7 +26,10 @@
     /// Whether it only says that leases have expired.
     pub(crate) fn is_expiry(&self) -> bool {
         match self {
-            Self::RowValidity | Self::LeasesExpired | Self::EarlierProcessLeasesExpired => true,
+            Self::RowValidity
+            | Self::LeasesExpired
+            | Self::GrantsExpired
+            | Self::EarlierProcessLeasesExpired => true,
             Self::Released
             | Self::NeverHeld
             | Self::ConnectionsClosed
@@ -45,6 +49,7 @@
             Self::ConnectionsClosed => "connections-closed",
             Self::AnotherIdentified => "another-identified",
             Self::LeasesExpired => "leases-expired",
+            Self::GrantsExpired => "grants-expired",
             Self::EarlierProcessLeasesExpired => "earlier-process-leases-expired",
             Self::ReportedByPeer => "reported-by-peer",
             Self::Other(word) => word,
--- a/crates/galenastream_ctl/src/request/key_history/fold.rs
+++ b/crates/galenastream_ctl/src/request/key_history/fold.rs
@@ -3,8 +3,8 @@
 use galenastream_utils::FastMap;
 
 use super::{
-    Change, ChangeKind, Grant, Hold, LeaseReply, LogLine, LogTime, OwnershipEvent, RowWrite,
-    UnknownGrants,
+    Change, ChangeKind, Grant, Hold, LeaseCallKind, LeaseReply, LogLine, LogTime, OwnershipEvent,
+    RowWrite, UnknownGrants,
 };
 
 /// Holds and changes of the lines so far. The lines of each node come in the order of its log.
@@ -44,6 +44,9 @@
             OwnershipEvent::LeasesGranted { reply, grants } => self.grant(line, reply, grants),
             OwnershipEvent::LeasesRenewed(reply) => self.renew(line, reply),
             OwnershipEvent::LeaseWithheld { reason } => self.withhold(line, reason),
+            OwnershipEvent::LeaseCallEnded { kind, reply, fence, outcome, elapsed_ms, .. } => {
+                self.end_call(line, *kind, reply, (*fence, outcome, *elapsed_ms));
+            }
             OwnershipEvent::AssignmentWritten { row_version, based_on, .. } => {
                 let write = RowWrite { row_version: *row_version, at: line.time };
                 for change in self.changes.iter_mut().filter(|it| it.node == line.node) {
@@ -143,6 +146,40 @@
         }
     }
 
+    /// Adds the end of a call. A grant without an answer may be carried out, so it counts as a hold.
+    fn end_call(
+        &mut self,
+        line: &'a LogLine,
+        kind: LeaseCallKind,
+        reply: &'a LeaseReply,
+        (fence, outcome, elapsed_ms): (u64, &str, u64),
+    ) {
+        let is_grant = kind == LeaseCallKind::Grant;
+        let is_done = outcome == "done";
+        let is_renewal = is_grant
+            && is_done
+            && open_hold(&mut self.holds, &line.node, &reply.target, line.time)
+                .is_some_and(|it| it.fence == fence);
+        if is_grant && (is_done || outcome == "no-answer") {
+            self.hold(line, reply, fence);
+        }
+        if !is_grant
+            && is_done
+            && let Some(hold) = open_hold(&mut self.holds, &line.node, &reply.target, line.time)
+        {
+            hold.revoked_at = Some(line.time);
+        }
+        if is_renewal {
+            return;
+        }
+        let (target, outcome) = (reply.target.clone(), outcome.to_owned());
+        let lease_ms = is_grant.then_some(reply.lease_ms);
+        self.push(
+            line,
+            ChangeKind::LeaseCall { kind, target, fence, lease_ms, outcome, elapsed_ms },
+        );
+    }
+
     /// Begins or renews a hold.
     fn hold(&mut self, line: &LogLine, reply: &LeaseReply, fence: u64) {
         match open_hold(&mut self.holds, &line.node, &reply.target, line.time) {
--- a/crates/galenastream_ctl/src/request/key_history/mod.rs
+++ b/crates/galenastream_ctl/src/request/key_history/mod.rs
@@ -23,6 +23,6 @@
 pub(crate) use node_log::{NodeLog, UnreadableLines};
 pub(crate) use overlap::{Overlap, OverlapKind};
 pub(crate) use owner_change::OwnerChange;
-pub(crate) use ownership_event::{Grant, LeaseReply, OwnershipEvent};
+pub(crate) use ownership_event::{Grant, LeaseCallKind, LeaseReply, OwnershipEvent};
 pub(crate) use proof::Proof;
 pub(crate) use unknown_grants::UnknownGrants;
--- a/crates/galenastream_ctl/src/request/key_history/ownership_event.rs
+++ b/crates/galenastream_ctl/src/request/key_history/ownership_event.rs
@@ -1,7 +1,7 @@
 //! Log events about the ownership of keys.
 
 use galenastream_ranges::KeyRange;
-use serde::{Deserialize, Deserializer, de::Error};
+use serde::{Deserialize, Deserializer, Serialize, de::Error};
 
 use super::Evidence;
 
@@ -22,6 +22,17 @@
     LeaseWithheld {
         reason: String,
     },
+    /// The end of a call to a target that granted keys or took them back.
+    LeaseCallEnded {
+        kind: LeaseCallKind,
+        #[serde(flatten)]
+        reply: LeaseReply,
+        #[serde(deserialize_with = "range_from_text")]
+        range: KeyRange,
+        fence: u64,
+        outcome: String,
+        elapsed_ms: u64,
+    },
     KeysLeave {
         service: String,
         #[serde(deserialize_with = "range_from_text")]
@@ -77,7 +88,7 @@
     Other,
 }
 
-/// Fields that all replies with leases have.
+/// Fields that all replies with leases have, and all calls about them.
 #[derive(Debug, Deserialize)]
 pub(crate) struct LeaseReply {
     pub(crate) service: String,
@@ -87,6 +98,14 @@
     pub(crate) lease_ms: u64,
 }
 
+/// What a call to a target orders.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub(crate) enum LeaseCallKind {
+    Grant,
+    Release,
+}
+
 /// Keys that a reply grants.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Grant {
@@ -108,6 +127,9 @@
             Self::MoveCancelled { service, .. } | Self::AssignmentWritten { service, .. } => {
                 service == wanted
             }
+            Self::LeaseCallEnded { reply, range, .. } => {
+                reply.service == wanted && range.contains(key)
+            }
             Self::KeysLeave { service, range, .. }
             | Self::HoldEnded { service, range, .. }
             | Self::KeysAssigned { service, range, .. }
--- a/crates/galenastream_ctl/src/request/trace_key.rs
+++ b/crates/galenastream_ctl/src/request/trace_key.rs
@@ -14,8 +14,8 @@
     CtlError, OutputFormat,
     request::{
         key_history::{
-            Change, ChangeKind, Hold, KeyHistory, LogTime, NodeLog, Overlap, OverlapKind,
-            OwnerChange, Proof, RowWrite, UnknownGrants, UnreadableLines,
+            Change, ChangeKind, Hold, KeyHistory, LeaseCallKind, LogTime, NodeLog, Overlap,
+            OverlapKind, OwnerChange, Proof, RowWrite, UnknownGrants, UnreadableLines,
         },
         required_argument,
     },
@@ -184,6 +184,16 @@
         ChangeKind::LeaseWithheld { reason, count, last_at } => {
             format!("lease withheld, reason {reason}, last {last_at} (heartbeats: {count})")
         }
+        ChangeKind::LeaseCall { kind, target, fence, lease_ms, outcome, elapsed_ms } => {
+            let lease = lease_ms.map_or_else(String::new, |it| format!(" for {it} ms"));
+            let kind = match kind {
+                LeaseCallKind::Grant => "grant",
+                LeaseCallKind::Release => "release",
+            };
+            format!(
+                "{kind} call to {target}, fence {fence}{lease}: {outcome}, {elapsed_ms} ms after it was decided"
+            )
+        }
         ChangeKind::ForeignHold { target, fence, holder, row_version } => format!(
             "FOREIGN HOLD: {target} reports fence {fence}, but row {row_version} names {holder}"
         ),
--- a/crates/galenastream_ctl/tests/command_line.rs
+++ b/crates/galenastream_ctl/tests/command_line.rs
@@ -300,6 +300,12 @@
     )
 }
 
+fn called(kind: &str, target: &str, fence: u64, outcome: &str, elapsed_ms: u64) -> String {
+    format!(
+        r#""event":"lease_call_ended","kind":"{kind}","service":"carts","target":"{target}","range":"0-99","fence":{fence},"lease_ms":6000,"call":1,"row_version":5,"confirmed_age_ms":40,"outcome":"{outcome}","reason":"","elapsed_ms":{elapsed_ms}"#
+    )
+}
+
 fn written(row_version: u64, based_on: u64) -> String {
     format!(
         r#""event":"assignment_written","service":"carts","row_version":{row_version},"based_on":{based_on}"#
@@ -1081,3 +1087,34 @@
     "#]],
     );
 }
+
+#[test]
+fn trace_key_lists_calls_with_their_outcomes() {
+    let log = write_log(
+        "trace-key-calls",
+        "owner.log",
+        &[
+            ("10:00:00.000", &started("vm-a")),
+            ("10:00:01.000", &called("grant", "a@1", 3, "done", 4)),
+            ("10:00:03.500", &called("grant", "a@1", 3, "done", 3)),
+            ("10:00:06.700", &called("grant", "a@1", 3, "no-answer", 700)),
+            ("10:00:07.000", &called("release", "a@1", 3, "done", 210)),
+        ],
+    );
+    check_trace_key(&[], &[&log], &expect![[r#"
+        exit 0
+        service carts, key 7
+        lines of several VMs are ordered only as accurately as their clocks
+
+        2026-12-04T10:00:01.000Z  vm-a  granted to a@1, fence 3, row version 5 confirmed at most 40 ms before, last renewed 2026-12-04T10:00:06.700Z (renewals: 2), lease ends 2026-12-04T10:00:12.700Z, revoked 2026-12-04T10:00:07.000Z
+        2026-12-04T10:00:01.000Z  vm-a  grant call to a@1, fence 3 for 6000 ms: done, 4 ms after it was decided
+        2026-12-04T10:00:06.700Z  vm-a  grant call to a@1, fence 3 for 6000 ms: no-answer, 700 ms after it was decided
+        2026-12-04T10:00:07.000Z  vm-a  release call to a@1, fence 3: done, 210 ms after it was decided
+
+        changes of owner
+          fence 3: no known owner -> a@1, no assignment in these logs, first granted 2026-12-04T10:00:01.000Z
+
+        overlaps
+          none
+    "#]]);
+}
--- a/crates/galenastream_node/src/connection/control_connections.rs
+++ b/crates/galenastream_node/src/connection/control_connections.rs
@@ -81,7 +81,15 @@
     if context.routing.load().is_none() {
         return plain_text(StatusCode::SERVICE_UNAVAILABLE, "the node has no config yet");
     }
-    plain_text(StatusCode::OK, "ready")
+    // The node serves other services all the same.
+    let page = context.status_page.load();
+    let target = page.as_ref().and_then(|it| it.target.as_ref());
+    match target.and_then(|it| it.leases_withheld.as_ref()) {
+        Some(reason) => {
+            plain_text(StatusCode::OK, &format!("ready; the target gets no keys: {reason}"))
+        }
+        None => plain_text(StatusCode::OK, "ready"),
+    }
 }
 
 async fn answer_control(
--- a/crates/galenastream_node/src/process/control_event.rs
+++ b/crates/galenastream_node/src/process/control_event.rs
@@ -11,7 +11,7 @@
 use galenastream_wire::{NodeStatus, StatusSeen, SyncState};
 use tokio::sync::oneshot;
 
-use super::TargetProbe;
+use super::{CallBasis, TargetProbe};
 
 /// The answer to a heartbeat or a deregistration.
 #[derive(Debug)]
@@ -199,6 +199,8 @@
         target: TargetIncarnation,
         /// The call.
         call: PlannedCall,
+        /// What the call was decided on, for its log lines.
+        basis: CallBasis,
     },
     /// Send a health check to the target that listens beside this node, to learn its id.
     IdentifyTarget {
--- a/crates/galenastream_node/src/process/control_loop.rs
+++ b/crates/galenastream_node/src/process/control_loop.rs
@@ -20,7 +20,7 @@
 
 use super::ownership_log::millis;
 use super::{
-    ControlEvent, ControlState, Effect, NodeContext, ProbeAnswer, TargetProbe,
+    CallBasis, ControlEvent, ControlState, Effect, NodeContext, ProbeAnswer, TargetProbe,
     commit::{AssignmentWrite, StoreWrite},
     lease_call_client::LeaseCallClient,
 };
@@ -194,12 +194,12 @@
                     log::debug!(event = "peer_question_dropped", node = node.as_str(); "");
                 }
             }
-            Effect::CallTarget { target, call } => {
+            Effect::CallTarget { target, call, basis } => {
                 tokio::spawn(call_target(
                     self.context.clone(),
                     self.lease_calls.clone(),
                     target,
-                    call,
+                    (call, basis),
                     boot_now(),
                 ));
             }
@@ -219,10 +219,10 @@
     context: Arc<NodeContext>,
     client: Arc<LeaseCallClient>,
     target: TargetIncarnation,
-    call: PlannedCall,
+    (call, basis): (PlannedCall, CallBasis),
     planned_at: BootInstant,
 ) {
-    let outcome = client.call(&target, &call, planned_at).await;
+    let outcome = client.call(&target, &call, &basis, planned_at).await;
     let event = ControlEvent::LeaseCallEnded { target, id: call.id, outcome };
     context.control_events.deliver(event);
 }
--- a/crates/galenastream_node/src/process/lease_call_client.rs
+++ b/crates/galenastream_node/src/process/lease_call_client.rs
@@ -14,6 +14,7 @@
 use metrics::counter;
 use tokio::time::timeout;
 
+use super::CallBasis;
 use super::lease_calls::{GRANT_TIMEOUT, RELEASE_TIMEOUT};
 use super::ownership_log::millis;
 
@@ -44,6 +45,7 @@
         &self,
         target: &TargetIncarnation,
         call: &PlannedCall,
+        basis: &CallBasis,
         planned_at: BootInstant,
     ) -> CallOutcome {
         let limit = match call.order {
@@ -54,7 +56,7 @@
             Err(error) => (CallOutcome::NotSent, error.to_string()),
             Ok(request) => self.send(request, planned_at, limit).await,
         };
-        log_end(target, call, &outcome, &reason, planned_at);
+        log_end(target, call, basis, (&outcome, &reason), planned_at);
         outcome
     }
 
@@ -123,8 +125,8 @@
 fn log_end(
     target: &TargetIncarnation,
     call: &PlannedCall,
-    outcome: &CallOutcome,
-    reason: &str,
+    basis: &CallBasis,
+    (outcome, reason): (&CallOutcome, &str),
     planned_at: BootInstant,
 ) {
     let (range, fence) = (call.order.range(), call.order.fence());
@@ -135,11 +137,14 @@
     log::info!(
         event = "lease_call_ended",
         kind,
+        service = &*basis.service,
         target:%,
         range:%,
         fence,
         lease_ms,
         call = call.id.0,
+        row_version = basis.row_version,
+        confirmed_age_ms = basis.confirmed_age_ms.unwrap_or(0),
         outcome = outcome.as_str(),
         reason,
         elapsed_ms = millis(boot_now().saturating_since(planned_at));
--- a/crates/galenastream_node/src/process/lease_calls.rs
+++ b/crates/galenastream_node/src/process/lease_calls.rs
@@ -1,6 +1,6 @@
 //! Leases that the node grants to the local target by calls, and takes back.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use galenastream_adapter::LeaseDelivery;
 use galenastream_ranges::{
@@ -30,10 +30,22 @@
 /// Interval at which it is logged again that nothing can be granted.
 const WITHHELD_LOG_INTERVAL: Duration = Duration::from_millis(1_000);
 
+/// What a call was decided on.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CallBasis {
+    /// The service of the target.
+    pub service: Arc<str>,
+    /// The version of the row.
+    pub row_version: u64,
+    /// The time since the row was known to be current, in milliseconds; `None` if that is not known.
+    pub confirmed_age_ms: Option<u64>,
+}
+
 /// What was logged of leases that cannot be granted.
 #[derive(Debug, Default)]
 pub(super) struct LeaseCallLog {
-    withheld_at: Option<BootInstant>,
+    /// The last reason, and when it was logged.
+    withheld: Option<(String, BootInstant)>,
 }
 
 impl ControlState {
@@ -87,8 +99,9 @@
         let owns_keys = assignment.owned_by(&target).next().is_some();
         let confirmed_age_ms = self.confirmed_at.map(|it| millis(now.saturating_since(it)));
         for call in calls {
-            log_call(&service, &target, &call, row_version, confirmed_age_ms);
-            self.effects.push(Effect::CallTarget { target: target.clone(), call });
+            let basis = CallBasis { service: service.clone(), row_version, confirmed_age_ms };
+            log_call(&target, &call, &basis);
+            self.effects.push(Effect::CallTarget { target: target.clone(), call, basis });
         }
         if let Err(reason) = lease
             && owns_keys
@@ -174,29 +187,31 @@
         let fence = self.assignments.get(service).map_or(0, |it| it.assignment.highest_fence());
         let order = LeaseOrder::Release { range: KeyRange::ALL, fence };
         let call = PlannedCall { id: self.next_call_ids(), order, is_renewal: false };
-        log_call(service, target, &call, 0, None);
-        self.effects.push(Effect::CallTarget { target: target.clone(), call });
+        let row_version = self.assignments.get(service).map_or(0, |it| it.version);
+        let service = Arc::from(service);
+        let basis = CallBasis { service, row_version, confirmed_age_ms: None };
+        log_call(target, &call, &basis);
+        self.effects.push(Effect::CallTarget { target: target.clone(), call, basis });
+    }
+
+    /// Why nothing was granted by calls lately.
+    pub(super) fn withheld_reason(&self, now: BootInstant) -> Option<String> {
+        let (reason, at) = self.lease_call_log.withheld.as_ref()?;
+        (now < *at + WITHHELD_LOG_INTERVAL * 2).then(|| reason.clone())
     }
 
     fn log_withheld(&mut self, reason: &str, now: BootInstant) {
-        let is_logged =
-            self.lease_call_log.withheld_at.is_some_and(|it| now < it + WITHHELD_LOG_INTERVAL);
-        if is_logged {
+        let last = self.lease_call_log.withheld.as_ref();
+        if last.is_some_and(|(it, at)| it == reason && now < *at + WITHHELD_LOG_INTERVAL) {
             return;
         }
-        self.lease_call_log.withheld_at = Some(now);
+        self.lease_call_log.withheld = Some((reason.to_owned(), now));
         log::warn!(event = "lease_withheld", reason; "");
     }
 }
 
 /// Logs a call that is sent now. Renewals are logged when they end.
-fn log_call(
-    service: &str,
-    target: &TargetIncarnation,
-    call: &PlannedCall,
-    row_version: u64,
-    confirmed_age_ms: Option<u64>,
-) {
+fn log_call(target: &TargetIncarnation, call: &PlannedCall, basis: &CallBasis) {
     if call.is_renewal {
         return;
     }
@@ -208,14 +223,14 @@
     log::info!(
         event = "lease_call",
         kind,
-        service,
+        service = &*basis.service,
         target:%,
         range:%,
         fence,
         lease_ms,
         call = call.id.0,
-        row_version,
-        confirmed_age_ms;
+        row_version = basis.row_version,
+        confirmed_age_ms = basis.confirmed_age_ms;
         ""
     );
 }
--- a/crates/galenastream_node/src/process/mod.rs
+++ b/crates/galenastream_node/src/process/mod.rs
@@ -54,6 +54,7 @@
 pub use daemon::{OPERATORS_PORT, run_daemon};
 pub use directory::{Directory, LocalTarget, NodeEntry, TargetEntry};
 pub use key_meter::KeyMeter;
+pub use lease_calls::CallBasis;
 pub use leases::HeldLeases;
 pub use local_announcement::LocalAnnouncement;
 pub use logs::{flush_log, start_log};
--- a/crates/galenastream_node/src/process/publication.rs
+++ b/crates/galenastream_node/src/process/publication.rs
@@ -149,6 +149,7 @@
             capacity_milli_per_s: self.local_capacity_milli_per_s,
             is_draining: it.draining_since.is_some(),
             is_silent: it.is_silent(now, self.heartbeat_timeout()),
+            leases_withheld: self.withheld_reason(now),
             leases: it.held_leases(now).pages(now),
         });
         let confirmed_age = self.confirmed_at.map(|it| now.saturating_since(it));
--- a/crates/galenastream_node/src/process/status_page.rs
+++ b/crates/galenastream_node/src/process/status_page.rs
@@ -74,6 +74,9 @@
     pub is_draining: bool,
     /// Whether its last heartbeat is more than 2.5 heartbeat intervals old.
     pub is_silent: bool,
+    /// Why keys are not granted to it by calls, if they are not. Earlier versions do not report it.
+    #[serde(default)]
+    pub leases_withheld: Option<String>,
     /// The leases that it was granted last.
     pub leases: Vec<LeasePage>,
 }
--- a/crates/galenastream_node/tests/ownership/lease_calls.rs
+++ b/crates/galenastream_node/tests/ownership/lease_calls.rs
@@ -299,6 +299,9 @@
     let answer = node.beat_answered();
     assert_eq!(node.take_calls(), []);
     assert!(matches!(answer, HeartbeatAnswer::Reply(HeartbeatReply::Acknowledged)));
+    let target = node.state.status_page(at(node.now_ms)).target.expect("the target is known");
+    let reason = target.leases_withheld.expect("operators see that nothing is granted");
+    assert!(reason.contains("letter"), "{reason}");
 }
 
 /// Heartbeats whose replies carry leases would take back what was granted by calls.
--- a/crates/galenastream_node/tests/ownership/simulation.rs
+++ b/crates/galenastream_node/tests/ownership/simulation.rs
@@ -226,7 +226,7 @@
                 }
                 // No request crashes a target here.
                 Effect::AnnounceNode | Effect::WriteQuarantine { .. } => {}
-                Effect::CallTarget { target, call } => self.call_target(index, target, call),
+                Effect::CallTarget { target, call, .. } => self.call_target(index, target, call),
                 Effect::QueryPeer { node } => self.query_peer(index, &node),
                 Effect::ProbeTarget { target } => self.start_probe(index, target),
                 Effect::IdentifyTarget { target, .. } => self.identify(index, target),
