--- a/crates/galenastream_standin/tests/day.rs
+++ b/crates/galenastream_standin/tests/day.rs
@@ -47,7 +47,7 @@
               |
             9 | kind = "node-lost"
               |        ^^^^^^^^^^^
-            unknown variant `node-lost`, expected one of `node-killed`, `node-stopped`, `node-suspended`, `target-replaced`, `target-sheds`, `target-fails`, `target-cuts-answers`, `target-mixes-answers`, `target-unsigned`, `target-slow`, `target-limited`, `store-refuses`, `store-silent`, `store-loses-answers`, `store-late`, `store-slow`, `store-forgets`, `store-restored`, `config-changed`, `link-delayed`, `link-reset`, `link-cut-to-server`, `link-cut-to-client`, `link-silent`, `link-endless-head`, `link-endless-body`, `node-cut`, `target-stopped`, `heartbeats-late`, `store-stale`, `store-deaf`"#]],
+            unknown variant `node-lost`, expected one of `node-killed`, `node-stopped`, `node-suspended`, `target-replaced`, `target-sheds`, `target-fails`, `target-cuts-answers`, `target-mixes-answers`, `target-unsigned`, `target-slow`, `target-limited`, `store-refuses`, `store-silent`, `store-loses-answers`, `store-late`, `store-slow`, `store-forgets`, `store-restored`, `config-changed`, `link-delayed`, `link-reset`, `link-cut-to-server`, `link-cut-to-client`, `link-silent`, `link-endless-head`, `link-endless-body`, `node-cut`, `target-stopped`, `heartbeats-late`, `calls-late`, `store-stale`, `store-deaf`"#]],
     );
 }
 
