--- a/crates/galenastream_ranges/src/planner.rs
+++ b/crates/galenastream_ranges/src/planner.rs
@@ -13,10 +13,6 @@
 /// The maximum number of keys in a piece without measured load.
 const UNMEASURED_PIECE_KEYS: u32 = 512;
 
-/// Utilisation above which a target is overloaded whatever the others do, and passes heavy keys on also
-/// to targets that get more than their fair share by that.
-const OVERLOADED_UTILISATION: f64 = 1.5;
-
 /// Share of a service's measured load that is added to all keys evenly, so that keys without
 /// measured load count too.
 const EVEN_LOAD_SHARE: f64 = 0.1;
@@ -376,24 +372,11 @@
         utilisation > settings.busy_utilisation && utilisation > mean * settings.imbalance_ratio
     }
 
-    /// Returns the load to move from one target to another, so that neither crosses its fair share. The
-    /// pieces of a target with far more load than it can process may be too heavy for that; it passes
-    /// on what makes both equally busy.
+    /// Returns the load to move from one target to another, so that neither crosses its fair share.
     fn excess(&self, from: usize, to: usize) -> f64 {
         let surplus = self.weights[from] - self.fair_share(from);
         let room = self.fair_share(to) - self.weights[to];
-        let fair = surplus.min(room).max(0.0);
-        match self.utilisation(from) > OVERLOADED_UTILISATION {
-            true => fair.max(surplus.min(self.equalising_load(from, to))),
-            false => fair,
-        }
-    }
-
-    /// Returns the load that makes two targets equally busy if the first passes it to the second.
-    fn equalising_load(&self, from: usize, to: usize) -> f64 {
-        let capacity = |it: usize| self.targets[it].capacity_per_s.max(f64::MIN_POSITIVE);
-        let difference = self.utilisation(from) - self.utilisation(to);
-        difference * capacity(from) * capacity(to) / (capacity(from) + capacity(to))
+        surplus.min(room).max(0.0)
     }
 }
 
--- a/crates/galenastream_ranges/tests/planner.rs
+++ b/crates/galenastream_ranges/tests/planner.rs
@@ -341,26 +341,3 @@
     all[0].releases_late = false;
     assert_ne!(Planner::new(SETTINGS).balance(&assignment, &all), []);
 }
-
-/// Guards against a hot band that stays with its owner: each of its ranges is heavier than what any other
-/// target has left of its fair share, so that none of them moved while its owner got ten times the load
-/// that it can process.
-#[test]
-fn a_band_of_heavy_keys_is_spread_although_no_target_has_room_for_one_of_them() {
-    let capacities = [45.0; 37];
-    let mut assignment = Assignment::new();
-    let part = |it: u16| KeyRange { first: it * 1_771, last: it * 1_771 + 1_770 };
-    for number in 0..37 {
-        let last = if number == 36 { u16::MAX } else { part(number).last };
-        let range = KeyRange { first: part(number).first, last };
-        assignment.assign(range, &owner(u64::from(number)));
-    }
-    let mut demand: Demand = (1..37).map(|it| (part(it), 26.0)).collect();
-    for key in 0..28 {
-        demand.push((KeyRange { first: key, last: key }, 20.0));
-    }
-    demand.sort_by_key(|it| it.0.first);
-    balance(&mut assignment, &demand, &capacities, 4);
-    let busiest = utilisations(&assignment, &demand, &capacities).into_iter().fold(0.0, f64::max);
-    assert!(busiest < 1.6, "the busiest target is used {busiest:.1} times");
-}
