--- a/crates/galenastream_node/src/process/mod.rs
+++ b/crates/galenastream_node/src/process/mod.rs
@@ -12,8 +12,6 @@
 mod directory;
 mod heartbeats;
 mod key_meter;
-#[cfg(test)]
-mod key_meter_tests;
 mod lease_call_client;
 mod lease_calls;
 mod leases;
