--- a/crates/galenastream_ctl/tests/command_line.rs
+++ b/crates/galenastream_ctl/tests/command_line.rs
@@ -1101,7 +1101,10 @@
             ("10:00:07.000", &called("release", "a@1", 3, "done", 210)),
         ],
     );
-    check_trace_key(&[], &[&log], &expect![[r#"
+    check_trace_key(
+        &[],
+        &[&log],
+        &expect![[r#"
         exit 0
         service carts, key 7
         lines of several VMs are ordered only as accurately as their clocks
@@ -1116,5 +1119,6 @@
 
         overlaps
           none
-    "#]]);
+    "#]],
+    );
 }
