--- a/crates/galenastream_node/tests/ownership/planner_rounds.rs
+++ b/crates/galenastream_node/tests/ownership/planner_rounds.rs
@@ -37,8 +37,7 @@
     effects.iter().find_map(|it| match it {
         Effect::Commit { assignment, .. } => {
             let target = TARGET.incarnation();
-            let moved = assignment.leaving(&target).next().map(|it| it.range);
-            moved
+            assignment.leaving(&target).map(|it| it.range).next()
         }
         _ => None,
     })
