Grant keys that were denied twice within a second again after it

Cause: a refusal of a request that was sent before the keys were granted again arrives after that, and marks the new grant as denied too. Within a second of the first refusal no new grant was scheduled, so the keys had no server until the renewal, 2.4 to 3 s later.

Change: the grant is due a second after the last one that a denial caused. The test fails without it (0 ranges held after a second).

--- a/crates/galenastream_ranges/src/calls/call_schedule.rs
+++ b/crates/galenastream_ranges/src/calls/call_schedule.rs
@@ -71,11 +71,11 @@
 
     /// The target has denied that it holds a key. The next grant is due at once, but not in a loop.
     pub(super) fn record_denial(&mut self, now: BootInstant) {
-        let may_repeat = self.denied_at.is_none_or(|it| now >= it + REFUSED_RETRY);
-        if may_repeat {
+        let may_repeat_at = self.denied_at.map_or(now, |it| it + REFUSED_RETRY);
+        if now >= may_repeat_at {
             self.denied_at = Some(now);
-            self.due_at = self.due_at.min(now);
         }
+        self.due_at = self.due_at.min(now.max(may_repeat_at));
     }
 }
 
--- a/crates/galenastream_ranges/tests/call_leases.rs
+++ b/crates/galenastream_ranges/tests/call_leases.rs
@@ -212,6 +212,21 @@
     assert_eq!(played.calls.held(at(1_620)).len(), 1);
 }
 
+/// Guards against keys without a server until the next renewal: a refusal of a request that was sent
+/// before the keys were granted again arrives after that.
+#[test]
+fn keys_that_are_denied_again_within_a_second_are_granted_again_after_it() {
+    let mut played = Played::new(owned_whole());
+    played.grant_all(1_000);
+    played.calls.record_denial(7, at(1_200));
+    played.grant_all(1_200);
+    played.calls.record_denial(7, at(1_250));
+    assert_eq!(played.calls.held(at(1_250)), []);
+    assert_eq!(played.plan(1_300), [], "not in a loop");
+    played.grant_all(2_200);
+    assert_eq!(played.calls.held(at(2_200)).len(), 1);
+}
+
 #[test]
 fn a_fence_that_the_target_refuses_twice_is_raised_by_the_owner_of_the_keys() {
     let mut played = Played::new(owned_whole());
