Take no keys from the next run of a target because of a delayed heartbeat of the one before

Cause: a target that was taken for ended and is heard again is called to release all keys. If it has started again under its id, the heartbeat is a delayed one of the ended run, and the call, which names the id only, takes the keys from the run that holds them.

Change: no such call while another run under the id is the local target. The test fails without it; one more guards the call itself. Found by reading.

--- a/crates/galenastream_node/src/process/lease_calls.rs
+++ b/crates/galenastream_node/src/process/lease_calls.rs
@@ -181,7 +181,9 @@
         now: BootInstant,
     ) {
         let is_called = self.lease_delivery(service) == LeaseDelivery::Calls;
-        if !is_called || self.recently_ended(target, now).is_none() {
+        // A call names the id only, so it would reach the next run under the same id.
+        let has_successor = self.local.as_ref().is_some_and(|it| it.incarnation.id == target.id);
+        if !is_called || has_successor || self.recently_ended(target, now).is_none() {
             return;
         }
         let fence = self.assignments.get(service).map_or(0, |it| it.assignment.highest_fence());
--- a/crates/galenastream_node/tests/ownership/lease_calls.rs
+++ b/crates/galenastream_node/tests/ownership/lease_calls.rs
@@ -292,6 +292,41 @@
     assert_eq!(gone.count(), 0);
 }
 
+/// The end of one run of the target, whose delayed heartbeat arrives while the next run under the same id
+/// holds its keys: a call names the id only, so it would take them from that one.
+#[test]
+fn a_delayed_heartbeat_of_an_ended_run_takes_no_keys_from_the_next_run_under_its_id() {
+    let mut node = Caller::new(&owned_by(&TARGET.owner()));
+    node.end_grant(done(""));
+    node.now_ms += 1_200;
+    let probed_ms = node.now_ms;
+    send_probe(&mut node.state, TARGET, probed_ms, 0, probed_ms + 60);
+    node.now_ms += 100;
+    let next_run = Sender { id: "t", born_ms: Some(5) };
+    node.beat(next_run);
+    node.take_calls();
+    node.now_ms += 100;
+    node.beat(TARGET);
+    assert_eq!(node.take_calls(), []);
+}
+
+/// A target that was taken for ended may have been granted keys by a call that was on its way.
+#[test]
+fn a_target_that_was_taken_for_ended_and_is_heard_again_has_to_release_its_keys() {
+    let mut node = Caller::new(&owned_by(&TARGET.owner()));
+    node.end_grant(done(""));
+    node.now_ms += 1_200;
+    let probed_ms = node.now_ms;
+    send_probe(&mut node.state, TARGET, probed_ms, 0, probed_ms + 60);
+    node.now_ms += 100;
+    node.beat(TARGET);
+    let calls = node.take_calls();
+    assert!(
+        matches!(calls[..], [PlannedCall { order: LeaseOrder::Release { .. }, .. }]),
+        "{calls:?}"
+    );
+}
+
 #[test]
 fn no_keys_are_granted_in_a_way_that_is_not_known() {
     let delivery = LeaseDelivery::Unknown("letter".to_owned());
