Bound the log lines about denied keys

Cause: key_denied was written for each refused request, also when a target denies a busy key. Found by reading; no test of its own.

--- a/crates/galenastream_node/src/request/target_reply.rs
+++ b/crates/galenastream_node/src/request/target_reply.rs
@@ -102,7 +102,9 @@
         return;
     };
     let target = TargetIncarnation::new(request.target_id.as_str(), request.target_born_ms);
-    log::info!(event = "key_denied", request_id = request.request_id.as_str(), key, target:%; "");
+    if traffic.may_log() {
+        log::info!(event = "key_denied", request_id = request.request_id.as_str(), key, target:%; "");
+    }
     traffic.context.control_events.notify(ControlEvent::KeyDenied { target, key });
 }
 
