Test that a late copy of an answer is not taken for that to the next call

One connection a call (answers to grants and releases name neither their call nor their target) came without a test. This one replays a target that keeps its connection and sends a second copy of an answer when the next call arrives.

--- a/crates/galenastream_node/src/process/mod.rs
+++ b/crates/galenastream_node/src/process/mod.rs
@@ -13,6 +13,8 @@
 mod heartbeats;
 mod key_meter;
 mod lease_call_client;
+#[cfg(test)]
+mod lease_call_client_tests;
 mod lease_calls;
 mod leases;
 mod local_announcement;
