Take no keys for trials of limits from targets that cannot release them soon

Cause: balancing spares such targets since releases_late; trials, which take keys in the same round, did not, so the keys of a trial had no server for up to 6.2 s. Change: the same condition. The test fails without it. Found by reading.

--- a/crates/galenastream_ranges/src/planner.rs
+++ b/crates/galenastream_ranges/src/planner.rs
@@ -195,7 +195,8 @@
                 break;
             }
             let is_candidate = |it: &&mut Piece| {
-                let is_elsewhere = it.target.is_some_and(|it| !is_wanting(it));
+                let is_elsewhere =
+                    it.target.is_some_and(|it| !is_wanting(it) && !targets[it].releases_late);
                 is_elsewhere && !it.is_moving && it.measured_per_s >= TRIAL_PER_S
             };
             let by_load = |a: &&mut Piece, b: &&mut Piece| a.weight.total_cmp(&b.weight);
--- a/crates/galenastream_ranges/tests/planner.rs
+++ b/crates/galenastream_ranges/tests/planner.rs
@@ -341,3 +341,17 @@
     all[0].releases_late = false;
     assert_ne!(Planner::new(SETTINGS).balance(&assignment, &all), []);
 }
+
+/// Guards against the same for a trial, which takes keys to find out whether a limit has ended.
+#[test]
+fn a_trial_takes_no_keys_from_a_target_that_cannot_release_them_soon() {
+    let capacities = [100.0, STARVED];
+    let mut assignment = Assignment::new();
+    assignment.assign(KeyRange::ALL, &owner(0));
+    let demand: Demand = vec![(KeyRange { first: 0, last: 99 }, 5.0)];
+    let mut all = targets(&assignment, &demand, &capacities);
+    let wanting = [owner(1).target];
+    assert_ne!(Planner::new(SETTINGS).trials(&assignment, &all, &wanting), []);
+    all[0].releases_late = true;
+    assert_eq!(Planner::new(SETTINGS).trials(&assignment, &all, &wanting), []);
+}
