--- a/crates/galenastream_node/tests/ownership/lease_calls.rs
+++ b/crates/galenastream_node/tests/ownership/lease_calls.rs
@@ -171,6 +171,21 @@
     assert!(node.holds(7), "the first lease was renewed");
 }
 
+/// Guards against a handover that waits for a grant of the last moment, which may get no answer.
+#[test]
+fn a_process_that_is_about_to_stop_renews_only_leases_that_would_lapse() {
+    let assignment = owned_by(&TARGET.owner());
+    let mut node = Caller::new(&assignment);
+    node.end_grant(done(""));
+    let granted_ms = node.now_ms;
+    node.handle(ControlEvent::Closing);
+    node.run_until(&assignment, granted_ms + 4_300);
+    assert_eq!(node.take_calls(), []);
+    node.run_until(&assignment, granted_ms + 5_000);
+    node.end_grant(done(""));
+    assert!(node.holds(7));
+}
+
 #[test]
 fn keys_are_released_when_the_target_has_answered_the_release() {
     let mut assignment = owned_by(&TARGET.owner());
