--- a/crates/galenastream_node/src/process/config_confirmation.rs
+++ b/crates/galenastream_node/src/process/config_confirmation.rs
@@ -40,6 +40,13 @@
         self.awaits_peers(now).then_some(ConfigDoubt::Starting)
     }
 
+    /// The version of the config in force, and how old the confirmation is that this node has from
+    /// the store itself, for logs.
+    pub(super) fn config_evidence(&self, now: BootInstant) -> (u64, Option<Duration>) {
+        let confirmed_at = self.config_confirmed_at.filter(|_| self.confirms_config());
+        (self.config_version(), confirmed_at.map(|it| now.saturating_since(it)))
+    }
+
     /// Whether the last call for the table of the config told that the config in force is the newest
     /// one. Calls about other tables say nothing about that, whether they succeed or fail.
     pub(super) fn confirms_config(&self) -> bool {
--- a/crates/galenastream_node/src/process/control_state.rs
+++ b/crates/galenastream_node/src/process/control_state.rs
@@ -234,7 +234,7 @@
             ControlEvent::Settled { result } => self.handle_settlement(result, now),
             ControlEvent::Config { config, encoded } => {
                 self.unreadable_config_version = None;
-                self.apply_config(*config, encoded, now);
+                self.apply_config(*config, encoded, "store", now);
             }
             ControlEvent::ConfigRead { confirmed_at } => self.record_config_read(confirmed_at),
             ControlEvent::ConfigReadFailed => self.reads_config = false,
--- a/crates/galenastream_node/src/process/store_follower.rs
+++ b/crates/galenastream_node/src/process/store_follower.rs
@@ -86,6 +86,7 @@
         let asked_at = boot_now();
         let is_watch = known_version.is_some();
         let awaits_proof = table == FollowedTable::Config && is_watch && !is_confirmed;
+        let asked_after = known_version;
         let result = tokio::select! {
             result = next_rows(&mut connection, table, known_version, wait) => result,
             () = watch_too_long(&context, table, known_version, wait) => continue,
@@ -103,6 +104,9 @@
                     drop_backoff = None;
                 }
                 known_version = Some(changed.version);
+                if table == FollowedTable::Config {
+                    log_config_answer(&changed, asked_after);
+                }
                 // The store may answer a read with rows that are seconds old.
                 let confirmed_at = match is_watch {
                     true => Some(asked_at),
@@ -181,6 +185,24 @@
     }
 }
 
+/// Logs an answer about the config, unless it is a watch without a change.
+fn log_config_answer(changed: &VersionedRows, asked_after: Option<u64>) {
+    if asked_after.is_some() && changed.rows.is_empty() && changed.malformed_keys.is_empty() {
+        return;
+    }
+    log::info!(
+        event = "config_read",
+        asked_after,
+        version = changed.version,
+        changes = changed.rows.len(),
+        malformed = changed.malformed_keys.len(),
+        first_row_version = changed.rows.first().map(|it| it.version),
+        last_row_version = changed.rows.last().map(|it| it.version),
+        applied_row_version = find_config_row(&changed.rows).map(|it| it.version);
+        ""
+    );
+}
+
 async fn deliver(
     context: &NodeContext,
     table: FollowedTable,
--- a/crates/galenastream_node/src/process/store_view.rs
+++ b/crates/galenastream_node/src/process/store_view.rs
@@ -106,7 +106,7 @@
         self.pending_peer_query_at = None;
         if !state.config.is_empty() {
             match RoutingConfig::decode(&state.config) {
-                Ok(config) => self.apply_config(config, state.config, now),
+                Ok(config) => self.apply_config(config, state.config, "peer", now),
                 Err(error) => log::warn!(event = "config_refused", reason:% = error; ""),
             }
         }
@@ -126,7 +126,15 @@
         }
     }
 
-    pub(super) fn apply_config(&mut self, config: RoutingConfig, encoded: Bytes, now: BootInstant) {
+    /// Puts a config in force if it is newer than the one before. `source` is the word for logs that
+    /// says where it came from.
+    pub(super) fn apply_config(
+        &mut self,
+        config: RoutingConfig,
+        encoded: Bytes,
+        source: &str,
+        now: BootInstant,
+    ) {
         if config.version.0 <= self.config_version() && self.routing.is_some() {
             return;
         }
@@ -134,7 +142,8 @@
             event = "config_in_force",
             version = config.version.0,
             before = self.config_version(),
-            routes = config.routes.len();
+            routes = config.routes.len(),
+            source;
             ""
         );
         self.newer_config_since = None;
