--- a/crates/galenastream_node/tests/platform/config_confirmation.rs
+++ b/crates/galenastream_node/tests/platform/config_confirmation.rs
@@ -147,6 +147,38 @@
     deployment.close().unwrap();
 }
 
+/// Guards against nodes that put the first of several configs in force, and confirm it, since one
+/// answer of the store holds all changes that they missed.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_older_config_is_not_in_force_after_a_watch_has_returned_several() {
+    /// As for one config after silent connections.
+    const NOTICED: Duration = Duration::from_millis(2_500);
+    let program = env!("CARGO_BIN_EXE_galenastreamd");
+    let plan = DeploymentPlan::shop("several-configs", program, &["stock"; NODES]);
+    let plan = DeploymentPlan { has_proxies: true, ..plan };
+    let deployment = LocalDeployment::start(&plan).await.unwrap();
+    wait_for_confirmed_config(&deployment).await;
+    wait_for_readers(&deployment.vms).await;
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    for vm in &deployment.vms {
+        vm.silence_open_connections(VmLink::Store).unwrap();
+    }
+    for (version, path) in [(2, "/second/"), (3, "/third/"), (4, "/fourth/")] {
+        let config = DeploymentPlan::shop_config(version, path).to_string();
+        deployment.store.put("op", "config", config.as_bytes());
+    }
+    tokio::time::sleep(NOTICED).await;
+    let mut statuses = Vec::new();
+    for vm in &deployment.vms {
+        for path in ["/second/1", "/fourth/1"] {
+            let mut caller = vm.caller().await.expect(WORKS);
+            statuses.push(caller.get(path, "after", None).await.expect(WORKS).status);
+        }
+    }
+    assert_eq!(statuses, [404, 200].repeat(NODES));
+    deployment.close().unwrap();
+}
+
 /// Guards against 404 on reads that are seconds old, while the store has dropped its history and no
 /// watch succeeds.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/galenastream_standin/src/row_store/row_store_standin.rs
+++ b/crates/galenastream_standin/src/row_store/row_store_standin.rs
@@ -21,6 +21,7 @@
 
 use super::{
     StoreFault,
+    change_log::ChangeLog,
     row_table::{RowTable, Transaction},
 };
 use crate::{HttpServer, json_reply, read_json, text_reply};
@@ -44,6 +45,8 @@
 #[derive(Debug)]
 struct State {
     table: Mutex<RowTable>,
+    /// Locked only while `table` is.
+    log: Mutex<ChangeLog>,
     fault: Mutex<StoreFault>,
     version: watch::Sender<u64>,
     /// How often the store was restored from a copy, counted from 1.
@@ -67,6 +70,7 @@
     pub async fn start(address: SocketAddr) -> anyhow::Result<Self> {
         let state = Arc::new(State {
             table: Mutex::default(),
+            log: Mutex::default(),
             fault: Mutex::default(),
             version: watch::Sender::new(0),
             era: AtomicU64::new(1),
@@ -112,7 +116,10 @@
         let version = {
             let mut table = lock(&self.state.table);
             lock(&self.state.past).clear();
+            let mut log = lock(&self.state.log);
+            log.restore(copy.version());
             table.restore(copy, &["op"]);
+            log.extend(table.take_unlogged());
             self.state.era.fetch_add(1, Ordering::Relaxed);
             table.version()
         };
@@ -149,6 +156,7 @@
             let mut table = lock(&self.table);
             self.keep_past(&table);
             let result = table.apply(transaction);
+            lock(&self.log).extend(table.take_unlogged());
             (result, table.version())
         };
         self.version.send_replace(version);
@@ -176,6 +184,12 @@
         found.unwrap_or_else(|| lock(&self.table).clone())
     }
 
+    /// Returns the changes of a table after a version, and the newest version of the store.
+    fn changes(&self, table: &str, after: u64) -> (Vec<Value>, u64) {
+        let current = lock(&self.table);
+        (lock(&self.log).after(table, after), current.version())
+    }
+
     /// Waits for the end of a fault in which feeds get no answer. Returns whether there was one.
     async fn was_deaf(&self) -> bool {
         let mut was_deaf = false;
@@ -285,7 +299,7 @@
             return text_reply(StatusCode::GONE, "the version is not known");
         }
         let wait_for_change = async {
-            while lock(&self.state.table).changes(table, after).is_empty() {
+            while self.state.changes(table, after).0.is_empty() {
                 if versions.changed().await.is_err() {
                     return;
                 }
@@ -296,10 +310,13 @@
         if self.state.was_deaf().await {
             return text_reply(StatusCode::GONE, "the history was dropped");
         }
-        let rows = lock(&self.state.table);
-        let page = json!({
-            "rows": rows.changes(table, after), "ver": rows.version(), "nowMs": 0,
-        });
+        if !lock(&self.state.log).reaches_back_to(after) {
+            return text_reply(StatusCode::GONE, "the history was dropped");
+        }
+        let (mut rows, version) = self.state.changes(table, after);
+        let has_more = rows.len() > MAX_PAGE_ROWS;
+        rows.truncate(MAX_PAGE_ROWS);
+        let page = json!({ "rows": rows, "hasMore": has_more, "ver": version, "nowMs": 0 });
         json_reply(StatusCode::OK, &page)
     }
 }
--- a/crates/galenastream_standin/src/row_store/row_table.rs
+++ b/crates/galenastream_standin/src/row_store/row_table.rs
@@ -6,18 +6,22 @@
 use serde::Deserialize;
 use serde_json::{Value, json};
 
+use super::change_log::Change;
+
 /// The rows of all tables of a store. Each transaction that applies raises the version.
 #[derive(Debug, Clone, Default)]
 pub(super) struct RowTable {
     rows: BTreeMap<(String, String), StoredRow>,
     version: u64,
+    /// The changes that the log does not have yet.
+    unlogged: Vec<Change>,
 }
 
 #[derive(Debug, Clone)]
-struct StoredRow {
+pub(super) struct StoredRow {
     /// The encoded value; `None` for a row that was removed.
     value: Option<String>,
-    version: u64,
+    pub(super) version: u64,
 }
 
 #[derive(Debug, Deserialize)]
@@ -94,13 +98,9 @@
         Ok(json!({ "ver": self.version, "nowMs": 0 }))
     }
 
-    /// Returns the rows of a table that changed after a version, also removed ones, in the order of
-    /// their versions.
-    pub(super) fn changes(&self, table: &str, after: u64) -> Vec<Value> {
-        let mut changed: Vec<_> =
-            self.rows.iter().filter(|((of, _), row)| of == table && row.version > after).collect();
-        changed.sort_by_key(|(_, row)| row.version);
-        changed.into_iter().map(|((table, key), row)| row_json(table, key, row)).collect()
+    /// Takes the changes since the last call, for the log.
+    pub(super) fn take_unlogged(&mut self) -> Vec<Change> {
+        std::mem::take(&mut self.unlogged)
     }
 
     /// Returns the rows of a table that exist and whose keys are not below `from`, in the order of
@@ -114,7 +114,9 @@
 
     fn set(&mut self, table: String, key: String, value: Option<String>) {
         let version = self.version;
-        self.rows.insert((table, key), StoredRow { value, version });
+        let row = StoredRow { value, version };
+        self.unlogged.push(Change { table: table.clone(), key: key.clone(), row: row.clone() });
+        self.rows.insert((table, key), row);
     }
 
     /// Returns the version of a row; zero if it does not exist.
@@ -132,7 +134,7 @@
     }
 }
 
-fn row_json(table: &str, key: &str, row: &StoredRow) -> Value {
+pub(super) fn row_json(table: &str, key: &str, row: &StoredRow) -> Value {
     match &row.value {
         Some(value) => {
             json!({ "table": table, "part": "", "key": key, "value": value, "ver": row.version })
