--- a/crates/galenastream_ctl/src/request/config_source.rs
+++ b/crates/galenastream_ctl/src/request/config_source.rs
@@ -3,7 +3,7 @@
 use std::fs;
 
 use clap::ArgMatches;
-use galenastream_adapter::{CONFIG_TABLE, RoutingConfig, find_config_row};
+use galenastream_adapter::{FormatError, RoutingConfig, RowChange};
 
 use crate::{CtlError, request::platform_store::PlatformStore};
 
@@ -17,8 +17,14 @@
 }
 
 async fn read_stored(matches: &ArgMatches) -> Result<Vec<u8>, CtlError> {
-    let rows = PlatformStore::new(matches).read_table(CONFIG_TABLE).await?;
-    let value = find_config_row(&rows).and_then(|it| it.value.clone());
+    let value = match PlatformStore::new(matches).read_config().await? {
+        Some(RowChange::Decoded(row)) => row.value,
+        Some(RowChange::Malformed(row)) => {
+            let reason = format!("row {} of the store, version {}", row.key, row.version);
+            return Err(CtlError::InvalidConfig { error: FormatError::Undecodable { reason } });
+        }
+        None => None,
+    };
     let missing = CtlError::Missing {
         kind: "config in the store",
         remedy: "write a config; without one, nodes respond with 503",
--- a/crates/galenastream_ctl/src/request/platform_store.rs
+++ b/crates/galenastream_ctl/src/request/platform_store.rs
@@ -4,7 +4,10 @@
 
 use bytes::Bytes;
 use clap::ArgMatches;
-use galenastream_adapter::{ExpectedRow, Row, RowWrite, StoreClient, StoreConnection, StoreError};
+use galenastream_adapter::{
+    CONFIG_KEY, CONFIG_TABLE, ExpectedRow, Row, RowChange, RowWrite, StoreClient, StoreConnection,
+    StoreError, VersionedRows,
+};
 use galenastream_settings::SettingsTree;
 use galenastream_wire::{SHARED_ROWS_TABLE, SharedRowKey};
 
@@ -39,10 +42,19 @@
         }
     }
 
-    /// Reads all rows of a table.
+    /// Reads all rows of a table that can be decoded.
     pub(crate) async fn read_table(&mut self, table: &str) -> Result<Vec<Row>, CtlError> {
+        Ok(self.read_all(table).await?.into_rows())
+    }
+
+    /// Reads the row of the newest config; `None` if there is none.
+    pub(crate) async fn read_config(&mut self) -> Result<Option<RowChange>, CtlError> {
+        Ok(self.read_all(CONFIG_TABLE).await?.newest(CONFIG_KEY).cloned())
+    }
+
+    async fn read_all(&mut self, table: &str) -> Result<VersionedRows, CtlError> {
         let read = self.connection.read_table(table, self.answer_timeout).await;
-        Ok(read.map_err(|error| CtlError::store_call_failed(self.address, &error))?.rows)
+        read.map_err(|error| CtlError::store_call_failed(self.address, &error))
     }
 
     /// Reads the tree in force. Returns an empty tree, which overrides nothing, and version 0 if
--- a/crates/galenastream_node/src/lib.rs
+++ b/crates/galenastream_node/src/lib.rs
@@ -13,8 +13,8 @@
 pub use process::{
     CommandLine, ControlEvent, ControlQueue, ControlState, Directory, Effect, HeartbeatAnswer,
     KeyMeter, LeasePage, LocalTarget, OPERATORS_PORT, ProbeAnswer, RequestQuarantine, STATUS_PATH,
-    StatusPage, TargetPage, TargetProbe, command, decode_suspect, encode_suspect, flush_log,
-    run_daemon, start_log,
+    StatusPage, StoredConfig, StoredConfigContent, TargetPage, TargetProbe, command,
+    decode_suspect, encode_suspect, flush_log, run_daemon, start_log,
 };
 
 pub use version::{ConfigDoubt, PublishedDoubt, RouteMatch, RoutingTable};
--- a/crates/galenastream_node/src/process/config_confirmation.rs
+++ b/crates/galenastream_node/src/process/config_confirmation.rs
@@ -1,7 +1,7 @@
 //! Whether the config of this node is known to be the newest one.
 //!
-//! A confirmation is an instant at which the store had no config newer than the one in force, and
-//! loses its worth with age. The nodes that read the shared rows watch the config for a short time
+//! A confirmation names a version and an instant at which the store held no newer config. It counts
+//! for configs in force that are not older than that version, and loses its worth with age. The nodes that read the shared rows watch the config for a short time
 //! and thus renew it; all others learn of it from them.
 
 use std::time::Duration;
@@ -10,24 +10,57 @@
 use galenastream_wire::StatusSeen;
 
 use super::control_state::ControlState;
+use super::ownership_log::millis;
 use super::peer_book::REACHABILITY_TIMEOUT;
+use super::store_view::ConfigSource;
+use super::{StoredConfig, StoredConfigContent};
 use crate::version::ConfigDoubt;
 
 /// Age from which a confirmation no longer counts. Two watches of a reader, of which the first is
 /// counted from its start, the timeout of a call, and two statuses, of which one is lost.
 pub(super) const MAX_CONFIG_AGE: Duration = Duration::from_millis(2 * 2_000 + 1_000 + 2 * 1_000);
 
+/// The newest config that the store has shown to this node.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct KnownStoredConfig {
+    /// The version of its row.
+    row_version: u64,
+    version: StoredVersion,
+}
+
+/// The version of a config in the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum StoredVersion {
+    /// A version; whether or not the config can be decoded.
+    Known(u64),
+    /// A config whose version cannot be decoded, and which may be newer than any other.
+    Unknown,
+    /// There is no config.
+    Missing,
+}
+
+/// A version of the config, and the latest instant at which the store is known to have held no newer
+/// one.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct ConfigConfirmation {
+    version: StoredVersion,
+    confirmed_at: BootInstant,
+}
+
 impl ControlState {
     /// Why the config in force may be older than the newest one; `None` if the store or a peer
     /// confirms it.
     pub fn config_doubt(&self, now: BootInstant) -> Option<ConfigDoubt> {
         let version = self.config_version();
-        if self.knows_unreadable_config() {
-            return Some(ConfigDoubt::NewerUnreadable);
+        match self.stored_config.map(|it| it.version) {
+            Some(StoredVersion::Missing) => return Some(ConfigDoubt::Removed),
+            Some(stored) if !stored.is_confirmed_by(version) => {
+                return Some(ConfigDoubt::NewerUnreadable);
+            }
+            _ => {}
         }
         let outdated_at = self.confirmations_outdated_at(now);
-        let mut is_confirmed =
-            self.confirms_config() && self.config_confirmed_at > Some(outdated_at);
+        let mut is_confirmed = self.config_confirmed_at() > Some(outdated_at);
         for (_, peer) in self.peers.iter() {
             if peer.announces_newer_config(version, now) {
                 return Some(ConfigDoubt::NewerAnnounced);
@@ -40,32 +73,72 @@
         self.awaits_peers(now).then_some(ConfigDoubt::Starting)
     }
 
-    /// The version of the config in force, and how old the confirmation is that this node has from
-    /// the store itself, for logs.
-    pub(super) fn config_evidence(&self, now: BootInstant) -> (u64, Option<Duration>) {
-        let confirmed_at = self.config_confirmed_at.filter(|_| self.confirms_config());
-        (self.config_version(), confirmed_at.map(|it| now.saturating_since(it)))
-    }
-
     /// Whether the last call for the table of the config told that the config in force is the newest
     /// one. Calls about other tables say nothing about that, whether they succeed or fail.
     pub(super) fn confirms_config(&self) -> bool {
-        self.reads_config && !self.knows_unreadable_config()
+        let version = self.config_version();
+        let is_newest = self.stored_config.is_none_or(|it| it.version.is_confirmed_by(version));
+        self.reads_config && is_newest
     }
 
-    /// Whether the store has a newer config that this node cannot decode.
-    fn knows_unreadable_config(&self) -> bool {
-        self.unreadable_config_version.is_some_and(|it| it > self.config_version())
+    /// The latest instant at which this node knew from the store that no config was newer than the
+    /// one in force.
+    pub(super) fn config_confirmed_at(&self) -> Option<BootInstant> {
+        let version = self.config_version();
+        let confirmation = self.config_confirmation.filter(|_| self.confirms_config())?;
+        confirmation.version.is_confirmed_by(version).then_some(confirmation.confirmed_at)
     }
 
-    /// Records that the table of the config was read or watched, and an instant at which the store
-    /// had no newer config than the one that it showed, if that is known: when the call was sent, for
-    /// a watch. Its answer may have been under way for any time.
-    pub(super) fn record_config_read(&mut self, confirmed_at: Option<BootInstant>) {
+    /// Handles an answer about the table of the config: what the store holds, if that has changed, and
+    /// an instant at which it held nothing newer, if that is known. For a watch, that is when the call
+    /// was sent: its answer may have been under way for any time.
+    pub(super) fn handle_config_read(
+        &mut self,
+        stored: Option<StoredConfig>,
+        confirmed_at: Option<BootInstant>,
+        now: BootInstant,
+    ) {
         self.reads_config = true;
-        if !self.knows_unreadable_config() {
-            self.config_confirmed_at = self.config_confirmed_at.max(confirmed_at);
+        if let Some(stored) = stored {
+            self.handle_stored_config(stored, now);
         }
+        let Some((known, confirmed_at)) = self.stored_config.zip(confirmed_at) else {
+            return;
+        };
+        if self.config_confirmation.is_none_or(|it| it.confirmed_at < confirmed_at) {
+            let version = known.version;
+            self.config_confirmation = Some(ConfigConfirmation { version, confirmed_at });
+        }
+    }
+
+    fn handle_stored_config(&mut self, stored: StoredConfig, now: BootInstant) {
+        let version = match &stored.content {
+            StoredConfigContent::Valid { config, .. } => StoredVersion::Known(config.version.0),
+            StoredConfigContent::Unreadable { version } => {
+                version.map_or(StoredVersion::Unknown, StoredVersion::Known)
+            }
+            StoredConfigContent::Missing => StoredVersion::Missing,
+        };
+        let row_version = stored.row_version;
+        // A read may be older than what the store has shown before.
+        if self.stored_config.is_none_or(|it| it.row_version <= row_version) {
+            self.stored_config = Some(KnownStoredConfig { row_version, version });
+        }
+        if let StoredConfigContent::Valid { config, encoded } = stored.content {
+            self.apply_config(*config, encoded, ConfigSource::Store { row_version }, now);
+        }
+    }
+
+    /// Logs that the config in force is confirmed, and by which knowledge of this node itself.
+    pub(super) fn log_confirmation(&self, now: BootInstant) {
+        let age_ms = |it| millis(now.saturating_since(it));
+        log::info!(
+            event = "config_confirmed",
+            version = self.config_version(),
+            row_version = self.stored_config.map(|it| it.row_version),
+            store_age_ms = self.config_confirmed_at().map(age_ms);
+            ""
+        );
     }
 
     /// Records what the acknowledgement of a status says about the config. A peer that knew of no
@@ -112,3 +185,10 @@
         self.rows_version == 0 || self.peers.iter().any(|(_, it)| it.status.is_none())
     }
 }
+
+impl StoredVersion {
+    /// Whether the store holds no config that is newer than a version in force.
+    fn is_confirmed_by(self, in_force: u64) -> bool {
+        self <= Self::Known(in_force)
+    }
+}
--- a/crates/galenastream_node/src/process/control_event.rs
+++ b/crates/galenastream_node/src/process/control_event.rs
@@ -3,15 +3,13 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use galenastream_adapter::{
-    ExpectedRow, HeartbeatReply, NodeSettings, RoutingConfig, Row, RowWrite, StoreError,
-};
+use galenastream_adapter::{ExpectedRow, HeartbeatReply, NodeSettings, Row, RowWrite, StoreError};
 use galenastream_ranges::{Assignment, CallId, CallOutcome, PlannedCall, TargetIncarnation};
 use galenastream_utils::BootInstant;
 use galenastream_wire::{NodeStatus, StatusSeen, SyncState};
 use tokio::sync::oneshot;
 
-use super::{CallBasis, TargetProbe};
+use super::{CallBasis, StoredConfig, TargetProbe};
 
 /// The answer to a heartbeat or a deregistration.
 #[derive(Debug)]
@@ -73,25 +71,17 @@
         /// An instant at which these rows were current; `None` if that is not known.
         confirmed_at: Option<BootInstant>,
     },
-    /// A valid config was read from the store.
-    Config {
-        /// The config.
-        config: Box<RoutingConfig>,
-        /// The config as its writer encoded it.
-        encoded: Bytes,
-    },
-    /// The table of the config was read, or a watch on it ended, and its changes were delivered.
+    /// The table of the config was read, or a watch on it ended.
     ConfigRead {
-        /// An instant at which the store had no newer config; `None` if that is not known.
+        /// What the store holds as the newest config; `None` if that has not changed since the last
+        /// answer.
+        stored: Option<StoredConfig>,
+        /// An instant at which the store held no newer config than that; `None` if that is not
+        /// known.
         confirmed_at: Option<BootInstant>,
     },
     /// The table of the config could not be read or watched.
     ConfigReadFailed,
-    /// The store has a config that cannot be decoded.
-    ConfigUnreadable {
-        /// Its version, if that can be told.
-        version: Option<u64>,
-    },
     /// A call to the store succeeded (`true`) or failed (`false`).
     StoreReached(bool),
     /// The store named an era in its response.
--- a/crates/galenastream_node/src/process/control_loop.rs
+++ b/crates/galenastream_node/src/process/control_loop.rs
@@ -154,11 +154,7 @@
         }
         match doubt {
             Some(doubt) => log::info!(event = "config_doubted", reason = doubt.as_str(); ""),
-            None => {
-                let (version, own_age) = self.state.config_evidence(now);
-                let store_age_ms = own_age.map(millis);
-                log::info!(event = "config_confirmed", version, store_age_ms; "");
-            }
+            None => self.state.log_confirmation(now),
         }
     }
 
--- a/crates/galenastream_node/src/process/control_state.rs
+++ b/crates/galenastream_node/src/process/control_state.rs
@@ -10,6 +10,7 @@
 use galenastream_utils::{BootInstant, FastMap};
 use galenastream_wire::{KeyLoadRecord, SharedRow};
 
+use super::config_confirmation::{ConfigConfirmation, KnownStoredConfig};
 use super::lease_calls::LeaseCallLog;
 use super::local_limit::LocalLimit;
 use super::local_target::LocalTargetState;
@@ -56,9 +57,10 @@
     pub(super) reaches_store: bool,
     /// Whether the last read or watch of the table of the config succeeded.
     pub(super) reads_config: bool,
-    /// The latest instant at which this node knew from the store that no config was newer than the
-    /// one in force.
-    pub(super) config_confirmed_at: Option<BootInstant>,
+    /// The newest config that the store has shown.
+    pub(super) stored_config: Option<KnownStoredConfig>,
+    /// The latest confirmation of a config by the store.
+    pub(super) config_confirmation: Option<ConfigConfirmation>,
     /// The highest version of the config that a peer had when it was newer than the one in force, and
     /// when such a version was last announced.
     pub(super) announced_config: Option<(u64, BootInstant)>,
@@ -94,9 +96,6 @@
     pub(super) pending_peer_query_at: Option<BootInstant>,
     /// Since when a peer is known to have a newer config than this node.
     pub(super) newer_config_since: Option<BootInstant>,
-    /// The version of the config in the store that could not be decoded; `u64::MAX` if the version
-    /// could not either.
-    pub(super) unreadable_config_version: Option<u64>,
     /// For how long the process has run, without the time for which it was suspended.
     ran: Duration,
     last_tick_at: BootInstant,
@@ -152,7 +151,7 @@
             assignments: FastMap::default(),
             reaches_store: false,
             reads_config: false,
-            config_confirmed_at: None,
+            config_confirmation: None,
             announced_config: None,
             synced_at: started_at,
             is_closing: false,
@@ -176,7 +175,7 @@
             last_peer_query_at: started_at,
             pending_peer_query_at: None,
             newer_config_since: None,
-            unreadable_config_version: None,
+            stored_config: None,
             ran: Duration::ZERO,
             last_tick_at: started_at,
             last_probe_at: started_at,
@@ -232,15 +231,10 @@
             }
             ControlEvent::StoreEra(era) => self.record_era(era, now),
             ControlEvent::Settled { result } => self.handle_settlement(result, now),
-            ControlEvent::Config { config, encoded } => {
-                self.unreadable_config_version = None;
-                self.apply_config(*config, encoded, "store", now);
+            ControlEvent::ConfigRead { stored, confirmed_at } => {
+                self.handle_config_read(stored, confirmed_at, now);
             }
-            ControlEvent::ConfigRead { confirmed_at } => self.record_config_read(confirmed_at),
             ControlEvent::ConfigReadFailed => self.reads_config = false,
-            ControlEvent::ConfigUnreadable { version } => {
-                self.unreadable_config_version = Some(version.unwrap_or(u64::MAX));
-            }
             ControlEvent::StoreReached(reached) => self.set_store_reachable(reached, now),
             ControlEvent::Committed { service, assignment, result } => {
                 self.handle_commit_result(&service, &assignment, result, now);
--- a/crates/galenastream_node/src/process/publication.rs
+++ b/crates/galenastream_node/src/process/publication.rs
@@ -134,7 +134,7 @@
             rows: self.shared_rows(),
             rows_version: self.rows_version,
             confirmed_at: self.confirmed_at,
-            config_confirmed_at: self.config_confirmed_at.filter(|_| self.confirms_config()),
+            config_confirmed_at: self.config_confirmed_at(),
         }
     }
 
--- a/crates/galenastream_node/src/process/store_follower.rs
+++ b/crates/galenastream_node/src/process/store_follower.rs
@@ -7,8 +7,8 @@
 };
 
 use galenastream_adapter::{
-    CONFIG_TABLE, RoutingConfig, Row, StoreClient, StoreConnection, StoreError, VersionedRows,
-    era_of, find_config_row, is_config_row_malformed,
+    CONFIG_KEY, CONFIG_TABLE, RowChange, StoreClient, StoreConnection, StoreError, VersionedRows,
+    era_of,
 };
 use galenastream_runtime::boot_now;
 use galenastream_utils::BootInstant;
@@ -16,7 +16,7 @@
 use tokio::time::{sleep, timeout};
 
 use super::row_confirmation::MAX_WATCH;
-use super::{ControlEvent, NodeContext, WrittenRow};
+use super::{ControlEvent, NodeContext, StoredConfig, WrittenRow};
 
 /// Timeout of a call to the store; a watch may take this much longer than its wait. A call normally
 /// takes 4 ms, and about this long while the store is slow.
@@ -113,7 +113,7 @@
                     false => confirmation_of_read(&context, changed.version),
                 };
                 is_confirmed |= confirmed_at.is_some();
-                deliver(&context, table, changed, confirmed_at).await;
+                deliver(&context, table, changed, !is_watch, confirmed_at).await;
             }
             Err(StoreError::HistoryDropped) => {
                 log::info!(event = "store_history_dropped", table = table.name(); "");
@@ -187,18 +187,19 @@
 
 /// Logs an answer about the config, unless it is a watch without a change.
 fn log_config_answer(changed: &VersionedRows, asked_after: Option<u64>) {
-    if asked_after.is_some() && changed.rows.is_empty() && changed.malformed_keys.is_empty() {
+    let changes = changed.changes();
+    if asked_after.is_some() && changes.is_empty() {
         return;
     }
     log::info!(
         event = "config_read",
         asked_after,
         version = changed.version,
-        changes = changed.rows.len(),
-        malformed = changed.malformed_keys.len(),
-        first_row_version = changed.rows.first().map(|it| it.version),
-        last_row_version = changed.rows.last().map(|it| it.version),
-        applied_row_version = find_config_row(&changed.rows).map(|it| it.version);
+        changes = changes.len(),
+        malformed = changes.iter().filter(|it| matches!(it, RowChange::Malformed(_))).count(),
+        first_row_version = changes.first().map(RowChange::version),
+        last_row_version = changes.last().map(RowChange::version),
+        applied_row_version = changed.newest(CONFIG_KEY).map(RowChange::version);
         ""
     );
 }
@@ -206,46 +207,22 @@
 async fn deliver(
     context: &NodeContext,
     table: FollowedTable,
-    changed: VersionedRows,
+    answer: VersionedRows,
+    is_full_read: bool,
     confirmed_at: Option<BootInstant>,
 ) {
-    context.control_events.send(ControlEvent::StoreReached(true)).await;
+    let events = &context.control_events;
+    events.send(ControlEvent::StoreReached(true)).await;
     match table {
         FollowedTable::SharedRows => {
-            let event =
-                ControlEvent::Rows { rows: changed.rows, version: changed.version, confirmed_at };
-            context.control_events.send(event).await;
+            let version = answer.version;
+            let rows = answer.into_rows();
+            events.send(ControlEvent::Rows { rows, version, confirmed_at }).await;
         }
         FollowedTable::Config => {
-            let era = era_of(changed.version);
-            context.control_events.send(ControlEvent::StoreEra(era)).await;
-            if is_config_row_malformed(&changed) {
-                let event = ControlEvent::ConfigUnreadable { version: None };
-                context.control_events.send(event).await;
-            } else if let Some(row) = find_config_row(&changed.rows) {
-                deliver_config(context, row).await;
-            }
-            context.control_events.send(ControlEvent::ConfigRead { confirmed_at }).await;
-        }
-    }
-}
-
-async fn deliver_config(context: &NodeContext, row: &Row) {
-    let Some(encoded) = row.value.clone() else {
-        log::warn!(event = "config_removed", row_version = row.version; "");
-        return;
-    };
-    match RoutingConfig::decode(&encoded) {
-        Ok(config) => {
-            context
-                .control_events
-                .send(ControlEvent::Config { config: Box::new(config), encoded })
-                .await;
-        }
-        Err(error) => {
-            log::warn!(event = "config_refused", row_version = row.version, reason:% = error; "");
-            let version = RoutingConfig::decode_version(&encoded).map(|it| it.0);
-            context.control_events.send(ControlEvent::ConfigUnreadable { version }).await;
+            events.send(ControlEvent::StoreEra(era_of(answer.version))).await;
+            let stored = StoredConfig::decode(&answer, is_full_read);
+            events.send(ControlEvent::ConfigRead { stored, confirmed_at }).await;
         }
     }
 }
--- a/crates/galenastream_node/src/process/store_view.rs
+++ b/crates/galenastream_node/src/process/store_view.rs
@@ -47,6 +47,18 @@
 /// needed.
 const PEER_QUERY_INTERVAL: Duration = Duration::from_millis(800);
 
+/// Where a config came from.
+#[derive(Debug, Clone, Copy)]
+pub(super) enum ConfigSource {
+    /// The store.
+    Store {
+        /// The version of the row that holds it.
+        row_version: u64,
+    },
+    /// Another node.
+    Peer,
+}
+
 impl ControlState {
     /// Handles the status of another node. Returns whether it differs from the last one, or the
     /// node was unreachable before.
@@ -106,7 +118,9 @@
         self.pending_peer_query_at = None;
         if !state.config.is_empty() {
             match RoutingConfig::decode(&state.config) {
-                Ok(config) => self.apply_config(config, state.config, "peer", now),
+                Ok(config) => {
+                    self.apply_config(config, state.config, ConfigSource::Peer, now);
+                }
                 Err(error) => log::warn!(event = "config_refused", reason:% = error; ""),
             }
         }
@@ -126,24 +140,28 @@
         }
     }
 
-    /// Puts a config in force if it is newer than the one before. `source` is the word for logs that
-    /// says where it came from.
+    /// Puts a config in force if it is newer than the one before.
     pub(super) fn apply_config(
         &mut self,
         config: RoutingConfig,
         encoded: Bytes,
-        source: &str,
+        source: ConfigSource,
         now: BootInstant,
     ) {
         if config.version.0 <= self.config_version() && self.routing.is_some() {
             return;
         }
+        let (source, row_version) = match source {
+            ConfigSource::Store { row_version } => ("store", Some(row_version)),
+            ConfigSource::Peer => ("peer", None),
+        };
         log::info!(
             event = "config_in_force",
             version = config.version.0,
             before = self.config_version(),
             routes = config.routes.len(),
-            source;
+            source,
+            row_version;
             ""
         );
         self.newer_config_since = None;
--- a/crates/galenastream_node/src/version/config_doubt.rs
+++ b/crates/galenastream_node/src/version/config_doubt.rs
@@ -13,6 +13,8 @@
     NewerAnnounced,
     /// The store has a newer config that this node cannot decode.
     NewerUnreadable,
+    /// The store has no config any more.
+    Removed,
     /// Neither this node nor another one has lately learnt from the store that no config is newer.
     StoreUnreachable,
 }
@@ -24,6 +26,7 @@
             Self::Starting => "starting",
             Self::NewerAnnounced => "newer-announced",
             Self::NewerUnreadable => "newer-unreadable",
+            Self::Removed => "removed",
             Self::StoreUnreachable => "store-unreachable",
         }
     }
--- a/crates/galenastream_node/tests/ownership/calls.rs
+++ b/crates/galenastream_node/tests/ownership/calls.rs
@@ -6,7 +6,9 @@
 use rand::RngExt;
 
 use crate::{
-    fixtures::config_with_delivery, injected_bug::InjectedBug, simulation::Simulation,
+    fixtures::{config_event, config_with_delivery},
+    injected_bug::InjectedBug,
+    simulation::Simulation,
     variation::Variation,
 };
 
@@ -193,7 +195,6 @@
 
     pub fn send_config(&mut self, index: usize) {
         let config = config_with_delivery(self.config_version, &self.delivery);
-        let encoded = bytes::Bytes::new();
-        self.send_event(index, ControlEvent::Config { config: Box::new(config), encoded });
+        self.send_event(index, config_event(config));
     }
 }
--- a/crates/galenastream_node/tests/ownership/config_doubt.rs
+++ b/crates/galenastream_node/tests/ownership/config_doubt.rs
@@ -1,9 +1,12 @@
 //! Checks when a node doubts that its config is the newest one.
 
 use galenastream_adapter::ConfigVersion;
-use galenastream_node::{ConfigDoubt, ControlEvent, ControlState, PublishedDoubt};
+use galenastream_node::{
+    ConfigDoubt, ControlEvent, ControlState, PublishedDoubt, StoredConfig, StoredConfigContent,
+};
+use galenastream_standin::DeploymentPlan;
 use galenastream_utils::BootInstant;
-use galenastream_wire::{NodeStatus, StatusSeen};
+use galenastream_wire::{NodeStatus, StatusSeen, SyncState};
 
 use crate::{
     fixtures::{address, config, settings},
@@ -53,12 +56,37 @@
     }
 }
 
+/// An answer of the store that shows another config.
+fn stored(row_version: u64, content: StoredConfigContent) -> ControlEvent {
+    let stored = Some(StoredConfig { row_version, content });
+    ControlEvent::ConfigRead { stored, confirmed_at: None }
+}
+
+/// An answer of the store that shows a config that cannot be decoded.
+fn unreadable(version: Option<u64>, now_ms: u64) -> ControlEvent {
+    stored(now_ms, StoredConfigContent::Unreadable { version })
+}
+
+/// An answer of the store without a change, which confirms what it has shown before.
+fn unchanged(confirmed_ms: u64) -> ControlEvent {
+    ControlEvent::ConfigRead { stored: None, confirmed_at: Some(at(confirmed_ms)) }
+}
+
 fn put_config(state: &mut ControlState, version: u64, now_ms: u64) {
     let config = Box::new(galenastream_adapter::RoutingConfig {
         version: ConfigVersion(version),
         ..config()
     });
-    state.handle(ControlEvent::Config { config, encoded: Default::default() }, at(now_ms));
+    let content = StoredConfigContent::Valid { config, encoded: Default::default() };
+    state.handle(stored(now_ms, content), at(now_ms));
+}
+
+/// Puts a config in force that a peer has sent.
+fn put_config_of_peer(state: &mut ControlState, version: u32, now_ms: u64) {
+    let config = DeploymentPlan::shop_config(version, "/stock/").to_string().into();
+    let sync_state = SyncState { config, confirmed_age_ms: u64::MAX, ..Default::default() };
+    let event = ControlEvent::PeerSyncState { state: sync_state, asked_at: at(now_ms) };
+    state.handle(event, at(now_ms));
 }
 
 /// A node with config 1 that reaches the store.
@@ -66,7 +94,7 @@
     let mut state = ControlState::new(settings(0), at(0));
     put_config(&mut state, 1, 100);
     state.handle(ControlEvent::StoreReached(true), at(SETTLED_MS));
-    state.handle(ControlEvent::ConfigRead { confirmed_at: Some(at(SETTLED_MS)) }, at(SETTLED_MS));
+    state.handle(unchanged(SETTLED_MS), at(SETTLED_MS));
     state
 }
 
@@ -90,7 +118,7 @@
     let mut state = settled_node();
     put_config(&mut state, 5, SETTLED_MS);
     let mut doubt_after = |version, now_ms| {
-        state.handle(ControlEvent::ConfigUnreadable { version }, at(now_ms));
+        state.handle(unreadable(version, now_ms), at(now_ms));
         let doubt = state.config_doubt(at(now_ms));
         put_config(&mut state, 4, now_ms + 1);
         assert_eq!(state.config_doubt(at(now_ms + 1)), None, "the store has a config that is read");
@@ -106,7 +134,7 @@
 #[test]
 fn the_doubt_about_an_unreadable_config_outlasts_the_statuses_of_peers() {
     let mut state = settled_node();
-    state.handle(ControlEvent::ConfigUnreadable { version: None }, at(SETTLED_MS + 10));
+    state.handle(unreadable(None, SETTLED_MS + 10), at(SETTLED_MS + 10));
     state.handle(status(1, 1, true), at(SETTLED_MS + 20));
     assert_eq!(state.config_doubt(at(SETTLED_MS + 20)), Some(ConfigDoubt::NewerUnreadable));
 }
@@ -127,7 +155,7 @@
     assert_eq!(state.config_doubt(later), Some(ConfigDoubt::StoreUnreachable));
     state.handle(ControlEvent::StoreReached(true), later);
     assert_eq!(state.config_doubt(later), Some(ConfigDoubt::StoreUnreachable));
-    state.handle(ControlEvent::ConfigRead { confirmed_at: Some(later) }, later);
+    state.handle(unchanged(SETTLED_MS + 6_000), later);
     assert_eq!(state.config_doubt(later), None);
 }
 
@@ -147,7 +175,7 @@
     assert_eq!(state.config_doubt(now), None);
     state.handle(reading_status(2, 1, false), now);
     assert_eq!(state.config_doubt(now), Some(ConfigDoubt::StoreUnreachable));
-    state.handle(ControlEvent::ConfigRead { confirmed_at: Some(now) }, now);
+    state.handle(unchanged(SETTLED_MS + 20), now);
     assert_eq!(state.config_doubt(now), None);
     assert_eq!(state.status(now).confirms_config, Some(true));
 }
@@ -156,7 +184,7 @@
 #[test]
 fn a_store_that_is_reached_does_not_confirm_a_config_that_was_never_read() {
     let mut state = ControlState::new(settings(0), at(0));
-    put_config(&mut state, 1, 100);
+    put_config_of_peer(&mut state, 1, 100);
     state.handle(ControlEvent::StoreReached(true), at(SETTLED_MS));
     assert_eq!(state.config_doubt(at(SETTLED_MS)), Some(ConfigDoubt::StoreUnreachable));
 }
@@ -165,17 +193,58 @@
 #[test]
 fn a_node_that_cannot_decode_the_newest_config_confirms_none() {
     let mut state = settled_node();
-    state.handle(ControlEvent::ConfigUnreadable { version: None }, at(SETTLED_MS + 10));
+    state.handle(unreadable(None, SETTLED_MS + 10), at(SETTLED_MS + 10));
     assert_eq!(state.status(at(SETTLED_MS + 10)).confirms_config, Some(false));
 }
 
+/// Guards against a confirmation that counts for an older config than the store held then.
+#[test]
+fn a_confirmation_does_not_count_for_a_config_older_than_the_one_that_it_names() {
+    let mut state = settled_node();
+    let now_ms = SETTLED_MS + 1_000;
+    state.handle(unreadable(Some(3), now_ms), at(now_ms));
+    state.handle(unchanged(now_ms), at(now_ms));
+    assert_eq!(state.config_doubt(at(now_ms)), Some(ConfigDoubt::NewerUnreadable));
+    assert_eq!(state.sync_snapshot().status_seen(at(now_ms)), StatusSeen::default());
+    put_config_of_peer(&mut state, 2, now_ms + 10);
+    let later = at(now_ms + 10);
+    assert_eq!(state.config_doubt(later), Some(ConfigDoubt::NewerUnreadable));
+    put_config_of_peer(&mut state, 3, now_ms + 20);
+    assert_eq!(state.config_doubt(at(now_ms + 20)), None);
+}
+
+/// Guards against an old read that hides a newer config which could not be decoded.
+#[test]
+fn a_read_that_is_older_than_what_the_store_has_shown_ends_no_doubt() {
+    let mut state = settled_node();
+    state.handle(unreadable(None, SETTLED_MS + 10), at(SETTLED_MS + 10));
+    let old = StoredConfigContent::Unreadable { version: Some(1) };
+    state.handle(stored(SETTLED_MS, old), at(SETTLED_MS + 20));
+    let now = at(SETTLED_MS + 20);
+    assert_eq!(state.config_doubt(now), Some(ConfigDoubt::NewerUnreadable));
+}
+
+/// Guards against 404 out of a config that operators have removed, and against confirming it.
+#[test]
+fn a_config_whose_row_was_removed_is_doubted_until_there_is_one_again() {
+    let mut state = settled_node();
+    let now_ms = SETTLED_MS + 10;
+    state.handle(stored(now_ms, StoredConfigContent::Missing), at(now_ms));
+    state.handle(unchanged(now_ms), at(now_ms));
+    assert_eq!(state.config_doubt(at(now_ms)), Some(ConfigDoubt::Removed));
+    assert_eq!(state.status(at(now_ms)).confirms_config, Some(false));
+    put_config(&mut state, 2, now_ms + 10);
+    state.handle(unchanged(now_ms + 10), at(now_ms + 10));
+    assert_eq!(state.config_doubt(at(now_ms + 10)), None);
+}
+
 /// Guards against 404 of a node that starts on an old copy of the config.
 #[test]
 fn a_config_is_doubted_until_the_peers_were_heard_from_after_the_start() {
     let mut state = ControlState::new(settings(0), at(0));
     put_config(&mut state, 1, 100);
     state.handle(ControlEvent::StoreReached(true), at(100));
-    state.handle(ControlEvent::ConfigRead { confirmed_at: Some(at(100)) }, at(100));
+    state.handle(unchanged(100), at(100));
     assert_eq!(state.config_doubt(at(200)), Some(ConfigDoubt::Starting));
     state.handle(
         ControlEvent::Rows { rows: Vec::new(), version: 7, confirmed_at: Some(at(250)) },
@@ -199,12 +268,9 @@
 fn a_watch_confirms_the_config_from_when_it_was_sent() {
     let mut state = settled_node();
     let now_ms = SETTLED_MS + 12_000;
-    state.handle(
-        ControlEvent::ConfigRead { confirmed_at: Some(at(now_ms - MAX_AGE_MS)) },
-        at(now_ms),
-    );
+    state.handle(unchanged(now_ms - MAX_AGE_MS), at(now_ms));
     assert_eq!(state.config_doubt(at(now_ms)), Some(ConfigDoubt::StoreUnreachable));
-    state.handle(ControlEvent::ConfigRead { confirmed_at: Some(at(now_ms - 2_000)) }, at(now_ms));
+    state.handle(unchanged(now_ms - 2_000), at(now_ms));
     assert_eq!(state.config_doubt(at(now_ms)), None);
     let later = at(now_ms - 2_000 + MAX_AGE_MS);
     assert_eq!(state.config_doubt(later), Some(ConfigDoubt::StoreUnreachable));
@@ -277,10 +343,7 @@
     let later_ms = now_ms + 3_020;
     assert_eq!(state.config_doubt(at(later_ms)), Some(ConfigDoubt::StoreUnreachable));
     // The store says later that it has none.
-    state.handle(
-        ControlEvent::ConfigRead { confirmed_at: Some(at(later_ms + 10)) },
-        at(later_ms + 2_000),
-    );
+    state.handle(unchanged(later_ms + 10), at(later_ms + 2_000));
     assert_eq!(state.config_doubt(at(later_ms + 2_000)), None);
 }
 
@@ -307,7 +370,7 @@
         assert_eq!(doubt_of_other(&mut reader, &mut other, now_ms), expected, "{age_ms} ms");
     }
     let now_ms = SETTLED_MS + 20_000;
-    reader.handle(ControlEvent::ConfigRead { confirmed_at: Some(at(now_ms)) }, at(now_ms));
+    reader.handle(unchanged(now_ms), at(now_ms));
     assert_eq!(doubt_of_other(&mut reader, &mut other, now_ms), None);
     // A call fails.
     reader.handle(ControlEvent::ConfigReadFailed, at(now_ms + 10));
--- a/crates/galenastream_node/tests/ownership/earlier_programs.rs
+++ b/crates/galenastream_node/tests/ownership/earlier_programs.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     earlier_program::rewritten,
-    fixtures::{HEARTBEAT_MS, config, settings_with_bound},
+    fixtures::{HEARTBEAT_MS, config, config_event, settings_with_bound},
     simulation::at,
     single_node::{ALL_KEYS, START_MS, TARGET, begin_move, next_owner, owned_by, row, send},
 };
@@ -25,7 +25,7 @@
 
 fn configured(state: ControlState) -> ControlState {
     let mut state = state;
-    let config = ControlEvent::Config { config: Box::new(config()), encoded: Bytes::new() };
+    let config = config_event(config());
     state.handle(config, at(START_MS + 10));
     state
 }
--- a/crates/galenastream_node/tests/ownership/fixtures.rs
+++ b/crates/galenastream_node/tests/ownership/fixtures.rs
@@ -2,10 +2,12 @@
 
 use std::time::Duration;
 
+use bytes::Bytes;
 use galenastream_adapter::{
     CallerLimits, ConfigVersion, LeaseDelivery, Listeners, NodeSettings, PlatformBounds,
     ProcessLimits, RoutingConfig, ServiceConfig, StoreSettings,
 };
+use galenastream_node::{ControlEvent, StoredConfig, StoredConfigContent};
 
 /// Interval between the heartbeats of a target.
 pub const HEARTBEAT_MS: u64 = 900;
@@ -48,6 +50,14 @@
     NodeSettings { bounds: PlatformBounds { max_lease_ms, ..settings.bounds }, ..settings }
 }
 
+/// An answer of the store that shows a config for the first time.
+pub fn config_event(config: RoutingConfig) -> ControlEvent {
+    let row_version = config.version.0;
+    let content = StoredConfigContent::Valid { config: Box::new(config), encoded: Bytes::new() };
+    let stored = Some(StoredConfig { row_version, content });
+    ControlEvent::ConfigRead { stored, confirmed_at: None }
+}
+
 pub fn config() -> RoutingConfig {
     config_with_delivery(1, &LeaseDelivery::Heartbeats)
 }
--- a/crates/galenastream_node/tests/ownership/healthy_store.rs
+++ b/crates/galenastream_node/tests/ownership/healthy_store.rs
@@ -6,7 +6,7 @@
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 
 use crate::{
-    fixtures::{address, config, settings},
+    fixtures::{address, config, config_event, settings},
     simulation::at,
 };
 
@@ -118,9 +118,7 @@
         if is_answered {
             let asked_at = at(node.asked_at_ms);
             if node.wait_ms == 0 {
-                let config = Box::new(config());
-                let encoded = Default::default();
-                state.handle(ControlEvent::Config { config, encoded }, at(now_ms));
+                state.handle(config_event(config()), at(now_ms));
                 let rows = ControlEvent::Rows {
                     rows: Vec::new(),
                     version: 7,
@@ -129,7 +127,8 @@
                 state.handle(rows, at(now_ms));
             }
             state.handle(ControlEvent::StoreReached(true), at(now_ms));
-            state.handle(ControlEvent::ConfigRead { confirmed_at: Some(asked_at) }, at(now_ms));
+            let confirmed_at = Some(asked_at);
+            state.handle(ControlEvent::ConfigRead { stored: None, confirmed_at }, at(now_ms));
         }
         node.asked_at_ms = now_ms;
         node.wait_ms = if is_reader { READER_WATCH_MS } else { LONG_WATCH_MS };
--- a/crates/galenastream_node/tests/ownership/hold_evidence.rs
+++ b/crates/galenastream_node/tests/ownership/hold_evidence.rs
@@ -1,11 +1,10 @@
 //! Checks what a node takes for proof that a target holds keys no longer.
 
-use bytes::Bytes;
 use galenastream_adapter::HeartbeatReply;
 use galenastream_node::{ControlEvent, ControlState, Effect, HeartbeatAnswer};
 
 use crate::{
-    fixtures::{config, settings},
+    fixtures::{config, config_event, settings},
     simulation::at,
     single_node::{
         ALL_KEYS, EARLIER_LEASES_MS, START_MS, Sender, TARGET, begin_move, ended, next_owner,
@@ -137,7 +136,7 @@
 fn a_departure_that_was_taken_back_does_not_count_for_the_vacancy() {
     let target = TARGET.owner();
     let mut state = ControlState::new(settings(1), at(START_MS));
-    let config = ControlEvent::Config { config: Box::new(config()), encoded: Bytes::new() };
+    let config = config_event(config());
     state.handle(config, at(START_MS + 10));
     state.handle(ControlEvent::StoreReached(true), at(START_MS + 20));
     let mut departed = owned_by(&target);
--- a/crates/galenastream_node/tests/ownership/hostile_input.rs
+++ b/crates/galenastream_node/tests/ownership/hostile_input.rs
@@ -5,7 +5,10 @@
 
 use bytes::Bytes;
 use galenastream_adapter::{HeartbeatReply, RoutingConfig, Row, StoreError};
-use galenastream_node::{ControlEvent, ControlState, Effect, HeartbeatAnswer, RouteMatch};
+use galenastream_node::{
+    ControlEvent, ControlState, Effect, HeartbeatAnswer, RouteMatch, StoredConfig,
+    StoredConfigContent,
+};
 use galenastream_ranges::Assignment;
 use galenastream_standin::{Corpus, fuzz_config};
 use galenastream_wire::{
@@ -17,7 +20,7 @@
 use tokio::sync::oneshot;
 
 use super::{
-    fixtures::{config, settings},
+    fixtures::{config, config_event, settings},
     simulation::at,
 };
 
@@ -223,6 +226,25 @@
     })
 }
 
+fn config_read() -> impl Strategy<Value = ControlEvent> {
+    let content = prop_oneof![
+        4 => CONFIGS.mutated().prop_map(|encoded| match RoutingConfig::decode(&encoded) {
+            Ok(config) => StoredConfigContent::Valid { config: Box::new(config), encoded },
+            Err(_) => StoredConfigContent::Unreadable { version: None },
+        }),
+        1 => option::of(number())
+            .prop_map(|version| StoredConfigContent::Unreadable { version }),
+        1 => Just(()).prop_map(|()| StoredConfigContent::Missing),
+    ];
+    let stored = (version(), content)
+        .prop_map(|(row_version, content)| StoredConfig { row_version, content });
+    let stored = prop_oneof![2 => Just(()).prop_map(|()| None), 1 => stored.prop_map(Some)];
+    (stored, option::of(0_u64..9_000)).prop_map(|(stored, confirmed_ms)| ControlEvent::ConfigRead {
+        stored,
+        confirmed_at: confirmed_ms.map(at),
+    })
+}
+
 fn event() -> impl Strategy<Value = ControlEvent> {
     let read = (rows(), version(), 0_u64..9_000);
     let store = prop_oneof![
@@ -231,17 +253,13 @@
         }),
         1 => (0_u64..1 << 24).prop_map(ControlEvent::StoreEra),
         1 => any::<bool>().prop_map(ControlEvent::StoreReached),
-        1 => (0_u64..9_000).prop_map(|it| ControlEvent::ConfigRead { confirmed_at: Some(at(it)) }),
+        1 => config_read(),
         1 => any::<()>().prop_map(|()| ControlEvent::ConfigReadFailed),
         2 => rows().prop_map(|rows| ControlEvent::Committed {
             service: "carts".to_owned(),
             assignment: Box::new(Assignment::new()),
             result: Err(StoreError::Conflict { rows }),
         }),
-        1 => CONFIGS.mutated().prop_map(|encoded| match RoutingConfig::decode(&encoded) {
-            Ok(config) => ControlEvent::Config { config: Box::new(config), encoded },
-            Err(_) => ControlEvent::PeerQueryFailed,
-        }),
     ];
     let acknowledged = (node(), number(), option::of(number()), 0_u64..9_000).prop_map(
         |(node, config_version, config_age_ms, asked_at)| ControlEvent::StatusAcknowledged {
@@ -293,7 +311,7 @@
 fn check_events(events: Vec<(ControlEvent, u64)>) -> Result<(), TestCaseError> {
     let mut state = ControlState::new(settings(0), at(0));
     let mut now_ms = 2_000;
-    let start = ControlEvent::Config { config: Box::new(config()), encoded: Bytes::new() };
+    let start = config_event(config());
     let mut answers = Vec::new();
     for (event, step_ms) in std::iter::once((start, 0)).chain(events) {
         now_ms += step_ms;
--- a/crates/galenastream_node/tests/ownership/incarnations.rs
+++ b/crates/galenastream_node/tests/ownership/incarnations.rs
@@ -1,6 +1,5 @@
 //! Checks which heartbeats a node accepts for its local target.
 
-use bytes::Bytes;
 use galenastream_adapter::Row;
 use galenastream_node::{ControlEvent, ControlState, Effect, ProbeAnswer, TargetProbe};
 use galenastream_ranges::{Assignment, KeyRange, Owner, TargetIncarnation};
@@ -9,7 +8,7 @@
 use tokio::sync::oneshot;
 
 use crate::{
-    fixtures::{address, config, settings},
+    fixtures::{address, config, config_event, settings},
     simulation::at,
 };
 
@@ -122,10 +121,7 @@
             ControlEvent::Rows { rows: vec![row], version: 3, confirmed_at: Some(at(90)) },
             at(95),
         );
-        state.handle(
-            ControlEvent::Config { config: Box::new(config()), encoded: Bytes::new() },
-            at(96),
-        );
+        state.handle(config_event(config()), at(96));
         // Without the store, the facts in the status show which incarnations the node takes for
         // ended.
         state.handle(ControlEvent::StoreReached(false), at(97));
@@ -148,7 +144,7 @@
 fn a_restarted_node_grants_nothing_on_a_row_confirmed_before_its_start() {
     const START_MS: u64 = 100_000;
     let mut state = ControlState::new(settings(0), at(START_MS));
-    let config = ControlEvent::Config { config: Box::new(config()), encoded: Bytes::new() };
+    let config = config_event(config());
     state.handle(config, at(START_MS + 10));
     let mut assignment = Assignment::new();
     let name = settings(0).node_name;
@@ -189,8 +185,7 @@
 #[test]
 fn a_write_that_found_the_queue_full_is_requested_again() {
     let mut state = ControlState::new(settings(0), at(0));
-    let config = Box::new(config());
-    state.handle(ControlEvent::Config { config, encoded: Bytes::new() }, at(10));
+    state.handle(config_event(config()), at(10));
     state.handle(ControlEvent::StoreReached(true), at(20));
     let rows = ControlEvent::Rows { rows: Vec::new(), version: 1, confirmed_at: Some(at(20)) };
     state.handle(rows, at(30));
--- a/crates/galenastream_node/tests/ownership/lease_calls.rs
+++ b/crates/galenastream_node/tests/ownership/lease_calls.rs
@@ -1,12 +1,11 @@
 //! Checks what a node takes from calls to its target: which keys are held, and which are not any more.
 
-use bytes::Bytes;
 use galenastream_adapter::{HeartbeatReply, LeaseDelivery};
 use galenastream_node::{ControlEvent, ControlState, Effect, HeartbeatAnswer};
 use galenastream_ranges::{Assignment, CallId, CallOutcome, LeaseOrder, PlannedCall};
 
 use crate::{
-    fixtures::{HEARTBEAT_MS, config_with_delivery, settings},
+    fixtures::{HEARTBEAT_MS, config_event, config_with_delivery, settings},
     simulation::at,
     single_node::{
         EARLIER_LEASES_MS, Reply, START_MS, Sender, TARGET, begin_move, heartbeat, next_owner,
@@ -43,8 +42,7 @@
             row_version: 3,
             calls: Vec::new(),
         };
-        let config = Box::new(config_with_delivery(1, delivery));
-        node.handle(ControlEvent::Config { config, encoded: Bytes::new() });
+        node.handle(config_event(config_with_delivery(1, delivery)));
         node.read(assignment);
         node.handle(ControlEvent::StoreReached(false));
         node.beat(TARGET);
--- a/crates/galenastream_node/tests/ownership/lease_conditions.rs
+++ b/crates/galenastream_node/tests/ownership/lease_conditions.rs
@@ -8,7 +8,7 @@
 use galenastream_ranges::{KeyRange, LeaseTerms};
 
 use crate::{
-    fixtures::{HEARTBEAT_MS, config, settings, settings_with_bound},
+    fixtures::{HEARTBEAT_MS, config, config_event, settings, settings_with_bound},
     simulation::at,
     single_node::{
         ALL_KEYS, Reply, START_MS, TARGET, ended, node_with_leases, owned_by, row, send, send_probe,
@@ -153,7 +153,7 @@
 #[test]
 fn a_node_with_shorter_bounds_grants_within_the_validity_of_the_row() {
     let mut state = ControlState::new(settings_with_bound(0, 4_000), at(START_MS));
-    let config = ControlEvent::Config { config: Box::new(config()), encoded: Bytes::new() };
+    let config = config_event(config());
     state.handle(config, at(START_MS));
     let mut assignment = owned_by(&TARGET.owner());
     let second = Duration::from_secs(1);
@@ -169,7 +169,7 @@
 /// When a planner that first reads the departure at `START_MS` completes the move.
 fn vacant_after_ms(terms: Option<LeaseTerms>) -> u64 {
     let mut state = ControlState::new(settings(1), at(START_MS));
-    let config = ControlEvent::Config { config: Box::new(config()), encoded: Bytes::new() };
+    let config = config_event(config());
     state.handle(config, at(START_MS));
     reaches_store(&mut state, START_MS);
     let mut assignment = owned_by(&TARGET.owner());
@@ -199,7 +199,7 @@
 fn first_write_after_ms(is_first_start: bool) -> u64 {
     let settings = NodeSettings { is_first_start, ..settings(0) };
     let mut state = ControlState::new(settings, at(START_MS));
-    let config = ControlEvent::Config { config: Box::new(config()), encoded: Bytes::new() };
+    let config = config_event(config());
     state.handle(config, at(START_MS));
     reaches_store(&mut state, START_MS);
     let rows =
--- a/crates/galenastream_node/tests/ownership/liveness.rs
+++ b/crates/galenastream_node/tests/ownership/liveness.rs
@@ -1,6 +1,5 @@
 //! Checks that keys of a lost owner do not stay without a holder, and that live owners keep theirs.
 
-use bytes::Bytes;
 use galenastream_adapter::HeartbeatReply;
 use galenastream_node::{
     ControlEvent, ControlState, Effect, HeartbeatAnswer, ProbeAnswer, TargetProbe,
@@ -8,7 +7,7 @@
 use galenastream_wire::NodeStatus;
 
 use crate::{
-    fixtures::{HEARTBEAT_MS, config, settings},
+    fixtures::{HEARTBEAT_MS, config, config_event, settings},
     simulation::at,
     single_node::{
         ALL_KEYS, START_MS, Sender, TARGET, begin_move, ended, heartbeat, next_owner,
@@ -28,7 +27,7 @@
 
 fn planner() -> ControlState {
     let mut state = ControlState::new(settings(0), at(START_MS));
-    let config = ControlEvent::Config { config: Box::new(config()), encoded: Bytes::new() };
+    let config = config_event(config());
     state.handle(config, at(START_MS + 10));
     state.handle(ControlEvent::StoreReached(true), at(START_MS + 20));
     state
--- a/crates/galenastream_node/tests/ownership/other_processes.rs
+++ b/crates/galenastream_node/tests/ownership/other_processes.rs
@@ -1,13 +1,12 @@
 //! Checks that keys move only on evidence that holds for other processes, settings and rows too.
 
-use bytes::Bytes;
 use galenastream_adapter::{HeartbeatReply, Row};
 use galenastream_node::{ControlEvent, ControlState, Effect, HeartbeatAnswer};
 use galenastream_ranges::{Assignment, LeaseTerms, Owner, TargetIncarnation};
 use galenastream_wire::{IncarnationRecord, NodeStatus, OwnershipFacts, SyncQuery};
 
 use crate::{
-    fixtures::{HEARTBEAT_MS, config, settings, settings_with_bound},
+    fixtures::{HEARTBEAT_MS, config, config_event, settings, settings_with_bound},
     injected_bug::InjectedBug,
     simulation::{STEP_MS, Simulation, at},
     single_node::{
@@ -37,7 +36,7 @@
 
 fn configured(state: ControlState, now_ms: u64) -> ControlState {
     let mut state = state;
-    let config = ControlEvent::Config { config: Box::new(config()), encoded: Bytes::new() };
+    let config = config_event(config());
     state.handle(config, at(now_ms));
     state
 }
--- a/crates/galenastream_node/tests/ownership/planner_rounds.rs
+++ b/crates/galenastream_node/tests/ownership/planner_rounds.rs
@@ -1,12 +1,11 @@
 //! Checks when a planner balances the load of targets.
 
-use bytes::Bytes;
 use galenastream_node::{ControlEvent, ControlState, Effect};
 use galenastream_ranges::{Assignment, KeyRange, Owner, TargetIncarnation};
 use galenastream_wire::{KeyLoadRecord, NodeStatus, TargetStatus};
 
 use crate::{
-    fixtures::{config, settings},
+    fixtures::{config, config_event, settings},
     simulation::at,
     single_node::{START_MS, TARGET, next_owner, row, send},
 };
@@ -53,7 +52,7 @@
     assignment.assign(UPPER_HALF, &silent);
     assignment.begin_move(UPPER_HALF, Some(&next_owner()), 2);
     let mut state = ControlState::new(settings(0), at(START_MS));
-    let config = ControlEvent::Config { config: Box::new(config()), encoded: Bytes::new() };
+    let config = config_event(config());
     state.handle(config, at(START_MS));
     state.handle(ControlEvent::StoreReached(true), at(START_MS));
     let mut version = 3;
--- a/crates/galenastream_node/tests/ownership/silent_nodes.rs
+++ b/crates/galenastream_node/tests/ownership/silent_nodes.rs
@@ -1,12 +1,11 @@
 //! Checks when a planner takes a node for lost.
 
-use bytes::Bytes;
 use galenastream_node::{ControlEvent, ControlState, Effect};
 use galenastream_ranges::{Assignment, Holding, KeyRange, Owner, TargetIncarnation};
 use galenastream_wire::NodeStatus;
 
 use crate::{
-    fixtures::{address, config, settings},
+    fixtures::{address, config, config_event, settings},
     simulation::at,
     single_node::{START_MS, row},
 };
@@ -43,7 +42,7 @@
 /// A planner that hears nodes 1 and 2 for 10 s. Returns the time of their last statuses as well.
 fn planner() -> (ControlState, u64) {
     let mut state = ControlState::new(settings(0), at(START_MS));
-    let config = ControlEvent::Config { config: Box::new(config()), encoded: Bytes::new() };
+    let config = config_event(config());
     state.handle(config, at(START_MS));
     state.handle(ControlEvent::StoreReached(true), at(START_MS));
     state.handle(row(&assigned(), 3, START_MS), at(START_MS));
--- a/crates/galenastream_node/tests/ownership/single_node.rs
+++ b/crates/galenastream_node/tests/ownership/single_node.rs
@@ -1,6 +1,5 @@
 //! One node in virtual time, with the events that its target, its store and its probes cause.
 
-use bytes::Bytes;
 use galenastream_adapter::{HeartbeatReply, Row};
 use galenastream_node::{ControlEvent, ControlState, HeartbeatAnswer, ProbeAnswer, TargetProbe};
 use galenastream_ranges::{Assignment, KeyRange, Owner, TargetIncarnation};
@@ -8,7 +7,7 @@
 use tokio::sync::oneshot;
 
 use crate::{
-    fixtures::{HEARTBEAT_MS, address, config, settings},
+    fixtures::{HEARTBEAT_MS, address, config, config_event, settings},
     simulation::at,
 };
 
@@ -128,7 +127,7 @@
 /// its status states what it takes for proven.
 pub fn started_node(assignment: &Assignment) -> ControlState {
     let mut state = ControlState::new(settings(0), at(START_MS));
-    let config = ControlEvent::Config { config: Box::new(config()), encoded: Bytes::new() };
+    let config = config_event(config());
     state.handle(config, at(START_MS + 10));
     state.handle(row(assignment, 3, START_MS + 20), at(START_MS + 30));
     state.handle(ControlEvent::StoreReached(false), at(START_MS + 40));
--- a/crates/galenastream_node/tests/ownership/state_machine/deployment.rs
+++ b/crates/galenastream_node/tests/ownership/state_machine/deployment.rs
@@ -16,7 +16,7 @@
     step::{Born, Step},
 };
 use crate::{
-    fixtures::{address, config, settings},
+    fixtures::{address, config, config_event, settings},
     injected_bug::{InjectedBug, apply_to_reply},
     node_clock::NodeClock,
 };
@@ -159,7 +159,7 @@
         }
         if vm.state.is_none() && now_ms >= vm.starts_at_ms {
             vm.state = Some(ControlState::new(settings(index), vm.clock.at(now_ms)));
-            let config = ControlEvent::Config { config: Box::new(config()), encoded: Bytes::new() };
+            let config = config_event(config());
             self.send(index, config);
         }
         let vm = &mut self.vms[index];
--- a/crates/galenastream_node/tests/ownership/sync_queries.rs
+++ b/crates/galenastream_node/tests/ownership/sync_queries.rs
@@ -4,7 +4,7 @@
 use galenastream_wire::NodeStatus;
 
 use crate::{
-    fixtures::{address, config, settings},
+    fixtures::{address, config, config_event, settings},
     simulation::at,
 };
 
@@ -44,8 +44,7 @@
 
 fn node_with_config() -> ControlState {
     let mut state = ControlState::new(settings(0), at(0));
-    let config = Box::new(config());
-    state.handle(ControlEvent::Config { config, encoded: Default::default() }, at(100));
+    state.handle(config_event(config()), at(100));
     state
 }
 
--- a/crates/galenastream_node/tests/platform/store_restore.rs
+++ b/crates/galenastream_node/tests/platform/store_restore.rs
@@ -17,7 +17,7 @@
 async fn value_in_store(deployment: &LocalDeployment, key: &str) -> Option<String> {
     let mut connection = StoreClient::new(deployment.store.address()).new_connection();
     let table = connection.read_table(SHARED_ROWS_TABLE, Duration::from_secs(1)).await.ok()?;
-    let row = table.rows.into_iter().find(|it| it.key == key)?;
+    let row = table.into_rows().into_iter().find(|it| it.key == key)?;
     Some(String::from_utf8_lossy(&row.value?).into_owned())
 }
 
