Read the whole table when an answer to a watch has no room for all changes

The version of an answer may lie past changes that did not fit into it (500 rows, 1 MB); the node went on from it and would never have read them. An answer that says so, or reaches a limit, is now dropped and the table read in full, page by page.

--- a/crates/galenastream_node/src/process/store_follower.rs
+++ b/crates/galenastream_node/src/process/store_follower.rs
@@ -115,8 +115,12 @@
                 is_confirmed |= confirmed_at.is_some();
                 deliver(&context, table, changed, !is_watch, confirmed_at).await;
             }
-            Err(StoreError::HistoryDropped) => {
-                log::info!(event = "store_history_dropped", table = table.name(); "");
+            Err(error @ (StoreError::HistoryDropped | StoreError::ChangesCutOff)) => {
+                let event = match error {
+                    StoreError::ChangesCutOff => "store_changes_cut_off",
+                    _ => "store_history_dropped",
+                };
+                log::info!(event, table = table.name(); "");
                 known_version = None;
                 if let Some(delay) = drop_backoff {
                     sleep(delay).await;
