Take an assignment out of force when its newest row is malformed

A row whose value is not Base64 was logged and dropped, and the answer's version confirmed the assignment before it: leases went on while the keys may have had other owners by the newer row. Rows that decode to no assignment were handled already. The keys of malformed rows, with their versions, now reach the control state before the other rows of the answer. Test: a_malformed_newest_row_takes_the_assignment_before_out_of_force.

--- a/crates/galenastream_node/src/process/control_event.rs
+++ b/crates/galenastream_node/src/process/control_event.rs
@@ -3,7 +3,9 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use galenastream_adapter::{ExpectedRow, HeartbeatReply, NodeSettings, Row, RowWrite, StoreError};
+use galenastream_adapter::{
+    ExpectedRow, HeartbeatReply, MalformedRow, NodeSettings, Row, RowWrite, StoreError,
+};
 use galenastream_ranges::{Assignment, CallId, CallOutcome, PlannedCall, TargetIncarnation};
 use galenastream_utils::BootInstant;
 use galenastream_wire::{NodeStatus, StatusSeen, SyncState};
@@ -71,6 +73,8 @@
         /// An instant at which these rows were current; `None` if that is not known.
         confirmed_at: Option<BootInstant>,
     },
+    /// The newest changes of shared rows cannot be decoded. Precedes the other changes of the answer.
+    RowsMalformed(Vec<MalformedRow>),
     /// The table of the config was read, or a watch on it ended.
     ConfigRead {
         /// What the store holds as the newest config; `None` if that has not changed since the last
--- a/crates/galenastream_node/src/process/control_state.rs
+++ b/crates/galenastream_node/src/process/control_state.rs
@@ -231,6 +231,7 @@
             }
             ControlEvent::StoreEra(era) => self.record_era(era, now),
             ControlEvent::Settled { result } => self.handle_settlement(result, now),
+            ControlEvent::RowsMalformed(rows) => self.handle_malformed_rows(&rows),
             ControlEvent::ConfigRead { stored, confirmed_at } => {
                 self.handle_config_read(stored, confirmed_at, now);
             }
--- a/crates/galenastream_node/src/process/store_follower.rs
+++ b/crates/galenastream_node/src/process/store_follower.rs
@@ -219,6 +219,10 @@
     events.send(ControlEvent::StoreReached(true)).await;
     match table {
         FollowedTable::SharedRows => {
+            let malformed = answer.malformed_rows();
+            if !malformed.is_empty() {
+                events.send(ControlEvent::RowsMalformed(malformed)).await;
+            }
             let version = answer.version;
             let rows = answer.into_rows();
             events.send(ControlEvent::Rows { rows, version, confirmed_at }).await;
--- a/crates/galenastream_node/src/process/store_view.rs
+++ b/crates/galenastream_node/src/process/store_view.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use galenastream_adapter::{RoutingConfig, Row, StoreError, era_of};
+use galenastream_adapter::{MalformedRow, RoutingConfig, Row, StoreError, era_of};
 use galenastream_ranges::{Assignment, LeaseTerms, VacancyTracker};
 use galenastream_settings::SettingsTree;
 use galenastream_utils::BootInstant;
@@ -191,6 +191,20 @@
         }
     }
 
+    /// Takes assignments out of force whose newest rows cannot be decoded.
+    pub(super) fn handle_malformed_rows(&mut self, rows: &[MalformedRow]) {
+        for row in rows {
+            let Some(SharedRowKey::Assignment(service)) = SharedRowKey::parse(&row.key) else {
+                continue;
+            };
+            let record = self.assignment_record(service);
+            if row.version > record.version {
+                log::warn!(event = "keys_row_malformed", service, reason = "not Base64"; "");
+                record.unreadable_version = record.unreadable_version.max(Some(row.version));
+            }
+        }
+    }
+
     /// Puts a settings tree in force. An invalid tree is refused, and the current one stays in
     /// force.
     fn apply_settings_tree(&mut self, row: &Row) {
@@ -288,7 +302,7 @@
         let returned_to = record.assignment.returned_to(&assignment);
         record.vacancy.observe(&assignment, now);
         record.version = version;
-        record.unreadable_version = None;
+        record.unreadable_version = record.unreadable_version.filter(|it| *it > version);
         record.stated_ends.clear();
         log::info!(
             event = "assignment_known",
--- a/crates/galenastream_node/tests/ownership/hostile_input.rs
+++ b/crates/galenastream_node/tests/ownership/hostile_input.rs
@@ -4,7 +4,7 @@
 use std::sync::LazyLock;
 
 use bytes::Bytes;
-use galenastream_adapter::{HeartbeatReply, RoutingConfig, Row, StoreError};
+use galenastream_adapter::{HeartbeatReply, MalformedRow, RoutingConfig, Row, StoreError};
 use galenastream_node::{
     ControlEvent, ControlState, Effect, HeartbeatAnswer, RouteMatch, StoredConfig,
     StoredConfigContent,
@@ -226,6 +226,11 @@
     })
 }
 
+fn malformed_row() -> impl Strategy<Value = MalformedRow> {
+    let key = prop_oneof![Just("keys/carts".to_owned()), name()];
+    (key, version()).prop_map(|(key, version)| MalformedRow { key, version })
+}
+
 fn config_read() -> impl Strategy<Value = ControlEvent> {
     let content = prop_oneof![
         4 => CONFIGS.mutated().prop_map(|encoded| match RoutingConfig::decode(&encoded) {
@@ -254,6 +259,7 @@
         1 => (0_u64..1 << 24).prop_map(ControlEvent::StoreEra),
         1 => any::<bool>().prop_map(ControlEvent::StoreReached),
         1 => config_read(),
+        1 => vec(malformed_row(), 0..4).prop_map(ControlEvent::RowsMalformed),
         1 => any::<()>().prop_map(|()| ControlEvent::ConfigReadFailed),
         2 => rows().prop_map(|rows| ControlEvent::Committed {
             service: "carts".to_owned(),
--- a/crates/galenastream_node/tests/ownership/lease_conditions.rs
+++ b/crates/galenastream_node/tests/ownership/lease_conditions.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use galenastream_adapter::{Grant, HeartbeatReply, NodeSettings, Row};
+use galenastream_adapter::{Grant, HeartbeatReply, MalformedRow, NodeSettings, Row};
 use galenastream_node::{ControlEvent, ControlState, Effect, HeartbeatAnswer};
 use galenastream_ranges::{KeyRange, LeaseTerms};
 
@@ -187,6 +187,25 @@
     panic!("the keys never become vacant");
 }
 
+/// Guards against leases on an assignment whose newest row cannot be decoded even as a row.
+#[test]
+fn a_malformed_newest_row_takes_the_assignment_before_out_of_force() {
+    let (mut state, heard_ms) = node_with_leases(TARGET);
+    let malformed = |version| {
+        ControlEvent::RowsMalformed(vec![MalformedRow { key: "keys/carts".to_owned(), version }])
+    };
+    let assignment = owned_by(&TARGET.owner());
+    // An answer with two changes, of which the later one is malformed.
+    state.handle(malformed(5), at(heard_ms + 110));
+    state.handle(row(&assignment, 4, heard_ms + 100), at(heard_ms + 110));
+    let (grants, _) = leases_after_heartbeat(&mut state, 13, heard_ms + HEARTBEAT_MS);
+    assert_eq!(grants, []);
+    state.handle(row(&assignment, 6, heard_ms + 2_000), at(heard_ms + 2_010));
+    state.handle(malformed(5), at(heard_ms + 2_020));
+    let (grants, _) = leases_after_heartbeat(&mut state, 14, heard_ms + 2_100);
+    assert_eq!(grants.len(), 1);
+}
+
 /// Guards against a takeover before the leases end that nodes with longer limits have granted.
 #[test]
 fn a_planner_waits_for_the_limits_in_the_row() {
