Put the era in force that the newest of several rows names

The first row of the era in an answer decided; a later one in the same answer was recorded as known and had no effect until the table was read in full, so the restored assignments stayed out of force.

--- a/crates/galenastream_node/src/process/store_view.rs
+++ b/crates/galenastream_node/src/process/store_view.rs
@@ -177,7 +177,8 @@
         }
         // The row that names the era in force decides what the others mean.
         let era_key = SharedRowKey::Era.key();
-        if let Some(era_row) = rows.iter().find(|it| it.key == era_key).cloned() {
+        let era_rows = rows.iter().filter(|it| it.key == era_key);
+        if let Some(era_row) = era_rows.max_by_key(|it| it.version).cloned() {
             rows.extend(self.apply_era_row(&era_row));
         }
         for row in rows {
--- a/crates/galenastream_node/tests/ownership/lease_conditions.rs
+++ b/crates/galenastream_node/tests/ownership/lease_conditions.rs
@@ -3,9 +3,11 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use galenastream_adapter::{Grant, HeartbeatReply, MalformedRow, NodeSettings, Row};
+use galenastream_adapter::{Grant, HeartbeatReply, MalformedRow, NodeSettings, Row, version_in};
 use galenastream_node::{ControlEvent, ControlState, Effect, HeartbeatAnswer};
 use galenastream_ranges::{KeyRange, LeaseTerms};
+use galenastream_wire::{EraRow, SharedRowKey};
+use prost::Message;
 
 use crate::{
     fixtures::{HEARTBEAT_MS, config, config_event, settings, settings_with_bound},
@@ -206,6 +208,29 @@
     assert_eq!(grants.len(), 1);
 }
 
+/// Guards against rows of a restored store that stay out of force, since an older row in the same
+/// answer names an earlier era.
+#[test]
+fn the_newest_row_of_the_era_in_an_answer_puts_it_in_force() {
+    let mut state = ControlState::new(settings(0), at(START_MS));
+    state.handle(config_event(config()), at(START_MS));
+    let era_row = |era, number| {
+        let value = Some(Bytes::from(EraRow { era }.encode_to_vec()));
+        Row { key: SharedRowKey::Era.key(), value, version: version_in(2, number) }
+    };
+    let assignment = Row {
+        key: "keys/carts".to_owned(),
+        value: Some(owned_by(&TARGET.owner()).encode_row().into()),
+        version: version_in(2, 6),
+    };
+    let rows = vec![era_row(1, 5), assignment, era_row(2, 7)];
+    let confirmed_at = Some(at(START_MS + 10));
+    let event = ControlEvent::Rows { rows, version: version_in(2, 7), confirmed_at };
+    state.handle(event, at(START_MS + 20));
+    let (grants, _) = leases_after_heartbeat(&mut state, 1, START_MS + 1_000);
+    assert_eq!(grants.len(), 1);
+}
+
 /// Guards against a takeover before the leases end that nodes with longer limits have granted.
 #[test]
 fn a_planner_waits_for_the_limits_in_the_row() {
