Take a retry from the budget when it is sent, not when it has no target

Callers got 502 "lost" for requests that could have been retried elsewhere, for up to 10 s after a time in which only one target of the service was known and failed: each of its requests took a retry that was never sent.

Traced from KNOWN-RED.txt, unsigned_answers: its setup polls every 2 ms while one target sheds and the other is not known yet, which on a busy machine is long enough to use up the budget of the window; the first request of the first round then ends with 502 "lost". That the two listed failures were this is likely, not shown, as their logs lack it.

--- a/crates/galenastream_node/src/request/attempts.rs
+++ b/crates/galenastream_node/src/request/attempts.rs
@@ -170,6 +170,9 @@
                 tokio::time::sleep(OWNER_POLL_INTERVAL).await;
                 continue;
             };
+            if progress.is_retry_due && !self.begin_retry(&mut progress) {
+                return progress.give_up();
+            }
             self.record_attempt(&destination);
             let mut counted = CountedAttempt::new(self.traffic, self.service, &destination);
             let may_retry = || self.may_retry(&progress);
@@ -301,12 +304,24 @@
             progress.tried.push(destination.target);
         }
         let is_allowed = progress.reached < self.request.route.max_attempts;
-        if !is_allowed || !self.has_time() || !self.traffic.take_retry(self.service) {
+        if !is_allowed || !self.has_time() || !self.traffic.has_retry(self.service) {
             return NextStep::Done(progress.give_up());
         }
-        counter!("galenastream_retries_total", "service" => self.service.to_owned()).increment(1);
+        progress.is_retry_due = true;
         NextStep::Retry
     }
+
+    /// Takes a retry that is about to be sent from the budget. Returns whether it may be sent. One
+    /// that finds no target takes nothing.
+    fn begin_retry(&self, progress: &mut Progress) -> bool {
+        let is_taken = self.traffic.take_retry(self.service);
+        if is_taken {
+            progress.is_retry_due = false;
+            let service = self.service.to_owned();
+            counter!("galenastream_retries_total", "service" => service).increment(1);
+        }
+        is_taken
+    }
 }
 
 /// Whether an attempt failed for a reason that a change of the key's owner may explain.
--- a/crates/galenastream_node/src/request/progress.rs
+++ b/crates/galenastream_node/src/request/progress.rs
@@ -28,6 +28,8 @@
     /// The last 5xx response of a target, which [`Progress::give_up`] returns.
     pub(super) failure: Option<ForwardedReply>,
     pub(super) may_have_run: bool,
+    /// Whether the next attempt is a retry that is not taken from the budget yet.
+    pub(super) is_retry_due: bool,
     /// The target to which the request was sent to find out whether its limit has ended. One trial
     /// for each request is enough.
     trial: OnceLock<TargetIncarnation>,
@@ -43,6 +45,7 @@
             retry_after_ms: DEFAULT_RETRY_AFTER_MS,
             failure: None,
             may_have_run: false,
+            is_retry_due: false,
             trial: OnceLock::new(),
         }
     }
--- a/crates/galenastream_node/tests/platform/unsigned_answers.rs
+++ b/crates/galenastream_node/tests/platform/unsigned_answers.rs
@@ -4,7 +4,9 @@
 
 use futures::{SinkExt, StreamExt};
 use galenastream_runtime::{BodyBudget, FrameLink};
-use galenastream_standin::{LocalDeployment, TargetAnswerFault, request_bytes, wait_until};
+use galenastream_standin::{
+    CallerConnection, LocalDeployment, TargetAnswerFault, request_bytes, wait_until,
+};
 use galenastream_wire::{
     ForwardedReply, FrameCodec, NodeStatus, PeerFrame, ReplyOutcome, StatusSeen, TargetStatus,
     peer_frame::Body,
@@ -94,6 +96,28 @@
     deployment.close().unwrap();
 }
 
+/// Guards against requests that are not retried although the budget allows it, since requests without
+/// another target have used it up.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_retry_without_a_target_is_not_taken_from_the_budget() {
+    /// More than the budget of a node allows in its window.
+    const REQUESTS: usize = 40;
+    let deployment = start("retries-without-target", &["stock", "carts"]).await;
+    deployment.vms[0].target.set_fault(TargetAnswerFault::Unsigned(200));
+    for number in 0..REQUESTS {
+        let mut caller = deployment.vms[0].caller().await.expect(WORKS);
+        let id = format!("alone-{number}");
+        let answer = caller.get("/stock/1", &id, None).await.expect(WORKS);
+        assert_eq!(answer.status, 502, "{answer:?}");
+    }
+    let operator = CallerConnection::connect(deployment.vms[0].metrics_address());
+    let page = operator.await.expect(WORKS).get("/metrics", "metrics", None).await.expect(WORKS);
+    let retries: Vec<&str> =
+        page.body.lines().filter(|it| it.starts_with("galenastream_retries_total")).collect();
+    assert_eq!(retries, Vec::<&str>::new());
+    deployment.close().unwrap();
+}
+
 /// Waits until a node has requests answered at the target beside the other one.
 async fn wait_until_other_target_is_known(deployment: &LocalDeployment, entry: usize) {
     let target = &deployment.vms[entry].target;
