--- a/crates/galenastream_node/tests/ownership/store.rs
+++ b/crates/galenastream_node/tests/ownership/store.rs
@@ -56,8 +56,8 @@
     copies: VecDeque<(u64, Rows, u64)>,
     /// A copy that is kept however old it is.
     old_copy: Option<(Rows, u64)>,
-    /// Removed rows with the numbers of their removals.
-    removed: BTreeMap<String, u64>,
+    /// Each change since the start or the last restore, in order: key, value, and number.
+    log: Vec<(String, Option<Bytes>, u64)>,
     /// The numbers of rows that older programs cannot decode.
     unreadable: Vec<u64>,
 }
@@ -71,7 +71,7 @@
             number: 1,
             copies: VecDeque::new(),
             old_copy: None,
-            removed: BTreeMap::new(),
+            log: Vec::new(),
             unreadable: Vec::new(),
         }
     }
@@ -101,17 +101,14 @@
         }
     }
 
-    /// The rows that were written or removed after a version.
+    /// Each change after a version, in order. A row that changed twice is there twice.
     pub fn changes_after(&self, version: u64) -> Vec<Row> {
-        let mut rows = self.rows();
-        let removed = self.removed.iter().map(|(key, number)| Row {
+        let to_row = |(key, value, number): &(String, Option<Bytes>, u64)| Row {
             key: key.clone(),
-            value: None,
+            value: value.clone(),
             version: version_in(self.era, *number),
-        });
-        rows.extend(removed);
-        rows.retain(|it| it.version > version);
-        rows
+        };
+        self.log.iter().map(to_row).filter(|it| it.version > version).collect()
     }
 
     /// Makes the current assignment unreadable for older programs.
@@ -176,11 +173,11 @@
             match write {
                 RowWrite::Put { key, value } => {
                     self.rows.insert(key.clone(), (value.clone(), self.number));
-                    self.removed.remove(key);
+                    self.log.push((key.clone(), Some(value.clone()), self.number));
                 }
                 RowWrite::Remove { key } => {
                     self.rows.remove(key);
-                    self.removed.insert(key.clone(), self.number);
+                    self.log.push((key.clone(), None, self.number));
                 }
             }
         }
@@ -199,7 +196,7 @@
         self.rows = rows;
         self.number = number;
         self.copies.truncate(index);
-        self.removed.retain(|_, removed| *removed <= number);
+        self.log.retain(|it| it.2 <= number);
         self.unreadable.retain(|it| *it <= number);
     }
 }
