--- a/crates/galenastream_node/src/process/config_confirmation.rs
+++ b/crates/galenastream_node/src/process/config_confirmation.rs
@@ -1,8 +1,9 @@
 //! Whether the config of this node is known to be the newest one.
 //!
 //! A confirmation names a version and an instant at which the store held no newer config. It counts
-//! for configs in force that are not older than that version, and loses its worth with age. The nodes that read the shared rows watch the config for a short time
-//! and thus renew it; all others learn of it from them.
+//! for configs in force that are not older than that version, and loses its worth with age. The nodes
+//! that read the shared rows watch the config for a short time and thus renew it; all others learn
+//! of it from them.
 
 use std::time::Duration;
 
@@ -25,13 +26,14 @@
 pub(super) struct KnownStoredConfig {
     /// The version of its row.
     row_version: u64,
+    /// The version of the config in that row.
     version: StoredVersion,
 }
 
-/// The version of a config in the store.
+/// The version of a config in the store, in the order of what it takes to confirm a config in force.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum StoredVersion {
-    /// A version; whether or not the config can be decoded.
+    /// This version, whether or not the rest of the config can be decoded.
     Known(u64),
     /// A config whose version cannot be decoded, and which may be newer than any other.
     Unknown,
--- a/crates/galenastream_node/src/process/store_view.rs
+++ b/crates/galenastream_node/src/process/store_view.rs
@@ -200,7 +200,7 @@
             };
             let record = self.assignment_record(service);
             if row.version > record.version {
-                log::warn!(event = "keys_row_malformed", service, reason = "not Base64"; "");
+                log::warn!(event = "keys_row_malformed", service, reason = "malformed row"; "");
                 record.unreadable_version = record.unreadable_version.max(Some(row.version));
             }
         }
