Reproduce: a row that a malformed one has replaced is confirmed to peers

The answer to a peer's sync query holds the older row and an age of confirmation (20 ms in the test) that covers the malformed newer one, so the peer may grant leases on it.

--- a/crates/galenastream_node/tests/ownership/lease_conditions.rs
+++ b/crates/galenastream_node/tests/ownership/lease_conditions.rs
@@ -6,7 +6,7 @@
 use galenastream_adapter::{Grant, HeartbeatReply, MalformedRow, NodeSettings, Row, version_in};
 use galenastream_node::{ControlEvent, ControlState, Effect, HeartbeatAnswer};
 use galenastream_ranges::{KeyRange, LeaseTerms};
-use galenastream_wire::{EraRow, SharedRowKey};
+use galenastream_wire::{EraRow, SharedRowKey, SyncQuery};
 use prost::Message;
 
 use crate::{
@@ -208,6 +208,21 @@
     assert_eq!(grants.len(), 1);
 }
 
+/// Guards against peers that grant leases on a row which a malformed one has replaced, since this node
+/// confirms it to them.
+#[test]
+fn a_row_that_a_malformed_one_has_replaced_is_not_confirmed_to_peers() {
+    let (mut state, heard_ms) = node_with_leases(TARGET);
+    let key = "keys/carts".to_owned();
+    let malformed = ControlEvent::RowsMalformed(vec![MalformedRow { key, version: 5 }]);
+    state.handle(malformed, at(heard_ms + 110));
+    let confirmed_at = Some(at(heard_ms + 100));
+    let rows = ControlEvent::Rows { rows: Vec::new(), version: 5, confirmed_at };
+    state.handle(rows, at(heard_ms + 110));
+    let answer = state.sync_snapshot().state_for(&SyncQuery::default(), at(heard_ms + 120));
+    assert_eq!(answer.confirmed_age_ms, u64::MAX, "{} rows", answer.rows.len());
+}
+
 /// Guards against rows of a restored store that stay out of force, since an older row in the same
 /// answer names an earlier era.
 #[test]
