Do not confirm to peers a row that a malformed one has replaced

A node whose newest row of an assignment is malformed grants nothing on the one before, but told its peers that this row was confirmed up to the newer version, so that they could grant on it. The answer to a sync query states no confirmation while the store has a newer row than the one that is passed on. a_row_that_a_malformed_one_has_replaced_is_not_confirmed_to_peers failed before (an age of 20 ms) and passes; nothing changes without such a row.

--- a/crates/galenastream_node/src/process/publication.rs
+++ b/crates/galenastream_node/src/process/publication.rs
@@ -133,7 +133,7 @@
             config: self.encoded_config.clone(),
             rows: self.shared_rows(),
             rows_version: self.rows_version,
-            confirmed_at: self.confirmed_at,
+            confirmed_at: self.confirmed_at.filter(|_| !self.misses_newer_row()),
             config_confirmed_at: self.config_confirmed_at(),
         }
     }
--- a/crates/galenastream_node/src/process/store_view.rs
+++ b/crates/galenastream_node/src/process/store_view.rs
@@ -206,6 +206,14 @@
         }
     }
 
+    /// Whether the store has a newer row of an assignment than the one that this node could pass on.
+    pub(super) fn misses_newer_row(&self) -> bool {
+        self.assignments.iter().any(|(service, record)| {
+            let passed_on = self.rows.get(&SharedRowKey::Assignment(service).key());
+            record.unreadable_version > Some(passed_on.map_or(0, |it| it.version))
+        })
+    }
+
     /// Puts a settings tree in force. An invalid tree is refused, and the current one stays in
     /// force.
     fn apply_settings_tree(&mut self, row: &Row) {
