Decode kinds of routes into what they allow, and take downloads

The kind becomes a closed enum that says whether a request may run twice and whether its answer is long. The limit of cold targets of a service and the bandwidth of the link are decoded too; nothing uses them yet.

Failing before: the_kind_of_a_route_says_what_may_run_twice_and_what_has_long_answers.

--- a/crates/galenastream_ctl/src/request/config_explain.rs
+++ b/crates/galenastream_ctl/src/request/config_explain.rs
@@ -63,7 +63,7 @@
     RouteDocument {
         name: route.name.clone(),
         prefix: route.prefix.clone(),
-        is_idempotent: route.is_idempotent,
+        is_idempotent: route.kind.is_idempotent(),
         timeout_ms: route.timeout_ms,
         target_latency_ms: route.target_latency_ms,
         rank: route.rank,
--- a/crates/galenastream_node/src/request/attempt.rs
+++ b/crates/galenastream_node/src/request/attempt.rs
@@ -143,7 +143,7 @@
         body: request.body.clone(),
         remaining_ms: request.deadline.remaining_ms(now),
         rank: u32::from(request.route.rank),
-        is_idempotent: request.route.is_idempotent,
+        is_idempotent: request.route.kind.is_idempotent(),
         key_plus_one: key.map_or(0, |it| u32::from(it) + 1),
         prompt_ms: request.soft_deadline.remaining_ms(now),
         target_latency_ms: u32::try_from(request.route.target_latency_ms).unwrap_or(u32::MAX),
--- a/crates/galenastream_node/src/request/attempts.rs
+++ b/crates/galenastream_node/src/request/attempts.rs
@@ -194,7 +194,7 @@
 
     /// Whether a retry would be allowed now although the request may have run.
     fn may_retry(&self, progress: &Progress) -> bool {
-        self.request.route.is_idempotent
+        self.request.route.kind.is_idempotent()
             && progress.reached + 1 < self.request.route.max_attempts
             && self.has_time()
             && self.traffic.has_retry(self.service)
@@ -250,7 +250,9 @@
     ) -> NextStep {
         let outcome = ReplyOutcome::try_from(reply.outcome).unwrap_or(ReplyOutcome::Unknown);
         match outcome {
-            ReplyOutcome::Answered if reply.status < 500 || !self.request.route.is_idempotent => {
+            ReplyOutcome::Answered
+                if reply.status < 500 || !self.request.route.kind.is_idempotent() =>
+            {
                 NextStep::Done(Ok(reply))
             }
             ReplyOutcome::Answered => {
@@ -285,7 +287,7 @@
                 }
                 let has_crashed = reply.reason == ReplyReason::TargetCrashed as i32;
                 let quarantine = &self.traffic.context.quarantine;
-                if !self.request.route.is_idempotent
+                if !self.request.route.kind.is_idempotent()
                     || has_crashed && quarantine.has_crashed_again(self.fingerprint)
                 {
                     return NextStep::Done(progress.give_up());
--- a/crates/galenastream_node/tests/ownership/fixtures.rs
+++ b/crates/galenastream_node/tests/ownership/fixtures.rs
@@ -38,7 +38,11 @@
             retry_window_ms: Duration::from_secs(10).as_millis() as u64,
             retry_allowance: 60.0,
         },
-        limits: ProcessLimits { memory_mb: 260, max_file_descriptors: 4_100 },
+        limits: ProcessLimits {
+            memory_mb: 260,
+            max_file_descriptors: 4_100,
+            link_mbit_per_s: None,
+        },
         is_first_start: true,
         lease_delivery: LeaseDelivery::Heartbeats,
     }
@@ -72,6 +76,7 @@
             holds_keys: true,
             health_path: "/health".to_owned(),
             lease_delivery: Some(delivery.clone()),
+            cold_limit_milli_per_s: None,
         }],
         limits: CallerLimits {
             max_header_bytes: 16_384,
