Evacuate data centres, and limit the requests to cold targets

Change: each node reads the rows with the table of the config and tells the others; the newest change of a row decides. Nothing is sent to a target of an evacuated data centre, its keys leave, and requests that wait for it go elsewhere. The node beside a cold target holds one token bucket at the rate that the service states; after an evacuation a target counts as cold until a report that was made later says otherwise. Selection and planner know the rate. A config that is refused is shown by readiness, the status page and a metric.

--- a/crates/galenastream_node/src/connection/control_connections.rs
+++ b/crates/galenastream_node/src/connection/control_connections.rs
@@ -78,11 +78,21 @@
     if context.is_closing.load(Ordering::Relaxed) {
         return plain_text(StatusCode::SERVICE_UNAVAILABLE, "the node is about to stop");
     }
+    let page = context.status_page.load();
+    let refused = page.as_ref().and_then(|it| it.config_refused.as_ref());
     if context.routing.load().is_none() {
-        return plain_text(StatusCode::SERVICE_UNAVAILABLE, "the node has no config yet");
+        let text = match refused {
+            Some(refused) => format!("the newest config is refused: {}", refused.reason),
+            None => "the node has no config yet".to_owned(),
+        };
+        return plain_text(StatusCode::SERVICE_UNAVAILABLE, &text);
+    }
+    // The node serves what the config in force allows.
+    if let Some(refused) = refused {
+        let text = format!("ready; the newest config is refused: {}", refused.reason);
+        return plain_text(StatusCode::OK, &text);
     }
     // The node serves other services all the same.
-    let page = context.status_page.load();
     let target = page.as_ref().and_then(|it| it.target.as_ref());
     match target.and_then(|it| it.leases_withheld.as_ref()) {
         Some(reason) => {
--- a/crates/galenastream_node/src/connection/peer_links.rs
+++ b/crates/galenastream_node/src/connection/peer_links.rs
@@ -199,7 +199,8 @@
         let target = it.target.as_ref();
         target.map(|it| {
             let is_limited = it.limit_milli_per_s.is_some();
-            (it.id.clone(), it.born_ms, it.is_draining, it.is_silent, is_limited)
+            let is_cold = it.cold_limit_milli_per_s.is_some();
+            (it.id.clone(), it.born_ms, it.is_draining, it.is_silent, is_limited, is_cold)
         })
     };
     sent.is_closing != status.is_closing
@@ -216,7 +217,9 @@
 fn has_new_rows(sent: &NodeStatus, status: &NodeStatus) -> bool {
     status.reaches_store
         && status.reads_rows
-        && (sent.rows_version, sent.config_version) != (status.rows_version, status.config_version)
+        && ((sent.rows_version, sent.config_version)
+            != (status.rows_version, status.config_version)
+            || sent.evacuations != status.evacuations)
 }
 
 /// The nodes to which a status is sent.
--- a/crates/galenastream_node/src/process/config_confirmation.rs
+++ b/crates/galenastream_node/src/process/config_confirmation.rs
@@ -10,6 +10,7 @@
 use galenastream_utils::BootInstant;
 use galenastream_wire::StatusSeen;
 
+use super::RefusedConfigPage;
 use super::control_state::ControlState;
 use super::ownership_log::millis;
 use super::peer_book::REACHABILITY_TIMEOUT;
@@ -116,7 +117,7 @@
     fn handle_stored_config(&mut self, stored: StoredConfig, now: BootInstant) {
         let version = match &stored.content {
             StoredConfigContent::Valid { config, .. } => StoredVersion::Known(config.version.0),
-            StoredConfigContent::Unreadable { version } => {
+            StoredConfigContent::Unreadable { version, .. } => {
                 version.map_or(StoredVersion::Unknown, StoredVersion::Known)
             }
             StoredConfigContent::Missing => StoredVersion::Missing,
@@ -125,12 +126,25 @@
         // A read may be older than what the store has shown before.
         if self.stored_config.is_none_or(|it| it.row_version <= row_version) {
             self.stored_config = Some(KnownStoredConfig { row_version, version });
+            self.record_refusal(&stored.content);
         }
         if let StoredConfigContent::Valid { config, encoded } = stored.content {
             self.apply_config(*config, encoded, ConfigSource::Store { row_version }, now);
         }
     }
 
+    /// Records whether the newest config in the store is refused, for operators.
+    fn record_refusal(&mut self, content: &StoredConfigContent) {
+        self.refused_config = match content {
+            StoredConfigContent::Unreadable { version, reason } => {
+                Some(RefusedConfigPage { version: *version, reason: reason.clone() })
+            }
+            StoredConfigContent::Valid { .. } | StoredConfigContent::Missing => None,
+        };
+        metrics::gauge!("galenastream_config_refused")
+            .set(f64::from(u8::from(self.refused_config.is_some())));
+    }
+
     /// Logs that the config in force is confirmed, and by which knowledge of this node itself.
     pub(super) fn log_confirmation(&self, now: BootInstant) {
         let age_ms = |it| millis(now.saturating_since(it));
--- a/crates/galenastream_node/src/process/control_event.rs
+++ b/crates/galenastream_node/src/process/control_event.rs
@@ -1,10 +1,11 @@
 //! The input and output of the control state.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use galenastream_adapter::{
-    ExpectedRow, HeartbeatReply, MalformedRow, NodeSettings, Row, RowWrite, StoreError,
+    EvacuationChange, ExpectedRow, HeartbeatReply, MalformedRow, NodeSettings, Row, RowWrite,
+    StoreError,
 };
 use galenastream_ranges::{Assignment, CallId, CallOutcome, PlannedCall, TargetIncarnation};
 use galenastream_utils::BootInstant;
@@ -84,6 +85,22 @@
         /// known.
         confirmed_at: Option<BootInstant>,
     },
+    /// The table of the config was read, or a watch on it ended: what that shows of evacuations.
+    EvacuationsRead {
+        /// The newest changes that the answer shows.
+        changes: Vec<EvacuationChange>,
+        /// The version as of which a full read shows all evacuations; `None` for a watch.
+        read_version: Option<u64>,
+    },
+    /// The answer to a health check of the local target said for how long it stays cold.
+    ColdReported {
+        /// The target that answered.
+        target_id: String,
+        /// The remaining time.
+        remaining: Duration,
+        /// When the health check was sent.
+        asked_at: BootInstant,
+    },
     /// The table of the config could not be read or watched.
     ConfigReadFailed,
     /// A call to the store succeeded (`true`) or failed (`false`).
--- a/crates/galenastream_node/src/process/control_loop.rs
+++ b/crates/galenastream_node/src/process/control_loop.rs
@@ -6,7 +6,7 @@
 };
 
 use bytes::Bytes;
-use galenastream_adapter::header_names;
+use galenastream_adapter::{decode_cold_remaining, header_names};
 use galenastream_ranges::{PlannedCall, TargetIncarnation};
 use galenastream_routing::NodeKey;
 use galenastream_runtime::{BodyBuffer, ExchangeError, HttpConnection, boot_now, connect_tcp};
@@ -231,21 +231,27 @@
 /// of its id.
 async fn identify_target(context: Arc<NodeContext>, target: TargetIncarnation, path: String) {
     let began_at = boot_now();
-    match timeout(IDENTITY_TIMEOUT, fetch_target_id(&context, &path)).await {
-        Ok(Ok(Some(target_id))) => {
+    match timeout(IDENTITY_TIMEOUT, check_health(&context, &path)).await {
+        Ok(Ok((Some(target_id), cold_remaining))) => {
+            if let Some(remaining) = cold_remaining {
+                let target_id = target_id.clone();
+                let event = ControlEvent::ColdReported { target_id, remaining, asked_at: began_at };
+                context.control_events.deliver(event);
+            }
             let answer = ProbeAnswer::Identified { target_id };
             report_probe(&context, target, began_at, answer);
         }
-        Ok(Ok(None)) => log::info!(event = "target_unnamed"; ""),
+        Ok(Ok((None, _))) => log::info!(event = "target_unnamed"; ""),
         Ok(Err(error)) => log::info!(event = "target_not_identified", reason:% = error; ""),
         Err(_) => log::info!(event = "target_not_identified", reason = "timed out"; ""),
     }
 }
 
-async fn fetch_target_id(
+/// Returns the id in the answer to a health check, and for how long the target stays cold.
+async fn check_health(
     context: &NodeContext,
     path: &str,
-) -> Result<Option<String>, ExchangeError> {
+) -> Result<(Option<String>, Option<Duration>), ExchangeError> {
     let address = context.settings.load().target_address;
     let not_sent = |reason: String| ExchangeError::NotSent { reason };
     let request = Request::builder()
@@ -255,8 +261,9 @@
         .map_err(|it| not_sent(it.to_string()))?;
     let mut connection = HttpConnection::connect(address, PROBE_TIMEOUT).await?;
     let response = connection.exchange(request, BodyBuffer::new(MAX_IDENTITY_BYTES)).await?;
-    let id = response.parts.headers.get(header_names::TARGET_ID);
-    Ok(id.and_then(|it| it.to_str().ok()).map(str::to_owned))
+    let headers = &response.parts.headers;
+    let id = headers.get(header_names::TARGET_ID).and_then(|it| it.to_str().ok());
+    Ok((id.map(str::to_owned), decode_cold_remaining(headers)))
 }
 
 /// Notifies the control state if the address of the local target refuses two connections in a row.
--- a/crates/galenastream_node/src/process/control_state.rs
+++ b/crates/galenastream_node/src/process/control_state.rs
@@ -11,6 +11,7 @@
 use galenastream_wire::{KeyLoadRecord, SharedRow};
 
 use super::config_confirmation::{ConfigConfirmation, KnownStoredConfig};
+use super::evacuations::{EvacuationSource, Evacuations};
 use super::lease_calls::LeaseCallLog;
 use super::local_limit::LocalLimit;
 use super::local_target::LocalTargetState;
@@ -20,7 +21,7 @@
 use super::quarantine_spread::QuarantineWrite;
 use super::row_versions::RowVersions;
 use super::store_eras::StoreEras;
-use super::{ControlEvent, Effect, RequestQuarantine, TargetLimit};
+use super::{ControlEvent, Effect, RefusedConfigPage, RequestQuarantine, TargetLimit};
 use crate::version::RoutingTable;
 
 /// The longest lease that a node grants. It outlasts the restart of a process, and is short enough
@@ -59,6 +60,8 @@
     pub(super) reads_config: bool,
     /// The newest config that the store has shown.
     pub(super) stored_config: Option<KnownStoredConfig>,
+    /// The newest config in the store, if it is refused.
+    pub(super) refused_config: Option<RefusedConfigPage>,
     /// The latest confirmation of a config by the store.
     pub(super) config_confirmation: Option<ConfigConfirmation>,
     /// The highest version of the config that a peer had when it was newer than the one in force, and
@@ -107,6 +110,7 @@
     pub(super) quarantine: Arc<RequestQuarantine>,
     pub(super) quarantine_write: QuarantineWrite,
     pub(super) lease_call_log: LeaseCallLog,
+    pub(super) evacuations: Evacuations,
     /// The number of local targets that this process has known, each with its own ids of calls.
     pub(super) local_target_count: u64,
 }
@@ -151,6 +155,7 @@
             assignments: FastMap::default(),
             reaches_store: false,
             reads_config: false,
+            refused_config: None,
             config_confirmation: None,
             announced_config: None,
             synced_at: started_at,
@@ -184,6 +189,7 @@
             quarantine: Arc::default(),
             quarantine_write: QuarantineWrite::default(),
             lease_call_log: LeaseCallLog::default(),
+            evacuations: Evacuations::default(),
             local_target_count: 0,
         }
     }
@@ -236,6 +242,21 @@
                 self.handle_config_read(stored, confirmed_at, now);
             }
             ControlEvent::ConfigReadFailed => self.reads_config = false,
+            ControlEvent::EvacuationsRead { changes, read_version } => {
+                match read_version {
+                    Some(version) => self.evacuations.record_read(&changes, version, now),
+                    None => {
+                        self.evacuations.record_changes(&changes, EvacuationSource::Store, now);
+                    }
+                }
+                self.ask_after_evacuation(now);
+            }
+            ControlEvent::ColdReported { target_id, remaining, asked_at } => {
+                let local = self.local.as_mut().filter(|it| *it.incarnation.id == *target_id);
+                if let Some(local) = local {
+                    local.cold.record_health(remaining, asked_at, now);
+                }
+            }
             ControlEvent::StoreReached(reached) => self.set_store_reachable(reached, now),
             ControlEvent::Committed { service, assignment, result } => {
                 self.handle_commit_result(&service, &assignment, result, now);
@@ -265,6 +286,7 @@
         self.peers.listen(ran.saturating_sub(self.ran), self.reaches_store, now);
         self.ran = ran;
         self.last_tick_at = now;
+        self.evacuations.settle(now);
         self.reconcile(now);
         self.settle_era(now);
         self.probe_silent_target(now);
--- a/crates/galenastream_node/src/process/directory.rs
+++ b/crates/galenastream_node/src/process/directory.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, sync::Arc};
 
 use galenastream_ranges::{Assignment, TargetIncarnation};
-use galenastream_routing::{NodeKey, RequestRate};
+use galenastream_routing::{ColdPeriod, NodeKey, RequestRate};
 use galenastream_utils::{BootInstant, FastMap};
 
 use super::HeldLeases;
@@ -36,6 +36,8 @@
     pub is_closing: bool,
     /// Whether it is about to stop and refuses requests.
     pub is_refusing: bool,
+    /// Whether nothing may be sent to the targets of its data centre.
+    pub is_evacuated: bool,
     /// Whether a status of it has arrived within the last 2.5 s.
     pub is_reachable: bool,
     /// Whether it reads the shared rows from the store itself, or its status is unknown.
@@ -65,6 +67,8 @@
     /// Since when this node has known that a request should be sent there to find out whether the
     /// limit has ended.
     pub trial_wanted_since: Option<BootInstant>,
+    /// The time for which it is cold.
+    pub cold: Option<ColdPeriod>,
 }
 
 /// The local target: the one beside this node.
@@ -80,6 +84,10 @@
     pub draining_since: Option<BootInstant>,
     /// Whether the targets of its service hold keys.
     pub holds_keys: bool,
+    /// Whether nothing may be sent to the targets of its data centre.
+    pub is_evacuated: bool,
+    /// The time for which it is cold.
+    pub cold: Option<ColdPeriod>,
     /// The leases that it was granted last; empty if there were none.
     pub leases: HeldLeases,
 }
--- a/crates/galenastream_node/src/process/local_target.rs
+++ b/crates/galenastream_node/src/process/local_target.rs
@@ -8,6 +8,7 @@
 use galenastream_utils::BootInstant;
 use tokio::sync::oneshot;
 
+use super::cold_start::ColdStart;
 use super::{HeartbeatAnswer, HeldLeases};
 
 /// The state of the local target as derived from its heartbeats.
@@ -23,6 +24,7 @@
     /// Whether a health check at the target's address has confirmed its id.
     pub(super) identity: Identity,
     pub(super) draining_since: Option<BootInstant>,
+    pub(super) cold: ColdStart,
     /// The keys that the last heartbeat reports as held or still being processed.
     pub(super) held: Vec<HeldKeys>,
     pub(super) released: Vec<ReleasedKeys>,
@@ -86,6 +88,7 @@
             heard_after: Duration::ZERO,
             identity: Identity::Unknown,
             draining_since: None,
+            cold: ColdStart::default(),
             held: Vec::new(),
             released: Vec::new(),
             shown_held: Vec::new(),
@@ -104,6 +107,7 @@
         self.heard_after = ran;
         self.heartbeats_until_certain = self.heartbeats_until_certain.saturating_sub(1);
         self.slots = heartbeat.slots;
+        self.cold.record_heartbeat(Duration::from_millis(heartbeat.cold_remaining_ms), now);
         self.held.clone_from(&heartbeat.held);
         for held in &heartbeat.held {
             self.show_held(held);
--- a/crates/galenastream_node/src/process/mod.rs
+++ b/crates/galenastream_node/src/process/mod.rs
@@ -1,5 +1,6 @@
 //! State and tasks that live as long as the process.
 
+mod cold_start;
 mod command_line;
 mod commit;
 mod config_confirmation;
@@ -10,6 +11,7 @@
 mod control_state;
 mod daemon;
 mod directory;
+mod evacuations;
 mod heartbeats;
 mod key_meter;
 mod lease_call_client;
@@ -64,7 +66,9 @@
 pub use metrics_page::render_metrics;
 pub use remembered_announcements::{RememberedAnnouncements, earliest};
 pub use request_quarantine::{RequestQuarantine, decode_suspect, describe_request, encode_suspect};
-pub use status_page::{LeasePage, STATUS_PATH, StatusPage, TargetPage};
+pub use status_page::{
+    EvacuatedPage, LeasePage, RefusedConfigPage, STATUS_PATH, StatusPage, TargetPage,
+};
 pub use stored_config::{StoredConfig, StoredConfigContent};
 pub use target_limit::TargetLimit;
 pub use target_probe::{ProbeAnswer, TargetProbe};
--- a/crates/galenastream_node/src/process/peer_book.rs
+++ b/crates/galenastream_node/src/process/peer_book.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use galenastream_ranges::TargetIncarnation;
-use galenastream_routing::NodeKey;
+use galenastream_routing::{ColdPeriod, NodeKey, RequestRate};
 use galenastream_utils::{BootInstant, FastMap};
 use galenastream_wire::{NodeRow, NodeStatus};
 
@@ -168,6 +168,14 @@
         self.trial_wanted_since
     }
 
+    /// The time for which the target is cold, counted from when the status arrived.
+    pub(super) fn cold_period(&self) -> Option<ColdPeriod> {
+        let target = self.status.as_ref()?.target.as_ref()?;
+        let limit = RequestRate::new(target.cold_limit_milli_per_s?);
+        let until = self.last_status_at? + Duration::from_millis(target.cold_remaining_ms);
+        Some(ColdPeriod { limit, until })
+    }
+
     fn remember_trial(&mut self, now: BootInstant) {
         let target = self.status.as_ref().and_then(|it| it.target.as_ref());
         let is_wanted = target.is_some_and(|it| it.wants_trial);
--- a/crates/galenastream_node/src/process/planning.rs
+++ b/crates/galenastream_node/src/process/planning.rs
@@ -256,7 +256,9 @@
             && &*local.service == service
         {
             let status = self.target_status(local, now);
-            targets.push(target_load(owner, &status, !self.is_closing, default_per_slot_per_s));
+            let is_staying =
+                !self.is_closing && !self.evacuations.is_requested(&self.settings.data_centre);
+            targets.push(target_load(owner, &status, is_staying, default_per_slot_per_s));
         }
         for (name, peer) in self.peers.iter() {
             let status = peer.status.as_ref();
@@ -269,7 +271,9 @@
             let incarnation = TargetIncarnation::new(target.id.as_str(), target.born_ms);
             let is_draining = peer.draining_since(&incarnation).is_some();
             let owner = Owner::new(incarnation, name.clone());
-            let is_staying = status.is_some_and(|it| !it.is_closing) && !is_draining;
+            let is_evacuated = self.evacuations.is_requested(&peer.data_centre);
+            let is_staying =
+                status.is_some_and(|it| !it.is_closing) && !is_draining && !is_evacuated;
             targets.push(target_load(owner, target, is_staying, default_per_slot_per_s));
         }
         targets.sort_by(|a, b| a.owner.node.cmp(&b.owner.node));
@@ -289,6 +293,8 @@
         0 => default_per_slot_per_s * f64::from(status.slots),
         measured => measured as f64 / 1_000.0,
     };
+    let cold_per_s = status.cold_limit_milli_per_s.map(|it| it as f64 / 1_000.0);
+    let capacity_per_s = cold_per_s.map_or(capacity_per_s, |it| it.min(capacity_per_s));
     let mut loads = Vec::with_capacity(status.key_loads.len());
     for record in &status.key_loads {
         let Some(range) = key_range(record.first, record.last) else {
--- a/crates/galenastream_node/src/process/publication.rs
+++ b/crates/galenastream_node/src/process/publication.rs
@@ -3,15 +3,19 @@
 use std::sync::Arc;
 
 use galenastream_ranges::TargetIncarnation;
-use galenastream_routing::{NodeKey, RequestRate};
+use galenastream_routing::{ColdPeriod, NodeKey, RequestRate};
 use galenastream_utils::BootInstant;
 use galenastream_wire::{NodeStatus, TargetStatus};
 
 use super::control_state::ControlState;
 use super::local_limit::LocalLimit;
 use super::local_target::LocalTargetState;
+use super::ownership_log::millis;
 use super::peer_book::PeerRecord;
-use super::{Directory, LocalTarget, NodeEntry, StatusPage, SyncSnapshot, TargetEntry, TargetPage};
+use super::{
+    Directory, EvacuatedPage, LocalTarget, NodeEntry, StatusPage, SyncSnapshot, TargetEntry,
+    TargetPage,
+};
 
 impl ControlState {
     /// The status that this node sends to all others.
@@ -34,12 +38,14 @@
             suspects: self.quarantine.stated(now),
             quarantine_digest: self.quarantine.digest(),
             crash_count: self.quarantine.crash_count(),
+            evacuations: self.evacuations.to_records(),
         }
     }
 
     pub(super) fn target_status(&self, local: &LocalTargetState, now: BootInstant) -> TargetStatus {
         let limit = self.limit_of(local);
         let measured = self.local_capacity_milli_per_s;
+        let cold = self.cold_period(local, now);
         TargetStatus {
             service: local.service.to_string(),
             id: local.incarnation.id.to_string(),
@@ -52,9 +58,19 @@
             limit_milli_per_s: limit.map(|it| it.announced.rate.milli_per_s()),
             releases_late: self.releases_late(local, now),
             wants_trial: limit.is_some_and(|it| it.trial_wanted_since().is_some()),
+            cold_limit_milli_per_s: cold.map(|it| it.limit.milli_per_s()),
+            cold_remaining_ms: cold.map_or(0, |it| millis(it.until.saturating_since(now))),
         }
     }
 
+    /// The time for which the local target is cold, if its service limits the requests meanwhile.
+    fn cold_period(&self, local: &LocalTargetState, now: BootInstant) -> Option<ColdPeriod> {
+        let rules = self.routing.as_ref().and_then(|it| it.service(&local.service));
+        let limit = rules.and_then(|it| it.cold_limit_milli_per_s).map(RequestRate::new);
+        let evacuation_ended_at = self.evacuations.ended_at(&self.settings.data_centre);
+        local.cold.period(limit, evacuation_ended_at, now)
+    }
+
     /// The request limit that the local target announces.
     pub(super) fn limit_of(&self, local: &LocalTargetState) -> Option<&LocalLimit> {
         self.local_limit.as_ref().filter(|it| it.announced.target == local.incarnation)
@@ -62,7 +78,7 @@
 
     /// The snapshot of nodes, targets and assignments for the traffic thread.
     pub fn directory(&self, now: BootInstant) -> Directory {
-        let mut nodes = vec![self.local_entry()];
+        let mut nodes = vec![self.local_entry(now)];
         let planner = self.planner(now);
         for (name, peer) in self.peers.iter() {
             let status = peer.status.as_ref();
@@ -74,6 +90,7 @@
                 target: status.and_then(|it| it.target.as_ref()).map(|it| target_entry(peer, it)),
                 is_closing: status.is_some_and(|it| it.is_closing),
                 is_refusing: status.is_some_and(|it| it.is_refusing),
+                is_evacuated: self.evacuations.is_requested(&peer.data_centre),
                 is_reachable: peer.is_reachable(now),
                 reads_rows: status.is_none_or(|it| it.reaches_store && it.reads_rows),
                 is_planner: **name == *planner,
@@ -90,7 +107,7 @@
         }
     }
 
-    pub(super) fn local_entry(&self) -> NodeEntry {
+    fn local_entry(&self, now: BootInstant) -> NodeEntry {
         let target = self.local.as_ref().map(|it| TargetEntry {
             service: it.service.clone(),
             incarnation: it.incarnation.clone(),
@@ -98,6 +115,7 @@
             draining_since: it.draining_since,
             limit: self.limit_of(it).map(|it| it.announced.rate),
             trial_wanted_since: self.limit_of(it).and_then(LocalLimit::trial_wanted_since),
+            cold: self.cold_period(it, now),
         });
         NodeEntry {
             key: NodeKey(0),
@@ -107,6 +125,7 @@
             target,
             is_closing: self.is_closing,
             is_refusing: self.is_refusing,
+            is_evacuated: self.evacuations.is_requested(&self.settings.data_centre),
             is_reachable: true,
             reads_rows: true,
             is_planner: false,
@@ -122,6 +141,8 @@
             slots: local.slots,
             draining_since: local.draining_since,
             holds_keys: self.holds_keys(&local.service),
+            is_evacuated: self.evacuations.is_requested(&self.settings.data_centre),
+            cold: self.cold_period(local, now),
             leases: local.held_leases(now),
         }
     }
@@ -138,8 +159,17 @@
         }
     }
 
+    fn evacuated_pages(&self, now: BootInstant) -> Vec<EvacuatedPage> {
+        let in_force = self.evacuations.in_force(now);
+        in_force
+            .into_iter()
+            .map(|(data_centre, known)| EvacuatedPage { data_centre, known })
+            .collect()
+    }
+
     /// The status page for operators.
     pub fn status_page(&self, now: BootInstant) -> StatusPage {
+        let cold = self.local.as_ref().and_then(|it| self.cold_period(it, now));
         let target = self.local.as_ref().map(|it| TargetPage {
             id: it.incarnation.id.to_string(),
             born_ms: it.incarnation.born_ms,
@@ -147,6 +177,8 @@
             slots: it.slots,
             limit_milli_per_s: self.limit_of(it).map(|it| it.announced.rate.milli_per_s()),
             capacity_milli_per_s: self.local_capacity_milli_per_s,
+            cold_limit_milli_per_s: cold.map(|it| it.limit.milli_per_s()),
+            cold_remaining_ms: cold.map_or(0, |it| millis(it.until.saturating_since(now))),
             is_draining: it.draining_since.is_some(),
             is_silent: it.is_silent(now, self.heartbeat_timeout()),
             leases_withheld: self.withheld_reason(now),
@@ -159,6 +191,8 @@
             version: env!("CARGO_PKG_VERSION").to_owned(),
             up: now.saturating_since(self.started_at),
             config_version: self.config_version(),
+            config_refused: self.refused_config.clone(),
+            evacuated: self.evacuated_pages(now),
             tree_version: self.tree_version,
             rows_version: self.rows_version,
             rows_confirmed_age: confirmed_age,
@@ -181,6 +215,7 @@
         slots: status.slots,
         draining_since: peer.draining_since(&incarnation),
         trial_wanted_since: peer.trial_wanted_since(),
+        cold: peer.cold_period(),
         incarnation,
         limit: status.limit_milli_per_s.map(RequestRate::new),
     }
--- a/crates/galenastream_node/src/process/status_page.rs
+++ b/crates/galenastream_node/src/process/status_page.rs
@@ -24,6 +24,14 @@
     pub up: Duration,
     /// The version of the config in force; 0 if there is none.
     pub config_version: u64,
+    /// The newest config in the store, if it is refused, so that an older one is in force, or none.
+    /// Earlier versions do not report it.
+    #[serde(default)]
+    pub config_refused: Option<RefusedConfigPage>,
+    /// The data centres that are evacuated, in the view of the node. Earlier versions do not report
+    /// them.
+    #[serde(default)]
+    pub evacuated: Vec<EvacuatedPage>,
     /// The version of the settings tree that was put in force last; 0 if there was none.
     pub tree_version: u64,
     /// The version of the shared rows that the node has.
@@ -54,6 +62,27 @@
     pub target: Option<TargetPage>,
 }
 
+/// A config that a node refuses.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RefusedConfigPage {
+    /// Its version, if that can be told.
+    pub version: Option<u64>,
+    /// Why it is refused.
+    pub reason: String,
+}
+
+/// The evacuation of a data centre in the view of a node.
+#[serde_as]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EvacuatedPage {
+    /// The data centre.
+    pub data_centre: String,
+    /// For how long the node has known it, in milliseconds in JSON.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "known_ms")]
+    pub known: Duration,
+}
+
 /// The status of the local target of a node as operators see it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TargetPage {
@@ -70,6 +99,13 @@
     /// The measured capacity in thousandths of a request per second; 0 before anything was
     /// measured.
     pub capacity_milli_per_s: u64,
+    /// The requests per second that it takes while it is cold, in thousandths; `None` if it is not
+    /// cold. Earlier versions do not report it.
+    #[serde(default)]
+    pub cold_limit_milli_per_s: Option<u64>,
+    /// For how long it stays cold, in milliseconds. Earlier versions do not report it.
+    #[serde(default)]
+    pub cold_remaining_ms: u64,
     /// Whether it has announced its leave.
     pub is_draining: bool,
     /// Whether its last heartbeat is more than 2.5 heartbeat intervals old.
--- a/crates/galenastream_node/src/process/store_follower.rs
+++ b/crates/galenastream_node/src/process/store_follower.rs
@@ -229,6 +229,11 @@
         }
         FollowedTable::Config => {
             events.send(ControlEvent::StoreEra(era_of(answer.version))).await;
+            let changes = answer.evacuations();
+            if is_full_read || !changes.is_empty() {
+                let read_version = is_full_read.then_some(answer.version);
+                events.send(ControlEvent::EvacuationsRead { changes, read_version }).await;
+            }
             let stored = StoredConfig::decode(&answer, is_full_read);
             events.send(ControlEvent::ConfigRead { stored, confirmed_at }).await;
         }
--- a/crates/galenastream_node/src/process/store_view.rs
+++ b/crates/galenastream_node/src/process/store_view.rs
@@ -68,6 +68,8 @@
         }
         let mut status = status;
         self.merge_suspects(&std::mem::take(&mut status.suspects), now);
+        self.evacuations.merge(&status.evacuations, now);
+        self.ask_after_evacuation(now);
         self.record_announced_config(status.config_version, now);
         let node = status.node.clone();
         let has_newer_state = self.needs_config_of(&status, now)
--- a/crates/galenastream_node/src/process/stored_config.rs
+++ b/crates/galenastream_node/src/process/stored_config.rs
@@ -26,6 +26,8 @@
     Unreadable {
         /// Its version, if that can be told.
         version: Option<u64>,
+        /// Why it cannot be decoded.
+        reason: String,
     },
     /// Nothing: there is no such row.
     Missing,
@@ -38,7 +40,8 @@
         let row = match answer.newest(CONFIG_KEY) {
             Some(RowChange::Decoded(row)) => row,
             Some(RowChange::Malformed(row)) => {
-                let content = StoredConfigContent::Unreadable { version: None };
+                let reason = "the row is malformed".to_owned();
+                let content = StoredConfigContent::Unreadable { version: None, reason };
                 return Some(Self { row_version: row.version, content });
             }
             None if is_full_read => {
@@ -57,7 +60,7 @@
             Err(error) => {
                 log::warn!(event = "config_refused", row_version, reason:% = error; "");
                 let version = RoutingConfig::decode_version(&encoded).map(|it| it.0);
-                StoredConfigContent::Unreadable { version }
+                StoredConfigContent::Unreadable { version, reason: error.to_string() }
             }
         };
         Some(Self { row_version, content })
--- a/crates/galenastream_node/src/process/target_probes.rs
+++ b/crates/galenastream_node/src/process/target_probes.rs
@@ -61,6 +61,14 @@
         }
     }
 
+    /// Asks the local target how long it stays cold if the evacuation of its data centre has just ended:
+    /// targets may become cold meanwhile, and the last heartbeat may be older.
+    pub(super) fn ask_after_evacuation(&mut self, now: BootInstant) {
+        if self.evacuations.ended_at(&self.settings.data_centre) == Some(now) {
+            self.is_identity_wanted = true;
+        }
+    }
+
     /// Handles the answer to a probe of the address of the local target.
     pub(super) fn handle_probe(&mut self, probe: &TargetProbe, now: BootInstant) {
         let answer = match &probe.answer {
--- a/crates/galenastream_node/src/process/traffic_state.rs
+++ b/crates/galenastream_node/src/process/traffic_state.rs
@@ -10,7 +10,7 @@
 
 use galenastream_adapter::ProcessLimits;
 use galenastream_routing::{
-    AdmissionLimits, LimitTrials, RequestFingerprint, RetryBudgetLimits, ServiceTime,
+    AdmissionLimits, ColdPeriod, LimitTrials, RequestFingerprint, RetryBudgetLimits, ServiceTime,
     TargetSelector, UsualWaits, WeightedSplit, WindowedRetryBudget,
 };
 use galenastream_runtime::{AdmissionController, BodyBudget, LogBudget, boot_now};
@@ -67,6 +67,7 @@
     limit_ended_at: Mutex<Option<BootInstant>>,
     pending: AtomicUsize,
     admission_limits: Mutex<Option<AdmissionLimits>>,
+    cold_period: Mutex<Option<ColdPeriod>>,
     announcement: Mutex<LocalAnnouncement>,
     remembered: Mutex<RememberedAnnouncements>,
     limit_trials: Mutex<LimitTrials>,
@@ -113,6 +114,7 @@
             limit_ended_at: Mutex::default(),
             pending: AtomicUsize::new(0),
             admission_limits: Mutex::default(),
+            cold_period: Mutex::default(),
             announcement: Mutex::default(),
             remembered: Mutex::default(),
             limit_trials: Mutex::new(LimitTrials::new(rand::random())),
@@ -290,6 +292,15 @@
         }
     }
 
+    /// Applies the time for which the local target is cold to admission.
+    pub fn set_cold_period(&self, cold: Option<ColdPeriod>) {
+        let mut current = lock(&self.cold_period);
+        if *current != cold {
+            *current = cold;
+            self.admission.set_cold_period(cold);
+        }
+    }
+
     /// Records that the local target runs a suspected request. Returns `None` if it already does.
     pub fn begin_suspect(&self, fingerprint: RequestFingerprint) -> Option<RunningSuspect<'_>> {
         let is_first = lock(&self.running_suspects).insert(fingerprint);
--- a/crates/galenastream_node/src/request/attempts.rs
+++ b/crates/galenastream_node/src/request/attempts.rs
@@ -332,6 +332,7 @@
     matches!(
         reason,
         ReplyReason::NotOwner
+            | ReplyReason::Evacuated
             | ReplyReason::OtherTarget
             | ReplyReason::Draining
             | ReplyReason::PeerLost
--- a/crates/galenastream_node/src/request/target_choice.rs
+++ b/crates/galenastream_node/src/request/target_choice.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use galenastream_routing::{NodeKey, RequestFingerprint, TargetCandidate};
+use galenastream_routing::{NodeKey, RequestFingerprint, RequestRate, TargetCandidate};
 use galenastream_runtime::boot_now;
 use galenastream_settings::EffectiveSettings;
 use galenastream_utils::BootInstant;
@@ -49,7 +49,8 @@
     fn owner_of(&self, key: u16, directory: &Directory) -> Option<Destination> {
         let assignment = directory.assignments.get(self.service)?;
         let holder = assignment.entry_of(key).holding.holder()?;
-        let node = directory.node_of(&holder.target).filter(|it| !it.is_refusing)?;
+        let may_take = |it: &&NodeEntry| !it.is_refusing && !it.is_evacuated;
+        let node = directory.node_of(&holder.target).filter(may_take)?;
         let leaving_since = leaving_since(node, &self.traffic.remembered());
         if self.is_drained(leaving_since) {
             return None;
@@ -91,7 +92,8 @@
             else {
                 continue;
             };
-            if progress.tried.contains(&target.incarnation) || node.is_refusing {
+            let is_tried = progress.tried.contains(&target.incarnation);
+            if is_tried || node.is_refusing || node.is_evacuated {
                 continue;
             }
             let leaving_since = leaving_since(node, &remembered);
@@ -103,7 +105,10 @@
                 node: node.key,
                 slots: target.slots,
                 is_same_data_centre: *node.data_centre == *settings.data_centre,
-                limit: remembered.recent_limit(node.key, &target.incarnation, now).or(target.limit),
+                limit: lower_limit(
+                    remembered.recent_limit(node.key, &target.incarnation, now).or(target.limit),
+                    target.cold.filter(|it| now < it.until).map(|it| it.limit),
+                ),
             };
             match is_fallback {
                 true => fallbacks.push(candidate),
@@ -163,6 +168,11 @@
     nodes.max_by_key(weight).map(|it| it.key)
 }
 
+/// The lower of two request limits, where there is one.
+fn lower_limit(a: Option<RequestRate>, b: Option<RequestRate>) -> Option<RequestRate> {
+    [a, b].into_iter().flatten().min()
+}
+
 /// Returns since when the target beside a node leaves, from its node's statuses and from its own
 /// responses.
 fn leaving_since(node: &NodeEntry, remembered: &RememberedAnnouncements) -> Option<BootInstant> {
--- a/crates/galenastream_node/src/request/target_run.rs
+++ b/crates/galenastream_node/src/request/target_run.rs
@@ -173,6 +173,7 @@
         admitted = traffic
             .admission
             .admit_with_soft_deadline(class, soft_deadline, deadline) => admitted,
+        () = evacuation(traffic) => return not_sent(ReplyReason::Evacuated, MOVING_RETRY_AFTER_MS),
         () = caller_left.cancelled() => return not_sent(ReplyReason::CallerLeft, 0),
     };
     let mut slot = match admitted {
@@ -248,6 +249,21 @@
     }
 }
 
+/// Completes when nothing may be sent to the target any longer, since its data centre is evacuated.
+async fn evacuation(traffic: &TrafficState) {
+    let mut changes = traffic.context.directory_changes.subscribe();
+    loop {
+        let directory = traffic.context.directory.load();
+        if directory.local.as_ref().is_some_and(|it| it.is_evacuated) {
+            return;
+        }
+        drop(directory);
+        if changes.changed().await.is_err() {
+            return std::future::pending().await;
+        }
+    }
+}
+
 /// Whether the key of a request is assigned to the target, so that a lease on it will follow.
 fn is_lease_expected(traffic: &TrafficState, request: &ForwardedRequest) -> bool {
     let directory = traffic.context.directory.load();
@@ -282,6 +298,7 @@
         return Err(not_sent(ReplyReason::OtherTarget, MOVING_RETRY_AFTER_MS));
     }
     traffic.set_admission_limits(&local.service, local.slots);
+    traffic.set_cold_period(local.cold);
     traffic.update_announcement(|it| {
         it.set_incarnation(&local.incarnation);
         if let Some(remembered) = request.remembered {
@@ -289,6 +306,9 @@
         }
     });
     let now = boot_now();
+    if local.is_evacuated {
+        return Err(not_sent(ReplyReason::Evacuated, MOVING_RETRY_AFTER_MS));
+    }
     if local.draining_since.is_some_and(|it| is_drain_over(traffic, it, now)) {
         return Err(not_sent(ReplyReason::Draining, MOVING_RETRY_AFTER_MS));
     }
--- a/crates/galenastream_node/tests/ownership/config_doubt.rs
+++ b/crates/galenastream_node/tests/ownership/config_doubt.rs
@@ -64,7 +64,7 @@
 
 /// An answer of the store that shows a config that cannot be decoded.
 fn unreadable(version: Option<u64>, now_ms: u64) -> ControlEvent {
-    stored(now_ms, StoredConfigContent::Unreadable { version })
+    stored(now_ms, StoredConfigContent::Unreadable { version, reason: "test".to_owned() })
 }
 
 /// An answer of the store without a change, which confirms what it has shown before.
@@ -218,7 +218,7 @@
 fn a_read_that_is_older_than_what_the_store_has_shown_ends_no_doubt() {
     let mut state = settled_node();
     state.handle(unreadable(None, SETTLED_MS + 10), at(SETTLED_MS + 10));
-    let old = StoredConfigContent::Unreadable { version: Some(1) };
+    let old = StoredConfigContent::Unreadable { version: Some(1), reason: "test".to_owned() };
     state.handle(stored(SETTLED_MS, old), at(SETTLED_MS + 20));
     let now = at(SETTLED_MS + 20);
     assert_eq!(state.config_doubt(now), Some(ConfigDoubt::NewerUnreadable));
--- a/crates/galenastream_node/tests/ownership/hostile_input.rs
+++ b/crates/galenastream_node/tests/ownership/hostile_input.rs
@@ -12,8 +12,9 @@
 use galenastream_ranges::Assignment;
 use galenastream_standin::{Corpus, fuzz_config};
 use galenastream_wire::{
-    CrashEntry, EraRow, IncarnationRecord, KeyLoadRecord, NodeStatus, OwnershipFacts,
-    QuarantineRow, ReleaseRecord, SharedRow, StatusSeen, SuspectRecord, SyncState, TargetStatus,
+    CrashEntry, EraRow, EvacuationRecord, IncarnationRecord, KeyLoadRecord, NodeStatus,
+    OwnershipFacts, QuarantineRow, ReleaseRecord, SharedRow, StatusSeen, SuspectRecord, SyncState,
+    TargetStatus,
 };
 use proptest::{collection::vec, option, prelude::*};
 use prost::Message;
@@ -70,13 +71,15 @@
     let loads = vec((small_number(), small_number(), number()), 0..4);
     let flags = (any::<bool>(), any::<bool>(), any::<bool>(), any::<bool>());
     let numbers = (number(), small_number(), number(), option::of(number()));
-    (name(), name(), numbers, flags, loads).prop_map(
+    let cold = (option::of(number()), number());
+    (name(), name(), numbers, flags, loads, cold).prop_map(
         |(
             service,
             id,
             (born_ms, slots, capacity, limit),
             (is_draining, is_silent, wants_trial, releases_late),
             loads,
+            (cold_limit_milli_per_s, cold_remaining_ms),
         )| {
             let record = |(first, last, milli_per_s)| KeyLoadRecord { first, last, milli_per_s };
             TargetStatus {
@@ -91,6 +94,8 @@
                 limit_milli_per_s: limit,
                 wants_trial,
                 releases_late,
+                cold_limit_milli_per_s,
+                cold_remaining_ms,
             }
         },
     )
@@ -118,9 +123,11 @@
     let flags = (any::<bool>(), any::<bool>(), any::<bool>(), any::<bool>());
     let numbers = (number(), number(), number());
     let address = prop_oneof![4 => Just("10.0.0.2:7000".to_owned()), 1 => ".{0,9}"];
-    let lists = (vec(facts(), 0..3), vec(suspect(), 0..4));
-    (node(), address, option::of(target()), flags, numbers, lists).prop_map(
-        |(node, address, target, flags, numbers, (facts, suspects))| {
+    let lists = (vec(facts(), 0..3), vec(suspect(), 0..4), vec(evacuation(), 0..3));
+    // Boxed, since a value tree of this size would not fit on the stack of a test.
+    let target = option::of(target()).boxed();
+    (node(), address, target, flags, numbers, lists.boxed()).prop_map(
+        |(node, address, target, flags, numbers, (facts, suspects, evacuations))| {
             ControlEvent::PeerStatus(NodeStatus {
                 node,
                 started_boot_ns: numbers.0,
@@ -139,11 +146,19 @@
                 suspects,
                 quarantine_digest: numbers.0,
                 crash_count: numbers.1,
+                evacuations,
             })
         },
     )
 }
 
+fn evacuation() -> impl Strategy<Value = EvacuationRecord> {
+    let data_centre = prop_oneof![Just("east".to_owned()), name()];
+    (data_centre, number(), any::<bool>()).prop_map(|(data_centre, row_version, is_requested)| {
+        EvacuationRecord { data_centre, row_version, is_requested }
+    })
+}
+
 /// A record of few requests and crashes, so that records are joined, or one that names no request.
 fn suspect() -> impl Strategy<Value = SuspectRecord> {
     let fingerprint = prop_oneof![
@@ -235,10 +250,10 @@
     let content = prop_oneof![
         4 => CONFIGS.mutated().prop_map(|encoded| match RoutingConfig::decode(&encoded) {
             Ok(config) => StoredConfigContent::Valid { config: Box::new(config), encoded },
-            Err(_) => StoredConfigContent::Unreadable { version: None },
+            Err(_) => StoredConfigContent::Unreadable { version: None, reason: String::new() },
         }),
         1 => option::of(number())
-            .prop_map(|version| StoredConfigContent::Unreadable { version }),
+            .prop_map(|version| StoredConfigContent::Unreadable { version, reason: String::new() }),
         1 => Just(()).prop_map(|()| StoredConfigContent::Missing),
     ];
     let stored = (version(), content)
--- a/crates/galenastream_node/tests/ownership/main.rs
+++ b/crates/galenastream_node/tests/ownership/main.rs
@@ -4,10 +4,12 @@
 
 mod calls;
 mod clock_bounds;
+mod cold_targets;
 mod config_doubt;
 mod crashing_deployment;
 mod earlier_program;
 mod earlier_programs;
+mod evacuations;
 mod faults;
 mod fixtures;
 mod healthy_store;
--- a/crates/galenastream_routing/src/process/admission.rs
+++ b/crates/galenastream_routing/src/process/admission.rs
@@ -7,12 +7,13 @@
 pub use super::queue::WaitId;
 use super::{
     class_service_times::ClassServiceTimes,
+    cold_limiter::ColdLimiter,
     queue::{Queue, Waiting},
     rate_limiter::RateLimiter,
 };
 use crate::{
-    AdmissionLimits, AdmissionOutcome, AdmitDecision, Class, Deadline, Dequeued, Evicted,
-    RequestRate,
+    AdmissionLimits, AdmissionOutcome, AdmitDecision, Class, ColdPeriod, Deadline, Dequeued,
+    Evicted, RequestRate,
 };
 
 /// The share of the slots that are open when a target has just started.
@@ -47,6 +48,8 @@
     service_times: ClassServiceTimes,
     /// Present while the target announces a request limit.
     rate_limiter: Option<RateLimiter>,
+    /// Present while the target is cold.
+    cold_limiter: Option<ColdLimiter>,
 }
 
 impl Admission {
@@ -62,6 +65,7 @@
             had_room_at: target_up_at,
             service_times: ClassServiceTimes::default(),
             rate_limiter: None,
+            cold_limiter: None,
         }
     }
 
@@ -208,11 +212,23 @@
         dequeued
     }
 
+    /// Sets the time for which the target is cold, or that it is not. Requests start at the rate that
+    /// it bears meanwhile.
+    ///
+    /// Load pattern: the targets of a data centre return together, cold, while the others are full.
+    pub fn set_cold_period(&mut self, now: BootInstant, cold: Option<ColdPeriod>) {
+        match (cold, &mut self.cold_limiter) {
+            (None, limiter) => *limiter = None,
+            (Some(cold), Some(limiter)) => limiter.set_period(cold, now),
+            (Some(cold), limiter) => *limiter = Some(ColdLimiter::new(cold, now)),
+        }
+    }
+
     /// Returns when [`Self::dequeue`] has to be called because the request limit lets the next
     /// waiting request start. `None` if no request waits for that.
     pub fn next_start_at(&self, now: BootInstant) -> Option<BootInstant> {
         let waits_for_token = self.queue.len() > 0 && self.in_progress < self.open_slots(now);
-        (waits_for_token && self.rate_limiter.is_some()).then(|| now + self.token_wait(0, now))
+        (waits_for_token && self.has_request_limit()).then(|| now + self.token_wait(0, now))
     }
 
     /// Returns whether a request that arrives now would wait for the request limit rather than for
@@ -222,9 +238,10 @@
         self.has_request_limit() && self.token_wait(ahead, now) > self.slot_wait(ahead, now)
     }
 
-    /// Returns whether a request limit is set.
+    /// Returns whether the rate at which requests start is limited, by what the target announces or
+    /// because it is cold.
     pub const fn has_request_limit(&self) -> bool {
-        self.rate_limiter.is_some()
+        self.rate_limiter.is_some() || self.cold_limiter.is_some()
     }
 
     /// Removes a waiting request from the queue. Returns `false` if it has started or been shed
@@ -363,7 +380,8 @@
     fn late_queue_limit(&self, now: BootInstant) -> usize {
         let mean = self.service_times.all.mean();
         let limited_slots = self.rate_limiter.map_or(u32::MAX, |it| it.requests_in(mean) as u32);
-        (self.open_slots(now).min(limited_slots) / LATE_QUEUE_DIVISOR) as usize
+        let cold_slots = self.cold_limiter.map_or(u32::MAX, |it| it.requests_in(mean, now) as u32);
+        (self.open_slots(now).min(limited_slots).min(cold_slots) / LATE_QUEUE_DIVISOR) as usize
     }
 
     /// Returns how long a request waits for a slot and for the request limit if `ahead` others
@@ -378,7 +396,9 @@
     }
 
     fn token_wait(&self, ahead: usize, now: BootInstant) -> Duration {
-        self.rate_limiter.map_or(Duration::ZERO, |it| it.time_until(ahead + 1, now))
+        let of_limit = self.rate_limiter.map(|it| it.time_until(ahead + 1, now));
+        let of_cold = self.cold_limiter.map(|it| it.time_until(ahead + 1, now));
+        of_limit.unwrap_or_default().max(of_cold.unwrap_or_default())
     }
 
     /// Whether a limit close to zero lets no request start now. A request that has alternatives does
@@ -389,7 +409,16 @@
     }
 
     fn take_token(&mut self, now: BootInstant) -> bool {
-        self.rate_limiter.as_mut().is_none_or(|it| it.take(now))
+        if !self.token_wait(0, now).is_zero() {
+            return false;
+        }
+        if let Some(limiter) = &mut self.rate_limiter {
+            limiter.take(now);
+        }
+        if let Some(limiter) = &mut self.cold_limiter {
+            limiter.take(now);
+        }
+        true
     }
 
     fn queue_wait(&self) -> Duration {
--- a/crates/galenastream_runtime/src/admission_controller.rs
+++ b/crates/galenastream_runtime/src/admission_controller.rs
@@ -6,8 +6,8 @@
 };
 
 use galenastream_routing::{
-    Admission, AdmissionLimits, AdmitDecision, Class, Deadline, Dequeued, Evicted, RequestRate,
-    WaitId,
+    Admission, AdmissionLimits, AdmitDecision, Class, ColdPeriod, Deadline, Dequeued, Evicted,
+    RequestRate, WaitId,
 };
 use galenastream_utils::{BootInstant, FastMap};
 use tokio::sync::{Notify, oneshot};
@@ -84,6 +84,16 @@
         self.next_start_changed.notify_one();
     }
 
+    /// Sets the time for which the target is cold, or that it is not.
+    pub fn set_cold_period(&self, cold: Option<ColdPeriod>) {
+        let mut state = self.lock();
+        let now = boot_now();
+        state.admission.set_cold_period(now, cold);
+        let dequeued = state.admission.dequeue(now);
+        state.notify(dequeued, now);
+        self.next_start_changed.notify_one();
+    }
+
     /// Starts waiting requests whenever the request limit of the target allows another one. Has to
     /// run as long as requests are admitted.
     pub async fn run_request_limit(&self) {
--- a/crates/galenastream_wire/src/message/node_status.rs
+++ b/crates/galenastream_wire/src/message/node_status.rs
@@ -62,6 +62,23 @@
     /// The number of crashes under requests that the node has seen at its target.
     #[prost(uint64, tag = "17")]
     pub crash_count: u64,
+    /// The evacuations of data centres that the node knows of, also those that have ended.
+    #[prost(message, repeated, tag = "18")]
+    pub evacuations: Vec<EvacuationRecord>,
+}
+
+/// The newest change of the evacuation of a data centre.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct EvacuationRecord {
+    /// The data centre.
+    #[prost(string, tag = "1")]
+    pub data_centre: String,
+    /// The version of the change in the store.
+    #[prost(uint64, tag = "2")]
+    pub row_version: u64,
+    /// Whether nothing may be sent to the targets of the data centre since then.
+    #[prost(bool, tag = "3")]
+    pub is_requested: bool,
 }
 
 /// The state of the target beside a node.
@@ -104,6 +121,13 @@
     /// process of the node may last. Earlier versions do not say so.
     #[prost(bool, tag = "11")]
     pub releases_late: bool,
+    /// The requests that the target takes while it is cold, in thousandths of a request per second;
+    /// `None` if it is not cold.
+    #[prost(uint64, optional, tag = "12")]
+    pub cold_limit_milli_per_s: Option<u64>,
+    /// For how long it stays cold, in milliseconds.
+    #[prost(uint64, tag = "13")]
+    pub cold_remaining_ms: u64,
 }
 
 /// Changes of an assignment that a node cannot write, since it does not reach the store. Another
--- a/crates/galenastream_wire/src/message/request.rs
+++ b/crates/galenastream_wire/src/message/request.rs
@@ -168,6 +168,8 @@
     Quarantined = 18,
     /// The request is suspected of crashing targets, and the target is already running it.
     SuspectRunning = 19,
+    /// Operators have requested that nothing be sent to the targets of the data centre.
+    Evacuated = 20,
 }
 
 impl ReplyReason {
@@ -194,6 +196,7 @@
             Self::TargetCrashed => "target-crashed",
             Self::Quarantined => "quarantined",
             Self::SuspectRunning => "suspect-running",
+            Self::Evacuated => "evacuated",
         }
     }
 }
