Order and pace long answers on the link, and send urgent requests past slow targets

Cause: long answers filled the links of the VMs that send them.

Targets that tell how long work takes there are believed where the count of their node agrees and measured service times prove it; an urgent request that would miss its soft deadline only because of that goes to another target.

--- a/crates/galenastream_node/src/connection/peer_connections.rs
+++ b/crates/galenastream_node/src/connection/peer_connections.rs
@@ -6,10 +6,13 @@
 };
 
 use galenastream_routing::TransitDelay;
-use galenastream_runtime::{FrameReader, FrameWriter, ReceivedFrame, boot_now};
+use galenastream_runtime::{
+    FrameReader, FrameWriter, LinkShare, ReceivedFrame, Transfer, boot_now,
+};
 use galenastream_utils::FastMap;
 use galenastream_wire::{
-    ForwardedRequest, PeerFrame, ReplyReason, StatusSeen, WireError, peer_frame::Body,
+    CorrelatedFrame, ForwardedRequest, PeerFrame, ReplyReason, StatusSeen, WireError,
+    peer_frame::Body,
 };
 use tokio::{
     net::{
@@ -24,12 +27,15 @@
 use super::accept::accept_all;
 use crate::{
     process::{ControlEvent, TrafficState},
-    request::{TOO_LONG_RETRY_AFTER_MS, not_sent, run_for_peer, unknown},
+    request::{TOO_LONG_RETRY_AFTER_MS, TargetRun, not_sent, run_for_peer, unknown},
 };
 
 /// Maximum number of replies that wait to be written on one connection.
 const WRITE_QUEUE_FRAMES: usize = 4_096;
 
+/// The size of a reply without its body, about.
+const REPLY_HEAD_BYTES: usize = 300;
+
 /// How long a connection without requests in progress may bring no frame. A status comes every
 /// second; this is longer than most suspensions, after which the other node uses the connection again.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
@@ -45,25 +51,44 @@
 async fn serve_connection(traffic: Arc<TrafficState>, stream: TcpStream) {
     let (read_half, write_half) = stream.into_split();
     let (replies, queue) = mpsc::channel(WRITE_QUEUE_FRAMES);
-    let writer = tokio::spawn(write_replies(write_half, queue));
+    let writer = tokio::spawn(write_replies(traffic.link.clone(), write_half, queue));
     let connection = PeerConnection { traffic, replies, running: Arc::default() };
     connection.read(read_half).await;
     connection.close();
     writer.abort();
 }
 
-async fn write_replies(stream: OwnedWriteHalf, mut queue: mpsc::Receiver<PeerFrame>) {
+/// What is written on a connection that another node opened.
+#[derive(Debug)]
+enum OutgoingReply {
+    /// A message that is written as soon as the connection takes it.
+    Prompt(PeerFrame),
+    /// A long answer, whose parts wait for turns on the link.
+    Paced { frame: PeerFrame, transfer: Transfer },
+    /// The other node no longer wants the reply to a request.
+    Unwanted { correlation: u64 },
+}
+
+/// What a writer does next.
+enum NextWrite {
+    Reply(OutgoingReply),
+    /// Write a part of a long reply that waits for nothing.
+    Part,
+    /// Write a part of a long reply, for which there was a turn on the link.
+    PacedPart,
+}
+
+async fn write_replies(
+    link: Arc<LinkShare>,
+    stream: OwnedWriteHalf,
+    mut queue: mpsc::Receiver<OutgoingReply>,
+) {
     let mut writer = FrameWriter::new(stream);
     loop {
-        // While parts of long replies are left, they take turns with the frames in the queue.
-        let frame = match writer.has_parts() {
-            true => queue.try_recv().ok(),
-            false => match queue.recv().await {
-                Some(frame) => Some(frame),
-                None => return,
-            },
+        let Some(next) = next_write(&mut writer, &mut queue).await else {
+            return;
         };
-        if let Err(error) = write_next(&mut writer, frame).await {
+        if let Err(error) = write_next(&link, &mut writer, next).await {
             log::info!(event = "reply_not_written", reason:% = error; "");
             return;
         }
@@ -74,24 +99,66 @@
     }
 }
 
-/// Writes a frame, if there is one, and a part of a long reply, if there is one.
+/// Waits for what is to be written next. Returns `None` at the end of the connection.
+async fn next_write(
+    writer: &mut FrameWriter<PeerFrame>,
+    queue: &mut mpsc::Receiver<OutgoingReply>,
+) -> Option<NextWrite> {
+    // While parts of long replies are left, they take turns with the replies in the queue.
+    if writer.has_parts() {
+        return Some(queue.try_recv().map_or(NextWrite::Part, NextWrite::Reply));
+    }
+    if !writer.has_paced() {
+        return queue.recv().await.map(NextWrite::Reply);
+    }
+    tokio::select! {
+        biased;
+        reply = queue.recv() => reply.map(NextWrite::Reply),
+        () = writer.paced_turn() => Some(NextWrite::PacedPart),
+    }
+}
+
+/// Writes a reply or a part of one, and a part of a long reply that waits for nothing, if there is
+/// one.
 async fn write_next(
+    link: &LinkShare,
     writer: &mut FrameWriter<PeerFrame>,
-    frame: Option<PeerFrame>,
+    next: NextWrite,
 ) -> Result<(), WireError> {
-    if let Some(frame) = frame {
-        let correlation = frame.correlation;
-        match writer.feed(frame).await {
-            Err(error @ WireError::TooLong { .. }) => {
-                log::warn!(event = "reply_too_long", reason:% = error; "");
-                writer.feed(reply_too_long(correlation)).await?;
-            }
-            result => result?,
+    match next {
+        NextWrite::Reply(OutgoingReply::Prompt(frame)) => {
+            link.record(frame.body_bytes() + REPLY_HEAD_BYTES);
+            let correlation = frame.correlation;
+            let result = writer.feed(frame).await;
+            replace_too_long(writer, correlation, result).await?;
         }
+        NextWrite::Reply(OutgoingReply::Paced { frame, transfer }) => {
+            let correlation = frame.correlation;
+            let result = writer.add_paced(frame, transfer);
+            replace_too_long(writer, correlation, result).await?;
+        }
+        NextWrite::Reply(OutgoingReply::Unwanted { correlation }) => writer.forget(correlation),
+        NextWrite::Part => {}
+        NextWrite::PacedPart => writer.feed_paced_part().await?,
     }
     writer.feed_part(|_| true).await
 }
 
+/// Says to the other node that a reply is too long, if that is why it was not written.
+async fn replace_too_long(
+    writer: &mut FrameWriter<PeerFrame>,
+    correlation: u64,
+    result: Result<(), WireError>,
+) -> Result<(), WireError> {
+    match result {
+        Err(error @ WireError::TooLong { .. }) => {
+            log::warn!(event = "reply_too_long", reason:% = error; "");
+            writer.feed(reply_too_long(correlation)).await
+        }
+        result => result,
+    }
+}
+
 /// What is sent in place of a reply that is too long for a connection between nodes.
 fn reply_too_long(correlation: u64) -> PeerFrame {
     let reply = unknown(ReplyReason::AnswerTooLong);
@@ -101,7 +168,7 @@
 /// A connection that another node opened.
 struct PeerConnection {
     traffic: Arc<TrafficState>,
-    replies: mpsc::Sender<PeerFrame>,
+    replies: mpsc::Sender<OutgoingReply>,
     running: Arc<Mutex<FastMap<u64, AbortHandle>>>,
 }
 
@@ -183,7 +250,7 @@
 
     fn reply(&self, correlation: u64, body: Body) {
         let frame = PeerFrame { correlation, body: Some(body) };
-        if self.replies.try_send(frame).is_err() {
+        if self.replies.try_send(OutgoingReply::Prompt(frame)).is_err() {
             log::warn!(event = "reply_dropped"; "");
         }
     }
@@ -192,10 +259,14 @@
         let (traffic, replies) = (self.traffic.clone(), self.replies.clone());
         let running = self.running.clone();
         let task = tokio::spawn(async move {
-            let reply = run_for_peer(&traffic, request).await;
+            let TargetRun { reply, transfer } = run_for_peer(&traffic, request).await;
             lock(&running).remove(&correlation);
             let frame = PeerFrame { correlation, body: Some(Body::Reply(reply)) };
-            if replies.send(frame).await.is_err() {
+            let reply = match transfer {
+                Some(transfer) => OutgoingReply::Paced { frame, transfer },
+                None => OutgoingReply::Prompt(frame),
+            };
+            if replies.send(reply).await.is_err() {
                 log::debug!(event = "reply_unwanted"; "");
             }
         });
@@ -205,8 +276,14 @@
     }
 
     fn cancel(&self, correlation: u64) {
-        if let Some(task) = lock(&self.running).remove(&correlation) {
-            task.abort();
+        match lock(&self.running).remove(&correlation) {
+            Some(task) => task.abort(),
+            // The reply is on its way, or waits for the link.
+            None => {
+                if self.replies.try_send(OutgoingReply::Unwanted { correlation }).is_err() {
+                    log::debug!(event = "reply_unwanted"; "");
+                }
+            }
         }
     }
 }
--- a/crates/galenastream_node/src/process/daemon.rs
+++ b/crates/galenastream_node/src/process/daemon.rs
@@ -175,6 +175,8 @@
     tokio::spawn(serve_peers(traffic.clone(), peers));
     tokio::spawn(exchange_statuses(traffic.clone(), queries));
     tokio::spawn(log_tally(traffic.clone()));
+    let link = traffic.link.clone();
+    tokio::spawn(async move { link.run().await });
     let limited = traffic.clone();
     tokio::spawn(async move { limited.admission.run_request_limit().await });
     let mut terminate = signal(SignalKind::terminate())?;
--- a/crates/galenastream_node/src/process/traffic_state.rs
+++ b/crates/galenastream_node/src/process/traffic_state.rs
@@ -13,7 +13,7 @@
     AdmissionLimits, ColdPeriod, LimitTrials, RequestFingerprint, RetryBudgetLimits, ServiceTime,
     TargetSelector, UsualWaits, WeightedSplit, WindowedRetryBudget,
 };
-use galenastream_runtime::{AdmissionController, BodyBudget, LogBudget, boot_now};
+use galenastream_runtime::{AdmissionController, BodyBudget, LinkShare, LogBudget, boot_now};
 use galenastream_settings::EffectiveSettings;
 use galenastream_utils::{BootInstant, FastMap, FastSet};
 use galenastream_wire::TargetAnnouncement;
@@ -46,6 +46,8 @@
     pub context: Arc<NodeContext>,
     /// The memory for long bodies in progress.
     pub body_budget: Arc<BodyBudget>,
+    /// The link of the VM, which long answers share with everything else.
+    pub link: Arc<LinkShare>,
     /// The connections to other nodes.
     pub links: PeerLinks,
     /// The connections to the local target.
@@ -98,6 +100,7 @@
             target_connections: TargetConnections::new(settings.target_address, budget.clone())
                 .with_count(context.target_connections.clone()),
             body_budget: budget,
+            link: LinkShare::new(settings.limits.link_mbit_per_s),
             admission: AdmissionController::new(admission_limits(
                 DEFAULT_SLOTS,
                 &EffectiveSettings::default(),
--- a/crates/galenastream_node/src/request/attempt.rs
+++ b/crates/galenastream_node/src/request/attempt.rs
@@ -52,7 +52,7 @@
     let reply = {
         let _in_progress = InProgressGuard::new(traffic, node);
         if destination.node.is_local {
-            run_at_target(traffic, message).await
+            run_at_target(traffic, message).await.reply
         } else {
             forward_to_peer(traffic, destination, message, may_retry).await
         }
@@ -150,6 +150,7 @@
         sent_at_ns: now.as_ns(),
         has_alternatives: destination.has_alternatives,
         waited_ms: request.waited_ms,
+        has_long_answer: request.route.kind.has_long_answers(),
         remembered: traffic.remembered().report(
             destination.node.key,
             &destination.target,
@@ -163,7 +164,10 @@
 /// Whether a target was not sent a request because it has no capacity for it.
 pub(super) fn is_lack_of_capacity(reason: i32) -> bool {
     let reason = ReplyReason::try_from(reason).unwrap_or(ReplyReason::None);
-    matches!(reason, ReplyReason::Overloaded | ReplyReason::RateLimited)
+    matches!(
+        reason,
+        ReplyReason::Overloaded | ReplyReason::RateLimited | ReplyReason::NoRoomForAnswer
+    )
 }
 
 /// Whether a reply with an answer carries the signature of the target that made it.
--- /dev/null
+++ b/crates/galenastream_node/src/request/long_answer.rs
@@ -0,0 +1,52 @@
+//! Room for long answers: on the link of the VM, and in the memory of the node.
+//!
+//! Load pattern: the long answers of a service want as much as the links of its VMs carry. A request whose
+//! answer could not be sent in time would use a slot of the target in vain, and keep the link from
+//! others.
+
+use std::time::Duration;
+
+use galenastream_routing::{Deadline, TransferOrder};
+use galenastream_runtime::{Transfer, boot_now};
+use galenastream_wire::{ForwardedReply, ForwardedRequest, ReplyReason};
+
+use super::target_reply::not_sent;
+use crate::process::TrafficState;
+
+/// An answer that will be late is sent only while the link would keep it waiting for less than this.
+const MAX_LATE_WAIT: Duration = Duration::from_millis(100);
+
+/// Soft deadline and deadline of a request.
+pub(super) type Deadlines = (Deadline, Deadline);
+
+/// Announces the transfer of a long answer, and returns it with the deadlines by which the target has
+/// to have answered. Returns the reply to a request whose answer could not be sent in time.
+pub(super) fn plan_transfer(
+    traffic: &TrafficState,
+    request: &ForwardedRequest,
+    deadlines: Deadlines,
+) -> Result<(Option<Transfer>, Deadlines), ForwardedReply> {
+    if !request.has_long_answer {
+        return Ok((None, deadlines));
+    }
+    let (soft_deadline, deadline) = deadlines;
+    let now = boot_now();
+    let rank = u8::try_from(request.rank).unwrap_or(u8::MAX);
+    let order = TransferOrder { rank, due: soft_deadline.min(deadline).at() };
+    let (wait, duration) = traffic.link.expected_times(order);
+    let has_memory = traffic.body_budget.has_room_for(traffic.link.mean_answer_bytes());
+    let sent_at = now + wait + duration;
+    let is_late = soft_deadline.has_passed(sent_at) && wait > MAX_LATE_WAIT;
+    if is_late || deadline.has_passed(sent_at) || !has_memory {
+        // The link is free for it once it has sent what would be too late.
+        let free_in = (wait + duration).saturating_sub(soft_deadline.remaining(now));
+        let retry_after_ms = u32::try_from(free_in.max(duration).as_millis()).unwrap_or(u32::MAX);
+        return Err(not_sent(ReplyReason::NoRoomForAnswer, retry_after_ms));
+    }
+    let earlier = |it: Deadline| {
+        let remaining = it.remaining(now).saturating_sub(duration);
+        Deadline::new(now, u32::try_from(remaining.as_millis()).unwrap_or(u32::MAX))
+    };
+    let deadlines = (earlier(soft_deadline), earlier(deadline));
+    Ok((Some(traffic.link.announce(order)), deadlines))
+}
--- a/crates/galenastream_node/src/request/mod.rs
+++ b/crates/galenastream_node/src/request/mod.rs
@@ -9,6 +9,7 @@
 mod drain;
 mod entry;
 mod fingerprint;
+mod long_answer;
 mod progress;
 #[cfg(test)]
 mod progress_tests;
@@ -22,4 +23,4 @@
 
 pub use entry::{answer_caller, refuse_unread};
 pub use target_reply::{TOO_LONG_RETRY_AFTER_MS, not_sent, unknown};
-pub use target_run::run_for_peer;
+pub use target_run::{TargetRun, run_for_peer};
--- a/crates/galenastream_node/src/request/target_reply.rs
+++ b/crates/galenastream_node/src/request/target_reply.rs
@@ -1,7 +1,8 @@
 //! Replies to forwarded requests from the results at the target.
 
-use galenastream_adapter::header_names;
+use galenastream_adapter::{decode_load, header_names};
 use galenastream_ranges::TargetIncarnation;
+use galenastream_routing::ToldLoad;
 use galenastream_runtime::{WholeResponse, boot_now, end_to_end_headers};
 use galenastream_utils::BootInstant;
 use galenastream_wire::{ForwardedReply, ForwardedRequest, ReplyOutcome, ReplyReason};
@@ -62,6 +63,7 @@
         log_unaccepted(event, request, &response);
     }
     if matches!(proof, ResponseProof::Answer | ResponseProof::NotRun) {
+        record_load(traffic, headers);
         traffic.update_announcement(|it| {
             if it.is_of(&request.target_id, request.target_born_ms) {
                 it.record_response(headers, &request.request_id, sent_at, boot_now());
@@ -93,6 +95,16 @@
     }
 }
 
+/// Passes on what a response tells of the load of the target.
+fn record_load(traffic: &TrafficState, headers: &HeaderMap) {
+    let Some(load) = decode_load(headers) else {
+        return;
+    };
+    if let Some(pace_percent) = load.pace_percent {
+        traffic.admission.record_told_load(ToldLoad { running: load.running, pace_percent });
+    }
+}
+
 /// Tells the control thread that the target does not hold the key of a request, unless another target
 /// has refused it.
 fn report_denied_key(traffic: &TrafficState, request: &ForwardedRequest, headers: &HeaderMap) {
--- a/crates/galenastream_node/src/request/target_run.rs
+++ b/crates/galenastream_node/src/request/target_run.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use galenastream_adapter::header_names;
 use galenastream_routing::{Class, Deadline, RequestFingerprint, Suspicion};
-use galenastream_runtime::{append_headers, boot_now, sleep_until};
+use galenastream_runtime::{Transfer, append_headers, boot_now, sleep_until};
 use galenastream_utils::BootInstant;
 use galenastream_wire::{ForwardedReply, ForwardedRequest, ReplyOutcome, ReplyReason};
 use http::{HeaderValue, Method, Request, header};
@@ -20,6 +20,7 @@
     crash::{record_lost_run, wait_for_turn},
     drain::is_drain_over,
     fingerprint::fingerprint_of_forwarded,
+    long_answer::plan_transfer,
     refusal::QUARANTINED_RETRY_AFTER_MS,
     target_reply::{
         MOVING_RETRY_AFTER_MS, UNREACHABLE_RETRY_AFTER_MS, not_sent, reply_from_result, unknown,
@@ -42,14 +43,20 @@
 /// service time is estimated with it until it is measured.
 const SERVICE_TIME_ESTIMATE_DIVISOR: u32 = 3;
 
+/// The reply to a request that was to run at the target beside this node.
+#[derive(Debug)]
+pub struct TargetRun {
+    /// The reply.
+    pub reply: ForwardedReply,
+    /// The place of a long answer on the link.
+    pub transfer: Option<Transfer>,
+}
+
 /// Runs a request at the target beside this node.
 ///
 /// Dropping the future means that the caller has left. This cancels an idempotent request at any
 /// point, and any other request only until it is sent to the target.
-pub async fn run_at_target(
-    traffic: &Arc<TrafficState>,
-    request: ForwardedRequest,
-) -> ForwardedReply {
+pub async fn run_at_target(traffic: &Arc<TrafficState>, request: ForwardedRequest) -> TargetRun {
     let caller_left = CancellationToken::new();
     if request.is_idempotent {
         return run_counted(traffic, request, &caller_left).await;
@@ -59,7 +66,7 @@
     let running = tokio::spawn(async move { run_counted(&traffic, request, &caller_left).await });
     running.await.unwrap_or_else(|error| {
         log::error!(event = "request_task_failed", reason:% = error; "");
-        unknown(ReplyReason::ConnectionLost)
+        TargetRun::new(unknown(ReplyReason::ConnectionLost))
     })
 }
 
@@ -67,7 +74,7 @@
     traffic: &Arc<TrafficState>,
     request: ForwardedRequest,
     caller_left: &CancellationToken,
-) -> ForwardedReply {
+) -> TargetRun {
     let _counted = CountGuard::new(&traffic.in_progress);
     let _pending = traffic.count_pending();
     let arrived_at = boot_now();
@@ -81,13 +88,20 @@
         quarantine.merge(record, arrived_at);
     }
     let times = (soft_deadline, deadline);
-    let mut reply = admit_and_send(traffic, request, fingerprint, times, caller_left).await;
+    let (mut reply, transfer) = match plan_transfer(traffic, &request, times) {
+        Ok((transfer, times)) => {
+            let reply = admit_and_send(traffic, request, fingerprint, times, caller_left).await;
+            let is_answered = reply.outcome == ReplyOutcome::Answered as i32;
+            (reply, transfer.filter(|_| is_answered))
+        }
+        Err(refused) => (refused, None),
+    };
     reply.suspect = quarantine.record_of(fingerprint).map(Box::new);
     reply.pending = traffic.pending();
     reply.service_time_us = traffic.service_time_us();
     reply.announcement = traffic.announcement_of(&target_id, born_ms);
     record_reply(traffic, &request_id, rank, arrived_at, &reply);
-    reply
+    TargetRun { reply, transfer }
 }
 
 /// Counts a request by the reason of its reply, and logs it if the target did not answer it.
@@ -121,20 +135,25 @@
 
 /// Runs a request that another node forwarded, or refuses it if this node is about to stop or the
 /// request's deadline passed on its way.
-pub async fn run_for_peer(
-    traffic: &Arc<TrafficState>,
-    request: ForwardedRequest,
-) -> ForwardedReply {
+pub async fn run_for_peer(traffic: &Arc<TrafficState>, request: ForwardedRequest) -> TargetRun {
     if traffic.context.is_refusing.load(Ordering::Relaxed) {
-        return not_sent(ReplyReason::Draining, MOVING_RETRY_AFTER_MS);
+        return TargetRun::new(not_sent(ReplyReason::Draining, MOVING_RETRY_AFTER_MS));
     }
     if request.remaining_ms == 0 {
         counter!("galenastream_expired_requests_total").increment(1);
-        return not_sent(ReplyReason::DeadlinePassed, UNREACHABLE_RETRY_AFTER_MS);
+        let reply = not_sent(ReplyReason::DeadlinePassed, UNREACHABLE_RETRY_AFTER_MS);
+        return TargetRun::new(reply);
     }
     run_at_target(traffic, request).await
 }
 
+impl TargetRun {
+    /// A reply without a long answer.
+    const fn new(reply: ForwardedReply) -> Self {
+        Self { reply, transfer: None }
+    }
+}
+
 async fn admit_and_send(
     traffic: &Arc<TrafficState>,
     request: ForwardedRequest,
--- a/crates/galenastream_routing/src/process/admission.rs
+++ b/crates/galenastream_routing/src/process/admission.rs
@@ -13,7 +13,7 @@
 };
 use crate::{
     AdmissionLimits, AdmissionOutcome, AdmitDecision, Class, ColdPeriod, Deadline, Dequeued,
-    Evicted, RequestRate,
+    Evicted, RequestRate, TargetPace, ToldLoad,
 };
 
 /// The share of the slots that are open when a target has just started.
@@ -50,6 +50,7 @@
     rate_limiter: Option<RateLimiter>,
     /// Present while the target is cold.
     cold_limiter: Option<ColdLimiter>,
+    pace: TargetPace,
 }
 
 impl Admission {
@@ -66,6 +67,7 @@
             service_times: ClassServiceTimes::default(),
             rate_limiter: None,
             cold_limiter: None,
+            pace: TargetPace::default(),
         }
     }
 
@@ -95,6 +97,9 @@
         soft_deadline: Deadline,
         deadline: Deadline,
     ) -> AdmissionOutcome {
+        if class.has_alternatives && self.is_too_slow_now(now, class, soft_deadline) {
+            return AdmissionOutcome { decision: self.shed(now), evicted: None };
+        }
         if self.queue.len() == 0 && self.in_progress < self.open_slots(now) && self.take_token(now)
         {
             self.in_progress += 1;
@@ -154,6 +159,21 @@
         self.finish(now, Some(service_time))
     }
 
+    /// Records what a response of the target tells of its load.
+    pub fn record_told_load(&mut self, now: BootInstant, told: ToldLoad) {
+        self.pace.record(told, self.in_progress, now);
+    }
+
+    /// Returns whether the target has lately told that it is slow.
+    pub fn is_told_slow(&self, now: BootInstant) -> bool {
+        self.pace.is_told_slow(now)
+    }
+
+    /// Adds the service time of a request that began while the target was said to be slow.
+    pub fn add_slow_service_time(&mut self, class: Class, service_time: Duration) {
+        self.pace.record_service_time(service_time, self.service_times.mean_of(class));
+    }
+
     /// Starts waiting requests while slots are free, and sheds those that can no longer be answered
     /// in time.
     pub fn dequeue(&mut self, now: BootInstant) -> Dequeued {
@@ -280,6 +300,16 @@
         u32::try_from(drain_ms).unwrap_or(u32::MAX).max(self.limits.retry_after_ms)
     }
 
+    /// Returns whether a request would miss its soft deadline only because the target is slow at the
+    /// moment: another one is likely to be faster.
+    fn is_too_slow_now(&self, now: BootInstant, class: Class, soft_deadline: Deadline) -> bool {
+        let slowdown = self.pace.slowdown(now);
+        let usual = self.service_times.mean_of(class);
+        slowdown > 1.0
+            && soft_deadline.has_passed(now + usual.mul_f64(slowdown))
+            && !soft_deadline.has_passed(now + usual)
+    }
+
     /// Returns the soft deadline of a request whose caller may have waited before this attempt.
     ///
     /// Load pattern: refused callers come back, and the time that they expect an answer in counts
--- a/crates/galenastream_runtime/src/admission_controller.rs
+++ b/crates/galenastream_runtime/src/admission_controller.rs
@@ -7,7 +7,7 @@
 
 use galenastream_routing::{
     Admission, AdmissionLimits, AdmitDecision, Class, ColdPeriod, Deadline, Dequeued, Evicted,
-    RequestRate, WaitId,
+    RequestRate, ToldLoad, WaitId,
 };
 use galenastream_utils::{BootInstant, FastMap};
 use tokio::sync::{Notify, oneshot};
@@ -45,6 +45,8 @@
     controller: &'a AdmissionController,
     class: Class,
     began_at: Instant,
+    /// Whether the target was said to be slow when the request began.
+    began_slow: bool,
     service_time: Option<Duration>,
 }
 
@@ -186,9 +188,17 @@
         }
     }
 
-    fn finish(&self, class: Class, service_time: Option<Duration>) {
+    /// Records what a response of the target tells of its load.
+    pub fn record_told_load(&self, told: ToldLoad) {
+        self.lock().admission.record_told_load(boot_now(), told);
+    }
+
+    fn finish(&self, class: Class, service_time: Option<Duration>, began_slow: bool) {
         let mut state = self.lock();
         let now = boot_now();
+        if let Some(service_time) = service_time.filter(|_| began_slow) {
+            state.admission.add_slow_service_time(class, service_time);
+        }
         let dequeued = match service_time {
             Some(service_time) => state.admission.finish_answered(now, class, service_time),
             None => state.admission.finish(now, None),
@@ -284,7 +294,8 @@
 
 impl<'a> Slot<'a> {
     fn new(controller: &'a AdmissionController, class: Class) -> Self {
-        Self { controller, class, began_at: Instant::now(), service_time: None }
+        let began_slow = controller.lock().admission.is_told_slow(boot_now());
+        Self { controller, class, began_at: Instant::now(), began_slow, service_time: None }
     }
 
     /// Records that the target sent a complete response, so that the time counts as a service time.
@@ -295,6 +306,6 @@
 
 impl Drop for Slot<'_> {
     fn drop(&mut self) {
-        self.controller.finish(self.class, self.service_time);
+        self.controller.finish(self.class, self.service_time, self.began_slow);
     }
 }
--- a/crates/galenastream_runtime/src/body_budget.rs
+++ b/crates/galenastream_runtime/src/body_budget.rs
@@ -30,6 +30,11 @@
         BodyReservation { budget: self.clone(), bytes: 0 }
     }
 
+    /// Whether so many bytes could be reserved now.
+    pub fn has_room_for(&self, bytes: usize) -> bool {
+        self.reserved_bytes().saturating_add(bytes) <= self.total_bytes
+    }
+
     /// How many bytes are reserved now.
     pub fn reserved_bytes(&self) -> usize {
         self.reserved_bytes.load(Ordering::Relaxed)
--- a/crates/galenastream_runtime/src/frame_writer.rs
+++ b/crates/galenastream_runtime/src/frame_writer.rs
@@ -11,7 +11,7 @@
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio_util::codec::FramedWrite;
 
-use crate::MAX_BODY_BYTES;
+use crate::{MAX_BODY_BYTES, Transfer};
 
 /// The longest body that is sent in one frame. Leaves room for the headers. Nodes of versions
 /// without parts take bodies of up to this length.
@@ -20,11 +20,17 @@
 /// The size of the parts of longer bodies.
 const PART_BYTES: usize = 64 * 1024;
 
+/// The size of the parts of bodies that wait for turns on the link. A short message waits for one of
+/// them.
+const PACED_PART_BYTES: usize = 16 * 1024;
+
 /// Writes messages to another node, long ones in parts.
 #[derive(Debug)]
 pub struct FrameWriter<F: CorrelatedFrame> {
     frames: FramedWrite<OwnedWriteHalf, FrameCodec<F>>,
     long: VecDeque<LongMessage>,
+    /// Messages whose parts wait for turns on the link, the first in order at the front.
+    paced: VecDeque<PacedMessage>,
 }
 
 /// A message that is sent in parts.
@@ -38,15 +44,45 @@
     message: Bytes,
 }
 
+/// A message whose parts wait for turns on the link.
+#[derive(Debug)]
+struct PacedMessage {
+    message: LongMessage,
+    transfer: Transfer,
+}
+
+impl LongMessage {
+    fn new<F: CorrelatedFrame>(mut frame: F) -> Self {
+        let (correlation, body) = (frame.correlation(), frame.take_body());
+        Self { correlation, offset: 0, body, message: Bytes::from(frame.encode_to_vec()) }
+    }
+
+    /// Takes the next part of at most `max_bytes` off. The last one carries the rest of the message.
+    fn next_part(&mut self, max_bytes: usize) -> Part {
+        let bytes = self.body.split_to(self.body.len().min(max_bytes));
+        let offset = self.offset;
+        self.offset += bytes.len() as u64;
+        let message = match self.body.is_empty() {
+            true => std::mem::take(&mut self.message),
+            false => Bytes::new(),
+        };
+        Part { offset, bytes, message }
+    }
+}
+
 impl<F: CorrelatedFrame> FrameWriter<F> {
     /// Creates a writer without messages.
     pub fn new(stream: OwnedWriteHalf) -> Self {
-        Self { frames: FramedWrite::new(stream, FrameCodec::new()), long: VecDeque::new() }
+        Self {
+            frames: FramedWrite::new(stream, FrameCodec::new()),
+            long: VecDeque::new(),
+            paced: VecDeque::new(),
+        }
     }
 
     /// Writes a message, or keeps it for [`feed_part`](Self::feed_part) if it is long. After
     /// [`WireError::TooLong`], other messages can still be written.
-    pub async fn feed(&mut self, mut frame: F) -> Result<(), WireError> {
+    pub async fn feed(&mut self, frame: F) -> Result<(), WireError> {
         let length_bytes = frame.body_bytes();
         if length_bytes <= MAX_WHOLE_BYTES {
             return self.frames.feed(frame).await;
@@ -54,12 +90,57 @@
         if length_bytes > MAX_BODY_BYTES {
             return Err(WireError::TooLong { length_bytes, limit_bytes: MAX_BODY_BYTES });
         }
-        let (correlation, body) = (frame.correlation(), frame.take_body());
-        let message = Bytes::from(frame.encode_to_vec());
-        self.long.push_back(LongMessage { correlation, offset: 0, body, message });
+        self.long.push_back(LongMessage::new(frame));
         Ok(())
     }
 
+    /// Keeps a message whose parts wait for turns on the link, for
+    /// [`feed_paced_part`](Self::feed_paced_part).
+    pub fn add_paced(&mut self, frame: F, transfer: Transfer) -> Result<(), WireError> {
+        let length_bytes = frame.body_bytes();
+        if length_bytes > MAX_BODY_BYTES {
+            return Err(WireError::TooLong { length_bytes, limit_bytes: MAX_BODY_BYTES });
+        }
+        transfer.set_bytes(length_bytes);
+        let index = self.paced.partition_point(|it| it.transfer.order() <= transfer.order());
+        self.paced.insert(index, PacedMessage { message: LongMessage::new(frame), transfer });
+        Ok(())
+    }
+
+    /// Whether messages wait for turns on the link.
+    pub fn has_paced(&self) -> bool {
+        !self.paced.is_empty()
+    }
+
+    /// Waits until the next part of the first message may be sent. Dropping the future loses no turn.
+    pub async fn paced_turn(&mut self) {
+        match self.paced.front_mut() {
+            Some(first) => {
+                let bytes = first.message.body.len().min(PACED_PART_BYTES);
+                first.transfer.turn(bytes).await;
+            }
+            None => std::future::pending().await,
+        }
+    }
+
+    /// Writes the next part of the first message that waits, for which there was a turn.
+    pub async fn feed_paced_part(&mut self) -> Result<(), WireError> {
+        let Some(first) = self.paced.front_mut() else {
+            return Ok(());
+        };
+        let correlation = first.message.correlation;
+        let part = first.message.next_part(PACED_PART_BYTES);
+        if first.message.body.is_empty() {
+            self.paced.pop_front();
+        }
+        self.frames.feed(F::from_part(correlation, part)).await
+    }
+
+    /// Drops a message that is no longer wanted and waits for turns on the link.
+    pub fn forget(&mut self, correlation: u64) {
+        self.paced.retain(|it| it.message.correlation != correlation);
+    }
+
     /// Whether parts of long messages are left.
     pub fn has_parts(&self) -> bool {
         !self.long.is_empty()
@@ -75,14 +156,8 @@
         if !is_wanted(correlation) {
             return self.frames.feed(F::new(correlation, F::cancel())).await;
         }
-        let bytes = long.body.split_to(long.body.len().min(PART_BYTES));
-        let offset = long.offset;
-        long.offset += bytes.len() as u64;
-        let message = match long.body.is_empty() {
-            true => std::mem::take(&mut long.message),
-            false => Bytes::new(),
-        };
-        self.frames.feed(F::from_part(correlation, Part { offset, bytes, message })).await?;
+        let part = long.next_part(PART_BYTES);
+        self.frames.feed(F::from_part(correlation, part)).await?;
         if !long.body.is_empty() {
             self.long.push_back(long);
         }
--- a/crates/galenastream_wire/src/message/request.rs
+++ b/crates/galenastream_wire/src/message/request.rs
@@ -71,6 +71,10 @@
     /// sending node does not know.
     #[prost(uint32, tag = "19")]
     pub waited_ms: u32,
+    /// Whether the answer is likely to be so long that it takes a share of the link of a VM. Earlier
+    /// versions do not say so.
+    #[prost(bool, tag = "20")]
+    pub has_long_answer: bool,
 }
 
 /// The reply to a [`ForwardedRequest`].
@@ -170,6 +174,8 @@
     SuspectRunning = 19,
     /// Operators have requested that nothing be sent to the targets of the data centre.
     Evacuated = 20,
+    /// The link of the VM, or the memory of its node, has no room for the long answer in time.
+    NoRoomForAnswer = 21,
 }
 
 impl ReplyReason {
@@ -197,6 +203,7 @@
             Self::Quarantined => "quarantined",
             Self::SuspectRunning => "suspect-running",
             Self::Evacuated => "evacuated",
+            Self::NoRoomForAnswer => "no-room-for-answer",
         }
     }
 }
