--- a/crates/galenastream_ctl/src/process/command_line.rs
+++ b/crates/galenastream_ctl/src/process/command_line.rs
@@ -18,7 +18,8 @@
         .long_about(
             "Inspects a galenastream router and applies its settings.\n\n\
              Settings, the config, key owners and nodes are read from the platform's store; \
-             `members` also queries each node. `trace` and `trace-key` only read log files.",
+             `members` and `evacuation` also query each node, and `route` queries one or two. `trace` \
+             and `trace-key` only read log files.",
         )
         .after_help(EXIT_CODES)
         .subcommand_required(true)
@@ -46,6 +47,8 @@
         .subcommand(ranges_command())
         .subcommand(quarantine_command())
         .subcommand(members_command())
+        .subcommand(evacuation_command())
+        .subcommand(route_command())
         .subcommand(trace_command())
         .subcommand(trace_key_command())
 }
@@ -195,6 +198,45 @@
         .arg(store_argument().required(true))
 }
 
+fn evacuation_command() -> Command {
+    Command::new("evacuation")
+        .about(
+            "Shows which data centres are evacuated, who knows, and what their targets still hold",
+        )
+        .arg(store_argument().required(true))
+}
+
+fn route_command() -> Command {
+    let argument =
+        |name: &'static str, value: &'static str| Arg::new(name).long(name).value_name(value);
+    Command::new("route")
+        .about("Explains where a request would go now, and why, without sending it")
+        .long_about(
+            "Explains where a request would go now, and why, without sending it: the route and the \
+             version of the config, the owner of the key or the candidates with the latency that is \
+             expected there and the age of what is known, and the admission that the request would \
+             meet beside the chosen target, if --store is given.",
+        )
+        .arg(
+            argument("node", "IP:PORT")
+                .required(true)
+                .value_parser(value_parser!(SocketAddr))
+                .help("Address of the node that takes the request from its caller, as in `members`"),
+        )
+        .arg(argument("method", "METHOD").default_value("GET").help("Method of the request"))
+        .arg(argument("host", "HOST").required(true).help("Host of the request"))
+        .arg(argument("path", "PATH").required(true).help("Path of the request"))
+        .arg(key_argument())
+        .arg(
+            Arg::new("deadline_ms")
+                .long("deadline-ms")
+                .value_name("MS")
+                .value_parser(value_parser!(u32))
+                .help("How long the caller waits, in milliseconds"),
+        )
+        .arg(store_argument())
+}
+
 fn trace_command() -> Command {
     Command::new("trace")
         .about("Traces a request by its id through the logs of nodes")
--- a/crates/galenastream_ctl/src/process/ctl_error.rs
+++ b/crates/galenastream_ctl/src/process/ctl_error.rs
@@ -67,6 +67,16 @@
         /// Error of the decoder.
         reason: String,
     },
+    /// A node did not answer, or refused the call.
+    #[error(
+        "the call to the node at {address} failed ({reason})\n  remedy: check --node; `galenastreamctl members` lists the nodes"
+    )]
+    NodeCallFailed {
+        /// Address of the node.
+        address: SocketAddr,
+        /// Error of the call.
+        reason: String,
+    },
     /// The store did not answer, refused the call, or sent an answer that cannot be decoded.
     #[error(
         "the call to the store at {address} failed ({reason}); nothing was changed\n  remedy: check --store, and try again when the store answers"
@@ -162,6 +172,7 @@
             | Self::UnknownName { .. }
             | Self::RequestNotInLogs { .. }
             | Self::KeyNotInLogs { .. }
+            | Self::NodeCallFailed { .. }
             | Self::Runtime { .. } => ExitStatus::Failure,
             Self::Conflict { .. } => ExitStatus::Conflict,
             Self::StoreCallFailed { .. } => ExitStatus::StoreCallFailed,
--- a/crates/galenastream_ctl/src/request/members.rs
+++ b/crates/galenastream_ctl/src/request/members.rs
@@ -1,24 +1,13 @@
 //! `members`: lists the nodes and the status of each.
 
-use std::net::SocketAddr;
-
-use bytes::Bytes;
 use clap::ArgMatches;
-use galenastream_adapter::Row;
-use galenastream_node::{OPERATORS_PORT, STATUS_PATH, StatusPage};
-use galenastream_runtime::{BodyBuffer, HttpConnection};
-use galenastream_wire::{NodeRow, SHARED_ROWS_TABLE, SharedRowKey};
-use http::{Request, StatusCode, header};
-use http_body_util::Full;
-use prost::Message;
+use galenastream_node::StatusPage;
 use serde::Serialize;
-use tokio::{task::JoinSet, time::timeout};
-
-use crate::{CtlError, OutputFormat, request::platform_store::PlatformStore};
 
-/// Maximum size of a status page. Its longest part, the leases of one target, also fits in a
-/// heartbeat reply of 4 KiB.
-const MAX_PAGE_BYTES: usize = 256 * 1024;
+use crate::{
+    CtlError, OutputFormat,
+    request::{node_pages::fetch_statuses, platform_store::PlatformStore},
+};
 
 #[derive(Serialize)]
 struct MemberDocument {
@@ -33,61 +22,19 @@
 
 pub(crate) async fn run(matches: &ArgMatches, output: OutputFormat) -> Result<(), CtlError> {
     let mut store = PlatformStore::new(matches);
-    let mut queries = JoinSet::new();
-    for row in store.read_table(SHARED_ROWS_TABLE).await? {
-        let Some((node, node_row)) = decode_node_row(&row) else {
-            continue;
+    let mut members = Vec::new();
+    for answer in fetch_statuses(&mut store).await? {
+        let (status, failure) = match answer.status {
+            Ok(status) => (Some(status), None),
+            Err(reason) => (None, Some(reason)),
         };
-        let answer_timeout = store.answer_timeout;
-        queries.spawn(async move {
-            let answer = match timeout(answer_timeout, fetch_status(&node_row.address)).await {
-                Ok(answer) => answer,
-                Err(_) => Err(format!("no answer within {answer_timeout:?}")),
-            };
-            let (status, failure) = match answer {
-                Ok(status) => (Some(status), None),
-                Err(reason) => (None, Some(reason)),
-            };
-            let (address, data_centre) = (node_row.address, node_row.data_centre);
-            MemberDocument { node, address, data_centre, status, failure }
-        });
+        let (address, data_centre) = (answer.row.address, answer.row.data_centre);
+        members.push(MemberDocument { node: answer.node, address, data_centre, status, failure });
     }
-    let mut members = queries.join_all().await;
-    members.sort_by(|a, b| a.node.cmp(&b.node));
     output.print(&members, &to_text(&members));
     Ok(())
 }
 
-fn decode_node_row(row: &Row) -> Option<(String, NodeRow)> {
-    let Some(SharedRowKey::Node(node)) = SharedRowKey::parse(&row.key) else {
-        return None;
-    };
-    let value = row.value.as_ref()?;
-    Some((node.to_owned(), NodeRow::decode(value.as_ref()).ok()?))
-}
-
-async fn fetch_status(address: &str) -> Result<StatusPage, String> {
-    let peer_address: SocketAddr =
-        address.parse().map_err(|_| format!("{address} is not an IP address with a port"))?;
-    let address = SocketAddr::new(peer_address.ip(), OPERATORS_PORT);
-    let request = Request::builder()
-        .uri(STATUS_PATH)
-        .header(header::HOST, address.to_string())
-        .body(Full::new(Bytes::new()))
-        .map_err(|it| it.to_string())?;
-    let mut connection = HttpConnection::connect(address, std::time::Duration::MAX)
-        .await
-        .map_err(|it| it.to_string())?;
-    let response = connection
-        .exchange(request, BodyBuffer::new(MAX_PAGE_BYTES))
-        .await
-        .map_err(|it| it.to_string())?;
-    if response.parts.status != StatusCode::OK {
-        return Err(format!("the node responded with {}", response.parts.status));
-    }
-    serde_json::from_slice(&response.body).map_err(|it| it.to_string())
-}
-
 fn to_text(members: &[MemberDocument]) -> String {
     let mut lines = Vec::new();
     for member in members {
@@ -135,9 +82,16 @@
         Some(age) => format!("confirmed {} ms ago", age.as_millis()),
         None => "never confirmed".to_owned(),
     };
+    let refused = status.config_refused.as_ref().map(|it| {
+        let version = it.version.map_or("of unknown version".to_owned(), |it| it.to_string());
+        format!("; the newest config {version} is refused: {}", it.reason)
+    });
     format!(
-        "  config {}, settings {}, shared rows {} ({age})",
-        status.config_version, status.tree_version, status.rows_version
+        "  config {}, settings {}, shared rows {} ({age}){}",
+        status.config_version,
+        status.tree_version,
+        status.rows_version,
+        refused.unwrap_or_default()
     )
 }
 
--- a/crates/galenastream_ctl/src/request/mod.rs
+++ b/crates/galenastream_ctl/src/request/mod.rs
@@ -3,11 +3,14 @@
 mod config_check;
 mod config_explain;
 mod config_source;
+mod evacuation;
 mod key_history;
 mod members;
+mod node_pages;
 mod platform_store;
 mod quarantine;
 mod ranges;
+mod route;
 mod settings_apply;
 mod settings_check;
 mod settings_diff;
@@ -37,6 +40,8 @@
             _ => Ok(()),
         },
         Some(("members", matches)) => members::run(matches, output).await,
+        Some(("evacuation", matches)) => evacuation::run(matches, output).await,
+        Some(("route", matches)) => route::run(matches, output).await,
         Some(("trace", matches)) => trace::run(matches, output),
         Some(("trace-key", matches)) => trace_key::run(matches, output),
         // clap rejects a missing or unknown subcommand.
--- a/crates/galenastream_ctl/tests/command_line.rs
+++ b/crates/galenastream_ctl/tests/command_line.rs
@@ -32,7 +32,7 @@
             exit 0
             Inspects a galenastream router and applies its settings.
 
-            Settings, the config, key owners and nodes are read from the platform's store; `members` also queries each node. `trace` and `trace-key` only read log files.
+            Settings, the config, key owners and nodes are read from the platform's store; `members` and `evacuation` also query each node, and `route` queries one or two. `trace` and `trace-key` only read log files.
 
             Usage: galenastreamctl [OPTIONS] <COMMAND>
 
@@ -42,6 +42,8 @@
               ranges      Shows the owner and the fencing token of each key range, and pending moves
               quarantine  Lists and releases requests that nodes refuse because they crash targets
               members     Lists the nodes with their target, versions in force, roles, leases and drain state
+              evacuation  Shows which data centres are evacuated, who knows, and what their targets still hold
+              route       Explains where a request would go now, and why, without sending it
               trace       Traces a request by its id through the logs of nodes
               trace-key   Lists who held a key, by the logs of nodes
               help        Print this message or the help of the given subcommand(s)
--- a/crates/galenastream_ctl/tests/deployment.rs
+++ b/crates/galenastream_ctl/tests/deployment.rs
@@ -160,6 +160,62 @@
     deployment.close().unwrap();
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_is_explained_without_being_sent() {
+    let (deployment, store) = start_deployment("ctl-route", &["carts", "stock"]).await;
+    let node = deployment.vms[0].metrics_address().to_string();
+    let explain = |arguments: &[&str]| {
+        let common = ["route", "--node", &node, "--store", &store, "--host", "shop.example"];
+        run_ctl_json(&[&common, arguments].concat())
+    };
+    let runs_before = deployment.vms[1].target.arrivals().len();
+    let by_load = explain(&["--path", "/stock/1", "--deadline-ms", "900"]);
+    let destination = &by_load["entry"]["destinations"][0];
+    assert_eq!(
+        (&destination["service"], &destination["chosen_node"]),
+        (&"stock".into(), &"vm-1".into())
+    );
+    assert_eq!(by_load["admissions"][0]["admission"]["decision"], "start", "{by_load}");
+    let by_key = explain(&["--path", "/carts/1", "--key", "7"]);
+    let owner = &by_key["entry"]["destinations"][0];
+    assert_eq!((&owner["is_by_key"], &owner["chosen_node"]), (&true.into(), &"vm-0".into()));
+    let unknown = explain(&["--path", "/unknown/1"]);
+    assert_eq!(unknown["entry"]["refusal"], "no-route", "{unknown}");
+    assert_eq!(deployment.vms[1].target.arrivals().len(), runs_before, "nothing was sent");
+    deployment.store.put("op", "evacuate/east", b"{}");
+    wait_until("the evacuation to be explained", WAIT_TIMEOUT, async || {
+        explain(&["--path", "/stock/1"])["entry"]["destinations"][0]["chosen_node"].is_null()
+    })
+    .await
+    .unwrap();
+    let arguments = ["route", "--node", &node, "--host", "shop.example", "--path", "/stock/1"];
+    let text = run_ctl(&arguments).stdout;
+    assert!(text.contains("not preferred: its data centre is evacuated"), "{text}");
+    let evacuations = run_ctl_json(&["evacuation", "--store", &store]);
+    let east = &evacuations[0];
+    assert_eq!((&east["data_centre"], &east["unaware"]), (&"east".into(), &serde_json::json!([])));
+    assert_eq!(east["targets"].as_array().map(Vec::len), Some(2), "{evacuations}");
+    deployment.close().unwrap();
+}
+
+/// Guards against a deployment that looks healthy and serves nothing, or an old config.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_config_that_is_refused_is_shown_to_operators() {
+    let (deployment, store) = start_deployment("ctl-refused", &["stock"]).await;
+    let mut config = DeploymentPlan::shop_config(2, "/stock/");
+    config["virtualHosts"][0]["paths"][0]["kind"] = "upload".into();
+    deployment.store.put("op", "config", config.to_string().as_bytes());
+    wait_until("the refusal to be shown", WAIT_TIMEOUT, async || {
+        let text = run_ctl(&["members", "--store", &store]).stdout;
+        text.contains("the newest config 2 is refused") && text.contains("upload")
+    })
+    .await
+    .unwrap();
+    let checked = run_ctl(&["config", "check", "--store", &store]);
+    assert!(checked.code == 1 && checked.stderr.contains("upload"), "{}", checked.stderr);
+    deployment.close().unwrap();
+}
+
 /// The row of a quarantine with one request, under which three targets have crashed.
 fn quarantine_row(fingerprint: RequestFingerprint) -> Vec<u8> {
     let crash = |id| CrashEntry { id, was_suspected: id > 1, is_cleared: false };
--- a/crates/galenastream_node/src/connection/control_connections.rs
+++ b/crates/galenastream_node/src/connection/control_connections.rs
@@ -5,13 +5,18 @@
 
 use bytes::Bytes;
 use galenastream_adapter::{ControlCall, READY_PATH};
-use http::{HeaderValue, Request, Response, StatusCode, header};
+use http::{HeaderValue, Request, Response, StatusCode, Uri, header};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use tokio::{net::TcpListener, sync::oneshot};
 
 use super::accept::{accept_all, serve_http};
-use crate::process::{ControlEvent, HeartbeatAnswer, NodeContext, STATUS_PATH, render_metrics};
+use crate::{
+    process::{
+        ControlEvent, HeartbeatAnswer, NodeContext, STATUS_PATH, TrafficState, render_metrics,
+    },
+    request::{EXPLAIN_PATH, explain_request},
+};
 
 /// Maximum size of a heartbeat. One with a few hundred ranges is far smaller.
 const MAX_HEARTBEAT_BYTES: usize = 256 * 1024;
@@ -35,26 +40,34 @@
     .await;
 }
 
-/// Serves the metrics and the status page until the process ends.
-pub async fn serve_operators(context: Arc<NodeContext>, listener: TcpListener) {
+/// Serves the metrics, the status page and explanations of requests until the process ends.
+pub async fn serve_operators(traffic: Arc<TrafficState>, listener: TcpListener) {
     accept_all(listener, |stream| {
-        let context = context.clone();
+        let traffic = traffic.clone();
         tokio::spawn(serve_http(stream, move |request| {
-            let response = answer_operator(&context, request.uri().path());
+            let response = answer_operator(&traffic, request.uri());
             async move { response }
         }));
     })
     .await;
 }
 
-fn answer_operator(context: &NodeContext, path: &str) -> Response<Full<Bytes>> {
-    match path {
+fn answer_operator(traffic: &Arc<TrafficState>, uri: &Uri) -> Response<Full<Bytes>> {
+    let context = &traffic.context;
+    match uri.path() {
         METRICS_PATH => plain_text(StatusCode::OK, &render_metrics()),
         STATUS_PATH => match context.status_page.load().as_deref().map(serde_json::to_vec) {
             Some(Ok(page)) => json_response(Bytes::from(page)),
             Some(Err(error)) => plain_text(StatusCode::INTERNAL_SERVER_ERROR, &error.to_string()),
             None => plain_text(StatusCode::SERVICE_UNAVAILABLE, "the node has just started"),
         },
+        EXPLAIN_PATH => match explain_request(traffic, uri.query().unwrap_or_default()) {
+            Ok(explanation) => match serde_json::to_vec(&explanation) {
+                Ok(page) => json_response(Bytes::from(page)),
+                Err(error) => plain_text(StatusCode::INTERNAL_SERVER_ERROR, &error.to_string()),
+            },
+            Err(error) => plain_text(StatusCode::BAD_REQUEST, &error),
+        },
         _ => plain_text(StatusCode::NOT_FOUND, "no such page"),
     }
 }
--- a/crates/galenastream_node/src/lib.rs
+++ b/crates/galenastream_node/src/lib.rs
@@ -11,12 +11,17 @@
 mod version;
 
 pub use process::{
-    CommandLine, ControlEvent, ControlQueue, ControlState, Directory, Effect, HeartbeatAnswer,
-    KeyMeter, LeasePage, LocalTarget, OPERATORS_PORT, ProbeAnswer, RequestQuarantine, STATUS_PATH,
-    StatusPage, StoredConfig, StoredConfigContent, TargetPage, TargetProbe, command,
-    decode_suspect, encode_suspect, flush_log, run_daemon, start_log,
+    CommandLine, ControlEvent, ControlQueue, ControlState, Directory, Effect, EvacuatedPage,
+    HeartbeatAnswer, KeyMeter, LeasePage, LocalTarget, OPERATORS_PORT, ProbeAnswer,
+    RefusedConfigPage, RequestQuarantine, STATUS_PATH, StatusPage, StoredConfig,
+    StoredConfigContent, TargetPage, TargetProbe, command, decode_suspect, encode_suspect,
+    flush_log, run_daemon, start_log,
 };
 
+pub use request::{
+    EXPLAIN_PATH, ExplainedAdmission, ExplainedCandidate, ExplainedDestination, ExplainedRoute,
+    RequestExplanation,
+};
 pub use version::{ConfigDoubt, PublishedDoubt, RouteMatch, RoutingTable};
 
 /// The items that a program needs to run a node.
--- a/crates/galenastream_node/src/process/context.rs
+++ b/crates/galenastream_node/src/process/context.rs
@@ -3,7 +3,7 @@
 use std::{
     sync::{
         Arc, Mutex,
-        atomic::{AtomicBool, AtomicU64},
+        atomic::{AtomicBool, AtomicU64, AtomicUsize},
     },
     time::Duration,
 };
@@ -57,6 +57,8 @@
     pub target_limit: Mutex<Option<TargetLimit>>,
     /// The mean service time of the local target in microseconds; 0 before anything was measured.
     pub service_time_us: AtomicU64,
+    /// The requests that wait for the local target or run there.
+    pub pending: AtomicUsize,
     /// The open connections to the local target that carry requests.
     pub target_connections: ConnectionCount,
     /// The open connections on which the local target sends heartbeats.
--- a/crates/galenastream_node/src/process/control_loop.rs
+++ b/crates/galenastream_node/src/process/control_loop.rs
@@ -128,7 +128,11 @@
             context.directory_changes.send_modify(|it| *it += 1);
         }
         context.sync_snapshot.store(Arc::new(self.state.sync_snapshot()));
-        context.status_page.store(Some(Arc::new(self.state.status_page(now))));
+        let mut page = self.state.status_page(now);
+        if let Some(target) = &mut page.target {
+            target.pending_requests = context.pending.load(Ordering::Relaxed);
+        }
+        context.status_page.store(Some(Arc::new(page)));
         let reads_rows = self.state.reads_rows(now);
         context
             .reads_rows
--- a/crates/galenastream_node/src/process/daemon.rs
+++ b/crates/galenastream_node/src/process/daemon.rs
@@ -104,6 +104,7 @@
         quarantine,
         target_limit: Default::default(),
         service_time_us: Default::default(),
+        pending: Default::default(),
         target_connections: Default::default(),
         heartbeat_connections: Default::default(),
         reads_rows: Default::default(),
@@ -113,18 +114,19 @@
         is_refusing: Default::default(),
         has_keys_to_hand_over: Default::default(),
     });
-    let control_context = context.clone();
+    let traffic = Arc::new(TrafficState::new(context));
+    let control_traffic = traffic.clone();
     let settings_path = settings_path.to_owned();
     thread::Builder::new().name("control".to_owned()).spawn(move || {
         let result =
-            run_control(control_context, control, state, events, peer_queries, settings_path);
+            run_control(control_traffic, control, state, events, peer_queries, settings_path);
         if let Err(error) = result {
             log::error!(event = "control_thread_failed", reason:% = error; "");
             flush_log();
             std::process::exit(1);
         }
     })?;
-    let result = new_runtime()?.block_on(run_traffic(context, queries));
+    let result = new_runtime()?.block_on(run_traffic(traffic, queries));
     log::info!(event = "process_stopped"; "");
     result
 }
@@ -134,13 +136,14 @@
 }
 
 fn run_control(
-    context: Arc<NodeContext>,
+    traffic: Arc<TrafficState>,
     control: std::net::TcpListener,
     state: ControlState,
     events: mpsc::Receiver<ControlEvent>,
     peer_queries: mpsc::Sender<NodeKey>,
     settings_path: PathBuf,
 ) -> anyhow::Result<()> {
+    let context = traffic.context.clone();
     new_runtime()?.block_on(async {
         let listeners = context.settings.load().listeners;
         let control = TcpListener::from_std(control)?;
@@ -148,7 +151,7 @@
         let store = StoreClient::new(context.settings.load().store.address);
         let (commits, writes) = mpsc::channel(QUEUE_CAPACITY);
         let metrics = SocketAddr::new(listeners.control.ip(), OPERATORS_PORT);
-        tokio::spawn(serve_operators(context.clone(), bind(metrics).await?));
+        tokio::spawn(serve_operators(traffic, bind(metrics).await?));
         tokio::spawn(follow_settings(context.clone(), settings_path));
         tokio::spawn(serve_control(context.clone(), control));
         tokio::spawn(serve_health(context.clone(), health));
@@ -164,13 +167,12 @@
 }
 
 async fn run_traffic(
-    context: Arc<NodeContext>,
+    traffic: Arc<TrafficState>,
     queries: mpsc::Receiver<NodeKey>,
 ) -> anyhow::Result<()> {
-    let listeners = context.settings.load().listeners;
+    let listeners = traffic.context.settings.load().listeners;
     let callers = bind(listeners.callers).await?;
     let peers = bind(listeners.peers).await?;
-    let traffic = Arc::new(TrafficState::new(context));
     tokio::spawn(serve_callers(traffic.clone(), callers));
     tokio::spawn(serve_peers(traffic.clone(), peers));
     tokio::spawn(exchange_statuses(traffic.clone(), queries));
--- a/crates/galenastream_node/src/process/publication.rs
+++ b/crates/galenastream_node/src/process/publication.rs
@@ -175,6 +175,8 @@
             born_ms: it.incarnation.born_ms,
             service: it.service.to_string(),
             slots: it.slots,
+            // Known to the traffic thread alone.
+            pending_requests: 0,
             limit_milli_per_s: self.limit_of(it).map(|it| it.announced.rate.milli_per_s()),
             capacity_milli_per_s: self.local_capacity_milli_per_s,
             cold_limit_milli_per_s: cold.map(|it| it.limit.milli_per_s()),
--- a/crates/galenastream_node/src/process/status_page.rs
+++ b/crates/galenastream_node/src/process/status_page.rs
@@ -94,6 +94,9 @@
     pub service: String,
     /// The number of requests that it processes concurrently.
     pub slots: u32,
+    /// The number of requests that wait for it or run there. Earlier versions do not report it.
+    #[serde(default)]
+    pub pending_requests: usize,
     /// The request limit that it announces, in thousandths of a request per second.
     pub limit_milli_per_s: Option<u64>,
     /// The measured capacity in thousandths of a request per second; 0 before anything was
--- a/crates/galenastream_node/src/process/traffic_state.rs
+++ b/crates/galenastream_node/src/process/traffic_state.rs
@@ -67,7 +67,6 @@
     service_time: Mutex<ServiceTime>,
     /// When the last request limit of the local target ended.
     limit_ended_at: Mutex<Option<BootInstant>>,
-    pending: AtomicUsize,
     admission_limits: Mutex<Option<AdmissionLimits>>,
     cold_period: Mutex<Option<ColdPeriod>>,
     announcement: Mutex<LocalAnnouncement>,
@@ -115,7 +114,6 @@
             usual_waits: Mutex::default(),
             service_time: Mutex::default(),
             limit_ended_at: Mutex::default(),
-            pending: AtomicUsize::new(0),
             admission_limits: Mutex::default(),
             cold_period: Mutex::default(),
             announcement: Mutex::default(),
@@ -241,12 +239,12 @@
 
     /// Counts a request as pending at the local target until the guard is dropped.
     pub fn count_pending(&self) -> CountGuard<'_> {
-        CountGuard::new(&self.pending)
+        CountGuard::new(&self.context.pending)
     }
 
     /// The number of requests that wait for the local target or run there.
     pub fn pending(&self) -> u32 {
-        u32::try_from(self.pending.load(Ordering::Relaxed)).unwrap_or(u32::MAX)
+        u32::try_from(self.context.pending.load(Ordering::Relaxed)).unwrap_or(u32::MAX)
     }
 
     /// Adds a measured service time of the local target to the mean. The mean starts from
--- a/crates/galenastream_node/src/request/entry.rs
+++ b/crates/galenastream_node/src/request/entry.rs
@@ -102,7 +102,10 @@
 
 /// Why the config that does not allow a request may be older than the newest one. `used` is the
 /// routing table that decided.
-fn config_doubt(traffic: &TrafficState, used: Option<&Arc<RoutingTable>>) -> Option<ConfigDoubt> {
+pub(super) fn config_doubt(
+    traffic: &TrafficState,
+    used: Option<&Arc<RoutingTable>>,
+) -> Option<ConfigDoubt> {
     // Another table may have been published, and the doubt ended, since the request was looked up.
     let in_force = traffic.context.routing.load();
     let is_replaced = used.is_some_and(|it| !in_force.as_ref().is_some_and(|f| Arc::ptr_eq(f, it)));
--- a/crates/galenastream_node/src/request/mod.rs
+++ b/crates/galenastream_node/src/request/mod.rs
@@ -8,6 +8,7 @@
 mod crash;
 mod drain;
 mod entry;
+mod explanation;
 mod fingerprint;
 mod long_answer;
 mod progress;
@@ -22,5 +23,9 @@
 mod target_run;
 
 pub use entry::{answer_caller, refuse_unread};
+pub use explanation::{
+    EXPLAIN_PATH, ExplainedAdmission, ExplainedCandidate, ExplainedDestination, ExplainedRoute,
+    RequestExplanation, explain_request,
+};
 pub use target_reply::{TOO_LONG_RETRY_AFTER_MS, not_sent, unknown};
 pub use target_run::{TargetRun, run_for_peer};
--- a/crates/galenastream_node/src/request/target_choice.rs
+++ b/crates/galenastream_node/src/request/target_choice.rs
@@ -8,7 +8,9 @@
 use galenastream_utils::BootInstant;
 
 use super::{attempt::Destination, drain::is_drain_over, progress::Progress};
-use crate::process::{Directory, NodeEntry, RememberedAnnouncements, TrafficState, earliest};
+use crate::process::{
+    Directory, NodeEntry, RememberedAnnouncements, TargetEntry, TrafficState, earliest,
+};
 
 /// Chooses the targets for the attempts of a request to a service.
 pub(super) struct TargetChoice<'a> {
@@ -21,6 +23,17 @@
     suspect: Option<RequestFingerprint>,
 }
 
+/// Whether a target may be chosen, and why not.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Standing {
+    /// It may.
+    Preferred,
+    /// Only if no other may.
+    Fallback(&'static str),
+    /// It may not.
+    Excluded(&'static str),
+}
+
 impl<'a> TargetChoice<'a> {
     pub(super) const fn new(
         traffic: &'a Arc<TrafficState>,
@@ -65,7 +78,7 @@
 
     fn best_target(&self, progress: &Progress, directory: &Directory) -> Option<Destination> {
         let candidates = self.candidates(progress, directory);
-        let remote_penalty = f64::from(self.settings.remote_penalty_percent) / 100.0;
+        let remote_penalty = self.remote_penalty();
         let only = self.suspect.and_then(|it| target_of_suspect(it, directory, &candidates));
         let chosen = only
             .or_else(|| self.limit_trial(progress, directory, &candidates))
@@ -92,32 +105,68 @@
             else {
                 continue;
             };
-            let is_tried = progress.tried.contains(&target.incarnation);
-            if is_tried || node.is_refusing || node.is_evacuated {
+            if progress.tried.contains(&target.incarnation) {
                 continue;
             }
-            let leaving_since = leaving_since(node, &remembered);
-            if self.is_drained(leaving_since) {
-                continue;
-            }
-            let is_fallback = leaving_since.is_some() || node.is_closing || !node.is_reachable;
-            let candidate = TargetCandidate {
-                node: node.key,
-                slots: target.slots,
-                is_same_data_centre: *node.data_centre == *settings.data_centre,
-                limit: lower_limit(
-                    remembered.recent_limit(node.key, &target.incarnation, now).or(target.limit),
-                    target.cold.filter(|it| now < it.until).map(|it| it.limit),
-                ),
-            };
-            match is_fallback {
-                true => fallbacks.push(candidate),
-                false => candidates.push(candidate),
+            let standing = self.standing(node, leaving_since(node, &remembered));
+            let candidate = candidate_of(node, target, &settings.data_centre, &remembered, now);
+            match standing {
+                Standing::Preferred => candidates.push(candidate),
+                Standing::Fallback(_) => fallbacks.push(candidate),
+                Standing::Excluded(_) => {}
             }
         }
         if candidates.is_empty() { fallbacks } else { candidates }
     }
 
+    /// Returns the nodes beside the targets of the service, and whether these may be chosen.
+    pub(super) fn standings<'d>(
+        &self,
+        directory: &'d Directory,
+    ) -> Vec<(&'d NodeEntry, Standing, TargetCandidate)> {
+        let settings = self.traffic.context.settings.load();
+        let remembered = self.traffic.remembered();
+        let now = boot_now();
+        let mut standings = Vec::new();
+        for node in &directory.nodes {
+            let Some(target) = node.target.as_ref().filter(|it| *it.service == *self.service)
+            else {
+                continue;
+            };
+            let standing = self.standing(node, leaving_since(node, &remembered));
+            let candidate = candidate_of(node, target, &settings.data_centre, &remembered, now);
+            standings.push((node, standing, candidate));
+        }
+        standings
+    }
+
+    /// The service times that are added for a target in another data centre.
+    pub(super) fn remote_penalty(&self) -> f64 {
+        f64::from(self.settings.remote_penalty_percent) / 100.0
+    }
+
+    fn standing(&self, node: &NodeEntry, leaving_since: Option<BootInstant>) -> Standing {
+        if node.is_evacuated {
+            return Standing::Excluded("its data centre is evacuated");
+        }
+        if node.is_refusing {
+            return Standing::Excluded("its node stops");
+        }
+        if self.is_drained(leaving_since) {
+            return Standing::Excluded("it has left");
+        }
+        if leaving_since.is_some() {
+            return Standing::Fallback("it leaves");
+        }
+        if node.is_closing {
+            return Standing::Fallback("its node is about to stop");
+        }
+        match node.is_reachable {
+            true => Standing::Preferred,
+            false => Standing::Fallback("its node is not heard"),
+        }
+    }
+
     /// Returns a target to which the request is sent to find out whether its limit has ended, if it
     /// has others to go to should that target refuse it.
     fn limit_trial(
@@ -168,6 +217,37 @@
     nodes.max_by_key(weight).map(|it| it.key)
 }
 
+impl Standing {
+    /// What every excluded target compares as at least.
+    pub(super) const EXCLUDED: Self = Self::Excluded("");
+
+    /// Why the target is not chosen, or only if there is no other.
+    pub(super) const fn hindrance(self) -> Option<&'static str> {
+        match self {
+            Self::Preferred => None,
+            Self::Fallback(hindrance) | Self::Excluded(hindrance) => Some(hindrance),
+        }
+    }
+}
+
+fn candidate_of(
+    node: &NodeEntry,
+    target: &TargetEntry,
+    data_centre: &str,
+    remembered: &RememberedAnnouncements,
+    now: BootInstant,
+) -> TargetCandidate {
+    TargetCandidate {
+        node: node.key,
+        slots: target.slots,
+        is_same_data_centre: *node.data_centre == *data_centre,
+        limit: lower_limit(
+            remembered.recent_limit(node.key, &target.incarnation, now).or(target.limit),
+            target.cold.filter(|it| now < it.until).map(|it| it.limit),
+        ),
+    }
+}
+
 /// The lower of two request limits, where there is one.
 fn lower_limit(a: Option<RequestRate>, b: Option<RequestRate>) -> Option<RequestRate> {
     [a, b].into_iter().flatten().min()
--- a/crates/galenastream_node/src/request/target_run.rs
+++ b/crates/galenastream_node/src/request/target_run.rs
@@ -52,6 +52,9 @@
     pub transfer: Option<Transfer>,
 }
 
+/// The indices of classes with long answers have this bit.
+const LONG_ANSWER_CLASSES: u16 = 1 << 15;
+
 /// Runs a request at the target beside this node.
 ///
 /// Dropping the future means that the caller has left. This cancels an idempotent request at any
@@ -180,9 +183,7 @@
         // Requests that are refused below count too: the load of a key is the demand for it.
         traffic.context.key_meter.lock().unwrap_or_else(|it| it.into_inner()).add(key);
     }
-    let rank = u8::try_from(request.rank).unwrap_or(u8::MAX);
-    let class_index = u16::try_from(request.target_latency_ms).unwrap_or(u16::MAX);
-    let class = Class::new(class_index, u8::MAX - rank)
+    let class = class_of(request.target_latency_ms, request.rank, request.has_long_answer)
         .with_alternatives(request.has_alternatives)
         .with_waited_ms(request.waited_ms);
     let estimate =
@@ -268,6 +269,17 @@
     }
 }
 
+/// The class of a request by its route. Long answers are a class of their own.
+pub(super) fn class_of(target_latency_ms: u32, rank: u32, has_long_answer: bool) -> Class {
+    let rank = u8::try_from(rank).unwrap_or(u8::MAX);
+    let latency_ms = u16::try_from(target_latency_ms).unwrap_or(u16::MAX);
+    let index = match has_long_answer {
+        true => latency_ms | LONG_ANSWER_CLASSES,
+        false => latency_ms,
+    };
+    Class::new(index, u8::MAX - rank)
+}
+
 /// Completes when nothing may be sent to the target any longer, since its data centre is evacuated.
 async fn evacuation(traffic: &TrafficState) {
     let mut changes = traffic.context.directory_changes.subscribe();
--- a/crates/galenastream_node/tests/platform/main.rs
+++ b/crates/galenastream_node/tests/platform/main.rs
@@ -7,6 +7,7 @@
 mod crashing_requests;
 mod deployment;
 mod endless_answer;
+mod evacuation;
 mod forwarded;
 mod lease_calls;
 mod long_bodies;
--- a/crates/galenastream_routing/src/process/admission.rs
+++ b/crates/galenastream_routing/src/process/admission.rs
@@ -304,10 +304,10 @@
     /// moment: another one is likely to be faster.
     fn is_too_slow_now(&self, now: BootInstant, class: Class, soft_deadline: Deadline) -> bool {
         let slowdown = self.pace.slowdown(now);
-        let usual = self.service_times.mean_of(class);
+        let usual = self.service_times.upper_estimate(class);
         slowdown > 1.0
             && soft_deadline.has_passed(now + usual.mul_f64(slowdown))
-            && !soft_deadline.has_passed(now + usual)
+            && !soft_deadline.has_passed(now + self.service_times.mean_of(class))
     }
 
     /// Returns the soft deadline of a request whose caller may have waited before this attempt.
--- a/crates/galenastream_routing/src/process/target_selector.rs
+++ b/crates/galenastream_routing/src/process/target_selector.rs
@@ -5,6 +5,8 @@
 //! some announce that they take a fraction of the requests; traffic to another data centre is billed;
 //! many nodes select from the same old observations at the same time.
 
+use std::time::Duration;
+
 use galenastream_utils::{BootInstant, FastMap};
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
 
@@ -63,6 +65,17 @@
     pub service_time_us: u32,
 }
 
+/// What is expected of a request at a target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct TargetEstimate {
+    /// The expected latency, with penalties.
+    pub latency: Duration,
+    /// The time since the last observation of the load; `None` if there was none.
+    pub load_age: Option<Duration>,
+    /// Requests that this node has in progress there.
+    pub in_progress: u32,
+}
+
 /// Selects targets by their expected latencies, from the load and failures that this node observes.
 #[derive(Debug, Clone)]
 pub struct TargetSelector {
@@ -107,6 +120,25 @@
         sample.iter().min_by(by_latency).map(|it| it.node)
     }
 
+    /// Returns what is expected of a request at a target, for explanations.
+    pub fn estimate(
+        &self,
+        candidate: &TargetCandidate,
+        remote_penalty: f64,
+        now: BootInstant,
+    ) -> TargetEstimate {
+        let remote = if candidate.is_same_data_centre { 0.0 } else { remote_penalty };
+        let min_us = self.min_service_time_us(std::slice::from_ref(candidate));
+        let latency_us = self.expected_latency_us(candidate, min_us, remote, now);
+        let record = self.nodes.get(&candidate.node);
+        let observed = record.filter(|it| it.service_time_us > 0.0);
+        TargetEstimate {
+            latency: Duration::from_micros(latency_us as u64),
+            load_age: observed.map(|it| now.saturating_since(it.observed_at)),
+            in_progress: record.map_or(0, |it| it.in_progress),
+        }
+    }
+
     /// Returns up to [`SAMPLE_SIZE`] random candidates.
     fn sample(&mut self, candidates: &[TargetCandidate]) -> Vec<TargetCandidate> {
         let mut sample = candidates.to_vec();
--- a/crates/galenastream_runtime/src/admission_controller.rs
+++ b/crates/galenastream_runtime/src/admission_controller.rs
@@ -50,6 +50,17 @@
     service_time: Option<Duration>,
 }
 
+/// What would be decided on a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct AdmissionPreview {
+    /// The decision.
+    pub decision: AdmitDecision,
+    /// Requests that hold slots.
+    pub in_progress: u32,
+    /// Requests that wait.
+    pub waiting: usize,
+}
+
 /// Error of a request that got no slot.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct NotAdmitted {
@@ -158,6 +169,20 @@
         }
     }
 
+    /// Returns what would be decided on a request that arrives now. Nothing changes.
+    pub fn preview(
+        &self,
+        class: Class,
+        soft_deadline: Deadline,
+        deadline: Deadline,
+    ) -> AdmissionPreview {
+        let mut admission = self.lock().admission.clone();
+        let (in_progress, waiting) = (admission.in_progress(), admission.waiting());
+        let outcome =
+            admission.arrive_with_soft_deadline(boot_now(), class, soft_deadline, deadline);
+        AdmissionPreview { decision: outcome.decision, in_progress, waiting }
+    }
+
     fn arrive(&self, class: Class, soft_deadline: Deadline, deadline: Deadline) -> Arrived {
         let mut state = self.lock();
         let now = boot_now();
--- a/crates/galenastream_runtime/src/lib.rs
+++ b/crates/galenastream_runtime/src/lib.rs
@@ -24,7 +24,7 @@
 mod pending;
 mod socket;
 
-pub use admission_controller::{AdmissionController, NotAdmitted, Slot};
+pub use admission_controller::{AdmissionController, AdmissionPreview, NotAdmitted, Slot};
 pub use body_budget::{BodyBudget, BodyReservation};
 pub use body_buffer::{BodyBuffer, BodyTooLong, MAX_BODY_BYTES};
 pub use clock::{boot_now, sleep_until};
--- a/crates/galenastream_standin/src/row_store/row_store_standin.rs
+++ b/crates/galenastream_standin/src/row_store/row_store_standin.rs
@@ -141,6 +141,15 @@
         }
     }
 
+    /// Removes a row, as another writer would.
+    pub fn remove(&self, table: &str, key: &str) {
+        let removal = json!({ "remove": [{ "table": table, "part": "", "key": key }] });
+        if let Ok(transaction) = serde_json::from_value(removal) {
+            // A transaction without conditions always applies.
+            let _ = self.state.apply(transaction);
+        }
+    }
+
     /// Closes all connections and stops listening.
     pub fn close(self) {
         self.server.close();
