Let slow callers read their answers to the end

Also, TCP_USER_TIMEOUT of 1.5 s reset connections of callers that paused for longer.

Change: the write of an answer counts as in progress, announced long answers keep a stopping node alive, and callers may pause for 10 s.

Failing before: a_stopping_node_lets_a_slow_caller_read_its_whole_answer (reset, cut).

--- a/crates/galenastream_node/src/connection/caller_connections.rs
+++ b/crates/galenastream_node/src/connection/caller_connections.rs
@@ -9,6 +9,7 @@
     stream::FuturesOrdered,
 };
 use galenastream_adapter::CallerLimits;
+use galenastream_runtime::set_user_timeout;
 use http::{HeaderValue, Method, Request, Response, Version, header};
 use tokio::{
     io::Interest,
@@ -22,7 +23,7 @@
     request_codec::{Incoming, Outgoing, RequestCodec},
 };
 use crate::{
-    process::TrafficState,
+    process::{CountGuard, TrafficState},
     request::{answer_caller, refuse_unread},
 };
 
@@ -33,9 +34,14 @@
 /// Timeout for the next request on a connection. Callers reuse idle connections for less time.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 
+/// How long a caller may read nothing of an answer. Callers on slow links pause, and are on the same
+/// VM, so that the close of a connection is always seen.
+const READ_PAUSE_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// Serves callers until the process ends.
 pub async fn serve_callers(traffic: Arc<TrafficState>, listener: TcpListener) {
     accept_all(listener, |stream| {
+        set_user_timeout(&stream, READ_PAUSE_TIMEOUT);
         tokio::spawn(serve_connection(traffic.clone(), stream));
     })
     .await;
@@ -60,6 +66,8 @@
                     let close = HeaderValue::from_static("close");
                     response.headers_mut().insert(header::CONNECTION, close);
                 }
+                // A caller that reads slowly gets the rest before the process stops.
+                let _counted = CountGuard::new(&traffic.in_progress);
                 if framed.send(Outgoing::Response { response, is_to_head }).await.is_err() {
                     return;
                 }
--- a/crates/galenastream_node/src/process/daemon.rs
+++ b/crates/galenastream_node/src/process/daemon.rs
@@ -221,7 +221,8 @@
     context.control_events.deliver(ControlEvent::Refusing);
     sleep(REFUSING_TIME).await;
     loop {
-        let is_idle = traffic.in_progress.load(Ordering::Relaxed) == 0;
+        let is_idle =
+            traffic.in_progress.load(Ordering::Relaxed) == 0 && traffic.link.transfer_count() == 0;
         let has_keys = context.has_keys_to_hand_over.load(Ordering::Relaxed);
         if Instant::now() >= stop_by || (is_idle && !has_keys) {
             return;
--- a/crates/galenastream_node/src/request/target_run.rs
+++ b/crates/galenastream_node/src/request/target_run.rs
@@ -277,7 +277,7 @@
         true => latency_ms | LONG_ANSWER_CLASSES,
         false => latency_ms,
     };
-    Class::new(index, u8::MAX - rank)
+    Class::new(index, u8::MAX - rank).with_target_latency_ms(target_latency_ms)
 }
 
 /// Completes when nothing may be sent to the target any longer, since its data centre is evacuated.
--- a/crates/galenastream_node/tests/platform/long_bodies.rs
+++ b/crates/galenastream_node/tests/platform/long_bodies.rs
@@ -1,6 +1,6 @@
 //! Tests of long bodies between two nodes.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
 use futures::{SinkExt, StreamExt};
@@ -9,7 +9,10 @@
     LocalVm, TargetCapacity, VmPlan, request_bytes, wait_until,
 };
 use galenastream_wire::{FrameCodec, Part, PeerFrame, ReplyOutcome, ReplyReason, peer_frame::Body};
-use tokio::net::TcpStream;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+};
 use tokio_util::codec::Framed;
 
 use super::{TIMEOUT, WORKS, endless_answer::assert_memory, forwarded::PEERS_PORT};
@@ -215,3 +218,28 @@
     assert_memory(&deployment);
     deployment.close().unwrap();
 }
+
+/// Guards against a stopping node that cuts off a caller which reads its answer slowly.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stopping_node_lets_a_slow_caller_read_its_whole_answer() {
+    let (mut deployment, target) = start_pair("slow-caller").await;
+    target.set_answer(EndlessAnswer::Complete(LONG_BYTES));
+    let mut caller = TcpStream::connect(deployment.vms[0].callers_address()).await.expect(WORKS);
+    let request = request_bytes("GET", "/stock/1", "slow", None);
+    caller.write_all(request.as_bytes()).await.expect(WORKS);
+    wait_until("the request to run", TIMEOUT, async || target.runs().contains(&"slow".to_owned()))
+        .await
+        .expect(WORKS);
+    let mut vm = deployment.vms.remove(0);
+    let mut answer = Vec::new();
+    let (stopped, read) = tokio::join!(vm.stop_node(), async {
+        // Longer than a stopping node goes on without requests in progress.
+        tokio::time::sleep(Duration::from_millis(3_500)).await;
+        caller.read_to_end(&mut answer).await
+    });
+    assert!(stopped.expect(WORKS).success());
+    read.expect("the connection ends without a reset");
+    assert!(answer.starts_with(b"HTTP/1.1 200") && answer.len() > LONG_BYTES, "{}", answer.len());
+    vm.close();
+    deployment.close().expect(WORKS);
+}
--- a/crates/galenastream_routing/src/process/admission.rs
+++ b/crates/galenastream_routing/src/process/admission.rs
@@ -300,12 +300,14 @@
         u32::try_from(drain_ms).unwrap_or(u32::MAX).max(self.limits.retry_after_ms)
     }
 
-    /// Returns whether a request would miss its soft deadline only because the target is slow at the
-    /// moment: another one is likely to be faster.
+    /// Returns whether a request is likely to miss its soft deadline only because the target is slow at
+    /// the moment: another one is likely to be faster. One that takes most of its target latency
+    /// anyway gains little elsewhere.
     fn is_too_slow_now(&self, now: BootInstant, class: Class, soft_deadline: Deadline) -> bool {
         let slowdown = self.pace.slowdown(now);
         let usual = self.service_times.upper_estimate(class);
         slowdown > 1.0
+            && !self.is_tight(class)
             && soft_deadline.has_passed(now + usual.mul_f64(slowdown))
             && !soft_deadline.has_passed(now + self.service_times.mean_of(class))
     }
@@ -405,6 +407,12 @@
             || self.queue.len() < self.late_queue_limit(now)
     }
 
+    /// Returns whether requests of a class take more than half of their target latency without waiting.
+    fn is_tight(&self, class: Class) -> bool {
+        let target_latency = Duration::from_millis(u64::from(class.target_latency_ms));
+        !target_latency.is_zero() && self.service_times.mean_of(class) * 2 > target_latency
+    }
+
     /// Returns the queue length from which requests that will miss their soft deadlines are shed:
     /// see [`LATE_QUEUE_DIVISOR`]. A request limit counts as the number of slots that it fills.
     fn late_queue_limit(&self, now: BootInstant) -> usize {
--- a/crates/galenastream_routing/src/process/link_schedule.rs
+++ b/crates/galenastream_routing/src/process/link_schedule.rs
@@ -79,6 +79,11 @@
         self.mean_answer_bytes as usize
     }
 
+    /// The number of announced transfers that have not ended.
+    pub fn transfer_count(&self) -> usize {
+        self.transfers.len()
+    }
+
     /// Counts a message that is handed to the link without waiting.
     pub fn record(&mut self, bytes: usize, now: BootInstant) {
         self.idle_at = self.idle_at.max(now) + self.duration_of(bytes as f64);
--- a/crates/galenastream_routing/src/request/class.rs
+++ b/crates/galenastream_routing/src/request/class.rs
@@ -12,12 +12,14 @@
     pub has_alternatives: bool,
     /// For how many milliseconds the caller has waited before this attempt.
     pub waited_ms: u32,
+    /// The target latency of the route in milliseconds; 0 if it is not known.
+    pub target_latency_ms: u32,
 }
 
 impl Class {
     /// Creates a class from its index and its priority.
     pub const fn new(index: u16, priority: u8) -> Self {
-        Self { index, priority, has_alternatives: false, waited_ms: 0 }
+        Self { index, priority, has_alternatives: false, waited_ms: 0, target_latency_ms: 0 }
     }
 
     /// Sets whether the request can go to another target.
@@ -25,6 +27,11 @@
         Self { has_alternatives, ..self }
     }
 
+    /// Sets the target latency of the route.
+    pub const fn with_target_latency_ms(self, target_latency_ms: u32) -> Self {
+        Self { target_latency_ms, ..self }
+    }
+
     /// Sets for how many milliseconds the caller has waited before this attempt.
     pub const fn with_waited_ms(self, waited_ms: u32) -> Self {
         Self { waited_ms, ..self }
--- a/crates/galenastream_runtime/src/link_share.rs
+++ b/crates/galenastream_runtime/src/link_share.rs
@@ -84,6 +84,11 @@
         (state.schedule.expected_wait(order, now), state.schedule.mean_duration())
     }
 
+    /// How many long answers are sent or are going to be.
+    pub fn transfer_count(&self) -> usize {
+        self.lock().schedule.transfer_count()
+    }
+
     /// The mean size of the long answers so far, in bytes.
     pub fn mean_answer_bytes(&self) -> usize {
         self.lock().schedule.mean_answer_bytes()
--- a/crates/galenastream_runtime/src/socket.rs
+++ b/crates/galenastream_runtime/src/socket.rs
@@ -33,7 +33,12 @@
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!(event = "socket_option_failed", option = "nodelay", reason:% = error; "");
     }
-    if let Err(error) = SockRef::from(stream).set_tcp_user_timeout(Some(USER_TIMEOUT)) {
+    set_user_timeout(stream, USER_TIMEOUT);
+}
+
+/// Sets how long a peer may leave sent bytes unread or unacknowledged.
+pub fn set_user_timeout(stream: &TcpStream, user_timeout: Duration) {
+    if let Err(error) = SockRef::from(stream).set_tcp_user_timeout(Some(user_timeout)) {
         log::debug!(event = "socket_option_failed", option = "user_timeout", reason:% = error; "");
     }
 }
