--- a/crates/galenastream_ctl/tests/deployment.rs
+++ b/crates/galenastream_ctl/tests/deployment.rs
@@ -202,9 +202,9 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_config_that_is_refused_is_shown_to_operators() {
     let (deployment, store) = start_deployment("ctl-refused", &["stock"]).await;
-    let mut config = DeploymentPlan::shop_config(2, "/stock/");
-    config["virtualHosts"][0]["paths"][0]["kind"] = "upload".into();
-    deployment.store.put("op", "config", config.to_string().as_bytes());
+    let config = DeploymentPlan::shop_config(2, "/stock/").to_string();
+    let config = config.replacen("\"unsafe\"", "\"upload\"", 1);
+    deployment.store.put("op", "config", config.as_bytes());
     wait_until("the refusal to be shown", WAIT_TIMEOUT, async || {
         let text = run_ctl(&["members", "--store", &store]).stdout;
         text.contains("the newest config 2 is refused") && text.contains("upload")
--- a/crates/galenastream_node/src/connection/peer_connections.rs
+++ b/crates/galenastream_node/src/connection/peer_connections.rs
@@ -71,13 +71,19 @@
 
 /// What a writer does next.
 enum NextWrite {
-    Reply(OutgoingReply),
+    Reply(Box<OutgoingReply>),
     /// Write a part of a long reply that waits for nothing.
     Part,
     /// Write a part of a long reply, for which there was a turn on the link.
     PacedPart,
 }
 
+impl NextWrite {
+    fn of_reply(reply: OutgoingReply) -> Self {
+        Self::Reply(Box::new(reply))
+    }
+}
+
 async fn write_replies(
     link: Arc<LinkShare>,
     stream: OwnedWriteHalf,
@@ -106,14 +112,14 @@
 ) -> Option<NextWrite> {
     // While parts of long replies are left, they take turns with the replies in the queue.
     if writer.has_parts() {
-        return Some(queue.try_recv().map_or(NextWrite::Part, NextWrite::Reply));
+        return Some(queue.try_recv().map_or(NextWrite::Part, NextWrite::of_reply));
     }
     if !writer.has_paced() {
-        return queue.recv().await.map(NextWrite::Reply);
+        return queue.recv().await.map(NextWrite::of_reply);
     }
     tokio::select! {
         biased;
-        reply = queue.recv() => reply.map(NextWrite::Reply),
+        reply = queue.recv() => reply.map(NextWrite::of_reply),
         () = writer.paced_turn() => Some(NextWrite::PacedPart),
     }
 }
@@ -126,22 +132,35 @@
     next: NextWrite,
 ) -> Result<(), WireError> {
     match next {
-        NextWrite::Reply(OutgoingReply::Prompt(frame)) => {
+        NextWrite::Reply(reply) => write_reply(link, writer, *reply).await?,
+        NextWrite::Part => {}
+        NextWrite::PacedPart => writer.feed_paced_part().await?,
+    }
+    writer.feed_part(|_| true).await
+}
+
+async fn write_reply(
+    link: &LinkShare,
+    writer: &mut FrameWriter<PeerFrame>,
+    reply: OutgoingReply,
+) -> Result<(), WireError> {
+    match reply {
+        OutgoingReply::Prompt(frame) => {
             link.record(frame.body_bytes() + REPLY_HEAD_BYTES);
             let correlation = frame.correlation;
             let result = writer.feed(frame).await;
-            replace_too_long(writer, correlation, result).await?;
+            replace_too_long(writer, correlation, result).await
         }
-        NextWrite::Reply(OutgoingReply::Paced { frame, transfer }) => {
+        OutgoingReply::Paced { frame, transfer } => {
             let correlation = frame.correlation;
             let result = writer.add_paced(frame, transfer);
-            replace_too_long(writer, correlation, result).await?;
+            replace_too_long(writer, correlation, result).await
+        }
+        OutgoingReply::Unwanted { correlation } => {
+            writer.forget(correlation);
+            Ok(())
         }
-        NextWrite::Reply(OutgoingReply::Unwanted { correlation }) => writer.forget(correlation),
-        NextWrite::Part => {}
-        NextWrite::PacedPart => writer.feed_paced_part().await?,
     }
-    writer.feed_part(|_| true).await
 }
 
 /// Says to the other node that a reply is too long, if that is why it was not written.
@@ -221,7 +240,7 @@
         let correlation = frame.correlation;
         match frame.body {
             Some(Body::Status(status)) => {
-                self.traffic.context.control_events.notify(ControlEvent::PeerStatus(status));
+                self.traffic.context.control_events.notify(ControlEvent::peer_status(status));
                 self.reply(correlation, Body::StatusSeen(self.status_seen()));
             }
             Some(Body::SyncQuery(query)) => {
--- a/crates/galenastream_node/src/process/control_event.rs
+++ b/crates/galenastream_node/src/process/control_event.rs
@@ -46,7 +46,7 @@
         answer: oneshot::Sender<HeartbeatAnswer>,
     },
     /// Another node sent its status.
-    PeerStatus(NodeStatus),
+    PeerStatus(Box<NodeStatus>),
     /// Another node acknowledged a status of this one.
     StatusAcknowledged {
         /// The name of the node.
@@ -163,6 +163,13 @@
     Refusing,
 }
 
+impl ControlEvent {
+    /// The event of another node's status.
+    pub fn peer_status(status: NodeStatus) -> Self {
+        Self::PeerStatus(Box::new(status))
+    }
+}
+
 /// An action that the control state requests from the control loop.
 #[derive(Debug)]
 pub enum Effect {
--- a/crates/galenastream_node/src/process/control_state.rs
+++ b/crates/galenastream_node/src/process/control_state.rs
@@ -211,7 +211,7 @@
             }
             ControlEvent::PeerStatus(status) => {
                 // Most statuses only show that their sender is alive and need no reconciliation.
-                if !self.handle_peer_status(status, now) && self.effects.is_empty() {
+                if !self.handle_peer_status(*status, now) && self.effects.is_empty() {
                     return Vec::new();
                 }
             }
--- a/crates/galenastream_node/tests/ownership/cold_targets.rs
+++ b/crates/galenastream_node/tests/ownership/cold_targets.rs
@@ -2,7 +2,7 @@
 
 use galenastream_adapter::{EvacuationChange, RoutingConfig};
 use galenastream_node::{ControlEvent, ControlState, Effect, HeartbeatAnswer};
-use serde_json::json;
+use galenastream_standin::{HeartbeatFields, cold_heartbeat_body};
 use tokio::sync::oneshot;
 
 use crate::{
@@ -29,13 +29,19 @@
     cold_remaining_ms: u64,
     now_ms: u64,
 ) -> oneshot::Receiver<HeartbeatAnswer> {
-    let body = json!({
-        "born": 1, "address": address(0), "info": { "service": "carts", "slots": 8 },
-        "status": { "state": "ready", "seq": sequence, "coldRemainingMs": cold_remaining_ms },
-    });
+    let address = address(0);
+    let fields = HeartbeatFields {
+        address: &address,
+        service: "carts",
+        slots: 8,
+        sequence,
+        held: &[],
+        released: &[],
+        born_ms: Some(1),
+    };
+    let body = cold_heartbeat_body(fields, cold_remaining_ms);
     let (answer, reply) = oneshot::channel();
-    let body = body.to_string().into();
-    let event = ControlEvent::Heartbeat { target_id: "t".to_owned(), body, answer };
+    let event = ControlEvent::Heartbeat { target_id: "t".to_owned(), body: body.into(), answer };
     state.handle(event, at(now_ms));
     reply
 }
--- a/crates/galenastream_node/tests/ownership/config_doubt.rs
+++ b/crates/galenastream_node/tests/ownership/config_doubt.rs
@@ -21,7 +21,7 @@
 const SETTLED_MS: u64 = 20_000;
 
 fn status(index: usize, config_version: u64, reaches_store: bool) -> ControlEvent {
-    ControlEvent::PeerStatus(NodeStatus {
+    ControlEvent::peer_status(NodeStatus {
         node: format!("vm-{}", address(index)),
         address: format!("10.0.0.{}:7000", index + 1),
         data_centre: "east".to_owned(),
@@ -36,7 +36,7 @@
     let ControlEvent::PeerStatus(status) = status(index, config_version, true) else {
         unreachable!("a status");
     };
-    ControlEvent::PeerStatus(NodeStatus { confirms_config: Some(confirms_config), ..status })
+    ControlEvent::peer_status(NodeStatus { confirms_config: Some(confirms_config), ..*status })
 }
 
 /// A status of a node that states in its acknowledgements how old its confirmation of the config is.
@@ -44,7 +44,7 @@
     let ControlEvent::PeerStatus(status) = reading_status(index, config_version, true) else {
         unreachable!("a status");
     };
-    ControlEvent::PeerStatus(NodeStatus { states_config_age: true, ..status })
+    ControlEvent::peer_status(NodeStatus { states_config_age: true, ..*status })
 }
 
 /// An acknowledgement of a status that was sent at an instant.
@@ -355,7 +355,7 @@
     let mut other = ControlState::new(settings(1), at(0));
     put_config(&mut other, 1, 100);
     let doubt_of_other = |reader: &mut ControlState, other: &mut ControlState, now_ms| {
-        other.handle(ControlEvent::PeerStatus(reader.status(at(now_ms))), at(now_ms));
+        other.handle(ControlEvent::peer_status(reader.status(at(now_ms))), at(now_ms));
         let seen = reader.sync_snapshot().status_seen(at(now_ms));
         let node = format!("vm-{}", address(0)).into();
         let event = ControlEvent::StatusAcknowledged { node, seen, asked_at: at(now_ms) };
--- a/crates/galenastream_node/tests/ownership/crashing_deployment.rs
+++ b/crates/galenastream_node/tests/ownership/crashing_deployment.rs
@@ -315,7 +315,7 @@
             self.nodes[index]
                 .quarantine
                 .add_missing(&mut status, known.map_or(0, |it| it.quarantine_digest));
-            let effects = self.nodes[other].state.handle(ControlEvent::PeerStatus(status), now);
+            let effects = self.nodes[other].state.handle(ControlEvent::peer_status(status), now);
             self.execute(other, effects);
         }
     }
--- a/crates/galenastream_node/tests/ownership/evacuations.rs
+++ b/crates/galenastream_node/tests/ownership/evacuations.rs
@@ -29,7 +29,7 @@
 
 /// The status of a node in another data centre, beside an idle target of the same service.
 fn other_node(evacuations: Vec<EvacuationRecord>) -> ControlEvent {
-    ControlEvent::PeerStatus(NodeStatus {
+    ControlEvent::peer_status(NodeStatus {
         node: settings(1).node_name,
         address: "10.0.0.2:7000".to_owned(),
         data_centre: "west".to_owned(),
--- a/crates/galenastream_node/tests/ownership/healthy_store.rs
+++ b/crates/galenastream_node/tests/ownership/healthy_store.rs
@@ -152,7 +152,7 @@
             let Some(state) = &mut self.nodes[other].state else {
                 continue;
             };
-            state.handle(ControlEvent::PeerStatus(status.clone()), at(now_ms));
+            state.handle(ControlEvent::peer_status(status.clone()), at(now_ms));
             let seen = match state.reads_rows(at(now_ms)) {
                 true => state.sync_snapshot().status_seen(at(now_ms)),
                 false => StatusSeen::default(),
--- a/crates/galenastream_node/tests/ownership/hostile_input.rs
+++ b/crates/galenastream_node/tests/ownership/hostile_input.rs
@@ -128,7 +128,7 @@
     let target = option::of(target()).boxed();
     (node(), address, target, flags, numbers, lists.boxed()).prop_map(
         |(node, address, target, flags, numbers, (facts, suspects, evacuations))| {
-            ControlEvent::PeerStatus(NodeStatus {
+            ControlEvent::peer_status(NodeStatus {
                 node,
                 started_boot_ns: numbers.0,
                 data_centre: "east".to_owned(),
--- a/crates/galenastream_node/tests/ownership/liveness.rs
+++ b/crates/galenastream_node/tests/ownership/liveness.rs
@@ -17,7 +17,7 @@
 
 fn status_of(index: usize) -> ControlEvent {
     let settings = settings(index);
-    ControlEvent::PeerStatus(NodeStatus {
+    ControlEvent::peer_status(NodeStatus {
         node: settings.node_name,
         address: settings.listeners.peers.to_string(),
         data_centre: settings.data_centre,
--- a/crates/galenastream_node/tests/ownership/messages.rs
+++ b/crates/galenastream_node/tests/ownership/messages.rs
@@ -53,7 +53,7 @@
             if other == index || !is_reached {
                 continue;
             }
-            let event = ControlEvent::PeerStatus(status.clone());
+            let event = ControlEvent::peer_status(status.clone());
             match self.varies(Variation::ReaderRoles) {
                 true => self.post(other, event),
                 false => self.send_event(other, event),
--- a/crates/galenastream_node/tests/ownership/other_processes.rs
+++ b/crates/galenastream_node/tests/ownership/other_processes.rs
@@ -242,7 +242,7 @@
         facts: vec![facts],
         ..NodeStatus::default()
     };
-    let effects = planner.handle(ControlEvent::PeerStatus(status), at(now_ms));
+    let effects = planner.handle(ControlEvent::peer_status(status), at(now_ms));
     let (written, _) = commit_of(&effects).expect("the planner acts on the facts");
     assert!(!written.holders().is_empty(), "no version has the keys as leaving: {written:?}");
 }
--- a/crates/galenastream_node/tests/ownership/planner_rounds.rs
+++ b/crates/galenastream_node/tests/ownership/planner_rounds.rs
@@ -15,7 +15,7 @@
 
 /// Status of the node beside an idle target of the service.
 fn idle_status() -> ControlEvent {
-    ControlEvent::PeerStatus(NodeStatus {
+    ControlEvent::peer_status(NodeStatus {
         node: settings(1).node_name,
         address: "10.0.0.2:7000".to_owned(),
         data_centre: "east".to_owned(),
@@ -67,7 +67,7 @@
                 data_centre: "east".to_owned(),
                 ..Default::default()
             };
-            effects.extend(state.handle(ControlEvent::PeerStatus(node_2), at(now_ms)));
+            effects.extend(state.handle(ControlEvent::peer_status(node_2), at(now_ms)));
             effects.extend(state.handle(idle_status(), at(now_ms)));
             effects.extend(state.handle(row(&assignment, version, now_ms), at(now_ms)));
             send(&mut state, TARGET, after_ms + 1, &[(0, 32_767, 1)], now_ms);
--- a/crates/galenastream_node/tests/ownership/quarantine_spread.rs
+++ b/crates/galenastream_node/tests/ownership/quarantine_spread.rs
@@ -73,15 +73,15 @@
     let mut running = ControlState::new(settings(0), at(0)).with_quarantine(first.clone());
     let mut restarted = ControlState::new(settings(1), at(90_000)).with_quarantine(second.clone());
     let status = restarted.status(at(90_100));
-    running.handle(ControlEvent::PeerStatus(status), at(90_110));
+    running.handle(ControlEvent::peer_status(status), at(90_110));
     let mut status = running.status(at(91_000));
     assert!(status.suspects.is_empty(), "the crashes are long past: {status:?}");
     let directory = running.directory(at(91_000));
     first.add_missing(&mut status, directory.nodes[1].quarantine_digest);
-    restarted.handle(ControlEvent::PeerStatus(status), at(91_010));
+    restarted.handle(ControlEvent::peer_status(status), at(91_010));
     assert_eq!(second.suspicion(request), Suspicion::Quarantined);
     // Once both refuse the same requests, statuses carry no records.
-    running.handle(ControlEvent::PeerStatus(restarted.status(at(100_000))), at(100_010));
+    running.handle(ControlEvent::peer_status(restarted.status(at(100_000))), at(100_010));
     let mut status = running.status(at(101_000));
     let directory = running.directory(at(101_000));
     first.add_missing(&mut status, directory.nodes[1].quarantine_digest);
--- a/crates/galenastream_node/tests/ownership/silent_nodes.rs
+++ b/crates/galenastream_node/tests/ownership/silent_nodes.rs
@@ -36,7 +36,7 @@
         reaches_store: true,
         ..Default::default()
     };
-    state.handle(ControlEvent::PeerStatus(status), at(now_ms))
+    state.handle(ControlEvent::peer_status(status), at(now_ms))
 }
 
 /// A planner that hears nodes 1 and 2 for 10 s. Returns the time of their last statuses as well.
--- a/crates/galenastream_node/tests/ownership/state_machine/deployment.rs
+++ b/crates/galenastream_node/tests/ownership/state_machine/deployment.rs
@@ -459,7 +459,7 @@
         };
         for other in 0..self.vms.len() {
             if other != index && self.vms[other].is_reached(now_ms) {
-                self.send(other, ControlEvent::PeerStatus(status.clone()));
+                self.send(other, ControlEvent::peer_status(status.clone()));
             }
         }
     }
--- a/crates/galenastream_node/tests/ownership/sync_queries.rs
+++ b/crates/galenastream_node/tests/ownership/sync_queries.rs
@@ -15,7 +15,7 @@
 const CONFIG_APPLY_MS: u64 = 2_000;
 
 fn announcement(index: usize) -> ControlEvent {
-    ControlEvent::PeerStatus(NodeStatus {
+    ControlEvent::peer_status(NodeStatus {
         node: format!("vm-{}", address(index)),
         address: format!("10.0.0.{}:7000", index + 1),
         data_centre: "east".to_owned(),
--- a/crates/galenastream_standin/src/platform_target/heartbeat_body.rs
+++ b/crates/galenastream_standin/src/platform_target/heartbeat_body.rs
@@ -23,13 +23,19 @@
 
 /// Returns the JSON body of a heartbeat of a target that is ready for requests.
 pub fn heartbeat_body(fields: HeartbeatFields<'_>) -> String {
+    cold_heartbeat_body(fields, 0)
+}
+
+/// Returns the JSON body of a heartbeat of a target that is ready for requests and stays cold for some
+/// time.
+pub fn cold_heartbeat_body(fields: HeartbeatFields<'_>, cold_remaining_ms: u64) -> String {
     let body = json!({
         "born": fields.born_ms,
         "address": fields.address,
         "holds": fields.held,
         "released": fields.released,
         "info": { "service": fields.service, "version": "v1", "zone": "east", "slots": fields.slots },
-        "status": { "state": "ready", "seq": fields.sequence, "coldRemainingMs": 0 },
+        "status": { "state": "ready", "seq": fields.sequence, "coldRemainingMs": cold_remaining_ms },
     });
     body.to_string()
 }
--- a/crates/galenastream_standin/src/platform_target/mod.rs
+++ b/crates/galenastream_standin/src/platform_target/mod.rs
@@ -19,7 +19,7 @@
 pub use answer_fault::TargetAnswerFault;
 pub use endless_answer::EndlessAnswer;
 pub use endless_target::EndlessTarget;
-pub use heartbeat_body::{HeartbeatFields, heartbeat_body};
+pub use heartbeat_body::{HeartbeatFields, cold_heartbeat_body, heartbeat_body};
 pub use platform_target_standin::PlatformTargetStandin;
 pub use target_announcement::{TargetAnnouncement, TargetArrival};
 pub use target_conduct::TargetConduct;
