--- a/crates/galenastream_ctl/src/request/evacuation.rs
+++ b/crates/galenastream_ctl/src/request/evacuation.rs
@@ -1,7 +1,7 @@
 //! `evacuation`: shows which data centres are evacuated, and how far that has come.
 
 use clap::ArgMatches;
-use galenastream_adapter::{CONFIG_TABLE, EvacuationChange};
+use galenastream_adapter::EvacuationChange;
 use serde::Serialize;
 
 use crate::{
@@ -38,9 +38,7 @@
 
 pub(crate) async fn run(matches: &ArgMatches, output: OutputFormat) -> Result<(), CtlError> {
     let mut store = PlatformStore::new(matches);
-    let rows = store.read_table(CONFIG_TABLE).await?;
-    let requested: Vec<EvacuationChange> =
-        rows.iter().filter_map(EvacuationChange::of_row).collect();
+    let requested = store.read_evacuations().await?;
     let nodes = fetch_statuses(&mut store).await?;
     let documents = documents(&requested, &nodes);
     output.print(&documents, &to_text(&documents));
--- a/crates/galenastream_ctl/src/request/platform_store.rs
+++ b/crates/galenastream_ctl/src/request/platform_store.rs
@@ -5,8 +5,8 @@
 use bytes::Bytes;
 use clap::ArgMatches;
 use galenastream_adapter::{
-    CONFIG_KEY, CONFIG_TABLE, ExpectedRow, Row, RowChange, RowWrite, StoreClient, StoreConnection,
-    StoreError, VersionedRows,
+    CONFIG_KEY, CONFIG_TABLE, EvacuationChange, ExpectedRow, Row, RowChange, RowWrite, StoreClient,
+    StoreConnection, StoreError, VersionedRows,
 };
 use galenastream_settings::SettingsTree;
 use galenastream_wire::{SHARED_ROWS_TABLE, SharedRowKey};
@@ -52,6 +52,11 @@
         Ok(self.read_all(CONFIG_TABLE).await?.newest(CONFIG_KEY).cloned())
     }
 
+    /// Reads the rows that ask for evacuations, also those that cannot be decoded.
+    pub(crate) async fn read_evacuations(&mut self) -> Result<Vec<EvacuationChange>, CtlError> {
+        Ok(self.read_all(CONFIG_TABLE).await?.evacuations())
+    }
+
     async fn read_all(&mut self, table: &str) -> Result<VersionedRows, CtlError> {
         let read = self.connection.read_table(table, self.answer_timeout).await;
         read.map_err(|error| CtlError::store_call_failed(self.address, &error))
--- a/crates/galenastream_node/src/connection/caller_connections.rs
+++ b/crates/galenastream_node/src/connection/caller_connections.rs
@@ -1,6 +1,10 @@
 //! Server for the connections of callers.
 
-use std::sync::{Arc, atomic::Ordering};
+use std::{
+    collections::VecDeque,
+    pin::pin,
+    sync::{Arc, atomic::Ordering},
+};
 
 use bytes::Bytes;
 use futures::{
@@ -53,14 +57,17 @@
     let limits_in_force = || traffic.context.routing.load().as_ref().map(|it| it.limits);
     let mut framed = Framed::new(stream, RequestCodec::new(limits_in_force));
     let mut in_progress = FuturesOrdered::new();
+    // Responses that were complete while an earlier one was sent.
+    let mut complete = VecDeque::new();
     let mut is_last_read = false;
     loop {
-        let may_read = !is_last_read && in_progress.len() < MAX_PIPELINED;
+        let is_any_open = !(complete.is_empty() && in_progress.is_empty());
+        let may_read = !is_last_read && complete.len() + in_progress.len() < MAX_PIPELINED;
         tokio::select! {
-            Some((is_to_head, response)) = in_progress.next(), if !in_progress.is_empty() => {
+            Some((is_to_head, response)) = next_response(&mut complete, &mut in_progress), if is_any_open => {
                 let mut response: Response<Bytes> = response;
                 is_last_read |= is_closing(&traffic);
-                let is_final = is_last_read && in_progress.is_empty();
+                let is_final = is_last_read && complete.is_empty() && in_progress.is_empty();
                 if is_final {
                     // Makes the caller open a new connection, possibly to another node.
                     let close = HeaderValue::from_static("close");
@@ -68,7 +75,8 @@
                 }
                 // A caller that reads slowly gets the rest before the process stops.
                 let _counted = CountGuard::new(&traffic.in_progress);
-                if framed.send(Outgoing::Response { response, is_to_head }).await.is_err() {
+                let sending = framed.send(Outgoing::Response { response, is_to_head });
+                if send_beside(sending, &mut complete, &mut in_progress).await.is_err() {
                     return;
                 }
                 if is_final {
@@ -94,7 +102,7 @@
                     in_progress.push_back(Either::Right(ready((is_to_head, response))));
                 }
                 CallerEvent::Closed => return,
-                CallerEvent::Idle if in_progress.is_empty() => break,
+                CallerEvent::Idle if !is_any_open => break,
                 CallerEvent::Idle => {}
             },
         }
@@ -102,6 +110,36 @@
     close_gracefully(framed.into_inner()).await;
 }
 
+/// Returns the next response in the order of the requests.
+async fn next_response<T: Future>(
+    complete: &mut VecDeque<T::Output>,
+    in_progress: &mut FuturesOrdered<T>,
+) -> Option<T::Output> {
+    match complete.pop_front() {
+        Some(response) => Some(response),
+        None => in_progress.next().await,
+    }
+}
+
+/// Sends a response while the further requests of the connection go on: a caller that reads slowly
+/// must not keep their slots.
+async fn send_beside<T: Future, E>(
+    sending: impl Future<Output = Result<(), E>>,
+    complete: &mut VecDeque<T::Output>,
+    in_progress: &mut FuturesOrdered<T>,
+) -> Result<(), E> {
+    let mut sending = pin!(sending);
+    loop {
+        tokio::select! {
+            biased;
+            result = &mut sending => return result,
+            Some(response) = in_progress.next(), if !in_progress.is_empty() => {
+                complete.push_back(response);
+            }
+        }
+    }
+}
+
 fn is_closing(traffic: &TrafficState) -> bool {
     traffic.context.is_closing.load(Ordering::Relaxed)
 }
--- a/crates/galenastream_node/src/process/cold_start.rs
+++ b/crates/galenastream_node/src/process/cold_start.rs
@@ -21,16 +21,18 @@
     until: BootInstant,
     /// The last report was made after this instant.
     reported_after: BootInstant,
-    last_heartbeat_at: BootInstant,
 }
 
 impl ColdStart {
-    /// Records the remaining time that a heartbeat states. Heartbeats may be delayed, but a target
-    /// sends each one after the answer to the one before.
-    pub(super) fn record_heartbeat(&mut self, remaining: Duration, now: BootInstant) {
-        let sent_after = self.last_heartbeat_at;
-        self.last_heartbeat_at = now;
-        self.record(remaining, sent_after, now);
+    /// Records the remaining time that a heartbeat states. It was sent after `sent_after`, if that is
+    /// known: heartbeats may be delayed.
+    pub(super) fn record_heartbeat(
+        &mut self,
+        remaining: Duration,
+        sent_after: Option<BootInstant>,
+        now: BootInstant,
+    ) {
+        self.record(remaining, sent_after.unwrap_or_default(), now);
     }
 
     /// Records the remaining time that the answer to a health check states.
@@ -61,13 +63,16 @@
     }
 
     fn record(&mut self, remaining: Duration, made_after: BootInstant, now: BootInstant) {
+        let until = match remaining.is_zero() {
+            true => now,
+            false => now + remaining + CLOCK_MARGIN,
+        };
+        // A report that may be older than the last one shows at most that the target is cold again.
         if made_after < self.reported_after {
+            self.until = self.until.max(until);
             return;
         }
         self.reported_after = made_after;
-        self.until = match remaining.is_zero() {
-            true => now,
-            false => now + remaining + CLOCK_MARGIN,
-        };
+        self.until = until;
     }
 }
--- a/crates/galenastream_node/src/process/control_state.rs
+++ b/crates/galenastream_node/src/process/control_state.rs
@@ -287,6 +287,7 @@
         self.ran = ran;
         self.last_tick_at = now;
         self.evacuations.settle(now);
+        self.ask_after_evacuation(now);
         self.reconcile(now);
         self.settle_era(now);
         self.probe_silent_target(now);
--- a/crates/galenastream_node/src/process/evacuations.rs
+++ b/crates/galenastream_node/src/process/evacuations.rs
@@ -32,8 +32,8 @@
     is_requested: bool,
     /// When this process learnt of the request or of its end.
     changed_at: BootInstant,
-    /// Since when a restored store has not shown the row.
-    missing_since: Option<BootInstant>,
+    /// Since when a restored store has not shown the row, and the version of the read.
+    missing_since: Option<(BootInstant, u64)>,
 }
 
 /// Who told of a change.
@@ -75,7 +75,7 @@
             if era_of(evacuation.row_version) == era_of(read_version) {
                 evacuation.end(data_centre, read_version, "not in the store", now);
             } else {
-                evacuation.missing_since.get_or_insert(now);
+                evacuation.missing_since.get_or_insert((now, read_version));
             }
         }
     }
@@ -95,12 +95,11 @@
     /// Ends the evacuations that a restored store has not shown for [`RESTORE_GRACE`].
     pub(super) fn settle(&mut self, now: BootInstant) {
         for (data_centre, evacuation) in &mut self.records {
-            let Some(since) = evacuation.missing_since else {
+            let Some((since, read_version)) = evacuation.missing_since else {
                 continue;
             };
             if now.saturating_since(since) >= RESTORE_GRACE {
-                let row_version = evacuation.row_version;
-                evacuation.end(data_centre, row_version, "not in the restored store", now);
+                evacuation.end(data_centre, read_version, "not in the restored store", now);
             }
         }
     }
@@ -161,8 +160,16 @@
             Some(_) | None => {}
         }
         let was_requested = self.is_requested(&change.data_centre);
-        let changed_at = self.records.get(&change.data_centre).map_or(now, |it| it.changed_at);
+        let known = self.records.get(&change.data_centre);
         let is_changed = was_requested != change.is_requested;
+        let changed_at = match known {
+            // Another evacuation may have come and gone since.
+            Some(_) if !change.is_requested => now,
+            Some(known) => known.changed_at,
+            // It ended before this process knew of it.
+            None if source == EvacuationSource::Peer => BootInstant::default(),
+            None => now,
+        };
         let evacuation = Evacuation {
             row_version: change.row_version,
             is_requested: change.is_requested,
--- a/crates/galenastream_node/src/process/heartbeats.rs
+++ b/crates/galenastream_node/src/process/heartbeats.rs
@@ -17,6 +17,10 @@
 /// 1 s.
 const MAX_REPLY_DELAY: Duration = Duration::from_millis(700);
 
+/// A target may have sent its next heartbeat without waiting any longer for a later reply. Less than the
+/// 1 s that targets wait, for clocks that differ.
+const REPLY_TIMEOUT: Duration = Duration::from_millis(900);
+
 /// The longest delay of such a reply, in hundredths of the heartbeat interval.
 const MAX_REPLY_DELAY_PERCENT: u32 = 75;
 
@@ -202,6 +206,8 @@
         };
         if let Some(local) = &mut self.local {
             local.send_reply(reply);
+            let is_awaited = now.saturating_since(local.last_heartbeat_at) < REPLY_TIMEOUT;
+            local.replied_at = is_awaited.then_some(now);
         }
     }
 
--- a/crates/galenastream_node/src/process/local_target.rs
+++ b/crates/galenastream_node/src/process/local_target.rs
@@ -25,6 +25,9 @@
     pub(super) identity: Identity,
     pub(super) draining_since: Option<BootInstant>,
     pub(super) cold: ColdStart,
+    /// When the last heartbeat was replied to, if that was early enough for the target to wait for it:
+    /// the next one was sent later.
+    pub(super) replied_at: Option<BootInstant>,
     /// The keys that the last heartbeat reports as held or still being processed.
     pub(super) held: Vec<HeldKeys>,
     pub(super) released: Vec<ReleasedKeys>,
@@ -89,6 +92,7 @@
             identity: Identity::Unknown,
             draining_since: None,
             cold: ColdStart::default(),
+            replied_at: None,
             held: Vec::new(),
             released: Vec::new(),
             shown_held: Vec::new(),
@@ -107,7 +111,8 @@
         self.heard_after = ran;
         self.heartbeats_until_certain = self.heartbeats_until_certain.saturating_sub(1);
         self.slots = heartbeat.slots;
-        self.cold.record_heartbeat(Duration::from_millis(heartbeat.cold_remaining_ms), now);
+        let cold_remaining = Duration::from_millis(heartbeat.cold_remaining_ms);
+        self.cold.record_heartbeat(cold_remaining, self.replied_at.take(), now);
         self.held.clone_from(&heartbeat.held);
         for held in &heartbeat.held {
             self.show_held(held);
--- a/crates/galenastream_node/src/request/attempt.rs
+++ b/crates/galenastream_node/src/request/attempt.rs
@@ -14,7 +14,7 @@
 use super::{
     caller_request::CallerRequest,
     target_reply::{TOO_LONG_RETRY_AFTER_MS, not_sent, unknown},
-    target_run::run_at_target,
+    target_run::{AnswerWay, run_at_target},
 };
 use crate::process::{NodeEntry, TrafficState};
 
@@ -52,7 +52,7 @@
     let reply = {
         let _in_progress = InProgressGuard::new(traffic, node);
         if destination.node.is_local {
-            run_at_target(traffic, message).await.reply
+            run_at_target(traffic, message, AnswerWay::Local).await.reply
         } else {
             forward_to_peer(traffic, destination, message, may_retry).await
         }
@@ -185,9 +185,11 @@
     let outcome = ReplyOutcome::try_from(reply.outcome).unwrap_or(ReplyOutcome::Unknown);
     match outcome {
         ReplyOutcome::Answered => reply.status >= 500,
-        // The length of a request says nothing about the target.
+        // The length of a request, or an evacuation, says nothing about the target.
         ReplyOutcome::NotSent => {
-            !is_lack_of_capacity(reply.reason) && reply.reason != ReplyReason::RequestTooLong as i32
+            let says_nothing = [ReplyReason::RequestTooLong, ReplyReason::Evacuated];
+            !is_lack_of_capacity(reply.reason)
+                && !says_nothing.iter().any(|it| *it as i32 == reply.reason)
         }
         ReplyOutcome::Unknown | ReplyOutcome::Rejected => true,
     }
--- a/crates/galenastream_node/src/request/attempts.rs
+++ b/crates/galenastream_node/src/request/attempts.rs
@@ -20,7 +20,10 @@
     refusal::Refusal,
     target_choice::TargetChoice,
 };
-use crate::{process::TrafficState, version::RoutingTable};
+use crate::{
+    process::{NodeEntry, TrafficState},
+    version::RoutingTable,
+};
 
 /// Interval at which a waiting request looks up the owner of its key again.
 const OWNER_POLL_INTERVAL: Duration = Duration::from_millis(30);
@@ -218,11 +221,18 @@
         let Some(entry) = self.key.and_then(|key| assignment.map(|it| it.entry_of(key))) else {
             return false;
         };
+        // The keys of an evacuated data centre leave only if there is a target elsewhere.
+        let has_other_place = || {
+            let is_of_service =
+                |it: &NodeEntry| it.target.as_ref().is_some_and(|it| *it.service == *self.service);
+            directory.nodes.iter().any(|it| is_of_service(it) && !it.is_evacuated)
+        };
         // Only the node is checked: it notices the end of its target at once, and the keys are then
         // handed over.
         let is_live = |owner: &Owner| {
             let node = directory.nodes.iter().find(|it| it.name == owner.node);
-            node.is_some_and(|it| it.is_reachable && !it.is_closing)
+            let is_live = node.is_some_and(|it| it.is_reachable && !it.is_closing);
+            is_live && (!node.is_some_and(|it| it.is_evacuated) || has_other_place())
         };
         match &entry.holding {
             Holding::Owned(owner) => is_live(owner),
--- a/crates/galenastream_node/src/request/explanation.rs
+++ b/crates/galenastream_node/src/request/explanation.rs
@@ -11,11 +11,8 @@
 use serde::{Deserialize, Serialize};
 
 use super::{
-    caller_request::CallerRequest,
-    entry::config_doubt,
-    refusal::Refusal,
-    target_choice::{Standing, TargetChoice},
-    target_run::class_of,
+    caller_request::CallerRequest, entry::config_doubt, refusal::Refusal,
+    target_choice::TargetChoice, target_run::class_of,
 };
 use crate::{
     process::{Directory, TrafficState},
@@ -46,7 +43,8 @@
     pub refusal: Option<String>,
     /// The services among which the route splits its requests.
     pub destinations: Vec<ExplainedDestination>,
-    /// What the admission to the target beside this node would decide, if the route leads to it.
+    /// What the admission to the target beside this node would decide, if the route leads to it. The
+    /// room of the link for a long answer is not part of it.
     pub admission: Option<ExplainedAdmission>,
 }
 
@@ -123,7 +121,7 @@
     pub running: u32,
     /// Requests that wait for it.
     pub waiting: usize,
-    /// `start`, `wait` or `refuse`.
+    /// `start`, `wait` or `refuse`, the last with the reason where it is not lack of room.
     pub decision: String,
     /// After which time the caller would be told to come back, if the request is refused, in
     /// milliseconds.
@@ -158,6 +156,8 @@
     let request = match CallerRequest::parse(&parts, bytes::Bytes::new(), &routing) {
         Ok(request) => request,
         Err(refusal) => {
+            let is_in_doubt = explanation.config_doubt.is_some();
+            let refusal = if is_in_doubt { refusal.under_doubt() } else { refusal };
             explanation.refusal = Some(refusal.as_str().to_owned());
             return Ok(explanation);
         }
@@ -249,8 +249,8 @@
         };
         candidates.push((standing, node.key, explained));
     }
-    candidates.sort_by_key(|(standing, _, it)| (*standing, it.expected_ms));
-    let chosen = candidates.first().filter(|(standing, _, _)| *standing < Standing::EXCLUDED);
+    candidates.sort_by_key(|(standing, _, it)| (standing.precedence(), it.expected_ms));
+    let chosen = candidates.first().filter(|(standing, _, _)| standing.may_be_chosen());
     let no_target = match (key, &owner, chosen) {
         (_, _, Some(_)) => None,
         (Some(_), None, None) => Some("nobody holds the key now".to_owned()),
@@ -280,9 +280,14 @@
     }
     let latency_ms = u32::try_from(request.route.target_latency_ms).unwrap_or(u32::MAX);
     let has_long_answer = request.route.kind.has_long_answers();
-    let class = class_of(latency_ms, u32::from(request.route.rank), has_long_answer);
+    let class = class_of(latency_ms, u32::from(request.route.rank), has_long_answer)
+        .with_alternatives(request.key.is_none());
+    traffic.set_cold_period(local.cold);
     let preview = traffic.admission.preview(class, request.soft_deadline, request.deadline);
+    let is_leased = || request.key.is_none_or(|it| local.leases.covers(it, now));
     let (decision, retry_after_ms, max_wait_ms) = match preview.decision {
+        _ if local.is_evacuated => ("refuse: evacuated", None, None),
+        _ if local.holds_keys && !is_leased() => ("refuse: no lease on the key", None, None),
         AdmitDecision::Start => ("start", None, None),
         AdmitDecision::Wait { until, .. } => {
             ("wait", None, Some(millis(until.saturating_since(now))))
--- a/crates/galenastream_node/src/request/long_answer.rs
+++ b/crates/galenastream_node/src/request/long_answer.rs
@@ -10,7 +10,10 @@
 use galenastream_runtime::{Transfer, boot_now};
 use galenastream_wire::{ForwardedReply, ForwardedRequest, ReplyReason};
 
-use super::target_reply::not_sent;
+use super::{
+    target_reply::{MOVING_RETRY_AFTER_MS, not_sent},
+    target_run::AnswerWay,
+};
 use crate::process::TrafficState;
 
 /// An answer that will be late is sent only while the link would keep it waiting for less than this.
@@ -24,9 +27,10 @@
 pub(super) fn plan_transfer(
     traffic: &TrafficState,
     request: &ForwardedRequest,
+    way: AnswerWay,
     deadlines: Deadlines,
 ) -> Result<(Option<Transfer>, Deadlines), ForwardedReply> {
-    if !request.has_long_answer {
+    if !request.has_long_answer || way == AnswerWay::Local {
         return Ok((None, deadlines));
     }
     let (soft_deadline, deadline) = deadlines;
@@ -40,7 +44,8 @@
     if is_late || deadline.has_passed(sent_at) || !has_memory {
         // The link is free for it once it has sent what would be too late.
         let free_in = (wait + duration).saturating_sub(soft_deadline.remaining(now));
-        let retry_after_ms = u32::try_from(free_in.max(duration).as_millis()).unwrap_or(u32::MAX);
+        let free_in_ms = u32::try_from(free_in.max(duration).as_millis()).unwrap_or(u32::MAX);
+        let retry_after_ms = free_in_ms.max(MOVING_RETRY_AFTER_MS);
         return Err(not_sent(ReplyReason::NoRoomForAnswer, retry_after_ms));
     }
     let earlier = |it: Deadline| {
--- a/crates/galenastream_node/src/request/target_choice.rs
+++ b/crates/galenastream_node/src/request/target_choice.rs
@@ -24,7 +24,7 @@
 }
 
 /// Whether a target may be chosen, and why not.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Standing {
     /// It may.
     Preferred,
@@ -218,8 +218,18 @@
 }
 
 impl Standing {
-    /// What every excluded target compares as at least.
-    pub(super) const EXCLUDED: Self = Self::Excluded("");
+    /// The place among others; lower ones are chosen first.
+    pub(super) const fn precedence(self) -> u8 {
+        match self {
+            Self::Preferred => 0,
+            Self::Fallback(_) => 1,
+            Self::Excluded(_) => 2,
+        }
+    }
+
+    pub(super) const fn may_be_chosen(self) -> bool {
+        !matches!(self, Self::Excluded(_))
+    }
 
     /// Why the target is not chosen, or only if there is no other.
     pub(super) const fn hindrance(self) -> Option<&'static str> {
--- a/crates/galenastream_node/src/request/target_reply.rs
+++ b/crates/galenastream_node/src/request/target_reply.rs
@@ -18,7 +18,7 @@
 };
 
 /// `Retry-After` while keys move, or while a target or its node is leaving or replaced. Also used
-/// if a target rejects a request without this header.
+/// if a target rejects a request without this header, and the least for a long answer without room.
 pub(super) const MOVING_RETRY_AFTER_MS: u32 = 100;
 
 /// `Retry-After` if there is no target or it cannot be reached.
--- a/crates/galenastream_node/src/request/target_run.rs
+++ b/crates/galenastream_node/src/request/target_run.rs
@@ -43,6 +43,15 @@
 /// service time is estimated with it until it is measured.
 const SERVICE_TIME_ESTIMATE_DIVISOR: u32 = 3;
 
+/// How an answer gets to the node of its caller.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum AnswerWay {
+    /// It is already there: the caller is on the same VM.
+    Local,
+    /// Over the link of the VM.
+    Link,
+}
+
 /// The reply to a request that was to run at the target beside this node.
 #[derive(Debug)]
 pub struct TargetRun {
@@ -59,14 +68,19 @@
 ///
 /// Dropping the future means that the caller has left. This cancels an idempotent request at any
 /// point, and any other request only until it is sent to the target.
-pub async fn run_at_target(traffic: &Arc<TrafficState>, request: ForwardedRequest) -> TargetRun {
+pub(super) async fn run_at_target(
+    traffic: &Arc<TrafficState>,
+    request: ForwardedRequest,
+    way: AnswerWay,
+) -> TargetRun {
     let caller_left = CancellationToken::new();
     if request.is_idempotent {
-        return run_counted(traffic, request, &caller_left).await;
+        return run_counted(traffic, request, way, &caller_left).await;
     }
     let _cancel_on_drop = caller_left.clone().drop_guard();
     let traffic = traffic.clone();
-    let running = tokio::spawn(async move { run_counted(&traffic, request, &caller_left).await });
+    let running =
+        tokio::spawn(async move { run_counted(&traffic, request, way, &caller_left).await });
     running.await.unwrap_or_else(|error| {
         log::error!(event = "request_task_failed", reason:% = error; "");
         TargetRun::new(unknown(ReplyReason::ConnectionLost))
@@ -76,6 +90,7 @@
 async fn run_counted(
     traffic: &Arc<TrafficState>,
     request: ForwardedRequest,
+    way: AnswerWay,
     caller_left: &CancellationToken,
 ) -> TargetRun {
     let _counted = CountGuard::new(&traffic.in_progress);
@@ -91,7 +106,8 @@
         quarantine.merge(record, arrived_at);
     }
     let times = (soft_deadline, deadline);
-    let (mut reply, transfer) = match plan_transfer(traffic, &request, times) {
+    let has_long_answer = request.has_long_answer;
+    let (mut reply, transfer) = match plan_transfer(traffic, &request, way, times) {
         Ok((transfer, times)) => {
             let reply = admit_and_send(traffic, request, fingerprint, times, caller_left).await;
             let is_answered = reply.outcome == ReplyOutcome::Answered as i32;
@@ -99,6 +115,9 @@
         }
         Err(refused) => (refused, None),
     };
+    if has_long_answer && (200..300).contains(&reply.status) {
+        traffic.link.add_answer_size(reply.body.len());
+    }
     reply.suspect = quarantine.record_of(fingerprint).map(Box::new);
     reply.pending = traffic.pending();
     reply.service_time_us = traffic.service_time_us();
@@ -147,7 +166,7 @@
         let reply = not_sent(ReplyReason::DeadlinePassed, UNREACHABLE_RETRY_AFTER_MS);
         return TargetRun::new(reply);
     }
-    run_at_target(traffic, request).await
+    run_at_target(traffic, request, AnswerWay::Link).await
 }
 
 impl TargetRun {
--- a/crates/galenastream_node/tests/ownership/evacuations.rs
+++ b/crates/galenastream_node/tests/ownership/evacuations.rs
@@ -116,6 +116,20 @@
     assert!(!is_evacuated(&state, START_MS + 14_000), "nobody has written it again");
 }
 
+/// Guards against a node without the store that is not told of the end after a restore.
+#[test]
+fn the_end_of_an_evacuation_that_a_restored_store_does_not_show_reaches_other_nodes() {
+    let mut reader = new_node();
+    let mut other = new_node();
+    reader.handle(watched(version_in(1, 70), true), at(START_MS));
+    other.handle(told(version_in(1, 70), true), at(START_MS));
+    reader.handle(read(Vec::new(), version_in(2, 60)), at(START_MS));
+    reader.tick(at(START_MS + 4_000));
+    let status = other_node(reader.status(at(START_MS + 4_000)).evacuations);
+    other.handle(status, at(START_MS + 4_000));
+    assert!(!is_evacuated(&reader, START_MS + 4_000) && !is_evacuated(&other, START_MS + 4_000));
+}
+
 /// Guards against keys that stay in an evacuated data centre, where nobody may ask for them.
 #[test]
 fn keys_leave_an_evacuated_data_centre_and_only_that() {
--- a/crates/galenastream_node/tests/platform/forwarded.rs
+++ b/crates/galenastream_node/tests/platform/forwarded.rs
@@ -3,12 +3,12 @@
 use std::{net::SocketAddr, time::Duration};
 
 use galenastream_runtime::{BodyBudget, FrameLink, boot_now};
-use galenastream_standin::LocalDeployment;
+use galenastream_standin::{LocalDeployment, wait_until};
 use galenastream_wire::{
     ForwardedReply, ForwardedRequest, PeerFrame, ReplyOutcome, ReplyReason, peer_frame::Body,
 };
 
-use super::{WORKS, deployment::start};
+use super::{TIMEOUT, WORKS, deployment::start};
 
 /// The port where a node accepts connections of other nodes.
 pub(super) const PEERS_PORT: u16 = 8_002;
@@ -76,3 +76,29 @@
     assert!(!deployment.vms[0].target.runs().iter().any(|it| it.request_id == "expired"));
     deployment.close().unwrap();
 }
+
+/// Guards against an entry that has not heard of an evacuation: the node beside the target refuses.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_for_an_evacuated_data_centre_is_refused_beside_the_target() {
+    let deployment = start("evacuated", &["stock"]).await;
+    let address = SocketAddr::new(deployment.vms[0].ip, PEERS_PORT);
+    let link = FrameLink::connect(address, BodyBudget::new(0)).await.expect(WORKS);
+    deployment.store.put("op", "evacuate/east", b"{}");
+    wait_until("the evacuation to be known", TIMEOUT, async || {
+        deployment.vms[0].log().iter().any(|it| it["kvs"]["event"] == "evacuation_requested")
+    })
+    .await
+    .expect(WORKS);
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let refused = forward(&link, &deployment, "late", Duration::ZERO).await;
+    assert_eq!(refused.reason, ReplyReason::Evacuated as i32, "{refused:?}");
+    assert!(!deployment.vms[0].target.runs().iter().any(|it| it.request_id == "late"));
+    deployment.store.remove("op", "evacuate/east");
+    wait_until("the target to be used again", TIMEOUT, async || {
+        let reply = forward(&link, &deployment, "again", Duration::ZERO).await;
+        reply.outcome == ReplyOutcome::Answered as i32
+    })
+    .await
+    .expect(WORKS);
+    deployment.close().unwrap();
+}
--- a/crates/galenastream_node/tests/platform/long_bodies.rs
+++ b/crates/galenastream_node/tests/platform/long_bodies.rs
@@ -27,6 +27,9 @@
 /// longest one that nodes promise to carry.
 const LONG_BYTES: usize = 6 * 1024 * 1024;
 
+/// The longest download of the users' deployments.
+const DOWNLOAD_BYTES: usize = 540_000;
+
 /// A body that is longer than the longest one that nodes promise to carry.
 const TOO_LONG_BYTES: usize = 20 * 1024 * 1024;
 
@@ -243,3 +246,28 @@
     vm.close();
     deployment.close().expect(WORKS);
 }
+
+/// Downloads wait for turns on the link, in parts, and arrive whole.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_download_from_a_target_beside_another_node_is_complete() {
+    let (deployment, target) = start_pair("download").await;
+    let config = DeploymentPlan::shop_config(2, "/stock/").to_string();
+    let config = config.replacen("\"safe\"", "\"download\"", 2);
+    deployment.store.put("op", "config", config.as_bytes());
+    wait_until("the config to be in force", TIMEOUT, async || {
+        deployment.vms.iter().all(|vm| {
+            vm.log()
+                .iter()
+                .any(|it| it["kvs"]["event"] == "config_in_force" && it["kvs"]["version"] == 2)
+        })
+    })
+    .await
+    .expect(WORKS);
+    for bytes in [0, 100, DOWNLOAD_BYTES] {
+        target.set_answer(EndlessAnswer::Complete(bytes));
+        let mut caller = deployment.vms[0].caller().await.expect(WORKS);
+        let answer = caller.get("/stock/1", &format!("of {bytes}"), None).await.expect(WORKS);
+        assert_eq!((answer.status, answer.body.len()), (200, bytes));
+    }
+    deployment.close().expect(WORKS);
+}
--- a/crates/galenastream_routing/src/process/admission.rs
+++ b/crates/galenastream_routing/src/process/admission.rs
@@ -16,8 +16,8 @@
     Evicted, RequestRate, TargetPace, ToldLoad,
 };
 
-/// The share of the slots that are open when a target has just started.
-const COLD_SHARE_PERCENT: u64 = 25;
+/// The share of the slots that are open when a target has just started and is ramped up.
+const INITIAL_SHARE_PERCENT: u64 = 25;
 
 /// The number of different `Retry-After` values among which refused requests are spread.
 const RETRY_SPREAD_STEPS: u32 = 8;
@@ -33,8 +33,8 @@
 
 /// Admission control for one target: its slots and the short queue in front of them.
 ///
-/// Every request that arrives starts, waits or is shed immediately. The health and load
-/// that the target itself reports have no influence on the decision.
+/// Every request that arrives starts, waits or is shed immediately. The health that the target itself
+/// reports has no influence on the decision, and its load only as far as [`TargetPace`] believes it.
 #[derive(Debug, Clone)]
 pub struct Admission {
     limits: AdmissionLimits,
@@ -214,6 +214,12 @@
             (Some(limit), Some(limiter)) => limiter.set_limit(limit, now),
             (Some(limit), limiter) => *limiter = Some(RateLimiter::new(limit, now)),
         }
+        self.dequeue_limited(now)
+    }
+
+    /// Starts waiting requests, and sheds those that the limits on the rate keep from being answered by
+    /// their soft deadlines.
+    fn dequeue_limited(&mut self, now: BootInstant) -> Dequeued {
         let mut shed = Vec::new();
         let mut ahead = 0;
         for waiting in self.queue.in_order() {
@@ -236,12 +242,13 @@
     /// it bears meanwhile.
     ///
     /// Load pattern: the targets of a data centre return together, cold, while the others are full.
-    pub fn set_cold_period(&mut self, now: BootInstant, cold: Option<ColdPeriod>) {
+    pub fn set_cold_period(&mut self, now: BootInstant, cold: Option<ColdPeriod>) -> Dequeued {
         match (cold, &mut self.cold_limiter) {
             (None, limiter) => *limiter = None,
             (Some(cold), Some(limiter)) => limiter.set_period(cold, now),
             (Some(cold), limiter) => *limiter = Some(ColdLimiter::new(cold, now)),
         }
+        self.dequeue_limited(now)
     }
 
     /// Returns when [`Self::dequeue`] has to be called because the request limit lets the next
@@ -281,6 +288,7 @@
     pub fn restart(&mut self, target_up_at: BootInstant) {
         self.target_up_at = target_up_at;
         self.service_times = ClassServiceTimes::default();
+        self.pace = TargetPace::default();
     }
 
     /// Returns the number of requests that hold slots.
@@ -472,7 +480,8 @@
         if up_ms >= ramp_up_ms {
             return self.limits.slots;
         }
-        let share_percent = COLD_SHARE_PERCENT + (100 - COLD_SHARE_PERCENT) * up_ms / ramp_up_ms;
+        let share_percent =
+            INITIAL_SHARE_PERCENT + (100 - INITIAL_SHARE_PERCENT) * up_ms / ramp_up_ms;
         u32::try_from((slots * share_percent).div_ceil(100)).unwrap_or(u32::MAX)
     }
 }
--- a/crates/galenastream_routing/src/process/link_schedule.rs
+++ b/crates/galenastream_routing/src/process/link_schedule.rs
@@ -22,6 +22,10 @@
 /// The weight of a new sample in the moving mean size of long answers.
 const SAMPLE_WEIGHT: f64 = 1.0 / 16.0;
 
+/// The longest time for which the link is taken for busy because of messages that did not wait. Their
+/// connections hold them back if the link does not carry them.
+const MAX_RECORDED_AHEAD: Duration = Duration::from_millis(200);
+
 const BITS_PER_BYTE: f64 = 8.0;
 const BITS_PER_MBIT: f64 = 1_000_000.0;
 
@@ -86,7 +90,8 @@
 
     /// Counts a message that is handed to the link without waiting.
     pub fn record(&mut self, bytes: usize, now: BootInstant) {
-        self.idle_at = self.idle_at.max(now) + self.duration_of(bytes as f64);
+        let idle_at = self.idle_at.max(now) + self.duration_of(bytes as f64);
+        self.idle_at = idle_at.min(now + MAX_RECORDED_AHEAD);
     }
 
     /// Announces a transfer of the mean size.
@@ -98,9 +103,13 @@
         id
     }
 
+    /// Adds the size of a complete answer to the mean.
+    pub fn add_answer_size(&mut self, bytes: usize) {
+        self.mean_answer_bytes += (bytes as f64 - self.mean_answer_bytes) * SAMPLE_WEIGHT;
+    }
+
     /// Sets the size of a transfer once it is known.
     pub fn set_bytes(&mut self, order: TransferOrder, id: TransferId, bytes: usize) {
-        self.mean_answer_bytes += (bytes as f64 - self.mean_answer_bytes) * SAMPLE_WEIGHT;
         if let Some(transfer) = self.transfers.get_mut(&(order, id)) {
             transfer.remaining_bytes = bytes as f64;
         }
--- a/crates/galenastream_routing/src/process/target_pace.rs
+++ b/crates/galenastream_routing/src/process/target_pace.rs
@@ -21,6 +21,9 @@
 /// The weight of a new sample in the moving mean of the slowdown.
 const SAMPLE_WEIGHT: f64 = 1.0 / 16.0;
 
+/// The highest ratio of a single sample. One request that hangs says nothing of the others.
+const MAX_RATIO: f64 = 8.0;
+
 /// What a target tells of its load in a response.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ToldLoad {
@@ -69,7 +72,7 @@
             return;
         }
         let ratio = service_time.as_secs_f64() / class_mean.as_secs_f64();
-        self.slowdown += (ratio - self.slowdown) * SAMPLE_WEIGHT;
+        self.slowdown += (ratio.min(MAX_RATIO) - self.slowdown) * SAMPLE_WEIGHT;
     }
 
     /// Returns by how much longer than usual a request takes that begins now; at least 1.
--- a/crates/galenastream_routing/tests/target_pace.rs
+++ b/crates/galenastream_routing/tests/target_pace.rs
@@ -58,6 +58,35 @@
     assert!(starts(&mut admission, CLASS, 1_215), "the turn of the neighbour has ended");
 }
 
+/// Load: the same, with requests whose work takes most of their target latency anyway, and with ones
+/// that would be late at any target.
+#[test]
+fn a_request_that_gains_little_elsewhere_stays() {
+    let mut admission = admission();
+    learn(&mut admission, USUAL_MS * 4);
+    admission.record_told_load(at(1_000), told(400));
+    let tight = CLASS.with_target_latency_ms(USUAL_MS as u32 + 100);
+    assert!(starts(&mut admission, tight, 1_010));
+    assert!(!starts(&mut admission, CLASS.with_target_latency_ms(SOFT_MS), 1_010));
+    let late = Deadline::new(at(1_010), USUAL_MS as u32 / 2);
+    let deadline = Deadline::new(at(1_010), 2_000);
+    let outcome = admission.arrive_with_soft_deadline(at(1_010), CLASS, late, deadline);
+    assert_eq!(outcome.decision, AdmitDecision::Start);
+}
+
+/// Guards against one request that hangs, and against what was learnt of an earlier target.
+#[test]
+fn what_is_learnt_of_a_slow_target_is_bounded_and_ends_with_it() {
+    let mut admission = admission();
+    learn(&mut admission, 60_000);
+    admission.record_told_load(at(1_000), told(400));
+    assert!(!starts(&mut admission, CLASS, 1_010));
+    admission.restart(at(1_020));
+    admission.assume_service_time(CLASS, Duration::from_millis(USUAL_MS));
+    admission.record_told_load(at(1_030), told(400));
+    assert!(starts(&mut admission, CLASS, 1_040));
+}
+
 /// Guards against words that mean nothing.
 #[test]
 fn a_target_that_says_it_is_slow_and_is_not_keeps_its_requests() {
--- a/crates/galenastream_runtime/src/admission_controller.rs
+++ b/crates/galenastream_runtime/src/admission_controller.rs
@@ -66,7 +66,7 @@
 pub struct NotAdmitted {
     /// Time after which the caller should retry, in milliseconds.
     pub retry_after_ms: u32,
-    /// Whether the request limit of the target is the reason, rather than its slots.
+    /// Whether the request limit of the target, or that it is cold, is the reason rather than its slots.
     pub is_rate_limited: bool,
 }
 
@@ -101,8 +101,7 @@
     pub fn set_cold_period(&self, cold: Option<ColdPeriod>) {
         let mut state = self.lock();
         let now = boot_now();
-        state.admission.set_cold_period(now, cold);
-        let dequeued = state.admission.dequeue(now);
+        let dequeued = state.admission.set_cold_period(now, cold);
         state.notify(dequeued, now);
         self.next_start_changed.notify_one();
     }
--- a/crates/galenastream_runtime/src/frame_link.rs
+++ b/crates/galenastream_runtime/src/frame_link.rs
@@ -139,6 +139,7 @@
 
 async fn read_frames<F: CorrelatedFrame>(mut reader: FrameReader<F>, pending: Arc<Replies<F>>) {
     while let Some(Ok(received)) = reader.next().await {
+        reader.retain(|it| pending.contains(it));
         let frame = match received {
             ReceivedFrame::Whole(frame) => frame,
             ReceivedFrame::Part { correlation } => {
--- a/crates/galenastream_runtime/src/frame_reader.rs
+++ b/crates/galenastream_runtime/src/frame_reader.rs
@@ -73,6 +73,12 @@
         self.unfinished.remove(&correlation);
     }
 
+    /// Drops the parts of all messages that are no longer wanted. The sender may stop in the middle of
+    /// a message that was cancelled.
+    pub fn retain(&mut self, is_wanted: impl Fn(u64) -> bool) {
+        self.unfinished.retain(|correlation, _| is_wanted(*correlation));
+    }
+
     fn receive(&mut self, mut frame: F) -> Result<ReceivedFrame<F>, WireError> {
         let correlation = frame.correlation();
         let too_long = |error: BodyTooLong| {
--- a/crates/galenastream_runtime/src/frame_writer.rs
+++ b/crates/galenastream_runtime/src/frame_writer.rs
@@ -31,6 +31,8 @@
     long: VecDeque<LongMessage>,
     /// Messages whose parts wait for turns on the link, the first in order at the front.
     paced: VecDeque<PacedMessage>,
+    /// The transfers whose last parts have been written and not sent.
+    written: Vec<Transfer>,
 }
 
 /// A message that is sent in parts.
@@ -77,6 +79,7 @@
             frames: FramedWrite::new(stream, FrameCodec::new()),
             long: VecDeque::new(),
             paced: VecDeque::new(),
+            written: Vec::new(),
         }
     }
 
@@ -131,7 +134,7 @@
         let correlation = first.message.correlation;
         let part = first.message.next_part(PACED_PART_BYTES);
         if first.message.body.is_empty() {
-            self.paced.pop_front();
+            self.written.extend(self.paced.pop_front().map(|it| it.transfer));
         }
         self.frames.feed(F::from_part(correlation, part)).await
     }
@@ -166,6 +169,8 @@
 
     /// Sends what has been written.
     pub async fn flush(&mut self) -> Result<(), WireError> {
-        self.frames.flush().await
+        self.frames.flush().await?;
+        self.written.clear();
+        Ok(())
     }
 }
--- a/crates/galenastream_runtime/src/link_share.rs
+++ b/crates/galenastream_runtime/src/link_share.rs
@@ -70,6 +70,11 @@
         self.lock().schedule.record(bytes, boot_now());
     }
 
+    /// Adds the size of a complete long answer to the mean.
+    pub fn add_answer_size(&self, bytes: usize) {
+        self.lock().schedule.add_answer_size(bytes);
+    }
+
     /// Announces a transfer of the mean size.
     pub fn announce(self: &Arc<Self>, order: TransferOrder) -> Transfer {
         let id = self.lock().schedule.announce(order);
