An explanation changes nothing at the admission that it describes

Found when the change was read again: the page that explains a request applied the cold period to the real admission, which could shed waiting requests. It is applied to the copy that is asked.

--- a/crates/galenastream_node/src/request/explanation.rs
+++ b/crates/galenastream_node/src/request/explanation.rs
@@ -282,8 +282,8 @@
     let has_long_answer = request.route.kind.has_long_answers();
     let class = class_of(latency_ms, u32::from(request.route.rank), has_long_answer)
         .with_alternatives(request.key.is_none());
-    traffic.set_cold_period(local.cold);
-    let preview = traffic.admission.preview(class, request.soft_deadline, request.deadline);
+    let preview =
+        traffic.admission.preview(local.cold, class, request.soft_deadline, request.deadline);
     let is_leased = || request.key.is_none_or(|it| local.leases.covers(it, now));
     let (decision, retry_after_ms, max_wait_ms) = match preview.decision {
         _ if local.is_evacuated => ("refuse: evacuated", None, None),
--- a/crates/galenastream_runtime/src/admission_controller.rs
+++ b/crates/galenastream_runtime/src/admission_controller.rs
@@ -168,17 +168,20 @@
         }
     }
 
-    /// Returns what would be decided on a request that arrives now. Nothing changes.
+    /// Returns what would be decided on a request that arrives now, at a target with this cold period.
+    /// Nothing changes.
     pub fn preview(
         &self,
+        cold: Option<ColdPeriod>,
         class: Class,
         soft_deadline: Deadline,
         deadline: Deadline,
     ) -> AdmissionPreview {
         let mut admission = self.lock().admission.clone();
+        let now = boot_now();
         let (in_progress, waiting) = (admission.in_progress(), admission.waiting());
-        let outcome =
-            admission.arrive_with_soft_deadline(boot_now(), class, soft_deadline, deadline);
+        admission.set_cold_period(now, cold);
+        let outcome = admission.arrive_with_soft_deadline(now, class, soft_deadline, deadline);
         AdmissionPreview { decision: outcome.decision, in_progress, waiting }
     }
 
