--- a/review/standins/platform_standins.py
+++ b/review/standins/platform_standins.py
@@ -635,8 +635,13 @@
 
     async def play_all():
         deployment = Deployment(record, site)
+        # Ends the nodes also if the script is told to stop.
+        playing = asyncio.ensure_future(asyncio.wait_for(play(deployment, record), 110))
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, playing.cancel)
         try:
-            return await asyncio.wait_for(play(deployment, record), 110)
+            return await playing
+        except asyncio.CancelledError:
+            raise CannotRun("stopped") from None
         finally:
             await deployment.close()
 
