--- a/review/5/case.py
+++ b/review/5/case.py
@@ -8,10 +8,12 @@
 import platform_standins as p
 
 RESTART_AFTER_S = 0.5
+# How late the last report of the instance arrives ("seconds late").
+LATE_S = 2.0
 KILL_AFTER_S = 0.5
 # How long the instance serves on after its leave ("at times many seconds").
 STAY_S = 9.0
-REQUESTS_PER_S = 20
+REQUESTS_PER_S = 40
 
 
 async def play(deployment, record):
@@ -22,6 +24,9 @@
     await deployment.start()
 
     leaving, vm = vms[0].instance, vms[0]
+    # The last report before the leave is held up on its way.
+    leaving.seq += 1
+    late_report = asyncio.create_task(leaving.deliver_late(leaving.report(leaving.seq), LATE_S))
     acknowledged = await leaving.deregister()
     back_at = acknowledged
     if p.has_trouble():
@@ -51,7 +56,7 @@
         await asyncio.sleep(1 / REQUESTS_PER_S)
     leaving.exit()
     record.add(leaving.name, "exits")
-    await asyncio.gather(*tasks)
+    await asyncio.gather(late_report, *tasks)
 
     # Requests that were sent while all machines were in touch again.
     drain_s = deployment.site.bound("drainMs") / 1_000
--- a/review/standins/platform_standins.py
+++ b/review/standins/platform_standins.py
@@ -45,7 +45,7 @@
     "retryBudgetRatio=0.2,budgetWindowS=10,retrySlack=60,recoveryS=15,maxHoldMs=10000,thawMs=300",
 )
 HINOKUNI_HQ_GROWN = Site(
-    "kyushu", "fukuoka-a", slots=18, memory_mb=512, states_start=True,
+    "kyushu", "fukuoka-a", slots=18, memory_mb=160, states_start=True,
     bounds="seedLagS=3,reuseAfterS=2,stableWindowMs=3000,ackMs=5000,catchUpS=6,drainMs=2500,"
     "graceS=6,lossSlackMs=200,configApplyMs=2500,rollbackSlackMs=250,maxSkewMs=5000,"
     "retryBudgetRatio=0.2,budgetWindowS=10,retrySlack=212,recoveryS=15,maxHoldMs=10000,thawMs=300",
@@ -213,7 +213,6 @@
         self.runs, self.arrivals = [], []
         self.sheds = lambda request: False
         self.late_copy = lambda request: False
-        self.sheds_name_request = True
         self.answer_bytes = 400
 
     async def start(self):
@@ -293,12 +292,20 @@
             writer.close()
 
     async def deregister(self):
-        """Says that the instance leaves. Returns when that was acknowledged."""
+        """Says that the instance leaves, and reports nothing any more. Returns when the leave was
+        acknowledged."""
+        self.beats.cancel()
         answer = await self.call_control("deregister", {})
         if answer is None:
             raise CannotRun(f"{self.name} got no acknowledgement of its leave")
         return self.record.add(self.name, "leave acknowledged", id=self.id)
 
+    async def deliver_late(self, report, delay_s):
+        """Delivers a status report that was held up on its way."""
+        await asyncio.sleep(delay_s)
+        self.record.add(self.name, "late report arrives", seq=report["status"]["seq"])
+        await self.call_control("heartbeat", report)
+
     async def serve(self, reader, writer):
         owed = b""
         self.connections.add(asyncio.current_task())
@@ -320,10 +327,9 @@
             self.connections.discard(asyncio.current_task())
             writer.close()
 
-    def reject(self, status, reason, request_id, with_id=True):
-        headers = [("X-Not-Executed", "1"), ("Keep-Alive", "timeout=10")]
-        if with_id:
-            headers.insert(0, ("X-Request-Id", request_id))
+    def reject(self, status, reason, request_id):
+        headers = [("X-Request-Id", request_id), ("X-Not-Executed", "1"),
+                   ("Keep-Alive", "timeout=10")]
         self.record.add(self.name, "rejects", id=request_id, status=status)
         return message(f"HTTP/1.1 {status} {reason}", headers)
 
@@ -343,7 +349,7 @@
         if self.sharded and not self.holds_key(int(headers.get("x-shard-key", -1))):
             return self.reject(421, "Misdirected Request", request_id), False
         if self.sheds(request_id) or self.waiting >= self.site.queue:
-            shed = self.reject(503, "Service Unavailable", request_id, self.sheds_name_request)
+            shed = self.reject(503, "Service Unavailable", request_id)
             return shed, self.late_copy(request_id)
         self.waiting += 1
         async with self.slot:
