--- a/review/5/case.py
+++ b/review/5/case.py
@@ -36,7 +36,7 @@
         await vm.start_node()
         back_at = record.now()
 
-    sent = {}
+    sent, answers = {}, {}
 
     async def reserve(at_vm):
         request_id = p.new_id()
@@ -46,8 +46,8 @@
             return
         sent[request_id] = (record.add(at_vm.name, "caller sends", id=request_id), at_vm)
         answer = await caller.request("POST", "/reserve/1", request_id, body=b"x" * 400)
-        status = answer.status if answer else None
-        record.add(at_vm.name, "caller is answered", id=request_id, status=status)
+        answers[request_id] = answer.status if answer else None
+        record.add(at_vm.name, "caller is answered", id=request_id, status=answers[request_id])
         caller.close()
 
     tasks = []
@@ -66,8 +66,10 @@
         sent_at, at_vm = sent.get(request_id, (0.0, None))
         if at > acknowledged + drain_s and sent_at > in_touch_at:
             late.append((request_id, at_vm.name, at - acknowledged))
+    lost = sum(1 for request_id, _, _ in late if answers[request_id] != 200)
     print(f"{len(sent)} requests; {len(leaving.arrivals)} came to the instance after its leave was"
-          f" acknowledged, {len(late)} later than drainMs and sent by machines in touch")
+          f" acknowledged, {len(late)} later than drainMs and sent by machines in touch,"
+          f" of which {lost} were lost when it ended")
     return [f"DRAIN: request {it} from {vm} came {after:.2f} s after the acknowledgement"
             for it, vm, after in late]
 
