--- a/review/standins/platform_standins.py
+++ b/review/standins/platform_standins.py
@@ -208,7 +208,7 @@
         self.id = "i-" + "".join(random.choices("0123456789abcdef", k=8))
         self.state, self.seq = "ready", 0
         self.held, self.held_until, self.released = [], 0.0, []
-        self.running, self.waiting = 0, 0
+        self.waiting = 0
         self.slot = asyncio.Semaphore(self.site.slots)
         self.runs, self.arrivals = [], []
         self.sheds = lambda request: False
@@ -235,11 +235,12 @@
         while True:
             sent_at = time.monotonic()
             self.seq += 1
-            is_current = time.monotonic() < self.held_until
-            holds = [it[:3] for it in self.held] if is_current else []
+            # An expired lease is neither held nor reported as released.
+            if time.monotonic() >= self.held_until:
+                self.held = []
             beat = self.report(self.seq)
             if self.sharded:
-                beat["holds"], beat["released"] = holds, self.released
+                beat["holds"], beat["released"] = [it[:3] for it in self.held], self.released
             answer = await self.call_control("heartbeat", beat)
             if answer is not None:
                 self.released = []
