--- a/review/4/case.py
+++ b/review/4/case.py
@@ -4,7 +4,8 @@
 import os
 import sys
 
-sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "standins"))
+FOLDER = os.path.dirname(os.path.abspath(__file__))
+sys.path.insert(0, os.path.dirname(FOLDER))
 import platform_standins as p
 
 REQUESTERS = 8
@@ -90,4 +91,4 @@
     return [f"LOST: request {it} was passed on, and its answer was cut off" for it in lost]
 
 
-sys.exit(p.run_case(os.path.dirname(os.path.abspath(__file__)), p.HINOKUNI_HQ_GROWN, play))
+sys.exit(p.run_case(os.path.join(FOLDER, "record.txt"), p.HINOKUNI_HQ_GROWN, play))
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -4,7 +4,8 @@
 import os
 import sys
 
-sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "standins"))
+FOLDER = os.path.dirname(os.path.abspath(__file__))
+sys.path.insert(0, os.path.dirname(FOLDER))
 import platform_standins as p
 
 RESTART_AFTER_S = 0.5
@@ -74,4 +75,4 @@
             for it, vm, after in late]
 
 
-sys.exit(p.run_case(os.path.dirname(os.path.abspath(__file__)), p.ESSAYAGE_MU, play))
+sys.exit(p.run_case(os.path.join(FOLDER, "record.txt"), p.ESSAYAGE_MU, play))
--- a/review/build.sh
+++ b/review/build.sh
@@ -3,7 +3,7 @@
 # to be built beside the deploy file.
 set -euo pipefail
 cd "$(dirname "$0")"
-python3 - standins/*.py */case.py <<'PYTHON'
+python3 - platform_standins.py */case.py <<'PYTHON'
 import ast, sys
 
 for path in sys.argv[1:]:
--- a/review/standins/platform_standins.py
+++ b/review/platform_standins.py
@@ -16,7 +16,7 @@
 import tempfile
 import time
 
-ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), "..", ".."))
+ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), ".."))
 PROGRAM = os.path.join(ROOT, "target", "release", "galenastreamd")
 
 HEARTBEAT_MS = 870
@@ -638,9 +638,9 @@
     return os.environ.get("TROUBLE", "1") != "0"
 
 
-def run_case(folder, site, play):
+def run_case(record_path, site, play):
     """Plays a case in a small deployment like a site. `play` takes a deployment and a record and returns the breaches it has seen."""
-    record = Record(os.path.join(folder, "record.txt"))
+    record = Record(record_path)
 
     async def play_all():
         deployment = Deployment(record, site)
