Keep connections until their peers have read what was written

Cause: what was handed to the kernel counted as delivered. A connection was dropped 1 s after its last answer, and all others with the process; when the peer sent more, the kernel reset the connection and discarded the rest.

A closed connection of a caller is now kept until the caller closes its side, for 30 s at most. A stopping process closes its side of all connections of callers and nodes once nothing is in progress, and exits when the peers have closed theirs or the grace period ends. A node closes its side of a link as soon as the other side has closed.

--- a/crates/galenastream_node/src/connection/accept.rs
+++ b/crates/galenastream_node/src/connection/accept.rs
@@ -21,12 +21,12 @@
 /// less time.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 
-/// Timeout for the peer to close its side too, or to send more: a few round trips to callers.
+/// Timeout for the peer to close its side too, or to send more, after short responses.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(1_000);
 
-/// Maximum time for which a peer may go on sending on a connection that is being closed; longer
-/// than callers wait for a response.
-const MAX_DISCARD_TIME: Duration = Duration::from_secs(10);
+/// Maximum time for which a peer may go on reading or sending on a connection that is being closed;
+/// longer than callers wait for a response.
+pub(super) const MAX_CLOSE_TIME: Duration = Duration::from_secs(30);
 
 /// Accepts connections until the process ends, and passes each to `serve`.
 pub(super) async fn accept_all(listener: TcpListener, mut serve: impl FnMut(TcpStream)) {
@@ -60,29 +60,30 @@
         .header_read_timeout(IDLE_TIMEOUT)
         .serve_connection(TokioIo::new(stream), service);
     match connection.without_shutdown().await {
-        Ok(parts) => close_gracefully(parts.io.into_inner()).await,
+        Ok(parts) => close_gracefully(parts.io.into_inner(), CLOSE_TIMEOUT).await,
         Err(error) => log::debug!(event = "connection_ended", reason:% = error; ""),
     }
 }
 
-/// Closes a connection without a reset. What the peer sends after the last answered request, or to
-/// the end of one that was refused before it was read, is read and discarded: closing a socket with
-/// unread bytes resets the connection, which may discard the last response before it is delivered.
-pub(super) async fn close_gracefully(mut stream: TcpStream) {
+/// Closes a connection without a reset, which would discard responses that the peer has not read yet.
+/// What the peer sends after the last answered request, or to the end of one that was refused before it
+/// was read, is read and discarded until the peer closes its side, or neither does so nor sends more for
+/// `silence_timeout`. A socket that is dropped earlier resets the connection when more bytes arrive.
+pub(super) async fn close_gracefully(mut stream: TcpStream, silence_timeout: Duration) {
     if stream.shutdown().await.is_err() {
         return;
     }
     let mut discarded = [0; 4_096];
     let discard = async {
         loop {
-            match timeout(CLOSE_TIMEOUT, stream.read(&mut discarded)).await {
+            match timeout(silence_timeout, stream.read(&mut discarded)).await {
                 Ok(Ok(1..)) => {}
                 Ok(_) => return true,
                 Err(_) => return false,
             }
         }
     };
-    if !timeout(MAX_DISCARD_TIME, discard).await.unwrap_or(false) {
+    if !timeout(MAX_CLOSE_TIME, discard).await.unwrap_or(false) {
         log::debug!(event = "connection_not_closed_by_peer"; "");
     }
 }
--- a/crates/galenastream_node/src/connection/caller_connections.rs
+++ b/crates/galenastream_node/src/connection/caller_connections.rs
@@ -23,8 +23,9 @@
 use tokio_util::codec::Framed;
 
 use super::{
-    accept::{accept_all, close_gracefully},
+    accept::{MAX_CLOSE_TIME, accept_all, close_gracefully},
     request_codec::{Incoming, Outgoing, RequestCodec},
+    served_connections::ServedConnection,
 };
 use crate::{
     process::{CountGuard, TrafficState},
@@ -46,14 +47,15 @@
 pub async fn serve_callers(traffic: Arc<TrafficState>, listener: TcpListener) {
     accept_all(listener, |stream| {
         set_user_timeout(&stream, READ_PAUSE_TIMEOUT);
-        tokio::spawn(serve_connection(traffic.clone(), stream));
+        let served = traffic.connections.add();
+        tokio::spawn(serve_connection(traffic.clone(), stream, served));
     })
     .await;
 }
 
 /// Serves one connection. Requests run concurrently, and responses are sent in the order of their
 /// requests. If the caller closes the connection, the futures of its requests are dropped.
-async fn serve_connection(traffic: Arc<TrafficState>, stream: TcpStream) {
+async fn serve_connection(traffic: Arc<TrafficState>, stream: TcpStream, served: ServedConnection) {
     let limits_in_force = || traffic.context.routing.load().as_ref().map(|it| it.limits);
     let mut framed = Framed::new(stream, RequestCodec::new(limits_in_force));
     let mut in_progress = FuturesOrdered::new();
@@ -63,6 +65,7 @@
     loop {
         let is_any_open = !(complete.is_empty() && in_progress.is_empty());
         let may_read = !is_last_read && complete.len() + in_progress.len() < MAX_PIPELINED;
+        let is_idle = !is_any_open && is_between_requests(&framed);
         tokio::select! {
             Some((is_to_head, response)) = next_response(&mut complete, &mut in_progress), if is_any_open => {
                 let mut response: Response<Bytes> = response;
@@ -105,9 +108,20 @@
                 CallerEvent::Idle if !is_any_open => break,
                 CallerEvent::Idle => {}
             },
+            () = served.closing(), if is_idle => {
+                if is_between_requests(&framed) {
+                    break;
+                }
+            }
         }
     }
-    close_gracefully(framed.into_inner()).await;
+    // The caller may still be reading earlier responses, and send requests meanwhile.
+    close_gracefully(framed.into_inner(), MAX_CLOSE_TIME).await;
+}
+
+/// Whether no part of a further request has been read.
+fn is_between_requests<F>(framed: &Framed<TcpStream, RequestCodec<F>>) -> bool {
+    framed.read_buffer().is_empty() && framed.codec().is_between_requests()
 }
 
 /// Returns the next response in the order of the requests.
--- a/crates/galenastream_node/src/connection/mod.rs
+++ b/crates/galenastream_node/src/connection/mod.rs
@@ -13,6 +13,7 @@
 mod request_codec_fuzz_tests;
 #[cfg(test)]
 mod request_codec_tests;
+mod served_connections;
 mod target_connections;
 #[cfg(test)]
 mod target_connections_tests;
@@ -22,4 +23,5 @@
 pub use peer_connections::serve_peers;
 pub use peer_links::{PeerLinks, exchange_statuses};
 pub use request_codec::RequestError;
+pub use served_connections::ServedConnections;
 pub use target_connections::{TargetConnections, TargetResult};
--- a/crates/galenastream_node/src/connection/peer_connections.rs
+++ b/crates/galenastream_node/src/connection/peer_connections.rs
@@ -1,6 +1,7 @@
 //! Server for the connections that other nodes open.
 
 use std::{
+    pin::pin,
     sync::{Arc, Mutex, PoisonError},
     time::Duration,
 };
@@ -15,16 +16,13 @@
     peer_frame::Body,
 };
 use tokio::{
-    net::{
-        TcpListener, TcpStream,
-        tcp::{OwnedReadHalf, OwnedWriteHalf},
-    },
+    net::{TcpListener, TcpStream, tcp::OwnedWriteHalf},
     sync::mpsc,
-    task::AbortHandle,
+    task::{AbortHandle, JoinHandle},
     time::timeout,
 };
 
-use super::accept::accept_all;
+use super::{accept::accept_all, served_connections::ServedConnection};
 use crate::{
     process::{ControlEvent, TrafficState},
     request::{TOO_LONG_RETRY_AFTER_MS, TargetRun, not_sent, run_for_peer, unknown},
@@ -40,22 +38,51 @@
 /// second; this is longer than most suspensions, after which the other node uses the connection again.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// How long another node may take to close its side of a connection whose last reply was written.
+const CLOSE_TIMEOUT: Duration = Duration::from_millis(1_500);
+
 /// Serves the connections of other nodes until the process ends.
 pub async fn serve_peers(traffic: Arc<TrafficState>, listener: TcpListener) {
     accept_all(listener, |stream| {
-        tokio::spawn(serve_connection(traffic.clone(), stream));
+        let served = traffic.connections.add();
+        tokio::spawn(serve_connection(traffic.clone(), stream, served));
     })
     .await;
 }
 
-async fn serve_connection(traffic: Arc<TrafficState>, stream: TcpStream) {
+async fn serve_connection(traffic: Arc<TrafficState>, stream: TcpStream, served: ServedConnection) {
     let (read_half, write_half) = stream.into_split();
     let (replies, queue) = mpsc::channel(WRITE_QUEUE_FRAMES);
-    let writer = tokio::spawn(write_replies(traffic.link.clone(), write_half, queue));
+    let mut writer = tokio::spawn(write_replies(traffic.link.clone(), write_half, queue));
+    let mut reader = FrameReader::new(read_half, traffic.body_budget.clone());
     let connection = PeerConnection { traffic, replies, running: Arc::default() };
-    connection.read(read_half).await;
-    connection.close();
-    writer.abort();
+    tokio::select! {
+        () = connection.read(&mut reader) => {
+            connection.close();
+            writer.abort();
+        }
+        () = served.closing() => {
+            // Without senders, the writer ends after the last reply.
+            connection.close();
+            discard_until_close(&mut reader, &mut writer).await;
+        }
+    }
+}
+
+/// Reads and discards what another node sends until it closes its side, which it does once it has
+/// read the last reply.
+async fn discard_until_close(reader: &mut FrameReader<PeerFrame>, writer: &mut JoinHandle<()>) {
+    let mut discard = pin!(async { while let Some(Ok(_)) = reader.next().await {} });
+    tokio::select! {
+        () = &mut discard => {
+            writer.abort();
+            return;
+        }
+        _ = &mut *writer => {}
+    }
+    if timeout(CLOSE_TIMEOUT, discard).await.is_err() {
+        log::debug!(event = "connection_not_closed_by_peer"; "");
+    }
 }
 
 /// What is written on a connection that another node opened.
@@ -92,6 +119,7 @@
     let mut writer = FrameWriter::new(stream);
     loop {
         let Some(next) = next_write(&mut writer, &mut queue).await else {
+            writer.close().await;
             return;
         };
         if let Err(error) = write_next(&link, &mut writer, next).await {
@@ -192,8 +220,7 @@
 }
 
 impl PeerConnection {
-    async fn read(&self, stream: OwnedReadHalf) {
-        let mut reader = FrameReader::<PeerFrame>::new(stream, self.traffic.body_budget.clone());
+    async fn read(&self, reader: &mut FrameReader<PeerFrame>) {
         let mut transit_delay = TransitDelay::new();
         loop {
             let Ok(next) = timeout(IDLE_TIMEOUT, reader.next()).await else {
--- a/crates/galenastream_node/src/connection/request_codec.rs
+++ b/crates/galenastream_node/src/connection/request_codec.rs
@@ -94,6 +94,13 @@
     Invalid,
 }
 
+impl<F> RequestCodec<F> {
+    /// Whether the head of the next request has not been read.
+    pub(super) const fn is_between_requests(&self) -> bool {
+        matches!(self.state, ReadState::Head)
+    }
+}
+
 impl<F: Fn() -> Option<CallerLimits>> RequestCodec<F> {
     pub(super) fn new(limits_in_force: F) -> Self {
         Self { limits_in_force, limits: None, searched: 0, state: ReadState::Head }
--- a/crates/galenastream_node/src/process/daemon.rs
+++ b/crates/galenastream_node/src/process/daemon.rs
@@ -205,8 +205,8 @@
     }
 }
 
-/// Stops gracefully: waits for the requests in progress and for the handover of the keys, within
-/// the platform's grace period.
+/// Stops gracefully: waits for the requests in progress, for the handover of the keys, and until the
+/// peers of all connections have read what they were sent, within the platform's grace period.
 async fn stop(traffic: &TrafficState) {
     log::info!(event = "process_stopping"; "");
     let started_at = Instant::now();
@@ -225,6 +225,14 @@
             traffic.in_progress.load(Ordering::Relaxed) == 0 && traffic.link.transfer_count() == 0;
         let has_keys = context.has_keys_to_hand_over.load(Ordering::Relaxed);
         if Instant::now() >= stop_by || (is_idle && !has_keys) {
+            break;
+        }
+        sleep(EXIT_POLL_INTERVAL).await;
+    }
+    traffic.connections.begin_close();
+    while traffic.connections.open() > 0 {
+        if Instant::now() >= stop_by {
+            log::info!(event = "connections_cut", count = traffic.connections.open(); "");
             return;
         }
         sleep(EXIT_POLL_INTERVAL).await;
--- a/crates/galenastream_node/src/process/traffic_state.rs
+++ b/crates/galenastream_node/src/process/traffic_state.rs
@@ -23,7 +23,7 @@
     ControlEvent, LocalAnnouncement, LocalTarget, NodeContext, RememberedAnnouncements,
     TargetLimit, TrafficTally,
 };
-use crate::connection::{PeerLinks, TargetConnections};
+use crate::connection::{PeerLinks, ServedConnections, TargetConnections};
 
 /// The longest wait for a slot. The deadlines of the requests are the effective limit.
 const MAX_QUEUE_WAIT_MS: u32 = 10_000;
@@ -52,6 +52,8 @@
     pub links: PeerLinks,
     /// The connections to the local target.
     pub target_connections: TargetConnections,
+    /// The connections of callers and of other nodes to this one.
+    pub connections: ServedConnections,
     /// Controls the admission of requests to the local target.
     pub admission: AdmissionController,
     log_budget: LogBudget,
@@ -100,6 +102,7 @@
                 .with_count(context.target_connections.clone()),
             body_budget: budget,
             link: LinkShare::new(settings.limits.link_mbit_per_s),
+            connections: ServedConnections::default(),
             admission: AdmissionController::new(admission_limits(
                 DEFAULT_SLOTS,
                 &EffectiveSettings::default(),
--- a/crates/galenastream_node/tests/platform/main.rs
+++ b/crates/galenastream_node/tests/platform/main.rs
@@ -17,6 +17,7 @@
 mod request_limit;
 mod slow_node;
 mod store_restore;
+mod unread_answers;
 mod unsigned_answers;
 
 use std::time::{Duration, Instant};
--- a/crates/galenastream_runtime/src/frame_link.rs
+++ b/crates/galenastream_runtime/src/frame_link.rs
@@ -8,6 +8,7 @@
     sync::mpsc,
     time::timeout,
 };
+use tokio_util::sync::CancellationToken;
 
 use crate::{
     BodyBudget, FrameReader, FrameWriter, PeerError, PendingReplies, ReceivedFrame, tune_socket,
@@ -43,9 +44,10 @@
         let (read_half, write_half) = stream.into_split();
         let pending = Arc::new(PendingReplies::new());
         let (frames, queue) = mpsc::channel(WRITE_QUEUE_FRAMES);
-        tokio::spawn(write_frames::<F>(write_half, queue, pending.clone()));
+        let ended = CancellationToken::new();
+        tokio::spawn(write_frames::<F>(write_half, queue, pending.clone(), ended.clone()));
         let reader = FrameReader::new(read_half, budget);
-        tokio::spawn(read_frames::<F>(reader, pending.clone()));
+        tokio::spawn(read_frames::<F>(reader, pending.clone(), ended));
         Ok(Self { frames, pending })
     }
 
@@ -102,15 +104,20 @@
     stream: OwnedWriteHalf,
     mut queue: mpsc::Receiver<F>,
     pending: Arc<Replies<F>>,
+    ended: CancellationToken,
 ) {
     let mut writer = FrameWriter::new(stream);
     loop {
         // While parts of long messages are left, they take turns with the frames in the queue.
         let frame = match writer.has_parts() {
             true => queue.try_recv().ok(),
-            false => match queue.recv().await {
-                Some(frame) => Some(frame),
-                None => break,
+            false => tokio::select! {
+                frame = queue.recv() => match frame {
+                    Some(frame) => Some(frame),
+                    None => break,
+                },
+                // The other node waits for this side to close.
+                () = ended.cancelled() => break,
             },
         };
         if pending.is_closed() {
@@ -137,7 +144,11 @@
     pending.close();
 }
 
-async fn read_frames<F: CorrelatedFrame>(mut reader: FrameReader<F>, pending: Arc<Replies<F>>) {
+async fn read_frames<F: CorrelatedFrame>(
+    mut reader: FrameReader<F>,
+    pending: Arc<Replies<F>>,
+    ended: CancellationToken,
+) {
     while let Some(Ok(received)) = reader.next().await {
         reader.retain(|it| pending.contains(it));
         let frame = match received {
@@ -164,6 +175,7 @@
         }
     }
     pending.close();
+    ended.cancel();
 }
 
 fn count_dropped_frame(reason: &'static str) {
--- a/crates/galenastream_runtime/src/frame_writer.rs
+++ b/crates/galenastream_runtime/src/frame_writer.rs
@@ -173,4 +173,11 @@
         self.written.clear();
         Ok(())
     }
+
+    /// Sends what has been written, and closes this side of the connection.
+    pub async fn close(mut self) {
+        if let Err(error) = self.frames.close().await {
+            log::debug!(event = "connection_ended", reason:% = error; "");
+        }
+    }
 }
