A stopping node does not wait for nodes that are silent

A node that has sent no frame for 2.5 s, while a status comes each second, only gets the replies that it still takes. The new test fails without the check. The test of a slow node sends statuses as nodes do.

--- a/crates/galenastream_node/src/connection/peer_connections.rs
+++ b/crates/galenastream_node/src/connection/peer_connections.rs
@@ -19,7 +19,7 @@
     net::{TcpListener, TcpStream, tcp::OwnedWriteHalf},
     sync::mpsc,
     task::{AbortHandle, JoinHandle},
-    time::timeout,
+    time::{Instant, timeout},
 };
 
 use super::{accept::accept_all, served_connections::ServedConnection};
@@ -38,6 +38,10 @@
 /// second; this is longer than most suspensions, after which the other node uses the connection again.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Time without a frame after which another node has vanished, or is suspended. A status comes every
+/// second.
+const SILENCE_TIMEOUT: Duration = Duration::from_millis(2_500);
+
 /// How long another node may take to close its side of a connection whose last reply was written.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(1_500);
 
@@ -56,32 +60,36 @@
     let mut writer = tokio::spawn(write_replies(traffic.link.clone(), write_half, queue));
     let mut reader = FrameReader::new(read_half, traffic.body_budget.clone());
     let connection = PeerConnection { traffic, replies, running: Arc::default() };
+    let mut last_frame_at = Instant::now();
     tokio::select! {
-        () = connection.read(&mut reader) => {
+        () = connection.read(&mut reader, &mut last_frame_at) => {
             connection.close();
             writer.abort();
         }
         () = served.closing() => {
             // Without senders, the writer ends after the last reply.
             connection.close();
-            discard_until_close(&mut reader, &mut writer).await;
+            let is_silent = last_frame_at.elapsed() >= SILENCE_TIMEOUT;
+            discard_until_close(&mut reader, &mut writer, is_silent).await;
+            writer.abort();
         }
     }
 }
 
 /// Reads and discards what another node sends until it closes its side, which it does once it has
-/// read the last reply.
-async fn discard_until_close(reader: &mut FrameReader<PeerFrame>, writer: &mut JoinHandle<()>) {
+/// read the last reply. A silent node only gets the replies that it still takes.
+async fn discard_until_close(
+    reader: &mut FrameReader<PeerFrame>,
+    writer: &mut JoinHandle<()>,
+    is_silent: bool,
+) {
     let mut discard = pin!(async { while let Some(Ok(_)) = reader.next().await {} });
     tokio::select! {
-        () = &mut discard => {
-            writer.abort();
-            return;
-        }
-        _ = &mut *writer => {}
+        () = &mut discard => return,
+        _ = writer => {}
     }
-    if timeout(CLOSE_TIMEOUT, discard).await.is_err() {
-        log::debug!(event = "connection_not_closed_by_peer"; "");
+    if !is_silent && timeout(CLOSE_TIMEOUT, discard).await.is_err() {
+        log::info!(event = "connection_not_closed_by_peer"; "");
     }
 }
 
@@ -220,7 +228,7 @@
 }
 
 impl PeerConnection {
-    async fn read(&self, reader: &mut FrameReader<PeerFrame>) {
+    async fn read(&self, reader: &mut FrameReader<PeerFrame>, last_frame_at: &mut Instant) {
         let mut transit_delay = TransitDelay::new();
         loop {
             let Ok(next) = timeout(IDLE_TIMEOUT, reader.next()).await else {
@@ -230,6 +238,7 @@
                 }
                 continue;
             };
+            *last_frame_at = Instant::now();
             match next {
                 Some(Ok(ReceivedFrame::Whole(mut frame))) => {
                     match &mut frame.body {
--- a/crates/galenastream_node/tests/platform/unread_answers.rs
+++ b/crates/galenastream_node/tests/platform/unread_answers.rs
@@ -5,7 +5,7 @@
     time::{Duration, Instant},
 };
 
-use futures::{SinkExt, StreamExt};
+use futures::{FutureExt, SinkExt, StreamExt};
 use galenastream_standin::{
     DeploymentPlan, EndlessAnswer, EndlessTarget, LocalDeployment, LocalVm, VmPlan, request_bytes,
     wait_until,
@@ -16,7 +16,7 @@
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpSocket, TcpStream},
-    time::sleep,
+    time::{interval, sleep},
 };
 use tokio_util::codec::Framed;
 
@@ -42,6 +42,9 @@
 /// How long a caller reads nothing of the last answer on a connection.
 const CLOSED_PAUSE: Duration = Duration::from_millis(1_500);
 
+/// How often a node sends its status.
+const STATUS_INTERVAL: Duration = Duration::from_millis(1_000);
+
 /// Longer than a stopping node runs that has nothing left to do.
 const IDLE_STOP_TIME: Duration = Duration::from_millis(3_000);
 
@@ -179,6 +182,25 @@
     deployment.close().expect(WORKS);
 }
 
+/// Guards against a stop that takes longer since it waits for a node whose VM has vanished: its
+/// connection is neither used nor closed.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stopping_node_does_not_wait_for_a_node_that_has_vanished() {
+    let (deployment, mut vm, _target) = start_vm("vanished-node", 0).await;
+    let stream = TcpStream::connect(SocketAddr::new(vm.ip, PEERS_PORT)).await.expect(WORKS);
+    let mut link = Framed::new(stream, FrameCodec::<PeerFrame>::new());
+    let status = Body::Status(NodeStatus::default());
+    link.send(PeerFrame { correlation: 1, body: Some(status) }).await.expect(WORKS);
+    assert!(link.next().await.expect(WORKS).is_ok());
+    sleep(IDLE_STOP_TIME).await;
+    assert!(vm.stop_node().await.expect(WORKS).success());
+    let has_waited =
+        vm.log().iter().any(|it| it["kvs"]["event"] == "connection_not_closed_by_peer");
+    assert!(!has_waited);
+    vm.close();
+    deployment.close().expect(WORKS);
+}
+
 /// Guards against replies to another node that are cut off: the process exited while the other node
 /// had not read them yet.
 #[tokio::test(flavor = "multi_thread")]
@@ -207,8 +229,9 @@
     link.send(frame_of(1, Body::Request(request))).await.expect(WORKS);
     wait_for_run(&target, "forwarded").await;
     let began_at = Instant::now();
+    let mut statuses = interval(STATUS_INTERVAL);
     let (stopped, read) = tokio::join!(vm.stop_node(), async {
-        let (mut read_bytes, mut outcome, mut is_status_sent) = (0, None, false);
+        let (mut read_bytes, mut outcome) = (0, None);
         while let Some(frame) = link.next().await {
             match frame.expect("the connection ends without a reset").body {
                 Some(Body::Part(part)) => {
@@ -220,14 +243,13 @@
                 Some(Body::Reply(reply)) => panic!("{reply:?}"),
                 _ => {}
             }
-            let is_stop_over = began_at.elapsed() > IDLE_STOP_TIME;
-            if !is_stop_over {
-                sleep(PART_PAUSE).await;
-            } else if !is_status_sent {
-                is_status_sent = true;
+            if statuses.tick().now_or_never().is_some() {
                 let status = Body::Status(NodeStatus::default());
                 link.send(frame_of(2, status)).await.expect(WORKS);
             }
+            if began_at.elapsed() < IDLE_STOP_TIME {
+                sleep(PART_PAUSE).await;
+            }
         }
         (read_bytes, outcome)
     });
