The leave of a target outlasts the process that acknowledged it

Cause: the leave was in the memory of the process. The other nodes remember it, but send nothing there and so told the new process nothing.

Other nodes name a leave that a status lacks in their acknowledgement of it, which covers outages of the store. A deregistration of an unknown target counts for its next incarnation alone.

--- a/crates/galenastream_node/src/connection/peer_connections.rs
+++ b/crates/galenastream_node/src/connection/peer_connections.rs
@@ -12,7 +12,7 @@
 };
 use galenastream_utils::FastMap;
 use galenastream_wire::{
-    CorrelatedFrame, ForwardedRequest, PeerFrame, ReplyReason, StatusSeen, WireError,
+    CorrelatedFrame, ForwardedRequest, NodeStatus, PeerFrame, ReplyReason, StatusSeen, WireError,
     peer_frame::Body,
 };
 use tokio::{
@@ -24,7 +24,7 @@
 
 use super::{accept::accept_all, served_connections::ServedConnection};
 use crate::{
-    process::{ControlEvent, TrafficState},
+    process::{ControlEvent, TrafficState, elapsed_ms},
     request::{TOO_LONG_RETRY_AFTER_MS, TargetRun, not_sent, run_for_peer, unknown},
 };
 
@@ -276,8 +276,9 @@
         let correlation = frame.correlation;
         match frame.body {
             Some(Body::Status(status)) => {
+                let seen = self.status_seen(&status);
                 self.traffic.context.control_events.notify(ControlEvent::peer_status(status));
-                self.reply(correlation, Body::StatusSeen(self.status_seen()));
+                self.reply(correlation, Body::StatusSeen(seen));
             }
             Some(Body::SyncQuery(query)) => {
                 let snapshot = self.traffic.context.sync_snapshot.load();
@@ -295,12 +296,16 @@
 
     /// The acknowledgement of a status. Only the few nodes that watch the config for short times
     /// confirm it, since every node has to handle each confirmation.
-    fn status_seen(&self) -> StatusSeen {
+    fn status_seen(&self, status: &NodeStatus) -> StatusSeen {
         let context = &self.traffic.context;
-        match *context.reads_rows.borrow() {
-            true => context.sync_snapshot.load().status_seen(boot_now()),
+        let now = boot_now();
+        let seen = match *context.reads_rows.borrow() {
+            true => context.sync_snapshot.load().status_seen(now),
             false => StatusSeen::default(),
-        }
+        };
+        let leaving_since = context.directory.load().forgotten_leave(status);
+        let target_leaving_for_ms = leaving_since.map(|it| elapsed_ms(it, now));
+        StatusSeen { target_leaving_for_ms, ..seen }
     }
 
     fn reply(&self, correlation: u64, body: Body) {
--- a/crates/galenastream_node/src/connection/peer_links.rs
+++ b/crates/galenastream_node/src/connection/peer_links.rs
@@ -10,6 +10,7 @@
     time::Duration,
 };
 
+use galenastream_ranges::TargetIncarnation;
 use galenastream_routing::NodeKey;
 use galenastream_runtime::{BodyBudget, FrameLink, PeerError, boot_now};
 use galenastream_utils::{BootInstant, FastMap};
@@ -255,6 +256,8 @@
         }
         let (traffic, key, address) = (traffic.clone(), node.key, node.address);
         let name = node.name.clone();
+        let target = status.target.as_ref();
+        let target = target.map(|it| TargetIncarnation::new(it.id.as_str(), it.born_ms));
         let mut status = status.clone();
         if !node.is_planner
             && let Some(target) = &mut status.target
@@ -264,6 +267,13 @@
         traffic.context.quarantine.add_missing(&mut status, node.quarantine_digest);
         tokio::spawn(async move {
             let acknowledged = traffic.links.send_status(key, address, status).await;
+            if let (Some((seen, _)), Some(target)) = (&acknowledged, target)
+                && let Some(leaving_for_ms) = seen.target_leaving_for_ms
+            {
+                let since = boot_now().saturating_sub(Duration::from_millis(leaving_for_ms));
+                let event = ControlEvent::TargetLeaving { target, since };
+                traffic.context.control_events.notify(event);
+            }
             // Most nodes do not confirm the config, and their acknowledgements say nothing.
             if let Some((seen, asked_at)) = acknowledged
                 && seen.config_age_ms.is_some()
--- a/crates/galenastream_node/src/process/commit.rs
+++ b/crates/galenastream_node/src/process/commit.rs
@@ -1,4 +1,4 @@
-//! Writes the rows of this node, of assignments and of the quarantine to the store.
+//! Writes the rows of this node, of assignments, of the quarantine and of leaves to the store.
 
 use std::{sync::Arc, time::Duration};
 
@@ -24,6 +24,8 @@
     Settlement { expected: Vec<ExpectedRow>, writes: Vec<RowWrite> },
     /// The row of the quarantine.
     Quarantine { expected_version: u64, value: Bytes },
+    /// The row of a leave.
+    Leave { key: String, expected_version: u64, value: Bytes },
     /// The row of this node.
     NodeRow,
 }
@@ -60,6 +62,12 @@
                 let result = commit(&mut connection, &expected, &writes).await;
                 ControlEvent::QuarantineWritten { value, result }
             }
+            StoreWrite::Leave { key, expected_version, value } => {
+                let expected = [ExpectedRow { key: key.clone(), version: expected_version }];
+                let writes = [RowWrite::Put { key, value: value.clone() }];
+                let result = commit(&mut connection, &expected, &writes).await;
+                ControlEvent::LeaveWritten { value, result }
+            }
             StoreWrite::NodeRow => {
                 write_node_row(&context, &mut connection).await;
                 continue;
--- a/crates/galenastream_node/src/process/context.rs
+++ b/crates/galenastream_node/src/process/context.rs
@@ -119,7 +119,11 @@
         let Some(age) = age.filter(|it| *it < MAX_CONFIG_AGE) else {
             return StatusSeen::default();
         };
-        StatusSeen { config_version: self.config_version, config_age_ms: Some(age_ms(age)) }
+        StatusSeen {
+            config_version: self.config_version,
+            config_age_ms: Some(age_ms(age)),
+            ..StatusSeen::default()
+        }
     }
 }
 
--- a/crates/galenastream_node/src/process/control_event.rs
+++ b/crates/galenastream_node/src/process/control_event.rs
@@ -148,13 +148,20 @@
         /// The version of the written row, or the error.
         result: Result<u64, StoreError>,
     },
-    /// The local target announced in a response that it leaves.
+    /// The local target announced in a response that it leaves, or another node remembers that.
     TargetLeaving {
         /// The incarnation that leaves.
         target: TargetIncarnation,
         /// When its first announcement arrived.
         since: BootInstant,
     },
+    /// The write of the row of a leave ended.
+    LeaveWritten {
+        /// The value that was written.
+        value: Bytes,
+        /// The version of the written row, or the error.
+        result: Result<u64, StoreError>,
+    },
     /// Changed settings of the process are in force.
     Settings(Box<NodeSettings>),
     /// The process is about to stop and still takes requests.
@@ -199,6 +206,16 @@
         /// The encoded row.
         value: Bytes,
     },
+    /// Write the row of the leave of the local target if it still has the given version; 0 if it must
+    /// not exist.
+    WriteLeave {
+        /// The key of the row.
+        key: String,
+        /// The version that the row must have.
+        expected_version: u64,
+        /// The encoded row.
+        value: Bytes,
+    },
     /// Write the row of this node again.
     AnnounceNode,
     /// Send a sync query to another node.
--- a/crates/galenastream_node/src/process/control_loop.rs
+++ b/crates/galenastream_node/src/process/control_loop.rs
@@ -186,6 +186,13 @@
                     self.state.handle_dropped_quarantine();
                 }
             }
+            Effect::WriteLeave { key, expected_version, value } => {
+                let write = StoreWrite::Leave { key, expected_version, value };
+                if self.commits.try_send(write).is_err() {
+                    log::warn!(event = "leave_write_dropped"; "");
+                    self.state.handle_dropped_leave();
+                }
+            }
             Effect::AnnounceNode => {
                 if self.commits.try_send(StoreWrite::NodeRow).is_err() {
                     log::warn!(event = "announcement_dropped"; "");
--- a/crates/galenastream_node/src/process/control_state.rs
+++ b/crates/galenastream_node/src/process/control_state.rs
@@ -8,7 +8,7 @@
 use galenastream_ranges::{Assignment, LeaseTerms, Owner, TargetIncarnation, VacancyTracker};
 use galenastream_settings::SettingsTree;
 use galenastream_utils::{BootInstant, FastMap};
-use galenastream_wire::{KeyLoadRecord, SharedRow};
+use galenastream_wire::{KeyLoadRecord, LeaveRow, SharedRow};
 
 use super::config_confirmation::{ConfigConfirmation, KnownStoredConfig};
 use super::evacuations::{EvacuationSource, Evacuations};
@@ -21,6 +21,7 @@
 use super::quarantine_spread::QuarantineWrite;
 use super::row_versions::RowVersions;
 use super::store_eras::StoreEras;
+use super::target_leave::TargetLeave;
 use super::{ControlEvent, Effect, RefusedConfigPage, RequestQuarantine, TargetLimit};
 use crate::version::RoutingTable;
 
@@ -90,6 +91,10 @@
     pub(super) confirmed_at: Option<BootInstant>,
     /// Incarnations that have ended, oldest first.
     pub(super) ended: Vec<EndedTarget>,
+    /// The leave that this process has acknowledged last.
+    pub(super) leave: Option<TargetLeave>,
+    /// The leave that the row of this node names.
+    pub(super) stored_leave: Option<LeaveRow>,
     /// Ids of targets that deregistered while unknown to this process, with the time of the
     /// acknowledgement.
     pub(super) early_deregistrations: Vec<(String, BootInstant)>,
@@ -175,6 +180,8 @@
             rows_version: 0,
             confirmed_at: None,
             ended: Vec::new(),
+            leave: None,
+            stored_leave: None,
             early_deregistrations: Vec::new(),
             last_store_contact_at: started_at,
             last_peer_query_at: started_at,
@@ -261,7 +268,10 @@
             ControlEvent::Committed { service, assignment, result } => {
                 self.handle_commit_result(&service, &assignment, result, now);
             }
-            ControlEvent::TargetLeaving { target, since } => self.handle_leave(&target, since),
+            ControlEvent::TargetLeaving { target, since } => self.handle_leave(&target, since, now),
+            ControlEvent::LeaveWritten { value, result } => {
+                self.handle_leave_written(value, result, now);
+            }
             ControlEvent::TargetProbed(probe) => self.handle_probe(&probe, now),
             ControlEvent::LeaseCallEnded { target, id, outcome } => {
                 self.handle_lease_call_end(&target, id, outcome, now);
@@ -343,6 +353,7 @@
             self.reconcile_assignment(&service, is_planner, now);
         }
         self.write_quarantine(is_planner);
+        self.settle_leave(now);
         self.reply_to_heartbeat(now);
         self.plan_lease_calls(now);
     }
--- a/crates/galenastream_node/src/process/directory.rs
+++ b/crates/galenastream_node/src/process/directory.rs
@@ -5,6 +5,7 @@
 use galenastream_ranges::{Assignment, TargetIncarnation};
 use galenastream_routing::{ColdPeriod, NodeKey, RequestRate};
 use galenastream_utils::{BootInstant, FastMap};
+use galenastream_wire::NodeStatus;
 
 use super::HeldLeases;
 
@@ -98,6 +99,17 @@
         self.nodes.iter().find(|it| it.target.as_ref().is_some_and(|it| it.incarnation == *target))
     }
 
+    /// Since when this node has known that the target of a status leaves, if the status does not say so:
+    /// the process that sends it may have started after the target announced its leave.
+    pub fn forgotten_leave(&self, status: &NodeStatus) -> Option<BootInstant> {
+        let named = status.target.as_ref().filter(|it| !it.is_draining)?;
+        let node = self.nodes.iter().find(|it| *it.name == *status.node)?;
+        let known = node.target.as_ref()?;
+        let incarnation = &known.incarnation;
+        let is_same = *incarnation.id == *named.id && incarnation.born_ms == named.born_ms;
+        known.draining_since.filter(|_| is_same)
+    }
+
     /// The number of reachable nodes, including this one.
     pub fn reachable_count(&self) -> usize {
         self.nodes.iter().filter(|it| it.is_reachable).count()
--- a/crates/galenastream_node/src/process/heartbeats.rs
+++ b/crates/galenastream_node/src/process/heartbeats.rs
@@ -69,10 +69,18 @@
         }
         local.pending_heartbeat =
             Some(PendingHeartbeat { answer, reply_by: now + max_reply_delay });
+        if local.draining_since.is_some() {
+            self.record_leave(&incarnation.id, Some(incarnation.born_ms), now);
+        }
     }
 
     /// Handles the leave that the local target announced in a response.
-    pub(super) fn handle_leave(&mut self, target: &TargetIncarnation, since: BootInstant) {
+    pub(super) fn handle_leave(
+        &mut self,
+        target: &TargetIncarnation,
+        since: BootInstant,
+        now: BootInstant,
+    ) {
         let Some(local) = self.local.as_mut().filter(|it| it.incarnation == *target) else {
             return;
         };
@@ -80,6 +88,7 @@
             log::info!(event = "target_leaves", target:% = target, how = "announced"; "");
         }
         local.draining_since = earliest(local.draining_since, Some(since));
+        self.record_leave(&target.id, Some(target.born_ms), now);
     }
 
     /// The reply to a heartbeat that is not the next one of the local target. One that was taken for
@@ -136,23 +145,31 @@
         );
         let first_call_id = self.next_call_ids();
         let mut local = LocalTargetState::new(incarnation.clone(), heartbeat, first_call_id, now);
-        let early_deregistration =
-            self.early_deregistrations.iter().find(|(id, _)| **id == *incarnation.id);
-        local.draining_since = early_deregistration.map(|(_, at)| *at);
+        let deregistered_at = self.take_early_deregistration(&incarnation.id);
+        local.draining_since = deregistered_at;
         self.local = Some(local);
+        self.apply_stored_leave();
         true
     }
 
+    /// Removes the deregistration of a target that was unknown then. It is that of its next incarnation
+    /// alone: a later one may have the same id.
+    fn take_early_deregistration(&mut self, target_id: &str) -> Option<BootInstant> {
+        let index = self.early_deregistrations.iter().position(|(id, _)| id == target_id)?;
+        Some(self.early_deregistrations.remove(index).1)
+    }
+
     pub(super) fn handle_deregister(
         &mut self,
         target_id: &str,
         answer: oneshot::Sender<HeartbeatAnswer>,
         now: BootInstant,
     ) {
-        match &mut self.local {
+        let born_ms = match &mut self.local {
             Some(local) if &*local.incarnation.id == target_id => {
                 local.draining_since.get_or_insert(now);
                 log::info!(event = "target_leaves", target:% = local.incarnation, how = "deregister"; "");
+                Some(local.incarnation.born_ms)
             }
             // This process may have started after the last heartbeat of the target. The
             // acknowledgement is binding nevertheless: it is applied once the target is known.
@@ -162,9 +179,11 @@
                 let surplus =
                     self.early_deregistrations.len().saturating_sub(MAX_EARLY_DEREGISTRATIONS);
                 self.early_deregistrations.drain(..surplus);
+                None
             }
-        }
-        send_reply(answer, HeartbeatAnswer::Reply(HeartbeatReply::Acknowledged));
+        };
+        self.record_leave(target_id, born_ms, now);
+        self.acknowledge_leave(answer);
     }
 
     /// Replies to the pending heartbeat once there are changes for the target, or its reply is due.
@@ -179,6 +198,9 @@
             return;
         };
         let is_due = now >= pending.reply_by;
+        if !is_due && self.is_leave_unsettled(now) {
+            return;
+        }
         let service = local.service.to_string();
         let reply = match (self.assignments.get(&service), self.confirmed_at) {
             _ if !self.holds_keys(&service) => HeartbeatReply::Acknowledged,
@@ -286,6 +308,11 @@
     send_reply(answer, HeartbeatAnswer::Refused { reason });
 }
 
+/// Acknowledges a deregistration.
+pub(super) fn acknowledge(answer: oneshot::Sender<HeartbeatAnswer>) {
+    send_reply(answer, HeartbeatAnswer::Reply(HeartbeatReply::Acknowledged));
+}
+
 fn send_reply(answer: oneshot::Sender<HeartbeatAnswer>, reply: HeartbeatAnswer) {
     if answer.send(reply).is_err() {
         log::debug!(event = "heartbeat_abandoned"; "");
--- a/crates/galenastream_node/src/process/mod.rs
+++ b/crates/galenastream_node/src/process/mod.rs
@@ -42,6 +42,7 @@
 mod store_follower;
 mod store_view;
 mod stored_config;
+mod target_leave;
 mod target_limit;
 mod target_probe;
 mod target_probes;
@@ -64,7 +65,7 @@
 pub use local_announcement::LocalAnnouncement;
 pub use logs::{flush_log, start_log};
 pub use metrics_page::render_metrics;
-pub use remembered_announcements::{RememberedAnnouncements, earliest};
+pub use remembered_announcements::{RememberedAnnouncements, earliest, elapsed_ms};
 pub use request_quarantine::{RequestQuarantine, decode_suspect, describe_request, encode_suspect};
 pub use status_page::{
     EvacuatedPage, LeasePage, RefusedConfigPage, STATUS_PATH, StatusPage, TargetPage,
--- a/crates/galenastream_node/src/process/remembered_announcements.rs
+++ b/crates/galenastream_node/src/process/remembered_announcements.rs
@@ -107,6 +107,7 @@
     one.into_iter().chain(other).min()
 }
 
-pub(super) fn elapsed_ms(since: BootInstant, now: BootInstant) -> u64 {
+/// Returns the time since an instant, in milliseconds.
+pub fn elapsed_ms(since: BootInstant, now: BootInstant) -> u64 {
     u64::try_from(now.saturating_since(since).as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/galenastream_node/src/process/store_eras.rs
+++ b/crates/galenastream_node/src/process/store_eras.rs
@@ -68,8 +68,9 @@
         let earlier = self.eras.current;
         log::info!(event = "store_era", era, earlier, in_force = self.eras.in_force; "");
         if earlier > 0 {
-            // The row of this node may be among those that were lost.
+            // The rows of this node may be among those that were lost.
             self.effects.push(Effect::AnnounceNode);
+            self.restore_leave();
         }
         self.eras = StoreEras {
             current: era,
--- a/crates/galenastream_node/src/process/store_view.rs
+++ b/crates/galenastream_node/src/process/store_view.rs
@@ -281,6 +281,9 @@
                     }
                 }
             }
+            Some(SharedRowKey::Leave(node)) if node == &*self.node => self.apply_leave_row(row),
+            // The node beside the target tells the others.
+            Some(SharedRowKey::Leave(_)) => {}
             Some(SharedRowKey::SettingsTree) => self.apply_settings_tree(row),
             Some(SharedRowKey::Quarantine) => self.apply_quarantine(row, now),
             // Applied before all other rows.
--- a/crates/galenastream_node/tests/ownership/config_doubt.rs
+++ b/crates/galenastream_node/tests/ownership/config_doubt.rs
@@ -51,7 +51,11 @@
 fn acknowledgement(index: usize, version: u64, age_ms: Option<u64>, asked_ms: u64) -> ControlEvent {
     ControlEvent::StatusAcknowledged {
         node: format!("vm-{}", address(index)).into(),
-        seen: StatusSeen { config_version: version, config_age_ms: age_ms },
+        seen: StatusSeen {
+            config_version: version,
+            config_age_ms: age_ms,
+            ..StatusSeen::default()
+        },
         asked_at: at(asked_ms),
     }
 }
@@ -383,7 +387,9 @@
     let mut state = settled_node();
     let now = BootInstant::new(at(SETTLED_MS).as_ns() + 1);
     let seen = state.sync_snapshot().status_seen(now);
-    assert_eq!(seen, StatusSeen { config_version: 1, config_age_ms: Some(1) });
+    let confirmation =
+        StatusSeen { config_version: 1, config_age_ms: Some(1), target_leaving_for_ms: None };
+    assert_eq!(seen, confirmation);
 }
 
 const NODES: usize = 6;
--- a/crates/galenastream_node/tests/ownership/hostile_input.rs
+++ b/crates/galenastream_node/tests/ownership/hostile_input.rs
@@ -285,7 +285,7 @@
     let acknowledged = (node(), number(), option::of(number()), 0_u64..9_000).prop_map(
         |(node, config_version, config_age_ms, asked_at)| ControlEvent::StatusAcknowledged {
             node: node.into(),
-            seen: StatusSeen { config_version, config_age_ms },
+            seen: StatusSeen { config_version, config_age_ms, target_leaving_for_ms: None },
             asked_at: at(asked_at),
         },
     );
--- a/crates/galenastream_node/tests/ownership/simulation.rs
+++ b/crates/galenastream_node/tests/ownership/simulation.rs
@@ -224,8 +224,10 @@
                 Effect::Settle { expected, writes } => {
                     self.start_write(index, expected, WriteContent::Settlement(writes));
                 }
-                // No request crashes a target here.
-                Effect::AnnounceNode | Effect::WriteQuarantine { .. } => {}
+                // No request crashes a target here, and no target leaves.
+                Effect::AnnounceNode
+                | Effect::WriteQuarantine { .. }
+                | Effect::WriteLeave { .. } => {}
                 Effect::CallTarget { target, call, .. } => self.call_target(index, target, call),
                 Effect::QueryPeer { node } => self.query_peer(index, &node),
                 Effect::ProbeTarget { target } => self.start_probe(index, target),
--- a/crates/galenastream_node/tests/ownership/state_machine/deployment.rs
+++ b/crates/galenastream_node/tests/ownership/state_machine/deployment.rs
@@ -522,10 +522,11 @@
                 Effect::QueryPeer { node } => self.answer_sync_query(index, &node),
                 Effect::ProbeTarget { target } => self.start_probe(index, target, false),
                 Effect::IdentifyTarget { target, .. } => self.start_probe(index, target, true),
-                // No request crashes a target here.
+                // No request crashes a target here, and no target leaves.
                 Effect::Settle { .. }
                 | Effect::AnnounceNode
                 | Effect::WriteQuarantine { .. }
+                | Effect::WriteLeave { .. }
                 | Effect::CallTarget { .. } => {}
             }
         }
--- a/crates/galenastream_node/tests/platform/announced_leave.rs
+++ b/crates/galenastream_node/tests/platform/announced_leave.rs
@@ -3,9 +3,12 @@
 use std::time::{Duration, Instant};
 
 use galenastream_adapter::header_names;
-use galenastream_standin::{LocalDeployment, SentRequest, TargetAnnouncement, TargetArrival};
+use galenastream_standin::{
+    LocalDeployment, SentRequest, StoreFault, TargetAnnouncement, TargetArrival, wait_until,
+};
 
 use super::{
+    TIMEOUT, WORKS,
     announcement_load::{entries, load_from, load_path},
     deployment::start,
 };
@@ -113,3 +116,88 @@
     assert_eq!(arrivals.iter().filter(is_late).count(), 0);
     deployment.close().unwrap();
 }
+
+/// How long after its start a node may not know yet that the target beside it leaves: less than the
+/// time after which the platform counts on it again.
+const START_TIME: Duration = Duration::from_millis(2_500);
+
+/// Sends requests through the first VM for a while, and returns how many of them reached the target
+/// there after an instant.
+async fn arrivals_beside(deployment: &LocalDeployment, after: Instant) -> usize {
+    let vm = &deployment.vms[0];
+    wait_until("the node to serve again", TIMEOUT, async || vm.reaches("stock").await)
+        .await
+        .expect(WORKS);
+    let mut answered = 0;
+    while Instant::now() < after + DRAIN_TIME {
+        let Ok(mut caller) = vm.caller().await else {
+            continue;
+        };
+        let answer = caller.post("/orders/1", &format!("beside-{answered}")).await;
+        answered += usize::from(answer.is_some_and(|it| it.status == 200));
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    assert!(answered > 0, "the other target serves");
+    vm.target.arrivals().iter().filter(|it| it.arrived_at > after).count()
+}
+
+/// Guards against requests of the callers beside a target to it, after a restart of the node that
+/// acknowledged its deregistration. Only late heartbeats follow, which say that the target is ready.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_deregistration_holds_for_the_callers_of_a_node_that_restarts() {
+    let mut deployment = start("deregister-beside", &["stock", "stock"]).await;
+    deployment.vms[0].target.deregister().await.unwrap();
+    let acknowledged_at = Instant::now();
+    deployment.vms[0].kill_node().unwrap();
+    deployment.vms[0].start_node().unwrap();
+    let after = acknowledged_at + DRAIN_TIME.max(START_TIME);
+    assert_eq!(arrivals_beside(&deployment, after).await, 0);
+    deployment.close().unwrap();
+}
+
+/// Guards against a deregistration that is forgotten when all processes end right after it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_deregistration_holds_when_all_nodes_restart() {
+    let mut deployment = start("deregister-herd", &["stock", "stock"]).await;
+    deployment.vms[0].target.deregister().await.unwrap();
+    let acknowledged_at = Instant::now();
+    for vm in &mut deployment.vms {
+        vm.kill_node().unwrap();
+    }
+    for vm in &mut deployment.vms {
+        vm.start_node().unwrap();
+    }
+    let after = acknowledged_at + DRAIN_TIME.max(START_TIME);
+    assert_eq!(arrivals_beside(&deployment, after).await, 0);
+    deployment.close().unwrap();
+}
+
+/// Guards against a deregistration that is forgotten because the store was away when it was
+/// acknowledged: the other nodes remember it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_deregistration_during_a_store_outage_holds_when_the_node_restarts() {
+    let mut deployment = start("deregister-outage", &["stock", "stock"]).await;
+    deployment.store.set_fault(StoreFault::Refuse(503));
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    deployment.vms[0].target.deregister().await.unwrap();
+    // The other node hears of it with the next status.
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    let acknowledged_at = Instant::now();
+    deployment.vms[0].kill_node().unwrap();
+    deployment.vms[0].start_node().unwrap();
+    let after = acknowledged_at + DRAIN_TIME.max(START_TIME);
+    assert_eq!(arrivals_beside(&deployment, after).await, 0);
+    deployment.close().unwrap();
+}
+
+/// Guards against an acknowledgement that comes so late that the target does not wait for it: the
+/// store is slower than targets wait.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_deregistration_is_acknowledged_in_time_while_the_store_is_slow() {
+    let deployment = start("deregister-slow", &["stock"]).await;
+    deployment.store.set_fault(StoreFault::Slow(Duration::from_secs(3)));
+    let began_at = Instant::now();
+    deployment.vms[0].target.deregister().await.unwrap();
+    assert!(began_at.elapsed() < Duration::from_millis(900), "{:?}", began_at.elapsed());
+    deployment.close().unwrap();
+}
--- a/crates/galenastream_wire/src/message/node_status.rs
+++ b/crates/galenastream_wire/src/message/node_status.rs
@@ -210,7 +210,8 @@
     pub milli_per_s: u64,
 }
 
-/// Acknowledges a [`NodeStatus`], and states how long ago its sender knew which config is the newest.
+/// Acknowledges a [`NodeStatus`], and states how long ago its sender knew which config is the newest
+/// and what the node of the status has forgotten.
 ///
 /// The age is part of a reply so that its receiver can count it from when the status was sent. A
 /// message that arrives unasked may have been under way for any time.
@@ -223,4 +224,8 @@
     /// does not follow the shared rows.
     #[prost(uint64, optional, tag = "2")]
     pub config_age_ms: Option<u64>,
+    /// For how long the target beside the node of the status has been leaving, in milliseconds, if the
+    /// status does not say that it leaves: the node may have restarted since.
+    #[prost(uint64, optional, tag = "3")]
+    pub target_leaving_for_ms: Option<u64>,
 }
--- a/crates/galenastream_wire/src/row/shared_row_key.rs
+++ b/crates/galenastream_wire/src/row/shared_row_key.rs
@@ -7,6 +7,7 @@
 
 const NODE_PREFIX: &str = "node/";
 const KEYS_PREFIX: &str = "keys/";
+const LEAVE_PREFIX: &str = "leave/";
 const TREE_KEY: &str = "settings/tree";
 const ERA_KEY: &str = "era";
 const QUARANTINE_KEY: &str = "quarantine";
@@ -19,6 +20,9 @@
     /// The assignment of a service's keys to owners, by the name of the service. The value is
     /// encoded by `galenastream_ranges`.
     Assignment(&'a str),
+    /// The leave of the target beside a node, by the name of the node's VM. The value is a
+    /// [`LeaveRow`](crate::LeaveRow).
+    Leave(&'a str),
     /// The tree of settings. The value is a TOML document.
     SettingsTree,
     /// The era of the store whose rows are in force. The value is an [`EraRow`](crate::EraRow).
@@ -55,6 +59,9 @@
         if let Some(node) = key.strip_prefix(NODE_PREFIX) {
             return Some(Self::Node(node));
         }
+        if let Some(node) = key.strip_prefix(LEAVE_PREFIX) {
+            return Some(Self::Leave(node));
+        }
         key.strip_prefix(KEYS_PREFIX).map(Self::Assignment)
     }
 
@@ -63,6 +70,7 @@
         match self {
             Self::Node(node) => format!("{NODE_PREFIX}{node}"),
             Self::Assignment(service) => format!("{KEYS_PREFIX}{service}"),
+            Self::Leave(node) => format!("{LEAVE_PREFIX}{node}"),
             Self::SettingsTree => TREE_KEY.to_owned(),
             Self::Era => ERA_KEY.to_owned(),
             Self::Quarantine => QUARANTINE_KEY.to_owned(),
--- a/crates/galenastream_wire/tests/codec.rs
+++ b/crates/galenastream_wire/tests/codec.rs
@@ -96,7 +96,11 @@
         Just(Body::Cancel(Cancel {})),
         (any::<u64>(), prop::option::of(any::<u64>())).prop_map(
             |(config_version, config_age_ms)| {
-                Body::StatusSeen(StatusSeen { config_version, config_age_ms })
+                Body::StatusSeen(StatusSeen {
+                    config_version,
+                    config_age_ms,
+                    target_leaving_for_ms: config_age_ms.map(|it| it / 2),
+                })
             }
         ),
         any::<u64>()
