Test of answers that are cut off in their heads

The test cuts a head after each byte, at the node beside the target and at another one, after answers on kept connections: 502 each time, and 200 only for the whole head.

--- a/crates/galenastream_node/tests/platform/raw_answers.rs
+++ b/crates/galenastream_node/tests/platform/raw_answers.rs
@@ -94,3 +94,32 @@
     }
     deployment.close().unwrap();
 }
+
+/// Guards against an answer that is cut off in its head and passed on as a whole one.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_that_is_cut_off_in_its_head_is_not_passed_on() {
+    let (deployment, target) = start_pair("cut-head", "stock").await;
+    target.set_answer(RawAnswer::CutHead(usize::MAX));
+    let whole = post(&deployment, 0, "stock", "whole").await;
+    assert_eq!(whole.status, 200, "{whole:?}");
+    // All cuts of a head: it is shorter than this and ends with the connection.
+    let mut cut_bytes = 0;
+    loop {
+        let vm = cut_bytes % 2;
+        target.set_answer(RawAnswer::CutHead(cut_bytes));
+        let id = format!("cut-{cut_bytes:03}");
+        let answer = post(&deployment, vm, "stock", &id).await;
+        if answer.status == 200 {
+            break;
+        }
+        assert_eq!(answer.status, 502, "{cut_bytes}: {answer:?}");
+        assert_eq!(target.runs().iter().filter(|it| **it == id).count(), 1);
+        // The connection before the cut one is a kept one.
+        target.set_answer(RawAnswer::Complete(0));
+        let answer = post(&deployment, vm, "stock", &format!("kept-{cut_bytes:03}")).await;
+        assert_eq!(answer.status, 200, "{cut_bytes}: {answer:?}");
+        cut_bytes += 1;
+    }
+    assert!(cut_bytes > 100, "only the whole head of {cut_bytes} bytes is an answer");
+    deployment.close().unwrap();
+}
