Test of nodes beside odd entries of another writer

Other operators report that one odd entry, very deeply nested, with a number too large or with a port out of range, ended the machines that read the list. Four nodes and the start of one go on beside such rows and status reports.

--- a/crates/galenastream_node/tests/platform/main.rs
+++ b/crates/galenastream_node/tests/platform/main.rs
@@ -12,6 +12,7 @@
 mod lease_calls;
 mod long_bodies;
 mod node_stop;
+mod odd_entries;
 mod overload;
 mod raw_answers;
 mod refused_requests;
