A row of the era that cannot be right changes nothing

A row `era` of another writer with a number that is too large stopped the confirmation of all shared rows: leases lapsed and nothing was granted again.

Cause: a node took any number for the era in force, and rows count only in it.

The row is written in the era that it names, so a number above the era of its own version is malformed. The planner writes the right row in its place, since nodes that start take the era from there. The new test failed before (no confirmation) and passes now, with the tests of restored stores.

--- a/crates/galenastream_node/src/process/store_eras.rs
+++ b/crates/galenastream_node/src/process/store_eras.rs
@@ -46,6 +46,8 @@
     /// in the first era does an empty table prove that nothing was lost from it.
     is_first: bool,
     is_settlement_pending: bool,
+    /// Whether another writer has left a row of the era that cannot be right.
+    is_row_malformed: bool,
 }
 
 impl StoreEras {
@@ -123,15 +125,25 @@
     /// Puts the rows of an era in force that every lease on earlier rows has ended for. Returns the
     /// rows that were kept back until now.
     pub(super) fn apply_era_row(&mut self, row: &Row) -> Vec<Row> {
-        let decoded = row.value.clone().map(EraRow::decode);
-        let era = match decoded {
-            Some(Ok(it)) => it.era,
-            Some(Err(error)) => {
+        let Some(value) = row.value.clone() else {
+            return Vec::new();
+        };
+        let highest = era_of(row.version);
+        let era = match EraRow::decode(value).map(|it| it.era) {
+            // The row is written in the era that it names, and may be restored in a later one.
+            Ok(era) if era <= highest => era,
+            Ok(era) => {
+                log::warn!(event = "era_row_malformed", era, highest; "");
+                self.eras.is_row_malformed = true;
+                return Vec::new();
+            }
+            Err(error) => {
                 log::warn!(event = "era_row_malformed", reason:% = error; "");
+                self.eras.is_row_malformed = true;
                 return Vec::new();
             }
-            None => return Vec::new(),
         };
+        self.eras.is_row_malformed = false;
         if era <= self.eras.in_force {
             return Vec::new();
         }
@@ -153,6 +165,7 @@
     /// Once every lease on rows of earlier eras has expired, requests the write that puts the
     /// current era in force: with new fencing tokens, and with the settings tree if that was lost.
     pub(super) fn settle_era(&mut self, now: BootInstant) {
+        self.repair_era_row(now);
         let eras = &self.eras;
         let leases_end = self.known_terms().all_leases_end(eras.current_since) + CLOCK_MARGIN;
         let is_due = eras.is_first || now >= leases_end;
@@ -183,6 +196,21 @@
         self.effects.push(Effect::Settle { expected, writes });
     }
 
+    /// Writes the row of the era in force again if another writer has replaced it: nodes that start take
+    /// the era from there.
+    fn repair_era_row(&mut self, now: BootInstant) {
+        let is_needed = self.eras.is_row_malformed && self.eras.is_settled();
+        if !is_needed || self.eras.is_settlement_pending || !self.is_planner(now) {
+            return;
+        }
+        let key = SharedRowKey::Era.key();
+        let expected = vec![ExpectedRow { key: key.clone(), version: self.era_row_version() }];
+        let value = Bytes::from(EraRow { era: self.eras.in_force }.encode_to_vec());
+        self.eras.is_settlement_pending = true;
+        let writes = vec![RowWrite::Put { key, value }];
+        self.effects.push(Effect::Settle { expected, writes });
+    }
+
     /// Handles the end of the write that [`Self::settle_era`] requested. It is planned again if it
     /// failed.
     pub(super) fn handle_settlement(&mut self, result: Result<u64, StoreError>, now: BootInstant) {
--- a/crates/galenastream_node/tests/ownership/main.rs
+++ b/crates/galenastream_node/tests/ownership/main.rs
@@ -23,6 +23,7 @@
 mod liveness;
 mod messages;
 mod node_clock;
+mod odd_era_row;
 mod other_processes;
 mod planner_rounds;
 mod probes;
