A status report without its lists says nothing of the keys

Cause: missing lists were decoded as empty ones. The node took the target for one that holds nothing, and the reply that takes the keys back went to the other writer; the number of its report made the target's next one outdated.

The adapter tells missing lists from empty ones. Where targets report keys, a report without both lists is refused and nothing is taken from it. Before the first config it carries no evidence and gets no leases. A report that names another service than that of the VM is refused as well.

--- a/crates/galenastream_node/src/process/heartbeats.rs
+++ b/crates/galenastream_node/src/process/heartbeats.rs
@@ -50,6 +50,14 @@
                 format!("address {} is not beside", heartbeat.address),
             );
         }
+        if heartbeat.service != self.settings.service {
+            let reason = format!("service {} is not beside", heartbeat.service);
+            return refuse(answer, target_id, reason);
+        }
+        // A report that lacks the lists is not of the target, and says nothing of its keys.
+        if heartbeat.keys.is_none() && self.takes_key_reports(&heartbeat.service) {
+            return refuse(answer, target_id, "the lists of keys are missing".to_owned());
+        }
         let incarnation = TargetIncarnation::new(target_id, heartbeat.born_ms);
         if !self.accept_incarnation(&incarnation, &heartbeat, now) {
             log::info!(event = "heartbeat_outdated", target:% = incarnation, sequence = heartbeat.sequence; "");
@@ -59,6 +67,7 @@
         }
         let max_reply_delay = self.max_reply_delay();
         let ran = self.ran_for(now);
+        let reports_keys = heartbeat.keys.is_some();
         let Some(local) = &mut self.local else {
             return;
         };
@@ -68,12 +77,17 @@
             log_foreign_holds(local, &record.assignment, record.version);
         }
         local.pending_heartbeat =
-            Some(PendingHeartbeat { answer, reply_by: now + max_reply_delay });
+            Some(PendingHeartbeat { answer, reply_by: now + max_reply_delay, reports_keys });
         if local.draining_since.is_some() {
             self.record_leave(&incarnation.id, Some(incarnation.born_ms), now);
         }
     }
 
+    /// Whether the heartbeats of a service's targets have to report their keys.
+    fn takes_key_reports(&self, service: &str) -> bool {
+        self.holds_keys(service) && self.lease_delivery(service) == LeaseDelivery::Heartbeats
+    }
+
     /// Handles the leave that the local target announced in a response.
     pub(super) fn handle_leave(
         &mut self,
@@ -203,6 +217,8 @@
         }
         let service = local.service.to_string();
         let reply = match (self.assignments.get(&service), self.confirmed_at) {
+            // It arrived before the first config, which says that the lists are not missing by right.
+            _ if !pending.reports_keys => HeartbeatReply::Acknowledged,
             _ if !self.holds_keys(&service) => HeartbeatReply::Acknowledged,
             _ if self.lease_delivery(&service) != LeaseDelivery::Heartbeats => {
                 HeartbeatReply::Acknowledged
--- a/crates/galenastream_node/src/process/local_target.rs
+++ b/crates/galenastream_node/src/process/local_target.rs
@@ -70,6 +70,8 @@
     pub(super) answer: oneshot::Sender<HeartbeatAnswer>,
     /// When the reply is due at the latest.
     pub(super) reply_by: BootInstant,
+    /// Whether it reports keys. If not, a reply must not change them.
+    pub(super) reports_keys: bool,
 }
 
 /// Number of remembered releases and ranges; they are needed until the keys are handed over.
@@ -113,11 +115,13 @@
         self.slots = heartbeat.slots;
         let cold_remaining = Duration::from_millis(heartbeat.cold_remaining_ms);
         self.cold.record_heartbeat(cold_remaining, self.replied_at.take(), now);
-        self.held.clone_from(&heartbeat.held);
-        for held in &heartbeat.held {
-            self.show_held(held);
+        if let Some(keys) = &heartbeat.keys {
+            self.held.clone_from(&keys.held);
+            for held in &keys.held {
+                self.show_held(held);
+            }
+            self.released.extend(keys.released.iter().cloned());
         }
-        self.released.extend(heartbeat.released.iter().cloned());
         // A later release of the same keys supersedes an earlier one, so the oldest are dropped.
         let surplus = self.released.len().saturating_sub(MAX_REMEMBERED_RELEASES);
         self.released.drain(..surplus);
--- a/crates/galenastream_node/tests/ownership/main.rs
+++ b/crates/galenastream_node/tests/ownership/main.rs
@@ -25,6 +25,7 @@
 mod node_clock;
 mod odd_era_row;
 mod other_processes;
+mod other_writers;
 mod planner_rounds;
 mod probes;
 mod quarantine_spread;
