Answers count against the budget until their callers have them

Cause: each answer was copied into the buffer of its connection, and gave its share of the budget for bodies back with that.

The body is copied in parts of 32 KiB as the caller reads, and counts until the last one is written. A request of a kind with long answers is refused before it runs if the mean size of such answers has no room beside those expected.

--- a/crates/galenastream_node/src/connection/caller_connections.rs
+++ b/crates/galenastream_node/src/connection/caller_connections.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::VecDeque,
+    io,
     pin::pin,
     sync::{Arc, atomic::Ordering},
 };
@@ -24,7 +25,7 @@
 
 use super::{
     accept::{MAX_CLOSE_TIME, accept_all, close_gracefully},
-    request_codec::{Incoming, Outgoing, RequestCodec},
+    request_codec::{Incoming, Outgoing, RequestCodec, WRITE_BYTES, has_body},
     served_connections::ServedConnection,
 };
 use crate::{
@@ -78,7 +79,7 @@
                 }
                 // A caller that reads slowly gets the rest before the process stops.
                 let _counted = CountGuard::new(&traffic.in_progress);
-                let sending = framed.send(Outgoing::Response { response, is_to_head });
+                let sending = send_response(&mut framed, response, is_to_head);
                 if send_beside(sending, &mut complete, &mut in_progress).await.is_err() {
                     return;
                 }
@@ -124,6 +125,24 @@
     framed.read_buffer().is_empty() && framed.codec().is_between_requests()
 }
 
+/// Sends a response. A long body is copied in parts as the caller reads, and counts against the budget
+/// for bodies until the last one is written.
+async fn send_response<F>(
+    framed: &mut Framed<TcpStream, RequestCodec<F>>,
+    response: Response<Bytes>,
+    is_to_head: bool,
+) -> io::Result<()> {
+    let is_in_parts =
+        has_body(response.status(), is_to_head) && response.body().len() > WRITE_BYTES;
+    let mut body = if is_in_parts { response.body().clone() } else { Bytes::new() };
+    framed.send(Outgoing::Response { response, is_to_head }).await?;
+    while !body.is_empty() {
+        let part = body.split_to(body.len().min(WRITE_BYTES));
+        framed.send(Outgoing::Part(part)).await?;
+    }
+    Ok(())
+}
+
 /// Returns the next response in the order of the requests.
 async fn next_response<T: Future>(
     complete: &mut VecDeque<T::Output>,
--- a/crates/galenastream_node/src/connection/request_codec.rs
+++ b/crates/galenastream_node/src/connection/request_codec.rs
@@ -8,7 +8,7 @@
 
 use bytes::{Buf, Bytes, BytesMut};
 use galenastream_adapter::CallerLimits;
-use http::{HeaderName, HeaderValue, Method, Request, Response, Version, header};
+use http::{HeaderName, HeaderValue, Method, Request, Response, StatusCode, Version, header};
 use httparse::Status;
 use tokio_util::codec::{Decoder, Encoder};
 
@@ -28,6 +28,10 @@
 const MAX_HEADER_BYTES_WITHOUT_CONFIG: usize = 16 * 1024;
 const MAX_BODY_BYTES_WITHOUT_CONFIG: usize = 1024 * 1024;
 
+/// The longest part of a body that is copied into the buffer of its connection. The rest waits where its
+/// memory is accounted for.
+pub(super) const WRITE_BYTES: usize = 32 * 1024;
+
 /// An item read from a caller's connection.
 #[derive(Debug)]
 pub(super) enum Incoming {
@@ -62,12 +66,14 @@
 /// An item written to a caller's connection.
 #[derive(Debug)]
 pub(super) enum Outgoing {
-    /// A response.
+    /// A response. A body of more than [`WRITE_BYTES`] follows in parts.
     Response {
         response: Response<Bytes>,
         /// Whether its request only asks for the head. Then no body follows.
         is_to_head: bool,
     },
+    /// A part of a long body.
+    Part(Bytes),
     /// `100 Continue`.
     Continue,
 }
@@ -269,9 +275,16 @@
     type Error = io::Error;
 
     fn encode(&mut self, outgoing: Outgoing, buffer: &mut BytesMut) -> io::Result<()> {
-        let Outgoing::Response { response, is_to_head } = outgoing else {
-            buffer.extend_from_slice(b"HTTP/1.1 100 Continue\r\n\r\n");
-            return Ok(());
+        let (response, is_to_head) = match outgoing {
+            Outgoing::Response { response, is_to_head } => (response, is_to_head),
+            Outgoing::Part(part) => {
+                buffer.extend_from_slice(&part);
+                return Ok(());
+            }
+            Outgoing::Continue => {
+                buffer.extend_from_slice(b"HTTP/1.1 100 Continue\r\n\r\n");
+                return Ok(());
+            }
         };
         let status = response.status();
         let reason = status.canonical_reason().unwrap_or("Unknown");
@@ -282,18 +295,24 @@
             buffer.extend_from_slice(value.as_bytes());
             buffer.extend_from_slice(b"\r\n");
         }
-        let has_no_body = is_to_head || matches!(status.as_u16(), 204 | 304);
-        if has_no_body {
+        if !has_body(status, is_to_head) {
             buffer.extend_from_slice(b"\r\n");
             return Ok(());
         }
         let length = response.body().len();
         buffer.extend_from_slice(format!("content-length: {length}\r\n\r\n").as_bytes());
-        buffer.extend_from_slice(response.body());
+        if length <= WRITE_BYTES {
+            buffer.extend_from_slice(response.body());
+        }
         Ok(())
     }
 }
 
+/// Whether a body follows the head of a response.
+pub(super) fn has_body(status: StatusCode, is_to_head: bool) -> bool {
+    !is_to_head && !matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED)
+}
+
 /// A head and its length.
 type ParsedHead = (usize, Box<Request<()>>);
 
--- a/crates/galenastream_node/src/request/entry.rs
+++ b/crates/galenastream_node/src/request/entry.rs
@@ -13,6 +13,7 @@
     attempts::Attempts,
     caller_request::{CallerRequest, RequestAddress},
     fingerprint::fingerprint_at_entry,
+    long_answer::announce_answer,
     refusal::Refusal,
 };
 use crate::{
@@ -131,10 +132,22 @@
         let refusal = Refusal::NotRun { retry_after_ms: NO_DESTINATION_RETRY_AFTER_MS };
         return refuse(traffic, refusal, &request.address(), None);
     };
+    let announced = match announce_answer(traffic, &request) {
+        Ok(announced) => announced,
+        Err(refusal) => return refuse(traffic, refusal, &request.address(), None),
+    };
     let result = tokio::select! {
         result = attempts.run() => result,
         () = sleep_until(request.deadline.at()) => Err(Refusal::TimedOut),
     };
+    // The answer has reserved its memory.
+    drop(announced);
+    if let Ok(reply) = &result
+        && request.route.kind.has_long_answers()
+        && (200..300).contains(&reply.status)
+    {
+        traffic.add_caller_answer(reply.body.len());
+    }
     attempts.record_result(&result);
     match result {
         Ok(reply) => target_response(reply),
--- a/crates/galenastream_node/src/request/long_answer.rs
+++ b/crates/galenastream_node/src/request/long_answer.rs
@@ -7,11 +7,13 @@
 use std::time::Duration;
 
 use galenastream_routing::{Deadline, TransferOrder};
-use galenastream_runtime::{Transfer, boot_now};
+use galenastream_runtime::{AnnouncedBody, Transfer, boot_now};
 use galenastream_wire::{ForwardedReply, ForwardedRequest, ReplyReason};
 
 use super::{
-    target_reply::{MOVING_RETRY_AFTER_MS, not_sent},
+    caller_request::CallerRequest,
+    refusal::Refusal,
+    target_reply::{MOVING_RETRY_AFTER_MS, TOO_LONG_RETRY_AFTER_MS, not_sent},
     target_run::AnswerWay,
 };
 use crate::process::TrafficState;
@@ -22,6 +24,22 @@
 /// Soft deadline and deadline of a request.
 pub(super) type Deadlines = (Deadline, Deadline);
 
+/// Announces the answer to a caller's request, if it is of the kind with long answers. Callers that read
+/// slowly keep theirs in memory for as long as they read. Refuses the request if there is too little
+/// memory left, before it runs.
+pub(super) fn announce_answer(
+    traffic: &TrafficState,
+    request: &CallerRequest,
+) -> Result<Option<AnnouncedBody>, Refusal> {
+    if !request.route.kind.has_long_answers() {
+        return Ok(None);
+    }
+    match traffic.body_budget.announce(traffic.mean_caller_answer_bytes()) {
+        Some(announced) => Ok(Some(announced)),
+        None => Err(Refusal::NotRun { retry_after_ms: TOO_LONG_RETRY_AFTER_MS }),
+    }
+}
+
 /// Announces the transfer of a long answer, and returns it with the deadlines by which the target has
 /// to have answered. Returns the reply to a request whose answer could not be sent in time.
 pub(super) fn plan_transfer(
--- a/crates/galenastream_node/tests/platform/long_bodies.rs
+++ b/crates/galenastream_node/tests/platform/long_bodies.rs
@@ -1,6 +1,9 @@
 //! Tests of long bodies between two nodes.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
 
 use bytes::Bytes;
 use futures::{SinkExt, StreamExt};
@@ -11,7 +14,7 @@
 use galenastream_wire::{FrameCodec, Part, PeerFrame, ReplyOutcome, ReplyReason, peer_frame::Body};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
-    net::TcpStream,
+    net::{TcpSocket, TcpStream},
 };
 use tokio_util::codec::Framed;
 
@@ -38,6 +41,17 @@
 const PART_BYTES: usize = 64 * 1024;
 const ENDLESS_PARTS: u64 = 8_320;
 
+/// Callers that read slowly, and how long they read nothing. Their answers are more than the memory that
+/// a node may use.
+const SLOW_READERS: usize = 300;
+const UNREAD_TIME: Duration = Duration::from_millis(5_000);
+
+/// The pause of a slow caller after a refusal.
+const RETRY_PAUSE: Duration = Duration::from_millis(300);
+
+/// The receive buffer of a slow caller, so that the rest of its answer waits at the node.
+const SMALL_WINDOW_BYTES: u32 = 16_384;
+
 /// Long bodies at once; more than twice what the budget of a node holds.
 const MANY: usize = 24;
 
@@ -222,6 +236,63 @@
     deployment.close().unwrap();
 }
 
+/// Requests an answer until it is not refused, and returns the connection, of which no more than the status
+/// is read. Returns `None` if all is refused `until` then.
+async fn connect_slow_reader(
+    address: SocketAddr,
+    reader: usize,
+    until: Instant,
+) -> Option<TcpStream> {
+    let mut attempt = 0;
+    while Instant::now() < until {
+        let socket = TcpSocket::new_v4().expect(WORKS);
+        socket.set_recv_buffer_size(SMALL_WINDOW_BYTES).expect(WORKS);
+        let mut caller = socket.connect(address).await.expect(WORKS);
+        let id = format!("slow-{reader}-{attempt}");
+        let request = request_bytes("GET", "/stock/1", &id, None);
+        caller.write_all(request.as_bytes()).await.expect(WORKS);
+        let mut head = [0; 12];
+        caller.read_exact(&mut head).await.expect("the node answers");
+        if head.ends_with(b"200") {
+            tokio::time::sleep(until.saturating_duration_since(Instant::now())).await;
+            return Some(caller);
+        }
+        assert!(head.ends_with(b"503"), "{:?}", String::from_utf8_lossy(&head));
+        attempt += 1;
+        tokio::time::sleep(RETRY_PAUSE).await;
+    }
+    None
+}
+
+/// Guards against callers that read slowly and fill the memory of a node: the answers that they had not
+/// read counted for nothing. What cannot be held is refused before it runs.
+#[tokio::test(flavor = "multi_thread")]
+async fn many_slow_readers_do_not_fill_the_memory_of_a_node() {
+    let (deployment, target) = start_pair("slow-readers").await;
+    let config = DeploymentPlan::shop_config(2, "/stock/").to_string();
+    let config = config.replacen("\"safe\"", "\"download\"", 2);
+    deployment.store.put("op", "config", config.as_bytes());
+    target.set_answer(RawAnswer::Complete(DOWNLOAD_BYTES));
+    // Beside the target, no answer waits for the link.
+    let entry = &deployment.vms[1];
+    // The size of the answers is known from the first ones.
+    wait_until("an answer", TIMEOUT, async || {
+        let mut caller = entry.caller().await.expect(WORKS);
+        let answer = caller.get("/stock/1", "first", None).await.expect(WORKS);
+        answer.body.len() == DOWNLOAD_BYTES
+    })
+    .await
+    .expect(WORKS);
+    let address = entry.callers_address();
+    let until = Instant::now() + UNREAD_TIME;
+    let readers = (0..SLOW_READERS).map(|reader| connect_slow_reader(address, reader, until));
+    let readers = futures::future::join_all(readers).await;
+    let served = readers.iter().flatten().count();
+    assert!(served > 20, "{served} served");
+    assert_memory(&deployment);
+    deployment.close().unwrap();
+}
+
 /// Guards against a stopping node that cuts off a caller which reads its answer slowly.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stopping_node_lets_a_slow_caller_read_its_whole_answer() {
--- a/crates/galenastream_runtime/src/body_budget.rs
+++ b/crates/galenastream_runtime/src/body_budget.rs
@@ -10,6 +10,14 @@
 pub struct BodyBudget {
     total_bytes: usize,
     reserved_bytes: AtomicUsize,
+    announced_bytes: AtomicUsize,
+}
+
+/// A body that is expected, until it is dropped.
+#[derive(Debug)]
+pub struct AnnouncedBody {
+    budget: Arc<BodyBudget>,
+    bytes: usize,
 }
 
 /// A share of a [`BodyBudget`], which is given back when it is dropped.
@@ -22,7 +30,8 @@
 impl BodyBudget {
     /// Creates an unused budget.
     pub fn new(total_bytes: usize) -> Arc<Self> {
-        Arc::new(Self { total_bytes, reserved_bytes: AtomicUsize::new(0) })
+        let (reserved_bytes, announced_bytes) = (AtomicUsize::new(0), AtomicUsize::new(0));
+        Arc::new(Self { total_bytes, reserved_bytes, announced_bytes })
     }
 
     /// Creates an empty reservation.
@@ -30,6 +39,17 @@
         BodyReservation { budget: self.clone(), bytes: 0 }
     }
 
+    /// Announces a body of about so many bytes. Returns `None` if there would be no room for it beside all
+    /// others that are expected. It reserves nothing, so that those never lack what is kept for it.
+    pub fn announce(self: &Arc<Self>, bytes: usize) -> Option<AnnouncedBody> {
+        let announced = self.announced_bytes.load(Ordering::Relaxed);
+        if !self.has_room_for(announced.saturating_add(bytes)) {
+            return None;
+        }
+        self.announced_bytes.fetch_add(bytes, Ordering::Relaxed);
+        Some(AnnouncedBody { budget: self.clone(), bytes })
+    }
+
     /// Whether so many bytes could be reserved now.
     pub fn has_room_for(&self, bytes: usize) -> bool {
         self.reserved_bytes().saturating_add(bytes) <= self.total_bytes
@@ -63,6 +83,12 @@
     }
 }
 
+impl Drop for AnnouncedBody {
+    fn drop(&mut self) {
+        self.budget.announced_bytes.fetch_sub(self.bytes, Ordering::Relaxed);
+    }
+}
+
 impl Drop for BodyReservation {
     fn drop(&mut self) {
         self.budget.reserved_bytes.fetch_sub(self.bytes, Ordering::Relaxed);
