Writes of a leave are repeated after a pause

After a restore of the store, a leave whose row is of the earlier era would be written again and again without a pause: the adapter refuses such a write at once, until the table is read again. Found by reading; the test fails without the pause. A write is repeated after 0.1 s.

Three tests of the control state: the write comes before the acknowledgement, which does not wait for a store that is silent or away, and a deregistration of an unknown target counts for one run.

--- a/crates/galenastream_node/src/connection/target_connections.rs
+++ b/crates/galenastream_node/src/connection/target_connections.rs
@@ -167,9 +167,17 @@
     fn take_idle(&self, request_id: &[u8]) -> Option<UsedConnection> {
         let now = Instant::now();
         let mut idle = self.lock();
-        idle.retain(|it| now < it.usable_until && it.used.connection.is_ready());
-        let index = idle.iter().rposition(|it| !it.used.answered.is_ambiguous(request_id))?;
-        Some(idle.remove(index).used)
+        idle.retain(|it| now < it.usable_until);
+        for index in (0..idle.len()).rev() {
+            if idle[index].used.answered.is_ambiguous(request_id) {
+                continue;
+            }
+            let used = idle.remove(index).used;
+            if used.connection.is_ready() {
+                return Some(used);
+            }
+        }
+        None
     }
 
     fn lock(&self) -> std::sync::MutexGuard<'_, Vec<IdleConnection>> {
--- a/crates/galenastream_node/src/process/target_leave.rs
+++ b/crates/galenastream_node/src/process/target_leave.rs
@@ -19,11 +19,17 @@
 /// How long an acknowledgement waits for the row. Targets wait for 1 s.
 const MAX_ACKNOWLEDGEMENT_DELAY: Duration = Duration::from_millis(600);
 
+/// Delay before a write is repeated. Also a conflict needs it: a row of an earlier era of the store
+/// conflicts until the table is read again.
+const RETRY_DELAY: Duration = Duration::from_millis(100);
+
 /// The leave that this process has acknowledged last, or is about to.
 #[derive(Debug)]
 pub(super) struct TargetLeave {
     row: LeaveRow,
     write: LeaveWrite,
+    /// When the row may be written.
+    write_at: BootInstant,
     /// Until when acknowledgements wait for the row.
     wait_until: BootInstant,
     /// The deregistrations to acknowledge.
@@ -49,12 +55,12 @@
             true => now + MAX_ACKNOWLEDGEMENT_DELAY,
             false => now,
         };
-        let write = match self.stored_leave() == Some(&row) {
+        let write = match self.stored_leave.as_ref() == Some(&row) {
             true => LeaveWrite::Done,
             false => LeaveWrite::Wanted,
         };
         let answers = self.leave.take().map_or_else(Vec::new, |it| it.answers);
-        self.leave = Some(TargetLeave { row, write, wait_until, answers });
+        self.leave = Some(TargetLeave { row, write, write_at: now, wait_until, answers });
     }
 
     /// Acknowledges a deregistration once the leave has been written, or that takes too long.
@@ -83,7 +89,7 @@
                 super::heartbeats::acknowledge(answer);
             }
         }
-        if leave.write == LeaveWrite::Wanted && self.reaches_store {
+        if leave.write == LeaveWrite::Wanted && now >= leave.write_at && self.reaches_store {
             leave.write = LeaveWrite::UnderWay;
             let value = Bytes::from(leave.row.encode_to_vec());
             self.effects.push(Effect::WriteLeave { key, expected_version, value });
@@ -104,6 +110,7 @@
                 Ok(_) => LeaveWrite::Done,
                 Err(_) => LeaveWrite::Wanted,
             };
+            leave.write_at = now + RETRY_DELAY;
         }
         match result {
             Ok(version) => {
@@ -160,8 +167,4 @@
             leave.write = LeaveWrite::Wanted;
         }
     }
-
-    const fn stored_leave(&self) -> Option<&LeaveRow> {
-        self.stored_leave.as_ref()
-    }
 }
--- a/crates/galenastream_node/tests/ownership/incarnations.rs
+++ b/crates/galenastream_node/tests/ownership/incarnations.rs
@@ -1,10 +1,14 @@
 //! Checks which heartbeats a node accepts for its local target.
 
-use galenastream_adapter::Row;
-use galenastream_node::{ControlEvent, ControlState, Effect, ProbeAnswer, TargetProbe};
+use bytes::Bytes;
+use galenastream_adapter::{Row, StoreError};
+use galenastream_node::{
+    ControlEvent, ControlState, Effect, HeartbeatAnswer, ProbeAnswer, TargetProbe,
+};
 use galenastream_ranges::{Assignment, KeyRange, Owner, TargetIncarnation};
 use galenastream_standin::{HeartbeatFields, heartbeat_body};
-use galenastream_wire::{SharedRow, SyncState};
+use galenastream_wire::{LeaveRow, SharedRow, SharedRowKey, SyncState};
+use prost::Message;
 use tokio::sync::oneshot;
 
 use crate::{
@@ -200,3 +204,81 @@
     state.handle_dropped_commit("carts");
     assert_eq!(commits(&state.tick(at(2_300))), 1);
 }
+
+/// Sends a deregistration, and returns the channel of its answer.
+fn send_deregistration(
+    state: &mut ControlState,
+    now_ms: u64,
+) -> (Vec<Effect>, oneshot::Receiver<HeartbeatAnswer>) {
+    let (answer, answered) = oneshot::channel();
+    let event = ControlEvent::Deregister { target_id: "t".to_owned(), answer };
+    (state.handle(event, at(now_ms)), answered)
+}
+
+/// Returns the value of the row of a leave that the effects write.
+fn written_leave(effects: &[Effect]) -> Option<Bytes> {
+    effects.iter().find_map(|it| match it {
+        Effect::WriteLeave { value, .. } => Some(value.clone()),
+        _ => None,
+    })
+}
+
+/// Guards against a leave that is acknowledged before the store has it, and against writes without a
+/// pause while they conflict: a row of an earlier era conflicts until the table is read again.
+#[test]
+fn a_leave_is_written_before_it_is_acknowledged_and_again_after_a_conflict() {
+    let mut state = ControlState::new(settings(0), at(0));
+    state.handle(ControlEvent::StoreReached(true), at(50));
+    send_heartbeat(&mut state, "t", 1, 100);
+    let (effects, mut answered) = send_deregistration(&mut state, 200);
+    let value = written_leave(&effects).expect("the leave is written");
+    assert!(answered.try_recv().is_err(), "it is not acknowledged yet");
+    let result = Err(StoreError::Conflict { rows: Vec::new() });
+    let event = ControlEvent::LeaveWritten { value: value.clone(), result };
+    assert_eq!(written_leave(&state.handle(event, at(210))), None);
+    assert_eq!(written_leave(&state.tick(at(350))), Some(value.clone()));
+    let event = ControlEvent::LeaveWritten { value, result: Ok(9) };
+    assert_eq!(written_leave(&state.handle(event, at(360))), None);
+    assert!(answered.try_recv().is_ok(), "it is acknowledged");
+}
+
+/// Guards against targets that wait in vain for an acknowledgement while the store does not answer.
+#[test]
+fn a_leave_is_acknowledged_in_time_without_the_store() {
+    let mut state = ControlState::new(settings(0), at(0));
+    state.handle(ControlEvent::StoreReached(true), at(50));
+    send_heartbeat(&mut state, "t", 1, 100);
+    let (_, mut answered) = send_deregistration(&mut state, 200);
+    state.tick(at(700));
+    assert!(answered.try_recv().is_err());
+    state.tick(at(850));
+    assert!(answered.try_recv().is_ok());
+    let mut state = ControlState::new(settings(0), at(0));
+    send_heartbeat(&mut state, "t", 1, 100);
+    let (_, mut answered) = send_deregistration(&mut state, 200);
+    assert!(answered.try_recv().is_ok(), "nothing to wait for while the store is away");
+}
+
+/// Guards against a later run of a target under its id that is never used, as the one before it left
+/// before its node knew it.
+#[test]
+fn a_deregistration_of_an_unknown_target_counts_for_one_run() {
+    let mut state = ControlState::new(settings(0), at(0));
+    let (_, _answered) = send_deregistration(&mut state, 100);
+    send_heartbeat(&mut state, "t", 1, 300);
+    let row = LeaveRow { target_id: "t".to_owned(), born_ms: Some(0) };
+    let stored = Row {
+        key: SharedRowKey::Leave(&settings(0).node_name).key(),
+        value: Some(row.encode_to_vec().into()),
+        version: 7,
+    };
+    let mut next = ControlState::new(settings(0), at(0));
+    let event = ControlEvent::Rows { rows: vec![stored], version: 7, confirmed_at: None };
+    next.handle(event, at(50));
+    send_heartbeat(&mut next, "t", 1, 300);
+    let is_draining = |state: &ControlState| {
+        state.status(at(400)).target.expect("the target is known").is_draining
+    };
+    assert!(is_draining(&state) && is_draining(&next));
+    assert!(!row.names("t", 5), "a later run");
+}
