--- a/crates/galenastream_node/tests/ownership/odd_era_row.rs
+++ b/crates/galenastream_node/tests/ownership/malformed_era_row.rs
@@ -18,14 +18,14 @@
 /// Guards against a node that follows the rows no longer, so that all leases lapse, after another
 /// writer has left a row of the era with a number that is too large, or that cannot be decoded.
 #[test]
-fn rows_are_confirmed_and_the_row_is_repaired_beside_an_odd_era() {
-    for odd in
+fn rows_are_confirmed_and_a_malformed_era_is_repaired() {
+    for malformed in
         [EraRow { era: u64::MAX }.encode_to_vec(), EraRow { era: 1 }.encode_to_vec(), vec![0xff]]
     {
         let mut state = ControlState::new(settings(0), at(0));
         state.handle(ControlEvent::StoreReached(true), at(10));
         state.handle(config_event(config()), at(20));
-        let rows = vec![era_row(odd, 3)];
+        let rows = vec![era_row(malformed, 3)];
         state.handle(ControlEvent::Rows { rows, version: 3, confirmed_at: Some(at(30)) }, at(40));
         let empty =
             ControlEvent::Rows { rows: Vec::new(), version: 3, confirmed_at: Some(at(900)) };
--- a/crates/galenastream_node/tests/platform/odd_entries.rs
+++ b/crates/galenastream_node/tests/platform/malformed_entries.rs
@@ -19,11 +19,11 @@
 /// Deeper than a parser that recurses can go on the stack of a thread, and within the size of a row.
 const DEPTH: usize = 9_000;
 
-/// How long the nodes go on with the odd entries: longer than a lease.
-const ODD_TIME: Duration = Duration::from_secs(8);
+/// How long the nodes go on with the malformed entries: longer than a lease.
+const FOLLOWING_TIME: Duration = Duration::from_secs(8);
 
-/// Texts that are odd as a JSON document, a TOML document or any other entry.
-fn odd_texts() -> Vec<String> {
+/// Texts that are malformed as a JSON document, a TOML document or any other entry.
+fn malformed_texts() -> Vec<String> {
     let nested = |open: &str, close: &str| open.repeat(DEPTH) + &close.repeat(DEPTH);
     vec![
         nested("[", "]"),
@@ -43,7 +43,7 @@
 }
 
 /// Rows of nodes that cannot be reached at their addresses.
-fn odd_node_rows() -> Vec<Vec<u8>> {
+fn malformed_node_rows() -> Vec<Vec<u8>> {
     let addresses = [
         "127.0.0.1:65536",
         "127.0.0.1:0",
@@ -58,8 +58,8 @@
     addresses.iter().map(row).collect()
 }
 
-/// Sends status reports in the name of a target, and of one that nobody knows, with odd values.
-async fn send_odd_reports(deployment: &LocalDeployment, vm: usize) {
+/// Sends status reports in the name of a target, and of one that nobody knows, with malformed values.
+async fn send_malformed_reports(deployment: &LocalDeployment, vm: usize) {
     let ip = deployment.vms[vm].ip;
     let own_id = deployment.vms[vm].target.history().id;
     let address = SocketAddr::new(ip, 8_001).to_string();
@@ -72,7 +72,7 @@
         held: &[],
         released: &[],
     });
-    let mut bodies = odd_texts();
+    let mut bodies = malformed_texts();
     for (from, to) in [
         (&*address, "127.0.0.1:65536"),
         ("\"slots\":8", "\"slots\":1e999"),
@@ -113,26 +113,26 @@
 /// Guards against nodes that end, or stop following the rows, because of an entry that another writer
 /// left: very deeply nested, with a number that is too large, or with a port out of range.
 #[tokio::test(flavor = "multi_thread")]
-async fn nodes_go_on_beside_odd_entries() {
-    let mut deployment = start("odd-entries", &["carts", "stock", "carts", "stock"]).await;
+async fn nodes_go_on_beside_malformed_entries() {
+    let mut deployment = start("malformed-entries", &["carts", "stock", "carts", "stock"]).await;
     wait_for_confirmed_config(&deployment).await;
     let store = &deployment.store;
-    for (number, text) in odd_texts().iter().enumerate() {
+    for (number, text) in malformed_texts().iter().enumerate() {
         store.put("op", &format!("evacuate/odd-{number}"), text.as_bytes());
         store.put("galenastream", &format!("node/odd-{number}"), text.as_bytes());
         for key in ["settings/tree", "quarantine", "leave/vm-1"] {
             store.put("galenastream", key, text.as_bytes());
         }
     }
-    for (number, row) in odd_node_rows().iter().enumerate() {
+    for (number, row) in malformed_node_rows().iter().enumerate() {
         store.put("galenastream", &format!("node/unreachable-{number}"), row);
         store.put("galenastream", "node/vm-3", row);
     }
     for vm in 0..deployment.vms.len() {
-        send_odd_reports(&deployment, vm).await;
+        send_malformed_reports(&deployment, vm).await;
     }
-    tokio::time::sleep(ODD_TIME).await;
-    // A node that starts now reads the odd entries with everything else.
+    tokio::time::sleep(FOLLOWING_TIME).await;
+    // A node that starts now reads the malformed entries with everything else.
     deployment.vms[3].kill_node().unwrap();
     deployment.vms[3].start_node().unwrap();
     let config = DeploymentPlan::shop_config(2, "/shelf/").to_string();
