--- a/crates/galenastream_node/tests/platform/malformed_entries.rs
+++ b/crates/galenastream_node/tests/platform/malformed_entries.rs
@@ -61,12 +61,12 @@
 /// Sends status reports in the name of a target, and of one that nobody knows, with malformed values.
 async fn send_malformed_reports(deployment: &LocalDeployment, vm: usize) {
     let ip = deployment.vms[vm].ip;
-    let own_id = deployment.vms[vm].target.history().id;
+    let target = deployment.vms[vm].target.history();
     let address = SocketAddr::new(ip, 8_001).to_string();
     let whole = heartbeat_body(HeartbeatFields {
         born_ms: None,
         address: &address,
-        service: "stock",
+        service: &target.service,
         slots: 8,
         sequence: 1,
         held: &[],
@@ -93,7 +93,7 @@
     bodies.push(outdated.clone());
     for body in bodies {
         let expected_status = if body == outdated { 200 } else { 400 };
-        for id in [&*own_id, "odd"] {
+        for id in [&*target.id, "other"] {
             let mut writer =
                 CallerConnection::connect(SocketAddr::new(ip, CONTROL_PORT)).await.expect(WORKS);
             let head = format!(
