--- a/crates/galenastream_node/src/process/heartbeats.rs
+++ b/crates/galenastream_node/src/process/heartbeats.rs
@@ -217,7 +217,7 @@
         }
         let service = local.service.to_string();
         let reply = match (self.assignments.get(&service), self.confirmed_at) {
-            // It arrived before the first config, which says that the lists are not missing by right.
+            // Nothing is known of the keys: the lists were missing, perhaps before the first config.
             _ if !pending.reports_keys => HeartbeatReply::Acknowledged,
             _ if !self.holds_keys(&service) => HeartbeatReply::Acknowledged,
             _ if self.lease_delivery(&service) != LeaseDelivery::Heartbeats => {
