--- a/crates/galenastream_node/tests/platform/malformed_entries.rs
+++ b/crates/galenastream_node/tests/platform/malformed_entries.rs
@@ -3,7 +3,8 @@
 use std::{net::SocketAddr, time::Duration};
 
 use galenastream_standin::{
-    CallerConnection, DeploymentPlan, HeartbeatFields, LocalDeployment, heartbeat_body, wait_until,
+    CallerConnection, DeploymentPlan, HeartbeatFields, LocalDeployment, heartbeat_body,
+    heartbeat_request, wait_until,
 };
 use galenastream_wire::NodeRow;
 use prost::Message;
@@ -79,7 +80,8 @@
         ("\"slots\":8", "\"slots\":18446744073709551616"),
         ("\"seq\":1", "\"seq\":18446744073709551616"),
         ("\"seq\":1", "\"seq\":-1"),
-        ("\"coldRemainingMs\":0", "\"coldRemainingMs\":18446744073709551616"),
+        // The remaining time for which the target is cold.
+        ("\":0,", "\":18446744073709551616,"),
         ("\"born\":null", "\"born\":1e400"),
         ("\"ready\"", "\"unknown\""),
     ] {
@@ -96,13 +98,8 @@
         for id in [&*target.id, "other"] {
             let mut writer =
                 CallerConnection::connect(SocketAddr::new(ip, CONTROL_PORT)).await.expect(WORKS);
-            let head = format!(
-                "POST /galenastream/instances/{id}/heartbeat HTTP/1.1\r\nHost: {ip}\r\n\
-                 Content-Type: application/json\r\nContent-Length: {}\r\n\r\n",
-                body.len()
-            );
             // A report that is too long is refused while it is sent.
-            if writer.send(format!("{head}{body}").as_bytes()).await.is_ok() {
+            if writer.send(heartbeat_request(id, &body).as_bytes()).await.is_ok() {
                 let answer = writer.read().await;
                 assert!(answer.is_none_or(|it| it.status == expected_status), "{id}: {body:.200}");
             }
--- a/crates/galenastream_node/tests/platform/raw_answers.rs
+++ b/crates/galenastream_node/tests/platform/raw_answers.rs
@@ -10,18 +10,14 @@
 /// How often each fault is played.
 const ROUNDS: usize = 5;
 
-/// Starts two VMs, of which the second one has the only target of `service`. Requests for keys may run
-/// only once.
+/// Starts two VMs, of which the second one has the only target of `service`. No request may run more
+/// than once.
 async fn start_pair(name: &str, service: &str) -> (LocalDeployment, RawTarget) {
     let program = env!("CARGO_BIN_EXE_galenastreamd");
     let mut plan = DeploymentPlan::shop(name, program, &[]);
-    let mut config = DeploymentPlan::shop_config(1, "/stock/");
-    for path in config["virtualHosts"][0]["paths"].as_array_mut().expect(WORKS) {
-        if path["service"] == "carts" {
-            path["kind"] = "unsafe".into();
-        }
-    }
-    plan.config = Some(config);
+    let config = DeploymentPlan::shop_config(1, "/stock/").to_string();
+    let config = config.replace("\"safe\"", "\"unsafe\"");
+    plan.config = Some(serde_json::from_str(&config).expect(WORKS));
     let other = if service == "stock" { "carts" } else { "stock" };
     plan.vms = [other, service].map(VmPlan::new).to_vec();
     let mut deployment = LocalDeployment::start(&plan).await.expect("the deployment starts");
--- a/crates/galenastream_standin/src/platform_target/heartbeat_body.rs
+++ b/crates/galenastream_standin/src/platform_target/heartbeat_body.rs
@@ -21,6 +21,15 @@
     pub born_ms: Option<u64>,
 }
 
+/// Returns the request with which a target sends the body of a heartbeat.
+pub fn heartbeat_request(target_id: &str, body: &str) -> String {
+    format!(
+        "POST /galenastream/instances/{target_id}/heartbeat HTTP/1.1\r\nHost: node\r\n\
+         Content-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
 /// Returns the JSON body of a heartbeat of a target that is ready for requests.
 pub fn heartbeat_body(fields: HeartbeatFields<'_>) -> String {
     cold_heartbeat_body(fields, 0)
