The row of leaves keeps those before the last one

Found when reading the change: the row kept one leave. A deregistration of an id that the node does not know, perhaps of an earlier target and late, replaced the leave of the target that still serves, and a restart forgot that again.

The new test fails where only the last one is kept, and passes now; the test of a later run under the same id now plays the run before it.

--- a/crates/galenastream_node/src/process/control_state.rs
+++ b/crates/galenastream_node/src/process/control_state.rs
@@ -8,7 +8,7 @@
 use galenastream_ranges::{Assignment, LeaseTerms, Owner, TargetIncarnation, VacancyTracker};
 use galenastream_settings::SettingsTree;
 use galenastream_utils::{BootInstant, FastMap};
-use galenastream_wire::{KeyLoadRecord, LeaveRow, SharedRow};
+use galenastream_wire::{KeyLoadRecord, SharedRow};
 
 use super::config_confirmation::{ConfigConfirmation, KnownStoredConfig};
 use super::evacuations::{EvacuationSource, Evacuations};
@@ -21,7 +21,7 @@
 use super::quarantine_spread::QuarantineWrite;
 use super::row_versions::RowVersions;
 use super::store_eras::StoreEras;
-use super::target_leave::TargetLeave;
+use super::target_leave::TargetLeaves;
 use super::{ControlEvent, Effect, RefusedConfigPage, RequestQuarantine, TargetLimit};
 use crate::version::RoutingTable;
 
@@ -91,10 +91,7 @@
     pub(super) confirmed_at: Option<BootInstant>,
     /// Incarnations that have ended, oldest first.
     pub(super) ended: Vec<EndedTarget>,
-    /// The leave that this process has acknowledged last.
-    pub(super) leave: Option<TargetLeave>,
-    /// The leave that the row of this node names.
-    pub(super) stored_leave: Option<LeaveRow>,
+    pub(super) leaves: TargetLeaves,
     /// Ids of targets that deregistered while unknown to this process, with the time of the
     /// acknowledgement.
     pub(super) early_deregistrations: Vec<(String, BootInstant)>,
@@ -180,8 +177,7 @@
             rows_version: 0,
             confirmed_at: None,
             ended: Vec::new(),
-            leave: None,
-            stored_leave: None,
+            leaves: TargetLeaves::default(),
             early_deregistrations: Vec::new(),
             last_store_contact_at: started_at,
             last_peer_query_at: started_at,
@@ -353,7 +349,7 @@
             self.reconcile_assignment(&service, is_planner, now);
         }
         self.write_quarantine(is_planner);
-        self.settle_leave(now);
+        self.settle_leaves(now);
         self.reply_to_heartbeat(now);
         self.plan_lease_calls(now);
     }
--- a/crates/galenastream_node/src/process/store_eras.rs
+++ b/crates/galenastream_node/src/process/store_eras.rs
@@ -72,7 +72,7 @@
         if earlier > 0 {
             // The rows of this node may be among those that were lost.
             self.effects.push(Effect::AnnounceNode);
-            self.restore_leave();
+            self.restore_leaves();
         }
         self.eras = StoreEras {
             current: era,
--- a/crates/galenastream_node/src/process/target_leave.rs
+++ b/crates/galenastream_node/src/process/target_leave.rs
@@ -10,7 +10,7 @@
 use galenastream_adapter::{Row, StoreError};
 use galenastream_ranges::TargetIncarnation;
 use galenastream_utils::BootInstant;
-use galenastream_wire::{LeaveRow, SharedRowKey};
+use galenastream_wire::{LeaveRecord, LeaveRow, SharedRowKey};
 use prost::{Message, bytes::Bytes};
 use tokio::sync::oneshot;
 
@@ -23,11 +23,14 @@
 /// conflicts until the table is read again.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
 
-/// The leave that this process has acknowledged last, or is about to.
-#[derive(Debug)]
-pub(super) struct TargetLeave {
+/// The leaves that this process has acknowledged, or is about to.
+#[derive(Debug, Default)]
+pub(super) struct TargetLeaves {
+    /// The row as it has to be.
     row: LeaveRow,
-    write: LeaveWrite,
+    /// The row as the store has it; `None` if that is not known.
+    stored: Option<LeaveRow>,
+    is_write_pending: bool,
     /// When the row may be written.
     write_at: BootInstant,
     /// Until when acknowledgements wait for the row.
@@ -36,67 +39,56 @@
     answers: Vec<oneshot::Sender<HeartbeatAnswer>>,
 }
 
-/// The state of the write of the row.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum LeaveWrite {
-    Wanted,
-    UnderWay,
-    Done,
+impl TargetLeaves {
+    fn is_written(&self) -> bool {
+        self.row.leaves.is_empty() || self.stored.as_ref() == Some(&self.row)
+    }
 }
 
 impl ControlState {
     /// Records that a target beside this node leaves. `born_ms` is `None` if only its id is known.
     pub(super) fn record_leave(&mut self, target_id: &str, born_ms: Option<u64>, now: BootInstant) {
-        let row = LeaveRow { target_id: target_id.to_owned(), born_ms };
-        if self.leave.as_ref().is_some_and(|it| it.row == row) {
+        let leave = LeaveRecord { target_id: target_id.to_owned(), born_ms };
+        if self.leaves.row.leaves.contains(&leave) {
             return;
         }
-        let wait_until = match self.reaches_store {
+        self.leaves.row.add(leave);
+        self.leaves.wait_until = match self.reaches_store {
             true => now + MAX_ACKNOWLEDGEMENT_DELAY,
             false => now,
         };
-        let write = match self.stored_leave.as_ref() == Some(&row) {
-            true => LeaveWrite::Done,
-            false => LeaveWrite::Wanted,
-        };
-        let answers = self.leave.take().map_or_else(Vec::new, |it| it.answers);
-        self.leave = Some(TargetLeave { row, write, write_at: now, wait_until, answers });
     }
 
     /// Acknowledges a deregistration once the leave has been written, or that takes too long.
     pub(super) fn acknowledge_leave(&mut self, answer: oneshot::Sender<HeartbeatAnswer>) {
-        if let Some(leave) = &mut self.leave {
-            leave.answers.push(answer);
-        }
+        self.leaves.answers.push(answer);
     }
 
     /// Whether the acknowledgement of a leave waits for its row.
     pub(super) fn is_leave_unsettled(&self, now: BootInstant) -> bool {
-        let is_unsettled = |it: &TargetLeave| it.write != LeaveWrite::Done && now < it.wait_until;
-        self.leave.as_ref().is_some_and(is_unsettled)
+        !self.leaves.is_written() && now < self.leaves.wait_until
     }
 
-    /// Requests the write of a leave, and sends the acknowledgements that need not wait any longer.
-    pub(super) fn settle_leave(&mut self, now: BootInstant) {
+    /// Requests the write of the leaves, and sends the acknowledgements that need not wait any longer.
+    pub(super) fn settle_leaves(&mut self, now: BootInstant) {
         let key = SharedRowKey::Leave(&self.node).key();
         let expected_version = self.rows.get(&key).map_or(0, |it| it.version);
         let is_unsettled = self.is_leave_unsettled(now);
-        let Some(leave) = &mut self.leave else {
-            return;
-        };
+        let leaves = &mut self.leaves;
         if !is_unsettled {
-            for answer in leave.answers.drain(..) {
+            for answer in leaves.answers.drain(..) {
                 super::heartbeats::acknowledge(answer);
             }
         }
-        if leave.write == LeaveWrite::Wanted && now >= leave.write_at && self.reaches_store {
-            leave.write = LeaveWrite::UnderWay;
-            let value = Bytes::from(leave.row.encode_to_vec());
+        let is_due = !leaves.is_written() && !leaves.is_write_pending && now >= leaves.write_at;
+        if is_due && self.reaches_store {
+            leaves.is_write_pending = true;
+            let value = Bytes::from(leaves.row.encode_to_vec());
             self.effects.push(Effect::WriteLeave { key, expected_version, value });
         }
     }
 
-    /// Handles the end of a write that [`Self::settle_leave`] requested. It is requested again if it
+    /// Handles the end of a write that [`Self::settle_leaves`] requested. It is requested again if it
     /// failed.
     pub(super) fn handle_leave_written(
         &mut self,
@@ -104,13 +96,9 @@
         result: Result<u64, StoreError>,
         now: BootInstant,
     ) {
-        let is_current = |it: &TargetLeave| it.row.encode_to_vec() == value;
-        if let Some(leave) = self.leave.as_mut().filter(|it| is_current(it)) {
-            leave.write = match &result {
-                Ok(_) => LeaveWrite::Done,
-                Err(_) => LeaveWrite::Wanted,
-            };
-            leave.write_at = now + RETRY_DELAY;
+        self.leaves.is_write_pending = false;
+        if result.is_err() {
+            self.leaves.write_at = now + RETRY_DELAY;
         }
         match result {
             Ok(version) => {
@@ -127,21 +115,25 @@
 
     /// Handles an [`Effect::WriteLeave`] that was not carried out. It is requested again.
     pub(super) const fn handle_dropped_leave(&mut self) {
-        if let Some(leave) = &mut self.leave {
-            leave.write = LeaveWrite::Wanted;
-        }
+        self.leaves.is_write_pending = false;
     }
 
-    /// Takes over the row of a leave that an earlier process has acknowledged.
+    /// Takes over the row, with the leaves that earlier processes have acknowledged.
     pub(super) fn apply_leave_row(&mut self, row: &Row) {
-        self.stored_leave = match row.value.clone().map(LeaveRow::decode) {
-            Some(Ok(decoded)) => Some(decoded),
+        let stored = match row.value.clone().map(LeaveRow::decode) {
+            Some(Ok(decoded)) => decoded,
             Some(Err(error)) => {
                 log::warn!(event = "leave_row_malformed", reason:% = error; "");
-                return;
+                LeaveRow::default()
             }
-            None => None,
+            None => LeaveRow::default(),
         };
+        // The leaves of this process are newer than those in the row.
+        let own = std::mem::replace(&mut self.leaves.row, stored.clone());
+        for leave in own.leaves {
+            self.leaves.row.add(leave);
+        }
+        self.leaves.stored = Some(stored);
         self.apply_stored_leave();
     }
 
@@ -150,21 +142,19 @@
     pub(super) fn apply_stored_leave(&mut self) {
         let drain_time = Duration::from_millis(self.settings.bounds.drain_ms);
         let since = self.started_at.saturating_sub(drain_time);
-        let (Some(local), Some(stored)) = (&mut self.local, &self.stored_leave) else {
+        let Some(local) = &mut self.local else {
             return;
         };
         let TargetIncarnation { id, born_ms } = &local.incarnation;
-        if local.draining_since.is_some() || !stored.names(id, *born_ms) {
+        if local.draining_since.is_some() || !self.leaves.row.names(id, *born_ms) {
             return;
         }
         log::info!(event = "target_leaves", target:% = local.incarnation, how = "recorded"; "");
         local.draining_since = Some(since);
     }
 
-    /// Writes the leave again, since the store may have lost it.
-    pub(super) const fn restore_leave(&mut self) {
-        if let Some(leave) = &mut self.leave {
-            leave.write = LeaveWrite::Wanted;
-        }
+    /// Writes the leaves again, since the store may have lost them.
+    pub(super) fn restore_leaves(&mut self) {
+        self.leaves.stored = None;
     }
 }
--- a/crates/galenastream_node/tests/ownership/incarnations.rs
+++ b/crates/galenastream_node/tests/ownership/incarnations.rs
@@ -7,7 +7,7 @@
 };
 use galenastream_ranges::{Assignment, KeyRange, Owner, TargetIncarnation};
 use galenastream_standin::{HeartbeatFields, heartbeat_body};
-use galenastream_wire::{LeaveRow, SharedRow, SharedRowKey, SyncState};
+use galenastream_wire::{LeaveRecord, LeaveRow, SharedRow, SharedRowKey, SyncState};
 use prost::Message;
 use tokio::sync::oneshot;
 
@@ -259,26 +259,48 @@
     assert!(answered.try_recv().is_ok(), "nothing to wait for while the store is away");
 }
 
-/// Guards against a later run of a target under its id that is never used, as the one before it left
+/// Returns the state of the process after one that wrote this row of leaves.
+fn restarted(value: Bytes) -> ControlState {
+    let key = SharedRowKey::Leave(&settings(0).node_name).key();
+    let rows = vec![Row { key, value: Some(value), version: 7 }];
+    let mut state = ControlState::new(settings(0), at(0));
+    state.handle(ControlEvent::Rows { rows, version: 7, confirmed_at: None }, at(50));
+    state
+}
+
+fn is_draining(state: &ControlState, now_ms: u64) -> bool {
+    state.status(at(now_ms)).target.expect("the target is known").is_draining
+}
+
+/// Guards against a leave that is forgotten at a restart because another target was deregistered after
+/// it: the row kept only the last one.
+#[test]
+fn a_leave_outlasts_a_later_deregistration_of_an_unknown_target() {
+    let mut state = ControlState::new(settings(0), at(0));
+    state.handle(ControlEvent::StoreReached(true), at(50));
+    send_heartbeat(&mut state, "t", 1, 100);
+    let (effects, _answered) = send_deregistration(&mut state, 200);
+    let value = written_leave(&effects).expect("the leave is written");
+    state.handle(ControlEvent::LeaveWritten { value, result: Ok(9) }, at(210));
+    let (answer, _) = oneshot::channel();
+    let other = ControlEvent::Deregister { target_id: "other".to_owned(), answer };
+    let value = written_leave(&state.handle(other, at(400))).expect("the leave is written");
+    let mut next = restarted(value);
+    send_heartbeat(&mut next, "t", 2, 300);
+    assert!(is_draining(&next, 300));
+}
+
+/// Guards against a later run of a target under its id that is never used, as the run before it left
 /// before its node knew it.
 #[test]
 fn a_deregistration_of_an_unknown_target_counts_for_one_run() {
-    let mut state = ControlState::new(settings(0), at(0));
-    let (_, _answered) = send_deregistration(&mut state, 100);
-    send_heartbeat(&mut state, "t", 1, 300);
-    let row = LeaveRow { target_id: "t".to_owned(), born_ms: Some(0) };
-    let stored = Row {
-        key: SharedRowKey::Leave(&settings(0).node_name).key(),
-        value: Some(row.encode_to_vec().into()),
-        version: 7,
-    };
-    let mut next = ControlState::new(settings(0), at(0));
-    let event = ControlEvent::Rows { rows: vec![stored], version: 7, confirmed_at: None };
-    next.handle(event, at(50));
-    send_heartbeat(&mut next, "t", 1, 300);
-    let is_draining = |state: &ControlState| {
-        state.status(at(400)).target.expect("the target is known").is_draining
-    };
-    assert!(is_draining(&state) && is_draining(&next));
-    assert!(!row.names("t", 5), "a later run");
+    let mut row = LeaveRow::default();
+    row.add(LeaveRecord { target_id: "t".to_owned(), born_ms: None });
+    let mut state = restarted(row.encode_to_vec().into());
+    state.handle(ControlEvent::StoreReached(true), at(60));
+    let effects = send_heartbeat(&mut state, "t", 1, 300);
+    assert!(is_draining(&state, 300));
+    let value = written_leave(&effects).expect("the row names the run now");
+    let row = LeaveRow::decode(value).expect("a row");
+    assert!(row.names("t", 0) && !row.names("t", 5), "{row:?}");
 }
--- a/crates/galenastream_wire/src/lib.rs
+++ b/crates/galenastream_wire/src/lib.rs
@@ -12,7 +12,9 @@
 pub use error::WireError;
 pub use frame::{CorrelatedFrame, FrameCodec, MAX_FRAME_BYTES};
 pub use message::*;
-pub use row::{EraRow, LeaveRow, NodeRow, QuarantineRow, SHARED_ROWS_TABLE, SharedRowKey};
+pub use row::{
+    EraRow, LeaveRecord, LeaveRow, NodeRow, QuarantineRow, SHARED_ROWS_TABLE, SharedRowKey,
+};
 
 /// The most commonly used types.
 pub mod prelude {
