A caller may take 60 s to read an answer

Found when reading the change: answers count against the budget until callers have read them, and a caller that reads a little every few seconds kept its share for as long as it liked, so that long answers to others were refused. The kernel ends only connections without any progress.

The connection is closed 60 s after the answer was ready, longer than callers wait. No test of its own: it would take a minute. The tests of slow readers and stops pass.

--- a/crates/galenastream_node/src/connection/caller_connections.rs
+++ b/crates/galenastream_node/src/connection/caller_connections.rs
@@ -44,6 +44,10 @@
 /// VM, so that the close of a connection is always seen.
 const READ_PAUSE_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// How long a caller may take to read an answer, which is held in memory meanwhile; longer than callers
+/// wait for one.
+const MAX_SEND_TIME: Duration = Duration::from_secs(60);
+
 /// Serves callers until the process ends.
 pub async fn serve_callers(traffic: Arc<TrafficState>, listener: TcpListener) {
     accept_all(listener, |stream| {
@@ -80,8 +84,14 @@
                 // A caller that reads slowly gets the rest before the process stops.
                 let _counted = CountGuard::new(&traffic.in_progress);
                 let sending = send_response(&mut framed, response, is_to_head);
-                if send_beside(sending, &mut complete, &mut in_progress).await.is_err() {
-                    return;
+                let sending = send_beside(sending, &mut complete, &mut in_progress);
+                match timeout(MAX_SEND_TIME, sending).await {
+                    Ok(Ok(())) => {}
+                    Ok(Err(_)) => return,
+                    Err(_) => {
+                        log::info!(event = "caller_reads_too_slowly"; "");
+                        return;
+                    }
                 }
                 if is_final {
                     break;
