--- a/crates/galenastream_node/tests/ownership/other_writers.rs
+++ b/crates/galenastream_node/tests/ownership/other_writers.rs
@@ -1,4 +1,4 @@
-//! Status reports of another writer, in the name of the target.
+//! Heartbeats of another writer, in the name of the target.
 
 use galenastream_adapter::{HeartbeatReply, Row};
 use galenastream_node::{ControlEvent, ControlState, HeartbeatAnswer};
@@ -14,7 +14,7 @@
 
 const FENCE: u64 = 1;
 
-/// A status report of the target, which holds all keys.
+/// A heartbeat of the target, which holds all keys.
 fn report(sequence: u64) -> Value {
     let body = heartbeat_body(HeartbeatFields {
         address: &address(0),
@@ -28,7 +28,7 @@
     serde_json::from_str(&body).expect("a report")
 }
 
-/// A status report without some of its fields.
+/// A heartbeat without some of its fields.
 fn report_without(sequence: u64, fields: &[&str]) -> Value {
     let mut report = report(sequence);
     let object = report.as_object_mut().expect("an object");
--- a/crates/galenastream_node/tests/platform/malformed_entries.rs
+++ b/crates/galenastream_node/tests/platform/malformed_entries.rs
@@ -1,4 +1,4 @@
-//! Tests of rows and status reports that another writer has left.
+//! Tests of rows and heartbeats that another writer has left.
 
 use std::{net::SocketAddr, time::Duration};
 
@@ -59,7 +59,7 @@
     addresses.iter().map(row).collect()
 }
 
-/// Sends status reports in the name of a target, and of one that nobody knows, with malformed values.
+/// Sends heartbeats in the name of a target, and of one that nobody knows, with malformed values.
 async fn send_malformed_reports(deployment: &LocalDeployment, vm: usize) {
     let ip = deployment.vms[vm].ip;
     let target = deployment.vms[vm].target.history();
