--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,4 +1,4 @@
-"""Many users come at once, with bodies that the config allows: the node holds them all, beyond its memory."""
+"""A planned stop of the machine at which requests wait for a slot of an instance elsewhere."""
 
 import os
 import sys
@@ -7,90 +7,79 @@
 sys.path.insert(0, os.path.dirname(HERE))
 from standins_2 import *  # noqa: E402,F403
 
-MEMORY_MB = 260
-# The limit of the config is 64 MiB (`maxBodyBytes`).
-BODY_BYTES = 60 * 1024 * 1024
-# The usual number of such requests at once on a machine, and that of a burst of 1.67 times the usual traffic.
-USUAL, BURST = 3, 5
-ROUNDS = 3
-RESTART_S = 0.5
+GRACE_S = 6
+LOSS_SLACK_S = 0.2
+# One instance with 6 slots and 1 s a request serves 6 a second. Requesters send more, as in a busy hour.
+SLOTS, WORK_S, PER_S = 6, 1.0, 7.0
+# What requesters and the route allow.
+BUDGET_MS, TIMEOUT_MS, AIM_MS = 20000, 10000, 6000
+WARM_S = 45
 
 
 async def case(deployment):
     record = deployment.record
-    nodes, instances = [], []
-    for _ in range(3):
-        node, instance = deployment.add("alpha", memory_mb=MEMORY_MB, work_s=0.2)
-        nodes.append(node)
-        instances.append(instance)
-    routes = [("a.example", "/u/", "unsafe", "alpha", {}), ("a.example", "/s/", "safe", "alpha", {})]
-    await deployment.start(config({"alpha": False}, routes))
+    _, instance = deployment.add("alpha", slots=SLOTS, work_s=WORK_S)
+    entry, _ = deployment.add("beta")
+    options = dict(timeoutMs=TIMEOUT_MS, targetLatencyMs=AIM_MS)
+    await deployment.start(config({"alpha": False, "beta": False}, [("a.example", "/s/", "safe", "alpha", options)]))
     await asyncio.sleep(3)
 
-    ends = {node.name: 0 for node in nodes}
-    peaks = {node.name: 0 for node in nodes}
-    lost = []
-    is_over = False
+    is_over, stopped_at, ends = False, None, []
 
-    async def limit_memory(node):
-        """The platform: kills a process that exceeds `memoryMb`, and starts another one."""
-        while not is_over:
-            used = node.memory_bytes()
-            peaks[node.name] = max(peaks[node.name], used)
-            if used > MEMORY_MB * 1024 * 1024 or node.process.poll() is not None:
-                node.signal(signal.SIGKILL)
-                node.process.wait()
-                ends[node.name] += 1
-                record.say(f"{node.name} is killed at {used / 2**20:.0f} MiB, over its {MEMORY_MB}")
-                await asyncio.sleep(RESTART_S)
-                node.start()
-            await asyncio.sleep(0.002)
-
-    body = b"x" * BODY_BYTES
-
-    async def upload(node, rid):
-        """One request on a kept connection: nothing asks to close it."""
-        record.line(f"sent {rid} to {node.name}, {len(body)} bytes")
-        status = "no answer"
+    async def request(number):
+        """One request, sent and read whole unless the node ends the connection."""
+        rid = f"r{number:06d}"
+        reader, writer = await asyncio.open_connection(*entry.outbound)
         try:
-            reader, writer = await asyncio.open_connection(*node.outbound)
+            head = f"GET /s/{number} HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: {rid}\r\nX-Deadline-Ms: {BUDGET_MS}\r\n\r\n"
+            writer.write(head.encode())
+            await writer.drain()
+            sent_at = time.monotonic()
+            record.line(f"sent {rid}")
             try:
-                head = (f"POST /u/{rid} HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: {rid}\r\n"
-                        f"X-Deadline-Ms: 10000\r\nContent-Length: {len(body)}\r\n\r\n")
-                writer.write(head.encode())
-                for start in range(0, len(body), 1 << 20):
-                    writer.write(body[start:start + (1 << 20)])
-                    await writer.drain()
-                status = (await asyncio.wait_for(read_response(reader), 11))[0]
-            finally:
-                writer.transport.abort()
-        except (OSError, ConnectionError, asyncio.TimeoutError, asyncio.IncompleteReadError) as error:
-            status = repr(error)
-            if any(run[0] == rid for it in instances for run in it.runs):
-                lost.append(rid)
-        record.line(f"answered {rid} {status}")
-        return status
+                end = (await asyncio.wait_for(read_response(reader), BUDGET_MS / 1000 + 1))[0]
+            except (OSError, ConnectionError, asyncio.IncompleteReadError, asyncio.TimeoutError) as error:
+                end = repr(error)
+            ended_at = time.monotonic()
+            record.line(f"ended {rid} {end} after {ended_at - sent_at:.2f} s")
+            ends.append((rid, sent_at, ended_at, end))
+        finally:
+            writer.transport.abort()
 
-    tasks = [asyncio.create_task(limit_memory(node)) for node in nodes]
-    for number in range(ROUNDS):
-        count = BURST if TROUBLE else USUAL
-        uploads = [upload(node, f"u{number}-{node.index}-{it}") for node in nodes[:2] for it in range(count)]
-        results = await asyncio.gather(*uploads)
-        record.say(f"round {number}: {count} requests at once on each of two machines: {results}")
-        await asyncio.sleep(2)
-        await deployment.wait_ready(nodes)
-        # The machines settle, and usual requests are served.
-        await asyncio.sleep(6)
-        for node in nodes:
-            headers = {"Host": "a.example", "X-Request-Id": f"s{number}-{node.index}", "X-Deadline-Ms": "1500"}
-            record.line(f"a short request at {node.name}: {(await call(node.outbound, 'GET', '/s/1', headers))[0]}")
+    async def requests():
+        number, tasks = 0, []
+        while not is_over:
+            number += 1
+            task = asyncio.create_task(request(number))
+            tasks.append(task)
+            await asyncio.sleep(1 / PER_S)
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    load = asyncio.create_task(requests())
+    await asyncio.sleep(WARM_S)
+    stopped_at = time.monotonic()
+    if TROUBLE:
+        record.say(f"SIGTERM of {entry.name}, process {entry.process.pid}")
+        entry.signal(signal.SIGTERM)
+        while entry.process.poll() is None and time.monotonic() < stopped_at + GRACE_S:
+            await asyncio.sleep(0.01)
+        record.say(f"it has ended after {time.monotonic() - stopped_at:.2f} s, code {entry.process.poll()}")
+    else:
+        await asyncio.sleep(GRACE_S)
     is_over = True
-    await asyncio.gather(*tasks)
-    for node in nodes:
-        record.say(f"{node.name}: {ends[node.name]} ends, peak {peaks[node.name] / 2**20:.0f} MiB")
-    record.say(f"requests that an instance ran and that ended without an answer: {len(lost)}")
-    # Fault: "on a tenth of the machines in use (two at least) processes end by themselves three times in the day".
-    return sum(it >= 3 for it in ends.values()) < 2
+    await load
+
+    ran = {run[0] for run in instance.runs}
+    lost = [(rid, round(sent_at - stopped_at, 2), round(ended_at - sent_at, 2), end)
+            for rid, sent_at, ended_at, end in ends
+            if not isinstance(end, int) and rid not in ran and ended_at - sent_at > LOSS_SLACK_S]
+    counts = {}
+    for _, _, _, end in ends:
+        counts[end] = counts.get(end, 0) + 1
+    record.say(f"ends of requests: {counts}")
+    for rid, sent, took, end in lost:
+        record.say(f"{rid}, sent {sent} s after SIGTERM, never at the instance, ended after {took} s: {end}")
+    return not lost
 
 
 run_case(HERE, case)
--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -479,17 +479,28 @@
 
 
 def run_case(folder, case, limit_s=115):
-    """Runs `case(deployment)`, which returns whether the rule held, and exits with the status of the case."""
+    """Runs `case(deployment)`, which returns whether the rule held, and exits with the status of the case.
+
+    A case that fails by itself, or is told to stop, exits with 2. All processes end before.
+    """
     async def run():
+        loop, task = asyncio.get_running_loop(), asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, task.cancel)
         deployment = Deployment(folder)
         try:
             held = await asyncio.wait_for(case(deployment), limit_s)
             deployment.record.say("the rule held" if held else "the rule was broken")
             return 0 if held else 1
-        except (CannotRun, OSError, asyncio.TimeoutError) as error:
+        except (Exception, asyncio.CancelledError) as error:
             deployment.record.say(f"the case could not run: {error!r}")
             return 2
         finally:
             await deployment.close()
 
-    sys.exit(asyncio.run(run()))
+    status = 2
+    try:
+        status = asyncio.run(run())
+    except BaseException as error:
+        print(f"the case could not run: {error!r}")
+    sys.exit(status)
