--- a/review/7/case.py
+++ b/review/7/case.py
@@ -82,4 +82,4 @@
     return not lost
 
 
-run_case(HERE, case)
+run_case(os.path.join(HERE, "record.txt"), case)
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -119,4 +119,4 @@
     return not late_runs
 
 
-run_case(HERE, case)
+run_case(os.path.join(HERE, "record.txt"), case)
--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -23,11 +23,11 @@
 
 
 class Record:
-    """What was sent, answered and run, written to record.txt in the folder of the case."""
+    """What was sent, answered and run, written to the file that the case names."""
 
-    def __init__(self, folder):
+    def __init__(self, path):
         self.began = time.monotonic()
-        self.file = open(os.path.join(folder, "record.txt"), "w", encoding="utf-8")
+        self.file = open(path, "w", encoding="utf-8")
 
     def line(self, text):
         self.file.write(f"{time.monotonic() - self.began:8.3f} {text}\n")
@@ -400,8 +400,8 @@
 class Deployment:
     """The store, nodes and instances of a small deployment on loopback addresses of their own."""
 
-    def __init__(self, folder):
-        self.record = Record(folder)
+    def __init__(self, record_path):
+        self.record = Record(record_path)
         self.folder = tempfile.mkdtemp(prefix="galenastream-review-")
         with open(os.path.join(ROOT, "deploy", "system.toml"), "rb") as file:
             self.command = tomllib.load(file)["roles"]["node"]["run"].split(" ")
@@ -478,7 +478,7 @@
     }
 
 
-def run_case(folder, case, limit_s=115):
+def run_case(record_path, case, limit_s=115):
     """Runs `case(deployment)`, which returns whether the rule held, and exits with the status of the case.
 
     A case that fails by itself, or is told to stop, exits with 2. All processes end before.
@@ -487,7 +487,7 @@
         loop, task = asyncio.get_running_loop(), asyncio.current_task()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, task.cancel)
-        deployment = Deployment(folder)
+        deployment = Deployment(record_path)
         try:
             held = await asyncio.wait_for(case(deployment), limit_s)
             deployment.record.say("the rule held" if held else "the rule was broken")
