A target that may have left unnoticed has to go on sending heartbeats

Cause: no row had the leave, no process was left to remember it, and a new process takes the first heartbeat for proof that the target takes requests. That heartbeat may be older than the process. The log of the new process shows target_up and no target_leaves.

A process that is not part of the first start of its deployment now uses a target for 2.6 s, and from then on only if heartbeats have arrived at about their interval: two, or three if the store was not reached at once. A stopping process waits for the write of the leaves that it has acknowledged.

The stand-ins state whether a deployment starts for the first time.

--- a/crates/galenastream_ctl/src/request/members.rs
+++ b/crates/galenastream_ctl/src/request/members.rs
@@ -99,10 +99,11 @@
     let Some(target) = &status.target else {
         return "  no target".to_owned();
     };
-    let state = match (target.is_draining, target.is_silent) {
-        (true, _) => "draining",
-        (false, true) => "heartbeats stopped",
-        (false, false) => "ready",
+    let state = match target {
+        it if it.is_draining => "draining",
+        it if it.is_silent => "heartbeats stopped",
+        it if it.is_withheld => "unused, may have left",
+        _ => "ready",
     };
     let keys: u32 = target.leases.iter().map(|it| u32::from(it.last - it.first) + 1).sum();
     format!(
--- a/crates/galenastream_node/src/process/context.rs
+++ b/crates/galenastream_node/src/process/context.rs
@@ -75,6 +75,8 @@
     pub is_refusing: AtomicBool,
     /// Whether keys of the local target still have to be handed over before the process stops.
     pub has_keys_to_hand_over: AtomicBool,
+    /// Whether the store has yet to be told of a leave that this process has acknowledged.
+    pub has_leaves_to_write: AtomicBool,
 }
 
 /// The config and the shared rows, from which sync queries of other nodes are answered.
--- a/crates/galenastream_node/src/process/control_loop.rs
+++ b/crates/galenastream_node/src/process/control_loop.rs
@@ -140,6 +140,7 @@
         context.rows_watch_ms.store(millis(self.state.rows_watch()), Ordering::Relaxed);
         let has_keys_left = self.state.has_keys_to_hand_over();
         context.has_keys_to_hand_over.store(has_keys_left, Ordering::Relaxed);
+        context.has_leaves_to_write.store(self.state.has_leaves_to_write(), Ordering::Relaxed);
         let status = self.state.status(now);
         context.status.send_if_modified(|current| {
             let is_new = *current != status;
--- a/crates/galenastream_node/src/process/control_state.rs
+++ b/crates/galenastream_node/src/process/control_state.rs
@@ -57,6 +57,8 @@
     pub(super) local: Option<LocalTargetState>,
     pub(super) assignments: FastMap<String, AssignmentRecord>,
     pub(super) reaches_store: bool,
+    /// When this process reached the store first.
+    pub(super) store_reached_at: Option<BootInstant>,
     /// Whether the last read or watch of the table of the config succeeded.
     pub(super) reads_config: bool,
     /// The newest config that the store has shown.
@@ -156,6 +158,7 @@
             local: None,
             assignments: FastMap::default(),
             reaches_store: false,
+            store_reached_at: None,
             reads_config: false,
             refused_config: None,
             config_confirmation: None,
@@ -349,6 +352,7 @@
             self.reconcile_assignment(&service, is_planner, now);
         }
         self.write_quarantine(is_planner);
+        self.review_inheritance(now);
         self.settle_leaves(now);
         self.reply_to_heartbeat(now);
         self.plan_lease_calls(now);
@@ -435,8 +439,12 @@
         self.ran + now.saturating_since(self.last_tick_at).min(MAX_TICK_GAP)
     }
 
+    pub(super) const fn heartbeat_interval(&self) -> Duration {
+        Duration::from_millis(self.settings.heartbeat_ms)
+    }
+
     pub(super) fn heartbeat_timeout(&self) -> Duration {
-        Duration::from_millis(self.settings.heartbeat_ms) * HEARTBEAT_TIMEOUT_PERCENT / 100
+        self.heartbeat_interval() * HEARTBEAT_TIMEOUT_PERCENT / 100
     }
 
     pub(super) fn holds_keys(&self, service: &str) -> bool {
--- a/crates/galenastream_node/src/process/daemon.rs
+++ b/crates/galenastream_node/src/process/daemon.rs
@@ -113,6 +113,7 @@
         is_closing: Default::default(),
         is_refusing: Default::default(),
         has_keys_to_hand_over: Default::default(),
+        has_leaves_to_write: Default::default(),
     });
     let traffic = Arc::new(TrafficState::new(context));
     let control_traffic = traffic.clone();
@@ -205,8 +206,8 @@
     }
 }
 
-/// Stops gracefully: waits for the requests in progress, for the handover of the keys, and until the
-/// peers of all connections have read what they were sent, within the platform's grace period.
+/// Stops gracefully: waits for the requests in progress, for the handover of the keys, for the write of
+/// acknowledged leaves, and until the peers of all connections have read what they were sent, within the platform's grace period.
 async fn stop(traffic: &TrafficState) {
     log::info!(event = "process_stopping"; "");
     let started_at = Instant::now();
@@ -224,7 +225,8 @@
         let is_idle =
             traffic.in_progress.load(Ordering::Relaxed) == 0 && traffic.link.transfer_count() == 0;
         let has_keys = context.has_keys_to_hand_over.load(Ordering::Relaxed);
-        if Instant::now() >= stop_by || (is_idle && !has_keys) {
+        let has_leaves = context.has_leaves_to_write.load(Ordering::Relaxed);
+        if Instant::now() >= stop_by || (is_idle && !has_keys && !has_leaves) {
             break;
         }
         sleep(EXIT_POLL_INTERVAL).await;
--- a/crates/galenastream_node/src/process/heartbeats.rs
+++ b/crates/galenastream_node/src/process/heartbeats.rs
@@ -67,12 +67,14 @@
         }
         let max_reply_delay = self.max_reply_delay();
         let ran = self.ran_for(now);
+        let (interval, timeout) = (self.heartbeat_interval(), self.heartbeat_timeout());
         let reports_keys = heartbeat.keys.is_some();
         let Some(local) = &mut self.local else {
             return;
         };
         local.send_reply(HeartbeatReply::Acknowledged);
         local.update(&heartbeat, ran, now);
+        local.steady_heartbeats.record(interval, timeout, now);
         if let Some(record) = self.assignments.get(&*local.service) {
             log_foreign_holds(local, &record.assignment, record.version);
         }
@@ -158,7 +160,9 @@
             ""
         );
         let first_call_id = self.next_call_ids();
-        let mut local = LocalTargetState::new(incarnation.clone(), heartbeat, first_call_id, now);
+        let inheritance = self.inheritance(now);
+        let mut local =
+            LocalTargetState::new(incarnation.clone(), heartbeat, first_call_id, inheritance, now);
         let deregistered_at = self.take_early_deregistration(&incarnation.id);
         local.draining_since = deregistered_at;
         self.local = Some(local);
@@ -280,8 +284,7 @@
     }
 
     pub(super) fn max_reply_delay(&self) -> Duration {
-        let interval = Duration::from_millis(self.settings.heartbeat_ms);
-        MAX_REPLY_DELAY.min(interval * MAX_REPLY_DELAY_PERCENT / 100)
+        MAX_REPLY_DELAY.min(self.heartbeat_interval() * MAX_REPLY_DELAY_PERCENT / 100)
     }
 }
 
--- /dev/null
+++ b/crates/galenastream_node/src/process/inherited_target.rs
@@ -0,0 +1,102 @@
+//! Whether the local target may have left before this process started.
+//!
+//! Load pattern: all processes end right after a leave was acknowledged that no row has, since the
+//! store was away. Heartbeats from before the leave arrive late and say that the target is ready, and
+//! it serves on for seconds without sending others. So a target that an earlier process may have known
+//! has to go on sending heartbeats to this one, or it is no longer used.
+
+use std::time::Duration;
+
+use galenastream_utils::BootInstant;
+
+use super::control_state::ControlState;
+use super::ownership_facts::MAX_HEARTBEAT_DELAY;
+
+/// How long after its start a process uses a target that may have left. By then a target that stays has
+/// sent heartbeats, and the platform does not rely on the process yet.
+const PROVISIONAL_TIME: Duration = Duration::from_millis(2_600);
+
+/// Number of steady heartbeats that show that a target stays. One alone may be a late one.
+const HEARTBEATS_OF_STAYING: u32 = 2;
+
+/// The same if the store was away when the process started: an unrecorded leave is likelier then.
+const HEARTBEATS_OF_STAYING_AFTER_OUTAGE: u32 = 3;
+
+/// Time after its start within which a process reaches the store, unless that is away.
+const FIRST_CONTACT_TIME: Duration = Duration::from_millis(500);
+
+/// What this process knows of the leave of the local target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Inheritance {
+    /// An earlier process may have acknowledged a leave that this one does not know of.
+    Possible,
+    /// The same, and the target sends no steady heartbeats: it is not used.
+    Withheld,
+    /// The target has not left unnoticed.
+    Excluded,
+}
+
+/// Counts the heartbeats of a target that follow each other at about their usual interval. Late ones
+/// arrive at any time, or all at once.
+#[derive(Debug, Default)]
+pub(super) struct SteadyHeartbeats {
+    count: u32,
+    last_at: Option<BootInstant>,
+}
+
+impl SteadyHeartbeats {
+    /// Counts a heartbeat unless it follows another too closely. A pause starts the count again.
+    pub(super) fn record(&mut self, interval: Duration, timeout: Duration, now: BootInstant) {
+        let gap = self.last_at.map(|it| now.saturating_since(it));
+        if gap.is_some_and(|it| it < interval / 2) {
+            return;
+        }
+        if gap.is_some_and(|it| it > timeout) {
+            self.count = 0;
+        }
+        self.count = self.count.saturating_add(1);
+        self.last_at = Some(now);
+    }
+}
+
+impl ControlState {
+    /// Whether a target that is first heard now may have left under an earlier process.
+    pub(super) fn inheritance(&self, now: BootInstant) -> Inheritance {
+        let is_late = now.saturating_since(self.started_at) > MAX_HEARTBEAT_DELAY;
+        match self.settings.is_first_start || is_late {
+            true => Inheritance::Excluded,
+            false => Inheritance::Possible,
+        }
+    }
+
+    /// Withholds requests from the local target while it may have left, and allows them again once its
+    /// heartbeats show that it stays.
+    pub(super) fn review_inheritance(&mut self, now: BootInstant) {
+        let heartbeats_needed = match self.store_reached_at {
+            Some(at) if at.saturating_since(self.started_at) < FIRST_CONTACT_TIME => {
+                HEARTBEATS_OF_STAYING
+            }
+            _ => HEARTBEATS_OF_STAYING_AFTER_OUTAGE,
+        };
+        let is_provisional = now.saturating_since(self.started_at) < PROVISIONAL_TIME;
+        let Some(local) = &mut self.local else {
+            return;
+        };
+        let stays = local.steady_heartbeats.count >= heartbeats_needed;
+        let next = match local.inheritance {
+            Inheritance::Possible | Inheritance::Withheld if stays => Inheritance::Excluded,
+            Inheritance::Possible if !is_provisional => Inheritance::Withheld,
+            unchanged => unchanged,
+        };
+        let before = std::mem::replace(&mut local.inheritance, next);
+        match (before, next) {
+            (Inheritance::Possible, Inheritance::Withheld) => {
+                log::info!(event = "target_withheld", target:% = local.incarnation; "");
+            }
+            (Inheritance::Withheld, Inheritance::Excluded) => {
+                log::info!(event = "target_allowed", target:% = local.incarnation; "");
+            }
+            _ => {}
+        }
+    }
+}
--- a/crates/galenastream_node/src/process/local_target.rs
+++ b/crates/galenastream_node/src/process/local_target.rs
@@ -9,6 +9,7 @@
 use tokio::sync::oneshot;
 
 use super::cold_start::ColdStart;
+use super::inherited_target::{Inheritance, SteadyHeartbeats};
 use super::{HeartbeatAnswer, HeldLeases};
 
 /// The state of the local target as derived from its heartbeats.
@@ -24,6 +25,9 @@
     /// Whether a health check at the target's address has confirmed its id.
     pub(super) identity: Identity,
     pub(super) draining_since: Option<BootInstant>,
+    /// Whether the target may have left before this process started.
+    pub(super) inheritance: Inheritance,
+    pub(super) steady_heartbeats: SteadyHeartbeats,
     pub(super) cold: ColdStart,
     /// When the last heartbeat was replied to, if that was early enough for the target to wait for it:
     /// the next one was sent later.
@@ -82,6 +86,7 @@
         incarnation: TargetIncarnation,
         heartbeat: &Heartbeat,
         first_call_id: CallId,
+        inheritance: Inheritance,
         now: BootInstant,
     ) -> Self {
         Self {
@@ -93,6 +98,8 @@
             heard_after: Duration::ZERO,
             identity: Identity::Unknown,
             draining_since: None,
+            inheritance,
+            steady_heartbeats: SteadyHeartbeats::default(),
             cold: ColdStart::default(),
             replied_at: None,
             held: Vec::new(),
--- a/crates/galenastream_node/src/process/mod.rs
+++ b/crates/galenastream_node/src/process/mod.rs
@@ -13,6 +13,7 @@
 mod directory;
 mod evacuations;
 mod heartbeats;
+mod inherited_target;
 mod key_meter;
 mod lease_call_client;
 #[cfg(test)]
--- a/crates/galenastream_node/src/process/ownership_facts.rs
+++ b/crates/galenastream_node/src/process/ownership_facts.rs
@@ -16,7 +16,7 @@
 
 /// Assumed maximum delay of a heartbeat in transit. The platform may delay heartbeats by seconds,
 /// but by no more than the longest lease that it permits (10 s).
-const MAX_HEARTBEAT_DELAY: Duration = Duration::from_millis(10_000);
+pub(super) const MAX_HEARTBEAT_DELAY: Duration = Duration::from_millis(10_000);
 
 /// Number of remembered incarnations that have ended.
 const MAX_ENDED_INCARNATIONS: usize = 16;
--- a/crates/galenastream_node/src/process/planning.rs
+++ b/crates/galenastream_node/src/process/planning.rs
@@ -252,7 +252,7 @@
         let latency_ms = self.routing.as_ref().and_then(|it| it.min_target_latency_ms(service));
         let default_per_slot_per_s =
             LATENCY_PER_SERVICE_TIME * 1_000.0 / latency_ms.unwrap_or(1_000).max(1) as f64;
-        if let (Some(local), Some(owner)) = (&self.local, self.local_owner())
+        if let (Some(local), Some(owner)) = (self.usable_target(), self.local_owner())
             && &*local.service == service
         {
             let status = self.target_status(local, now);
--- a/crates/galenastream_node/src/process/publication.rs
+++ b/crates/galenastream_node/src/process/publication.rs
@@ -8,6 +8,7 @@
 use galenastream_wire::{NodeStatus, TargetStatus};
 
 use super::control_state::ControlState;
+use super::inherited_target::Inheritance;
 use super::local_limit::LocalLimit;
 use super::local_target::LocalTargetState;
 use super::ownership_log::millis;
@@ -25,7 +26,7 @@
             started_boot_ns: self.started_at.as_ns(),
             data_centre: self.settings.data_centre.clone(),
             address: self.settings.listeners.peers.to_string(),
-            target: self.local.as_ref().map(|it| self.target_status(it, now)),
+            target: self.usable_target().map(|it| self.target_status(it, now)),
             config_version: self.config_version(),
             is_closing: self.is_closing,
             is_refusing: self.is_refusing,
@@ -42,6 +43,11 @@
         }
     }
 
+    /// The local target, unless it may have left. It is then not published, as if it were not known yet.
+    pub(super) fn usable_target(&self) -> Option<&LocalTargetState> {
+        self.local.as_ref().filter(|it| it.inheritance != Inheritance::Withheld)
+    }
+
     pub(super) fn target_status(&self, local: &LocalTargetState, now: BootInstant) -> TargetStatus {
         let limit = self.limit_of(local);
         let measured = self.local_capacity_milli_per_s;
@@ -103,12 +109,12 @@
         Directory {
             nodes,
             assignments: assignments.collect(),
-            local: self.local.as_ref().map(|it| self.local_target(it, now)),
+            local: self.usable_target().map(|it| self.local_target(it, now)),
         }
     }
 
     fn local_entry(&self, now: BootInstant) -> NodeEntry {
-        let target = self.local.as_ref().map(|it| TargetEntry {
+        let target = self.usable_target().map(|it| TargetEntry {
             service: it.service.clone(),
             incarnation: it.incarnation.clone(),
             slots: it.slots,
@@ -183,6 +189,7 @@
             cold_remaining_ms: cold.map_or(0, |it| millis(it.until.saturating_since(now))),
             is_draining: it.draining_since.is_some(),
             is_silent: it.is_silent(now, self.heartbeat_timeout()),
+            is_withheld: it.inheritance == Inheritance::Withheld,
             leases_withheld: self.withheld_reason(now),
             leases: it.held_leases(now).pages(now),
         });
--- a/crates/galenastream_node/src/process/status_page.rs
+++ b/crates/galenastream_node/src/process/status_page.rs
@@ -113,6 +113,10 @@
     pub is_draining: bool,
     /// Whether its last heartbeat is more than 2.5 heartbeat intervals old.
     pub is_silent: bool,
+    /// Whether it gets no requests, since it may have left before the node started. Earlier versions do
+    /// not report it.
+    #[serde(default)]
+    pub is_withheld: bool,
     /// Why keys are not granted to it by calls, if they are not. Earlier versions do not report it.
     #[serde(default)]
     pub leases_withheld: Option<String>,
--- a/crates/galenastream_node/src/process/store_view.rs
+++ b/crates/galenastream_node/src/process/store_view.rs
@@ -389,6 +389,7 @@
         }
         self.reaches_store = reached;
         if reached {
+            self.store_reached_at.get_or_insert(now);
             self.last_store_contact_at = now;
         }
     }
--- a/crates/galenastream_node/src/process/target_leave.rs
+++ b/crates/galenastream_node/src/process/target_leave.rs
@@ -88,6 +88,11 @@
         }
     }
 
+    /// Whether the store has yet to be told of a leave.
+    pub fn has_leaves_to_write(&self) -> bool {
+        !self.leaves.is_written()
+    }
+
     /// Handles the end of a write that [`Self::settle_leaves`] requested. It is requested again if it
     /// failed.
     pub(super) fn handle_leave_written(
--- a/crates/galenastream_node/tests/ownership/fixtures.rs
+++ b/crates/galenastream_node/tests/ownership/fixtures.rs
@@ -12,6 +12,9 @@
 /// Interval between the heartbeats of a target.
 pub const HEARTBEAT_MS: u64 = 900;
 
+/// All nodes of a deployment start first within this time.
+const FIRST_START_MS: u64 = 1_500;
+
 pub fn address(index: usize) -> String {
     format!("10.0.0.{}:80", index + 1)
 }
@@ -48,6 +51,11 @@
     }
 }
 
+/// Settings of a process that starts at `now_ms` since the start of its deployment.
+pub fn settings_at_start(settings: NodeSettings, now_ms: u64) -> NodeSettings {
+    NodeSettings { is_first_start: now_ms < FIRST_START_MS, ..settings }
+}
+
 /// Settings whose longest lease differs.
 pub fn settings_with_bound(index: usize, max_lease_ms: u64) -> NodeSettings {
     let settings = settings(index);
--- a/crates/galenastream_node/tests/ownership/simulation.rs
+++ b/crates/galenastream_node/tests/ownership/simulation.rs
@@ -8,7 +8,7 @@
 use crate::{
     calls::Call,
     faults::Series,
-    fixtures::{address, settings_with_bound},
+    fixtures::{address, settings_at_start, settings_with_bound},
     injected_bug::{FirstSights, InjectedBug},
     invariants::Observations,
     messages::{Message, PeerQuery},
@@ -195,6 +195,7 @@
         }
         let vm = &mut self.vms[index];
         let settings = settings_with_bound(index, vm.max_lease_ms);
+        let settings = settings_at_start(settings, self.now_ms);
         vm.state = Some(ControlState::new(settings, vm.at(self.now_ms)));
         vm.rows_sent_version = 0;
         vm.rows_sent_at_ms = 0;
--- a/crates/galenastream_node/tests/ownership/state_machine/deployment.rs
+++ b/crates/galenastream_node/tests/ownership/state_machine/deployment.rs
@@ -16,7 +16,7 @@
     step::{Born, Step},
 };
 use crate::{
-    fixtures::{address, config, config_event, settings},
+    fixtures::{address, config, config_event, settings, settings_at_start},
     injected_bug::{InjectedBug, apply_to_reply},
     node_clock::NodeClock,
 };
@@ -158,7 +158,8 @@
             return;
         }
         if vm.state.is_none() && now_ms >= vm.starts_at_ms {
-            vm.state = Some(ControlState::new(settings(index), vm.clock.at(now_ms)));
+            let settings = settings_at_start(settings(index), now_ms - START_MS);
+            vm.state = Some(ControlState::new(settings, vm.clock.at(now_ms)));
             let config = config_event(config());
             self.send(index, config);
         }
--- a/crates/galenastream_node/tests/platform/announced_leave.rs
+++ b/crates/galenastream_node/tests/platform/announced_leave.rs
@@ -2,9 +2,11 @@
 
 use std::time::{Duration, Instant};
 
+use futures::future::join_all;
 use galenastream_adapter::header_names;
 use galenastream_standin::{
-    LocalDeployment, SentRequest, StoreFault, TargetAnnouncement, TargetArrival, wait_until,
+    CallerConnection, HeartbeatFields, LocalDeployment, LocalVm, SentRequest, StoreFault,
+    TargetAnnouncement, TargetArrival, heartbeat_body, heartbeat_request, wait_until,
 };
 
 use super::{
@@ -208,3 +210,166 @@
     assert!(began_at.elapsed() < ACKNOWLEDGEMENT_TIMEOUT, "{:?}", began_at.elapsed());
     deployment.close().unwrap();
 }
+
+/// How long after its start, or after the return of the store, the platform counts on a node.
+const STABLE_TIME: Duration = Duration::from_secs(3);
+
+/// How a target of [`leave_during_outage`] says that it leaves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum LeaveCall {
+    Deregistration,
+    DrainingHeartbeat,
+}
+
+/// How the nodes of [`leave_during_outage`] end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum NodesEnd {
+    AllKilled,
+    KilledInTurn,
+    Stopped,
+}
+
+/// Sends a heartbeat of the target of the first VM, and returns the status of the reply.
+async fn send_heartbeat(deployment: &LocalDeployment, state: &str, sequence: u64) -> u16 {
+    let vm = &deployment.vms[0];
+    let (id, address) = (vm.target.history().id, vm.target_address().to_string());
+    let body = heartbeat_body(HeartbeatFields {
+        address: &address,
+        service: "stock",
+        slots: 8,
+        sequence,
+        held: &[],
+        released: &[],
+        born_ms: None,
+    });
+    let request = heartbeat_request(&id, &body.replace("ready", state));
+    let mut control = CallerConnection::connect(vm.control_address()).await.expect(WORKS);
+    control.send(request.as_bytes()).await.expect(WORKS);
+    control.read().await.expect(WORKS).status
+}
+
+/// Returns how many requests reach a target that has left, later than the platform allows. Its leave is
+/// acknowledged while the store is away, and all processes end before that is back. `late_heartbeats`
+/// from before the leave arrive at the first node after its start.
+async fn leave_during_outage(
+    name: &str,
+    call: LeaveCall,
+    nodes_end: NodesEnd,
+    late_heartbeats: &[Duration],
+) -> usize {
+    let mut deployment = start(name, &["stock", "carts"]).await;
+    deployment.store.set_fault(StoreFault::Refuse(503));
+    wait_until("the outage to be known", TIMEOUT, async || {
+        deployment.vms[0].log().iter().any(|it| it["kvs"]["event"] == "store_lost")
+    })
+    .await
+    .expect(WORKS);
+    deployment.vms[0].target.stop_heartbeats();
+    match call {
+        LeaveCall::Deregistration => deployment.vms[0].target.deregister().await.expect(WORKS),
+        LeaveCall::DrainingHeartbeat => {
+            assert_eq!(send_heartbeat(&deployment, "draining", 1_002).await, 200);
+        }
+    }
+    tokio::time::sleep(DRAIN_TIME / 4).await;
+    for vm in &mut deployment.vms {
+        match nodes_end {
+            NodesEnd::AllKilled => vm.kill_node().expect(WORKS),
+            NodesEnd::KilledInTurn => {
+                vm.kill_node().expect(WORKS);
+                vm.start_node().expect(WORKS);
+                tokio::time::sleep(DRAIN_TIME / 4).await;
+            }
+            NodesEnd::Stopped => {}
+        }
+    }
+    if nodes_end == NodesEnd::Stopped {
+        let stopped = join_all(deployment.vms.iter_mut().map(LocalVm::stop_node)).await;
+        assert!(stopped.into_iter().all(|it| it.expect(WORKS).success()));
+    }
+    if nodes_end != NodesEnd::KilledInTurn {
+        for vm in &mut deployment.vms {
+            vm.start_node().expect(WORKS);
+        }
+    }
+    let started_at = Instant::now();
+    let late = async {
+        for (index, delay) in late_heartbeats.iter().enumerate() {
+            tokio::time::sleep_until((started_at + *delay).into()).await;
+            let _ = send_heartbeat(&deployment, "ready", 1_000 + index as u64).await;
+        }
+    };
+    let outage = async {
+        tokio::time::sleep(DRAIN_TIME / 2).await;
+        deployment.store.set_fault(StoreFault::None);
+        Instant::now()
+    };
+    let ((), back_at) = tokio::join!(late, outage);
+    tokio::time::sleep_until((back_at + STABLE_TIME).into()).await;
+    let target = &deployment.vms[0].target;
+    let arrivals_before = target.arrivals().len();
+    load_from(entries(&deployment, 0), "/orders/1", false, DRAIN_TIME).await;
+    let late_arrivals = deployment.vms[0].target.arrivals().len() - arrivals_before;
+    deployment.close().expect(WORKS);
+    late_arrivals
+}
+
+/// Guards against a leave that no row has, since the store was away, and that is forgotten when all
+/// processes are killed. One late heartbeat made the target ready again.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_deregistration_during_a_store_outage_holds_when_all_nodes_are_killed() {
+    let late = [Duration::from_millis(1_400)];
+    let call = LeaveCall::Deregistration;
+    let arrivals = leave_during_outage("outage-herd", call, NodesEnd::AllKilled, &late).await;
+    assert_eq!(arrivals, 0);
+}
+
+/// Guards against a target that is ready again after two late heartbeats at their usual interval.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_drain_during_a_store_outage_holds_when_two_late_heartbeats_follow() {
+    let late = [1_200, 1_400].map(Duration::from_millis);
+    let call = LeaveCall::DrainingHeartbeat;
+    let arrivals = leave_during_outage("outage-drain", call, NodesEnd::AllKilled, &late).await;
+    assert_eq!(arrivals, 0);
+}
+
+/// Guards against a leave that the nodes forget when they are killed one after the other: each of them
+/// hears only of nodes that have started since.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_deregistration_during_a_store_outage_holds_when_nodes_are_killed_in_turn() {
+    let late = [Duration::from_millis(400)];
+    let call = LeaveCall::Deregistration;
+    let arrivals = leave_during_outage("outage-turns", call, NodesEnd::KilledInTurn, &late).await;
+    assert_eq!(arrivals, 0);
+}
+
+/// Guards against a leave that no row has when the node that acknowledged it is stopped.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_deregistration_during_a_store_outage_holds_when_all_nodes_are_stopped() {
+    let late = [Duration::from_millis(1_400)];
+    let call = LeaveCall::Deregistration;
+    let arrivals = leave_during_outage("outage-stop", call, NodesEnd::Stopped, &late).await;
+    assert_eq!(arrivals, 0);
+}
+
+/// Guards against a running target that stays unused after its node has restarted during a store
+/// outage.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_target_that_stays_is_used_after_its_node_restarts_during_a_store_outage() {
+    let mut deployment = start("outage-stays", &["stock"]).await;
+    deployment.store.set_fault(StoreFault::Refuse(503));
+    deployment.vms[0].kill_node().unwrap();
+    deployment.vms[0].start_node().unwrap();
+    let started_at = Instant::now();
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    deployment.store.set_fault(StoreFault::None);
+    while started_at.elapsed() < Duration::from_secs(6) {
+        if started_at.elapsed() > STABLE_TIME {
+            assert!(deployment.vms[0].reaches("stock").await);
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    let log = deployment.vms[0].log();
+    assert!(!log.iter().any(|it| it["kvs"]["event"] == "target_withheld"));
+    deployment.close().unwrap();
+}
--- a/crates/galenastream_standin/src/deployment/local_vm.rs
+++ b/crates/galenastream_standin/src/deployment/local_vm.rs
@@ -41,6 +41,7 @@
     plan: VmPlan,
     program: PathBuf,
     settings: PathBuf,
+    node_starts: u32,
     folder: PathBuf,
     heartbeat_interval: Duration,
     target_count: u32,
@@ -73,16 +74,7 @@
         ))
         .await
         .with_context(|| format!("cannot start the target of {name}"))?;
-        let document = settings_document(SettingsFields {
-            node: &name,
-            ip,
-            service: &vm.service,
-            data_centre: &vm.data_centre,
-            heartbeat_ms: u64::try_from(plan.heartbeat_interval.as_millis())?,
-            store: addresses.store,
-            takes_calls: vm.conduct.takes_calls,
-        });
-        let settings = folder.write(&format!("{name}.toml"), &document)?;
+        let settings = folder.path().join(format!("{name}.toml"));
         let mut started = Self {
             name,
             ip,
@@ -90,6 +82,7 @@
             plan: vm.clone(),
             program: plan.program.clone(),
             settings,
+            node_starts: 0,
             folder: folder.path().to_owned(),
             heartbeat_interval: plan.heartbeat_interval,
             target_count: 1,
@@ -104,6 +97,19 @@
 
     /// Starts the node, also again after it was stopped or killed.
     pub fn start_node(&mut self) -> anyhow::Result<()> {
+        let document = settings_document(SettingsFields {
+            node: &self.name,
+            ip: self.ip,
+            service: &self.plan.service,
+            data_centre: &self.plan.data_centre,
+            heartbeat_ms: u64::try_from(self.heartbeat_interval.as_millis())?,
+            store: self.addresses.store,
+            takes_calls: self.plan.conduct.takes_calls,
+            is_first_start: self.node_starts == 0,
+        });
+        std::fs::write(&self.settings, document)
+            .with_context(|| format!("cannot write {:?}", self.settings))?;
+        self.node_starts += 1;
         let settings = self.settings.to_str().context(
             "the path of the settings file is not UTF-8; choose another folder for temporary files",
         )?;
@@ -224,6 +230,16 @@
         self.addresses.callers
     }
 
+    /// Returns the address that the heartbeats of the target name.
+    pub const fn target_address(&self) -> SocketAddr {
+        self.addresses.advertised_target
+    }
+
+    /// Returns the address where the node accepts heartbeats.
+    pub const fn control_address(&self) -> SocketAddr {
+        self.addresses.control
+    }
+
     /// Opens a connection of a caller on this VM.
     pub async fn caller(&self) -> anyhow::Result<CallerConnection> {
         let caller = CallerConnection::connect(self.callers_address()).await;
--- a/crates/galenastream_standin/src/platform_document/settings_document.rs
+++ b/crates/galenastream_standin/src/platform_document/settings_document.rs
@@ -22,13 +22,23 @@
     pub store: SocketAddr,
     /// Whether the target is granted its keys by calls.
     pub takes_calls: bool,
+    /// Whether the whole deployment starts for the first time.
+    pub is_first_start: bool,
 }
 
 /// Returns a settings file in TOML. The target listens at port 8001, the node at 8002 for other
 /// nodes, at 8003 for callers, at 8004 for health checks and at 8005 for the target.
 pub fn settings_document(fields: SettingsFields<'_>) -> String {
-    let SettingsFields { node, ip, service, data_centre, heartbeat_ms, store, takes_calls } =
-        fields;
+    let SettingsFields {
+        node,
+        ip,
+        service,
+        data_centre,
+        heartbeat_ms,
+        store,
+        takes_calls,
+        is_first_start,
+    } = fields;
     let grants = if takes_calls { "call" } else { "heartbeat" };
     format!(
         r#"
@@ -39,7 +49,7 @@
 bounds = ["drainMs=2000", "graceS=6", "maxHoldMs=10000"]
 appAddr = "{ip}:8001"
 service = "{service}"
-bootstrap = true
+bootstrap = {is_first_start}
 grants = "{grants}"
 [listen]
 inbound = "{ip}:8002"
--- a/crates/galenastream_standin/src/platform_target/platform_target_standin.rs
+++ b/crates/galenastream_standin/src/platform_target/platform_target_standin.rs
@@ -110,6 +110,11 @@
         Ok(())
     }
 
+    /// Stops sending heartbeats. The target serves on.
+    pub fn stop_heartbeats(&self) {
+        self.heartbeats.abort();
+    }
+
     /// Sets the fault of answers from now on.
     pub fn set_fault(&self, fault: TargetAnswerFault) {
         *lock(&self.state.fault) = fault;
