Requests that wait at the end of a stopping process are refused

Requests of other nodes that waited beside a stopping node ended with 502.

Cause: a stopping process waited until the end of its grace period for all that was in progress, and then ended. The process ended exactly then, no target had the requests, and the node beside the target logged nothing for them.

A stopping process now announces when it ends. A request begins only if its target is expected to answer before; others get 503, whether they arrive, wait beside the target or wait at another node. From there they are withdrawn, and the reply says whether they have begun.

--- a/crates/galenastream_node/src/connection/peer_connections.rs
+++ b/crates/galenastream_node/src/connection/peer_connections.rs
@@ -2,7 +2,7 @@
 
 use std::{
     pin::pin,
-    sync::{Arc, Mutex, PoisonError},
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
 
@@ -10,7 +10,7 @@
 use galenastream_runtime::{
     FrameReader, FrameWriter, LinkShare, ReceivedFrame, Transfer, boot_now,
 };
-use galenastream_utils::FastMap;
+use galenastream_utils::{FastMap, FastSet};
 use galenastream_wire::{
     CorrelatedFrame, ForwardedRequest, NodeStatus, PeerFrame, ReplyReason, StatusSeen, WireError,
     peer_frame::Body,
@@ -21,11 +21,12 @@
     task::{AbortHandle, JoinHandle},
     time::{Instant, timeout},
 };
+use tokio_util::sync::CancellationToken;
 
 use super::{accept::accept_all, served_connections::ServedConnection};
 use crate::{
     process::{ControlEvent, TrafficState, elapsed_ms},
-    request::{TOO_LONG_RETRY_AFTER_MS, TargetRun, not_sent, run_for_peer, unknown},
+    request::{TOO_LONG_RETRY_AFTER_MS, TargetRun, Withdrawal, not_sent, run_for_peer, unknown},
 };
 
 /// Maximum number of replies that wait to be written on one connection.
@@ -59,7 +60,8 @@
     let (replies, queue) = mpsc::channel(WRITE_QUEUE_FRAMES);
     let mut writer = tokio::spawn(write_replies(traffic.link.clone(), write_half, queue));
     let mut reader = FrameReader::new(read_half, traffic.body_budget.clone());
-    let connection = PeerConnection { traffic, replies, running: Arc::default() };
+    let connection =
+        PeerConnection { traffic, replies, running: Arc::default(), withdrawn: Mutex::default() };
     let mut last_frame_at = Instant::now();
     tokio::select! {
         () = connection.read(&mut reader, &mut last_frame_at) => {
@@ -224,7 +226,15 @@
 struct PeerConnection {
     traffic: Arc<TrafficState>,
     replies: mpsc::Sender<OutgoingReply>,
-    running: Arc<Mutex<FastMap<u64, AbortHandle>>>,
+    running: Arc<Mutex<FastMap<u64, RunningRequest>>>,
+    /// Requests that were withdrawn before they had arrived whole.
+    withdrawn: Mutex<FastSet<u64>>,
+}
+
+/// A request in progress.
+struct RunningRequest {
+    task: AbortHandle,
+    withdrawn: CancellationToken,
 }
 
 impl PeerConnection {
@@ -267,8 +277,8 @@
     /// Aborts the requests in progress, as the other node can no longer get their replies.
     fn close(self) {
         let mut running = self.running.lock().unwrap_or_else(PoisonError::into_inner);
-        for (_, task) in running.drain() {
-            task.abort();
+        for (_, request) in running.drain() {
+            request.task.abort();
         }
     }
 
@@ -287,6 +297,7 @@
             }
             Some(Body::Request(request)) => self.start(correlation, request),
             Some(Body::Cancel(_)) => self.cancel(correlation),
+            Some(Body::Withdrawal(_)) => self.withdraw(correlation),
             Some(Body::StatusSeen(_) | Body::Reply(_) | Body::SyncState(_) | Body::Part(_))
             | None => {
                 log::warn!(event = "peer_frame_unexpected"; "");
@@ -318,8 +329,13 @@
     fn start(&self, correlation: u64, request: ForwardedRequest) {
         let (traffic, replies) = (self.traffic.clone(), self.replies.clone());
         let running = self.running.clone();
+        let withdrawn = CancellationToken::new();
+        if lock(&self.withdrawn).remove(&correlation) {
+            withdrawn.cancel();
+        }
+        let withdrawal = Withdrawal::new(withdrawn.clone());
         let task = tokio::spawn(async move {
-            let TargetRun { reply, transfer } = run_for_peer(&traffic, request).await;
+            let TargetRun { reply, transfer } = run_for_peer(&traffic, request, withdrawal).await;
             lock(&running).remove(&correlation);
             let frame = PeerFrame { correlation, body: Some(Body::Reply(reply)) };
             let reply = match transfer {
@@ -331,13 +347,24 @@
             }
         });
         if !task.is_finished() {
-            lock(&self.running).insert(correlation, task.abort_handle());
+            let task = task.abort_handle();
+            lock(&self.running).insert(correlation, RunningRequest { task, withdrawn });
+        }
+    }
+
+    /// Withdraws a request. One that has been replied to is remembered until the connection ends.
+    fn withdraw(&self, correlation: u64) {
+        match lock(&self.running).get(&correlation) {
+            Some(request) => request.withdrawn.cancel(),
+            None => {
+                lock(&self.withdrawn).insert(correlation);
+            }
         }
     }
 
     fn cancel(&self, correlation: u64) {
         match lock(&self.running).remove(&correlation) {
-            Some(task) => task.abort(),
+            Some(request) => request.task.abort(),
             // The reply is on its way, or waits for the link.
             None => {
                 if self.replies.try_send(OutgoingReply::Unwanted { correlation }).is_err() {
@@ -359,8 +386,6 @@
     request.prompt_ms = request.prompt_ms.saturating_sub(delay_ms);
 }
 
-fn lock(
-    running: &Mutex<FastMap<u64, AbortHandle>>,
-) -> std::sync::MutexGuard<'_, FastMap<u64, AbortHandle>> {
-    running.lock().unwrap_or_else(PoisonError::into_inner)
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/galenastream_node/src/connection/peer_links.rs
+++ b/crates/galenastream_node/src/connection/peer_links.rs
@@ -1,6 +1,7 @@
 //! Connections to other nodes, and the exchange of statuses with them.
 
 use std::{
+    future::{Future, pending},
     net::SocketAddr,
     pin::pin,
     sync::{
@@ -72,7 +73,8 @@
     /// Sends a message to a node and waits for the reply. Dropping the future cancels the request.
     ///
     /// If the node turns out not to react, the request is given up with [`PeerError::Lost`] if
-    /// `may_give_up` returns true at that moment. Otherwise it goes on: the node may only be slow.
+    /// `may_give_up` returns true at that moment. Otherwise it goes on: the node may only be slow. When
+    /// `withdrawal` completes, the node is told that the request need not begin.
     pub async fn call(
         &self,
         node: NodeKey,
@@ -80,9 +82,10 @@
         body: Body,
         reply_timeout: Duration,
         may_give_up: impl Fn() -> bool,
+        withdrawal: impl Future<Output = ()>,
     ) -> Result<Body, PeerError> {
         let open = self.link(node, address).await?;
-        let mut reply = pin!(open.link.call(body, reply_timeout));
+        let mut reply = pin!(open.link.call_until(body, reply_timeout, withdrawal));
         tokio::select! {
             result = &mut reply => return result,
             () = open.retired.cancelled() => {}
@@ -297,7 +300,7 @@
     let asked_at = boot_now();
     let result = traffic
         .links
-        .call(node, entry.address, Body::SyncQuery(query), QUERY_TIMEOUT, || true)
+        .call(node, entry.address, Body::SyncQuery(query), QUERY_TIMEOUT, || true, pending())
         .await;
     match result {
         Ok(Body::SyncState(state)) => {
--- a/crates/galenastream_node/src/process/daemon.rs
+++ b/crates/galenastream_node/src/process/daemon.rs
@@ -217,6 +217,7 @@
     let grace = Duration::from_millis(context.settings.load().bounds.grace_ms);
     let max_duration = grace.saturating_sub(EXIT_MARGIN);
     let stop_by = started_at + max_duration;
+    traffic.end.announce(stop_by);
     sleep(CLOSING_TIME.min(max_duration.saturating_sub(REFUSING_TIME))).await;
     context.is_refusing.store(true, Ordering::Relaxed);
     context.control_events.deliver(ControlEvent::Refusing);
--- a/crates/galenastream_node/src/process/mod.rs
+++ b/crates/galenastream_node/src/process/mod.rs
@@ -31,6 +31,7 @@
 mod ownership_log;
 mod peer_book;
 mod planning;
+mod process_end;
 mod publication;
 mod quarantine_spread;
 mod remembered_announcements;
@@ -66,6 +67,7 @@
 pub use local_announcement::LocalAnnouncement;
 pub use logs::{flush_log, start_log};
 pub use metrics_page::render_metrics;
+pub use process_end::ProcessEnd;
 pub use remembered_announcements::{RememberedAnnouncements, earliest, elapsed_ms};
 pub use request_quarantine::{RequestQuarantine, decode_suspect, describe_request, encode_suspect};
 pub use status_page::{
--- a/crates/galenastream_node/src/process/traffic_state.rs
+++ b/crates/galenastream_node/src/process/traffic_state.rs
@@ -20,7 +20,7 @@
 use tokio::sync::{Notify, futures::Notified};
 
 use super::{
-    ControlEvent, LocalAnnouncement, LocalTarget, NodeContext, RememberedAnnouncements,
+    ControlEvent, LocalAnnouncement, LocalTarget, NodeContext, ProcessEnd, RememberedAnnouncements,
     TargetLimit, TrafficTally,
 };
 use crate::connection::{PeerLinks, ServedConnections, TargetConnections};
@@ -61,6 +61,8 @@
     pub admission: AdmissionController,
     log_budget: LogBudget,
     tally: Mutex<TrafficTally>,
+    /// The end of this process, once it is about to stop.
+    pub end: ProcessEnd,
     /// Counts the requests in progress at this node. A request may be counted more than once; 0
     /// means that there is none.
     pub in_progress: AtomicUsize,
@@ -129,6 +131,7 @@
             context,
             log_budget: LogBudget::new(),
             tally: Mutex::default(),
+            end: ProcessEnd::default(),
             in_progress: AtomicUsize::new(0),
             placement: Mutex::new(TargetSelector::new(rand::random())),
             retry_budgets: Mutex::default(),
@@ -288,6 +291,12 @@
         self.context.service_time_us.store(mean_us, Ordering::Relaxed);
     }
 
+    /// The mean service time of the local target, if it has been measured.
+    pub fn measured_service_time(&self) -> Option<Duration> {
+        let mean_us = self.context.service_time_us.load(Ordering::Relaxed);
+        (mean_us > 0).then(|| Duration::from_micros(mean_us))
+    }
+
     /// The mean service time of the local target in microseconds, as other nodes are told; 0 before
     /// anything was measured, and for some time after the end of a request limit.
     pub fn service_time_us(&self) -> u32 {
--- a/crates/galenastream_node/src/request/attempt.rs
+++ b/crates/galenastream_node/src/request/attempt.rs
@@ -15,6 +15,7 @@
     caller_request::CallerRequest,
     target_reply::{TOO_LONG_RETRY_AFTER_MS, not_sent, unknown},
     target_run::{AnswerWay, run_at_target},
+    withdrawal::{Withdrawal, estimate},
 };
 use crate::process::{NodeEntry, TrafficState};
 
@@ -52,7 +53,7 @@
     let reply = {
         let _in_progress = InProgressGuard::new(traffic, node);
         if destination.node.is_local {
-            run_at_target(traffic, message, AnswerWay::Local).await.reply
+            run_at_target(traffic, message, AnswerWay::Local, Withdrawal::default()).await.reply
         } else {
             forward_to_peer(traffic, destination, message, may_retry).await
         }
@@ -98,9 +99,11 @@
 ) -> ForwardedReply {
     let reply_timeout = Duration::from_millis(u64::from(message.remaining_ms)) + REPLY_GRACE;
     let (node, address) = (destination.node.key, destination.node.address);
+    let withdrawal =
+        traffic.end.too_late_for(expected_time(traffic, node, message.target_latency_ms));
     let body = Body::Request(message);
     let (outcome, reason) =
-        match traffic.links.call(node, address, body, reply_timeout, may_retry).await {
+        match traffic.links.call(node, address, body, reply_timeout, may_retry, withdrawal).await {
             Ok(Body::Reply(reply)) if is_proved(&reply) => return reply,
             // An older version of the node passes on what its target did not sign.
             Ok(Body::Reply(_)) => (ReplyOutcome::Unknown, ReplyReason::UnsignedAnswer),
@@ -120,6 +123,16 @@
     ForwardedReply { outcome: outcome as i32, reason: reason as i32, ..Default::default() }
 }
 
+/// How long a request is expected to take at a target, once it has begun.
+pub(super) fn expected_time(
+    traffic: &TrafficState,
+    node: NodeKey,
+    target_latency_ms: u32,
+) -> Duration {
+    let observed = traffic.placement().service_time(node);
+    observed.unwrap_or_else(|| estimate(target_latency_ms))
+}
+
 fn forwarded_request(
     traffic: &TrafficState,
     request: &CallerRequest,
@@ -146,7 +159,7 @@
         is_idempotent: request.route.kind.is_idempotent(),
         key_plus_one: key.map_or(0, |it| u32::from(it) + 1),
         prompt_ms: request.soft_deadline.remaining_ms(now),
-        target_latency_ms: u32::try_from(request.route.target_latency_ms).unwrap_or(u32::MAX),
+        target_latency_ms: request.target_latency_ms(),
         sent_at_ns: now.as_ns(),
         has_alternatives: destination.has_alternatives,
         waited_ms: request.waited_ms,
--- a/crates/galenastream_node/src/request/attempts.rs
+++ b/crates/galenastream_node/src/request/attempts.rs
@@ -13,7 +13,7 @@
 use metrics::{counter, histogram};
 
 use super::{
-    attempt::{Destination, attempt, is_signed},
+    attempt::{Destination, attempt, expected_time, is_signed},
     caller_request::CallerRequest,
     counted_attempt::CountedAttempt,
     progress::Progress,
@@ -156,7 +156,7 @@
         self.traffic.count_first_send(service);
         let mut progress = Progress::new();
         loop {
-            if !self.has_time() {
+            if !self.has_time() || self.traffic.end.cuts_off(Duration::ZERO) {
                 return progress.give_up();
             }
             let suspect = match self.traffic.context.quarantine.suspicion(self.fingerprint) {
@@ -173,6 +173,9 @@
                 tokio::time::sleep(OWNER_POLL_INTERVAL).await;
                 continue;
             };
+            if self.is_too_late(&destination) {
+                return progress.give_up();
+            }
             if progress.is_retry_due && !self.begin_retry(&mut progress) {
                 return progress.give_up();
             }
@@ -203,6 +206,13 @@
             && self.traffic.has_retry(self.service)
     }
 
+    /// Whether this process ends before the target could have answered.
+    fn is_too_late(&self, destination: &Destination) -> bool {
+        let target_latency_ms = self.request.target_latency_ms();
+        let expected = expected_time(self.traffic, destination.node.key, target_latency_ms);
+        self.traffic.end.cuts_off(expected)
+    }
+
     fn has_time(&self) -> bool {
         self.request.deadline.remaining(boot_now()) > MIN_ATTEMPT_TIME
     }
--- a/crates/galenastream_node/src/request/caller_request.rs
+++ b/crates/galenastream_node/src/request/caller_request.rs
@@ -73,6 +73,11 @@
         })
     }
 
+    /// The target latency of the route in milliseconds.
+    pub(super) fn target_latency_ms(&self) -> u32 {
+        u32::try_from(self.route.target_latency_ms).unwrap_or(u32::MAX)
+    }
+
     /// What identifies the request in responses and log lines.
     pub(super) fn address(&self) -> RequestAddress<'_> {
         RequestAddress { request_id: &self.id, host: &self.host, path: &self.path }
--- a/crates/galenastream_node/src/request/mod.rs
+++ b/crates/galenastream_node/src/request/mod.rs
@@ -21,6 +21,7 @@
 mod target_choice;
 mod target_reply;
 mod target_run;
+mod withdrawal;
 
 pub use entry::{answer_caller, refuse_unread};
 pub use explanation::{
@@ -29,3 +30,4 @@
 };
 pub use target_reply::{TOO_LONG_RETRY_AFTER_MS, not_sent, unknown};
 pub use target_run::{TargetRun, run_for_peer};
+pub use withdrawal::Withdrawal;
--- a/crates/galenastream_node/src/request/target_run.rs
+++ b/crates/galenastream_node/src/request/target_run.rs
@@ -14,7 +14,6 @@
 use http::{HeaderValue, Method, Request, header};
 use http_body_util::Full;
 use metrics::counter;
-use tokio_util::sync::CancellationToken;
 
 use super::{
     crash::{record_lost_run, wait_for_turn},
@@ -25,6 +24,7 @@
     target_reply::{
         MOVING_RETRY_AFTER_MS, UNREACHABLE_RETRY_AFTER_MS, not_sent, reply_from_result, unknown,
     },
+    withdrawal::{Withdrawal, estimate},
 };
 use crate::{
     connection::TargetResult,
@@ -39,10 +39,6 @@
 /// that, a retry by the caller is better than a longer wait.
 const LEASE_WAIT_DIVISOR: u32 = 2;
 
-/// Operators set the target latency of a route to about this many times its service time. The
-/// service time is estimated with it until it is measured.
-const SERVICE_TIME_ESTIMATE_DIVISOR: u32 = 3;
-
 /// How an answer gets to the node of its caller.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum AnswerWay {
@@ -72,15 +68,15 @@
     traffic: &Arc<TrafficState>,
     request: ForwardedRequest,
     way: AnswerWay,
+    withdrawal: Withdrawal,
 ) -> TargetRun {
-    let caller_left = CancellationToken::new();
     if request.is_idempotent {
-        return run_counted(traffic, request, way, &caller_left).await;
+        return run_counted(traffic, request, way, &withdrawal).await;
     }
-    let _cancel_on_drop = caller_left.clone().drop_guard();
+    let _cancel_on_drop = withdrawal.caller_left.clone().drop_guard();
     let traffic = traffic.clone();
     let running =
-        tokio::spawn(async move { run_counted(&traffic, request, way, &caller_left).await });
+        tokio::spawn(async move { run_counted(&traffic, request, way, &withdrawal).await });
     running.await.unwrap_or_else(|error| {
         log::error!(event = "request_task_failed", reason:% = error; "");
         TargetRun::new(unknown(ReplyReason::ConnectionLost))
@@ -91,7 +87,7 @@
     traffic: &Arc<TrafficState>,
     request: ForwardedRequest,
     way: AnswerWay,
-    caller_left: &CancellationToken,
+    withdrawal: &Withdrawal,
 ) -> TargetRun {
     let _counted = CountGuard::new(&traffic.in_progress);
     let _pending = traffic.count_pending();
@@ -109,7 +105,7 @@
     let has_long_answer = request.has_long_answer;
     let (mut reply, transfer) = match plan_transfer(traffic, &request, way, times) {
         Ok((transfer, times)) => {
-            let reply = admit_and_send(traffic, request, fingerprint, times, caller_left).await;
+            let reply = admit_and_send(traffic, request, fingerprint, times, withdrawal).await;
             let is_answered = reply.outcome == ReplyOutcome::Answered as i32;
             (reply, transfer.filter(|_| is_answered))
         }
@@ -157,7 +153,11 @@
 
 /// Runs a request that another node forwarded, or refuses it if this node is about to stop or the
 /// request's deadline passed on its way.
-pub async fn run_for_peer(traffic: &Arc<TrafficState>, request: ForwardedRequest) -> TargetRun {
+pub async fn run_for_peer(
+    traffic: &Arc<TrafficState>,
+    request: ForwardedRequest,
+    withdrawal: Withdrawal,
+) -> TargetRun {
     if traffic.context.is_refusing.load(Ordering::Relaxed) {
         return TargetRun::new(not_sent(ReplyReason::Draining, MOVING_RETRY_AFTER_MS));
     }
@@ -166,7 +166,7 @@
         let reply = not_sent(ReplyReason::DeadlinePassed, UNREACHABLE_RETRY_AFTER_MS);
         return TargetRun::new(reply);
     }
-    run_at_target(traffic, request, AnswerWay::Link).await
+    run_at_target(traffic, request, AnswerWay::Link, withdrawal).await
 }
 
 impl TargetRun {
@@ -181,11 +181,11 @@
     request: ForwardedRequest,
     fingerprint: RequestFingerprint,
     (soft_deadline, deadline): (Deadline, Deadline),
-    caller_left: &CancellationToken,
+    withdrawal: &Withdrawal,
 ) -> ForwardedReply {
     let turn = tokio::select! {
         turn = wait_for_turn(traffic, fingerprint, deadline) => turn,
-        () = caller_left.cancelled() => return not_sent(ReplyReason::CallerLeft, 0),
+        reply = withdrawal.reply(traffic, &request) => return reply,
     };
     let turn = match turn {
         Ok(turn) => turn,
@@ -193,7 +193,7 @@
     };
     let runnable = tokio::select! {
         runnable = wait_for_lease(traffic, &request, deadline) => runnable,
-        () = caller_left.cancelled() => return not_sent(ReplyReason::CallerLeft, 0),
+        reply = withdrawal.reply(traffic, &request) => return reply,
     };
     if let Err(reply) = runnable {
         return reply;
@@ -205,15 +205,14 @@
     let class = class_of(request.target_latency_ms, request.rank, request.has_long_answer)
         .with_alternatives(request.has_alternatives)
         .with_waited_ms(request.waited_ms);
-    let estimate =
-        Duration::from_millis(u64::from(request.target_latency_ms)) / SERVICE_TIME_ESTIMATE_DIVISOR;
+    let estimate = estimate(request.target_latency_ms);
     traffic.admission.assume_service_time(class, estimate);
     let admitted = tokio::select! {
         admitted = traffic
             .admission
             .admit_with_soft_deadline(class, soft_deadline, deadline) => admitted,
         () = evacuation(traffic) => return not_sent(ReplyReason::Evacuated, MOVING_RETRY_AFTER_MS),
-        () = caller_left.cancelled() => return not_sent(ReplyReason::CallerLeft, 0),
+        reply = withdrawal.reply(traffic, &request) => return reply,
     };
     let mut slot = match admitted {
         Ok(slot) => slot,
--- a/crates/galenastream_node/tests/platform/node_stop.rs
+++ b/crates/galenastream_node/tests/platform/node_stop.rs
@@ -5,7 +5,11 @@
     time::{Duration, Instant},
 };
 
-use galenastream_standin::{CallerConnection, TargetAnswerFault, request_bytes, wait_until};
+use futures::future::join_all;
+use galenastream_standin::{
+    CallerConnection, DeploymentPlan, LocalDeployment, TargetAnswerFault, TargetCapacity,
+    request_bytes, wait_until,
+};
 
 use super::{TIMEOUT, WORKS, deployment::start};
 
@@ -92,3 +96,118 @@
     }
     answers
 }
+
+/// How long after SIGTERM the requests of [`burst_in_a_stop`] are sent. A stopping node takes them.
+const BURST_DELAY: Duration = Duration::from_millis(2_000);
+
+/// Starts a deployment of `carts` and `stock` whose callers wait for long. The target of `stock` has two
+/// slots, and takes this long for a request from now on.
+async fn start_patient(
+    name: &str,
+    service_time: Duration,
+    target_latency_ms: u32,
+) -> LocalDeployment {
+    let program = env!("CARGO_BIN_EXE_galenastreamd");
+    let mut plan = DeploymentPlan::shop(name, program, &["carts", "stock"]);
+    plan.vms[1].capacity = TargetCapacity { slots: 2, ..Default::default() };
+    let config = plan.config.as_mut().expect("the shop has a config");
+    for route in config["virtualHosts"][0]["paths"].as_array_mut().expect("a list of routes") {
+        route["timeoutMs"] = 10_000.into();
+        route["targetLatencyMs"] = target_latency_ms.into();
+    }
+    let deployment = LocalDeployment::start(&plan).await.expect("the deployment starts");
+    deployment.vms[1].target.set_fault(TargetAnswerFault::Slow(service_time));
+    deployment
+}
+
+/// Sends a request with a deadline of 20 s. Returns the status; `None` if the connection ends without a
+/// whole answer.
+async fn send_patiently(address: SocketAddr, method: &str, path: &str, id: &str) -> Option<u16> {
+    let mut caller = CallerConnection::connect(address).await.expect(WORKS);
+    let request = request_bytes(method, path, id, None).replace("Ms: 1500", "Ms: 20000");
+    caller.send(request.as_bytes()).await.expect(WORKS);
+    let first = caller.read().await;
+    match first {
+        Some(answer) => Some(answer.status),
+        None => caller.read().await.map(|it| it.status),
+    }
+}
+
+/// Stops the node of a VM, and sends more requests through another one or the same meanwhile than the
+/// target of `stock` can answer before the end. Asserts that all get an answer, and that those that are
+/// refused have not run.
+async fn burst_in_a_stop(name: &str, stopped: usize, entry: usize, method: &str, path: &str) {
+    let mut deployment = start_patient(name, Duration::from_secs(2), 6_000).await;
+    let address = deployment.vms[entry].callers_address();
+    let mut vm = deployment.vms.remove(stopped);
+    let burst = async {
+        tokio::time::sleep(BURST_DELAY).await;
+        let ids: Vec<String> = (0..12).map(|it| format!("burst-{it}")).collect();
+        let sent = ids.iter().map(|it| send_patiently(address, method, path, it));
+        let statuses = join_all(sent).await;
+        ids.into_iter().zip(statuses).collect::<Vec<_>>()
+    };
+    let (ended, answers) = tokio::join!(vm.stop_node(), burst);
+    assert!(ended.expect(WORKS).success());
+    let target =
+        deployment.vms.first().filter(|_| stopped == 0).map_or(&vm.target, |it| &it.target);
+    let runs = target.runs();
+    let mut refused = 0;
+    for (id, status) in &answers {
+        let has_run = runs.iter().any(|it| it.request_id == *id);
+        match status {
+            Some(200) => assert!(has_run, "{id}"),
+            Some(503) => {
+                refused += 1;
+                assert!(!has_run, "{id} has run and is refused");
+            }
+            other => panic!("{id} ended with {other:?}, has run: {has_run}; {answers:?}"),
+        }
+    }
+    assert!(refused > 0, "{answers:?}");
+    vm.close();
+    deployment.close().expect(WORKS);
+}
+
+/// Guards against requests that wait for a slot at another node when their node ends: their connections
+/// were closed without an answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_that_wait_elsewhere_are_refused_before_their_node_ends() {
+    burst_in_a_stop("stop-waiting", 0, 0, "GET", "/stock/1").await;
+}
+
+/// The same for requests that may run only once.
+#[tokio::test(flavor = "multi_thread")]
+async fn orders_that_wait_elsewhere_are_refused_before_their_node_ends() {
+    burst_in_a_stop("stop-waiting-orders", 0, 0, "POST", "/orders/1").await;
+}
+
+/// Guards against requests that wait for a slot beside their callers when the node there ends.
+#[tokio::test(flavor = "multi_thread")]
+async fn orders_that_wait_at_the_stopping_node_are_refused_before_it_ends() {
+    burst_in_a_stop("stop-waiting-local", 1, 1, "POST", "/orders/1").await;
+}
+
+/// Guards against requests of other nodes that wait for a slot beside a node that ends.
+#[tokio::test(flavor = "multi_thread")]
+async fn forwarded_orders_that_wait_at_a_stopping_node_are_refused_before_it_ends() {
+    burst_in_a_stop("stop-waiting-forwarded", 1, 0, "POST", "/orders/1").await;
+}
+
+/// Guards against requests that a stopping node passes on although they take longer than it runs.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stopping_node_refuses_requests_that_its_end_would_cut_off() {
+    let mut deployment = start_patient("stop-long", Duration::from_secs(4), 12_000).await;
+    let address = deployment.vms[0].callers_address();
+    let mut vm = deployment.vms.remove(0);
+    let late = async {
+        tokio::time::sleep(BURST_DELAY).await;
+        send_patiently(address, "POST", "/orders/1", "late").await
+    };
+    let (ended, status) = tokio::join!(vm.stop_node(), late);
+    assert!(ended.expect(WORKS).success());
+    assert_eq!(status, Some(503));
+    assert!(!deployment.vms[0].target.runs().iter().any(|it| it.request_id == "late"));
+    vm.close();
+    deployment.close().expect(WORKS);
+}
--- a/crates/galenastream_routing/src/process/target_selector.rs
+++ b/crates/galenastream_routing/src/process/target_selector.rs
@@ -172,6 +172,12 @@
         }
     }
 
+    /// The observed service time of a target, if there is one.
+    pub fn service_time(&self, node: NodeKey) -> Option<Duration> {
+        let service_time_us = self.nodes.get(&node)?.service_time_us;
+        (service_time_us > 0.0).then(|| Duration::from_micros(service_time_us as u64))
+    }
+
     /// Discards the observed service time of a target, which then counts as fast as the fastest. For
     /// a target whose request limit has ended: it was measured before or under the limit, from few
     /// requests.
--- a/crates/galenastream_runtime/src/frame_link.rs
+++ b/crates/galenastream_runtime/src/frame_link.rs
@@ -1,17 +1,18 @@
 //! Multiplexed connection to another node.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{future::Future, net::SocketAddr, sync::Arc, time::Duration};
 
 use galenastream_wire::{CorrelatedFrame, WireError};
 use tokio::{
     net::{TcpStream, tcp::OwnedWriteHalf},
-    sync::mpsc,
+    sync::{mpsc, oneshot},
     time::timeout,
 };
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    BodyBudget, FrameReader, FrameWriter, PeerError, PendingReplies, ReceivedFrame, tune_socket,
+    BodyBudget, FrameReader, FrameWriter, PeerError, PendingReplies, PendingReply, ReceivedFrame,
+    tune_socket,
 };
 
 /// Maximum number of frames that wait to be written on one connection.
@@ -58,6 +59,17 @@
 
     /// Sends a request and waits for its reply. Dropping the future cancels the request.
     pub async fn call(&self, body: F::Body, reply_timeout: Duration) -> Result<F::Body, PeerError> {
+        self.call_until(body, reply_timeout, std::future::pending()).await
+    }
+
+    /// Sends a request, withdraws it when `withdrawal` completes, and waits for its reply: only the
+    /// other node knows whether the request has begun. Dropping the future cancels the request.
+    pub async fn call_until(
+        &self,
+        body: F::Body,
+        reply_timeout: Duration,
+        withdrawal: impl Future<Output = ()>,
+    ) -> Result<F::Body, PeerError> {
         let waiting = self.pending.add().ok_or(PeerError::NotSent)?;
         let correlation = waiting.correlation;
         let cancel_on_drop = CancelOnDrop { link: self, correlation };
@@ -73,7 +85,7 @@
                 return Err(PeerError::NotSent);
             }
         }
-        let reply = timeout(reply_timeout, waiting.reply).await;
+        let reply = timeout(reply_timeout, self.reply(waiting, withdrawal)).await;
         drop(cancel_on_drop);
         match reply {
             Ok(Ok(result)) => result,
@@ -81,6 +93,22 @@
             Err(_) => Err(PeerError::TimedOut),
         }
     }
+
+    async fn reply(
+        &self,
+        waiting: PendingReply<Result<F::Body, PeerError>>,
+        withdrawal: impl Future<Output = ()>,
+    ) -> Result<Result<F::Body, PeerError>, oneshot::error::RecvError> {
+        let PendingReply { correlation, mut reply } = waiting;
+        tokio::select! {
+            biased;
+            result = &mut reply => return result,
+            () = withdrawal => {}
+        }
+        // A withdrawal that finds the queue full is lost, and the request goes on.
+        let _ = self.frames.try_send(F::new(correlation, F::withdrawal()));
+        reply.await
+    }
 }
 
 /// Sends a cancellation to the other node if the request still waits for its reply.
--- a/crates/galenastream_wire/src/frame/correlated_frame.rs
+++ b/crates/galenastream_wire/src/frame/correlated_frame.rs
@@ -2,7 +2,7 @@
 
 use prost::{Message, bytes::Bytes};
 
-use crate::{Cancel, Part, PeerFrame, peer_frame};
+use crate::{Cancel, Part, PeerFrame, Withdrawal, peer_frame};
 
 /// A frame with a correlation id, which pairs a reply with its request.
 ///
@@ -39,6 +39,9 @@
 
     /// Returns the message that cancels the request with the same correlation id.
     fn cancel() -> Self::Body;
+
+    /// Returns the message that withdraws the request with the same correlation id.
+    fn withdrawal() -> Self::Body;
 }
 
 impl CorrelatedFrame for PeerFrame {
@@ -94,4 +97,8 @@
     fn cancel() -> Self::Body {
         peer_frame::Body::Cancel(Cancel {})
     }
+
+    fn withdrawal() -> Self::Body {
+        peer_frame::Body::Withdrawal(Withdrawal {})
+    }
 }
--- a/crates/galenastream_wire/src/message/frame.rs
+++ b/crates/galenastream_wire/src/message/frame.rs
@@ -10,7 +10,7 @@
     #[prost(uint64, tag = "1")]
     pub correlation: u64,
     /// The message; `None` if the frame is empty or its message is of an unknown kind.
-    #[prost(oneof = "peer_frame::Body", tags = "2, 3, 4, 5, 6, 7, 8, 9")]
+    #[prost(oneof = "peer_frame::Body", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10")]
     pub body: Option<peer_frame::Body>,
 }
 
@@ -20,7 +20,7 @@
 
     use crate::{
         Cancel, ForwardedReply, ForwardedRequest, NodeStatus, Part, StatusSeen, SyncQuery,
-        SyncState,
+        SyncState, Withdrawal,
     };
 
     /// The message in a frame.
@@ -50,9 +50,17 @@
         /// A part of a message that is longer than a frame.
         #[prost(message, tag = "9")]
         Part(Part),
+        /// Withdraws the request with the same correlation id.
+        #[prost(message, tag = "10")]
+        Withdrawal(Withdrawal),
     }
 }
 
 /// Cancels a request whose reply is no longer wanted.
 #[derive(Clone, Copy, PartialEq, Eq, Message)]
 pub struct Cancel {}
+
+/// Withdraws a request unless it has been sent to its target. Its reply is awaited in any case. Earlier
+/// versions ignore it.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub struct Withdrawal {}
--- a/crates/galenastream_wire/src/message/mod.rs
+++ b/crates/galenastream_wire/src/message/mod.rs
@@ -9,7 +9,7 @@
 mod sync;
 mod target_announcement;
 
-pub use frame::{Cancel, PeerFrame, peer_frame};
+pub use frame::{Cancel, PeerFrame, Withdrawal, peer_frame};
 pub use header::Header;
 pub use node_status::*;
 pub use part::Part;
--- a/crates/galenastream_wire/tests/codec.rs
+++ b/crates/galenastream_wire/tests/codec.rs
@@ -5,7 +5,7 @@
 use galenastream_wire::{
     Cancel, ForwardedReply, ForwardedRequest, FrameCodec, Header, KeyLoadRecord, MAX_FRAME_BYTES,
     NodeStatus, Part, PeerFrame, ReplyOutcome, ReplyReason, SharedRow, StatusSeen, SyncQuery,
-    SyncState, TargetStatus, WireError, peer_frame::Body,
+    SyncState, TargetStatus, WireError, Withdrawal, peer_frame::Body,
 };
 use proptest::prelude::*;
 use tokio_util::codec::{Decoder, Encoder};
@@ -94,6 +94,7 @@
         sync_state(),
         part(),
         Just(Body::Cancel(Cancel {})),
+        Just(Body::Withdrawal(Withdrawal {})),
         (any::<u64>(), prop::option::of(any::<u64>())).prop_map(
             |(config_version, config_age_ms)| {
                 Body::StatusSeen(StatusSeen {
