Reading stops when the head of a response does not end

While a target answered with informational responses without end, the other requests of the node were answered late: one with a deadline of 1.5 s got 504 after 5.4 s. The memory of the node did not grow.

Cause: the parser passes over informational responses, however many there are, and reading them took all the time of the thread.

The test of answers without end plays first lines, informational responses, chunk extensions and trailers too; it failed before for informational responses. Answers to health checks have a test of their own. A further test stops a node while callers use connections until the process is gone.

--- a/crates/galenastream_node/tests/platform/endless_answer.rs
+++ b/crates/galenastream_node/tests/platform/endless_answer.rs
@@ -1,10 +1,11 @@
 //! Tests of targets whose answers do not end.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use galenastream_standin::{
-    CallerAnswer, CallerConnection, DeploymentPlan, LocalDeployment, LocalVm, RawAnswer, RawTarget,
-    TargetAnswerFault, TargetCapacity, VmPlan, request_bytes, wait_until,
+    CallerAnswer, CallerConnection, DeploymentPlan, HeartbeatFields, LocalDeployment, LocalVm,
+    RawAnswer, RawTarget, TargetAnswerFault, TargetCapacity, VmPlan, heartbeat_body,
+    heartbeat_request, request_bytes, wait_until,
 };
 
 use super::{TIMEOUT, WORKS};
@@ -24,12 +25,16 @@
 /// of a target that they have not measured yet.
 const SLOW: Duration = Duration::from_millis(500);
 
-const ENDLESS_ANSWERS: [RawAnswer; 5] = [
+const ENDLESS_ANSWERS: [RawAnswer; 9] = [
+    RawAnswer::StatusLine,
+    RawAnswer::Hints,
     RawAnswer::HeaderValue,
     RawAnswer::Headers,
     RawAnswer::ChunkedBody,
     RawAnswer::SizedBody,
     RawAnswer::UnsizedBody,
+    RawAnswer::ChunkExtension,
+    RawAnswer::Trailers,
 ];
 
 /// The most memory that the node of a VM has used so far.
@@ -148,16 +153,71 @@
     once.dedup();
     assert_eq!(once.len(), count, "no request that changes state runs twice");
     let log = deployment.vms[0].log();
-    let lines = log.iter().filter(|it| it["kvs"]["event"] == "target_answer_too_long");
-    let lines: Vec<_> = lines.map(|it| &it["kvs"]).collect();
+    let lines_of = |event: &str| -> Vec<_> {
+        log.iter().map(|it| &it["kvs"]).filter(|it| it["event"] == *event).collect()
+    };
+    let lines = lines_of("target_answer_too_long");
     assert!(lines.iter().any(|it| it["bytes"].as_u64() > Some(0)), "{lines:?}");
     for answer in ENDLESS_ANSWERS {
         let id = format!("{answer:?}-POST/orders/1-vm-0-0");
+        let lines = match answer {
+            // The limits of the parser on what comes between the parts of a body.
+            RawAnswer::ChunkExtension | RawAnswer::Trailers => lines_of("target_answer_lost"),
+            _ => lines_of("target_answer_too_long"),
+        };
         assert!(lines.iter().any(|it| it["request_id"] == *id), "{id}: {lines:?}");
     }
     deployment.close().unwrap();
 }
 
+/// Number of health checks of [`health_answers_without_end_do_not_fill_the_memory_of_a_node`] for each
+/// answer, and their interval.
+const HEALTH_CHECKS: u64 = 2;
+const HEALTH_CHECK_INTERVAL: Duration = Duration::from_millis(1_000);
+
+/// Guards against health checks whose answers fill the memory, or take the time of requests.
+#[tokio::test(flavor = "multi_thread")]
+async fn health_answers_without_end_do_not_fill_the_memory_of_a_node() {
+    let (deployment, target) = start_endless("health", &["stock", "carts"], Duration::ZERO).await;
+    let mut sequence = 0;
+    for answer in ENDLESS_ANSWERS {
+        target.set_health_answer(answer);
+        for _ in 0..HEALTH_CHECKS {
+            // A heartbeat of another target makes the node ask the target for its id.
+            sequence += 1;
+            let address = deployment.vms[0].target_address().to_string();
+            let body = heartbeat_body(HeartbeatFields {
+                address: &address,
+                service: "stock",
+                slots: SLOTS,
+                sequence,
+                held: &[],
+                released: &[],
+                born_ms: None,
+            });
+            let control = deployment.vms[0].control_address();
+            let mut sender = CallerConnection::connect(control).await.expect(WORKS);
+            sender.send(heartbeat_request("other", &body).as_bytes()).await.expect(WORKS);
+            let checked_at = Instant::now();
+            while checked_at.elapsed() < HEALTH_CHECK_INTERVAL {
+                let sent = send_all(&deployment, "beside", "GET", "/stock/complete").await;
+                for (id, complete) in read_all(sent).await {
+                    assert_eq!(complete.status, 200, "{answer:?}: {id}: {complete:?}");
+                }
+            }
+        }
+        assert_memory(&deployment);
+    }
+    let log = deployment.vms[0].log();
+    let is_failed_check = |it: &&serde_json::Value| {
+        let event = it["kvs"]["event"].as_str().unwrap_or_default();
+        matches!(event, "target_not_identified" | "target_unnamed" | "target_identified")
+    };
+    let checks = log.iter().filter(is_failed_check).count();
+    assert!(checks >= ENDLESS_ANSWERS.len(), "{checks} health checks");
+    deployment.close().unwrap();
+}
+
 /// Guards against callers of idempotent requests that do not get the answer of another target.
 #[tokio::test(flavor = "multi_thread")]
 async fn an_idempotent_request_with_an_answer_without_end_is_served_by_another_target() {
--- a/crates/galenastream_node/tests/platform/node_stop.rs
+++ b/crates/galenastream_node/tests/platform/node_stop.rs
@@ -211,3 +211,56 @@
     vm.close();
     deployment.close().expect(WORKS);
 }
+
+/// Number of callers of [`callers_of_a_stopping_node_get_answers_until_it_is_gone`].
+const CALLERS: usize = 6;
+
+/// An order that ended without an answer, and when it was sent.
+struct Unanswered {
+    id: String,
+    sent_at: Instant,
+}
+
+/// Sends orders one after the other, on a connection for as long as that is open, until the node is gone.
+async fn send_until_gone(address: SocketAddr, caller: usize) -> Vec<Unanswered> {
+    let mut unanswered = Vec::new();
+    let mut number = 0;
+    while let Some(mut connection) = CallerConnection::connect(address).await {
+        loop {
+            number += 1;
+            let id = format!("gone-{caller}-{number}");
+            let sent_at = Instant::now();
+            let Some(answer) = connection.post("/orders/1", &id).await else {
+                unanswered.push(Unanswered { id, sent_at });
+                break;
+            };
+            if answer.header("connection") == Some("close") {
+                break;
+            }
+        }
+    }
+    unanswered
+}
+
+/// Guards against orders that a stopping node takes late and cuts off: its callers use their connections,
+/// and open others, until the process is gone.
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_of_a_stopping_node_get_answers_until_it_is_gone() {
+    let mut deployment = start("stop-gone", &["carts", "stock"]).await;
+    deployment.vms[1].target.set_fault(TargetAnswerFault::Slow(Duration::from_millis(300)));
+    let address = deployment.vms[0].callers_address();
+    let mut vm = deployment.vms.remove(0);
+    let callers: Vec<_> =
+        (0..CALLERS).map(|it| tokio::spawn(send_until_gone(address, it))).collect();
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    assert!(vm.stop_node().await.unwrap().success());
+    let runs = deployment.vms[0].target.runs();
+    for caller in callers {
+        for Unanswered { id, sent_at } in caller.await.unwrap() {
+            let has_run = runs.iter().any(|it| it.request_id == id);
+            assert!(!has_run, "{id}, sent {:?} ago, ran without an answer", sent_at.elapsed());
+        }
+    }
+    vm.close();
+    deployment.close().unwrap();
+}
--- a/crates/galenastream_runtime/src/connection.rs
+++ b/crates/galenastream_runtime/src/connection.rs
@@ -1,6 +1,6 @@
 //! HTTP/1.1 client connections.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http::{Request, Response, response::Parts};
@@ -14,6 +14,7 @@
 
 use crate::{
     BodyBuffer, BodyTooLong, ConnectionCount, CountedConnection, ExchangeError, connect_tcp,
+    head_limit::{HeadLimit, LimitedStream},
     set_keep_alive,
 };
 
@@ -38,6 +39,7 @@
 #[derive(Debug)]
 pub struct HttpConnection {
     sender: http1::SendRequest<Full<Bytes>>,
+    head_limit: Arc<HeadLimit>,
 }
 
 impl HttpConnection {
@@ -83,10 +85,11 @@
         address: SocketAddr,
         counted: Option<CountedConnection>,
     ) -> Result<Self, ExchangeError> {
+        let head_limit = Arc::new(HeadLimit::default());
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_HEAD_BYTES)
             .max_headers(MAX_HEADERS)
-            .handshake(TokioIo::new(stream))
+            .handshake(TokioIo::new(LimitedStream::new(stream, head_limit.clone())))
             .await
             .map_err(not_sent)?;
         tokio::spawn(async move {
@@ -95,7 +98,7 @@
             }
             drop(counted);
         });
-        Ok(Self { sender })
+        Ok(Self { sender, head_limit })
     }
 
     /// Whether the connection is open and can take a request now.
@@ -113,15 +116,21 @@
         if let Err(error) = self.sender.ready().await {
             return Err(ExchangeError::NotSent { reason: error.to_string() });
         }
+        self.head_limit.begin();
         let response = match self.sender.try_send_request(request).await {
-            Ok(response) => response,
+            Ok(response) => {
+                self.head_limit.end();
+                response
+            }
             Err(mut error) => {
                 let not_sent = error.take_message().is_some();
                 let error = error.into_error();
                 let reason = error.to_string();
                 return Err(match not_sent {
                     true => ExchangeError::NotSent { reason },
-                    false if error.is_parse_too_large() => ExchangeError::TooLong { bytes: 0 },
+                    false if error.is_parse_too_large() || self.head_limit.is_exceeded() => {
+                        ExchangeError::TooLong { bytes: 0 }
+                    }
                     false => ExchangeError::Unknown { reason },
                 });
             }
--- a/crates/galenastream_runtime/src/lib.rs
+++ b/crates/galenastream_runtime/src/lib.rs
@@ -17,6 +17,7 @@
 mod frame_link;
 mod frame_reader;
 mod frame_writer;
+mod head_limit;
 mod header_fields;
 mod link_share;
 mod log_budget;
--- a/crates/galenastream_standin/src/platform_target/raw_answer.rs
+++ b/crates/galenastream_standin/src/platform_target/raw_answer.rs
@@ -13,6 +13,14 @@
     SizedBody,
     /// A body without end and without length.
     UnsizedBody,
+    /// A body in chunks, after which trailers do not end.
+    Trailers,
+    /// A body in chunks, of which the first one has an extension that does not end.
+    ChunkExtension,
+    /// A first line that does not end.
+    StatusLine,
+    /// Informational answers without end.
+    Hints,
     /// A correct answer with a body of this many bytes and their number in `Content-Length`.
     Complete(usize),
     /// An empty answer with any status.
@@ -33,6 +41,11 @@
 }
 
 impl RawAnswer {
+    /// Whether the head ends in its first line, or before.
+    pub(super) const fn has_no_headers(self) -> bool {
+        matches!(self, Self::StatusLine | Self::Hints)
+    }
+
     /// Returns the first line of the head, after an informational answer if there is one.
     pub(super) fn status_line(self) -> String {
         match self {
@@ -40,6 +53,8 @@
                 let hints = if has_hints { "HTTP/1.1 103 Early Hints\r\n\r\n" } else { "" };
                 format!("{hints}HTTP/1.1 {code} Status\r\n")
             }
+            Self::StatusLine => "HTTP/1.1 200 ".to_owned(),
+            Self::Hints => String::new(),
             _ => "HTTP/1.1 200 OK\r\n".to_owned(),
         }
     }
@@ -50,6 +65,9 @@
             Self::HeaderValue => "X-Endless: ".to_owned(),
             Self::Headers => String::new(),
             Self::ChunkedBody => "Transfer-Encoding: chunked\r\n\r\n".to_owned(),
+            Self::Trailers => "Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n".to_owned(),
+            Self::ChunkExtension => "Transfer-Encoding: chunked\r\n\r\n1;".to_owned(),
+            Self::StatusLine | Self::Hints => String::new(),
             Self::SizedBody => format!("Content-Length: {}\r\n\r\n", i64::MAX),
             Self::UnsizedBody => "\r\n".to_owned(),
             Self::Complete(bytes) => format!("Content-Length: {bytes}\r\n\r\n"),
@@ -62,7 +80,8 @@
     /// Returns the bytes that are repeated after the head.
     pub(super) fn block(self) -> Vec<u8> {
         match self {
-            Self::Headers => b"X-Endless: more\r\n".repeat(BLOCK_BYTES / 16),
+            Self::Headers | Self::Trailers => b"X-Endless: more\r\n".repeat(BLOCK_BYTES / 16),
+            Self::Hints => b"HTTP/1.1 103 Early Hints\r\n\r\n".repeat(BLOCK_BYTES / 28),
             Self::ChunkedBody => {
                 let mut chunk = format!("{BLOCK_BYTES:x}\r\n").into_bytes();
                 chunk.resize(chunk.len() + BLOCK_BYTES, b'x');
@@ -72,6 +91,8 @@
             Self::HeaderValue
             | Self::SizedBody
             | Self::UnsizedBody
+            | Self::ChunkExtension
+            | Self::StatusLine
             | Self::Complete(_)
             | Self::Status { .. }
             | Self::CutHead(_)
--- a/crates/galenastream_standin/src/platform_target/raw_target.rs
+++ b/crates/galenastream_standin/src/platform_target/raw_target.rs
@@ -39,6 +39,7 @@
 struct RawState {
     id: String,
     answer: Mutex<RawAnswer>,
+    health_answer: Mutex<RawAnswer>,
     /// The ids of the requests that ran.
     runs: Mutex<Vec<String>>,
     connections: Mutex<Vec<AbortHandle>>,
@@ -62,6 +63,7 @@
         let state = Arc::new(RawState {
             id: plan.id.clone(),
             answer: Mutex::new(answer),
+            health_answer: Mutex::new(RawAnswer::Complete(0)),
             runs: Mutex::default(),
             connections: Mutex::default(),
         });
@@ -83,6 +85,11 @@
         *lock(&self.state.answer) = answer;
     }
 
+    /// Sets how health checks are answered from now on.
+    pub fn set_health_answer(&self, answer: RawAnswer) {
+        *lock(&self.state.health_answer) = answer;
+    }
+
     /// Returns the ids of the requests that ran.
     pub fn runs(&self) -> Vec<String> {
         lock(&self.state.runs).clone()
@@ -141,8 +148,8 @@
             request.id, state.id
         );
         if request.path == "/health" {
-            let answer = format!("HTTP/1.1 200 OK\r\n{headers}Content-Length: 0\r\n\r\n");
-            stream.get_mut().write_all(answer.as_bytes()).await?;
+            let answer = *lock(&state.health_answer);
+            send_answer(stream.get_mut(), answer, &headers).await?;
             continue;
         }
         if request.expected_target != state.id {
@@ -168,28 +175,39 @@
             true => RawAnswer::Complete(0),
             false => *lock(&state.answer),
         };
-        let (status_line, head_end) = (answer.status_line(), answer.head_end());
-        let body_bytes = request.body_bytes;
-        let head = format!("{status_line}{headers}X-Body-Bytes: {body_bytes}\r\n{head_end}");
-        if let RawAnswer::CutHead(bytes) = answer {
-            let sent = &head.as_bytes()[..bytes.min(head.len())];
-            stream.get_mut().write_all(sent).await?;
+        let headers = format!("{headers}X-Body-Bytes: {}\r\n", request.body_bytes);
+        if !send_answer(stream.get_mut(), answer, &headers).await? {
             return Ok(());
         }
-        stream.get_mut().write_all(head.as_bytes()).await?;
-        let block = answer.block();
-        let mut left_bytes = answer.length_bytes().unwrap_or(usize::MAX);
-        while left_bytes > 0 {
-            let part = &block[..block.len().min(left_bytes)];
-            stream.get_mut().write_all(part).await?;
-            if answer.length_bytes().is_some() {
-                left_bytes -= part.len();
-            }
-        }
     }
     Ok(())
 }
 
+/// Sends an answer with these headers. Returns whether the connection stays open.
+async fn send_answer(
+    stream: &mut TcpStream,
+    answer: RawAnswer,
+    headers: &str,
+) -> anyhow::Result<bool> {
+    let headers = if answer.has_no_headers() { "" } else { headers };
+    let head = format!("{}{headers}{}", answer.status_line(), answer.head_end());
+    if let RawAnswer::CutHead(bytes) = answer {
+        stream.write_all(&head.as_bytes()[..bytes.min(head.len())]).await?;
+        return Ok(false);
+    }
+    stream.write_all(head.as_bytes()).await?;
+    let block = answer.block();
+    let mut left_bytes = answer.length_bytes().unwrap_or(usize::MAX);
+    while left_bytes > 0 {
+        let part = &block[..block.len().min(left_bytes)];
+        stream.write_all(part).await?;
+        if answer.length_bytes().is_some() {
+            left_bytes -= part.len();
+        }
+    }
+    Ok(true)
+}
+
 /// Reads a request with its body. Returns `None` if the connection ends before it.
 async fn read_request(stream: &mut BufReader<TcpStream>) -> anyhow::Result<Option<ReadRequest>> {
     let mut line = String::new();
