Long bodies of callers take their memory from a budget

Cause: the codec collected each body in the buffer of its connection, and no budget counted them. The buffer of a kept connection also kept the allocation.

A body of more than 64 KiB now reserves its length before it is read, from half of the memory limit; without room its request gets 503. It has a buffer of its own.

--- a/crates/galenastream_node/src/connection/chunked_body.rs
+++ b/crates/galenastream_node/src/connection/chunked_body.rs
@@ -1,6 +1,7 @@
 //! Reading of chunked bodies.
 
 use bytes::{Buf, BytesMut};
+use galenastream_runtime::BodyReservation;
 
 use super::{body_framing::number, request_codec::RequestError};
 
@@ -26,6 +27,7 @@
     body: &mut BytesMut,
     step: &mut ChunkStep,
     searched: &mut usize,
+    reservation: &mut BodyReservation,
     limits: ChunkLimits,
 ) -> Result<bool, RequestError> {
     loop {
@@ -52,6 +54,9 @@
             }
             ChunkStep::Data { remaining } => {
                 let part = remaining.min(buffer.len());
+                if !reservation.extend_for_body(body.len() + part) {
+                    return Err(RequestError::NoMemory);
+                }
                 body.extend_from_slice(&buffer.split_to(part));
                 if part < remaining {
                     *step = ChunkStep::Data { remaining: remaining - part };
--- a/crates/galenastream_node/src/connection/request_codec.rs
+++ b/crates/galenastream_node/src/connection/request_codec.rs
@@ -4,10 +4,11 @@
 //! the previous one is answered, so that callers wait for the sum of all service times. This codec
 //! yields requests as they arrive. It parses with `httparse`, as hyper does.
 
-use std::io;
+use std::{io, sync::Arc};
 
 use bytes::{Buf, Bytes, BytesMut};
 use galenastream_adapter::CallerLimits;
+use galenastream_runtime::{BodyBudget, BodyReservation, UNRESERVED_BYTES};
 use http::{HeaderName, HeaderValue, Method, Request, Response, StatusCode, Version, header};
 use httparse::Status;
 use tokio_util::codec::{Decoder, Encoder};
@@ -28,6 +29,9 @@
 const MAX_HEADER_BYTES_WITHOUT_CONFIG: usize = 16 * 1024;
 const MAX_BODY_BYTES_WITHOUT_CONFIG: usize = 1024 * 1024;
 
+/// How much of a long body is read at once.
+const READ_BYTES: usize = 64 * 1024;
+
 /// The longest part of a body that is copied into the buffer of its connection. The rest waits where its
 /// memory is accounted for.
 pub(super) const WRITE_BYTES: usize = 32 * 1024;
@@ -59,6 +63,8 @@
     BodyTooLong,
     /// The request is long, and there is no config that says whether it is too long.
     LimitsUnknown,
+    /// The body is long, and the memory for bodies of callers has no room for it now.
+    NoMemory,
     /// The request is valid, and the node cannot represent or decode it.
     Unsupported,
 }
@@ -83,6 +89,8 @@
 pub(super) struct RequestCodec<F> {
     /// Returns the limits in force; `None` before the first config.
     limits_in_force: F,
+    /// The memory for long bodies.
+    budget: Arc<BodyBudget>,
     /// The limits of the request that is read: those in force at its head, or higher ones that came
     /// into force since.
     limits: Option<CallerLimits>,
@@ -95,8 +103,23 @@
 #[derive(Debug)]
 enum ReadState {
     Head,
-    Sized { head: Box<Request<()>>, length: usize },
-    Chunked { head: Box<Request<()>>, body: BytesMut, step: ChunkStep },
+    Sized {
+        head: Box<Request<()>>,
+        length: usize,
+    },
+    /// A body whose memory is reserved. It has a buffer of its own, which is freed with it.
+    LongSized {
+        head: Box<Request<()>>,
+        length: usize,
+        body: BytesMut,
+        reservation: BodyReservation,
+    },
+    Chunked {
+        head: Box<Request<()>>,
+        body: BytesMut,
+        step: ChunkStep,
+        reservation: BodyReservation,
+    },
     Invalid,
 }
 
@@ -108,8 +131,8 @@
 }
 
 impl<F: Fn() -> Option<CallerLimits>> RequestCodec<F> {
-    pub(super) fn new(limits_in_force: F) -> Self {
-        Self { limits_in_force, limits: None, searched: 0, state: ReadState::Head }
+    pub(super) fn new(limits_in_force: F, budget: Arc<BodyBudget>) -> Self {
+        Self { limits_in_force, budget, limits: None, searched: 0, state: ReadState::Head }
     }
 
     fn max_header_bytes(&self) -> usize {
@@ -178,10 +201,19 @@
             Ok(Framing::Sized(length)) if length > self.max_body_bytes() => {
                 return self.fail_after_head(RequestError::BodyTooLong, head);
             }
+            Ok(Framing::Sized(length)) if length > UNRESERVED_BYTES => {
+                let mut reservation = self.budget.reservation();
+                if !reservation.extend_for_body(length) {
+                    return self.fail_after_head(RequestError::NoMemory, head);
+                }
+                let body = BytesMut::with_capacity(length);
+                self.state = ReadState::LongSized { head, length, body, reservation };
+            }
             Ok(Framing::Sized(length)) => self.state = ReadState::Sized { head, length },
             Ok(Framing::Chunked) => {
                 let (body, step) = (BytesMut::new(), ChunkStep::Size);
-                self.state = ReadState::Chunked { head, body, step };
+                let reservation = self.budget.reservation();
+                self.state = ReadState::Chunked { head, body, step, reservation };
             }
             Err(error) => return self.fail_after_head(error, head),
         }
@@ -208,9 +240,22 @@
     fn read_body(&mut self, buffer: &mut BytesMut) -> Option<Incoming> {
         match std::mem::replace(&mut self.state, ReadState::Head) {
             // The first config came into force while the body arrived.
-            ReadState::Sized { head, length } if length > self.max_body_bytes() => {
+            ReadState::Sized { head, length } | ReadState::LongSized { head, length, .. }
+                if length > self.max_body_bytes() =>
+            {
                 self.fail_after_head(RequestError::BodyTooLong, head)
             }
+            ReadState::LongSized { head, length, mut body, reservation } => {
+                let part = buffer.len().min(length - body.len());
+                body.extend_from_slice(&buffer.split_to(part));
+                if body.len() == length {
+                    let body = reservation.into_body(body.freeze());
+                    return Some(Incoming::Request(Box::new(head.map(|()| body))));
+                }
+                buffer.reserve(READ_BYTES);
+                self.state = ReadState::LongSized { head, length, body, reservation };
+                None
+            }
             ReadState::Sized { head, length } if buffer.len() < length => {
                 self.state = ReadState::Sized { head, length };
                 None
@@ -219,15 +264,19 @@
                 let body = buffer.split_to(length).freeze();
                 Some(Incoming::Request(Box::new(head.map(|()| body))))
             }
-            ReadState::Chunked { head, mut body, mut step } => {
+            ReadState::Chunked { head, mut body, mut step, mut reservation } => {
                 let limits = ChunkLimits {
                     max_line_bytes: self.max_header_bytes(),
                     max_body_bytes: self.max_body_bytes(),
                 };
-                match read_chunks(buffer, &mut body, &mut step, &mut self.searched, limits) {
-                    Ok(true) => Some(Incoming::Request(Box::new(head.map(|()| body.freeze())))),
+                let (step_now, searched) = (&mut step, &mut self.searched);
+                match read_chunks(buffer, &mut body, step_now, searched, &mut reservation, limits) {
+                    Ok(true) => {
+                        let body = reservation.into_body(body.freeze());
+                        Some(Incoming::Request(Box::new(head.map(|()| body))))
+                    }
                     Ok(false) => {
-                        self.state = ReadState::Chunked { head, body, step };
+                        self.state = ReadState::Chunked { head, body, step, reservation };
                         None
                     }
                     Err(error) => self.fail_after_head(error, head),
@@ -252,7 +301,7 @@
                 self.limits = (self.limits_in_force)();
                 self.read_head(buffer)
             }
-            ReadState::Sized { .. } | ReadState::Chunked { .. } => {
+            ReadState::Sized { .. } | ReadState::LongSized { .. } | ReadState::Chunked { .. } => {
                 self.raise_limits();
                 self.read_body(buffer)
             }
--- a/crates/galenastream_node/src/connection/request_codec_fuzz_tests.rs
+++ b/crates/galenastream_node/src/connection/request_codec_fuzz_tests.rs
@@ -6,6 +6,7 @@
 
 use bytes::{Bytes, BytesMut};
 use galenastream_adapter::CallerLimits;
+use galenastream_runtime::BodyBudget;
 use galenastream_standin::{Corpus, Pieces, StrictMessage, StrictReading, fuzz_config};
 use http::Request;
 use proptest::{collection::vec, prelude::*};
@@ -25,14 +26,15 @@
 });
 
 fn new_codec() -> RequestCodec<impl Fn() -> Option<CallerLimits>> {
-    RequestCodec::new(|| {
+    let limits = || {
         Some(CallerLimits {
             max_header_bytes: MAX_HEADER_BYTES,
             max_body_bytes: MAX_BODY_BYTES,
             header_timeout_ms: 0,
             idle_timeout_ms: 0,
         })
-    })
+    };
+    RequestCodec::new(limits, BodyBudget::new(usize::MAX))
 }
 
 /// What the codec reads from a connection.
--- a/crates/galenastream_node/src/connection/request_codec_tests.rs
+++ b/crates/galenastream_node/src/connection/request_codec_tests.rs
@@ -5,6 +5,7 @@
 
 use bytes::{Bytes, BytesMut};
 use galenastream_adapter::CallerLimits;
+use galenastream_runtime::BodyBudget;
 use http::{Response, StatusCode};
 use proptest::prelude::*;
 use tokio_util::codec::{Decoder, Encoder};
@@ -22,7 +23,7 @@
 /// The same with another limit for the headers.
 fn decode_within(max_header_bytes: usize, bytes: &[u8], piece: usize) -> Vec<String> {
     let limits = limits(max_header_bytes, MAX_BODY_BYTES);
-    let mut codec = RequestCodec::new(|| Some(limits));
+    let mut codec = RequestCodec::new(|| Some(limits), BodyBudget::new(usize::MAX));
     let mut buffer = BytesMut::new();
     bytes.chunks(piece).flat_map(|it| decode_more(&mut codec, &mut buffer, it)).collect()
 }
@@ -135,7 +136,7 @@
     ];
     for (before, first, after, rest, expected) in cases {
         let in_force = Cell::new(before);
-        let mut codec = RequestCodec::new(|| in_force.get());
+        let mut codec = RequestCodec::new(|| in_force.get(), BodyBudget::new(usize::MAX));
         let mut buffer = BytesMut::new();
         let mut seen = decode_more(&mut codec, &mut buffer, first.as_bytes());
         in_force.set(after);
@@ -338,7 +339,7 @@
 
 #[test]
 fn a_response_is_written_with_its_length() {
-    let mut codec = RequestCodec::new(|| None);
+    let mut codec = RequestCodec::new(|| None, BodyBudget::new(usize::MAX));
     let mut buffer = BytesMut::new();
     let mut response = Response::new(Bytes::from_static(b"hello"));
     *response.status_mut() = StatusCode::CREATED;
@@ -366,3 +367,38 @@
         decode_in_pieces(bytes.as_bytes(), piece);
     }
 }
+
+/// Guards against bodies that are held without a bound on their sum.
+#[test]
+fn a_long_body_without_room_is_refused_before_it_is_read() {
+    const LONG_BYTES: usize = 600 * 1024;
+    let budget = BodyBudget::new(1024 * 1024);
+    let limits = limits(MAX_HEADER_BYTES, LONG_BYTES);
+    let new_codec = || RequestCodec::new(|| Some(limits), budget.clone());
+    let heads = [
+        format!("POST /a HTTP/1.1\r\nContent-Length: {LONG_BYTES}\r\n\r\n"),
+        format!("POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n{LONG_BYTES:x}\r\n"),
+    ];
+    let read = |head: &str| {
+        let mut codec = new_codec();
+        let mut bytes = BytesMut::from(head);
+        bytes.resize(head.len() + LONG_BYTES, b'b');
+        bytes.extend_from_slice(b"\r\n0\r\n\r\n");
+        codec.decode(&mut bytes).unwrap()
+    };
+    for head in &heads {
+        let first = read(head);
+        assert!(matches!(&first, Some(Incoming::Request(it)) if it.body().len() == LONG_BYTES));
+        for other in &heads {
+            let refused = read(other);
+            let error = RequestError::NoMemory;
+            assert!(matches!(refused, Some(Incoming::Invalid { error: it, .. }) if it == error));
+        }
+        let mut codec = new_codec();
+        let mut announced = BytesMut::from(heads[0].as_str());
+        let refused = codec.decode(&mut announced).unwrap();
+        assert!(matches!(refused, Some(Incoming::Invalid { error: RequestError::NoMemory, .. })));
+        drop(first);
+        assert_eq!(budget.reserved_bytes(), 0);
+    }
+}
--- a/crates/galenastream_node/tests/platform/endless_answer.rs
+++ b/crates/galenastream_node/tests/platform/endless_answer.rs
@@ -12,7 +12,7 @@
 
 /// The memory limit in the settings of the stand-ins, and the share of it that a node may use in
 /// these tests.
-const MEMORY_LIMIT_KB: u64 = 260 * 1_024;
+pub(super) const MEMORY_LIMIT_KB: u64 = 260 * 1_024;
 const MEMORY_PERCENT: u64 = 50;
 
 /// Requests to the faulty target at once, of each method and at each node.
--- a/crates/galenastream_node/tests/platform/long_bodies.rs
+++ b/crates/galenastream_node/tests/platform/long_bodies.rs
@@ -18,7 +18,11 @@
 };
 use tokio_util::codec::Framed;
 
-use super::{TIMEOUT, WORKS, endless_answer::assert_memory, forwarded::PEERS_PORT};
+use super::{
+    TIMEOUT, WORKS,
+    endless_answer::{MEMORY_LIMIT_KB, assert_memory, peak_memory_kb},
+    forwarded::PEERS_PORT,
+};
 
 /// Slots of each target: enough for all requests of a test.
 const SLOTS: u32 = 64;
@@ -342,3 +346,37 @@
     }
     deployment.close().expect(WORKS);
 }
+
+/// Bodies of callers that together exceed the memory of a node, and close to the longest that the config
+/// allows.
+const UPLOADS: usize = 6;
+const UPLOAD_BYTES: usize = 60 * 1024 * 1024;
+
+/// Guards against bodies of callers that fill the memory of a node, which the platform then kills.
+#[tokio::test(flavor = "multi_thread")]
+async fn long_bodies_of_callers_do_not_fill_the_memory_of_a_node() {
+    let (deployment, target) = start_pair("uploads").await;
+    let vm = &deployment.vms[1];
+    let ids: Vec<String> = (0..UPLOADS).map(|it| format!("upload-{it}")).collect();
+    let uploads = ids.iter().map(|id| post(vm, id, UPLOAD_BYTES));
+    let answers = futures::future::join_all(uploads).await;
+    let peak_kb = peak_memory_kb(vm);
+    assert!(peak_kb < MEMORY_LIMIT_KB, "{peak_kb} kB");
+    let runs = target.runs();
+    let mut served = 0;
+    for (id, answer) in ids.iter().zip(&answers) {
+        let has_run = runs.contains(id);
+        match answer.status {
+            200 => served += 1,
+            503 => assert!(!has_run && answer.header("retry-after").is_some(), "{id}: {answer:?}"),
+            _ => panic!("{id}: {answer:?}"),
+        }
+    }
+    assert!((1..UPLOADS).contains(&served), "{answers:?}");
+    // The memory is free again.
+    for round in 0..3 {
+        let answer = post(vm, &format!("later-{round}"), UPLOAD_BYTES).await;
+        assert_eq!(answer.status, 200, "{answer:?}");
+    }
+    deployment.close().unwrap();
+}
--- a/crates/galenastream_runtime/src/body_budget.rs
+++ b/crates/galenastream_runtime/src/body_budget.rs
@@ -5,12 +5,27 @@
     atomic::{AtomicUsize, Ordering},
 };
 
+use bytes::Bytes;
+
+/// The first bytes of each body, which need no reservation: bodies of usual size are not refused
+/// because others are long.
+pub const UNRESERVED_BYTES: usize = 64 * 1024;
+
 /// The memory that long bodies in progress may use together in a process.
 #[derive(Debug)]
 pub struct BodyBudget {
     total_bytes: usize,
     reserved_bytes: AtomicUsize,
     announced_bytes: AtomicUsize,
+    shared: Option<SharedBudget>,
+}
+
+/// A budget from which several others take their reservations.
+#[derive(Debug)]
+struct SharedBudget {
+    budget: Arc<BodyBudget>,
+    /// How many bytes of memory one reserved byte may take.
+    weight: usize,
 }
 
 /// A body that is expected, until it is dropped.
@@ -27,11 +42,27 @@
     bytes: usize,
 }
 
+/// A body and its reservation, which is given back with the last reference to the body.
+struct ReservedBody {
+    bytes: Bytes,
+    _reservation: BodyReservation,
+}
+
 impl BodyBudget {
     /// Creates an unused budget.
     pub fn new(total_bytes: usize) -> Arc<Self> {
+        Arc::new(Self::unused(total_bytes, None))
+    }
+
+    /// Creates an unused budget whose reservations are taken from `shared` as well, `weight` times.
+    pub fn within(shared: &Arc<Self>, weight: usize, total_bytes: usize) -> Arc<Self> {
+        let shared = SharedBudget { budget: shared.clone(), weight };
+        Arc::new(Self::unused(total_bytes, Some(shared)))
+    }
+
+    const fn unused(total_bytes: usize, shared: Option<SharedBudget>) -> Self {
         let (reserved_bytes, announced_bytes) = (AtomicUsize::new(0), AtomicUsize::new(0));
-        Arc::new(Self { total_bytes, reserved_bytes, announced_bytes })
+        Self { total_bytes, reserved_bytes, announced_bytes, shared }
     }
 
     /// Creates an empty reservation.
@@ -52,7 +83,32 @@
 
     /// Whether so many bytes could be reserved now.
     pub fn has_room_for(&self, bytes: usize) -> bool {
+        let has_shared = |it: &SharedBudget| it.budget.has_room_for(it.bytes_of(bytes));
         self.reserved_bytes().saturating_add(bytes) <= self.total_bytes
+            && self.shared.as_ref().is_none_or(has_shared)
+    }
+
+    /// Reserves so many bytes more. Returns false, and reserves nothing, if they are not left.
+    fn reserve(&self, bytes: usize) -> bool {
+        let next =
+            |reserved: usize| reserved.checked_add(bytes).filter(|it| *it <= self.total_bytes);
+        let ordering = Ordering::Relaxed;
+        if self.reserved_bytes.fetch_update(ordering, ordering, next).is_err() {
+            return false;
+        }
+        let has_shared = |it: &SharedBudget| it.budget.reserve(it.bytes_of(bytes));
+        let is_reserved = self.shared.as_ref().is_none_or(has_shared);
+        if !is_reserved {
+            self.reserved_bytes.fetch_sub(bytes, ordering);
+        }
+        is_reserved
+    }
+
+    fn release(&self, bytes: usize) {
+        self.reserved_bytes.fetch_sub(bytes, Ordering::Relaxed);
+        if let Some(shared) = &self.shared {
+            shared.budget.release(shared.bytes_of(bytes));
+        }
     }
 
     /// How many bytes are reserved now.
@@ -71,16 +127,38 @@
     /// if the budget does not have that much left.
     pub fn extend_to(&mut self, bytes: usize) -> bool {
         let more = bytes.saturating_sub(self.bytes);
-        let budget = &self.budget;
-        let reserve =
-            |reserved: usize| reserved.checked_add(more).filter(|it| *it <= budget.total_bytes);
-        let ordering = Ordering::Relaxed;
-        let is_reserved = budget.reserved_bytes.fetch_update(ordering, ordering, reserve).is_ok();
+        let is_reserved = self.budget.reserve(more);
         if is_reserved {
             self.bytes += more;
         }
         is_reserved
     }
+
+    /// Extends the reservation for a body of `bytes`, of which the first ones need none. Returns false
+    /// as [`extend_to`](Self::extend_to) does.
+    pub fn extend_for_body(&mut self, bytes: usize) -> bool {
+        bytes <= UNRESERVED_BYTES || self.extend_to(bytes)
+    }
+
+    /// Returns a body that counts as reserved until the last reference to it is dropped.
+    pub fn into_body(self, bytes: Bytes) -> Bytes {
+        match self.is_empty() {
+            true => bytes,
+            false => Bytes::from_owner(ReservedBody { bytes, _reservation: self }),
+        }
+    }
+}
+
+impl SharedBudget {
+    const fn bytes_of(&self, bytes: usize) -> usize {
+        bytes.saturating_mul(self.weight)
+    }
+}
+
+impl AsRef<[u8]> for ReservedBody {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
 }
 
 impl Drop for AnnouncedBody {
@@ -91,6 +169,6 @@
 
 impl Drop for BodyReservation {
     fn drop(&mut self) {
-        self.budget.reserved_bytes.fetch_sub(self.bytes, Ordering::Relaxed);
+        self.budget.release(self.bytes);
     }
 }
--- a/crates/galenastream_runtime/src/body_buffer.rs
+++ b/crates/galenastream_runtime/src/body_buffer.rs
@@ -5,11 +5,7 @@
 use bytes::Bytes;
 use thiserror::Error;
 
-use crate::{BodyBudget, body_budget::BodyReservation};
-
-/// The first bytes of each body, which need no reservation: answers of usual size do not fail
-/// because others are long.
-pub(crate) const UNRESERVED_BYTES: usize = 64 * 1024;
+use crate::{BodyBudget, BodyReservation};
 
 /// The longest body of a response that a node takes from a target, and of a request or response that
 /// it takes from another node.
@@ -40,18 +36,6 @@
     pub bytes: usize,
 }
 
-/// A body and its reservation, which is given back with the last reference to the body.
-struct ReservedBody {
-    bytes: Bytes,
-    _reservation: BodyReservation,
-}
-
-impl AsRef<[u8]> for ReservedBody {
-    fn as_ref(&self) -> &[u8] {
-        &self.bytes
-    }
-}
-
 impl BodyBuffer {
     /// Creates an empty buffer for up to `max_bytes`.
     pub const fn new(max_bytes: usize) -> Self {
@@ -82,9 +66,8 @@
     pub fn push(&mut self, part: Bytes) -> Result<(), BodyTooLong> {
         let bytes = self.bytes + part.len();
         self.check_length(bytes)?;
-        if bytes > UNRESERVED_BYTES
-            && let Some(reservation) = &mut self.reservation
-            && !reservation.extend_to(bytes)
+        if let Some(reservation) = &mut self.reservation
+            && !reservation.extend_for_body(bytes)
         {
             return Err(BodyTooLong { bytes });
         }
@@ -119,10 +102,8 @@
             }
             body = joined.into();
         }
-        match self.reservation.filter(|it| !it.is_empty()) {
-            Some(reservation) => {
-                Bytes::from_owner(ReservedBody { bytes: body, _reservation: reservation })
-            }
+        match self.reservation {
+            Some(reservation) => reservation.into_body(body),
             None => body,
         }
     }
--- a/crates/galenastream_runtime/src/frame_reader.rs
+++ b/crates/galenastream_runtime/src/frame_reader.rs
@@ -11,7 +11,7 @@
 use tokio::{net::tcp::OwnedReadHalf, time::timeout};
 use tokio_util::codec::FramedRead;
 
-use crate::{BodyBudget, BodyBuffer, BodyTooLong, MAX_BODY_BYTES, body_buffer::UNRESERVED_BYTES};
+use crate::{BodyBudget, BodyBuffer, BodyTooLong, MAX_BODY_BYTES, UNRESERVED_BYTES};
 
 /// Maximum number of messages of one connection of which only some parts have arrived.
 const MAX_UNFINISHED: usize = 64;
