--- a/crates/galenastream_node/tests/ownership/other_writers.rs
+++ b/crates/galenastream_node/tests/ownership/other_writers.rs
@@ -86,6 +86,38 @@
     }
 }
 
+/// Guards against a second holder of keys: a report of another writer counted as the target's own although
+/// fields that targets always send were missing, or of another type. It said that the target leaves and
+/// holds nothing.
+#[test]
+fn a_report_with_fields_missing_or_of_another_type_is_refused() {
+    for field in ["/info/version", "/info/zone", "/status/coldRemainingMs"] {
+        for value in [None, Some(Value::from(vec![1]))] {
+            let mut state = node(true);
+            let answer = send(&mut state, &report(1), 100);
+            assert!(is_grant(&answer), "{answer:?}");
+            let mut other = report_without(2, &[]);
+            other["status"]["state"] = "draining".into();
+            other["holds"] = Value::Array(Vec::new());
+            let (parent, name) = field.rsplit_once('/').expect("a nested field");
+            let fields =
+                other.pointer_mut(parent).and_then(Value::as_object_mut).expect("an object");
+            fields.remove(name).expect("the field was there");
+            if let Some(value) = value.clone() {
+                fields.insert(name.to_owned(), value);
+            }
+            let answer = send(&mut state, &other, 1_000);
+            assert!(matches!(answer, HeartbeatAnswer::Refused { .. }), "{field}: {answer:?}");
+            let local = state.directory(at(1_700)).local.expect("the target");
+            assert_eq!(local.draining_since, None, "{field}");
+            assert!(state.status(at(1_700)).facts.is_empty(), "{field}");
+            // The next report of the target has the number that the other writer used.
+            let answer = send(&mut state, &report(2), 1_900);
+            assert!(is_grant(&answer), "{field}: {answer:?}");
+        }
+    }
+}
+
 /// Guards against leases that another writer gets, since its report arrived before the config said that
 /// the targets of the service hold keys.
 #[test]
