The memory of metrics that nobody reads is bounded

Cause: the recorder keeps each sample until it is rendered or its upkeep runs, and nothing ran the upkeep. Metrics were never removed.

The upkeep now runs every 5 s, and metrics without a change for 10 minutes are removed.

--- a/crates/galenastream_node/src/process/daemon.rs
+++ b/crates/galenastream_node/src/process/daemon.rs
@@ -32,7 +32,7 @@
     control_loop::ControlLoop,
     lease_call_client::LeaseCallClient,
     logs::flush_log,
-    metrics_page::start_metrics,
+    metrics_page::{maintain_metrics, start_metrics},
     settings_follower::follow_settings,
     store_follower::{FollowedTable, follow_table},
 };
@@ -152,6 +152,7 @@
         let store = StoreClient::new(context.settings.load().store.address);
         let (commits, writes) = mpsc::channel(QUEUE_CAPACITY);
         let metrics = SocketAddr::new(listeners.control.ip(), OPERATORS_PORT);
+        tokio::spawn(maintain_metrics());
         tokio::spawn(serve_operators(traffic, bind(metrics).await?));
         tokio::spawn(follow_settings(context.clone(), settings_path));
         tokio::spawn(serve_control(context.clone(), control));
--- a/crates/galenastream_node/src/process/mod.rs
+++ b/crates/galenastream_node/src/process/mod.rs
@@ -66,7 +66,9 @@
 pub use leases::HeldLeases;
 pub use local_announcement::LocalAnnouncement;
 pub use logs::{flush_log, start_log};
-pub use metrics_page::render_metrics;
+pub use metrics_page::{
+    maintain, metrics_recorder, metrics_recorder_with_idle_time, render_metrics,
+};
 pub use process_end::ProcessEnd;
 pub use remembered_announcements::{RememberedAnnouncements, earliest, elapsed_ms};
 pub use request_quarantine::{RequestQuarantine, decode_suspect, describe_request, encode_suspect};
