Names for newcomers: unseen leaves, and the upkeep of the recorder

An earlier process may have acknowledged a leave that this one has not seen: the module and its type are named after that. No change of behaviour.

--- a/crates/galenastream_node/src/lib.rs
+++ b/crates/galenastream_node/src/lib.rs
@@ -15,7 +15,8 @@
     HeartbeatAnswer, KeyMeter, LeasePage, LocalTarget, OPERATORS_PORT, ProbeAnswer,
     RefusedConfigPage, RequestQuarantine, STATUS_PATH, StatusPage, StoredConfig,
     StoredConfigContent, TargetPage, TargetProbe, command, decode_suspect, encode_suspect,
-    flush_log, maintain, metrics_recorder, metrics_recorder_with_idle_time, run_daemon, start_log,
+    flush_log, maintain_recorder, metrics_recorder, metrics_recorder_with_idle_time, run_daemon,
+    start_log,
 };
 
 pub use request::{
--- a/crates/galenastream_node/src/process/control_state.rs
+++ b/crates/galenastream_node/src/process/control_state.rs
@@ -352,7 +352,7 @@
             self.reconcile_assignment(&service, is_planner, now);
         }
         self.write_quarantine(is_planner);
-        self.review_inheritance(now);
+        self.review_unseen_leave(now);
         self.settle_leaves(now);
         self.reply_to_heartbeat(now);
         self.plan_lease_calls(now);
--- a/crates/galenastream_node/src/process/daemon.rs
+++ b/crates/galenastream_node/src/process/daemon.rs
@@ -207,8 +207,9 @@
     }
 }
 
-/// Stops gracefully: waits for the requests in progress, for the handover of the keys, for the write of
-/// acknowledged leaves, and until the peers of all connections have read what they were sent, within the platform's grace period.
+/// Stops gracefully, within the platform's grace period: waits for the requests in progress, for the
+/// handover of the keys, for the write of acknowledged leaves, and until the peers of all connections
+/// have read what they were sent.
 async fn stop(traffic: &TrafficState) {
     log::info!(event = "process_stopping"; "");
     let started_at = Instant::now();
--- a/crates/galenastream_node/src/process/heartbeats.rs
+++ b/crates/galenastream_node/src/process/heartbeats.rs
@@ -160,9 +160,9 @@
             ""
         );
         let first_call_id = self.next_call_ids();
-        let inheritance = self.inheritance(now);
+        let unseen_leave = self.unseen_leave(now);
         let mut local =
-            LocalTargetState::new(incarnation.clone(), heartbeat, first_call_id, inheritance, now);
+            LocalTargetState::new(incarnation.clone(), heartbeat, first_call_id, unseen_leave, now);
         let deregistered_at = self.take_early_deregistration(&incarnation.id);
         local.draining_since = deregistered_at;
         self.local = Some(local);
--- a/crates/galenastream_node/src/process/local_target.rs
+++ b/crates/galenastream_node/src/process/local_target.rs
@@ -9,7 +9,7 @@
 use tokio::sync::oneshot;
 
 use super::cold_start::ColdStart;
-use super::inherited_target::{Inheritance, SteadyHeartbeats};
+use super::unseen_leave::{SteadyHeartbeats, UnseenLeave};
 use super::{HeartbeatAnswer, HeldLeases};
 
 /// The state of the local target as derived from its heartbeats.
@@ -26,7 +26,7 @@
     pub(super) identity: Identity,
     pub(super) draining_since: Option<BootInstant>,
     /// Whether the target may have left before this process started.
-    pub(super) inheritance: Inheritance,
+    pub(super) unseen_leave: UnseenLeave,
     pub(super) steady_heartbeats: SteadyHeartbeats,
     pub(super) cold: ColdStart,
     /// When the last heartbeat was replied to, if that was early enough for the target to wait for it:
@@ -86,7 +86,7 @@
         incarnation: TargetIncarnation,
         heartbeat: &Heartbeat,
         first_call_id: CallId,
-        inheritance: Inheritance,
+        unseen_leave: UnseenLeave,
         now: BootInstant,
     ) -> Self {
         Self {
@@ -98,7 +98,7 @@
             heard_after: Duration::ZERO,
             identity: Identity::Unknown,
             draining_since: None,
-            inheritance,
+            unseen_leave,
             steady_heartbeats: SteadyHeartbeats::default(),
             cold: ColdStart::default(),
             replied_at: None,
--- a/crates/galenastream_node/src/process/metrics_page.rs
+++ b/crates/galenastream_node/src/process/metrics_page.rs
@@ -47,13 +47,13 @@
     for upkeep in 0_u32.. {
         ticks.tick().await;
         if let Some(handle) = RECORDER.get() {
-            maintain(handle, upkeep);
+            maintain_recorder(handle, upkeep);
         }
     }
 }
 
 /// Adds the samples to their histograms, and removes idle metrics from time to time.
-pub fn maintain(handle: &PrometheusHandle, upkeep: u32) {
+pub fn maintain_recorder(handle: &PrometheusHandle, upkeep: u32) {
     handle.run_upkeep();
     if upkeep.is_multiple_of(UPKEEPS_PER_REMOVAL) {
         // Only rendering removes them.
--- a/crates/galenastream_node/src/process/mod.rs
+++ b/crates/galenastream_node/src/process/mod.rs
@@ -13,7 +13,6 @@
 mod directory;
 mod evacuations;
 mod heartbeats;
-mod inherited_target;
 mod key_meter;
 mod lease_call_client;
 #[cfg(test)]
@@ -50,6 +49,7 @@
 mod target_probes;
 mod traffic_state;
 mod traffic_tally;
+mod unseen_leave;
 mod written_row;
 #[cfg(test)]
 mod written_row_tests;
@@ -67,7 +67,7 @@
 pub use local_announcement::LocalAnnouncement;
 pub use logs::{flush_log, start_log};
 pub use metrics_page::{
-    maintain, metrics_recorder, metrics_recorder_with_idle_time, render_metrics,
+    maintain_recorder, metrics_recorder, metrics_recorder_with_idle_time, render_metrics,
 };
 pub use process_end::ProcessEnd;
 pub use remembered_announcements::{RememberedAnnouncements, earliest, elapsed_ms};
--- a/crates/galenastream_node/src/process/publication.rs
+++ b/crates/galenastream_node/src/process/publication.rs
@@ -8,11 +8,11 @@
 use galenastream_wire::{NodeStatus, TargetStatus};
 
 use super::control_state::ControlState;
-use super::inherited_target::Inheritance;
 use super::local_limit::LocalLimit;
 use super::local_target::LocalTargetState;
 use super::ownership_log::millis;
 use super::peer_book::PeerRecord;
+use super::unseen_leave::UnseenLeave;
 use super::{
     Directory, EvacuatedPage, LocalTarget, NodeEntry, StatusPage, SyncSnapshot, TargetEntry,
     TargetPage,
@@ -45,7 +45,7 @@
 
     /// The local target, unless it may have left. It is then not published, as if it were not known yet.
     pub(super) fn usable_target(&self) -> Option<&LocalTargetState> {
-        self.local.as_ref().filter(|it| it.inheritance != Inheritance::Withheld)
+        self.local.as_ref().filter(|it| it.unseen_leave != UnseenLeave::Presumed)
     }
 
     pub(super) fn target_status(&self, local: &LocalTargetState, now: BootInstant) -> TargetStatus {
@@ -189,7 +189,7 @@
             cold_remaining_ms: cold.map_or(0, |it| millis(it.until.saturating_since(now))),
             is_draining: it.draining_since.is_some(),
             is_silent: it.is_silent(now, self.heartbeat_timeout()),
-            is_withheld: it.inheritance == Inheritance::Withheld,
+            is_withheld: it.unseen_leave == UnseenLeave::Presumed,
             leases_withheld: self.withheld_reason(now),
             leases: it.held_leases(now).pages(now),
         });
--- a/crates/galenastream_node/src/process/inherited_target.rs
+++ b/crates/galenastream_node/src/process/unseen_leave.rs
@@ -27,13 +27,13 @@
 
 /// What this process knows of the leave of the local target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum Inheritance {
+pub(super) enum UnseenLeave {
     /// An earlier process may have acknowledged a leave that this one does not know of.
     Possible,
     /// The same, and the target sends no steady heartbeats: it is not used.
-    Withheld,
+    Presumed,
     /// The target has not left unnoticed.
-    Excluded,
+    RuledOut,
 }
 
 /// Counts the heartbeats of a target that follow each other at about their usual interval. Late ones
@@ -61,17 +61,17 @@
 
 impl ControlState {
     /// Whether a target that is first heard now may have left under an earlier process.
-    pub(super) fn inheritance(&self, now: BootInstant) -> Inheritance {
+    pub(super) fn unseen_leave(&self, now: BootInstant) -> UnseenLeave {
         let is_late = now.saturating_since(self.started_at) > MAX_HEARTBEAT_DELAY;
         match self.settings.is_first_start || is_late {
-            true => Inheritance::Excluded,
-            false => Inheritance::Possible,
+            true => UnseenLeave::RuledOut,
+            false => UnseenLeave::Possible,
         }
     }
 
     /// Withholds requests from the local target while it may have left, and allows them again once its
     /// heartbeats show that it stays.
-    pub(super) fn review_inheritance(&mut self, now: BootInstant) {
+    pub(super) fn review_unseen_leave(&mut self, now: BootInstant) {
         let heartbeats_needed = match self.store_reached_at {
             Some(at) if at.saturating_since(self.started_at) < FIRST_CONTACT_TIME => {
                 HEARTBEATS_OF_STAYING
@@ -83,17 +83,17 @@
             return;
         };
         let stays = local.steady_heartbeats.count >= heartbeats_needed;
-        let next = match local.inheritance {
-            Inheritance::Possible | Inheritance::Withheld if stays => Inheritance::Excluded,
-            Inheritance::Possible if !is_provisional => Inheritance::Withheld,
+        let next = match local.unseen_leave {
+            UnseenLeave::Possible | UnseenLeave::Presumed if stays => UnseenLeave::RuledOut,
+            UnseenLeave::Possible if !is_provisional => UnseenLeave::Presumed,
             unchanged => unchanged,
         };
-        let before = std::mem::replace(&mut local.inheritance, next);
+        let before = std::mem::replace(&mut local.unseen_leave, next);
         match (before, next) {
-            (Inheritance::Possible, Inheritance::Withheld) => {
+            (UnseenLeave::Possible, UnseenLeave::Presumed) => {
                 log::info!(event = "target_withheld", target:% = local.incarnation; "");
             }
-            (Inheritance::Withheld, Inheritance::Excluded) => {
+            (UnseenLeave::Presumed, UnseenLeave::RuledOut) => {
                 log::info!(event = "target_allowed", target:% = local.incarnation; "");
             }
             _ => {}
--- a/crates/galenastream_node/tests/metrics_memory.rs
+++ b/crates/galenastream_node/tests/metrics_memory.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use galenastream_node::{maintain, metrics_recorder, metrics_recorder_with_idle_time};
+use galenastream_node::{maintain_recorder, metrics_recorder, metrics_recorder_with_idle_time};
 use metrics::{counter, histogram, with_local_recorder};
 
 const WORKS: &str = "the recorder works";
@@ -37,7 +37,7 @@
             for _ in 0..SAMPLES {
                 histogram!("seconds", "route" => "r").record(0.01);
             }
-            maintain(&handle, upkeep);
+            maintain_recorder(&handle, upkeep);
         }
     });
     let growth_kb = memory_kb().saturating_sub(before_kb);
@@ -57,9 +57,9 @@
                 histogram!("seconds", "route" => route).record(0.01);
             }
             // The first removal sees a metric, the next one that it has not changed.
-            maintain(&handle, 0);
+            maintain_recorder(&handle, 0);
             std::thread::sleep(2 * idle_time);
-            maintain(&handle, 0);
+            maintain_recorder(&handle, 0);
         }
     });
     let growth_kb = memory_kb().saturating_sub(before_kb);
