The test of delayed requests allows for the transit of the fastest one

the_time_that_a_request_was_under_way_counts_against_its_deadline failed once beside load: a request delayed by 600 ms of 1,000 had 402 ms left, not 400.

The delay is estimated against the fastest request of the connection. The only one before had taken some milliseconds on its way, beside load, and the delayed one less; the estimate was exact. The bound now is what the estimate promises: the stated time plus the round trip of the fastest of ten requests, which is measured.

--- a/crates/galenastream_node/tests/platform/forwarded.rs
+++ b/crates/galenastream_node/tests/platform/forwarded.rs
@@ -1,6 +1,9 @@
 //! Tests of requests that another node forwards.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
 
 use galenastream_runtime::{BodyBudget, FrameLink, boot_now};
 use galenastream_standin::{LocalDeployment, wait_until};
@@ -21,6 +24,9 @@
 /// How long the delayed request was under way.
 const DELAY: Duration = Duration::from_millis(600);
 
+/// Number of requests before the delayed one.
+const PROMPT_REQUESTS: usize = 10;
+
 async fn forward(
     link: &FrameLink<PeerFrame>,
     deployment: &LocalDeployment,
@@ -57,9 +63,15 @@
     let deployment = start("under-way", &["stock"]).await;
     let address = SocketAddr::new(deployment.vms[0].ip, PEERS_PORT);
     let link = FrameLink::connect(address, BodyBudget::new(0)).await.expect(WORKS);
-    // The delay is estimated against the fastest request of the connection.
-    let prompt = forward(&link, &deployment, "prompt", Duration::ZERO).await;
-    assert_eq!(prompt.outcome, ReplyOutcome::Answered as i32, "{prompt:?}");
+    // The delay is estimated against the fastest request of the connection, so that one may count for
+    // less by the time which that was under way.
+    let mut fastest_ms = u128::MAX;
+    for _ in 0..PROMPT_REQUESTS {
+        let sent_at = Instant::now();
+        let prompt = forward(&link, &deployment, "prompt", Duration::ZERO).await;
+        assert_eq!(prompt.outcome, ReplyOutcome::Answered as i32, "{prompt:?}");
+        fastest_ms = fastest_ms.min(sent_at.elapsed().as_millis() + 1);
+    }
     let delayed = forward(&link, &deployment, "delayed", DELAY).await;
     assert_eq!(delayed.outcome, ReplyOutcome::Answered as i32, "{delayed:?}");
     let runs = deployment.vms[0].target.runs();
@@ -69,7 +81,7 @@
     };
     let left_ms = u128::from(REMAINING_MS) - DELAY.as_millis();
     assert!(deadline_ms("prompt") > left_ms, "{runs:?}");
-    assert!(deadline_ms("delayed") <= left_ms, "{runs:?}");
+    assert!(deadline_ms("delayed") <= left_ms + fastest_ms, "{fastest_ms} ms: {runs:?}");
     // A request whose deadline has passed on its way does not run.
     let expired = forward(&link, &deployment, "expired", DELAY * 2).await;
     assert_eq!(expired.reason, ReplyReason::DeadlinePassed as i32, "{expired:?}");
