--- a/crates/galenastream_node/tests/ownership/other_writers.rs
+++ b/crates/galenastream_node/tests/ownership/other_writers.rs
@@ -3,7 +3,7 @@
 use galenastream_adapter::{HeartbeatReply, Row};
 use galenastream_node::{ControlEvent, ControlState, HeartbeatAnswer};
 use galenastream_ranges::{Assignment, KeyRange, Owner, TargetIncarnation};
-use galenastream_standin::{HeartbeatFields, heartbeat_body};
+use galenastream_standin::{HeartbeatFields, REQUIRED_HEARTBEAT_FIELDS, heartbeat_body};
 use serde_json::Value;
 use tokio::sync::oneshot;
 
@@ -91,7 +91,7 @@
 /// holds nothing.
 #[test]
 fn a_report_with_fields_missing_or_of_another_type_is_refused() {
-    for field in ["/info/version", "/info/zone", "/status/coldRemainingMs"] {
+    for field in REQUIRED_HEARTBEAT_FIELDS {
         for value in [None, Some(Value::from(vec![1]))] {
             let mut state = node(true);
             let answer = send(&mut state, &report(1), 100);
--- a/crates/galenastream_node/tests/platform/node_stop.rs
+++ b/crates/galenastream_node/tests/platform/node_stop.rs
@@ -108,13 +108,9 @@
     target_latency_ms: u32,
 ) -> LocalDeployment {
     let program = env!("CARGO_BIN_EXE_galenastreamd");
-    let mut plan = DeploymentPlan::shop(name, program, &["carts", "stock"]);
+    let mut plan = DeploymentPlan::shop(name, program, &["carts", "stock"])
+        .with_route_times(10_000, target_latency_ms);
     plan.vms[1].capacity = TargetCapacity { slots: 2, ..Default::default() };
-    let config = plan.config.as_mut().expect("the shop has a config");
-    for route in config["virtualHosts"][0]["paths"].as_array_mut().expect("a list of routes") {
-        route["timeoutMs"] = 10_000.into();
-        route["targetLatencyMs"] = target_latency_ms.into();
-    }
     let deployment = LocalDeployment::start(&plan).await.expect("the deployment starts");
     deployment.vms[1].target.set_fault(TargetAnswerFault::Slow(service_time));
     deployment
--- a/crates/galenastream_standin/src/deployment/deployment_plan.rs
+++ b/crates/galenastream_standin/src/deployment/deployment_plan.rs
@@ -58,6 +58,18 @@
         Self { config: None, ..self }
     }
 
+    /// Sets how long the routes of the config let callers wait, and their target latency.
+    pub fn with_route_times(mut self, timeout_ms: u32, target_latency_ms: u32) -> Self {
+        let hosts = self.config.as_mut().and_then(|it| it["virtualHosts"].as_array_mut());
+        for host in hosts.into_iter().flatten() {
+            for route in host["paths"].as_array_mut().into_iter().flatten() {
+                route["timeoutMs"] = timeout_ms.into();
+                route["targetLatencyMs"] = target_latency_ms.into();
+            }
+        }
+        self
+    }
+
     /// Returns a version of the shop's config. Reads from `stock` have the path prefix
     /// `stock_path`.
     pub fn shop_config(version: u32, stock_path: &str) -> Value {
--- a/crates/galenastream_standin/src/platform_target/heartbeat_body.rs
+++ b/crates/galenastream_standin/src/platform_target/heartbeat_body.rs
@@ -21,6 +21,11 @@
     pub born_ms: Option<u64>,
 }
 
+/// Fields that targets always send, and that say nothing of the address, the service or the state, as
+/// JSON pointers.
+pub const REQUIRED_HEARTBEAT_FIELDS: [&str; 3] =
+    ["/info/version", "/info/zone", "/status/coldRemainingMs"];
+
 /// Returns the request with which a target sends the body of a heartbeat.
 pub fn heartbeat_request(target_id: &str, body: &str) -> String {
     format!(
--- a/crates/galenastream_standin/src/platform_target/mod.rs
+++ b/crates/galenastream_standin/src/platform_target/mod.rs
@@ -17,7 +17,10 @@
 mod target_plan;
 
 pub use answer_fault::TargetAnswerFault;
-pub use heartbeat_body::{HeartbeatFields, cold_heartbeat_body, heartbeat_body, heartbeat_request};
+pub use heartbeat_body::{
+    HeartbeatFields, REQUIRED_HEARTBEAT_FIELDS, cold_heartbeat_body, heartbeat_body,
+    heartbeat_request,
+};
 pub use platform_target_standin::PlatformTargetStandin;
 pub use raw_answer::RawAnswer;
 pub use raw_target::RawTarget;
