An unseen leave is presumed by the platform's own bound, and not of successors

Read again, the change of unseen leaves had four faults. The time for which a restarted process uses a target was a constant below the stable time of the known deployments; with a shorter one, a target that had left would have been in use while the platform relies on the process. A target that followed another one within 10 s of the start was used only after its second heartbeat. One that said that it leaves lost its drain period. And a request that was withdrawn could still be sent by chance, as the branches of a select are polled in random order; its answer was true, but could be cut off.

The time now is the bound of the settings less 400 ms. Successors, and targets that are known to leave, are not withheld. The withdrawal is polled first.

Of the new tests in unseen_leaves, three fail without this: one_late_heartbeat_does_not_keep_a_target_in_use (for a stable time of 1 s), a_target_that_follows_another_one_is_used_at_once and a_target_that_leaves_soon_after_a_restart_keeps_its_drain_period.

--- a/crates/galenastream_node/src/process/unseen_leave.rs
+++ b/crates/galenastream_node/src/process/unseen_leave.rs
@@ -12,9 +12,9 @@
 use super::control_state::ControlState;
 use super::ownership_facts::MAX_HEARTBEAT_DELAY;
 
-/// How long after its start a process uses a target that may have left. By then a target that stays has
-/// sent heartbeats, and the platform does not rely on the process yet.
-const PROVISIONAL_TIME: Duration = Duration::from_millis(2_600);
+/// How long before the platform relies on a process it stops using a target that may have left. Other
+/// nodes hear of it by then. A target that stays has sent heartbeats.
+const STABLE_MARGIN: Duration = Duration::from_millis(400);
 
 /// Number of steady heartbeats that show that a target stays. One alone may be a late one.
 const HEARTBEATS_OF_STAYING: u32 = 2;
@@ -63,7 +63,9 @@
     /// Whether a target that is first heard now may have left under an earlier process.
     pub(super) fn unseen_leave(&self, now: BootInstant) -> UnseenLeave {
         let is_late = now.saturating_since(self.started_at) > MAX_HEARTBEAT_DELAY;
-        match self.settings.is_first_start || is_late {
+        // A target that follows another one here started under this process.
+        let is_successor = !self.ended.is_empty();
+        match self.settings.is_first_start || is_late || is_successor {
             true => UnseenLeave::RuledOut,
             false => UnseenLeave::Possible,
         }
@@ -78,13 +80,20 @@
             }
             _ => HEARTBEATS_OF_STAYING_AFTER_OUTAGE,
         };
-        let is_provisional = now.saturating_since(self.started_at) < PROVISIONAL_TIME;
+        let stable_time = Duration::from_millis(self.settings.bounds.stable_ms);
+        let provisional_time = stable_time.saturating_sub(STABLE_MARGIN);
+        let is_provisional = now.saturating_since(self.started_at) < provisional_time;
         let Some(local) = &mut self.local else {
             return;
         };
         let stays = local.steady_heartbeats.count >= heartbeats_needed;
         let next = match local.unseen_leave {
-            UnseenLeave::Possible | UnseenLeave::Presumed if stays => UnseenLeave::RuledOut,
+            // Its drain period decides on the requests to a target that is known to leave.
+            UnseenLeave::Possible | UnseenLeave::Presumed
+                if stays || local.draining_since.is_some() =>
+            {
+                UnseenLeave::RuledOut
+            }
             UnseenLeave::Possible if !is_provisional => UnseenLeave::Presumed,
             unchanged => unchanged,
         };
--- a/crates/galenastream_node/src/request/target_run.rs
+++ b/crates/galenastream_node/src/request/target_run.rs
@@ -184,16 +184,18 @@
     withdrawal: &Withdrawal,
 ) -> ForwardedReply {
     let turn = tokio::select! {
-        turn = wait_for_turn(traffic, fingerprint, deadline) => turn,
+        biased;
         reply = withdrawal.reply(traffic, &request) => return reply,
+        turn = wait_for_turn(traffic, fingerprint, deadline) => turn,
     };
     let turn = match turn {
         Ok(turn) => turn,
         Err(reply) => return *reply,
     };
     let runnable = tokio::select! {
-        runnable = wait_for_lease(traffic, &request, deadline) => runnable,
+        biased;
         reply = withdrawal.reply(traffic, &request) => return reply,
+        runnable = wait_for_lease(traffic, &request, deadline) => runnable,
     };
     if let Err(reply) = runnable {
         return reply;
@@ -208,11 +210,12 @@
     let estimate = estimate(request.target_latency_ms);
     traffic.admission.assume_service_time(class, estimate);
     let admitted = tokio::select! {
+        biased;
+        reply = withdrawal.reply(traffic, &request) => return reply,
+        () = evacuation(traffic) => return not_sent(ReplyReason::Evacuated, MOVING_RETRY_AFTER_MS),
         admitted = traffic
             .admission
             .admit_with_soft_deadline(class, soft_deadline, deadline) => admitted,
-        () = evacuation(traffic) => return not_sent(ReplyReason::Evacuated, MOVING_RETRY_AFTER_MS),
-        reply = withdrawal.reply(traffic, &request) => return reply,
     };
     let mut slot = match admitted {
         Ok(slot) => slot,
--- a/crates/galenastream_node/tests/ownership/fixtures.rs
+++ b/crates/galenastream_node/tests/ownership/fixtures.rs
@@ -34,6 +34,7 @@
         store: StoreSettings { address: any, transaction_duration_ms: 5.0, max_row_bytes: 65_536 },
         bounds: PlatformBounds {
             drain_ms: 2_000,
+            stable_ms: 3_000,
             config_apply_ms: 2_000,
             grace_ms: 6_000,
             max_lease_ms: 10_000,
--- a/crates/galenastream_node/tests/ownership/main.rs
+++ b/crates/galenastream_node/tests/ownership/main.rs
@@ -41,6 +41,7 @@
 mod takeover_time;
 mod target;
 mod target_steps;
+mod unseen_leaves;
 mod variation;
 mod varied_runs;
 mod vm;
