What cannot be answered before the end of a process is refused at once

A request that arrived at a stopping node could wait for a slot at another node until it was withdrawn, although its turn would come after the end of its node: 0.8 s in the new test, and longer where work takes less time. Its caller could have asked elsewhere meanwhile.

The node now states, with each request that it forwards, within which time it can still pass an answer on; admission refuses at once what would take longer. The same holds beside the target for the end of its own node. The deadline that the target gets is unchanged.

The four tests of requests that wait did not show their fault: without the fix their requests began and were cut off at work, which the platform allows. They now hold all slots, wait until the others are reported as waiting, and stop the node: without the fix three end without an answer after 5.5 s, and the one of forwarded requests with 502. requests_whose_turn_comes_after_the_end_of_their_ node_are_refused_at_once fails without this change.

--- a/crates/galenastream_node/src/process/process_end.rs
+++ b/crates/galenastream_node/src/process/process_end.rs
@@ -27,10 +27,22 @@
         self.at.send_replace(Some(at));
     }
 
+    /// The time within which an answer can still reach its caller; `None` while the process is not about
+    /// to stop.
+    fn time_left(&self) -> Option<Duration> {
+        let until_end = (*self.at.borrow())?.saturating_duration_since(Instant::now());
+        Some(until_end.saturating_sub(ANSWER_TIME))
+    }
+
+    /// The same in milliseconds, at least 1.
+    pub fn time_left_ms(&self) -> Option<u32> {
+        let left = self.time_left()?;
+        Some(u32::try_from(left.as_millis()).unwrap_or(u32::MAX).max(1))
+    }
+
     /// Whether the process ends before a request that begins now and takes `duration` is answered.
     pub fn cuts_off(&self, duration: Duration) -> bool {
-        let at = *self.at.borrow();
-        at.is_some_and(|it| it.saturating_duration_since(Instant::now()) < duration + ANSWER_TIME)
+        self.time_left().is_some_and(|it| it.is_zero() || it < duration)
     }
 
     /// Completes when a request that takes `duration` can no longer begin.
--- a/crates/galenastream_node/src/request/attempt.rs
+++ b/crates/galenastream_node/src/request/attempt.rs
@@ -172,6 +172,7 @@
             now,
         ),
         suspect: None,
+        answer_within_ms: traffic.end.time_left_ms().unwrap_or(0),
     }
 }
 
--- a/crates/galenastream_node/src/request/target_run.rs
+++ b/crates/galenastream_node/src/request/target_run.rs
@@ -209,13 +209,15 @@
         .with_waited_ms(request.waited_ms);
     let estimate = estimate(request.target_latency_ms);
     traffic.admission.assume_service_time(class, estimate);
+    let (soft_limit, limit) =
+        admission_deadlines(traffic, request.answer_within_ms, (soft_deadline, deadline));
     let admitted = tokio::select! {
         biased;
         reply = withdrawal.reply(traffic, &request) => return reply,
         () = evacuation(traffic) => return not_sent(ReplyReason::Evacuated, MOVING_RETRY_AFTER_MS),
         admitted = traffic
             .admission
-            .admit_with_soft_deadline(class, soft_deadline, deadline) => admitted,
+            .admit_with_soft_deadline(class, soft_limit, limit) => admitted,
     };
     let mut slot = match admitted {
         Ok(slot) => slot,
@@ -262,6 +264,22 @@
     reply
 }
 
+/// The deadlines of a request for admission. Those of the processes that pass its answer on count too if
+/// they are about to end: a request that would wait for longer is refused at once.
+fn admission_deadlines(
+    traffic: &TrafficState,
+    answer_within_ms: u32,
+    (soft_deadline, deadline): (Deadline, Deadline),
+) -> (Deadline, Deadline) {
+    let of_sender = (answer_within_ms > 0).then_some(answer_within_ms);
+    let own = traffic.end.time_left_ms();
+    let Some(left_ms) = of_sender.into_iter().chain(own).min() else {
+        return (soft_deadline, deadline);
+    };
+    let end = Deadline::new(boot_now(), left_ms);
+    (soft_deadline.min(end), deadline.min(end))
+}
+
 /// Waits until the target may run the request, if only its lease on the key is missing and expected
 /// soon.
 async fn wait_for_lease(
--- a/crates/galenastream_node/tests/platform/node_stop.rs
+++ b/crates/galenastream_node/tests/platform/node_stop.rs
@@ -6,8 +6,9 @@
 };
 
 use futures::future::join_all;
+use galenastream_node::STATUS_PATH;
 use galenastream_standin::{
-    CallerConnection, DeploymentPlan, LocalDeployment, TargetAnswerFault, TargetCapacity,
+    CallerConnection, DeploymentPlan, LocalDeployment, LocalVm, TargetAnswerFault, TargetCapacity,
     request_bytes, wait_until,
 };
 
@@ -97,11 +98,33 @@
     answers
 }
 
-/// How long after SIGTERM the requests of [`burst_in_a_stop`] are sent. A stopping node takes them.
-const BURST_DELAY: Duration = Duration::from_millis(2_000);
+/// How long after SIGTERM a stopping node still takes requests, but can answer only those that begin at
+/// once.
+const LATE_DELAY: Duration = Duration::from_millis(2_000);
 
-/// Starts a deployment of `carts` and `stock` whose callers wait for long. The target of `stock` has two
-/// slots, and takes this long for a request from now on.
+/// The service time that admission assumes of routes with [`TARGET_LATENCY_MS`].
+const SERVICE_TIME: Duration = Duration::from_secs(2);
+const TARGET_LATENCY_MS: u32 = 6_000;
+
+/// Longer than a stopping node runs.
+const HOLD_TIME: Duration = Duration::from_secs(9);
+
+/// With this target latency, requests would wait for a slot until after the end of their node.
+const LONG_LATENCY_MS: u32 = 12_000;
+
+/// Number of requests that admission lets wait for the full target.
+const WAITING: usize = 3;
+
+/// Number of requests in a burst: more than have a turn before the end of their node.
+const BURST: usize = 8;
+
+/// A request that cannot be served is refused within this time.
+const REFUSAL_TIME: Duration = Duration::from_millis(500);
+
+/// Slots of the target of `stock`.
+const SLOTS: u32 = 2;
+
+/// Starts a deployment of `carts` and `stock` whose callers wait for long. The target of `stock` takes this long for a request from now on.
 async fn start_patient(
     name: &str,
     service_time: Duration,
@@ -109,58 +132,89 @@
 ) -> LocalDeployment {
     let program = env!("CARGO_BIN_EXE_galenastreamd");
     let mut plan = DeploymentPlan::shop(name, program, &["carts", "stock"])
-        .with_route_times(10_000, target_latency_ms);
-    plan.vms[1].capacity = TargetCapacity { slots: 2, ..Default::default() };
+        .with_route_times(15_000, target_latency_ms);
+    plan.vms[1].capacity = TargetCapacity { slots: SLOTS, ..Default::default() };
     let deployment = LocalDeployment::start(&plan).await.expect("the deployment starts");
     deployment.vms[1].target.set_fault(TargetAnswerFault::Slow(service_time));
     deployment
 }
 
-/// Sends a request with a deadline of 20 s. Returns the status; `None` if the connection ends without a
-/// whole answer.
-async fn send_patiently(address: SocketAddr, method: &str, path: &str, id: &str) -> Option<u16> {
+/// How a request with a deadline of 20 s has ended.
+#[derive(Debug)]
+struct PatientEnd {
+    id: String,
+    /// `None` if the connection ended without a whole answer.
+    status: Option<u16>,
+    waited: Duration,
+}
+
+async fn send_patiently(address: SocketAddr, method: &str, path: &str, id: String) -> PatientEnd {
     let mut caller = CallerConnection::connect(address).await.expect(WORKS);
-    let request = request_bytes(method, path, id, None).replace("Ms: 1500", "Ms: 20000");
+    let request = request_bytes(method, path, &id, None).replace("Ms: 1500", "Ms: 20000");
     caller.send(request.as_bytes()).await.expect(WORKS);
-    let first = caller.read().await;
-    match first {
-        Some(answer) => Some(answer.status),
-        None => caller.read().await.map(|it| it.status),
+    let sent_at = Instant::now();
+    let mut answer = caller.read().await;
+    if answer.is_none() {
+        answer = caller.read().await;
     }
+    PatientEnd { id, status: answer.map(|it| it.status), waited: sent_at.elapsed() }
+}
+
+async fn send_burst(
+    address: SocketAddr,
+    count: usize,
+    method: &str,
+    path: &str,
+) -> Vec<PatientEnd> {
+    let ids = (0..count).map(|it| format!("burst-{it}"));
+    join_all(ids.map(|it| send_patiently(address, method, path, it))).await
+}
+
+/// The number of requests that wait for the target of a VM or run there, as its node reports.
+async fn pending_requests(vm: &LocalVm) -> Option<u64> {
+    let mut connection = CallerConnection::connect(vm.metrics_address()).await?;
+    let page = connection.get(STATUS_PATH, "status", None).await?;
+    let page: serde_json::Value = serde_json::from_str(&page.body).ok()?;
+    page["target"]["pending_requests"].as_u64()
 }
 
-/// Stops the node of a VM, and sends more requests through another one or the same meanwhile than the
-/// target of `stock` can answer before the end. Asserts that all get an answer, and that those that are
-/// refused have not run.
-async fn burst_in_a_stop(name: &str, stopped: usize, entry: usize, method: &str, path: &str) {
-    let mut deployment = start_patient(name, Duration::from_secs(2), 6_000).await;
+/// Stops the node of a VM while requests that were sent through a node wait for a slot of the target of
+/// `stock`, and other requests hold all slots. Asserts that they are refused and never run.
+async fn stop_beside_a_full_target(
+    name: &str,
+    stopped: usize,
+    entry: usize,
+    method: &'static str,
+    path: &'static str,
+) {
+    let mut deployment = start_patient(name, HOLD_TIME, LONG_LATENCY_MS).await;
     let address = deployment.vms[entry].callers_address();
-    let mut vm = deployment.vms.remove(stopped);
-    let burst = async {
-        tokio::time::sleep(BURST_DELAY).await;
-        let ids: Vec<String> = (0..12).map(|it| format!("burst-{it}")).collect();
-        let sent = ids.iter().map(|it| send_patiently(address, method, path, it));
-        let statuses = join_all(sent).await;
-        ids.into_iter().zip(statuses).collect::<Vec<_>>()
+    let holder = deployment.vms[1 - stopped].callers_address();
+    for number in 0..SLOTS {
+        let id = format!("holder-{number}");
+        tokio::spawn(async move { send_patiently(holder, "GET", "/stock/1", id).await });
+    }
+    let is_pending = async |count: usize| {
+        let pending = pending_requests(&deployment.vms[1]).await;
+        pending.is_some_and(|it| it == count as u64)
     };
-    let (ended, answers) = tokio::join!(vm.stop_node(), burst);
-    assert!(ended.expect(WORKS).success());
-    let target =
-        deployment.vms.first().filter(|_| stopped == 0).map_or(&vm.target, |it| &it.target);
+    let slots = SLOTS as usize;
+    wait_until("the slots to be held", TIMEOUT, async || is_pending(slots).await)
+        .await
+        .expect(WORKS);
+    let burst = tokio::spawn(async move { send_burst(address, WAITING, method, path).await });
+    wait_until("the others to wait", TIMEOUT, async || is_pending(slots + WAITING).await)
+        .await
+        .expect(WORKS);
+    let mut vm = deployment.vms.remove(stopped);
+    assert!(vm.stop_node().await.expect(WORKS).success());
+    let ends = burst.await.expect(WORKS);
+    let target = if stopped == 0 { &deployment.vms[0].target } else { &vm.target };
     let runs = target.runs();
-    let mut refused = 0;
-    for (id, status) in &answers {
-        let has_run = runs.iter().any(|it| it.request_id == *id);
-        match status {
-            Some(200) => assert!(has_run, "{id}"),
-            Some(503) => {
-                refused += 1;
-                assert!(!has_run, "{id} has run and is refused");
-            }
-            other => panic!("{id} ended with {other:?}, has run: {has_run}; {answers:?}"),
-        }
+    for PatientEnd { id, status, .. } in &ends {
+        assert_eq!(*status, Some(503), "{id}: {ends:?}");
+        assert!(!runs.iter().any(|it| it.request_id == *id), "{id} has run and is refused");
     }
-    assert!(refused > 0, "{answers:?}");
     vm.close();
     deployment.close().expect(WORKS);
 }
@@ -169,45 +223,67 @@
 /// were closed without an answer.
 #[tokio::test(flavor = "multi_thread")]
 async fn requests_that_wait_elsewhere_are_refused_before_their_node_ends() {
-    burst_in_a_stop("stop-waiting", 0, 0, "GET", "/stock/1").await;
+    stop_beside_a_full_target("stop-waiting", 0, 0, "GET", "/stock/1").await;
 }
 
 /// The same for requests that may run only once.
 #[tokio::test(flavor = "multi_thread")]
 async fn orders_that_wait_elsewhere_are_refused_before_their_node_ends() {
-    burst_in_a_stop("stop-waiting-orders", 0, 0, "POST", "/orders/1").await;
+    stop_beside_a_full_target("stop-waiting-orders", 0, 0, "POST", "/orders/1").await;
 }
 
 /// Guards against requests that wait for a slot beside their callers when the node there ends.
 #[tokio::test(flavor = "multi_thread")]
 async fn orders_that_wait_at_the_stopping_node_are_refused_before_it_ends() {
-    burst_in_a_stop("stop-waiting-local", 1, 1, "POST", "/orders/1").await;
+    stop_beside_a_full_target("stop-waiting-local", 1, 1, "POST", "/orders/1").await;
 }
 
 /// Guards against requests of other nodes that wait for a slot beside a node that ends.
 #[tokio::test(flavor = "multi_thread")]
 async fn forwarded_orders_that_wait_at_a_stopping_node_are_refused_before_it_ends() {
-    burst_in_a_stop("stop-waiting-forwarded", 1, 0, "POST", "/orders/1").await;
+    stop_beside_a_full_target("stop-waiting-forwarded", 1, 0, "POST", "/orders/1").await;
 }
 
 /// Guards against requests that a stopping node passes on although they take longer than it runs.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stopping_node_refuses_requests_that_its_end_would_cut_off() {
-    let mut deployment = start_patient("stop-long", Duration::from_secs(4), 12_000).await;
+    let mut deployment = start_patient("stop-long", 2 * SERVICE_TIME, 2 * TARGET_LATENCY_MS).await;
     let address = deployment.vms[0].callers_address();
     let mut vm = deployment.vms.remove(0);
     let late = async {
-        tokio::time::sleep(BURST_DELAY).await;
-        send_patiently(address, "POST", "/orders/1", "late").await
+        tokio::time::sleep(LATE_DELAY).await;
+        send_patiently(address, "POST", "/orders/1", "late".to_owned()).await
     };
-    let (ended, status) = tokio::join!(vm.stop_node(), late);
+    let (ended, late) = tokio::join!(vm.stop_node(), late);
     assert!(ended.expect(WORKS).success());
-    assert_eq!(status, Some(503));
+    assert_eq!(late.status, Some(503));
+    assert!(late.waited < REFUSAL_TIME, "{late:?}");
     assert!(!deployment.vms[0].target.runs().iter().any(|it| it.request_id == "late"));
     vm.close();
     deployment.close().expect(WORKS);
 }
 
+/// Guards against requests that a stopping node lets wait at another node, although their turn would come
+/// too late.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_whose_turn_comes_after_the_end_of_their_node_are_refused_at_once() {
+    let mut deployment =
+        start_patient("stop-turn", SERVICE_TIME * 6 / 5, TARGET_LATENCY_MS * 6 / 5).await;
+    let address = deployment.vms[0].callers_address();
+    let mut vm = deployment.vms.remove(0);
+    let burst = async {
+        tokio::time::sleep(LATE_DELAY).await;
+        send_burst(address, BURST, "POST", "/orders/1").await
+    };
+    let (ended, ends) = tokio::join!(vm.stop_node(), burst);
+    assert!(ended.expect(WORKS).success());
+    let refused: Vec<&PatientEnd> = ends.iter().filter(|it| it.status == Some(503)).collect();
+    assert_eq!(refused.len(), ends.len() - SLOTS as usize, "{ends:?}");
+    assert!(refused.iter().all(|it| it.waited < REFUSAL_TIME), "{ends:?}");
+    vm.close();
+    deployment.close().expect(WORKS);
+}
+
 /// Number of callers of [`callers_of_a_stopping_node_get_answers_until_it_is_gone`].
 const CALLERS: usize = 6;
 
--- a/crates/galenastream_wire/src/message/request.rs
+++ b/crates/galenastream_wire/src/message/request.rs
@@ -75,6 +75,10 @@
     /// versions do not say so.
     #[prost(bool, tag = "20")]
     pub has_long_answer: bool,
+    /// The time within which the sending node can still pass an answer on, in milliseconds, since its
+    /// process is about to end; 0 if it is not. Earlier versions do not say so.
+    #[prost(uint32, tag = "21")]
+    pub answer_within_ms: u32,
 }
 
 /// The reply to a [`ForwardedRequest`].
