After an outage of the store, a restarted node asks the target for its health

Cause: steady heartbeats show that the target runs, not that it stays. What outlasts all processes is what the target says itself, and its health check says whether it is leaving.

If the store was not reached as soon as the process started, the target is used beyond the provisional time only if a health check says that it is well too. A heartbeat 10 s after the start is no late one and allows the target in any case. The stand-in of a target fails its health checks once it has deregistered.

a_deregistration_during_a_store_outage_holds_while_ready_heartbeats_go_on and heartbeats_after_an_outage_do_not_keep_a_target_in_use_that_is_not_healthy fail without the check.

--- a/crates/galenastream_node/src/lib.rs
+++ b/crates/galenastream_node/src/lib.rs
@@ -14,9 +14,9 @@
     CommandLine, ControlEvent, ControlQueue, ControlState, Directory, Effect, EvacuatedPage,
     HeartbeatAnswer, KeyMeter, LeasePage, LocalTarget, OPERATORS_PORT, ProbeAnswer,
     RefusedConfigPage, RequestQuarantine, STATUS_PATH, StatusPage, StoredConfig,
-    StoredConfigContent, TargetPage, TargetProbe, command, decode_suspect, encode_suspect,
-    flush_log, maintain_recorder, metrics_recorder, metrics_recorder_with_idle_time, run_daemon,
-    start_log,
+    StoredConfigContent, TargetHealth, TargetPage, TargetProbe, command, decode_suspect,
+    encode_suspect, flush_log, maintain_recorder, metrics_recorder,
+    metrics_recorder_with_idle_time, run_daemon, start_log,
 };
 
 pub use request::{
--- a/crates/galenastream_node/src/process/control_event.rs
+++ b/crates/galenastream_node/src/process/control_event.rs
@@ -12,7 +12,7 @@
 use galenastream_wire::{NodeStatus, StatusSeen, SyncState};
 use tokio::sync::oneshot;
 
-use super::{CallBasis, StoredConfig, TargetProbe};
+use super::{CallBasis, StoredConfig, TargetHealth, TargetProbe};
 
 /// The answer to a heartbeat or a deregistration.
 #[derive(Debug)]
@@ -92,6 +92,13 @@
         /// The version as of which a full read shows all evacuations; `None` for a watch.
         read_version: Option<u64>,
     },
+    /// A health check that [`Effect::CheckHealth`] requested was answered by the target with this id.
+    HealthChecked {
+        /// The target that answered.
+        target_id: String,
+        /// What it said.
+        health: TargetHealth,
+    },
     /// The answer to a health check of the local target said for how long it stays cold.
     ColdReported {
         /// The target that answered.
@@ -244,4 +251,9 @@
         /// The health check path of its service; the answer carries the id in a header.
         path: String,
     },
+    /// Send a health check to the target that listens beside this node, to learn whether it is leaving.
+    CheckHealth {
+        /// The health check path of its service.
+        path: String,
+    },
 }
--- a/crates/galenastream_node/src/process/control_loop.rs
+++ b/crates/galenastream_node/src/process/control_loop.rs
@@ -11,7 +11,7 @@
 use galenastream_routing::NodeKey;
 use galenastream_runtime::{BodyBuffer, ExchangeError, HttpConnection, boot_now, connect_tcp};
 use galenastream_utils::BootInstant;
-use http::{Request, header};
+use http::{Request, StatusCode, header};
 use http_body_util::Full;
 use tokio::{
     sync::mpsc,
@@ -20,7 +20,8 @@
 
 use super::ownership_log::millis;
 use super::{
-    CallBasis, ControlEvent, ControlState, Effect, NodeContext, ProbeAnswer, TargetProbe,
+    CallBasis, ControlEvent, ControlState, Effect, NodeContext, ProbeAnswer, TargetHealth,
+    TargetProbe,
     commit::{AssignmentWrite, StoreWrite},
     lease_call_client::LeaseCallClient,
 };
@@ -221,6 +222,9 @@
             Effect::IdentifyTarget { target, path } => {
                 tokio::spawn(identify_target(self.context.clone(), target, path));
             }
+            Effect::CheckHealth { path } => {
+                tokio::spawn(report_health(self.context.clone(), path));
+            }
         }
     }
 }
@@ -244,7 +248,7 @@
 async fn identify_target(context: Arc<NodeContext>, target: TargetIncarnation, path: String) {
     let began_at = boot_now();
     match timeout(IDENTITY_TIMEOUT, check_health(&context, &path)).await {
-        Ok(Ok((Some(target_id), cold_remaining))) => {
+        Ok(Ok(HealthAnswer { target_id: Some(target_id), cold_remaining, .. })) => {
             if let Some(remaining) = cold_remaining {
                 let target_id = target_id.clone();
                 let event = ControlEvent::ColdReported { target_id, remaining, asked_at: began_at };
@@ -253,17 +257,35 @@
             let answer = ProbeAnswer::Identified { target_id };
             report_probe(&context, target, began_at, answer);
         }
-        Ok(Ok((None, _))) => log::info!(event = "target_unnamed"; ""),
+        Ok(Ok(HealthAnswer { target_id: None, .. })) => log::info!(event = "target_unnamed"; ""),
         Ok(Err(error)) => log::info!(event = "target_not_identified", reason:% = error; ""),
         Err(_) => log::info!(event = "target_not_identified", reason = "timed out"; ""),
     }
 }
 
-/// Returns the id in the answer to a health check, and for how long the target stays cold.
-async fn check_health(
-    context: &NodeContext,
-    path: &str,
-) -> Result<(Option<String>, Option<Duration>), ExchangeError> {
+/// Sends a health check to the target that listens beside this node and notifies the control state of
+/// what it says.
+async fn report_health(context: Arc<NodeContext>, path: String) {
+    match timeout(IDENTITY_TIMEOUT, check_health(&context, &path)).await {
+        Ok(Ok(HealthAnswer { target_id: Some(target_id), health, .. })) => {
+            let event = ControlEvent::HealthChecked { target_id, health };
+            context.control_events.deliver(event);
+        }
+        Ok(Ok(HealthAnswer { target_id: None, .. })) => log::info!(event = "target_unnamed"; ""),
+        Ok(Err(error)) => log::info!(event = "health_not_checked", reason:% = error; ""),
+        Err(_) => log::info!(event = "health_not_checked", reason = "timed out"; ""),
+    }
+}
+
+/// The answer to a health check.
+struct HealthAnswer {
+    target_id: Option<String>,
+    health: TargetHealth,
+    /// For how long the target stays cold.
+    cold_remaining: Option<Duration>,
+}
+
+async fn check_health(context: &NodeContext, path: &str) -> Result<HealthAnswer, ExchangeError> {
     let address = context.settings.load().target_address;
     let not_sent = |reason: String| ExchangeError::NotSent { reason };
     let request = Request::builder()
@@ -275,7 +297,13 @@
     let response = connection.exchange(request, BodyBuffer::new(MAX_IDENTITY_BYTES)).await?;
     let headers = &response.parts.headers;
     let id = headers.get(header_names::TARGET_ID).and_then(|it| it.to_str().ok());
-    Ok((id.map(str::to_owned), decode_cold_remaining(headers)))
+    let health = match response.parts.status {
+        StatusCode::OK => TargetHealth::Ready,
+        _ if headers.contains_key(header_names::NOT_RUN) => TargetHealth::Unknown,
+        _ => TargetHealth::NotReady,
+    };
+    let target_id = id.map(str::to_owned);
+    Ok(HealthAnswer { target_id, health, cold_remaining: decode_cold_remaining(headers) })
 }
 
 /// Notifies the control state if the address of the local target refuses two connections in a row.
--- a/crates/galenastream_node/src/process/control_state.rs
+++ b/crates/galenastream_node/src/process/control_state.rs
@@ -110,6 +110,8 @@
     /// Whether a heartbeat of another target than the local one has arrived, so that a health check
     /// is to tell which of them runs.
     pub(super) is_identity_wanted: bool,
+    /// When the local target was last to be asked for its health.
+    pub(super) health_asked_at: Option<BootInstant>,
     pub(super) eras: StoreEras,
     pub(super) quarantine: Arc<RequestQuarantine>,
     pub(super) quarantine_write: QuarantineWrite,
@@ -191,6 +193,7 @@
             last_tick_at: started_at,
             last_probe_at: started_at,
             is_identity_wanted: false,
+            health_asked_at: None,
             eras: StoreEras::default(),
             quarantine: Arc::default(),
             quarantine_write: QuarantineWrite::default(),
@@ -257,6 +260,12 @@
                 }
                 self.ask_after_evacuation(now);
             }
+            ControlEvent::HealthChecked { target_id, health } => {
+                let local = self.local.as_mut().filter(|it| *it.incarnation.id == *target_id);
+                if let Some(local) = local {
+                    local.health = health;
+                }
+            }
             ControlEvent::ColdReported { target_id, remaining, asked_at } => {
                 let local = self.local.as_mut().filter(|it| *it.incarnation.id == *target_id);
                 if let Some(local) = local {
--- a/crates/galenastream_node/src/process/local_target.rs
+++ b/crates/galenastream_node/src/process/local_target.rs
@@ -10,7 +10,7 @@
 
 use super::cold_start::ColdStart;
 use super::unseen_leave::{SteadyHeartbeats, UnseenLeave};
-use super::{HeartbeatAnswer, HeldLeases};
+use super::{HeartbeatAnswer, HeldLeases, TargetHealth};
 
 /// The state of the local target as derived from its heartbeats.
 #[derive(Debug)]
@@ -24,6 +24,8 @@
     pub(super) heard_after: Duration,
     /// Whether a health check at the target's address has confirmed its id.
     pub(super) identity: Identity,
+    /// What the last health check has said.
+    pub(super) health: TargetHealth,
     pub(super) draining_since: Option<BootInstant>,
     /// Whether the target may have left before this process started.
     pub(super) unseen_leave: UnseenLeave,
@@ -97,6 +99,7 @@
             last_heartbeat_at: now,
             heard_after: Duration::ZERO,
             identity: Identity::Unknown,
+            health: TargetHealth::Unknown,
             draining_since: None,
             unseen_leave,
             steady_heartbeats: SteadyHeartbeats::default(),
--- a/crates/galenastream_node/src/process/mod.rs
+++ b/crates/galenastream_node/src/process/mod.rs
@@ -43,6 +43,7 @@
 mod store_follower;
 mod store_view;
 mod stored_config;
+mod target_health;
 mod target_leave;
 mod target_limit;
 mod target_probe;
@@ -76,6 +77,7 @@
     EvacuatedPage, LeasePage, RefusedConfigPage, STATUS_PATH, StatusPage, TargetPage,
 };
 pub use stored_config::{StoredConfig, StoredConfigContent};
+pub use target_health::TargetHealth;
 pub use target_limit::TargetLimit;
 pub use target_probe::{ProbeAnswer, TargetProbe};
 pub use traffic_state::{CountGuard, RunningSuspect, TrafficState};
--- a/crates/galenastream_node/src/process/target_probes.rs
+++ b/crates/galenastream_node/src/process/target_probes.rs
@@ -49,8 +49,7 @@
         if !replaces_holder && !self.is_identity_wanted {
             return;
         }
-        let rules = self.routing.as_ref().and_then(|it| it.service(&local.service));
-        let Some(path) = rules.map(|it| it.health_path.clone()).filter(|it| !it.is_empty()) else {
+        let Some(path) = self.health_path(&local.service) else {
             return;
         };
         self.is_identity_wanted = false;
@@ -61,6 +60,12 @@
         }
     }
 
+    /// The path of the health checks of a service's targets, if the config in force has one.
+    pub(super) fn health_path(&self, service: &str) -> Option<String> {
+        let rules = self.routing.as_ref()?.service(service)?;
+        Some(rules.health_path.clone()).filter(|it| !it.is_empty())
+    }
+
     /// Asks the local target how long it stays cold if the evacuation of its data centre has just ended:
     /// targets may become cold meanwhile, and the last heartbeat may be older.
     pub(super) fn ask_after_evacuation(&mut self, now: BootInstant) {
--- a/crates/galenastream_node/tests/ownership/probes.rs
+++ b/crates/galenastream_node/tests/ownership/probes.rs
@@ -1,6 +1,6 @@
 //! Probes of the addresses of targets.
 
-use galenastream_node::{ControlEvent, ProbeAnswer, TargetProbe};
+use galenastream_node::{ControlEvent, ProbeAnswer, TargetHealth, TargetProbe};
 use galenastream_ranges::TargetIncarnation;
 use rand::RngExt;
 
@@ -43,6 +43,15 @@
         self.push_probe(index, target, second_at_ms, ends_at_ms, ProbeKind::Connections);
     }
 
+    /// Sends a health check that a running target answers at once.
+    pub fn check_health(&mut self, index: usize) {
+        let target = &self.vms[index].target;
+        if target.is_listening(self.now_ms) {
+            let (target_id, health) = (target.id.clone(), TargetHealth::Ready);
+            self.send_event(index, ControlEvent::HealthChecked { target_id, health });
+        }
+    }
+
     /// Sends a health check, which is answered with the id of the running target, even if delayed
     /// heartbeats of an earlier one are outstanding.
     pub fn identify(&mut self, index: usize, target: TargetIncarnation) {
--- a/crates/galenastream_node/tests/ownership/simulation.rs
+++ b/crates/galenastream_node/tests/ownership/simulation.rs
@@ -233,6 +233,7 @@
                 Effect::QueryPeer { node } => self.query_peer(index, &node),
                 Effect::ProbeTarget { target } => self.start_probe(index, target),
                 Effect::IdentifyTarget { target, .. } => self.identify(index, target),
+                Effect::CheckHealth { .. } => self.check_health(index),
             }
         }
     }
--- a/crates/galenastream_node/tests/ownership/state_machine/deployment.rs
+++ b/crates/galenastream_node/tests/ownership/state_machine/deployment.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use galenastream_adapter::{Row, StoreError};
 use galenastream_node::{
-    ControlEvent, ControlState, Effect, HeartbeatAnswer, ProbeAnswer, TargetProbe,
+    ControlEvent, ControlState, Effect, HeartbeatAnswer, ProbeAnswer, TargetHealth, TargetProbe,
 };
 use galenastream_ranges::{Assignment, TargetIncarnation};
 use galenastream_standin::{HeartbeatFields, heartbeat_body};
@@ -482,6 +482,15 @@
         self.send(index, ControlEvent::PeerSyncState { state, asked_at });
     }
 
+    /// Sends a health check that a running target answers at once.
+    fn check_health(&mut self, index: usize) {
+        let vm = &self.vms[index];
+        if vm.target.runs(self.now_ms) && self.now_ms >= vm.closed_until_ms {
+            let (target_id, health) = (vm.target.id.clone(), TargetHealth::Ready);
+            self.send(index, ControlEvent::HealthChecked { target_id, health });
+        }
+    }
+
     fn start_probe(&mut self, index: usize, target: TargetIncarnation, is_health_check: bool) {
         let now_ms = self.now_ms;
         let vm = &mut self.vms[index];
@@ -523,6 +532,7 @@
                 Effect::QueryPeer { node } => self.answer_sync_query(index, &node),
                 Effect::ProbeTarget { target } => self.start_probe(index, target, false),
                 Effect::IdentifyTarget { target, .. } => self.start_probe(index, target, true),
+                Effect::CheckHealth { .. } => self.check_health(index),
                 // No request crashes a target here, and no target leaves.
                 Effect::Settle { .. }
                 | Effect::AnnounceNode
--- a/crates/galenastream_node/tests/ownership/unseen_leaves.rs
+++ b/crates/galenastream_node/tests/ownership/unseen_leaves.rs
@@ -2,7 +2,7 @@
 //! before the start.
 
 use galenastream_adapter::{NodeSettings, PlatformBounds};
-use galenastream_node::{ControlEvent, ControlState};
+use galenastream_node::{ControlEvent, ControlState, Effect, TargetHealth};
 use tokio::sync::oneshot;
 
 use crate::{
@@ -102,3 +102,43 @@
     assert!(is_used(&mut state, START_MS + STABLE_MS));
     assert!(state.status(at(START_MS + STABLE_MS)).target.is_some_and(|it| it.is_draining));
 }
+
+/// A process that has restarted during an outage of the store, and has read the config since.
+fn restarted_in_outage() -> ControlState {
+    let mut state = restarted(STABLE_MS);
+    state.handle(ControlEvent::StoreReached(false), at(START_MS + 20));
+    state
+}
+
+/// Sends heartbeats at their interval, and answers each health check of the node. Returns whether the
+/// target is used after the last one.
+fn is_used_after(state: &mut ControlState, heartbeats: u64, health: TargetHealth) -> bool {
+    let mut now_ms = START_MS;
+    for sequence in 1..=heartbeats {
+        now_ms = START_MS + sequence * HEARTBEAT_MS;
+        send(state, TARGET, sequence, &[], now_ms);
+        let effects = state.tick(at(now_ms + 100));
+        if effects.iter().any(|it| matches!(it, Effect::CheckHealth { .. })) {
+            let target_id = TARGET.id.to_owned();
+            state.handle(ControlEvent::HealthChecked { target_id, health }, at(now_ms + 110));
+        }
+    }
+    is_used(state, now_ms + 200)
+}
+
+/// Guards against any number of late heartbeats, and against a target that has deregistered and goes on
+/// sending heartbeats: its health checks show that it leaves.
+#[test]
+fn heartbeats_after_an_outage_do_not_keep_a_target_in_use_that_is_not_healthy() {
+    for health in [TargetHealth::NotReady, TargetHealth::Unknown] {
+        let is_used = is_used_after(&mut restarted_in_outage(), 9, health);
+        assert!(!is_used, "{health:?}");
+    }
+    assert!(is_used_after(&mut restarted_in_outage(), 4, TargetHealth::Ready));
+}
+
+/// Guards against a target that is never used again, since its health checks are false.
+#[test]
+fn a_heartbeat_that_cannot_be_late_keeps_a_target_in_use() {
+    assert!(is_used_after(&mut restarted_in_outage(), 13, TargetHealth::NotReady));
+}
--- a/crates/galenastream_node/tests/platform/announced_leave.rs
+++ b/crates/galenastream_node/tests/platform/announced_leave.rs
@@ -218,6 +218,8 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum LeaveCall {
     Deregistration,
+    /// A deregistration after which heartbeats go on and say that the target is ready.
+    DeregistrationAmidHeartbeats,
     DrainingHeartbeat,
 }
 
@@ -264,9 +266,13 @@
     })
     .await
     .expect(WORKS);
-    deployment.vms[0].target.stop_heartbeats();
+    if call != LeaveCall::DeregistrationAmidHeartbeats {
+        deployment.vms[0].target.stop_heartbeats();
+    }
     match call {
-        LeaveCall::Deregistration => deployment.vms[0].target.deregister().await.expect(WORKS),
+        LeaveCall::Deregistration | LeaveCall::DeregistrationAmidHeartbeats => {
+            deployment.vms[0].target.deregister().await.expect(WORKS);
+        }
         LeaveCall::DrainingHeartbeat => {
             assert_eq!(send_heartbeat(&deployment, "draining", 1_002).await, 200);
         }
@@ -333,6 +339,15 @@
     assert_eq!(arrivals, 0);
 }
 
+/// Guards against a target that is ready again since its heartbeats go on as before: its leave was a
+/// deregistration, and only its health checks show it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_deregistration_during_a_store_outage_holds_while_ready_heartbeats_go_on() {
+    let call = LeaveCall::DeregistrationAmidHeartbeats;
+    let arrivals = leave_during_outage("outage-beats", call, NodesEnd::AllKilled, &[]).await;
+    assert_eq!(arrivals, 0);
+}
+
 /// Guards against a leave that the nodes forget when they are killed one after the other: each of them
 /// hears only of nodes that have started since.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/galenastream_standin/src/platform_target/platform_target_standin.rs
+++ b/crates/galenastream_standin/src/platform_target/platform_target_standin.rs
@@ -5,7 +5,7 @@
     net::SocketAddr,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError, Weak,
-        atomic::{AtomicU32, AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
     },
     time::{Duration, Instant},
 };
@@ -68,6 +68,7 @@
     fault: Mutex<TargetAnswerFault>,
     max_heartbeat_delay: Mutex<Duration>,
     announcement: Mutex<TargetAnnouncement>,
+    is_leaving: AtomicBool,
     arrivals: Mutex<Vec<TargetArrival>>,
     /// The limits announced so far; the last one may still be announced.
     limits: Mutex<Vec<LimitSpan>>,
@@ -101,12 +102,14 @@
         Ok(Self { server, state, heartbeats, control: plan.control })
     }
 
-    /// Deregisters the target at the node beside it. Its heartbeats go on and say that it is ready.
+    /// Deregisters the target at the node beside it. Its heartbeats go on and say that it is ready; its
+    /// health checks do not.
     pub async fn deregister(&self) -> anyhow::Result<()> {
         let uri =
             format!("http://{}/galenastream/instances/{}/deregister", self.control, self.state.id);
         let response = Client::default().post(uri).body(Body::from("{}")).send().await?;
         anyhow::ensure!(response.status().is_success(), "the deregistration was refused");
+        self.state.is_leaving.store(true, Ordering::Relaxed);
         Ok(())
     }
 
@@ -215,6 +218,7 @@
             fault: Mutex::default(),
             max_heartbeat_delay: Mutex::default(),
             announcement: Mutex::default(),
+            is_leaving: AtomicBool::default(),
             arrivals: Mutex::default(),
             limits: Mutex::default(),
             runs: Mutex::default(),
@@ -325,7 +329,10 @@
 impl TargetService {
     async fn answer(&self, request: Request) -> Response {
         if request.uri().path() == HEALTH_PATH {
-            let mut response = text_reply(StatusCode::OK, "healthy");
+            let mut response = match self.state.is_leaving.load(Ordering::Relaxed) {
+                true => text_reply(StatusCode::SERVICE_UNAVAILABLE, "leaving"),
+                false => text_reply(StatusCode::OK, "healthy"),
+            };
             if let Ok(id) = HeaderValue::from_str(&self.state.id) {
                 response.headers_mut().insert("x-instance-id", id);
             }
