Tests of leaves and metrics wait for states, not for times

The tests of leaves during an outage slept before the kill and between kills, and the one of idle metrics slept until they are idle. They now kill right after the acknowledgement, wait until a node has started, and until the metrics are gone.

--- a/crates/galenastream_node/tests/metrics_memory.rs
+++ b/crates/galenastream_node/tests/metrics_memory.rs
@@ -1,6 +1,6 @@
 //! Tests of the memory of the metrics, in a process of their own.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use galenastream_node::{maintain_recorder, metrics_recorder, metrics_recorder_with_idle_time};
 use metrics::{counter, histogram, with_local_recorder};
@@ -19,6 +19,9 @@
 /// By how much the memory may grow in each test.
 const MAX_GROWTH_KB: u64 = 10_000;
 
+/// How long idle metrics may take to be removed.
+const TIMEOUT: Duration = Duration::from_secs(10);
+
 fn memory_kb() -> u64 {
     let status = std::fs::read_to_string("/proc/self/status").expect(WORKS);
     let line = status.lines().find_map(|it| it.strip_prefix("VmRSS:")).expect(WORKS);
@@ -56,13 +59,14 @@
                 counter!("requests", "route" => route.clone()).increment(1);
                 histogram!("seconds", "route" => route).record(0.01);
             }
-            // The first removal sees a metric, the next one that it has not changed.
-            maintain_recorder(&handle, 0);
-            std::thread::sleep(2 * idle_time);
-            maintain_recorder(&handle, 0);
+            // A removal sees a metric first, and later that it has not changed.
+            let began_at = Instant::now();
+            while handle.render().contains("route-") {
+                assert!(began_at.elapsed() < TIMEOUT, "idle metrics are removed");
+                maintain_recorder(&handle, 0);
+            }
         }
     });
     let growth_kb = memory_kb().saturating_sub(before_kb);
     assert!(growth_kb < MAX_GROWTH_KB, "{growth_kb} kB for routes");
-    assert!(!handle.render().contains("route-"), "idle metrics are removed");
 }
--- a/crates/galenastream_node/tests/platform/announced_leave.rs
+++ b/crates/galenastream_node/tests/platform/announced_leave.rs
@@ -5,14 +5,14 @@
 use futures::future::join_all;
 use galenastream_adapter::header_names;
 use galenastream_standin::{
-    CallerConnection, HeartbeatFields, LocalDeployment, LocalVm, SentRequest, StoreFault,
-    TargetAnnouncement, TargetArrival, heartbeat_body, heartbeat_request, wait_until,
+    LocalDeployment, LocalVm, SentRequest, StoreFault, TargetAnnouncement, TargetArrival,
+    wait_until,
 };
 
 use super::{
     TIMEOUT, WORKS,
     announcement_load::{entries, load_from, load_path},
-    deployment::start,
+    deployment::{send_heartbeat, start},
 };
 
 /// The drain period in the settings of the stand-ins.
@@ -214,6 +214,9 @@
 /// How long after its start, or after the return of the store, the platform counts on a node.
 const STABLE_TIME: Duration = Duration::from_secs(3);
 
+/// How long the store stays away after nodes have started; longer than these wait for a first answer.
+const OUTAGE_TIME: Duration = Duration::from_secs(1);
+
 /// How a target of [`leave_during_outage`] says that it leaves.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum LeaveCall {
@@ -231,23 +234,9 @@
     Stopped,
 }
 
-/// Sends a heartbeat of the target of the first VM, and returns the status of the reply.
-async fn send_heartbeat(deployment: &LocalDeployment, state: &str, sequence: u64) -> u16 {
-    let vm = &deployment.vms[0];
-    let (id, address) = (vm.target.history().id, vm.target_address().to_string());
-    let body = heartbeat_body(HeartbeatFields {
-        address: &address,
-        service: "stock",
-        slots: 8,
-        sequence,
-        held: &[],
-        released: &[],
-        born_ms: None,
-    });
-    let request = heartbeat_request(&id, &body.replace("ready", state));
-    let mut control = CallerConnection::connect(vm.control_address()).await.expect(WORKS);
-    control.send(request.as_bytes()).await.expect(WORKS);
-    control.read().await.expect(WORKS).status
+/// How often the node of a VM has started.
+fn start_count(vm: &LocalVm) -> usize {
+    vm.log().iter().filter(|it| it["kvs"]["event"] == "process_started").count()
 }
 
 /// Returns how many requests reach a target that has left, later than the platform allows. Its leave is
@@ -274,17 +263,18 @@
             deployment.vms[0].target.deregister().await.expect(WORKS);
         }
         LeaveCall::DrainingHeartbeat => {
-            assert_eq!(send_heartbeat(&deployment, "draining", 1_002).await, 200);
+            assert_eq!(send_heartbeat(&deployment.vms[0], "t-0", "draining", 1_002).await, 200);
         }
     }
-    tokio::time::sleep(DRAIN_TIME / 4).await;
     for vm in &mut deployment.vms {
         match nodes_end {
             NodesEnd::AllKilled => vm.kill_node().expect(WORKS),
             NodesEnd::KilledInTurn => {
                 vm.kill_node().expect(WORKS);
                 vm.start_node().expect(WORKS);
-                tokio::time::sleep(DRAIN_TIME / 4).await;
+                wait_until("the node to start", TIMEOUT, async || start_count(vm) == 2)
+                    .await
+                    .expect(WORKS);
             }
             NodesEnd::Stopped => {}
         }
@@ -302,11 +292,12 @@
     let late = async {
         for (index, delay) in late_heartbeats.iter().enumerate() {
             tokio::time::sleep_until((started_at + *delay).into()).await;
-            let _ = send_heartbeat(&deployment, "ready", 1_000 + index as u64).await;
+            let sequence = 1_000 + index as u64;
+            assert_eq!(send_heartbeat(&deployment.vms[0], "t-0", "ready", sequence).await, 200);
         }
     };
     let outage = async {
-        tokio::time::sleep(DRAIN_TIME / 2).await;
+        tokio::time::sleep_until((started_at + OUTAGE_TIME).into()).await;
         deployment.store.set_fault(StoreFault::None);
         Instant::now()
     };
@@ -376,7 +367,7 @@
     deployment.vms[0].kill_node().unwrap();
     deployment.vms[0].start_node().unwrap();
     let started_at = Instant::now();
-    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    tokio::time::sleep_until((started_at + OUTAGE_TIME).into()).await;
     deployment.store.set_fault(StoreFault::None);
     while started_at.elapsed() < Duration::from_secs(6) {
         if started_at.elapsed() > STABLE_TIME {
--- a/crates/galenastream_node/tests/platform/endless_answer.rs
+++ b/crates/galenastream_node/tests/platform/endless_answer.rs
@@ -3,12 +3,11 @@
 use std::time::{Duration, Instant};
 
 use galenastream_standin::{
-    CallerAnswer, CallerConnection, DeploymentPlan, HeartbeatFields, LocalDeployment, LocalVm,
-    RawAnswer, RawTarget, TargetAnswerFault, TargetCapacity, VmPlan, heartbeat_body,
-    heartbeat_request, request_bytes, wait_until,
+    CallerAnswer, CallerConnection, DeploymentPlan, LocalDeployment, LocalVm, RawAnswer, RawTarget,
+    TargetAnswerFault, TargetCapacity, VmPlan, request_bytes, wait_until,
 };
 
-use super::{TIMEOUT, WORKS};
+use super::{TIMEOUT, WORKS, deployment::send_heartbeat};
 
 /// The memory limit in the settings of the stand-ins, and the share of it that a node may use in
 /// these tests.
@@ -185,19 +184,7 @@
         for _ in 0..HEALTH_CHECKS {
             // A heartbeat of another target makes the node ask the target for its id.
             sequence += 1;
-            let address = deployment.vms[0].target_address().to_string();
-            let body = heartbeat_body(HeartbeatFields {
-                address: &address,
-                service: "stock",
-                slots: SLOTS,
-                sequence,
-                held: &[],
-                released: &[],
-                born_ms: None,
-            });
-            let control = deployment.vms[0].control_address();
-            let mut sender = CallerConnection::connect(control).await.expect(WORKS);
-            sender.send(heartbeat_request("other", &body).as_bytes()).await.expect(WORKS);
+            assert_eq!(send_heartbeat(&deployment.vms[0], "other", "ready", sequence).await, 200);
             let checked_at = Instant::now();
             while checked_at.elapsed() < HEALTH_CHECK_INTERVAL {
                 let sent = send_all(&deployment, "beside", "GET", "/stock/complete").await;
