--- a/crates/galenastream_node/src/connection/caller_connections.rs
+++ b/crates/galenastream_node/src/connection/caller_connections.rs
@@ -62,8 +62,10 @@
 /// requests. If the caller closes the connection, the futures of its requests are dropped.
 async fn serve_connection(traffic: Arc<TrafficState>, stream: TcpStream, served: ServedConnection) {
     let limits_in_force = || traffic.context.routing.load().as_ref().map(|it| it.limits);
-    let mut framed =
-        Framed::new(stream, RequestCodec::new(limits_in_force, traffic.caller_budget.clone()));
+    let mut framed = Framed::new(
+        stream,
+        RequestCodec::new(limits_in_force, traffic.body_budgets.callers.clone()),
+    );
     let mut in_progress = FuturesOrdered::new();
     // Responses that were complete while an earlier one was sent.
     let mut complete = VecDeque::new();
--- a/crates/galenastream_node/src/connection/mod.rs
+++ b/crates/galenastream_node/src/connection/mod.rs
@@ -14,6 +14,7 @@
 mod request_codec_fuzz_tests;
 #[cfg(test)]
 mod request_codec_tests;
+mod request_head;
 mod served_connections;
 mod target_connections;
 #[cfg(test)]
--- a/crates/galenastream_node/src/connection/peer_connections.rs
+++ b/crates/galenastream_node/src/connection/peer_connections.rs
@@ -59,7 +59,7 @@
     let (read_half, write_half) = stream.into_split();
     let (replies, queue) = mpsc::channel(WRITE_QUEUE_FRAMES);
     let mut writer = tokio::spawn(write_replies(traffic.link.clone(), write_half, queue));
-    let mut reader = FrameReader::new(read_half, traffic.body_budget.clone());
+    let mut reader = FrameReader::new(read_half, traffic.body_budgets.answers.clone());
     let connection =
         PeerConnection { traffic, replies, running: Arc::default(), withdrawn: Mutex::default() };
     let mut last_frame_at = Instant::now();
--- a/crates/galenastream_node/src/process/mod.rs
+++ b/crates/galenastream_node/src/process/mod.rs
@@ -1,5 +1,6 @@
 //! State and tasks that live as long as the process.
 
+mod body_budgets;
 mod cold_start;
 mod command_line;
 mod commit;
@@ -55,6 +56,7 @@
 #[cfg(test)]
 mod written_row_tests;
 
+pub use body_budgets::BodyBudgets;
 pub use command_line::{CommandLine, command};
 pub use context::{NodeContext, SyncSnapshot};
 pub use control_event::{ControlEvent, Effect, HeartbeatAnswer};
--- a/crates/galenastream_node/src/process/traffic_state.rs
+++ b/crates/galenastream_node/src/process/traffic_state.rs
@@ -8,20 +8,19 @@
     time::Duration,
 };
 
-use galenastream_adapter::ProcessLimits;
 use galenastream_routing::{
     AdmissionLimits, ColdPeriod, LimitTrials, RequestFingerprint, RetryBudgetLimits, ServiceTime,
     TargetSelector, UsualWaits, WeightedSplit, WindowedRetryBudget,
 };
-use galenastream_runtime::{AdmissionController, BodyBudget, LinkShare, LogBudget, boot_now};
+use galenastream_runtime::{AdmissionController, LinkShare, LogBudget, boot_now};
 use galenastream_settings::EffectiveSettings;
 use galenastream_utils::{BootInstant, FastMap, FastSet};
 use galenastream_wire::TargetAnnouncement;
 use tokio::sync::{Notify, futures::Notified};
 
 use super::{
-    ControlEvent, LocalAnnouncement, LocalTarget, NodeContext, ProcessEnd, RememberedAnnouncements,
-    TargetLimit, TrafficTally,
+    BodyBudgets, ControlEvent, LocalAnnouncement, LocalTarget, NodeContext, ProcessEnd,
+    RememberedAnnouncements, TargetLimit, TrafficTally,
 };
 use crate::connection::{PeerLinks, ServedConnections, TargetConnections};
 
@@ -36,18 +35,6 @@
 /// Number of slots assumed before the local target is known.
 const DEFAULT_SLOTS: u32 = 1;
 
-/// Share of the memory limit of the process that long bodies in progress may use together, in percent.
-const SHARED_BUDGET_PERCENT: u64 = 65;
-
-/// Share of the memory limit for long answers and long bodies of other nodes, in percent. They may take
-/// twice as much while they are joined.
-const BODY_BUDGET_PERCENT: u64 = 20;
-const BODY_BUDGET_WEIGHT: usize = 2;
-
-/// Share of the memory limit for long bodies of callers, in percent. The rest of the shared part is
-/// kept for answers.
-const CALLER_BUDGET_PERCENT: u64 = 50;
-
 /// The weight of a further long answer in their mean size is one in this many.
 const ANSWER_SIZE_MEMORY: usize = 8;
 
@@ -55,10 +42,8 @@
 pub struct TrafficState {
     /// The state shared with the control thread.
     pub context: Arc<NodeContext>,
-    /// The memory for long answers, and for long bodies of other nodes.
-    pub body_budget: Arc<BodyBudget>,
-    /// The memory for long bodies of callers.
-    pub caller_budget: Arc<BodyBudget>,
+    /// The memory for long bodies in progress.
+    pub body_budgets: BodyBudgets,
     /// The link of the VM, which long answers share with everything else.
     pub link: Arc<LinkShare>,
     /// The connections to other nodes.
@@ -126,17 +111,15 @@
     /// Creates the state of a starting process.
     pub fn new(context: Arc<NodeContext>) -> Self {
         let settings = context.settings.load_full();
-        let bytes_of = |percent| budget_bytes(&settings.limits, percent);
-        let shared = BodyBudget::new(bytes_of(SHARED_BUDGET_PERCENT));
-        let budget_bytes = bytes_of(BODY_BUDGET_PERCENT);
-        let budget = BodyBudget::within(&shared, BODY_BUDGET_WEIGHT, budget_bytes);
-        let caller_budget = BodyBudget::within(&shared, 1, bytes_of(CALLER_BUDGET_PERCENT));
+        let budgets = BodyBudgets::new(settings.limits);
         Self {
-            links: PeerLinks::new(budget.clone()),
-            target_connections: TargetConnections::new(settings.target_address, budget.clone())
-                .with_count(context.target_connections.clone()),
-            body_budget: budget,
-            caller_budget,
+            links: PeerLinks::new(budgets.answers.clone()),
+            target_connections: TargetConnections::new(
+                settings.target_address,
+                budgets.answers.clone(),
+            )
+            .with_count(context.target_connections.clone()),
+            body_budgets: budgets,
             link: LinkShare::new(settings.limits.link_mbit_per_s),
             connections: ServedConnections::default(),
             admission: AdmissionController::new(admission_limits(
@@ -408,12 +391,6 @@
     }
 }
 
-/// A share of the memory limit of the process.
-fn budget_bytes(limits: &ProcessLimits, percent: u64) -> usize {
-    let bytes = limits.memory_mb.saturating_mul(1_024 * 1_024) * percent / 100;
-    usize::try_from(bytes).unwrap_or(usize::MAX)
-}
-
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/galenastream_node/src/request/long_answer.rs
+++ b/crates/galenastream_node/src/request/long_answer.rs
@@ -34,7 +34,7 @@
     if !request.route.kind.has_long_answers() {
         return Ok(None);
     }
-    match traffic.body_budget.announce(traffic.mean_caller_answer_bytes()) {
+    match traffic.body_budgets.answers.announce(traffic.mean_caller_answer_bytes()) {
         Some(announced) => Ok(Some(announced)),
         None => Err(Refusal::NotRun { retry_after_ms: TOO_LONG_RETRY_AFTER_MS }),
     }
@@ -56,7 +56,7 @@
     let rank = u8::try_from(request.rank).unwrap_or(u8::MAX);
     let order = TransferOrder { rank, due: soft_deadline.min(deadline).at() };
     let (wait, duration) = traffic.link.expected_times(order);
-    let has_memory = traffic.body_budget.has_room_for(traffic.link.mean_answer_bytes());
+    let has_memory = traffic.body_budgets.answers.has_room_for(traffic.link.mean_answer_bytes());
     let sent_at = now + wait + duration;
     let is_late = soft_deadline.has_passed(sent_at) && wait > MAX_LATE_WAIT;
     if is_late || deadline.has_passed(sent_at) || !has_memory {
--- a/crates/galenastream_node/src/request/target_run.rs
+++ b/crates/galenastream_node/src/request/target_run.rs
@@ -24,7 +24,7 @@
     target_reply::{
         MOVING_RETRY_AFTER_MS, UNREACHABLE_RETRY_AFTER_MS, not_sent, reply_from_result, unknown,
     },
-    withdrawal::{Withdrawal, estimate},
+    withdrawal::{Withdrawal, admission_deadlines, estimate},
 };
 use crate::{
     connection::TargetResult,
@@ -264,22 +264,6 @@
     reply
 }
 
-/// The deadlines of a request for admission. Those of the processes that pass its answer on count too if
-/// they are about to end: a request that would wait for longer is refused at once.
-fn admission_deadlines(
-    traffic: &TrafficState,
-    answer_within_ms: u32,
-    (soft_deadline, deadline): (Deadline, Deadline),
-) -> (Deadline, Deadline) {
-    let of_sender = (answer_within_ms > 0).then_some(answer_within_ms);
-    let own = traffic.end.time_left_ms();
-    let Some(left_ms) = of_sender.into_iter().chain(own).min() else {
-        return (soft_deadline, deadline);
-    };
-    let end = Deadline::new(boot_now(), left_ms);
-    (soft_deadline.min(end), deadline.min(end))
-}
-
 /// Waits until the target may run the request, if only its lease on the key is missing and expected
 /// soon.
 async fn wait_for_lease(
--- a/crates/galenastream_node/src/request/withdrawal.rs
+++ b/crates/galenastream_node/src/request/withdrawal.rs
@@ -1,7 +1,9 @@
-//! Withdrawal of requests that have not been sent to their targets yet.
+//! Withdrawal of requests that have not been sent to their targets yet, when a process is about to end.
 
 use std::time::Duration;
 
+use galenastream_routing::Deadline;
+use galenastream_runtime::boot_now;
 use galenastream_wire::{ForwardedReply, ForwardedRequest, ReplyReason};
 use tokio_util::sync::CancellationToken;
 
@@ -51,3 +53,19 @@
 pub(super) fn estimate(target_latency_ms: u32) -> Duration {
     Duration::from_millis(u64::from(target_latency_ms)) / SERVICE_TIME_ESTIMATE_DIVISOR
 }
+
+/// The deadlines of a request for admission. Those of the processes that pass its answer on count too if
+/// they are about to end: a request that would wait for longer is refused at once.
+pub(super) fn admission_deadlines(
+    traffic: &TrafficState,
+    answer_within_ms: u32,
+    (soft_deadline, deadline): (Deadline, Deadline),
+) -> (Deadline, Deadline) {
+    let of_sender = (answer_within_ms > 0).then_some(answer_within_ms);
+    let own = traffic.end.time_left_ms();
+    let Some(left_ms) = of_sender.into_iter().chain(own).min() else {
+        return (soft_deadline, deadline);
+    };
+    let end = Deadline::new(boot_now(), left_ms);
+    (soft_deadline.min(end), deadline.min(end))
+}
