Tests of crowds of callers that keep no limits

Callers that are not controlled have ended a process by its memory. The new test binary plays crowds against real nodes of low limits (96 MiB, 2200 descriptors): bodies, chunks, heads and connections that stop before their end, pipelines, answers that are not read, crowds that come back, mixtures, crowds at several nodes, and the ports beside that of callers. It checks that each node lives, that its memory with the kernel's queues and its sockets stay under its limits, and that ordinary requests are served beside the crowd and afterwards. Tests run one at a time.

--- /dev/null
+++ b/crates/galenastream_node/tests/misbehaving_callers/bodies.rs
@@ -0,0 +1,126 @@
+//! Bodies with a length.
+
+use bytes::{Bytes, BytesMut};
+
+use super::{
+    MANY, MAX_BODY_BYTES, MEDIUM_BODY_BYTES, SHORT_BODY_BYTES,
+    crowd::{Crowd, Script},
+    scene::{Scene, request},
+};
+
+/// Connections whose long bodies exceed the memory of a node, and ones that send far more than allowed.
+const MANY_LONG: usize = 60;
+
+/// Connections whose pipelined requests exceed the memory of a node, and the requests on each.
+const PIPELINES: usize = 400;
+const PIPELINED: usize = 16;
+
+/// An announced length far over the limit, and how much of such a body is sent.
+const FAR_TOO_LONG_BYTES: usize = 1 << 40;
+const SENT_BYTES: usize = 4 * MAX_BODY_BYTES;
+
+fn pipeline(path: &str) -> Bytes {
+    let one = request(path, SHORT_BODY_BYTES, SHORT_BODY_BYTES);
+    let mut all = BytesMut::new();
+    for _ in 0..PIPELINED {
+        all.extend_from_slice(&one);
+    }
+    all.freeze()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn short_bodies_that_stop_before_their_end() {
+    let scene = Scene::start("short-stop", &["stock"]).await;
+    let script = Script::whole(request("/orders/1", SHORT_BODY_BYTES + 1, SHORT_BODY_BYTES));
+    scene.play(MANY, &script).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn short_bodies_that_arrive_in_pieces_and_stop_before_their_end() {
+    let scene = Scene::start("short-pieces", &["stock"]).await;
+    let bytes = request("/orders/1", SHORT_BODY_BYTES + 1, SHORT_BODY_BYTES);
+    scene.play(MANY, &Script::in_pieces(bytes, 1_024)).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn medium_bodies_that_stop_before_their_end() {
+    let scene = Scene::start("medium-stop", &["stock"]).await;
+    let script = Script::whole(request("/orders/1", MEDIUM_BODY_BYTES + 1, MEDIUM_BODY_BYTES));
+    scene.play(MANY, &script).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn long_bodies_that_stop_before_their_end() {
+    let scene = Scene::start("long-stop", &["stock"]).await;
+    let script = Script::whole(request("/orders/1", MAX_BODY_BYTES, MAX_BODY_BYTES - 1));
+    scene.play(MANY_LONG, &script).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn long_bodies_that_arrive_in_pieces_and_stop_before_their_end() {
+    let scene = Scene::start("long-pieces", &["stock"]).await;
+    let bytes = request("/orders/1", MAX_BODY_BYTES, MAX_BODY_BYTES - 1);
+    scene.play(MANY_LONG, &Script::in_pieces(bytes, 16 * 1_024)).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn whole_short_bodies_for_a_slow_service() {
+    let scene = Scene::start("short-whole", &["stock"]).await;
+    scene.set_slow("stock", true);
+    let script = Script::whole(request("/orders/1", SHORT_BODY_BYTES, SHORT_BODY_BYTES));
+    let crowd = Crowd::start(scene.callers(0), MANY, &script);
+    crowd.settle().await;
+    scene.set_slow("stock", false);
+    scene.assert_serves().await;
+    crowd.close().await;
+    scene.close().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn pipelined_bodies_for_a_slow_service() {
+    let scene = Scene::start("pipelined", &["stock"]).await;
+    scene.set_slow("stock", true);
+    let crowd = Crowd::start(scene.callers(0), PIPELINES, &Script::whole(pipeline("/orders/1")));
+    crowd.settle().await;
+    scene.set_slow("stock", false);
+    scene.assert_serves().await;
+    crowd.close().await;
+    scene.close().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn more_pipelined_bodies_than_a_node_reads() {
+    let scene = Scene::start("pipelined-on", &["stock"]).await;
+    scene.set_slow("stock", true);
+    let script = Script::repeated(pipeline("/orders/1"), 4);
+    let crowd = Crowd::start(scene.callers(0), MANY, &script);
+    crowd.settle().await;
+    scene.set_slow("stock", false);
+    scene.assert_serves().await;
+    crowd.close().await;
+    scene.close().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn bodies_for_a_slow_service_beside_another_node() {
+    let scene = Scene::start("forwarded", &["carts", "carts", "stock"]).await;
+    scene.set_slow("stock", true);
+    let script = Script::whole(pipeline("/orders/1"));
+    let crowds = [0, 1].map(|vm| Crowd::start(scene.callers(vm), PIPELINES, &script));
+    for crowd in &crowds {
+        crowd.settle().await;
+    }
+    scene.set_slow("stock", false);
+    scene.assert_serves().await;
+    for crowd in crowds {
+        crowd.close().await;
+    }
+    scene.close().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn bodies_that_announce_far_more_than_allowed() {
+    let scene = Scene::start("announced", &["stock"]).await;
+    let bytes = request("/orders/1", FAR_TOO_LONG_BYTES, SENT_BYTES);
+    scene.play(MANY_LONG, &Script::in_pieces(bytes, 256 * 1_024)).await;
+}
--- /dev/null
+++ b/crates/galenastream_node/tests/misbehaving_callers/mixtures.rs
@@ -0,0 +1,41 @@
+//! Several forms at once, at several nodes.
+
+use bytes::Bytes;
+
+use super::{
+    SHORT_BODY_BYTES,
+    crowd::{Crowd, Script},
+    scene::{Scene, chunked, head, request},
+};
+
+/// Connections of each form at each node.
+const EACH: usize = 500;
+
+#[tokio::test(flavor = "multi_thread")]
+async fn all_forms_at_once_at_two_nodes() {
+    let scene = Scene::start("mixture", &["stock", "stock"]).await;
+    scene.set_slow("stock", true);
+    let scripts = [
+        Script::whole(request("/orders/1", SHORT_BODY_BYTES + 1, SHORT_BODY_BYTES)),
+        Script::whole(request("/orders/1", SHORT_BODY_BYTES, SHORT_BODY_BYTES)),
+        Script::whole(chunked("/orders/1", 1_024, SHORT_BODY_BYTES / 1_024)),
+        Script::whole(head("/orders/1")),
+        Script::whole(Bytes::new()),
+    ];
+    let mut crowds = Vec::new();
+    for vm in [0, 1] {
+        for script in &scripts {
+            let script = script.clone().coming_back();
+            crowds.push(Crowd::start(scene.callers(vm), EACH, &script));
+        }
+    }
+    for crowd in &crowds {
+        crowd.settle().await;
+    }
+    scene.set_slow("stock", false);
+    scene.assert_serves().await;
+    for crowd in crowds {
+        crowd.close().await;
+    }
+    scene.close().await;
+}
--- a/crates/galenastream_standin/src/deployment/deployment_plan.rs
+++ b/crates/galenastream_standin/src/deployment/deployment_plan.rs
@@ -4,7 +4,10 @@
 
 use serde_json::Value;
 
-use crate::{CrashPlan, LimitFields, RouteFields, TargetCapacity, TargetConduct, config_document};
+use crate::{
+    CrashPlan, LimitFields, ResourceLimits, RouteFields, TargetCapacity, TargetConduct,
+    config_document,
+};
 
 /// The plan of a local deployment.
 #[derive(Debug, Clone)]
@@ -21,6 +24,8 @@
     pub vms: Vec<VmPlan>,
     /// Whether all connections pass through proxies that can inject faults.
     pub has_proxies: bool,
+    /// The resource limits of each node.
+    pub limits: ResourceLimits,
 }
 
 /// The plan of a VM with a target and a node.
@@ -50,6 +55,7 @@
             heartbeat_interval: Duration::from_millis(200),
             vms: services.iter().map(|it| VmPlan::new(it)).collect(),
             has_proxies: false,
+            limits: ResourceLimits::default(),
         }
     }
 
@@ -58,6 +64,11 @@
         Self { config: None, ..self }
     }
 
+    /// Sets the resource limits of each node.
+    pub fn with_limits(self, limits: ResourceLimits) -> Self {
+        Self { limits, ..self }
+    }
+
     /// Sets how long the routes of the config let callers wait, and their target latency.
     pub fn with_route_times(mut self, timeout_ms: u32, target_latency_ms: u32) -> Self {
         let hosts = self.config.as_mut().and_then(|it| it["virtualHosts"].as_array_mut());
--- a/crates/galenastream_standin/src/deployment/local_vm.rs
+++ b/crates/galenastream_standin/src/deployment/local_vm.rs
@@ -16,8 +16,8 @@
 };
 use crate::{
     CallerAnswer, CallerConnection, DeploymentFolder, DeploymentPlan, HostSet, LinkFault,
-    PlatformTargetStandin, Process, RawAnswer, RawTarget, RowStoreStandin, SettingsFields,
-    TargetEnd, TargetHistory, TargetPlan, VmPlan, settings_document, wait_until,
+    PlatformTargetStandin, Process, RawAnswer, RawTarget, ResourceLimits, RowStoreStandin,
+    SettingsFields, TargetEnd, TargetHistory, TargetPlan, VmPlan, settings_document, wait_until,
 };
 
 /// The port of health checks, as [`settings_document`] assigns it.
@@ -44,6 +44,7 @@
     node_starts: u32,
     folder: PathBuf,
     heartbeat_interval: Duration,
+    limits: ResourceLimits,
     target_count: u32,
     ended_targets: Vec<TargetHistory>,
     node: Option<Process>,
@@ -85,6 +86,7 @@
             node_starts: 0,
             folder: folder.path().to_owned(),
             heartbeat_interval: plan.heartbeat_interval,
+            limits: plan.limits,
             target_count: 1,
             ended_targets: Vec::new(),
             node: None,
@@ -106,6 +108,7 @@
             store: self.addresses.store,
             takes_calls: self.plan.conduct.takes_calls,
             is_first_start: self.node_starts == 0,
+            limits: self.limits,
         });
         std::fs::write(&self.settings, document)
             .with_context(|| format!("cannot write {:?}", self.settings))?;
--- a/crates/galenastream_standin/src/platform_document/mod.rs
+++ b/crates/galenastream_standin/src/platform_document/mod.rs
@@ -4,4 +4,4 @@
 mod settings_document;
 
 pub use config_document::{LimitFields, RouteFields, config_document};
-pub use settings_document::{MEMORY_LIMIT_MB, SettingsFields, settings_document};
+pub use settings_document::{MEMORY_LIMIT_MB, ResourceLimits, SettingsFields, settings_document};
--- a/crates/galenastream_standin/src/platform_document/settings_document.rs
+++ b/crates/galenastream_standin/src/platform_document/settings_document.rs
@@ -5,6 +5,24 @@
 /// The memory that a node may use, in megabytes.
 pub const MEMORY_LIMIT_MB: u64 = 260;
 
+/// The file descriptors that a node may open.
+pub const MAX_FILE_DESCRIPTORS: u64 = 4_100;
+
+/// The resource limits of a node.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ResourceLimits {
+    /// The memory that it may use, in megabytes.
+    pub memory_mb: u64,
+    /// The file descriptors that it may open.
+    pub max_file_descriptors: u64,
+}
+
+impl Default for ResourceLimits {
+    fn default() -> Self {
+        Self { memory_mb: MEMORY_LIMIT_MB, max_file_descriptors: MAX_FILE_DESCRIPTORS }
+    }
+}
+
 /// The fields of a settings file.
 #[derive(Debug, Clone, Copy)]
 pub struct SettingsFields<'a> {
@@ -24,6 +42,8 @@
     pub takes_calls: bool,
     /// Whether the whole deployment starts for the first time.
     pub is_first_start: bool,
+    /// The resource limits of the node.
+    pub limits: ResourceLimits,
 }
 
 /// Returns a settings file in TOML. The target listens at port 8001, the node at 8002 for other
@@ -38,7 +58,9 @@
         store,
         takes_calls,
         is_first_start,
+        limits,
     } = fields;
+    let ResourceLimits { memory_mb, max_file_descriptors } = limits;
     let grants = if takes_calls { "call" } else { "heartbeat" };
     format!(
         r#"
@@ -57,8 +79,8 @@
 ready = "{ip}:8004"
 control = "{ip}:8005"
 [limits]
-memoryMb = {MEMORY_LIMIT_MB}
-maxFds = 4100
+memoryMb = {memory_mb}
+maxFds = {max_file_descriptors}
 [platform]
 address = "{store}"
 "#
