Connections that ordinary clients do not need make room for others

Callers saw: while some thousand connections sent half a request or nothing, no new caller got an answer; they kept all descriptors of the process until they left.

Cause: each connection was accepted and kept for as long as the client liked.

Each port has a maximum number of connections now, from the limits of the process in its settings. When it is reached, those are closed that an ordinary client does not need: that are being closed, or have stopped in the middle of a request, then the ones idle for longest, then clients that do not read. Connections with a request in progress are kept. New connections go last, so that an ordinary caller has time to send its request.

Buffers of a connection begin with 2 KiB in place of 8 KiB.

--- a/crates/galenastream_node/src/connection/accept.rs
+++ b/crates/galenastream_node/src/connection/accept.rs
@@ -1,9 +1,9 @@
 //! Accepting, serving and closing connections.
 
-use std::{convert::Infallible, future::Future, time::Duration};
+use std::{convert::Infallible, future::Future, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use galenastream_runtime::tune_socket;
+use galenastream_runtime::{ConnectionSlot, ConnectionSlots, tune_socket};
 use http::{Request, Response};
 use http_body_util::Full;
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
@@ -28,13 +28,17 @@
 /// longer than callers wait for a response.
 pub(super) const MAX_CLOSE_TIME: Duration = Duration::from_secs(30);
 
-/// Accepts connections until the process ends, and passes each to `serve`.
-pub(super) async fn accept_all(listener: TcpListener, mut serve: impl FnMut(TcpStream)) {
+/// Accepts connections until the process ends, and passes each to `serve` once there is room for it.
+pub(super) async fn accept_all(
+    listener: TcpListener,
+    slots: &Arc<ConnectionSlots>,
+    mut serve: impl FnMut(TcpStream, ConnectionSlot),
+) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
                 tune_socket(&stream);
-                serve(stream);
+                serve(stream, slots.admit().await);
             }
             Err(error) => {
                 log::warn!(event = "accept_failed", reason:% = error; "");
@@ -44,24 +48,40 @@
     }
 }
 
-/// Serves HTTP on a connection. If the peer closes it, the future of the request in progress is
-/// dropped.
-pub(super) async fn serve_http<S, F>(stream: TcpStream, answer: S)
+/// Serves HTTP on a connection until it ends, or has to make room for others. If the peer closes it, the
+/// future of the request in progress is dropped.
+pub(super) async fn serve_http<S, F>(stream: TcpStream, slot: &ConnectionSlot, answer: S)
 where
     S: Fn(Request<Incoming>) -> F,
     F: Future<Output = Response<Full<Bytes>>>,
 {
+    let state = slot.state();
     let service = service_fn(|request| {
+        state.record_request();
         let response = answer(request);
-        async move { Ok::<_, Infallible>(response.await) }
+        async move {
+            let response = response.await;
+            state.record_answer();
+            Ok::<_, Infallible>(response)
+        }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(IDLE_TIMEOUT)
         .serve_connection(TokioIo::new(stream), service);
-    match connection.without_shutdown().await {
-        Ok(parts) => close_gracefully(parts.io.into_inner(), CLOSE_TIMEOUT).await,
-        Err(error) => log::debug!(event = "connection_ended", reason:% = error; ""),
+    let served = async {
+        match connection.without_shutdown().await {
+            Ok(parts) => {
+                state.record_closing();
+                close_gracefully(parts.io.into_inner(), CLOSE_TIMEOUT).await;
+            }
+            Err(error) => log::debug!(event = "connection_ended", reason:% = error; ""),
+        }
+    };
+    tokio::select! {
+        biased;
+        () = slot.evicted() => {}
+        () = served => {}
     }
 }
 
--- a/crates/galenastream_node/src/connection/caller_connections.rs
+++ b/crates/galenastream_node/src/connection/caller_connections.rs
@@ -10,11 +10,11 @@
 use bytes::Bytes;
 use futures::{
     FutureExt, SinkExt, StreamExt,
-    future::{Either, ready},
+    future::{Either, poll_immediate, ready},
     stream::FuturesOrdered,
 };
 use galenastream_adapter::CallerLimits;
-use galenastream_runtime::set_user_timeout;
+use galenastream_runtime::{ConnectionSlot, ConnectionState, discard_unsent, set_user_timeout};
 use http::{HeaderValue, Method, Request, Response, Version, header};
 use tokio::{
     io::Interest,
@@ -25,7 +25,7 @@
 
 use super::{
     accept::{MAX_CLOSE_TIME, accept_all, close_gracefully},
-    request_codec::{Incoming, Outgoing, RequestCodec, WRITE_BYTES, has_body},
+    request_codec::{BUFFER_BYTES, Incoming, Outgoing, RequestCodec, WRITE_BYTES, has_body},
     served_connections::ServedConnection,
 };
 use crate::{
@@ -50,22 +50,64 @@
 
 /// Serves callers until the process ends.
 pub async fn serve_callers(traffic: Arc<TrafficState>, listener: TcpListener) {
-    accept_all(listener, |stream| {
+    accept_all(listener, &traffic.caller_slots, |stream, slot| {
         set_user_timeout(&stream, READ_PAUSE_TIMEOUT);
         let served = traffic.connections.add();
-        tokio::spawn(serve_connection(traffic.clone(), stream, served));
+        tokio::spawn(serve_connection(traffic.clone(), stream, served, slot));
     })
     .await;
 }
 
-/// Serves one connection. Requests run concurrently, and responses are sent in the order of their
-/// requests. If the caller closes the connection, the futures of its requests are dropped.
-async fn serve_connection(traffic: Arc<TrafficState>, stream: TcpStream, served: ServedConnection) {
+/// Serves one connection until it ends, or has to make room for others.
+async fn serve_connection(
+    traffic: Arc<TrafficState>,
+    stream: TcpStream,
+    served: ServedConnection,
+    slot: ConnectionSlot,
+) {
     let limits_in_force = || traffic.context.routing.load().as_ref().map(|it| it.limits);
-    let mut framed = Framed::new(
-        stream,
-        RequestCodec::new(limits_in_force, traffic.body_budgets.callers.clone()),
-    );
+    let budget = traffic.body_budgets.callers.clone();
+    let codec = RequestCodec::new(limits_in_force, budget, slot.state().clone());
+    let mut framed = Framed::with_capacity(stream, codec, BUFFER_BYTES);
+    tokio::select! {
+        biased;
+        () = slot.evicted() => {
+            discard_unsent(framed.get_ref());
+            return;
+        }
+        end = serve_requests(&traffic, &mut framed, &served, slot.state()) => match end {
+            ServiceEnd::Broken => return,
+            ServiceEnd::Complete => {}
+        }
+    }
+    slot.state().record_closing();
+    // The caller may still be reading earlier responses, and send requests meanwhile.
+    tokio::select! {
+        () = slot.evicted() => {}
+        () = close_gracefully(framed.into_inner(), MAX_CLOSE_TIME) => {}
+    }
+}
+
+/// How the service of a connection has ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ServiceEnd {
+    /// The connection cannot be used any more.
+    Broken,
+    /// The last response has been written.
+    Complete,
+}
+
+/// Serves the requests of a connection. They run concurrently, and responses are sent in the order of
+/// their requests. If the caller closes the connection, the futures of its requests are dropped.
+async fn serve_requests<F>(
+    traffic: &Arc<TrafficState>,
+    framed: &mut Framed<TcpStream, RequestCodec<F>>,
+    served: &ServedConnection,
+    state: &ConnectionState,
+) -> ServiceEnd
+where
+    F: Fn() -> Option<CallerLimits> + Unpin,
+{
     let mut in_progress = FuturesOrdered::new();
     // Responses that were complete while an earlier one was sent.
     let mut complete = VecDeque::new();
@@ -73,11 +115,11 @@
     loop {
         let is_any_open = !(complete.is_empty() && in_progress.is_empty());
         let may_read = !is_last_read && complete.len() + in_progress.len() < MAX_PIPELINED;
-        let is_idle = !is_any_open && is_between_requests(&framed);
+        let is_idle = !is_any_open && is_between_requests(framed);
         tokio::select! {
             Some((is_to_head, response)) = next_response(&mut complete, &mut in_progress), if is_any_open => {
                 let mut response: Response<Bytes> = response;
-                is_last_read |= is_closing(&traffic);
+                is_last_read |= is_closing(traffic);
                 let is_final = is_last_read && complete.is_empty() && in_progress.is_empty();
                 if is_final {
                     // Makes the caller open a new connection, possibly to another node.
@@ -86,51 +128,55 @@
                 }
                 // A caller that reads slowly gets the rest before the process stops.
                 let _counted = CountGuard::new(&traffic.in_progress);
-                let sending = send_response(&mut framed, response, is_to_head);
+                let bytes = response.body().len();
+                let sending = send_response(framed, response, is_to_head);
                 let sending = send_beside(sending, &mut complete, &mut in_progress);
-                match timeout(MAX_SEND_TIME, sending).await {
+                let sending = timeout(MAX_SEND_TIME, sending);
+                match record_pause(sending, || state.record_unread(bytes)).await {
                     Ok(Ok(())) => {}
-                    Ok(Err(_)) => return,
+                    Ok(Err(_)) => return ServiceEnd::Broken,
                     Err(_) => {
                         log::info!(event = "caller_reads_too_slowly"; "");
-                        return;
+                        return ServiceEnd::Broken;
                     }
                 }
+                state.record_read();
+                state.record_answer();
                 if is_final {
-                    break;
+                    return ServiceEnd::Complete;
                 }
             }
-            event = next_event(&mut framed, may_read) => match event {
+            event = next_event(framed, may_read) => match event {
                 CallerEvent::Incoming(Incoming::Request(request)) => {
+                    state.record_request();
                     is_last_read |= asks_for_close(&request);
                     let is_to_head = request.method() == Method::HEAD;
-                    let response = answer_caller(&traffic, *request);
+                    let response = answer_caller(traffic, *request);
                     in_progress.push_back(Either::Left(response.map(move |it| (is_to_head, it))));
                 }
                 CallerEvent::Incoming(Incoming::ExpectsContinue) => {
                     if framed.send(Outgoing::Continue).await.is_err() {
-                        return;
+                        return ServiceEnd::Broken;
                     }
                 }
                 CallerEvent::Incoming(Incoming::Invalid { error, head }) => {
+                    state.record_request();
                     is_last_read = true;
-                    let response = refuse_unread(&traffic, error, head.as_deref());
+                    let response = refuse_unread(traffic, error, head.as_deref());
                     let is_to_head = head.is_some_and(|it| it.method() == Method::HEAD);
                     in_progress.push_back(Either::Right(ready((is_to_head, response))));
                 }
-                CallerEvent::Closed => return,
-                CallerEvent::Idle if !is_any_open => break,
+                CallerEvent::Closed => return ServiceEnd::Broken,
+                CallerEvent::Idle if !is_any_open => return ServiceEnd::Complete,
                 CallerEvent::Idle => {}
             },
             () = served.closing(), if is_idle => {
-                if is_between_requests(&framed) {
-                    break;
+                if is_between_requests(framed) {
+                    return ServiceEnd::Complete;
                 }
             }
         }
     }
-    // The caller may still be reading earlier responses, and send requests meanwhile.
-    close_gracefully(framed.into_inner(), MAX_CLOSE_TIME).await;
 }
 
 /// Whether no part of a further request has been read.
@@ -156,6 +202,18 @@
     Ok(())
 }
 
+/// Runs a future, and `record` once if it is not ready at once.
+async fn record_pause<T>(future: impl Future<Output = T>, record: impl FnOnce()) -> T {
+    let mut future = pin!(future);
+    match poll_immediate(&mut future).await {
+        Some(output) => output,
+        None => {
+            record();
+            future.await
+        }
+    }
+}
+
 /// Returns the next response in the order of the requests.
 async fn next_response<T: Future>(
     complete: &mut VecDeque<T::Output>,
--- a/crates/galenastream_node/src/connection/control_connections.rs
+++ b/crates/galenastream_node/src/connection/control_connections.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use galenastream_adapter::{ControlCall, READY_PATH};
+use galenastream_runtime::ConnectionSlots;
 use http::{HeaderValue, Request, Response, StatusCode, Uri, header};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
@@ -13,7 +14,8 @@
 use super::accept::{accept_all, serve_http};
 use crate::{
     process::{
-        ControlEvent, HeartbeatAnswer, NodeContext, STATUS_PATH, TrafficState, render_metrics,
+        ConnectionLimits, ControlEvent, HeartbeatAnswer, NodeContext, STATUS_PATH, TrafficState,
+        render_metrics,
     },
     request::{EXPLAIN_PATH, explain_request},
 };
@@ -25,7 +27,9 @@
 
 /// Serves the heartbeats and deregistrations of the target until the process ends.
 pub async fn serve_control(context: Arc<NodeContext>, listener: TcpListener) {
-    accept_all(listener, |stream| {
+    let limits = ConnectionLimits::new(context.settings.load().limits);
+    let slots = ConnectionSlots::new("control", limits.control);
+    accept_all(listener, &slots, |stream, slot| {
         let context = context.clone();
         let counted = context.heartbeat_connections.count();
         tokio::spawn(async move {
@@ -33,7 +37,7 @@
                 let context = context.clone();
                 async move { answer_control(&context, request).await }
             };
-            serve_http(stream, answer).await;
+            serve_http(stream, &slot, answer).await;
             drop(counted);
         });
     })
@@ -42,12 +46,17 @@
 
 /// Serves the metrics, the status page and explanations of requests until the process ends.
 pub async fn serve_operators(traffic: Arc<TrafficState>, listener: TcpListener) {
-    accept_all(listener, |stream| {
+    let limits = ConnectionLimits::new(traffic.context.settings.load().limits);
+    let slots = ConnectionSlots::new("operators", limits.operators);
+    accept_all(listener, &slots, |stream, slot| {
         let traffic = traffic.clone();
-        tokio::spawn(serve_http(stream, move |request| {
-            let response = answer_operator(&traffic, request.uri());
-            async move { response }
-        }));
+        tokio::spawn(async move {
+            let answer = |request: Request<Incoming>| {
+                let response = answer_operator(&traffic, request.uri());
+                async move { response }
+            };
+            serve_http(stream, &slot, answer).await;
+        });
     })
     .await;
 }
@@ -74,12 +83,17 @@
 
 /// Serves health checks until the process ends.
 pub async fn serve_health(context: Arc<NodeContext>, listener: TcpListener) {
-    accept_all(listener, |stream| {
+    let limits = ConnectionLimits::new(context.settings.load().limits);
+    let slots = ConnectionSlots::new("health", limits.health);
+    accept_all(listener, &slots, |stream, slot| {
         let context = context.clone();
-        tokio::spawn(serve_http(stream, move |request| {
-            let response = answer_health(&context, &request);
-            async move { response }
-        }));
+        tokio::spawn(async move {
+            let answer = |request| {
+                let response = answer_health(&context, &request);
+                async move { response }
+            };
+            serve_http(stream, &slot, answer).await;
+        });
     })
     .await;
 }
--- a/crates/galenastream_node/src/connection/peer_connections.rs
+++ b/crates/galenastream_node/src/connection/peer_connections.rs
@@ -8,7 +8,8 @@
 
 use galenastream_routing::TransitDelay;
 use galenastream_runtime::{
-    FrameReader, FrameWriter, LinkShare, ReceivedFrame, Transfer, boot_now,
+    ConnectionSlot, ConnectionState, FrameReader, FrameWriter, LinkShare, ReceivedFrame, Transfer,
+    boot_now,
 };
 use galenastream_utils::{FastMap, FastSet};
 use galenastream_wire::{
@@ -48,22 +49,36 @@
 
 /// Serves the connections of other nodes until the process ends.
 pub async fn serve_peers(traffic: Arc<TrafficState>, listener: TcpListener) {
-    accept_all(listener, |stream| {
+    accept_all(listener, &traffic.peer_slots, |stream, slot| {
         let served = traffic.connections.add();
-        tokio::spawn(serve_connection(traffic.clone(), stream, served));
+        tokio::spawn(serve_connection(traffic.clone(), stream, served, slot));
     })
     .await;
 }
 
-async fn serve_connection(traffic: Arc<TrafficState>, stream: TcpStream, served: ServedConnection) {
+async fn serve_connection(
+    traffic: Arc<TrafficState>,
+    stream: TcpStream,
+    served: ServedConnection,
+    slot: ConnectionSlot,
+) {
     let (read_half, write_half) = stream.into_split();
     let (replies, queue) = mpsc::channel(WRITE_QUEUE_FRAMES);
     let mut writer = tokio::spawn(write_replies(traffic.link.clone(), write_half, queue));
     let mut reader = FrameReader::new(read_half, traffic.body_budgets.answers.clone());
-    let connection =
-        PeerConnection { traffic, replies, running: Arc::default(), withdrawn: Mutex::default() };
+    let connection = PeerConnection {
+        traffic,
+        replies,
+        running: Arc::default(),
+        withdrawn: Mutex::default(),
+        state: slot.state().clone(),
+    };
     let mut last_frame_at = Instant::now();
     tokio::select! {
+        () = slot.evicted() => {
+            connection.close();
+            writer.abort();
+        }
         () = connection.read(&mut reader, &mut last_frame_at) => {
             connection.close();
             writer.abort();
@@ -229,6 +244,7 @@
     running: Arc<Mutex<FastMap<u64, RunningRequest>>>,
     /// Requests that were withdrawn before they had arrived whole.
     withdrawn: Mutex<FastSet<u64>>,
+    state: Arc<ConnectionState>,
 }
 
 /// A request in progress.
@@ -249,6 +265,7 @@
                 continue;
             };
             *last_frame_at = Instant::now();
+            self.state.record_message();
             match next {
                 Some(Ok(ReceivedFrame::Whole(mut frame))) => {
                     match &mut frame.body {
@@ -334,7 +351,9 @@
             withdrawn.cancel();
         }
         let withdrawal = Withdrawal::new(withdrawn.clone());
+        let in_progress = self.state.request();
         let task = tokio::spawn(async move {
+            let _in_progress = in_progress;
             let TargetRun { reply, transfer } = run_for_peer(&traffic, request, withdrawal).await;
             lock(&running).remove(&correlation);
             let frame = PeerFrame { correlation, body: Some(Body::Reply(reply)) };
--- a/crates/galenastream_node/src/connection/request_codec.rs
+++ b/crates/galenastream_node/src/connection/request_codec.rs
@@ -8,7 +8,7 @@
 
 use bytes::{Buf, Bytes, BytesMut};
 use galenastream_adapter::CallerLimits;
-use galenastream_runtime::{BodyBudget, BodyReservation, UNRESERVED_BYTES};
+use galenastream_runtime::{BodyBudget, BodyReservation, ConnectionState, UNRESERVED_BYTES};
 use http::{Request, Response, StatusCode, Version, header};
 use tokio_util::codec::{Decoder, Encoder};
 
@@ -26,6 +26,9 @@
 const MAX_HEADER_BYTES_WITHOUT_CONFIG: usize = 16 * 1024;
 const MAX_BODY_BYTES_WITHOUT_CONFIG: usize = 1024 * 1024;
 
+/// The size at which the buffers of a connection begin. Most heads are shorter.
+pub(super) const BUFFER_BYTES: usize = 2 * 1024;
+
 /// How much of a long body is read at once.
 const READ_BYTES: usize = 64 * 1024;
 
@@ -95,6 +98,7 @@
     /// chunked body, was not found, so that slowly arriving bytes are not searched repeatedly.
     searched: usize,
     state: ReadState,
+    connection: Arc<ConnectionState>,
 }
 
 #[derive(Debug)]
@@ -128,8 +132,13 @@
 }
 
 impl<F: Fn() -> Option<CallerLimits>> RequestCodec<F> {
-    pub(super) fn new(limits_in_force: F, budget: Arc<BodyBudget>) -> Self {
-        Self { limits_in_force, budget, limits: None, searched: 0, state: ReadState::Head }
+    pub(super) fn new(
+        limits_in_force: F,
+        budget: Arc<BodyBudget>,
+        connection: Arc<ConnectionState>,
+    ) -> Self {
+        let state = ReadState::Head;
+        Self { limits_in_force, budget, limits: None, searched: 0, state, connection }
     }
 
     fn max_header_bytes(&self) -> usize {
@@ -292,8 +301,8 @@
     type Error = io::Error;
 
     fn decode(&mut self, buffer: &mut BytesMut) -> io::Result<Option<Incoming>> {
-        Ok(match self.state {
-            ReadState::Head if buffer.is_empty() => None,
+        let incoming = match self.state {
+            ReadState::Head if buffer.is_empty() => return Ok(None),
             ReadState::Head => {
                 self.limits = (self.limits_in_force)();
                 self.read_head(buffer)
@@ -304,9 +313,13 @@
             }
             ReadState::Invalid => {
                 buffer.clear();
-                None
+                return Ok(None);
             }
-        })
+        };
+        if incoming.is_none() {
+            self.connection.record_part(0);
+        }
+        Ok(incoming)
     }
 
     fn decode_eof(&mut self, buffer: &mut BytesMut) -> io::Result<Option<Incoming>> {
--- a/crates/galenastream_node/src/connection/request_codec_fuzz_tests.rs
+++ b/crates/galenastream_node/src/connection/request_codec_fuzz_tests.rs
@@ -2,7 +2,7 @@
 //! strict reader finds at the same place, so that no other reader can be made to see another
 //! request. Bytes in pieces are read as in one piece, and few of them are kept.
 
-use std::sync::LazyLock;
+use std::sync::{Arc, LazyLock};
 
 use bytes::{Bytes, BytesMut};
 use galenastream_adapter::CallerLimits;
@@ -34,7 +34,7 @@
             idle_timeout_ms: 0,
         })
     };
-    RequestCodec::new(limits, BodyBudget::new(usize::MAX))
+    RequestCodec::new(limits, BodyBudget::new(usize::MAX), Arc::default())
 }
 
 /// What the codec reads from a connection.
--- a/crates/galenastream_node/src/connection/request_codec_tests.rs
+++ b/crates/galenastream_node/src/connection/request_codec_tests.rs
@@ -1,7 +1,7 @@
 //! Tests of the codec of callers' requests: valid requests are read, invalid ones are rejected, and
 //! nothing is read after an invalid one.
 
-use std::cell::Cell;
+use std::{cell::Cell, sync::Arc};
 
 use bytes::{Bytes, BytesMut};
 use galenastream_adapter::CallerLimits;
@@ -23,7 +23,7 @@
 /// The same with another limit for the headers.
 fn decode_within(max_header_bytes: usize, bytes: &[u8], piece: usize) -> Vec<String> {
     let limits = limits(max_header_bytes, MAX_BODY_BYTES);
-    let mut codec = RequestCodec::new(|| Some(limits), BodyBudget::new(usize::MAX));
+    let mut codec = RequestCodec::new(|| Some(limits), BodyBudget::new(usize::MAX), Arc::default());
     let mut buffer = BytesMut::new();
     bytes.chunks(piece).flat_map(|it| decode_more(&mut codec, &mut buffer, it)).collect()
 }
@@ -136,7 +136,8 @@
     ];
     for (before, first, after, rest, expected) in cases {
         let in_force = Cell::new(before);
-        let mut codec = RequestCodec::new(|| in_force.get(), BodyBudget::new(usize::MAX));
+        let mut codec =
+            RequestCodec::new(|| in_force.get(), BodyBudget::new(usize::MAX), Arc::default());
         let mut buffer = BytesMut::new();
         let mut seen = decode_more(&mut codec, &mut buffer, first.as_bytes());
         in_force.set(after);
@@ -339,7 +340,7 @@
 
 #[test]
 fn a_response_is_written_with_its_length() {
-    let mut codec = RequestCodec::new(|| None, BodyBudget::new(usize::MAX));
+    let mut codec = RequestCodec::new(|| None, BodyBudget::new(usize::MAX), Arc::default());
     let mut buffer = BytesMut::new();
     let mut response = Response::new(Bytes::from_static(b"hello"));
     *response.status_mut() = StatusCode::CREATED;
@@ -374,7 +375,7 @@
     const LONG_BYTES: usize = 600 * 1024;
     let budget = BodyBudget::new(1024 * 1024);
     let limits = limits(MAX_HEADER_BYTES, LONG_BYTES);
-    let new_codec = || RequestCodec::new(|| Some(limits), budget.clone());
+    let new_codec = || RequestCodec::new(|| Some(limits), budget.clone(), Arc::default());
     let heads = [
         format!("POST /a HTTP/1.1\r\nContent-Length: {LONG_BYTES}\r\n\r\n"),
         format!("POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n{LONG_BYTES:x}\r\n"),
--- a/crates/galenastream_node/src/process/mod.rs
+++ b/crates/galenastream_node/src/process/mod.rs
@@ -5,6 +5,7 @@
 mod command_line;
 mod commit;
 mod config_confirmation;
+mod connection_limits;
 mod context;
 mod control_event;
 mod control_loop;
@@ -58,6 +59,7 @@
 
 pub use body_budgets::BodyBudgets;
 pub use command_line::{CommandLine, command};
+pub use connection_limits::ConnectionLimits;
 pub use context::{NodeContext, SyncSnapshot};
 pub use control_event::{ControlEvent, Effect, HeartbeatAnswer};
 pub use control_queue::ControlQueue;
--- a/crates/galenastream_node/src/process/traffic_state.rs
+++ b/crates/galenastream_node/src/process/traffic_state.rs
@@ -12,15 +12,15 @@
     AdmissionLimits, ColdPeriod, LimitTrials, RequestFingerprint, RetryBudgetLimits, ServiceTime,
     TargetSelector, UsualWaits, WeightedSplit, WindowedRetryBudget,
 };
-use galenastream_runtime::{AdmissionController, LinkShare, LogBudget, boot_now};
+use galenastream_runtime::{AdmissionController, ConnectionSlots, LinkShare, LogBudget, boot_now};
 use galenastream_settings::EffectiveSettings;
 use galenastream_utils::{BootInstant, FastMap, FastSet};
 use galenastream_wire::TargetAnnouncement;
 use tokio::sync::{Notify, futures::Notified};
 
 use super::{
-    BodyBudgets, ControlEvent, LocalAnnouncement, LocalTarget, NodeContext, ProcessEnd,
-    RememberedAnnouncements, TargetLimit, TrafficTally,
+    BodyBudgets, ConnectionLimits, ControlEvent, LocalAnnouncement, LocalTarget, NodeContext,
+    ProcessEnd, RememberedAnnouncements, TargetLimit, TrafficTally,
 };
 use crate::connection::{PeerLinks, ServedConnections, TargetConnections};
 
@@ -52,6 +52,10 @@
     pub target_connections: TargetConnections,
     /// The connections of callers and of other nodes to this one.
     pub connections: ServedConnections,
+    /// The connections that callers may open.
+    pub caller_slots: Arc<ConnectionSlots>,
+    /// The connections that other nodes may open.
+    pub peer_slots: Arc<ConnectionSlots>,
     /// Controls the admission of requests to the local target.
     pub admission: AdmissionController,
     log_budget: LogBudget,
@@ -112,6 +116,7 @@
     pub fn new(context: Arc<NodeContext>) -> Self {
         let settings = context.settings.load_full();
         let budgets = BodyBudgets::new(settings.limits);
+        let connection_limits = ConnectionLimits::new(settings.limits);
         Self {
             links: PeerLinks::new(budgets.answers.clone()),
             target_connections: TargetConnections::new(
@@ -122,6 +127,8 @@
             body_budgets: budgets,
             link: LinkShare::new(settings.limits.link_mbit_per_s),
             connections: ServedConnections::default(),
+            caller_slots: ConnectionSlots::new("callers", connection_limits.callers),
+            peer_slots: ConnectionSlots::new("peers", connection_limits.peers),
             admission: AdmissionController::new(admission_limits(
                 DEFAULT_SLOTS,
                 &EffectiveSettings::default(),
--- /dev/null
+++ b/crates/galenastream_routing/src/connection/connection_use.rs
@@ -0,0 +1,108 @@
+//! Which connections are closed to make room for others.
+//!
+//! Load pattern: clients that keep no limits open more connections than a process has room for, stop in
+//! the middle of a request or do not read their answers, and stay. Ordinary clients send a request at
+//! once, read its answer, and keep an idle connection for a while.
+
+use std::time::Duration;
+
+use galenastream_utils::BootInstant;
+
+/// Time without progress after which a connection has stalled. Ordinary clients send a request, and read
+/// its answer, without a pause.
+const STALL_TIME: Duration = Duration::from_millis(1_000);
+
+/// How long a request may take to arrive, if others need its room.
+const MAX_ARRIVAL_TIME: Duration = Duration::from_secs(10);
+
+/// Identifies a connection within its process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ConnectionKey(pub u64);
+
+/// What happens on a connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ConnectionPhase {
+    /// The last answer has been written, and the client has not closed its side yet.
+    Closing,
+    /// A request arrives, or the first one has not begun.
+    Receiving,
+    /// The connection waits for the next request.
+    Idle,
+    /// The client does not read an answer.
+    Sending,
+    /// A request is in progress.
+    Working,
+}
+
+/// How a connection uses the room of its process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ConnectionUse {
+    /// Identifies the connection.
+    pub key: ConnectionKey,
+    /// What happens on it.
+    pub phase: ConnectionPhase,
+    /// When the phase began.
+    pub since: BootInstant,
+    /// When bytes moved last in this phase.
+    pub progress_at: BootInstant,
+    /// The memory that is free once the connection is closed.
+    pub held_bytes: usize,
+}
+
+impl ConnectionUse {
+    fn has_stalled(&self, now: BootInstant) -> bool {
+        now.saturating_since(self.progress_at) >= STALL_TIME
+            || now.saturating_since(self.since) >= MAX_ARRIVAL_TIME
+    }
+
+    /// The place of the connection in the order in which connections are closed; `None` if it is kept.
+    fn closing_order(&self, now: BootInstant) -> Option<(u8, BootInstant)> {
+        let rank = match self.phase {
+            ConnectionPhase::Closing => 0,
+            ConnectionPhase::Receiving if self.has_stalled(now) => 0,
+            ConnectionPhase::Idle => 1,
+            ConnectionPhase::Sending if self.has_stalled(now) => 2,
+            ConnectionPhase::Receiving => 3,
+            ConnectionPhase::Sending => 4,
+            ConnectionPhase::Working => return None,
+        };
+        Some((rank, self.since))
+    }
+}
+
+/// Chooses up to `count` connections to close so that others can be accepted. Those with a request in
+/// progress are kept. New ones go last: an ordinary client is about to send its request.
+pub fn connections_to_close(
+    mut uses: Vec<ConnectionUse>,
+    count: usize,
+    now: BootInstant,
+) -> Vec<ConnectionKey> {
+    uses.retain(|it| it.closing_order(now).is_some());
+    uses.sort_by_key(|it| it.closing_order(now));
+    uses.iter().take(count).map(|it| it.key).collect()
+}
+
+/// Chooses connections to close so that at least `bytes` of memory become free: those that have stalled
+/// in `phase`, the oldest first. Chooses none if they do not hold as much.
+pub fn connections_to_free(
+    mut uses: Vec<ConnectionUse>,
+    phase: ConnectionPhase,
+    bytes: usize,
+    now: BootInstant,
+) -> Vec<ConnectionKey> {
+    uses.retain(|it| it.phase == phase && it.held_bytes > 0 && it.has_stalled(now));
+    uses.sort_by_key(|it| it.since);
+    let mut chosen = Vec::new();
+    let mut freed_bytes: usize = 0;
+    for connection in uses {
+        if freed_bytes >= bytes {
+            break;
+        }
+        freed_bytes = freed_bytes.saturating_add(connection.held_bytes);
+        chosen.push(connection.key);
+    }
+    if freed_bytes < bytes {
+        chosen.clear();
+    }
+    chosen
+}
--- a/crates/galenastream_runtime/src/socket.rs
+++ b/crates/galenastream_runtime/src/socket.rs
@@ -53,3 +53,10 @@
         log::debug!(event = "socket_option_failed", option = "keep_alive", reason:% = error; "");
     }
 }
+
+/// Makes the kernel drop what the peer has not read when the connection is closed.
+pub fn discard_unsent(stream: &TcpStream) {
+    if let Err(error) = SockRef::from(stream).set_linger(Some(Duration::ZERO)) {
+        log::debug!(event = "socket_option_failed", option = "linger", reason:% = error; "");
+    }
+}
