Bodies count against the memory of the process from their first byte

Callers saw: a node that was killed for its memory, and their requests lost.

Cause: the first 64 KiB of each body needed no reservation, on any number of connections, with 16 requests on each. A part of a long body was held twice, in the buffer of its connection and in its own.

Bodies of callers, of other nodes and of targets reserve all their memory now. Long ones leave room to short ones, and these to small ones, so that requests of usual size are not refused because of others. If there is no room, connections whose requests have stopped arriving are closed. A body is collected in one place, and a chunked one reserves what its buffer has grown to. A request is refused before it runs if there is no room for one more answer, and callers that do not read theirs are disconnected. Bodies that other nodes pass on have a budget beside that of answers.

--- a/crates/galenastream_node/src/connection/caller_connections.rs
+++ b/crates/galenastream_node/src/connection/caller_connections.rs
@@ -25,6 +25,7 @@
 
 use super::{
     accept::{MAX_CLOSE_TIME, accept_all, close_gracefully},
+    arrival_room::ArrivalRoom,
     request_codec::{BUFFER_BYTES, Incoming, Outgoing, RequestCodec, WRITE_BYTES, has_body},
     served_connections::ServedConnection,
 };
@@ -66,8 +67,9 @@
     slot: ConnectionSlot,
 ) {
     let limits_in_force = || traffic.context.routing.load().as_ref().map(|it| it.limits);
-    let budget = traffic.body_budgets.callers.clone();
-    let codec = RequestCodec::new(limits_in_force, budget, slot.state().clone());
+    let (budget, slots) = (traffic.body_budgets.callers.clone(), traffic.caller_slots.clone());
+    let room = ArrivalRoom::new(budget, slots, slot.state().clone());
+    let codec = RequestCodec::new(limits_in_force, room);
     let mut framed = Framed::with_capacity(stream, codec, BUFFER_BYTES);
     tokio::select! {
         biased;
--- a/crates/galenastream_node/src/connection/chunked_body.rs
+++ b/crates/galenastream_node/src/connection/chunked_body.rs
@@ -1,13 +1,16 @@
 //! Reading of chunked bodies.
 
-use bytes::{Buf, BytesMut};
+use bytes::{Buf, Bytes, BytesMut};
 use galenastream_runtime::BodyReservation;
 
-use super::{body_framing::number, request_codec::RequestError};
+use super::{arrival_room::ArrivalRoom, body_framing::number, request_codec::RequestError};
+
+/// The memory with which a body begins.
+const MIN_BYTES: usize = 512;
 
 /// What is read next of a chunked body.
 #[derive(Debug, Clone, Copy)]
-pub(super) enum ChunkStep {
+enum ChunkStep {
     Size,
     Data { remaining: usize },
     DataEnd,
@@ -21,73 +24,115 @@
     pub(super) max_body_bytes: usize,
 }
 
-/// Reads the chunks that have arrived. Returns whether the body is complete.
-pub(super) fn read_chunks(
-    buffer: &mut BytesMut,
-    body: &mut BytesMut,
-    step: &mut ChunkStep,
-    searched: &mut usize,
-    reservation: &mut BodyReservation,
-    limits: ChunkLimits,
-) -> Result<bool, RequestError> {
-    loop {
-        match *step {
-            ChunkStep::Size => {
-                let Some(size) = chunk_size(buffer)? else {
-                    line_end(buffer, searched, limits.max_line_bytes)?;
-                    return Ok(false);
-                };
-                if body.len().saturating_add(size) > limits.max_body_bytes {
-                    return Err(RequestError::BodyTooLong);
-                }
-                let Some(end) = line_end(buffer, searched, limits.max_line_bytes)? else {
-                    return Ok(false);
-                };
-                if buffer[..end].iter().any(|it| matches!(it, b'\r' | b'\n')) {
-                    return Err(RequestError::Malformed);
-                }
-                buffer.advance(end + 2);
-                *step = match size {
-                    0 => ChunkStep::Trailers,
-                    remaining => ChunkStep::Data { remaining },
-                };
-            }
-            ChunkStep::Data { remaining } => {
-                let part = remaining.min(buffer.len());
-                if !reservation.extend_for_body(body.len() + part) {
-                    return Err(RequestError::NoMemory);
-                }
-                body.extend_from_slice(&buffer.split_to(part));
-                if part < remaining {
-                    *step = ChunkStep::Data { remaining: remaining - part };
-                    return Ok(false);
-                }
-                *step = ChunkStep::DataEnd;
-            }
-            ChunkStep::DataEnd => {
-                if buffer.len() < 2 {
-                    return Ok(false);
+/// A chunked body, as far as it has arrived.
+#[derive(Debug)]
+pub(super) struct ChunkedBody {
+    bytes: Vec<u8>,
+    step: ChunkStep,
+    reservation: BodyReservation,
+}
+
+impl ChunkedBody {
+    /// Creates an empty body, whose memory is taken from `reservation`.
+    pub(super) const fn new(reservation: BodyReservation) -> Self {
+        Self { bytes: Vec::new(), step: ChunkStep::Size, reservation }
+    }
+
+    /// How much memory is reserved for it.
+    pub(super) const fn reserved_bytes(&self) -> usize {
+        self.reservation.bytes()
+    }
+
+    /// Returns the body. Its memory counts as reserved until the last reference to it is dropped.
+    pub(super) fn finish(self) -> Bytes {
+        self.reservation.into_body(self.bytes.into())
+    }
+
+    /// Reads the chunks that have arrived. Returns whether the body is complete.
+    pub(super) fn read(
+        &mut self,
+        buffer: &mut BytesMut,
+        searched: &mut usize,
+        room: &ArrivalRoom,
+        limits: ChunkLimits,
+    ) -> Result<bool, RequestError> {
+        loop {
+            match self.step {
+                ChunkStep::Size => {
+                    let Some(size) = chunk_size(buffer)? else {
+                        line_end(buffer, searched, limits.max_line_bytes)?;
+                        return Ok(false);
+                    };
+                    if self.bytes.len().saturating_add(size) > limits.max_body_bytes {
+                        return Err(RequestError::BodyTooLong);
+                    }
+                    let Some(end) = line_end(buffer, searched, limits.max_line_bytes)? else {
+                        return Ok(false);
+                    };
+                    if buffer[..end].iter().any(|it| matches!(it, b'\r' | b'\n')) {
+                        return Err(RequestError::Malformed);
+                    }
+                    buffer.advance(end + 2);
+                    self.step = match size {
+                        0 => ChunkStep::Trailers,
+                        remaining => ChunkStep::Data { remaining },
+                    };
                 }
-                if &buffer[..2] != b"\r\n" {
-                    return Err(RequestError::Malformed);
+                ChunkStep::Data { remaining } => {
+                    let part = remaining.min(buffer.len());
+                    self.reserve(part, room, limits.max_body_bytes)?;
+                    self.bytes.extend_from_slice(&buffer.split_to(part));
+                    if part < remaining {
+                        self.step = ChunkStep::Data { remaining: remaining - part };
+                        return Ok(false);
+                    }
+                    self.step = ChunkStep::DataEnd;
                 }
-                buffer.advance(2);
-                *step = ChunkStep::Size;
-            }
-            ChunkStep::Trailers => {
-                let Some(end) = line_end(buffer, searched, limits.max_line_bytes)? else {
-                    return Ok(false);
-                };
-                if end > 0 && !is_field_line(&buffer[..end]) {
-                    return Err(RequestError::Malformed);
+                ChunkStep::DataEnd => {
+                    if buffer.len() < 2 {
+                        return Ok(false);
+                    }
+                    if &buffer[..2] != b"\r\n" {
+                        return Err(RequestError::Malformed);
+                    }
+                    buffer.advance(2);
+                    self.step = ChunkStep::Size;
                 }
-                buffer.advance(end + 2);
-                if end == 0 {
-                    return Ok(true);
+                ChunkStep::Trailers => {
+                    let Some(end) = line_end(buffer, searched, limits.max_line_bytes)? else {
+                        return Ok(false);
+                    };
+                    if end > 0 && !is_field_line(&buffer[..end]) {
+                        return Err(RequestError::Malformed);
+                    }
+                    buffer.advance(end + 2);
+                    if end == 0 {
+                        return Ok(true);
+                    }
                 }
             }
         }
     }
+
+    /// Makes room for `part` more bytes. The memory grows by doubling, as far as a body may be as long.
+    fn reserve(
+        &mut self,
+        part: usize,
+        room: &ArrivalRoom,
+        max_body_bytes: usize,
+    ) -> Result<(), RequestError> {
+        let needed = self.bytes.len() + part;
+        if needed <= self.bytes.capacity() {
+            return Ok(());
+        }
+        let doubled = (2 * self.bytes.capacity()).clamp(MIN_BYTES, max_body_bytes.max(MIN_BYTES));
+        let capacity = needed.max(doubled);
+        if !room.extend(&mut self.reservation, capacity) {
+            return Err(RequestError::NoMemory);
+        }
+        self.bytes.reserve_exact(capacity - self.bytes.len());
+        Ok(())
+    }
 }
 
 /// The size at the front of a chunk; `None` if it may go on in bytes that have not arrived. The
--- a/crates/galenastream_node/src/connection/mod.rs
+++ b/crates/galenastream_node/src/connection/mod.rs
@@ -3,6 +3,7 @@
 
 mod accept;
 mod answered_requests;
+mod arrival_room;
 mod body_framing;
 mod caller_connections;
 mod chunked_body;
--- a/crates/galenastream_node/src/connection/peer_connections.rs
+++ b/crates/galenastream_node/src/connection/peer_connections.rs
@@ -65,7 +65,7 @@
     let (read_half, write_half) = stream.into_split();
     let (replies, queue) = mpsc::channel(WRITE_QUEUE_FRAMES);
     let mut writer = tokio::spawn(write_replies(traffic.link.clone(), write_half, queue));
-    let mut reader = FrameReader::new(read_half, traffic.body_budgets.answers.clone());
+    let mut reader = FrameReader::new(read_half, traffic.body_budgets.forwarded.clone());
     let connection = PeerConnection {
         traffic,
         replies,
--- a/crates/galenastream_node/src/connection/request_codec.rs
+++ b/crates/galenastream_node/src/connection/request_codec.rs
@@ -4,17 +4,18 @@
 //! the previous one is answered, so that callers wait for the sum of all service times. This codec
 //! yields requests as they arrive. It parses with `httparse`, as hyper does.
 
-use std::{io, sync::Arc};
+use std::io;
 
 use bytes::{Buf, Bytes, BytesMut};
 use galenastream_adapter::CallerLimits;
-use galenastream_runtime::{BodyBudget, BodyReservation, ConnectionState, UNRESERVED_BYTES};
+use galenastream_runtime::BodyReservation;
 use http::{Request, Response, StatusCode, Version, header};
 use tokio_util::codec::{Decoder, Encoder};
 
 use super::{
+    arrival_room::ArrivalRoom,
     body_framing::{Framing, body_framing},
-    chunked_body::{ChunkLimits, ChunkStep, read_chunks},
+    chunked_body::{ChunkLimits, ChunkedBody},
     request_head::{HeadError, ParsedHead, parse_head},
 };
 
@@ -29,8 +30,12 @@
 /// The size at which the buffers of a connection begin. Most heads are shorter.
 pub(super) const BUFFER_BYTES: usize = 2 * 1024;
 
-/// How much of a long body is read at once.
-const READ_BYTES: usize = 64 * 1024;
+/// How much of a chunked body is read at once.
+const READ_BYTES: usize = 16 * 1024;
+
+/// Bodies up to this size are handed on in the buffer of their connection. Longer ones leave it, since the
+/// buffer would keep their memory.
+const MAX_SHARED_BYTES: usize = 4 * 1024;
 
 /// The longest part of a body that is copied into the buffer of its connection. The rest waits where its
 /// memory is accounted for.
@@ -89,8 +94,7 @@
 pub(super) struct RequestCodec<F> {
     /// Returns the limits in force; `None` before the first config.
     limits_in_force: F,
-    /// The memory for long bodies.
-    budget: Arc<BodyBudget>,
+    room: ArrivalRoom,
     /// The limits of the request that is read: those in force at its head, or higher ones that came
     /// into force since.
     limits: Option<CallerLimits>,
@@ -98,28 +102,20 @@
     /// chunked body, was not found, so that slowly arriving bytes are not searched repeatedly.
     searched: usize,
     state: ReadState,
-    connection: Arc<ConnectionState>,
 }
 
 #[derive(Debug)]
 enum ReadState {
     Head,
+    /// The body is collected in the buffer of the connection.
     Sized {
         head: Box<Request<()>>,
         length: usize,
-    },
-    /// A body whose memory is reserved. It has a buffer of its own, which is freed with it.
-    LongSized {
-        head: Box<Request<()>>,
-        length: usize,
-        body: BytesMut,
         reservation: BodyReservation,
     },
     Chunked {
         head: Box<Request<()>>,
-        body: BytesMut,
-        step: ChunkStep,
-        reservation: BodyReservation,
+        body: ChunkedBody,
     },
     Invalid,
 }
@@ -132,13 +128,8 @@
 }
 
 impl<F: Fn() -> Option<CallerLimits>> RequestCodec<F> {
-    pub(super) fn new(
-        limits_in_force: F,
-        budget: Arc<BodyBudget>,
-        connection: Arc<ConnectionState>,
-    ) -> Self {
-        let state = ReadState::Head;
-        Self { limits_in_force, budget, limits: None, searched: 0, state, connection }
+    pub(super) const fn new(limits_in_force: F, room: ArrivalRoom) -> Self {
+        Self { limits_in_force, room, limits: None, searched: 0, state: ReadState::Head }
     }
 
     fn max_header_bytes(&self) -> usize {
@@ -194,7 +185,10 @@
             Ok(None) if buffer.len() > max_bytes => {
                 return self.fail(RequestError::HeadersTooLong);
             }
-            Ok(None) => return None,
+            Ok(None) => {
+                self.room.record_part(0);
+                return None;
+            }
             Err(HeadError::Request(error)) => return self.fail(error),
             Err(HeadError::TooManyHeaders) => return self.fail(RequestError::Unsupported),
         };
@@ -207,19 +201,17 @@
             Ok(Framing::Sized(length)) if length > self.max_body_bytes() => {
                 return self.fail_after_head(RequestError::BodyTooLong, head);
             }
-            Ok(Framing::Sized(length)) if length > UNRESERVED_BYTES => {
-                let mut reservation = self.budget.reservation();
-                if !reservation.extend_for_body(length) {
+            Ok(Framing::Sized(length)) => {
+                let mut reservation = self.room.reservation();
+                if !self.room.extend(&mut reservation, length) {
                     return self.fail_after_head(RequestError::NoMemory, head);
                 }
-                let body = BytesMut::with_capacity(length);
-                self.state = ReadState::LongSized { head, length, body, reservation };
+                buffer.reserve(length.saturating_sub(buffer.len()));
+                self.state = ReadState::Sized { head, length, reservation };
             }
-            Ok(Framing::Sized(length)) => self.state = ReadState::Sized { head, length },
             Ok(Framing::Chunked) => {
-                let (body, step) = (BytesMut::new(), ChunkStep::Size);
-                let reservation = self.budget.reservation();
-                self.state = ReadState::Chunked { head, body, step, reservation };
+                let body = ChunkedBody::new(self.room.reservation());
+                self.state = ReadState::Chunked { head, body };
             }
             Err(error) => return self.fail_after_head(error, head),
         }
@@ -246,43 +238,32 @@
     fn read_body(&mut self, buffer: &mut BytesMut) -> Option<Incoming> {
         match std::mem::replace(&mut self.state, ReadState::Head) {
             // The first config came into force while the body arrived.
-            ReadState::Sized { head, length } | ReadState::LongSized { head, length, .. }
-                if length > self.max_body_bytes() =>
-            {
+            ReadState::Sized { head, length, .. } if length > self.max_body_bytes() => {
                 self.fail_after_head(RequestError::BodyTooLong, head)
             }
-            ReadState::LongSized { head, length, mut body, reservation } => {
-                let part = buffer.len().min(length - body.len());
-                body.extend_from_slice(&buffer.split_to(part));
-                if body.len() == length {
-                    let body = reservation.into_body(body.freeze());
-                    return Some(Incoming::Request(Box::new(head.map(|()| body))));
-                }
-                buffer.reserve(READ_BYTES);
-                self.state = ReadState::LongSized { head, length, body, reservation };
-                None
-            }
-            ReadState::Sized { head, length } if buffer.len() < length => {
-                self.state = ReadState::Sized { head, length };
+            ReadState::Sized { head, length, reservation } if buffer.len() < length => {
+                self.room.record_part(reservation.bytes());
+                self.state = ReadState::Sized { head, length, reservation };
                 None
             }
-            ReadState::Sized { head, length } => {
-                let body = buffer.split_to(length).freeze();
+            ReadState::Sized { head, length, reservation } => {
+                let body = reservation.into_body(take_body(buffer, length));
                 Some(Incoming::Request(Box::new(head.map(|()| body))))
             }
-            ReadState::Chunked { head, mut body, mut step, mut reservation } => {
+            ReadState::Chunked { head, mut body } => {
                 let limits = ChunkLimits {
                     max_line_bytes: self.max_header_bytes(),
                     max_body_bytes: self.max_body_bytes(),
                 };
-                let (step_now, searched) = (&mut step, &mut self.searched);
-                match read_chunks(buffer, &mut body, step_now, searched, &mut reservation, limits) {
+                match body.read(buffer, &mut self.searched, &self.room, limits) {
                     Ok(true) => {
-                        let body = reservation.into_body(body.freeze());
+                        let body = body.finish();
                         Some(Incoming::Request(Box::new(head.map(|()| body))))
                     }
                     Ok(false) => {
-                        self.state = ReadState::Chunked { head, body, step, reservation };
+                        self.room.record_part(body.reserved_bytes());
+                        buffer.reserve(READ_BYTES.saturating_sub(buffer.len()));
+                        self.state = ReadState::Chunked { head, body };
                         None
                     }
                     Err(error) => self.fail_after_head(error, head),
@@ -301,25 +282,21 @@
     type Error = io::Error;
 
     fn decode(&mut self, buffer: &mut BytesMut) -> io::Result<Option<Incoming>> {
-        let incoming = match self.state {
-            ReadState::Head if buffer.is_empty() => return Ok(None),
+        Ok(match self.state {
+            ReadState::Head if buffer.is_empty() => None,
             ReadState::Head => {
                 self.limits = (self.limits_in_force)();
                 self.read_head(buffer)
             }
-            ReadState::Sized { .. } | ReadState::LongSized { .. } | ReadState::Chunked { .. } => {
+            ReadState::Sized { .. } | ReadState::Chunked { .. } => {
                 self.raise_limits();
                 self.read_body(buffer)
             }
             ReadState::Invalid => {
                 buffer.clear();
-                return Ok(None);
+                None
             }
-        };
-        if incoming.is_none() {
-            self.connection.record_part(0);
-        }
-        Ok(incoming)
+        })
     }
 
     fn decode_eof(&mut self, buffer: &mut BytesMut) -> io::Result<Option<Incoming>> {
@@ -367,6 +344,19 @@
     }
 }
 
+/// Takes a body off the front of the buffer.
+fn take_body(buffer: &mut BytesMut, length: usize) -> Bytes {
+    if length <= MAX_SHARED_BYTES {
+        return buffer.split_to(length).freeze();
+    }
+    let rest = &buffer[length..];
+    let mut next = BytesMut::with_capacity(rest.len().max(BUFFER_BYTES));
+    next.extend_from_slice(rest);
+    let mut body = std::mem::replace(buffer, next);
+    body.truncate(length);
+    body.freeze()
+}
+
 /// Whether a body follows the head of a response.
 pub(super) fn has_body(status: StatusCode, is_to_head: bool) -> bool {
     !is_to_head && !matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED)
--- a/crates/galenastream_node/src/process/body_budgets.rs
+++ b/crates/galenastream_node/src/process/body_budgets.rs
@@ -1,46 +1,84 @@
-//! The memory for long bodies in progress.
+//! The memory for bodies in progress.
 
 use std::sync::Arc;
 
 use galenastream_adapter::ProcessLimits;
-use galenastream_runtime::BodyBudget;
+use galenastream_runtime::{BodyBudget, KeptRoom};
 
-/// Share of the memory limit of the process that long bodies in progress may use together, in percent.
-const SHARED_PERCENT: u64 = 65;
+/// A part of the memory limit of the process, in percent of it.
+struct Share {
+    total: u64,
+    /// What longer bodies leave to short ones, and the part of it for small ones.
+    short: u64,
+    small: u64,
+}
+
+/// All bodies in progress.
+const SHARED: Share = Share { total: 50, short: 12, small: 3 };
+
+/// Bodies of callers. The rest of the shared part is kept for answers.
+const CALLERS: Share = Share { total: 44, short: 8, small: 2 };
+
+/// Answers. They may take twice as much while they are joined.
+const ANSWERS: Share = Share { total: 26, short: 6, small: 2 };
 
-/// Share of the memory limit for long answers and long bodies of other nodes, in percent. They may take
-/// twice as much while they are joined.
-const ANSWERS_PERCENT: u64 = 20;
-const ANSWERS_WEIGHT: usize = 2;
+/// Bodies that other nodes pass on. They may take twice as much while they are joined.
+const FORWARDED: Share = Share { total: 22, short: 4, small: 1 };
 
-/// Share of the memory limit for long bodies of callers, in percent. The rest of the shared part is
-/// kept for answers.
-const CALLERS_PERCENT: u64 = 50;
+/// How much room there has to be for answers when a request begins, in percent: others are in progress.
+const ANSWERS_MARGIN: u64 = 3;
 
-/// The memory for long bodies in progress. The budgets are parts of one, so that they cannot fill the memory
+/// How many bytes of memory a byte may take that arrives from a target or from another node.
+const JOINED_WEIGHT: usize = 2;
+
+/// The memory for bodies in progress. The budgets are parts of one, so that they cannot fill the memory
 /// together.
 pub struct BodyBudgets {
-    /// For long answers, and for long bodies of other nodes.
-    pub answers: Arc<BodyBudget>,
-    /// For long bodies of callers.
+    /// For bodies of callers.
     pub callers: Arc<BodyBudget>,
+    /// For answers of the target and of other nodes.
+    pub answers: Arc<BodyBudget>,
+    /// For bodies that other nodes pass on.
+    pub forwarded: Arc<BodyBudget>,
+    answers_margin_bytes: usize,
 }
 
 impl BodyBudgets {
     /// Creates the unused budgets of a process with these limits.
     pub fn new(limits: ProcessLimits) -> Self {
-        let shared = BodyBudget::new(share_bytes(limits, SHARED_PERCENT));
-        let answers_bytes = share_bytes(limits, ANSWERS_PERCENT);
-        let callers_bytes = share_bytes(limits, CALLERS_PERCENT);
+        let shared = BodyBudget::with_kept(SHARED.total_bytes(limits), SHARED.kept(limits));
+        let part = |share: Share, weight| {
+            BodyBudget::within(&shared, weight, share.total_bytes(limits), share.kept(limits))
+        };
         Self {
-            answers: BodyBudget::within(&shared, ANSWERS_WEIGHT, answers_bytes),
-            callers: BodyBudget::within(&shared, 1, callers_bytes),
+            callers: part(CALLERS, 1),
+            answers: part(ANSWERS, JOINED_WEIGHT),
+            forwarded: part(FORWARDED, JOINED_WEIGHT),
+            answers_margin_bytes: bytes_of(limits, ANSWERS_MARGIN),
+        }
+    }
+
+    /// How many bytes of answers have to be read before another request may begin; 0 if it may now.
+    pub fn missing_for_answers(&self) -> usize {
+        self.answers.missing_for(self.answers_margin_bytes)
+    }
+}
+
+impl Share {
+    fn total_bytes(&self, limits: ProcessLimits) -> usize {
+        bytes_of(limits, self.total)
+    }
+
+    fn kept(&self, limits: ProcessLimits) -> KeptRoom {
+        KeptRoom {
+            short_bytes: bytes_of(limits, self.short),
+            small_bytes: bytes_of(limits, self.small),
         }
     }
 }
 
 /// A share of the memory limit of the process.
-fn share_bytes(limits: ProcessLimits, percent: u64) -> usize {
+fn bytes_of(limits: ProcessLimits, percent: u64) -> usize {
     let bytes = limits.memory_mb.saturating_mul(1_024 * 1_024) * percent / 100;
     usize::try_from(bytes).unwrap_or(usize::MAX)
 }
--- a/crates/galenastream_node/src/request/long_answer.rs
+++ b/crates/galenastream_node/src/request/long_answer.rs
@@ -1,12 +1,12 @@
-//! Room for long answers: on the link of the VM, and in the memory of the node.
+//! Room for answers: in the memory of the node, and on the link of the VM for long ones.
 //!
-//! Load pattern: the long answers of a service want as much as the links of its VMs carry. A request whose
-//! answer could not be sent in time would use a slot of the target in vain, and keep the link from
-//! others.
+//! Load pattern: callers do not read their answers, which stay in memory. The long answers of a service
+//! want as much as the links of its VMs carry. A request whose answer could not be held, or sent in time,
+//! would use a slot of the target in vain, and keep the link from others.
 
 use std::time::Duration;
 
-use galenastream_routing::{Deadline, TransferOrder};
+use galenastream_routing::{ConnectionPhase, Deadline, TransferOrder};
 use galenastream_runtime::{AnnouncedBody, Transfer, boot_now};
 use galenastream_wire::{ForwardedReply, ForwardedRequest, ReplyReason};
 
@@ -24,13 +24,23 @@
 /// Soft deadline and deadline of a request.
 pub(super) type Deadlines = (Deadline, Deadline);
 
+/// Whether there is room for one more answer. If there is too little, callers that do not read theirs are
+/// disconnected.
+pub(super) fn has_room_for_answer(traffic: &TrafficState) -> bool {
+    let missing_bytes = traffic.body_budgets.missing_for_answers();
+    missing_bytes == 0 || traffic.caller_slots.free_memory(ConnectionPhase::Sending, missing_bytes)
+}
+
 /// Announces the answer to a caller's request, if it is of the kind with long answers. Callers that read
-/// slowly keep theirs in memory for as long as they read. Refuses the request if there is too little
+/// slowly keep theirs in memory for as long as they read. Refuses any request if there is too little
 /// memory left, before it runs.
 pub(super) fn announce_answer(
     traffic: &TrafficState,
     request: &CallerRequest,
 ) -> Result<Option<AnnouncedBody>, Refusal> {
+    if !has_room_for_answer(traffic) {
+        return Err(Refusal::NotRun { retry_after_ms: TOO_LONG_RETRY_AFTER_MS });
+    }
     if !request.route.kind.has_long_answers() {
         return Ok(None);
     }
--- a/crates/galenastream_node/src/request/target_run.rs
+++ b/crates/galenastream_node/src/request/target_run.rs
@@ -19,10 +19,11 @@
     crash::{record_lost_run, wait_for_turn},
     drain::is_drain_over,
     fingerprint::fingerprint_of_forwarded,
-    long_answer::plan_transfer,
+    long_answer::{has_room_for_answer, plan_transfer},
     refusal::QUARANTINED_RETRY_AFTER_MS,
     target_reply::{
-        MOVING_RETRY_AFTER_MS, UNREACHABLE_RETRY_AFTER_MS, not_sent, reply_from_result, unknown,
+        MOVING_RETRY_AFTER_MS, TOO_LONG_RETRY_AFTER_MS, UNREACHABLE_RETRY_AFTER_MS, not_sent,
+        reply_from_result, unknown,
     },
     withdrawal::{Withdrawal, admission_deadlines, estimate},
 };
@@ -166,6 +167,10 @@
         let reply = not_sent(ReplyReason::DeadlinePassed, UNREACHABLE_RETRY_AFTER_MS);
         return TargetRun::new(reply);
     }
+    if !has_room_for_answer(traffic) {
+        let reply = not_sent(ReplyReason::NoRoomForAnswer, TOO_LONG_RETRY_AFTER_MS);
+        return TargetRun::new(reply);
+    }
     run_at_target(traffic, request, AnswerWay::Link, withdrawal).await
 }
 
--- a/crates/galenastream_runtime/src/body_buffer.rs
+++ b/crates/galenastream_runtime/src/body_buffer.rs
@@ -42,7 +42,7 @@
         Self { max_bytes, reservation: None, first: Bytes::new(), blocks: Vec::new(), bytes: 0 }
     }
 
-    /// Reserves the memory for all but the first bytes from `budget`.
+    /// Reserves the memory from `budget`.
     pub fn with_budget(self, budget: &Arc<BodyBudget>) -> Self {
         Self { reservation: Some(budget.reservation()), ..self }
     }
@@ -67,7 +67,7 @@
         let bytes = self.bytes + part.len();
         self.check_length(bytes)?;
         if let Some(reservation) = &mut self.reservation
-            && !reservation.extend_for_body(bytes)
+            && !reservation.extend_to(bytes)
         {
             return Err(BodyTooLong { bytes });
         }
--- a/crates/galenastream_runtime/src/frame_reader.rs
+++ b/crates/galenastream_runtime/src/frame_reader.rs
@@ -11,7 +11,7 @@
 use tokio::{net::tcp::OwnedReadHalf, time::timeout};
 use tokio_util::codec::FramedRead;
 
-use crate::{BodyBudget, BodyBuffer, BodyTooLong, MAX_BODY_BYTES, UNRESERVED_BYTES};
+use crate::{BodyBudget, BodyBuffer, BodyTooLong, MAX_BODY_BYTES};
 
 /// Maximum number of messages of one connection of which only some parts have arrived.
 const MAX_UNFINISHED: usize = 64;
@@ -47,7 +47,7 @@
 }
 
 impl<F: CorrelatedFrame> FrameReader<F> {
-    /// Creates a reader that holds long bodies within `budget`.
+    /// Creates a reader that holds bodies within `budget`.
     pub fn new(stream: OwnedReadHalf, budget: Arc<BodyBudget>) -> Self {
         let frames = FramedRead::new(stream, FrameCodec::new());
         Self { frames, budget, unfinished: FastMap::default() }
@@ -96,7 +96,7 @@
             frame.set_body(body.finish());
             return Ok(ReceivedFrame::Whole(frame));
         }
-        if frame.body_bytes() > UNRESERVED_BYTES {
+        if frame.body_bytes() > 0 {
             let mut body = self.buffer();
             if let Err(error) = body.push(frame.take_body()) {
                 return too_long(error);
--- a/crates/galenastream_runtime/src/lib.rs
+++ b/crates/galenastream_runtime/src/lib.rs
@@ -27,7 +27,7 @@
 mod socket;
 
 pub use admission_controller::{AdmissionController, AdmissionPreview, NotAdmitted, Slot};
-pub use body_budget::{AnnouncedBody, BodyBudget, BodyReservation, UNRESERVED_BYTES};
+pub use body_budget::{AnnouncedBody, BodyBudget, BodyReservation, KeptRoom};
 pub use body_buffer::{BodyBuffer, BodyTooLong, MAX_BODY_BYTES};
 pub use clock::{boot_now, sleep_until};
 pub use connection::{HttpConnection, WholeResponse};
