The kernel keeps little for each connection of a caller

Callers saw: a node that was killed for its memory while others sent more requests than it read, or did not read short answers.

Cause: the kernel took up to 128 KiB that were not read, and up to 2.8 MB of answers that were not sent, for each connection; the platform counts the first, and both fill the memory of the VM.

The receive buffer of connections to untrusted clients has 8 KiB, and the kernel takes no more than 4 KiB beyond what is under way to a client.

--- a/crates/galenastream_node/src/connection/caller_connections.rs
+++ b/crates/galenastream_node/src/connection/caller_connections.rs
@@ -14,7 +14,9 @@
     stream::FuturesOrdered,
 };
 use galenastream_adapter::CallerLimits;
-use galenastream_runtime::{ConnectionSlot, ConnectionState, discard_unsent, set_user_timeout};
+use galenastream_runtime::{
+    ConnectionSlot, ConnectionState, discard_unsent, limit_queues, set_user_timeout,
+};
 use http::{HeaderValue, Method, Request, Response, Version, header};
 use tokio::{
     io::Interest,
@@ -51,6 +53,7 @@
 
 /// Serves callers until the process ends.
 pub async fn serve_callers(traffic: Arc<TrafficState>, listener: TcpListener) {
+    limit_queues(&listener);
     accept_all(listener, &traffic.caller_slots, |stream, slot| {
         set_user_timeout(&stream, READ_PAUSE_TIMEOUT);
         let served = traffic.connections.add();
--- a/crates/galenastream_node/src/connection/control_connections.rs
+++ b/crates/galenastream_node/src/connection/control_connections.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use galenastream_adapter::{ControlCall, READY_PATH};
-use galenastream_runtime::ConnectionSlots;
+use galenastream_runtime::{ConnectionSlots, limit_queues};
 use http::{HeaderValue, Request, Response, StatusCode, Uri, header};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
@@ -29,6 +29,7 @@
 pub async fn serve_control(context: Arc<NodeContext>, listener: TcpListener) {
     let limits = ConnectionLimits::new(context.settings.load().limits);
     let slots = ConnectionSlots::new("control", limits.control);
+    limit_queues(&listener);
     accept_all(listener, &slots, |stream, slot| {
         let context = context.clone();
         let counted = context.heartbeat_connections.count();
@@ -48,6 +49,7 @@
 pub async fn serve_operators(traffic: Arc<TrafficState>, listener: TcpListener) {
     let limits = ConnectionLimits::new(traffic.context.settings.load().limits);
     let slots = ConnectionSlots::new("operators", limits.operators);
+    limit_queues(&listener);
     accept_all(listener, &slots, |stream, slot| {
         let traffic = traffic.clone();
         tokio::spawn(async move {
@@ -85,6 +87,7 @@
 pub async fn serve_health(context: Arc<NodeContext>, listener: TcpListener) {
     let limits = ConnectionLimits::new(context.settings.load().limits);
     let slots = ConnectionSlots::new("health", limits.health);
+    limit_queues(&listener);
     accept_all(listener, &slots, |stream, slot| {
         let context = context.clone();
         tokio::spawn(async move {
--- a/crates/galenastream_runtime/src/lib.rs
+++ b/crates/galenastream_runtime/src/lib.rs
@@ -42,4 +42,6 @@
 pub use log_budget::LogBudget;
 pub use peer_error::PeerError;
 pub use pending::{PendingReplies, PendingReply};
-pub use socket::{connect_tcp, discard_unsent, set_keep_alive, set_user_timeout, tune_socket};
+pub use socket::{
+    connect_tcp, discard_unsent, limit_queues, set_keep_alive, set_user_timeout, tune_socket,
+};
--- a/crates/galenastream_runtime/src/socket.rs
+++ b/crates/galenastream_runtime/src/socket.rs
@@ -3,7 +3,10 @@
 use std::{io, net::SocketAddr, time::Duration};
 
 use socket2::{SockRef, TcpKeepalive};
-use tokio::{net::TcpStream, time::timeout};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    time::timeout,
+};
 
 /// Value of `TCP_USER_TIMEOUT`: how long sent bytes may stay unacknowledged before the kernel
 /// closes the connection. Longer than a few retransmissions inside a region, shorter than the
@@ -19,6 +22,13 @@
 const KEEP_ALIVE_INTERVAL: Duration = Duration::from_millis(1_000);
 const MAX_UNANSWERED_PROBES: u32 = 1;
 
+/// The bytes that the kernel keeps of a caller that were not read; it takes up to twice as many.
+const RECEIVE_BUFFER_BYTES: usize = 8 * 1024;
+
+/// The bytes that the kernel takes for a caller before it has sent the ones before. What is under way to
+/// the caller is not limited, so that this does not slow it down.
+const MAX_UNSENT_BYTES: u32 = 4 * 1024;
+
 /// Opens a TCP connection within a time limit.
 pub async fn connect_tcp(address: SocketAddr, limit: Duration) -> io::Result<TcpStream> {
     let stream = timeout(limit, TcpStream::connect(address)).await.map_err(io::Error::from)??;
@@ -36,6 +46,18 @@
     set_user_timeout(stream, USER_TIMEOUT);
 }
 
+/// Limits what the kernel keeps for each connection that `listener` accepts from now on: the process has to
+/// bound the memory of connections to clients that it does not trust.
+pub fn limit_queues(listener: &TcpListener) {
+    let socket = SockRef::from(listener);
+    if let Err(error) = socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES) {
+        log::debug!(event = "socket_option_failed", option = "receive_buffer", reason:% = error; "");
+    }
+    if let Err(error) = socket.set_tcp_notsent_lowat(MAX_UNSENT_BYTES) {
+        log::debug!(event = "socket_option_failed", option = "notsent_lowat", reason:% = error; "");
+    }
+}
+
 /// Sets how long a peer may leave sent bytes unread or unacknowledged.
 pub fn set_user_timeout(stream: &TcpStream, user_timeout: Duration) {
     if let Err(error) = SockRef::from(stream).set_tcp_user_timeout(Some(user_timeout)) {
