Requests count against the memory of the process with their heads

Callers saw: a node that was killed for its memory while others sent legal heads of many short headers, 16 of them on a connection.

Cause: only bodies were counted. A head of 16 KiB takes up to 650 KB once it is parsed, and each request in progress takes about 12 KB without its headers.

A request reserves what it takes from its arrival until its response is written; a head that arrives reserves what its buffer may grow to. What has no room is refused, and ordinary requests are small, for which room is kept.

--- a/crates/galenastream_node/src/connection/caller_connections.rs
+++ b/crates/galenastream_node/src/connection/caller_connections.rs
@@ -15,7 +15,8 @@
 };
 use galenastream_adapter::CallerLimits;
 use galenastream_runtime::{
-    ConnectionSlot, ConnectionState, discard_unsent, limit_queues, set_user_timeout,
+    BodyReservation, ConnectionSlot, ConnectionState, discard_unsent, limit_queues,
+    set_user_timeout,
 };
 use http::{HeaderValue, Method, Request, Response, Version, header};
 use tokio::{
@@ -93,6 +94,15 @@
     }
 }
 
+/// A response that can be written.
+struct ReadyResponse {
+    response: Response<Bytes>,
+    /// Whether its request only asks for the head.
+    is_to_head: bool,
+    /// The memory of its request, which is given back when the response is written.
+    reservation: Option<BodyReservation>,
+}
+
 /// How the service of a connection has ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum ServiceEnd {
@@ -122,8 +132,8 @@
         let may_read = !is_last_read && complete.len() + in_progress.len() < MAX_PIPELINED;
         let is_idle = !is_any_open && is_between_requests(framed);
         tokio::select! {
-            Some((is_to_head, response)) = next_response(&mut complete, &mut in_progress), if is_any_open => {
-                let mut response: Response<Bytes> = response;
+            Some(ready) = next_response(&mut complete, &mut in_progress), if is_any_open => {
+                let ReadyResponse { mut response, is_to_head, reservation } = ready;
                 is_last_read |= is_closing(traffic);
                 let is_final = is_last_read && complete.is_empty() && in_progress.is_empty();
                 if is_final {
@@ -145,6 +155,7 @@
                         return ServiceEnd::Broken;
                     }
                 }
+                drop(reservation);
                 state.record_read();
                 state.record_answer();
                 if is_final {
@@ -152,12 +163,17 @@
                 }
             }
             event = next_event(framed, may_read) => match event {
-                CallerEvent::Incoming(Incoming::Request(request)) => {
+                CallerEvent::Incoming(Incoming::Request(request, reservation)) => {
                     state.record_request();
                     is_last_read |= asks_for_close(&request);
                     let is_to_head = request.method() == Method::HEAD;
                     let response = answer_caller(traffic, *request);
-                    in_progress.push_back(Either::Left(response.map(move |it| (is_to_head, it))));
+                    let ready = response.map(move |response| ReadyResponse {
+                        response,
+                        is_to_head,
+                        reservation: Some(reservation),
+                    });
+                    in_progress.push_back(Either::Left(ready));
                 }
                 CallerEvent::Incoming(Incoming::ExpectsContinue) => {
                     if framed.send(Outgoing::Continue).await.is_err() {
@@ -169,7 +185,8 @@
                     is_last_read = true;
                     let response = refuse_unread(traffic, error, head.as_deref());
                     let is_to_head = head.is_some_and(|it| it.method() == Method::HEAD);
-                    in_progress.push_back(Either::Right(ready((is_to_head, response))));
+                    let refused = ReadyResponse { response, is_to_head, reservation: None };
+                    in_progress.push_back(Either::Right(ready(refused)));
                 }
                 CallerEvent::Closed => return ServiceEnd::Broken,
                 CallerEvent::Idle if !is_any_open => return ServiceEnd::Complete,
--- a/crates/galenastream_node/src/connection/request_codec.rs
+++ b/crates/galenastream_node/src/connection/request_codec.rs
@@ -30,6 +30,12 @@
 /// The size at which the buffers of a connection begin. Most heads are shorter.
 pub(super) const BUFFER_BYTES: usize = 2 * 1024;
 
+/// What a request takes from its arrival until its response is written, without its headers and its body.
+const REQUEST_BYTES: usize = 12 * 1024;
+
+/// What each header of a request takes beside its text, which is there twice.
+const HEADER_BYTES: usize = 160;
+
 /// How much of a chunked body is read at once.
 const READ_BYTES: usize = 16 * 1024;
 
@@ -44,8 +50,8 @@
 /// An item read from a caller's connection.
 #[derive(Debug)]
 pub(super) enum Incoming {
-    /// A complete request.
-    Request(Box<Request<Bytes>>),
+    /// A complete request, and the memory that it takes until its response is written.
+    Request(Box<Request<Bytes>>, BodyReservation),
     /// The caller waits for `100 Continue` before it sends the body.
     ExpectsContinue,
     /// The request cannot be read. Nothing that follows is read.
@@ -95,6 +101,8 @@
     /// Returns the limits in force; `None` before the first config.
     limits_in_force: F,
     room: ArrivalRoom,
+    /// The memory of a head that arrives, and then that of its request.
+    arriving: BodyReservation,
     /// The limits of the request that is read: those in force at its head, or higher ones that came
     /// into force since.
     limits: Option<CallerLimits>,
@@ -128,8 +136,10 @@
 }
 
 impl<F: Fn() -> Option<CallerLimits>> RequestCodec<F> {
-    pub(super) const fn new(limits_in_force: F, room: ArrivalRoom) -> Self {
-        Self { limits_in_force, room, limits: None, searched: 0, state: ReadState::Head }
+    pub(super) fn new(limits_in_force: F, room: ArrivalRoom) -> Self {
+        let arriving = room.reservation();
+        let state = ReadState::Head;
+        Self { limits_in_force, room, arriving, limits: None, searched: 0, state }
     }
 
     fn max_header_bytes(&self) -> usize {
@@ -164,6 +174,7 @@
 
     fn end(&mut self, error: RequestError, head: Option<Box<Request<()>>>) -> Option<Incoming> {
         self.state = ReadState::Invalid;
+        self.arriving = self.room.reservation();
         let error = match error {
             RequestError::HeadersTooLong | RequestError::BodyTooLong if self.limits.is_none() => {
                 RequestError::LimitsUnknown
@@ -185,15 +196,16 @@
             Ok(None) if buffer.len() > max_bytes => {
                 return self.fail(RequestError::HeadersTooLong);
             }
-            Ok(None) => {
-                self.room.record_part(0);
-                return None;
-            }
+            Ok(None) => return self.wait_for_head(buffer.len()),
             Err(HeadError::Request(error)) => return self.fail(error),
             Err(HeadError::TooManyHeaders) => return self.fail(RequestError::Unsupported),
         };
         self.searched = 0;
         buffer.advance(length);
+        let bytes = REQUEST_BYTES + 2 * length + HEADER_BYTES * head.headers().len();
+        if !self.room.extend(&mut self.arriving, bytes) {
+            return self.fail_after_head(RequestError::NoMemory, head);
+        }
         // RFC 9110, section 10.1.1: the expectation of an HTTP/1.0 request is ignored.
         let expects_continue =
             head.version() != Version::HTTP_10 && head.headers().contains_key(header::EXPECT);
@@ -221,6 +233,22 @@
         self.read_body(buffer)
     }
 
+    /// Waits for the rest of a head, for which the buffer may grow to twice its size.
+    fn wait_for_head(&mut self, arrived_bytes: usize) -> Option<Incoming> {
+        if arrived_bytes > BUFFER_BYTES && !self.room.extend(&mut self.arriving, 2 * arrived_bytes)
+        {
+            return self.fail(RequestError::NoMemory);
+        }
+        self.room.record_part(self.arriving.bytes());
+        None
+    }
+
+    /// A complete request.
+    fn complete(&mut self, head: Box<Request<()>>, body: Bytes) -> Option<Incoming> {
+        let reservation = std::mem::replace(&mut self.arriving, self.room.reservation());
+        Some(Incoming::Request(Box::new(head.map(|()| body)), reservation))
+    }
+
     /// Parses a head with more headers than usual, once all of it is there.
     fn read_long_head(&mut self, bytes: &[u8]) -> Result<Option<ParsedHead>, HeadError> {
         // The end may begin with the last bytes that were searched.
@@ -242,13 +270,12 @@
                 self.fail_after_head(RequestError::BodyTooLong, head)
             }
             ReadState::Sized { head, length, reservation } if buffer.len() < length => {
-                self.room.record_part(reservation.bytes());
+                self.room.record_part(self.arriving.bytes() + reservation.bytes());
                 self.state = ReadState::Sized { head, length, reservation };
                 None
             }
             ReadState::Sized { head, length, reservation } => {
-                let body = reservation.into_body(take_body(buffer, length));
-                Some(Incoming::Request(Box::new(head.map(|()| body))))
+                self.complete(head, reservation.into_body(take_body(buffer, length)))
             }
             ReadState::Chunked { head, mut body } => {
                 let limits = ChunkLimits {
@@ -256,12 +283,9 @@
                     max_body_bytes: self.max_body_bytes(),
                 };
                 match body.read(buffer, &mut self.searched, &self.room, limits) {
-                    Ok(true) => {
-                        let body = body.finish();
-                        Some(Incoming::Request(Box::new(head.map(|()| body))))
-                    }
+                    Ok(true) => self.complete(head, body.finish()),
                     Ok(false) => {
-                        self.room.record_part(body.reserved_bytes());
+                        self.room.record_part(self.arriving.bytes() + body.reserved_bytes());
                         buffer.reserve(READ_BYTES.saturating_sub(buffer.len()));
                         self.state = ReadState::Chunked { head, body };
                         None
--- a/crates/galenastream_node/src/connection/request_codec_fuzz_tests.rs
+++ b/crates/galenastream_node/src/connection/request_codec_fuzz_tests.rs
@@ -81,7 +81,7 @@
         while let Some(incoming) = codec.decode(&mut buffer).expect("no error of the connection") {
             assert!(!reading.is_refused, "read after an invalid request: {incoming:?}");
             match incoming {
-                Incoming::Request(request) => {
+                Incoming::Request(request, _) => {
                     assert!(request.body().len() <= MAX_BODY_BYTES);
                     reading.requests.push(ReadRequest::new(&request));
                 }
--- a/crates/galenastream_node/src/connection/request_codec_tests.rs
+++ b/crates/galenastream_node/src/connection/request_codec_tests.rs
@@ -44,7 +44,7 @@
     let mut seen = Vec::new();
     while let Some(incoming) = codec.decode(buffer).unwrap() {
         seen.push(match incoming {
-            Incoming::Request(request) => {
+            Incoming::Request(request, _) => {
                 let body = String::from_utf8_lossy(request.body()).into_owned();
                 format!("{} {} [{body}]", request.method(), request.uri())
             }
@@ -394,7 +394,7 @@
     };
     for head in &heads {
         let first = read(head);
-        assert!(matches!(&first, Some(Incoming::Request(it)) if it.body().len() == LONG_BYTES));
+        assert!(matches!(&first, Some(Incoming::Request(it, _)) if it.body().len() == LONG_BYTES));
         for other in &heads {
             let refused = read(other);
             let error = RequestError::NoMemory;
@@ -408,3 +408,29 @@
         assert_eq!(budget.reserved_bytes(), 0);
     }
 }
+
+/// Guards against heads that take far more memory than they have bytes, and against ones that stop.
+#[test]
+fn a_head_takes_its_memory_from_the_budget_until_its_request_is_dropped() {
+    const HEADERS: usize = 2_000;
+    let budget = BodyBudget::new(1024 * 1024);
+    let limits = limits(usize::MAX, MAX_BODY_BYTES);
+    let mut codec = RequestCodec::new(|| Some(limits), room(budget.clone()));
+    let mut head = BytesMut::from("GET /a HTTP/1.1\r\n");
+    for _ in 0..HEADERS {
+        head.extend_from_slice(b"a:\r\n");
+    }
+    assert!(codec.decode(&mut head).unwrap().is_none());
+    assert!(budget.reserved_bytes() >= 2 * head.len());
+    head.extend_from_slice(b"\r\n");
+    let request = codec.decode(&mut head).unwrap();
+    assert!(matches!(request, Some(Incoming::Request(..))));
+    assert!(budget.reserved_bytes() > HEADERS * 100, "{}", budget.reserved_bytes());
+    drop(request);
+    assert_eq!(budget.reserved_bytes(), 0);
+    let mut held = budget.reservation();
+    assert!(held.extend_to(1024 * 1024));
+    let mut more = BytesMut::from("GET /a HTTP/1.1\r\n\r\n");
+    let refused = codec.decode(&mut more).unwrap();
+    assert!(matches!(refused, Some(Incoming::Invalid { error: RequestError::NoMemory, .. })));
+}
--- a/crates/galenastream_runtime/src/body_budget.rs
+++ b/crates/galenastream_runtime/src/body_budget.rs
@@ -9,7 +9,7 @@
 
 /// The longest short body, and the longest small one.
 const SHORT_BYTES: usize = 64 * 1024;
-const SMALL_BYTES: usize = 4 * 1024;
+const SMALL_BYTES: usize = 16 * 1024;
 
 /// The memory that bodies in progress may use together in a process.
 #[derive(Debug)]
@@ -27,7 +27,7 @@
 pub struct KeptRoom {
     /// For bodies of up to 64 KiB.
     pub short_bytes: usize,
-    /// The part of it for bodies of up to 4 KiB.
+    /// The part of it for bodies of up to 16 KiB.
     pub small_bytes: usize,
 }
 
