Requests and frames of other nodes count from their first byte

Callers saw: a node that was killed for its memory by requests that other nodes passed to it, or by connections to the port of other nodes that announce a frame of 4 MiB and stop.

Cause: a frame that had not arrived whole counted for nothing, nor did the head of a request that waits beside its target.

The buffer of a connection from another node counts while it holds a part of a frame. If there is no room, connections whose frames have stopped arriving are closed, or the connection itself. Nodes send bodies of more than 64 KiB in parts, so that their own frames are short. A request that another node passes on reserves what it takes as at its entry; without room it is refused before it runs.

--- a/crates/galenastream_node/src/connection/caller_connections.rs
+++ b/crates/galenastream_node/src/connection/caller_connections.rs
@@ -15,7 +15,7 @@
 };
 use galenastream_adapter::CallerLimits;
 use galenastream_runtime::{
-    BodyReservation, ConnectionSlot, ConnectionState, discard_unsent, limit_queues,
+    ArrivalRoom, BodyReservation, ConnectionSlot, ConnectionState, discard_unsent, limit_queues,
     set_user_timeout,
 };
 use http::{HeaderValue, Method, Request, Response, Version, header};
@@ -28,7 +28,6 @@
 
 use super::{
     accept::{MAX_CLOSE_TIME, accept_all, close_gracefully},
-    arrival_room::ArrivalRoom,
     request_codec::{BUFFER_BYTES, Incoming, Outgoing, RequestCodec, WRITE_BYTES, has_body},
     served_connections::ServedConnection,
 };
--- a/crates/galenastream_node/src/connection/chunked_body.rs
+++ b/crates/galenastream_node/src/connection/chunked_body.rs
@@ -1,9 +1,9 @@
 //! Reading of chunked bodies.
 
 use bytes::{Buf, Bytes, BytesMut};
-use galenastream_runtime::BodyReservation;
+use galenastream_runtime::{ArrivalRoom, BodyReservation};
 
-use super::{arrival_room::ArrivalRoom, body_framing::number, request_codec::RequestError};
+use super::{body_framing::number, request_codec::RequestError};
 
 /// The memory with which a body begins.
 const MIN_BYTES: usize = 512;
--- a/crates/galenastream_node/src/connection/mod.rs
+++ b/crates/galenastream_node/src/connection/mod.rs
@@ -3,7 +3,6 @@
 
 mod accept;
 mod answered_requests;
-mod arrival_room;
 mod body_framing;
 mod caller_connections;
 mod chunked_body;
--- a/crates/galenastream_node/src/connection/peer_connections.rs
+++ b/crates/galenastream_node/src/connection/peer_connections.rs
@@ -8,8 +8,8 @@
 
 use galenastream_routing::TransitDelay;
 use galenastream_runtime::{
-    ConnectionSlot, ConnectionState, FrameReader, FrameWriter, LinkShare, ReceivedFrame, Transfer,
-    boot_now,
+    ArrivalRoom, ConnectionSlot, ConnectionState, FrameReader, FrameWriter, LinkShare,
+    ReceivedFrame, Transfer, boot_now,
 };
 use galenastream_utils::{FastMap, FastSet};
 use galenastream_wire::{
@@ -26,7 +26,7 @@
 
 use super::{accept::accept_all, served_connections::ServedConnection};
 use crate::{
-    process::{ControlEvent, TrafficState, elapsed_ms},
+    process::{ControlEvent, TrafficState, elapsed_ms, request_bytes},
     request::{TOO_LONG_RETRY_AFTER_MS, TargetRun, Withdrawal, not_sent, run_for_peer, unknown},
 };
 
@@ -65,7 +65,10 @@
     let (read_half, write_half) = stream.into_split();
     let (replies, queue) = mpsc::channel(WRITE_QUEUE_FRAMES);
     let mut writer = tokio::spawn(write_replies(traffic.link.clone(), write_half, queue));
-    let mut reader = FrameReader::new(read_half, traffic.body_budgets.forwarded.clone());
+    let frames = traffic.body_budgets.frames.clone();
+    let room = ArrivalRoom::new(frames, traffic.peer_slots.clone(), slot.state().clone());
+    let bodies = traffic.body_budgets.forwarded.clone();
+    let mut reader = FrameReader::new(read_half, bodies).with_room(room);
     let connection = PeerConnection {
         traffic,
         replies,
@@ -344,6 +347,12 @@
     }
 
     fn start(&self, correlation: u64, request: ForwardedRequest) {
+        let mut reservation = self.traffic.body_budgets.forwarded.reservation();
+        if !reservation.extend_to(request_bytes(head_bytes(&request), request.headers.len())) {
+            let reply = not_sent(ReplyReason::RequestTooLong, TOO_LONG_RETRY_AFTER_MS);
+            self.reply(correlation, Body::Reply(reply));
+            return;
+        }
         let (traffic, replies) = (self.traffic.clone(), self.replies.clone());
         let running = self.running.clone();
         let withdrawn = CancellationToken::new();
@@ -353,7 +362,7 @@
         let withdrawal = Withdrawal::new(withdrawn.clone());
         let in_progress = self.state.request();
         let task = tokio::spawn(async move {
-            let _in_progress = in_progress;
+            let _in_progress = (in_progress, reservation);
             let TargetRun { reply, transfer } = run_for_peer(&traffic, request, withdrawal).await;
             lock(&running).remove(&correlation);
             let frame = PeerFrame { correlation, body: Some(Body::Reply(reply)) };
@@ -394,6 +403,12 @@
     }
 }
 
+/// The size of the head of a request.
+fn head_bytes(request: &ForwardedRequest) -> usize {
+    let headers = request.headers.iter().map(|it| it.name.len() + it.value.len());
+    request.path.len() + headers.sum::<usize>()
+}
+
 /// Subtracts the time that a request was under way from the time that it has left.
 fn subtract_delay(request: &mut ForwardedRequest, transit_delay: &mut TransitDelay) {
     if request.sent_at_ns == 0 {
--- a/crates/galenastream_node/src/connection/request_codec.rs
+++ b/crates/galenastream_node/src/connection/request_codec.rs
@@ -8,16 +8,16 @@
 
 use bytes::{Buf, Bytes, BytesMut};
 use galenastream_adapter::CallerLimits;
-use galenastream_runtime::BodyReservation;
+use galenastream_runtime::{ArrivalRoom, BodyReservation};
 use http::{Request, Response, StatusCode, Version, header};
 use tokio_util::codec::{Decoder, Encoder};
 
 use super::{
-    arrival_room::ArrivalRoom,
     body_framing::{Framing, body_framing},
     chunked_body::{ChunkLimits, ChunkedBody},
     request_head::{HeadError, ParsedHead, parse_head},
 };
+use crate::process::request_bytes;
 
 /// Number of headers up to which a head is parsed without an allocation. Most have fewer.
 const USUAL_MAX_HEADERS: usize = 128;
@@ -30,12 +30,6 @@
 /// The size at which the buffers of a connection begin. Most heads are shorter.
 pub(super) const BUFFER_BYTES: usize = 2 * 1024;
 
-/// What a request takes from its arrival until its response is written, without its headers and its body.
-const REQUEST_BYTES: usize = 12 * 1024;
-
-/// What each header of a request takes beside its text, which is there twice.
-const HEADER_BYTES: usize = 160;
-
 /// How much of a chunked body is read at once.
 const READ_BYTES: usize = 16 * 1024;
 
@@ -202,7 +196,7 @@
         };
         self.searched = 0;
         buffer.advance(length);
-        let bytes = REQUEST_BYTES + 2 * length + HEADER_BYTES * head.headers().len();
+        let bytes = request_bytes(length, head.headers().len());
         if !self.room.extend(&mut self.arriving, bytes) {
             return self.fail_after_head(RequestError::NoMemory, head);
         }
--- a/crates/galenastream_node/src/connection/request_codec_tests.rs
+++ b/crates/galenastream_node/src/connection/request_codec_tests.rs
@@ -5,12 +5,11 @@
 
 use bytes::{Bytes, BytesMut};
 use galenastream_adapter::CallerLimits;
-use galenastream_runtime::{BodyBudget, ConnectionSlots};
+use galenastream_runtime::{ArrivalRoom, BodyBudget, ConnectionSlots};
 use http::{Response, StatusCode};
 use proptest::prelude::*;
 use tokio_util::codec::{Decoder, Encoder};
 
-use super::arrival_room::ArrivalRoom;
 use super::request_codec::{Incoming, Outgoing, RequestCodec, RequestError};
 
 const MAX_HEADER_BYTES: usize = 512;
--- a/crates/galenastream_node/src/process/body_budgets.rs
+++ b/crates/galenastream_node/src/process/body_budgets.rs
@@ -28,11 +28,20 @@
 /// How much room there has to be for answers when a request begins, in percent: others are in progress.
 const ANSWERS_MARGIN: u64 = 3;
 
+/// Frames of other nodes that have not arrived whole.
+const FRAMES_PERCENT: u64 = 6;
+
+/// What a request takes from its arrival until its response is written, without its headers and its body.
+const REQUEST_BYTES: usize = 12 * 1024;
+
+/// What each header of a request takes beside its text, which is there twice.
+const HEADER_BYTES: usize = 160;
+
 /// How many bytes of memory a byte may take that arrives from a target or from another node.
 const JOINED_WEIGHT: usize = 2;
 
-/// The memory for bodies in progress. The budgets are parts of one, so that they cannot fill the memory
-/// together.
+/// The memory for requests in progress. The budgets of bodies are parts of one, so that they cannot fill the
+/// memory together.
 pub struct BodyBudgets {
     /// For bodies of callers.
     pub callers: Arc<BodyBudget>,
@@ -40,6 +49,8 @@
     pub answers: Arc<BodyBudget>,
     /// For bodies that other nodes pass on.
     pub forwarded: Arc<BodyBudget>,
+    /// For frames of other nodes that have not arrived whole.
+    pub frames: Arc<BodyBudget>,
     answers_margin_bytes: usize,
 }
 
@@ -54,6 +65,7 @@
             callers: part(CALLERS, 1),
             answers: part(ANSWERS, JOINED_WEIGHT),
             forwarded: part(FORWARDED, JOINED_WEIGHT),
+            frames: BodyBudget::new(bytes_of(limits, FRAMES_PERCENT)),
             answers_margin_bytes: bytes_of(limits, ANSWERS_MARGIN),
         }
     }
@@ -77,6 +89,11 @@
     }
 }
 
+/// How much memory a request in progress takes, but for its body.
+pub const fn request_bytes(head_bytes: usize, header_count: usize) -> usize {
+    REQUEST_BYTES + 2 * head_bytes + HEADER_BYTES * header_count
+}
+
 /// A share of the memory limit of the process.
 fn bytes_of(limits: ProcessLimits, percent: u64) -> usize {
     let bytes = limits.memory_mb.saturating_mul(1_024 * 1_024) * percent / 100;
--- a/crates/galenastream_node/src/process/mod.rs
+++ b/crates/galenastream_node/src/process/mod.rs
@@ -57,7 +57,7 @@
 #[cfg(test)]
 mod written_row_tests;
 
-pub use body_budgets::BodyBudgets;
+pub use body_budgets::{BodyBudgets, request_bytes};
 pub use command_line::{CommandLine, command};
 pub use connection_limits::ConnectionLimits;
 pub use context::{NodeContext, SyncSnapshot};
--- a/crates/galenastream_node/src/connection/arrival_room.rs
+++ b/crates/galenastream_runtime/src/arrival_room.rs
@@ -1,21 +1,23 @@
-//! The memory for requests that arrive on a connection.
+//! The memory for messages that arrive on a connection.
 
 use std::sync::Arc;
 
 use galenastream_routing::ConnectionPhase;
-use galenastream_runtime::{BodyBudget, BodyReservation, ConnectionSlots, ConnectionState};
 
-/// The memory for requests that arrive on a connection of a caller. If there is too little left, other
-/// connections whose requests have stopped arriving are closed.
+use crate::{BodyBudget, BodyReservation, ConnectionSlots, ConnectionState};
+
+/// The memory for messages that arrive on a connection. If there is too little left, other connections of
+/// the port whose messages have stopped arriving are closed.
 #[derive(Debug)]
-pub(super) struct ArrivalRoom {
+pub struct ArrivalRoom {
     budget: Arc<BodyBudget>,
     slots: Arc<ConnectionSlots>,
     connection: Arc<ConnectionState>,
 }
 
 impl ArrivalRoom {
-    pub(super) const fn new(
+    /// Creates the room of a connection, one of `slots`, whose messages take their memory from `budget`.
+    pub const fn new(
         budget: Arc<BodyBudget>,
         slots: Arc<ConnectionSlots>,
         connection: Arc<ConnectionState>,
@@ -24,25 +26,25 @@
     }
 
     /// Creates an empty reservation.
-    pub(super) fn reservation(&self) -> BodyReservation {
+    pub fn reservation(&self) -> BodyReservation {
         self.budget.reservation()
     }
 
     /// Extends a reservation. Returns false if there is no room even if others make some.
-    pub(super) fn extend(&self, reservation: &mut BodyReservation, bytes: usize) -> bool {
+    pub fn extend(&self, reservation: &mut BodyReservation, bytes: usize) -> bool {
         if reservation.extend_to(bytes) {
             return true;
         }
-        let missing = bytes.saturating_sub(reservation.bytes());
-        let is_freed = self.slots.free_memory(ConnectionPhase::Receiving, missing);
+        let missing_bytes = bytes.saturating_sub(reservation.bytes());
+        let is_freed = self.slots.free_memory(ConnectionPhase::Receiving, missing_bytes);
         if is_freed {
             reservation.extend_anyway(bytes);
         }
         is_freed
     }
 
-    /// Records that a part of a request has arrived, for which so much memory is reserved.
-    pub(super) fn record_part(&self, held_bytes: usize) {
+    /// Records that a part of a message has arrived, for which so much memory is reserved.
+    pub fn record_part(&self, held_bytes: usize) {
         self.connection.record_part(held_bytes);
     }
 }
--- a/crates/galenastream_runtime/src/frame_reader.rs
+++ b/crates/galenastream_runtime/src/frame_reader.rs
@@ -7,14 +7,16 @@
 
 use futures::StreamExt;
 use galenastream_utils::FastMap;
-use galenastream_wire::{CorrelatedFrame, FrameCodec, Part, WireError};
+use galenastream_wire::{CorrelatedFrame, Part, WireError};
 use tokio::{net::tcp::OwnedReadHalf, time::timeout};
 use tokio_util::codec::FramedRead;
 
-use crate::{BodyBudget, BodyBuffer, BodyTooLong, MAX_BODY_BYTES};
+use crate::{
+    ArrivalRoom, BodyBudget, BodyBuffer, BodyTooLong, MAX_BODY_BYTES, counted_frames::CountedFrames,
+};
 
 /// Maximum number of messages of one connection of which only some parts have arrived.
-const MAX_UNFINISHED: usize = 64;
+const MAX_UNFINISHED: usize = 256;
 
 /// Maximum time without any frame while parts are missing. Nodes exchange statuses every second.
 const PART_TIMEOUT: Duration = Duration::from_secs(10);
@@ -22,7 +24,7 @@
 /// Reads messages from another node, and puts long ones together from their parts.
 #[derive(Debug)]
 pub struct FrameReader<F: CorrelatedFrame> {
-    frames: FramedRead<OwnedReadHalf, FrameCodec<F>>,
+    frames: FramedRead<OwnedReadHalf, CountedFrames<F>>,
     budget: Arc<BodyBudget>,
     unfinished: FastMap<u64, BodyBuffer>,
 }
@@ -49,10 +51,17 @@
 impl<F: CorrelatedFrame> FrameReader<F> {
     /// Creates a reader that holds bodies within `budget`.
     pub fn new(stream: OwnedReadHalf, budget: Arc<BodyBudget>) -> Self {
-        let frames = FramedRead::new(stream, FrameCodec::new());
+        let frames = FramedRead::new(stream, CountedFrames::new());
         Self { frames, budget, unfinished: FastMap::default() }
     }
 
+    /// Counts frames that arrive in `room`: the other side is not trusted.
+    #[must_use]
+    pub fn with_room(mut self, room: ArrivalRoom) -> Self {
+        self.frames.decoder_mut().set_room(room);
+        self
+    }
+
     /// Reads the next frame. Returns `None` at the end of the connection. Close the connection after
     /// an error.
     pub async fn next(&mut self) -> Option<Result<ReceivedFrame<F>, WireError>> {
--- a/crates/galenastream_runtime/src/frame_writer.rs
+++ b/crates/galenastream_runtime/src/frame_writer.rs
@@ -7,17 +7,14 @@
 
 use bytes::Bytes;
 use futures::SinkExt;
-use galenastream_wire::{CorrelatedFrame, FrameCodec, MAX_FRAME_BYTES, Part, WireError};
+use galenastream_wire::{CorrelatedFrame, FrameCodec, Part, WireError};
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio_util::codec::FramedWrite;
 
 use crate::{MAX_BODY_BYTES, Transfer};
 
-/// The longest body that is sent in one frame. Leaves room for the headers. Nodes of versions
-/// without parts take bodies of up to this length.
-const MAX_WHOLE_BYTES: usize = MAX_FRAME_BYTES - 256 * 1024;
-
-/// The size of the parts of longer bodies.
+/// The longest body that is sent in one frame, and the size of the parts of longer ones. The other node
+/// holds a frame in memory until it has arrived whole.
 const PART_BYTES: usize = 64 * 1024;
 
 /// The size of the parts of bodies that wait for turns on the link. A short message waits for one of
@@ -87,7 +84,7 @@
     /// [`WireError::TooLong`], other messages can still be written.
     pub async fn feed(&mut self, frame: F) -> Result<(), WireError> {
         let length_bytes = frame.body_bytes();
-        if length_bytes <= MAX_WHOLE_BYTES {
+        if length_bytes <= PART_BYTES {
             return self.frames.feed(frame).await;
         }
         if length_bytes > MAX_BODY_BYTES {
--- a/crates/galenastream_runtime/src/lib.rs
+++ b/crates/galenastream_runtime/src/lib.rs
@@ -8,12 +8,14 @@
 //! [`HttpConnection`] uses hyper, on which that client is built, one connection at a time.
 
 mod admission_controller;
+mod arrival_room;
 mod body_budget;
 mod body_buffer;
 mod clock;
 mod connection;
 mod connection_count;
 mod connection_slots;
+mod counted_frames;
 mod error;
 mod frame_link;
 mod frame_reader;
@@ -27,6 +29,7 @@
 mod socket;
 
 pub use admission_controller::{AdmissionController, AdmissionPreview, NotAdmitted, Slot};
+pub use arrival_room::ArrivalRoom;
 pub use body_budget::{AnnouncedBody, BodyBudget, BodyReservation, KeptRoom};
 pub use body_buffer::{BodyBuffer, BodyTooLong, MAX_BODY_BYTES};
 pub use clock::{boot_now, sleep_until};
