Heads at the ports beside that of callers are short

Callers saw: a node that was killed for its memory by heads without end, or by heartbeats that stop, at the ports for health checks, heartbeats and operators.

Cause: up to 417 KB were read of each head, on any number of connections, and up to 256 KiB of each heartbeat.

No more than 16 KiB are read at once, and a head may be no longer. With the maximum numbers of connections at these ports, heartbeats take 8 MiB at most.

--- a/crates/galenastream_node/src/connection/accept.rs
+++ b/crates/galenastream_node/src/connection/accept.rs
@@ -21,6 +21,9 @@
 /// less time.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 
+/// The most that is read at once of a request, and the longest head. Heads of such clients are short.
+const MAX_BUFFER_BYTES: usize = 16 * 1024;
+
 /// Timeout for the peer to close its side too, or to send more, after short responses.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(1_000);
 
@@ -67,6 +70,7 @@
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
+        .max_buf_size(MAX_BUFFER_BYTES)
         .header_read_timeout(IDLE_TIMEOUT)
         .serve_connection(TokioIo::new(stream), service);
     let served = async {
