--- a/crates/galenastream_node/src/connection/request_codec.rs
+++ b/crates/galenastream_node/src/connection/request_codec.rs
@@ -27,8 +27,8 @@
 const MAX_HEADER_BYTES_WITHOUT_CONFIG: usize = 16 * 1024;
 const MAX_BODY_BYTES_WITHOUT_CONFIG: usize = 1024 * 1024;
 
-/// The size at which the buffers of a connection begin. Most heads are shorter.
-pub(super) const BUFFER_BYTES: usize = 2 * 1024;
+/// The size at which the buffers of a connection begin. Most requests are shorter.
+pub(super) const BUFFER_BYTES: usize = 8 * 1024;
 
 /// How much of a chunked body is read at once.
 const READ_BYTES: usize = 16 * 1024;
