Connections make room for others only where that is enough and they stand still

A client that reads a long answer at a steady pace counted as stalled 1 s after its first pause, and a request without room was followed by a search through all connections each time.

Each part that is read counts as progress, and a search that found nothing is not repeated for 100 ms.

--- a/crates/galenastream_node/src/connection/caller_connections.rs
+++ b/crates/galenastream_node/src/connection/caller_connections.rs
@@ -143,7 +143,7 @@
                 // A caller that reads slowly gets the rest before the process stops.
                 let _counted = CountGuard::new(&traffic.in_progress);
                 let bytes = response.body().len();
-                let sending = send_response(framed, response, is_to_head);
+                let sending = send_response(framed, response, is_to_head, state);
                 let sending = send_beside(sending, &mut complete, &mut in_progress);
                 let sending = timeout(MAX_SEND_TIME, sending);
                 match record_pause(sending, || state.record_unread(bytes)).await {
@@ -211,6 +211,7 @@
     framed: &mut Framed<TcpStream, RequestCodec<F>>,
     response: Response<Bytes>,
     is_to_head: bool,
+    state: &ConnectionState,
 ) -> io::Result<()> {
     let is_in_parts =
         has_body(response.status(), is_to_head) && response.body().len() > WRITE_BYTES;
@@ -219,6 +220,7 @@
     while !body.is_empty() {
         let part = body.split_to(body.len().min(WRITE_BYTES));
         framed.send(Outgoing::Part(part)).await?;
+        state.record_progress();
     }
     Ok(())
 }
--- a/crates/galenastream_routing/src/connection/connection_use.rs
+++ b/crates/galenastream_routing/src/connection/connection_use.rs
@@ -51,8 +51,9 @@
 
 impl ConnectionUse {
     fn has_stalled(&self, now: BootInstant) -> bool {
-        now.saturating_since(self.progress_at) >= STALL_TIME
-            || now.saturating_since(self.since) >= MAX_ARRIVAL_TIME
+        let is_overdue = self.phase == ConnectionPhase::Receiving
+            && now.saturating_since(self.since) >= MAX_ARRIVAL_TIME;
+        is_overdue || now.saturating_since(self.progress_at) >= STALL_TIME
     }
 
     /// The place of the connection in the order in which connections are closed; `None` if it is kept.
--- a/crates/galenastream_routing/tests/connection_use.rs
+++ b/crates/galenastream_routing/tests/connection_use.rs
@@ -65,6 +65,15 @@
     assert_eq!(closed(&uses, 3), [1, 2, 3]);
 }
 
+/// Guards against downloads that are cut off since they take long.
+#[test]
+fn a_long_answer_that_is_read_does_not_stall() {
+    let phase = ConnectionPhase::Sending;
+    let uses = [connection(1, phase, 30_000, 900), connection(2, phase, 2_000, 1_000)];
+    assert_eq!(freed(&uses, phase, KIB), [2]);
+    assert_eq!(freed(&uses[..1], phase, KIB), [] as [u64; 0]);
+}
+
 #[test]
 fn memory_is_taken_from_the_oldest_stalled_connections_of_a_phase() {
     let phase = ConnectionPhase::Receiving;
--- a/crates/galenastream_runtime/src/connection_slots.rs
+++ b/crates/galenastream_runtime/src/connection_slots.rs
@@ -25,6 +25,10 @@
 /// How long to wait for room before connections are chosen again: others may have stalled.
 const RETRY_INTERVAL: Duration = Duration::from_millis(50);
 
+/// How long nothing is looked for after a search for memory that found none, so that requests that are refused
+/// take little time each.
+const SEARCH_INTERVAL: Duration = Duration::from_millis(100);
+
 /// The minimum time between two log lines.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -40,6 +44,8 @@
     /// Notified when a connection is closed.
     closed: Notify,
     logged_at: Mutex<BootInstant>,
+    /// When a search for memory found none.
+    searched_at_ns: AtomicU64,
 }
 
 /// What happens on a connection, as its tasks record it.
@@ -85,6 +91,7 @@
             open: Mutex::default(),
             closed: Notify::new(),
             logged_at: Mutex::default(),
+            searched_at_ns: AtomicU64::new(0),
         })
     }
 
@@ -120,9 +127,16 @@
     /// Closes connections that have stalled in `phase` and together hold at least `bytes`. Returns whether
     /// there were any.
     pub fn free_memory(&self, phase: ConnectionPhase, bytes: usize) -> bool {
-        let open = self.lock();
         let now = boot_now();
+        let searched_at = BootInstant::new(self.searched_at_ns.load(Ordering::Relaxed));
+        if now.saturating_since(searched_at) < SEARCH_INTERVAL {
+            return false;
+        }
+        let open = self.lock();
         let chosen = connections_to_free(uses_of(&open), phase, bytes, now);
+        if chosen.is_empty() {
+            self.searched_at_ns.store(now.as_ns(), Ordering::Relaxed);
+        }
         self.evict(&open, &chosen, now);
         !chosen.is_empty()
     }
@@ -217,6 +231,11 @@
         self.held_bytes.store(held_bytes, Ordering::Relaxed);
     }
 
+    /// Records that the client reads an answer.
+    pub fn record_progress(&self) {
+        self.progress_at_ns.store(boot_now().as_ns(), Ordering::Relaxed);
+    }
+
     /// Records that the client has read an answer.
     pub fn record_read(&self) {
         self.sending_since_ns.store(0, Ordering::Relaxed);
