--- a/crates/galenastream_node/src/connection/request_codec_tests.rs
+++ b/crates/galenastream_node/src/connection/request_codec_tests.rs
@@ -411,7 +411,7 @@
 /// Guards against heads that take far more memory than they have bytes, and against ones that stop.
 #[test]
 fn a_head_takes_its_memory_from_the_budget_until_its_request_is_dropped() {
-    const HEADERS: usize = 2_000;
+    const HEADERS: usize = 4_000;
     let budget = BodyBudget::new(1024 * 1024);
     let limits = limits(usize::MAX, MAX_BODY_BYTES);
     let mut codec = RequestCodec::new(|| Some(limits), room(budget.clone()));
