--- a/crates/galenastream_node/src/connection/caller_connections.rs
+++ b/crates/galenastream_node/src/connection/caller_connections.rs
@@ -15,7 +15,7 @@
 };
 use galenastream_adapter::CallerLimits;
 use galenastream_runtime::{
-    ArrivalRoom, BodyReservation, ConnectionSlot, ConnectionState, discard_unsent, limit_queues,
+    ArrivalRoom, ConnectionSlot, ConnectionState, MemoryReservation, discard_unsent, limit_queues,
     set_user_timeout,
 };
 use http::{HeaderValue, Method, Request, Response, Version, header};
@@ -70,7 +70,7 @@
     slot: ConnectionSlot,
 ) {
     let limits_in_force = || traffic.context.routing.load().as_ref().map(|it| it.limits);
-    let (budget, slots) = (traffic.body_budgets.callers.clone(), traffic.caller_slots.clone());
+    let (budget, slots) = (traffic.memory_budgets.callers.clone(), traffic.caller_slots.clone());
     let room = ArrivalRoom::new(budget, slots, slot.state().clone());
     let codec = RequestCodec::new(limits_in_force, room);
     let mut framed = Framed::with_capacity(stream, codec, BUFFER_BYTES);
@@ -99,7 +99,7 @@
     /// Whether its request only asks for the head.
     is_to_head: bool,
     /// The memory of its request, which is given back when the response is written.
-    reservation: Option<BodyReservation>,
+    reservation: Option<MemoryReservation>,
 }
 
 /// How the service of a connection has ended.
--- a/crates/galenastream_node/src/connection/chunked_body.rs
+++ b/crates/galenastream_node/src/connection/chunked_body.rs
@@ -1,7 +1,7 @@
 //! Reading of chunked bodies.
 
 use bytes::{Buf, Bytes, BytesMut};
-use galenastream_runtime::{ArrivalRoom, BodyReservation};
+use galenastream_runtime::{ArrivalRoom, MemoryReservation};
 
 use super::{body_framing::number, request_codec::RequestError};
 
@@ -29,12 +29,12 @@
 pub(super) struct ChunkedBody {
     bytes: Vec<u8>,
     step: ChunkStep,
-    reservation: BodyReservation,
+    reservation: MemoryReservation,
 }
 
 impl ChunkedBody {
     /// Creates an empty body, whose memory is taken from `reservation`.
-    pub(super) const fn new(reservation: BodyReservation) -> Self {
+    pub(super) const fn new(reservation: MemoryReservation) -> Self {
         Self { bytes: Vec::new(), step: ChunkStep::Size, reservation }
     }
 
--- a/crates/galenastream_node/src/connection/peer_connections.rs
+++ b/crates/galenastream_node/src/connection/peer_connections.rs
@@ -65,9 +65,9 @@
     let (read_half, write_half) = stream.into_split();
     let (replies, queue) = mpsc::channel(WRITE_QUEUE_FRAMES);
     let mut writer = tokio::spawn(write_replies(traffic.link.clone(), write_half, queue));
-    let frames = traffic.body_budgets.frames.clone();
+    let frames = traffic.memory_budgets.frames.clone();
     let room = ArrivalRoom::new(frames, traffic.peer_slots.clone(), slot.state().clone());
-    let bodies = traffic.body_budgets.forwarded.clone();
+    let bodies = traffic.memory_budgets.forwarded.clone();
     let mut reader = FrameReader::new(read_half, bodies).with_room(room);
     let connection = PeerConnection {
         traffic,
@@ -347,7 +347,7 @@
     }
 
     fn start(&self, correlation: u64, request: ForwardedRequest) {
-        let mut reservation = self.traffic.body_budgets.forwarded.reservation();
+        let mut reservation = self.traffic.memory_budgets.forwarded.reservation();
         if !reservation.extend_to(request_bytes(head_bytes(&request), request.headers.len())) {
             let reply = not_sent(ReplyReason::RequestTooLong, TOO_LONG_RETRY_AFTER_MS);
             self.reply(correlation, Body::Reply(reply));
--- a/crates/galenastream_node/src/connection/peer_links.rs
+++ b/crates/galenastream_node/src/connection/peer_links.rs
@@ -13,7 +13,7 @@
 
 use galenastream_ranges::TargetIncarnation;
 use galenastream_routing::NodeKey;
-use galenastream_runtime::{BodyBudget, FrameLink, PeerError, boot_now};
+use galenastream_runtime::{FrameLink, MemoryBudget, PeerError, boot_now};
 use galenastream_utils::{BootInstant, FastMap};
 use galenastream_wire::{NodeStatus, PeerFrame, StatusSeen, SyncQuery, peer_frame::Body};
 use tokio::{
@@ -44,7 +44,7 @@
 /// Connections to other nodes, one for each, opened on demand.
 #[derive(Debug)]
 pub struct PeerLinks {
-    budget: Arc<BodyBudget>,
+    budget: Arc<MemoryBudget>,
     links: Mutex<FastMap<NodeKey, Arc<PeerLink>>>,
 }
 
@@ -66,7 +66,7 @@
 
 impl PeerLinks {
     /// Creates an empty set of connections, which hold long replies within `budget`.
-    pub fn new(budget: Arc<BodyBudget>) -> Self {
+    pub fn new(budget: Arc<MemoryBudget>) -> Self {
         Self { budget, links: Mutex::default() }
     }
 
--- a/crates/galenastream_node/src/connection/request_codec.rs
+++ b/crates/galenastream_node/src/connection/request_codec.rs
@@ -8,7 +8,7 @@
 
 use bytes::{Buf, Bytes, BytesMut};
 use galenastream_adapter::CallerLimits;
-use galenastream_runtime::{ArrivalRoom, BodyReservation};
+use galenastream_runtime::{ArrivalRoom, MemoryReservation};
 use http::{Request, Response, StatusCode, Version, header};
 use tokio_util::codec::{Decoder, Encoder};
 
@@ -45,7 +45,7 @@
 #[derive(Debug)]
 pub(super) enum Incoming {
     /// A complete request, and the memory that it takes until its response is written.
-    Request(Box<Request<Bytes>>, BodyReservation),
+    Request(Box<Request<Bytes>>, MemoryReservation),
     /// The caller waits for `100 Continue` before it sends the body.
     ExpectsContinue,
     /// The request cannot be read. Nothing that follows is read.
@@ -96,7 +96,7 @@
     limits_in_force: F,
     room: ArrivalRoom,
     /// The memory of a head that arrives, and then that of its request.
-    arriving: BodyReservation,
+    arriving: MemoryReservation,
     /// The limits of the request that is read: those in force at its head, or higher ones that came
     /// into force since.
     limits: Option<CallerLimits>,
@@ -113,7 +113,7 @@
     Sized {
         head: Box<Request<()>>,
         length: usize,
-        reservation: BodyReservation,
+        reservation: MemoryReservation,
     },
     Chunked {
         head: Box<Request<()>>,
--- a/crates/galenastream_node/src/connection/request_codec_fuzz_tests.rs
+++ b/crates/galenastream_node/src/connection/request_codec_fuzz_tests.rs
@@ -6,7 +6,7 @@
 
 use bytes::{Bytes, BytesMut};
 use galenastream_adapter::CallerLimits;
-use galenastream_runtime::BodyBudget;
+use galenastream_runtime::MemoryBudget;
 use galenastream_standin::{Corpus, Pieces, StrictMessage, StrictReading, fuzz_config};
 use http::Request;
 use proptest::{collection::vec, prelude::*};
@@ -37,7 +37,7 @@
             idle_timeout_ms: 0,
         })
     };
-    RequestCodec::new(limits, room(BodyBudget::new(usize::MAX)))
+    RequestCodec::new(limits, room(MemoryBudget::new(usize::MAX)))
 }
 
 /// What the codec reads from a connection.
--- a/crates/galenastream_node/src/connection/request_codec_tests.rs
+++ b/crates/galenastream_node/src/connection/request_codec_tests.rs
@@ -5,7 +5,7 @@
 
 use bytes::{Bytes, BytesMut};
 use galenastream_adapter::CallerLimits;
-use galenastream_runtime::{ArrivalRoom, BodyBudget, ConnectionSlots};
+use galenastream_runtime::{ArrivalRoom, ConnectionSlots, MemoryBudget};
 use http::{Response, StatusCode};
 use proptest::prelude::*;
 use tokio_util::codec::{Decoder, Encoder};
@@ -16,7 +16,7 @@
 const MAX_BODY_BYTES: usize = 64;
 
 /// The memory for requests of a connection that is the only one.
-pub(super) fn room(budget: Arc<BodyBudget>) -> ArrivalRoom {
+pub(super) fn room(budget: Arc<MemoryBudget>) -> ArrivalRoom {
     ArrivalRoom::new(budget, ConnectionSlots::new("test", 1), Arc::default())
 }
 
@@ -28,7 +28,7 @@
 /// The same with another limit for the headers.
 fn decode_within(max_header_bytes: usize, bytes: &[u8], piece: usize) -> Vec<String> {
     let limits = limits(max_header_bytes, MAX_BODY_BYTES);
-    let mut codec = RequestCodec::new(|| Some(limits), room(BodyBudget::new(usize::MAX)));
+    let mut codec = RequestCodec::new(|| Some(limits), room(MemoryBudget::new(usize::MAX)));
     let mut buffer = BytesMut::new();
     bytes.chunks(piece).flat_map(|it| decode_more(&mut codec, &mut buffer, it)).collect()
 }
@@ -141,7 +141,7 @@
     ];
     for (before, first, after, rest, expected) in cases {
         let in_force = Cell::new(before);
-        let mut codec = RequestCodec::new(|| in_force.get(), room(BodyBudget::new(usize::MAX)));
+        let mut codec = RequestCodec::new(|| in_force.get(), room(MemoryBudget::new(usize::MAX)));
         let mut buffer = BytesMut::new();
         let mut seen = decode_more(&mut codec, &mut buffer, first.as_bytes());
         in_force.set(after);
@@ -344,7 +344,7 @@
 
 #[test]
 fn a_response_is_written_with_its_length() {
-    let mut codec = RequestCodec::new(|| None, room(BodyBudget::new(usize::MAX)));
+    let mut codec = RequestCodec::new(|| None, room(MemoryBudget::new(usize::MAX)));
     let mut buffer = BytesMut::new();
     let mut response = Response::new(Bytes::from_static(b"hello"));
     *response.status_mut() = StatusCode::CREATED;
@@ -377,7 +377,7 @@
 #[test]
 fn a_long_body_without_room_is_refused_before_it_is_read() {
     const LONG_BYTES: usize = 600 * 1024;
-    let budget = BodyBudget::new(1024 * 1024);
+    let budget = MemoryBudget::new(1024 * 1024);
     let limits = limits(MAX_HEADER_BYTES, LONG_BYTES);
     let new_codec = || RequestCodec::new(|| Some(limits), room(budget.clone()));
     let heads = [
@@ -412,7 +412,7 @@
 #[test]
 fn a_head_takes_its_memory_from_the_budget_until_its_request_is_dropped() {
     const HEADERS: usize = 4_000;
-    let budget = BodyBudget::new(1024 * 1024);
+    let budget = MemoryBudget::new(1024 * 1024);
     let limits = limits(usize::MAX, MAX_BODY_BYTES);
     let mut codec = RequestCodec::new(|| Some(limits), room(budget.clone()));
     let mut head = BytesMut::from("GET /a HTTP/1.1\r\n");
--- a/crates/galenastream_node/src/connection/target_connections.rs
+++ b/crates/galenastream_node/src/connection/target_connections.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use galenastream_adapter::header_names;
 use galenastream_runtime::{
-    BodyBudget, BodyBuffer, ConnectionCount, ExchangeError, HttpConnection, MAX_BODY_BYTES,
+    BodyBuffer, ConnectionCount, ExchangeError, HttpConnection, MAX_BODY_BYTES, MemoryBudget,
     WholeResponse, connect_tcp,
 };
 use http::{HeaderMap, Request, header};
@@ -38,7 +38,7 @@
 #[derive(Debug)]
 pub struct TargetConnections {
     address: SocketAddr,
-    budget: Arc<BodyBudget>,
+    budget: Arc<MemoryBudget>,
     count: ConnectionCount,
     idle: Mutex<Vec<IdleConnection>>,
 }
@@ -87,7 +87,7 @@
 
 impl TargetConnections {
     /// Creates a pool without connections. The bodies of responses are held within `budget`.
-    pub fn new(address: SocketAddr, budget: Arc<BodyBudget>) -> Self {
+    pub fn new(address: SocketAddr, budget: Arc<MemoryBudget>) -> Self {
         Self { address, budget, count: ConnectionCount::new(), idle: Mutex::default() }
     }
 
--- a/crates/galenastream_node/src/connection/target_connections_tests.rs
+++ b/crates/galenastream_node/src/connection/target_connections_tests.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use galenastream_runtime::BodyBudget;
+use galenastream_runtime::MemoryBudget;
 use galenastream_standin::RawServer;
 use http::Request;
 use http_body_util::Full;
@@ -17,7 +17,7 @@
 async fn body_with_keep_alive(keep_alive: &str) -> Bytes {
     let head = format!("HTTP/1.1 200 OK\r\nContent-Length: 2\r\nKeep-Alive: {keep_alive}\r\n\r\n");
     let server = RawServer::start(vec![format!("{head}ok").into_bytes()]).await.expect("a port");
-    let connections = TargetConnections::new(server.address(), BodyBudget::new(1 << 20));
+    let connections = TargetConnections::new(server.address(), MemoryBudget::new(1 << 20));
     let request = Request::new(Full::new(Bytes::new()));
     let result = timeout(TEST_TIMEOUT, connections.send(request)).await.expect("an answer in time");
     server.close();
--- a/crates/galenastream_node/src/process/body_budgets.rs
+++ b/crates/galenastream_node/src/process/memory_budgets.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use galenastream_adapter::ProcessLimits;
-use galenastream_runtime::{BodyBudget, KeptRoom};
+use galenastream_runtime::{KeptRoom, MemoryBudget};
 
 /// A part of the memory limit of the process, in percent of it.
 struct Share {
@@ -42,30 +42,30 @@
 
 /// The memory for requests in progress. The budgets of bodies are parts of one, so that they cannot fill the
 /// memory together.
-pub struct BodyBudgets {
+pub struct MemoryBudgets {
     /// For bodies of callers.
-    pub callers: Arc<BodyBudget>,
+    pub callers: Arc<MemoryBudget>,
     /// For answers of the target and of other nodes.
-    pub answers: Arc<BodyBudget>,
+    pub answers: Arc<MemoryBudget>,
     /// For bodies that other nodes pass on.
-    pub forwarded: Arc<BodyBudget>,
+    pub forwarded: Arc<MemoryBudget>,
     /// For frames of other nodes that have not arrived whole.
-    pub frames: Arc<BodyBudget>,
+    pub frames: Arc<MemoryBudget>,
     answers_margin_bytes: usize,
 }
 
-impl BodyBudgets {
+impl MemoryBudgets {
     /// Creates the unused budgets of a process with these limits.
     pub fn new(limits: ProcessLimits) -> Self {
-        let shared = BodyBudget::with_kept(SHARED.total_bytes(limits), SHARED.kept(limits));
+        let shared = MemoryBudget::with_kept(SHARED.total_bytes(limits), SHARED.kept(limits));
         let part = |share: Share, weight| {
-            BodyBudget::within(&shared, weight, share.total_bytes(limits), share.kept(limits))
+            MemoryBudget::within(&shared, weight, share.total_bytes(limits), share.kept(limits))
         };
         Self {
             callers: part(CALLERS, 1),
             answers: part(ANSWERS, JOINED_WEIGHT),
             forwarded: part(FORWARDED, JOINED_WEIGHT),
-            frames: BodyBudget::new(bytes_of(limits, FRAMES_PERCENT)),
+            frames: MemoryBudget::new(bytes_of(limits, FRAMES_PERCENT)),
             answers_margin_bytes: bytes_of(limits, ANSWERS_MARGIN),
         }
     }
--- a/crates/galenastream_node/src/process/mod.rs
+++ b/crates/galenastream_node/src/process/mod.rs
@@ -1,6 +1,5 @@
 //! State and tasks that live as long as the process.
 
-mod body_budgets;
 mod cold_start;
 mod command_line;
 mod commit;
@@ -27,6 +26,7 @@
 mod local_limit_tests;
 mod local_target;
 mod logs;
+mod memory_budgets;
 mod metrics_page;
 mod ownership_facts;
 mod ownership_log;
@@ -57,7 +57,6 @@
 #[cfg(test)]
 mod written_row_tests;
 
-pub use body_budgets::{BodyBudgets, request_bytes};
 pub use command_line::{CommandLine, command};
 pub use connection_limits::ConnectionLimits;
 pub use context::{NodeContext, SyncSnapshot};
@@ -71,6 +70,7 @@
 pub use leases::HeldLeases;
 pub use local_announcement::LocalAnnouncement;
 pub use logs::{flush_log, start_log};
+pub use memory_budgets::{MemoryBudgets, request_bytes};
 pub use metrics_page::{
     maintain_recorder, metrics_recorder, metrics_recorder_with_idle_time, render_metrics,
 };
--- a/crates/galenastream_node/src/process/traffic_state.rs
+++ b/crates/galenastream_node/src/process/traffic_state.rs
@@ -19,7 +19,7 @@
 use tokio::sync::{Notify, futures::Notified};
 
 use super::{
-    BodyBudgets, ConnectionLimits, ControlEvent, LocalAnnouncement, LocalTarget, NodeContext,
+    ConnectionLimits, ControlEvent, LocalAnnouncement, LocalTarget, MemoryBudgets, NodeContext,
     ProcessEnd, RememberedAnnouncements, TargetLimit, TrafficTally,
 };
 use crate::connection::{PeerLinks, ServedConnections, TargetConnections};
@@ -43,7 +43,7 @@
     /// The state shared with the control thread.
     pub context: Arc<NodeContext>,
     /// The memory for long bodies in progress.
-    pub body_budgets: BodyBudgets,
+    pub memory_budgets: MemoryBudgets,
     /// The link of the VM, which long answers share with everything else.
     pub link: Arc<LinkShare>,
     /// The connections to other nodes.
@@ -115,7 +115,7 @@
     /// Creates the state of a starting process.
     pub fn new(context: Arc<NodeContext>) -> Self {
         let settings = context.settings.load_full();
-        let budgets = BodyBudgets::new(settings.limits);
+        let budgets = MemoryBudgets::new(settings.limits);
         let connection_limits = ConnectionLimits::new(settings.limits);
         Self {
             links: PeerLinks::new(budgets.answers.clone()),
@@ -124,7 +124,7 @@
                 budgets.answers.clone(),
             )
             .with_count(context.target_connections.clone()),
-            body_budgets: budgets,
+            memory_budgets: budgets,
             link: LinkShare::new(settings.limits.link_mbit_per_s),
             connections: ServedConnections::default(),
             caller_slots: ConnectionSlots::new("callers", connection_limits.callers),
--- a/crates/galenastream_node/src/request/long_answer.rs
+++ b/crates/galenastream_node/src/request/long_answer.rs
@@ -27,7 +27,7 @@
 /// Whether there is room for one more answer. If there is too little, callers that do not read theirs are
 /// disconnected.
 pub(super) fn has_room_for_answer(traffic: &TrafficState) -> bool {
-    let missing_bytes = traffic.body_budgets.missing_for_answers();
+    let missing_bytes = traffic.memory_budgets.missing_for_answers();
     missing_bytes == 0 || traffic.caller_slots.free_memory(ConnectionPhase::Sending, missing_bytes)
 }
 
@@ -44,7 +44,7 @@
     if !request.route.kind.has_long_answers() {
         return Ok(None);
     }
-    match traffic.body_budgets.answers.announce(traffic.mean_caller_answer_bytes()) {
+    match traffic.memory_budgets.answers.announce(traffic.mean_caller_answer_bytes()) {
         Some(announced) => Ok(Some(announced)),
         None => Err(Refusal::NotRun { retry_after_ms: TOO_LONG_RETRY_AFTER_MS }),
     }
@@ -66,7 +66,7 @@
     let rank = u8::try_from(request.rank).unwrap_or(u8::MAX);
     let order = TransferOrder { rank, due: soft_deadline.min(deadline).at() };
     let (wait, duration) = traffic.link.expected_times(order);
-    let has_memory = traffic.body_budgets.answers.has_room_for(traffic.link.mean_answer_bytes());
+    let has_memory = traffic.memory_budgets.answers.has_room_for(traffic.link.mean_answer_bytes());
     let sent_at = now + wait + duration;
     let is_late = soft_deadline.has_passed(sent_at) && wait > MAX_LATE_WAIT;
     if is_late || deadline.has_passed(sent_at) || !has_memory {
--- a/crates/galenastream_node/tests/platform/unsigned_answers.rs
+++ b/crates/galenastream_node/tests/platform/unsigned_answers.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
 use futures::{SinkExt, StreamExt};
-use galenastream_runtime::{BodyBudget, FrameLink};
+use galenastream_runtime::{FrameLink, MemoryBudget};
 use galenastream_standin::{
     CallerConnection, LocalDeployment, TargetAnswerFault, request_bytes, wait_until,
 };
@@ -201,7 +201,7 @@
     tokio::spawn(serve_unsigned_replies(listener));
     let vm = &deployment.vms[0];
     let peers = SocketAddr::new(vm.ip, PEERS_PORT);
-    let link = FrameLink::<PeerFrame>::connect(peers, BodyBudget::new(0)).await.expect(WORKS);
+    let link = FrameLink::<PeerFrame>::connect(peers, MemoryBudget::new(0)).await.expect(WORKS);
     let target = TargetStatus {
         service: "stock".to_owned(),
         id: "i-9".to_owned(),
--- a/crates/galenastream_runtime/src/arrival_room.rs
+++ b/crates/galenastream_runtime/src/arrival_room.rs
@@ -4,13 +4,13 @@
 
 use galenastream_routing::ConnectionPhase;
 
-use crate::{BodyBudget, BodyReservation, ConnectionSlots, ConnectionState};
+use crate::{ConnectionSlots, ConnectionState, MemoryBudget, MemoryReservation};
 
 /// The memory for messages that arrive on a connection. If there is too little left, other connections of
 /// the port whose messages have stopped arriving are closed.
 #[derive(Debug)]
 pub struct ArrivalRoom {
-    budget: Arc<BodyBudget>,
+    budget: Arc<MemoryBudget>,
     slots: Arc<ConnectionSlots>,
     connection: Arc<ConnectionState>,
 }
@@ -18,7 +18,7 @@
 impl ArrivalRoom {
     /// Creates the room of a connection, one of `slots`, whose messages take their memory from `budget`.
     pub const fn new(
-        budget: Arc<BodyBudget>,
+        budget: Arc<MemoryBudget>,
         slots: Arc<ConnectionSlots>,
         connection: Arc<ConnectionState>,
     ) -> Self {
@@ -26,12 +26,12 @@
     }
 
     /// Creates an empty reservation.
-    pub fn reservation(&self) -> BodyReservation {
+    pub fn reservation(&self) -> MemoryReservation {
         self.budget.reservation()
     }
 
     /// Extends a reservation. Returns false if there is no room even if others make some.
-    pub fn extend(&self, reservation: &mut BodyReservation, bytes: usize) -> bool {
+    pub fn extend(&self, reservation: &mut MemoryReservation, bytes: usize) -> bool {
         if reservation.extend_to(bytes) {
             return true;
         }
--- a/crates/galenastream_runtime/src/body_buffer.rs
+++ b/crates/galenastream_runtime/src/body_buffer.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use thiserror::Error;
 
-use crate::{BodyBudget, BodyReservation};
+use crate::{MemoryBudget, MemoryReservation};
 
 /// The longest body of a response that a node takes from a target, and of a request or response that
 /// it takes from another node.
@@ -15,12 +15,12 @@
 /// a buffer would that grows by copies.
 const BLOCK_BYTES: usize = 64 * 1024;
 
-/// A body that is collected from its parts, up to a maximum length and within a [`BodyBudget`], if
+/// A body that is collected from its parts, up to a maximum length and within a [`MemoryBudget`], if
 /// there is one.
 #[derive(Debug)]
 pub struct BodyBuffer {
     max_bytes: usize,
-    reservation: Option<BodyReservation>,
+    reservation: Option<MemoryReservation>,
     /// The first part, which is not copied: most bodies have no other one.
     first: Bytes,
     /// The other parts, in blocks of which all but the last are full.
@@ -43,7 +43,7 @@
     }
 
     /// Reserves the memory from `budget`.
-    pub fn with_budget(self, budget: &Arc<BodyBudget>) -> Self {
+    pub fn with_budget(self, budget: &Arc<MemoryBudget>) -> Self {
         Self { reservation: Some(budget.reservation()), ..self }
     }
 
--- a/crates/galenastream_runtime/src/counted_frames.rs
+++ b/crates/galenastream_runtime/src/counted_frames.rs
@@ -4,7 +4,7 @@
 use prost::bytes::BytesMut;
 use tokio_util::codec::Decoder;
 
-use crate::{ArrivalRoom, BodyReservation};
+use crate::{ArrivalRoom, MemoryReservation};
 
 /// The size up to which the buffer of a connection is not counted, and up to which it is kept when it is
 /// empty. Most frames are shorter.
@@ -20,7 +20,7 @@
 #[derive(Debug)]
 struct CountedBuffer {
     room: ArrivalRoom,
-    reservation: BodyReservation,
+    reservation: MemoryReservation,
 }
 
 impl<F: CorrelatedFrame> CountedFrames<F> {
--- a/crates/galenastream_runtime/src/frame_link.rs
+++ b/crates/galenastream_runtime/src/frame_link.rs
@@ -11,7 +11,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    BodyBudget, FrameReader, FrameWriter, PeerError, PendingReplies, PendingReply, ReceivedFrame,
+    FrameReader, FrameWriter, MemoryBudget, PeerError, PendingReplies, PendingReply, ReceivedFrame,
     tune_socket,
 };
 
@@ -34,7 +34,10 @@
 impl<F: CorrelatedFrame> FrameLink<F> {
     /// Opens a connection, which holds long replies within `budget`. Its tasks run on the current
     /// Tokio runtime.
-    pub async fn connect(address: SocketAddr, budget: Arc<BodyBudget>) -> Result<Self, PeerError> {
+    pub async fn connect(
+        address: SocketAddr,
+        budget: Arc<MemoryBudget>,
+    ) -> Result<Self, PeerError> {
         let connecting = TcpStream::connect(address);
         let stream = match timeout(CONNECT_TIMEOUT, connecting).await {
             Ok(Ok(stream)) => stream,
--- a/crates/galenastream_runtime/src/frame_reader.rs
+++ b/crates/galenastream_runtime/src/frame_reader.rs
@@ -12,7 +12,8 @@
 use tokio_util::codec::FramedRead;
 
 use crate::{
-    ArrivalRoom, BodyBudget, BodyBuffer, BodyTooLong, MAX_BODY_BYTES, counted_frames::CountedFrames,
+    ArrivalRoom, BodyBuffer, BodyTooLong, MAX_BODY_BYTES, MemoryBudget,
+    counted_frames::CountedFrames,
 };
 
 /// Maximum number of messages of one connection of which only some parts have arrived.
@@ -25,7 +26,7 @@
 #[derive(Debug)]
 pub struct FrameReader<F: CorrelatedFrame> {
     frames: FramedRead<OwnedReadHalf, CountedFrames<F>>,
-    budget: Arc<BodyBudget>,
+    budget: Arc<MemoryBudget>,
     unfinished: FastMap<u64, BodyBuffer>,
 }
 
@@ -50,7 +51,7 @@
 
 impl<F: CorrelatedFrame> FrameReader<F> {
     /// Creates a reader that holds bodies within `budget`.
-    pub fn new(stream: OwnedReadHalf, budget: Arc<BodyBudget>) -> Self {
+    pub fn new(stream: OwnedReadHalf, budget: Arc<MemoryBudget>) -> Self {
         let frames = FramedRead::new(stream, CountedFrames::new());
         Self { frames, budget, unfinished: FastMap::default() }
     }
--- a/crates/galenastream_runtime/src/lib.rs
+++ b/crates/galenastream_runtime/src/lib.rs
@@ -9,7 +9,6 @@
 
 mod admission_controller;
 mod arrival_room;
-mod body_budget;
 mod body_buffer;
 mod clock;
 mod connection;
@@ -24,13 +23,13 @@
 mod header_fields;
 mod link_share;
 mod log_budget;
+mod memory_budget;
 mod peer_error;
 mod pending;
 mod socket;
 
 pub use admission_controller::{AdmissionController, AdmissionPreview, NotAdmitted, Slot};
 pub use arrival_room::ArrivalRoom;
-pub use body_budget::{AnnouncedBody, BodyBudget, BodyReservation, KeptRoom};
 pub use body_buffer::{BodyBuffer, BodyTooLong, MAX_BODY_BYTES};
 pub use clock::{boot_now, sleep_until};
 pub use connection::{HttpConnection, WholeResponse};
@@ -43,6 +42,7 @@
 pub use header_fields::{append_headers, end_to_end_headers};
 pub use link_share::{LinkShare, Transfer};
 pub use log_budget::LogBudget;
+pub use memory_budget::{AnnouncedBody, KeptRoom, MemoryBudget, MemoryReservation};
 pub use peer_error::PeerError;
 pub use pending::{PendingReplies, PendingReply};
 pub use socket::{
--- a/crates/galenastream_runtime/src/body_budget.rs
+++ b/crates/galenastream_runtime/src/memory_budget.rs
@@ -1,4 +1,4 @@
-//! Memory for bodies in progress.
+//! Memory for requests and their bodies, for answers and for messages that arrive.
 
 use std::sync::{
     Arc,
@@ -11,9 +11,9 @@
 const SHORT_BYTES: usize = 64 * 1024;
 const SMALL_BYTES: usize = 16 * 1024;
 
-/// The memory that bodies in progress may use together in a process.
+/// The memory that bodies, or requests, in progress may use together in a process.
 #[derive(Debug)]
-pub struct BodyBudget {
+pub struct MemoryBudget {
     total_bytes: usize,
     kept: KeptRoom,
     reserved_bytes: AtomicUsize,
@@ -47,7 +47,7 @@
 /// A budget from which several others take their reservations.
 #[derive(Debug)]
 struct SharedBudget {
-    budget: Arc<BodyBudget>,
+    budget: Arc<MemoryBudget>,
     /// How many bytes of memory one reserved byte may take.
     weight: usize,
 }
@@ -55,24 +55,24 @@
 /// A body that is expected, until it is dropped.
 #[derive(Debug)]
 pub struct AnnouncedBody {
-    budget: Arc<BodyBudget>,
+    budget: Arc<MemoryBudget>,
     bytes: usize,
 }
 
-/// A share of a [`BodyBudget`], which is given back when it is dropped.
+/// A share of a [`MemoryBudget`], which is given back when it is dropped.
 #[derive(Debug)]
-pub struct BodyReservation {
-    budget: Arc<BodyBudget>,
+pub struct MemoryReservation {
+    budget: Arc<MemoryBudget>,
     bytes: usize,
 }
 
 /// A body and its reservation, which is given back with the last reference to the body.
 struct ReservedBody {
     bytes: Bytes,
-    _reservation: BodyReservation,
+    _reservation: MemoryReservation,
 }
 
-impl BodyBudget {
+impl MemoryBudget {
     /// Creates an unused budget.
     pub fn new(total_bytes: usize) -> Arc<Self> {
         Self::with_kept(total_bytes, KeptRoom::default())
@@ -100,8 +100,8 @@
     }
 
     /// Creates an empty reservation.
-    pub fn reservation(self: &Arc<Self>) -> BodyReservation {
-        BodyReservation { budget: self.clone(), bytes: 0 }
+    pub fn reservation(self: &Arc<Self>) -> MemoryReservation {
+        MemoryReservation { budget: self.clone(), bytes: 0 }
     }
 
     /// Announces a body of about so many bytes. Returns `None` if there would be no room for it beside all
@@ -182,7 +182,7 @@
     }
 }
 
-impl BodyReservation {
+impl MemoryReservation {
     /// Whether nothing is reserved.
     pub const fn is_empty(&self) -> bool {
         self.bytes == 0
@@ -239,7 +239,7 @@
     }
 }
 
-impl Drop for BodyReservation {
+impl Drop for MemoryReservation {
     fn drop(&mut self) {
         self.budget.release(self.bytes);
     }
--- a/crates/galenastream_runtime/tests/bodies.rs
+++ b/crates/galenastream_runtime/tests/bodies.rs
@@ -1,7 +1,7 @@
 //! Tests of bodies that are collected within a budget.
 
 use bytes::Bytes;
-use galenastream_runtime::{BodyBudget, BodyBuffer, BodyTooLong, KeptRoom};
+use galenastream_runtime::{BodyBuffer, BodyTooLong, KeptRoom, MemoryBudget};
 
 /// The size of the parts, and of the longest body for which room is kept.
 const PART_BYTES: usize = 64 * 1024;
@@ -12,7 +12,7 @@
 
 #[test]
 fn a_body_is_the_sequence_of_its_parts_and_gives_its_memory_back_with_the_last_reference() {
-    let budget = BodyBudget::new(4 * PART_BYTES);
+    let budget = MemoryBudget::new(4 * PART_BYTES);
     let mut buffer = BodyBuffer::new(4 * PART_BYTES).with_budget(&budget);
     buffer.push(Bytes::from_static(b"begin")).unwrap();
     buffer.push(part(b'x')).unwrap();
@@ -30,7 +30,7 @@
 
 #[test]
 fn a_body_that_exceeds_its_maximum_or_the_budget_is_refused_and_gives_its_memory_back() {
-    let budget = BodyBudget::new(3 * PART_BYTES);
+    let budget = MemoryBudget::new(3 * PART_BYTES);
     let mut first = BodyBuffer::new(2 * PART_BYTES).with_budget(&budget);
     first.push(part(b'a')).unwrap();
     first.push(part(b'a')).unwrap();
@@ -50,7 +50,7 @@
 #[test]
 fn long_bodies_leave_room_for_short_ones_and_these_for_small_ones() {
     let kept = KeptRoom { short_bytes: 2 * PART_BYTES, small_bytes: 8 };
-    let budget = BodyBudget::with_kept(4 * PART_BYTES, kept);
+    let budget = MemoryBudget::with_kept(4 * PART_BYTES, kept);
     let new_buffer = || BodyBuffer::new(4 * PART_BYTES).with_budget(&budget);
     let mut long = new_buffer();
     long.push(part(b'l')).unwrap();
@@ -73,9 +73,9 @@
 #[test]
 fn budgets_that_share_memory_leave_each_other_room_for_short_bodies() {
     let kept = KeptRoom { short_bytes: 2 * PART_BYTES, small_bytes: 0 };
-    let shared = BodyBudget::with_kept(6 * PART_BYTES, kept);
-    let once = BodyBudget::within(&shared, 1, usize::MAX, KeptRoom::default());
-    let twice = BodyBudget::within(&shared, 2, usize::MAX, KeptRoom::default());
+    let shared = MemoryBudget::with_kept(6 * PART_BYTES, kept);
+    let once = MemoryBudget::within(&shared, 1, usize::MAX, KeptRoom::default());
+    let twice = MemoryBudget::within(&shared, 2, usize::MAX, KeptRoom::default());
     let mut long = once.reservation();
     assert!(long.extend_to(4 * PART_BYTES));
     assert!(!twice.has_room_for(PART_BYTES + 1));
--- a/crates/galenastream_runtime/tests/long_messages.rs
+++ b/crates/galenastream_runtime/tests/long_messages.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use galenastream_runtime::{BodyBudget, FrameLink, FrameReader, PeerError, ReceivedFrame};
+use galenastream_runtime::{FrameLink, FrameReader, MemoryBudget, PeerError, ReceivedFrame};
 use galenastream_wire::{ForwardedRequest, PeerFrame, peer_frame::Body};
 use tokio::net::TcpListener;
 
@@ -20,16 +20,16 @@
 struct Pair {
     link: Arc<FrameLink<PeerFrame>>,
     reader: FrameReader<PeerFrame>,
-    budget: Arc<BodyBudget>,
+    budget: Arc<MemoryBudget>,
     _write_half: tokio::net::tcp::OwnedWriteHalf,
 }
 
 async fn connect(budget_bytes: usize) -> Pair {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect(WORKS);
     let address = listener.local_addr().expect(WORKS);
-    let link = FrameLink::connect(address, BodyBudget::new(0)).await.expect(WORKS);
+    let link = FrameLink::connect(address, MemoryBudget::new(0)).await.expect(WORKS);
     let (read_half, write_half) = listener.accept().await.expect(WORKS).0.into_split();
-    let budget = BodyBudget::new(budget_bytes);
+    let budget = MemoryBudget::new(budget_bytes);
     let reader = FrameReader::new(read_half, budget.clone());
     Pair { link: Arc::new(link), reader, budget, _write_half: write_half }
 }
--- a/crates/galenastream_runtime/tests/paced_messages.rs
+++ b/crates/galenastream_runtime/tests/paced_messages.rs
@@ -4,7 +4,7 @@
 
 use galenastream_routing::TransferOrder;
 use galenastream_runtime::{
-    BodyBudget, FrameReader, FrameWriter, LinkShare, ReceivedFrame, boot_now,
+    FrameReader, FrameWriter, LinkShare, MemoryBudget, ReceivedFrame, boot_now,
 };
 use galenastream_wire::{ForwardedReply, PeerFrame, StatusSeen, peer_frame::Body};
 use tokio::net::{TcpListener, TcpStream};
@@ -20,7 +20,7 @@
 struct Pair {
     writer: FrameWriter<PeerFrame>,
     reader: FrameReader<PeerFrame>,
-    budget: Arc<BodyBudget>,
+    budget: Arc<MemoryBudget>,
     link: Arc<LinkShare>,
 }
 
@@ -28,7 +28,7 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.expect(WORKS);
     let address = listener.local_addr().expect(WORKS);
     let (near, far) = tokio::join!(TcpStream::connect(address), listener.accept());
-    let budget = BodyBudget::new(10 * ANSWER_BYTES);
+    let budget = MemoryBudget::new(10 * ANSWER_BYTES);
     let link = LinkShare::new(Some(LINK_MBIT_PER_S));
     let running = link.clone();
     tokio::spawn(async move { running.run().await });
