Callers may open nearly as many connections as a process has descriptors for

They may have 72 % of the sockets now, 2808 of 3900, where the memory allows for 32 KiB each; buffers begin with 4 KiB. The budget of requests in progress has 46 % of the memory, 50 % before, so that the sum stays below the limit.

--- a/crates/galenastream_node/src/connection/request_codec.rs
+++ b/crates/galenastream_node/src/connection/request_codec.rs
@@ -28,7 +28,7 @@
 const MAX_BODY_BYTES_WITHOUT_CONFIG: usize = 1024 * 1024;
 
 /// The size at which the buffers of a connection begin. Most requests are shorter.
-pub(super) const BUFFER_BYTES: usize = 8 * 1024;
+pub(super) const BUFFER_BYTES: usize = 4 * 1024;
 
 /// How much of a chunked body is read at once.
 const READ_BYTES: usize = 16 * 1024;
--- a/crates/galenastream_node/src/process/connection_limits.rs
+++ b/crates/galenastream_node/src/process/connection_limits.rs
@@ -7,10 +7,10 @@
 
 /// Share of the sockets for callers, in percent. The process itself needs those that are left for its
 /// target, the store and other nodes.
-const CALLERS_PERCENT: u64 = 55;
+const CALLERS_PERCENT: u64 = 72;
 
 /// Share of the sockets for connections from other nodes, in percent.
-const PEERS_PERCENT: u64 = 30;
+const PEERS_PERCENT: u64 = 20;
 
 /// The maximum numbers of connections at the ports for health checks, for heartbeats and for operators.
 /// Each has one client that opens a few.
@@ -20,8 +20,8 @@
 
 /// Share of the memory limit of the process for connections of callers, in percent, and what each of them
 /// takes without its requests: buffers, the task, and the queues of the kernel.
-const CALLERS_MEMORY_PERCENT: u64 = 25;
-const CALLER_CONNECTION_BYTES: u64 = 40 * 1024;
+const CALLERS_MEMORY_PERCENT: u64 = 35;
+const CALLER_CONNECTION_BYTES: u64 = 32 * 1024;
 
 /// The maximum numbers of connections at the ports of a process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/galenastream_node/src/process/memory_budgets.rs
+++ b/crates/galenastream_node/src/process/memory_budgets.rs
@@ -14,10 +14,10 @@
 }
 
 /// All bodies in progress.
-const SHARED: Share = Share { total: 50, short: 12, small: 3 };
+const SHARED: Share = Share { total: 46, short: 8, small: 3 };
 
 /// Bodies of callers. The rest of the shared part is kept for answers.
-const CALLERS: Share = Share { total: 44, short: 8, small: 2 };
+const CALLERS: Share = Share { total: 42, short: 8, small: 2 };
 
 /// Answers. They may take twice as much while they are joined.
 const ANSWERS: Share = Share { total: 26, short: 6, small: 2 };
