The buffers of chunked bodies count, and idle connections keep short ones

Found in the reading of the change: each chunked body had a buffer of 16 KiB that counted for nothing, and a connection kept the buffer of its longest head. Not shown by a test: the size of a buffer cannot be seen once a request was taken out of it.

--- a/crates/galenastream_node/src/connection/request_codec.rs
+++ b/crates/galenastream_node/src/connection/request_codec.rs
@@ -103,6 +103,8 @@
     /// Number of bytes at the front of the buffer in which the end of a long head, or of a line of a
     /// chunked body, was not found, so that slowly arriving bytes are not searched repeatedly.
     searched: usize,
+    /// Whether the buffer has grown beyond what a connection may keep while no request arrives.
+    has_long_buffer: bool,
     state: ReadState,
 }
 
@@ -132,8 +134,15 @@
 impl<F: Fn() -> Option<CallerLimits>> RequestCodec<F> {
     pub(super) fn new(limits_in_force: F, room: ArrivalRoom) -> Self {
         let arriving = room.reservation();
-        let state = ReadState::Head;
-        Self { limits_in_force, room, arriving, limits: None, searched: 0, state }
+        Self {
+            limits_in_force,
+            room,
+            arriving,
+            limits: None,
+            searched: 0,
+            has_long_buffer: false,
+            state: ReadState::Head,
+        }
     }
 
     fn max_header_bytes(&self) -> usize {
@@ -195,6 +204,7 @@
             Err(HeadError::TooManyHeaders) => return self.fail(RequestError::Unsupported),
         };
         self.searched = 0;
+        self.has_long_buffer |= length > BUFFER_BYTES;
         buffer.advance(length);
         let bytes = request_bytes(length, head.headers().len());
         if !self.room.extend(&mut self.arriving, bytes) {
@@ -216,6 +226,10 @@
                 self.state = ReadState::Sized { head, length, reservation };
             }
             Ok(Framing::Chunked) => {
+                if !self.room.extend(&mut self.arriving, bytes + READ_BYTES) {
+                    return self.fail_after_head(RequestError::NoMemory, head);
+                }
+                self.has_long_buffer = true;
                 let body = ChunkedBody::new(self.room.reservation());
                 self.state = ReadState::Chunked { head, body };
             }
@@ -301,7 +315,12 @@
 
     fn decode(&mut self, buffer: &mut BytesMut) -> io::Result<Option<Incoming>> {
         Ok(match self.state {
-            ReadState::Head if buffer.is_empty() => None,
+            ReadState::Head if buffer.is_empty() => {
+                if std::mem::take(&mut self.has_long_buffer) {
+                    *buffer = BytesMut::with_capacity(BUFFER_BYTES);
+                }
+                None
+            }
             ReadState::Head => {
                 self.limits = (self.limits_in_force)();
                 self.read_head(buffer)
