Long answers keep their room beside requests, and slow uploads do not close each other

Callers saw: an answer of 540 KB that had room when its request began ended with 502, and an upload of 60 MiB was reset, both beside load.

Cause: the part of the shared memory that long bodies may take was below twice what long answers may, so that requests in progress took the room of answers that were announced. A long upload without room closed others that had not moved for a second.

Long bodies leave 4 % of the shared 48 %, and only short requests close connections that have stalled.

--- a/crates/galenastream_node/src/process/memory_budgets.rs
+++ b/crates/galenastream_node/src/process/memory_budgets.rs
@@ -13,8 +13,8 @@
     small: u64,
 }
 
-/// All bodies in progress.
-const SHARED: Share = Share { total: 46, short: 8, small: 3 };
+/// All requests and bodies in progress. Long ones may take twice what long answers may, and some requests beside.
+const SHARED: Share = Share { total: 48, short: 4, small: 2 };
 
 /// Bodies of callers. The rest of the shared part is kept for answers.
 const CALLERS: Share = Share { total: 42, short: 8, small: 2 };
--- a/crates/galenastream_runtime/src/arrival_room.rs
+++ b/crates/galenastream_runtime/src/arrival_room.rs
@@ -1,13 +1,18 @@
 //! The memory for messages that arrive on a connection.
+//!
+//! Load pattern: many clients send more than the process can hold, some of them without an end. Long uploads
+//! of ordinary clients that are slow must not close each other.
 
 use std::sync::Arc;
 
 use galenastream_routing::ConnectionPhase;
 
-use crate::{ConnectionSlots, ConnectionState, MemoryBudget, MemoryReservation};
+use crate::{
+    ConnectionSlots, ConnectionState, MemoryBudget, MemoryReservation, memory_budget::SHORT_BYTES,
+};
 
-/// The memory for messages that arrive on a connection. If there is too little left, other connections of
-/// the port whose messages have stopped arriving are closed.
+/// The memory for messages that arrive on a connection. If there is too little left for a short one, other
+/// connections of the port whose messages have stopped arriving are closed.
 #[derive(Debug)]
 pub struct ArrivalRoom {
     budget: Arc<MemoryBudget>,
@@ -35,6 +40,9 @@
         if reservation.extend_to(bytes) {
             return true;
         }
+        if bytes > SHORT_BYTES {
+            return false;
+        }
         let missing_bytes = bytes.saturating_sub(reservation.bytes());
         let is_freed = self.slots.free_memory(ConnectionPhase::Receiving, missing_bytes);
         if is_freed {
--- a/crates/galenastream_runtime/src/memory_budget.rs
+++ b/crates/galenastream_runtime/src/memory_budget.rs
@@ -7,8 +7,10 @@
 
 use bytes::Bytes;
 
-/// The longest short body, and the longest small one.
-const SHORT_BYTES: usize = 64 * 1024;
+/// The longest short body.
+pub(crate) const SHORT_BYTES: usize = 64 * 1024;
+
+/// The longest small body.
 const SMALL_BYTES: usize = 16 * 1024;
 
 /// The memory that bodies, or requests, in progress may use together in a process.
