--- a/crates/galenastream_node/tests/misbehaving_callers/ports.rs
+++ b/crates/galenastream_node/tests/misbehaving_callers/ports.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use bytes::{BufMut, Bytes, BytesMut};
-use galenastream_standin::{CallerConnection, LocalVm, wait_until};
+use galenastream_standin::{CallerConnection, LocalVm, heartbeat_request, wait_until};
 use galenastream_wire::MAX_FRAME_BYTES;
 
 use super::{
@@ -53,7 +53,8 @@
 /// status of the reply.
 async fn send_heartbeat(vm: &LocalVm) -> Option<u16> {
     let mut control = CallerConnection::connect(vm.control_address()).await?;
-    control.post("/galenastream/instances/x/heartbeat", "heartbeat").await.map(|it| it.status)
+    control.send(heartbeat_request("x", "{}").as_bytes()).await.ok()?;
+    control.read().await.map(|it| it.status)
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -79,10 +80,9 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn heartbeats_that_stop_before_their_end() {
     let scene = Scene::start("heartbeats", &["stock", "stock"]).await;
-    let mut bytes = BytesMut::from("POST /galenastream/instances/x/heartbeat HTTP/1.1\r\n");
-    bytes.put_slice(format!("Host: x\r\nContent-Length: {HEARTBEAT_BYTES}\r\n\r\n").as_bytes());
-    bytes.put_bytes(b'b', HEARTBEAT_BYTES - 1);
-    play(scene, &PORTS[2..3], EACH, &Script::whole(bytes)).await;
+    let mut request = heartbeat_request("x", &"b".repeat(HEARTBEAT_BYTES));
+    request.pop();
+    play(scene, &PORTS[2..3], EACH, &Script::whole(request)).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
