A request that stops behind another one can be closed for its memory

Callers saw: 503 for as long as others kept requests whose bodies had stopped arriving behind a request that was answered.

Cause: one number held the memory of the request that arrives and of the answer that is not read, and the end of an answer set it to 0. So such connections were not found when others needed their memory.

Each has a number of its own.

Evidence: memory_of_a_request_that_stops_behind_another_is_freed fails without the change.

--- a/crates/galenastream_node/tests/misbehaving_callers/bodies.rs
+++ b/crates/galenastream_node/tests/misbehaving_callers/bodies.rs
@@ -42,6 +42,14 @@
     scene.play(MANY, &Script::in_pieces(bytes, 1_024)).await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn short_bodies_that_stop_behind_another_request() {
+    let scene = Scene::start("behind", &["stock"]).await;
+    let mut bytes = BytesMut::from(&request("/unknown/", 0, 0)[..]);
+    bytes.extend_from_slice(&request("/orders/1", SHORT_BODY_BYTES + 1, SHORT_BODY_BYTES));
+    scene.play(MANY, &Script::whole(bytes)).await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn medium_bodies_that_stop_before_their_end() {
     let scene = Scene::start("medium-stop", &["stock"]).await;
--- a/crates/galenastream_runtime/src/connection_slots.rs
+++ b/crates/galenastream_runtime/src/connection_slots.rs
@@ -56,8 +56,9 @@
     requests: AtomicU32,
     has_answered: AtomicBool,
     is_closing: AtomicBool,
-    /// The memory of the request that arrives, or of the answer that is sent.
-    held_bytes: AtomicUsize,
+    /// The memory of the request that arrives, and of the answer that is not read.
+    arriving_bytes: AtomicUsize,
+    unread_bytes: AtomicUsize,
     /// Since when a request arrives, an answer is sent, or the connection is idle or closing; 0 if it does
     /// not.
     receiving_since_ns: AtomicU64,
@@ -192,14 +193,14 @@
             self.receiving_since_ns.store(now_ns, Ordering::Relaxed);
         }
         self.progress_at_ns.store(now_ns, Ordering::Relaxed);
-        self.held_bytes.store(held_bytes, Ordering::Relaxed);
+        self.arriving_bytes.store(held_bytes, Ordering::Relaxed);
     }
 
     /// Records that a whole request has arrived.
     pub fn record_request(&self) {
         self.requests.fetch_add(1, Ordering::Relaxed);
         self.receiving_since_ns.store(0, Ordering::Relaxed);
-        self.held_bytes.store(0, Ordering::Relaxed);
+        self.arriving_bytes.store(0, Ordering::Relaxed);
     }
 
     /// Records that a request has been answered, and its answer written.
@@ -220,6 +221,7 @@
     pub fn record_message(&self) {
         self.has_answered.store(true, Ordering::Relaxed);
         self.receiving_since_ns.store(0, Ordering::Relaxed);
+        self.arriving_bytes.store(0, Ordering::Relaxed);
         self.idle_since_ns.store(boot_now().as_ns(), Ordering::Relaxed);
     }
 
@@ -228,7 +230,7 @@
         let now_ns = boot_now().as_ns();
         self.sending_since_ns.store(now_ns, Ordering::Relaxed);
         self.progress_at_ns.store(now_ns, Ordering::Relaxed);
-        self.held_bytes.store(held_bytes, Ordering::Relaxed);
+        self.unread_bytes.store(held_bytes, Ordering::Relaxed);
     }
 
     /// Records that the client reads an answer.
@@ -239,7 +241,7 @@
     /// Records that the client has read an answer.
     pub fn record_read(&self) {
         self.sending_since_ns.store(0, Ordering::Relaxed);
-        self.held_bytes.store(0, Ordering::Relaxed);
+        self.unread_bytes.store(0, Ordering::Relaxed);
     }
 
     /// Records that nothing more is served on the connection.
@@ -266,12 +268,16 @@
             (ConnectionPhase::Receiving, self.opened_at_ns)
         };
         let progress_at_ns = load(&self.progress_at_ns).max(self.opened_at_ns);
+        let held_bytes = match phase {
+            ConnectionPhase::Sending => &self.unread_bytes,
+            _ => &self.arriving_bytes,
+        };
         ConnectionUse {
             key,
             phase,
             since: BootInstant::new(since_ns),
             progress_at: BootInstant::new(progress_at_ns),
-            held_bytes: self.held_bytes.load(Ordering::Relaxed),
+            held_bytes: held_bytes.load(Ordering::Relaxed),
         }
     }
 }
--- a/crates/galenastream_runtime/tests/connection_slots.rs
+++ b/crates/galenastream_runtime/tests/connection_slots.rs
@@ -97,3 +97,18 @@
     assert!(slots.free_memory(ConnectionPhase::Sending, HELD_BYTES));
     assert_eq!(close_evicted(&mut open).await, 1);
 }
+
+/// Guards against requests that stop behind another one and keep their memory: the answer to the first made
+/// it count for nothing.
+#[tokio::test]
+async fn memory_of_a_request_that_stops_behind_another_is_freed() {
+    let slots = ConnectionSlots::new("test", MAX_OPEN);
+    let mut open = fill(&slots).await;
+    open[2].state().record_request();
+    open[2].state().record_part(HELD_BYTES);
+    open[2].state().record_read();
+    open[2].state().record_answer();
+    sleep(STALLED).await;
+    assert!(slots.free_memory(ConnectionPhase::Receiving, HELD_BYTES));
+    assert_eq!(close_evicted(&mut open).await, 2);
+}
