A connection that makes room keeps the answer that its caller has yet to read

Callers saw: a reset in place of an answer that the node had written, while others opened more connections than there may be.

Cause: each connection that had to make room was reset, also one that was idle for the node while its caller had not read the last answer yet.

Only a connection whose caller does not read is reset; any other is closed, and the kernel delivers the few KiB that are left.

Evidence: an_answer_that_is_not_read_yet_outlives_the_close_of_its_connection fails without the change, with a reset.

--- a/crates/galenastream_node/src/connection/caller_connections.rs
+++ b/crates/galenastream_node/src/connection/caller_connections.rs
@@ -77,7 +77,10 @@
     tokio::select! {
         biased;
         () = slot.evicted() => {
-            discard_unsent(framed.get_ref());
+            // A caller that waits for its next request may still be reading the last answer.
+            if slot.state().has_unread_answer() {
+                discard_unsent(framed.get_ref());
+            }
             return;
         }
         end = serve_requests(&traffic, &mut framed, &served, slot.state()) => match end {
--- a/crates/galenastream_node/tests/misbehaving_callers/answers.rs
+++ b/crates/galenastream_node/tests/misbehaving_callers/answers.rs
@@ -2,11 +2,16 @@
 
 use std::time::Duration;
 
+use bytes::Bytes;
 use galenastream_standin::{RawAnswer, wait_until};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpSocket,
+};
 
 use super::{
-    TIMEOUT, WORKS,
-    crowd::{Crowd, Script},
+    TIMEOUT, TOO_MANY, WORKS,
+    crowd::{Crowd, SMALL_WINDOW_BYTES, Script},
     scene::{Scene, request},
 };
 
@@ -17,12 +22,40 @@
 /// Connections whose answers exceed the memory of a node.
 const READERS: usize = 200;
 
+/// An answer that the kernel keeps for a caller which does not read it yet.
+const PENDING_BYTES: usize = 7_000;
+
 /// Requests from which the node learns how fast the target is.
 const WARM_UP: usize = 200;
 
 /// How long the requests of a connection may take to run. Some are refused.
 const RUN_TIME: Duration = Duration::from_millis(200);
 
+/// Guards against a crowd that takes answers from ordinary callers which have not read them yet.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_that_is_not_read_yet_outlives_the_close_of_its_connection() {
+    let mut scene = Scene::start("pending", &["carts", "stock"]).await;
+    let answer = RawAnswer::Complete(PENDING_BYTES);
+    let target = scene.deployment.vms[1].start_raw_target(answer).await.expect("the target starts");
+    scene.assert_serves().await;
+    let socket = TcpSocket::new_v4().expect(WORKS);
+    socket.set_recv_buffer_size(SMALL_WINDOW_BYTES).expect(WORKS);
+    let mut caller = socket.connect(scene.callers(1)).await.expect(WORKS);
+    let runs = target.runs().len();
+    caller.write_all(&request("/stock/1", 0, 0)).await.expect(WORKS);
+    wait_until("the request to run", TIMEOUT, async || target.runs().len() > runs)
+        .await
+        .expect(WORKS);
+    let crowd = Crowd::start(scene.callers(1), TOO_MANY, &Script::whole(Bytes::new()));
+    crowd.settle().await;
+    let mut answer = Vec::new();
+    caller.read_to_end(&mut answer).await.expect("the connection ends without a reset");
+    assert!(answer.starts_with(b"HTTP/1.1 200") && answer.ends_with(&[b'x'; PENDING_BYTES]));
+    target.set_answer(RawAnswer::Complete(0));
+    crowd.close().await;
+    scene.close().await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn short_answers_that_are_not_read() {
     let mut scene = Scene::start("unread", &["carts", "stock"]).await;
--- a/crates/galenastream_node/tests/misbehaving_callers/crowd.rs
+++ b/crates/galenastream_node/tests/misbehaving_callers/crowd.rs
@@ -37,7 +37,7 @@
 const STAY_TIME: Duration = Duration::from_secs(3);
 
 /// The receive buffer of members that do not read.
-const SMALL_WINDOW_BYTES: u32 = 4_096;
+pub(super) const SMALL_WINDOW_BYTES: u32 = 4_096;
 
 /// What each member of a crowd does on a connection.
 #[derive(Debug, Clone)]
--- a/crates/galenastream_runtime/src/connection_slots.rs
+++ b/crates/galenastream_runtime/src/connection_slots.rs
@@ -244,6 +244,11 @@
         self.unread_bytes.store(0, Ordering::Relaxed);
     }
 
+    /// Whether the client does not read an answer.
+    pub fn has_unread_answer(&self) -> bool {
+        self.sending_since_ns.load(Ordering::Relaxed) > 0
+    }
+
     /// Records that nothing more is served on the connection.
     pub fn record_closing(&self) {
         self.is_closing.store(true, Ordering::Relaxed);
