Uploads that have stalled make room for other long ones

Callers saw: 503 for each long upload while others had announced long bodies and stopped, for as long as those stayed.

Cause: only short requests closed connections that had stalled, so that uploads of ordinary callers that are slow do not close each other.

Long requests close connections without progress for 5 s, or which take more than 60 s to arrive; short ones and answers go on with 1 s and 10 s. A search without a result for one of these needs does not keep the others from searching.

--- a/crates/galenastream_node/src/request/long_answer.rs
+++ b/crates/galenastream_node/src/request/long_answer.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use galenastream_routing::{ConnectionPhase, Deadline, TransferOrder};
+use galenastream_routing::{Deadline, MemoryNeed, TransferOrder};
 use galenastream_runtime::{AnnouncedBody, Transfer, boot_now};
 use galenastream_wire::{ForwardedReply, ForwardedRequest, ReplyReason};
 
@@ -31,7 +31,7 @@
 /// disconnected.
 pub(super) fn has_room_for_answer(traffic: &TrafficState) -> bool {
     let missing_bytes = traffic.memory_budgets.missing_for_answers();
-    missing_bytes == 0 || traffic.caller_slots.free_memory(ConnectionPhase::Sending, missing_bytes)
+    missing_bytes == 0 || traffic.caller_slots.free_memory(MemoryNeed::Answer, missing_bytes)
 }
 
 /// Announces the answer to a caller's request, if it is of the kind with long answers. Callers that read
--- a/crates/galenastream_node/tests/misbehaving_callers/bodies.rs
+++ b/crates/galenastream_node/tests/misbehaving_callers/bodies.rs
@@ -61,7 +61,12 @@
 async fn long_bodies_that_stop_before_their_end() {
     let scene = Scene::start("long-stop", &["stock"]).await;
     let script = Script::whole(request("/orders/1", MAX_BODY_BYTES, MAX_BODY_BYTES - 1));
-    scene.play(MANY_LONG, &script).await;
+    let crowd = Crowd::start(scene.callers(0), MANY_LONG, &script);
+    crowd.settle().await;
+    scene.assert_serves().await;
+    scene.assert_serves_long().await;
+    crowd.close().await;
+    scene.close().await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/galenastream_node/tests/misbehaving_callers/scene.rs
+++ b/crates/galenastream_node/tests/misbehaving_callers/scene.rs
@@ -103,13 +103,8 @@
         }
     }
 
-    /// Checks that the longest body that the config allows is served again, once the crowd has left, and
-    /// that the nodes have stayed within their limits.
-    pub(super) async fn close(self) {
-        for service in ["stock", "carts"] {
-            self.set_slow(service, false);
-        }
-        self.assert_serves().await;
+    /// The same for a request with the longest body that the config allows.
+    pub(super) async fn assert_serves_long(&self) {
         for vm in &self.deployment.vms {
             let name = format!("{}: a long body to be served at {}", self.name, vm.name);
             wait_until(&name, TIMEOUT, async || {
@@ -124,6 +119,16 @@
             .await
             .expect(WORKS);
         }
+    }
+
+    /// Checks that the longest body that the config allows is served again, once the crowd has left, and
+    /// that the nodes have stayed within their limits.
+    pub(super) async fn close(self) {
+        for service in ["stock", "carts"] {
+            self.set_slow(service, false);
+        }
+        self.assert_serves().await;
+        self.assert_serves_long().await;
         for (vm, watch) in self.deployment.vms.iter().zip(&self.watches) {
             watch.assert_within_limits(&format!("{} at {}", self.name, vm.name));
         }
--- a/crates/galenastream_routing/src/connection/connection_use.rs
+++ b/crates/galenastream_routing/src/connection/connection_use.rs
@@ -8,12 +8,46 @@
 
 use galenastream_utils::BootInstant;
 
-/// Time without progress after which a connection has stalled. Ordinary clients send a request, and read
-/// its answer, without a pause.
-const STALL_TIME: Duration = Duration::from_millis(1_000);
+/// What memory is needed for, which says whose connections may be closed for it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum MemoryNeed {
+    /// A short request, or a connection.
+    ShortRequest,
+    /// A request with a long body.
+    LongRequest,
+    /// An answer.
+    Answer,
+}
+
+impl MemoryNeed {
+    /// The number of variants.
+    pub const COUNT: usize = 3;
+
+    /// The phase of the connections that may be closed.
+    const fn phase(self) -> ConnectionPhase {
+        match self {
+            Self::ShortRequest | Self::LongRequest => ConnectionPhase::Receiving,
+            Self::Answer => ConnectionPhase::Sending,
+        }
+    }
 
-/// How long a request may take to arrive, if others need its room.
-const MAX_ARRIVAL_TIME: Duration = Duration::from_secs(10);
+    /// Time without progress after which a connection has stalled. Ordinary clients send a request, and
+    /// read its answer, without a pause; their long uploads must not close each other while a VM is slow.
+    const fn stall_time(self) -> Duration {
+        match self {
+            Self::ShortRequest | Self::Answer => Duration::from_millis(1_000),
+            Self::LongRequest => Duration::from_secs(5),
+        }
+    }
+
+    /// How long a request may take to arrive.
+    const fn max_arrival_time(self) -> Duration {
+        match self {
+            Self::ShortRequest | Self::Answer => Duration::from_secs(10),
+            Self::LongRequest => Duration::from_secs(60),
+        }
+    }
+}
 
 /// Identifies a connection within its process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -50,19 +84,20 @@
 }
 
 impl ConnectionUse {
-    fn has_stalled(&self, now: BootInstant) -> bool {
+    fn has_stalled(&self, need: MemoryNeed, now: BootInstant) -> bool {
         let is_overdue = self.phase == ConnectionPhase::Receiving
-            && now.saturating_since(self.since) >= MAX_ARRIVAL_TIME;
-        is_overdue || now.saturating_since(self.progress_at) >= STALL_TIME
+            && now.saturating_since(self.since) >= need.max_arrival_time();
+        is_overdue || now.saturating_since(self.progress_at) >= need.stall_time()
     }
 
     /// The place of the connection in the order in which connections are closed; `None` if it is kept.
     fn closing_order(&self, now: BootInstant) -> Option<(u8, BootInstant)> {
+        let has_stalled = self.has_stalled(MemoryNeed::ShortRequest, now);
         let rank = match self.phase {
             ConnectionPhase::Closing => 0,
-            ConnectionPhase::Receiving if self.has_stalled(now) => 0,
+            ConnectionPhase::Receiving if has_stalled => 0,
             ConnectionPhase::Idle => 1,
-            ConnectionPhase::Sending if self.has_stalled(now) => 2,
+            ConnectionPhase::Sending if has_stalled => 2,
             ConnectionPhase::Receiving => 3,
             ConnectionPhase::Sending => 4,
             ConnectionPhase::Working => return None,
@@ -83,15 +118,15 @@
     uses.iter().take(count).map(|it| it.key).collect()
 }
 
-/// Chooses connections to close so that at least `bytes` of memory become free: those that have stalled
-/// in `phase`, the oldest first. Chooses none if they do not hold as much.
+/// Chooses connections to close so that at least `bytes` of memory become free: those that have stalled,
+/// the oldest first. Chooses none if they do not hold as much.
 pub fn connections_to_free(
     mut uses: Vec<ConnectionUse>,
-    phase: ConnectionPhase,
+    need: MemoryNeed,
     bytes: usize,
     now: BootInstant,
 ) -> Vec<ConnectionKey> {
-    uses.retain(|it| it.phase == phase && it.held_bytes > 0 && it.has_stalled(now));
+    uses.retain(|it| it.phase == need.phase() && it.held_bytes > 0 && it.has_stalled(need, now));
     uses.sort_by_key(|it| it.since);
     let mut chosen = Vec::new();
     let mut freed_bytes: usize = 0;
--- a/crates/galenastream_routing/tests/connection_use.rs
+++ b/crates/galenastream_routing/tests/connection_use.rs
@@ -1,7 +1,8 @@
 //! Tests of the choice of connections that make room for others.
 
 use galenastream_routing::{
-    ConnectionKey, ConnectionPhase, ConnectionUse, connections_to_close, connections_to_free,
+    ConnectionKey, ConnectionPhase, ConnectionUse, MemoryNeed, connections_to_close,
+    connections_to_free,
 };
 use galenastream_utils::BootInstant;
 
@@ -30,8 +31,8 @@
     chosen.into_iter().map(|it| it.0).collect()
 }
 
-fn freed(uses: &[ConnectionUse], phase: ConnectionPhase, bytes: usize) -> Vec<u64> {
-    let chosen = connections_to_free(uses.to_vec(), phase, bytes, at_ms(NOW_MS));
+fn freed(uses: &[ConnectionUse], need: MemoryNeed, bytes: usize) -> Vec<u64> {
+    let chosen = connections_to_free(uses.to_vec(), need, bytes, at_ms(NOW_MS));
     chosen.into_iter().map(|it| it.0).collect()
 }
 
@@ -70,8 +71,8 @@
 fn a_long_answer_that_is_read_does_not_stall() {
     let phase = ConnectionPhase::Sending;
     let uses = [connection(1, phase, 30_000, 900), connection(2, phase, 2_000, 1_000)];
-    assert_eq!(freed(&uses, phase, KIB), [2]);
-    assert_eq!(freed(&uses[..1], phase, KIB), [] as [u64; 0]);
+    assert_eq!(freed(&uses, MemoryNeed::Answer, KIB), [2]);
+    assert_eq!(freed(&uses[..1], MemoryNeed::Answer, KIB), [] as [u64; 0]);
 }
 
 #[test]
@@ -84,10 +85,10 @@
         connection(4, ConnectionPhase::Sending, 8_000, 8_000),
         connection(5, phase, 3_000, 3_000),
     ];
-    assert_eq!(freed(&uses, phase, 64 * KIB), [2]);
-    assert_eq!(freed(&uses, phase, 65 * KIB), [2, 5]);
-    assert_eq!(freed(&uses, phase, 192 * KIB), [2, 5, 1]);
-    assert_eq!(freed(&uses, ConnectionPhase::Sending, KIB), [4]);
+    assert_eq!(freed(&uses, MemoryNeed::ShortRequest, 64 * KIB), [2]);
+    assert_eq!(freed(&uses, MemoryNeed::ShortRequest, 65 * KIB), [2, 5]);
+    assert_eq!(freed(&uses, MemoryNeed::ShortRequest, 192 * KIB), [2, 5, 1]);
+    assert_eq!(freed(&uses, MemoryNeed::Answer, KIB), [4]);
 }
 
 /// Guards against connections that are closed although that does not make enough room.
@@ -95,5 +96,21 @@
 fn nothing_is_closed_if_it_does_not_suffice() {
     let phase = ConnectionPhase::Receiving;
     let uses = [connection(1, phase, 2_000, 2_000), connection(2, phase, 2_000, 10)];
-    assert_eq!(freed(&uses, phase, 65 * KIB), [] as [u64; 0]);
+    assert_eq!(freed(&uses, MemoryNeed::ShortRequest, 65 * KIB), [] as [u64; 0]);
+}
+
+/// Guards against uploads of ordinary clients that close each other while their VM is slow, and against
+/// stalled ones that keep all room for long bodies.
+#[test]
+fn long_bodies_wait_longer_for_each_other() {
+    let phase = ConnectionPhase::Receiving;
+    let uses = [
+        connection(1, phase, 20_000, 3_000),
+        connection(2, phase, 30_000, 5_000),
+        connection(3, phase, 60_000, 10),
+    ];
+    let freed_for_long = |bytes| freed(&uses, MemoryNeed::LongRequest, bytes);
+    assert_eq!(freed_for_long(KIB), [3]);
+    assert_eq!(freed_for_long(128 * KIB), [3, 2]);
+    assert_eq!(freed_for_long(129 * KIB), [] as [u64; 0]);
 }
--- a/crates/galenastream_runtime/src/arrival_room.rs
+++ b/crates/galenastream_runtime/src/arrival_room.rs
@@ -1,17 +1,16 @@
 //! The memory for messages that arrive on a connection.
 //!
-//! Load pattern: many clients send more than the process can hold, some of them without an end. Long uploads
-//! of ordinary clients that are slow must not close each other.
+//! Load pattern: many clients send more than the process can hold, some of them without an end.
 
 use std::sync::Arc;
 
-use galenastream_routing::ConnectionPhase;
+use galenastream_routing::MemoryNeed;
 
 use crate::{
     ConnectionSlots, ConnectionState, MemoryBudget, MemoryReservation, memory_budget::SHORT_BYTES,
 };
 
-/// The memory for messages that arrive on a connection. If there is too little left for a short one, other
+/// The memory for messages that arrive on a connection. If there is too little left, other
 /// connections of the port whose messages have stopped arriving are closed.
 #[derive(Debug)]
 pub struct ArrivalRoom {
@@ -40,11 +39,12 @@
         if reservation.extend_to(bytes) {
             return true;
         }
-        if bytes > SHORT_BYTES {
-            return false;
-        }
         let missing_bytes = bytes.saturating_sub(reservation.bytes());
-        let is_freed = self.slots.free_memory(ConnectionPhase::Receiving, missing_bytes);
+        let need = match bytes {
+            0..=SHORT_BYTES => MemoryNeed::ShortRequest,
+            _ => MemoryNeed::LongRequest,
+        };
+        let is_freed = self.slots.free_memory(need, missing_bytes);
         if is_freed {
             reservation.extend_anyway(bytes);
         }
--- a/crates/galenastream_runtime/src/connection_slots.rs
+++ b/crates/galenastream_runtime/src/connection_slots.rs
@@ -9,7 +9,8 @@
 };
 
 use galenastream_routing::{
-    ConnectionKey, ConnectionPhase, ConnectionUse, connections_to_close, connections_to_free,
+    ConnectionKey, ConnectionPhase, ConnectionUse, MemoryNeed, connections_to_close,
+    connections_to_free,
 };
 use galenastream_utils::{BootInstant, FastMap};
 use metrics::counter;
@@ -44,8 +45,8 @@
     /// Notified when a connection is closed.
     closed: Notify,
     logged_at: Mutex<BootInstant>,
-    /// When a search for memory found none.
-    searched_at_ns: AtomicU64,
+    /// When a search for memory found none, for each need.
+    searched_at_ns: [AtomicU64; MemoryNeed::COUNT],
 }
 
 /// What happens on a connection, as its tasks record it.
@@ -92,7 +93,7 @@
             open: Mutex::default(),
             closed: Notify::new(),
             logged_at: Mutex::default(),
-            searched_at_ns: AtomicU64::new(0),
+            searched_at_ns: Default::default(),
         })
     }
 
@@ -125,18 +126,19 @@
         None
     }
 
-    /// Closes connections that have stalled in `phase` and together hold at least `bytes`. Returns whether
-    /// there were any.
-    pub fn free_memory(&self, phase: ConnectionPhase, bytes: usize) -> bool {
+    /// Closes connections that have stalled and together hold at least `bytes`. Returns whether there were
+    /// any.
+    pub fn free_memory(&self, need: MemoryNeed, bytes: usize) -> bool {
         let now = boot_now();
-        let searched_at = BootInstant::new(self.searched_at_ns.load(Ordering::Relaxed));
+        let searched_at_ns = &self.searched_at_ns[need as usize];
+        let searched_at = BootInstant::new(searched_at_ns.load(Ordering::Relaxed));
         if now.saturating_since(searched_at) < SEARCH_INTERVAL {
             return false;
         }
         let open = self.lock();
-        let chosen = connections_to_free(uses_of(&open), phase, bytes, now);
+        let chosen = connections_to_free(uses_of(&open), need, bytes, now);
         if chosen.is_empty() {
-            self.searched_at_ns.store(now.as_ns(), Ordering::Relaxed);
+            searched_at_ns.store(now.as_ns(), Ordering::Relaxed);
         }
         self.evict(&open, &chosen, now);
         !chosen.is_empty()
--- a/crates/galenastream_runtime/tests/connection_slots.rs
+++ b/crates/galenastream_runtime/tests/connection_slots.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use galenastream_routing::ConnectionPhase;
+use galenastream_routing::MemoryNeed;
 use galenastream_runtime::{ConnectionSlot, ConnectionSlots};
 use tokio::time::{sleep, timeout};
 
@@ -71,13 +71,14 @@
 async fn memory_is_freed_by_connections_that_have_stalled() {
     let slots = ConnectionSlots::new("test", MAX_OPEN);
     let mut open = fill(&slots).await;
-    let free = |bytes| slots.free_memory(ConnectionPhase::Receiving, bytes);
+    let free = |bytes| slots.free_memory(MemoryNeed::ShortRequest, bytes);
     open[0].state().record_part(HELD_BYTES);
     assert!(!free(HELD_BYTES), "the request has just begun");
     sleep(STALLED).await;
     open[2].state().record_part(HELD_BYTES);
     assert!(!free(HELD_BYTES + 1), "not enough can be freed");
     assert!(!free(HELD_BYTES), "nothing is looked for again at once");
+    assert!(!slots.free_memory(MemoryNeed::LongRequest, HELD_BYTES), "long ones wait longer");
     sleep(WHILE).await;
     assert!(free(HELD_BYTES));
     assert_eq!(close_evicted(&mut open).await, 0);
@@ -92,9 +93,9 @@
     open[1].state().record_unread(HELD_BYTES);
     sleep(STALLED).await;
     open[1].state().record_progress();
-    assert!(!slots.free_memory(ConnectionPhase::Sending, HELD_BYTES), "it is being read");
+    assert!(!slots.free_memory(MemoryNeed::Answer, HELD_BYTES), "it is being read");
     sleep(STALLED).await;
-    assert!(slots.free_memory(ConnectionPhase::Sending, HELD_BYTES));
+    assert!(slots.free_memory(MemoryNeed::Answer, HELD_BYTES));
     assert_eq!(close_evicted(&mut open).await, 1);
 }
 
@@ -109,6 +110,6 @@
     open[2].state().record_read();
     open[2].state().record_answer();
     sleep(STALLED).await;
-    assert!(slots.free_memory(ConnectionPhase::Receiving, HELD_BYTES));
+    assert!(slots.free_memory(MemoryNeed::ShortRequest, HELD_BYTES));
     assert_eq!(close_evicted(&mut open).await, 2);
 }
