Requests leave room for answers in the memory of the process

Callers saw: 503 for requests that were small enough to be read, while requests that other nodes pass on and those of callers took all of the shared memory.

Cause: each of the two had its own share, and together they could fill the whole, so that no request could begin for lack of room for its answer.

Both take their memory from one budget of 42 %, beside which 6 % are left for answers.

Evidence: requests_leave_room_for_answers fails with the shares before.

--- a/crates/galenastream_node/src/process/memory_budgets.rs
+++ b/crates/galenastream_node/src/process/memory_budgets.rs
@@ -1,4 +1,4 @@
-//! The memory for bodies in progress.
+//! The memory for requests and answers in progress.
 
 use std::sync::Arc;
 
@@ -13,20 +13,21 @@
     small: u64,
 }
 
-/// All requests and bodies in progress. Long ones may take twice what long answers may, and some requests beside.
+/// All that is in progress. Long bodies may take twice what long answers may, and some requests beside.
 const SHARED: Share = Share { total: 48, short: 4, small: 2 };
 
-/// Bodies of callers. The rest of the shared part is kept for answers.
-const CALLERS: Share = Share { total: 42, short: 8, small: 2 };
+/// Requests, so that there is always room for some answers.
+const REQUESTS: Share = Share { total: 42, short: 8, small: 2 };
 
 /// Answers. They may take twice as much while they are joined.
 const ANSWERS: Share = Share { total: 26, short: 6, small: 2 };
 
-/// Bodies that other nodes pass on. They may take twice as much while they are joined.
-const FORWARDED: Share = Share { total: 22, short: 4, small: 1 };
+/// Requests that other nodes pass on. They may take twice as much while they are joined. The rest of the
+/// requests are those of callers.
+const FORWARDED: Share = Share { total: 18, short: 3, small: 1 };
 
 /// How much room there has to be for answers when a request begins, in percent: others are in progress.
-const ANSWERS_MARGIN: u64 = 3;
+const ANSWERS_MARGIN: u64 = 2;
 
 /// Frames of other nodes that have not arrived whole.
 const FRAMES_PERCENT: u64 = 6;
@@ -40,14 +41,14 @@
 /// How many bytes of memory a byte may take that arrives from a target or from another node.
 const JOINED_WEIGHT: usize = 2;
 
-/// The memory for requests in progress. The budgets of bodies are parts of one, so that they cannot fill the
+/// The memory for requests and answers in progress. The budgets are parts of one, so that they cannot fill the
 /// memory together.
 pub struct MemoryBudgets {
-    /// For bodies of callers.
+    /// For requests of callers.
     pub callers: Arc<MemoryBudget>,
     /// For answers of the target and of other nodes.
     pub answers: Arc<MemoryBudget>,
-    /// For bodies that other nodes pass on.
+    /// For requests that other nodes pass on.
     pub forwarded: Arc<MemoryBudget>,
     /// For frames of other nodes that have not arrived whole.
     pub frames: Arc<MemoryBudget>,
@@ -58,13 +59,14 @@
     /// Creates the unused budgets of a process with these limits.
     pub fn new(limits: ProcessLimits) -> Self {
         let shared = MemoryBudget::with_kept(SHARED.total_bytes(limits), SHARED.kept(limits));
-        let part = |share: Share, weight| {
-            MemoryBudget::within(&shared, weight, share.total_bytes(limits), share.kept(limits))
+        let part = |whole, share: Share, weight| {
+            MemoryBudget::within(whole, weight, share.total_bytes(limits), share.kept(limits))
         };
+        let requests = part(&shared, REQUESTS, 1);
         Self {
-            callers: part(CALLERS, 1),
-            answers: part(ANSWERS, JOINED_WEIGHT),
-            forwarded: part(FORWARDED, JOINED_WEIGHT),
+            answers: part(&shared, ANSWERS, JOINED_WEIGHT),
+            forwarded: part(&requests, FORWARDED, JOINED_WEIGHT),
+            callers: requests,
             frames: MemoryBudget::new(bytes_of(limits, FRAMES_PERCENT)),
             answers_margin_bytes: bytes_of(limits, ANSWERS_MARGIN),
         }
--- a/crates/galenastream_node/src/process/mod.rs
+++ b/crates/galenastream_node/src/process/mod.rs
@@ -27,6 +27,8 @@
 mod local_target;
 mod logs;
 mod memory_budgets;
+#[cfg(test)]
+mod memory_budgets_tests;
 mod metrics_page;
 mod ownership_facts;
 mod ownership_log;
