--- a/crates/galenastream_node/src/connection/caller_connections.rs
+++ b/crates/galenastream_node/src/connection/caller_connections.rs
@@ -7,7 +7,7 @@
     sync::{Arc, atomic::Ordering},
 };
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use futures::{
     FutureExt, SinkExt, StreamExt,
     future::{Either, poll_immediate, ready},
@@ -40,6 +40,9 @@
 /// ahead.
 const MAX_PIPELINED: usize = 16;
 
+/// The longest body of a response after which a connection keeps its buffer.
+const MAX_KEPT_BYTES: usize = 2 * BUFFER_BYTES;
+
 /// Timeout for the next request on a connection. Callers reuse idle connections for less time.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 
@@ -210,14 +213,17 @@
 
 /// Sends a response. A long body is copied in parts as the caller reads, and counts against the budget
 /// for bodies until the last one is written.
-async fn send_response<F>(
+pub(super) async fn send_response<F>(
     framed: &mut Framed<TcpStream, RequestCodec<F>>,
     response: Response<Bytes>,
     is_to_head: bool,
     state: &ConnectionState,
 ) -> io::Result<()> {
-    let is_in_parts =
-        has_body(response.status(), is_to_head) && response.body().len() > WRITE_BYTES;
+    let body_bytes = match has_body(response.status(), is_to_head) {
+        true => response.body().len(),
+        false => 0,
+    };
+    let (is_in_parts, has_long_body) = (body_bytes > WRITE_BYTES, body_bytes > MAX_KEPT_BYTES);
     let mut body = if is_in_parts { response.body().clone() } else { Bytes::new() };
     framed.send(Outgoing::Response { response, is_to_head }).await?;
     while !body.is_empty() {
@@ -225,6 +231,10 @@
         framed.send(Outgoing::Part(part)).await?;
         state.record_progress();
     }
+    if has_long_body {
+        // The connection would keep the memory of its longest response.
+        *framed.write_buffer_mut() = BytesMut::with_capacity(BUFFER_BYTES);
+    }
     Ok(())
 }
 
--- a/crates/galenastream_node/src/connection/mod.rs
+++ b/crates/galenastream_node/src/connection/mod.rs
@@ -5,6 +5,8 @@
 mod answered_requests;
 mod body_framing;
 mod caller_connections;
+#[cfg(test)]
+mod caller_connections_tests;
 mod chunked_body;
 mod control_connections;
 mod peer_connections;
--- a/crates/galenastream_node/src/connection/request_codec.rs
+++ b/crates/galenastream_node/src/connection/request_codec.rs
@@ -243,7 +243,7 @@
 
     /// Waits for the rest of a head, for which the buffer may grow to twice its size.
     fn wait_for_head(&mut self, arrived_bytes: usize) -> Option<Incoming> {
-        if arrived_bytes > BUFFER_BYTES && !self.room.extend(&mut self.arriving, 2 * arrived_bytes)
+        if arrived_bytes >= BUFFER_BYTES && !self.room.extend(&mut self.arriving, 2 * arrived_bytes)
         {
             return self.fail(RequestError::NoMemory);
         }
@@ -251,6 +251,25 @@
         None
     }
 
+    /// Waits for more of a chunked body. Its lines may be longer than what is read at once.
+    fn wait_for_chunks(
+        &mut self,
+        buffer: &mut BytesMut,
+        head: Box<Request<()>>,
+        body: ChunkedBody,
+    ) -> Option<Incoming> {
+        if buffer.len() >= READ_BYTES {
+            let bytes = self.arriving.bytes().max(request_bytes(0, 0) + 2 * buffer.len());
+            if !self.room.extend(&mut self.arriving, bytes) {
+                return self.fail_after_head(RequestError::NoMemory, head);
+            }
+        }
+        self.room.record_part(self.arriving.bytes() + body.reserved_bytes());
+        buffer.reserve(READ_BYTES.saturating_sub(buffer.len()));
+        self.state = ReadState::Chunked { head, body };
+        None
+    }
+
     /// A complete request.
     fn complete(&mut self, head: Box<Request<()>>, body: Bytes) -> Option<Incoming> {
         let reservation = std::mem::replace(&mut self.arriving, self.room.reservation());
@@ -292,12 +311,7 @@
                 };
                 match body.read(buffer, &mut self.searched, &self.room, limits) {
                     Ok(true) => self.complete(head, body.finish()),
-                    Ok(false) => {
-                        self.room.record_part(self.arriving.bytes() + body.reserved_bytes());
-                        buffer.reserve(READ_BYTES.saturating_sub(buffer.len()));
-                        self.state = ReadState::Chunked { head, body };
-                        None
-                    }
+                    Ok(false) => self.wait_for_chunks(buffer, head, body),
                     Err(error) => self.fail_after_head(error, head),
                 }
             }
--- a/crates/galenastream_node/src/connection/request_codec_tests.rs
+++ b/crates/galenastream_node/src/connection/request_codec_tests.rs
@@ -433,3 +433,20 @@
     let refused = codec.decode(&mut more).unwrap();
     assert!(matches!(refused, Some(Incoming::Invalid { error: RequestError::NoMemory, .. })));
 }
+
+/// Guards against lines of chunked bodies that are held without being counted.
+#[test]
+fn a_line_of_a_chunked_body_takes_its_memory_from_the_budget() {
+    const LINE_BYTES: usize = 100 * 1024;
+    let budget = MemoryBudget::new(1024 * 1024);
+    let limits = limits(2 * LINE_BYTES, MAX_BODY_BYTES);
+    for line in ["1;extension=", "0\r\ntrailer: "] {
+        let mut codec = RequestCodec::new(|| Some(limits), room(budget.clone()));
+        let head = format!("POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n{line}");
+        let mut buffer = BytesMut::new();
+        assert!(decode_more(&mut codec, &mut buffer, head.as_bytes()).is_empty());
+        let more = "x".repeat(LINE_BYTES);
+        assert!(decode_more(&mut codec, &mut buffer, more.as_bytes()).is_empty());
+        assert!(budget.reserved_bytes() >= 2 * LINE_BYTES, "{line}: {}", budget.reserved_bytes());
+    }
+}
