Messages of other nodes in short parts take little memory, and count

Callers saw: a node that is killed for its memory by connections to the port of other nodes that begin many messages with a few bytes each.

Cause: the second part of a body took a block of 64 KiB, of which the bytes in it were counted, and what a message takes beside its body was not.

Blocks begin with the length of the body so far, 1 KiB at least, and a message in parts reserves 2 KiB beside its body.

--- a/crates/galenastream_node/tests/misbehaving_callers/ports.rs
+++ b/crates/galenastream_node/tests/misbehaving_callers/ports.rs
@@ -4,7 +4,8 @@
 
 use bytes::{BufMut, Bytes, BytesMut};
 use galenastream_standin::{CallerConnection, LocalVm, heartbeat_request, wait_until};
-use galenastream_wire::MAX_FRAME_BYTES;
+use galenastream_wire::{FrameCodec, MAX_FRAME_BYTES, Part, PeerFrame, peer_frame::Body};
+use tokio_util::codec::Encoder;
 
 use super::{
     TIMEOUT, TOO_MANY, WORKS,
@@ -101,3 +102,20 @@
     bytes.put_bytes(b'f', 256 * 1024);
     play(scene, &PORTS[..1], EACH, &Script::whole(bytes)).await;
 }
+
+/// Messages that a node may have begun to receive on a connection, as far as it takes them.
+const MESSAGES: u64 = 300;
+
+#[tokio::test(flavor = "multi_thread")]
+async fn messages_of_other_nodes_that_stop_after_short_parts() {
+    let scene = Scene::start("parts", &["stock", "stock"]).await;
+    let mut bytes = BytesMut::new();
+    for correlation in 0..MESSAGES {
+        for offset in [0, 1] {
+            let part = Part { offset, bytes: Bytes::from_static(b"p"), message: Bytes::new() };
+            let frame = PeerFrame { correlation, body: Some(Body::Part(part)) };
+            FrameCodec::new().encode(frame, &mut bytes).expect(WORKS);
+        }
+    }
+    play(scene, &PORTS[..1], EACH, &Script::whole(bytes)).await;
+}
--- a/crates/galenastream_runtime/src/body_buffer.rs
+++ b/crates/galenastream_runtime/src/body_buffer.rs
@@ -11,15 +11,19 @@
 /// it takes from another node.
 pub const MAX_BODY_BYTES: usize = 8 * 1024 * 1024;
 
-/// Size of the blocks in which a body is collected. Blocks of one size leave no gaps in the heap, as
-/// a buffer would that grows by copies.
-const BLOCK_BYTES: usize = 64 * 1024;
+/// Sizes of the blocks in which a body is collected. A block is as long as the body before it, so that a short
+/// body takes little; long ones are of one size and leave no gaps in the heap, as a buffer would that grows by
+/// copies.
+const MIN_BLOCK_BYTES: usize = 1024;
+const MAX_BLOCK_BYTES: usize = 64 * 1024;
 
 /// A body that is collected from its parts, up to a maximum length and within a [`MemoryBudget`], if
 /// there is one.
 #[derive(Debug)]
 pub struct BodyBuffer {
     max_bytes: usize,
+    /// What is reserved beside the body.
+    overhead_bytes: usize,
     reservation: Option<MemoryReservation>,
     /// The first part, which is not copied: most bodies have no other one.
     first: Bytes,
@@ -39,7 +43,14 @@
 impl BodyBuffer {
     /// Creates an empty buffer for up to `max_bytes`.
     pub const fn new(max_bytes: usize) -> Self {
-        Self { max_bytes, reservation: None, first: Bytes::new(), blocks: Vec::new(), bytes: 0 }
+        Self {
+            max_bytes,
+            overhead_bytes: 0,
+            reservation: None,
+            first: Bytes::new(),
+            blocks: Vec::new(),
+            bytes: 0,
+        }
     }
 
     /// Reserves the memory from `budget`.
@@ -47,6 +58,12 @@
         Self { reservation: Some(budget.reservation()), ..self }
     }
 
+    /// Reserves so many bytes beside those of the body.
+    #[must_use]
+    pub fn with_overhead(self, overhead_bytes: usize) -> Self {
+        Self { overhead_bytes, ..self }
+    }
+
     /// How many bytes have been added.
     pub const fn len(&self) -> usize {
         self.bytes
@@ -67,7 +84,7 @@
         let bytes = self.bytes + part.len();
         self.check_length(bytes)?;
         if let Some(reservation) = &mut self.reservation
-            && !reservation.extend_to(bytes)
+            && !reservation.extend_to(bytes + self.overhead_bytes)
         {
             return Err(BodyTooLong { bytes });
         }
@@ -81,16 +98,23 @@
 
     fn copy(&mut self, mut part: &[u8]) {
         while !part.is_empty() {
-            let Some(block) = self.blocks.last_mut().filter(|it| it.len() < BLOCK_BYTES) else {
-                self.blocks.push(Vec::with_capacity(BLOCK_BYTES));
+            let Some(block) = self.blocks.last_mut().filter(|it| it.len() < it.capacity()) else {
+                let collected = self.first.len() + self.blocks.iter().map(Vec::len).sum::<usize>();
+                let block_bytes = collected.max(part.len()).clamp(MIN_BLOCK_BYTES, MAX_BLOCK_BYTES);
+                self.blocks.push(Vec::with_capacity(block_bytes));
                 continue;
             };
-            let (head, rest) = part.split_at(part.len().min(BLOCK_BYTES - block.len()));
+            let (head, rest) = part.split_at(part.len().min(block.capacity() - block.len()));
             block.extend_from_slice(head);
             part = rest;
         }
     }
 
+    /// How much memory the body takes so far.
+    pub fn held_bytes(&self) -> usize {
+        self.first.len() + self.blocks.iter().map(Vec::capacity).sum::<usize>()
+    }
+
     /// Returns the body. Its memory counts as reserved until the last reference to it is dropped.
     pub fn finish(self) -> Bytes {
         let mut body = self.first;
--- a/crates/galenastream_runtime/src/frame_reader.rs
+++ b/crates/galenastream_runtime/src/frame_reader.rs
@@ -19,6 +19,9 @@
 /// Maximum number of messages of one connection of which only some parts have arrived.
 const MAX_UNFINISHED: usize = 256;
 
+/// What a message takes beside its body while parts are missing.
+const UNFINISHED_BYTES: usize = 2 * 1024;
+
 /// Maximum time without any frame while parts are missing. Nodes exchange statuses every second.
 const PART_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -122,7 +125,9 @@
         let begun = self.unfinished.remove(&correlation);
         let mut body = match begun {
             Some(body) if body.len() as u64 == part.offset => body,
-            None if part.offset == 0 && self.unfinished.len() < MAX_UNFINISHED => self.buffer(),
+            None if part.offset == 0 && self.unfinished.len() < MAX_UNFINISHED => {
+                self.buffer().with_overhead(UNFINISHED_BYTES)
+            }
             None if part.offset == 0 => return Err(BodyTooLong { bytes: part.bytes.len() }),
             // The message was refused or is no longer wanted.
             Some(_) | None => return Ok(None),
--- a/crates/galenastream_runtime/tests/bodies.rs
+++ b/crates/galenastream_runtime/tests/bodies.rs
@@ -45,6 +45,18 @@
     assert_eq!(budget.reserved_bytes(), 0);
 }
 
+/// Guards against short bodies in many parts, each of which takes a block for long ones.
+#[test]
+fn a_body_takes_little_more_memory_than_it_is_long() {
+    const PARTS: usize = 3_000;
+    let mut buffer = BodyBuffer::new(4 * PART_BYTES);
+    for _ in 0..PARTS {
+        buffer.push(Bytes::from_static(b"some bytes")).unwrap();
+        assert!(buffer.held_bytes() <= 2 * buffer.len() + 1_024, "{}", buffer.held_bytes());
+    }
+    assert_eq!(buffer.finish(), "some bytes".repeat(PARTS));
+}
+
 /// Guards against short answers that fail because long ones have used up the budget, and against any
 /// number of short ones that count for nothing.
 #[test]
