Refusals for lack of memory have a reason of their own

An operator who looked for the cause of a refused request found `not-run`, as for requests that no target took.

Such requests are refused with the reason `no-memory`, in the response, the log and the metrics. long_bodies_of_callers_do_not_fill_the_memory_of_a_node asks for it.

--- a/crates/galenastream_node/src/request/entry.rs
+++ b/crates/galenastream_node/src/request/entry.rs
@@ -15,7 +15,6 @@
     fingerprint::fingerprint_at_entry,
     long_answer::announce_answer,
     refusal::Refusal,
-    target_reply::TOO_LONG_RETRY_AFTER_MS,
 };
 use crate::{
     connection::RequestError,
@@ -66,7 +65,7 @@
         RequestError::HeadersTooLong => Refusal::HeadersTooLong,
         RequestError::BodyTooLong => Refusal::TooLong,
         RequestError::LimitsUnknown => Refusal::NoConfig,
-        RequestError::NoMemory => Refusal::NotRun { retry_after_ms: TOO_LONG_RETRY_AFTER_MS },
+        RequestError::NoMemory => Refusal::NoMemory,
         RequestError::Unsupported => Refusal::Unsupported,
     };
     let address = head.map(|it| RequestAddress::of_head(it.headers(), it.uri()));
--- a/crates/galenastream_node/src/request/long_answer.rs
+++ b/crates/galenastream_node/src/request/long_answer.rs
@@ -13,7 +13,7 @@
 use super::{
     caller_request::CallerRequest,
     refusal::Refusal,
-    target_reply::{MOVING_RETRY_AFTER_MS, TOO_LONG_RETRY_AFTER_MS, not_sent},
+    target_reply::{MOVING_RETRY_AFTER_MS, not_sent},
     target_run::AnswerWay,
 };
 use crate::process::TrafficState;
@@ -42,7 +42,7 @@
     request: &CallerRequest,
 ) -> Result<Option<AnnouncedBody>, Refusal> {
     if !has_room_for_answer(traffic) {
-        return Err(Refusal::NotRun { retry_after_ms: TOO_LONG_RETRY_AFTER_MS });
+        return Err(Refusal::NoMemory);
     }
     if !request.route.kind.has_long_answers() {
         return Ok(None);
@@ -53,7 +53,7 @@
     };
     match traffic.memory_budgets.answers.announce(expected_bytes) {
         Some(announced) => Ok(Some(announced)),
-        None => Err(Refusal::NotRun { retry_after_ms: TOO_LONG_RETRY_AFTER_MS }),
+        None => Err(Refusal::NoMemory),
     }
 }
 
--- a/crates/galenastream_node/src/request/refusal.rs
+++ b/crates/galenastream_node/src/request/refusal.rs
@@ -2,6 +2,8 @@
 
 use thiserror::Error;
 
+use super::target_reply::TOO_LONG_RETRY_AFTER_MS;
+
 /// Why a caller gets a response of the node instead of a target's.
 ///
 /// The error texts are part of the response bodies.
@@ -39,6 +41,9 @@
         "the request is refused and has not run, since the targets that ran it before have crashed; ask the operators to release it"
     )]
     Quarantined,
+    /// There is too little memory for the request or its answer now.
+    #[error("the node has no memory for the request, which has not run; come back later")]
+    NoMemory,
     /// No target took the request, so it has not run.
     #[error("no target could take the request, which has not run; come back later")]
     NotRun {
@@ -65,6 +70,7 @@
             | Self::Malformed
             | Self::Unsupported
             | Self::Quarantined
+            | Self::NoMemory
             | Self::NotRun { .. }
             | Self::Lost
             | Self::TimedOut => self,
@@ -78,6 +84,7 @@
             | Self::ConfigDoubted
             | Self::Unsupported
             | Self::Quarantined
+            | Self::NoMemory
             | Self::NotRun { .. } => 503,
             Self::NoRoute => 404,
             Self::Malformed => 400,
@@ -99,6 +106,7 @@
             Self::HeadersTooLong => "headers-too-long",
             Self::TooLong => "too-long",
             Self::Quarantined => "quarantined",
+            Self::NoMemory => "no-memory",
             Self::NotRun { .. } => "not-run",
             Self::Lost => "lost",
             Self::TimedOut => "timed-out",
@@ -113,6 +121,7 @@
             Self::ConfigDoubted => Some(CONFIG_DOUBTED_RETRY_AFTER_MS),
             Self::Unsupported => Some(UNSUPPORTED_RETRY_AFTER_MS),
             Self::Quarantined => Some(QUARANTINED_RETRY_AFTER_MS),
+            Self::NoMemory => Some(TOO_LONG_RETRY_AFTER_MS),
             _ => None,
         }
     }
--- a/crates/galenastream_node/tests/platform/long_bodies.rs
+++ b/crates/galenastream_node/tests/platform/long_bodies.rs
@@ -368,7 +368,10 @@
         let has_run = runs.contains(id);
         match answer.status {
             200 => served += 1,
-            503 => assert!(!has_run && answer.header("retry-after").is_some(), "{id}: {answer:?}"),
+            503 => {
+                assert!(!has_run && answer.header("retry-after").is_some(), "{id}: {answer:?}");
+                assert!(answer.body.contains("no-memory"), "{id}: {answer:?}");
+            }
             _ => panic!("{id}: {answer:?}"),
         }
     }
