Tests of misbehaving callers say which failure they guard against

Each has a line on the failure, and a name that says what must not happen. The crowds and the bounds are unchanged; the tests are listed as before in number.

--- a/crates/galenastream_node/tests/misbehaving_callers/answers.rs
+++ b/crates/galenastream_node/tests/misbehaving_callers/answers.rs
@@ -56,8 +56,9 @@
     scene.close().await;
 }
 
+/// Guards against answers that count for nothing once they are written, or in the queues of the kernel.
 #[tokio::test(flavor = "multi_thread")]
-async fn short_answers_that_are_not_read() {
+async fn short_answers_that_are_not_read_do_not_fill_the_memory() {
     let mut scene = Scene::start("unread", &["carts", "stock"]).await;
     let answer = RawAnswer::Complete(ANSWER_BYTES);
     let target = scene.deployment.vms[1].start_raw_target(answer).await.expect("the target starts");
--- a/crates/galenastream_node/tests/misbehaving_callers/heads.rs
+++ b/crates/galenastream_node/tests/misbehaving_callers/heads.rs
@@ -23,8 +23,9 @@
     bytes.freeze()
 }
 
+/// Guards against heads that count for nothing while they arrive.
 #[tokio::test(flavor = "multi_thread")]
-async fn heads_without_end() {
+async fn heads_without_end_do_not_fill_the_memory() {
     let scene = Scene::start("endless-heads", &["stock"]).await;
     let mut bytes = BytesMut::from(head("/orders/1").as_bytes());
     bytes.put_slice(b"X-Long: ");
@@ -32,8 +33,9 @@
     scene.play(TOO_MANY, &Script::whole(bytes)).await;
 }
 
+/// Guards against heads that are collected before they are refused.
 #[tokio::test(flavor = "multi_thread")]
-async fn heads_far_over_the_limit() {
+async fn heads_far_over_the_limit_do_not_fill_the_memory() {
     let scene = Scene::start("long-heads", &["stock"]).await;
     let mut bytes = BytesMut::from(head("/orders/1").as_bytes());
     bytes.put_slice(b"X-Long: ");
@@ -41,8 +43,9 @@
     scene.play(MANY, &Script::whole(bytes)).await;
 }
 
+/// Guards against headers that take far more memory than they have bytes.
 #[tokio::test(flavor = "multi_thread")]
-async fn pipelined_heads_of_many_headers_for_a_slow_service() {
+async fn pipelined_heads_of_many_headers_for_a_slow_service_do_not_fill_the_memory() {
     let scene = Scene::start("many-headers", &["stock"]).await;
     scene.set_slow("stock", true);
     let script = Script::repeated(head_of_many_headers(), PIPELINED);
@@ -54,8 +57,10 @@
     scene.close().await;
 }
 
+/// Guards against the same at the node that requests are passed to.
 #[tokio::test(flavor = "multi_thread")]
-async fn pipelined_heads_of_many_headers_for_a_slow_service_beside_another_node() {
+async fn pipelined_heads_of_many_headers_for_a_slow_service_beside_another_node_do_not_fill_the_memory()
+ {
     let scene = Scene::start("forwarded-headers", &["carts", "carts", "stock"]).await;
     scene.set_slow("stock", true);
     let script = Script::repeated(head_of_many_headers(), PIPELINED);
--- a/crates/galenastream_node/tests/misbehaving_callers/mixtures.rs
+++ b/crates/galenastream_node/tests/misbehaving_callers/mixtures.rs
@@ -11,8 +11,9 @@
 /// Connections of each form at each node.
 const EACH: usize = 500;
 
+/// Guards against budgets that hold one by one and not together.
 #[tokio::test(flavor = "multi_thread")]
-async fn all_forms_at_once_at_two_nodes() {
+async fn all_forms_at_once_do_not_fill_the_memory_of_two_nodes() {
     let scene = Scene::start("mixture", &["stock", "stock"]).await;
     scene.set_slow("stock", true);
     let scripts = [
--- a/crates/galenastream_node/tests/misbehaving_callers/ports.rs
+++ b/crates/galenastream_node/tests/misbehaving_callers/ports.rs
@@ -58,44 +58,50 @@
     control.read().await.map(|it| it.status)
 }
 
+/// Guards against silent connections that keep other nodes out.
 #[tokio::test(flavor = "multi_thread")]
-async fn silent_connections_at_the_port_of_other_nodes() {
+async fn silent_connections_at_the_port_of_other_nodes_leave_room_for_others() {
     let scene = Scene::start("peers", &["stock", "stock"]).await;
     play(scene, &PORTS[..1], TOO_MANY, &Script::whole(Bytes::new())).await;
 }
 
+/// Guards against silent connections that keep health checks, heartbeats and operators out.
 #[tokio::test(flavor = "multi_thread")]
-async fn silent_connections_at_all_other_ports() {
+async fn silent_connections_at_all_other_ports_leave_room_for_others() {
     let scene = Scene::start("ports", &["stock", "stock"]).await;
     play(scene, &PORTS, EACH, &Script::whole(Bytes::new())).await;
 }
 
+/// Guards against long heads that are read on any number of connections.
 #[tokio::test(flavor = "multi_thread")]
-async fn heads_without_end_at_all_other_ports() {
+async fn heads_without_end_at_all_other_ports_do_not_fill_the_memory() {
     let scene = Scene::start("port-heads", &["stock", "stock"]).await;
     let mut bytes = BytesMut::from("GET /metrics HTTP/1.1\r\nX-Long: ");
     bytes.put_bytes(b'h', LONG_HEAD_BYTES);
     play(scene, &PORTS[1..], EACH, &Script::whole(bytes)).await;
 }
 
+/// Guards against heartbeats that are held, and that keep the next ones out.
 #[tokio::test(flavor = "multi_thread")]
-async fn heartbeats_that_stop_before_their_end() {
+async fn heartbeats_that_stop_before_their_end_do_not_fill_the_memory() {
     let scene = Scene::start("heartbeats", &["stock", "stock"]).await;
     let mut request = heartbeat_request("x", &"b".repeat(HEARTBEAT_BYTES));
     request.pop();
     play(scene, &PORTS[2..3], EACH, &Script::whole(request)).await;
 }
 
+/// Guards against pages that count for nothing until operators have read them.
 #[tokio::test(flavor = "multi_thread")]
-async fn pages_that_are_not_read() {
+async fn pages_that_are_not_read_do_not_fill_the_memory() {
     let scene = Scene::start("pages", &["stock", "stock"]).await;
     let request = "GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n";
     let script = Script::repeated(request, 200).with_small_window();
     play(scene, &PORTS[3..], EACH, &script).await;
 }
 
+/// Guards against frames of other nodes that count only once they are whole.
 #[tokio::test(flavor = "multi_thread")]
-async fn frames_that_stop_before_their_end() {
+async fn frames_that_stop_before_their_end_do_not_fill_the_memory() {
     let scene = Scene::start("frames", &["stock", "stock"]).await;
     let length = u32::try_from(MAX_FRAME_BYTES).expect(WORKS);
     let mut bytes = BytesMut::from(&length.to_be_bytes()[..]);
@@ -106,8 +112,9 @@
 /// Messages that a node may have begun to receive on a connection, as far as it takes them.
 const MESSAGES: u64 = 300;
 
+/// Guards against what a message takes beside its bytes.
 #[tokio::test(flavor = "multi_thread")]
-async fn messages_of_other_nodes_that_stop_after_short_parts() {
+async fn messages_of_other_nodes_that_stop_after_short_parts_do_not_fill_the_memory() {
     let scene = Scene::start("parts", &["stock", "stock"]).await;
     let mut bytes = BytesMut::new();
     for correlation in 0..MESSAGES {
