--- a/crates/galenastream_node/tests/misbehaving_callers/bodies.rs
+++ b/crates/galenastream_node/tests/misbehaving_callers/bodies.rs
@@ -86,59 +86,32 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn whole_short_bodies_for_a_slow_service_do_not_fill_the_memory() {
     let scene = Scene::start("short-whole", &["stock"]).await;
-    scene.set_slow("stock", true);
     let script = Script::whole(request("/orders/1", SHORT_BODY_BYTES, SHORT_BODY_BYTES));
-    let crowd = Crowd::start(scene.callers(0), MANY, &script);
-    crowd.settle().await;
-    scene.set_slow("stock", false);
-    scene.assert_serves().await;
-    crowd.close().await;
-    scene.close().await;
+    scene.play_slow(&[0], MANY, &[script]).await;
 }
 
 /// Guards against pipelined requests that count for nothing.
 #[tokio::test(flavor = "multi_thread")]
 async fn pipelined_bodies_for_a_slow_service_do_not_fill_the_memory() {
     let scene = Scene::start("pipelined", &["stock"]).await;
-    scene.set_slow("stock", true);
-    let crowd = Crowd::start(scene.callers(0), PIPELINES, &Script::whole(pipeline("/orders/1")));
-    crowd.settle().await;
-    scene.set_slow("stock", false);
-    scene.assert_serves().await;
-    crowd.close().await;
-    scene.close().await;
+    let script = Script::whole(pipeline("/orders/1"));
+    scene.play_slow(&[0], PIPELINES, &[script]).await;
 }
 
 /// Guards against requests that wait unread in the kernel.
 #[tokio::test(flavor = "multi_thread")]
 async fn more_pipelined_bodies_than_a_node_reads_do_not_fill_the_memory() {
     let scene = Scene::start("pipelined-on", &["stock"]).await;
-    scene.set_slow("stock", true);
     let script = Script::repeated(pipeline("/orders/1"), 4);
-    let crowd = Crowd::start(scene.callers(0), MANY, &script);
-    crowd.settle().await;
-    scene.set_slow("stock", false);
-    scene.assert_serves().await;
-    crowd.close().await;
-    scene.close().await;
+    scene.play_slow(&[0], MANY, &[script]).await;
 }
 
 /// Guards against requests that count at their entry and not at the node they are passed to.
 #[tokio::test(flavor = "multi_thread")]
 async fn bodies_for_a_slow_service_beside_another_node_do_not_fill_the_memory() {
     let scene = Scene::start("forwarded", &["carts", "carts", "stock"]).await;
-    scene.set_slow("stock", true);
     let script = Script::whole(pipeline("/orders/1"));
-    let crowds = [0, 1].map(|vm| Crowd::start(scene.callers(vm), PIPELINES, &script));
-    for crowd in &crowds {
-        crowd.settle().await;
-    }
-    scene.set_slow("stock", false);
-    scene.assert_serves().await;
-    for crowd in crowds {
-        crowd.close().await;
-    }
-    scene.close().await;
+    scene.play_slow(&[0, 1], PIPELINES, &[script]).await;
 }
 
 /// Guards against bodies that are collected before they are refused.
--- a/crates/galenastream_node/tests/misbehaving_callers/heads.rs
+++ b/crates/galenastream_node/tests/misbehaving_callers/heads.rs
@@ -4,7 +4,7 @@
 
 use super::{
     MANY, MAX_HEADER_BYTES, TOO_MANY,
-    crowd::{Crowd, Script},
+    crowd::Script,
     scene::{Scene, head},
 };
 
@@ -47,14 +47,8 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn pipelined_heads_of_many_headers_for_a_slow_service_do_not_fill_the_memory() {
     let scene = Scene::start("many-headers", &["stock"]).await;
-    scene.set_slow("stock", true);
     let script = Script::repeated(head_of_many_headers(), PIPELINED);
-    let crowd = Crowd::start(scene.callers(0), PIPELINES, &script);
-    crowd.settle().await;
-    scene.set_slow("stock", false);
-    scene.assert_serves().await;
-    crowd.close().await;
-    scene.close().await;
+    scene.play_slow(&[0], PIPELINES, &[script]).await;
 }
 
 /// Guards against the same at the node that requests are passed to.
@@ -62,16 +56,6 @@
 async fn pipelined_heads_of_many_headers_for_a_slow_service_beside_another_node_do_not_fill_the_memory()
  {
     let scene = Scene::start("forwarded-headers", &["carts", "carts", "stock"]).await;
-    scene.set_slow("stock", true);
     let script = Script::repeated(head_of_many_headers(), PIPELINED);
-    let crowds = [0, 1].map(|vm| Crowd::start(scene.callers(vm), PIPELINES, &script));
-    for crowd in &crowds {
-        crowd.settle().await;
-    }
-    scene.set_slow("stock", false);
-    scene.assert_serves().await;
-    for crowd in crowds {
-        crowd.close().await;
-    }
-    scene.close().await;
+    scene.play_slow(&[0, 1], PIPELINES, &[script]).await;
 }
--- a/crates/galenastream_node/tests/misbehaving_callers/mixtures.rs
+++ b/crates/galenastream_node/tests/misbehaving_callers/mixtures.rs
@@ -4,7 +4,7 @@
 
 use super::{
     SHORT_BODY_BYTES,
-    crowd::{Crowd, Script},
+    crowd::Script,
     scene::{Scene, chunked, head, request},
 };
 
@@ -15,7 +15,6 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn all_forms_at_once_do_not_fill_the_memory_of_two_nodes() {
     let scene = Scene::start("mixture", &["stock", "stock"]).await;
-    scene.set_slow("stock", true);
     let scripts = [
         Script::whole(request("/orders/1", SHORT_BODY_BYTES + 1, SHORT_BODY_BYTES)),
         Script::whole(request("/orders/1", SHORT_BODY_BYTES, SHORT_BODY_BYTES)),
@@ -23,20 +22,5 @@
         Script::whole(head("/orders/1")),
         Script::whole(Bytes::new()),
     ];
-    let mut crowds = Vec::new();
-    for vm in [0, 1] {
-        for script in &scripts {
-            let script = script.clone().coming_back();
-            crowds.push(Crowd::start(scene.callers(vm), EACH, &script));
-        }
-    }
-    for crowd in &crowds {
-        crowd.settle().await;
-    }
-    scene.set_slow("stock", false);
-    scene.assert_serves().await;
-    for crowd in crowds {
-        crowd.close().await;
-    }
-    scene.close().await;
+    scene.play_slow(&[0, 1], EACH, &scripts.map(Script::coming_back)).await;
 }
--- a/crates/galenastream_node/tests/misbehaving_callers/scene.rs
+++ b/crates/galenastream_node/tests/misbehaving_callers/scene.rs
@@ -92,6 +92,27 @@
         self.close().await;
     }
 
+    /// Plays crowds of requests for `stock` while it is slow, one for each script at each of these nodes, and
+    /// checks that ordinary callers are served beside and after them once it is not.
+    pub(super) async fn play_slow(self, vms: &[usize], members: usize, scripts: &[Script]) {
+        self.set_slow("stock", true);
+        let mut crowds = Vec::new();
+        for vm in vms {
+            for script in scripts {
+                crowds.push(Crowd::start(self.callers(*vm), members, script));
+            }
+        }
+        for crowd in &crowds {
+            crowd.settle().await;
+        }
+        self.set_slow("stock", false);
+        self.assert_serves().await;
+        for crowd in crowds {
+            crowd.close().await;
+        }
+        self.close().await;
+    }
+
     /// Checks that an ordinary request is served at each node. It may be repeated, as reads are idempotent.
     pub(super) async fn assert_serves(&self) {
         for vm in &self.deployment.vms {
