--- a/crates/galenastream_node/src/connection/caller_connections.rs
+++ b/crates/galenastream_node/src/connection/caller_connections.rs
@@ -28,7 +28,8 @@
 
 use super::{
     accept::{MAX_CLOSE_TIME, accept_all, close_gracefully},
-    request_codec::{BUFFER_BYTES, Incoming, Outgoing, RequestCodec, WRITE_BYTES, has_body},
+    outgoing::{Outgoing, WRITE_BYTES, has_body},
+    request_codec::{BUFFER_BYTES, Incoming, RequestCodec},
     served_connections::ServedConnection,
 };
 use crate::{
--- a/crates/galenastream_node/src/connection/mod.rs
+++ b/crates/galenastream_node/src/connection/mod.rs
@@ -9,14 +9,18 @@
 mod caller_connections_tests;
 mod chunked_body;
 mod control_connections;
+mod outgoing;
 mod peer_connections;
 mod peer_links;
+mod peer_replies;
 mod request_codec;
 #[cfg(test)]
 mod request_codec_fuzz_tests;
 #[cfg(test)]
 mod request_codec_tests;
 mod request_head;
+#[cfg(test)]
+mod request_memory_tests;
 mod served_connections;
 mod target_connections;
 #[cfg(test)]
--- a/crates/galenastream_node/src/connection/request_codec.rs
+++ b/crates/galenastream_node/src/connection/request_codec.rs
@@ -9,12 +9,13 @@
 use bytes::{Buf, Bytes, BytesMut};
 use galenastream_adapter::CallerLimits;
 use galenastream_runtime::{ArrivalRoom, MemoryReservation};
-use http::{Request, Response, StatusCode, Version, header};
+use http::{Request, Version, header};
 use tokio_util::codec::{Decoder, Encoder};
 
 use super::{
     body_framing::{Framing, body_framing},
     chunked_body::{ChunkLimits, ChunkedBody},
+    outgoing::{Outgoing, encode_outgoing},
     request_head::{HeadError, ParsedHead, parse_head},
 };
 use crate::process::request_bytes;
@@ -37,10 +38,6 @@
 /// buffer would keep their memory.
 const MAX_SHARED_BYTES: usize = 4 * 1024;
 
-/// The longest part of a body that is copied into the buffer of its connection. The rest waits where its
-/// memory is accounted for.
-pub(super) const WRITE_BYTES: usize = 32 * 1024;
-
 /// An item read from a caller's connection.
 #[derive(Debug)]
 pub(super) enum Incoming {
@@ -74,21 +71,6 @@
     Unsupported,
 }
 
-/// An item written to a caller's connection.
-#[derive(Debug)]
-pub(super) enum Outgoing {
-    /// A response. A body of more than [`WRITE_BYTES`] follows in parts.
-    Response {
-        response: Response<Bytes>,
-        /// Whether its request only asks for the head. Then no body follows.
-        is_to_head: bool,
-    },
-    /// A part of a long body.
-    Part(Bytes),
-    /// `100 Continue`.
-    Continue,
-}
-
 /// Decodes requests, with the limits of the config in force, and encodes responses.
 #[derive(Debug)]
 pub(super) struct RequestCodec<F> {
@@ -362,35 +344,7 @@
     type Error = io::Error;
 
     fn encode(&mut self, outgoing: Outgoing, buffer: &mut BytesMut) -> io::Result<()> {
-        let (response, is_to_head) = match outgoing {
-            Outgoing::Response { response, is_to_head } => (response, is_to_head),
-            Outgoing::Part(part) => {
-                buffer.extend_from_slice(&part);
-                return Ok(());
-            }
-            Outgoing::Continue => {
-                buffer.extend_from_slice(b"HTTP/1.1 100 Continue\r\n\r\n");
-                return Ok(());
-            }
-        };
-        let status = response.status();
-        let reason = status.canonical_reason().unwrap_or("Unknown");
-        buffer.extend_from_slice(format!("HTTP/1.1 {} {reason}\r\n", status.as_u16()).as_bytes());
-        for (name, value) in response.headers() {
-            buffer.extend_from_slice(name.as_str().as_bytes());
-            buffer.extend_from_slice(b": ");
-            buffer.extend_from_slice(value.as_bytes());
-            buffer.extend_from_slice(b"\r\n");
-        }
-        if !has_body(status, is_to_head) {
-            buffer.extend_from_slice(b"\r\n");
-            return Ok(());
-        }
-        let length = response.body().len();
-        buffer.extend_from_slice(format!("content-length: {length}\r\n\r\n").as_bytes());
-        if length <= WRITE_BYTES {
-            buffer.extend_from_slice(response.body());
-        }
+        encode_outgoing(&outgoing, buffer);
         Ok(())
     }
 }
@@ -407,8 +361,3 @@
     body.truncate(length);
     body.freeze()
 }
-
-/// Whether a body follows the head of a response.
-pub(super) fn has_body(status: StatusCode, is_to_head: bool) -> bool {
-    !is_to_head && !matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED)
-}
