Connections between nodes are closed last at their port

Callers would see: requests lost with the connection between two nodes, while others open more connections at the port of nodes than there may be. Found in the reading of the change.

Cause: an idle connection went before new ones, as at the port of callers, where each new one may be an ordinary caller.

At the port of nodes, connections that brought a message within 3 s go last.

Evidence: connections_that_nodes_use_are_closed_last; without the preference, as the test says of other ports, they go before new ones.

--- a/crates/galenastream_node/src/connection/control_connections.rs
+++ b/crates/galenastream_node/src/connection/control_connections.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use galenastream_adapter::{ControlCall, READY_PATH};
+use galenastream_routing::PortClients;
 use galenastream_runtime::{ConnectionSlots, limit_queues};
 use http::{HeaderValue, Request, Response, StatusCode, Uri, header};
 use http_body_util::{BodyExt, Full, Limited};
@@ -28,7 +29,7 @@
 /// Serves the heartbeats and deregistrations of the target until the process ends.
 pub async fn serve_control(context: Arc<NodeContext>, listener: TcpListener) {
     let limits = ConnectionLimits::new(context.settings.load().limits);
-    let slots = ConnectionSlots::new("control", limits.control);
+    let slots = ConnectionSlots::new("control", PortClients::Any, limits.control);
     limit_queues(&listener);
     accept_all(listener, &slots, |stream, slot| {
         let context = context.clone();
@@ -48,7 +49,7 @@
 /// Serves the metrics, the status page and explanations of requests until the process ends.
 pub async fn serve_operators(traffic: Arc<TrafficState>, listener: TcpListener) {
     let limits = ConnectionLimits::new(traffic.context.settings.load().limits);
-    let slots = ConnectionSlots::new("operators", limits.operators);
+    let slots = ConnectionSlots::new("operators", PortClients::Any, limits.operators);
     limit_queues(&listener);
     accept_all(listener, &slots, |stream, slot| {
         let traffic = traffic.clone();
@@ -86,7 +87,7 @@
 /// Serves health checks until the process ends.
 pub async fn serve_health(context: Arc<NodeContext>, listener: TcpListener) {
     let limits = ConnectionLimits::new(context.settings.load().limits);
-    let slots = ConnectionSlots::new("health", limits.health);
+    let slots = ConnectionSlots::new("health", PortClients::Any, limits.health);
     limit_queues(&listener);
     accept_all(listener, &slots, |stream, slot| {
         let context = context.clone();
--- a/crates/galenastream_node/src/connection/request_codec_tests.rs
+++ b/crates/galenastream_node/src/connection/request_codec_tests.rs
@@ -5,6 +5,7 @@
 
 use bytes::{Bytes, BytesMut};
 use galenastream_adapter::CallerLimits;
+use galenastream_routing::PortClients;
 use galenastream_runtime::{ArrivalRoom, ConnectionSlots, MemoryBudget};
 use http::{Response, StatusCode};
 use proptest::prelude::*;
@@ -20,7 +21,7 @@
 
 /// The memory for requests of a connection that is the only one.
 pub(super) fn room(budget: Arc<MemoryBudget>) -> ArrivalRoom {
-    ArrivalRoom::new(budget, ConnectionSlots::new("test", 1), Arc::default())
+    ArrivalRoom::new(budget, ConnectionSlots::new("test", PortClients::Any, 1), Arc::default())
 }
 
 /// Decodes bytes that arrive in pieces of the given size, and returns a text for each item.
--- a/crates/galenastream_node/src/process/traffic_state.rs
+++ b/crates/galenastream_node/src/process/traffic_state.rs
@@ -9,8 +9,8 @@
 };
 
 use galenastream_routing::{
-    AdmissionLimits, ColdPeriod, LimitTrials, RequestFingerprint, RetryBudgetLimits, ServiceTime,
-    TargetSelector, UsualWaits, WeightedSplit, WindowedRetryBudget,
+    AdmissionLimits, ColdPeriod, LimitTrials, PortClients, RequestFingerprint, RetryBudgetLimits,
+    ServiceTime, TargetSelector, UsualWaits, WeightedSplit, WindowedRetryBudget,
 };
 use galenastream_runtime::{AdmissionController, ConnectionSlots, LinkShare, LogBudget, boot_now};
 use galenastream_settings::EffectiveSettings;
@@ -127,8 +127,12 @@
             memory_budgets: budgets,
             link: LinkShare::new(settings.limits.link_mbit_per_s),
             connections: ServedConnections::default(),
-            caller_slots: ConnectionSlots::new("callers", connection_limits.callers),
-            peer_slots: ConnectionSlots::new("peers", connection_limits.peers),
+            caller_slots: ConnectionSlots::new(
+                "callers",
+                PortClients::Any,
+                connection_limits.callers,
+            ),
+            peer_slots: ConnectionSlots::new("peers", PortClients::Nodes, connection_limits.peers),
             admission: AdmissionController::new(admission_limits(
                 DEFAULT_SLOTS,
                 &EffectiveSettings::default(),
--- a/crates/galenastream_routing/src/connection/connection_use.rs
+++ b/crates/galenastream_routing/src/connection/connection_use.rs
@@ -49,6 +49,19 @@
     }
 }
 
+/// Who connects to a port.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PortClients {
+    /// Clients of which each new one may be an ordinary one, whatever others do.
+    Any,
+    /// Other nodes, which keep a connection and send a message every second. A new connection is more likely
+    /// to be of somebody else.
+    Nodes,
+}
+
+/// Time after which a node has sent a message on its connection, with a margin.
+const MESSAGE_TIME: Duration = Duration::from_secs(3);
+
 /// Identifies a connection within its process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ConnectionKey(pub u64);
@@ -91,11 +104,14 @@
     }
 
     /// The place of the connection in the order in which connections are closed; `None` if it is kept.
-    fn closing_order(&self, now: BootInstant) -> Option<(u8, BootInstant)> {
+    fn closing_order(&self, clients: PortClients, now: BootInstant) -> Option<(u8, BootInstant)> {
+        let is_of_node =
+            clients == PortClients::Nodes && now.saturating_since(self.since) < MESSAGE_TIME;
         let has_stalled = self.has_stalled(MemoryNeed::ShortRequest, now);
         let rank = match self.phase {
             ConnectionPhase::Closing => 0,
             ConnectionPhase::Receiving if has_stalled => 0,
+            ConnectionPhase::Idle if is_of_node => 5,
             ConnectionPhase::Idle => 1,
             ConnectionPhase::Sending if has_stalled => 2,
             ConnectionPhase::Receiving => 3,
@@ -107,14 +123,16 @@
 }
 
 /// Chooses up to `count` connections to close so that others can be accepted. Those with a request in
-/// progress are kept. New ones go last: an ordinary client is about to send its request.
+/// progress are kept. New ones go last: an ordinary client is about to send its request. Of other nodes, the
+/// ones that are in use go last.
 pub fn connections_to_close(
     mut uses: Vec<ConnectionUse>,
     count: usize,
+    clients: PortClients,
     now: BootInstant,
 ) -> Vec<ConnectionKey> {
-    uses.retain(|it| it.closing_order(now).is_some());
-    uses.sort_by_key(|it| it.closing_order(now));
+    uses.retain(|it| it.closing_order(clients, now).is_some());
+    uses.sort_by_key(|it| it.closing_order(clients, now));
     uses.iter().take(count).map(|it| it.key).collect()
 }
 
--- a/crates/galenastream_routing/tests/connection_use.rs
+++ b/crates/galenastream_routing/tests/connection_use.rs
@@ -1,7 +1,7 @@
 //! Tests of the choice of connections that make room for others.
 
 use galenastream_routing::{
-    ConnectionKey, ConnectionPhase, ConnectionUse, MemoryNeed, connections_to_close,
+    ConnectionKey, ConnectionPhase, ConnectionUse, MemoryNeed, PortClients, connections_to_close,
     connections_to_free,
 };
 use galenastream_utils::BootInstant;
@@ -27,7 +27,11 @@
 }
 
 fn closed(uses: &[ConnectionUse], count: usize) -> Vec<u64> {
-    let chosen = connections_to_close(uses.to_vec(), count, at_ms(NOW_MS));
+    closed_of(PortClients::Any, uses, count)
+}
+
+fn closed_of(clients: PortClients, uses: &[ConnectionUse], count: usize) -> Vec<u64> {
+    let chosen = connections_to_close(uses.to_vec(), count, clients, at_ms(NOW_MS));
     chosen.into_iter().map(|it| it.0).collect()
 }
 
@@ -55,6 +59,19 @@
     assert_eq!(closed(&uses[..1], 9), [] as [u64; 0]);
 }
 
+/// Guards against crowds at the port of other nodes that take the connections between nodes.
+#[test]
+fn connections_that_nodes_use_are_closed_last() {
+    let uses = [
+        connection(1, ConnectionPhase::Idle, 900, 900),
+        connection(2, ConnectionPhase::Receiving, 10, 10),
+        connection(3, ConnectionPhase::Idle, 4_000, 4_000),
+        connection(4, ConnectionPhase::Receiving, 2_000, 2_000),
+    ];
+    assert_eq!(closed_of(PortClients::Nodes, &uses, 4), [4, 3, 2, 1]);
+    assert_eq!(closed_of(PortClients::Any, &uses, 4), [4, 3, 1, 2]);
+}
+
 /// Guards against clients that send a byte now and then to keep their connections.
 #[test]
 fn a_request_that_trickles_stalls_after_a_while() {
--- a/crates/galenastream_runtime/src/connection_slots.rs
+++ b/crates/galenastream_runtime/src/connection_slots.rs
@@ -9,7 +9,7 @@
 };
 
 use galenastream_routing::{
-    ConnectionKey, ConnectionPhase, ConnectionUse, MemoryNeed, connections_to_close,
+    ConnectionKey, ConnectionPhase, ConnectionUse, MemoryNeed, PortClients, connections_to_close,
     connections_to_free,
 };
 use galenastream_utils::{BootInstant, FastMap};
@@ -39,6 +39,7 @@
 pub struct ConnectionSlots {
     /// The name of the port in logs and metrics.
     port: &'static str,
+    clients: PortClients,
     max_open: usize,
     next_key: AtomicU64,
     open: Mutex<FastMap<ConnectionKey, Arc<ConnectionState>>>,
@@ -85,9 +86,10 @@
 
 impl ConnectionSlots {
     /// Creates the slots of a port.
-    pub fn new(port: &'static str, max_open: usize) -> Arc<Self> {
+    pub fn new(port: &'static str, clients: PortClients, max_open: usize) -> Arc<Self> {
         Arc::new(Self {
             port,
+            clients,
             max_open: max_open.max(1),
             next_key: AtomicU64::new(0),
             open: Mutex::default(),
@@ -121,7 +123,8 @@
         if open.values().all(|it| !it.evicted.is_cancelled()) {
             let count = (self.max_open / CLOSED_SHARE).max(1);
             let now = boot_now();
-            self.evict(&open, &connections_to_close(uses_of(&open), count, now), now);
+            let chosen = connections_to_close(uses_of(&open), count, self.clients, now);
+            self.evict(&open, &chosen, now);
         }
         None
     }
--- a/crates/galenastream_runtime/tests/connection_slots.rs
+++ b/crates/galenastream_runtime/tests/connection_slots.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use galenastream_routing::MemoryNeed;
+use galenastream_routing::{MemoryNeed, PortClients};
 use galenastream_runtime::{ConnectionSlot, ConnectionSlots};
 use tokio::time::{sleep, timeout};
 
@@ -37,7 +37,7 @@
 
 #[tokio::test]
 async fn a_connection_waits_until_another_has_made_room() {
-    let slots = ConnectionSlots::new("test", MAX_OPEN);
+    let slots = ConnectionSlots::new("test", PortClients::Any, MAX_OPEN);
     let mut open = fill(&slots).await;
     for slot in &open {
         slot.state().record_request();
@@ -53,7 +53,7 @@
 
 #[tokio::test]
 async fn a_connection_that_ends_by_itself_makes_room() {
-    let slots = ConnectionSlots::new("test", MAX_OPEN);
+    let slots = ConnectionSlots::new("test", PortClients::Any, MAX_OPEN);
     let mut open = fill(&slots).await;
     for slot in &open {
         slot.state().record_request();
@@ -69,7 +69,7 @@
 /// request that is refused.
 #[tokio::test]
 async fn memory_is_freed_by_connections_that_have_stalled() {
-    let slots = ConnectionSlots::new("test", MAX_OPEN);
+    let slots = ConnectionSlots::new("test", PortClients::Any, MAX_OPEN);
     let mut open = fill(&slots).await;
     let free = |bytes| slots.free_memory(MemoryNeed::ShortRequest, bytes);
     open[0].state().record_part(HELD_BYTES);
@@ -87,7 +87,7 @@
 
 #[tokio::test]
 async fn an_answer_that_is_not_read_is_given_up_for_others() {
-    let slots = ConnectionSlots::new("test", MAX_OPEN);
+    let slots = ConnectionSlots::new("test", PortClients::Any, MAX_OPEN);
     let mut open = fill(&slots).await;
     open[1].state().record_request();
     open[1].state().record_unread(HELD_BYTES);
@@ -103,7 +103,7 @@
 /// it count for nothing.
 #[tokio::test]
 async fn memory_of_a_request_that_stops_behind_another_is_freed() {
-    let slots = ConnectionSlots::new("test", MAX_OPEN);
+    let slots = ConnectionSlots::new("test", PortClients::Any, MAX_OPEN);
     let mut open = fill(&slots).await;
     open[2].state().record_request();
     open[2].state().record_part(HELD_BYTES);
