The expected size of long answers is a type of its own, with a test

Behaviour is unchanged. an_answer_of_unknown_size_is_expected_to_be_long would fail with the mean of 0 that was announced before.

--- a/crates/galenastream_node/src/process/mod.rs
+++ b/crates/galenastream_node/src/process/mod.rs
@@ -1,5 +1,8 @@
 //! State and tasks that live as long as the process.
 
+mod answer_sizes;
+#[cfg(test)]
+mod answer_sizes_tests;
 mod cold_start;
 mod command_line;
 mod commit;
@@ -59,6 +62,7 @@
 #[cfg(test)]
 mod written_row_tests;
 
+pub use answer_sizes::AnswerSizes;
 pub use command_line::{CommandLine, command};
 pub use connection_limits::ConnectionLimits;
 pub use context::{NodeContext, SyncSnapshot};
--- a/crates/galenastream_node/src/process/traffic_state.rs
+++ b/crates/galenastream_node/src/process/traffic_state.rs
@@ -19,8 +19,8 @@
 use tokio::sync::{Notify, futures::Notified};
 
 use super::{
-    ConnectionLimits, ControlEvent, LocalAnnouncement, LocalTarget, MemoryBudgets, NodeContext,
-    ProcessEnd, RememberedAnnouncements, TargetLimit, TrafficTally,
+    AnswerSizes, ConnectionLimits, ControlEvent, LocalAnnouncement, LocalTarget, MemoryBudgets,
+    NodeContext, ProcessEnd, RememberedAnnouncements, TargetLimit, TrafficTally,
 };
 use crate::connection::{PeerLinks, ServedConnections, TargetConnections};
 
@@ -35,9 +35,6 @@
 /// Number of slots assumed before the local target is known.
 const DEFAULT_SLOTS: u32 = 1;
 
-/// The weight of a further long answer in their mean size is one in this many.
-const ANSWER_SIZE_MEMORY: usize = 8;
-
 /// The state of the traffic thread.
 pub struct TrafficState {
     /// The state shared with the control thread.
@@ -71,8 +68,8 @@
     /// The waits that callers state, by the target latency of the route.
     usual_waits: Mutex<FastMap<u64, UsualWaits>>,
     service_time: Mutex<ServiceTime>,
-    /// The mean size of the long answers to callers, in bytes; 0 before the first one.
-    caller_answer_bytes: AtomicUsize,
+    /// The sizes of the long answers to callers.
+    pub caller_answers: AnswerSizes,
     /// When the last request limit of the local target ended.
     limit_ended_at: Mutex<Option<BootInstant>>,
     admission_limits: Mutex<Option<AdmissionLimits>>,
@@ -98,20 +95,6 @@
 }
 
 impl TrafficState {
-    /// The mean size of the long answers to callers so far, in bytes.
-    pub fn mean_caller_answer_bytes(&self) -> usize {
-        self.caller_answer_bytes.load(Ordering::Relaxed)
-    }
-
-    /// Adds the size of a long answer to a caller to the mean.
-    pub fn add_caller_answer(&self, bytes: usize) {
-        let mean = match self.mean_caller_answer_bytes() {
-            0 => bytes,
-            mean => mean - mean / ANSWER_SIZE_MEMORY + bytes / ANSWER_SIZE_MEMORY,
-        };
-        self.caller_answer_bytes.store(mean, Ordering::Relaxed);
-    }
-
     /// Creates the state of a starting process.
     pub fn new(context: Arc<NodeContext>) -> Self {
         let settings = context.settings.load_full();
@@ -147,7 +130,7 @@
             splits: Mutex::default(),
             usual_waits: Mutex::default(),
             service_time: Mutex::default(),
-            caller_answer_bytes: AtomicUsize::new(0),
+            caller_answers: AnswerSizes::default(),
             limit_ended_at: Mutex::default(),
             admission_limits: Mutex::default(),
             cold_period: Mutex::default(),
--- a/crates/galenastream_node/src/request/entry.rs
+++ b/crates/galenastream_node/src/request/entry.rs
@@ -147,7 +147,7 @@
         && request.route.kind.has_long_answers()
         && (200..300).contains(&reply.status)
     {
-        traffic.add_caller_answer(reply.body.len());
+        traffic.caller_answers.add(reply.body.len());
     }
     attempts.record_result(&result);
     match result {
--- a/crates/galenastream_node/src/request/long_answer.rs
+++ b/crates/galenastream_node/src/request/long_answer.rs
@@ -21,9 +21,6 @@
 /// An answer that will be late is sent only while the link would keep it waiting for less than this.
 const MAX_LATE_WAIT: Duration = Duration::from_millis(100);
 
-/// The size that is assumed of long answers until the first one has come.
-const FIRST_ANSWER_BYTES: usize = 1024 * 1024;
-
 /// Soft deadline and deadline of a request.
 pub(super) type Deadlines = (Deadline, Deadline);
 
@@ -47,10 +44,7 @@
     if !request.route.kind.has_long_answers() {
         return Ok(None);
     }
-    let expected_bytes = match traffic.mean_caller_answer_bytes() {
-        0 => FIRST_ANSWER_BYTES,
-        mean => mean,
-    };
+    let expected_bytes = traffic.caller_answers.expected_bytes();
     match traffic.memory_budgets.answers.announce(expected_bytes) {
         Some(announced) => Ok(Some(announced)),
         None => Err(Refusal::NoMemory),
