Review: show that a target that starts again under its id stays out

Case 13 (RECOVER): a leave that reaches a node which has just restarted is recorded by the id alone, and counts for each later start under that id. The stand-ins learn the start time of a target, and end what they started when they are told to stop.

--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -358,10 +358,11 @@
 class Instance:
     """An instance: it runs requests, holds keys and sends status reports to the node beside it."""
 
-    def __init__(self, machine, record, sharded=True, slots=14, work_s=0.1, queue=24):
+    def __init__(self, machine, record, sharded=True, slots=14, work_s=0.1, queue=24, id=None, born=None):
         self.machine, self.record, self.sharded = machine, record, sharded
         self.slots, self.work_s, self.queue = slots, work_s, queue
-        self.id = "i-%08x" % random.getrandbits(32)
+        self.id = id or "i-%08x" % random.getrandbits(32)
+        self.born = born
         self.seq = 0
         self.holds = {}          # (first, last) -> (fence, until)
         self.highest = []        # (first, last, fence) seen
@@ -497,6 +498,8 @@
                          "slots": self.slots},
                 "status": {"state": self.state, "seq": self.seq, "coldRemainingMs": 0},
                 "holds": holds, "released": released}
+        if self.born is not None:
+            body["born"] = self.born
         sent = time.monotonic()
         state = self.state
         status, text = await self.call("heartbeat", body)
@@ -647,6 +650,14 @@
     return False
 
 
+def stop(*_):
+    """Ends the script when it is told to stop, by way of its clean-up."""
+    sys.exit(2)
+
+
+signal.signal(signal.SIGTERM, stop)
+
+
 def cannot_run(why):
     print("the case could not run:", why)
     sys.exit(2)
