--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -18,6 +18,7 @@
 import tempfile
 import time
 import tomllib
+import traceback
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 STATUS = {200: "OK", 400: "Bad Request", 403: "Forbidden", 404: "Not Found", 410: "Gone",
@@ -661,3 +662,17 @@
 def cannot_run(why):
     print("the case could not run:", why)
     sys.exit(2)
+
+
+def run_case(main):
+    """Runs a case and exits with its result: 1 if the rule was broken, 0 if it held, 2 if it could not run."""
+    async def limited():
+        async with asyncio.timeout(117):
+            return await main()
+
+    try:
+        result = asyncio.run(limited())
+    except (Exception, KeyboardInterrupt):  # a script that fails by itself shows nothing
+        traceback.print_exc()
+        result = 2
+    sys.exit(result)
